--- /dev/null
+++ b/standin/engine/command.go
@@ -0,0 +1,61 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"verbenashift/standin/ledger"
+	"verbenashift/standin/serve"
+)
+
+const (
+	defaultSlots = 8
+	defaultStep  = 4 * time.Millisecond
+	defaultKeep  = 30 * time.Second
+)
+
+// Command returns the command line of the engine.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "engine",
+		Usage: "stand in for a model engine",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:9100", Usage: "IP address and port"},
+			&cli.StringFlag{Name: "name", Usage: "target name in the ledger"},
+			&cli.IntFlag{Name: "slots", Value: defaultSlots, Usage: "streams that run at once"},
+			&cli.DurationFlag{Name: "step", Value: defaultStep, Usage: "time of one step"},
+			&cli.DurationFlag{Name: "startup", Usage: "time between admission and the first step"},
+			&cli.DurationFlag{Name: "load-lag", Usage: "age of load reports"},
+			&cli.DurationFlag{Name: "keep", Value: defaultKeep, Usage: "how long an ended generation is kept"},
+			&cli.BoolFlag{Name: "honour-fencing", Usage: "refuse orders with an older fencing number"},
+			&cli.StringFlag{Name: "check-orders", Usage: "bearer token that orders must carry"},
+			&cli.StringFlag{Name: "ledger", Usage: "file to which runs are appended"},
+		},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	l, err := ledger.Open(cmd.String("ledger"))
+	if err != nil {
+		return err
+	}
+	l.SetTarget(cmd.String("name"))
+	e := New(Config{
+		Slots:         cmd.Int("slots"),
+		Step:          cmd.Duration("step"),
+		Startup:       cmd.Duration("startup"),
+		LoadLag:       cmd.Duration("load-lag"),
+		Keep:          cmd.Duration("keep"),
+		HonourFencing: cmd.Bool("honour-fencing"),
+		OrderToken:    cmd.String("check-orders"),
+	}, l)
+	return serve.Run(ctx, serve.Options{
+		Name:    "engine",
+		Listen:  cmd.String("listen"),
+		Handler: e.Handler(),
+		Duty:    e.Run,
+	})
+}
--- /dev/null
+++ b/standin/engine/faults.go
@@ -0,0 +1,85 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// faults are the switches of the engine. The engine's mutex guards them.
+type faults struct {
+	stall       time.Duration
+	slowFactor  float64
+	refuse      bool
+	breakAfter  int
+	breakCount  int
+	reportLoad  float64
+	orderAnswer int
+}
+
+// faultRequest is the body of POST /faults; fields left out change nothing.
+type faultRequest struct {
+	StallMS          *int     `json:"stall-ms"`
+	SlowFactor       *float64 `json:"slow-factor"`
+	Refuse           *bool    `json:"refuse"`
+	BreakAfterTokens *int     `json:"break-after-tokens"`
+	Count            *int     `json:"count"`
+	ReportLoad       *float64 `json:"report-load"`
+	// LoseOrderAnswers drops the answers to the next orders after they took
+	// effect.
+	LoseOrderAnswers *int `json:"lose-order-answers"`
+}
+
+// stepTime returns the time of the next step and uses up a stall.
+func (f *faults) stepTime(step time.Duration) time.Duration {
+	d := time.Duration(float64(step)*f.slowFactor) + f.stall
+	f.stall = 0
+	return d
+}
+
+// breaks reports whether a generation with that many tokens breaks now.
+func (f *faults) breaks(done int) bool {
+	if f.breakCount <= 0 || done < f.breakAfter {
+		return false
+	}
+	f.breakCount--
+	return true
+}
+
+func (f *faults) apply(r faultRequest) {
+	if r.StallMS != nil {
+		f.stall = time.Duration(*r.StallMS) * time.Millisecond
+	}
+	if r.SlowFactor != nil {
+		f.slowFactor = *r.SlowFactor
+	}
+	if r.Refuse != nil {
+		f.refuse = *r.Refuse
+	}
+	if r.BreakAfterTokens != nil {
+		f.breakAfter, f.breakCount = *r.BreakAfterTokens, 1
+	}
+	if r.Count != nil {
+		f.breakCount = *r.Count
+	}
+	if r.ReportLoad != nil {
+		f.reportLoad = *r.ReportLoad
+	}
+	if r.LoseOrderAnswers != nil {
+		f.orderAnswer = *r.LoseOrderAnswers
+	}
+}
+
+func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var req faultRequest
+	dec := json.NewDecoder(r.Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&req); err != nil {
+		writeError(w, http.StatusBadRequest, "bad-fault")
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults.apply(req)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/standin/engine/orders.go
@@ -0,0 +1,68 @@
+package engine
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"verbenashift/standin/ledger"
+)
+
+// Order is an order as POST /v1/orders takes it.
+type Order struct {
+	Fence    uint64          `json:"fence"`
+	Sequence uint64          `json:"sequence"`
+	Kind     string          `json:"kind"`
+	Argument json.RawMessage `json:"argument,omitempty"`
+}
+
+var orderKinds = map[string]bool{
+	"load-model": true, "load-adapter": true, "set-role": true, "set-map": true, "drain": true,
+}
+
+func (e *Engine) allowed(r *http.Request) bool {
+	if e.cfg.OrderToken == "" {
+		return true
+	}
+	got := []byte(r.Header.Get("Authorization"))
+	return subtle.ConstantTimeCompare(got, []byte("Bearer "+e.cfg.OrderToken)) == 1
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	if !e.allowed(r) {
+		writeError(w, http.StatusUnauthorized, "unauthorized")
+		return
+	}
+	var o Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || !orderKinds[o.Kind] {
+		writeError(w, http.StatusBadRequest, "bad-order")
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cfg.HonourFencing && o.Fence < e.last.Fence {
+		writeJSON(w, http.StatusConflict, staleFence{"stale-fence", e.last.Fence})
+		return
+	}
+	e.last = o
+	e.ledger.AddOrder(ledger.Order{
+		Fence: o.Fence, Sequence: o.Sequence, Kind: o.Kind, Argument: o.Argument, Applied: time.Now(),
+	})
+	if e.faults.orderAnswer > 0 {
+		e.faults.orderAnswer--
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, e.last)
+}
+
+func (e *Engine) serveLastOrder(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, http.StatusOK, e.last)
+}
+
+type staleFence struct {
+	Error string `json:"error"`
+	Fence uint64 `json:"fence"`
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,29 @@
+// Standin runs the small fakes that take the platform's and the targets'
+// place in tests, and the calling client that plays a closing.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"verbenashift/standin/engine"
+	"verbenashift/standin/plain"
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:  "standin",
+		Usage: "run a stand-in of the platform, of a target or of a caller",
+		Commands: []*cli.Command{
+			engine.Command(),
+			plain.Command(),
+		},
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/standin/serve/serve.go
@@ -0,0 +1,77 @@
+// Package serve runs the HTTP server of a stand-in until it is told to stop.
+//
+// # Usage
+//
+//	return serve.Run(ctx, serve.Options{Name: "engine", Listen: addr, Handler: h})
+package serve
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/fx"
+)
+
+const (
+	stopTimeout   = 5 * time.Second
+	headerTimeout = 10 * time.Second
+)
+
+// Options says what to serve and where.
+type Options struct {
+	Name    string
+	Listen  string
+	Handler http.Handler
+	// Duty, if set, runs beside the server until its context ends.
+	Duty func(ctx context.Context)
+}
+
+// Run serves until ctx ends or the process gets SIGTERM or SIGINT.
+func Run(ctx context.Context, o Options) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	app := fx.New(fx.NopLogger, fx.Supply(o), fx.Invoke(register))
+	if err := app.Start(ctx); err != nil {
+		return errors.Wrapf(err, "start %s", o.Name)
+	}
+	<-ctx.Done()
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancel()
+	return errors.Wrapf(app.Stop(last), "stop %s", o.Name)
+}
+
+func register(lc fx.Lifecycle, o Options) {
+	log := slog.New(slog.NewJSONHandler(os.Stderr, nil)).With("stand-in", o.Name)
+	server := &http.Server{Handler: o.Handler, ReadHeaderTimeout: headerTimeout}
+	duty, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error {
+			var lc net.ListenConfig
+			ln, err := lc.Listen(ctx, "tcp", o.Listen)
+			if err != nil {
+				return err
+			}
+			if o.Duty != nil {
+				go o.Duty(duty)
+			}
+			go func() {
+				if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+					log.Error("server ended", "error", err)
+				}
+			}()
+			log.Info("listening", "address", ln.Addr().String())
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			return server.Close()
+		},
+	})
+}
