--- a/core/peer/wire/wireconnect/agent.connect.go
+++ b/core/peer/wire/wireconnect/agent.connect.go
@@ -46,6 +46,16 @@
 	AgentServiceClaimProcedure = "/verbenashift.v1.AgentService/Claim"
 	// AgentServiceSealProcedure is the fully-qualified name of the AgentService's Seal RPC.
 	AgentServiceSealProcedure = "/verbenashift.v1.AgentService/Seal"
+	// AgentServiceReleaseProcedure is the fully-qualified name of the AgentService's Release RPC.
+	AgentServiceReleaseProcedure = "/verbenashift.v1.AgentService/Release"
+	// AgentServiceSettleProcedure is the fully-qualified name of the AgentService's Settle RPC.
+	AgentServiceSettleProcedure = "/verbenashift.v1.AgentService/Settle"
+	// AgentServiceTransferProcedure is the fully-qualified name of the AgentService's Transfer RPC.
+	AgentServiceTransferProcedure = "/verbenashift.v1.AgentService/Transfer"
+	// AgentServiceHandoverProcedure is the fully-qualified name of the AgentService's Handover RPC.
+	AgentServiceHandoverProcedure = "/verbenashift.v1.AgentService/Handover"
+	// AgentServiceRecallProcedure is the fully-qualified name of the AgentService's Recall RPC.
+	AgentServiceRecallProcedure = "/verbenashift.v1.AgentService/Recall"
 	// AgentServiceExchangeProcedure is the fully-qualified name of the AgentService's Exchange RPC.
 	AgentServiceExchangeProcedure = "/verbenashift.v1.AgentService/Exchange"
 	// AgentServiceFetchConfigProcedure is the fully-qualified name of the AgentService's FetchConfig
@@ -67,6 +77,16 @@
 	Claim(context.Context, *connect.Request[wire.ClaimRequest]) (*connect.Response[wire.ClaimResponse], error)
 	// Seal makes an executor list its keys of a home and refuse older grants.
 	Seal(context.Context, *connect.Request[wire.SealRequest]) (*connect.Response[wire.SealResponse], error)
+	// Release gives a key back whose attempt surely did not and will not run.
+	Release(context.Context, *connect.Request[wire.ReleaseRequest]) (*connect.Response[wire.ReleaseResponse], error)
+	// Settle tells the home how an attempt ended.
+	Settle(context.Context, *connect.Request[wire.SettleRequest]) (*connect.Response[wire.SettleResponse], error)
+	// Transfer moves one key's record to its new home and seals it here.
+	Transfer(context.Context, *connect.Request[wire.TransferRequest]) (*connect.Response[wire.TransferResponse], error)
+	// Handover leaves an agent's register with a peer before a restart.
+	Handover(context.Context, *connect.Request[wire.HandoverRequest]) (*connect.Response[wire.HandoverResponse], error)
+	// Recall takes a register back that was left with a peer.
+	Recall(context.Context, *connect.Request[wire.RecallRequest]) (*connect.Response[wire.RecallResponse], error)
 	// Exchange carries heartbeats: incarnation, load, drain and revisions.
 	Exchange(context.Context, *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error)
 	// FetchConfig returns the configuration a peer has in force.
@@ -116,6 +136,36 @@
 			connect.WithSchema(agentServiceMethods.ByName("Seal")),
 			connect.WithClientOptions(opts...),
 		),
+		release: connect.NewClient[wire.ReleaseRequest, wire.ReleaseResponse](
+			httpClient,
+			baseURL+AgentServiceReleaseProcedure,
+			connect.WithSchema(agentServiceMethods.ByName("Release")),
+			connect.WithClientOptions(opts...),
+		),
+		settle: connect.NewClient[wire.SettleRequest, wire.SettleResponse](
+			httpClient,
+			baseURL+AgentServiceSettleProcedure,
+			connect.WithSchema(agentServiceMethods.ByName("Settle")),
+			connect.WithClientOptions(opts...),
+		),
+		transfer: connect.NewClient[wire.TransferRequest, wire.TransferResponse](
+			httpClient,
+			baseURL+AgentServiceTransferProcedure,
+			connect.WithSchema(agentServiceMethods.ByName("Transfer")),
+			connect.WithClientOptions(opts...),
+		),
+		handover: connect.NewClient[wire.HandoverRequest, wire.HandoverResponse](
+			httpClient,
+			baseURL+AgentServiceHandoverProcedure,
+			connect.WithSchema(agentServiceMethods.ByName("Handover")),
+			connect.WithClientOptions(opts...),
+		),
+		recall: connect.NewClient[wire.RecallRequest, wire.RecallResponse](
+			httpClient,
+			baseURL+AgentServiceRecallProcedure,
+			connect.WithSchema(agentServiceMethods.ByName("Recall")),
+			connect.WithClientOptions(opts...),
+		),
 		exchange: connect.NewClient[wire.ExchangeRequest, wire.ExchangeResponse](
 			httpClient,
 			baseURL+AgentServiceExchangeProcedure,
@@ -144,6 +194,11 @@
 	cancel      *connect.Client[wire.CancelRequest, wire.CancelResponse]
 	claim       *connect.Client[wire.ClaimRequest, wire.ClaimResponse]
 	seal        *connect.Client[wire.SealRequest, wire.SealResponse]
+	release     *connect.Client[wire.ReleaseRequest, wire.ReleaseResponse]
+	settle      *connect.Client[wire.SettleRequest, wire.SettleResponse]
+	transfer    *connect.Client[wire.TransferRequest, wire.TransferResponse]
+	handover    *connect.Client[wire.HandoverRequest, wire.HandoverResponse]
+	recall      *connect.Client[wire.RecallRequest, wire.RecallResponse]
 	exchange    *connect.Client[wire.ExchangeRequest, wire.ExchangeResponse]
 	fetchConfig *connect.Client[wire.FetchConfigRequest, wire.FetchConfigResponse]
 	order       *connect.Client[wire.OrderRequest, wire.OrderResponse]
@@ -174,6 +229,31 @@
 	return c.seal.CallUnary(ctx, req)
 }
 
+// Release calls verbenashift.v1.AgentService.Release.
+func (c *agentServiceClient) Release(ctx context.Context, req *connect.Request[wire.ReleaseRequest]) (*connect.Response[wire.ReleaseResponse], error) {
+	return c.release.CallUnary(ctx, req)
+}
+
+// Settle calls verbenashift.v1.AgentService.Settle.
+func (c *agentServiceClient) Settle(ctx context.Context, req *connect.Request[wire.SettleRequest]) (*connect.Response[wire.SettleResponse], error) {
+	return c.settle.CallUnary(ctx, req)
+}
+
+// Transfer calls verbenashift.v1.AgentService.Transfer.
+func (c *agentServiceClient) Transfer(ctx context.Context, req *connect.Request[wire.TransferRequest]) (*connect.Response[wire.TransferResponse], error) {
+	return c.transfer.CallUnary(ctx, req)
+}
+
+// Handover calls verbenashift.v1.AgentService.Handover.
+func (c *agentServiceClient) Handover(ctx context.Context, req *connect.Request[wire.HandoverRequest]) (*connect.Response[wire.HandoverResponse], error) {
+	return c.handover.CallUnary(ctx, req)
+}
+
+// Recall calls verbenashift.v1.AgentService.Recall.
+func (c *agentServiceClient) Recall(ctx context.Context, req *connect.Request[wire.RecallRequest]) (*connect.Response[wire.RecallResponse], error) {
+	return c.recall.CallUnary(ctx, req)
+}
+
 // Exchange calls verbenashift.v1.AgentService.Exchange.
 func (c *agentServiceClient) Exchange(ctx context.Context, req *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error) {
 	return c.exchange.CallUnary(ctx, req)
@@ -201,6 +281,16 @@
 	Claim(context.Context, *connect.Request[wire.ClaimRequest]) (*connect.Response[wire.ClaimResponse], error)
 	// Seal makes an executor list its keys of a home and refuse older grants.
 	Seal(context.Context, *connect.Request[wire.SealRequest]) (*connect.Response[wire.SealResponse], error)
+	// Release gives a key back whose attempt surely did not and will not run.
+	Release(context.Context, *connect.Request[wire.ReleaseRequest]) (*connect.Response[wire.ReleaseResponse], error)
+	// Settle tells the home how an attempt ended.
+	Settle(context.Context, *connect.Request[wire.SettleRequest]) (*connect.Response[wire.SettleResponse], error)
+	// Transfer moves one key's record to its new home and seals it here.
+	Transfer(context.Context, *connect.Request[wire.TransferRequest]) (*connect.Response[wire.TransferResponse], error)
+	// Handover leaves an agent's register with a peer before a restart.
+	Handover(context.Context, *connect.Request[wire.HandoverRequest]) (*connect.Response[wire.HandoverResponse], error)
+	// Recall takes a register back that was left with a peer.
+	Recall(context.Context, *connect.Request[wire.RecallRequest]) (*connect.Response[wire.RecallResponse], error)
 	// Exchange carries heartbeats: incarnation, load, drain and revisions.
 	Exchange(context.Context, *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error)
 	// FetchConfig returns the configuration a peer has in force.
@@ -246,6 +336,36 @@
 		connect.WithSchema(agentServiceMethods.ByName("Seal")),
 		connect.WithHandlerOptions(opts...),
 	)
+	agentServiceReleaseHandler := connect.NewUnaryHandler(
+		AgentServiceReleaseProcedure,
+		svc.Release,
+		connect.WithSchema(agentServiceMethods.ByName("Release")),
+		connect.WithHandlerOptions(opts...),
+	)
+	agentServiceSettleHandler := connect.NewUnaryHandler(
+		AgentServiceSettleProcedure,
+		svc.Settle,
+		connect.WithSchema(agentServiceMethods.ByName("Settle")),
+		connect.WithHandlerOptions(opts...),
+	)
+	agentServiceTransferHandler := connect.NewUnaryHandler(
+		AgentServiceTransferProcedure,
+		svc.Transfer,
+		connect.WithSchema(agentServiceMethods.ByName("Transfer")),
+		connect.WithHandlerOptions(opts...),
+	)
+	agentServiceHandoverHandler := connect.NewUnaryHandler(
+		AgentServiceHandoverProcedure,
+		svc.Handover,
+		connect.WithSchema(agentServiceMethods.ByName("Handover")),
+		connect.WithHandlerOptions(opts...),
+	)
+	agentServiceRecallHandler := connect.NewUnaryHandler(
+		AgentServiceRecallProcedure,
+		svc.Recall,
+		connect.WithSchema(agentServiceMethods.ByName("Recall")),
+		connect.WithHandlerOptions(opts...),
+	)
 	agentServiceExchangeHandler := connect.NewUnaryHandler(
 		AgentServiceExchangeProcedure,
 		svc.Exchange,
@@ -276,6 +396,16 @@
 			agentServiceClaimHandler.ServeHTTP(w, r)
 		case AgentServiceSealProcedure:
 			agentServiceSealHandler.ServeHTTP(w, r)
+		case AgentServiceReleaseProcedure:
+			agentServiceReleaseHandler.ServeHTTP(w, r)
+		case AgentServiceSettleProcedure:
+			agentServiceSettleHandler.ServeHTTP(w, r)
+		case AgentServiceTransferProcedure:
+			agentServiceTransferHandler.ServeHTTP(w, r)
+		case AgentServiceHandoverProcedure:
+			agentServiceHandoverHandler.ServeHTTP(w, r)
+		case AgentServiceRecallProcedure:
+			agentServiceRecallHandler.ServeHTTP(w, r)
 		case AgentServiceExchangeProcedure:
 			agentServiceExchangeHandler.ServeHTTP(w, r)
 		case AgentServiceFetchConfigProcedure:
@@ -311,6 +441,26 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("verbenashift.v1.AgentService.Seal is not implemented"))
 }
 
+func (UnimplementedAgentServiceHandler) Release(context.Context, *connect.Request[wire.ReleaseRequest]) (*connect.Response[wire.ReleaseResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("verbenashift.v1.AgentService.Release is not implemented"))
+}
+
+func (UnimplementedAgentServiceHandler) Settle(context.Context, *connect.Request[wire.SettleRequest]) (*connect.Response[wire.SettleResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("verbenashift.v1.AgentService.Settle is not implemented"))
+}
+
+func (UnimplementedAgentServiceHandler) Transfer(context.Context, *connect.Request[wire.TransferRequest]) (*connect.Response[wire.TransferResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("verbenashift.v1.AgentService.Transfer is not implemented"))
+}
+
+func (UnimplementedAgentServiceHandler) Handover(context.Context, *connect.Request[wire.HandoverRequest]) (*connect.Response[wire.HandoverResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("verbenashift.v1.AgentService.Handover is not implemented"))
+}
+
+func (UnimplementedAgentServiceHandler) Recall(context.Context, *connect.Request[wire.RecallRequest]) (*connect.Response[wire.RecallResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("verbenashift.v1.AgentService.Recall is not implemented"))
+}
+
 func (UnimplementedAgentServiceHandler) Exchange(context.Context, *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("verbenashift.v1.AgentService.Exchange is not implemented"))
 }
