--- /dev/null
+++ b/core/store/call.go
@@ -0,0 +1,202 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"expvar"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+)
+
+// The kinds of calls, as they appear in errors and counters.
+const (
+	opGet            = "get"
+	opList           = "list"
+	opCompareAndSwap = "compare-and-swap"
+	opDelete         = "delete"
+	opGrant          = "grant"
+	opKeepAlive      = "keep-alive"
+	opRevoke         = "revoke"
+	opWatch          = "watch"
+)
+
+// The counters of this process: attempts by kind of call, and errors by kind.
+var (
+	callCount  = expvar.NewMap("store-calls")
+	errorCount = expvar.NewMap("store-errors")
+)
+
+// call names one call; key and lease only serve its errors.
+type call struct {
+	op    string
+	path  string
+	key   string
+	lease int64
+}
+
+// errNoAddress is the cause when the client was given no address.
+var errNoAddress = errors.New("no address is configured")
+
+// errShortAnswer says that an answer lacked a part that the protocol promises.
+var errShortAnswer = errors.New("answer lacks a part")
+
+// unavailable returns and counts an *UnavailableError.
+func unavailable(op string, err error) error {
+	errorCount.Add("unavailable", 1)
+	return &UnavailableError{Op: op, Err: err}
+}
+
+// lost returns and counts an *UnknownError.
+func lost(op string, err error) error {
+	errorCount.Add("unknown", 1)
+	return &UnknownError{Op: op, Err: err}
+}
+
+// read makes a call without effect, once at each address until one answers.
+func (c *Client) read(ctx context.Context, cl call, req, resp any) error {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	last, first := errNoAddress, int(c.preferred.Load())
+	for i := range c.bases {
+		index := (first + i) % len(c.bases)
+		_, err := c.attempt(ctx, index, cl, body, resp)
+		var large *TooLargeError
+		if err == nil || decided(err) || errors.As(err, &large) {
+			return err
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return unavailable(cl.op, last)
+}
+
+// write makes a call with an effect. It goes on to another address only if the
+// call cannot have reached the first.
+//
+// The guard is for an answer lost after the write: a second try elsewhere would
+// meet the first one's effect, and would report a conflict with the caller's
+// own value. So once a connection was given to the request, each failure
+// without an answer is an *UnknownError.
+func (c *Client) write(ctx context.Context, cl call, req, resp any) error {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	last, first := errNoAddress, int(c.preferred.Load())
+	for i := range c.bases {
+		index := (first + i) % len(c.bases)
+		sent, err := c.attempt(ctx, index, cl, body, resp)
+		if err == nil || decided(err) {
+			return err
+		}
+		if sent {
+			return lost(cl.op, err)
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return unavailable(cl.op, last)
+}
+
+// decided reports whether err is the store's own decision against the call.
+func decided(err error) bool {
+	var gone *LeaseGoneError
+	var refused *RefusedError
+	return errors.As(err, &gone) || errors.As(err, &refused)
+}
+
+// attempt makes one call at the address with that index. With an error, sent
+// tells whether the request may have reached the store.
+func (c *Client) attempt(ctx context.Context, index int, cl call, body []byte, resp any) (sent bool, err error) {
+	callCount.Add(cl.op, 1)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	res, sent, err := c.post(ctx, c.bases[index]+cl.path, body)
+	if err != nil {
+		c.passOver(index)
+		return sent, err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return refusal(cl, res)
+	}
+	if err := json.NewDecoder(&boundedReader{r: res.Body, n: maxAnswer, key: cl.key}).Decode(resp); err != nil {
+		return true, errors.Wrap(err, "read answer")
+	}
+	return true, nil
+}
+
+// passOver makes the address after index the preferred one, unless another
+// goroutine has moved on already.
+func (c *Client) passOver(index int) {
+	c.preferred.CompareAndSwap(int32(index), int32((index+1)%len(c.bases)))
+}
+
+// post sends one request. Whether a connection was given to it decides whether
+// the store can have seen it: the transport writes nothing before that.
+func (c *Client) post(ctx context.Context, url string, body []byte) (res *http.Response, sent bool, err error) {
+	var got atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { got.Store(true) }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, false, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err = c.transport.RoundTrip(req)
+	return res, got.Load(), err
+}
+
+// statusError is an answer that tells nothing of the call's effect.
+type statusError struct {
+	Status int
+}
+
+func (e *statusError) Error() string { return http.StatusText(e.Status) }
+
+// refusal turns a status into an error. Only the statuses by which the gateway
+// turns a call away before the store looks at it prove that it had no effect;
+// a 5xx may come from a store that lost its leader after it took the write in.
+func refusal(cl call, res *http.Response) (sent bool, err error) {
+	switch res.StatusCode {
+	case http.StatusTooManyRequests:
+		return false, &statusError{Status: res.StatusCode}
+	case http.StatusNotFound:
+		if cl.lease != 0 {
+			return false, &LeaseGoneError{ID: cl.lease}
+		}
+		return false, &RefusedError{Op: cl.op, Status: res.StatusCode}
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden,
+		http.StatusMethodNotAllowed, http.StatusRequestEntityTooLarge:
+		return false, &RefusedError{Op: cl.op, Status: res.StatusCode}
+	default:
+		return true, &statusError{Status: res.StatusCode}
+	}
+}
+
+// boundedReader fails with a *TooLargeError after n bytes.
+type boundedReader struct {
+	r   io.Reader
+	n   int
+	key string
+}
+
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if b.n <= 0 {
+		return 0, &TooLargeError{Key: b.key, Limit: maxAnswer}
+	}
+	n, err := b.r.Read(p[:min(len(p), b.n)])
+	b.n -= n
+	return n, err
+}
--- /dev/null
+++ b/core/store/errors.go
@@ -0,0 +1,101 @@
+package store
+
+import "fmt"
+
+// ConflictError says that a compare-and-swap or a delete found another version
+// than the caller named. Nothing was changed.
+type ConflictError struct {
+	Key string
+	// Current is what the store held at that moment; its Version is 0 if the
+	// key was absent.
+	Current KV
+}
+
+// Error returns the key and the version found.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("store: conflict: %s is at version %d", e.Key, e.Current.Version)
+}
+
+// UnavailableError says that a call had surely no effect: no connection could
+// be had, or the store refused the call as too much. Every failed read is one.
+type UnavailableError struct {
+	// Op is the kind of call, such as "get".
+	Op string
+	// Err is the cause, if one is known.
+	Err error
+}
+
+// Error returns the operation and the cause.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("store: %s: unavailable: %v", e.Op, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Err }
+
+// UnknownError says that the answer to a write was lost, so that the write may
+// have taken effect or may still do so. The caller reads the key back.
+type UnknownError struct {
+	// Op is the kind of call, such as "compare-and-swap".
+	Op string
+	// Err is the cause.
+	Err error
+}
+
+// Error returns the operation and the cause.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("store: %s: effect unknown: %v", e.Op, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// TooLargeError says that a value was over the store's limit and was not sent,
+// or that an answer was over the client's.
+type TooLargeError struct {
+	Key string
+	// Size is the value's size in bytes; 0 for an answer, which is not read on.
+	Size int
+	// Limit is in bytes.
+	Limit int
+}
+
+// Error returns the sizes.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("store: %s: size %d is over the limit of %d bytes", e.Key, e.Size, e.Limit)
+}
+
+// LeaseGoneError says that the lease named by a call has lapsed or was revoked.
+// Nothing was changed.
+type LeaseGoneError struct {
+	ID int64
+}
+
+// Error returns the lease.
+func (e *LeaseGoneError) Error() string { return fmt.Sprintf("store: lease %d is gone", e.ID) }
+
+// CompactedError says that the store no longer keeps the changes that a watch
+// asked for. The caller reads the key and watches from its version.
+type CompactedError struct {
+	Key string
+	// Version is the oldest that can still be watched.
+	Version int64
+}
+
+// Error returns the key and the version.
+func (e *CompactedError) Error() string {
+	return fmt.Sprintf("store: watch of %s: changes before version %d are gone", e.Key, e.Version)
+}
+
+// RefusedError says that the store found a call at fault and did not run it.
+type RefusedError struct {
+	// Op is the kind of call.
+	Op string
+	// Status is the HTTP status.
+	Status int
+}
+
+// Error returns the operation and the status.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("store: %s: refused with status %d", e.Op, e.Status)
+}
--- /dev/null
+++ b/core/store/store.go
@@ -0,0 +1,192 @@
+// Package store is the client of the platform's key-value service.
+//
+// The service holds what must outlive the instances: the operators'
+// configuration and the leases of the duties. It speaks the JSON form of the
+// etcd version 3 protocol (see package wire). Each call counts against its
+// rates, and so does a waiting watch; the client never repeats a call by
+// itself, except at another address as told below.
+//
+// A key's Version is the store's revision at its last change. It grows with
+// each change, is never used twice, and 0 stands for a key that is absent.
+//
+// # Failures
+//
+// A write ends in one of four ways: done; *ConflictError, *LeaseGoneError,
+// *RefusedError or *TooLargeError, where the store or the client decided
+// against it; *UnavailableError, where it surely had no effect; and
+// *UnknownError, where its answer was lost and it may have taken effect.
+// *UnavailableError is kept for calls for which no connection was ever had and
+// for refusals by rate: once a connection was given to a request, no failure
+// proves that the store did not run it. The caller settles an *UnknownError by
+// reading the key back, with an identifier of its own inside the value.
+//
+// With several addresses a read that fails is tried once at each. A write goes
+// on to the next address only when it surely had no effect.
+//
+// # Usage
+//
+//	c := store.New(store.Config{Addresses: []string{"10.0.0.5:2379"}})
+//	cur, err := c.Get(ctx, "config/head")
+//	if err != nil {
+//		return err
+//	}
+//	version, err := c.CompareAndSwap(ctx, cur.Key, cur.Version, next, 0)
+//	var unknown *store.UnknownError
+//	if errors.As(err, &unknown) {
+//		return settle(ctx, c, changeID)
+//	}
+package store
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"verbenashift/core/store/wire"
+)
+
+const (
+	// DefaultTimeout bounds one attempt of a call if Config names no time.
+	DefaultTimeout = 2 * time.Second
+	// MaxValue is the largest value that can be written, in bytes.
+	MaxValue = wire.MaxValue
+	// maxAnswer bounds what is read of one answer, in bytes. It leaves room
+	// for about twenty values of the largest size in base64.
+	maxAnswer = 32 << 20
+)
+
+// KV is a key with its value.
+type KV struct {
+	Key   string
+	Value []byte
+	// Version is the store's revision at the key's last change; 0 says that
+	// the key is absent.
+	Version int64
+	// Deleted marks a removal seen by a watch. Version is then the removal's,
+	// from which a watch goes on; the key itself is absent and is written
+	// anew with version 0.
+	Deleted bool
+}
+
+// Lease is a promise of the store to keep keys for a time. The holder counts
+// TTL from before it sent the call that granted or renewed the lease.
+type Lease struct {
+	ID  int64
+	TTL time.Duration
+}
+
+// Config says how to reach the service.
+type Config struct {
+	// Addresses are host:port pairs or URLs, in order of preference.
+	Addresses []string
+	// Timeout bounds one attempt at one address; 0 means DefaultTimeout.
+	Timeout time.Duration
+	// Transport carries the calls; nil means one made for this client.
+	Transport http.RoundTripper
+}
+
+// Client makes calls to the service. It may be used by many goroutines.
+type Client struct {
+	bases     []string
+	timeout   time.Duration
+	transport http.RoundTripper
+	preferred atomic.Int32 // index in bases of the address that answered last
+}
+
+// New returns a client. It makes no call.
+func New(cfg Config) *Client {
+	c := &Client{timeout: cfg.Timeout, transport: cfg.Transport}
+	if c.timeout <= 0 {
+		c.timeout = DefaultTimeout
+	}
+	if c.transport == nil {
+		c.transport = newTransport(c.timeout)
+	}
+	for _, a := range cfg.Addresses {
+		c.bases = append(c.bases, baseURL(a))
+	}
+	return c
+}
+
+// newTransport returns a transport that notices a dead peer by TCP probes in
+// about ten seconds, since a quiet watch sends nothing by itself.
+func newTransport(timeout time.Duration) *http.Transport {
+	const idleConns = 4
+	dialer := &net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 4 * time.Second, Interval: 2 * time.Second, Count: 3},
+	}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+}
+
+// baseURL turns an address into the URL before a call's path.
+func baseURL(address string) string {
+	if strings.Contains(address, "://") {
+		return strings.TrimSuffix(address, "/")
+	}
+	return "http://" + address
+}
+
+// Get reads one key. A key that is absent has Version 0 and is no error.
+func (c *Client) Get(ctx context.Context, key string) (KV, error) {
+	kvs, err := c.readRange(ctx, opGet, wire.RangeRequest{Key: []byte(key)})
+	if err != nil {
+		return KV{}, err
+	}
+	if len(kvs) == 0 {
+		return KV{Key: key}, nil
+	}
+	return fromWire(kvs[0]), nil
+}
+
+// List reads all keys that begin with prefix, in order of their names. The
+// whole answer is bounded at 32 MB, beyond which it is a *TooLargeError.
+func (c *Client) List(ctx context.Context, prefix string) ([]KV, error) {
+	kvs, err := c.readRange(ctx, opList, wire.RangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)})
+	if err != nil {
+		return nil, err
+	}
+	list := make([]KV, len(kvs))
+	for i, kv := range kvs {
+		list[i] = fromWire(kv)
+	}
+	return list, nil
+}
+
+func (c *Client) readRange(ctx context.Context, op string, req wire.RangeRequest) ([]wire.KeyValue, error) {
+	var resp wire.RangeResponse
+	if err := c.read(ctx, call{op: op, path: wire.RangePath, key: string(req.Key)}, req, &resp); err != nil {
+		return nil, err
+	}
+	// An answer without a revision is no store's: taking it for an absent key
+	// would make a node forget its configuration.
+	if resp.Header.Revision <= 0 {
+		return nil, unavailable(op, errShortAnswer)
+	}
+	return resp.KVs, nil
+}
+
+// prefixEnd returns the first key after all that begin with prefix. A zero byte
+// stands for the end of all keys, as the protocol has it.
+func prefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
+
+func fromWire(kv wire.KeyValue) KV {
+	return KV{Key: string(kv.Key), Value: kv.Value, Version: int64(kv.ModRevision)}
+}
--- /dev/null
+++ b/core/store/watch.go
@@ -0,0 +1,104 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"verbenashift/core/store/wire"
+)
+
+// errWatchEnded is the cause when the store ends a watch without a reason.
+var errWatchEnded = errors.New("the store ended the watch")
+
+// Watch calls f, one event after the other and in their order, for each change
+// of key after fromVersion, and blocks until the watch ends. It always returns
+// an error: that of ctx; *CompactedError if the changes after fromVersion are
+// no longer kept; else *UnavailableError. The caller resumes from the version
+// of the last event it saw.
+//
+// A link that dies is noticed by TCP probes within about ten seconds, but a
+// store that is frozen looks like a quiet key: a caller that must know bounds
+// the watch by ctx, or reads the key now and then.
+func (c *Client) Watch(ctx context.Context, key string, fromVersion int64, f func(KV)) error {
+	req := wire.WatchRequest{Create: wire.WatchCreate{Key: []byte(key), StartRevision: wire.Int64(fromVersion + 1)}}
+	body, err := json.Marshal(req)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	if len(c.bases) == 0 {
+		return unavailable(opWatch, errNoAddress)
+	}
+	index := int(c.preferred.Load())
+	err = c.watchAt(ctx, c.bases[index], key, body, f)
+	var compacted *CompactedError
+	switch {
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case errors.As(err, &compacted) || decided(err):
+		return err
+	default:
+		c.passOver(index)
+		return unavailable(opWatch, err)
+	}
+}
+
+// watchAt runs a watch at one address. The call's timeout bounds the time until
+// the store says that the watch stands; after that it has none.
+func (c *Client) watchAt(ctx context.Context, base, key string, body []byte, f func(KV)) error {
+	callCount.Add(opWatch, 1)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	opening := time.AfterFunc(c.timeout, cancel)
+	defer opening.Stop()
+	res, _, err := c.post(ctx, base+wire.WatchPath, body)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		_, err := refusal(call{op: opWatch, key: key}, res)
+		return err
+	}
+	return readWatch(res.Body, key, func() { opening.Stop() }, f)
+}
+
+// readWatch reads the lines of a watch until one fails or ends it.
+func readWatch(r io.Reader, key string, created func(), f func(KV)) error {
+	bounded := &boundedReader{r: r, key: key}
+	dec := json.NewDecoder(bounded)
+	for {
+		bounded.n = maxAnswer // each line has the whole bound
+		var line wire.WatchLine
+		if err := dec.Decode(&line); err != nil {
+			return err
+		}
+		if line.Result.Created {
+			created()
+		}
+		for _, ev := range line.Result.Events {
+			kv := fromWire(ev.KV)
+			kv.Deleted = ev.Type == wire.TypeDelete
+			f(kv)
+		}
+		if err := watchEnd(line, key); err != nil {
+			return err
+		}
+	}
+}
+
+// watchEnd returns the error of a line that ends the watch.
+func watchEnd(line wire.WatchLine, key string) error {
+	switch {
+	case line.Result.CompactRevision > 0:
+		return &CompactedError{Key: key, Version: int64(line.Result.CompactRevision)}
+	case line.Result.Canceled || line.Error != nil:
+		return errWatchEnded
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/core/store/write.go
@@ -0,0 +1,104 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"verbenashift/core/store/wire"
+)
+
+// CompareAndSwap sets key to value if the key is still at version, with 0 for a
+// key that must be absent, and returns the key's new version. With a lease
+// other than 0 the store removes the key when the lease ends. A different
+// version is a *ConflictError with what the store holds.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, version int64, value []byte, lease int64) (int64, error) {
+	if len(value) > MaxValue {
+		return 0, &TooLargeError{Key: key, Size: len(value), Limit: MaxValue}
+	}
+	put := &wire.PutRequest{Key: []byte(key), Value: value, Lease: wire.Int64(lease)}
+	return c.txn(ctx, call{op: opCompareAndSwap, key: key, lease: lease}, version, wire.RequestOp{Put: put})
+}
+
+// Delete removes key if it is still at version. A different version is a
+// *ConflictError; so is a key that is already absent, with Current.Version 0,
+// unless version is 0 too.
+func (c *Client) Delete(ctx context.Context, key string, version int64) error {
+	del := &wire.DeleteRangeRequest{Key: []byte(key)}
+	_, err := c.txn(ctx, call{op: opDelete, key: key}, version, wire.RequestOp{DeleteRange: del})
+	return err
+}
+
+// txn runs op if the key is at version, and reads the key in the same
+// transaction if it is not.
+func (c *Client) txn(ctx context.Context, cl call, version int64, op wire.RequestOp) (int64, error) {
+	cl.path = wire.TxnPath
+	key := []byte(cl.key)
+	req := wire.TxnRequest{
+		Compare: []wire.Compare{{
+			Key: key, Target: wire.TargetMod, Result: wire.ResultEqual, ModRevision: wire.Int64(version),
+		}},
+		Success: []wire.RequestOp{op},
+		Failure: []wire.RequestOp{{Range: &wire.RangeRequest{Key: key}}},
+	}
+	var resp wire.TxnResponse
+	if err := c.write(ctx, cl, req, &resp); err != nil {
+		return 0, err
+	}
+	if resp.Header.Revision <= 0 {
+		return 0, lost(cl.op, errShortAnswer)
+	}
+	if resp.Succeeded {
+		return int64(resp.Header.Revision), nil
+	}
+	if len(resp.Responses) != 1 || resp.Responses[0].Range == nil {
+		return 0, lost(cl.op, errShortAnswer)
+	}
+	current := KV{Key: cl.key}
+	if kvs := resp.Responses[0].Range.KVs; len(kvs) > 0 {
+		current = fromWire(kvs[0])
+	}
+	errorCount.Add("conflict", 1)
+	return 0, &ConflictError{Key: cl.key, Current: current}
+}
+
+// Grant asks for a new lease of ttl, rounded up to whole seconds. After an
+// *UnknownError a lease without a holder may remain, which lapses by itself.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (Lease, error) {
+	seconds := (ttl + time.Second - 1) / time.Second
+	var resp wire.Lease
+	err := c.write(ctx, call{op: opGrant, path: wire.GrantPath}, wire.Lease{TTL: wire.Int64(seconds)}, &resp)
+	if err != nil {
+		return Lease{}, err
+	}
+	return leaseFromWire(resp), nil
+}
+
+// KeepAlive renews the lease for its whole time once. A lease that has lapsed
+// is a *LeaseGoneError. After any other error the holder goes by its old
+// deadline.
+func (c *Client) KeepAlive(ctx context.Context, id int64) (Lease, error) {
+	var resp wire.KeepAliveLine
+	cl := call{op: opKeepAlive, path: wire.KeepAlivePath, lease: id}
+	if err := c.write(ctx, cl, wire.Lease{ID: wire.Int64(id)}, &resp); err != nil {
+		return Lease{}, err
+	}
+	if resp.Error != nil || resp.Result.ID != wire.Int64(id) {
+		return Lease{}, lost(opKeepAlive, errShortAnswer)
+	}
+	if resp.Result.TTL <= 0 {
+		return Lease{}, &LeaseGoneError{ID: id}
+	}
+	return leaseFromWire(resp.Result), nil
+}
+
+// Revoke ends the lease and removes its keys. A lease that has lapsed is a
+// *LeaseGoneError.
+func (c *Client) Revoke(ctx context.Context, id int64) error {
+	var resp struct{}
+	cl := call{op: opRevoke, path: wire.RevokePath, lease: id}
+	return c.write(ctx, cl, wire.Lease{ID: wire.Int64(id)}, &resp)
+}
+
+func leaseFromWire(l wire.Lease) Lease {
+	return Lease{ID: int64(l.ID), TTL: time.Duration(l.TTL) * time.Second}
+}
