Stand-ins: do not report an error after a good ledger write

errors.Wrap of go-faster makes an error of a nil one, so every write to a ledger file looked failed and no run began. Checked by hand: stream, re-attach and a ledger read back after kill -9.

--- a/standin/ledger/ledger.go
+++ b/standin/ledger/ledger.go
@@ -204,6 +204,8 @@
 	if err != nil {
 		return errors.Wrap(err, "encode run")
 	}
-	_, err = l.file.Write(append(line, '\n'))
-	return errors.Wrap(err, "append run")
+	if _, err := l.file.Write(append(line, '\n')); err != nil {
+		return errors.Wrap(err, "append run")
+	}
+	return nil
 }
--- a/standin/serve/serve.go
+++ b/standin/serve/serve.go
@@ -44,7 +44,10 @@
 	<-ctx.Done()
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
-	return errors.Wrapf(app.Stop(last), "stop %s", o.Name)
+	if err := app.Stop(last); err != nil {
+		return errors.Wrapf(err, "stop %s", o.Name)
+	}
+	return nil
 }
 
 func register(lc fx.Lifecycle, o Options) {
@@ -53,8 +56,8 @@
 	duty, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
-			var lc net.ListenConfig
-			ln, err := lc.Listen(ctx, "tcp", o.Listen)
+			var cfg net.ListenConfig
+			ln, err := cfg.Listen(ctx, "tcp", o.Listen)
 			if err != nil {
 				return err
 			}
