--- /dev/null
+++ b/core/instances/instances_test.go
@@ -0,0 +1,81 @@
+package instances_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/instances"
+)
+
+const twoInstances = `[{"name":"a","address":"10.0.0.1:9","zone":"Bole","state":"live"},` +
+	`{"name":"b","address":"10.0.0.2:9","zone":"Merkato","state":"leaving"}]`
+
+// The platform's answer breaks off after the first instance. Taken as it is,
+// every other instance would seem to have left, and the rest would be flooded.
+func TestCutListIsNoList(t *testing.T) {
+	is := is.New(t)
+	body := twoInstances
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, body)
+	}))
+	defer s.Close()
+	c := instances.New(instances.Config{Address: strings.TrimPrefix(s.URL, "http://")})
+	list, err := c.List(t.Context())
+	is.NoErr(err)
+	is.Equal(list, []instances.Instance{
+		{Name: "a", Address: "10.0.0.1:9", Zone: "Bole", State: instances.Live},
+		{Name: "b", Address: "10.0.0.2:9", Zone: "Merkato", State: instances.Leaving},
+	})
+	body = twoInstances[:len(twoInstances)-1]
+	list, err = c.List(t.Context())
+	is.True(err != nil)
+	is.Equal(len(list), 0)
+}
+
+// tripper answers without a network, so that it can run in a bubble.
+type tripper func(*http.Request) (*http.Response, error)
+
+func (f tripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// The list is out for a while: each failure reaches the caller, which keeps
+// what it had, and the polling goes on until the list is back.
+func TestPollOutlivesAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		calls := 0
+		c := instances.New(instances.Config{Address: "platform", Transport: tripper(func(*http.Request) (*http.Response, error) {
+			calls++
+			if calls == 2 {
+				return &http.Response{StatusCode: http.StatusBadGateway, Body: http.NoBody}, nil
+			}
+			return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(twoInstances))}, nil
+		})})
+		ctx, cancel := context.WithCancel(t.Context())
+		start := time.Now()
+		var lengths, failures []int
+		err := c.Poll(ctx, time.Second, func(list []instances.Instance, err error) {
+			lengths = append(lengths, len(list))
+			var status *instances.StatusError
+			if errors.As(err, &status) {
+				failures = append(failures, status.Status)
+			}
+			if calls == 3 {
+				cancel()
+			}
+		})
+		is.True(errors.Is(err, context.Canceled))
+		is.Equal(lengths, []int{2, 0, 2})
+		is.Equal(failures, []int{http.StatusBadGateway})
+		took := time.Since(start) // two waits of the bubble's clock
+		is.True(took >= 1800*time.Millisecond && took <= 2200*time.Millisecond)
+	})
+}
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -150,7 +150,11 @@
 // List reads all keys that begin with prefix, in order of their names. The
 // whole answer is bounded at 32 MB, beyond which it is a *TooLargeError.
 func (c *Client) List(ctx context.Context, prefix string) ([]KV, error) {
-	kvs, err := c.readRange(ctx, opList, wire.RangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)})
+	req := wire.RangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)}
+	if prefix == "" {
+		req.Key = []byte{0} // the protocol has no empty key; this one is before all others
+	}
+	kvs, err := c.readRange(ctx, opList, req)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/standin/platform/lease.go
@@ -0,0 +1,101 @@
+package platform
+
+import (
+	"slices"
+	"time"
+
+	"verbenashift/core/store/wire"
+)
+
+// lease keeps its keys until its deadline, which renewals push back. It goes
+// on during an outage, in which nobody can renew it.
+type lease struct {
+	ttl      time.Duration
+	deadline time.Time
+	timer    *time.Timer
+	keys     map[string]bool
+}
+
+func (s *keyspace) grant(req wire.Lease) (wire.Lease, effect, *callError) {
+	if req.TTL <= 0 {
+		return wire.Lease{}, nil, badRequest("lease TTL must be positive")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := int64(req.ID)
+	if id == 0 {
+		s.lastLease++
+		id = s.lastLease
+	}
+	if s.leases[id] != nil {
+		return wire.Lease{}, nil, badRequest("lease already exists")
+	}
+	s.lastLease = max(s.lastLease, id)
+	l := &lease{ttl: time.Duration(req.TTL) * time.Second, keys: make(map[string]bool)}
+	l.deadline = time.Now().Add(l.ttl)
+	l.timer = time.AfterFunc(l.ttl, func() { s.expire(id, l) })
+	s.leases[id] = l
+	return wire.Lease{ID: wire.Int64(id), TTL: req.TTL}, nil, nil
+}
+
+// expire ends a lease whose time is over. A renewal may have come between the
+// timer and the lock: then the deadline lies ahead and the lease goes on.
+func (s *keyspace) expire(id int64, l *lease) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases[id] != l || time.Now().Before(l.deadline) {
+		return
+	}
+	s.end(id, l)
+}
+
+// end removes a lease and its keys, all at one revision.
+func (s *keyspace) end(id int64, l *lease) effect {
+	l.timer.Stop()
+	delete(s.leases, id)
+	names := make(effect, 0, len(l.keys))
+	for name := range l.keys {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	if len(names) > 0 {
+		s.revision++
+	}
+	for _, name := range names {
+		s.remove(name, s.revision)
+	}
+	return names
+}
+
+// keepAlive answers with TTL 0 for a lease that is gone, as the protocol has it.
+func (s *keyspace) keepAlive(req wire.Lease) (wire.KeepAliveLine, effect, *callError) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	resp := wire.KeepAliveLine{Result: wire.Lease{ID: req.ID}}
+	l := s.leases[int64(req.ID)]
+	if l == nil {
+		return resp, nil, nil
+	}
+	l.deadline = time.Now().Add(l.ttl)
+	l.timer.Reset(l.ttl)
+	resp.Result.TTL = wire.Int64(l.ttl / time.Second)
+	return resp, nil, nil
+}
+
+func (s *keyspace) revoke(req wire.Lease) (struct{}, effect, *callError) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[int64(req.ID)]
+	if l == nil {
+		return struct{}{}, nil, leaseNotFound()
+	}
+	return struct{}{}, s.end(int64(req.ID), l), nil
+}
+
+func (s *keyspace) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.leases {
+		l.timer.Stop()
+	}
+}
--- /dev/null
+++ b/standin/platform/platform_test.go
@@ -0,0 +1,464 @@
+package platform_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"verbenashift/core/instances"
+	"verbenashift/core/store"
+	"verbenashift/standin/platform"
+)
+
+// pipe is a network inside a bubble: each dial is a net.Pipe to the server.
+type pipe struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func (p *pipe) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipe) Close() error   { p.once.Do(func() { close(p.done) }); return nil }
+func (p *pipe) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (p *pipe) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	select {
+	case p.conns <- far:
+		return near, nil
+	case <-p.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// rig is a platform with a client of its store, in a bubble.
+type rig struct {
+	*is.I
+	t      *testing.T
+	p      *platform.Platform
+	store  *store.Client
+	client *http.Client
+}
+
+// inBubble runs f with a platform and ends all goroutines after it.
+func inBubble(t *testing.T, cfg platform.Config, f func(r rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		p := platform.New(cfg)
+		defer p.Close()
+		network := &pipe{conns: make(chan net.Conn), done: make(chan struct{})}
+		server := &http.Server{Handler: p.Handler()}
+		go func() { _ = server.Serve(network) }()
+		defer server.Close()
+		transport := &http.Transport{DialContext: network.dial}
+		defer transport.CloseIdleConnections()
+		f(rig{
+			is.New(t), t, p,
+			store.New(store.Config{Addresses: []string{"platform"}, Transport: transport}),
+			&http.Client{Transport: transport},
+		})
+	})
+}
+
+func (r rig) post(path, body string, status int) {
+	r.t.Helper()
+	res, err := r.client.Post("http://platform"+path, "application/json", strings.NewReader(body))
+	r.NoErr(err)
+	defer res.Body.Close()
+	_, _ = io.Copy(io.Discard, res.Body)
+	r.Equal(res.StatusCode, status)
+}
+
+func (r rig) faults(body string) { r.t.Helper(); r.post("/faults", body, http.StatusNoContent) }
+
+func (r rig) get(path string, header http.Header) (int, []byte) {
+	req, err := http.NewRequestWithContext(r.t.Context(), http.MethodGet, "http://platform"+path, nil)
+	r.NoErr(err)
+	req.Header = header
+	res, err := r.client.Do(req)
+	r.NoErr(err)
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	r.NoErr(err)
+	return res.StatusCode, body
+}
+
+func (r rig) swap(key string, version int64, value string) int64 {
+	r.t.Helper()
+	next, err := r.store.CompareAndSwap(r.t.Context(), key, version, []byte(value), 0)
+	r.NoErr(err)
+	return next
+}
+
+func TestSwapListDelete(t *testing.T) {
+	inBubble(t, platform.Config{}, func(r rig) {
+		ctx := r.t.Context()
+		absent, err := r.store.Get(ctx, "a/2")
+		r.NoErr(err)
+		r.Equal(absent, store.KV{Key: "a/2"})
+		two := r.swap("a/2", 0, "two")
+		one := r.swap("a/1", 0, "one")
+		r.swap("b", 0, "other")
+		r.True(one > two)
+		list, err := r.store.List(ctx, "a/")
+		r.NoErr(err)
+		r.Equal(list, []store.KV{
+			{Key: "a/1", Value: []byte("one"), Version: one},
+			{Key: "a/2", Value: []byte("two"), Version: two},
+		})
+		all, err := r.store.List(ctx, "")
+		r.NoErr(err)
+		r.Equal(len(all), 3)
+
+		var conflict *store.ConflictError
+		r.True(errors.As(r.store.Delete(ctx, "a/1", two), &conflict))
+		r.Equal(conflict.Current.Version, one)
+		r.NoErr(r.store.Delete(ctx, "a/1", one))
+		r.True(errors.As(r.store.Delete(ctx, "a/1", one), &conflict))
+		r.Equal(conflict.Current, store.KV{Key: "a/1"})
+		r.True(r.swap("a/1", 0, "anew") > one)
+	})
+}
+
+// Two operators read one configuration and both confirm a change. If both
+// swaps went through, one operator's accepted change would be gone.
+func TestOneOfRacingSwapsWins(t *testing.T) {
+	inBubble(t, platform.Config{Latency: 2 * time.Millisecond}, func(r rig) {
+		const operators = 8
+		first := r.swap("head", 0, "start")
+		var wins, conflicts int
+		var mu sync.Mutex
+		var racing sync.WaitGroup
+		for i := range operators {
+			racing.Go(func() {
+				_, err := r.store.CompareAndSwap(r.t.Context(), "head", first, fmt.Append(nil, i), 0)
+				mu.Lock()
+				defer mu.Unlock()
+				var conflict *store.ConflictError
+				if errors.As(err, &conflict) && conflict.Current.Version > first {
+					conflicts++
+				} else if err == nil {
+					wins++
+				}
+			})
+		}
+		racing.Wait()
+		r.Equal(wins, 1)
+		r.Equal(conflicts, operators-1)
+		r.Equal(len(r.p.Ledger().Keys["head"]), 2)
+	})
+}
+
+// The store takes a write in and its connection breaks before the answer. The
+// caller must not be told that nothing happened: reading back shows the value.
+// A compare that fails changes nothing, so it doesn't use a loss up.
+func TestLostAnswerIsUnknownAndReadsBack(t *testing.T) {
+	inBubble(t, platform.Config{}, func(r rig) {
+		ctx := r.t.Context()
+		other := r.swap("duty", 0, "x")
+		r.faults(`{"lose-answers":1,"lose-prefix":"head"}`)
+		r.swap("duty", other, "y") // another key's answer is not lost
+		_, err := r.store.CompareAndSwap(ctx, "head", 5, []byte("mine"), 0)
+		var conflict *store.ConflictError
+		r.True(errors.As(err, &conflict))
+		_, err = r.store.CompareAndSwap(ctx, "head", 0, []byte("mine"), 0)
+		var unknown *store.UnknownError
+		r.True(errors.As(err, &unknown))
+		r.Equal(unknown.Op, "compare-and-swap")
+		back, err := r.store.Get(ctx, "head")
+		r.NoErr(err)
+		r.Equal(string(back.Value), "mine")
+		r.Equal(r.p.Ledger().LostAnswers, int64(1))
+		r.Equal(len(r.p.Ledger().Keys["head"]), 1) // the client made no second try
+		r.swap("head", back.Version, "next")
+	})
+}
+
+// A node opens watches while the configuration changes quickly. A change that
+// falls between the past and the live part of a watch would leave the node on
+// an old revision for ever.
+func TestWatchHasNoGap(t *testing.T) {
+	inBubble(t, platform.Config{Latency: time.Millisecond}, func(r rig) {
+		const writes, watches = 60, 12
+		versions, noise := make([]int64, writes), int64(0)
+		ctx, cancel := context.WithCancel(r.t.Context())
+		defer cancel()
+		got := make([][]int64, watches)
+		var g errgroup.Group
+		for i := range writes {
+			if i%5 == 0 {
+				from, w := versions[max(i-3, 0)], i/5
+				g.Go(func() error {
+					return r.store.Watch(ctx, "head", from, func(kv store.KV) { got[w] = append(got[w], kv.Version) })
+				})
+			}
+			noise = r.swap("other", noise, "noise") // so that head's versions have gaps
+			versions[i] = r.swap("head", versions[max(i-1, 0)], "v")
+		}
+		time.Sleep(time.Second) // of the bubble's clock
+		synctest.Wait()
+		cancel()
+		r.True(errors.Is(g.Wait(), context.Canceled))
+		for w := range watches {
+			first := 0
+			if w > 0 {
+				first = w*5 - 3 + 1
+			}
+			r.Equal(got[w], versions[first:])
+		}
+		synctest.Wait()
+		r.Equal(r.p.Ledger().OpenWatches, int64(0))
+		r.Equal(r.p.Ledger().Calls["watch"], int64(watches))
+	})
+}
+
+func TestWatchOfForgottenChangesIsCompacted(t *testing.T) {
+	inBubble(t, platform.Config{}, func(r rig) {
+		var version, second int64
+		for i := range 258 {
+			version = r.swap("head", version, "v")
+			if i == 1 {
+				second = version
+			}
+		}
+		err := r.store.Watch(r.t.Context(), "head", 0, func(store.KV) { r.Fail() })
+		var compacted *store.CompactedError
+		r.True(errors.As(err, &compacted))
+		r.Equal(compacted.Version, second+1)
+	})
+}
+
+// A duty holder is paused past its lease. Its key must go, the watchers must
+// hear of it, and a renewal that comes too late must say that the lease is
+// gone, or two holders would act at once.
+func TestLeaseLapses(t *testing.T) {
+	inBubble(t, platform.Config{}, func(r rig) {
+		ctx, cancel := context.WithCancel(r.t.Context())
+		defer cancel()
+		lease, err := r.store.Grant(ctx, 1500*time.Millisecond)
+		r.NoErr(err)
+		r.Equal(lease.TTL, 2*time.Second) // whole seconds
+		version, err := r.store.CompareAndSwap(ctx, "duty", 0, []byte("a"), lease.ID)
+		r.NoErr(err)
+		seen := make(chan store.KV, 8)
+		watched := make(chan error)
+		go func() { watched <- r.store.Watch(ctx, "duty", version, func(kv store.KV) { seen <- kv }) }()
+		for range 3 {
+			time.Sleep(lease.TTL - time.Millisecond)
+			_, err = r.store.KeepAlive(ctx, lease.ID)
+			r.NoErr(err)
+		}
+		synctest.Wait()
+		r.Equal(len(seen), 0) // renewals kept it
+		time.Sleep(lease.TTL)
+		synctest.Wait()
+		r.Equal(len(seen), 1)
+		r.True((<-seen).Deleted)
+		_, err = r.store.KeepAlive(ctx, lease.ID)
+		var gone *store.LeaseGoneError
+		r.True(errors.As(err, &gone))
+		_, err = r.store.CompareAndSwap(ctx, "duty", 0, []byte("a"), lease.ID)
+		r.True(errors.As(err, &gone))
+		r.True(errors.As(r.store.Revoke(ctx, lease.ID), &gone))
+		history := r.p.Ledger().Keys["duty"]
+		r.Equal(len(history), 2)
+		r.Equal(history[1].Lease, lease.ID)
+		r.Equal(history[1].UnixMillis-history[0].UnixMillis, int64(4*2000-3))
+		cancel()
+		<-watched
+	})
+}
+
+// The next holder takes a key over with its own lease. The end of the first
+// lease must not remove the second holder's key.
+func TestKeyTakenOverOutlivesTheFirstLease(t *testing.T) {
+	inBubble(t, platform.Config{}, func(r rig) {
+		ctx := r.t.Context()
+		first, err := r.store.Grant(ctx, time.Second)
+		r.NoErr(err)
+		second, err := r.store.Grant(ctx, time.Minute)
+		r.NoErr(err)
+		version, err := r.store.CompareAndSwap(ctx, "duty", 0, []byte("a"), first.ID)
+		r.NoErr(err)
+		version, err = r.store.CompareAndSwap(ctx, "duty", version, []byte("b"), second.ID)
+		r.NoErr(err)
+		time.Sleep(2 * time.Second)
+		kv, err := r.store.Get(ctx, "duty")
+		r.NoErr(err)
+		r.Equal(kv.Version, version)
+		r.NoErr(r.store.Revoke(ctx, second.ID))
+		kv, err = r.store.Get(ctx, "duty")
+		r.NoErr(err)
+		r.Equal(kv.Version, int64(0))
+	})
+}
+
+// The store goes down while a watch waits and a slow write is on its way: both
+// connections break, the write has no effect yet, and what was kept is there
+// when the store is back.
+func TestOutage(t *testing.T) {
+	inBubble(t, platform.Config{}, func(r rig) {
+		ctx := r.t.Context()
+		version := r.swap("head", 0, "v")
+		r.faults(`{"latency-ms":1000}`)
+		var unavailable *store.UnavailableError
+		var unknown *store.UnknownError
+		var g errgroup.Group
+		var watchErr, writeErr error
+		g.Go(func() error { watchErr = r.store.Watch(ctx, "head", version, func(store.KV) {}); return nil })
+		time.Sleep(time.Second)
+		g.Go(func() error {
+			_, writeErr = r.store.CompareAndSwap(ctx, "head", version, []byte("w"), 0)
+			return nil
+		})
+		time.Sleep(300 * time.Millisecond) // before the write's effect
+		r.faults(`{"down":true}`)
+		r.NoErr(g.Wait())
+		r.True(errors.As(watchErr, &unavailable))
+		r.True(errors.As(writeErr, &unknown))
+		_, err := r.store.Get(ctx, "head")
+		r.True(errors.As(err, &unavailable))
+		r.faults(`{"down":false}`)
+		start := time.Now()
+		kv, err := r.store.Get(ctx, "head")
+		r.NoErr(err)
+		r.Equal(kv.Version, version)
+		r.Equal(time.Since(start), time.Second) // the other switch kept its value
+		r.True(r.p.Ledger().Dropped >= 3)
+	})
+}
+
+func TestRateLimitRefusesWithoutEffect(t *testing.T) {
+	inBubble(t, platform.Config{}, func(r rig) {
+		r.faults(`{"rate-limit":2}`)
+		version := r.swap("k", 0, "v")
+		version = r.swap("k", version, "w")
+		_, err := r.store.CompareAndSwap(r.t.Context(), "k", version, nil, 0)
+		var unavailable *store.UnavailableError
+		r.True(errors.As(err, &unavailable))
+		time.Sleep(time.Second)
+		kv, err := r.store.Get(r.t.Context(), "k")
+		r.NoErr(err)
+		r.Equal(kv.Version, version)
+		ledger := r.p.Ledger()
+		r.Equal(ledger.Refused, int64(1))
+		r.Equal(ledger.PeakWrites, int64(3))
+		r.Equal(ledger.Calls, map[string]int64{"txn": 3, "range": 1})
+	})
+}
+
+// Raw calls pin the protocol: quoted 64-bit numbers, base64, what is left out.
+func TestProtocol(t *testing.T) {
+	tests := []struct {
+		path, body string
+		status     int
+		want       string
+	}{
+		{"/v3/kv/put", `{"key":"aw==","value":"dg=="}`, 200, `{"header":{"revision":"2"}}`},
+		{"/v3/kv/range", `{"key":"aw=="}`, 200, `{"header":{"revision":"2"},"kvs":[{"key":"aw==","value":"dg==","mod_revision":"2"}]}`},
+		{"/v3/kv/range", `{"key":"eg=="}`, 200, `{"header":{"revision":"2"}}`},
+		{"/v3/lease/grant", `{"TTL":"7"}`, 200, `{"ID":"1","TTL":"7"}`},
+		{"/v3/lease/keepalive", `{"ID":1}`, 200, `{"result":{"ID":"1","TTL":"7"}}`},
+		{"/v3/lease/keepalive", `{"ID":"2"}`, 200, `{"result":{"ID":"2"}}`},
+		{"/v3/lease/revoke", `{"ID":"2"}`, 404, `{"code":5,"message":"requested lease not found"}`},
+		{"/v3/kv/put", `{"key":"aw==","lease":"2"}`, 404, `{"code":5,"message":"requested lease not found"}`},
+		{"/v3/kv/put", `{"value":"dg=="}`, 400, `{"code":3,"message":"key is not provided"}`},
+		{
+			"/v3/kv/txn", `{"compare":[{"key":"aw==","target":"MOD","result":"EQUAL","mod_revision":"9"}],` +
+				`"failure":[{"request_range":{"key":"aw=="}}]}`,
+			200, `{"header":{"revision":"2"},"responses":[{"response_range":{"header":{"revision":"2"},` +
+				`"kvs":[{"key":"aw==","value":"dg==","mod_revision":"2"}]}}]}`,
+		},
+		{"/v3/kv/txn", `{"compare":[{"target":"VALUE"}]}`, 400, `{"code":3,"message":"compare VALUE  is not supported"}`},
+	}
+	inBubble(t, platform.Config{}, func(r rig) {
+		for _, tt := range tests {
+			res, err := r.client.Post("http://platform"+tt.path, "application/json", strings.NewReader(tt.body))
+			r.NoErr(err)
+			body, err := io.ReadAll(res.Body)
+			r.NoErr(err)
+			r.Equal(res.StatusCode, tt.status)
+			r.Equal(strings.TrimSpace(string(body)), tt.want)
+		}
+		r.post("/v3/kv/put", `{"kye":"aw=="}`, http.StatusBadRequest)
+		r.post("/faults", `{"dwon":true}`, http.StatusBadRequest)
+	})
+}
+
+func TestInstanceListLags(t *testing.T) {
+	inBubble(t, platform.Config{InstanceLag: 3 * time.Second}, func(r rig) {
+		list := func() string {
+			_, body := r.get("/instances", nil)
+			var list []instances.Instance
+			r.NoErr(json.Unmarshal(body, &list))
+			var s string
+			for _, i := range list {
+				s += i.Name + ":" + i.State + " "
+			}
+			return s
+		}
+		r.post("/instances", `[{"name":"a","state":"live"},{"name":"b","state":"live"}]`, http.StatusNoContent)
+		r.Equal(list(), "")
+		time.Sleep(2 * time.Second)
+		r.post("/instances", `[{"name":"a","state":"leaving"}]`, http.StatusNoContent)
+		time.Sleep(time.Second)
+		r.Equal(list(), "a:live b:live ")
+		r.post("/instances", `[{"name":"b","state":"gone"}]`, http.StatusNoContent)
+		time.Sleep(2 * time.Second)
+		r.Equal(list(), "b:live a:leaving ")
+		time.Sleep(time.Second)
+		r.Equal(list(), "a:leaving ")
+		r.post("/instances", `[{"name":"c","state":"lost"}]`, http.StatusBadRequest)
+	})
+}
+
+func TestWeightsInParts(t *testing.T) {
+	inBubble(t, platform.Config{WeightSize: 1000}, func(r rig) {
+		want := make([]byte, 1000)
+		platform.FillWeights(platform.WeightSeed("m", "3", "7"), 0, want)
+		status, whole := r.get("/weights/m/3/7", nil)
+		r.Equal(status, http.StatusOK)
+		r.True(bytes.Equal(whole, want))
+		status, part := r.get("/weights/m/3/7", http.Header{"Range": {"bytes=13-700"}})
+		r.Equal(status, http.StatusPartialContent)
+		r.True(bytes.Equal(part, want[13:701]))
+		_, other := r.get("/weights/m/3/8", nil)
+		r.True(!bytes.Equal(other, want))
+		r.Equal(r.p.Ledger().WeightBytes, int64(2688))
+	})
+}
+
+// The rate holds over all readers together: four readers of a megabyte each
+// take as long as one reader of four.
+func TestWeightRateIsShared(t *testing.T) {
+	inBubble(t, platform.Config{WeightRate: 1 << 20}, func(r rig) {
+		start := time.Now()
+		var reading sync.WaitGroup
+		for i := range 4 {
+			reading.Go(func() { r.get(fmt.Sprintf("/weights/m/0/%d", i), nil) })
+		}
+		reading.Wait()
+		took := time.Since(start) // of the bubble's clock; the first burst is free
+		r.True(took > 3900*time.Millisecond && took <= 4*time.Second)
+	})
+}
