queue: test what wrong estimates may earn

Cause: with the guard on refunds after an idle time removed, no test failed. Change: a test in which huge declared jobs end after one token each. Conclusion: the test fails without the guard and passes with it.

--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -100,6 +100,46 @@
 	is.True(had["studio"] >= 49) // half of the service, less one item
 }
 
+// A seller declares four huge jobs, goes silent, and comes back as they end
+// after one token each. What they were charged too much belongs to a time when
+// the seller did not wait; given back now it would shut the studio out. An
+// answer that runs ten times longer than declared is charged in full.
+func TestWrongEstimates(t *testing.T) {
+	is := is.New(t)
+	q := newQueue(Limits{Slots: 5, Items: 1 << 16, Tokens: 1 << 30, WorkspaceItems: 1 << 16})
+	add := func(workspace, id string, n int, cost int64) {
+		for i := range n {
+			is.True(q.Enqueue(Item{ID: fmt.Sprint(id, i), Workspace: workspace, Priority: Normal, Cost: cost}, start) == nil)
+		}
+	}
+	serve := func(n int, actual int64) (studio int) {
+		for range n {
+			item, ok := q.Next(start)
+			is.True(ok)
+			if item.Workspace == "studio" {
+				studio++
+			}
+			q.Served(item.ID, actual/2, start)
+			q.Done(item.ID, actual, start)
+		}
+		return studio
+	}
+	add("seller", "big", 4, 1000)
+	for range 4 {
+		q.Next(start)
+	}
+	add("studio", "s", 1000, 10)
+	serve(400, 10)
+	add("seller", "b", 200, 10)
+	for i := range 4 {
+		q.Done(fmt.Sprint("big", i), 1, start)
+	}
+	is.True(serve(100, 10) >= 49)
+	before := q.classes[Normal].flows["studio"].counter
+	studio := serve(100, 100)
+	is.Equal(q.classes[Normal].flows["studio"].counter, before+float64(studio)*100)
+}
+
 // Render-ready pings flood in from many members at once. An arranger's draft
 // is normal work: it is slower then, but it must neither stand still nor be
 // pushed out of the queue by the pings.
