--- /dev/null
+++ b/core/target/plain.go
@@ -0,0 +1,106 @@
+package target
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+// Plain is a client of one plain service, safe for concurrent use.
+type Plain struct{ client }
+
+// NewPlain returns a client of the service at address, an IP number and port.
+func NewPlain(address string, o Options) *Plain {
+	return &Plain{newClient(address, o)}
+}
+
+// Call is a call of a plain service.
+type Call struct {
+	Method string
+	// Path is the request target: a path and an optional query, as the caller
+	// escaped them.
+	Path string
+	Tags
+	// Header holds the caller's headers; Do does not change it.
+	Header http.Header
+	Body   []byte
+}
+
+// Answer is a service's answer, whatever its status.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Body ends with io.EOF when the answer is whole, and with a *BrokenError
+	// when the connection was lost before. The receiver closes it.
+	Body io.ReadCloser
+}
+
+// Do makes a call and returns the service's answer as it stands, redirects
+// and errors of the service included, but for the headers that belong to one
+// connection. Its errors are *NotSentError and *BrokenError.
+func (p *Plain) Do(ctx context.Context, c Call) (*Answer, error) {
+	h := c.Header.Clone()
+	if h == nil {
+		h = make(http.Header)
+	}
+	RemoveHopByHop(h)
+	for _, name := range entryHeaders {
+		h.Del(name)
+	}
+	c.set(h)
+	if h.Get("User-Agent") == "" {
+		// An empty value keeps net/http from adding its own.
+		h.Set("User-Agent", "")
+	}
+	req, err := p.request(ctx, c.Method, c.Path, h, c.Body)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := p.send(req)
+	if err != nil {
+		return nil, err
+	}
+	RemoveHopByHop(resp.Header)
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: &answerBody{resp.Body}}, nil
+}
+
+// entryHeaders are meant for the entry and do not reach the target: the
+// workspace's token must not be seen there, and the body has been read, so
+// that nothing is left to expect.
+var entryHeaders = []string{"Authorization", "Expect", "Content-Length", "Host"}
+
+// hopByHop are the headers of RFC 9110 section 7.6.1 that hold for one
+// connection whether or not Connection names them, those of proxies (section
+// 11.7), and Trailer, because trailers are not passed on.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "TE", "Transfer-Encoding",
+	"Upgrade", "Trailer", "Proxy-Authenticate", "Proxy-Authorization",
+}
+
+// RemoveHopByHop removes the headers that hold for one connection only, and
+// those that the Connection header names (RFC 9110 section 7.6.1).
+func RemoveHopByHop(h http.Header) {
+	for _, value := range h.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
+
+// answerBody turns the loss of a connection into a *BrokenError.
+type answerBody struct{ io.ReadCloser }
+
+// Read implements io.Reader.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = &BrokenError{Cause: err}
+	}
+	return n, err
+}
