--- a/standin/main.go
+++ b/standin/main.go
@@ -11,6 +11,7 @@
 
 	"verbenashift/standin/engine"
 	"verbenashift/standin/plain"
+	"verbenashift/standin/platform"
 )
 
 func main() {
@@ -20,6 +21,7 @@
 		Commands: []*cli.Command{
 			engine.Command(),
 			plain.Command(),
+			platform.Command(),
 		},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
