--- /dev/null
+++ b/core/booking/doc.go
@@ -0,0 +1,44 @@
+// Package booking decides who may run a request that must not run twice.
+//
+// A key names such a request. Its home is one agent, chosen by rendezvous
+// hashing over the target names of the configuration, and Home is that agent's
+// register of grants. The agent beside the target that runs the request is the
+// executor, and Executor is its register of what it was given. A key runs only
+// with a grant of its home, at the one executor incarnation that the grant was
+// made for, and home and executor are different agents, so that one crash never
+// loses both records.
+//
+// Home and Executor are plain state machines: each method takes an event and
+// the time, and returns the decision. They start no goroutine, read no clock
+// and do no I/O. One goroutine owns each; neither is safe for concurrent use.
+//
+// Times are monotonic: now is the time since the owning process started. It
+// must never go back. Incarnations of one agent name must grow from process to
+// process.
+//
+// # Usage
+//
+// The entry claims the key at its home and then submits the grant:
+//
+//	answer := home.Claim(claim, now)
+//	switch answer.Kind {
+//	case booking.Granted:
+//		// submit answer.Grant to answer.Executor, once
+//	case booking.Held:
+//		// settle the earlier attempt at answer.Executor
+//	}
+//
+// The agent beside the target checks the grant before it queues the request:
+//
+//	verdict := executor.Accept(submission, now)
+//	if verdict.Kind == booking.Run {
+//		executor.Start(key, now) // just before the first byte to the target
+//		executor.End(key, now)   // after the last
+//	}
+//
+// A key whose earlier attempt never ran is set free by the executor's proof:
+//
+//	if s := executor.Settle(query, now); s.Kind == booking.NeverRan {
+//		home.Release(s.Proof, now)
+//	}
+package booking
