intent: plans, and their confirmation by compare-and-swap

An intent is stored with its plan under one key; a confirmation is one compare-and-swap of the head with the plan's id in the change id, so that a lost answer and a repeated confirm are recognised in the head itself. An abandonment makes a revision without edits: kept apart from the head it would race with a confirmation. Ruled out: a confirming mark in the plan's record, which a crash leaves behind.

--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -38,6 +38,10 @@
 
 const wantName = "1 to 63 letters, digits, '.', '_' or '-', the first a letter or digit"
 
+// ValidName reports whether name may name a part of the configuration, or an
+// intent.
+func ValidName(name string) bool { return namePattern.MatchString(name) }
+
 // Validate checks every field of c and the references between them. Its error
 // is an *InvalidError for the first field at fault.
 func Validate(c Config) error {
--- /dev/null
+++ b/core/intent/errors.go
@@ -0,0 +1,76 @@
+package intent
+
+import (
+	"fmt"
+	"strings"
+)
+
+// ConflictError says that another change came first. Nothing was changed.
+type ConflictError struct {
+	// Winner is the plan that came first; empty if it was a direct edit.
+	Winner string
+	// ChangeID identifies the winning change.
+	ChangeID string
+	// Operator is who made the winning change.
+	Operator string
+	// Revision is the revision that the winner made.
+	Revision uint64
+}
+
+// Error names the winner.
+func (e *ConflictError) Error() string {
+	what := "plan " + e.Winner
+	if e.Winner == "" {
+		what = "change " + e.ChangeID
+	}
+	return fmt.Sprintf("conflict: %s by %s made revision %d first", what, e.Operator, e.Revision)
+}
+
+// StateError says that a plan cannot be closed in the state that it is in.
+type StateError struct {
+	Plan   string
+	State  State
+	Reason string
+}
+
+// Error returns the plan, its state and the reason.
+func (e *StateError) Error() string {
+	if e.Reason == "" {
+		return fmt.Sprintf("plan %s is %s", e.Plan, e.State)
+	}
+	return fmt.Sprintf("plan %s is %s: %s", e.Plan, e.State, e.Reason)
+}
+
+// BoundError says that a plan exceeds the bounds of its intent.
+type BoundError struct {
+	Plan     string
+	Breaches []string
+}
+
+// Error lists the bounds.
+func (e *BoundError) Error() string {
+	return fmt.Sprintf("plan %s exceeds its bounds: %s", e.Plan, strings.Join(e.Breaches, "; "))
+}
+
+// RegressedError says that the store holds an older revision than the one in
+// force. A change on top of it would number two configurations alike.
+type RegressedError struct {
+	Stored  uint64
+	InForce uint64
+}
+
+// Error returns both revisions.
+func (e *RegressedError) Error() string {
+	return fmt.Sprintf("the store holds revision %d but %d is in force: was the store restored from a copy?", e.Stored, e.InForce)
+}
+
+// BusyError says that other changes came first each time that this one was
+// tried. Nothing was changed; a retry is safe.
+type BusyError struct {
+	Attempts int
+}
+
+// Error returns the number of attempts.
+func (e *BusyError) Error() string {
+	return fmt.Sprintf("gave up after %d attempts: others keep changing the same key", e.Attempts)
+}
--- /dev/null
+++ b/core/intent/head.go
@@ -0,0 +1,138 @@
+package intent
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"verbenashift/core/config"
+	"verbenashift/core/store"
+)
+
+// The keys in the platform's store.
+const (
+	// HeadKey holds the newest accepted configuration.
+	HeadKey = "config/head"
+	// intentPrefix begins the keys of the declared intents.
+	intentPrefix = "config/intents/"
+)
+
+// maxAttempts bounds the tries of one compare-and-swap.
+const maxAttempts = 6
+
+// Store is the part of the platform's key-value service that is needed; a
+// *store.Client is one.
+type Store interface {
+	Get(ctx context.Context, key string) (store.KV, error)
+	List(ctx context.Context, prefix string) ([]store.KV, error)
+	CompareAndSwap(ctx context.Context, key string, version int64, value []byte, lease int64) (int64, error)
+}
+
+// Head reads and changes the newest accepted configuration.
+type Head struct {
+	Store Store
+	// InForce, if set, returns the revision in force on this node.
+	InForce func() uint64
+}
+
+// Read returns the head and its version in the store; before the first
+// configuration both are zero.
+func (h Head) Read(ctx context.Context) (config.Config, int64, error) {
+	kv, err := h.Store.Get(ctx, HeadKey)
+	if err != nil {
+		return config.Config{}, 0, errors.Wrap(err, "read head")
+	}
+	if kv.Version == 0 {
+		return config.Config{}, 0, h.checkRegress(0)
+	}
+	cur, err := config.Decode(kv.Value)
+	if err != nil {
+		return config.Config{}, 0, errors.Wrap(err, "read head")
+	}
+	return cur, kv.Version, h.checkRegress(cur.Revision)
+}
+
+// checkRegress is for a store that was restored from a copy. A change on top
+// of the old head would get a revision number that nodes already hold for
+// another configuration, so that half of the fleet would ignore it.
+func (h Head) checkRegress(stored uint64) error {
+	if h.InForce == nil {
+		return nil
+	}
+	if inForce := h.InForce(); inForce > stored {
+		return &RegressedError{Stored: stored, InForce: inForce}
+	}
+	return nil
+}
+
+// Commit makes the change that build returns for the present head, and returns
+// the configuration as of the change. done recognises the change, or an
+// earlier try of it, in a head; build is not called then.
+//
+// A lost answer is settled by reading the head back. If it holds the change,
+// the write took effect. If not, the write may still be on its way, and the
+// same compare-and-swap is tried again: at most one of the two can succeed,
+// as they expect the same version, and both write the same change. Once the
+// head has moved past that version without the change, the lost write can
+// never take effect. *store.UnknownError is returned only if the store does not
+// answer any more.
+func (h Head) Commit(ctx context.Context, done func(config.Config) (config.AppliedChange, bool),
+	build func(config.Config) (config.Change, error),
+) (config.AppliedChange, error) {
+	var lost *store.UnknownError
+	var lostVersion int64
+	for range maxAttempts {
+		cur, version, err := h.Read(ctx)
+		if err != nil {
+			return config.AppliedChange{}, preferLost(lost, err)
+		}
+		if applied, ok := done(cur); ok {
+			return applied, nil
+		}
+		if version != lostVersion {
+			lost = nil // the lost write expected a version that has passed
+		}
+		applied, err := h.try(ctx, cur, version, build)
+		var conflict *store.ConflictError
+		switch {
+		case err == nil:
+			return applied, nil
+		case errors.As(err, &lost):
+			lostVersion = version
+		case errors.As(err, &conflict):
+		default:
+			return config.AppliedChange{}, preferLost(lost, err)
+		}
+	}
+	return config.AppliedChange{}, preferLost(lost, &BusyError{Attempts: maxAttempts})
+}
+
+func (h Head) try(ctx context.Context, cur config.Config, version int64,
+	build func(config.Config) (config.Change, error),
+) (config.AppliedChange, error) {
+	change, err := build(cur)
+	if err != nil {
+		return config.AppliedChange{}, err
+	}
+	next, err := config.Apply(cur, change)
+	if err != nil {
+		return config.AppliedChange{}, err
+	}
+	value, err := config.Encode(next)
+	if err != nil {
+		return config.AppliedChange{}, err
+	}
+	if _, err := h.Store.CompareAndSwap(ctx, HeadKey, version, value, 0); err != nil {
+		return config.AppliedChange{}, errors.Wrap(err, "change head")
+	}
+	return config.AppliedChange{ID: change.ID, Revision: next.Revision, Operator: change.Operator}, nil
+}
+
+// preferLost returns the lost write if there was one: after it, no later
+// failure may claim that nothing was changed.
+func preferLost(lost *store.UnknownError, err error) error {
+	if lost != nil {
+		return errors.Wrap(lost, "change head")
+	}
+	return err
+}
--- /dev/null
+++ b/core/intent/planner.go
@@ -0,0 +1,312 @@
+package intent
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/go-faster/errors"
+
+	"verbenashift/core/config"
+	"verbenashift/core/store"
+)
+
+// maxPrevious bounds the earlier plans that an intent's record remembers.
+const maxPrevious = 16
+
+// Record is what the store holds under the key of an intent.
+type Record struct {
+	// Declarations counts the plans made for the intent.
+	Declarations uint64 `json:"declarations"`
+	Plan         Plan   `json:"plan"`
+	// Previous holds earlier plans without their edits, newest last.
+	Previous []Plan `json:"previous,omitempty"`
+}
+
+// Planner answers intents with plans and makes confirmed plans revisions.
+type Planner struct {
+	Head Head
+	// Forecaster tells the expected skew and cost; nil means Estimator{}.
+	Forecaster Forecaster
+}
+
+// Declare stores the intent and returns its plan. A second call with the same
+// request identifier returns the first one's plan. The intent's earlier plan,
+// if it still waits, is superseded.
+func (p *Planner) Declare(ctx context.Context, in Intent, req Request) (Plan, error) {
+	if err := req.validate(); err != nil {
+		return Plan{}, err
+	}
+	cur, _, err := p.Head.Read(ctx)
+	if err != nil {
+		return Plan{}, err
+	}
+	plan, err := p.plan(ctx, cur, in, req)
+	if err != nil {
+		return Plan{}, err
+	}
+	rec, err := p.update(ctx, in.Name, func(rec Record) (Record, bool) {
+		if _, ok := rec.declared(req.ID); ok {
+			return rec, false
+		}
+		return rec.next(plan, cur), true
+	})
+	if err != nil {
+		return Plan{}, err
+	}
+	plan, _ = rec.declared(req.ID)
+	return plan, nil
+}
+
+func (p *Planner) plan(ctx context.Context, cur config.Config, in Intent, req Request) (Plan, error) {
+	edits, err := in.Edits(cur)
+	if err != nil {
+		return Plan{}, err
+	}
+	next, err := config.Apply(cur, config.Change{ID: req.ID, Edits: edits})
+	if err != nil {
+		return Plan{}, err
+	}
+	plan := Plan{
+		Intent: in, State: StatePlanned, BaseRevision: cur.Revision, Edits: edits,
+		Diff: lines(config.Diff(cur, next)), DeclaredBy: req.Operator, DeclareID: req.ID,
+		UnixMillis: req.Now.UnixMilli(),
+	}
+	plan.Forecast, err = p.forecaster().Forecast(ctx, cur, next, in)
+	if err != nil {
+		plan.State, plan.Reason = StateDeclared, "no forecast: "+err.Error()
+	}
+	plan.Breaches = breaches(in, plan.Forecast)
+	return plan, nil
+}
+
+func (p *Planner) forecaster() Forecaster {
+	if p.Forecaster == nil {
+		return Estimator{}
+	}
+	return p.Forecaster
+}
+
+// next returns the record with one more plan.
+func (rec Record) next(plan Plan, head config.Config) Record {
+	if rec.Declarations > 0 {
+		old := rec.Plan.settled(head)
+		if old.State == StatePlanned || old.State == StateDeclared {
+			old.State, old.Reason = StateSuperseded, "declared anew"
+		}
+		old.Edits = nil
+		rec.Previous = append(rec.Previous[max(0, len(rec.Previous)+1-maxPrevious):], old)
+	}
+	rec.Declarations++
+	plan.ID = planID(plan.Intent.Name, rec.Declarations)
+	rec.Plan = plan
+	return rec
+}
+
+func (rec Record) find(match func(Plan) bool) (Plan, bool) {
+	if rec.Declarations > 0 && match(rec.Plan) {
+		return rec.Plan, true
+	}
+	for _, old := range rec.Previous {
+		if match(old) {
+			return old, true
+		}
+	}
+	return Plan{}, false
+}
+
+func (rec Record) declared(id string) (Plan, bool) {
+	return rec.find(func(p Plan) bool { return p.DeclareID == id })
+}
+
+// Confirm makes the plan a revision. It returns the same plan and revision
+// again if the plan was confirmed before: by a try whose answer was lost, or
+// by another operator.
+func (p *Planner) Confirm(ctx context.Context, id string, req Request) (Plan, error) {
+	return p.close(ctx, id, req, confirmMark, func(plan Plan, cur config.Config) (config.Change, error) {
+		if plan.State != StatePlanned {
+			return config.Change{}, &StateError{Plan: id, State: plan.State, Reason: plan.Reason}
+		}
+		if len(plan.Breaches) > 0 {
+			return config.Change{}, &BoundError{Plan: id, Breaches: plan.Breaches}
+		}
+		return plan.change(cur, req)
+	})
+}
+
+// Abandon refuses the plan. It makes a revision without edits, so that one
+// line of changes decides between a confirmation and an abandonment that race.
+func (p *Planner) Abandon(ctx context.Context, id string, req Request) (Plan, error) {
+	return p.close(ctx, id, req, abandonMark, func(plan Plan, _ config.Config) (config.Change, error) {
+		if plan.State != StatePlanned && plan.State != StateDeclared {
+			return config.Change{}, &StateError{Plan: id, State: plan.State, Reason: plan.Reason}
+		}
+		return config.Change{
+			ID: id + abandonMark + req.ID, Operator: req.Operator,
+			Action: "abandon plan " + id, UnixMillis: req.Now.UnixMilli(),
+		}, nil
+	})
+}
+
+func (p *Planner) close(ctx context.Context, id string, req Request, mark string,
+	build func(Plan, config.Config) (config.Change, error),
+) (Plan, error) {
+	if err := req.validate(); err != nil {
+		return Plan{}, err
+	}
+	stored, err := p.stored(ctx, id)
+	if err != nil {
+		return Plan{}, err
+	}
+	want := map[string]State{confirmMark: StateConfirmed, abandonMark: StateAbandoned}[mark]
+	if stored.State == want {
+		return stored, nil
+	}
+	done := func(cur config.Config) (config.AppliedChange, bool) { return cur.AppliedPrefix(id + mark) }
+	applied, err := p.Head.Commit(ctx, done, func(cur config.Config) (config.Change, error) {
+		return build(stored.settled(cur), cur)
+	})
+	if err != nil {
+		return Plan{}, err
+	}
+	stored.State, stored.Reason, stored.ClosedBy, stored.Revision = want, "", applied.Operator, applied.Revision
+	p.remember(ctx, stored)
+	return stored, nil
+}
+
+// remember writes the plan's final state into its record. A failure is passed
+// over: the head already decides, and the next reader sees it there.
+func (p *Planner) remember(ctx context.Context, plan Plan) {
+	_, _ = p.update(ctx, plan.Intent.Name, func(rec Record) (Record, bool) {
+		if rec.Plan.ID == plan.ID {
+			rec.Plan = plan
+			return rec, true
+		}
+		for i, old := range rec.Previous {
+			if old.ID == plan.ID {
+				plan.Edits = nil
+				rec.Previous[i] = plan
+				return rec, true
+			}
+		}
+		return rec, false
+	})
+}
+
+// Plan returns a plan by its identifier, or a *config.NotFoundError.
+func (p *Planner) Plan(ctx context.Context, id string) (Plan, error) {
+	plan, err := p.stored(ctx, id)
+	if err != nil {
+		return Plan{}, err
+	}
+	head, _, err := p.Head.Read(ctx)
+	if err != nil {
+		return Plan{}, err
+	}
+	return plan.settled(head), nil
+}
+
+func (p *Planner) stored(ctx context.Context, id string) (Plan, error) {
+	rec, _, err := p.read(ctx, intentOf(id))
+	if err != nil {
+		return Plan{}, err
+	}
+	plan, ok := rec.find(func(p Plan) bool { return p.ID == id })
+	if !ok {
+		return Plan{}, &config.NotFoundError{Kind: "plan", Name: id}
+	}
+	return plan, nil
+}
+
+// Intent returns the record of an intent, or a *config.NotFoundError.
+func (p *Planner) Intent(ctx context.Context, name string) (Record, error) {
+	rec, version, err := p.read(ctx, name)
+	if err != nil {
+		return Record{}, err
+	}
+	if version == 0 {
+		return Record{}, &config.NotFoundError{Kind: "intent", Name: name}
+	}
+	head, _, err := p.Head.Read(ctx)
+	if err != nil {
+		return Record{}, err
+	}
+	rec.Plan = rec.Plan.settled(head)
+	return rec, nil
+}
+
+// Intents returns the newest plan of each declared intent, by name.
+func (p *Planner) Intents(ctx context.Context) ([]Plan, error) {
+	kvs, err := p.Head.Store.List(ctx, intentPrefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "list intents")
+	}
+	head, _, err := p.Head.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	plans := make([]Plan, 0, len(kvs))
+	for _, kv := range kvs {
+		rec, err := decode(kv)
+		if err != nil {
+			return nil, err
+		}
+		plans = append(plans, rec.Plan.settled(head))
+	}
+	return plans, nil
+}
+
+func (p *Planner) read(ctx context.Context, name string) (Record, int64, error) {
+	if !config.ValidName(name) {
+		return Record{}, 0, &config.NotFoundError{Kind: "intent", Name: name}
+	}
+	kv, err := p.Head.Store.Get(ctx, intentPrefix+name)
+	if err != nil {
+		return Record{}, 0, errors.Wrap(err, "read intent")
+	}
+	if kv.Version == 0 {
+		return Record{}, 0, nil
+	}
+	rec, err := decode(kv)
+	return rec, kv.Version, err
+}
+
+func decode(kv store.KV) (Record, error) {
+	var rec Record
+	if err := json.Unmarshal(kv.Value, &rec); err != nil {
+		return Record{}, errors.Wrap(err, fmt.Sprintf("decode %s", kv.Key))
+	}
+	return rec, nil
+}
+
+// update changes the record of an intent by compare-and-swap. edit reports
+// whether there is anything to write; it is called again after a conflict or a
+// lost answer, and must recognise what an earlier try wrote.
+func (p *Planner) update(ctx context.Context, name string, edit func(Record) (Record, bool)) (Record, error) {
+	var lost *store.UnknownError
+	for range maxAttempts {
+		rec, version, err := p.read(ctx, name)
+		if err != nil {
+			return Record{}, preferLost(lost, err)
+		}
+		next, changed := edit(rec)
+		if !changed {
+			return rec, nil
+		}
+		value, err := json.Marshal(next)
+		if err != nil {
+			return Record{}, errors.Wrap(err, "encode intent")
+		}
+		_, err = p.Head.Store.CompareAndSwap(ctx, intentPrefix+name, version, value, 0)
+		var conflict *store.ConflictError
+		switch {
+		case err == nil:
+			return next, nil
+		case errors.As(err, &lost), errors.As(err, &conflict):
+			continue
+		default:
+			return Record{}, preferLost(lost, errors.Wrap(err, "write intent"))
+		}
+	}
+	return Record{}, preferLost(lost, &BusyError{Attempts: maxAttempts})
+}
