Retry within a budget, only where it is truthful

A request that meets an error is tried again only if that cannot be a second run of one that may not be repeated, if its workspace and the hop have saved up a retry (0.08 of requests, and one in ten seconds for a quiet workspace), and before its deadline. The final outcome speaks of all attempts: a refusal after a broken attempt stays unknown.

Tried and ruled out: a Retry-After drawn at random from a window that grows with the callers given up. Places in a virtual queue keep it at 35 or fewer.

--- /dev/null
+++ b/core/retry/budget.go
@@ -0,0 +1,103 @@
+package retry
+
+import "time"
+
+const (
+	// ratio is the part of requests that may be tried again. With ratio 0.08
+	// the calls to targets stay below 1.1 of the requests, bursts included.
+	ratio = 0.08
+	// floorEvery lets a workspace with few requests have a retry now and
+	// then. It is long because it counts for each workspace and entry.
+	floorEvery = 10 * time.Second
+	// keyBurst and hopBurst are the most retries saved up for one workspace
+	// and for one hop.
+	keyBurst = 5
+	hopBurst = 20
+	// hopStart is what a hop may spend before its first requests.
+	hopStart = 3
+)
+
+// bucket holds the retries saved up.
+type bucket struct {
+	saved float64
+	used  time.Time
+}
+
+// Key names a budget: retries of one workspace must not spend another's.
+type Key struct {
+	Workspace string
+	// Hop names the step of the path that is retried, such as "target".
+	Hop string
+}
+
+// Budgets holds the budgets of all workspaces and hops at one entry. It is not
+// safe for concurrent use.
+type Budgets struct {
+	keys map[Key]*Budget
+	hops map[string]*bucket
+}
+
+// Budget limits the retries of one workspace at one hop.
+type Budget struct {
+	own bucket
+	hop *bucket
+	// floorAt is when the floor last gave a retry.
+	floorAt time.Time
+}
+
+// NewBudgets returns empty budgets.
+func NewBudgets() *Budgets {
+	return &Budgets{keys: map[Key]*Budget{}, hops: map[string]*bucket{}}
+}
+
+// Request records a new request, which earns its workspace and its hop a part
+// of a retry.
+func (b *Budgets) Request(key Key, now time.Time) {
+	g := b.For(key)
+	g.own.saved = min(keyBurst, g.own.saved+ratio)
+	g.own.used = now
+	g.hop.saved = min(hopBurst, g.hop.saved+ratio)
+}
+
+// For returns the budget of a key, and makes it on first use.
+func (b *Budgets) For(key Key) *Budget {
+	if g := b.keys[key]; g != nil {
+		return g
+	}
+	hop := b.hops[key.Hop]
+	if hop == nil {
+		hop = &bucket{saved: hopStart}
+		b.hops[key.Hop] = hop
+	}
+	g := &Budget{hop: hop}
+	b.keys[key] = g
+	return g
+}
+
+// Forget drops the budgets that had no request since a time.
+func (b *Budgets) Forget(before time.Time) {
+	for key, g := range b.keys {
+		if g.own.used.Before(before) {
+			delete(b.keys, key)
+		}
+	}
+}
+
+// Take spends one retry and reports whether there was one. Both the workspace
+// and the hop must have it saved up: the floors of many workspaces together
+// would otherwise be the storm that the budget is to prevent.
+func (g *Budget) Take(now time.Time) bool {
+	if g.hop.saved < 1 {
+		return false
+	}
+	switch {
+	case g.own.saved >= 1:
+		g.own.saved--
+	case now.Sub(g.floorAt) >= floorEvery:
+		g.floorAt = now
+	default:
+		return false
+	}
+	g.hop.saved--
+	return true
+}
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,158 @@
+package retry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"verbenashift/core/outcome"
+)
+
+var start = time.Date(2026, 1, 31, 12, 0, 0, 0, time.UTC)
+
+// rich returns a budget that allows a few retries.
+func rich(key Key) *Budget {
+	b := NewBudgets()
+	for range 200 {
+		b.Request(key, start)
+	}
+	return b.For(key)
+}
+
+func TestDecide(t *testing.T) {
+	soon := start.Add(time.Nanosecond)
+	tests := map[string]struct {
+		state    Attempts
+		kinds    []Kind
+		deadline time.Time
+		retry    bool
+		want     outcome.Outcome
+		reason   string
+	}{
+		"not sent":                   {Attempts{MayNotRepeat: true}, []Kind{NotSent}, time.Time{}, true, 0, ""},
+		"refused":                    {Attempts{MayNotRepeat: true}, []Kind{Refused}, time.Time{}, true, 0, ""},
+		"repeatable broken":          {Attempts{}, []Kind{Broken}, time.Time{}, true, 0, ""},
+		"repeatable failed":          {Attempts{}, []Kind{Failed}, time.Time{}, true, 0, ""},
+		"booking broken":             {Attempts{MayNotRepeat: true}, []Kind{Broken}, time.Time{}, false, outcome.Unknown, ReasonMayNotRepeat},
+		"booking broken, refused":    {Attempts{MayNotRepeat: true}, []Kind{Broken, Refused}, time.Time{}, false, outcome.Unknown, ReasonMayNotRepeat},
+		"booking failed":             {Attempts{MayNotRepeat: true}, []Kind{Failed}, time.Time{}, false, outcome.Failed, ReasonMayNotRepeat},
+		"workspace limit":            {Attempts{}, []Kind{RefusedAll}, time.Time{}, false, outcome.NotRun, ReasonRefused},
+		"limit after break":          {Attempts{}, []Kind{Broken, RefusedAll}, time.Time{}, false, outcome.Unknown, ReasonRefused},
+		"failed, then limit":         {Attempts{}, []Kind{Failed, RefusedAll}, time.Time{}, false, outcome.Failed, ReasonRefused},
+		"failed, broken, then limit": {Attempts{}, []Kind{Failed, Broken, RefusedAll}, time.Time{}, false, outcome.Unknown, ReasonRefused},
+		"four refusals":              {Attempts{}, []Kind{Refused, Refused, Refused, Refused}, time.Time{}, false, outcome.NotRun, ReasonAttempts},
+		"deadline":                   {Attempts{}, []Kind{Failed}, soon, false, outcome.Failed, ReasonDeadline},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			rng := rand.New(rand.NewPCG(1, 1))
+			budget, returns := rich(Key{"erie", "target"}), &Returns{}
+			var d Decision
+			for _, kind := range tt.kinds {
+				d = Decide(&tt.state, kind, budget, returns, tt.deadline, start, rng)
+			}
+			is.Equal(d.Retry, tt.retry)
+			if !d.Retry {
+				is.Equal(d.Err.Outcome, tt.want)
+				is.Equal(d.Err.Reason, tt.reason)
+				is.True(d.Err.RetryAfter >= minReturn)
+			}
+		})
+	}
+}
+
+// At the month's end the targets fail for minutes. Every request of every
+// workspace is tried again, some of them four times, and the targets that
+// still work get several times their load and fail too.
+func TestRetriesDoNotMultiplyLoad(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	budgets, returns := NewBudgets(), &Returns{}
+	requests, calls := 0, 0
+	for n := range 60_000 {
+		now := start.Add(time.Duration(n) * time.Millisecond)
+		key := Key{fmt.Sprint("workspace-", n%930), "target"}
+		budgets.Request(key, now)
+		requests++
+		a := Attempts{}
+		for again := true; again; {
+			calls++
+			again = Decide(&a, Refused, budgets.For(key), returns, time.Time{}, now, rng).Retry
+		}
+	}
+	is.True(float64(calls) <= 1.1*float64(requests))
+	is.True(calls > requests) // but some are
+}
+
+// One workspace's requests all fail, because of something they ask for. Its
+// retries must not leave the others without any.
+func TestBudgetIsPerWorkspace(t *testing.T) {
+	is := is.New(t)
+	budgets := NewBudgets()
+	noisy, calm := Key{"noisy", "target"}, Key{"calm", "target"}
+	for n := range 1000 {
+		now := start.Add(time.Duration(n) * 10 * time.Millisecond)
+		budgets.Request(noisy, now)
+		budgets.For(noisy).Take(now)
+		if n%10 == 0 {
+			budgets.Request(calm, now)
+		}
+	}
+	is.True(budgets.For(calm).Take(start.Add(10 * time.Second)))
+	budgets.Forget(start.Add(time.Minute))
+	is.Equal(len(budgets.keys), 0)
+}
+
+// A quiet workspace sends a request a minute and one fails: it has earned no
+// retry yet, and its only caller would be refused for one dropped packet.
+func TestFloorGivesQuietWorkspaceARetry(t *testing.T) {
+	is := is.New(t)
+	g := NewBudgets().For(Key{"quiet", "target"})
+	is.True(g.Take(start))
+	is.True(!g.Take(start.Add(time.Second)))
+	is.True(g.Take(start.Add(floorEvery)))
+}
+
+// A thousand callers are refused in one second while the targets complete a
+// hundred requests a second. All told to come back after one second would
+// come as a second wave, of the same size, and be refused again.
+func TestReturnIsNoSecondWave(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	r := &Returns{}
+	for n := range 2000 {
+		r.Completed(start.Add(time.Duration(n) * 10 * time.Millisecond))
+	}
+	back := map[int]int{}
+	for n := range 1000 {
+		now := start.Add(20*time.Second + time.Duration(n)*time.Millisecond)
+		at := now.Add(r.GaveUp(now, rng)).Sub(start)
+		back[int(at.Seconds())]++
+	}
+	for _, n := range back {
+		is.True(n <= 35) // callers in one second; 1000 were refused in one
+	}
+	idle := &Returns{} // nothing completes: a minute, evenly
+	is.True(idle.GaveUp(start, rng) != idle.GaveUp(start, rng))
+}
+
+// Urgent notices wait behind a slow target. Sending all of them twice would
+// double the load on targets that are slow because of load.
+func TestHedgeWithinBudget(t *testing.T) {
+	is := is.New(t)
+	key := Key{"bole", "target"}
+	hedges := 0
+	budget := rich(key)
+	for range 100 {
+		if Hedge(&Attempts{Urgent: true}, time.Second, 100*time.Millisecond, budget, start) {
+			hedges++
+		}
+	}
+	is.True(hedges > 0 && hedges <= keyBurst+1)
+	is.True(!Hedge(&Attempts{Urgent: true}, 200*time.Millisecond, 100*time.Millisecond, rich(key), start))
+	is.True(!Hedge(&Attempts{Urgent: true, MayNotRepeat: true}, time.Second, 100*time.Millisecond, rich(key), start))
+	is.True(!Hedge(&Attempts{}, time.Second, 100*time.Millisecond, rich(key), start))
+}
--- /dev/null
+++ b/core/retry/returns.go
@@ -0,0 +1,78 @@
+package retry
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// minReturn and maxReturn bound a Retry-After.
+	minReturn = time.Second
+	maxReturn = 60 * time.Second
+	// headroom is the part of the recent rate of completions that returning
+	// callers may add to the load.
+	headroom = 0.25
+	// rateMemory is the time constant of the rate of completions.
+	rateMemory = 20 * time.Second
+	// jitter is the part of a Retry-After that is random, so that callers
+	// whose clocks round alike don't meet.
+	jitter = 0.2
+)
+
+// Returns spreads the return of callers whose requests were given up. Each is
+// given a place in a virtual queue that empties at the headroom of the recent
+// rate of completions, so that however many were refused at once, they come
+// back at a rate which the targets can take. A window drawn at random for each
+// caller does not do this: the first callers draw from narrow windows, and the
+// later ones fall on top of them. The zero value is ready.
+type Returns struct {
+	completed float64 // requests completed, decaying
+	at        time.Time
+	began     time.Time
+	// free is when the next place of the virtual queue is.
+	free time.Time
+}
+
+// Completed records a request that got its whole answer.
+func (r *Returns) Completed(now time.Time) {
+	r.decay(now)
+	r.completed++
+}
+
+// GaveUp records a request that was given up, and returns the time after which
+// its caller may come back, between one second and a minute. If the queue is
+// longer than that, or nothing completes, callers are spread over a minute.
+func (r *Returns) GaveUp(now time.Time, rng *rand.Rand) time.Duration {
+	r.decay(now)
+	first := now.Add(minReturn)
+	if r.free.Before(first) {
+		r.free = first
+	}
+	wait := r.free.Sub(now)
+	if rate := r.rate(now); rate > 0 && wait < maxReturn {
+		gap := time.Duration(float64(time.Second) / rate)
+		r.free = r.free.Add(min(gap, maxReturn))
+		wait += time.Duration(jitter * rng.Float64() * float64(wait))
+		return min(wait, maxReturn)
+	}
+	return minReturn + time.Duration(rng.Float64()*float64(maxReturn-minReturn))
+}
+
+// rate returns how many callers a second may come back.
+func (r *Returns) rate(now time.Time) float64 {
+	// Since the start less than the memory may have passed.
+	memory := rateMemory.Seconds()
+	span := memory * (1 - math.Exp(-now.Sub(r.began).Seconds()/memory))
+	return headroom * r.completed / max(span, minReturn.Seconds())
+}
+
+func (r *Returns) decay(now time.Time) {
+	if r.at.IsZero() {
+		r.at, r.began = now, now
+	}
+	if elapsed := now.Sub(r.at); elapsed > 0 {
+		r.completed *= math.Exp(-elapsed.Seconds() / rateMemory.Seconds())
+		r.at = now
+	}
+}
