--- /dev/null
+++ b/core/group/message.go
@@ -0,0 +1,191 @@
+package group
+
+import (
+	"time"
+
+	"verbenashift/core/lease"
+)
+
+// Message is what agents say to each other about a group. Every message may be
+// lost, repeated, delayed and reordered.
+type Message interface{ message() }
+
+// Probe asks a member for a Report. A steward sends it under its fence.
+type Probe struct {
+	Fence uint64 `json:"fence"`
+	// Known is the epoch whose members the steward knows.
+	Known lease.Number `json:"known"`
+}
+
+// Report is a member's view of its rank.
+type Report struct {
+	// Sequence orders the reports of one incarnation of an agent; the later
+	// incarnation has the higher numbers.
+	Sequence uint64 `json:"sequence"`
+	// Fence is the highest fencing number the agent has heard of.
+	Fence uint64 `json:"fence"`
+	// Health is the agent's first-hand view of the rank.
+	Health Health `json:"health"`
+	// Rank is the rank's state, its members only if the steward lacks them.
+	Rank RankState `json:"rank"`
+	// StepTime is the recent time for one step.
+	StepTime time.Duration `json:"step-time"`
+}
+
+// Prepare asks a member to load a map's weights beside those in use.
+type Prepare struct {
+	Number  lease.Number `json:"number"`
+	Version Version      `json:"version"`
+}
+
+// Arm asks a member for its vote on a switch: to arm its rank for it, or to
+// refuse it for good. Members ask each other the same when the steward is gone.
+type Arm struct {
+	Switch Switch `json:"switch"`
+}
+
+// Ballot is a member's vote. Armed and Refused never change once said.
+type Ballot struct {
+	Number lease.Number `json:"number"`
+	Vote   Vote         `json:"vote"`
+}
+
+// Outcome says how a switch ended. It is a function of the votes, so that it is
+// the same whoever has counted them.
+type Outcome struct {
+	Number lease.Number `json:"number"`
+	Epoch  lease.Number `json:"epoch"`
+	Commit bool         `json:"commit"`
+}
+
+// Form asks a member to leave its epoch and to join a new one.
+type Form struct {
+	Number  lease.Number `json:"number"`
+	Members []string     `json:"members"`
+	Version Version      `json:"version"`
+	// Step is the first step of the epoch.
+	Step uint64 `json:"step"`
+	// Incarnation is that of the receiver's engine as the steward knows it. An
+	// engine that has been in the epoch and has lost its memory since must not
+	// come back into it on the epoch's first map.
+	Incarnation uint64 `json:"incarnation"`
+}
+
+func (Probe) message()   {}
+func (Report) message()  {}
+func (Prepare) message() {}
+func (Arm) message()     {}
+func (Ballot) message()  {}
+func (Outcome) message() {}
+func (Form) message()    {}
+
+// Action is something that the adapter has to do.
+type Action interface{ action() }
+
+// Send sends a message to the agent of a member.
+type Send struct {
+	To      string
+	Message Message
+}
+
+// Apply gives an order to the agent's own rank. The answer goes to
+// Member.Applied with the same ID.
+type Apply struct {
+	ID    uint64
+	Order Order
+}
+
+// Read reads the state of the agent's own rank. The answer goes to
+// Member.Observed with the same ID.
+type Read struct {
+	ID uint64
+}
+
+// Done tells that a switch or a forming has ended; for operators and counters.
+// It may come twice for a switch that was left undecided by another steward.
+type Done struct {
+	Number lease.Number
+	// Formed says that it was a new epoch and not a switch.
+	Formed bool
+	Commit bool
+	Took   time.Duration
+}
+
+func (Send) action()  {}
+func (Apply) action() {}
+func (Read) action()  {}
+func (Done) action()  {}
+
+// Vote is a member's answer on a switch.
+type Vote int
+
+// The votes. The zero value is no vote.
+const (
+	// Open means that the rank has neither armed nor refused.
+	Open Vote = iota
+	// Armed means that the rank stops before the step until the outcome.
+	Armed
+	// Refused means that the rank will never arm for the switch.
+	Refused
+	// Passed means that the rank is beyond the switch, by a later one or in a
+	// later epoch, and cannot tell any more. It counts as no vote.
+	Passed
+)
+
+// Vote reads the rank's vote on a switch from its state alone, so that an agent
+// with empty memory answers as its predecessor did.
+func (s RankState) Vote(sw Switch) Vote {
+	switch {
+	case s.Epoch.Less(sw.Epoch):
+		return Open
+	case s.Epoch != sw.Epoch:
+		return Passed
+	case s.Since == sw.Number, s.Armed.Number == sw.Number:
+		return Armed
+	case sw.Number.Less(s.Since):
+		return Passed
+	case sw.Number.Add(mainPlace).Less(s.Last):
+		return Refused
+	default:
+		return Open
+	}
+}
+
+// Tally counts the votes on one switch.
+type Tally struct {
+	Switch Switch
+	votes  map[string]Vote
+}
+
+// NewTally returns a tally without votes.
+func NewTally(sw Switch) *Tally {
+	return &Tally{Switch: sw, votes: make(map[string]Vote)}
+}
+
+// Add counts a vote; only the first Armed or Refused of a member counts.
+func (t *Tally) Add(member string, v Vote) {
+	if (v == Armed || v == Refused) && t.votes[member] == Open {
+		t.votes[member] = v
+	}
+}
+
+// Missing reports whether a member's vote is still wanted.
+func (t *Tally) Missing(member string) bool {
+	return t.votes[member] == Open
+}
+
+// Outcome returns the outcome once the votes fix it: abort as soon as one
+// member has refused, commit when every member of the epoch is armed.
+func (t *Tally) Outcome(members []string) (commit, known bool) {
+	all := len(members) > 0
+	for _, m := range members {
+		switch t.votes[m] {
+		case Refused:
+			return false, true
+		case Armed:
+		default:
+			all = false
+		}
+	}
+	return all, all
+}
--- /dev/null
+++ b/core/group/rank.go
@@ -0,0 +1,256 @@
+package group
+
+import (
+	"fmt"
+	"slices"
+
+	"verbenashift/core/lease"
+)
+
+// Version names one expert map by the digest of its content, so that the same
+// version is the same placement everywhere. The zero Version is no map.
+type Version uint64
+
+// Kind says what an order asks of a rank.
+type Kind int
+
+// The kinds of orders. The zero value is no order.
+const (
+	// LoadMap starts loading the weights that a map needs, beside those in use.
+	LoadMap Kind = iota + 1
+	// ArmMap makes the rank stop before Step until it is told the outcome.
+	ArmMap
+	// ResolveMap tells the outcome of a switch; refusing one in advance is
+	// resolving it with Commit false.
+	ResolveMap
+	// FormGroup makes the rank leave its epoch and join a new one.
+	FormGroup
+)
+
+// The places of a steward's numbers: each base number is followed by one number
+// for each order that may come of it, in this order.
+const (
+	loadPlace    = 1
+	mainPlace    = 2
+	resolvePlace = 3
+	// places is the distance between two base numbers.
+	places = 4
+)
+
+// Switch is one attempt to change a group's map. Its content is fixed by its
+// number: another step or map is another switch.
+type Switch struct {
+	// Number is the base number the steward gave it.
+	Number lease.Number `json:"number"`
+	// Epoch is the epoch of the group it belongs to.
+	Epoch   lease.Number `json:"epoch"`
+	Version Version      `json:"version"`
+	// Step is the first step on the new map.
+	Step uint64 `json:"step"`
+}
+
+// Order is one order to a rank, from its agent.
+type Order struct {
+	// Number is the order's own number; Base is that of the switch or epoch.
+	Number  lease.Number `json:"number"`
+	Base    lease.Number `json:"base"`
+	Kind    Kind         `json:"kind"`
+	Epoch   lease.Number `json:"epoch"`
+	Version Version      `json:"version"`
+	Step    uint64       `json:"step"`
+	Commit  bool         `json:"commit"`
+	Members []string     `json:"members,omitempty"`
+}
+
+// RankState is what a rank knows of itself. It lives in the engine, survives
+// the agent, and is lost with the engine.
+type RankState struct {
+	// Incarnation changes with every start of the engine.
+	Incarnation uint64 `json:"incarnation"`
+	// Epoch is the base number of the order that formed the group; zero in an
+	// engine that has just started.
+	Epoch   lease.Number `json:"epoch"`
+	Members []string     `json:"members,omitempty"`
+	Version Version      `json:"version"`
+	// Since is the base number of the switch or epoch that put Version in force.
+	Since lease.Number `json:"since"`
+	// Next is the first step that the rank has not begun.
+	Next uint64 `json:"next"`
+	// Waiting says that the rank has done its part of the step before Next and
+	// waits for the others.
+	Waiting bool `json:"waiting"`
+	// Armed is the switch the rank stops for; zero if there is none.
+	Armed Switch `json:"armed"`
+	// Committed says that the outcome of Armed is known to be commit.
+	Committed bool `json:"committed"`
+	// Loaded is a map whose weights are in memory beside those in use.
+	Loaded Version `json:"loaded"`
+	// Loading is a map whose weights are on their way.
+	Loading Version `json:"loading"`
+	// Last is the number of the order applied last.
+	Last lease.Number `json:"last"`
+}
+
+// Has reports whether the weights of a map are in memory.
+func (s RankState) Has(v Version) bool {
+	return v == s.Version || v == s.Loaded
+}
+
+// Undecided reports whether the rank is armed and not yet told the outcome.
+func (s RankState) Undecided() bool {
+	return !s.Armed.Number.IsZero() && !s.Committed
+}
+
+// Held reports whether the rank is standing still for want of an outcome.
+func (s RankState) Held() bool {
+	return s.Undecided() && s.Next == s.Armed.Step
+}
+
+// RefusedError says why a rank did not apply an order.
+type RefusedError struct {
+	Order  Order
+	Reason string
+}
+
+// Error names the reason.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("order %d.%d refused: %s", e.Order.Number.Fence, e.Order.Number.Sequence, e.Reason)
+}
+
+// Rank is the part of an engine that the switch relies on, as a reference for
+// adapters and stand-ins. The engine owes four things: it applies one order at
+// a time, it refuses to arm for a step it has begun or a map it has not loaded,
+// it does not begin the step it is armed for before it is told the outcome, and
+// it reports its state truthfully.
+type Rank struct {
+	State RankState
+	Habit lease.Habit
+	// Stops counts the calls of Begin that found the rank held.
+	Stops uint64
+
+	off guardsOff
+}
+
+// guardsOff switches guards off, to show that each is needed. Only tests set it.
+type guardsOff struct {
+	arm, wait, fence, settle bool
+}
+
+// Apply carries out an order, or returns a *RefusedError and changes nothing.
+func (r *Rank) Apply(o Order) error {
+	s := &r.State
+	if r.Habit == lease.HonoursFencing && !r.off.fence {
+		if o.Number == s.Last {
+			return nil
+		}
+		if o.Number.Less(s.Last) {
+			return &RefusedError{Order: o, Reason: "stale-fence"}
+		}
+	}
+	if reason := r.refusal(o); reason != "" {
+		return &RefusedError{Order: o, Reason: reason}
+	}
+	s.Last = o.Number
+	switch o.Kind {
+	case LoadMap:
+		r.load(o.Version)
+	case ArmMap:
+		s.Armed = Switch{Number: o.Base, Epoch: o.Epoch, Version: o.Version, Step: o.Step}
+		s.Committed = false
+	case ResolveMap:
+		r.resolve(o)
+	case FormGroup:
+		r.form(o)
+	}
+	return nil
+}
+
+func (r *Rank) refusal(o Order) string {
+	s := r.State
+	switch {
+	case o.Kind == ArmMap && o.Epoch != s.Epoch:
+		return "other-epoch"
+	case (o.Kind == ArmMap || o.Kind == FormGroup) && !s.Has(o.Version):
+		return "not-loaded"
+	// A rank that has begun the step used the old map in it. If it armed, the
+	// others could commit and use the new map in the same step.
+	case o.Kind == ArmMap && o.Step < s.Next && !r.off.arm:
+		return "step-begun"
+	default:
+		return ""
+	}
+}
+
+func (r *Rank) load(v Version) {
+	s := &r.State
+	if s.Has(v) || s.Loading == v {
+		return
+	}
+	if s.Armed.Number.IsZero() {
+		s.Loaded = 0
+	}
+	s.Loading = v
+}
+
+// FinishLoad says that the weights on their way have arrived.
+func (r *Rank) FinishLoad() {
+	s := &r.State
+	if s.Loading == 0 || !s.Armed.Number.IsZero() {
+		return
+	}
+	s.Loaded, s.Loading = s.Loading, 0
+}
+
+// resolve ends the armed switch. An abort leaves the map in force and the
+// loaded weights as they were.
+func (r *Rank) resolve(o Order) {
+	s := &r.State
+	if s.Armed.Number != o.Base || s.Committed {
+		return
+	}
+	if o.Commit {
+		s.Committed = true
+		return
+	}
+	s.Armed = Switch{}
+}
+
+func (r *Rank) form(o Order) {
+	s := &r.State
+	if o.Version != s.Version {
+		s.Loaded = s.Version
+	}
+	s.Epoch, s.Since = o.Base, o.Base
+	s.Members = slices.Clone(o.Members)
+	s.Version = o.Version
+	s.Next, s.Waiting = o.Step, true
+	s.Armed, s.Committed = Switch{}, false
+}
+
+// Begin begins the next step and returns it with the map it uses. It returns
+// false if the rank has no group or is held at the step of a switch whose
+// outcome it does not know: going on would choose one of two maps by guess.
+func (r *Rank) Begin() (uint64, Version, bool) {
+	s := &r.State
+	if s.Epoch.IsZero() {
+		return 0, 0, false
+	}
+	if s.Held() && !r.off.wait {
+		r.Stops++
+		return 0, 0, false
+	}
+	if s.Committed && s.Next >= s.Armed.Step {
+		// The old weights stay in memory until the next load needs the room.
+		s.Loaded, s.Version, s.Since = s.Version, s.Armed.Version, s.Armed.Number
+		s.Armed, s.Committed = Switch{}, false
+	}
+	step := s.Next
+	s.Next++
+	s.Waiting = false
+	return step, s.Version, true
+}
+
+// Finish says that the rank has done its part of the step it has begun.
+func (r *Rank) Finish() {
+	r.State.Waiting = true
+}
--- /dev/null
+++ b/core/group/steward.go
@@ -0,0 +1,445 @@
+package group
+
+import (
+	"time"
+
+	"verbenashift/core/lease"
+)
+
+// StewardConfig is the setting of a Steward. Zero values take the defaults.
+type StewardConfig struct {
+	// Members are the ranks configured for the group, by the names of their
+	// targets.
+	Members []string
+	// MinRanks is the least number of ranks that make a group; 0 means all.
+	MinRanks int
+	// Initial is the map of a group that has none.
+	Initial Version
+	// Lead is how many steps lie between the estimated step of the group and
+	// the step of a switch. It is doubled after a switch for which it was too
+	// short, up to MaxLead.
+	Lead    uint64
+	MaxLead uint64
+	// Beat is the interval of probes while all is well; FastBeat while
+	// something is under way or a rank is not stepping.
+	Beat     time.Duration
+	FastBeat time.Duration
+	// DeadAfter is how long an agent may leave fast probes without an answer.
+	DeadAfter time.Duration
+	// StallLimit is how long a rank may stall before the group is formed
+	// without it; 0 means never.
+	StallLimit time.Duration
+	// RejoinAfter is how long a returned rank must have answered before the
+	// group is formed again for its sake.
+	RejoinAfter time.Duration
+}
+
+// The defaults of StewardConfig.
+const (
+	defaultLead        = 16
+	defaultMaxLead     = 1024
+	defaultBeat        = 15 * time.Second
+	defaultFastBeat    = 200 * time.Millisecond
+	defaultSilentAfter = 3 * time.Second
+	defaultRejoinAfter = 5 * time.Second
+)
+
+func (c StewardConfig) withDefaults() StewardConfig {
+	c.MinRanks = orElse(c.MinRanks, len(c.Members))
+	c.Lead = orElse(c.Lead, defaultLead)
+	c.MaxLead = orElse(c.MaxLead, defaultMaxLead)
+	c.Beat = orElse(c.Beat, defaultBeat)
+	c.FastBeat = orElse(c.FastBeat, defaultFastBeat)
+	c.DeadAfter = orElse(c.DeadAfter, defaultSilentAfter)
+	c.RejoinAfter = orElse(c.RejoinAfter, defaultRejoinAfter)
+	return c
+}
+
+func orElse[T int | uint64 | time.Duration](v, def T) T {
+	if v > 0 {
+		return v
+	}
+	return def
+}
+
+// seat is what the steward knows of one member.
+type seat struct {
+	report Report
+	known  bool
+	// heard is when the last report came. If owing, the probe of asked and those
+	// after it have had no answer; probed is when the last one went out.
+	heard  time.Duration
+	owing  bool
+	asked  time.Duration
+	probed time.Duration
+	// engine is the incarnation for which the present epoch was formed.
+	engine uint64
+	// back is since when the rank has answered without pause.
+	back time.Duration
+	// stalledSince is 0 for a rank that does not stall.
+	stalledSince time.Duration
+}
+
+// Steward drives a group's switches and formings while its agent holds the
+// duty. It is made anew for every lease and holds nothing that must last: what
+// it needs is in the reports. Its adapter drops it when the lease is no longer
+// valid, and asks lease.Holder.Valid right before each Tick and send.
+type Steward struct {
+	cfg   StewardConfig
+	fence uint64
+	// sequence is the last base number given out.
+	sequence uint64
+	seats    map[string]*seat
+	want     Version
+	form     *Form
+	// issued says that form is this steward's own and may be repeated.
+	issued   bool
+	announce bool
+	prepare  *Prepare
+	tally    *Tally
+	// decided is the outcome of the last switch.
+	decided  Outcome
+	began    time.Duration
+	formedAt time.Duration
+	lead     uint64
+	// swept is when all members were last probed out of turn.
+	swept time.Duration
+	// repeatAt is when unanswered messages are sent again; pause is the time
+	// from then to the next, which doubles up to Beat.
+	repeatAt time.Duration
+	pause    time.Duration
+	deposed  bool
+}
+
+// NewSteward returns the steward of a lease that was given under fence.
+func NewSteward(cfg StewardConfig, fence uint64, now time.Duration) *Steward {
+	cfg = cfg.withDefaults()
+	s := &Steward{cfg: cfg, fence: fence, lead: cfg.Lead, seats: make(map[string]*seat)}
+	for _, m := range cfg.Members {
+		s.seats[m] = &seat{probed: now - cfg.Beat}
+	}
+	s.swept = now
+	s.hurry(now)
+	return s
+}
+
+// Want sets the map that the group should use; the zero Version means the one it
+// uses. A change before ranks are armed drops the switch that was prepared.
+func (s *Steward) Want(v Version) {
+	if v == s.want {
+		return
+	}
+	s.want, s.prepare = v, nil
+}
+
+// Deposed reports whether a member knows of a newer lease. The adapter gives up
+// the duty then.
+func (s *Steward) Deposed() bool {
+	return s.deposed
+}
+
+// Settled reports whether every member is in one epoch, no switch is under way
+// and the wanted map is in force.
+func (s *Steward) Settled() bool {
+	if s.form == nil || s.announce || s.tally != nil {
+		return false
+	}
+	for _, m := range s.form.Members {
+		r := s.seats[m].report
+		if r.Rank.Epoch != s.form.Number || !r.Rank.Armed.Number.IsZero() {
+			return false
+		}
+		if s.want != 0 && r.Rank.Version != s.want {
+			return false
+		}
+	}
+	return true
+}
+
+// Receive takes a message from a member's agent.
+func (s *Steward) Receive(now time.Duration, from string, msg Message) []Action {
+	if s.seats[from] == nil || s.deposed {
+		return nil
+	}
+	switch msg := msg.(type) {
+	case Report:
+		s.reported(now, from, msg)
+		return s.work(now)
+	case Ballot:
+		if s.tally != nil && s.tally.Switch.Number == msg.Number {
+			s.tally.Add(from, msg.Vote)
+			return s.finish(now)
+		}
+	}
+	return nil
+}
+
+func (s *Steward) reported(now time.Duration, from string, r Report) {
+	if r.Fence > s.fence {
+		s.deposed = true
+		return
+	}
+	st := s.seats[from]
+	// A report that was overtaken by a later one would bring back an old state.
+	if st.known && r.Sequence <= st.report.Sequence {
+		return
+	}
+	if len(r.Rank.Members) == 0 && r.Rank.Epoch == st.report.Rank.Epoch {
+		r.Rank.Members = st.report.Rank.Members
+	}
+	if !st.known || s.silent(now, st) || r.Health == Dead {
+		st.back = now
+	}
+	st.report, st.known, st.heard, st.owing = r, true, now, false
+	switch {
+	case r.Health != Stalled:
+		st.stalledSince = 0
+	case st.stalledSince == 0:
+		st.stalledSince = now
+	}
+	if r.Health != Stepping && now-s.swept >= s.cfg.DeadAfter {
+		s.sweep(now)
+	}
+}
+
+// sweep has every member probed at the next tick. Members tell when their ranks
+// stop, and in a lock-step group all ranks stop when one does, so that even an
+// instance that died with its agent is missed at once between rare probes.
+func (s *Steward) sweep(now time.Duration) {
+	s.swept = now
+	for _, st := range s.seats {
+		st.probed = now - s.cfg.Beat
+	}
+}
+
+// Tick lets time pass: it probes, and repeats what has not been answered.
+func (s *Steward) Tick(now time.Duration) []Action {
+	if s.deposed {
+		return nil
+	}
+	acts := append(s.probe(now), s.work(now)...)
+	if now < s.repeatAt {
+		return acts
+	}
+	s.repeatAt = now + s.pause
+	s.pause = min(2*s.pause, s.cfg.Beat)
+	return append(acts, s.repeat()...)
+}
+
+// hurry makes repeats frequent again, at the start of something new.
+func (s *Steward) hurry(now time.Duration) {
+	s.pause = s.cfg.FastBeat
+	s.repeatAt = now + s.pause
+}
+
+// probe asks for reports: each member now and then, and those that owe an
+// answer often.
+func (s *Steward) probe(now time.Duration) []Action {
+	var acts []Action
+	for _, m := range s.cfg.Members {
+		st := s.seats[m]
+		pause := s.cfg.Beat
+		if st.owing {
+			pause = s.cfg.FastBeat
+		}
+		if now-st.probed < pause {
+			continue
+		}
+		if !st.owing {
+			st.owing, st.asked = true, now
+		}
+		st.probed = now
+		acts = append(acts, Send{To: m, Message: Probe{Fence: s.fence, Known: s.knownEpoch(st)}})
+	}
+	return acts
+}
+
+// knownEpoch returns the epoch whose members the member need not list again.
+func (s *Steward) knownEpoch(st *seat) lease.Number {
+	if s.form == nil && len(st.report.Rank.Members) == 0 {
+		return lease.Number{}
+	}
+	return st.report.Rank.Epoch
+}
+
+// next returns a fresh base number.
+func (s *Steward) next() lease.Number {
+	s.sequence += places
+	return lease.Number{Fence: s.fence, Sequence: s.sequence}
+}
+
+// work does what the reports call for. It is safe to call at any time: nothing
+// depends on which message came last.
+func (s *Steward) work(now time.Duration) []Action {
+	if s.deposed {
+		return nil
+	}
+	if acts, busy := s.workForm(now); busy {
+		return acts
+	}
+	if s.tally != nil {
+		return s.finish(now)
+	}
+	if acts := s.adoptSwitch(now); len(acts) > 0 {
+		return acts
+	}
+	return s.workSwitch(now)
+}
+
+// adoptSwitch finds a switch that a former steward left undecided.
+func (s *Steward) adoptSwitch(now time.Duration) []Action {
+	for _, m := range s.form.Members {
+		r := s.seats[m].report.Rank
+		if r.Undecided() && r.Armed.Epoch == s.form.Number && r.Armed.Number != s.decided.Number {
+			s.began = now
+			return s.ask(now, r.Armed)
+		}
+	}
+	return nil
+}
+
+// ask begins the count of the votes on a switch.
+func (s *Steward) ask(now time.Duration, sw Switch) []Action {
+	s.tally = NewTally(sw)
+	s.hurry(now)
+	return s.sendArm()
+}
+
+// workSwitch has the wanted map loaded everywhere, then arms the ranks.
+func (s *Steward) workSwitch(now time.Duration) []Action {
+	if s.want == 0 || s.inForce(s.want) {
+		s.prepare = nil
+		return nil
+	}
+	if s.prepare == nil || s.prepareOvertaken() {
+		if s.prepare == nil {
+			s.began = now
+		}
+		s.prepare = &Prepare{Number: s.next(), Version: s.want}
+		s.hurry(now)
+		return s.sendPrepare()
+	}
+	for _, m := range s.form.Members {
+		r := s.seats[m].report.Rank
+		if !r.Has(s.want) || !r.Armed.Number.IsZero() {
+			return nil
+		}
+	}
+	return s.arm(now)
+}
+
+func (s *Steward) inForce(v Version) bool {
+	for _, m := range s.form.Members {
+		if s.seats[m].report.Rank.Version != v {
+			return false
+		}
+	}
+	return true
+}
+
+// prepareOvertaken reports whether a rank has since applied an order with a
+// higher number, and would refuse the load.
+func (s *Steward) prepareOvertaken() bool {
+	for _, m := range s.form.Members {
+		r := s.seats[m].report.Rank
+		if !r.Has(s.want) && r.Loading != s.want && s.prepare.Number.Less(r.Last) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Steward) sendPrepare() []Action {
+	var acts []Action
+	for _, m := range s.form.Members {
+		if !s.seats[m].report.Rank.Has(s.want) {
+			acts = append(acts, Send{To: m, Message: *s.prepare})
+		}
+	}
+	return acts
+}
+
+// arm picks the step and asks for the votes. The step is an estimate: reports
+// are old by the time the order arrives. A rank that is past it refuses, and
+// the switch is tried again with twice the lead.
+func (s *Steward) arm(now time.Duration) []Action {
+	var step uint64
+	for _, m := range s.form.Members {
+		step = max(step, s.seats[m].estimate(now))
+	}
+	return s.ask(now, Switch{Number: s.next(), Epoch: s.form.Number, Version: s.want, Step: step + s.lead})
+}
+
+func (st *seat) estimate(now time.Duration) uint64 {
+	next := st.report.Rank.Next
+	if st.report.StepTime > 0 {
+		next += uint64((now - st.heard) / st.report.StepTime)
+	}
+	return next
+}
+
+func (s *Steward) sendArm() []Action {
+	var acts []Action
+	for _, m := range s.form.Members {
+		if s.tally.Missing(m) {
+			acts = append(acts, Send{To: m, Message: Arm{Switch: s.tally.Switch}})
+		}
+	}
+	return acts
+}
+
+// finish tells the outcome once the votes fix it.
+func (s *Steward) finish(now time.Duration) []Action {
+	if s.tally == nil || s.form == nil {
+		return nil
+	}
+	commit, known := s.tally.Outcome(s.form.Members)
+	if !known {
+		return nil
+	}
+	sw := s.tally.Switch
+	s.tally, s.prepare = nil, nil
+	if commit {
+		s.lead = s.cfg.Lead
+	} else {
+		s.lead = min(2*s.lead, s.cfg.MaxLead)
+	}
+	s.decided = Outcome{Number: sw.Number, Epoch: sw.Epoch, Commit: commit}
+	s.hurry(now)
+	acts := []Action{Done{Number: sw.Number, Commit: commit, Took: now - s.began}}
+	for _, m := range s.form.Members {
+		acts = append(acts, Send{To: m, Message: s.decided})
+		// The rank is not asked for a new switch before it reports afresh.
+		r := &s.seats[m].report.Rank
+		r.Armed, r.Committed = sw, true
+	}
+	return acts
+}
+
+// sendOutcome tells those that still report to be armed.
+func (s *Steward) sendOutcome() []Action {
+	var acts []Action
+	for _, m := range s.form.Members {
+		r := s.seats[m].report.Rank
+		if r.Undecided() && r.Armed.Number == s.decided.Number {
+			acts = append(acts, Send{To: m, Message: s.decided})
+		}
+	}
+	return acts
+}
+
+// repeat sends again what a member has not yet answered.
+func (s *Steward) repeat() []Action {
+	switch {
+	case s.form == nil:
+		return nil
+	case s.announce:
+		return s.sendForm()
+	case s.tally != nil:
+		return s.sendArm()
+	case s.prepare != nil:
+		return append(s.sendOutcome(), s.sendPrepare()...)
+	default:
+		return s.sendOutcome()
+	}
+}
