--- /dev/null
+++ b/agent/register.go
@@ -0,0 +1,317 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+
+	"verbenashift/core/booking"
+	"verbenashift/core/config"
+	"verbenashift/core/duty"
+	"verbenashift/core/follow"
+	"verbenashift/core/peer"
+	"verbenashift/core/peer/wire"
+)
+
+// The bounds of the register's calls to other agents.
+const (
+	registerRing  = 1024
+	sealTimeout   = 2 * time.Second
+	sealRetry     = time.Second
+	handoverPeers = 3
+)
+
+// register owns this agent's two parts in running a key at most once: home of
+// the keys that hash to it, executor of the keys that its target runs.
+type register struct {
+	duty     *duty.Duty
+	home     booking.Home
+	executor booking.Executor
+	started  time.Time
+	dialer   *peer.Dialer
+	follower *follow.Follower
+	log      *slog.Logger
+	// addresses are the agents of all targets that were ever configured here:
+	// a removed target's agent still has records.
+	addresses sync.Map
+	// configured is set with the first target list; the rebuild follows it.
+	configured bool
+	ready      chan struct{}
+}
+
+func newRegister(cfg Settings, id identity, d *peer.Dialer, f *follow.Follower, log *slog.Logger) *register {
+	lim := booking.Limits{Retention: cfg.Retention, MaxRun: cfg.MaxRun}
+	return &register{
+		duty:     duty.New(registerRing),
+		home:     booking.Home{Name: cfg.Name, Incarnation: id.incarnation, First: id.first, Limits: lim},
+		executor: booking.Executor{Name: cfg.Name, Incarnation: id.incarnation, First: id.first, Limits: lim},
+		started:  time.Now(),
+		dialer:   d,
+		follower: f,
+		log:      log,
+		ready:    make(chan struct{}),
+	}
+}
+
+// now is the time since the process started; it never goes back.
+func (r *register) now() time.Duration {
+	return time.Since(r.started)
+}
+
+// do runs fn on the register's goroutine.
+func (r *register) do(ctx context.Context, fn func(now time.Duration)) error {
+	return r.duty.Do(ctx, func() { fn(r.now()) })
+}
+
+// configure puts a new target list in force, and starts the rebuild after the
+// first one.
+func (r *register) configure(ctx context.Context, x *config.Index) {
+	g := booking.Generation{Revision: x.Revision(), Names: targetNames(x)}
+	for _, t := range x.Config().Targets {
+		r.addresses.Store(t.Name, t.Agent)
+	}
+	_ = r.duty.Post(ctx, func() {
+		r.home.Configure(g, r.now())
+		if r.configured {
+			return
+		}
+		r.configured = true
+		go r.begin(ctx)
+	})
+}
+
+func targetNames(x *config.Index) []string {
+	cfg := x.Config()
+	names := make([]string, 0, len(cfg.Targets))
+	for _, t := range cfg.Targets {
+		names = append(names, t.Name)
+	}
+	return names
+}
+
+// begin takes back a register that was left with a peer and then seals the
+// executors, so that earlier grants of this home can do no harm.
+func (r *register) begin(ctx context.Context) {
+	if x, ok := r.recall(ctx); ok {
+		_ = r.do(ctx, func(now time.Duration) {
+			r.home.Import(x.Home, now)
+			r.executor.Import(x.Executor, now)
+		})
+	}
+	var names []string
+	_ = r.do(ctx, func(now time.Duration) { names = r.home.Rebuild(now) })
+	close(r.ready)
+	for _, name := range names {
+		go r.sealAt(ctx, name)
+	}
+}
+
+// sealAt seals one executor and tries until it answers.
+func (r *register) sealAt(ctx context.Context, name string) {
+	for ctx.Err() == nil {
+		if r.trySeal(ctx, name) == nil {
+			return
+		}
+		select {
+		case <-time.After(sealRetry):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (r *register) trySeal(ctx context.Context, name string) error {
+	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
+	defer cancel()
+	resp, err := r.dialer.Agent(r.address(name)).Seal(ctx, connect.NewRequest(&wire.SealRequest{
+		Home: r.home.Name, HomeIncarnation: r.home.Incarnation,
+	}))
+	if err != nil {
+		return err
+	}
+	a := sealAnswer(resp.Msg)
+	return r.do(ctx, func(now time.Duration) { r.home.SealAnswered(name, a, now) })
+}
+
+func sealAnswer(m *wire.SealResponse) booking.SealAnswer {
+	a := booking.SealAnswer{Incarnation: m.Incarnation, Heard: m.Heard, Age: booking.Forever}
+	if !m.WholeMemory {
+		a.Age = time.Duration(m.SinceMs) * time.Millisecond
+	}
+	for _, k := range m.Keys {
+		a.Keys = append(a.Keys, booking.SealedKey{
+			Key: booking.Key(k.Key), Body: booking.Digest(k.BodyDigest),
+			RequestID: k.RequestId, Attempt: k.Attempt, State: booking.RunState(k.State),
+		})
+	}
+	return a
+}
+
+// seal answers another home that seals this executor.
+func (r *register) seal(ctx context.Context, m *wire.SealRequest) (*wire.SealResponse, error) {
+	// A register that is still to be taken back would be missing in the list.
+	select {
+	case <-r.ready:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	var a booking.SealAnswer
+	err := r.do(ctx, func(now time.Duration) {
+		a = r.executor.SealHome(booking.Seal{Home: m.Home, Incarnation: m.HomeIncarnation}, now)
+	})
+	if err != nil {
+		return nil, err
+	}
+	resp := &wire.SealResponse{Incarnation: a.Incarnation, Heard: a.Heard, WholeMemory: a.Age == booking.Forever}
+	if !resp.WholeMemory {
+		resp.SinceMs = uint64(a.Age.Milliseconds())
+	}
+	for _, k := range a.Keys {
+		resp.Keys = append(resp.Keys, &wire.SealedKey{
+			Key: k.Key[:], BodyDigest: k.Body[:], RequestId: k.RequestID, Attempt: k.Attempt, State: uint32(k.State),
+		})
+	}
+	return resp, nil
+}
+
+// claim decides on a claim, after it has fetched the key's record from earlier
+// homes where the target list has changed.
+func (r *register) claim(ctx context.Context, m *wire.ClaimRequest) (booking.Answer, error) {
+	c := booking.Claim{
+		Key: booking.Key(m.Key), Body: booking.Digest(m.BodyDigest), RequestID: m.RequestId,
+		Executor: m.Executor, ExecutorIncarnation: m.ExecutorIncarnation, Revision: m.Revision,
+	}
+	var a booking.Answer
+	claim := func(now time.Duration) { a = r.home.Claim(c, now) }
+	if err := r.do(ctx, claim); err != nil {
+		return a, err
+	}
+	if a.Kind != booking.NeedTransfer {
+		return a, nil
+	}
+	for _, name := range a.From {
+		r.transfer(ctx, c.Key, name)
+	}
+	if err := r.do(ctx, claim); err != nil {
+		return a, err
+	}
+	// A previous home that cannot be asked may have granted the key.
+	if a.Kind == booking.NeedTransfer {
+		a = booking.Answer{Kind: booking.Unknown, Reason: booking.ReasonUnreachable}
+	}
+	return a, nil
+}
+
+// address returns the address of a target's agent, which may have left the
+// configuration; "" if this process never knew it.
+func (r *register) address(name string) string {
+	if a, ok := r.addresses.Load(name); ok {
+		return a.(string)
+	}
+	return ""
+}
+
+// transfer asks a previous home for a key's record.
+func (r *register) transfer(ctx context.Context, key booking.Key, name string) {
+	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
+	defer cancel()
+	resp, err := r.dialer.Agent(r.address(name)).Transfer(ctx, connect.NewRequest(&wire.TransferRequest{
+		Key: key[:], Revision: r.follower.Revision(),
+	}))
+	if err != nil {
+		return
+	}
+	var a booking.TransferAnswer
+	if err := json.Unmarshal(resp.Msg.Record, &a); err != nil {
+		return
+	}
+	_ = r.do(ctx, func(now time.Duration) { r.home.Transferred(key, name, a, now) })
+}
+
+// handover is the register of an agent that stops, as its peer keeps it.
+type handover struct {
+	Home     booking.HomeExport     `json:"home"`
+	Executor booking.ExecutorExport `json:"executor"`
+}
+
+// leave hands the register to a peer for this agent's next process.
+func (r *register) leave(ctx context.Context) error {
+	var x handover
+	if err := r.do(ctx, func(now time.Duration) {
+		x = handover{Home: r.home.Export(now), Executor: r.executor.Export(now)}
+	}); err != nil {
+		return err
+	}
+	data, err := json.Marshal(x)
+	if err != nil {
+		return errors.Wrap(err, "encode register")
+	}
+	for _, t := range r.keepers() {
+		call, cancel := context.WithTimeout(ctx, sealTimeout)
+		_, err = r.dialer.Agent(t.Agent).Handover(call, connect.NewRequest(&wire.HandoverRequest{
+			From: r.home.Name, Incarnation: r.home.Incarnation, Register: data,
+		}))
+		cancel()
+		if err == nil {
+			r.log.Info("register handed over", "to", t.Name, "home-keys", len(x.Home.Keys), "run-keys", len(x.Executor.Keys))
+			return nil
+		}
+	}
+	return errors.Wrap(err, "no peer took the register")
+}
+
+// recall takes the register back from the peer that has the newest one.
+func (r *register) recall(ctx context.Context) (handover, bool) {
+	var best *wire.RecallResponse
+	for _, t := range r.keepers() {
+		call, cancel := context.WithTimeout(ctx, sealTimeout)
+		resp, err := r.dialer.Agent(t.Agent).Recall(call, connect.NewRequest(&wire.RecallRequest{Of: r.home.Name}))
+		cancel()
+		if err == nil && resp.Msg.Found && (best == nil || resp.Msg.Incarnation > best.Incarnation) {
+			best = resp.Msg
+		}
+	}
+	var x handover
+	if best == nil || json.Unmarshal(best.Register, &x) != nil {
+		return x, false
+	}
+	r.log.Info("register taken back", "home-keys", len(x.Home.Keys), "run-keys", len(x.Executor.Keys))
+	return x, true
+}
+
+// keepers are the agents that keep this one's register, in the order in which
+// they are asked: a rendezvous order, which a restart does not change.
+func (r *register) keepers() []config.Target {
+	x := r.follower.Index()
+	if x == nil {
+		return nil
+	}
+	var keepers []config.Target
+	names := targetNames(x)
+	key := booking.KeyOf("register", r.home.Name)
+	for len(keepers) < handoverPeers {
+		names = without(names, r.home.Name)
+		name := booking.HomeOf(key, names)
+		t, ok := x.Target(name)
+		if !ok {
+			return keepers
+		}
+		keepers = append(keepers, *t)
+		names = without(names, name)
+	}
+	return keepers
+}
+
+func without(names []string, name string) []string {
+	kept := make([]string, 0, len(names))
+	for _, n := range names {
+		if n != name {
+			kept = append(kept, n)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/agent/run.go
@@ -0,0 +1,350 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"verbenashift/core/booking"
+	"verbenashift/core/caller"
+	"verbenashift/core/draft"
+	"verbenashift/core/outcome"
+	"verbenashift/core/peer/wire"
+	"verbenashift/core/queue"
+	"verbenashift/core/target"
+	"verbenashift/core/telemetry"
+)
+
+// The reasons with which a run ends.
+const (
+	reasonUnreachable = "target-unreachable"
+	reasonRefused     = "target-refused"
+	reasonError       = "target-error"
+	reasonBroken      = "target-broken"
+	reasonTooLarge    = "answer-too-large"
+	reasonBadBody     = "body-not-json"
+	reasonMaxRun      = "run-too-long"
+)
+
+// The steps in which a run reports its progress, and the tries to read on
+// after its connection to the target broke.
+const (
+	servedStep    = 16
+	reattachTries = 3
+	reattachPause = 100 * time.Millisecond
+	serviceBuffer = 32 << 10
+)
+
+// run carries one request through the queue and the target.
+type run struct {
+	agent  *Agent
+	req    *wire.SubmitRequest
+	answer *answer
+	key    booking.Key
+	// keyed says that the register holds the request's key.
+	keyed   bool
+	tokens  int64
+	charged int64
+	last    time.Time
+}
+
+// do runs the request to its end, which it writes into the answer.
+func (r *run) do(ctx context.Context) {
+	defer r.answer.cancel()
+	ctx = telemetry.Extract(ctx, r.req.TraceParent)
+	if refusal := r.wait(ctx); refusal != nil {
+		r.withdraw(ctx)
+		r.end(draft.Ending{Outcome: refusal.Outcome, Reason: refusal.Reason, RetryAfter: refusal.RetryAfter})
+		return
+	}
+	defer func() { r.agent.dispatcher.done(r.req.RequestId, r.tokens) }()
+	if !r.start(ctx) {
+		r.end(draft.Ending{Outcome: outcome.NotRun, Reason: booking.ReasonSealed})
+		return
+	}
+	ctx, cancel := context.WithTimeoutCause(ctx, r.agent.cfg.MaxRun, errMaxRun)
+	defer cancel()
+	ctx, span := r.agent.tracer.Start(ctx, "target.call", trace.WithAttributes(attribute.Bool("may-not-repeat", r.req.MayNotRepeat)))
+	defer span.End()
+	e := r.call(ctx)
+	if r.keyed {
+		_ = r.agent.register.do(context.WithoutCancel(ctx), func(now time.Duration) { r.agent.register.executor.End(r.key, now) })
+	}
+	r.end(e)
+}
+
+var errMaxRun = errors.New("run too long")
+
+// end writes the ending and counts it.
+func (r *run) end(e draft.Ending) {
+	r.answer.log.End(e)
+	r.agent.answers.touch(r.answer)
+	r.agent.metrics.ends.Add(e.Outcome.String(), 1)
+}
+
+// wait passes the request through the queue.
+func (r *run) wait(ctx context.Context) *outcome.Error {
+	ctx, span := r.agent.tracer.Start(ctx, "agent.queue")
+	defer span.End()
+	item := queue.Item{
+		ID: r.req.RequestId, Workspace: r.req.Workspace, Priority: queue.Priority(min(r.req.Priority, 2)),
+		Cost: int64(r.req.Cost), Weight: r.req.Weight,
+	}
+	if r.req.DeadlineMs > 0 {
+		item.Deadline = time.Now().Add(time.Duration(r.req.DeadlineMs) * time.Millisecond)
+	}
+	began := time.Now()
+	refusal := r.agent.dispatcher.wait(ctx, item)
+	r.agent.metrics.wait.Record(time.Since(began).Microseconds())
+	return refusal
+}
+
+// start writes down that the target is about to be given the key. It reports
+// false if the attempt was sealed meanwhile.
+func (r *run) start(ctx context.Context) bool {
+	if !r.keyed {
+		return true
+	}
+	ok := false
+	err := r.agent.register.do(ctx, func(now time.Duration) { ok = r.agent.register.executor.Start(r.key, now) })
+	return err == nil && ok
+}
+
+// withdraw takes a key back that the target has not seen, so that another
+// attempt may run it.
+func (r *run) withdraw(ctx context.Context) {
+	if !r.keyed {
+		return
+	}
+	_ = r.agent.register.do(context.WithoutCancel(ctx), func(now time.Duration) { r.agent.register.executor.Withdraw(r.key, now) })
+}
+
+func (r *run) call(ctx context.Context) draft.Ending {
+	if r.agent.plain != nil {
+		return r.service(ctx)
+	}
+	return r.model(ctx)
+}
+
+// tags name the request to the target.
+func (r *run) tags(ctx context.Context) target.Tags {
+	t := target.Tags{RequestID: r.req.RequestId, Workspace: r.req.Workspace, TraceParent: telemetry.Inject(ctx)}
+	for _, h := range r.req.Call.Headers {
+		if http.CanonicalHeaderKey(h.Name) == caller.HeaderIdempotencyKey && len(h.Values) > 0 {
+			t.IdempotencyKey = h.Values[0]
+		}
+	}
+	return t
+}
+
+// salt separates the workspaces' cached prefixes, unless one shares its own.
+func (r *run) salt() string {
+	for _, h := range r.req.Call.Headers {
+		if h.Name == headerSharedPrefix {
+			return ""
+		}
+	}
+	sum := sha256.Sum256([]byte(r.req.Workspace))
+	return hex.EncodeToString(sum[:16])
+}
+
+// headerSharedPrefix is set by the entry for workspaces that share prefixes.
+const headerSharedPrefix = "X-Shared-Prefix"
+
+// model runs a completion and reads it to its end.
+func (r *run) model(ctx context.Context) draft.Ending {
+	c := target.Completion{
+		Path: r.req.Call.Path, Tags: r.tags(ctx), Body: r.req.Call.Body,
+		Fields: target.Fields{Priority: int(r.req.Priority), CacheSalt: r.salt()},
+	}
+	if res := r.req.Resume; res != nil {
+		c.Resume = &target.Resume{Text: res.Text, Tokens: int(res.Frames)}
+	}
+	stream, err := r.agent.engine.Start(ctx, c)
+	if err != nil {
+		return r.failure(ctx, err)
+	}
+	return r.pump(ctx, stream)
+}
+
+// pump reads a stream into the answer. When its connection breaks, the engine
+// may still be at work: the rest is asked for by the request's name, which
+// runs nothing twice.
+func (r *run) pump(ctx context.Context, stream *target.Stream) draft.Ending {
+	r.answer.log.Head(http.StatusOK, headersOf(stream.Header))
+	for try := 0; ; try++ {
+		err := r.copy(stream)
+		_ = stream.Close()
+		if err == nil {
+			return draft.Ending{Outcome: outcome.Complete}
+		}
+		var full *draft.FullError
+		if errors.As(err, &full) {
+			r.cancelAtTarget(ctx)
+			return draft.Ending{Outcome: outcome.Failed, Reason: reasonTooLarge}
+		}
+		if stream = r.reattach(ctx, try); stream == nil {
+			return r.failure(ctx, err)
+		}
+	}
+}
+
+// reattach asks the engine for the rest of the answer, nil if it is lost.
+func (r *run) reattach(ctx context.Context, try int) *target.Stream {
+	if !r.req.Call.Stream || try >= reattachTries {
+		return nil
+	}
+	for range reattachTries {
+		stream, err := r.agent.engine.Resume(ctx, r.req.Call.Path, r.req.RequestId, int(r.answer.base)+int(r.tokens))
+		if err == nil {
+			r.agent.metrics.reattached.Add(1)
+			return stream
+		}
+		var refused *target.RefusedError
+		if errors.As(err, &refused) {
+			return nil
+		}
+		select {
+		case <-time.After(reattachPause):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	return nil
+}
+
+// copy appends the events of a stream to the answer. It returns nil at the
+// stream's own end.
+func (r *run) copy(stream *target.Stream) error {
+	for {
+		data, err := stream.Next()
+		if errors.Is(err, errEndOfAnswer) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := r.answer.log.Append(data); err != nil {
+			return err
+		}
+		r.count()
+	}
+}
+
+// count notes one token of progress.
+func (r *run) count() {
+	r.tokens++
+	if r.tokens-r.charged >= servedStep {
+		r.agent.dispatcher.served(context.Background(), r.req.RequestId, r.tokens-r.charged)
+		r.charged = r.tokens
+	}
+	now := time.Now()
+	if !r.last.IsZero() {
+		r.agent.step.add(now.Sub(r.last))
+	}
+	r.last = now
+}
+
+// cancelAtTarget stops the engine's work on a request that nobody wants.
+func (r *run) cancelAtTarget(ctx context.Context) {
+	if r.agent.engine == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
+	_, _ = r.agent.engine.Cancel(ctx, r.req.RequestId)
+}
+
+// failure turns an error of the target into an ending. Only what surely never
+// reached the target, or was refused by it before it ran, is not-run.
+func (r *run) failure(ctx context.Context, err error) draft.Ending {
+	if ctx.Err() != nil {
+		return r.stopped(ctx)
+	}
+	var notSent *target.NotSentError
+	var refused *target.RefusedError
+	var body *target.BodyError
+	switch {
+	case errors.As(err, &notSent):
+		return draft.Ending{Outcome: outcome.NotRun, Reason: reasonUnreachable, RetryAfter: time.Second}
+	case errors.As(err, &body):
+		return draft.Ending{Outcome: outcome.NotRun, Reason: reasonBadBody}
+	case errors.As(err, &refused):
+		return r.refusal(refused)
+	default:
+		return draft.Ending{Outcome: outcome.Unknown, Reason: reasonBroken}
+	}
+}
+
+// refusal passes a target's refusal of the request itself on to the caller, as
+// it stands; a busy target has not run it.
+func (r *run) refusal(e *target.RefusedError) draft.Ending {
+	switch {
+	case e.Status == http.StatusServiceUnavailable || e.Status == http.StatusTooManyRequests:
+		return draft.Ending{Outcome: outcome.NotRun, Reason: reasonRefused, RetryAfter: time.Second}
+	case e.Status >= http.StatusInternalServerError:
+		return draft.Ending{Outcome: outcome.Failed, Reason: reasonError}
+	}
+	r.answer.log.Head(e.Status, []draft.Header{{Name: "Content-Type", Values: []string{"application/json"}}})
+	if err := r.answer.log.Append(e.Body); err != nil {
+		return draft.Ending{Outcome: outcome.Failed, Reason: reasonTooLarge}
+	}
+	return draft.Ending{Outcome: outcome.Complete}
+}
+
+// stopped ends a run that was cancelled or took too long.
+func (r *run) stopped(ctx context.Context) draft.Ending {
+	r.cancelAtTarget(ctx)
+	reason := "cancelled"
+	if errors.Is(context.Cause(ctx), errMaxRun) {
+		reason = reasonMaxRun
+	}
+	return draft.Ending{Outcome: outcome.Unknown, Reason: reason}
+}
+
+// service makes a call of a plain service and passes its answer on as it is.
+func (r *run) service(ctx context.Context) draft.Ending {
+	h := make(http.Header, len(r.req.Call.Headers))
+	for _, x := range r.req.Call.Headers {
+		h[http.CanonicalHeaderKey(x.Name)] = x.Values
+	}
+	h.Del(headerSharedPrefix)
+	a, err := r.agent.plain.Do(ctx, target.Call{
+		Method: r.req.Call.Method, Path: r.req.Call.Path, Tags: r.tags(ctx), Header: h, Body: r.req.Call.Body,
+	})
+	if err != nil {
+		return r.failure(ctx, err)
+	}
+	defer func() { _ = a.Body.Close() }()
+	r.answer.log.Head(a.Status, headersOf(a.Header))
+	r.tokens = 1
+	buf := make([]byte, serviceBuffer)
+	for {
+		n, err := a.Body.Read(buf)
+		if n > 0 {
+			if err := r.answer.log.Append(buf[:n]); err != nil {
+				return draft.Ending{Outcome: outcome.Failed, Reason: reasonTooLarge}
+			}
+		}
+		if errors.Is(err, errEndOfAnswer) {
+			return draft.Ending{Outcome: outcome.Complete}
+		}
+		if err != nil {
+			return r.failure(ctx, err)
+		}
+	}
+}
+
+func headersOf(h http.Header) []draft.Header {
+	out := make([]draft.Header, 0, len(h))
+	for name, values := range h {
+		out = append(out, draft.Header{Name: name, Values: values})
+	}
+	return out
+}
--- /dev/null
+++ b/agent/service.go
@@ -0,0 +1,362 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"verbenashift/core/booking"
+	"verbenashift/core/draft"
+	"verbenashift/core/outcome"
+	"verbenashift/core/peer"
+	"verbenashift/core/peer/wire"
+)
+
+// callTimeout bounds one short call to the target or another agent.
+const callTimeout = 2 * time.Second
+
+// reasonDraining is the refusal of an agent that takes no new work.
+const reasonDraining = "draining"
+
+// frames is the stream towards an entry.
+type frames = connect.ServerStream[wire.Frame]
+
+// Submit queues a request on the target and streams its answer.
+func (a *Agent) Submit(ctx context.Context, req *connect.Request[wire.SubmitRequest], stream *frames) error {
+	m := req.Msg
+	if a.draining.Load() {
+		return a.refuse(stream, m.Attempt, outcome.NotRun, reasonDraining, a.cfg.Heartbeat)
+	}
+	r := &run{agent: a, req: m}
+	if m.MayNotRepeat {
+		r.keyed = true
+		if done, err := a.book(ctx, r, stream); done {
+			return err
+		}
+	}
+	if !a.begin(r) {
+		return a.refuse(stream, m.Attempt, outcome.Unknown, "attempt-superseded", 0)
+	}
+	return a.send(ctx, r.answer, m.Attempt, 0, stream)
+}
+
+// begin starts a run in the background: it outlives the stream that asked for
+// it, so that a broken connection cuts no answer off.
+func (a *Agent) begin(r *run) bool {
+	ctx, cancel := context.WithCancel(a.ctx)
+	r.answer = &answer{
+		id: r.req.RequestId, workspace: r.req.Workspace, attempt: r.req.Attempt,
+		base: r.req.GetResume().GetFrames(), mayNotRepeat: r.req.MayNotRepeat,
+		log: draft.New(a.cfg.AnswerSize), cancel: cancel,
+	}
+	if !a.answers.put(r.answer) {
+		cancel()
+		return false
+	}
+	go r.do(ctx)
+	return true
+}
+
+// book shows a request that may not be repeated to the register. It reports
+// done if the request is answered without a run of its own.
+func (a *Agent) book(ctx context.Context, r *run, stream *frames) (done bool, err error) {
+	m := r.req
+	s := booking.Submission{
+		Grant: grantOf(m.Grant), Body: booking.Digest(m.BodyDigest), RequestID: m.RequestId, Incarnation: m.Incarnation,
+	}
+	r.key = s.Grant.Key
+	var v booking.Verdict
+	if err := a.register.do(ctx, func(now time.Duration) { v = a.register.executor.Accept(s, now) }); err != nil {
+		return true, err
+	}
+	switch v.Kind {
+	case booking.Run:
+		return false, nil
+	case booking.Attach:
+		return true, a.attach(ctx, v.RequestID, m.Workspace, m.Attempt, 0, stream)
+	default:
+		a.metrics.guards.Add(v.Reason, 1)
+		return true, a.refuse(stream, m.Attempt, outcome.NotRun, v.Reason, time.Second)
+	}
+}
+
+func grantOf(g *wire.Grant) booking.Grant {
+	return booking.Grant{Key: booking.Key(g.GetKey()), Home: g.GetHome(), HomeIncarnation: g.GetHomeIncarnation(), Attempt: g.GetAttempt()}
+}
+
+func toGrant(g booking.Grant) *wire.Grant {
+	return &wire.Grant{Key: g.Key[:], Home: g.Home, HomeIncarnation: g.HomeIncarnation, Attempt: g.Attempt}
+}
+
+// refuse ends a stream with one frame.
+func (a *Agent) refuse(stream *frames, attempt uint32, o outcome.Outcome, reason string, after time.Duration) error {
+	return stream.Send(&wire.Frame{
+		Sequence: 1, Attempt: attempt, Kind: wire.FrameKind_FRAME_KIND_END, Outcome: toWire(o),
+		Reason: reason, RetryAfterMs: uint64(after.Milliseconds()), Load: a.load(),
+	})
+}
+
+// Attach streams an answer again.
+func (a *Agent) Attach(ctx context.Context, req *connect.Request[wire.AttachRequest], stream *frames) error {
+	m := req.Msg
+	if m.Probe {
+		return a.probe(m, stream)
+	}
+	if _, ok := a.answers.get(m.RequestId, m.Workspace); !ok && m.FromTarget {
+		a.reattach(ctx, m)
+	}
+	return a.attach(ctx, m.RequestId, m.Workspace, m.Attempt, m.After, stream)
+}
+
+// probe tells whether the answer is held here.
+func (a *Agent) probe(m *wire.AttachRequest, stream *frames) error {
+	if _, ok := a.answers.get(m.RequestId, m.Workspace); !ok {
+		return a.refuse(stream, m.Attempt, outcome.Unknown, peer.ReasonNotSeen, 0)
+	}
+	return stream.Send(&wire.Frame{Kind: wire.FrameKind_FRAME_KIND_HEAD})
+}
+
+func (a *Agent) attach(ctx context.Context, id, workspace string, attempt uint32, after uint64, stream *frames) error {
+	ans, ok := a.answers.get(id, workspace)
+	if !ok {
+		return a.refuse(stream, attempt, outcome.Unknown, peer.ReasonNotSeen, 0)
+	}
+	if after < ans.base {
+		return a.refuse(stream, attempt, outcome.Unknown, peer.ReasonGone, 0)
+	}
+	return a.send(ctx, ans, attempt, after, stream)
+}
+
+// reattach asks the target for an answer that this agent does not know: it has
+// restarted with an empty memory while the engine went on with its work.
+func (a *Agent) reattach(ctx context.Context, m *wire.AttachRequest) {
+	if a.engine == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	path := m.Path
+	if path == "" {
+		return
+	}
+	s, err := a.engine.Resume(context.WithoutCancel(ctx), path, m.RequestId, int(m.After))
+	if err != nil {
+		return
+	}
+	run := &run{agent: a, req: &wire.SubmitRequest{
+		RequestId: m.RequestId, Attempt: m.Attempt, Workspace: m.Workspace, MayNotRepeat: true,
+		Call: &wire.Call{Path: path, Stream: true},
+	}}
+	runCtx, stop := context.WithCancel(a.ctx)
+	run.answer = &answer{
+		id: m.RequestId, workspace: m.Workspace, attempt: m.Attempt, base: m.After, mayNotRepeat: true,
+		log: draft.New(a.cfg.AnswerSize), cancel: stop,
+	}
+	if !a.answers.put(run.answer) {
+		stop()
+		_ = s.Close()
+		return
+	}
+	a.metrics.reattached.Add(1)
+	go func() {
+		defer stop()
+		run.end(run.pump(runCtx, s))
+	}()
+}
+
+// send streams an answer from the data frame after the given one.
+func (a *Agent) send(ctx context.Context, ans *answer, attempt uint32, after uint64, stream *frames) error {
+	local := after - min(after, ans.base)
+	if local > 0 {
+		local++ // the head comes before the first data frame
+	}
+	reader := ans.log.Reader(local)
+	defer a.answers.touch(ans)
+	defer reader.Close()
+	var msg wire.Frame
+	for {
+		f, err := reader.Next(ctx)
+		if err != nil {
+			return err
+		}
+		a.fill(&msg, f, ans.base, attempt)
+		if err := stream.Send(&msg); err != nil {
+			return err
+		}
+		if f.Kind == draft.End {
+			return nil
+		}
+	}
+}
+
+// fill writes one frame of an answer into a message that is used again.
+func (a *Agent) fill(msg *wire.Frame, f draft.Frame, base uint64, attempt uint32) {
+	msg.Reset()
+	msg.Sequence = base + f.Sequence - 1
+	msg.Attempt = attempt
+	switch f.Kind {
+	case draft.Head:
+		msg.Kind = wire.FrameKind_FRAME_KIND_HEAD
+		msg.Status = int32(f.Status)
+		for _, h := range f.Headers {
+			msg.Headers = append(msg.Headers, &wire.Header{Name: h.Name, Values: h.Values})
+		}
+	case draft.Data:
+		msg.Kind = wire.FrameKind_FRAME_KIND_DATA
+		msg.Data = f.Data
+	case draft.End:
+		msg.Kind = wire.FrameKind_FRAME_KIND_END
+		msg.Outcome = toWire(f.Ending.Outcome)
+		msg.Reason = f.Ending.Reason
+		msg.RetryAfterMs = uint64(f.Ending.RetryAfter.Milliseconds())
+		msg.Handover = f.Ending.Handover
+		msg.Load = a.load()
+	}
+}
+
+func toWire(o outcome.Outcome) wire.Outcome {
+	switch o {
+	case outcome.Complete:
+		return wire.Outcome_OUTCOME_COMPLETE
+	case outcome.NotRun:
+		return wire.Outcome_OUTCOME_NOT_RUN
+	case outcome.Failed:
+		return wire.Outcome_OUTCOME_FAILED
+	default:
+		return wire.Outcome_OUTCOME_UNKNOWN
+	}
+}
+
+// Cancel stops a request whose caller has gone.
+func (a *Agent) Cancel(_ context.Context, req *connect.Request[wire.CancelRequest]) (*connect.Response[wire.CancelResponse], error) {
+	ans, ok := a.answers.get(req.Msg.RequestId, req.Msg.Workspace)
+	if ok && !ans.mayNotRepeat {
+		ans.cancel()
+	}
+	return connect.NewResponse(&wire.CancelResponse{Known: ok}), nil
+}
+
+// Exchange answers a heartbeat.
+func (a *Agent) Exchange(_ context.Context, req *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error) {
+	m := req.Msg
+	if len(m.Config) > 0 && m.Revision > a.follower.Revision() {
+		if _, err := a.follower.OfferEncoded(m.Config); err != nil {
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+	}
+	return connect.NewResponse(&wire.ExchangeResponse{From: a.cfg.Name, Load: a.load(), Revision: a.follower.Revision()}), nil
+}
+
+// FetchConfig returns the configuration in force if it is newer.
+func (a *Agent) FetchConfig(_ context.Context, req *connect.Request[wire.FetchConfigRequest]) (*connect.Response[wire.FetchConfigResponse], error) {
+	revision, data := a.follower.Encoded()
+	if revision <= req.Msg.HaveRevision {
+		data = nil
+	}
+	return connect.NewResponse(&wire.FetchConfigResponse{Revision: revision, Config: data}), nil
+}
+
+// Claim decides on a key as its home.
+func (a *Agent) Claim(ctx context.Context, req *connect.Request[wire.ClaimRequest]) (*connect.Response[wire.ClaimResponse], error) {
+	ans, err := a.register.claim(ctx, req.Msg)
+	if err != nil {
+		return nil, err
+	}
+	a.metrics.claims.Add(ans.Kind.String(), 1)
+	return connect.NewResponse(&wire.ClaimResponse{
+		State: claimState(ans.Kind), Grant: toGrant(ans.Grant), RequestId: ans.RequestID, Executor: ans.Executor,
+		ExecutorIncarnation: ans.ExecutorIncarnation, Reason: ans.Reason, RetryAfterMs: uint64(ans.RetryAfter.Milliseconds()),
+	}), nil
+}
+
+func claimState(k booking.AnswerKind) wire.ClaimState {
+	switch k {
+	case booking.Granted:
+		return wire.ClaimState_CLAIM_STATE_GRANTED
+	case booking.Held:
+		return wire.ClaimState_CLAIM_STATE_HELD
+	case booking.Mismatch:
+		return wire.ClaimState_CLAIM_STATE_MISMATCH
+	case booking.Rebuilding:
+		return wire.ClaimState_CLAIM_STATE_REBUILDING
+	case booking.Moved:
+		return wire.ClaimState_CLAIM_STATE_MOVED
+	case booking.Full:
+		return wire.ClaimState_CLAIM_STATE_FULL
+	case booking.BadExecutor:
+		return wire.ClaimState_CLAIM_STATE_BAD_EXECUTOR
+	default:
+		return wire.ClaimState_CLAIM_STATE_UNKNOWN
+	}
+}
+
+// Release sets a key free whose attempt never ran.
+func (a *Agent) Release(ctx context.Context, req *connect.Request[wire.ReleaseRequest]) (*connect.Response[wire.ReleaseResponse], error) {
+	p := booking.Proof{Key: booking.Key(req.Msg.Key), Attempt: req.Msg.Attempt, Executor: req.Msg.Executor, Incarnation: req.Msg.Incarnation}
+	ok := false
+	err := a.register.do(ctx, func(now time.Duration) { ok = a.register.home.Release(p, now) })
+	return connect.NewResponse(&wire.ReleaseResponse{Released: ok}), err
+}
+
+// Settle says what became of an attempt, and refuses it from then on if it has
+// not run.
+func (a *Agent) Settle(ctx context.Context, req *connect.Request[wire.SettleRequest]) (*connect.Response[wire.SettleResponse], error) {
+	q := booking.Query{Grant: grantOf(req.Msg.Grant), Incarnation: req.Msg.Incarnation}
+	var s booking.Settlement
+	if err := a.register.do(ctx, func(now time.Duration) { s = a.register.executor.Settle(q, now) }); err != nil {
+		return nil, err
+	}
+	resp := &wire.SettleResponse{RequestId: s.RequestID, Incarnation: a.id.incarnation, State: wire.SettleState_SETTLE_STATE_GONE}
+	switch s.Kind {
+	case booking.NeverRan:
+		resp.State = wire.SettleState_SETTLE_STATE_NEVER_RAN
+	case booking.Known:
+		resp.State = wire.SettleState_SETTLE_STATE_HELD
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Seal refuses a home's older grants and lists its keys.
+func (a *Agent) Seal(ctx context.Context, req *connect.Request[wire.SealRequest]) (*connect.Response[wire.SealResponse], error) {
+	resp, err := a.register.seal(ctx, req.Msg)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Transfer hands a key's record to its new home.
+func (a *Agent) Transfer(ctx context.Context, req *connect.Request[wire.TransferRequest]) (*connect.Response[wire.TransferResponse], error) {
+	t := booking.Transfer{Key: booking.Key(req.Msg.Key), Revision: req.Msg.Revision}
+	var ans booking.TransferAnswer
+	if err := a.register.do(ctx, func(now time.Duration) { ans = a.register.home.Transfer(t, now) }); err != nil {
+		return nil, err
+	}
+	record, err := json.Marshal(ans)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&wire.TransferResponse{Record: record}), nil
+}
+
+// Handover keeps a register of an agent that restarts.
+func (a *Agent) Handover(_ context.Context, req *connect.Request[wire.HandoverRequest]) (*connect.Response[wire.HandoverResponse], error) {
+	a.kept.put(req.Msg, time.Now())
+	return connect.NewResponse(&wire.HandoverResponse{}), nil
+}
+
+// Recall gives a kept register back.
+func (a *Agent) Recall(_ context.Context, req *connect.Request[wire.RecallRequest]) (*connect.Response[wire.RecallResponse], error) {
+	resp := &wire.RecallResponse{}
+	if m, ok := a.kept.get(req.Msg.Of); ok {
+		resp.Found, resp.Incarnation, resp.Register = true, m.Incarnation, m.Register
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Order passes a fenced order on to the target.
+func (a *Agent) Order(_ context.Context, _ *connect.Request[wire.OrderRequest]) (*connect.Response[wire.OrderResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, nil)
+}
--- /dev/null
+++ b/agent/settings.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"time"
+
+	"verbenashift/core/keys"
+	"verbenashift/core/settings"
+)
+
+// The kinds of targets.
+const (
+	kindModel   = "model"
+	kindService = "service"
+)
+
+// Settings are the settings of one agent.
+type Settings struct {
+	Name   string
+	Region string
+	Zone   string
+
+	Peers   string
+	Observe string
+	Peer    keys.Files
+
+	Target     string
+	Kind       string
+	OrderToken string
+
+	Store        []string
+	StoreTimeout time.Duration
+	StoreRefresh time.Duration
+	Seeds        []string
+	Heartbeat    time.Duration
+	Fanout       int
+
+	Slots      int
+	Items      int
+	Tokens     int
+	Rate       int
+	AnswerSize int
+	Keep       time.Duration
+	Detached   time.Duration
+	MaxRun     time.Duration
+	Retention  time.Duration
+	Bound      time.Duration
+
+	TraceExport string
+	TracePerMil int
+}
+
+// declare names every setting of an agent with its default and bounds.
+func (c *Settings) declare() *settings.Set {
+	var s settings.Set
+	s.Name("node", "name", &c.Name, "name of the target beside which this agent runs, as in the configuration")
+	s.String("node", "region", &c.Region, "", "region of this instance")
+	s.Name("node", "zone", &c.Zone, "availability zone of this instance")
+	s.Address("listen", "peers", &c.Peers, "127.0.0.1:7000", "where entries and other agents connect")
+	s.Address("listen", "observe", &c.Observe, "127.0.0.1:7001", "health, readiness and metrics")
+	c.Peer.Declare(&s)
+	s.Address("target", "address", &c.Target, "", "the target beside this agent")
+	s.Choice("target", "kind", &c.Kind, "what the target is", kindModel, kindService)
+	s.String("target", "order-token", &c.OrderToken, "", "bearer token of orders, for a target that checks who gives them")
+	s.Secret()
+	s.Addresses("store", "addresses", &c.Store, "the platform's key-value service")
+	s.Duration("store", "timeout", &c.StoreTimeout, 2*time.Second, 10*time.Millisecond, time.Minute, "longest call to the store")
+	s.Duration("store", "refresh", &c.StoreRefresh, 5*time.Minute, time.Second, time.Hour, "how often the head is read beside watches and peers")
+	s.Addresses("peers", "seeds", &c.Seeds, "agents to ask for the configuration when the store is down")
+	s.Duration("peers", "heartbeat", &c.Heartbeat, time.Second, 10*time.Millisecond, time.Minute, "time between heartbeats")
+	s.Int("peers", "fanout", &c.Fanout, 1, 1, 64, "agents a heartbeat", "how many agents are asked in each heartbeat")
+	s.Int("queue", "slots", &c.Slots, 32, 1, 4096, "requests", "requests at the target at once")
+	s.Int("queue", "items", &c.Items, 1024, 1, 1<<20, "requests", "requests that may wait")
+	s.Int("queue", "tokens", &c.Tokens, 1<<20, 1, 1<<30, "tokens", "work that may wait")
+	s.Int("queue", "rate", &c.Rate, 2000, 1, 1<<20, "tokens a second", "first guess of the target's rate")
+	s.Int("answers", "size", &c.AnswerSize, 4<<20, 1024, 256<<20, "bytes", "largest answer")
+	s.Duration("answers", "keep", &c.Keep, 2*time.Minute, time.Second, time.Hour, "how long an ended answer can be read again")
+	s.Duration("answers", "detached", &c.Detached, 20*time.Second, time.Second, time.Hour, "how long a repeatable answer goes on without a reader")
+	s.Duration("register", "max-run", &c.MaxRun, 10*time.Minute, time.Second, 24*time.Hour, "longest run of a request")
+	s.Duration("register", "retention", &c.Retention, 10*time.Minute, time.Second, 24*time.Hour, "how long a key is remembered after its run")
+	s.Duration("drain", "bound", &c.Bound, 30*time.Second, 0, time.Hour, "longest wait for requests in progress; the rest is handed over")
+	s.Address("trace", "export", &c.TraceExport, "none", "OTLP/HTTP collector; none turns traces off")
+	s.Int("trace", "per-mille", &c.TracePerMil, 10, 0, 1000, "requests in a thousand", "share of requests traced that no entry has decided on")
+	return &s
+}
--- /dev/null
+++ b/core/follow/follow.go
@@ -0,0 +1,235 @@
+// Package follow keeps one process at the latest configuration in force.
+//
+// A Follower hears of revisions in three ways: it reads and watches the head
+// key of the platform's store, it is offered configurations by peers, and it
+// is told by heartbeats that a peer is ahead. Whatever the way, a revision
+// lower than the one in force is never taken, and the process acts on one
+// *config.Index at a time.
+//
+// # Usage
+//
+//	f := follow.New(follow.Config{Store: client, Refresh: 30 * time.Second})
+//	f.OnChange(table.Update)
+//	go f.Run(ctx)
+//	index := f.Index() // nil until the first configuration
+package follow
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"verbenashift/core/config"
+	"verbenashift/core/store"
+)
+
+// HeadKey is the key of the configuration in the platform's store.
+const HeadKey = "config/head"
+
+// The pauses after a failed call to the store: the first, and the bound to
+// which it doubles. Each is spread by half of itself, so that a fleet does not
+// come back to a recovered store in one instant.
+const (
+	firstPause = 250 * time.Millisecond
+	maxPause   = 8 * time.Second
+)
+
+// Store is the part of the platform's store that a follower needs.
+type Store interface {
+	Get(ctx context.Context, key string) (store.KV, error)
+	Watch(ctx context.Context, key string, fromVersion int64, f func(store.KV)) error
+}
+
+// Config says how a Follower works.
+type Config struct {
+	Store Store
+	// Refresh is how often the head is read beside the watch.
+	Refresh time.Duration
+	// Watch reports whether this process is one of those that watch.
+	Watch func() bool
+	Log   *slog.Logger
+}
+
+// Follower holds the configuration in force in one process. It is safe for use
+// by several goroutines.
+type Follower struct {
+	cfg   Config
+	index atomic.Pointer[config.Index]
+
+	mu       sync.Mutex
+	tracker  config.Tracker
+	onChange []func(*config.Index)
+	// encoded is the gzip form of revision encodedOf.
+	encoded   []byte
+	encodedOf uint64
+
+	// heard is when the store or a peer last confirmed the revision.
+	heard atomic.Int64
+	// sawStore is set once the store has answered.
+	sawStore atomic.Bool
+}
+
+// New returns a follower without a configuration.
+func New(cfg Config) *Follower {
+	return &Follower{cfg: cfg}
+}
+
+// OnChange has f called after each change, in order, one call at a time. It
+// must be called before Run.
+func (f *Follower) OnChange(fn func(*config.Index)) {
+	f.onChange = append(f.onChange, fn)
+}
+
+// Index returns the configuration in force, nil if there is none yet.
+func (f *Follower) Index() *config.Index {
+	return f.index.Load()
+}
+
+// Revision returns the revision in force, 0 if there is none yet.
+func (f *Follower) Revision() uint64 {
+	if x := f.index.Load(); x != nil {
+		return x.Revision()
+	}
+	return 0
+}
+
+// History returns the revisions that were in force here, oldest first.
+func (f *Follower) History() []config.InForce {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]config.InForce(nil), f.tracker.History()...)
+}
+
+// Encoded returns the configuration in force in its gzip form, which is made
+// once per revision, and its revision.
+func (f *Follower) Encoded() (uint64, []byte) {
+	x := f.index.Load()
+	if x == nil {
+		return 0, nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.encodedOf == x.Revision() {
+		return f.encodedOf, f.encoded
+	}
+	data, err := config.EncodeGzip(x.Config())
+	if err != nil {
+		f.cfg.Log.Error("configuration cannot be encoded", "revision", x.Revision(), "error", err)
+		return 0, nil
+	}
+	f.encodedOf, f.encoded = x.Revision(), data
+	return f.encodedOf, f.encoded
+}
+
+// SawStore reports whether the store has answered since the start.
+func (f *Follower) SawStore() bool {
+	return f.sawStore.Load()
+}
+
+// Heard tells that a source has confirmed the present revision.
+func (f *Follower) Heard() {
+	f.heard.Store(time.Now().UnixNano())
+}
+
+// Silence returns how long no source has been heard.
+func (f *Follower) Silence() time.Duration {
+	return time.Duration(time.Now().UnixNano() - f.heard.Load())
+}
+
+// Offer takes a configuration from any source and reports whether it became
+// the one in force. An older revision never does.
+func (f *Follower) Offer(c config.Config) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Heard()
+	if !f.tracker.Offer(c, time.Now()) {
+		return false
+	}
+	x := config.NewIndex(c)
+	f.index.Store(x)
+	for _, fn := range f.onChange {
+		fn(x)
+	}
+	return true
+}
+
+// OfferEncoded takes a configuration in its gzip form.
+func (f *Follower) OfferEncoded(data []byte) (bool, error) {
+	c, err := config.Decode(data)
+	if err != nil {
+		return false, errors.Wrap(err, "decode configuration of a peer")
+	}
+	return f.Offer(c), nil
+}
+
+// Run reads and watches the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	pause := firstPause
+	for ctx.Err() == nil {
+		version, err := f.read(ctx)
+		if err == nil {
+			pause = firstPause
+			f.wait(ctx, version)
+			continue
+		}
+		sleep(ctx, spread(pause))
+		pause = min(2*pause, maxPause)
+	}
+}
+
+func (f *Follower) read(ctx context.Context) (int64, error) {
+	kv, err := f.cfg.Store.Get(ctx, HeadKey)
+	if err != nil {
+		return 0, err
+	}
+	f.sawStore.Store(true)
+	f.Heard()
+	f.take(kv)
+	return kv.Version, nil
+}
+
+func (f *Follower) take(kv store.KV) {
+	if len(kv.Value) == 0 {
+		return
+	}
+	c, err := config.Decode(kv.Value)
+	if err != nil {
+		f.cfg.Log.Error("head of the configuration is unreadable", "version", kv.Version, "error", err)
+		return
+	}
+	f.Offer(c)
+}
+
+// wait watches the head until the next refresh is due, if this process
+// watches, and otherwise just waits.
+func (f *Follower) wait(ctx context.Context, version int64) {
+	ctx, cancel := context.WithTimeout(ctx, spread(f.cfg.Refresh))
+	defer cancel()
+	if f.cfg.Watch != nil && !f.cfg.Watch() {
+		<-ctx.Done()
+		return
+	}
+	err := f.cfg.Store.Watch(ctx, HeadKey, version, f.take)
+	if ctx.Err() == nil {
+		f.cfg.Log.Info("watch of the configuration ended", "error", err)
+	}
+}
+
+// spread returns d lengthened or shortened by up to a quarter at random.
+func spread(d time.Duration) time.Duration {
+	return d*3/4 + time.Duration(rand.Int64N(int64(d)/2+1))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/core/follow/spread.go
@@ -0,0 +1,128 @@
+package follow
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"verbenashift/core/config"
+	"verbenashift/core/peer"
+	"verbenashift/core/peer/wire"
+)
+
+// exchangeGrace is how long beyond a period one exchange may take.
+const exchangeGrace = 2 * time.Second
+
+// Spread passes configurations on between processes. In each period it asks a
+// few agents which revision they act on; the side that is behind gets the
+// newer configuration at once, so that a revision reaches n processes in about
+// log n periods without a call to the store.
+type Spread struct {
+	// Name is this process; it never asks itself.
+	Name     string
+	Follower *Follower
+	Dialer   *peer.Dialer
+	Log      *slog.Logger
+	// Period is the time between rounds, Fanout how many agents a round asks.
+	Period time.Duration
+	Fanout int
+	// Seeds are agents to ask while there is no configuration.
+	Seeds []string
+	// Heard, if set, is told of each answer.
+	Heard func(agent string, m *wire.ExchangeResponse)
+	// Failed, if set, is told of each agent that did not answer.
+	Failed func(agent string)
+}
+
+// Run exchanges until ctx ends.
+func (s *Spread) Run(ctx context.Context) {
+	tick := time.NewTicker(s.Period)
+	defer tick.Stop()
+	for {
+		for _, t := range s.choose() {
+			go s.exchange(ctx, t)
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// choose picks the agents of one round at random.
+func (s *Spread) choose() []config.Target {
+	x := s.Follower.Index()
+	if x == nil {
+		return s.seeds()
+	}
+	targets := x.Config().Targets
+	picked := make([]config.Target, 0, s.Fanout)
+	for _, i := range rand.Perm(len(targets)) {
+		if len(picked) == s.Fanout {
+			break
+		}
+		if targets[i].Name != s.Name {
+			picked = append(picked, targets[i])
+		}
+	}
+	return picked
+}
+
+func (s *Spread) seeds() []config.Target {
+	targets := make([]config.Target, 0, len(s.Seeds))
+	for _, addr := range s.Seeds {
+		targets = append(targets, config.Target{Name: addr, Agent: addr})
+	}
+	return targets
+}
+
+func (s *Spread) exchange(ctx context.Context, t config.Target) {
+	ctx, cancel := context.WithTimeout(ctx, s.Period+exchangeGrace)
+	defer cancel()
+	mine := s.Follower.Revision()
+	resp, err := s.Dialer.Agent(t.Agent).Exchange(ctx, connect.NewRequest(&wire.ExchangeRequest{From: s.Name, Revision: mine}))
+	if err != nil {
+		if s.Failed != nil {
+			s.Failed(t.Name)
+		}
+		return
+	}
+	if s.Heard != nil {
+		s.Heard(t.Name, resp.Msg)
+	}
+	if resp.Msg.Revision > 0 {
+		s.Follower.Heard()
+	}
+	if resp.Msg.Revision > mine {
+		s.fetch(ctx, t)
+	}
+	if resp.Msg.Revision < mine {
+		s.push(ctx, t)
+	}
+}
+
+// fetch takes the configuration of an agent that is ahead.
+func (s *Spread) fetch(ctx context.Context, t config.Target) {
+	resp, err := s.Dialer.Agent(t.Agent).FetchConfig(ctx, connect.NewRequest(&wire.FetchConfigRequest{HaveRevision: s.Follower.Revision()}))
+	if err != nil || len(resp.Msg.Config) == 0 {
+		return
+	}
+	if _, err := s.Follower.OfferEncoded(resp.Msg.Config); err != nil {
+		s.Log.Warn("configuration of a peer is unreadable", "peer", t.Name, "error", err)
+	}
+}
+
+// push gives the configuration to an agent that is behind.
+func (s *Spread) push(ctx context.Context, t config.Target) {
+	revision, data := s.Follower.Encoded()
+	if len(data) == 0 {
+		return
+	}
+	_, _ = s.Dialer.Agent(t.Agent).Exchange(ctx, connect.NewRequest(&wire.ExchangeRequest{
+		From: s.Name, Revision: revision, Config: data,
+	}))
+}
--- /dev/null
+++ b/core/keys/keys.go
@@ -0,0 +1,116 @@
+// Package keys loads the TLS keys between the system's own processes.
+//
+// Each process has a certificate signed by the deployment's own authority and
+// accepts only peers that have one too. Without keys the processes speak clear
+// text, which Check allows on loopback addresses only.
+//
+// # Usage
+//
+//	var f keys.Files
+//	f.Declare(&set)
+//	if err := f.Check(listen); err != nil { ... }
+//	server, err := f.Server()
+package keys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"net/netip"
+	"os"
+
+	"github.com/go-faster/errors"
+
+	"verbenashift/core/settings"
+)
+
+// Files names the PEM files of one process. The zero value means clear text.
+type Files struct {
+	Cert      string
+	Key       string
+	Authority string
+}
+
+// ClearTextError says that an address off loopback has no keys.
+type ClearTextError struct {
+	Address string
+}
+
+// Error returns the address.
+func (e *ClearTextError) Error() string {
+	return fmt.Sprintf("clear text is allowed on loopback only: %s needs [tls] cert, key and authority", e.Address)
+}
+
+// Declare adds the [tls] settings to s.
+func (f *Files) Declare(s *settings.Set) {
+	s.String("tls", "cert", &f.Cert, "", "PEM file of this process's certificate between processes; empty for clear text on loopback")
+	s.String("tls", "key", &f.Key, "", "PEM file of its key")
+	s.String("tls", "authority", &f.Authority, "", "PEM file of the authority that signs the processes' certificates")
+}
+
+// Set reports whether keys are set.
+func (f Files) Set() bool {
+	return f.Cert != ""
+}
+
+// Check refuses clear text between processes on an address that others can
+// reach.
+func (f Files) Check(addr string) error {
+	if f.Set() {
+		return nil
+	}
+	return CheckClear(addr)
+}
+
+// CheckClear returns *ClearTextError if addr is not a loopback address.
+func CheckClear(addr string) error {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return errors.Wrap(err, "listen address")
+	}
+	if !ap.Addr().IsLoopback() {
+		return &ClearTextError{Address: addr}
+	}
+	return nil
+}
+
+// Server returns the configuration of a listener that asks its peers for a
+// certificate, nil without keys.
+func (f Files) Server() (*tls.Config, error) {
+	cfg, pool, err := f.load()
+	if cfg == nil || err != nil {
+		return nil, err
+	}
+	cfg.ClientAuth = tls.RequireAndVerifyClientCert
+	cfg.ClientCAs = pool
+	return cfg, nil
+}
+
+// Client returns the configuration of a dialer, nil without keys.
+func (f Files) Client() (*tls.Config, error) {
+	cfg, pool, err := f.load()
+	if cfg == nil || err != nil {
+		return nil, err
+	}
+	cfg.RootCAs = pool
+	return cfg, nil
+}
+
+func (f Files) load() (*tls.Config, *x509.CertPool, error) {
+	if !f.Set() {
+		return nil, nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(f.Cert, f.Key)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "load [tls] cert and key")
+	}
+	pem, err := os.ReadFile(f.Authority)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "load [tls] authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, nil, errors.Errorf("no certificate in [tls] authority %s", f.Authority)
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{cert}}, pool, nil
+}
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -140,3 +140,11 @@
 	}
 	return s.Serve(l)
 }
+
+// The reasons by which an agent answers an Attach that finds no answer.
+const (
+	// ReasonNotSeen says that this incarnation never saw the request.
+	ReasonNotSeen = "request-not-seen"
+	// ReasonGone says that the answer was lost or is no longer kept.
+	ReasonGone = "answer-gone"
+)
--- a/core/peer/wire/wireconnect/agent.connect.go
+++ b/core/peer/wire/wireconnect/agent.connect.go
@@ -79,7 +79,8 @@
 	Seal(context.Context, *connect.Request[wire.SealRequest]) (*connect.Response[wire.SealResponse], error)
 	// Release gives a key back whose attempt surely did not and will not run.
 	Release(context.Context, *connect.Request[wire.ReleaseRequest]) (*connect.Response[wire.ReleaseResponse], error)
-	// Settle tells the home how an attempt ended.
+	// Settle asks an executor what became of an attempt, and makes it refuse
+	// the attempt for ever if it has not run.
 	Settle(context.Context, *connect.Request[wire.SettleRequest]) (*connect.Response[wire.SettleResponse], error)
 	// Transfer moves one key's record to its new home and seals it here.
 	Transfer(context.Context, *connect.Request[wire.TransferRequest]) (*connect.Response[wire.TransferResponse], error)
@@ -283,7 +284,8 @@
 	Seal(context.Context, *connect.Request[wire.SealRequest]) (*connect.Response[wire.SealResponse], error)
 	// Release gives a key back whose attempt surely did not and will not run.
 	Release(context.Context, *connect.Request[wire.ReleaseRequest]) (*connect.Response[wire.ReleaseResponse], error)
-	// Settle tells the home how an attempt ended.
+	// Settle asks an executor what became of an attempt, and makes it refuse
+	// the attempt for ever if it has not run.
 	Settle(context.Context, *connect.Request[wire.SettleRequest]) (*connect.Response[wire.SettleResponse], error)
 	// Transfer moves one key's record to its new home and seals it here.
 	Transfer(context.Context, *connect.Request[wire.TransferRequest]) (*connect.Response[wire.TransferResponse], error)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -18,6 +18,7 @@
 package relay
 
 import (
+	"net/http"
 	"time"
 
 	"verbenashift/core/outcome"
@@ -124,6 +125,8 @@
 	Gone
 	// Sealed says that the attempt never ran and never will.
 	Sealed
+	// Seen says that the executor has the attempt after all.
+	Seen
 	// Released says that the home was told.
 	Released
 )
@@ -150,6 +153,8 @@
 	granted bool
 	// held says that the request reads an earlier attempt's answer.
 	held bool
+	// reader says that the request only reads an earlier answer.
+	reader bool
 	// started says that a target may have begun to run it.
 	started bool
 	// last is the latest refusal, given to the caller if no target is left.
@@ -163,8 +168,17 @@
 	return &Relay{req: req, lim: lim}
 }
 
+// NewReader returns the machine of a caller that asks again for the answer of
+// an earlier request: it reads and runs nothing.
+func NewReader(lim Limits) *Relay {
+	return &Relay{lim: lim, held: true, started: true, reader: true}
+}
+
 // Start returns the first step.
 func (r *Relay) Start() Action {
+	if r.reader {
+		return Action{Kind: Attach}
+	}
 	return Action{Kind: Pick}
 }
 
@@ -182,7 +196,9 @@
 		r.held = true
 		return Action{Kind: Attach}
 	case Mismatch:
-		return finish(outcome.NotRun, ReasonKeyReused, 0)
+		a := finish(outcome.NotRun, ReasonKeyReused, 0)
+		a.Err.Status = http.StatusUnprocessableEntity
+		return a
 	case Uncertain:
 		return finish(outcome.Unknown, ReasonEarlierTry, e.RetryAfter)
 	case ClaimFailed:
@@ -192,11 +208,16 @@
 	case Broke:
 		return r.broke(e)
 	case NotSeen:
+		if r.reader {
+			return finish(outcome.Unknown, ReasonAnswerGone, 0)
+		}
 		return Action{Kind: Seal}
 	case Gone:
 		return r.gone()
 	case Sealed:
 		return r.sealed()
+	case Seen:
+		return r.goOn()
 	case Released:
 		return r.afterRelease
 	}
@@ -280,6 +301,9 @@
 // since the caller's next try would otherwise wait for an attempt that never
 // comes.
 func (r *Relay) refused(e Event) Action {
+	if r.reader {
+		return finish(outcome.NotRun, e.Reason, max(e.RetryAfter, r.lim.RetryAfter))
+	}
 	r.last = &outcome.Error{Outcome: outcome.NotRun, Reason: e.Reason, RetryAfter: max(e.RetryAfter, r.lim.RetryAfter)}
 	if r.started && r.req.Repeatable {
 		return r.again(e.Reason)
--- /dev/null
+++ b/entry/app.go
@@ -0,0 +1,291 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"verbenashift/core/caller"
+	"verbenashift/core/config"
+	"verbenashift/core/follow"
+	"verbenashift/core/peer"
+	"verbenashift/core/peer/wire"
+	"verbenashift/core/route"
+	"verbenashift/core/store"
+	"verbenashift/core/telemetry"
+)
+
+// Entry is one entry instance: callers and operators talk to it.
+type Entry struct {
+	cfg      Settings
+	log      *slog.Logger
+	tracer   trace.Tracer
+	metrics  *metrics
+	dialer   *peer.Dialer
+	store    *store.Client
+	follower *follow.Follower
+	router   *router
+	limiter  *limiter
+	open     *openCount
+	flows    flowSet
+	fleet    *fleet
+
+	// leaving tells the balancer, draining refuses new work.
+	leaving  atomic.Bool
+	draining atomic.Bool
+	homeSet  atomic.Pointer[[]string]
+	stop     context.CancelFunc
+	servers  []*http.Server
+}
+
+func newLogger(cfg Settings) *slog.Logger {
+	return telemetry.NewLogger(os.Stderr, "entry", cfg.Name)
+}
+
+func newTracer(lc fx.Lifecycle, cfg Settings) (trace.Tracer, error) {
+	tracer, stop, err := telemetry.NewTracer(context.Background(), telemetry.TraceConfig{
+		Program: "entry", Instance: cfg.Name, Export: cfg.TraceExport, Ratio: float64(cfg.TracePerMil) / 1000,
+	})
+	if err != nil {
+		return nil, err
+	}
+	lc.Append(fx.StopHook(stop))
+	return tracer, nil
+}
+
+func newDialer(cfg Settings) (*peer.Dialer, error) {
+	tls, err := cfg.Peer.Client()
+	if err != nil {
+		return nil, err
+	}
+	return peer.NewDialer(peer.DialConfig{TLS: tls}), nil
+}
+
+func newStore(cfg Settings) *store.Client {
+	return store.New(store.Config{Addresses: cfg.Store, Timeout: cfg.StoreTimeout})
+}
+
+func newFollower(cfg Settings, s *store.Client, log *slog.Logger) *follow.Follower {
+	return follow.New(follow.Config{Store: s, Refresh: cfg.StoreRefresh, Log: log})
+}
+
+func newEntry(cfg Settings, log *slog.Logger, tracer trace.Tracer, d *peer.Dialer, s *store.Client, f *follow.Follower) *Entry {
+	e := &Entry{
+		cfg: cfg, log: log, tracer: tracer, metrics: newMetrics(), dialer: d, store: s, follower: f,
+		router:  newRouter(route.Options{Entry: cfg.Name, Region: cfg.Region, Zone: cfg.Zone}),
+		limiter: newLimiter(),
+		open:    newOpenCount(cfg.Streams, cfg.RetryAfter),
+		fleet:   newFleet(),
+	}
+	f.OnChange(e.router.update)
+	f.OnChange(e.setHomes)
+	f.OnChange(func(x *config.Index) { log.Info("configuration in force", "revision", x.Revision()) })
+	return e
+}
+
+// setHomes keeps the names over which the homes of keys are hashed.
+func (e *Entry) setHomes(x *config.Index) {
+	cfg := x.Config()
+	names := make([]string, 0, len(cfg.Targets))
+	for _, t := range cfg.Targets {
+		names = append(names, t.Name)
+	}
+	e.homeSet.Store(&names)
+}
+
+func (e *Entry) homes(*config.Index) []string {
+	return *e.homeSet.Load()
+}
+
+// ready reports whether this entry may serve: it has a configuration.
+func (e *Entry) ready() bool {
+	return e.follower.Index() != nil
+}
+
+// start opens the listeners and starts the duties.
+func (e *Entry) start(lc fx.Lifecycle, shutdown fx.Shutdowner) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	e.stop = cancel
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return e.listen(shutdown) },
+		OnStop:  e.drain,
+	})
+	go e.follower.Run(ctx)
+	go e.spread().Run(ctx)
+	return nil
+}
+
+// spread exchanges heartbeats and configurations with the agents.
+func (e *Entry) spread() *follow.Spread {
+	return &follow.Spread{
+		Name: e.cfg.Name, Follower: e.follower, Dialer: e.dialer, Log: e.log,
+		Period: e.cfg.Heartbeat, Fanout: e.cfg.Subset, Seeds: e.cfg.Seeds,
+		Heard: func(name string, m *wire.ExchangeResponse) {
+			e.fleet.heard(name, m)
+			e.router.heard(name, m.Load)
+		},
+	}
+}
+
+func (e *Entry) listen(shutdown fx.Shutdowner) error {
+	for _, s := range []struct {
+		addr    string
+		handler http.Handler
+		caller  bool
+	}{
+		{e.cfg.Callers, e.callerRoutes(), true},
+		{e.cfg.Operators, e.operatorRoutes(), true},
+		{e.cfg.Observe, e.observeRoutes(), false},
+	} {
+		if err := e.serve(s.addr, s.handler, s.caller, shutdown); err != nil {
+			return err
+		}
+	}
+	e.log.Info("serving", "callers", e.cfg.Callers, "operators", e.cfg.Operators, "observe", e.cfg.Observe)
+	return nil
+}
+
+func (e *Entry) serve(addr string, h http.Handler, withTLS bool, shutdown fx.Shutdowner) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", addr)
+	}
+	srv := &http.Server{
+		Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10,
+		ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelWarn),
+	}
+	e.servers = append(e.servers, srv)
+	go func() {
+		var err error
+		if withTLS && e.cfg.CallerCert != "" {
+			err = srv.ServeTLS(l, e.cfg.CallerCert, e.cfg.CallerKey)
+		} else {
+			err = srv.Serve(l)
+		}
+		if !errors.Is(err, http.ErrServerClosed) {
+			e.log.Error("listener ended", "address", addr, "error", err)
+			_ = shutdown.Shutdown(fx.ExitCode(1))
+		}
+	}()
+	return nil
+}
+
+func (e *Entry) callerRoutes() http.Handler {
+	m := mux.NewRouter()
+	m.UseEncodedPath()
+	m.SkipClean(true)
+	m.HandleFunc(caller.PathCompletions, e.serveCall).Methods(http.MethodPost)
+	m.HandleFunc(caller.PathChat, e.serveCall).Methods(http.MethodPost)
+	m.PathPrefix(caller.PathServices).HandlerFunc(e.serveCall)
+	m.PathPrefix(caller.PathRequests).HandlerFunc(e.serveResume).Methods(http.MethodGet)
+	m.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { e.refuse(w, errNotFound) })
+	return m
+}
+
+// observeRoutes serves health, readiness, revisions and metrics to the
+// platform.
+func (e *Entry) observeRoutes() http.Handler {
+	m := mux.NewRouter()
+	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	m.HandleFunc("/readyz", e.serveReady)
+	m.HandleFunc("/revisions", e.serveRevisions)
+	m.Handle("/debug/vars", expvar.Handler())
+	return m
+}
+
+// serveReady is the balancer's check: it fails before the entry refuses work.
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case e.leaving.Load():
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+	case !e.ready():
+		http.Error(w, "no configuration", http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+func (e *Entry) serveRevisions(w http.ResponseWriter, _ *http.Request) {
+	history := []uint64{}
+	for _, f := range e.follower.History() {
+		history = append(history, f.Revision)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(struct {
+		Revision uint64   `json:"revision"`
+		History  []uint64 `json:"history"`
+	}{e.follower.Revision(), history})
+}
+
+// drain ends the entry without cutting a request off: the balancer is told
+// first, new work is refused next, what runs may end, and what is left at the
+// bound goes on at another entry.
+func (e *Entry) drain(context.Context) error {
+	e.leaving.Store(true)
+	e.log.Info("draining", "open", e.open.len())
+	time.Sleep(e.cfg.Notice)
+	e.draining.Store(true)
+	if !e.idle(e.cfg.Bound) {
+		e.log.Info("handing over", "requests", e.flows.handOver())
+		e.idle(callTimeout)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	for _, s := range e.servers {
+		_ = s.Shutdown(ctx)
+	}
+	e.stop()
+	e.dialer.Close()
+	e.log.Info("drained", "open", e.open.len())
+	return nil
+}
+
+// idle waits until nothing is in progress, for at most d.
+func (e *Entry) idle(d time.Duration) bool {
+	const poll = 20 * time.Millisecond
+	for end := time.Now().Add(d); ; time.Sleep(poll) {
+		if e.open.len() == 0 {
+			return true
+		}
+		if time.Now().After(end) {
+			return false
+		}
+	}
+}
+
+// run starts the entry and returns its exit code when it has stopped.
+func run(cfg Settings) int {
+	app := fx.New(
+		fx.Supply(cfg),
+		fx.Provide(newLogger, newTracer, newDialer, newStore, newFollower, newEntry),
+		fx.Invoke((*Entry).start),
+		fx.StopTimeout(cfg.Notice+cfg.Bound+time.Minute),
+		fx.WithLogger(func(log *slog.Logger) fxevent.Logger {
+			l := &fxevent.SlogLogger{Logger: log}
+			l.UseLogLevel(slog.LevelDebug)
+			return l
+		}),
+	)
+	if err := app.Start(context.Background()); err != nil {
+		return 1
+	}
+	sig := <-app.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+	if err := app.Stop(ctx); err != nil {
+		return 1
+	}
+	return sig.ExitCode
+}
--- /dev/null
+++ b/entry/flow.go
@@ -0,0 +1,327 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"verbenashift/core/booking"
+	"verbenashift/core/caller"
+	"verbenashift/core/config"
+	"verbenashift/core/outcome"
+	"verbenashift/core/peer"
+	"verbenashift/core/peer/wire"
+	"verbenashift/core/relay"
+	"verbenashift/core/route"
+	"verbenashift/core/telemetry"
+)
+
+// graceAfterDeadline is how long past the caller's deadline an agent may take
+// to say truthfully what became of the request.
+const graceAfterDeadline = 250 * time.Millisecond
+
+// flow carries one request through the entry: it takes the steps that its
+// relay decides.
+type flow struct {
+	entry     *Entry
+	req       caller.Request
+	workspace *config.Workspace
+	sink      sink
+	log       progress
+
+	id       string
+	relay    *relay.Relay
+	query    route.Query
+	attempt  uint32
+	picked   choice
+	inFlight bool
+
+	// key and the fields below are for requests that may not be repeated.
+	key       booking.Key
+	callerKey bool
+	digest    [sha256.Size]byte
+	home      *config.Target
+	grant     *wire.Grant
+	// reading is the request whose answer is read: this one, or an earlier
+	// attempt with the same key.
+	reading   string
+	readingAt *config.Target
+	timer     atomic.Pointer[time.Timer]
+}
+
+// run takes steps until the request has its outcome.
+func (f *flow) run(ctx context.Context) *outcome.Error {
+	for a := f.relay.Start(); ; {
+		if a.Kind == relay.Finish {
+			return a.Err
+		}
+		if err := f.pause(ctx, a.Wait); err != nil {
+			return err
+		}
+		a = f.relay.Next(f.step(ctx, a))
+		if ctx.Err() != nil && a.Kind != relay.Finish {
+			return f.cutShort(ctx)
+		}
+	}
+}
+
+// cutShort ends a request whose caller has gone or whose deadline is over.
+// Nothing ran if no attempt has begun.
+func (f *flow) cutShort(ctx context.Context) *outcome.Error {
+	reason := relay.ReasonCallerGone
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		reason = relay.ReasonOverDeadline
+	}
+	o := outcome.Unknown
+	if f.attempt == 0 && !f.callerKey {
+		o = outcome.NotRun
+	}
+	return &outcome.Error{Outcome: o, Reason: reason, RetryAfter: f.entry.cfg.RetryAfter}
+}
+
+func (f *flow) pause(ctx context.Context, d time.Duration) *outcome.Error {
+	if d == 0 {
+		return nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return f.cutShort(ctx)
+	}
+}
+
+func (f *flow) step(ctx context.Context, a relay.Action) relay.Event {
+	switch a.Kind {
+	case relay.Pick:
+		return f.pick()
+	case relay.Claim:
+		return f.claim(ctx)
+	case relay.Submit:
+		return f.submit(ctx, a.Resume)
+	case relay.Attach:
+		return f.attach(ctx)
+	case relay.Seal:
+		return f.seal(ctx)
+	default:
+		return f.release(ctx)
+	}
+}
+
+func (f *flow) pick() relay.Event {
+	f.leave(nil)
+	c, ok := f.entry.router.pick(&f.query)
+	if !ok {
+		return relay.Event{Kind: relay.NoTarget}
+	}
+	f.picked, f.inFlight = c, true
+	f.readingAt = c.target
+	return relay.Event{Kind: relay.Picked}
+}
+
+// leave closes the attempt at the picked target, if one is open.
+func (f *flow) leave(load *wire.Load) {
+	if !f.inFlight {
+		return
+	}
+	f.inFlight = false
+	f.entry.router.end(f.picked, load)
+}
+
+func (f *flow) submit(ctx context.Context, resume bool) relay.Event {
+	ctx, span := f.entry.tracer.Start(ctx, "agent.submit", trace.WithAttributes(attribute.String("target", f.picked.target.Name)))
+	defer span.End()
+	f.attempt++
+	f.reading = f.id
+	msg := f.message(ctx, resume)
+	stream, err := f.entry.dialer.Agent(f.picked.target.Agent).Submit(ctx, connect.NewRequest(msg))
+	if err != nil {
+		return f.broken(err)
+	}
+	return f.read(stream)
+}
+
+// message builds the call to the agent. A broken stream that may be repeated
+// goes on from the text that the caller has had; a whole answer begins again.
+func (f *flow) message(ctx context.Context, resume bool) *wire.SubmitRequest {
+	msg := &wire.SubmitRequest{
+		RequestId:    f.id,
+		Attempt:      f.attempt,
+		Workspace:    f.workspace.Name,
+		Priority:     uint32(f.req.Priority),
+		Cost:         f.req.Cost,
+		Weight:       f.workspace.Share,
+		MayNotRepeat: f.req.MayNotRepeat,
+		Grant:        f.grant,
+		Call:         f.call(),
+		TraceParent:  telemetry.Inject(ctx),
+		Revision:     f.entry.follower.Revision(),
+		BodyDigest:   f.digest[:],
+	}
+	if d, ok := ctx.Deadline(); ok {
+		msg.DeadlineMs = uint64(max(time.Until(d)-graceAfterDeadline, time.Millisecond).Milliseconds())
+	}
+	if f.req.MayNotRepeat {
+		msg.Incarnation = f.picked.incarnation
+	}
+	if resume && f.log.delivered > 0 {
+		msg.Resume = &wire.Resume{Frames: f.log.delivered, Text: f.log.text()}
+	}
+	return msg
+}
+
+func (f *flow) call() *wire.Call {
+	c := &wire.Call{
+		Method: f.req.Method, Path: f.req.Path, Body: f.req.Body,
+		Model: f.req.Model, Service: f.req.Service, Stream: f.req.Stream,
+	}
+	for name, values := range f.req.Header {
+		if passes(name) {
+			c.Headers = append(c.Headers, &wire.Header{Name: name, Values: values})
+		}
+	}
+	if f.workspace.SharedPrefix {
+		c.Headers = append(c.Headers, &wire.Header{Name: headerSharedPrefix, Values: []string{"true"}})
+	}
+	return c
+}
+
+// headerSharedPrefix tells the agent to leave the cache salt out.
+const headerSharedPrefix = "X-Shared-Prefix"
+
+// passes reports whether a caller's header goes on to the target. The caller's
+// token is for the entry alone.
+func passes(name string) bool {
+	switch name {
+	case "Authorization", headerSharedPrefix, "X-Workspace":
+		return false
+	}
+	return true
+}
+
+func (f *flow) attach(ctx context.Context) relay.Event {
+	if f.readingAt == nil {
+		return relay.Event{Kind: relay.Gone}
+	}
+	stream, err := f.entry.dialer.Agent(f.readingAt.Agent).Attach(ctx, connect.NewRequest(&wire.AttachRequest{
+		RequestId:  f.reading,
+		Workspace:  f.workspace.Name,
+		After:      f.log.delivered,
+		Attempt:    f.attempt,
+		FromTarget: f.req.Path != "",
+		Path:       f.req.Path,
+	}))
+	if err != nil {
+		return f.broken(err)
+	}
+	return f.read(stream)
+}
+
+// read relays frames until the stream ends.
+func (f *flow) read(stream *connect.ServerStreamForClient[wire.Frame]) relay.Event {
+	defer func() { _ = stream.Close() }()
+	conn, err := stream.Conn()
+	if err != nil {
+		return f.broken(err)
+	}
+	var frame wire.Frame
+	for {
+		frame.Reset()
+		if err := conn.Receive(&frame); err != nil {
+			return f.broken(err)
+		}
+		done, ev := f.frame(&frame)
+		if done {
+			return ev
+		}
+	}
+}
+
+// frame takes one frame. Frames that the caller has had are dropped, and a gap
+// ends the attempt, since an answer with a hole must never look whole.
+func (f *flow) frame(m *wire.Frame) (done bool, ev relay.Event) {
+	switch m.Kind {
+	case wire.FrameKind_FRAME_KIND_HEAD:
+		f.sink.head(int(m.Status), m.Headers)
+		if m.Sequence == 0 && f.log.delivered > 0 && !f.req.Stream {
+			return f.beginAgain()
+		}
+		return false, ev
+	case wire.FrameKind_FRAME_KIND_DATA:
+		return f.data(m)
+	case wire.FrameKind_FRAME_KIND_END:
+		f.leave(m.Load)
+		return true, endEvent(m, f.log.delivered)
+	default:
+		return true, relay.Event{Kind: relay.Broke}
+	}
+}
+
+// beginAgain starts a whole answer afresh; it cannot once some of it has left.
+func (f *flow) beginAgain() (bool, relay.Event) {
+	if !f.sink.restart() {
+		return true, relay.Event{Kind: relay.Ended, Outcome: outcome.Failed, Reason: relay.ReasonInterrupted}
+	}
+	f.log = progress{}
+	return false, relay.Event{}
+}
+
+func (f *flow) data(m *wire.Frame) (bool, relay.Event) {
+	if m.Sequence <= f.log.delivered {
+		return false, relay.Event{}
+	}
+	if m.Sequence != f.log.delivered+1 {
+		return true, relay.Event{Kind: relay.Broke}
+	}
+	f.entry.metrics.frames.Add(1)
+	f.log.add(m.Data, f.req.Stream && !f.req.MayNotRepeat)
+	if err := f.sink.data(m.Sequence, m.Data); err != nil {
+		return true, relay.Event{Kind: relay.Ended, Outcome: outcome.Failed, Reason: relay.ReasonCallerGone}
+	}
+	return false, relay.Event{}
+}
+
+// endEvent reads an END frame. An end that claims completeness before all its
+// frames came is a broken one.
+func endEvent(m *wire.Frame, delivered uint64) relay.Event {
+	o := fromWire(m.Outcome)
+	if o == outcome.Complete && m.Sequence != delivered+1 {
+		return relay.Event{Kind: relay.Broke}
+	}
+	if m.Reason == peer.ReasonNotSeen {
+		return relay.Event{Kind: relay.NotSeen}
+	}
+	if m.Reason == peer.ReasonGone {
+		return relay.Event{Kind: relay.Gone}
+	}
+	return relay.Event{
+		Kind: relay.Ended, Outcome: o, Reason: m.Reason, Handover: m.Handover,
+		RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond,
+	}
+}
+
+// broken reports a transport error.
+func (f *flow) broken(err error) relay.Event {
+	f.leave(nil)
+	return relay.Event{Kind: relay.Broke, NotSent: peer.NotSent(err)}
+}
+
+func fromWire(o wire.Outcome) outcome.Outcome {
+	switch o {
+	case wire.Outcome_OUTCOME_COMPLETE:
+		return outcome.Complete
+	case wire.Outcome_OUTCOME_NOT_RUN:
+		return outcome.NotRun
+	case wire.Outcome_OUTCOME_FAILED:
+		return outcome.Failed
+	default:
+		return outcome.Unknown
+	}
+}
--- /dev/null
+++ b/entry/keyed.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"verbenashift/core/booking"
+	"verbenashift/core/config"
+	"verbenashift/core/peer/wire"
+	"verbenashift/core/relay"
+)
+
+// callTimeout bounds one short call to an agent.
+const callTimeout = 2 * time.Second
+
+// findHome sets the home of the request's key, unless the key is the entry's
+// own: nobody else can hold a fresh request id, so that no register is asked.
+func (f *flow) findHome(x *config.Index) {
+	if f.req.IdempotencyKey == "" {
+		return
+	}
+	f.callerKey = true
+	f.key = booking.KeyOf(f.workspace.Name, f.req.IdempotencyKey)
+	home, ok := x.Target(booking.HomeOf(f.key, f.entry.homes(x)))
+	if !ok {
+		return
+	}
+	f.home = home
+	// Home and executor are different agents, so that one crash never loses
+	// both records of a key.
+	if slot, ok := f.entry.router.slot(home.Name); ok {
+		f.query.Exclude.Add(slot)
+	}
+}
+
+// claim asks the key's home for the right to run it at the picked target.
+func (f *flow) claim(ctx context.Context) relay.Event {
+	if f.picked.incarnation == 0 {
+		f.learnIncarnation(ctx)
+	}
+	if !f.callerKey {
+		f.grant = &wire.Grant{Key: f.key[:], Attempt: uint64(f.attempt) + 1}
+		return relay.Event{Kind: relay.Granted}
+	}
+	if f.home == nil {
+		return relay.Event{Kind: relay.ClaimFailed}
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	ctx, span := f.entry.tracer.Start(ctx, "home.claim")
+	defer span.End()
+	resp, err := f.entry.dialer.Agent(f.home.Agent).Claim(ctx, connect.NewRequest(&wire.ClaimRequest{
+		Key: f.key[:], Workspace: f.workspace.Name, BodyDigest: f.digest[:], RequestId: f.id,
+		Executor: f.picked.target.Name, ExecutorIncarnation: f.picked.incarnation,
+		Revision: f.entry.follower.Revision(),
+	}))
+	if err != nil {
+		return relay.Event{Kind: relay.ClaimFailed}
+	}
+	return f.claimed(resp.Msg)
+}
+
+// learnIncarnation asks the picked agent which of its lives this is. A grant
+// is made for one incarnation, so that a restarted agent refuses it.
+func (f *flow) learnIncarnation(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := f.entry.dialer.Agent(f.picked.target.Agent).Exchange(ctx, connect.NewRequest(&wire.ExchangeRequest{
+		From: f.entry.cfg.Name, Revision: f.entry.follower.Revision(),
+	}))
+	if err != nil {
+		return
+	}
+	f.picked.incarnation = resp.Msg.GetLoad().GetIncarnation()
+	f.entry.router.heard(f.picked.target.Name, resp.Msg.GetLoad())
+}
+
+func (f *flow) claimed(m *wire.ClaimResponse) relay.Event {
+	wait := time.Duration(m.RetryAfterMs) * time.Millisecond
+	f.grant = m.Grant
+	switch m.State {
+	case wire.ClaimState_CLAIM_STATE_GRANTED:
+		return relay.Event{Kind: relay.Granted}
+	case wire.ClaimState_CLAIM_STATE_HELD:
+		return f.hold(m)
+	case wire.ClaimState_CLAIM_STATE_MISMATCH:
+		return relay.Event{Kind: relay.Mismatch}
+	case wire.ClaimState_CLAIM_STATE_UNKNOWN:
+		return relay.Event{Kind: relay.Uncertain, RetryAfter: wait}
+	default:
+		return relay.Event{Kind: relay.ClaimFailed, RetryAfter: wait}
+	}
+}
+
+// hold turns to the earlier attempt that has the key.
+func (f *flow) hold(m *wire.ClaimResponse) relay.Event {
+	f.leave(nil)
+	t, ok := f.entry.follower.Index().Target(m.Executor)
+	if !ok {
+		return relay.Event{Kind: relay.Uncertain}
+	}
+	f.reading = m.RequestId
+	f.readingAt = t
+	f.picked.target = t
+	f.picked.incarnation = m.ExecutorIncarnation
+	return relay.Event{Kind: relay.Held}
+}
+
+// seal asks the executor what became of the attempt; if it never ran, the
+// executor refuses it from now on, so that a delayed copy can do no harm.
+func (f *flow) seal(ctx context.Context) relay.Event {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := f.entry.dialer.Agent(f.readingAt.Agent).Settle(ctx, connect.NewRequest(&wire.SettleRequest{
+		Grant: f.grant, RequestId: f.reading, Incarnation: f.picked.incarnation,
+	}))
+	if err != nil {
+		return relay.Event{Kind: relay.Broke}
+	}
+	switch resp.Msg.State {
+	case wire.SettleState_SETTLE_STATE_NEVER_RAN:
+		return relay.Event{Kind: relay.Sealed}
+	case wire.SettleState_SETTLE_STATE_HELD:
+		return relay.Event{Kind: relay.Seen}
+	default:
+		return relay.Event{Kind: relay.Gone}
+	}
+}
+
+// release gives the key back to its home with the executor's word as proof. A
+// lost call does no harm: the next try settles the attempt by itself.
+func (f *flow) release(ctx context.Context) relay.Event {
+	if !f.callerKey || f.grant == nil {
+		return relay.Event{Kind: relay.Released}
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := f.entry.dialer.Agent(f.home.Agent).Release(ctx, connect.NewRequest(&wire.ReleaseRequest{
+		Key: f.key[:], Attempt: f.grant.Attempt, Executor: f.picked.target.Name, Incarnation: f.picked.incarnation,
+	}))
+	if err != nil {
+		f.entry.metrics.releasesLost.Add(1)
+	}
+	return relay.Event{Kind: relay.Released}
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"expvar"
+
+	"verbenashift/core/telemetry"
+)
+
+// metrics are the entry's counters, shown by expvar.
+type metrics struct {
+	outcomes     *expvar.Map
+	refused      *expvar.Int
+	frames       *expvar.Int
+	releasesLost *expvar.Int
+	total        *telemetry.Histogram
+}
+
+func newMetrics() *metrics {
+	return &metrics{
+		outcomes:     expvar.NewMap("entry-outcomes"),
+		refused:      expvar.NewInt("entry-refused"),
+		frames:       expvar.NewInt("entry-frames"),
+		releasesLost: expvar.NewInt("entry-releases-lost"),
+		total:        telemetry.NewHistogram("entry-request-us"),
+	}
+}
+
+func (m *metrics) count(name string) {
+	m.outcomes.Add(name, 1)
+}
--- /dev/null
+++ b/entry/resume.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"verbenashift/core/caller"
+	"verbenashift/core/config"
+	"verbenashift/core/outcome"
+	"verbenashift/core/peer"
+	"verbenashift/core/peer/wire"
+	"verbenashift/core/relay"
+)
+
+// serveResume gives a caller the answer of an earlier request again, from the
+// event after the one it had last. The agents know the request's workspace and
+// show the answer to no other.
+func (e *Entry) serveResume(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	index, ws, err := e.admit(r)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	defer e.open.release(ws.Name)
+	res, rerr := caller.ReadResume(r)
+	if rerr != nil {
+		e.refuse(w, rerr)
+		return
+	}
+	holder := e.findHolder(r.Context(), index, ws, res)
+	if holder == nil {
+		e.refuse(w, &outcome.Error{Outcome: outcome.Unknown, Reason: relay.ReasonAnswerGone, Status: http.StatusNotFound})
+		return
+	}
+	f := &flow{entry: e, workspace: ws, id: res.RequestID, reading: res.RequestID, readingAt: holder}
+	f.req = caller.Request{MayNotRepeat: true, Stream: true}
+	f.log.delivered = res.After
+	f.attempt = 1
+	f.sink = newStreamSink(w, f.id, e.cfg.SlowCaller)
+	f.relay = relay.NewReader(relay.Limits{Attaches: e.cfg.Attaches, Backoff: e.cfg.Backoff, RetryAfter: e.cfg.RetryAfter})
+	e.finish(r.Context(), f, started)
+}
+
+// findHolder asks the agents which of them holds the answer. Few answers are
+// asked for again, so that asking all agents costs little.
+func (e *Entry) findHolder(ctx context.Context, x *config.Index, ws *config.Workspace, res caller.Resume) *config.Target {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	targets := x.Config().Targets
+	found := make(chan *config.Target, len(targets))
+	for i := range targets {
+		go func() {
+			found <- e.holds(ctx, &targets[i], ws, res)
+		}()
+	}
+	for range targets {
+		if t := <-found; t != nil {
+			return t
+		}
+	}
+	return nil
+}
+
+// holds returns t if its agent has the answer.
+func (e *Entry) holds(ctx context.Context, t *config.Target, ws *config.Workspace, res caller.Resume) *config.Target {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := e.dialer.Agent(t.Agent).Attach(ctx, connect.NewRequest(&wire.AttachRequest{
+		RequestId: res.RequestID, Workspace: ws.Name, After: res.After, Probe: true,
+	}))
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = stream.Close() }()
+	if !stream.Receive() {
+		return nil
+	}
+	m := stream.Msg()
+	if m.Reason == peer.ReasonNotSeen || m.Reason == peer.ReasonGone {
+		return nil
+	}
+	return t
+}
--- /dev/null
+++ b/entry/serve.go
@@ -0,0 +1,208 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base32"
+	"net/http"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"verbenashift/core/booking"
+	"verbenashift/core/caller"
+	"verbenashift/core/config"
+	"verbenashift/core/outcome"
+	"verbenashift/core/peer/wire"
+	"verbenashift/core/relay"
+	"verbenashift/core/route"
+)
+
+// The refusals that are made before a request is looked at.
+var (
+	errUnauthorized = &outcome.Error{Outcome: outcome.NotRun, Reason: "unauthorized", Status: http.StatusUnauthorized}
+	errNotFound     = &outcome.Error{Outcome: outcome.NotRun, Reason: "not-found", Status: http.StatusNotFound}
+)
+
+// newID returns a request identifier that cannot be guessed; knowing it is
+// part of the right to read the answer.
+func newID() string {
+	var b [20]byte
+	_, _ = rand.Read(b[:])
+	return strings.ToLower(base32.StdEncoding.EncodeToString(b[:]))
+}
+
+// serveCall answers a request for a model or a service.
+func (e *Entry) serveCall(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	index, workspace, err := e.admit(r)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	defer e.open.release(workspace.Name)
+	req, rerr := caller.Read(w, r, e.callerLimits())
+	if rerr != nil {
+		e.refuse(w, rerr)
+		return
+	}
+	f, err := e.newFlow(w, req, workspace, index)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	ctx, span := e.tracer.Start(r.Context(), "entry.request", trace.WithAttributes(attribute.String("workspace", workspace.Name)))
+	defer span.End()
+	e.finish(ctx, f, started)
+}
+
+// admit checks who calls and whether the entry can take the request. What it
+// opens is closed by e.open.release.
+func (e *Entry) admit(r *http.Request) (*config.Index, *config.Workspace, *outcome.Error) {
+	index := e.follower.Index()
+	if index == nil || !e.ready() {
+		return nil, nil, &outcome.Error{Outcome: outcome.NotRun, Reason: "not-ready", RetryAfter: e.cfg.RetryAfter}
+	}
+	workspace, ok := index.WorkspaceByToken(caller.Token(r.Header))
+	if !ok {
+		return nil, nil, errUnauthorized
+	}
+	if e.draining.Load() {
+		return nil, nil, &outcome.Error{Outcome: outcome.NotRun, Reason: "draining", RetryAfter: e.cfg.RetryAfter}
+	}
+	if err := e.open.take(workspace); err != nil {
+		return nil, nil, err
+	}
+	return index, workspace, nil
+}
+
+func (e *Entry) refuse(w http.ResponseWriter, err error) {
+	e.metrics.refused.Add(1)
+	caller.WriteError(w, "", err)
+}
+
+func (e *Entry) callerLimits() caller.Limits {
+	return caller.Limits{Body: int64(e.cfg.Body), MaxTokens: e.cfg.MaxTokens}
+}
+
+// newFlow prepares the steps of one request.
+func (e *Entry) newFlow(w http.ResponseWriter, req caller.Request, ws *config.Workspace, x *config.Index) (*flow, *outcome.Error) {
+	if err := known(req, x); err != nil {
+		return nil, err
+	}
+	if req.Service != "" {
+		req.MayNotRepeat = req.MayNotRepeat || x.MayNotRepeat(req.Service, req.Method, req.Path)
+	}
+	// A key asks for one run, whatever the route says.
+	req.MayNotRepeat = req.MayNotRepeat || req.IdempotencyKey != ""
+	if wait, ok := e.limiter.allow(ws, req.Cost); !ok {
+		return nil, &outcome.Error{Outcome: outcome.NotRun, Reason: "workspace-limit", RetryAfter: wait, Status: http.StatusTooManyRequests}
+	}
+	f := &flow{entry: e, req: req, workspace: ws, id: newID()}
+	f.digest = sha256.Sum256(append([]byte(req.Method+" "+req.Path+"\n"), req.Body...))
+	f.key = booking.KeyOf(ws.Name, f.id)
+	f.query = route.Query{
+		Model: req.Model, Service: req.Service, Cost: float64(req.Cost), Prefix: affinity(req, ws),
+		Urgent: req.Priority == caller.Urgent, MayNotRepeat: req.MayNotRepeat,
+	}
+	f.findHome(x)
+	f.sink = e.newSink(w, f)
+	f.relay = relay.New(relay.Request{Repeatable: !req.MayNotRepeat, CallerKey: f.callerKey}, relay.Limits{
+		Tries: e.cfg.Tries, Claims: e.cfg.Claims, Attaches: e.cfg.Attaches, Backoff: e.cfg.Backoff, RetryAfter: e.cfg.RetryAfter,
+	})
+	return f, nil
+}
+
+func known(req caller.Request, x *config.Index) *outcome.Error {
+	if req.Service != "" {
+		if _, ok := x.Service(req.Service); !ok {
+			return &outcome.Error{Outcome: outcome.NotRun, Reason: "unknown-service", Status: http.StatusNotFound}
+		}
+		return nil
+	}
+	if _, ok := x.Model(req.Model); !ok {
+		return &outcome.Error{Outcome: outcome.NotRun, Reason: "unknown-model", Status: http.StatusNotFound}
+	}
+	return nil
+}
+
+// affinity is the prompt's hash, salted by the workspace unless it shares its
+// prefixes, so that no timing shows one workspace what another has asked.
+func affinity(req caller.Request, ws *config.Workspace) uint64 {
+	if req.Model == "" || ws.SharedPrefix {
+		return req.Prefix
+	}
+	return route.Prefix(ws.Name, string(req.Body[:min(len(req.Body), 1024)]))
+}
+
+func (e *Entry) newSink(w http.ResponseWriter, f *flow) sink {
+	if f.req.Stream {
+		return newStreamSink(w, f.id, e.cfg.SlowCaller)
+	}
+	return newWholeSink(w, f.id, e.cfg.WholeBuffer)
+}
+
+// finish runs the request and writes its end.
+func (e *Entry) finish(ctx context.Context, f *flow, started time.Time) {
+	cancel := func() {}
+	if f.req.Deadline > 0 {
+		ctx, cancel = context.WithTimeout(ctx, f.req.Deadline+graceAfterDeadline)
+	}
+	defer cancel()
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	e.flows.add(f, stop)
+	defer e.flows.remove(f)
+	alive := time.AfterFunc(e.cfg.Silence, f.keepAlive)
+	f.timer.Store(alive)
+	err := f.run(ctx)
+	alive.Stop()
+	f.leave(nil)
+	e.conclude(ctx, f, err, started)
+}
+
+func (e *Entry) conclude(ctx context.Context, f *flow, err *outcome.Error, started time.Time) {
+	if context.Cause(ctx) == errHandover {
+		e.metrics.count("handover")
+		f.sink.handover()
+		return
+	}
+	if ctx.Err() != nil {
+		f.cancel(ctx)
+	}
+	e.metrics.count(outcomeName(err))
+	e.metrics.total.Record(time.Since(started).Microseconds())
+	f.sink.finish(err)
+}
+
+func outcomeName(err *outcome.Error) string {
+	if err == nil {
+		return outcome.Complete.String()
+	}
+	return err.Outcome.String()
+}
+
+// keepAlive shows a waiting caller that its request is not forgotten.
+func (f *flow) keepAlive() {
+	f.sink.alive()
+	if t := f.timer.Load(); t != nil {
+		t.Reset(f.entry.cfg.Silence)
+	}
+}
+
+// cancel stops the target's work for a caller that has gone. What may not be
+// repeated goes on: its answer waits for the caller's next try.
+func (f *flow) cancel(ctx context.Context) {
+	if f.req.MayNotRepeat || f.readingAt == nil || f.attempt == 0 {
+		return
+	}
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer stop()
+	_, _ = f.entry.dialer.Agent(f.readingAt.Agent).Cancel(ctx, connect.NewRequest(&wire.CancelRequest{
+		RequestId: f.reading, Workspace: f.workspace.Name,
+	}))
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"time"
+
+	"verbenashift/core/keys"
+	"verbenashift/core/settings"
+)
+
+// Settings are the settings of one entry.
+type Settings struct {
+	Name   string
+	Region string
+	Zone   string
+
+	Callers   string
+	Operators string
+	Observe   string
+
+	CallerCert string
+	CallerKey  string
+	Peer       keys.Files
+
+	Store        []string
+	StoreTimeout time.Duration
+	Seeds        []string
+
+	Body          int
+	MaxTokens     int
+	Streams       int
+	SlowCaller    time.Duration
+	Silence       time.Duration
+	WholeBuffer   int
+	Tries         int
+	Claims        int
+	Attaches      int
+	Backoff       time.Duration
+	RetryAfter    time.Duration
+	Notice        time.Duration
+	Bound         time.Duration
+	Heartbeat     time.Duration
+	Subset        int
+	StoreRefresh  time.Duration
+	BootstrapHash string
+
+	TraceExport string
+	TracePerMil int
+}
+
+// declare names every setting of an entry with its default and bounds.
+func (c *Settings) declare() *settings.Set {
+	var s settings.Set
+	s.Name("node", "name", &c.Name, "name of this instance, unique in the fleet")
+	s.String("node", "region", &c.Region, "", "region of this instance")
+	s.Name("node", "zone", &c.Zone, "availability zone of this instance")
+	s.Address("listen", "callers", &c.Callers, "127.0.0.1:8080", "where callers connect")
+	s.Address("listen", "operators", &c.Operators, "127.0.0.1:8081", "where operators connect")
+	s.Address("listen", "observe", &c.Observe, "127.0.0.1:8082", "health, readiness and metrics")
+	s.String("caller-tls", "cert", &c.CallerCert, "", "PEM file of the certificate towards callers and operators; empty for clear text on loopback")
+	s.String("caller-tls", "key", &c.CallerKey, "", "PEM file of its key")
+	c.Peer.Declare(&s)
+	s.Addresses("store", "addresses", &c.Store, "the platform's key-value service")
+	s.Duration("store", "timeout", &c.StoreTimeout, 2*time.Second, 10*time.Millisecond, time.Minute, "longest call to the store")
+	s.Duration("store", "refresh", &c.StoreRefresh, 30*time.Second, time.Second, time.Hour, "how often the head is read beside watches and peers")
+	s.Addresses("peers", "seeds", &c.Seeds, "agents to ask for the configuration when the store is down")
+	s.Duration("peers", "heartbeat", &c.Heartbeat, time.Second, 10*time.Millisecond, time.Minute, "time between heartbeats")
+	s.Int("peers", "subset", &c.Subset, 4, 1, 64, "agents a heartbeat", "how many agents are asked in each heartbeat")
+	s.Int("limits", "body", &c.Body, 1<<20, 1024, 64<<20, "bytes", "largest request body")
+	s.Int("limits", "max-tokens", &c.MaxTokens, 32768, 1, 1<<20, "tokens", "largest max_tokens of a request")
+	s.Int("limits", "streams", &c.Streams, 4096, 1, 1<<20, "requests", "requests in progress at this entry")
+	s.Duration("limits", "slow-caller", &c.SlowCaller, 30*time.Second, time.Second, time.Hour, "longest wait for a caller to take its answer")
+	s.Int("limits", "whole-buffer", &c.WholeBuffer, 1<<20, 1024, 64<<20, "bytes", "part of an answer held back until its end is known")
+	s.Duration("requests", "silence", &c.Silence, 3*time.Second, 100*time.Millisecond, time.Minute, "a waiting stream gets a sign of life this often")
+	s.Int("requests", "tries", &c.Tries, 3, 1, 10, "targets", "targets asked for one request")
+	s.Int("requests", "claims", &c.Claims, 4, 1, 20, "calls", "how often the home of a key is asked")
+	s.Int("requests", "attaches", &c.Attaches, 4, 1, 20, "calls", "how often a broken answer that may not be repeated is asked for")
+	s.Duration("requests", "backoff", &c.Backoff, 100*time.Millisecond, time.Millisecond, time.Minute, "first pause before such a call; it doubles")
+	s.Duration("requests", "retry-after", &c.RetryAfter, time.Second, time.Second, time.Hour, "when callers come back if nothing better is known")
+	s.Duration("drain", "notice", &c.Notice, 2*time.Second, 0, time.Minute, "time between telling the balancer and refusing new work")
+	s.Duration("drain", "bound", &c.Bound, 30*time.Second, 0, time.Hour, "longest wait for requests in progress; the rest is handed over")
+	s.String("operators", "bootstrap-token-hash", &c.BootstrapHash, "", "SHA-256 in hex of the admin token for the first configuration")
+	s.Address("trace", "export", &c.TraceExport, "none", "OTLP/HTTP collector; none turns traces off")
+	s.Int("trace", "per-mille", &c.TracePerMil, 10, 0, 1000, "requests in a thousand", "share of requests traced")
+	return &s
+}
