Make each guard of ring, store client and platform stand-in fail once

Cause: with its guard removed in a scratch copy, six tests still passed: the ring's passed-on wake-ups and drain at closing, the swap without a version, the watch's look under one lock, the renewal at the deadline.

--- a/core/ring/ring_test.go
+++ b/core/ring/ring_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"testing"
 	"testing/synctest"
 
@@ -66,34 +65,72 @@
 	})
 }
 
-// Several producers and consumers wait on a ring of one slot. A wake-up that is
-// lost leaves one of them waiting for ever; in the bubble that is a deadlock,
-// which ends the test.
-func TestNoWakeUpIsLost(t *testing.T) {
+// window is a context that holds a goroutine back between its look at the ring
+// and its wait, which asks for Done in between.
+type window struct {
+	context.Context
+	entered chan struct{}
+	release chan struct{}
+}
+
+func newWindow(ctx context.Context) window {
+	return window{ctx, make(chan struct{}, 8), make(chan struct{})}
+}
+
+func (w window) Done() <-chan struct{} {
+	w.entered <- struct{}{}
+	<-w.release
+	return w.Context.Done()
+}
+
+// Two consumers found the ring empty and are about to wait; then two items
+// come at once. The second wake-up finds the first one's token still there:
+// unless the first consumer passes it on, an item stays in the ring with a
+// consumer waiting. In the bubble that is a deadlock, which ends the test.
+// A ring that is closed after the items must not hide them either.
+func TestEachWaitingConsumerGetsAnItem(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		const producers, items, consumers = 5, 200, 3
-		r := ring.New[int](2)
-		var producing, consuming sync.WaitGroup
-		for range producers {
-			producing.Go(func() {
-				for i := range items {
-					is.NoErr(r.PushWait(t.Context(), i))
-				}
-			})
+		for round := range 40 { // select picks either of items and closing
+			r, w := ring.New[int](2), newWindow(t.Context())
+			got := make(chan int, 2)
+			for range 2 {
+				go func() {
+					v, _ := r.Pop(w)
+					got <- v
+				}()
+			}
+			<-w.entered
+			<-w.entered
+			is.True(r.Push(1) && r.Push(2))
+			if round%2 == 0 {
+				r.Close()
+			}
+			close(w.release)
+			is.Equal(<-got+<-got, 3)
 		}
-		sums := make([]int, consumers)
-		for c := range consumers {
-			consuming.Go(func() {
-				for v, err := r.Pop(t.Context()); err == nil; v, err = r.Pop(t.Context()) {
-					sums[c] += v
-				}
-			})
+	})
+}
+
+// Two producers found the ring full and are about to wait; then two slots come
+// free at once. The same story from the other side.
+func TestEachWaitingProducerGetsASlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r, w := ring.New[int](2), newWindow(t.Context())
+		is.True(r.Push(1) && r.Push(2))
+		pushed := make(chan error, 2)
+		for range 2 {
+			go func() { pushed <- r.PushWait(w, 3) }()
 		}
-		producing.Wait()
-		r.Close()
-		consuming.Wait()
-		is.Equal(sums[0]+sums[1]+sums[2], producers*items*(items-1)/2)
+		<-w.entered
+		<-w.entered
+		_, _ = r.TryPop()
+		_, _ = r.TryPop()
+		close(w.release)
+		is.NoErr(<-pushed)
+		is.NoErr(<-pushed)
+		is.Equal(r.Len(), 2)
 	})
 }
 
--- a/core/store/store_test.go
+++ b/core/store/store_test.go
@@ -106,6 +106,10 @@
 			name:    "no swap and no current value",
 			handler: answer(200, `{"header":{"revision":"7"}}`), write: "unknown", keep: "unknown", read: "done",
 		},
+		{
+			name:    "swap without a version",
+			handler: answer(200, `{"succeeded":true}`), write: "unknown", keep: "unknown", read: "unavailable",
+		},
 		{
 			name:    "lapsed lease",
 			handler: answer(200, `{"header":{"revision":"7"},"succeeded":true,"result":{"ID":"9"}}`),
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -194,41 +194,34 @@
 	})
 }
 
-// A node opens watches while the configuration changes quickly. A change that
-// falls between the past and the live part of a watch would leave the node on
-// an old revision for ever.
+// A node opens a watch while the configuration changes, and the last change
+// falls at any point of the watch's beginning or between two of its lines. A
+// change lost there would leave the node on an old revision for ever.
 func TestWatchHasNoGap(t *testing.T) {
+	const step, steps = 50 * time.Microsecond, 40
 	inBubble(t, platform.Config{Latency: time.Millisecond}, func(r rig) {
-		const writes, watches = 60, 12
-		versions, noise := make([]int64, writes), int64(0)
 		ctx, cancel := context.WithCancel(r.t.Context())
 		defer cancel()
-		got := make([][]int64, watches)
+		var want [steps][]int64
+		var got [steps][]int64
 		var g errgroup.Group
-		for i := range writes {
-			if i%5 == 0 {
-				from, w := versions[max(i-3, 0)], i/5
-				g.Go(func() error {
-					return r.store.Watch(ctx, "head", from, func(kv store.KV) { got[w] = append(got[w], kv.Version) })
-				})
-			}
-			noise = r.swap("other", noise, "noise") // so that head's versions have gaps
-			versions[i] = r.swap("head", versions[max(i-1, 0)], "v")
+		for i := range steps {
+			key := fmt.Sprint("head", i)
+			old := r.swap(key, 0, "old")
+			second := r.swap(key, old, "second")
+			g.Go(func() error {
+				return r.store.Watch(ctx, key, old, func(kv store.KV) { got[i] = append(got[i], kv.Version) })
+			})
+			time.Sleep(time.Duration(i) * step)
+			want[i] = []int64{second, r.swap(key, second, "third")}
 		}
-		time.Sleep(time.Second) // of the bubble's clock
-		synctest.Wait()
+		time.Sleep(time.Second)
 		cancel()
 		r.True(errors.Is(g.Wait(), context.Canceled))
-		for w := range watches {
-			first := 0
-			if w > 0 {
-				first = w*5 - 3 + 1
-			}
-			r.Equal(got[w], versions[first:])
-		}
+		r.Equal(got, want)
 		synctest.Wait()
 		r.Equal(r.p.Ledger().OpenWatches, int64(0))
-		r.Equal(r.p.Ledger().Calls["watch"], int64(watches))
+		r.Equal(r.p.Ledger().Calls["watch"], int64(steps))
 	})
 }
 
@@ -289,6 +282,35 @@
 	})
 }
 
+// A renewal and the end of the lease fall on one instant, in either order. If
+// the store said that the lease goes on and ended it all the same, the holder
+// would act without a lease for its whole time.
+func TestRenewalAtTheDeadline(t *testing.T) {
+	inBubble(t, platform.Config{}, func(r rig) {
+		ctx := r.t.Context()
+		var ids [200]int64
+		for i := range ids {
+			lease, err := r.store.Grant(ctx, 3*time.Second)
+			r.NoErr(err)
+			ids[i] = lease.ID
+		}
+		r.faults(`{"latency-ms":1000}`) // the effect comes after half of it
+		time.Sleep(2500 * time.Millisecond)
+		var renewals [len(ids)]error
+		var renewing sync.WaitGroup
+		for i, id := range ids {
+			renewing.Go(func() { _, renewals[i] = r.store.KeepAlive(ctx, id) })
+		}
+		renewing.Wait()
+		r.faults(`{"latency-ms":0}`)
+		var gone *store.LeaseGoneError
+		for i, id := range ids {
+			revoked := r.store.Revoke(ctx, id)
+			r.Equal(errors.As(renewals[i], &gone), errors.As(revoked, &gone))
+		}
+	})
+}
+
 // The next holder takes a key over with its own lease. The end of the first
 // lease must not remove the second holder's key.
 func TestKeyTakenOverOutlivesTheFirstLease(t *testing.T) {
