Eject outliers down to a floor and bring them back slowly

Targets are ejected on consecutive failures, on silence of their heartbeats, and on times far above the median of their peers; step times are judged for a whole group by its slowest rank, since lock-step makes all of its ranks as slow. Half of a pool always stays. Ejected targets are probed with single requests and return by a slow start. Lagging reports that contradict the agent's word lose their trust.

Ruled out: taking the last answer for a sign of life. A target that gets one request in ten seconds would be ejected for silence; only heartbeats count.

--- /dev/null
+++ b/core/health/health.go
@@ -0,0 +1,161 @@
+// Package health decides which targets an entry keeps away from.
+//
+// A target is ejected on consecutive failures, when it is much slower than its
+// peers, or when nothing is heard of it. Ranks of an expert-parallel group
+// advance in lock-step, so a stalled rank slows them all: step times are judged
+// for the group as one unit, by its slowest rank. A floor limits how many
+// targets of a pool may be ejected, since a fault that shows everywhere is
+// likely the entry's own. An ejected target is probed with single requests
+// and comes back by a slow start. Outlier ejection and its floor are known from
+// Envoy; the half-open state from circuit breakers (Nygard, Release It!).
+//
+// The package also judges lagging load reports: those that contradict what the
+// agents say at first hand are no longer believed.
+//
+// Everything is pure: time and randomness are arguments. A Monitor is not safe
+// for concurrent use.
+//
+// # Usage
+//
+//	m := health.New(health.Options{})
+//	m.Update(members) // members[i] is target i of the route table
+//	m.Succeed(i, firstToken, now)
+//	m.Fail(i, health.Hard, now)
+//	m.Step(i, load.StepMs, now)
+//	for _, c := range m.Tick(now, rng) { // every 250 ms
+//		table.SetHealth(c.Target, c.Share, c.Probe)
+//		table.SetTrust(c.Target, c.Trusted)
+//	}
+package health
+
+import "time"
+
+// Member is one target to watch.
+type Member struct {
+	// Name tells whether the target at an index is still the same; empty
+	// means that there is none.
+	Name string
+	// Pool names the targets that can stand in for each other, such as those
+	// of one model.
+	Pool string
+	// Group is the expert-parallel group; empty for none.
+	Group string
+}
+
+// State is where a target stands.
+type State int
+
+// The states of a target.
+const (
+	// Healthy targets get their normal share.
+	Healthy State = iota
+	// Ejected targets get nothing for a time.
+	Ejected
+	// HalfOpen targets get single requests.
+	HalfOpen
+	// SlowStart targets get a growing share.
+	SlowStart
+)
+
+var stateNames = [...]string{"healthy", "ejected", "half-open", "slow-start"}
+
+// String returns the state's name in kebab case.
+func (s State) String() string { return stateNames[s] }
+
+// Severity says how sure a failure is to be the target's own.
+type Severity int
+
+// The severities of failures, as they count towards ejection.
+const (
+	// Soft is a failed or broken request.
+	Soft Severity = 1
+	// Hard is a connection refused or reset before anything was sent.
+	Hard Severity = 2
+)
+
+// Change is the new standing of a target.
+type Change struct {
+	Target int
+	State  State
+	// Share is the part of its normal work that the target may get.
+	Share float64
+	// Probe allows one request to a half-open target.
+	Probe bool
+	// Trusted says whether the target's lagging reports are believed.
+	Trusted bool
+	// Cause is why the target is ejected, for logs and counters.
+	Cause Cause
+}
+
+// Cause is why a target is ejected.
+type Cause int
+
+// The causes of ejection. A larger one is more certain: when the floor lets
+// only some targets be ejected, these go first.
+const (
+	NoCause Cause = iota
+	// Slow means that first tokens take much longer than at its peers.
+	Slow
+	// Straggler means that the steps of the target's group take much longer
+	// than those of other groups.
+	Straggler
+	// Silent means that nothing was heard for too long.
+	Silent
+	// Failing means consecutive failures.
+	Failing
+)
+
+var causeNames = [...]string{"none", "slow", "straggler", "silent", "failing"}
+
+// String returns the cause's name in kebab case.
+func (c Cause) String() string { return causeNames[c] }
+
+// Options are the settings of a Monitor. Zero fields take the defaults.
+type Options struct {
+	// Failures is the sum of consecutive severities that ejects.
+	Failures int
+	// Floor is the part of a pool that is never ejected.
+	Floor float64
+	// StepFactor and LatencyFactor are the multiples of the median of its
+	// peers at which a target is slow.
+	StepFactor    float64
+	LatencyFactor float64
+	// Eject is the time of a first ejection; it doubles up to MaxEject.
+	Eject    time.Duration
+	MaxEject time.Duration
+	// SlowStart is the time in which a returned target gets its full share.
+	SlowStart time.Duration
+	// Silence is the time without any word after which a target that was
+	// heard before is ejected.
+	Silence time.Duration
+}
+
+// The defaults of Options.
+const (
+	DefaultFailures      = 3
+	DefaultFloor         = 0.5
+	DefaultStepFactor    = 3
+	DefaultLatencyFactor = 5
+	DefaultEject         = 5 * time.Second
+	DefaultMaxEject      = time.Minute
+	DefaultSlowStart     = 10 * time.Second
+	DefaultSilence       = 5 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Failures, DefaultFailures)
+	setDefault(&o.Floor, DefaultFloor)
+	setDefault(&o.StepFactor, DefaultStepFactor)
+	setDefault(&o.LatencyFactor, DefaultLatencyFactor)
+	setDefault(&o.Eject, DefaultEject)
+	setDefault(&o.MaxEject, DefaultMaxEject)
+	setDefault(&o.SlowStart, DefaultSlowStart)
+	setDefault(&o.Silence, DefaultSilence)
+	return o
+}
+
+func setDefault[T int | float64 | time.Duration](v *T, to T) {
+	if *v <= 0 {
+		*v = to
+	}
+}
--- /dev/null
+++ b/core/health/health_test.go
@@ -0,0 +1,228 @@
+package health
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Date(2026, 1, 31, 12, 0, 0, 0, time.UTC)
+
+// rig is a monitor of n targets in one pool.
+type rig struct {
+	*Monitor
+	now time.Time
+	rng *rand.Rand
+}
+
+func newRig(n, groupSize int) *rig {
+	r := &rig{Monitor: New(Options{}), now: start, rng: rand.New(rand.NewPCG(1, 1))}
+	members := make([]Member, n)
+	for i := range members {
+		members[i] = Member{Name: fmt.Sprint("target-", i), Pool: "caption"}
+		if groupSize > 0 {
+			members[i].Group = fmt.Sprint("group-", i/groupSize)
+		}
+	}
+	r.Update(members)
+	return r
+}
+
+// after moves time on and returns the changes by target.
+func (r *rig) after(d time.Duration) map[int]Change {
+	r.now = r.now.Add(d)
+	out := map[int]Change{}
+	for _, c := range r.Tick(r.now, r.rng) {
+		out[c.Target] = c
+	}
+	return out
+}
+
+func (r *rig) count(s State) int {
+	n := 0
+	for i := range r.members {
+		if r.State(i) == s {
+			n++
+		}
+	}
+	return n
+}
+
+// A target fails, is ejected, comes back and is sent its full share at once:
+// its caches are empty, it falls behind and fails again.
+func TestEjectProbeSlowStart(t *testing.T) {
+	is := is.New(t)
+	r := newRig(4, 0)
+	r.Fail(0, Soft, r.now)
+	r.Succeed(0, time.Millisecond, r.now) // not consecutive
+	r.Fail(0, Soft, r.now)
+	r.Fail(0, Soft, r.now)
+	is.Equal(len(r.after(time.Second)), 0)
+	r.Fail(0, Soft, r.now)
+	c := r.after(time.Second)[0]
+	is.Equal(c, Change{Target: 0, State: Ejected, Trusted: true, Cause: Failing})
+	c = r.after(7 * time.Second)[0]
+	is.True(c.State == HalfOpen && c.Probe && c.Share == 0)
+	r.Fail(0, Soft, r.now) // one failed probe is enough
+	is.Equal(r.after(time.Second)[0].State, Ejected)
+	is.Equal(len(r.after(7*time.Second)), 0) // for longer than before
+	is.Equal(r.after(7 * time.Second)[0].State, HalfOpen)
+	is.True(r.after(probeEvery)[0].Probe) // no answer yet: another
+	r.Succeed(0, time.Millisecond, r.now)
+	c = r.after(time.Second)[0]
+	is.True(c.State == SlowStart && c.Share < 0.2)
+	c = r.after(5 * time.Second)[0]
+	is.True(c.Share > 0.4 && c.Share < 0.7)
+	is.Equal(r.after(5 * time.Second)[0].State, Healthy)
+}
+
+// The entry's own network fails: every target looks dead to it. With all of
+// them ejected, the entry refuses every caller long after the network is back.
+func TestFloorKeepsHalf(t *testing.T) {
+	for n, want := range map[int]int{1: 0, 2: 1, 3: 1, 16: 8, 67: 33} {
+		is := is.New(t)
+		r := newRig(n, 0)
+		for round := range 20 {
+			for i := range n {
+				r.Fail(i, Hard, r.now)
+			}
+			r.after(time.Duration(round) * 100 * time.Millisecond)
+			is.True(r.count(Ejected)+r.count(HalfOpen) <= want)
+		}
+		is.Equal(r.count(Ejected)+r.count(HalfOpen), want)
+	}
+}
+
+// Some targets are slow and one is dead. The floor leaves room for one: it
+// must be the dead one, or requests go on failing there.
+func TestFloorEjectsSurestFirst(t *testing.T) {
+	is := is.New(t)
+	r := newRig(3, 0)
+	for range 5 {
+		r.Succeed(0, 10*time.Second, r.now)
+		r.Succeed(1, 100*time.Millisecond, r.now)
+		r.Succeed(2, 100*time.Millisecond, r.now)
+	}
+	r.Fail(2, Hard, r.now)
+	r.Fail(2, Hard, r.now)
+	c := r.after(time.Second)
+	is.Equal(len(c), 1)
+	is.Equal(c[2].Cause, Failing)
+}
+
+// One rank of a group stalls. All ranks of the group wait for it in every
+// step, so that callers on any of its targets get slow tokens; ejecting the
+// one rank helps none of them.
+func TestStalledRankEjectsItsGroup(t *testing.T) {
+	is := is.New(t)
+	r := newRig(16, 4)
+	for range 2 {
+		for i := range 16 {
+			r.Step(i, 20, r.now)
+		}
+		r.Step(5, 200, r.now)
+	}
+	c := r.after(250 * time.Millisecond)
+	is.Equal(len(c), 4)
+	for i := 4; i < 8; i++ {
+		is.Equal(c[i].Cause, Straggler)
+	}
+	// Half-open, the probe is answered but the steps are still slow.
+	r.after(7 * time.Second)
+	is.Equal(r.count(HalfOpen), 4)
+	for range 2 {
+		for i := range 16 {
+			r.Step(i, 20, r.now)
+		}
+		r.Step(5, 200, r.now)
+	}
+	r.Succeed(4, time.Millisecond, r.now)
+	r.after(time.Second)
+	is.Equal(r.count(Ejected), 4)
+}
+
+// Two groups serve a model and one stalls: with two values there is no middle
+// one, and the slow group must not count as the usual. A single group has
+// nothing to be compared with.
+func TestStragglerOfTwoGroups(t *testing.T) {
+	is := is.New(t)
+	for groupSize, want := range map[int]int{4: 4, 8: 0} {
+		r := newRig(8, groupSize)
+		for range 2 {
+			for i := range 8 {
+				r.Step(i, 20, r.now)
+			}
+			r.Step(0, 200, r.now)
+		}
+		r.after(time.Second)
+		is.Equal(r.count(Ejected), want)
+	}
+}
+
+// A target's process is paused: it neither fails nor answers, its agent falls
+// silent, and callers would be sent there until their deadlines.
+func TestSilentTargetIsEjected(t *testing.T) {
+	is := is.New(t)
+	r := newRig(4, 0)
+	r.Heard(0, r.now)
+	r.Heard(1, r.now)
+	r.Succeed(2, time.Millisecond, r.now)
+	r.Step(1, 20, r.now.Add(4*time.Second))
+	is.Equal(r.after(6 * time.Second)[0].Cause, Silent)
+	is.Equal(r.count(Ejected), 1)             // 2 had one answer and owes no other
+	is.Equal(len(r.after(10*time.Second)), 1) // target 1 now, target 0 stays out
+	r.Heard(0, r.now)
+	is.Equal(r.after(time.Second)[0].State, HalfOpen)
+}
+
+// Another entry has ejected a target. An entry that sends it one request in ten
+// seconds would need half a minute to find out by itself; but the word alone
+// must not eject, or one mistaken entry empties everybody's pool.
+func TestHintMakesOneFailureEnough(t *testing.T) {
+	is := is.New(t)
+	r := newRig(4, 0)
+	r.Hint(0, r.now)
+	is.Equal(len(r.after(time.Second)), 0)
+	r.Fail(0, Soft, r.now)
+	r.Fail(1, Soft, r.now)
+	is.Equal(len(r.after(time.Second)), 1)
+	is.Equal(r.State(0), Ejected)
+}
+
+// A target's load reports say that it is idle, while its agent sees a long
+// queue. Entries that go by the reports send it all they have.
+func TestLyingReporterLosesTrust(t *testing.T) {
+	is := is.New(t)
+	r := newRig(2, 0)
+	for range 5 {
+		r.Compare(0, 0, 50_000, 5*time.Second) // too far apart to tell
+		r.Compare(1, 900, 1500, 0)
+	}
+	is.Equal(len(r.after(time.Second)), 0)
+	for range wrongToLose {
+		r.Compare(0, 0, 50_000, 100*time.Millisecond)
+	}
+	is.True(!r.after(time.Second)[0].Trusted)
+	for range rightToRegain {
+		r.Compare(0, 50_000, 50_000, 0)
+	}
+	is.True(r.after(time.Second)[0].Trusted)
+}
+
+func TestUpdateKeepsStateByName(t *testing.T) {
+	is := is.New(t)
+	r := newRig(4, 0)
+	r.Fail(0, Hard, r.now)
+	r.Fail(0, Hard, r.now)
+	r.after(time.Second)
+	members := append([]Member(nil), r.members...)
+	members[1].Name = ""
+	r.Update(members)
+	is.Equal(r.State(0), Ejected)
+	members[0].Name = "another"
+	r.Update(members)
+	is.Equal(r.State(0), Healthy)
+}
--- /dev/null
+++ b/core/health/monitor.go
@@ -0,0 +1,154 @@
+package health
+
+import "time"
+
+// Monitor watches the targets of one entry.
+type Monitor struct {
+	opt     Options
+	members []Member
+	targets []target
+	pools   map[string]*pool
+	changes []Change
+	scratch []float64
+}
+
+// target is what the monitor knows of one target.
+type target struct {
+	state    State
+	cause    Cause
+	failures int
+	latency  track
+	step     track
+	heard    time.Time
+	// until ends an ejection, since begins the present state.
+	until, since time.Time
+	// ejections counts those in a row.
+	ejections int
+	// answered says that a half-open target answered its probe.
+	answered bool
+	// hinted is until when others' word makes one failure enough.
+	hinted time.Time
+	trust  trust
+	told   Change
+}
+
+// track is a moving mean with the number of its samples.
+type track struct {
+	mean float64
+	n    int
+}
+
+const (
+	// trackGain is the weight of one sample: a few suffice to see a factor of
+	// three, and one alone does not.
+	trackGain = 0.3
+	// stepSamples and latencySamples are the fewest that are judged.
+	stepSamples    = 2
+	latencySamples = 5
+)
+
+func (t *track) add(sample float64) {
+	t.n++
+	if t.n == 1 {
+		t.mean = sample
+		return
+	}
+	t.mean += trackGain * (sample - t.mean)
+}
+
+// pool is the targets that can stand in for each other.
+type pool struct {
+	members []int
+	// units are the groups, and each target without one.
+	units map[string][]int
+}
+
+// New returns a Monitor without targets.
+func New(opt Options) *Monitor {
+	return &Monitor{opt: opt.withDefaults()}
+}
+
+// Update sets the targets to watch. A target that stays at its index keeps its
+// state.
+func (m *Monitor) Update(members []Member) {
+	targets := make([]target, len(members))
+	m.pools = map[string]*pool{}
+	for i, mem := range members {
+		targets[i].told.Share = 1
+		targets[i].told.Trusted = true
+		if i < len(m.members) && m.members[i].Name == mem.Name {
+			targets[i] = m.targets[i]
+		}
+		if mem.Name != "" {
+			m.join(i, mem)
+		}
+	}
+	m.members, m.targets = append([]Member(nil), members...), targets
+}
+
+func (m *Monitor) join(i int, mem Member) {
+	p := m.pools[mem.Pool]
+	if p == nil {
+		p = &pool{units: map[string][]int{}}
+		m.pools[mem.Pool] = p
+	}
+	p.members = append(p.members, i)
+	unit := "group/" + mem.Group
+	if mem.Group == "" {
+		unit = "target/" + mem.Name
+	}
+	p.units[unit] = append(p.units[unit], i)
+}
+
+// State returns where target i stands.
+func (m *Monitor) State(i int) State { return m.targets[i].state }
+
+// Succeed records an answer of target i and its time to the first token.
+func (m *Monitor) Succeed(i int, latency time.Duration, now time.Time) {
+	t := &m.targets[i]
+	t.failures = 0
+	t.answered = true
+	t.latency.add(latency.Seconds())
+	t.hear(now)
+}
+
+// Fail records a failure of target i. Truthful refusals, and failures that the
+// request itself caused, are none.
+func (m *Monitor) Fail(i int, severity Severity, now time.Time) {
+	t := &m.targets[i]
+	t.failures += int(severity)
+	if now.Before(t.hinted) {
+		t.failures = max(t.failures, m.opt.Failures)
+	}
+}
+
+// hintFor is how long a hint holds.
+const hintFor = 10 * time.Second
+
+// Hint records that another entry has ejected target i. An entry sees a target
+// seldom at a large size, and would take long to fail often enough; the hint
+// makes one failure enough but ejects nothing by itself, so that a wrong entry
+// cannot empty a pool.
+func (m *Monitor) Hint(i int, now time.Time) { m.targets[i].hinted = now.Add(hintFor) }
+
+// Step records the recent step time of target i as its agent tells it.
+func (m *Monitor) Step(i int, stepMs float64, now time.Time) {
+	t := &m.targets[i]
+	t.hear(now)
+	if stepMs > 0 {
+		t.step.add(stepMs)
+	}
+}
+
+// Heard records a heartbeat of target i. From the first one on more are
+// expected; a zero time ends that, for a target whose heartbeats now go to
+// others. Answers alone expect nothing: an entry may rightly send a target one
+// request in a minute.
+func (m *Monitor) Heard(i int, now time.Time) { m.targets[i].heard = now }
+
+// hear takes any other sign of life for a heartbeat.
+func (t *target) hear(now time.Time) {
+	if !t.heard.IsZero() {
+		t.heard = now
+	}
+}
