Add the calling client and its judge

The counts that quickstart prints must not come from the system under test. The client plays a closing, keeps its own record and compares every byte with the known answer; package judge sets the record against the ledgers. A judge that reads the wrong ledgers would call everything kept, so complete requests that no ledger shows count as unmatched and fail too. Polling the nodes during the play, not only after it, keeps a restart from hiding a revert.

--- /dev/null
+++ b/standin/client/doc.go
@@ -0,0 +1,16 @@
+// Package client is a calling client that plays a closing and judges it.
+//
+// It sends the requests of a closing to the entries as members' programs
+// would: it goes on at another entry where one refuses with not-run, hands a
+// stream over or dies, and it never repeats what may not be repeated unless a
+// key makes that safe. It keeps its own record, reads the ledgers of all
+// target stand-ins and lets package judge compare the two.
+//
+// # Usage
+//
+//	standin client -entries 127.0.0.1:8080,127.0.0.2:8080 -tokens bole=secret \
+//		-ledgers 127.0.1.1:9100,127.0.1.2:9100 -input closing.jsonl
+//
+// The last line of its output is a JSON object with the counts; the exit
+// status is 1 if a promise was broken or the evidence could not be read.
+package client
--- /dev/null
+++ b/standin/client/evidence.go
@@ -0,0 +1,132 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"verbenashift/standin/judge"
+	"verbenashift/standin/ledger"
+)
+
+const (
+	fetchTimeout = 5 * time.Second
+	pollInterval = 250 * time.Millisecond
+)
+
+// fetch decodes the JSON answer of http://address/path into v.
+func fetch(ctx context.Context, address, path string, v any) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base(address)+path, nil)
+	if err != nil {
+		return errors.Wrapf(err, "ask %s", address)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrapf(err, "ask %s", address)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("ask %s%s: status %d", address, path, resp.StatusCode)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(v); err != nil {
+		return errors.Wrapf(err, "ask %s%s", address, path)
+	}
+	return nil
+}
+
+// readLedgers reads each stand-in's ledger from its address, or from its file
+// if the name holds a slash. A ledger that can't be read is an error: without
+// it nothing can be judged.
+func readLedgers(ctx context.Context, from []string) ([]ledger.Report, error) {
+	reports := make([]ledger.Report, len(from))
+	for i, name := range from {
+		if !strings.Contains(name, "/") {
+			if err := fetch(ctx, name, "/ledger", &reports[i]); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "open ledger")
+		}
+		reports[i].Runs, err = ledger.Read(f)
+		_ = f.Close()
+		if err != nil {
+			return nil, errors.Wrapf(err, "read ledger %s", name)
+		}
+	}
+	return reports, nil
+}
+
+func readRanks(ctx context.Context, addresses []string) ([]judge.Rank, error) {
+	ranks := make([]judge.Rank, len(addresses))
+	for i, address := range addresses {
+		if err := fetch(ctx, address, "/ledger", &ranks[i]); err != nil {
+			return nil, err
+		}
+	}
+	return ranks, nil
+}
+
+// watcher asks nodes for their revisions again and again, so that a node that
+// restarts can't hide what it had in force before.
+type watcher struct {
+	nodes []judge.Node
+	stop  context.CancelFunc
+	done  sync.WaitGroup
+}
+
+func watch(ctx context.Context, addresses []string) *watcher {
+	ctx, stop := context.WithCancel(ctx)
+	w := &watcher{nodes: make([]judge.Node, len(addresses)), stop: stop}
+	for i, address := range addresses {
+		w.nodes[i].Name = address
+		w.done.Go(func() { poll(ctx, &w.nodes[i]) })
+	}
+	return w
+}
+
+func poll(ctx context.Context, n *judge.Node) {
+	for {
+		// One more sample is taken after the stop.
+		stopped := ctx.Err() != nil
+		if history, err := sampleOf(ctx, n.Name); err == nil {
+			n.Samples = append(n.Samples, history)
+		}
+		if stopped {
+			return
+		}
+		sleep(ctx, pollInterval)
+	}
+}
+
+// finish takes the last samples. A node that never told its revisions is an
+// error.
+func (w *watcher) finish() ([]judge.Node, error) {
+	w.stop()
+	w.done.Wait()
+	for _, n := range w.nodes {
+		if len(n.Samples) == 0 {
+			return nil, errors.Errorf("node %s told no revisions", n.Name)
+		}
+	}
+	return w.nodes, nil
+}
+
+// sampleOf asks one node for its revisions.
+func sampleOf(ctx context.Context, address string) ([]uint64, error) {
+	var answer struct {
+		History []uint64 `json:"history"`
+	}
+	err := fetch(context.WithoutCancel(ctx), address, "/revisions", &answer)
+	return answer.History, err
+}
--- a/standin/ledger/ledger.go
+++ b/standin/ledger/ledger.go
@@ -96,12 +96,15 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open ledger")
 	}
-	runs, err := Read(f)
+	l.file = f
+	if l.report.Runs, err = Read(f); err == nil {
+		// A line that a kill cut short must not swallow the next one.
+		_, err = f.WriteString("\n")
+	}
 	if err != nil {
 		_ = f.Close()
 		return nil, errors.Wrap(err, "read ledger")
 	}
-	l.report.Runs, l.file = runs, f
 	return l, nil
 }
 
--- a/standin/main.go
+++ b/standin/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"verbenashift/standin/client"
 	"verbenashift/standin/engine"
 	"verbenashift/standin/plain"
 	"verbenashift/standin/platform"
@@ -22,6 +23,7 @@
 			engine.Command(),
 			plain.Command(),
 			platform.Command(),
+			client.Command(),
 		},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
