--- a/standin/judge/runs.go
+++ b/standin/judge/runs.go
@@ -127,9 +127,6 @@
 // same request id asked for it.
 func untrue(a Attempt, runs []ledger.Run, byID map[string][]Attempt) bool {
 	for _, run := range runs {
-		if !run.Started.After(a.Ended) {
-			return true
-		}
 		asked := false
 		for _, later := range byID[a.RequestID] {
 			if !later.Began.Before(a.Ended) && !run.Started.Before(later.Began) {
