operator, ctl: the administration API, its client and the command line

Thin path: put a configuration with the bootstrap token, declare an intent, show and confirm its plan, and see each revision go from accepted to in force on n of m. Strangers get one answer whatever they ask.

--- a/core/config/edit.go
+++ b/core/config/edit.go
@@ -73,9 +73,11 @@
 	CostWeight float64 `json:"cost-weight"`
 }
 
-// NeedsAdmin reports whether the edit may change who has which role.
+// NeedsAdmin reports whether the edit may change whose tokens are known, and
+// for what.
 func (e Edit) NeedsAdmin() bool {
-	return e.Replace != nil || e.PutOperator != nil || e.RemoveOperator != ""
+	return e.Replace != nil || e.PutOperator != nil || e.RemoveOperator != "" ||
+		e.PutWorkspace != nil || e.RemoveWorkspace != ""
 }
 
 // Applied returns the record of the change with the given identifier, if cur
@@ -122,7 +124,18 @@
 	if err := Validate(next); err != nil {
 		return Config{}, err
 	}
-	return next, nil
+	return next, checkAdmins(cur, next)
+}
+
+// checkAdmins refuses a change that takes away the last administrator: after
+// it nobody could put one back but by the bootstrap token, which by then may
+// be lost or in the wrong hands.
+func checkAdmins(cur, next Config) error {
+	isAdmin := func(o Operator) bool { return o.Role == RoleAdmin }
+	if slices.ContainsFunc(cur.Operators, isAdmin) && !slices.ContainsFunc(next.Operators, isAdmin) {
+		return &InvalidError{Field: "operators", Value: "no admin", Want: "at least one operator with the role admin"}
+	}
+	return nil
 }
 
 // appendBounded returns a copy of list with v at its end, so that revisions
--- a/core/intent/head.go
+++ b/core/intent/head.go
@@ -107,6 +107,32 @@
 	return config.AppliedChange{}, preferLost(lost, &BusyError{Attempts: maxAttempts})
 }
 
+// editMark begins the identifiers of changes that no plan stands behind.
+const editMark = "edit/"
+
+// Edit makes edits without a plan. With a base other than nil it is a
+// *ConflictError if the head is at another revision. A second call with the
+// same request identifier returns what the first one did.
+func (h Head) Edit(ctx context.Context, edits []config.Edit, action string, base *uint64, req Request) (config.AppliedChange, error) {
+	if err := req.validate(); err != nil {
+		return config.AppliedChange{}, err
+	}
+	change := config.Change{
+		ID: editMark + req.ID, Operator: req.Operator, Action: action,
+		UnixMillis: req.Now.UnixMilli(), Edits: edits,
+	}
+	done := func(cur config.Config) (config.AppliedChange, bool) { return cur.Applied(change.ID) }
+	return h.Commit(ctx, done, func(cur config.Config) (config.Change, error) {
+		if err := req.allowed(cur); err != nil {
+			return config.Change{}, err
+		}
+		if base != nil && *base != cur.Revision {
+			return config.Change{}, conflictWith(cur)
+		}
+		return change, nil
+	})
+}
+
 func (h Head) try(ctx context.Context, cur config.Config, version int64,
 	build func(config.Config) (config.Change, error),
 ) (config.AppliedChange, error) {
--- a/core/intent/intent.go
+++ b/core/intent/intent.go
@@ -195,6 +195,16 @@
 	Operator string
 	// Now is the wall time at the entry.
 	Now time.Time
+	// Allowed, if set, is asked with the head before each change of it: an
+	// operator whose role was taken away may still be known to this node.
+	Allowed func(head config.Config) error
+}
+
+func (r Request) allowed(head config.Config) error {
+	if r.Allowed == nil {
+		return nil
+	}
+	return r.Allowed(head)
 }
 
 func (r Request) validate() error {
--- a/core/intent/planner.go
+++ b/core/intent/planner.go
@@ -164,6 +164,9 @@
 	}
 	done := func(cur config.Config) (config.AppliedChange, bool) { return cur.AppliedPrefix(id + mark) }
 	applied, err := p.Head.Commit(ctx, done, func(cur config.Config) (config.Change, error) {
+		if err := req.allowed(cur); err != nil {
+			return config.Change{}, err
+		}
 		return build(stored.settled(cur), cur)
 	})
 	if err != nil {
--- /dev/null
+++ b/core/operator/handlers.go
@@ -0,0 +1,111 @@
+package operator
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"verbenashift/core/config"
+	"verbenashift/core/intent"
+)
+
+// request returns the intent request of an operator. The role is checked
+// again with the head when a change is made on top of it.
+func request(id string, who actor, role string) intent.Request {
+	return intent.Request{
+		ID: id, Operator: who.name, Now: time.Now(),
+		Allowed: func(head config.Config) error { return who.allowedBy(head, role) },
+	}
+}
+
+// document returns the head, or what is in force on this node while the store
+// cannot be reached.
+func (a *api) document(r *http.Request) Document {
+	head, _, err := a.planner.Head.Read(r.Context())
+	if err != nil {
+		return Document{Config: a.index().Config(), Source: SourceNode}
+	}
+	return Document{Config: head, Source: SourceStore}
+}
+
+func (a *api) config(r *http.Request, who actor) (any, error) {
+	d := a.document(r)
+	if !config.Allows(who.role, config.RoleAdmin) {
+		d.Config = d.Config.Masked()
+	}
+	return d, nil
+}
+
+func (a *api) putConfig(r *http.Request, who actor) (any, error) {
+	var req PutConfigRequest
+	if err := readBody(r, &req); err != nil {
+		return nil, err
+	}
+	edits := []config.Edit{{Replace: &req.Config}}
+	return a.accept(r, edits, "put configuration", &req.BaseRevision, request(req.RequestID, who, config.RoleAdmin))
+}
+
+func (a *api) edits(r *http.Request, who actor) (any, error) {
+	var req EditsRequest
+	if err := readBody(r, &req); err != nil {
+		return nil, err
+	}
+	role := config.RoleOperator
+	for _, e := range req.Edits {
+		if e.NeedsAdmin() {
+			role = config.RoleAdmin
+		}
+	}
+	if err := who.require(role); err != nil {
+		return nil, err
+	}
+	if req.Action == "" {
+		req.Action = "edit"
+	}
+	return a.accept(r, req.Edits, req.Action, req.BaseRevision, request(req.RequestID, who, role))
+}
+
+func (a *api) accept(r *http.Request, edits []config.Edit, action string, base *uint64, req intent.Request) (any, error) {
+	applied, err := a.planner.Head.Edit(r.Context(), edits, action, base, req)
+	if err != nil {
+		return nil, err
+	}
+	return Accepted{AppliedChange: applied, State: StateAccepted}, nil
+}
+
+func (a *api) intents(r *http.Request, _ actor) (any, error) {
+	return a.planner.Intents(r.Context())
+}
+
+func (a *api) intent(r *http.Request, _ actor) (any, error) {
+	return a.planner.Intent(r.Context(), mux.Vars(r)["name"])
+}
+
+func (a *api) declare(r *http.Request, who actor) (any, error) {
+	var req DeclareRequest
+	if err := readBody(r, &req); err != nil {
+		return nil, err
+	}
+	return a.planner.Declare(r.Context(), req.Intent, request(req.RequestID, who, config.RoleOperator))
+}
+
+func (a *api) plan(r *http.Request, _ actor) (any, error) {
+	return a.planner.Plan(r.Context(), mux.Vars(r)["id"])
+}
+
+func (a *api) confirm(r *http.Request, who actor) (any, error) {
+	var req CloseRequest
+	if err := readBody(r, &req); err != nil {
+		return nil, err
+	}
+	return a.planner.Confirm(r.Context(), mux.Vars(r)["id"], request(req.RequestID, who, config.RoleOperator))
+}
+
+func (a *api) abandon(r *http.Request, who actor) (any, error) {
+	var req CloseRequest
+	if err := readBody(r, &req); err != nil {
+		return nil, err
+	}
+	return a.planner.Abandon(r.Context(), mux.Vars(r)["id"], request(req.RequestID, who, config.RoleOperator))
+}
--- /dev/null
+++ b/core/operator/operator_test.go
@@ -0,0 +1,177 @@
+package operator_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"verbenashift/core/config"
+	"verbenashift/core/intent"
+	"verbenashift/core/operator"
+	"verbenashift/core/store"
+)
+
+// memory is a store in memory; fail, if set, is the answer to each read.
+type memory struct {
+	version int64
+	keys    map[string]store.KV
+	fail    error
+}
+
+func (m *memory) Get(_ context.Context, key string) (store.KV, error) { return m.keys[key], m.fail }
+
+func (m *memory) List(_ context.Context, prefix string) ([]store.KV, error) {
+	var kvs []store.KV
+	for k, kv := range m.keys {
+		if strings.HasPrefix(k, prefix) {
+			kvs = append(kvs, kv)
+		}
+	}
+	return kvs, m.fail
+}
+
+func (m *memory) CompareAndSwap(_ context.Context, key string, version int64, value []byte, _ int64) (int64, error) {
+	if m.fail != nil {
+		return 0, m.fail
+	}
+	if cur := m.keys[key]; cur.Version != version {
+		return 0, &store.ConflictError{Key: key, Current: cur}
+	}
+	m.version++
+	m.keys[key] = store.KV{Key: key, Value: value, Version: m.version}
+	return m.version, nil
+}
+
+// deployment is an administration API whose node follows the store only when
+// the test says so.
+type deployment struct {
+	store *memory
+	index *config.Index
+	nodes []operator.Node
+	url   string
+	log   strings.Builder
+}
+
+const bootstrapToken = "bootstrap-token"
+
+func newDeployment(t *testing.T) *deployment {
+	d := &deployment{store: &memory{keys: map[string]store.KV{}}}
+	srv := httptest.NewServer(operator.New(operator.Deps{
+		Store: d.store, Fleet: d, Current: func() *config.Index { return d.index },
+		BootstrapHash: config.HashToken(bootstrapToken), Log: slog.New(slog.NewJSONHandler(&d.log, nil)),
+	}))
+	t.Cleanup(srv.Close)
+	d.url = srv.URL
+	return d
+}
+
+func (d *deployment) Status(context.Context) (operator.FleetStatus, error) {
+	return operator.FleetStatus{Nodes: d.nodes, Groups: []operator.GroupStatus{{Name: "captions", State: "steady"}}}, nil
+}
+
+// follow brings the store's head in force on the node.
+func (d *deployment) follow(is *is.I) {
+	head, _, err := intent.Head{Store: d.store}.Read(context.Background())
+	is.NoErr(err)
+	d.index = config.NewIndex(head)
+}
+
+func (d *deployment) client(token string) *operator.Client {
+	return &operator.Client{Server: d.url, Token: token}
+}
+
+func firstConfig() config.Config {
+	return config.Config{
+		Workspaces: []config.Workspace{{Name: "bole-studios", TokenHashes: []string{config.HashToken("caller")}}},
+		Models:     []config.Model{{Name: "captions"}},
+		Targets:    []config.Target{{Name: "caption-1", Zone: "bole", Agent: "10.0.0.1:9000", Model: "captions", Group: "captions"}},
+		Groups:     []config.Group{{Name: "captions", Model: "captions", Ranks: 4, Layers: 2, Experts: 8, SlotsPerRank: 3}},
+		Operators: []config.Operator{
+			{Name: "abeba", Role: config.RoleAdmin, TokenHash: config.HashToken("admin")},
+			{Name: "mulu", Role: config.RoleOperator, TokenHash: config.HashToken("operator")},
+			{Name: "selam", Role: config.RoleViewer, TokenHash: config.HashToken("viewer")},
+		},
+	}
+}
+
+// started is a deployment with its first configuration in force.
+func started(t *testing.T) (*deployment, *is.I) {
+	is := is.New(t)
+	d := newDeployment(t)
+	_, err := d.client(bootstrapToken).PutConfig(t.Context(), firstConfig(), 0)
+	is.NoErr(err)
+	d.follow(is)
+	return d, is
+}
+
+func kindOf(err error) string {
+	var e *operator.Error
+	if !errors.As(err, &e) {
+		return ""
+	}
+	return e.Kind
+}
+
+func TestFirstIntent(t *testing.T) {
+	d, is := started(t)
+	c, ctx := d.client("operator"), t.Context()
+	plan, err := c.Declare(ctx, intent.Intent{Name: "month-end", Preset: intent.PresetLightbox, Models: []string{"captions"}})
+	is.NoErr(err)
+	is.Equal(plan.Diff, []string{"~ group captions: skew-weight 0 -> 4", "~ group captions: cost-weight 0 -> 1"})
+	shown, err := c.Plan(ctx, plan.ID)
+	is.NoErr(err)
+	is.Equal(shown.State, intent.StatePlanned)
+	confirmed, err := c.Confirm(ctx, plan.ID)
+	is.NoErr(err)
+	is.Equal(confirmed.Revision, uint64(2))
+
+	d.nodes = []operator.Node{{Name: "entry-1", Revision: 2}, {Name: "caption-1", Kind: operator.KindAgent, Revision: 1}}
+	st, err := c.Status(ctx)
+	is.NoErr(err)
+	is.Equal(st.Revision.State, operator.StateAccepted)
+	is.Equal([]int{st.Revision.InForce, st.Revision.Nodes}, []int{1, 2})
+	is.Equal(st.Revision.Operator, "mulu")
+	d.nodes[1].Revision = 3
+	st, err = c.Status(ctx)
+	is.NoErr(err)
+	is.Equal(st.Revision.State, operator.StateInForce)
+}
+
+func get(is *is.I, url, authorization string) (int, string) {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	is.NoErr(err)
+	if authorization != "" {
+		req.Header.Set("Authorization", authorization)
+	}
+	res, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	is.NoErr(err)
+	return res.StatusCode, string(body)
+}
+
+// A stranger tries tokens and paths. Any difference between the answers would
+// tell that a guess was near, or which paths exist. The cause would be a check
+// that ends early, or a router that answers before the token is known.
+func TestStrangersSeeOneAnswer(t *testing.T) {
+	d, is := started(t)
+	want := ""
+	for _, auth := range []string{"", "Bearer ", "Bearer x", "Basic admin", "Bearer admi", "Bearer " + bootstrapToken} {
+		for _, path := range []string{"/admin/v1/status", "/admin/v1/plans/x", "/nowhere"} {
+			status, body := get(is, d.url+path, auth)
+			is.Equal(status, http.StatusUnauthorized)
+			if want == "" {
+				want = body
+			}
+			is.Equal(body, want)
+		}
+	}
+}
--- /dev/null
+++ b/core/operator/types.go
@@ -0,0 +1,143 @@
+package operator
+
+import (
+	"verbenashift/core/config"
+	"verbenashift/core/intent"
+)
+
+// FleetStatus is what a node knows of the others.
+type FleetStatus struct {
+	Nodes  []Node        `json:"nodes"`
+	Groups []GroupStatus `json:"groups,omitempty"`
+}
+
+// The kinds of nodes.
+const (
+	KindEntry = "entry"
+	KindAgent = "agent"
+)
+
+// Node is one process of the system.
+type Node struct {
+	Name string `json:"name"`
+	// Kind is "entry" or "agent".
+	Kind string `json:"kind"`
+	Zone string `json:"zone"`
+	// Revision is the configuration in force on the node; 0 for none.
+	Revision    uint64 `json:"revision"`
+	Incarnation uint64 `json:"incarnation"`
+	Draining    bool   `json:"draining,omitempty"`
+	// Queued is the work waiting at the node, in tokens, and Running the
+	// number of requests that run.
+	Queued  uint64 `json:"queued"`
+	Running uint32 `json:"running"`
+	// AgeMillis is how old the node's last word is, in milliseconds.
+	AgeMillis int64 `json:"age-millis"`
+}
+
+// GroupStatus is the state of an expert-parallel group.
+type GroupStatus struct {
+	Name string `json:"name"`
+	// State is "steady" or the stage of a switch of the expert map.
+	State      string `json:"state"`
+	MapVersion uint64 `json:"map-version"`
+	Step       uint64 `json:"step"`
+	// Skew is the measured load of the busiest rank over the mean.
+	Skew    float64 `json:"skew"`
+	Steward string  `json:"steward,omitempty"`
+}
+
+// The states of a revision.
+const (
+	// StateAccepted says that the store holds the revision and not all nodes
+	// have it in force.
+	StateAccepted = "accepted"
+	// StateInForce says that all nodes have it in force.
+	StateInForce = "in-force"
+)
+
+// RevisionState is one revision and how far it has come.
+type RevisionState struct {
+	Revision   uint64 `json:"revision"`
+	Operator   string `json:"operator,omitempty"`
+	Action     string `json:"action,omitempty"`
+	ChangeID   string `json:"change-id,omitempty"`
+	UnixMillis int64  `json:"unix-millis,omitempty"`
+	State      string `json:"state"`
+	// InForce of Nodes nodes have this revision or a later one in force.
+	InForce int `json:"in-force"`
+	Nodes   int `json:"nodes"`
+}
+
+// Status is the state of the whole system as one entry sees it.
+type Status struct {
+	// Revision is the newest one known.
+	Revision RevisionState `json:"revision"`
+	// StoreReachable says whether the store answered just now. If not, a newer
+	// revision may have been accepted.
+	StoreReachable bool `json:"store-reachable"`
+	FleetStatus
+}
+
+// Document is a configuration with where it came from.
+type Document struct {
+	Config config.Config `json:"config"`
+	// Source is "store", or "node" while the store cannot be reached.
+	Source string `json:"source"`
+}
+
+// The sources of a document.
+const (
+	SourceStore = "store"
+	SourceNode  = "node"
+)
+
+// Accepted is the answer to a change of the configuration.
+type Accepted struct {
+	config.AppliedChange
+	State string `json:"state"`
+}
+
+// PutConfigRequest replaces the whole document.
+type PutConfigRequest struct {
+	RequestID string `json:"request-id"`
+	// BaseRevision is the revision that the document was made from; the
+	// change is refused if the head is at another one.
+	BaseRevision uint64        `json:"base-revision"`
+	Config       config.Config `json:"config"`
+}
+
+// EditsRequest makes edits on top of whatever the head is, or of
+// BaseRevision if it is set.
+type EditsRequest struct {
+	RequestID    string        `json:"request-id"`
+	BaseRevision *uint64       `json:"base-revision,omitempty"`
+	Action       string        `json:"action,omitempty"`
+	Edits        []config.Edit `json:"edits"`
+}
+
+// DeclareRequest declares an intent.
+type DeclareRequest struct {
+	RequestID string        `json:"request-id"`
+	Intent    intent.Intent `json:"intent"`
+}
+
+// CloseRequest confirms or abandons a plan.
+type CloseRequest struct {
+	RequestID string `json:"request-id"`
+}
+
+// TargetStatus is a target with the state of the agent beside it.
+type TargetStatus struct {
+	config.Target
+	// Node is nil if nothing was heard of the agent.
+	Node *Node `json:"node,omitempty"`
+}
+
+// GroupView is a group as configured and as measured.
+type GroupView struct {
+	config.Group
+	Targets []string `json:"targets,omitempty"`
+	// Status is nil if nothing was heard of the group.
+	Status *GroupStatus `json:"status,omitempty"`
+}
--- /dev/null
+++ b/ctl/program.go
@@ -0,0 +1,232 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"verbenashift/core/operator"
+)
+
+// The exit codes.
+const (
+	exitOK          = 0
+	exitFailure     = 1
+	exitUsage       = 2
+	exitConflict    = 3
+	exitNotFound    = 4
+	exitUnavailable = 5
+)
+
+// The names of the flags that all commands have.
+const (
+	flagServer    = "server"
+	flagToken     = "token"
+	flagTokenFile = "token-file"
+	flagOutput    = "output"
+	flagTimeout   = "timeout"
+	flagRequestID = "request-id"
+)
+
+const (
+	outputTable    = "table"
+	outputJSON     = "json"
+	defaultServer  = "http://127.0.0.1:8081"
+	defaultTimeout = 30 * time.Second
+)
+
+// program is one run of the command line.
+type program struct {
+	in  io.Reader
+	out io.Writer
+	err io.Writer
+	// transport replaces the network in tests.
+	transport http.RoundTripper
+}
+
+// usageError is a command line that could not be understood.
+type usageError struct {
+	Message string
+}
+
+// Error returns the message.
+func (e *usageError) Error() string { return e.Message }
+
+func usagef(format string, args ...any) error {
+	return &usageError{Message: fmt.Sprintf(format, args...)}
+}
+
+// run runs the command line and returns its exit code.
+func (p *program) run(ctx context.Context, args []string) int {
+	err := p.command().Run(ctx, args)
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(p.err, "ctl: "+err.Error())
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var usage *usageError
+	if errors.As(err, &usage) {
+		return exitUsage
+	}
+	var answer *operator.Error
+	if !errors.As(err, &answer) {
+		return exitFailure
+	}
+	switch answer.Kind {
+	case operator.KindConflict, operator.KindPlanState, operator.KindBounds:
+		return exitConflict
+	case operator.KindNotFound:
+		return exitNotFound
+	case operator.KindUnavailable, operator.KindUnknown, operator.KindRegressed:
+		return exitUnavailable
+	default:
+		return exitFailure
+	}
+}
+
+func (p *program) command() *cli.Command {
+	root := &cli.Command{
+		Name: "ctl", Usage: "administer verbenashift",
+		EnableShellCompletion: true,
+		Flags:                 globalFlags(),
+		Reader:                p.in, Writer: p.out, ErrWriter: p.err,
+		Commands: []*cli.Command{
+			p.intentCommand(), p.planCommand(), p.configCommand(), p.targetCommand(),
+			p.workspaceCommand(), p.groupCommand(), p.statusCommand(),
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	prepare(root)
+	return root
+}
+
+// prepare makes a wrong flag or command anywhere a *usageError.
+func prepare(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return &usageError{Message: err.Error()}
+	}
+	if len(c.Commands) > 0 {
+		c.Action = func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Present() {
+				return usagef("%s: unknown command %q", cmd.FullName(), cmd.Args().First())
+			}
+			return cli.ShowSubcommandHelp(cmd)
+		}
+	}
+	for _, sub := range c.Commands {
+		prepare(sub)
+	}
+}
+
+func globalFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{
+			Name: flagServer, Value: defaultServer, Usage: "`URL` of an entry's administration listener",
+			Sources: cli.EnvVars("VERBENASHIFT_SERVER"),
+		},
+		&cli.StringFlag{
+			Name: flagToken, Usage: "operator's `TOKEN`; the environment or a file hides it from the process list",
+			Sources: cli.EnvVars("VERBENASHIFT_TOKEN"), HideDefault: true,
+		},
+		&cli.StringFlag{Name: flagTokenFile, Usage: "`FILE` that holds the operator's token"},
+		&cli.StringFlag{Name: flagOutput, Value: outputTable, Usage: "json or table"},
+		&cli.DurationFlag{Name: flagTimeout, Value: defaultTimeout, Usage: "longest time for the command"},
+		&cli.StringFlag{Name: flagRequestID, Usage: "repeat the write with this `ID` after a lost answer"},
+	}
+}
+
+// session is what one command needs.
+type session struct {
+	*operator.Client
+	cmd  *cli.Command
+	out  io.Writer
+	json bool
+}
+
+// action opens a session with the number of arguments that the command takes.
+func (p *program) action(least, most int, f func(context.Context, *session) error) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		if n := cmd.Args().Len(); n < least || n > most {
+			return usagef("%s: %d arguments given, want %s", cmd.FullName(), n, count(least, most))
+		}
+		s, err := p.open(cmd)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(ctx, cmd.Duration(flagTimeout))
+		defer cancel()
+		return f(ctx, s)
+	}
+}
+
+func count(least, most int) string {
+	if least == most {
+		return fmt.Sprint(least)
+	}
+	return fmt.Sprintf("%d to %d", least, most)
+}
+
+func (p *program) open(cmd *cli.Command) (*session, error) {
+	output := cmd.String(flagOutput)
+	if output != outputJSON && output != outputTable {
+		return nil, usagef("-output is %q: want json or table", output)
+	}
+	token, err := readToken(cmd)
+	if err != nil {
+		return nil, err
+	}
+	c := &operator.Client{
+		Server: cmd.String(flagServer), Token: token, RequestID: cmd.String(flagRequestID),
+		HTTP: &http.Client{Transport: p.transport},
+	}
+	return &session{Client: c, cmd: cmd, out: p.out, json: output == outputJSON}, nil
+}
+
+func readToken(cmd *cli.Command) (string, error) {
+	file := cmd.String(flagTokenFile)
+	if file == "" {
+		return cmd.String(flagToken), nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", errors.Wrap(err, "read token")
+	}
+	return strings.TrimSpace(string(data)), nil
+}
+
+// show prints v as JSON, or calls table.
+func (s *session) show(v any, table func()) error {
+	if s.json {
+		return s.printJSON(v)
+	}
+	table()
+	return nil
+}
+
+func (s *session) printJSON(v any) error {
+	e := json.NewEncoder(s.out)
+	e.SetIndent("", "  ")
+	if err := e.Encode(v); err != nil {
+		return errors.Wrap(err, "print")
+	}
+	return nil
+}
+
+// readFile reads a file, or standard input for "-".
+func (p *program) readFile(name string) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(p.in)
+	}
+	return os.ReadFile(name)
+}
