Judge targets, budget retries, keep limits over all entries, show the fleet

Cause: the entry picked targets without health, retried without a budget and limited workspaces by itself alone; operators could not see the fleet. Change: health monitor and retry budgets in the entry, quota reports to the workspaces' homes at the agents, the instance list, status by asking agents. Ruled out: a status kept by heartbeats alone, which at 670 agents and 4 a second would be minutes old.

--- a/agent/app.go
+++ b/agent/app.go
@@ -52,6 +52,7 @@
 	register   *register
 	answers    *answers
 	kept       *kept
+	entries    *entries
 	engine     *target.Engine
 	plain      *target.Plain
 	step       stepTime
@@ -124,6 +125,7 @@
 		register:   newRegister(cfg, id, d, f, log),
 		answers:    newAnswers(cfg.Keep, cfg.Detached),
 		kept:       newKept(cfg.MaxRun + cfg.Retention),
+		entries:    newEntries(),
 	}
 	a.ctx, a.stop = context.WithCancel(context.Background())
 	opt := target.Options{OrderToken: cfg.OrderToken}
@@ -133,6 +135,7 @@
 		a.engine = target.NewEngine(cfg.Target, opt)
 	}
 	f.OnChange(func(x *config.Index) { a.register.configure(a.ctx, x) })
+	f.OnChange(a.entries.update)
 	f.OnChange(func(x *config.Index) { log.Info("configuration in force", "revision", x.Revision()) })
 	return a
 }
@@ -159,6 +162,7 @@
 	spread := &follow.Spread{
 		Name: a.cfg.Name, Follower: a.follower, Dialer: a.dialer, Log: a.log,
 		Period: a.cfg.Heartbeat, Fanout: a.cfg.Fanout, Seeds: a.cfg.Seeds,
+		Describe: func(m *wire.ExchangeRequest) { m.Kind, m.Zone, m.Incarnation = "agent", a.cfg.Zone, a.id.incarnation },
 	}
 	go spread.Run(a.ctx)
 	return nil
@@ -173,6 +177,7 @@
 		case now := <-tick.C:
 			a.answers.sweep(now)
 			a.kept.sweep(now)
+			a.entries.sweep(now)
 		case <-a.ctx.Done():
 			return
 		}
--- a/agent/service.go
+++ b/agent/service.go
@@ -246,7 +246,16 @@
 			return nil, connect.NewError(connect.CodeInvalidArgument, err)
 		}
 	}
-	return connect.NewResponse(&wire.ExchangeResponse{From: a.cfg.Name, Load: a.load(), Revision: a.follower.Revision()}), nil
+	now := time.Now()
+	quota, err := a.entries.hear(m, now)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	resp := &wire.ExchangeResponse{From: a.cfg.Name, Load: a.load(), Revision: a.follower.Revision(), Quota: quota}
+	if m.WantNodes {
+		resp.Nodes = a.entries.nodes(now)
+	}
+	return connect.NewResponse(resp), nil
 }
 
 // FetchConfig returns the configuration in force if it is newer.
--- a/core/follow/spread.go
+++ b/core/follow/spread.go
@@ -31,6 +31,8 @@
 	Fanout int
 	// Seeds are agents to ask while there is no configuration.
 	Seeds []string
+	// Describe, if set, adds what this process says of itself.
+	Describe func(m *wire.ExchangeRequest)
 	// Heard, if set, is told of each answer.
 	Heard func(agent string, m *wire.ExchangeResponse)
 	// Failed, if set, is told of each agent that did not answer.
@@ -84,7 +86,11 @@
 	ctx, cancel := context.WithTimeout(ctx, s.Period+exchangeGrace)
 	defer cancel()
 	mine := s.Follower.Revision()
-	resp, err := s.Dialer.Agent(t.Agent).Exchange(ctx, connect.NewRequest(&wire.ExchangeRequest{From: s.Name, Revision: mine}))
+	req := &wire.ExchangeRequest{From: s.Name, Revision: mine}
+	if s.Describe != nil {
+		s.Describe(req)
+	}
+	resp, err := s.Dialer.Agent(t.Agent).Exchange(ctx, connect.NewRequest(req))
 	if err != nil {
 		if s.Failed != nil {
 			s.Failed(t.Name)
--- a/entry/app.go
+++ b/entry/app.go
@@ -20,6 +20,7 @@
 	"verbenashift/core/caller"
 	"verbenashift/core/config"
 	"verbenashift/core/follow"
+	"verbenashift/core/operator"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/route"
@@ -38,6 +39,7 @@
 	follower *follow.Follower
 	router   *router
 	limiter  *limiter
+	returns  *returns
 	open     *openCount
 	flows    flowSet
 	fleet    *fleet
@@ -45,9 +47,11 @@
 	// leaving tells the balancer, draining refuses new work.
 	leaving  atomic.Bool
 	draining atomic.Bool
-	homeSet  atomic.Pointer[[]string]
-	stop     context.CancelFunc
-	servers  []*http.Server
+	// incarnation tells the lives of this entry's name apart.
+	incarnation uint64
+	homeSet     atomic.Pointer[[]string]
+	stop        context.CancelFunc
+	servers     []*http.Server
 }
 
 func newLogger(cfg Settings) *slog.Logger {
@@ -84,13 +88,16 @@
 func newEntry(cfg Settings, log *slog.Logger, tracer trace.Tracer, d *peer.Dialer, s *store.Client, f *follow.Follower) *Entry {
 	e := &Entry{
 		cfg: cfg, log: log, tracer: tracer, metrics: newMetrics(), dialer: d, store: s, follower: f,
-		router:  newRouter(route.Options{Entry: cfg.Name, Region: cfg.Region, Zone: cfg.Zone}),
-		limiter: newLimiter(),
-		open:    newOpenCount(cfg.Streams, cfg.RetryAfter),
-		fleet:   newFleet(),
+		router:      newRouter(route.Options{Entry: cfg.Name, Region: cfg.Region, Zone: cfg.Zone}, log),
+		returns:     newReturns(),
+		limiter:     newLimiter(),
+		open:        newOpenCount(cfg.Streams, cfg.RetryAfter),
+		fleet:       newFleet(),
+		incarnation: uint64(time.Now().UnixMilli()),
 	}
 	f.OnChange(e.router.update)
 	f.OnChange(e.setHomes)
+	f.OnChange(e.limiter.update)
 	f.OnChange(func(x *config.Index) { log.Info("configuration in force", "revision", x.Revision()) })
 	return e
 }
@@ -124,6 +131,10 @@
 	})
 	go e.follower.Run(ctx)
 	go e.spread().Run(ctx)
+	go e.router.judge(ctx)
+	go e.limiter.report(ctx, e.exchangeQuota)
+	go e.followInstances(ctx)
+	go e.countEntries(ctx)
 	return nil
 }
 
@@ -132,13 +143,21 @@
 	return &follow.Spread{
 		Name: e.cfg.Name, Follower: e.follower, Dialer: e.dialer, Log: e.log,
 		Period: e.cfg.Heartbeat, Fanout: e.cfg.Subset, Seeds: e.cfg.Seeds,
+		Describe: e.describe,
 		Heard: func(name string, m *wire.ExchangeResponse) {
 			e.fleet.heard(name, m)
 			e.router.heard(name, m.Load)
 		},
+		Failed: e.router.unheard,
 	}
 }
 
+// describe tells an agent of this entry.
+func (e *Entry) describe(m *wire.ExchangeRequest) {
+	m.From, m.Kind, m.Zone = e.cfg.Name, operator.KindEntry, e.cfg.Zone
+	m.Revision, m.Draining, m.Incarnation = e.follower.Revision(), e.leaving.Load(), e.incarnation
+}
+
 func (e *Entry) listen(shutdown fx.Shutdowner) error {
 	for _, s := range []struct {
 		addr    string
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -1,44 +1,178 @@
 package main
 
 import (
+	"context"
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
+	"golang.org/x/sync/errgroup"
+
+	"verbenashift/core/config"
+	"verbenashift/core/operator"
 	"verbenashift/core/peer/wire"
 )
 
-// fleet holds what heartbeats have told of the agents.
+// The bounds of a look at the whole fleet, which an operator asks for.
+const (
+	statusCalls = 64
+	statusLife  = 500 * time.Millisecond
+	// nodeLife is how long an entry counts as part of the fleet after its
+	// last heartbeat to any agent.
+	nodeLife = 15 * time.Second
+)
+
+// fleet holds what is known of the other processes.
 type fleet struct {
 	mu    sync.Mutex
 	nodes map[string]node
+
+	// status is one look at the fleet, shared by those who ask at once.
+	statusMu sync.Mutex
+	status   operator.FleetStatus
+	taken    time.Time
 }
 
-// node is an agent as last heard.
+// node is a process as last heard.
 type node struct {
-	revision    uint64
-	incarnation uint64
-	draining    bool
-	queued      uint64
-	running     uint32
-	heard       time.Time
+	operator.Node
+	heard time.Time
 }
 
 func newFleet() *fleet {
 	return &fleet{nodes: make(map[string]node)}
 }
 
+// heard takes the answer of an agent and what it knows of the entries.
 func (f *fleet) heard(name string, m *wire.ExchangeResponse) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.nodes[name] = node{
-		revision: m.Revision, incarnation: m.GetLoad().GetIncarnation(), draining: m.GetLoad().GetDraining(),
-		queued: m.GetLoad().GetQueued(), running: m.GetLoad().GetRunning(), heard: time.Now(),
+	now := time.Now()
+	f.keep(node{heard: now, Node: operator.Node{
+		Name: name, Kind: operator.KindAgent, Revision: m.Revision, Incarnation: m.GetLoad().GetIncarnation(),
+		Draining: m.GetLoad().GetDraining(), Queued: m.GetLoad().GetQueued(), Running: m.GetLoad().GetRunning(),
+	}})
+	for _, n := range m.Nodes {
+		f.keep(node{heard: now.Add(-time.Duration(n.AgeMs) * time.Millisecond), Node: operator.Node{
+			Name: n.Name, Kind: operator.KindEntry, Zone: n.Zone, Revision: n.Revision,
+			Incarnation: n.Incarnation, Draining: n.Draining,
+		}})
+	}
+}
+
+// keep takes the word that was heard later. The caller holds mu.
+func (f *fleet) keep(n node) {
+	key := n.Kind + "/" + n.Name
+	if old, ok := f.nodes[key]; ok && old.heard.After(n.heard) {
+		return
+	}
+	f.nodes[key] = n
+}
+
+// list returns the configured agents, heard of or not, and the entries heard
+// lately.
+func (f *fleet) list(targets []config.Target) []operator.Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	var nodes []operator.Node
+	for _, t := range targets {
+		n, ok := f.nodes[operator.KindAgent+"/"+t.Name]
+		if !ok {
+			n = node{Node: operator.Node{Name: t.Name, Kind: operator.KindAgent}, heard: now.Add(-nodeLife)}
+		}
+		n.Zone = t.Zone
+		n.AgeMillis = now.Sub(n.heard).Milliseconds()
+		nodes = append(nodes, n.Node)
+	}
+	for key, n := range f.nodes {
+		if n.Kind != operator.KindEntry {
+			continue
+		}
+		n.AgeMillis = now.Sub(n.heard).Milliseconds()
+		if now.Sub(n.heard) > nodeLife {
+			delete(f.nodes, key)
+			continue
+		}
+		nodes = append(nodes, n.Node)
 	}
+	return nodes
 }
 
-func (f *fleet) get(name string) (node, bool) {
+// entries counts the entries heard lately, this one included.
+func (f *fleet) entries() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n, ok := f.nodes[name]
-	return n, ok
+	n := 0
+	for _, x := range f.nodes {
+		if x.Kind == operator.KindEntry && time.Since(x.heard) <= nodeLife {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+// Status asks all agents how they are and which entries they have heard of.
+// Those that do not answer are listed as they were last heard. Operators ask
+// seldom; many who ask at once share one look.
+func (e *Entry) Status(ctx context.Context) (operator.FleetStatus, error) {
+	e.fleet.statusMu.Lock()
+	defer e.fleet.statusMu.Unlock()
+	if time.Since(e.fleet.taken) < statusLife {
+		return e.fleet.status, nil
+	}
+	x := e.follower.Index()
+	if x == nil {
+		return operator.FleetStatus{Nodes: []operator.Node{e.self()}}, nil
+	}
+	targets := x.Config().Targets
+	e.askAll(ctx, targets)
+	s := operator.FleetStatus{Nodes: append(e.fleet.list(targets), e.self())}
+	s.Nodes = distinct(s.Nodes)
+	e.fleet.status, e.fleet.taken = s, time.Now()
+	return s, nil
+}
+
+// self is this entry as a node.
+func (e *Entry) self() operator.Node {
+	return operator.Node{
+		Name: e.cfg.Name, Kind: operator.KindEntry, Zone: e.cfg.Zone, Revision: e.follower.Revision(),
+		Incarnation: e.incarnation, Draining: e.leaving.Load(), Running: uint32(e.open.len()),
+	}
+}
+
+// distinct keeps the last of several nodes of one kind and name.
+func distinct(nodes []operator.Node) []operator.Node {
+	at := make(map[string]int, len(nodes))
+	var out []operator.Node
+	for _, n := range nodes {
+		key := n.Kind + "/" + n.Name
+		if i, ok := at[key]; ok {
+			out[i] = n
+			continue
+		}
+		at[key] = len(out)
+		out = append(out, n)
+	}
+	return out
+}
+
+func (e *Entry) askAll(ctx context.Context, targets []config.Target) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var g errgroup.Group
+	g.SetLimit(statusCalls)
+	for _, t := range targets {
+		g.Go(func() error {
+			req := &wire.ExchangeRequest{WantNodes: true}
+			e.describe(req)
+			resp, err := e.dialer.Agent(t.Agent).Exchange(ctx, connect.NewRequest(req))
+			if err == nil {
+				e.fleet.heard(t.Name, resp.Msg)
+				e.router.heard(t.Name, resp.Msg.Load)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
 }
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
@@ -40,6 +41,8 @@
 	attempt  uint32
 	picked   choice
 	inFlight bool
+	// firstFrame is when the attempt's first piece came.
+	firstFrame time.Time
 
 	// key and the fields below are for requests that may not be repeated.
 	key       booking.Key
@@ -116,7 +119,11 @@
 }
 
 func (f *flow) pick() relay.Event {
-	f.leave(nil)
+	f.leave(result{})
+	if f.attempt > 0 && !f.entry.returns.retry(f.workspace.Name) {
+		f.entry.metrics.count("retry-budget-spent")
+		return relay.Event{Kind: relay.NoTarget}
+	}
 	c, ok := f.entry.router.pick(&f.query)
 	if !ok {
 		return relay.Event{Kind: relay.NoTarget}
@@ -127,12 +134,16 @@
 }
 
 // leave closes the attempt at the picked target, if one is open.
-func (f *flow) leave(load *wire.Load) {
+func (f *flow) leave(res result) {
 	if !f.inFlight {
 		return
 	}
 	f.inFlight = false
-	f.entry.router.end(f.picked, load)
+	if !f.firstFrame.IsZero() {
+		res.firstToken = f.firstFrame.Sub(f.picked.started)
+	}
+	f.firstFrame = time.Time{}
+	f.entry.router.end(f.picked, res)
 }
 
 func (f *flow) submit(ctx context.Context, resume bool) relay.Event {
@@ -257,8 +268,9 @@
 	case wire.FrameKind_FRAME_KIND_DATA:
 		return f.data(m)
 	case wire.FrameKind_FRAME_KIND_END:
-		f.leave(m.Load)
-		return true, endEvent(m, f.log.delivered)
+		ev := endEvent(m, f.log.delivered)
+		f.leave(result{load: m.Load, failed: ev.Outcome == outcome.Failed || ev.Outcome == outcome.Unknown})
+		return true, ev
 	default:
 		return true, relay.Event{Kind: relay.Broke}
 	}
@@ -280,6 +292,9 @@
 	if m.Sequence != f.log.delivered+1 {
 		return true, relay.Event{Kind: relay.Broke}
 	}
+	if f.firstFrame.IsZero() {
+		f.firstFrame = time.Now()
+	}
 	f.entry.metrics.frames.Add(1)
 	f.log.add(m.Data, f.req.Stream && !f.req.MayNotRepeat)
 	if err := f.sink.data(m.Sequence, m.Data); err != nil {
@@ -309,8 +324,9 @@
 
 // broken reports a transport error.
 func (f *flow) broken(err error) relay.Event {
-	f.leave(nil)
-	return relay.Event{Kind: relay.Broke, NotSent: peer.NotSent(err)}
+	unsent := peer.NotSent(err)
+	f.leave(result{failed: !errors.Is(err, context.Canceled), unsent: unsent})
+	return relay.Event{Kind: relay.Broke, NotSent: unsent}
 }
 
 func fromWire(o wire.Outcome) outcome.Outcome {
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -96,7 +96,7 @@
 
 // hold turns to the earlier attempt that has the key.
 func (f *flow) hold(m *wire.ClaimResponse) relay.Event {
-	f.leave(nil)
+	f.leave(result{})
 	t, ok := f.entry.follower.Index().Target(m.Executor)
 	if !ok {
 		return relay.Event{Kind: relay.Uncertain}
--- a/entry/limiter.go
+++ b/entry/limiter.go
@@ -1,68 +1,130 @@
 package main
 
 import (
+	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"verbenashift/core/config"
+	"verbenashift/core/quota"
 )
 
-// limiter keeps the rate limits of the workspaces at this entry.
+// reportTick is how often the limiter looks for reports that are due.
+const reportTick = 100 * time.Millisecond
+
+// requestsSuffix marks the second limit of a workspace, that on its requests.
+// No workspace name holds a slash.
+const requestsSuffix = "/requests"
+
+// limiter keeps the limits of the workspaces over all entries. Its decisions
+// need no call; what it admitted is reported to the workspace's home.
 type limiter struct {
-	mu      sync.Mutex
-	buckets map[string]*bucket
+	mu     sync.Mutex
+	quota  *quota.Limiter
+	limits map[string]bool
 }
 
-// bucket is one workspace's allowance.
-type bucket struct {
-	tokens   *rate.Limiter
-	requests *rate.Limiter
+func newLimiter() *limiter {
+	return &limiter{quota: quota.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), limits: make(map[string]bool)}
 }
 
-// burst is how many seconds of its rate a workspace may use at once.
-const burst = 2
+// update takes the limits and the agents of a new configuration.
+func (l *limiter) update(x *config.Index) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	cfg := x.Config()
+	gone := l.limits
+	l.limits = make(map[string]bool, 2*len(cfg.Workspaces))
+	for _, limit := range quotaLimits(cfg) {
+		l.quota.SetLimit(limit.name, limit.Limit)
+		l.limits[limit.name] = true
+		delete(gone, limit.name)
+	}
+	for name := range gone {
+		l.quota.Forget(name)
+	}
+}
 
-func newLimiter() *limiter {
-	return &limiter{buckets: make(map[string]*bucket)}
+// namedLimit is one limit with its name.
+type namedLimit struct {
+	quota.Limit
+	name string
 }
 
-// allow takes one request of cost tokens, or returns when to come back.
-func (l *limiter) allow(ws *config.Workspace, cost uint64) (time.Duration, bool) {
-	if ws.TokensPerSecond == 0 && ws.RequestsPerSecond == 0 {
-		return 0, true
+// quotaLimits lists the limits of a configuration.
+func quotaLimits(cfg config.Config) []namedLimit {
+	var limits []namedLimit
+	for _, ws := range cfg.Workspaces {
+		if ws.TokensPerSecond > 0 {
+			limits = append(limits, namedLimit{quota.Limit{Rate: ws.TokensPerSecond}, ws.Name})
+		}
+		if ws.RequestsPerSecond > 0 {
+			limits = append(limits, namedLimit{quota.Limit{Rate: ws.RequestsPerSecond}, ws.Name + requestsSuffix})
+		}
 	}
+	return limits
+}
+
+// setFleet tells the limiter how many entries share the limits.
+func (l *limiter) setFleet(entries int, agents []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.quota.SetFleet(entries, agents)
+}
+
+// allow takes one request of cost tokens, or returns when to come back.
+func (l *limiter) allow(workspace string, cost uint64) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b, ok := l.buckets[ws.Name]
-	if !ok {
-		b = &bucket{tokens: newRate(ws.TokensPerSecond), requests: newRate(ws.RequestsPerSecond)}
-		l.buckets[ws.Name] = b
-	}
 	now := time.Now()
-	if wait, ok := reserve(b.requests, 1, now); !ok {
+	if ok, wait := l.quota.Allow(workspace+requestsSuffix, 1, now); !ok {
 		return wait, false
 	}
-	return reserve(b.tokens, int(cost), now)
+	ok, wait := l.quota.Allow(workspace, int64(cost), now)
+	return wait, ok
+}
+
+// settle corrects an admitted request by what it really took.
+func (l *limiter) settle(workspace string, cost, actual uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.quota.Settle(workspace, int64(cost), int64(actual), time.Now())
 }
 
-func newRate(perSecond float64) *rate.Limiter {
-	if perSecond == 0 {
-		return rate.NewLimiter(rate.Inf, 0)
+// report sends the reports that are due to their homes until ctx ends.
+func (l *limiter) report(ctx context.Context, exchange func(context.Context, string, []byte) ([]byte, error)) {
+	tick := time.NewTicker(reportTick)
+	defer tick.Stop()
+	for {
+		for _, home := range l.due() {
+			go l.reportTo(ctx, home, exchange)
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
 	}
-	return rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond*burst), 1))
 }
 
-func reserve(l *rate.Limiter, n int, now time.Time) (time.Duration, bool) {
-	if l.Limit() == rate.Inf {
-		return 0, true
+func (l *limiter) due() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string(nil), l.quota.Due(time.Now())...)
+}
+
+func (l *limiter) reportTo(ctx context.Context, home string, exchange func(context.Context, string, []byte) ([]byte, error)) {
+	l.mu.Lock()
+	digest := l.quota.Digest(nil, home, time.Now())
+	l.mu.Unlock()
+	if len(digest) == 0 {
+		return
 	}
-	r := l.ReserveN(now, min(n, l.Burst()))
-	wait := r.DelayFrom(now)
-	if wait == 0 {
-		return 0, true
+	reply, err := exchange(ctx, home, digest)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil || l.quota.Merge(reply, time.Now()) != nil {
+		l.quota.Lost(home)
 	}
-	r.CancelAt(now)
-	return wait, false
 }
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -3,10 +3,12 @@
 import (
 	"net/http"
 
-	"github.com/gorilla/mux"
+	"verbenashift/core/operator"
 )
 
 // operatorRoutes serves the administration API.
 func (e *Entry) operatorRoutes() http.Handler {
-	return mux.NewRouter()
+	return operator.New(operator.Deps{
+		Store: e.store, Fleet: e, Current: e.follower.Index, BootstrapHash: e.cfg.BootstrapHash, Log: e.log,
+	})
 }
--- /dev/null
+++ b/entry/returns.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"verbenashift/core/outcome"
+	"verbenashift/core/retry"
+)
+
+// hopTarget names the step of the path whose retries are budgeted.
+const hopTarget = "target"
+
+// The bounds of the budgets of workspaces that have gone quiet.
+const (
+	budgetLife  = 10 * time.Minute
+	budgetSweep = time.Minute
+)
+
+// returns holds the retry budgets, and the times at which callers whose
+// requests were given up come back.
+type returns struct {
+	mu      sync.Mutex
+	budgets *retry.Budgets
+	returns retry.Returns
+	rng     *rand.Rand
+	swept   time.Time
+}
+
+func newReturns() *returns {
+	return &returns{budgets: retry.NewBudgets(), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+}
+
+// request notes a new request, which earns its workspace part of a retry.
+func (r *returns) request(workspace string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.budgets.Request(retry.Key{Workspace: workspace, Hop: hopTarget}, now)
+	if now.Sub(r.swept) > budgetSweep {
+		r.swept = now
+		r.budgets.Forget(now.Add(-budgetLife))
+	}
+}
+
+// retry spends one retry of a workspace and reports whether it had one. A
+// storm of retries would double the load just when targets fail.
+func (r *returns) retry(workspace string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budgets.For(retry.Key{Workspace: workspace, Hop: hopTarget}).Take(time.Now())
+}
+
+// end notes how a request ended, and spreads the return of a caller whose
+// request was given up.
+func (r *returns) end(err *outcome.Error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if err == nil {
+		r.returns.Completed(now)
+		return
+	}
+	if err.Outcome == outcome.NotRun && err.Status == 0 {
+		err.RetryAfter = max(err.RetryAfter, r.returns.GaveUp(now, r.rng))
+	}
+}
--- a/entry/router.go
+++ b/entry/router.go
@@ -1,21 +1,30 @@
 package main
 
 import (
+	"context"
+	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"verbenashift/core/config"
+	"verbenashift/core/health"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/route"
 )
 
-// router guards the routing table of this entry. A pick takes well under a
-// microsecond, so that one lock serves all requests.
+// judgePeriod is the time between two judgements of the targets' health.
+const judgePeriod = 250 * time.Millisecond
+
+// router guards the routing table of this entry and the health of the targets.
+// A pick takes well under a microsecond, so that one lock serves all requests.
 type router struct {
-	mu    sync.Mutex
-	table *route.Table
-	rng   *rand.Rand
+	log *slog.Logger
+
+	mu      sync.Mutex
+	table   *route.Table
+	monitor *health.Monitor
+	rng     *rand.Rand
 	// incarnations holds the last known incarnation of each target's agent.
 	incarnations map[string]uint64
 	index        *config.Index
@@ -30,8 +39,10 @@
 	started     time.Time
 }
 
-func newRouter(opt route.Options) *router {
+func newRouter(opt route.Options, log *slog.Logger) *router {
 	return &router{
+		log:          log,
+		monitor:      health.New(health.Options{}),
 		table:        route.New(opt),
 		rng:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		incarnations: make(map[string]uint64),
@@ -52,6 +63,43 @@
 	}
 	r.index = x
 	r.table.Update(targets)
+	r.watch()
+}
+
+// watch has the monitor watch the targets at their places in the table.
+func (r *router) watch() {
+	members := make([]health.Member, r.table.Len())
+	for i := range members {
+		t := r.table.Target(i)
+		members[i] = health.Member{Name: t.Name, Pool: t.Model + "/" + t.Service, Group: t.Group}
+	}
+	r.monitor.Update(members)
+}
+
+// judge applies the monitor's word on the targets until ctx ends.
+func (r *router) judge(ctx context.Context) {
+	tick := time.NewTicker(judgePeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			r.apply(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *router) apply(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.monitor.Tick(now, r.rng) {
+		r.table.SetHealth(c.Target, c.Share, c.Probe)
+		r.table.SetTrust(c.Target, c.Trusted)
+		if c.State == health.Ejected {
+			r.log.Warn("target ejected", "target", r.table.Target(c.Target).Name, "cause", c.Cause.String())
+		}
+	}
 }
 
 // pick chooses a target, marks the attempt as started there and adds the
@@ -74,11 +122,31 @@
 	return choice{slot: slot, target: t, incarnation: r.incarnations[name], cost: q.Cost, started: now}, true
 }
 
-// end closes an attempt; load is what the agent said last, nil if nothing.
-func (r *router) end(c choice, load *wire.Load) {
+// result is how an attempt at a target went.
+type result struct {
+	// load is what the agent said last, nil if nothing.
+	load *wire.Load
+	// firstToken is the time to the first frame, 0 if none came.
+	firstToken time.Duration
+	// failed says that the target or the way to it failed, unsent that nothing
+	// reached it.
+	failed, unsent bool
+}
+
+// end closes an attempt.
+func (r *router) end(c choice, res result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.table.End(c.slot, c.cost, c.started)
+	load, now := res.load, time.Now()
+	switch {
+	case res.unsent:
+		r.monitor.Fail(c.slot, health.Hard, now)
+	case res.failed:
+		r.monitor.Fail(c.slot, health.Soft, now)
+	case res.firstToken > 0:
+		r.monitor.Succeed(c.slot, res.firstToken, now)
+	}
 	if load != nil {
 		r.observe(c.slot, c.target.Name, load)
 	}
@@ -93,8 +161,18 @@
 	}
 }
 
+// unheard tells that an agent did not answer a heartbeat.
+func (r *router) unheard(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if slot, ok := r.table.Lookup(name); ok {
+		r.monitor.Fail(slot, health.Soft, time.Now())
+	}
+}
+
 func (r *router) observe(slot int, name string, l *wire.Load) {
 	r.incarnations[name] = max(r.incarnations[name], l.Incarnation)
+	r.monitor.Step(slot, l.StepMs, time.Now())
 	r.table.Observe(slot, route.Load{
 		Incarnation: l.Incarnation, Queued: float64(l.Queued), Running: int(l.Running),
 		Rate: l.Rate, Draining: l.Draining, StepMs: l.StepMs,
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -99,7 +99,7 @@
 	}
 	// A key asks for one run, whatever the route says.
 	req.MayNotRepeat = req.MayNotRepeat || req.IdempotencyKey != ""
-	if wait, ok := e.limiter.allow(ws, req.Cost); !ok {
+	if wait, ok := e.limiter.allow(ws.Name, req.Cost); !ok {
 		return nil, &outcome.Error{Outcome: outcome.NotRun, Reason: "workspace-limit", RetryAfter: wait, Status: http.StatusTooManyRequests}
 	}
 	f := &flow{entry: e, req: req, workspace: ws, id: newID()}
@@ -109,6 +109,7 @@
 		Model: req.Model, Service: req.Service, Cost: float64(req.Cost), Prefix: affinity(req, ws),
 		Urgent: req.Priority == caller.Urgent, MayNotRepeat: req.MayNotRepeat,
 	}
+	e.returns.request(ws.Name)
 	f.findHome(x)
 	f.sink = e.newSink(w, f)
 	f.relay = relay.New(relay.Request{Repeatable: !req.MayNotRepeat, CallerKey: f.callerKey}, relay.Limits{
@@ -161,7 +162,7 @@
 	f.timer.Store(alive)
 	err := f.run(ctx)
 	alive.Stop()
-	f.leave(nil)
+	f.leave(result{})
 	e.conclude(ctx, f, err, started)
 }
 
@@ -175,6 +176,7 @@
 		f.cancel(ctx)
 	}
 	e.metrics.count(outcomeName(err))
+	e.returns.end(err)
 	e.metrics.total.Record(time.Since(started).Microseconds())
 	f.sink.finish(err)
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -42,6 +42,8 @@
 	Subset        int
 	StoreRefresh  time.Duration
 	BootstrapHash string
+	Instances     string
+	InstancesPoll time.Duration
 
 	TraceExport string
 	TracePerMil int
@@ -62,6 +64,8 @@
 	s.Addresses("store", "addresses", &c.Store, "the platform's key-value service")
 	s.Duration("store", "timeout", &c.StoreTimeout, 2*time.Second, 10*time.Millisecond, time.Minute, "longest call to the store")
 	s.Duration("store", "refresh", &c.StoreRefresh, 30*time.Second, time.Second, time.Hour, "how often the head is read beside watches and peers")
+	s.Address("instances", "address", &c.Instances, "none", "the platform's list of live and leaving instances; none goes without")
+	s.Duration("instances", "poll", &c.InstancesPoll, 2*time.Second, 100*time.Millisecond, time.Minute, "how often the list is read")
 	s.Addresses("peers", "seeds", &c.Seeds, "agents to ask for the configuration when the store is down")
 	s.Duration("peers", "heartbeat", &c.Heartbeat, time.Second, 10*time.Millisecond, time.Minute, "time between heartbeats")
 	s.Int("peers", "subset", &c.Subset, 4, 1, 64, "agents a heartbeat", "how many agents are asked in each heartbeat")
