quota: limits over all entries without a central counter

Ruled out: a fixed share for each entry (a workspace that talks to one entry gets an n-th of its limit), enforcement by each target's agent (the same over targets), gossip of demand (a table of entries by workspaces does not fit 4 KB/s, and an aggregate needs log n rounds). Change: a home agent for each workspace by rendezvous hashing; entries report what was asked and admitted, the home answers with the fraction that fits; a bounded allowance before word, a safe share when cut off. Conclusion: demand moves between entries without any share moving.

--- /dev/null
+++ b/core/quota/quota.go
@@ -0,0 +1,315 @@
+// Package quota keeps the limit of a workspace over all entries without a
+// central counter and without a call on the path of a request.
+//
+// Each workspace has a home among the agents, chosen by rendezvous hashing.
+// An entry reports to the home what the workspace asked for and what it was
+// let through, about once a second and only if there was anything. The home
+// answers with one number: the fraction of the demand that fits the limit.
+// Every entry admits that fraction of what it sees ("global random drop" in
+// Raghavan et al., "Cloud Control with Distributed Rate Limiting", 2007, with
+// an error accumulator in place of the random draw), so that demand may move
+// between entries without any share moving after it. The home keeps a token
+// bucket of what was admitted: what went through too much is taken back.
+//
+// What an entry admits before the home knows is bounded by its allowance, so
+// that over any time t from a quiet start the entries together admit at most
+//
+//	Rate*t + Burst + n*(Burst/sqrt(n) + L) + 2*Rate*ReportEvery
+//
+// tokens, where n is the number of entries and L the largest cost. An entry
+// that cannot reach the home falls back to its safe share, Rate/n, with a
+// bucket of Burst/sqrt(n). A home that starts empty knows the demand again
+// after one report of each entry.
+//
+// A Limiter is the entry's side and a Home the agent's side. Neither has a
+// clock or a lock: the owner passes the time and serialises the calls.
+//
+// # Usage
+//
+//	l := quota.New(rnd)
+//	l.SetFleet(entries, agents)
+//	l.SetLimit("studio", quota.Limit{Rate: 5000, Burst: 5000})
+//	ok, retryAfter := l.Allow("studio", cost, now) // for each request
+//	for _, home := range l.Due(now) {              // some times a second
+//		reply, err := exchange(home, l.Digest(nil, home, now))
+//		if err != nil {
+//			l.Lost(home)
+//			continue
+//		}
+//		l.Merge(home, reply, now)
+//	}
+package quota
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// ReportEvery is the longest time between two reports of a workspace that
+	// is in use.
+	ReportEvery = time.Second
+	// ReportSpacing is the shortest time between two such reports.
+	ReportSpacing = 100 * time.Millisecond
+	// CutOffAfter is how long a report may stay without a reply before the
+	// entry falls back to its safe share.
+	CutOffAfter = 3 * time.Second
+	// openFor and cutFor are how long a fraction of 1 and a lower one hold where
+	// nothing was reported since.
+	openFor = time.Minute
+	cutFor  = 5 * time.Second
+
+	maxRetryAfter = 10 * time.Second
+
+	// ratioGain is the weight of one answer in the true cost over the expected
+	// one, maxRatio its bound in either direction.
+	ratioGain = 1.0 / 16
+	maxRatio  = 64
+)
+
+// Limit is the limit of one workspace over all entries. A Rate of 0 or less
+// means no limit; a Burst of 0 or less means one second of the rate.
+type Limit struct {
+	// Rate is in tokens (or requests) a second, Burst in tokens.
+	Rate, Burst float64
+}
+
+func (l Limit) withDefaults() Limit {
+	if !(l.Burst > 0) {
+		l.Burst = l.Rate
+	}
+	return l
+}
+
+// state is what an entry knows of one workspace.
+type state struct {
+	Limit
+	id   uint64
+	home string
+	// fraction is the home's last word, heard when it came.
+	fraction float64
+	heard    time.Time
+	// credit is the part of the admitted fraction not used yet.
+	credit float64
+	phased bool
+	// safe is the bucket of the safe share, filled up to filled.
+	safe   float64
+	filled time.Time
+	// offered and admitted wait to be reported; the sent ones wait for the
+	// reply to the report of sentAt.
+	offered, admitted         int64
+	sentOffered, sentAdmitted int64
+	sentAt, sentSince         time.Time
+	sentSpan                  time.Duration
+	// asked is when the first report went out that has no reply yet.
+	asked time.Time
+	// since is when the oldest unreported demand came, reported the time of
+	// the last report, recent what was admitted in a second before it.
+	since, reported time.Time
+	recent          float64
+	// ratio is the usual true cost over the expected one.
+	ratio float64
+}
+
+// Limiter is the entry's side. Use New to make one.
+type Limiter struct {
+	rnd     *rand.Rand
+	entries float64
+	agents  []string
+	states  map[string]*state
+	byID    map[uint64]*state
+	due     []string
+}
+
+// New returns a limiter without limits. The source spreads the first decisions
+// of the entries and the Retry-After times; give each entry another seed.
+func New(rnd *rand.Rand) *Limiter {
+	return &Limiter{rnd: rnd, entries: 1, states: make(map[string]*state), byID: make(map[uint64]*state)}
+}
+
+// ID returns the number that stands for a workspace in reports.
+func ID(workspace string) uint64 { return xxhash.Sum64String(workspace) }
+
+// HomeOf returns the agent that is the home of a workspace, or "" if there is
+// none (rendezvous hashing; Thaler and Ravishankar, 1998).
+func HomeOf(workspace string, agents []string) string {
+	best, most := "", uint64(0)
+	var d xxhash.Digest
+	for _, agent := range agents {
+		d.Reset()
+		_, _ = d.WriteString(agent)
+		_, _ = d.WriteString("\x00")
+		_, _ = d.WriteString(workspace)
+		if sum := d.Sum64(); best == "" || sum > most || sum == most && agent < best {
+			best, most = agent, sum
+		}
+	}
+	return best
+}
+
+// SetFleet sets the number of entries, which gives the safe share, and the
+// agents among which the homes are. It costs a hash for each workspace and
+// agent, so call it only when the membership has changed.
+func (l *Limiter) SetFleet(entries int, agents []string) {
+	l.entries = float64(max(1, entries))
+	l.agents = slices.Clone(agents)
+	for workspace, s := range l.states {
+		l.move(s, HomeOf(workspace, agents))
+	}
+}
+
+// move gives a workspace another home. What the old one has not answered is
+// reported to the new one.
+func (l *Limiter) move(s *state, home string) {
+	if s.home == home {
+		return
+	}
+	s.giveBack()
+	s.home = home
+}
+
+// SetLimit sets the limit of a workspace.
+func (l *Limiter) SetLimit(workspace string, limit Limit) {
+	limit = limit.withDefaults()
+	if s, ok := l.states[workspace]; ok {
+		s.Limit = limit
+		return
+	}
+	s := &state{Limit: limit, id: ID(workspace), fraction: 1, ratio: 1, home: HomeOf(workspace, l.agents)}
+	s.safe = l.allowance(s)
+	l.states[workspace] = s
+	l.byID[s.id] = s
+}
+
+// Forget drops a workspace that has left the configuration.
+func (l *Limiter) Forget(workspace string) {
+	if s, ok := l.states[workspace]; ok {
+		delete(l.states, workspace)
+		delete(l.byID, s.id)
+	}
+}
+
+// allowance is what the entry may admit without word from the home. It falls
+// with the root of the number of entries: with the whole burst at each entry
+// a flash crowd would get n times the burst, with an n-th part the batch of a
+// member on one connection would be refused for nothing.
+func (l *Limiter) allowance(s *state) float64 { return s.Burst / math.Sqrt(l.entries) }
+
+// Allow decides on a request of the given cost in tokens. If it says no, the
+// request was not run, and retryAfter says when to come back. It allocates
+// nothing.
+func (l *Limiter) Allow(workspace string, cost int64, now time.Time) (ok bool, retryAfter time.Duration) {
+	s, found := l.states[workspace]
+	if !found || s.Rate <= 0 {
+		return true, 0
+	}
+	cost = max(1, cost)
+	if s.offered == 0 {
+		s.since = now
+	}
+	l.refill(s, now)
+	ok, wait := l.decide(s, float64(cost), now)
+	if ok {
+		s.offered += cost
+		s.admitted += cost
+		l.spend(s, float64(cost), now)
+		return true, 0
+	}
+	// What was refused is weighed like what was admitted: by its true cost.
+	s.offered += max(1, int64(float64(cost)*s.ratio))
+	return false, l.spread(wait)
+}
+
+// decide returns the decision, or how many seconds to wait.
+func (l *Limiter) decide(s *state, cost float64, now time.Time) (ok bool, wait float64) {
+	if !s.fresh(now) {
+		return s.safe > 0, (cost - s.safe) / (s.Rate / l.entries)
+	}
+	if !s.phased {
+		// Entries that see one request each must not all admit or refuse it.
+		s.credit, s.phased = -l.rnd.Float64()*cost, true
+	}
+	if open := s.admitted + s.sentAdmitted; open > 0 && float64(open)+cost > l.lent(s) {
+		return false, ReportSpacing.Seconds()
+	}
+	s.credit = math.Min(s.credit+s.fraction*cost, cost)
+	if s.credit <= 0 {
+		return false, 1 / math.Max(s.fraction, 0.1)
+	}
+	s.credit -= cost
+	return true, 0
+}
+
+// lent is what may be admitted between two words from the home: the allowance,
+// or twice what the last second took, so that a growing demand is followed.
+func (l *Limiter) lent(s *state) float64 {
+	return math.Max(l.allowance(s), 2*s.recent)
+}
+
+func (l *Limiter) refill(s *state, now time.Time) {
+	if !s.filled.IsZero() {
+		gained := s.Rate / l.entries * now.Sub(s.filled).Seconds()
+		s.safe = math.Min(l.allowance(s), s.safe+gained)
+	}
+	s.filled = now
+}
+
+func (s *state) fresh(now time.Time) bool {
+	if s.heard.IsZero() || s.cutOff(now) {
+		return false
+	}
+	if s.fraction < 1 {
+		return now.Sub(s.heard) < cutFor
+	}
+	return now.Sub(s.heard) < openFor
+}
+
+// cutOff guards against an entry that goes on with an old fraction when the
+// home is gone: all entries in that state together would exceed the limit for
+// as long as the home is away. The safe shares add up to the limit.
+func (s *state) cutOff(now time.Time) bool {
+	if !s.asked.IsZero() {
+		return now.Sub(s.asked) >= CutOffAfter
+	}
+	return s.offered > 0 && now.Sub(s.since) >= CutOffAfter
+}
+
+func (l *Limiter) spread(seconds float64) time.Duration {
+	after := time.Duration(math.Min(math.Max(seconds, ReportSpacing.Seconds()), maxRetryAfter.Seconds()) * float64(time.Second))
+	return time.Duration((0.5 + l.rnd.Float64()) * float64(after))
+}
+
+// Settle corrects an admitted request of the given expected cost that took
+// actual tokens.
+func (l *Limiter) Settle(workspace string, cost, actual int64, now time.Time) {
+	s, ok := l.states[workspace]
+	if !ok || s.Rate <= 0 {
+		return
+	}
+	cost = max(1, cost)
+	s.ratio += ratioGain * (float64(actual)/float64(cost) - s.ratio)
+	s.ratio = math.Min(math.Max(s.ratio, 1/maxRatio), maxRatio)
+	if actual == cost {
+		return
+	}
+	if s.offered == 0 {
+		s.since = now
+	}
+	s.offered = max(1, s.offered+actual-cost)
+	s.admitted += actual - cost
+	l.spend(s, float64(actual-cost), now)
+}
+
+// spend takes tokens from the safe share. While the home's word is in force
+// the debt there is bounded, or an entry that carried much of the demand would
+// refuse everything for minutes after it was cut off.
+func (l *Limiter) spend(s *state, tokens float64, now time.Time) {
+	s.safe -= tokens
+	if s.fresh(now) {
+		s.safe = math.Max(s.safe, -l.allowance(s))
+	}
+}
--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,282 @@
+package quota
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	tick = 50 * time.Millisecond
+	cost = 100
+	rate = 5000
+)
+
+// fleet is entries with one workspace and its home.
+type fleet struct {
+	home     *Home
+	entries  []*Limiter
+	now      time.Time
+	admitted []float64
+	lost     func(entry int) bool
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{home: newTestHome(), now: time.Unix(1e9, 0), admitted: make([]float64, n), lost: func(int) bool { return false }}
+	for i := range n {
+		l := New(rand.New(rand.NewPCG(7, uint64(i))))
+		l.SetFleet(n, []string{"agent"})
+		l.SetLimit("w", Limit{Rate: rate})
+		f.entries = append(f.entries, l)
+	}
+	return f
+}
+
+func newTestHome() *Home {
+	h := NewHome()
+	h.SetLimit("w", Limit{Rate: rate})
+	return h
+}
+
+// run offers tokens a second at each entry for a time, and returns what was
+// admitted in all.
+func (f *fleet) run(t *testing.T, span time.Duration, offered func(entry int) float64) float64 {
+	t.Helper()
+	before, debt := f.total(), make([]float64, len(f.entries))
+	for end := f.now.Add(span); f.now.Before(end); f.now = f.now.Add(tick) {
+		for i, l := range f.entries {
+			for debt[i] += offered(i) * tick.Seconds(); debt[i] >= cost; debt[i] -= cost {
+				if ok, _ := l.Allow("w", cost, f.now); ok {
+					f.admitted[i] += cost
+				}
+			}
+			f.exchange(t, i)
+		}
+	}
+	return f.total() - before
+}
+
+func (f *fleet) exchange(t *testing.T, i int) {
+	l := f.entries[i]
+	for _, home := range l.Due(f.now) {
+		report := l.Digest(nil, home, f.now)
+		if f.lost(i) {
+			l.Lost(home)
+			continue
+		}
+		reply, err := f.home.Merge(nil, report, f.now)
+		if err == nil {
+			err = l.Merge(home, reply, f.now)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func (f *fleet) total() (sum float64) {
+	for _, a := range f.admitted {
+		sum += a
+	}
+	return sum
+}
+
+func even(total float64, n int) func(int) float64 {
+	return func(int) float64 { return total / float64(n) }
+}
+
+func overshootBound(n float64) float64 {
+	return rate + n*(rate/math.Sqrt(n)+cost) + 2*rate*ReportEvery.Seconds()
+}
+
+// At a closing all members of one workspace come at once, through all entries,
+// with four times what the workspace has paid for. If each entry let its part
+// through before it heard of the others, the targets would drown; and once the
+// entries have heard, the workspace must still get its whole limit.
+func TestLimitOverAllEntries(t *testing.T) {
+	for _, n := range []int{1, 3, 30} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(n)
+			sum := 0.0
+			for s := 1; s <= 30; s++ {
+				sum += f.run(t, time.Second, even(4*rate, n))
+				is.True(sum <= rate*float64(s)+overshootBound(float64(n)))
+			}
+			late := f.run(t, 20*time.Second, even(4*rate, n))
+			is.True(late >= 0.9*rate*20 && late <= 1.1*rate*20)
+		})
+	}
+}
+
+// The balancer moves all of a workspace's members from one entry to another.
+// With fixed shares they would be refused there although nobody uses the limit.
+func TestDemandMoves(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(400)
+	only := func(entry int) func(int) float64 {
+		return func(i int) float64 {
+			if i == entry {
+				return 0.9 * rate
+			}
+			return 0
+		}
+	}
+	f.run(t, 10*time.Second, only(0))
+	is.True(f.run(t, 5*time.Second, only(0)) >= 0.85*rate*5)
+	f.run(t, 2*time.Second, only(5))
+	is.True(f.run(t, 5*time.Second, only(5)) >= 0.85*rate*5)
+}
+
+// Three entries lose the home in the middle of a burst. Each is then alone
+// with the last fraction it heard: without a fallback they would let through
+// as much as comes. After three seconds each keeps to its safe share.
+func TestCutOffEntriesKeepTheirSafeShare(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	f.run(t, 5*time.Second, even(0.5*rate, 3))
+	f.lost = func(int) bool { return true }
+	is.True(f.run(t, CutOffAfter+time.Second, even(6*rate, 3)) <= overshootBound(3))
+	got := f.run(t, 20*time.Second, even(6*rate, 3))
+	is.True(got <= 1.05*rate*20)
+	is.True(got >= 0.9*rate*20)
+	f.lost = func(int) bool { return false }
+	f.run(t, 20*time.Second, even(0.5*rate, 3))
+	is.True(f.run(t, 5*time.Second, even(0.5*rate, 3)) >= 0.49*rate*5)
+}
+
+// One entry carries all of a workspace when the home forgets the workspace: it
+// restarted with an older configuration. The entry must fall back as if it was
+// cut off, and must not refuse everything for what it admitted by right.
+func TestHomeThatKnowsNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	first := func(i int) float64 {
+		if i == 0 {
+			return 0.9 * rate
+		}
+		return 0
+	}
+	f.run(t, time.Minute, first)
+	f.home = NewHome()
+	f.run(t, CutOffAfter+time.Second, first)
+	got := f.run(t, 10*time.Second, first)
+	is.True(got >= 0.9*rate/3*10 && got <= 1.1*rate/3*10)
+}
+
+// The home is replaced while the workspace asks for ten times its limit. A home
+// that began with a full bucket and no memory of the overshoot would give out more at each
+// change; it learns within seconds and takes back what went through.
+func TestHomeIsReplaced(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(30)
+	f.run(t, 20*time.Second, even(10*rate, 30))
+	f.home = newTestHome()
+	is.True(f.run(t, 5*time.Second, even(10*rate, 30)) <= 1.3*rate*5)
+	is.True(f.run(t, 15*time.Second, even(10*rate, 30)) <= 1.05*rate*15)
+}
+
+// Two regions lose each other, and each finds a home among its own agents.
+// Together they must not give out the limit twice.
+func TestPartitionedHomesShareTheLimit(t *testing.T) {
+	is := is.New(t)
+	sum := 0.0
+	for range 2 {
+		side := newFleet(6)
+		side.home.SetVisible(0.5)
+		side.run(t, 20*time.Second, even(4*rate, 6))
+		sum += side.run(t, 20*time.Second, even(4*rate, 6))
+	}
+	is.True(sum <= 1.1*rate*20)
+}
+
+// Answers run shorter than declared; what was charged too much is given back,
+// or the workspace would get half of its limit.
+func TestSettleGivesBack(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	served := 0.0
+	for range 40 * 20 {
+		for range 10 {
+			if ok, _ := f.entries[0].Allow("w", cost, f.now); ok {
+				f.entries[0].Settle("w", cost, cost/2, f.now)
+				served += cost / 2
+			}
+		}
+		f.exchange(t, 0)
+		f.now = f.now.Add(tick)
+	}
+	is.True(served >= 0.9*rate*40)
+}
+
+// Many entries see one request each of a workspace that may have a quarter.
+// Were each to begin from the same point, all would refuse, or all admit.
+func TestFirstDecisionsAreSpread(t *testing.T) {
+	is := is.New(t)
+	f, admitted := newFleet(400), 0
+	for _, l := range f.entries {
+		l.states["w"].fraction, l.states["w"].heard = 0.25, f.now
+		if ok, _ := l.Allow("w", cost, f.now); ok {
+			admitted++
+		}
+	}
+	is.True(admitted > 70 && admitted < 130)
+}
+
+func TestAllow(t *testing.T) {
+	is := is.New(t)
+	l := New(rand.New(rand.NewPCG(1, 1)))
+	l.SetFleet(4, nil)
+	l.SetLimit("w", Limit{Rate: 100, Burst: 100})
+	now := time.Unix(1e9, 0)
+	ok, _ := l.Allow("unlimited", 1<<30, now)
+	is.True(ok)
+	ok, _ = l.Allow("w", 80, now) // more than the allowance of 50: into debt
+	is.True(ok)
+	ok, after := l.Allow("w", 80, now)
+	is.True(!ok && after > time.Second)
+	is.Equal(testing.AllocsPerRun(100, func() { l.Allow("w", 3, now) }), 0.0)
+}
+
+// When an agent goes, only the workspaces whose home it was move.
+func TestHomeOfMovesLittle(t *testing.T) {
+	is := is.New(t)
+	agents := []string{"a", "b", "c", "d", "e"}
+	homes := map[string]int{}
+	for i := range 500 {
+		w := fmt.Sprint("w", i)
+		home := HomeOf(w, agents)
+		homes[home]++
+		if home != "e" {
+			is.Equal(HomeOf(w, agents[:4]), home)
+		}
+	}
+	for _, a := range agents {
+		is.True(homes[a] > 60)
+	}
+}
+
+func FuzzMerge(f *testing.F) {
+	f.Add(appendRecord(nil, record{ID("w"), 100, -5, time.Second}))
+	f.Add([]byte("\x01\x02"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var malformed *MalformedError
+		h, now := newTestHome(), time.Unix(1e9, 0)
+		reply, err := h.Merge(nil, b, now)
+		if err != nil && (!errors.As(err, &malformed) || len(reply) > 0 || len(h.accounts) > 0) {
+			t.Fatalf("error %v with reply %x", err, reply)
+		}
+		l := newFleet(1).entries[0]
+		if err := l.Merge("agent", reply, now); err != nil {
+			t.Fatalf("reply %x: %v", reply, err)
+		}
+		if err := l.Merge("agent", b, now); err != nil && !errors.As(err, &malformed) {
+			t.Fatal(err)
+		}
+	})
+}
