quota: tests for lent tokens and for a home that comes back

Cause: two guards could be removed without a test failing. Change: a test for each; both fail with the guard removed. Conclusion: no change of behaviour.

--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -167,6 +167,22 @@
 	f.run(t, CutOffAfter+time.Second, first)
 	got := f.run(t, 10*time.Second, first)
 	is.True(got >= 0.9*rate/3*10 && got <= 1.1*rate/3*10)
+	f.home = newTestHome()
+	f.run(t, 5*time.Second, first)
+	is.True(f.run(t, 5*time.Second, first) >= 0.85*rate*5)
+}
+
+// An entry's traffic jumps. What it may admit without word doubles with each
+// word from the home and never leaps: the other entries' traffic jumps too.
+func TestLentAtMostDoubles(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	l, s := f.entries[0], f.entries[0].states["w"]
+	s.admitted, s.offered = 4*rate, 4*rate
+	before := l.lent(s)
+	s.send(f.now)
+	l.hear(s, 1, f.now)
+	is.True(l.lent(s) <= 2*before)
 }
 
 // The home is replaced while the workspace asks for ten times its limit. A home
