--- a/entry/limiter.go
+++ b/entry/limiter.go
@@ -124,7 +124,7 @@
 	reply, err := exchange(ctx, home, digest)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if err != nil || l.quota.Merge(reply, time.Now()) != nil {
+	if err != nil || l.quota.Merge(home, reply, time.Now()) != nil {
 		l.quota.Lost(home)
 	}
 }
