--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -113,11 +114,15 @@
 	if total == 0 {
 		total = answer.DefaultTokens
 	}
+	id := r.Header.Get("X-Request-Id")
+	if id == "" {
+		id = rand.Text()
+	}
 	return &generation{
 		prompt: req.Prompt,
 		total:  total,
 		run: ledger.Run{
-			RequestID:      r.Header.Get("X-Request-Id"),
+			RequestID:      id,
 			IdempotencyKey: r.Header.Get("Idempotency-Key"),
 			Workspace:      r.Header.Get("X-Workspace"),
 			Model:          req.Model,
