--- a/standin/judge/runs.go
+++ b/standin/judge/runs.go
@@ -122,9 +122,9 @@
 	return byID
 }
 
-// untrue reports whether one of the runs makes the refusal a untrue. A
-// run that began after the refusal is excused if a later attempt with the
-// same request id asked for it.
+// untrue reports whether a run belies the refusal a, which named the run's
+// request id. A run is excused only if an attempt that began after the refusal
+// had the same id and asked for it.
 func untrue(a Attempt, runs []ledger.Run, byID map[string][]Attempt) bool {
 	for _, run := range runs {
 		asked := false
--- a/standin/main.go
+++ b/standin/main.go
@@ -24,6 +24,7 @@
 			plain.Command(),
 			platform.Command(),
 			client.Command(),
+			client.ClosingCommand(),
 		},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
