--- /dev/null
+++ b/core/config/bootstrap.go
@@ -0,0 +1,149 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// MaxAnswerAge is how long an answer counts after its question was sent.
+const MaxAnswerAge = 3 * time.Second
+
+// Startup is what a node that has just started knows.
+//
+// Electorate names the peers whose word counts while the store is down. It
+// comes from the settings and must be the same on all nodes; it is changed by
+// one name at a time, so that majorities of the old and the new one overlap.
+type Startup struct {
+	Self       string
+	Electorate []string
+	// Started is when this process began; answers to earlier questions do not
+	// count.
+	Started time.Time
+	// Held is the highest revision that the node has fetched; 0 for none.
+	Held uint64
+	// Stored is the revision that the store gave this process, if HasStored;
+	// 0 if it holds no configuration yet.
+	Stored    uint64
+	HasStored bool
+}
+
+// Answer is a peer's word on its own revision.
+type Answer struct {
+	From string
+	// Settled says that the peer has itself finished its start.
+	Settled  bool
+	Revision uint64
+	// Asked is when this node sent the question, by its own clock.
+	Asked time.Time
+}
+
+// Step says what a starting node does next.
+type Step int
+
+// The steps of a start.
+const (
+	// StepAsk asks the peers named in the decision, and the store again.
+	StepAsk Step = iota
+	// StepFetch fetches the revision named in the decision.
+	StepFetch
+	// StepServe serves: the start is over.
+	StepServe
+)
+
+// Decision is what a starting node does next, and why.
+type Decision struct {
+	Step Step
+	// Ask names the peers that have yet to answer.
+	Ask []string
+	// From is the peer to fetch from; empty for the store.
+	From string
+	// Revision is the least revision to serve with.
+	Revision uint64
+	// Heard of Need answers count so far.
+	Heard, Need int
+}
+
+// Reason says in a few words why the node does not serve; it is what the
+// balancer's health check shows.
+func (d Decision) Reason() string {
+	switch d.Step {
+	case StepServe:
+		return ""
+	case StepFetch:
+		return fmt.Sprintf("fetching revision %d", d.Revision)
+	default:
+		return fmt.Sprintf("store unreachable, heard %d of %d peers", d.Heard, d.Need)
+	}
+}
+
+// Bootstrap decides when a node that starts with empty memory may serve.
+//
+// The guard is for a node that restarts while the store is down, and takes its
+// configuration from a peer that was cut off before the last change: a drained
+// target would get work again, and a revoked token would be let in. The store's
+// word suffices, as its reads are linearizable. Without it a majority of the
+// electorate must answer, and the highest revision among them counts. A
+// revision that was in force on all nodes was held by a majority, which shares
+// a member with any other majority; and a member that has lost its memory does
+// not answer for itself until it has heard a majority of its own, so that the
+// old revision can never gather one.
+func Bootstrap(s Startup, answers []Answer, now time.Time) Decision {
+	counted := countAnswers(s, answers, now)
+	d := Decision{Heard: len(counted), Need: len(s.Electorate)/2 + 1}
+	best := Answer{}
+	for _, a := range counted {
+		if a.Revision > best.Revision || best.From == "" {
+			best = a
+		}
+	}
+	if !s.HasStored && d.Heard < d.Need {
+		d.Ask = missing(s, counted)
+		return d
+	}
+	d.Step, d.From, d.Revision = StepFetch, best.From, best.Revision
+	if s.HasStored && s.Stored >= best.Revision {
+		d.From, d.Revision = "", s.Stored
+	}
+	if s.Held >= d.Revision {
+		d.Step, d.From, d.Revision = StepServe, "", s.Held
+	}
+	return d
+}
+
+// countAnswers returns the answers that count, one for each peer.
+func countAnswers(s Startup, answers []Answer, now time.Time) []Answer {
+	var counted []Answer
+	for _, a := range answers {
+		if !counts(s, a, now) {
+			continue
+		}
+		i := slices.IndexFunc(counted, func(c Answer) bool { return c.From == a.From })
+		if i < 0 {
+			counted = append(counted, a)
+			continue
+		}
+		if a.Revision > counted[i].Revision {
+			counted[i] = a
+		}
+	}
+	return counted
+}
+
+func counts(s Startup, a Answer, now time.Time) bool {
+	if !a.Settled || a.From == s.Self || !slices.Contains(s.Electorate, a.From) {
+		return false
+	}
+	return !a.Asked.Before(s.Started) && now.Sub(a.Asked) <= MaxAnswerAge
+}
+
+func missing(s Startup, counted []Answer) []string {
+	var names []string
+	for _, name := range s.Electorate {
+		heard := slices.ContainsFunc(counted, func(a Answer) bool { return a.From == name })
+		if name != s.Self && !heard {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/core/config/bootstrap_test.go
@@ -0,0 +1,174 @@
+package config_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"verbenashift/core/config"
+)
+
+func answersFrom(asked time.Time, revisions map[string]uint64) []config.Answer {
+	var list []config.Answer
+	for name, r := range revisions {
+		list = append(list, config.Answer{From: name, Settled: true, Revision: r, Asked: asked})
+	}
+	return list
+}
+
+func TestBootstrap(t *testing.T) {
+	now := time.Unix(100, 0)
+	base := config.Startup{Self: "a", Electorate: []string{"a", "b", "c", "d", "e"}, Started: now}
+	with := func(edit func(*config.Startup)) config.Startup {
+		s := base
+		edit(&s)
+		return s
+	}
+	three := answersFrom(now, map[string]uint64{"b": 4, "c": 4, "d": 5})
+	tests := []struct {
+		name     string
+		startup  config.Startup
+		answers  []config.Answer
+		step     config.Step
+		revision uint64
+		from     string
+	}{
+		{"alone", base, nil, config.StepAsk, 0, ""},
+		{"two of five", base, three[:2], config.StepAsk, 0, ""},
+		{"strangers do not count", base, append(three[:2:2], answersFrom(now, map[string]uint64{"x": 9, "a": 9})...), config.StepAsk, 0, ""},
+		{"the same peer twice", base, append(three[:2:2], three[0]), config.StepAsk, 0, ""},
+		{"unsettled peers do not count", base, append(three[:2:2], config.Answer{From: "e", Revision: 9, Asked: now}), config.StepAsk, 0, ""},
+		{"answers to an earlier process", base, answersFrom(now.Add(-time.Second), map[string]uint64{"b": 4, "c": 4, "d": 4}), config.StepAsk, 0, ""},
+		{"majority", base, three, config.StepFetch, 5, "d"},
+		{"majority, behind", with(func(s *config.Startup) { s.Held = 4 }), three, config.StepFetch, 5, "d"},
+		{"majority, held", with(func(s *config.Startup) { s.Held = 5 }), three, config.StepServe, 5, ""},
+		{"store", with(func(s *config.Startup) { s.Stored, s.HasStored = 7, true }), nil, config.StepFetch, 7, ""},
+		{"store, held", with(func(s *config.Startup) { s.Stored, s.HasStored, s.Held = 7, true, 7 }), nil, config.StepServe, 7, ""},
+		{"store without a configuration", with(func(s *config.Startup) { s.HasStored = true }), nil, config.StepServe, 0, ""},
+		{"store behind its peers", with(func(s *config.Startup) { s.Stored, s.HasStored = 3, true }), three, config.StepFetch, 5, "d"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d := config.Bootstrap(tt.startup, tt.answers, now)
+			is.Equal(d.Step, tt.step)
+			is.Equal(d.Revision, tt.revision)
+			is.Equal(d.From, tt.from)
+		})
+	}
+	is := is.New(t)
+	is.Equal(config.Bootstrap(base, three, now.Add(time.Minute)).Step, config.StepAsk) // answers grow old
+}
+
+// member is one process of the electorate in the model below.
+type member struct {
+	settled bool
+	held    uint64
+	// floor is the revision that was kept when the process began.
+	floor   uint64
+	started time.Time
+	answers []config.Answer
+}
+
+// electorate is five members that hear revisions from each other while the
+// store is down. kept is the oracle: the highest revision that a majority of
+// settled members ever held at once.
+type electorate struct {
+	now     time.Time
+	newest  uint64
+	kept    uint64
+	members map[string]*member
+}
+
+var memberNames = []string{"a", "b", "c", "d", "e"}
+
+func (e *electorate) restart(name string) {
+	e.members[name] = &member{started: e.now, floor: e.kept}
+}
+
+// spread brings what one settled member holds to another.
+func (e *electorate) spread(from, to string) {
+	if a, b := e.members[from], e.members[to]; a.settled && b.settled {
+		b.held = max(b.held, a.held)
+	}
+}
+
+// ask gives a starting member the answer of a peer, and lets it settle if it
+// may.
+func (e *electorate) ask(name, peer string) {
+	m, p := e.members[name], e.members[peer]
+	if m.settled {
+		return
+	}
+	m.answers = append(m.answers, config.Answer{From: peer, Settled: p.settled, Revision: p.held, Asked: e.now})
+	startup := config.Startup{Self: name, Electorate: memberNames, Started: m.started, Held: m.held}
+	d := config.Bootstrap(startup, m.answers, e.now)
+	if d.Step == config.StepFetch {
+		m.held = e.members[d.From].held
+		startup.Held = m.held
+		d = config.Bootstrap(startup, m.answers, e.now)
+	}
+	m.settled = d.Step == config.StepServe
+}
+
+// check compares what each process serves with the revision that was kept when
+// it began, and then looks for a newer one that is kept now.
+func (e *electorate) check(t *rapid.T) {
+	var held []uint64
+	for name, m := range e.members {
+		if !m.settled {
+			continue
+		}
+		if m.held < m.floor {
+			t.Fatalf("%s serves with revision %d although %d was kept", name, m.held, m.floor)
+		}
+		held = append(held, m.held)
+	}
+	slices.Sort(held)
+	if n := len(held); n >= 3 {
+		e.kept = max(e.kept, held[n-3])
+	}
+}
+
+// All members restart one after another while the store is down, and fetch
+// their configuration from each other. Afterwards a revision that had been in
+// force everywhere is gone: the ones that held it lost their memory, and each
+// new process believed a peer that had missed it.
+func TestBootstrapKeepsWhatAMajorityHeld(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := &electorate{now: time.Unix(1000, 0), members: map[string]*member{}}
+		for _, name := range memberNames {
+			e.members[name] = &member{settled: true}
+		}
+		name := rapid.SampledFrom(memberNames)
+		t.Repeat(map[string]func(*rapid.T){
+			"accept": func(t *rapid.T) {
+				if m := e.members[name.Draw(t, "at")]; m.settled {
+					e.newest++
+					m.held = e.newest
+				}
+			},
+			"keep": func(t *rapid.T) {
+				e.newest++
+				for _, n := range rapid.Permutation(memberNames).Draw(t, "majority")[:3] {
+					if m := e.members[n]; m.settled {
+						m.held = e.newest
+					}
+				}
+			},
+			"spread":  func(t *rapid.T) { e.spread(name.Draw(t, "from"), name.Draw(t, "to")) },
+			"restart": func(t *rapid.T) { e.restart(name.Draw(t, "node")) },
+			"ask": func(t *rapid.T) {
+				node := name.Draw(t, "node")
+				for _, peer := range rapid.Permutation(memberNames).Draw(t, "peers")[:3] {
+					e.ask(node, peer)
+				}
+			},
+			"wait": func(*rapid.T) { e.now = e.now.Add(time.Second) },
+			"":     e.check,
+		})
+	})
+}
