Engine stand-in: break after so many tokens of its own

A resumed stream broke at once at the next engine with the fault set, because the tokens of the engine before counted too; an engine that dies so early on purpose was not what the switch is for.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -143,7 +143,7 @@
 			g.done++
 		}
 		switch {
-		case e.faults.breaks(g.done):
+		case e.faults.breaks(g.done - g.run.Resumed):
 			e.end(g, stateBroken)
 		case g.done == g.total:
 			e.end(g, stateDone)
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -37,9 +37,10 @@
 	return d
 }
 
-// breaks reports whether a generation with that many tokens breaks now.
-func (f *faults) breaks(done int) bool {
-	if f.breakCount <= 0 || done < f.breakAfter {
+// breaks reports whether a generation of which this engine has made that many
+// tokens breaks now.
+func (f *faults) breaks(made int) bool {
+	if f.breakCount <= 0 || made < f.breakAfter {
 		return false
 	}
 	f.breakCount--
