--- a/core/operator/operator_test.go
+++ b/core/operator/operator_test.go
@@ -160,9 +160,11 @@
 
 // A stranger tries tokens and paths. Any difference between the answers would
 // tell that a guess was near, or which paths exist. The cause would be a check
-// that ends early, or a router that answers before the token is known.
+// that ends early, a router that answers before the token is known, or a look
+// at the store (down here) that only some tokens lead to.
 func TestStrangersSeeOneAnswer(t *testing.T) {
 	d, is := started(t)
+	d.store.fail = &store.UnavailableError{Op: "get"}
 	want := ""
 	for _, auth := range []string{"", "Bearer ", "Bearer x", "Basic admin", "Bearer admi", "Bearer " + bootstrapToken} {
 		for _, path := range []string{"/admin/v1/status", "/admin/v1/plans/x", "/nowhere"} {
@@ -175,3 +177,151 @@
 		}
 	}
 }
+
+func TestRoles(t *testing.T) {
+	d, is := started(t)
+	drain := config.Edit{Drain: &config.Drain{Target: "caption-1", Drained: true}}
+	hire := config.Edit{PutOperator: &config.Operator{Name: "new", Role: config.RoleAdmin, TokenHash: config.HashToken("n")}}
+	tests := []struct {
+		token string
+		edit  config.Edit
+		kind  string
+	}{
+		{"viewer", drain, operator.KindForbidden},
+		{"operator", drain, ""},
+		{"operator", hire, operator.KindForbidden},
+		{"operator", config.Edit{PutWorkspace: &config.Workspace{Name: "x"}}, operator.KindForbidden},
+		{"operator", config.Edit{Replace: &config.Config{}}, operator.KindForbidden},
+		{"admin", hire, ""},
+	}
+	for _, tt := range tests {
+		_, err := d.client(tt.token).Edit(t.Context(), "edit", tt.edit)
+		is.Equal(kindOf(err), tt.kind) // kind of the answer
+	}
+	_, err := d.client("operator").PutConfig(t.Context(), config.Config{}, 1)
+	is.Equal(kindOf(err), operator.KindForbidden)
+}
+
+// An administrator revokes an operator's token. The entry is some seconds
+// behind, still knows the token, and would let its holder confirm a plan.
+func TestRevokedOperatorChangesNothing(t *testing.T) {
+	d, is := started(t)
+	_, err := d.client("admin").Edit(t.Context(), "revoke", config.Edit{RemoveOperator: "mulu"})
+	is.NoErr(err)
+	version := d.store.version
+	_, err = d.client("operator").Edit(t.Context(), "drain", config.Edit{Drain: &config.Drain{Target: "caption-1", Drained: true}})
+	is.Equal(kindOf(err), operator.KindUnauthenticated)
+	is.Equal(d.store.version, version)
+}
+
+// A node starts with empty memory, knows of no operator, and is asked with the
+// bootstrap token long after the first configuration. It would hand the
+// administration to whoever found the old token.
+func TestBootstrapTokenEndsWithTheFirstOperator(t *testing.T) {
+	d, is := started(t)
+	d.index = nil
+	_, err := d.client(bootstrapToken).Config(t.Context())
+	is.Equal(kindOf(err), operator.KindUnauthenticated)
+	d.store.fail = &store.UnavailableError{Op: "get"}
+	_, err = d.client(bootstrapToken).Config(t.Context())
+	is.Equal(kindOf(err), operator.KindUnavailable)
+}
+
+func TestStoreOutage(t *testing.T) {
+	d, is := started(t)
+	d.store.fail = &store.UnavailableError{Op: "get"}
+	c := d.client("admin")
+	st, err := c.Status(t.Context())
+	is.NoErr(err)
+	is.True(!st.StoreReachable)
+	is.Equal(st.Revision.Revision, uint64(1))
+	doc, err := c.Config(t.Context())
+	is.NoErr(err)
+	is.Equal(doc.Source, operator.SourceNode)
+	_, err = c.Edit(t.Context(), "drain", config.Edit{Drain: &config.Drain{Target: "caption-1"}})
+	is.Equal(kindOf(err), operator.KindUnavailable)
+}
+
+func TestConflictNamesTheWinner(t *testing.T) {
+	d, is := started(t)
+	ctx := t.Context()
+	in := intent.Intent{Name: "first", Workspaces: []config.Share{{Workspace: "bole-studios", Share: 2}}}
+	first, err := d.client("operator").Declare(ctx, in)
+	is.NoErr(err)
+	in.Name, in.Workspaces[0].Share = "second", 3
+	second, err := d.client("admin").Declare(ctx, in)
+	is.NoErr(err)
+	_, err = d.client("operator").Confirm(ctx, first.ID)
+	is.NoErr(err)
+	_, err = d.client("admin").Confirm(ctx, second.ID)
+	var conflict *operator.Error
+	is.True(errors.As(err, &conflict))
+	is.Equal([]string{conflict.Kind, conflict.Winner, conflict.Operator}, []string{operator.KindConflict, first.ID, "mulu"})
+	is.Equal(conflict.Revision, uint64(2))
+	_, err = d.client("admin").PutConfig(ctx, firstConfig(), 1) // made from revision 1
+	is.Equal(kindOf(err), operator.KindConflict)
+	list, err := d.client("viewer").Revisions(ctx)
+	is.NoErr(err)
+	is.Equal([]string{list[1].Operator, list[1].Action}, []string{"mulu", "confirm plan first.1"})
+}
+
+// cutting breaks the first connection after the request was handled.
+type cutting struct {
+	cuts int
+}
+
+func (c *cutting) RoundTrip(r *http.Request) (*http.Response, error) {
+	res, err := http.DefaultTransport.RoundTrip(r)
+	if err == nil && c.cuts > 0 {
+		c.cuts--
+		res.Body.Close()
+		return nil, io.ErrUnexpectedEOF
+	}
+	return res, err
+}
+
+// The entry makes a change and dies before it answers. The client asks again:
+// it must get the first change's revision, and not make a second.
+func TestClientRepeatsWithOneIdentifier(t *testing.T) {
+	d, is := started(t)
+	c := d.client("operator")
+	c.HTTP = &http.Client{Transport: &cutting{cuts: 1}}
+	accepted, err := c.Edit(t.Context(), "drain", config.Edit{Drain: &config.Drain{Target: "caption-1", Drained: true}})
+	is.NoErr(err)
+	is.Equal(accepted.Revision, uint64(2))
+	head, _, err := intent.Head{Store: d.store}.Read(t.Context())
+	is.NoErr(err)
+	is.Equal(head.Revision, uint64(2))
+	c.HTTP = &http.Client{Transport: &cutting{cuts: 9}}
+	_, err = c.Edit(t.Context(), "undrain", config.Edit{Drain: &config.Drain{Target: "caption-1"}})
+	is.Equal(kindOf(err), operator.KindUnknown) // it may have been made
+}
+
+func TestNothingLeaks(t *testing.T) {
+	d, is := started(t)
+	hash := config.HashToken("caller")
+	_, body := get(is, d.url+"/admin/v1/config", "Bearer viewer")
+	is.True(!strings.Contains(body, hash))
+	_, body = get(is, d.url+"/admin/v1/config", "Bearer admin")
+	is.True(strings.Contains(body, hash)) // an administrator's copy can be put back
+	_, err := d.client("admin").Edit(t.Context(), "put", config.Edit{PutWorkspace: &config.Workspace{Name: "x", TokenHashes: []string{hash}}})
+	is.Equal(kindOf(err), operator.KindInvalid)
+	is.True(!strings.Contains(err.Error(), hash))
+	for _, secret := range []string{hash, "admin-token", bootstrapToken, "Bearer"} {
+		is.True(!strings.Contains(d.log.String(), secret))
+	}
+	is.True(strings.Contains(d.log.String(), `"operator":"abeba"`))
+}
+
+func TestBadBodies(t *testing.T) {
+	d, is := started(t)
+	for _, body := range []string{"", "{", `{"edit": []}`} {
+		req, err := http.NewRequest(http.MethodPost, d.url+"/admin/v1/edits", strings.NewReader(body))
+		is.NoErr(err)
+		req.Header.Set("Authorization", "Bearer admin")
+		res, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		res.Body.Close()
+		is.Equal(res.StatusCode, http.StatusBadRequest)
+	}
+}
