ctl: golden files, exit codes and waiting for a revision

The tables, the difference, the exit codes and 'status -wait-revision' run against the administration API in memory; waiting uses the test bubble's clock. Estimates are rounded to two decimals: an assumed load carries no more, and golden files stay the same on other processors. go test -race passes in ctl.

--- a/core/intent/forecast.go
+++ b/core/intent/forecast.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 
 	"verbenashift/core/config"
@@ -61,12 +62,16 @@
 		f.Confidence, f.Note = ConfidenceAssumed, assumedNote
 		e.add(&f, g)
 	}
+	f.SkewBefore, f.SkewAfter = round(f.SkewBefore), round(f.SkewAfter)
 	if e.BytesPerSecond > 0 {
 		f.Seconds = float64(f.Bytes) / e.BytesPerSecond
 	}
 	return f, nil
 }
 
+// round keeps two decimals: an assumed load carries no more.
+func round(x float64) float64 { return math.Round(x*100) / 100 }
+
 func (e Estimator) add(f *Forecast, g config.Group) {
 	loads := assumedLoads(g.Experts)
 	before, after := evenReplicas(g), loadedReplicas(g, loads)
--- a/ctl/configs.go
+++ b/ctl/configs.go
@@ -57,11 +57,12 @@
 	if s.cmd.IsSet("base") {
 		base = s.cmd.Uint64("base")
 	}
-	if !s.json {
-		printDiff(s, config.Diff(cur.Config, next))
-	}
+	diff := config.Diff(cur.Config, next)
 	if s.cmd.Bool("dry-run") {
-		return nil
+		return s.show(diff, func() { printDiff(s, diff) })
+	}
+	if !s.json {
+		printDiff(s, diff)
 	}
 	accepted, err := s.PutConfig(ctx, next, base)
 	if err != nil {
--- /dev/null
+++ b/ctl/ctl_test.go
@@ -0,0 +1,205 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/config"
+	"verbenashift/core/operator"
+	"verbenashift/core/store"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// fleet is a deployment in memory: store, nodes and the API's transport.
+type fleet struct {
+	keys    map[string]store.KV
+	version int64
+	nodes   []operator.Node
+	// visits counts status calls; catchUp is the one at which all nodes have
+	// the newest revision in force.
+	visits, catchUp int
+	handler         http.Handler
+}
+
+func newFleet() *fleet {
+	f := &fleet{keys: map[string]store.KV{}, nodes: []operator.Node{
+		{Name: "entry-1", Kind: operator.KindEntry, Zone: "bole", Incarnation: 7},
+		{Name: "caption-1", Kind: operator.KindAgent, Zone: "merkato", Queued: 812, Running: 3, AgeMillis: 410},
+	}}
+	f.handler = operator.New(operator.Deps{Store: f, Fleet: f, BootstrapHash: config.HashToken("secret")})
+	return f
+}
+
+func (f *fleet) Get(_ context.Context, key string) (store.KV, error) { return f.keys[key], nil }
+
+func (f *fleet) List(_ context.Context, prefix string) ([]store.KV, error) {
+	var kvs []store.KV
+	for k, kv := range f.keys {
+		if strings.HasPrefix(k, prefix) {
+			kvs = append(kvs, kv)
+		}
+	}
+	return kvs, nil
+}
+
+func (f *fleet) CompareAndSwap(_ context.Context, key string, version int64, value []byte, _ int64) (int64, error) {
+	if cur := f.keys[key]; cur.Version != version {
+		return 0, &store.ConflictError{Key: key, Current: cur}
+	}
+	f.version++
+	f.keys[key] = store.KV{Key: key, Value: value, Version: f.version}
+	return f.version, nil
+}
+
+func (f *fleet) Status(context.Context) (operator.FleetStatus, error) {
+	f.visits++
+	if f.visits == f.catchUp {
+		for i := range f.nodes {
+			f.nodes[i].Revision = 9
+		}
+	}
+	groups := []operator.GroupStatus{{Name: "captions", State: "steady", MapVersion: 4, Step: 1200, Skew: 1.31, Steward: "caption-1"}}
+	return operator.FleetStatus{Nodes: f.nodes, Groups: groups}, nil
+}
+
+// RoundTrip answers a request without a network.
+func (f *fleet) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	f.handler.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// ctl runs one command line as the administrator.
+func (f *fleet) ctl(ctx context.Context, args ...string) (code int, out, errs string) {
+	var stdout, stderr bytes.Buffer
+	p := &program{in: strings.NewReader(""), out: &stdout, err: &stderr, transport: f}
+	code = p.run(ctx, append([]string{"ctl", "-token", "secret"}, args...))
+	return code, stdout.String(), stderr.String()
+}
+
+// golden compares text with testdata/name; -update writes it.
+func golden(t *testing.T, name, text string) {
+	t.Helper()
+	is := is.New(t)
+	file := filepath.Join("testdata", name+".golden")
+	if *update {
+		is.NoErr(os.WriteFile(file, []byte(text), 0o644))
+	}
+	want, err := os.ReadFile(file)
+	is.NoErr(err)
+	is.Equal(text, string(want))
+}
+
+func TestTables(t *testing.T) {
+	commands := []struct{ name, line string }{
+		{"config-put", "config put testdata/first.json"},
+		{"config-put-dry-run", "config put testdata/second.json -dry-run"},
+		{"config-show", "config show"},
+		{"intent-declare", "intent declare -name month-end -preset lakeshore -model captions -target caption-2 -share bole-studios=3"},
+		{"intent-declare-file", "intent declare testdata/year-end.json"},
+		{"plan-confirm", "plan confirm month-end.1"},
+		{"plan-abandon", "plan abandon year-end.1"},
+		{"plan-show", "plan show month-end.1"},
+		{"plan-show-json", "-output json plan show month-end.1"},
+		{"intent-show", "intent show month-end"},
+		{"target-drain", "target drain caption-1"},
+		{"target-list", "target list"},
+		{"workspace-put", "workspace put merkato-sellers -share 2 -token-hash " + config.HashToken("caller")},
+		{"workspace-list", "workspace list"},
+		{"group-show", "group show captions"},
+		{"config-history", "config history"},
+		{"status", "status"},
+	}
+	// The bubble's clock makes the times in the history the same each time.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet()
+		for _, c := range commands {
+			code, out, errs := f.ctl(t.Context(), append(strings.Fields(c.line), "-request-id", c.name)...)
+			is.Equal(errs, "")
+			is.Equal(code, exitOK)
+			golden(t, c.name, out)
+		}
+	})
+}
+
+func TestExitCodes(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	code, _, errs := f.ctl(t.Context(), "config", "put", "testdata/first.json")
+	is.Equal([]any{code, errs}, []any{exitOK, ""})
+	for _, name := range []string{"a", "b"} {
+		code, _, _ = f.ctl(t.Context(), "intent", "declare", "-name", name, "-share", "bole-studios=2")
+		is.Equal(code, exitOK)
+	}
+	code, _, _ = f.ctl(t.Context(), "plan", "confirm", "a.1")
+	is.Equal(code, exitOK)
+	tests := []struct {
+		line string
+		code int
+		says string
+	}{
+		{"plan confirm b.1", exitConflict, "plan a.1 by bootstrap made revision 2 first"},
+		{"plan abandon a.1", exitConflict, "plan a.1 is confirmed"},
+		{"config put testdata/second.json -base 1", exitConflict, "made revision 2 first"},
+		{"plan show c.1", exitNotFound, `plan "c.1" not found`},
+		{"target drain nowhere", exitNotFound, `target "nowhere" not found`},
+		{"plan show", exitUsage, "0 arguments given, want 1"},
+		{"plan shoe", exitUsage, `unknown command "shoe"`},
+		{"shoe", exitUsage, `unknown command "shoe"`},
+		{"status -nothing", exitUsage, "nothing"},
+		{"status -output xml", exitUsage, "want json or table"},
+		{"intent declare -name x -share bole", exitUsage, "want WORKSPACE=SHARE"},
+		{"intent declare testdata/first.json", exitUsage, "unknown field"},
+		{"config put testdata/none.json", exitFailure, "no such file"},
+		{"-token wrong status", exitFailure, "missing or unknown token"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.line, func(t *testing.T) {
+			is := is.New(t)
+			code, _, errs := f.ctl(t.Context(), strings.Fields(tt.line)...)
+			is.True(strings.Contains(errs, tt.says)) // message
+			is.Equal(code, tt.code)
+		})
+	}
+}
+
+func TestNoServer(t *testing.T) {
+	is := is.New(t)
+	var out, errs bytes.Buffer
+	p := &program{in: strings.NewReader(""), out: &out, err: &errs, transport: broken{}}
+	is.Equal(p.run(t.Context(), []string{"ctl", "plan", "confirm", "a.1"}), exitUnavailable)
+	is.True(strings.Contains(errs.String(), "may have taken effect"))
+	is.Equal(p.run(t.Context(), []string{"ctl", "status"}), exitUnavailable)
+}
+
+// broken is a network on which nothing is answered.
+type broken struct{}
+
+func (broken) RoundTrip(*http.Request) (*http.Response, error) { return nil, http.ErrServerClosed }
+
+func TestWaitRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet()
+		f.catchUp = 5
+		code, out, errs := f.ctl(t.Context(), "status", "-wait-revision", "9")
+		is.Equal([]any{code, errs}, []any{exitOK, ""})
+		is.Equal(f.visits, 5)
+		is.True(strings.Contains(out, "caption-1  agent  merkato  9"))
+		code, _, errs = f.ctl(t.Context(), "status", "-wait-revision", "10", "-timeout", "3s")
+		is.Equal(code, exitUnavailable)
+		is.True(strings.Contains(errs, "in force on 0 of 2 nodes only"))
+	})
+}
--- a/ctl/program.go
+++ b/ctl/program.go
@@ -26,6 +26,15 @@
 	exitUnavailable = 5
 )
 
+// exitCodes is part of the help text.
+const exitCodes = `exit codes:
+  0  done
+  1  failure
+  2  wrong usage
+  3  conflict: another change came first, or the plan is closed or out of bounds
+  4  not found
+  5  unavailable, or unknown whether the change took effect`
+
 // The names of the flags that all commands have.
 const (
 	flagServer    = "server"
@@ -97,7 +106,7 @@
 
 func (p *program) command() *cli.Command {
 	root := &cli.Command{
-		Name: "ctl", Usage: "administer verbenashift",
+		Name: "ctl", Usage: "administer verbenashift", Description: exitCodes,
 		EnableShellCompletion: true,
 		Flags:                 globalFlags(),
 		Reader:                p.in, Writer: p.out, ErrWriter: p.err,
@@ -217,6 +226,7 @@
 func (s *session) printJSON(v any) error {
 	e := json.NewEncoder(s.out)
 	e.SetIndent("", "  ")
+	e.SetEscapeHTML(false)
 	if err := e.Encode(v); err != nil {
 		return errors.Wrap(err, "print")
 	}
