config: lookups on the request path do not allocate

A call with a clean path cost two allocations for a slash that was there already. TestLookupsDoNotAllocate failed with 2 and now holds 0 for token, targets of a model and route mark together.

--- a/core/config/index.go
+++ b/core/config/index.go
@@ -178,7 +178,10 @@
 	}
 	// A caller could otherwise slip past a mark on /bookings by asking for
 	// /x/../bookings or //bookings, which many services take for the same.
-	clean := path.Clean("/" + urlPath)
+	if !strings.HasPrefix(urlPath, "/") {
+		urlPath = "/" + urlPath
+	}
+	clean := path.Clean(urlPath)
 	var best *Route
 	for i := range s.Routes {
 		r := &s.Routes[i]
