--- /dev/null
+++ b/core/expert/history.go
@@ -0,0 +1,84 @@
+package expert
+
+import "time"
+
+// Record is one round of planning as operators see it.
+type Record struct {
+	At time.Time `json:"at"`
+	// Skew is the expected skew without the moves, Bound the lower bound.
+	Skew   float64 `json:"skew"`
+	Bound  float64 `json:"bound"`
+	Moves  int     `json:"moves"`
+	Bytes  int64   `json:"bytes"`
+	Reason Reason  `json:"reason"`
+	// Text is the plan's explanation.
+	Text string `json:"text"`
+}
+
+// RecordOf returns the record of a plan.
+func RecordOf(now time.Time, p Plan) Record {
+	return Record{
+		At: now, Skew: p.SkewBefore, Bound: p.Bound, Moves: len(p.Moves), Bytes: p.Bytes,
+		Reason: p.Reason, Text: p.Explain(),
+	}
+}
+
+// The window and the most records of a History with zero fields.
+const (
+	DefaultWindow  = time.Hour
+	DefaultRecords = 720
+)
+
+// History keeps the records of the last hour, oldest first. The zero value is
+// ready to use.
+type History struct {
+	// Window is how far back the history goes; 0 means DefaultWindow.
+	Window time.Duration
+	// Most is the most records it keeps; 0 means DefaultRecords.
+	Most    int
+	records []Record
+}
+
+// Summary is the history in figures.
+type Summary struct {
+	// MeanSkew and MaxSkew are over the records.
+	MeanSkew float64 `json:"mean-skew"`
+	MaxSkew  float64 `json:"max-skew"`
+	Moves    int     `json:"moves"`
+	Bytes    int64   `json:"bytes"`
+	// Reasons counts the records of each reason.
+	Reasons map[Reason]int `json:"reasons"`
+}
+
+// Add appends a record and drops those that are too old or too many.
+func (h *History) Add(r Record) {
+	h.records = append(h.records, r)
+	window, most := h.Window, h.Most
+	if window <= 0 {
+		window = DefaultWindow
+	}
+	if most <= 0 {
+		most = DefaultRecords
+	}
+	drop := max(len(h.records)-most, 0)
+	for r.At.Sub(h.records[drop].At) > window {
+		drop++
+	}
+	h.records = append(h.records[:0], h.records[drop:]...)
+}
+
+// Records returns a copy of the records, oldest first.
+func (h *History) Records() []Record { return append([]Record(nil), h.records...) }
+
+// Summary returns the figures of the records kept.
+func (h *History) Summary() Summary {
+	s := Summary{Reasons: map[Reason]int{}}
+	for _, r := range h.records {
+		s.MeanSkew += r.Skew / float64(len(h.records))
+		s.MaxSkew = max(s.MaxSkew, r.Skew)
+		s.Moves += r.Moves
+		s.Bytes += r.Bytes
+		s.Reasons[r.Reason]++
+	}
+	return s
+}
--- /dev/null
+++ b/core/expert/reason.go
@@ -0,0 +1,90 @@
+package expert
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Reason says why a plan moves experts, or why it doesn't.
+type Reason int
+
+// The reasons. Moving and BoundReached come with moves, unless nothing is
+// left of the bounds.
+const (
+	// Balanced says that no change is known that lowers the skew enough.
+	Balanced Reason = iota
+	// Moving says that the moves are worth their cost.
+	Moving
+	// GainBelowCost says that the expected gain over the horizon is less than
+	// the cost of the bytes, or than the hysteresis.
+	GainBelowCost
+	// StaleLoads says that the load reports are too old, too few or too far
+	// off to plan with.
+	StaleLoads
+	// ProtectedWork says that too much protected work is in progress.
+	ProtectedWork
+	// SwitchInProgress says that an earlier plan hasn't come into force yet.
+	SwitchInProgress
+	// BoundReached says that the confirmed bounds allow only a part of what
+	// the planner would load: the rest needs a new confirm.
+	BoundReached
+	// InvalidInput says that a map or the loads don't fit the group.
+	InvalidInput
+	reasons
+)
+
+var reasonNames = [...]string{
+	Balanced: "balanced", Moving: "moving", GainBelowCost: "gain-below-cost", StaleLoads: "stale-loads",
+	ProtectedWork: "protected-work", SwitchInProgress: "switch-in-progress", BoundReached: "bound-reached",
+	InvalidInput: "invalid-input",
+}
+
+// String returns the reason as a kebab-case word.
+func (r Reason) String() string {
+	if r < 0 || r >= reasons {
+		return fmt.Sprintf("reason(%d)", int(r))
+	}
+	return reasonNames[r]
+}
+
+// MarshalText writes the reason as a kebab-case word.
+func (r Reason) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
+
+// UnmarshalText reads what MarshalText wrote; another word is a
+// *json.UnsupportedValueError.
+func (r *Reason) UnmarshalText(text []byte) error {
+	for i, name := range reasonNames {
+		if name == string(text) {
+			*r = Reason(i)
+			return nil
+		}
+	}
+	return &json.UnsupportedValueError{Str: string(text)}
+}
+
+// Explain returns the plan's reason as a sentence for operators.
+func (p Plan) Explain() string {
+	switch p.Reason {
+	case Moving:
+		return fmt.Sprintf("moving %d replicas (%s, %.0f s): expected skew %.3f -> %.3f, confidence %.2f",
+			len(p.Moves), gigabytes(p.Bytes), p.Seconds, p.SkewBefore, p.SkewAfter, p.Confidence)
+	case BoundReached:
+		return fmt.Sprintf("moving %d of %d wanted replicas: the confirmed bounds allow no more; "+
+			"expected skew %.3f -> %.3f; confirm wider bounds to move the rest", len(p.Moves), p.Wanted, p.SkewBefore, p.SkewAfter)
+	case GainBelowCost:
+		return fmt.Sprintf("not moving: expected skew %.3f, a change would save less than the %.3f that its bytes are worth",
+			p.SkewBefore, p.Limit)
+	case StaleLoads:
+		return fmt.Sprintf("not moving: confidence in the load reports is %.2f, %.2f is needed", p.Confidence, p.Limit)
+	case ProtectedWork:
+		return fmt.Sprintf("not moving: more than %.0f protected requests are in progress; %d replicas wait", p.Limit, p.Wanted)
+	case SwitchInProgress:
+		return "not moving: an earlier plan is still being loaded or switched"
+	case InvalidInput:
+		return "not moving: a map or the loads don't fit the group"
+	default:
+		return fmt.Sprintf("not moving: expected skew %.3f, at best %.3f with these slots", p.SkewBefore, p.Bound)
+	}
+}
+
+func gigabytes(n int64) string { return fmt.Sprintf("%.2f GB", float64(n)/1e9) }
