--- /dev/null
+++ b/core/group/duty.go
@@ -0,0 +1,44 @@
+package group
+
+import "time"
+
+// holder is the part of lease.Holder that a Duty needs. Fence is 0 when the
+// store's last word was that this process holds nothing.
+type holder interface {
+	Valid(now time.Duration) bool
+	Fence() uint64
+}
+
+// Duty makes the steward of an agent that may hold the duty of a group, and
+// keeps it for as long as the fencing number is the same.
+//
+// A lease can cease to be valid and be renewed after all, because its deadline
+// at the holder comes before that at the store. A second steward under the same
+// fence would give out the first one's numbers again, for other orders.
+type Duty struct {
+	steward *Steward
+	fence   uint64
+}
+
+// Steward returns the steward to act as, or nil while the lease is not valid.
+// It has to be asked right before each use.
+func (d *Duty) Steward(now time.Duration, cfg StewardConfig, h holder) *Steward {
+	if !h.Valid(now) {
+		return nil
+	}
+	if d.steward == nil || d.fence != h.Fence() {
+		d.fence = h.Fence()
+		d.steward = NewSteward(cfg, d.fence, now)
+	}
+	return d.steward
+}
+
+// Wanted reports whether the agent should have the duty: it goes on with a lease
+// until a member knows of a newer one, and asks for one when due says that
+// nobody else seems to hold it.
+func (d *Duty) Wanted(h holder, due bool) bool {
+	if h.Fence() == 0 {
+		return due
+	}
+	return d.steward == nil || d.fence != h.Fence() || !d.steward.Deposed()
+}
--- a/core/group/explorer_test.go
+++ b/core/group/explorer_test.go
@@ -10,9 +10,9 @@
 
 // The times of an exploration are short, so that every timeout is met often.
 const (
-	simLifetime = 100 * time.Millisecond
+	simLifetime = 200 * time.Millisecond
 	simTTL      = time.Second
-	simEvents   = 2000
+	simEvents   = 6000
 	simRound    = 10 * time.Millisecond
 	simDuty     = "group/sim"
 )
@@ -70,10 +70,12 @@
 	stalled bool
 	up      bool // the agent runs
 	paused  bool
+	// The faults end by themselves at these times.
+	engineBack, agentBack time.Duration
 	starts  uint64
 	member  *Member
 	holder  *lease.Holder
-	steward *Steward
+	duty    *Duty
 	// out holds what the agent has decided and not yet sent: a pause between
 	// the check and the send leaves it there.
 	out []any
@@ -88,6 +90,7 @@
 	order Order
 	read  bool
 	sent  time.Duration
+	after time.Duration // it lingers on the way until then
 	start uint64
 }
 
@@ -97,6 +100,7 @@
 	revision uint64
 	expires  time.Duration
 	down     bool
+	back     time.Duration
 }
 
 func (s *simStore) do(now time.Duration, c lease.Call) lease.Answer {
@@ -122,8 +126,8 @@
 	w.oracle.used = make(map[stepKey]Version)
 	w.lockStep = seed%2 == 0
 	w.names = simNames[:2+w.rng.IntN(3)]
-	w.lossy = []int{5, 20, 100}[w.rng.IntN(3)]
-	w.quiet = []int{0, 60, 90}[w.rng.IntN(3)]
+	w.lossy = []int{6, 30, 300}[w.rng.IntN(3)]
+	w.quiet = []int{50, 85, 97}[w.rng.IntN(3)]
 	habit := lease.Habit(w.rng.IntN(2))
 	for range w.names {
 		n := &node{rank: &Rank{Habit: habit, off: off}}
@@ -145,11 +149,11 @@
 func (w *world) startAgent(i int) {
 	n := w.nodes[i]
 	n.starts++
-	n.up, n.paused, n.out, n.back, n.steward = true, false, nil, nil, nil
+	n.up, n.paused, n.out, n.back, n.duty = true, false, nil, nil, &Duty{}
 	n.member = NewMember(MemberConfig{
-		Name: w.names[i], Habit: n.rank.Habit, Lifetime: simLifetime, Timeout: 60 * time.Millisecond,
+		Name: w.names[i], Habit: n.rank.Habit, Lifetime: simLifetime, Timeout: 90 * time.Millisecond,
 		Poll: 20 * time.Millisecond, Patience: 60 * time.Millisecond, Stagger: 20 * time.Millisecond,
-		StallAfter: 200 * time.Millisecond, DeadAfter: 600 * time.Millisecond, Orphan: 300 * time.Millisecond,
+		StallAfter: 200 * time.Millisecond, DeadAfter: 400 * time.Millisecond, Orphan: 300 * time.Millisecond,
 	}, n.starts, w.now)
 	n.member.off = w.off
 	n.holder = lease.NewHolder(lease.Config{
@@ -178,27 +182,25 @@
 	}
 	take := lease.Takeover{Silence: 800 * time.Millisecond, Stagger: 100 * time.Millisecond}
 	due := take.Due(w.now, n.member.Heard(), simDuty, w.names[i], w.names) || n.member.Orphaned(w.now)
-	n.holder.Want(n.steward != nil && !n.steward.Deposed() || due)
+	n.holder.Want(n.duty.Wanted(n.holder, due))
 	for _, c := range n.holder.Tick(w.now) {
 		n.out = append(n.out, c)
 	}
-	switch {
-	case !n.holder.Valid(w.now):
-		n.steward = nil
-	case n.steward == nil || n.steward.fence != n.holder.Fence():
-		n.steward = NewSteward(StewardConfig{
-			Members: w.names, MinRanks: max(1, len(w.names)-1), Initial: 1, Lead: 3,
-			Beat: 500 * time.Millisecond, FastBeat: 50 * time.Millisecond,
-			DeadAfter: 400 * time.Millisecond, RejoinAfter: 300 * time.Millisecond,
-		}, n.holder.Fence(), w.now)
-	}
-	if n.steward != nil {
-		n.steward.Want(w.want)
-		n.take(w, n.steward.Tick(w.now))
+	if st := n.duty.Steward(w.now, w.stewardConfig(), n.holder); st != nil {
+		st.Want(w.want)
+		n.take(w, st.Tick(w.now))
 	}
 	n.take(w, n.member.Tick(w.now))
 }
 
+func (w *world) stewardConfig() StewardConfig {
+	return StewardConfig{
+		Members: w.names, MinRanks: max(1, len(w.names)-1), Initial: 1, Lead: 5,
+		Beat: 500 * time.Millisecond, FastBeat: 50 * time.Millisecond,
+		DeadAfter: 400 * time.Millisecond, RejoinAfter: 300 * time.Millisecond,
+	}
+}
+
 // send carries out the first action that an agent has decided.
 func (w *world) send(i int) {
 	n := w.nodes[i]
@@ -216,7 +218,11 @@
 		}
 	case Apply:
 		if n.member.link.busy && n.member.link.id == a.ID {
-			n.wire = append(n.wire, rankOp{id: a.ID, order: a.Order, sent: w.now, start: n.starts})
+			op := rankOp{id: a.ID, order: a.Order, sent: w.now, start: n.starts}
+			if w.chance(w.lossy) {
+				op.after = w.now + time.Duration(w.rng.Int64N(int64(simLifetime)))
+			}
+			n.wire = append(n.wire, op)
 		}
 	case Read:
 		n.wire = append(n.wire, rankOp{id: a.ID, read: true, sent: w.now, start: n.starts})
@@ -239,6 +245,9 @@
 // process reach it as well, within their lifetime.
 func (w *world) reach(n *node, k int) {
 	op := n.wire[k]
+	if w.now < op.after && !w.healed {
+		return
+	}
 	n.wire = append(n.wire[:k:k], n.wire[k+1:]...)
 	if w.now-op.sent > simLifetime {
 		return
@@ -276,8 +285,8 @@
 		w.net = append(w.net, p)
 		return
 	}
-	if n.steward != nil && n.holder.Valid(w.now) {
-		n.take(w, n.steward.Receive(w.now, w.names[p.from], p.msg))
+	if st := n.duty.Steward(w.now, w.stewardConfig(), n.holder); st != nil {
+		n.take(w, st.Receive(w.now, w.names[p.from], p.msg))
 	}
 	n.take(w, n.member.Receive(w.now, w.names[p.from], p.msg))
 }
@@ -328,20 +337,21 @@
 		if len(w.net) > 0 {
 			w.deliver(w.rng.IntN(len(w.net)))
 		}
-	case k < 50:
+	case k < 52:
 		w.send(i)
-	case k < 64:
+	case k < 66:
 		if len(n.wire) > 0 {
 			w.reach(n, w.rng.IntN(len(n.wire)))
 		}
-	case k < 74:
+	case k < 80:
 		w.answer(n, w.rng.IntN(len(n.back)+1))
-	case k < 82:
+	case k < 86:
 		w.step(n)
-	case k < 84:
+	case k < 87:
 		n.rank.FinishLoad()
-	case k < 98:
-		w.now += time.Duration(1+w.rng.IntN(20)) * time.Millisecond
+	case k < 99:
+		w.now += time.Duration(1+w.rng.IntN(8)) * time.Millisecond
+		w.recover()
 		w.tick(i)
 	default:
 		w.fault(i)
@@ -360,48 +370,60 @@
 // fault makes something fail or come back.
 func (w *world) fault(i int) {
 	n := w.nodes[i]
-	if w.rng.IntN(4) == 0 {
+	if w.rng.IntN(3) == 0 {
 		w.want = Version(1 + w.rng.IntN(4))
 	}
 	if w.rng.IntN(100) < w.quiet {
 		return
 	}
+	back := w.now + time.Duration(w.rng.Int64N(int64(simTTL)))
 	switch w.rng.IntN(8) {
 	case 0, 1:
-		n.up, n.out, n.back, n.steward = false, nil, nil, nil
+		n.up, n.out, n.back, n.agentBack = false, nil, nil, back
 		if w.rng.IntN(2) == 0 {
 			w.startAgent(i)
 		}
 	case 2, 3:
-		n.paused = !n.paused
+		n.paused, n.agentBack = true, back
 	case 4:
-		n.stalled = !n.stalled
+		n.stalled, n.engineBack = true, back
 	case 5:
-		n.down = true
+		n.down, n.engineBack = true, back
 		if w.rng.IntN(2) == 0 {
 			w.startEngine(n)
 		}
 	case 6:
-		w.store.down = !w.store.down
+		w.store.down, w.store.back = true, back
 	case 7:
-		w.now += simTTL
+		w.now += time.Duration(w.rng.Int64N(int64(simTTL)))
 	}
 }
 
-// heal ends all faults and lets the world come to rest. It reports whether the
-// group got to one epoch, without a switch under way, on the wanted map, and
-// steps again.
-func (w *world) heal() bool {
-	w.healed, w.store.down = true, false
+// recover ends the faults whose time has come.
+func (w *world) recover() {
+	w.store.down = w.store.down && w.now < w.store.back && !w.healed
 	for i, n := range w.nodes {
-		n.paused, n.stalled = false, false
-		if n.down {
-			w.startEngine(n)
+		if w.healed || w.now >= n.engineBack {
+			n.stalled = false
+			if n.down {
+				w.startEngine(n)
+			}
 		}
-		if !n.up {
-			w.startAgent(i)
+		if w.healed || w.now >= n.agentBack {
+			n.paused = false
+			if !n.up {
+				w.startAgent(i)
+			}
 		}
 	}
+}
+
+// heal ends all faults and lets the world come to rest. It reports whether the
+// group got to one epoch, without a switch under way, on the wanted map, and
+// steps again.
+func (w *world) heal() bool {
+	w.healed = true
+	w.recover()
 	const rounds = 2000
 	for range rounds {
 		w.round()
@@ -456,7 +478,7 @@
 	w = newWorld(seed, off)
 	w.healed = true
 	// Most runs start from a group that works.
-	for range seed % 80 {
+	for range seed % 250 {
 		w.round()
 	}
 	w.healed = false
--- a/core/group/member_link.go
+++ b/core/group/member_link.go
@@ -157,31 +157,25 @@
 		m.form = nil
 		return Order{}, false
 	}
-	if s.Has(f.Version) {
-		if m.off.fence {
-			m.form = nil
-		}
-		return Order{
-			Number: f.Number.Add(mainPlace), Base: f.Number, Kind: FormGroup,
-			Version: f.Version, Step: f.Step, Members: f.Members,
-		}, true
+	if m.off.fence {
+		m.form = nil
 	}
-	return m.load(f.Number, f.Version)
+	return Order{
+		Number: f.Number.Add(mainPlace), Base: f.Number, Kind: FormGroup,
+		Version: f.Version, Step: f.Step, Members: f.Members,
+	}, true
 }
 
 func (m *Member) chooseLoad() (Order, bool) {
-	if m.prepare == nil || m.rank.Has(m.prepare.Version) {
+	p, s := m.prepare, m.rank
+	if p == nil || s.Has(p.Version) || s.Loading == p.Version || !s.Ready() {
 		return Order{}, false
 	}
-	return m.load(m.prepare.Number, m.prepare.Version)
-}
-
-func (m *Member) load(base lease.Number, v Version) (Order, bool) {
-	number := base.Add(loadPlace)
-	if m.rank.Loading == v || !m.rank.Last.Less(number) {
+	number := p.Number.Add(loadPlace)
+	if !s.Last.Less(number) {
 		return Order{}, false
 	}
-	return Order{Number: number, Base: base, Kind: LoadMap, Version: v}, true
+	return Order{Number: number, Base: p.Number, Kind: LoadMap, Version: p.Version}, true
 }
 
 // vote returns the order that makes the rank's vote: arming, or a refusal that
--- a/core/group/rank.go
+++ b/core/group/rank.go
@@ -93,7 +93,13 @@
 
 // Has reports whether the weights of a map are in memory.
 func (s RankState) Has(v Version) bool {
-	return v == s.Version || v == s.Loaded
+	return v == s.Version && v != s.Loading || v == s.Loaded
+}
+
+// Ready reports whether the rank can run steps: it is in an epoch and has the
+// weights of the epoch's map.
+func (s RankState) Ready() bool {
+	return !s.Epoch.IsZero() && s.Loading != s.Version
 }
 
 // Undecided reports whether the rank is armed and not yet told the outcome.
@@ -170,8 +176,11 @@
 	switch {
 	case o.Kind == ArmMap && o.Epoch != s.Epoch:
 		return "other-epoch"
-	case (o.Kind == ArmMap || o.Kind == FormGroup) && !s.Has(o.Version):
+	case o.Kind == ArmMap && !s.Has(o.Version):
 		return "not-loaded"
+	// Loading makes room first, and an armed rank needs both of its maps.
+	case o.Kind == LoadMap && !s.Armed.Number.IsZero():
+		return "armed"
 	// A rank that has begun the step used the old map in it. If it armed, the
 	// others could commit and use the new map in the same step.
 	case o.Kind == ArmMap && o.Step < s.Next && !r.off.arm:
@@ -186,19 +195,16 @@
 	if s.Has(v) || s.Loading == v {
 		return
 	}
-	if s.Armed.Number.IsZero() {
-		s.Loaded = 0
-	}
-	s.Loading = v
+	s.Loaded, s.Loading = 0, v
 }
 
 // FinishLoad says that the weights on their way have arrived.
 func (r *Rank) FinishLoad() {
 	s := &r.State
-	if s.Loading == 0 || !s.Armed.Number.IsZero() {
-		return
+	if s.Loading != 0 && s.Loading != s.Version {
+		s.Loaded = s.Loading
 	}
-	s.Loaded, s.Loading = s.Loading, 0
+	s.Loading = 0
 }
 
 // resolve ends the armed switch. An abort leaves the map in force and the
@@ -215,10 +221,17 @@
 	s.Armed = Switch{}
 }
 
+// form joins a new epoch at once, whatever the rank was doing in the old one; if
+// the weights are not in memory it runs no step before they are.
 func (r *Rank) form(o Order) {
 	s := &r.State
-	if o.Version != s.Version {
-		s.Loaded = s.Version
+	has, old := s.Has(o.Version), s.Version
+	s.Loading = 0
+	if !has {
+		s.Loading = o.Version
+	}
+	if o.Version != old {
+		s.Loaded = old
 	}
 	s.Epoch, s.Since = o.Base, o.Base
 	s.Members = slices.Clone(o.Members)
@@ -228,11 +241,11 @@
 }
 
 // Begin begins the next step and returns it with the map it uses. It returns
-// false if the rank has no group or is held at the step of a switch whose
+// false if the rank is not ready, or is held at the step of a switch whose
 // outcome it does not know: going on would choose one of two maps by guess.
 func (r *Rank) Begin() (uint64, Version, bool) {
 	s := &r.State
-	if s.Epoch.IsZero() {
+	if !s.Ready() {
 		return 0, 0, false
 	}
 	if s.Held() && !r.off.wait {
--- a/core/group/steward.go
+++ b/core/group/steward.go
@@ -274,16 +274,17 @@
 	if s.deposed {
 		return nil
 	}
-	if acts, busy := s.workForm(now); busy {
+	acts, busy := s.workForm(now)
+	switch {
+	case busy:
 		return acts
+	case s.tally != nil:
+		return append(acts, s.finish(now)...)
 	}
-	if s.tally != nil {
-		return s.finish(now)
-	}
-	if acts := s.adoptSwitch(now); len(acts) > 0 {
-		return acts
+	if asked := s.adoptSwitch(now); len(asked) > 0 {
+		return append(acts, asked...)
 	}
-	return s.workSwitch(now)
+	return append(acts, s.workSwitch(now)...)
 }
 
 // adoptSwitch finds a switch that a former steward left undecided.
