queue, quota, member: close gaps in the tests

Cause: two guards (charging an answer as it runs, keeping arrivals out of the news) could be removed without a test failing; one file was not formatted. Change: an assertion for each. Both now fail with the guard removed. Conclusion: no change of behaviour.

--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -95,6 +95,7 @@
 	f.nodes[30].SetRevision(6) // never back
 	f.rounds(9)
 	is.Equal(f.count(func(v *View) bool { return v.revision == 7 }), 64)
+	is.Equal(f.count(func(v *View) bool { return len(v.news) > 0 }), 0) // nothing has changed
 }
 
 // An agent is told to drain, while the instance list shows it as live for
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -135,7 +135,12 @@
 		q.Done(fmt.Sprint("big", i), 1, start)
 	}
 	is.True(serve(100, 10) >= 49)
-	before := q.classes[Normal].flows["studio"].counter
+	item, _ := q.Next(start)
+	before := q.classes[Normal].flows[item.Workspace].counter
+	q.Served(item.ID, 50, start) // ten were charged at the start
+	is.Equal(q.classes[Normal].flows[item.Workspace].counter, before+40)
+	q.Done(item.ID, 50, start)
+	before = q.classes[Normal].flows["studio"].counter
 	studio := serve(100, 100)
 	is.Equal(q.classes[Normal].flows["studio"].counter, before+float64(studio)*100)
 }
--- a/core/quota/home.go
+++ b/core/quota/home.go
@@ -99,7 +99,7 @@
 	a, ok := h.accounts[r.id]
 	if !ok {
 		a = &account{limit: limit, first: now.Add(-r.span), at: now, fraction: 1}
-		a.spilled = limit.Rate * h.visible * math.Max(0, (r.span - ReportEvery).Seconds())
+		a.spilled = limit.Rate * h.visible * math.Max(0, (r.span-ReportEvery).Seconds())
 		h.accounts[r.id] = a
 	}
 	a.advance(limit.Rate*h.visible, limit.Burst*h.visible, now)
