--- a/core/intent/planner.go
+++ b/core/intent/planner.go
@@ -1,9 +1,11 @@
 package intent
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"github.com/go-faster/errors"
 
@@ -268,6 +270,7 @@
 		}
 		plans = append(plans, rec.Plan.settled(head))
 	}
+	slices.SortFunc(plans, func(a, b Plan) int { return cmp.Compare(a.Intent.Name, b.Intent.Name) })
 	return plans, nil
 }
 
--- a/core/operator/client.go
+++ b/core/operator/client.go
@@ -157,10 +157,13 @@
 		if err == nil {
 			return decodeAnswer[T](data)
 		}
-		if errors.As(err, &answered) || ctx.Err() != nil {
+		if errors.As(err, &answered) {
 			return v, err
 		}
 		last = err
+		if ctx.Err() != nil {
+			break
+		}
 	}
 	return v, unanswered(method, last)
 }
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"encoding/pem"
 	"flag"
+	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -112,8 +115,10 @@
 		{"plan-abandon", "plan abandon year-end.1"},
 		{"plan-show", "plan show month-end.1"},
 		{"plan-show-json", "-output json plan show month-end.1"},
+		{"intent-list", "intent list"},
 		{"intent-show", "intent show month-end"},
 		{"target-drain", "target drain caption-1"},
+		{"target-undrain", "target undrain caption-1"},
 		{"target-list", "target list"},
 		{"workspace-put", "workspace put merkato-sellers -share 2 -token-hash " + config.HashToken("caller")},
 		{"workspace-list", "workspace list"},
@@ -189,6 +194,45 @@
 
 func (broken) RoundTrip(*http.Request) (*http.Response, error) { return nil, http.ErrServerClosed }
 
+// silent is a network on which the request arrives and no answer comes.
+type silent struct{}
+
+func (silent) RoundTrip(r *http.Request) (*http.Response, error) {
+	<-r.Context().Done()
+	return nil, r.Context().Err()
+}
+
+// The server takes a confirmation and is silent until the operator's time is
+// up. Exit code 1 would read as "not done"; it may well have been done.
+func TestTimeoutIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out, errs bytes.Buffer
+		p := &program{in: strings.NewReader(""), out: &out, err: &errs, transport: silent{}}
+		is.Equal(p.run(t.Context(), []string{"ctl", "plan", "confirm", "a.1", "-timeout", "3s"}), exitUnavailable)
+		is.True(strings.Contains(errs.String(), "may have taken effect"))
+	})
+}
+
+// An entry's certificate comes from the operators' own authority. Without
+// -ca-file the connection must fail; with it, the answer must come.
+func TestCAFile(t *testing.T) {
+	is := is.New(t)
+	srv := httptest.NewTLSServer(newFleet().handler)
+	defer srv.Close()
+	srv.Config.ErrorLog = log.New(io.Discard, "", 0)
+	file := filepath.Join(t.TempDir(), "ca.pem")
+	data := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: srv.Certificate().Raw})
+	is.NoErr(os.WriteFile(file, data, 0o600))
+	run := func(args ...string) int {
+		p := &program{in: strings.NewReader(""), out: io.Discard, err: io.Discard}
+		return p.run(t.Context(), append([]string{"ctl", "-token", "secret", "-server", srv.URL}, args...))
+	}
+	is.Equal(run("status"), exitUnavailable)
+	is.Equal(run("status", "-ca-file", file), exitOK)
+	is.Equal(run("status", "-ca-file", "testdata/first.json"), exitUsage)
+}
+
 func TestWaitRevision(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/ctl/program.go
+++ b/ctl/program.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -40,6 +42,7 @@
 	flagServer    = "server"
 	flagToken     = "token"
 	flagTokenFile = "token-file"
+	flagCAFile    = "ca-file"
 	flagOutput    = "output"
 	flagTimeout   = "timeout"
 	flagRequestID = "request-id"
@@ -149,6 +152,7 @@
 			Sources: cli.EnvVars("VERBENASHIFT_TOKEN"), HideDefault: true,
 		},
 		&cli.StringFlag{Name: flagTokenFile, Usage: "`FILE` that holds the operator's token"},
+		&cli.StringFlag{Name: flagCAFile, Usage: "`FILE` with the certificates that vouch for the server; default the system's"},
 		&cli.StringFlag{Name: flagOutput, Value: outputTable, Usage: "json or table"},
 		&cli.DurationFlag{Name: flagTimeout, Value: defaultTimeout, Usage: "longest time for the command"},
 		&cli.StringFlag{Name: flagRequestID, Usage: "repeat the write with this `ID` after a lost answer"},
@@ -195,13 +199,35 @@
 	if err != nil {
 		return nil, err
 	}
+	transport, err := p.roundTripper(cmd.String(flagCAFile))
+	if err != nil {
+		return nil, err
+	}
 	c := &operator.Client{
 		Server: cmd.String(flagServer), Token: token, RequestID: cmd.String(flagRequestID),
-		HTTP: &http.Client{Transport: p.transport},
+		HTTP: &http.Client{Transport: transport},
 	}
 	return &session{Client: c, cmd: cmd, out: p.out, json: output == outputJSON}, nil
 }
 
+// roundTripper trusts the certificates in caFile, if one is given.
+func (p *program) roundTripper(caFile string) (http.RoundTripper, error) {
+	if p.transport != nil || caFile == "" {
+		return p.transport, nil
+	}
+	data, err := os.ReadFile(caFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "read certificates")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, usagef("-%s %s holds no certificate in PEM", flagCAFile, caFile)
+	}
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}
+	return t, nil
+}
+
 func readToken(cmd *cli.Command) (string, error) {
 	file := cmd.String(flagTokenFile)
 	if file == "" {
