Look for an earlier attempt before sealing it; pass the body to the executor

Ruled out: lost incarnations (the log shows the same one). Change: a held attempt gets two short looks before it is sealed; settle carries the body; an entry claims again when its grant is older than its life; a home that hears nobody for long decides nothing.

--- a/agent/register.go
+++ b/agent/register.go
@@ -26,6 +26,9 @@
 	handoverPeers = 3
 )
 
+// reasonCutOff is the answer of a home that hears nobody.
+const reasonCutOff = "home-cut-off"
+
 // register owns this agent's two parts in running a key at most once: home of
 // the keys that hash to it, executor of the keys that its target runs.
 type register struct {
@@ -45,7 +48,7 @@
 }
 
 func newRegister(cfg Settings, id identity, d *peer.Dialer, f *follow.Follower, log *slog.Logger) *register {
-	lim := booking.Limits{Retention: cfg.Retention, MaxRun: cfg.MaxRun}
+	lim := booking.Limits{Retention: cfg.Retention, MaxRun: cfg.MaxRun, ConfigLag: cfg.ConfigLag}
 	return &register{
 		duty:     duty.New(registerRing),
 		home:     booking.Home{Name: cfg.Name, Incarnation: id.incarnation, First: id.first, Limits: lim},
@@ -185,6 +188,11 @@
 		Key: booking.Key(m.Key), Body: booking.Digest(m.BodyDigest), RequestID: m.RequestId,
 		Executor: m.Executor, ExecutorIncarnation: m.ExecutorIncarnation, Revision: m.Revision,
 	}
+	// A home that is cut off from all others may act on an old target list: a
+	// newer list's home would grant beside it.
+	if r.follower.Silence() > r.home.Limits.ConfigLag {
+		return booking.Answer{Kind: booking.Rebuilding, Reason: reasonCutOff, RetryAfter: time.Second}, nil
+	}
 	var a booking.Answer
 	claim := func(now time.Duration) { a = r.home.Claim(c, now) }
 	if err := r.do(ctx, claim); err != nil {
--- a/agent/service.go
+++ b/agent/service.go
@@ -312,7 +312,7 @@
 // Settle says what became of an attempt, and refuses it from then on if it has
 // not run.
 func (a *Agent) Settle(ctx context.Context, req *connect.Request[wire.SettleRequest]) (*connect.Response[wire.SettleResponse], error) {
-	q := booking.Query{Grant: grantOf(req.Msg.Grant), Incarnation: req.Msg.Incarnation}
+	q := booking.Query{Grant: grantOf(req.Msg.Grant), Incarnation: req.Msg.Incarnation, Body: booking.Digest(req.Msg.BodyDigest)}
 	var s booking.Settlement
 	if err := a.register.do(ctx, func(now time.Duration) { s = a.register.executor.Settle(q, now) }); err != nil {
 		return nil, err
@@ -323,6 +323,8 @@
 		resp.State = wire.SettleState_SETTLE_STATE_NEVER_RAN
 	case booking.Known:
 		resp.State = wire.SettleState_SETTLE_STATE_HELD
+	case booking.OtherBody:
+		resp.State = wire.SettleState_SETTLE_STATE_OTHER_BODY
 	}
 	return connect.NewResponse(resp), nil
 }
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -43,6 +43,7 @@
 	Detached   time.Duration
 	MaxRun     time.Duration
 	Retention  time.Duration
+	ConfigLag  time.Duration
 	Bound      time.Duration
 
 	TraceExport string
@@ -77,6 +78,7 @@
 	s.Duration("answers", "detached", &c.Detached, 20*time.Second, time.Second, time.Hour, "how long a repeatable answer goes on without a reader")
 	s.Duration("register", "max-run", &c.MaxRun, 10*time.Minute, time.Second, 24*time.Hour, "longest run of a request")
 	s.Duration("register", "retention", &c.Retention, 10*time.Minute, time.Second, 24*time.Hour, "how long a key is remembered after its run")
+	s.Duration("register", "config-lag", &c.ConfigLag, 15*time.Minute, time.Second, 24*time.Hour, "how long this agent decides on keys without hearing of the configuration")
 	s.Duration("drain", "bound", &c.Bound, 30*time.Second, 0, time.Hour, "longest wait for requests in progress; the rest is handed over")
 	s.Address("trace", "export", &c.TraceExport, "none", "OTLP/HTTP collector; none turns traces off")
 	s.Int("trace", "per-mille", &c.TracePerMil, 10, 0, 1000, "requests in a thousand", "share of requests traced that no entry has decided on")
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -37,6 +37,9 @@
 	ReasonOverDeadline = "deadline-exceeded"
 )
 
+// maxLooks is how often an earlier attempt is looked for before it is sealed.
+const maxLooks = 2
+
 // Request is what the machine has to know of a request.
 type Request struct {
 	// Repeatable says that running it twice does no harm.
@@ -149,6 +152,8 @@
 	lim Limits
 
 	tries, claims, attaches int
+	// looks counts how often an earlier attempt was not there yet.
+	looks int
 	// granted says that this request holds its key.
 	granted bool
 	// held says that the request reads an earlier attempt's answer.
@@ -208,10 +213,7 @@
 	case Broke:
 		return r.broke(e)
 	case NotSeen:
-		if r.reader {
-			return finish(outcome.Unknown, ReasonAnswerGone, 0)
-		}
-		return Action{Kind: Seal}
+		return r.notSeen()
 	case Gone:
 		return r.gone()
 	case Sealed:
@@ -356,6 +358,21 @@
 	return r.goOn()
 }
 
+// notSeen follows an executor's word that it has no answer for the attempt. An
+// earlier attempt that holds the key may still be on its way from its own
+// entry: it gets a moment before it is sealed, which would only make its
+// caller try again.
+func (r *Relay) notSeen() Action {
+	if r.reader {
+		return finish(outcome.Unknown, ReasonAnswerGone, 0)
+	}
+	if r.held && r.looks < maxLooks {
+		r.looks++
+		return Action{Kind: Attach, Wait: r.backoff(r.looks)}
+	}
+	return Action{Kind: Seal}
+}
+
 // gone ends a request whose executor has lost its memory. It may have run.
 func (r *Relay) gone() Action {
 	if r.attaches < r.lim.Attaches && !r.held {
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -50,6 +50,8 @@
 	digest    [sha256.Size]byte
 	home      *config.Target
 	grant     *wire.Grant
+	// claimedAt is when the grant was asked for.
+	claimedAt time.Time
 	// reading is the request whose answer is read: this one, or an earlier
 	// attempt with the same key.
 	reading   string
@@ -149,6 +151,9 @@
 func (f *flow) submit(ctx context.Context, resume bool) relay.Event {
 	ctx, span := f.entry.tracer.Start(ctx, "agent.submit", trace.WithAttributes(attribute.String("target", f.picked.target.Name)))
 	defer span.End()
+	if f.expired() {
+		return relay.Event{Kind: relay.Broke, NotSent: true}
+	}
 	f.attempt++
 	f.reading = f.id
 	msg := f.message(ctx, resume)
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -51,6 +51,7 @@
 	defer cancel()
 	ctx, span := f.entry.tracer.Start(ctx, "home.claim")
 	defer span.End()
+	asked := time.Now()
 	resp, err := f.entry.dialer.Agent(f.home.Agent).Claim(ctx, connect.NewRequest(&wire.ClaimRequest{
 		Key: f.key[:], Workspace: f.workspace.Name, BodyDigest: f.digest[:], RequestId: f.id,
 		Executor: f.picked.target.Name, ExecutorIncarnation: f.picked.incarnation,
@@ -59,7 +60,7 @@
 	if err != nil {
 		return relay.Event{Kind: relay.ClaimFailed}
 	}
-	return f.claimed(resp.Msg)
+	return f.claimed(resp.Msg, asked)
 }
 
 // learnIncarnation asks the picked agent which of its lives this is. A grant
@@ -77,9 +78,10 @@
 	f.entry.router.heard(f.picked.target.Name, resp.Msg.GetLoad())
 }
 
-func (f *flow) claimed(m *wire.ClaimResponse) relay.Event {
+func (f *flow) claimed(m *wire.ClaimResponse, asked time.Time) relay.Event {
 	wait := time.Duration(m.RetryAfterMs) * time.Millisecond
 	f.grant = m.Grant
+	f.claimedAt = asked
 	switch m.State {
 	case wire.ClaimState_CLAIM_STATE_GRANTED:
 		return relay.Event{Kind: relay.Granted}
@@ -94,6 +96,12 @@
 	}
 }
 
+// expired reports whether the grant is too old to be used. A process that was
+// frozen after its claim must not submit a grant that everybody has forgotten.
+func (f *flow) expired() bool {
+	return f.callerKey && time.Since(f.claimedAt) > booking.DefaultGrantLife
+}
+
 // hold turns to the earlier attempt that has the key.
 func (f *flow) hold(m *wire.ClaimResponse) relay.Event {
 	f.leave(result{})
@@ -114,7 +122,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	resp, err := f.entry.dialer.Agent(f.readingAt.Agent).Settle(ctx, connect.NewRequest(&wire.SettleRequest{
-		Grant: f.grant, RequestId: f.reading, Incarnation: f.picked.incarnation,
+		Grant: f.grant, RequestId: f.reading, Incarnation: f.picked.incarnation, BodyDigest: f.digest[:],
 	}))
 	if err != nil {
 		return relay.Event{Kind: relay.Broke}
@@ -124,6 +132,8 @@
 		return relay.Event{Kind: relay.Sealed}
 	case wire.SettleState_SETTLE_STATE_HELD:
 		return relay.Event{Kind: relay.Seen}
+	case wire.SettleState_SETTLE_STATE_OTHER_BODY:
+		return relay.Event{Kind: relay.Mismatch}
 	default:
 		return relay.Event{Kind: relay.Gone}
 	}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -177,6 +177,10 @@
 	}
 	e.metrics.count(outcomeName(err))
 	e.returns.end(err)
+	if err != nil {
+		e.log.Info("request not complete", "request-id", f.id, "workspace", f.workspace.Name,
+			"outcome", err.Outcome.String(), "reason", err.Reason, "attempts", f.attempt)
+	}
 	e.metrics.total.Record(time.Since(started).Microseconds())
 	f.sink.finish(err)
 }
