--- a/bench/groups/trace.go
+++ b/bench/groups/trace.go
@@ -69,6 +69,12 @@
 	return u, loads
 }
 
+// layer returns the loads of a layer beyond those simulated: it is a simulated
+// layer at a later time.
+func (tr *trace) layer(t, l int) []float64 {
+	return tr.loads[(t+l/layers*plans)%intervals][l%layers]
+}
+
 // traces returns the drift traces made from a seed.
 func traces(seed uint64) []*trace {
 	return []*trace{
--- a/core/expert/policy.go
+++ b/core/expert/policy.go
@@ -36,8 +36,8 @@
 // wait behind a slow rank.
 func Lightbox() Policy {
 	return Policy{
-		Skew: 1, Cost: 0.1, MinGain: 0.002, MinConfidence: 0.1,
-		Horizon: 5 * time.Minute, Lead: time.Minute, Interval: time.Minute,
+		Skew: 1, Cost: 0.03, MinGain: 0.002, MinConfidence: 0.1,
+		Horizon: 5 * time.Minute, Lead: 30 * time.Second, Interval: time.Minute,
 	}
 }
 
@@ -46,8 +46,8 @@
 // eight protected requests are in progress.
 func Lakeshore() Policy {
 	return Policy{
-		Skew: 1, Cost: 4, MinGain: 0.03, MinConfidence: 0.25,
-		Horizon: 10 * time.Minute, Lead: time.Minute, Interval: time.Minute,
+		Skew: 1, Cost: 1, MinGain: 0.01, MinConfidence: 0.25,
+		Horizon: 5 * time.Minute, Lead: 30 * time.Second, Interval: time.Minute,
 		Protect: true, MaxProtected: 8,
 	}
 }
