Fuzz the registers and mend what the fuzzing found

A fleet of four agents under lost answers, crashes, drains, late and doubled submissions and changed target lists is judged by an oracle that counts the runs of each key. It found, and this mends: - a key that waited in an executor's queue for longer than the home remembers it was started beside a second try: MaxRun counts from acceptance; - a home with missing records granted a key again after a proof about an attempt that it had only heard of: the gap now covers those too; - a late answer to a seal replaced a grant that the home had given since; - a home still on an old target list outlived the memory of that list at the new home: the memory now lasts for the window and the configuration's lag.

--- a/core/booking/executor.go
+++ b/core/booking/executor.go
@@ -76,9 +76,11 @@
 	body      Digest
 	requestID string
 	attempt   uint64
-	until     time.Duration
-	home      uint32
-	state     RunState
+	// until is the latest start for a queued key, the latest end for a running
+	// one and the time to forget any other.
+	until time.Duration
+	home  uint32
+	state RunState
 }
 
 // Executor is the register of an agent for the keys that its target runs.
@@ -128,10 +130,8 @@
 		return refuse(ReasonFull)
 	}
 	e.raise(s.Grant.Home, s.Grant.HomeIncarnation)
-	e.runs.put(s.Grant.Key, run{
-		body: s.Body, requestID: s.RequestID, attempt: s.Grant.Attempt,
-		until: Forever, home: e.index(s.Grant.Home), state: Queued,
-	}, Forever)
+	r := run{body: s.Body, requestID: s.RequestID, attempt: s.Grant.Attempt, home: e.index(s.Grant.Home)}
+	e.keep(s.Grant.Key, r, Queued, now+e.Limits.withDefaults().MaxRun)
 	return Verdict{Kind: Run, RequestID: s.RequestID, State: Queued}
 }
 
@@ -149,7 +149,8 @@
 
 // Start records that the target is about to be given the key. It reports false
 // if the key is not queued any more; the agent must not send it then.
-func (e *Executor) Start(key Key, _ time.Duration) bool {
+func (e *Executor) Start(key Key, now time.Duration) bool {
+	e.forget(now)
 	r, ok := e.runs.records[key]
 	if !ok || r.state != Queued {
 		return false
@@ -188,7 +189,19 @@
 func (e *Executor) Len() int { return len(e.runs.records) }
 
 func (e *Executor) forget(now time.Duration) {
-	e.runs.expire(now, func(r run) bool { return r.until <= now })
+	e.runs.expire(now, func(key Key, r run) bool {
+		if r.until > now || r.state == Running {
+			return false
+		}
+		// The home forgets a key after the window, which counts the queue as
+		// part of the run. A key that waited longer would run beside a second
+		// try, or would be listed to the home as if it still held the key.
+		if r.state == Queued {
+			e.keep(key, r, Sealed, now+e.Limits.Window())
+			return false
+		}
+		return true
+	})
 }
 
 func (e *Executor) raise(home string, incarnation uint64) {
--- a/core/booking/grant.go
+++ b/core/booking/grant.go
@@ -1,6 +1,10 @@
 package booking
 
-import "time"
+import (
+	"time"
+
+	"verbenashift/core/outcome"
+)
 
 // Grant is the right to run a key once, given by its home.
 type Grant struct {
@@ -82,6 +86,19 @@
 	From []string
 }
 
+// Outcome returns what the caller is told if the entry gives up at this answer
+// without submitting. Only a home that knows all of a key's attempts can say
+// that none ran; where an earlier try of the key may have run, the outcome is
+// Unknown and the caller may ask again with the same key.
+func (a Answer) Outcome() outcome.Outcome {
+	switch a.Kind {
+	case Granted, Full, BadExecutor, Mismatch:
+		return outcome.NotRun
+	default:
+		return outcome.Unknown
+	}
+}
+
 // Proof says that an attempt never ran and never will: its executor has sealed
 // it, or its only holder got a refusal and gave it up.
 type Proof struct {
--- a/core/booking/handover.go
+++ b/core/booking/handover.go
@@ -20,7 +20,9 @@
 	Executor            string
 	ExecutorIncarnation uint64
 	MovedAt             uint64
-	Left                time.Duration
+	// Inherited says that the exporting home did not grant the attempt itself.
+	Inherited bool
+	Left      time.Duration
 }
 
 // Export closes the home and returns its register. Claims are answered
@@ -32,7 +34,7 @@
 	for key, r := range h.keys.records {
 		k := BookedKey{
 			Key: key, Body: r.body, RequestID: r.requestID, Attempt: r.attempt,
-			ExecutorIncarnation: r.incarnation, MovedAt: r.movedAt, Left: r.until - now,
+			ExecutorIncarnation: r.incarnation, MovedAt: r.movedAt, Inherited: r.inherited, Left: r.until - now,
 		}
 		if r.executor != 0 {
 			k.Executor = h.names[r.executor-1]
@@ -70,7 +72,7 @@
 	for _, k := range x.Keys {
 		r := booked{
 			body: k.Body, requestID: k.RequestID, attempt: k.Attempt,
-			incarnation: k.ExecutorIncarnation, movedAt: k.MovedAt,
+			incarnation: k.ExecutorIncarnation, movedAt: k.MovedAt, inherited: k.Inherited,
 		}
 		if k.Executor != "" {
 			r.executor = h.index(k.Executor)
--- a/core/booking/home.go
+++ b/core/booking/home.go
@@ -1,6 +1,9 @@
 package booking
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The reasons that a home gives with its answers.
 const (
@@ -30,8 +33,15 @@
 	// movedAt is the revision whose home took the key over; 0 for none.
 	movedAt  uint64
 	executor uint32
+	// inherited says that this process did not grant the attempt itself: it
+	// learned of it from an executor or a previous home.
+	inherited bool
 }
 
+// hearsay reports whether all that is known of a key is that an attempt of
+// another process never ran. Later attempts may exist elsewhere.
+func (r booked) hearsay() bool { return r.inherited && r.executor == 0 }
+
 // Home is the register of grants of one agent.
 type Home struct {
 	// Name is the agent's name; Incarnation identifies its process.
@@ -58,7 +68,8 @@
 }
 
 // Configure puts a target list in force. Lists of an older revision are
-// ignored. The list before stays a source of records for the window.
+// ignored. The list before stays a source of records for the window. A process
+// that missed lists must be given each of them in order.
 func (h *Home) Configure(g Generation, now time.Duration) {
 	if g.Revision <= h.current.Revision {
 		return
@@ -71,9 +82,11 @@
 }
 
 // Remember adds a list that was in force until now, for a process that started
-// after the change and learned of it from the configuration or a peer.
+// after the change and learned of it from the configuration or a peer. Older
+// lists come first.
 func (h *Home) Remember(g Generation, now time.Duration) {
-	h.previous = append(h.previous, pastGeneration{g, now + h.Limits.Window()})
+	lag := h.Limits.withDefaults().ConfigLag
+	h.previous = append(h.previous, pastGeneration{g, now + h.Limits.Window() + lag})
 }
 
 // Claim decides on a claim. Repeating a claim with the same request id gives
@@ -84,7 +97,7 @@
 		return refusal
 	}
 	r, ok := h.keys.records[c.Key]
-	if ok && r.movedAt == 0 {
+	if ok && r.movedAt == 0 && !r.hearsay() {
 		return h.again(c, r, now)
 	}
 	if from := h.sources(c.Key, now); len(from) > 0 {
@@ -141,6 +154,11 @@
 	if r.body != c.Body {
 		return Answer{Kind: Mismatch}
 	}
+	// That an inherited attempt never ran says nothing of a later one, granted
+	// by the process before and run where the record is missing.
+	if r.hearsay() && h.gap(now) {
+		return Answer{Kind: Unknown, Reason: ReasonGap}
+	}
 	if r.executor == 0 {
 		return h.grant(c, r.attempt+1, now)
 	}
@@ -156,8 +174,9 @@
 }
 
 func (h *Home) grant(c Claim, attempt uint64, now time.Duration) Answer {
-	// Home and executor in one process would lose both records in one crash.
-	if c.Executor == h.Name && len(h.current.Names) > 1 {
+	// Home and executor in one process would lose both records in one crash,
+	// and a rebuild asks only the executors of the list.
+	if !h.mayExecute(c.Executor, h.current.Names) || !slices.Contains(h.current.Names, c.Executor) {
 		return Answer{Kind: BadExecutor}
 	}
 	if attempt == 1 && len(h.keys.records) >= h.Limits.withDefaults().MaxKeys {
@@ -201,7 +220,7 @@
 }
 
 func (h *Home) forget(now time.Duration) {
-	h.keys.expire(now, func(r booked) bool { return r.until <= now })
+	h.keys.expire(now, func(_ Key, r booked) bool { return r.until <= now })
 	for len(h.previous) > 0 && h.previous[0].until <= now {
 		h.previous = h.previous[1:]
 	}
--- a/core/booking/limits.go
+++ b/core/booking/limits.go
@@ -7,6 +7,7 @@
 	DefaultRetention      = 10 * time.Minute
 	DefaultMaxRun         = 10 * time.Minute
 	DefaultGrantLife      = 30 * time.Second
+	DefaultConfigLag      = time.Minute
 	DefaultRebuildTimeout = 2 * time.Second
 	DefaultMaxKeys        = 65536
 )
@@ -15,10 +16,16 @@
 type Limits struct {
 	// Retention is how long a key is remembered after its run ended.
 	Retention time.Duration
-	// MaxRun is the longest run; the agent ends a request that takes longer.
+	// MaxRun is the longest time from acceptance to the end of the run; the
+	// agent ends a request that takes longer.
 	MaxRun time.Duration
-	// GrantLife is how long after the claim an entry may submit its grant.
+	// GrantLife is how long an entry may act on an answer of a home: submit
+	// the grant, settle the attempt or release it. Later it must claim again.
 	GrantLife time.Duration
+	// ConfigLag is how long a home may act on an older target list than the
+	// newest. A node that hears of no configuration for longer must stop
+	// serving claims.
+	ConfigLag time.Duration
 	// RebuildTimeout is how long a home that started empty waits for the
 	// executors before it serves with a gap.
 	RebuildTimeout time.Duration
@@ -38,6 +45,7 @@
 	l.Retention = positive(l.Retention, DefaultRetention)
 	l.MaxRun = positive(l.MaxRun, DefaultMaxRun)
 	l.GrantLife = positive(l.GrantLife, DefaultGrantLife)
+	l.ConfigLag = positive(l.ConfigLag, DefaultConfigLag)
 	l.RebuildTimeout = positive(l.RebuildTimeout, DefaultRebuildTimeout)
 	l.MaxKeys = positive(l.MaxKeys, DefaultMaxKeys)
 	return l
--- a/core/booking/rebuild.go
+++ b/core/booking/rebuild.go
@@ -73,17 +73,18 @@
 	}
 }
 
-// merge takes a listed key. An attempt that is held somewhere wins over a
-// sealed one: a key has several attempts, but at most one that was not sealed.
+// merge takes a listed key. An attempt that is held wins over a sealed one,
+// whatever their numbers: at most one of a key's attempts is not sealed.
 func (h *Home) merge(executor string, incarnation uint64, k SealedKey, now time.Duration) {
 	r, ok := h.keys.records[k.Key]
-	if ok && r.attempt > k.Attempt {
+	// A late answer must not replace what this home granted since.
+	if ok && !r.inherited {
 		return
 	}
-	if ok && r.attempt == k.Attempt && r.executor != 0 {
+	if ok && (r.executor != 0 || k.State == Sealed && r.attempt > k.Attempt) {
 		return
 	}
-	next := booked{body: k.Body, attempt: k.Attempt, movedAt: r.movedAt}
+	next := booked{body: k.Body, attempt: k.Attempt, movedAt: r.movedAt, inherited: true}
 	if k.State != Sealed {
 		next.requestID, next.incarnation, next.executor = k.RequestID, incarnation, h.index(executor)
 	}
--- a/core/booking/settle.go
+++ b/core/booking/settle.go
@@ -8,6 +8,8 @@
 	Grant Grant
 	// Incarnation is the executor process that the attempt was granted for.
 	Incarnation uint64
+	// Body is the asking request's own.
+	Body Digest
 }
 
 // SettlementKind is what an executor knows of an earlier attempt.
@@ -25,6 +27,8 @@
 	// Undecided says that the register is full, so that the attempt can't be
 	// sealed now: it may still run.
 	Undecided
+	// OtherBody says that the key is held for a request with another body.
+	OtherBody
 )
 
 // Settlement is an executor's answer to a query.
@@ -41,6 +45,9 @@
 func (e *Executor) Settle(q Query, now time.Duration) Settlement {
 	e.forget(now)
 	r, ok := e.runs.records[q.Grant.Key]
+	if ok && r.state != Sealed && r.body != q.Body {
+		return Settlement{Kind: OtherBody}
+	}
 	if ok && r.state != Sealed {
 		return Settlement{Kind: Known, RequestID: r.requestID, State: r.state}
 	}
--- a/core/booking/table.go
+++ b/core/booking/table.go
@@ -5,41 +5,61 @@
 // table maps keys to records and forgets a record when its time has come.
 type table[V any] struct {
 	records map[Key]V
-	queue   []due
-	head    int
+	// queue is a heap with the earliest time first. A key may be in it more
+	// than once; the record's own time decides.
+	queue []due
 }
 
 type due struct {
-	key Key
 	at  time.Duration
+	key Key
 }
 
-// put stores a record that can be forgotten at the given time; Forever means
-// not before it is put again. An item of the
-// queue that waits behind a later one is only forgotten later, never earlier.
+// put stores a record and visits it in expire at the given time.
 func (t *table[V]) put(key Key, v V, at time.Duration) {
 	if t.records == nil {
 		t.records = make(map[Key]V)
 	}
 	t.records[key] = v
-	if at == Forever {
-		return
+	t.queue = append(t.queue, due{at, key})
+	for i := len(t.queue) - 1; i > 0; {
+		parent := (i - 1) / 2
+		if t.queue[parent].at <= t.queue[i].at {
+			return
+		}
+		t.queue[parent], t.queue[i] = t.queue[i], t.queue[parent]
+		i = parent
 	}
-	t.queue = append(t.queue, due{key, at})
 }
 
-// expire removes the records that are due and for which final returns true;
-// final decides with the record's own time, as a record may be queued twice.
-func (t *table[V]) expire(now time.Duration, final func(V) bool) {
-	for t.head < len(t.queue) && t.queue[t.head].at <= now {
-		key := t.queue[t.head].key
-		t.head++
-		if v, ok := t.records[key]; ok && final(v) {
+// expire visits the records that are due and removes those for which final
+// returns true.
+func (t *table[V]) expire(now time.Duration, final func(Key, V) bool) {
+	for len(t.queue) > 0 && t.queue[0].at <= now {
+		key := t.queue[0].key
+		t.pop()
+		if v, ok := t.records[key]; ok && final(key, v) {
 			delete(t.records, key)
 		}
 	}
-	if t.head > 64 && t.head > len(t.queue)/2 {
-		n := copy(t.queue, t.queue[t.head:])
-		t.queue, t.head = t.queue[:n], 0
+}
+
+func (t *table[V]) pop() {
+	last := len(t.queue) - 1
+	t.queue[0] = t.queue[last]
+	t.queue = t.queue[:last]
+	for i := 0; ; {
+		child := 2*i + 1
+		if child >= last {
+			return
+		}
+		if right := child + 1; right < last && t.queue[right].at < t.queue[child].at {
+			child = right
+		}
+		if t.queue[i].at <= t.queue[child].at {
+			return
+		}
+		t.queue[i], t.queue[child] = t.queue[child], t.queue[i]
+		i = child
 	}
 }
--- a/core/booking/transfer.go
+++ b/core/booking/transfer.go
@@ -48,7 +48,7 @@
 		return TransferAnswer{Kind: TransferWait}
 	}
 	r, ok := h.keys.records[t.Key]
-	if !ok && h.gap(now) {
+	if (!ok || r.hearsay()) && h.gap(now) {
 		return TransferAnswer{Kind: TransferUnknown}
 	}
 	if !ok && len(h.keys.records) >= h.Limits.withDefaults().MaxKeys {
@@ -83,8 +83,12 @@
 		h.asked[key] = append(h.asked[key], from)
 	}
 	r, ok := h.keys.records[key]
+	// A late answer must not replace what this home granted since.
+	if ok && !r.inherited && r.movedAt == 0 {
+		return
+	}
 	if a.Kind == TransferRecord && (!ok || a.Attempt > r.attempt || a.Attempt == r.attempt && a.Executor == "") {
-		next := booked{body: a.Body, requestID: a.RequestID, attempt: a.Attempt, incarnation: a.ExecutorIncarnation, movedAt: r.movedAt}
+		next := booked{body: a.Body, requestID: a.RequestID, attempt: a.Attempt, incarnation: a.ExecutorIncarnation, movedAt: r.movedAt, inherited: true}
 		if a.Executor != "" {
 			next.executor = h.index(a.Executor)
 		}
