--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -43,6 +43,11 @@
 	return names[o]
 }
 
+// MarshalText returns the outcome's name.
+func (o Outcome) MarshalText() ([]byte, error) {
+	return []byte(o.String()), nil
+}
+
 // Error is the end of a request other than Complete.
 type Error struct {
 	Outcome Outcome
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -28,8 +28,8 @@
 // The times after which a silent connection is probed and given up.
 const (
 	defaultDialTimeout = time.Second
-	defaultPingAfter   = 2 * time.Second
-	defaultPingTimeout = 3 * time.Second
+	defaultPingAfter   = time.Second
+	defaultPingTimeout = 2 * time.Second
 )
 
 // maxMessage bounds one message between processes, in bytes.
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -51,8 +51,11 @@
 
 // Limits bound the tries of one request.
 type Limits struct {
-	// Tries is how many targets may be asked, the first included.
+	// Tries is how many targets may be asked in a row, the first included,
+	// without a piece of the answer from any of them.
 	Tries int
+	// Submits bounds the attempts in all.
+	Submits int
 	// Claims is how often the home of a key is asked.
 	Claims int
 	// Attaches is how often a broken answer of a request that may not be
@@ -144,6 +147,8 @@
 	Handover   bool
 	// NotSent is set with Broke when the request surely never left.
 	NotSent bool
+	// Progress says that the attempt brought a piece of the answer.
+	Progress bool
 }
 
 // Relay is the state of one request.
@@ -151,7 +156,7 @@
 	req Request
 	lim Limits
 
-	tries, claims, attaches int
+	tries, claims, attaches, submits int
 	// looks counts how often an earlier attempt was not there yet.
 	looks int
 	// granted says that this request holds its key.
@@ -189,6 +194,9 @@
 
 // Next returns the step that follows an event.
 func (r *Relay) Next(e Event) Action {
+	if e.Progress {
+		r.tries, r.attaches = 0, 0
+	}
 	switch e.Kind {
 	case Picked:
 		return r.picked()
@@ -243,6 +251,7 @@
 
 func (r *Relay) submit() Action {
 	r.tries++
+	r.submits++
 	return Action{Kind: Submit, Resume: r.started}
 }
 
@@ -311,12 +320,17 @@
 		return r.again(e.Reason)
 	}
 	next := Action{Kind: Finish, Err: r.last}
-	if r.tries < r.lim.Tries {
+	if r.mayTry() {
 		next = Action{Kind: Pick}
 	}
 	return r.release(next)
 }
 
+// mayTry reports whether another target may be asked.
+func (r *Relay) mayTry() bool {
+	return r.tries < r.lim.Tries && r.submits < r.lim.Submits
+}
+
 func (r *Relay) release(next Action) Action {
 	if !r.granted && !r.held {
 		return next
@@ -328,7 +342,7 @@
 
 // again tries another target for a repeatable request whose answer broke.
 func (r *Relay) again(reason string) Action {
-	if r.tries >= r.lim.Tries {
+	if !r.mayTry() {
 		return finish(outcome.Failed, reason, r.lim.RetryAfter)
 	}
 	return Action{Kind: Pick}
@@ -375,6 +389,7 @@
 
 // gone ends a request whose executor has lost its memory. It may have run.
 func (r *Relay) gone() Action {
+	r.started = true
 	if r.attaches < r.lim.Attaches && !r.held {
 		return r.goOn()
 	}
@@ -386,7 +401,7 @@
 func (r *Relay) sealed() Action {
 	r.started = false
 	next := Action{Kind: Finish, Err: &outcome.Error{Outcome: outcome.NotRun, Reason: ReasonInterrupted, RetryAfter: r.lim.RetryAfter}}
-	if r.tries < r.lim.Tries {
+	if r.mayTry() {
 		next = Action{Kind: Pick}
 	}
 	return r.release(next)
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -104,6 +104,13 @@
 }
 
 func (f *flow) step(ctx context.Context, a relay.Action) relay.Event {
+	before := f.log.delivered
+	ev := f.act(ctx, a)
+	ev.Progress = f.log.delivered > before
+	return ev
+}
+
+func (f *flow) act(ctx context.Context, a relay.Action) relay.Event {
 	switch a.Kind {
 	case relay.Pick:
 		return f.pick()
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -40,7 +40,7 @@
 	f.req = caller.Request{MayNotRepeat: true, Stream: true}
 	f.log.delivered = res.After
 	f.attempt = 1
-	f.sink = newStreamSink(w, f.id, e.cfg.SlowCaller)
+	f.sink = newStreamSink(w, f.id, e.cfg.SlowCaller, e.cfg.Silence)
 	f.relay = relay.NewReader(relay.Limits{Attaches: e.cfg.Attaches, Backoff: e.cfg.Backoff, RetryAfter: e.cfg.RetryAfter})
 	e.finish(r.Context(), f, started)
 }
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -113,7 +113,7 @@
 	f.findHome(x)
 	f.sink = e.newSink(w, f)
 	f.relay = relay.New(relay.Request{Repeatable: !req.MayNotRepeat, CallerKey: f.callerKey}, relay.Limits{
-		Tries: e.cfg.Tries, Claims: e.cfg.Claims, Attaches: e.cfg.Attaches, Backoff: e.cfg.Backoff, RetryAfter: e.cfg.RetryAfter,
+		Tries: e.cfg.Tries, Submits: e.cfg.Submits, Claims: e.cfg.Claims, Attaches: e.cfg.Attaches, Backoff: e.cfg.Backoff, RetryAfter: e.cfg.RetryAfter,
 	})
 	return f, nil
 }
@@ -142,7 +142,7 @@
 
 func (e *Entry) newSink(w http.ResponseWriter, f *flow) sink {
 	if f.req.Stream {
-		return newStreamSink(w, f.id, e.cfg.SlowCaller)
+		return newStreamSink(w, f.id, e.cfg.SlowCaller, e.cfg.Silence)
 	}
 	return newWholeSink(w, f.id, e.cfg.WholeBuffer)
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -32,6 +32,7 @@
 	Silence       time.Duration
 	WholeBuffer   int
 	Tries         int
+	Submits       int
 	Claims        int
 	Attaches      int
 	Backoff       time.Duration
@@ -75,7 +76,8 @@
 	s.Duration("limits", "slow-caller", &c.SlowCaller, 30*time.Second, time.Second, time.Hour, "longest wait for a caller to take its answer")
 	s.Int("limits", "whole-buffer", &c.WholeBuffer, 1<<20, 1024, 64<<20, "bytes", "part of an answer held back until its end is known")
 	s.Duration("requests", "silence", &c.Silence, 3*time.Second, 100*time.Millisecond, time.Minute, "a waiting stream gets a sign of life this often")
-	s.Int("requests", "tries", &c.Tries, 3, 1, 10, "targets", "targets asked for one request")
+	s.Int("requests", "tries", &c.Tries, 3, 1, 10, "targets", "targets asked in a row without any piece of the answer")
+	s.Int("requests", "submits", &c.Submits, 12, 1, 100, "attempts", "attempts of one request in all")
 	s.Int("requests", "claims", &c.Claims, 4, 1, 20, "calls", "how often the home of a key is asked")
 	s.Int("requests", "attaches", &c.Attaches, 4, 1, 20, "calls", "how often a broken answer that may not be repeated is asked for")
 	s.Duration("requests", "backoff", &c.Backoff, 100*time.Millisecond, time.Millisecond, time.Minute, "first pause before such a call; it doubles")
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -33,15 +33,19 @@
 	w       http.ResponseWriter
 	id      string
 	timeout time.Duration
+	// silence is how long the caller may hear nothing.
+	silence time.Duration
 
 	mu      sync.Mutex
 	stream  *caller.Stream
 	refused *wholeSink
-	silent  bool
+	ended   bool
+	// written is when the caller was last sent anything.
+	written time.Time
 }
 
-func newStreamSink(w http.ResponseWriter, id string, timeout time.Duration) *streamSink {
-	return &streamSink{w: w, id: id, timeout: timeout}
+func newStreamSink(w http.ResponseWriter, id string, timeout, silence time.Duration) *streamSink {
+	return &streamSink{w: w, id: id, timeout: timeout, silence: silence}
 }
 
 func (s *streamSink) open() *caller.Stream {
@@ -67,10 +71,10 @@
 func (s *streamSink) data(id uint64, p []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.silent = true
 	if s.refused != nil {
 		return s.refused.data(id, p)
 	}
+	s.written = time.Now()
 	return s.open().Event(id, p)
 }
 
@@ -82,7 +86,7 @@
 func (s *streamSink) alive() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.silent || s.refused != nil {
+	if s.ended || s.refused != nil || time.Since(s.written) < s.silence {
 		return
 	}
 	_ = s.open().Comment("waiting")
@@ -91,7 +95,7 @@
 func (s *streamSink) finish(err *outcome.Error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.silent = true
+	s.ended = true
 	switch {
 	case s.refused != nil:
 		s.refused.finish(err)
@@ -107,7 +111,7 @@
 func (s *streamSink) handover() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.silent = true
+	s.ended = true
 	_ = s.open().Handover(s.id)
 }
 
