--- a/core/intent/intent_test.go
+++ b/core/intent/intent_test.go
@@ -185,7 +185,7 @@
 	shown, err := p.Plan(t.Context(), plan.ID)
 	is.NoErr(err)
 	is.Equal(shown.State, intent.StateConfirmed)
-	again, err := p.Confirm(t.Context(), plan.ID, by("c1", "ruth"))
+	again, err := p.Confirm(t.Context(), plan.ID, by("c2", "ruth"))
 	is.NoErr(err)
 	is.Equal(again.Revision, uint64(2))
 }
