--- a/bench/groups/planner_time.go
+++ b/bench/groups/planner_time.go
@@ -31,7 +31,7 @@
 	p.printf("\nplanning times, lightbox, steady drift, %d slots per rank\n", defaultSlots)
 	var figures []figure.Figure
 	for _, n := range []int{32, 64, 128, 256} {
-		steady, worst := planningTime(newGroup(n, defaultSlots), steady, 1, expert.Lightbox())
+		median, worst := planningTime(newGroup(n, defaultSlots), drifting, 1, expert.Lightbox())
 		p.printf("%4d ranks  1 layer    median %7.2f ms  worst %7.2f ms\n", n, median, worst)
 		f := timing("groups-plan-layer-ranks-"+strconv.Itoa(n), median, 0)
 		if n == ranks {
