--- a/core/config/config.go
+++ b/core/config/config.go
@@ -3,7 +3,10 @@
 // A Config is one document with one revision number. It is changed only by
 // compare-and-swap on the head key of the platform's store, so that revisions
 // form a single line; every node keeps the highest revision it has seen and
-// never goes back. Change is the pure part of an edit.
+// never goes back. The package is pure: Apply makes the next revision, Diff
+// shows what moves, Index answers the lookups of the request path, Tracker
+// holds the revision in force, and Bootstrap decides when a node that starts
+// while the store is down may serve.
 //
 // # Usage
 //
@@ -11,6 +14,9 @@
 //	if err != nil {
 //		return err // a *config.InvalidError names the field at fault
 //	}
+//	if tracker.Offer(next, now) {
+//		index.Store(config.NewIndex(next))
+//	}
 package config
 
 // Config is one revision of the operators' configuration.
