--- /dev/null
+++ b/standin/deployment/build.go
@@ -0,0 +1,54 @@
+package deployment
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+
+	"github.com/go-faster/errors"
+)
+
+// programs are the packages of the programs that a deployment runs.
+var programs = []string{"verbenashift/entry", "verbenashift/agent", "verbenashift/ctl", "verbenashift/standin"}
+
+// built holds the programs of this process, which are built once.
+var built struct {
+	sync.Mutex
+	dir string
+}
+
+// Build compiles the programs into a temporary directory, once in the life of
+// this process, and returns the directory. The working directory must be
+// inside the Go workspace. Call Clean when no deployment runs any more.
+func Build(ctx context.Context) (string, error) {
+	built.Lock()
+	defer built.Unlock()
+	if built.dir != "" {
+		return built.dir, nil
+	}
+	dir, err := os.MkdirTemp("", "verbenashift-programs-")
+	if err != nil {
+		return "", errors.Wrap(err, "make directory")
+	}
+	cmd := exec.CommandContext(ctx, "go", append([]string{"build", "-o", dir + string(filepath.Separator)}, programs...)...)
+	if out, err := cmd.CombinedOutput(); err != nil {
+		_ = os.RemoveAll(dir)
+		return "", errors.Wrapf(err, "build the programs: %s", out)
+	}
+	built.dir = dir
+	return dir, nil
+}
+
+// Clean removes the programs that Build made.
+func Clean() error {
+	built.Lock()
+	defer built.Unlock()
+	dir := built.dir
+	built.dir = ""
+	if dir == "" {
+		return nil
+	}
+	return os.RemoveAll(dir)
+}
