--- a/agent/app.go
+++ b/agent/app.go
@@ -110,8 +110,32 @@
 	return store.New(store.Config{Addresses: cfg.Store, Timeout: cfg.StoreTimeout})
 }
 
+// watchers is how many agents of a zone watch the store; the others hear of a
+// change by heartbeat.
+const watchers = 2
+
 func newFollower(cfg Settings, s *store.Client, log *slog.Logger) *follow.Follower {
-	return follow.New(follow.Config{Store: s, Refresh: cfg.StoreRefresh, Log: log})
+	var f *follow.Follower
+	f = follow.New(follow.Config{
+		Store: s, Refresh: cfg.StoreRefresh, Log: log, Self: cfg.Peers, Electorate: cfg.Seeds,
+		Watch: func() bool { return watches(f.Index(), cfg) },
+	})
+	return f
+}
+
+// watches reports whether this agent is one of its zone's watchers. Before the
+// first configuration there is no zone to go by, and every agent watches.
+func watches(x *config.Index, cfg Settings) bool {
+	if x == nil {
+		return true
+	}
+	var zone []string
+	for _, t := range x.Config().Targets {
+		if t.Zone == cfg.Zone {
+			zone = append(zone, t.Name)
+		}
+	}
+	return config.Watches(cfg.Name, zone, watchers)
 }
 
 func newIdentity(cfg Settings, s *store.Client, log *slog.Logger) identity {
@@ -234,7 +258,7 @@
 	case a.draining.Load():
 		http.Error(w, "draining", http.StatusServiceUnavailable)
 	case a.follower.Index() == nil:
-		http.Error(w, "no configuration", http.StatusServiceUnavailable)
+		http.Error(w, a.follower.Reason(), http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
 	}
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -6,6 +6,10 @@
 // lower than the one in force is never taken, and the process acts on one
 // *config.Index at a time.
 //
+// A process that has just started acts on nothing until config.Bootstrap says
+// that it may: the store's word suffices, and while the store is down the word
+// of a majority of the agents named in the settings does.
+//
 // # Usage
 //
 //	f := follow.New(follow.Config{Store: client, Refresh: 30 * time.Second})
@@ -25,12 +29,10 @@
 	"github.com/go-faster/errors"
 
 	"verbenashift/core/config"
+	"verbenashift/core/intent"
 	"verbenashift/core/store"
 )
 
-// HeadKey is the key of the configuration in the platform's store.
-const HeadKey = "config/head"
-
 // The pauses after a failed call to the store: the first, and the bound to
 // which it doubles. Each is spread by half of itself, so that a fleet does not
 // come back to a recovered store in one instant.
@@ -50,6 +52,11 @@
 	Store Store
 	// Refresh is how often the head is read beside the watch.
 	Refresh time.Duration
+	// Self is this process's address among Electorate, "" for an entry, and
+	// Electorate the agents whose word counts at a start while the store is
+	// down; see config.Startup.
+	Self       string
+	Electorate []string
 	// Watch reports whether this process is one of those that watch.
 	Watch func() bool
 	Log   *slog.Logger
@@ -63,6 +70,10 @@
 
 	mu       sync.Mutex
 	tracker  config.Tracker
+	startup  config.Startup
+	answers  []config.Answer
+	settled  bool
+	reason   string
 	onChange []func(*config.Index)
 	// encoded is the gzip form of revision encodedOf.
 	encoded   []byte
@@ -76,7 +87,11 @@
 
 // New returns a follower without a configuration.
 func New(cfg Config) *Follower {
-	return &Follower{cfg: cfg}
+	return &Follower{
+		cfg:     cfg,
+		reason:  "starting",
+		startup: config.Startup{Self: cfg.Self, Electorate: cfg.Electorate, Started: time.Now()},
+	}
 }
 
 // OnChange has f called after each change, in order, one call at a time. It
@@ -85,12 +100,15 @@
 	f.onChange = append(f.onChange, fn)
 }
 
-// Index returns the configuration in force, nil if there is none yet.
+// Index returns the configuration in force, nil if there is none yet or if this
+// process has not finished its start.
 func (f *Follower) Index() *config.Index {
 	return f.index.Load()
 }
 
-// Revision returns the revision in force, 0 if there is none yet.
+// Revision returns the revision in force, 0 if there is none yet. Peers take 0
+// as the word of a process that knows nothing: it is what one says that has not
+// finished its start, so that it never vouches for an old revision.
 func (f *Follower) Revision() uint64 {
 	if x := f.index.Load(); x != nil {
 		return x.Revision()
@@ -141,6 +159,66 @@
 	return time.Duration(time.Now().UnixNano() - f.heard.Load())
 }
 
+// Held returns the highest revision fetched, in force or not.
+func (f *Follower) Held() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tracker.Revision()
+}
+
+// Reason says why this process has no configuration in force, "" if it has.
+func (f *Follower) Reason() string {
+	if f.Index() != nil {
+		return ""
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.settled {
+		return "no configuration yet"
+	}
+	return f.reason
+}
+
+// Answered takes a peer's word on its revision, for a start without the store.
+func (f *Follower) Answered(a config.Answer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.settled || a.Revision == 0 {
+		return
+	}
+	a.Settled = true
+	f.answers = append(f.answers, a)
+	f.settle()
+}
+
+// settle ends the start if what was heard suffices. The caller holds mu.
+func (f *Follower) settle() {
+	if f.settled {
+		return
+	}
+	f.startup.Held = f.tracker.Revision()
+	d := config.Bootstrap(f.startup, f.answers, time.Now())
+	f.reason = d.Reason()
+	if d.Step != config.StepServe {
+		return
+	}
+	f.settled, f.answers = true, nil
+	f.publish()
+}
+
+// publish puts the highest configuration in force. The caller holds mu.
+func (f *Follower) publish() {
+	c, ok := f.tracker.Current()
+	if !ok {
+		return
+	}
+	x := config.NewIndex(c)
+	f.index.Store(x)
+	for _, fn := range f.onChange {
+		fn(x)
+	}
+}
+
 // Offer takes a configuration from any source and reports whether it became
 // the one in force. An older revision never does.
 func (f *Follower) Offer(c config.Config) bool {
@@ -150,12 +228,12 @@
 	if !f.tracker.Offer(c, time.Now()) {
 		return false
 	}
-	x := config.NewIndex(c)
-	f.index.Store(x)
-	for _, fn := range f.onChange {
-		fn(x)
+	if f.settled {
+		f.publish()
+		return true
 	}
-	return true
+	f.settle()
+	return f.settled
 }
 
 // OfferEncoded takes a configuration in its gzip form.
@@ -183,26 +261,33 @@
 }
 
 func (f *Follower) read(ctx context.Context) (int64, error) {
-	kv, err := f.cfg.Store.Get(ctx, HeadKey)
+	kv, err := f.cfg.Store.Get(ctx, intent.HeadKey)
 	if err != nil {
 		return 0, err
 	}
 	f.sawStore.Store(true)
 	f.Heard()
-	f.take(kv)
+	revision := f.take(kv)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.startup.HasStored = true
+	f.startup.Stored = max(f.startup.Stored, revision)
+	f.settle()
 	return kv.Version, nil
 }
 
-func (f *Follower) take(kv store.KV) {
+// take offers what the store holds and returns its revision.
+func (f *Follower) take(kv store.KV) uint64 {
 	if len(kv.Value) == 0 {
-		return
+		return 0
 	}
 	c, err := config.Decode(kv.Value)
 	if err != nil {
 		f.cfg.Log.Error("head of the configuration is unreadable", "version", kv.Version, "error", err)
-		return
+		return 0
 	}
 	f.Offer(c)
+	return c.Revision
 }
 
 // wait watches the head until the next refresh is due, if this process
@@ -214,7 +299,7 @@
 		<-ctx.Done()
 		return
 	}
-	err := f.cfg.Store.Watch(ctx, HeadKey, version, f.take)
+	err := f.cfg.Store.Watch(ctx, intent.HeadKey, version, func(kv store.KV) { f.take(kv) })
 	if ctx.Err() == nil {
 		f.cfg.Log.Info("watch of the configuration ended", "error", err)
 	}
--- a/core/follow/spread.go
+++ b/core/follow/spread.go
@@ -85,8 +85,9 @@
 func (s *Spread) exchange(ctx context.Context, t config.Target) {
 	ctx, cancel := context.WithTimeout(ctx, s.Period+exchangeGrace)
 	defer cancel()
-	mine := s.Follower.Revision()
-	req := &wire.ExchangeRequest{From: s.Name, Revision: mine}
+	asked := time.Now()
+	mine := s.Follower.Held()
+	req := &wire.ExchangeRequest{From: s.Name, Revision: s.Follower.Revision()}
 	if s.Describe != nil {
 		s.Describe(req)
 	}
@@ -102,18 +103,19 @@
 	}
 	if resp.Msg.Revision > 0 {
 		s.Follower.Heard()
+		s.Follower.Answered(config.Answer{From: t.Agent, Revision: resp.Msg.Revision, Asked: asked})
 	}
 	if resp.Msg.Revision > mine {
 		s.fetch(ctx, t)
 	}
-	if resp.Msg.Revision < mine {
+	if resp.Msg.Revision < s.Follower.Revision() {
 		s.push(ctx, t)
 	}
 }
 
 // fetch takes the configuration of an agent that is ahead.
 func (s *Spread) fetch(ctx context.Context, t config.Target) {
-	resp, err := s.Dialer.Agent(t.Agent).FetchConfig(ctx, connect.NewRequest(&wire.FetchConfigRequest{HaveRevision: s.Follower.Revision()}))
+	resp, err := s.Dialer.Agent(t.Agent).FetchConfig(ctx, connect.NewRequest(&wire.FetchConfigRequest{HaveRevision: s.Follower.Held()}))
 	if err != nil || len(resp.Msg.Config) == 0 {
 		return
 	}
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -1,6 +1,8 @@
 package relay_test
 
 import (
+	"flag"
+	"os"
 	"testing"
 	"time"
 
@@ -11,6 +13,14 @@
 	"verbenashift/core/relay"
 )
 
+// TestMain fixes the seed; the flag -rapid.seed=0 draws a new one.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "7")
+	_ = flag.Set("rapid.nofailfile", "true")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
 var limits = relay.Limits{Tries: 3, Submits: 6, Claims: 2, Attaches: 3, Backoff: time.Millisecond, RetryAfter: time.Second}
 
 // play feeds events to a machine and returns the last action.
--- a/entry/app.go
+++ b/entry/app.go
@@ -81,8 +81,15 @@
 	return store.New(store.Config{Addresses: cfg.Store, Timeout: cfg.StoreTimeout})
 }
 
+// newFollower returns a follower that watches the store only until the first
+// configuration; from then on entries hear of a change by heartbeat.
 func newFollower(cfg Settings, s *store.Client, log *slog.Logger) *follow.Follower {
-	return follow.New(follow.Config{Store: s, Refresh: cfg.StoreRefresh, Log: log})
+	var f *follow.Follower
+	f = follow.New(follow.Config{
+		Store: s, Refresh: cfg.StoreRefresh, Log: log, Electorate: cfg.Seeds,
+		Watch: func() bool { return f.Index() == nil },
+	})
+	return f
 }
 
 func newEntry(cfg Settings, log *slog.Logger, tracer trace.Tracer, d *peer.Dialer, s *store.Client, f *follow.Follower) *Entry {
@@ -230,7 +237,7 @@
 	case e.leaving.Load():
 		http.Error(w, "draining", http.StatusServiceUnavailable)
 	case !e.ready():
-		http.Error(w, "no configuration", http.StatusServiceUnavailable)
+		http.Error(w, e.follower.Reason(), http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
 	}
