load: tests for the room after a restart and for room made late

Both guards survived their removal in the property test alone: a restart while a later wave waits is too rare there. Each now has a test that fails without it.

--- a/core/load/load_test.go
+++ b/core/load/load_test.go
@@ -288,6 +288,51 @@
 	is.Equal(len(a.Failed), 1)
 }
 
+// drive reads at full rate and commits every switch until the plan ends.
+func drive(q *Queue, from time.Time) (waves, releases, failed int) {
+	for i := range 100 {
+		a := q.Next(from.Add(time.Duration(i) * time.Second))
+		for _, f := range a.Fetches {
+			q.Progress(f, f.Length)
+		}
+		waves, releases, failed = waves+len(a.Arms), releases+len(a.Releases), failed+len(a.Failed)
+		if len(a.Arms)+len(a.Releases) > 0 {
+			q.Settled("g", true)
+		}
+	}
+	return waves, releases, failed
+}
+
+// A rank restarts while a wave is loading, and reports its free memory anew.
+// The wave's own replica still needs that memory. If it were given out twice,
+// the next wave would take the rank beyond its memory and end its engine.
+func TestRestartKeepsTheWavesRoom(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue(Settings{Rate: 1 << 30, Chunk: size})
+	is.NoErr(q.Begin(start, Plan{
+		Group: "g", Room: []int64{size}, Replicas: [][]int{{0, 0}},
+		Tasks: []Task{{Load: 0, Drop: -1, Bytes: size}, {Load: 1, Drop: -1, Bytes: size}},
+	}))
+	q.Next(start)
+	q.Restarted("g", 0, size)
+	waves, _, failed := drive(q, start.Add(time.Second))
+	is.Equal(waves, 1)
+	is.Equal(failed, 1)
+}
+
+func TestRoomIsMadeOnceTheExpertIsElsewhere(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue(Settings{Rate: 1 << 30, Chunk: size})
+	is.NoErr(q.Begin(start, Plan{
+		Group: "g", Room: []int64{0, size}, Replicas: [][]int{{1, 1}},
+		Tasks: []Task{{Rank: 0, Load: 1, Drop: 0, Bytes: size}, {Rank: 1, Load: 0, Drop: -1, Bytes: size}},
+	}))
+	waves, releases, failed := drive(q, start)
+	is.Equal(waves, 2)
+	is.Equal(releases, 1)
+	is.Equal(failed, 0)
+}
+
 // Nothing is loaded for a minute. If the unused rate were saved up, the next
 // plan would take the store from all other readers at once.
 func TestUnusedRateIsNotKept(t *testing.T) {
