Begin no attempt past the caller's deadline

Cause: a request whose deadline passed midway was submitted once more at another target before it was given up (attempts 2 in the log). Change: no target is picked past the deadline; the grace for the agent's word is 100 ms.

--- a/entry/flow.go
+++ b/entry/flow.go
@@ -24,7 +24,7 @@
 
 // graceAfterDeadline is how long past the caller's deadline an agent may take
 // to say truthfully what became of the request.
-const graceAfterDeadline = 250 * time.Millisecond
+const graceAfterDeadline = 100 * time.Millisecond
 
 // flow carries one request through the entry: it takes the steps that its
 // relay decides.
@@ -35,11 +35,13 @@
 	sink      sink
 	log       progress
 
-	id       string
-	relay    *relay.Relay
-	query    route.Query
-	attempt  uint32
-	picked   choice
+	id      string
+	relay   *relay.Relay
+	query   route.Query
+	attempt uint32
+	picked  choice
+	// deadline is the caller's, zero for none.
+	deadline time.Time
 	inFlight bool
 	// firstFrame is when the attempt's first piece came.
 	firstFrame time.Time
@@ -65,6 +67,9 @@
 		if a.Kind == relay.Finish {
 			return a.Err
 		}
+		if f.late(a) {
+			return f.cutShort(ctx)
+		}
 		if err := f.pause(ctx, a.Wait); err != nil {
 			return err
 		}
@@ -75,11 +80,17 @@
 	}
 }
 
+// late reports whether a step would begin new work for a caller whose deadline
+// has passed.
+func (f *flow) late(a relay.Action) bool {
+	return a.Kind == relay.Pick && !f.deadline.IsZero() && time.Now().After(f.deadline)
+}
+
 // cutShort ends a request whose caller has gone or whose deadline is over.
 // Nothing ran if no attempt has begun.
 func (f *flow) cutShort(ctx context.Context) *outcome.Error {
 	reason := relay.ReasonCallerGone
-	if context.Cause(ctx) == context.DeadlineExceeded {
+	if !f.deadline.IsZero() && time.Now().After(f.deadline) {
 		reason = relay.ReasonOverDeadline
 	}
 	o := outcome.Unknown
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -151,7 +151,8 @@
 func (e *Entry) finish(ctx context.Context, f *flow, started time.Time) {
 	cancel := func() {}
 	if f.req.Deadline > 0 {
-		ctx, cancel = context.WithTimeout(ctx, f.req.Deadline+graceAfterDeadline)
+		f.deadline = started.Add(f.req.Deadline)
+		ctx, cancel = context.WithDeadline(ctx, f.deadline.Add(graceAfterDeadline))
 	}
 	defer cancel()
 	ctx, stop := context.WithCancelCause(ctx)
@@ -172,7 +173,7 @@
 		f.sink.handover()
 		return
 	}
-	if ctx.Err() != nil {
+	if err != nil && (ctx.Err() != nil || err.Reason == relay.ReasonOverDeadline) {
 		f.cancel(ctx)
 	}
 	e.metrics.count(outcomeName(err))
