--- a/core/group/explorer_test.go
+++ b/core/group/explorer_test.go
@@ -10,11 +10,10 @@
 
 // The times of an exploration are short, so that every timeout is met often.
 const (
-	simLifetime = 200 * time.Millisecond
-	simTTL      = time.Second
-	simEvents   = 6000
-	simRound    = 10 * time.Millisecond
-	simDuty     = "group/sim"
+	simTTL    = time.Second
+	simEvents = 6000
+	simRound  = 10 * time.Millisecond
+	simDuty   = "group/sim"
 )
 
 var simNames = []string{"a", "b", "c", "d"}
@@ -30,6 +29,7 @@
 	store    simStore
 	want     Version
 	lockStep bool
+	lifetime time.Duration
 	healed   bool
 	off      guardsOff
 	oracle   oracle
@@ -72,10 +72,10 @@
 	paused  bool
 	// The faults end by themselves at these times.
 	engineBack, agentBack time.Duration
-	starts  uint64
-	member  *Member
-	holder  *lease.Holder
-	duty    *Duty
+	starts                uint64
+	member                *Member
+	holder                *lease.Holder
+	duty                  *Duty
 	// out holds what the agent has decided and not yet sent: a pause between
 	// the check and the send leaves it there.
 	out []any
@@ -126,6 +126,8 @@
 	w.oracle.used = make(map[stepKey]Version)
 	w.lockStep = seed%2 == 0
 	w.names = simNames[:2+w.rng.IntN(3)]
+	// With the long one, orders outlive several switches.
+	w.lifetime = []time.Duration{100, 800}[w.rng.IntN(2)] * time.Millisecond
 	w.lossy = []int{6, 30, 300}[w.rng.IntN(3)]
 	w.quiet = []int{50, 85, 97}[w.rng.IntN(3)]
 	habit := lease.Habit(w.rng.IntN(2))
@@ -151,7 +153,7 @@
 	n.starts++
 	n.up, n.paused, n.out, n.back, n.duty = true, false, nil, nil, &Duty{}
 	n.member = NewMember(MemberConfig{
-		Name: w.names[i], Habit: n.rank.Habit, Lifetime: simLifetime, Timeout: 90 * time.Millisecond,
+		Name: w.names[i], Habit: n.rank.Habit, Lifetime: w.lifetime, Timeout: 90 * time.Millisecond,
 		Poll: 20 * time.Millisecond, Patience: 60 * time.Millisecond, Stagger: 20 * time.Millisecond,
 		StallAfter: 200 * time.Millisecond, DeadAfter: 400 * time.Millisecond, Orphan: 300 * time.Millisecond,
 	}, n.starts, w.now)
@@ -220,7 +222,7 @@
 		if n.member.link.busy && n.member.link.id == a.ID {
 			op := rankOp{id: a.ID, order: a.Order, sent: w.now, start: n.starts}
 			if w.chance(w.lossy) {
-				op.after = w.now + time.Duration(w.rng.Int64N(int64(simLifetime)))
+				op.after = w.now + time.Duration(w.rng.Int64N(int64(w.lifetime)))
 			}
 			n.wire = append(n.wire, op)
 		}
@@ -249,7 +251,7 @@
 		return
 	}
 	n.wire = append(n.wire[:k:k], n.wire[k+1:]...)
-	if w.now-op.sent > simLifetime {
+	if w.now-op.sent > w.lifetime {
 		return
 	}
 	member, now := n.member, func() time.Duration { return w.now }
--- a/core/group/health.go
+++ b/core/group/health.go
@@ -1,6 +1,10 @@
 package group
 
-import "time"
+import (
+	"time"
+
+	"verbenashift/core/lease"
+)
 
 // Health is an agent's view of its own rank.
 type Health int
@@ -38,6 +42,7 @@
 
 // pulse watches one rank's steps.
 type pulse struct {
+	epoch   lease.Number
 	next    uint64
 	moved   time.Duration
 	started bool
@@ -51,11 +56,13 @@
 // slow its steps are; only one that answers nothing for a while is dead.
 func (p *pulse) observe(now time.Duration, s RankState) {
 	p.refused, p.lastAnswer = false, now
-	if !p.started || s.Next != p.next {
-		if p.started && s.Next > p.next {
-			p.perStep = (now - p.moved) / time.Duration(s.Next-p.next)
-		}
-		p.next, p.moved, p.started = s.Next, now, true
+	// A new epoch starts at a step of its own; the leap tells nothing about the
+	// time for a step.
+	if p.started && s.Epoch == p.epoch && s.Next > p.next {
+		p.perStep = (now - p.moved) / time.Duration(s.Next-p.next)
+	}
+	if !p.started || s.Epoch != p.epoch || s.Next != p.next {
+		p.epoch, p.next, p.moved, p.started = s.Epoch, s.Next, now, true
 	}
 }
 
--- a/core/group/steward.go
+++ b/core/group/steward.go
@@ -366,15 +366,18 @@
 func (s *Steward) arm(now time.Duration) []Action {
 	var step uint64
 	for _, m := range s.form.Members {
-		step = max(step, s.seats[m].estimate(now))
+		step = max(step, s.seats[m].estimate(now, s.cfg.MaxLead))
 	}
 	return s.ask(now, Switch{Number: s.next(), Epoch: s.form.Number, Version: s.want, Step: step + s.lead})
 }
 
-func (st *seat) estimate(now time.Duration) uint64 {
+// estimate returns the step a rank is likely to be at. What is added to the
+// report is bounded: too small a step costs an abort and another try, too large
+// a one keeps the new map from use.
+func (st *seat) estimate(now time.Duration, most uint64) uint64 {
 	next := st.report.Rank.Next
 	if st.report.StepTime > 0 {
-		next += uint64((now - st.heard) / st.report.StepTime)
+		next += min(uint64((now-st.heard)/st.report.StepTime), most)
 	}
 	return next
 }
