bench: measure what the way through entry and agent costs

Nothing measured the relay path on the processes themselves. bench/path starts a small deployment, compares calls by turns with direct ones to the same stand-in, takes the cost of a frame as the slope between streams of 64 and of 1536 frames less the use of the idle process, and reads resident memory with 930 workspaces and 670 targets in force.

--- a/bench/main.go
+++ b/bench/main.go
@@ -33,6 +33,7 @@
 	"verbenashift/bench/accepted"
 	"verbenashift/bench/figure"
 	"verbenashift/bench/groups"
+	"verbenashift/bench/path"
 	"verbenashift/bench/routing"
 )
 
@@ -48,6 +49,7 @@
 
 func suites() []suite {
 	return []suite{
+		{"path", []measure{path.Run}},
 		{"routing", []measure{routing.Run}},
 		{"groups", []measure{groups.Run}},
 	}
--- /dev/null
+++ b/bench/path/memory.go
@@ -0,0 +1,85 @@
+package path
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"verbenashift/bench/figure"
+	"verbenashift/core/config"
+	"verbenashift/standin/deployment"
+)
+
+// The size to design for, and the time after which an idle process has
+// settled.
+const (
+	fleetWorkspaces = 930
+	fleetTargets    = 670
+	fleetModels     = 8
+	settleTime      = 10 * time.Second
+)
+
+// Fleet adds workspaces, targets, models and groups to c until it has so many.
+// The agents of the added targets are at addresses where nobody listens.
+func Fleet(c *config.Config, workspaces, targets int) {
+	for n := len(c.Models); n < fleetModels; n++ {
+		c.Models = append(c.Models, config.Model{Name: fmt.Sprintf("model-%d", n), Version: "2026-11"})
+	}
+	for n := range fleetModels {
+		c.Groups = append(c.Groups, config.Group{
+			Name: fmt.Sprintf("group-%d", n), Model: c.Models[n].Name,
+			Ranks: 256, Layers: 60, Experts: 128, SlotsPerRank: 2, SkewWeight: 1, CostWeight: 0.1,
+		})
+	}
+	for n := len(c.Workspaces); n < workspaces; n++ {
+		name := fmt.Sprintf("workspace-%04d", n)
+		c.Workspaces = append(c.Workspaces, config.Workspace{
+			Name: name, TokenHashes: []string{config.HashToken(name + "-a"), config.HashToken(name + "-b")},
+			Share: 1, TokensPerSecond: 5000, RequestsPerSecond: 50,
+		})
+	}
+	for n := len(c.Targets); n < targets; n++ {
+		k := n % fleetModels
+		c.Targets = append(c.Targets, config.Target{
+			Name: fmt.Sprintf("server-%04d", n), Region: fmt.Sprintf("region-%d", n%3), Zone: fmt.Sprintf("zone-%d", n%9),
+			Agent: FleetAgent(n), Model: c.Models[k].Name, Version: "2026-11", Group: fmt.Sprintf("group-%d", k), HonoursFencing: true,
+		})
+	}
+}
+
+// FleetAgent returns the address of the agent of an added target.
+func FleetAgent(n int) string {
+	return fmt.Sprintf("127.0.%d.%d:7000", 53+n/200, 1+n%200)
+}
+
+// measureMemory loads an entry and an agent with the configuration of the
+// whole fleet and reads their resident memory when they have settled.
+func measureMemory(ctx context.Context) ([]figure.Figure, error) {
+	d, err := deployment.Start(ctx, deployment.Shape{
+		Block: "127.0.51", Entries: 1, ModelTargets: 1, Workspaces: []string{workspace},
+		Configure: func(c *config.Config) { Fleet(c, fleetWorkspaces, fleetTargets) },
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = d.Close() }()
+	if err := sleep(ctx, settleTime); err != nil {
+		return nil, err
+	}
+	var figures []figure.Figure
+	for _, name := range []string{"entry", "agent"} {
+		pid, err := d.PID(name + "-1")
+		if err != nil {
+			return nil, err
+		}
+		bytes, err := Memory(pid)
+		if err != nil {
+			return nil, err
+		}
+		figures = append(figures, figure.Figure{
+			Name: "path-idle-memory-" + name, Value: bytes, Unit: "bytes", Bound: memoryBound, Better: figure.Lower, Gate: true,
+			Note: fmt.Sprintf("resident, %d workspaces and %d targets, no peers connected", fleetWorkspaces, fleetTargets),
+		})
+	}
+	return figures, nil
+}
