expert: tests that need the split, the renewal and the hysteresis

Removing these three guards left the tests green: the groups were too small for the trap, and the cost alone stopped the moves.

--- a/core/expert/plan_test.go
+++ b/core/expert/plan_test.go
@@ -119,17 +119,19 @@
 func TestWarmingExpertsAreSplitInTime(t *testing.T) {
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(7, 0))
-	g := newGroup(128, 4, 64)
-	first, second := randomLoads(rng, 64, 0.8), randomLoads(rng, 64, 0.8)
-	loads := make([]float64, 64)
-	skews, _ := closing(g, Lightbox(), 70, 50, func(i int) []float64 {
-		b := 1 / (1 + math.Exp(-0.15*float64(i-25)))
+	g := newGroup(256, 4, 128)
+	first, second := randomLoads(rng, 128, 0.8), randomLoads(rng, 128, 0.8)
+	loads := make([]float64, 128)
+	p := Lightbox()
+	p.Cost = 0.3
+	skews, _ := closing(g, p, 60, 45, func(i int) []float64 {
+		b := 1 / (1 + math.Exp(-0.15*float64(i-30)))
 		for e := range loads {
-			loads[e] = (1-b)*first[e] + b*second[e]
+			loads[e] = ((1-b)*first[e] + b*second[e]) * (1 + 0.01*rng.NormFloat64())
 		}
 		return loads
 	})
-	is.True(worst(skews) < 1.05)
+	is.True(worst(skews) < 1.07)
 }
 
 // The mix changes from one minute to the next. Few replicas a minute would
@@ -138,15 +140,15 @@
 func TestSuddenSwapIsRenewed(t *testing.T) {
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(8, 0))
-	g := newGroup(128, 4, 64)
-	first, second := randomLoads(rng, 64, 0.8), randomLoads(rng, 64, 0.8)
-	skews, _ := closing(g, Lightbox(), 15, 12, func(i int) []float64 {
+	g := newGroup(256, 4, 128)
+	first, second := randomLoads(rng, 128, 0.8), randomLoads(rng, 128, 0.8)
+	skews, _ := closing(g, Lightbox(), 12, 11, func(i int) []float64 {
 		if i < 10 {
 			return first
 		}
 		return second
 	})
-	is.True(worst(skews) < 1.05)
+	is.True(worst(skews) < 1.05) // one plan later
 }
 
 // The loads tremble by a percent and nothing else happens. Without hysteresis
@@ -158,13 +160,15 @@
 	g := newGroup(64, 4, 32)
 	base := randomLoads(rng, 32, 0.8)
 	loads := make([]float64, 32)
-	_, moves := closing(g, Lakeshore(), 60, 0, func(int) []float64 {
+	p := Lakeshore()
+	p.Cost, p.MinGain = 0, 0.05 // the hysteresis alone
+	_, moves := closing(g, p, 60, 0, func(int) []float64 {
 		for e := range loads {
 			loads[e] = base[e] * (1 + 0.01*rng.NormFloat64())
 		}
 		return loads
 	})
-	is.True(moves <= 5)
+	is.Equal(moves, 0)
 }
 
 // An operator has confirmed a bound, and the planner is asked four times in
