Let a target settle only once it answers, and measure the switch

An engine that stands still keeps orders in its sockets for as long as it likes, so that the settling time of a target that ignores fencing now begins with an answer. A late Arm for a switch known to be aborted is refused.

--- a/core/group/explorer_test.go
+++ b/core/group/explorer_test.go
@@ -67,7 +67,9 @@
 type node struct {
 	rank    *Rank
 	down    bool // the engine does not run
-	stalled bool
+	stalled bool // the engine answers but does not step
+	frozen  bool // the engine does nothing; what was sent to it waits
+	since   time.Duration
 	up      bool // the agent runs
 	paused  bool
 	// The faults end by themselves at these times.
@@ -144,6 +146,7 @@
 
 func (w *world) startEngine(n *node) {
 	n.down = false
+	n.thaw(w.now)
 	inc := n.rank.State.Incarnation + 1
 	n.rank.State = RankState{Incarnation: inc}
 }
@@ -247,7 +250,7 @@
 // process reach it as well, within their lifetime.
 func (w *world) reach(n *node, k int) {
 	op := n.wire[k]
-	if w.now < op.after && !w.healed {
+	if n.frozen || w.now < op.after && !w.healed {
 		return
 	}
 	n.wire = append(n.wire[:k:k], n.wire[k+1:]...)
@@ -295,7 +298,7 @@
 
 // step lets a rank begin a step; in lock-step only when all others are there.
 func (w *world) step(n *node) {
-	if n.down || n.stalled {
+	if n.down || n.stalled || n.frozen {
 		return
 	}
 	s := n.rank.State
@@ -388,7 +391,12 @@
 	case 2, 3:
 		n.paused, n.agentBack = true, back
 	case 4:
-		n.stalled, n.engineBack = true, back
+		if n.frozen {
+			return
+		}
+		n.stalled = w.rng.IntN(2) == 0
+		n.frozen = !n.stalled
+		n.since, n.engineBack = w.now, back
 	case 5:
 		n.down, n.engineBack = true, back
 		if w.rng.IntN(2) == 0 {
@@ -401,12 +409,22 @@
 	}
 }
 
+// thaw lets an engine go on. The orders that waited have not aged meanwhile.
+func (n *node) thaw(now time.Duration) {
+	if n.frozen {
+		for k := range n.wire {
+			n.wire[k].sent += now - n.since
+		}
+	}
+	n.stalled, n.frozen = false, false
+}
+
 // recover ends the faults whose time has come.
 func (w *world) recover() {
 	w.store.down = w.store.down && w.now < w.store.back && !w.healed
 	for i, n := range w.nodes {
 		if w.healed || w.now >= n.engineBack {
-			n.stalled = false
+			n.thaw(w.now)
 			if n.down {
 				w.startEngine(n)
 			}
--- a/core/group/member.go
+++ b/core/group/member.go
@@ -112,7 +112,7 @@
 	const reportsPerIncarnation = 1 << 32
 	return &Member{
 		cfg:     cfg,
-		guard:   lease.NewGuard(now, cfg.Habit, cfg.Lifetime),
+		guard:   lease.NewGuard(cfg.Habit, cfg.Lifetime),
 		reports: incarnation * reportsPerIncarnation,
 		pulse:   pulse{lastAnswer: now},
 		heard:   now,
@@ -218,6 +218,10 @@
 	_ = m.guard.Hear(sw.Number.Fence) // a lower one is refused in the vote
 	if m.known {
 		// A vote once said stays true, so that the last reading will do.
+		if m.count == nil && sw == m.rank.Armed {
+			// Someone is counting already.
+			m.heldSince = now
+		}
 		if v := m.rank.Vote(sw); v != Open {
 			return []Action{Send{To: from, Message: Ballot{Number: sw.Number, Vote: v}}}
 		}
@@ -236,8 +240,10 @@
 	return nil
 }
 
+// learned notes an outcome. It may come before the order to arm, which is then
+// refused: the rank would only stop for an outcome that is long known.
 func (m *Member) learned(o Outcome) {
-	if m.known && o.Epoch == m.rank.Epoch && o.Number == m.rank.Armed.Number {
+	if m.known && o.Epoch == m.rank.Epoch && m.outcome.Number.Less(o.Number) {
 		m.outcome = o
 	}
 }
@@ -246,7 +252,7 @@
 func (m *Member) Tick(now time.Duration) []Action {
 	var acts []Action
 	if m.link.late(now, m.cfg.Timeout) {
-		m.settle(now, lease.Lost)
+		m.settle(lease.Lost)
 	}
 	acts = append(acts, m.tellHealth(now)...)
 	acts = append(acts, m.countVotes(now)...)
@@ -266,7 +272,7 @@
 // like a rank that has lost its epoch.
 func (m *Member) report(now time.Duration, to string, members bool) []Action {
 	health := m.Health(now)
-	if health == Unknown {
+	if !m.known && health != Dead {
 		return nil
 	}
 	m.reports++
--- a/core/group/member_link.go
+++ b/core/group/member_link.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"errors"
 	"time"
 
 	"verbenashift/core/lease"
@@ -37,20 +38,20 @@
 	if err != nil {
 		r = lease.Refused
 	}
-	m.settle(now, r)
+	m.settle(r)
 	return m.advance(now)
 }
 
 // settle ends the operation that is out. Whatever became of an order, the rank
 // is read before the next one: the answer may have been lost after the order
 // took effect, and votes are read from the rank and not from memory.
-func (m *Member) settle(now time.Duration, r lease.Result) {
+func (m *Member) settle(r lease.Result) {
 	o := m.link.order
 	m.link.busy, m.link.fresh = false, false
 	if o.Kind == 0 {
 		return
 	}
-	m.guard.Done(now, r)
+	m.guard.Done(r)
 	if r == lease.Refused && o.Kind == ArmMap && m.ballot != nil && m.ballot.sw.Number == o.Base {
 		m.ballot.rejected = true
 	}
@@ -68,9 +69,11 @@
 		return append(m.tellHealth(now), m.advance(now)...)
 	}
 	m.pulse.observe(now, s)
+	if !m.guard.Learn(now, s.Last) && !m.off.settle {
+		return m.advance(now)
+	}
 	news := m.known && newsworthy(m.rank, s)
 	m.rank, m.known, m.link.fresh = s, true, true
-	m.guard.Learn(s.Last)
 	m.noteHeld(now)
 	acts := m.answerBallot()
 	if m.steward != "" && news {
@@ -101,17 +104,29 @@
 			return []Action{Apply{ID: m.link.begin(now, o), Order: o}}
 		}
 	}
-	if now-m.link.readAt >= m.cfg.Poll {
+	if now-m.link.readAt >= m.poll() {
 		return m.read(now)
 	}
 	return nil
 }
 
+// poll returns the interval of readings, which is short while the rank may come
+// to stand still.
+func (m *Member) poll() time.Duration {
+	const armedDivisor = 5
+	if m.rank.Undecided() {
+		return m.cfg.Poll / armedDivisor
+	}
+	return m.cfg.Poll
+}
+
 // begin asks the guard. A stale order is not sent; what it was for has been
 // overtaken and the next report shows it.
 func (m *Member) begin(o Order) bool {
 	err := m.guard.Begin(o.Number)
-	return err == nil || m.off.fence
+	var wait *lease.WaitError
+	unsettled := m.off.settle && errors.As(err, &wait)
+	return err == nil || m.off.fence || unsettled
 }
 
 // read reads the rank, but not while an earlier order may still arrive after
@@ -184,7 +199,8 @@
 	sw, s := b.sw, m.rank
 	late := sw.Step < s.Next && !m.off.arm
 	stale := sw.Number.Fence < m.guard.Fence() && !m.off.fence
-	if b.rejected || late || stale || !s.Has(sw.Version) {
+	aborted := m.outcome.Number == sw.Number && !m.outcome.Commit
+	if b.rejected || aborted || late || stale || !s.Has(sw.Version) {
 		return Order{Number: sw.Number.Add(resolvePlace), Base: sw.Number, Kind: ResolveMap, Epoch: sw.Epoch}
 	}
 	return Order{
--- a/core/group/message.go
+++ b/core/group/message.go
@@ -12,63 +12,63 @@
 
 // Probe asks a member for a Report. A steward sends it under its fence.
 type Probe struct {
-	Fence uint64 `json:"fence"`
+	Fence uint64 `json:"fence,omitzero"`
 	// Known is the epoch whose members the steward knows.
-	Known lease.Number `json:"known"`
+	Known lease.Number `json:"known,omitzero"`
 }
 
 // Report is a member's view of its rank.
 type Report struct {
 	// Sequence orders the reports of one incarnation of an agent; the later
 	// incarnation has the higher numbers.
-	Sequence uint64 `json:"sequence"`
+	Sequence uint64 `json:"sequence,omitzero"`
 	// Fence is the highest fencing number the agent has heard of.
-	Fence uint64 `json:"fence"`
+	Fence uint64 `json:"fence,omitzero"`
 	// Health is the agent's first-hand view of the rank.
-	Health Health `json:"health"`
+	Health Health `json:"health,omitzero"`
 	// Rank is the rank's state, its members only if the steward lacks them.
-	Rank RankState `json:"rank"`
+	Rank RankState `json:"rank,omitzero"`
 	// StepTime is the recent time for one step.
-	StepTime time.Duration `json:"step-time"`
+	StepTime time.Duration `json:"step-time,omitzero"`
 }
 
 // Prepare asks a member to load a map's weights beside those in use.
 type Prepare struct {
-	Number  lease.Number `json:"number"`
-	Version Version      `json:"version"`
+	Number  lease.Number `json:"number,omitzero"`
+	Version Version      `json:"version,omitzero"`
 }
 
 // Arm asks a member for its vote on a switch: to arm its rank for it, or to
 // refuse it for good. Members ask each other the same when the steward is gone.
 type Arm struct {
-	Switch Switch `json:"switch"`
+	Switch Switch `json:"switch,omitzero"`
 }
 
 // Ballot is a member's vote. Armed and Refused never change once said.
 type Ballot struct {
-	Number lease.Number `json:"number"`
-	Vote   Vote         `json:"vote"`
+	Number lease.Number `json:"number,omitzero"`
+	Vote   Vote         `json:"vote,omitzero"`
 }
 
 // Outcome says how a switch ended. It is a function of the votes, so that it is
 // the same whoever has counted them.
 type Outcome struct {
-	Number lease.Number `json:"number"`
-	Epoch  lease.Number `json:"epoch"`
-	Commit bool         `json:"commit"`
+	Number lease.Number `json:"number,omitzero"`
+	Epoch  lease.Number `json:"epoch,omitzero"`
+	Commit bool         `json:"commit,omitzero"`
 }
 
 // Form asks a member to leave its epoch and to join a new one.
 type Form struct {
-	Number  lease.Number `json:"number"`
-	Members []string     `json:"members"`
-	Version Version      `json:"version"`
+	Number  lease.Number `json:"number,omitzero"`
+	Members []string     `json:"members,omitzero"`
+	Version Version      `json:"version,omitzero"`
 	// Step is the first step of the epoch.
-	Step uint64 `json:"step"`
+	Step uint64 `json:"step,omitzero"`
 	// Incarnation is that of the receiver's engine as the steward knows it. An
 	// engine that has been in the epoch and has lost its memory since must not
 	// come back into it on the epoch's first map.
-	Incarnation uint64 `json:"incarnation"`
+	Incarnation uint64 `json:"incarnation,omitzero"`
 }
 
 func (Probe) message()   {}
--- a/core/group/rank.go
+++ b/core/group/rank.go
@@ -41,24 +41,24 @@
 // number: another step or map is another switch.
 type Switch struct {
 	// Number is the base number the steward gave it.
-	Number lease.Number `json:"number"`
+	Number lease.Number `json:"number,omitzero"`
 	// Epoch is the epoch of the group it belongs to.
-	Epoch   lease.Number `json:"epoch"`
-	Version Version      `json:"version"`
+	Epoch   lease.Number `json:"epoch,omitzero"`
+	Version Version      `json:"version,omitzero"`
 	// Step is the first step on the new map.
-	Step uint64 `json:"step"`
+	Step uint64 `json:"step,omitzero"`
 }
 
 // Order is one order to a rank, from its agent.
 type Order struct {
 	// Number is the order's own number; Base is that of the switch or epoch.
-	Number  lease.Number `json:"number"`
-	Base    lease.Number `json:"base"`
-	Kind    Kind         `json:"kind"`
-	Epoch   lease.Number `json:"epoch"`
-	Version Version      `json:"version"`
-	Step    uint64       `json:"step"`
-	Commit  bool         `json:"commit"`
+	Number  lease.Number `json:"number,omitzero"`
+	Base    lease.Number `json:"base,omitzero"`
+	Kind    Kind         `json:"kind,omitzero"`
+	Epoch   lease.Number `json:"epoch,omitzero"`
+	Version Version      `json:"version,omitzero"`
+	Step    uint64       `json:"step,omitzero"`
+	Commit  bool         `json:"commit,omitzero"`
 	Members []string     `json:"members,omitempty"`
 }
 
@@ -66,29 +66,29 @@
 // the agent, and is lost with the engine.
 type RankState struct {
 	// Incarnation changes with every start of the engine.
-	Incarnation uint64 `json:"incarnation"`
+	Incarnation uint64 `json:"incarnation,omitzero"`
 	// Epoch is the base number of the order that formed the group; zero in an
 	// engine that has just started.
-	Epoch   lease.Number `json:"epoch"`
+	Epoch   lease.Number `json:"epoch,omitzero"`
 	Members []string     `json:"members,omitempty"`
-	Version Version      `json:"version"`
+	Version Version      `json:"version,omitzero"`
 	// Since is the base number of the switch or epoch that put Version in force.
-	Since lease.Number `json:"since"`
+	Since lease.Number `json:"since,omitzero"`
 	// Next is the first step that the rank has not begun.
-	Next uint64 `json:"next"`
+	Next uint64 `json:"next,omitzero"`
 	// Waiting says that the rank has done its part of the step before Next and
 	// waits for the others.
-	Waiting bool `json:"waiting"`
+	Waiting bool `json:"waiting,omitzero"`
 	// Armed is the switch the rank stops for; zero if there is none.
-	Armed Switch `json:"armed"`
+	Armed Switch `json:"armed,omitzero"`
 	// Committed says that the outcome of Armed is known to be commit.
-	Committed bool `json:"committed"`
+	Committed bool `json:"committed,omitzero"`
 	// Loaded is a map whose weights are in memory beside those in use.
-	Loaded Version `json:"loaded"`
+	Loaded Version `json:"loaded,omitzero"`
 	// Loading is a map whose weights are on their way.
-	Loading Version `json:"loading"`
+	Loading Version `json:"loading,omitzero"`
 	// Last is the number of the order applied last.
-	Last lease.Number `json:"last"`
+	Last lease.Number `json:"last,omitzero"`
 }
 
 // Has reports whether the weights of a map are in memory.
--- a/core/lease/guard.go
+++ b/core/lease/guard.go
@@ -50,11 +50,16 @@
 // before such a target that has learned nothing.
 type Guard struct {
 	Habit Habit
-	// Lifetime is how long an order can take to arrive after it was sent. It
-	// matters only for a target that ignores fencing.
+	// Lifetime is how long an order can wait at a target that answers readings
+	// before it is carried out or dropped. It matters only for a target that
+	// ignores fencing.
 	Lifetime time.Duration
 
-	learned   bool
+	learned bool
+	// settling means that an order of unknown fate may still arrive; answered
+	// that the target has answered since, and that it settles at notBefore.
+	settling  bool
+	answered  bool
 	notBefore time.Duration
 	applied   Number
 	fence     uint64
@@ -62,19 +67,19 @@
 	out       Number
 }
 
-// NewGuard returns a guard for an agent that starts at now with empty memory.
-func NewGuard(now time.Duration, habit Habit, lifetime time.Duration) *Guard {
+// NewGuard returns a guard for an agent that starts with empty memory.
+func NewGuard(habit Habit, lifetime time.Duration) *Guard {
 	g := &Guard{Habit: habit, Lifetime: lifetime}
-	g.doubt(now)
+	g.doubt()
 	return g
 }
 
-// doubt forgets what the target has applied, because an order sent up to now may
+// doubt forgets what the target has applied, because an order sent before may
 // still arrive.
-func (g *Guard) doubt(now time.Duration) {
+func (g *Guard) doubt() {
 	g.learned = false
 	if g.Habit == IgnoresFencing {
-		g.notBefore = max(g.notBefore, now+g.Lifetime)
+		g.settling, g.answered = true, false
 	}
 }
 
@@ -96,21 +101,34 @@
 // CanRead returns a *WaitError while a reading of the target would prove
 // nothing, because an order of unknown fate may come after it.
 func (g *Guard) CanRead(now time.Duration) error {
-	if now < g.notBefore {
+	if g.settling && g.answered && now < g.notBefore {
 		return &WaitError{Until: g.notBefore, Reason: "an earlier order may still arrive"}
 	}
 	return nil
 }
 
 // Learn takes the number of the order the target applied last, from a reading
-// that was begun when CanRead allowed it and no order was out.
-func (g *Guard) Learn(applied Number) {
-	if g.busy {
-		return
+// that was begun when CanRead allowed it and no order was out. It reports
+// whether the reading can be trusted.
+//
+// While the target settles, the first answer only starts the time: a target
+// that stood still keeps orders waiting in its sockets for as long as it likes,
+// and carries them out when it goes on.
+func (g *Guard) Learn(now time.Duration, applied Number) bool {
+	switch {
+	case g.busy:
+		return false
+	case g.settling && !g.answered:
+		g.answered, g.notBefore = true, now+g.Lifetime
+		return false
+	case g.settling && now < g.notBefore:
+		return false
 	}
+	g.settling = false
 	g.learned = true
 	g.applied = applied
 	g.fence = max(g.fence, applied.Fence)
+	return true
 }
 
 // Begin lets an order out, or returns a *StaleError or a *WaitError. After
@@ -154,8 +172,8 @@
 
 // Done ends the order that Begin let out. An order that is given up as lost must
 // not be sent after Done; a pause between Begin and the send then does no harm,
-// because the order's lifetime is counted from now.
-func (g *Guard) Done(now time.Duration, r Result) {
+// because the settling time begins with an answer that comes later.
+func (g *Guard) Done(r Result) {
 	if !g.busy {
 		return
 	}
@@ -164,6 +182,6 @@
 	case Applied:
 		g.applied = g.out
 	case Lost:
-		g.doubt(now)
+		g.doubt()
 	}
 }
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -103,10 +103,10 @@
 // Holder acquires and keeps one duty. The zero value is of no use; see
 // NewHolder. A Holder has at most one call in flight.
 type Holder struct {
-	cfg   Config
-	state holderState
-	want  bool
-	fence uint64
+	cfg      Config
+	state    holderState
+	want     bool
+	fence    uint64
 	deadline time.Duration
 	due      time.Duration
 	calls    uint64
@@ -134,8 +134,8 @@
 	return h.state == held && h.want && now < h.deadline
 }
 
-// Fence returns the fencing number of the lease; it means something only while
-// Valid holds.
+// Fence returns the fencing number of the lease that the process holds by the
+// store's last word, or 0. Only Valid says whether it may be used.
 func (h *Holder) Fence() uint64 {
 	return h.fence
 }
