--- /dev/null
+++ b/core/expert/candidate.go
@@ -0,0 +1,140 @@
+package expert
+
+// candidate is a possible step. Slot b is -1 when one slot changes.
+type candidate struct {
+	a, b        int32 // slots
+	ea, eb      int32 // the experts that they get
+	gain        float64
+	gainPerMove float64
+}
+
+// tries is how many of the best candidates are tried when the estimate of a
+// gain proves wrong, which it can be where two changes meet on a rank.
+const tries = 4
+
+// least is the smallest gain worth a step; it keeps rounding from looping.
+const least = 1e-9
+
+func (s *search) slotsOf(r int) Map { return s.m[r*s.group.Slots : (r+1)*s.group.Slots] }
+
+// mayDrop reports whether an expert can spare a replica on a rank.
+func (s *search) mayDrop(e int32, r int) bool {
+	return e == Empty || (s.n[e] > s.group.minReplicas() && s.spread.deficitWith(e, -1, r) <= s.spread.deficit(e))
+}
+
+func (s *search) mayAdd(e int32, r int) bool {
+	return !holds(s.slotsOf(r), e) && s.spread.deficitWith(e, r, -1) <= s.spread.deficit(e)
+}
+
+// mayGo reports whether a replica can go from one rank to another.
+func (s *search) mayGo(e int32, from, to int) bool {
+	return e == Empty || (!holds(s.slotsOf(to), e) && s.spread.deficitWith(e, to, from) <= s.spread.deficit(e))
+}
+
+// swaps offers to exchange a replica of the worst rank with another rank's.
+func (s *search) swaps(worst int, best *[tries]candidate) {
+	slots := s.group.Slots
+	for i, e := range s.slotsOf(worst) {
+		if e == Empty {
+			continue
+		}
+		share := s.share(e)
+		for _, p := range s.partners {
+			r := int(p)
+			room := s.rank[worst] - s.rank[r]
+			for j, f := range s.slotsOf(r) {
+				d := share - s.share(f)
+				if d <= 0 || d >= room {
+					continue
+				}
+				gain := s.penalty[worst] + s.penalty[r] - steep(s.rank[worst]-d) - steep(s.rank[r]+d)
+				c := candidate{a: int32(worst*slots + i), b: int32(r*slots + j), ea: f, eb: e, gain: gain}
+				if c.rate(); beats(c, best) && s.mayGo(e, worst, r) && s.mayGo(f, r, worst) {
+					offer(c, best)
+				}
+			}
+		}
+	}
+}
+
+// replaces offers to give a slot of the worst rank to another expert.
+func (s *search) replaces(worst int, best *[tries]candidate) {
+	for i, e := range s.slotsOf(worst) {
+		if !s.mayDrop(e, worst) {
+			continue
+		}
+		lost := s.dropped(e, worst)
+		for f := range s.load {
+			next := s.rank[worst] - s.share(e) + s.part(int32(f), s.n[f]+1)
+			if next >= s.rank[worst] {
+				continue
+			}
+			gain := s.penalty[worst] - steep(next) - lost - s.more[f]
+			c := candidate{a: int32(worst*s.group.Slots + i), b: -1, ea: int32(f), gain: gain}
+			if c.rate(); beats(c, best) && s.mayAdd(int32(f), worst) {
+				offer(c, best)
+			}
+		}
+	}
+}
+
+// replicates offers to put one more replica of an expert of the worst rank
+// onto another rank.
+func (s *search) replicates(worst int, best *[tries]candidate) {
+	slots := s.group.Slots
+	for _, e := range s.slotsOf(worst) {
+		if e == Empty {
+			continue
+		}
+		next := s.part(e, s.n[e]+1)
+		for _, p := range s.partners {
+			r := int(p)
+			for j, f := range s.slotsOf(r) {
+				load := s.rank[r] - s.share(f) + next
+				if load >= s.rank[worst] {
+					continue
+				}
+				c := candidate{a: int32(r*slots + j), b: -1, ea: e}
+				c.gain = s.penalty[r] - steep(load) - s.more[e]
+				if c.rate(); !beats(c, best) {
+					continue
+				}
+				c.gain -= s.dropped(f, r)
+				if c.rate(); beats(c, best) && s.mayDrop(f, r) && s.mayAdd(e, r) {
+					offer(c, best)
+				}
+			}
+		}
+	}
+}
+
+// dropped returns the rise of the penalty on the other ranks of an expert
+// when it loses its replica on the given rank.
+func (s *search) dropped(e int32, r int) float64 {
+	if e == Empty || s.n[e] < 2 {
+		return 0
+	}
+	up := s.part(e, s.n[e]-1) - s.each[e]
+	return s.fewer[e] - (steep(s.rank[r]+up) - s.penalty[r])
+}
+
+// rate sets the gain per replica loaded: a swap loads two.
+func (c *candidate) rate() {
+	c.gainPerMove = c.gain
+	if c.b >= 0 {
+		c.gainPerMove = c.gain / 2
+	}
+}
+
+func beats(c candidate, best *[tries]candidate) bool {
+	return c.gain > least && c.gainPerMove > best[tries-1].gainPerMove
+}
+
+// offer keeps the best candidates in order.
+func offer(c candidate, best *[tries]candidate) {
+	i := tries - 1
+	for ; i > 0 && c.gainPerMove > best[i-1].gainPerMove; i-- {
+		best[i] = best[i-1]
+	}
+	best[i] = c
+}
--- a/core/expert/expert_test.go
+++ b/core/expert/expert_test.go
@@ -71,6 +71,11 @@
 		if err := g.Validate(); err != nil {
 			t.Fatal(err)
 		}
+		for e, n := range Apportion(g, loads) {
+			if n < g.minReplicas() || n > len(g.Ranks) {
+				t.Fatalf("%d replicas of expert %d on %d ranks", n, e, len(g.Ranks))
+			}
+		}
 		m := Place(g, loads)
 		if err := m.Validate(g); err != nil {
 			t.Fatal(err)
@@ -124,10 +129,10 @@
 // TestApportionIsOptimal compares with all ways to give out the slots.
 func TestApportionIsOptimal(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		g := newGroup(rapid.IntRange(2, 7).Draw(t, "ranks"), 1, 2)
+		g := newGroup(rapid.IntRange(2, 7).Draw(t, "ranks"), rapid.IntRange(1, 2).Draw(t, "slots"), 2)
 		g.Experts = rapid.IntRange(1, min(3, len(g.Ranks))).Draw(t, "experts")
 		loads := rapid.SliceOfN(rapid.Float64Range(0.1, 10), g.Experts, g.Experts).Draw(t, "loads")
-		if got, want := largestShare(loads, Apportion(g, loads)), bestShare(loads, len(g.Ranks), len(g.Ranks)); got > want+1e-9 {
+		if got, want := largestShare(loads, Apportion(g, loads)), bestShare(loads, g.size(), len(g.Ranks)); got > want+1e-9 {
 			t.Fatalf("largest share %v, possible is %v", got, want)
 		}
 	})
