--- a/bench/groups/planner_time.go
+++ b/bench/groups/planner_time.go
@@ -21,8 +21,8 @@
 type situation struct{ trace, start int }
 
 var (
-	drifting = situation{trace: 1}
-	swapping = situation{trace: 2, start: 70}
+	drifting = situation{trace: slowDrift}
+	swapping = situation{trace: suddenSwap, start: 70}
 )
 
 // planningTimes measures how long a plan takes in steady drift, from a map
--- a/bench/groups/run.go
+++ b/bench/groups/run.go
@@ -64,6 +64,7 @@
 	}
 	g := newGroup(ranks, defaultSlots)
 	figures = append(figures, slowStore(p, g)...)
+	figures = append(figures, withoutLag(p, g))
 	figures = append(figures, frontier(p, g)...)
 	figures = append(figures, planningTimes(p)...)
 	return figures, p.err
@@ -160,6 +161,20 @@
 	return figures
 }
 
+// withoutLag shows how much of the skew of the trace with lag and gaps comes
+// from the reports: the same loads, reported a minute late and in full.
+func withoutLag(p *printer, g *expert.Group) figure.Figure {
+	tr := *traces(seed)[lagAndGaps]
+	tr.lag, tr.lost, tr.gaps = 1, nil, nil
+	_, best := bounds(&tr, g)
+	r := play(&tr, g, newPlanned(g, expert.Lightbox()), byRate)
+	p.printf("%-20s p95/best %.3f with the same loads reported a minute late and in full\n", tr.name, r.p95/best)
+	return figure.Figure{
+		Name: "groups-" + tr.name + "-lightbox-p95-over-bound-without-lag", Value: r.p95 / best, Unit: "ratio",
+		Note: "the same loads, reported a minute late and in full",
+	}
+}
+
 // frontier shows what each weight of the cost gives, pooled over the traces.
 func frontier(p *printer, g *expert.Group) []figure.Figure {
 	all := traces(seed)
--- a/bench/groups/trace.go
+++ b/bench/groups/trace.go
@@ -75,6 +75,14 @@
 	return tr.loads[(t+l/layers*plans)%intervals][l%layers]
 }
 
+// Places in the list of traces.
+const (
+	slowDrift = iota + 1
+	suddenSwap
+	_ // hot-expert
+	lagAndGaps
+)
+
 // traces returns the drift traces made from a seed.
 func traces(seed uint64) []*trace {
 	return []*trace{
