--- /dev/null
+++ b/core/group/end_test.go
@@ -0,0 +1,98 @@
+package group
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/lease"
+)
+
+// settledWorld returns a world without faults, come to rest on map 1.
+func settledWorld(t *testing.T, seed uint64) *world {
+	t.Helper()
+	w := newWorld(seed, guardsOff{})
+	if !w.heal() {
+		t.Fatal("the group was not formed")
+	}
+	return w
+}
+
+// rounds runs until done holds, or fails the test.
+func (w *world) rounds(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for range 2000 {
+		if done() {
+			return
+		}
+		w.round()
+	}
+	t.Fatalf("not reached: %s", what)
+}
+
+// steward returns the node whose agent holds the duty.
+func (w *world) steward() *node {
+	for _, n := range w.nodes {
+		if n.duty.Steward(w.now, w.stewardConfig(), n.holder) != nil {
+			return n
+		}
+	}
+	return nil
+}
+
+// The steward stops between arming the ranks and telling the outcome, and the
+// store is out, so that nobody can take over its duty. The callers of the group
+// would wait for the whole outage; the members count the votes themselves.
+func TestSwitchEndsWithoutStewardAndStore(t *testing.T) {
+	is := is.New(t)
+	w := settledWorld(t, 2)
+	w.want = 2
+	st := w.steward()
+	w.rounds(t, "some rank armed", func() bool {
+		for _, n := range w.nodes {
+			if n.rank.State.Undecided() {
+				return true
+			}
+		}
+		return false
+	})
+	w.store.down = true
+	st.duty = &Duty{} // its process goes on; its steward and its lease are gone
+	st.holder = lease.NewHolder(lease.Config{Duty: simDuty, Owner: "again"})
+	epoch := st.rank.State.Epoch
+	w.rounds(t, "no rank waits", func() bool {
+		for _, n := range w.nodes {
+			if !n.rank.State.Armed.Number.IsZero() {
+				return false
+			}
+		}
+		return true
+	})
+	for _, n := range w.nodes {
+		is.Equal(n.rank.State.Version, st.rank.State.Version) // all the same way
+		is.Equal(n.rank.State.Epoch, epoch)
+	}
+	is.Equal(w.oracle.mixed, "")
+}
+
+// An engine dies for good in the middle of a switch. The others cannot step
+// without it; the group is formed without it under a new epoch, and when the
+// rank comes back on its old epoch's number it runs nothing there.
+func TestGroupIsFormedWithoutLostRank(t *testing.T) {
+	is := is.New(t)
+	w := settledWorld(t, 4)
+	old := w.nodes[0].rank.State.Epoch
+	lost := w.nodes[len(w.nodes)-1]
+	w.want = 3
+	lost.down, lost.engineBack, w.healed = true, 1<<62, false
+	w.lossy = 1 << 30
+	w.rounds(t, "a group of the others", func() bool {
+		s := w.nodes[0].rank.State
+		return old.Less(s.Epoch) && len(s.Members) == len(w.nodes)-1 && s.Version == 3
+	})
+	is.Equal(lost.rank.State.Epoch, old)
+	lost.engineBack = 0
+	is.True(w.heal())
+	is.Equal(len(w.nodes[0].rank.State.Members), len(w.nodes))
+	is.Equal(w.oracle.mixed, "")
+}
