quota: entries report as seldom as the demand allows

Cause: a trial with 390 entries and 930 workspaces, popularity falling as one over the rank, put 52 KB a second on the busiest home and 3.0 on an entry; a workspace that all entries use brought one report from each in every second. Ruled out: longer intervals with a decaying estimate (one that lasts two seconds forgets what comes once a minute), relays below the home (twice the messages for the many small workspaces). Change: the home keeps the last rate of each entry and asks for the next report after a time that grows with the number of entries while the demand is steady; entries report early when demand grows, or falls while a part is refused. The bucket falls at the told rates between reports. A new home does not raise an entry's fraction until it has heard all.

--- a/core/quota/home.go
+++ b/core/quota/home.go
@@ -6,30 +6,63 @@
 )
 
 const (
-	// demandMemory is the time constant of the demand estimate.
-	demandMemory = 2 * time.Second
 	// repayOver is the time over which the bucket is brought back to zero. It
 	// is longer than a report takes to come and to be answered, so that the
 	// fraction settles and does not swing.
 	repayOver = 4 * time.Second
+	// settleOver is the time constant of the slow demand estimate. While the
+	// demand is steadyWithin of it the entries may report seldom.
+	settleOver   = 3 * time.Second
+	steadyWithin = 0.1
+	// calmBelow is the part of the limit below which a workspace is calm.
+	calmBelow = 0.5
+	// calmReports and busyReports are how many reports a second a home wants
+	// for a calm workspace and for one near its limit; calmInterval and
+	// busyInterval the longest times between two reports of one entry.
+	calmReports, busyReports   = 5, 10
+	calmInterval, busyInterval = time.Minute, 10 * time.Second
+	// expireEvery is how often reporters that have stopped are dropped.
+	expireEvery = 500 * time.Millisecond
 	// forgetAfter is when a home drops a workspace that no entry reports.
 	forgetAfter = 2 * time.Minute
 )
 
+// reporter is the last word of one entry on one workspace.
+type reporter struct {
+	// rate is the demand and admitted what was let through, in tokens a second;
+	// they came at the time at and count to until.
+	rate, admitted float64
+	at, until      time.Time
+}
+
+// expected is what the entry is expected to have admitted since it reported.
+func (r reporter) expected(now time.Time) float64 {
+	if r.at.IsZero() {
+		return 0
+	}
+	return r.admitted * now.Sub(r.at).Seconds()
+}
+
 // account is what a home knows of one workspace.
 type account struct {
 	limit Limit
 	// balance is the token bucket of what was admitted; below zero it is what
-	// went through too much.
+	// went through too much. Between two reports of an entry it falls at the
+	// rate that the entry told, and is put right by the next report: else it
+	// would swing by all that the entries admit in an interval.
 	balance float64
 	// spilled is what the bucket could not hold, in tokens. A report that
 	// comes late may still use what was spilled in its span.
 	spilled float64
-	// demand is the weight of recent offers, decayed at the time at.
-	demand   float64
-	first    time.Time
-	at       time.Time
-	fraction float64
+	// demand and flow are the sums over the reporters of what is asked for and
+	// let through; slow follows demand.
+	demand, flow, slow float64
+	reporters          map[uint64]reporter
+	at, expired        time.Time
+	// learned is when each entry has reported to this home since it begun.
+	begun, learned time.Time
+	fraction       float64
+	interval       time.Duration
 }
 
 // Home is the agent's side: the accounts of the workspaces that the entries
@@ -69,92 +102,145 @@
 // Merge takes in the report of an entry and appends the reply to dst. A report
 // that is malformed is refused whole.
 func (h *Home) Merge(dst, report []byte, now time.Time) ([]byte, error) {
-	for at := 0; at < len(report); {
+	entry, at := readEntry(report)
+	if at == 0 {
+		return dst, &MalformedError{}
+	}
+	for at := at; at < len(report); {
 		_, n := readRecord(report[at:])
 		if n <= 0 {
 			return dst, &MalformedError{Offset: at}
 		}
 		at += n
 	}
-	for at := 0; at < len(report); {
+	for at < len(report) {
 		r, n := readRecord(report[at:])
 		at += n
-		if units, ok := h.take(r, now); ok {
-			dst = appendReply(dst, r.id, units)
+		if a := h.take(entry, r, now); a != nil {
+			dst = appendReply(dst, reply{r.id, a.answer(r, now), a.interval})
 		}
 	}
 	h.sweep(now)
 	return dst, nil
 }
 
-// take books one record and returns the fraction in force, or false if this
-// home does not know the workspace yet. A new account begins with an empty
-// bucket, since a home that took over would else give out a second burst; what
-// the entries admitted by right while there was no home is not held against them.
-func (h *Home) take(r record, now time.Time) (uint64, bool) {
+// take books one record, or returns nil if this home does not know the
+// workspace yet. A new account begins with an empty bucket, since a home that
+// took over would else give out a second burst; what the entries admitted by
+// right while there was no home is not held against them.
+func (h *Home) take(entry uint64, r record, now time.Time) *account {
 	limit, ok := h.limits[r.id]
 	if !ok {
-		return 0, false
+		return nil
 	}
+	rate, burst := limit.Rate*h.visible, limit.Burst*h.visible
 	a, ok := h.accounts[r.id]
 	if !ok {
-		a = &account{limit: limit, first: now.Add(-r.span), at: now, fraction: 1}
-		a.spilled = limit.Rate * h.visible * math.Max(0, (r.span-ReportEvery).Seconds())
+		a = &account{limit: limit, at: now, fraction: 1, reporters: make(map[uint64]reporter)}
+		a.spilled = rate * math.Max(0, (r.span-ReportEvery).Seconds())
+		a.begun, a.learned = now, now.Add(ReportEvery)
 		h.accounts[r.id] = a
 	}
-	a.advance(limit.Rate*h.visible, limit.Burst*h.visible, now)
-	a.demand += float64(r.offered) * decayOver(r.span)
-	a.book(limit.Rate*h.visible, r)
-	a.decide(limit.Rate*h.visible, now)
-	return toUnits(a.fraction), true
+	a.advance(rate, burst, now)
+	a.book(rate, entry, r, now)
+	a.count(entry, r, now)
+	a.decide(rate)
+	if end := a.begun.Add(r.span); !now.After(a.learned) && end.After(a.learned) {
+		a.learned = end
+	}
+	return a
 }
 
-// decayOver returns what is left of demand that came evenly over the span
-// before now. Without it one entry that reports each second looks a quarter
-// busier than ten that report in turns.
-func decayOver(span time.Duration) float64 {
-	x := span.Seconds() / demandMemory.Seconds()
-	if x <= 0 {
-		return 1
+// answer returns the fraction for one entry. A home that has just begun knows a
+// part of the demand only; until it has heard all, an entry keeps the fraction
+// that it heard from another home, unless this one's is lower.
+func (a *account) answer(r record, now time.Time) uint64 {
+	units := toUnits(a.fraction)
+	if now.Before(a.learned) {
+		return min(units, r.fraction)
 	}
-	return (1 - math.Exp(-x)) / x
+	return units
 }
 
-// advance lets time pass: demand decays and the bucket fills.
+// advance lets time pass: the bucket fills, and entries that have stopped
+// reporting no longer count.
 func (a *account) advance(rate, burst float64, now time.Time) {
 	span := now.Sub(a.at).Seconds()
-	if span <= 0 {
+	if span > 0 {
+		full := a.balance + (rate-a.flow)*span
+		a.balance = math.Min(burst, full)
+		a.spilled = math.Min(a.spilled+full-a.balance, rate*maxSpan.Seconds())
+		a.slow += (a.demand - a.slow) * (1 - math.Exp(-span/settleOver.Seconds()))
+		a.at = now
+	}
+	if now.Sub(a.expired) < expireEvery {
+		return
+	}
+	a.expired, a.demand, a.flow = now, 0, 0
+	for entry, r := range a.reporters {
+		if now.Before(r.until) {
+			a.demand += r.rate
+			a.flow += r.admitted
+			continue
+		}
+		a.balance += r.expected(now)
+		delete(a.reporters, entry)
+	}
+}
+
+// count puts the entry's rates in place of what it last said. They hold until
+// twice the time to the next report.
+func (a *account) count(entry uint64, r record, now time.Time) {
+	span := max(r.span, ReportSpacing)
+	old, next := a.reporters[entry], reporter{at: now}
+	next.rate = math.Max(0, float64(r.offered)) / span.Seconds()
+	next.admitted = math.Max(0, float64(r.admitted)) / span.Seconds()
+	next.until = now.Add(2*max(span, a.interval) + ReportEvery)
+	a.demand = math.Max(0, a.demand+next.rate-old.rate)
+	a.flow = math.Max(0, a.flow+next.admitted-old.admitted)
+	if next.rate == 0 {
+		delete(a.reporters, entry)
 		return
 	}
-	a.demand *= math.Exp(-span / demandMemory.Seconds())
-	full := a.balance + rate*span
-	a.balance = math.Min(burst, full)
-	a.spilled = math.Min(a.spilled+full-a.balance, rate*maxSpan.Seconds())
-	a.at = now
+	a.reporters[entry] = next
 }
 
-// book takes what was admitted out of the bucket. It guards against a false
-// debt after an outage: entries that kept to their safe share for a minute
-// report it all at once, and the bucket has room for a second or so only.
-func (a *account) book(rate float64, r record) {
-	admitted := float64(r.admitted)
-	late := math.Min(a.spilled, math.Min(math.Max(0, admitted), rate*r.span.Seconds()))
+// book puts the bucket right by what was admitted beyond the expected. It
+// guards against a false debt after an outage: entries that kept to their safe
+// share for a minute report it all at once, and the bucket has room for a
+// second or so only.
+func (a *account) book(rate float64, entry uint64, r record, now time.Time) {
+	more := float64(r.admitted) - a.reporters[entry].expected(now)
+	late := math.Min(a.spilled, math.Min(math.Max(0, more), rate*r.span.Seconds()))
 	a.spilled -= late
-	a.balance += late - admitted
+	a.balance += late - more
 }
 
 // decide sets the fraction so that the demand takes the rate and brings the
-// bucket back to zero over repayOver.
-func (a *account) decide(rate float64, now time.Time) {
-	age := now.Sub(a.first).Seconds()
-	// The divisor corrects the estimate for the time before the first report.
-	memory := demandMemory.Seconds()
-	demand := a.demand / (memory * (1 - math.Exp(-math.Max(age, ReportEvery.Seconds())/memory)))
-	aim := math.Max(0, rate+a.balance/repayOver.Seconds())
+// bucket back to zero over repayOver; and how soon the entries report again.
+func (a *account) decide(rate float64) {
+	over := max(repayOver, 2*a.interval).Seconds()
+	aim := math.Max(0, rate+a.balance/over)
 	a.fraction = 1
-	if demand > aim {
-		a.fraction = aim / demand
+	if a.demand > aim {
+		a.fraction = aim / a.demand
+	}
+	a.interval = ReportEvery
+	if math.Abs(a.demand-a.slow) > steadyWithin*a.demand {
+		return
+	}
+	n := float64(len(a.reporters))
+	if a.demand < calmBelow*rate && a.balance >= 0 {
+		a.interval = paced(n/calmReports, calmInterval)
+		return
 	}
+	a.interval = paced(n/busyReports, busyInterval)
+}
+
+// paced guards against a home that drowns in reports: a workspace that all
+// entries use would bring one from each of them in every second.
+func paced(seconds float64, longest time.Duration) time.Duration {
+	return min(longest, max(ReportEvery, time.Duration(seconds*float64(time.Second))))
 }
 
 // sweep forgets idle accounts, at most once in forgetAfter.
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -3,13 +3,15 @@
 //
 // Each workspace has a home among the agents, chosen by rendezvous hashing.
 // An entry reports to the home what the workspace asked for and what it was
-// let through, about once a second and only if there was anything. The home
-// answers with one number: the fraction of the demand that fits the limit.
-// Every entry admits that fraction of what it sees ("global random drop" in
-// Raghavan et al., "Cloud Control with Distributed Rate Limiting", 2007, with
-// an error accumulator in place of the random draw), so that demand may move
-// between entries without any share moving after it. The home keeps a token
-// bucket of what was admitted: what went through too much is taken back.
+// let through. The home answers with the fraction of the demand that fits the
+// limit, and with the time to the next report: a second for a demand that
+// changes, longer for one that is steady and comes through many entries. Every
+// entry admits that fraction of what it sees ("global random drop" in Raghavan
+// et al., "Cloud Control with Distributed Rate Limiting", 2007, with an error
+// accumulator in place of the random draw), so that demand may move between
+// entries without any share moving after it. The home keeps a token bucket of
+// what was admitted: what went through too much is taken back. An entry whose
+// demand grows reports before its time.
 //
 // What an entry admits before the home knows is bounded by its allowance, so
 // that over any time t from a quiet start the entries together admit at most
@@ -26,7 +28,7 @@
 //
 // # Usage
 //
-//	l := quota.New(rnd)
+//	l := quota.New(name, rnd)
 //	l.SetFleet(entries, agents)
 //	l.SetLimit("studio", quota.Limit{Rate: 5000, Burst: 5000})
 //	ok, retryAfter := l.Allow("studio", cost, now) // for each request
@@ -58,10 +60,11 @@
 	// CutOffAfter is how long a report may stay without a reply before the
 	// entry falls back to its safe share.
 	CutOffAfter = 3 * time.Second
-	// openFor and cutFor are how long a fraction of 1 and a lower one hold where
-	// nothing was reported since.
+	// openFor and cutFor are how long a fraction of 1 and a lower one hold
+	// beyond the time to the next report. An entry that did not report then
+	// had no demand, and refuses nobody on the word of a burst long past.
 	openFor = time.Minute
-	cutFor  = 5 * time.Second
+	cutFor  = time.Second
 
 	maxRetryAfter = 10 * time.Second
 
@@ -111,12 +114,19 @@
 	// the last report, recent what was admitted in a second before it.
 	since, reported time.Time
 	recent          float64
+	// from is the end of the last interval that the home has answered for, and
+	// interval the time until it wants the next report.
+	from     time.Time
+	interval time.Duration
+	// told is the demand last reported, in tokens a second.
+	told float64
 	// ratio is the usual true cost over the expected one.
 	ratio float64
 }
 
 // Limiter is the entry's side. Use New to make one.
 type Limiter struct {
+	id      uint64
 	rnd     *rand.Rand
 	entries float64
 	agents  []string
@@ -125,10 +135,11 @@
 	due     []string
 }
 
-// New returns a limiter without limits. The source spreads the first decisions
-// of the entries and the Retry-After times; give each entry another seed.
-func New(rnd *rand.Rand) *Limiter {
-	return &Limiter{rnd: rnd, entries: 1, states: make(map[string]*state), byID: make(map[uint64]*state)}
+// New returns the limiter of the entry of the given name, without limits. The
+// source spreads the first decisions of the entries and the Retry-After times;
+// give each entry another seed.
+func New(name string, rnd *rand.Rand) *Limiter {
+	return &Limiter{id: ID(name), rnd: rnd, entries: 1, states: make(map[string]*state), byID: make(map[uint64]*state)}
 }
 
 // ID returns the number that stands for a workspace in reports.
@@ -179,7 +190,7 @@
 		s.Limit = limit
 		return
 	}
-	s := &state{Limit: limit, id: ID(workspace), fraction: 1, ratio: 1, home: HomeOf(workspace, l.agents)}
+	s := &state{Limit: limit, id: ID(workspace), fraction: 1, ratio: 1, interval: ReportEvery, home: HomeOf(workspace, l.agents)}
 	s.safe = l.allowance(s)
 	l.states[workspace] = s
 	l.byID[s.id] = s
@@ -233,7 +244,7 @@
 		// Entries that see one request each must not all admit or refuse it.
 		s.credit, s.phased = -l.rnd.Float64()*cost, true
 	}
-	if open := s.admitted + s.sentAdmitted; open > 0 && float64(open)+cost > l.lent(s) {
+	if open := s.admitted + s.sentAdmitted; open > 0 && float64(open)+cost > s.usual(now)+l.slack(s) {
 		return false, ReportSpacing.Seconds()
 	}
 	s.credit = math.Min(s.credit+s.fraction*cost, cost)
@@ -244,14 +255,27 @@
 	return true, 0
 }
 
-// lent is what may be admitted between two words from the home: the allowance,
-// or twice what the last second took, so that a growing demand is followed.
-func (l *Limiter) lent(s *state) float64 {
+// usual is what the home expects the entry to have admitted since the interval
+// that it last answered for.
+func (s *state) usual(now time.Time) float64 {
+	if s.from.IsZero() {
+		return 0
+	}
+	return s.recent * min(now.Sub(s.from), 2*s.interval).Seconds()
+}
+
+// slack is what may be admitted beyond the usual between two words from the
+// home: the allowance, or two seconds of the usual rate, so that a growing
+// demand is followed.
+func (l *Limiter) slack(s *state) float64 {
 	return math.Max(l.allowance(s), 2*s.recent)
 }
 
 func (l *Limiter) refill(s *state, now time.Time) {
-	if !s.filled.IsZero() {
+	// While a report is unanswered the entry lives on its slack; the safe share
+	// comes after it and not on top of it.
+	waiting := s.fresh(now) && !s.asked.IsZero()
+	if !s.filled.IsZero() && !waiting {
 		gained := s.Rate / l.entries * now.Sub(s.filled).Seconds()
 		s.safe = math.Min(l.allowance(s), s.safe+gained)
 	}
@@ -263,19 +287,16 @@
 		return false
 	}
 	if s.fraction < 1 {
-		return now.Sub(s.heard) < cutFor
+		return now.Sub(s.heard) < s.interval+s.interval/2+cutFor
 	}
-	return now.Sub(s.heard) < openFor
+	return now.Sub(s.heard) < 2*s.interval+openFor
 }
 
 // cutOff guards against an entry that goes on with an old fraction when the
 // home is gone: all entries in that state together would exceed the limit for
 // as long as the home is away. The safe shares add up to the limit.
 func (s *state) cutOff(now time.Time) bool {
-	if !s.asked.IsZero() {
-		return now.Sub(s.asked) >= CutOffAfter
-	}
-	return s.offered > 0 && now.Sub(s.since) >= CutOffAfter
+	return !s.asked.IsZero() && now.Sub(s.asked) >= CutOffAfter
 }
 
 func (l *Limiter) spread(seconds float64) time.Duration {
@@ -310,6 +331,6 @@
 func (l *Limiter) spend(s *state, tokens float64, now time.Time) {
 	s.safe -= tokens
 	if s.fresh(now) {
-		s.safe = math.Max(s.safe, -l.allowance(s))
+		s.safe = math.Max(s.safe, -l.allowance(s)/2)
 	}
 }
--- a/core/quota/report.go
+++ b/core/quota/report.go
@@ -13,12 +13,17 @@
 	// MaxRecords bounds the records of one digest or reply; the rest waits
 	// for the next one.
 	MaxRecords = 64
+	// fellAfter is the shortest time over which a demand is seen to fall.
+	fellAfter = 2 * time.Second
+	// toldPart is the part of the limit up to which a demand that has ended is
+	// left to expire at the home.
+	toldPart = 0.02
 	// fractionUnit is how a fraction is written.
 	fractionUnit = 1 << 12
 	// maxTokens and maxSpan bound what one record may say, against a corrupt
 	// peer.
 	maxTokens = 1 << 40
-	maxSpan   = time.Minute
+	maxSpan   = 2 * time.Minute
 )
 
 // MalformedError says that a digest or a reply could not be decoded.
@@ -37,10 +42,20 @@
 	id       uint64
 	offered  int64
 	admitted int64
+	// fraction is what the entry last heard.
+	fraction uint64
 	// span is the time over which the demand came, in whole milliseconds.
 	span time.Duration
 }
 
+// reply is one workspace in a home's reply.
+type reply struct {
+	id       uint64
+	fraction uint64
+	// interval is when to report again, if the demand stays as it is.
+	interval time.Duration
+}
+
 // Due returns the homes that are owed a report. The slice is valid until the
 // next call.
 func (l *Limiter) Due(now time.Time) []string {
@@ -54,10 +69,11 @@
 	return l.due
 }
 
-// owes reports whether the workspace's report is due: after a second, or as
-// soon as half of what may be admitted without word is used.
+// owes reports whether the workspace's report is due: after the time that the
+// home has asked for, or as soon as half of what may be admitted beyond the
+// usual rate is used.
 func (l *Limiter) owes(s *state, now time.Time) bool {
-	if s.offered == 0 || s.home == "" || !s.sentAt.IsZero() {
+	if s.silent() || s.home == "" || !s.sentAt.IsZero() {
 		return false
 	}
 	spacing := ReportSpacing
@@ -67,29 +83,53 @@
 	if now.Sub(s.reported) < spacing {
 		return false
 	}
-	return now.Sub(s.since) >= ReportEvery || float64(s.admitted) >= l.lent(s)/2
+	from := s.from
+	if from.IsZero() {
+		from = s.since
+	}
+	return now.Sub(from) >= s.interval || float64(s.admitted)-s.usual(now) >= l.slack(s)/2 || s.fell(now)
+}
+
+// fell reports whether the demand is far below what was last told, while a
+// part of it is refused. It guards against a limit that stays half used for
+// the time of a long interval after a burst has ended.
+func (s *state) fell(now time.Time) bool {
+	span := now.Sub(s.from)
+	return s.fraction < 1 && span >= fellAfter && float64(s.offered) < s.told*span.Seconds()/2
+}
+
+// silent reports whether there is nothing to tell: no demand, and the last told
+// was small. A large one must be taken back as soon as it ends, or the home
+// counts it twice when it has moved to another entry.
+func (s *state) silent() bool {
+	return s.offered == 0 && s.told <= toldPart*s.Rate
 }
 
 // Digest appends the report for a home to dst: the workspaces that owe one,
 // and those of the same home that have anything new. The caller passes the
 // answer to Merge, or calls Lost, before it asks for the home's next digest.
 func (l *Limiter) Digest(dst []byte, home string, now time.Time) []byte {
+	dst = binary.LittleEndian.AppendUint64(dst, l.id)
 	n := 0
 	for _, s := range l.states {
-		if n == MaxRecords || s.home != home || s.offered == 0 || !s.sentAt.IsZero() {
+		if n == MaxRecords || s.home != home || s.silent() || !s.sentAt.IsZero() {
 			continue
 		}
-		dst = appendRecord(dst, record{s.id, s.offered, s.admitted, min(now.Sub(s.since), maxSpan)})
 		s.send(now)
+		dst = appendRecord(dst, record{s.id, s.sentOffered, s.sentAdmitted, toUnits(s.fraction), s.sentSpan})
 		n++
 	}
 	return dst
 }
 
 func (s *state) send(now time.Time) {
+	s.sentSpan = now.Sub(s.from)
+	if s.from.IsZero() {
+		s.sentSpan = max(ReportEvery, now.Sub(s.since))
+	}
+	s.sentSpan = min(max(ReportSpacing, s.sentSpan), maxSpan)
 	s.sentOffered, s.sentAdmitted = s.offered, s.admitted
 	s.offered, s.admitted = 0, 0
-	s.sentSpan = max(ReportSpacing, min(now.Sub(s.reported), ReportEvery))
 	s.sentAt, s.reported, s.sentSince = now, now, s.since
 	if s.asked.IsZero() {
 		s.asked = now
@@ -98,10 +138,12 @@
 
 // hear takes the home's word. What may be admitted until the next one follows
 // the rate of the last interval, and at most doubles.
-func (l *Limiter) hear(s *state, fraction float64, now time.Time) {
-	usual := float64(s.sentAdmitted) * ReportEvery.Seconds() / s.sentSpan.Seconds()
-	s.recent = math.Min(usual, l.lent(s))
-	s.fraction, s.heard = fraction, now
+func (l *Limiter) hear(s *state, r reply, now time.Time) {
+	s.recent = math.Min(float64(s.sentAdmitted)/s.sentSpan.Seconds(), l.slack(s))
+	s.fraction, s.heard = fromUnits(r.fraction), now
+	// The spread keeps the entries from reporting all at once for ever.
+	s.interval = time.Duration((0.75 + 0.25*l.rnd.Float64()) * float64(r.interval))
+	s.from, s.told = s.sentAt, float64(s.sentOffered)/s.sentSpan.Seconds()
 	s.sentOffered, s.sentAdmitted, s.sentAt, s.asked = 0, 0, time.Time{}, time.Time{}
 }
 
@@ -126,19 +168,19 @@
 	}
 }
 
-// Merge takes in the reply of a home. What the reply leaves out, since the
+// Merge takes in b, the reply of a home. What the reply leaves out, since the
 // home does not know the workspace yet, counts as lost. A malformed reply
 // counts as lost from the fault on.
-func (l *Limiter) Merge(home string, reply []byte, now time.Time) error {
+func (l *Limiter) Merge(home string, b []byte, now time.Time) error {
 	defer l.Lost(home)
-	for at := 0; at < len(reply); {
-		id, units, n := readReply(reply[at:])
+	for at := 0; at < len(b); {
+		r, n := readReply(b[at:])
 		if n <= 0 {
 			return &MalformedError{Offset: at}
 		}
 		at += n
-		if s, ok := l.byID[id]; ok && s.home == home && !s.sentAt.IsZero() {
-			l.hear(s, fromUnits(units), now)
+		if s, ok := l.byID[r.id]; ok && s.home == home && !s.sentAt.IsZero() {
+			l.hear(s, r, now)
 		}
 	}
 	return nil
@@ -152,6 +194,7 @@
 	dst = binary.LittleEndian.AppendUint64(dst, r.id)
 	dst = binary.AppendUvarint(dst, uint64(r.offered))
 	dst = binary.AppendVarint(dst, r.admitted)
+	dst = binary.AppendUvarint(dst, r.fraction)
 	return binary.AppendUvarint(dst, uint64(max(0, r.span.Milliseconds())))
 }
 
@@ -172,27 +215,51 @@
 		return record{}, 0
 	}
 	at += n
+	fraction, n := binary.Uvarint(b[at:])
+	if n <= 0 || fraction > fractionUnit {
+		return record{}, 0
+	}
+	at += n
 	span, n := binary.Uvarint(b[at:])
 	if n <= 0 || span > uint64(maxSpan.Milliseconds()) {
 		return record{}, 0
 	}
-	r.offered, r.admitted = int64(offered), admitted
+	r.offered, r.admitted, r.fraction = int64(offered), admitted, fraction
 	r.span = time.Duration(span) * time.Millisecond
 	return r, at + n
 }
 
-func appendReply(dst []byte, id, units uint64) []byte {
-	dst = binary.LittleEndian.AppendUint64(dst, id)
-	return binary.AppendUvarint(dst, units)
+// readEntry returns the entry that sent a report, and where the records begin;
+// 0 means malformed.
+func readEntry(b []byte) (entry uint64, length int) {
+	if len(b) < 8 {
+		return 0, 0
+	}
+	return binary.LittleEndian.Uint64(b), 8
+}
+
+func appendReply(dst []byte, r reply) []byte {
+	dst = binary.LittleEndian.AppendUint64(dst, r.id)
+	dst = binary.AppendUvarint(dst, r.fraction)
+	return binary.AppendUvarint(dst, uint64(r.interval/ReportSpacing))
 }
 
-func readReply(b []byte) (id, units uint64, length int) {
+// readReply returns the first record of a reply and its length, or 0 if
+// malformed.
+func readReply(b []byte) (reply, int) {
 	if len(b) < 8 {
-		return 0, 0, 0
+		return reply{}, 0
 	}
-	units, n := binary.Uvarint(b[8:])
-	if n <= 0 || units > fractionUnit {
-		return 0, 0, 0
+	r, at := reply{id: binary.LittleEndian.Uint64(b)}, 8
+	var n int
+	if r.fraction, n = binary.Uvarint(b[at:]); n <= 0 || r.fraction > fractionUnit {
+		return reply{}, 0
 	}
-	return binary.LittleEndian.Uint64(b), units, 8 + n
+	at += n
+	units, n := binary.Uvarint(b[at:])
+	if n <= 0 || units > uint64(maxSpan/ReportSpacing) {
+		return reply{}, 0
+	}
+	r.interval = max(ReportEvery, time.Duration(units)*ReportSpacing)
+	return r, at + n
 }
