Proofs under failure on the processes themselves

Cause: the promises were only shown on machines and packages, not on the programs. Ruled out: judging by time.

--- /dev/null
+++ b/proof/shutdown_test.go
@@ -0,0 +1,96 @@
+package proof
+
+import (
+	"testing"
+	"time"
+
+	"verbenashift/core/instances"
+	"verbenashift/core/outcome"
+	"verbenashift/standin/client"
+	"verbenashift/standin/deployment"
+	"verbenashift/standin/judge"
+	"verbenashift/standin/ledger"
+)
+
+type ledgerRun = ledger.Run
+
+// stopBound is a generous bound of one graceful shutdown.
+const stopBound = 20 * time.Second
+
+// Operators roll a new version out: each entry and agent in turn gets SIGTERM
+// and starts again, under load. No stream may be cut, no first try of a keyed
+// request may end as unknown, and a second try after the restarts must not run
+// a key again, though every register has moved between processes.
+func TestRollingRestart(t *testing.T) {
+	s := start(t, deployment.Shape{Block: "127.0.26", PlainFlags: []string{"-work", "100ms"}})
+	early := append(s.Jobs("early", 24), s.Drafts("early", 24, 30)...)
+	records := s.Play(s.ctx, early)
+	load := make([]client.Line, 0, 600)
+	for i := range 200 {
+		load = append(load, s.Jobs("load", 200)[i], s.Drafts("load", 200, 40)[i], s.Streams("load", 200, 40)[i])
+	}
+	player := s.Player()
+	player.Rate = 60
+	done := make(chan []judge.Record)
+	go func() { done <- player.Play(s.ctx, load) }()
+	for _, node := range []string{"agent-1", "entry-1", "agent-5", "agent-2", "entry-2", "agent-6", "agent-3", "agent-4"} {
+		s.must(s.Term(node))
+		code, err := s.Wait(node, stopBound)
+		s.must(err)
+		s.Equal(code, 0) // a planned stop is no failure
+		s.must(s.Restart(s.ctx, node))
+	}
+	first := <-done
+	for _, r := range first {
+		if r.Outcome == outcome.Unknown || r.Outcome == outcome.Failed {
+			t.Errorf("%s %s: %s, %+v", r.Workspace, r.Class, r.Outcome, r.Attempts)
+		}
+	}
+	records = append(records, first...)
+	for _, again := range [][]client.Line{early, load} {
+		records = append(records, s.Begin(s.ctx, keyed(again), "entry-2", "entry-1").Wait()...)
+	}
+	s.kept(records)
+	s.once()
+}
+
+// keyed returns the lines that have a key.
+func keyed(lines []client.Line) []client.Line {
+	var list []client.Line
+	for _, l := range lines {
+		if l.IdempotencyKey != "" {
+			list = append(list, l)
+		}
+	}
+	return list
+}
+
+// The platform's list, which lags, says that an engine's instance is leaving.
+// Within seconds no entry may send it new work, while what it runs goes on to
+// its end.
+func TestLeavingTarget(t *testing.T) {
+	s := start(t, deployment.Shape{Block: "127.0.27"})
+	play := s.Begin(s.ctx, s.Streams("leaving", 16, 200))
+	s.running(16, "")
+	s.must(s.Instances(s.ctx, instances.Instance{Name: "target-1", State: instances.Leaving}))
+	atFirst := func(r ledgerRun) bool { return r.Target == "target-1" }
+	s.must(deployment.Until(s.ctx, func() error {
+		before, err := s.Runs(atFirst)
+		s.must(err)
+		s.Play(s.ctx, s.Streams("probe", 12, 1))
+		after, err := s.Runs(atFirst)
+		s.must(err)
+		if len(after) > len(before) {
+			return errStillUsed
+		}
+		return nil
+	}))
+	before, err := s.Runs(atFirst)
+	s.must(err)
+	s.True(len(before) > 0) // it had work before
+	records := s.Play(s.ctx, s.Streams("after", 60, 1))
+	after, err := s.Runs(atFirst)
+	s.must(err)
+	s.Equal(len(after), len(before)) // none of it is new
+	s.Equal(s.kept(append(records, play.Wait()...)).Complete, 76)
+}
--- /dev/null
+++ b/proof/store_test.go
@@ -0,0 +1,136 @@
+package proof
+
+import (
+	"testing"
+
+	"github.com/go-faster/errors"
+
+	"verbenashift/core/config"
+	"verbenashift/core/intent"
+	"verbenashift/core/operator"
+	"verbenashift/standin/deployment"
+)
+
+// fault is the switches of the platform's store.
+type fault map[string]any
+
+// declare declares an intent that gives a workspace a share, at an entry.
+func (s *scene) declare(entry int, name string, share float64) intent.Plan {
+	s.t.Helper()
+	plan, err := s.Operator(entry).Declare(s.ctx, intent.Intent{
+		Name: name, Workspaces: []config.Share{{Workspace: "harbor-home", Share: share}},
+	})
+	s.must(err)
+	return plan
+}
+
+// share is the share of harbor-home that an entry has in force.
+func (s *scene) share(entry int) float64 {
+	s.t.Helper()
+	list, err := s.Operator(entry).Workspaces(s.ctx)
+	s.must(err)
+	for _, ws := range list {
+		if ws.Name == "harbor-home" {
+			return ws.Share
+		}
+	}
+	s.t.Fatal("harbor-home is not configured")
+	return 0
+}
+
+// An operator confirms a plan and the store goes down at once. Nodes are
+// killed and started again while it is down. Each must come back with the
+// confirmed revision, heard from its peers, and none may ever act on the older
+// one that the operator has replaced. Callers are served all the while.
+func TestStoreDownAtStart(t *testing.T) {
+	s := start(t, deployment.Shape{Block: "127.0.22"})
+	plan := s.declare(1, "month-end", 3)
+	_, err := s.Operator(1).Confirm(s.ctx, plan.ID)
+	s.must(err)
+	s.must(s.WaitRevision(s.ctx, 2))
+	s.must(s.Fault(s.ctx, "platform", fault{"down": true}))
+	for _, node := range []string{"entry-1", "agent-1", "agent-5", "entry-2"} {
+		s.must(s.Kill9(node))
+		s.must(s.Restart(s.ctx, node))
+		s.must(s.WaitRevision(s.ctx, 2))
+	}
+	records := s.Play(s.ctx, s.Streams("outage", 12, 20))
+	s.Equal(s.kept(records).Complete, 12)
+	s.must(s.Fault(s.ctx, "platform", fault{"down": false}))
+	s.must(s.WaitRevision(s.ctx, 2))
+	s.kept(records)
+}
+
+// The store takes a second for each call. A confirmed plan still comes into
+// force on every node, and callers' requests, which need no store, are whole.
+func TestStoreSlow(t *testing.T) {
+	s := start(t, deployment.Shape{Block: "127.0.23"})
+	s.must(s.Fault(s.ctx, "platform", fault{"latency-ms": 1000}))
+	play := s.Begin(s.ctx, append(s.Streams("slow", 12, 60), s.Jobs("slow", 12)...))
+	plan := s.declare(2, "month-end", 4)
+	_, err := s.Operator(2).Confirm(s.ctx, plan.ID)
+	s.must(err)
+	s.must(s.WaitRevision(s.ctx, 2))
+	s.Equal(s.share(1), 4.0)
+	s.Equal(s.kept(play.Wait()).Complete, 24)
+}
+
+// An operator confirms a plan; the store writes it down and its answer is
+// lost. The operator's tool asks again. The plan must be confirmed once, as
+// one revision, and the operator must hear that it was done.
+func TestStoreLosesAnswer(t *testing.T) {
+	s := start(t, deployment.Shape{Block: "127.0.24"})
+	plan := s.declare(1, "month-end", 5)
+	s.must(s.Fault(s.ctx, "platform", fault{"lose-answers": 1, "lose-prefix": "config/head"}))
+	client := s.Operator(1)
+	client.RequestID = "confirm-once"
+	closed, err := client.Confirm(s.ctx, plan.ID)
+	var unknown *operator.Error
+	if errors.As(err, &unknown) && unknown.Kind == operator.KindUnknown {
+		closed, err = client.Confirm(s.ctx, plan.ID)
+	}
+	s.must(err)
+	s.Equal(closed.State, intent.StateConfirmed)
+	s.must(s.WaitRevision(s.ctx, 2))
+	s.Equal(s.changes(), 2) // the first configuration and the plan
+	again, err := s.Operator(2).Confirm(s.ctx, plan.ID)
+	s.True(err != nil || again.Revision == 2) // nothing new comes of a third try
+	s.Equal(s.changes(), 2)
+	s.kept(nil)
+}
+
+// Two operators confirm plans that conflict, at two entries, at once. One plan
+// becomes the revision; the other operator gets a conflict that names the
+// winner. All nodes have the winner's share, and no node ever had the loser's.
+func TestRacingConfirms(t *testing.T) {
+	s := start(t, deployment.Shape{Block: "127.0.25"})
+	plans := []intent.Plan{s.declare(1, "month-end", 6), s.declare(2, "year-end", 7)}
+	errs := make([]error, 2)
+	done := make(chan int)
+	for i := range plans {
+		go func() {
+			_, errs[i] = s.Operator(i+1).Confirm(s.ctx, plans[i].ID)
+			done <- i
+		}()
+	}
+	<-done
+	<-done
+	winner := 0
+	if errs[0] != nil {
+		winner = 1
+	}
+	s.NoErr(errs[winner])
+	var conflict *operator.Error
+	s.True(errors.As(errs[1-winner], &conflict)) // the other one heard of it
+	if conflict != nil {
+		s.Equal(conflict.Kind, operator.KindConflict)
+		s.Equal(conflict.Winner, plans[winner].ID)
+		s.Equal(conflict.Revision, uint64(2))
+	}
+	s.must(s.WaitRevision(s.ctx, 2))
+	want := []float64{6, 7}[winner]
+	s.Equal(s.share(1), want)
+	s.Equal(s.share(2), want)
+	s.Equal(s.changes(), 2)
+	s.kept(nil)
+}
--- a/standin/deployment/control.go
+++ b/standin/deployment/control.go
@@ -98,21 +98,25 @@
 // Fault sets the fault switches of the platform or of a target; body is what
 // POST /faults takes, as a value that encodes to JSON.
 func (d *Deployment) Fault(ctx context.Context, name string, body any) error {
+	return d.post(ctx, name, "/faults", body)
+}
+
+func (d *Deployment) post(ctx context.Context, name, path string, body any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
-		return errors.Wrap(err, "encode fault")
+		return errors.Wrap(err, "encode body")
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.Address(name)+"/faults", bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.Address(name)+path, bytes.NewReader(data))
 	if err != nil {
-		return errors.Wrap(err, "set fault")
+		return errors.Wrap(err, "make request")
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return errors.Wrapf(err, "set fault of %s", name)
+		return errors.Wrapf(err, "post to %s%s", name, path)
 	}
 	_ = resp.Body.Close()
 	if resp.StatusCode/100 != 2 {
-		return errors.Errorf("set fault of %s: status %d", name, resp.StatusCode)
+		return errors.Errorf("post to %s%s: status %d", name, path, resp.StatusCode)
 	}
 	return nil
 }
--- a/standin/deployment/process.go
+++ b/standin/deployment/process.go
@@ -55,7 +55,10 @@
 		return errors.Errorf("%s does not run", p.name)
 	default:
 	}
-	return errors.Wrapf(p.cmd.Process.Signal(s), "signal %s", p.name)
+	if err := p.cmd.Process.Signal(s); err != nil {
+		return errors.Wrapf(err, "signal %s", p.name)
+	}
+	return nil
 }
 
 // pid returns the process id of the last start.
