--- a/core/expert/bound.go
+++ b/core/expert/bound.go
@@ -17,13 +17,17 @@
 // LowerBound returns a lower bound on the skew that any map of the group can
 // have under an even split. The mean gives the bound 1.
 func LowerBound(g *Group, loads []float64) Bound {
+	return lowerBound(g, loads, Apportion(g, loads))
+}
+
+// lowerBound takes the result of Apportion for the loads.
+func lowerBound(g *Group, loads []float64, replicas []int) Bound {
 	total := sum(loads)
 	if total <= 0 {
 		return Bound{Skew: 1, Heaviest: 1, Shares: 1}
 	}
 	mean := total / float64(len(g.Ranks))
 	most := min(len(g.Ranks), g.size()-(g.Experts-1)*g.minReplicas())
-	replicas := Apportion(g, loads)
 	b := Bound{}
 	for e, load := range loads {
 		b.Heaviest = max(b.Heaviest, load/float64(most)/mean)
--- a/core/expert/candidate.go
+++ b/core/expert/candidate.go
@@ -2,10 +2,9 @@
 
 // candidate is a possible step. Slot b is -1 when one slot changes.
 type candidate struct {
-	a, b        int32 // slots
-	ea, eb      int32 // the experts that they get
-	gain        float64
-	gainPerMove float64
+	a, b   int32   // slots
+	ea, eb int32   // the experts that they get
+	gain   float64 // less penalty for each replica loaded
 }
 
 // tries is how many of the best candidates are tried when the estimate of a
@@ -48,9 +47,8 @@
 					continue
 				}
 				gain := s.penalty[worst] + s.penalty[r] - steep(s.rank[worst]-d) - steep(s.rank[r]+d)
-				c := candidate{a: int32(worst*slots + i), b: int32(r*slots + j), ea: f, eb: e, gain: gain}
-				if c.rate(); beats(c, best) && s.mayGo(e, worst, r) && s.mayGo(f, r, worst) {
-					offer(c, best)
+				if beats(gain/2, best) && s.mayGo(e, worst, r) && s.mayGo(f, r, worst) {
+					offer(candidate{a: int32(worst*slots + i), b: int32(r*slots + j), ea: f, eb: e, gain: gain / 2}, best)
 				}
 			}
 		}
@@ -70,9 +68,8 @@
 				continue
 			}
 			gain := s.penalty[worst] - steep(next) - lost - s.more[f]
-			c := candidate{a: int32(worst*s.group.Slots + i), b: -1, ea: int32(f), gain: gain}
-			if c.rate(); beats(c, best) && s.mayAdd(int32(f), worst) {
-				offer(c, best)
+			if beats(gain, best) && s.mayAdd(int32(f), worst) {
+				offer(candidate{a: int32(worst*s.group.Slots + i), b: -1, ea: int32(f), gain: gain}, best)
 			}
 		}
 	}
@@ -94,14 +91,15 @@
 				if load >= s.rank[worst] {
 					continue
 				}
-				c := candidate{a: int32(r*slots + j), b: -1, ea: e}
-				c.gain = s.penalty[r] - steep(load) - s.more[e]
-				if c.rate(); !beats(c, best) {
+				// The gain without the loss on the other ranks of f is cheap and
+				// rules most slots out.
+				gain := s.penalty[r] - steep(load) - s.more[e]
+				if !beats(gain, best) {
 					continue
 				}
-				c.gain -= s.dropped(f, r)
-				if c.rate(); beats(c, best) && s.mayDrop(f, r) && s.mayAdd(e, r) {
-					offer(c, best)
+				gain -= s.dropped(f, r)
+				if beats(gain, best) && s.mayDrop(f, r) && s.mayAdd(e, r) {
+					offer(candidate{a: int32(r*slots + j), b: -1, ea: e, gain: gain}, best)
 				}
 			}
 		}
@@ -118,22 +116,14 @@
 	return s.fewer[e] - (steep(s.rank[r]+up) - s.penalty[r])
 }
 
-// rate sets the gain per replica loaded: a swap loads two.
-func (c *candidate) rate() {
-	c.gainPerMove = c.gain
-	if c.b >= 0 {
-		c.gainPerMove = c.gain / 2
-	}
-}
-
-func beats(c candidate, best *[tries]candidate) bool {
-	return c.gain > least && c.gainPerMove > best[tries-1].gainPerMove
+func beats(gain float64, best *[tries]candidate) bool {
+	return gain > least && gain > best[tries-1].gain
 }
 
 // offer keeps the best candidates in order.
 func offer(c candidate, best *[tries]candidate) {
 	i := tries - 1
-	for ; i > 0 && c.gainPerMove > best[i-1].gainPerMove; i-- {
+	for ; i > 0 && c.gain > best[i-1].gain; i-- {
 		best[i] = best[i-1]
 	}
 	best[i] = c
--- a/core/expert/plan.go
+++ b/core/expert/plan.go
@@ -185,7 +185,7 @@
 	s.begin(layer.Map, p.loads.mean)
 	s.aim()
 	pr := proposal{layer: i, confidence: layer.Loads.Confidence(now)}
-	pr.bound = LowerBound(p.Group, p.loads.mean).Skew
+	pr.bound = lowerBound(p.Group, s.load, s.target).Skew
 	pr.before = p.expected(layer.Map)
 	pr.after = pr.before
 	first := s.restore(most)
