Explore slow lease clocks, stalls and frozen engines

Some agents' lease clocks go at half speed, so that two stewards are valid at once; engines freeze with orders waiting in their sockets.

--- a/core/group/end_test.go
+++ b/core/group/end_test.go
@@ -30,10 +30,10 @@
 	t.Fatalf("not reached: %s", what)
 }
 
-// steward returns the node whose agent holds the duty.
-func (w *world) steward() *node {
+// stewardNode returns the node whose agent holds the duty.
+func (w *world) stewardNode() *node {
 	for _, n := range w.nodes {
-		if n.duty.Steward(w.now, w.stewardConfig(), n.holder) != nil {
+		if w.steward(n) != nil {
 			return n
 		}
 	}
@@ -47,7 +47,7 @@
 	is := is.New(t)
 	w := settledWorld(t, 2)
 	w.want = 2
-	st := w.steward()
+	st := w.stewardNode()
 	w.rounds(t, "some rank armed", func() bool {
 		for _, n := range w.nodes {
 			if n.rank.State.Undecided() {
--- a/core/group/explorer_test.go
+++ b/core/group/explorer_test.go
@@ -38,6 +38,8 @@
 	// quiet is how many of a hundred fault events do nothing.
 	lossy int
 	quiet int
+	// stallLimit is the stewards' setting.
+	stallLimit time.Duration
 }
 
 // oracle knows nothing but which map each rank used in each step.
@@ -70,8 +72,11 @@
 	stalled bool // the engine answers but does not step
 	frozen  bool // the engine does nothing; what was sent to it waits
 	since   time.Duration
-	up      bool // the agent runs
-	paused  bool
+	// slow is how many times slower than others the clock of the agent's lease
+	// goes: it believes in the lease when the store has let another in.
+	slow   time.Duration
+	up     bool // the agent runs
+	paused bool
 	// The faults end by themselves at these times.
 	engineBack, agentBack time.Duration
 	starts                uint64
@@ -130,11 +135,15 @@
 	w.names = simNames[:2+w.rng.IntN(3)]
 	// With the long one, orders outlive several switches.
 	w.lifetime = []time.Duration{100, 800}[w.rng.IntN(2)] * time.Millisecond
+	w.stallLimit = []time.Duration{0, 300 * time.Millisecond}[w.rng.IntN(2)]
 	w.lossy = []int{6, 30, 300}[w.rng.IntN(3)]
 	w.quiet = []int{50, 85, 97}[w.rng.IntN(3)]
 	habit := lease.Habit(w.rng.IntN(2))
 	for range w.names {
-		n := &node{rank: &Rank{Habit: habit, off: off}}
+		n := &node{rank: &Rank{Habit: habit, off: off}, slow: 1}
+		if w.rng.IntN(4) == 0 {
+			n.slow = 2
+		}
 		w.nodes = append(w.nodes, n)
 		w.startEngine(n)
 	}
@@ -188,21 +197,32 @@
 	take := lease.Takeover{Silence: 800 * time.Millisecond, Stagger: 100 * time.Millisecond}
 	due := take.Due(w.now, n.member.Heard(), simDuty, w.names[i], w.names) || n.member.Orphaned(w.now)
 	n.holder.Want(n.duty.Wanted(n.holder, due))
-	for _, c := range n.holder.Tick(w.now) {
+	for _, c := range n.holder.Tick(w.now / n.slow) {
 		n.out = append(n.out, c)
 	}
-	if st := n.duty.Steward(w.now, w.stewardConfig(), n.holder); st != nil {
+	if st := w.steward(n); st != nil {
 		st.Want(w.want)
 		n.take(w, st.Tick(w.now))
 	}
 	n.take(w, n.member.Tick(w.now))
 }
 
+// steward returns the steward that the node's agent may act as, if any.
+func (w *world) steward(n *node) *Steward {
+	return n.duty.Steward(w.now, w.stewardConfig(), slowHolder{n})
+}
+
+// slowHolder is the lease of a node by the node's own clock.
+type slowHolder struct{ n *node }
+
+func (h slowHolder) Valid(now time.Duration) bool { return h.n.holder.Valid(now / h.n.slow) }
+func (h slowHolder) Fence() uint64                { return h.n.holder.Fence() }
+
 func (w *world) stewardConfig() StewardConfig {
 	return StewardConfig{
 		Members: w.names, MinRanks: max(1, len(w.names)-1), Initial: 1, Lead: 5,
 		Beat: 500 * time.Millisecond, FastBeat: 50 * time.Millisecond,
-		DeadAfter: 400 * time.Millisecond, RejoinAfter: 300 * time.Millisecond,
+		DeadAfter: 400 * time.Millisecond, RejoinAfter: 300 * time.Millisecond, StallLimit: w.stallLimit,
 	}
 }
 
@@ -242,7 +262,7 @@
 	}
 	ans, holder := w.store.do(w.now, c), n.holder
 	if !w.chance(w.lossy) {
-		n.back = append(n.back, func() { holder.Answer(w.now, ans) })
+		n.back = append(n.back, func() { holder.Answer(w.now/n.slow, ans) })
 	}
 }
 
@@ -290,7 +310,7 @@
 		w.net = append(w.net, p)
 		return
 	}
-	if st := n.duty.Steward(w.now, w.stewardConfig(), n.holder); st != nil {
+	if st := w.steward(n); st != nil {
 		n.take(w, st.Receive(w.now, w.names[p.from], p.msg))
 	}
 	n.take(w, n.member.Receive(w.now, w.names[p.from], p.msg))
@@ -396,6 +416,7 @@
 		}
 		n.stalled = w.rng.IntN(2) == 0
 		n.frozen = !n.stalled
+		n.rank.State.Waiting = false // in the middle of a step
 		n.since, n.engineBack = w.now, back
 	case 5:
 		n.down, n.engineBack = true, back
@@ -416,6 +437,9 @@
 			n.wire[k].sent += now - n.since
 		}
 	}
+	if n.stalled || n.frozen {
+		n.rank.Finish()
+	}
 	n.stalled, n.frozen = false, false
 }
 
--- a/core/group/steward_form.go
+++ b/core/group/steward_form.go
@@ -17,7 +17,8 @@
 // lost reports whether a member's rank is to be taken as gone: its agent says
 // that it is dead, the agent is silent, or the rank has stalled beyond the
 // limit. A rank that merely stalls is kept; forming a group costs every request
-// in it more than a short wait does.
+// in it more than a short wait does. A rank left out for a stall is taken back
+// once it has done its part of the step, or its engine has started again.
 func (s *Steward) lost(now time.Duration, st *seat) bool {
 	if s.silent(now, st) || st.known && st.report.Health == Dead {
 		return true
--- a/core/group/switch_test.go
+++ b/core/group/switch_test.go
@@ -2,15 +2,53 @@
 
 import (
 	"flag"
+	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
 
 var (
-	runs  = flag.Int("group.runs", 5000, "interleavings to explore")
+	runs  = flag.Uint64("group.runs", 5000, "interleavings to explore")
 	first = flag.Uint64("group.seed", 1, "first seed")
 )
 
+// found is the lowest seed at which something went wrong.
+type found struct {
+	seed uint64
+	err  error
+}
+
+// explore plays seeds until one is bad or the last is played. Each seed is a run
+// of its own, so that the result is the same for any number of processors.
+func explore(from, n uint64, off guardsOff, bad func(w *world, err error) bool) (worst found, commits int64) {
+	var next atomic.Uint64
+	var total atomic.Int64
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	play := func() {
+		for seed := from + next.Add(1) - 1; seed < from+n; seed = from + next.Add(1) - 1 {
+			w, err := runOne(seed, off)
+			total.Add(int64(w.commits))
+			if !bad(w, err) {
+				continue
+			}
+			next.Store(n)
+			mu.Lock()
+			if worst.err == nil || seed < worst.seed {
+				worst = found{seed, err}
+			}
+			mu.Unlock()
+		}
+	}
+	for range runtime.GOMAXPROCS(0) {
+		wg.Go(play)
+	}
+	wg.Wait()
+	return worst, total.Load()
+}
+
 // An engine that used two maps in one step would answer callers with tokens of
 // no model at all. Messages are lost, repeated, delayed and reordered, agents
 // and engines die, pause and start empty, the store is out and loses answers.
@@ -18,18 +56,14 @@
 // stop, every run has to end in one epoch on one map.
 func TestExplore(t *testing.T) {
 	began := time.Now()
-	commits := 0
-	for seed := *first; seed < *first+uint64(*runs); seed++ {
-		w, err := runOne(seed, guardsOff{})
-		if err != nil {
-			t.Fatal(err)
-		}
-		commits += w.commits
+	worst, commits := explore(*first, *runs, guardsOff{}, func(_ *world, err error) bool { return err != nil })
+	if worst.err != nil {
+		t.Fatal(worst.err)
 	}
 	if commits == 0 {
-		t.Fatal("no run committed a switch")
+		t.Fatal("no run committed a switch while faults went on")
 	}
-	t.Logf("%d runs, %d commits, %v", *runs, commits, time.Since(began).Round(time.Millisecond))
+	t.Logf("%d runs, %d commits under faults, %v", *runs, commits, time.Since(began).Round(time.Millisecond))
 }
 
 // Each guard is there for a failure that the explorer can find: without it the
@@ -53,14 +87,12 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			const most = 20000
-			for seed := uint64(1); seed <= most; seed++ {
-				w, err := runOne(seed, tt.off)
-				if w.oracle.mixed != "" {
-					t.Logf("found after %d runs: %v", seed, err)
-					return
-				}
+			mixed := func(w *world, _ error) bool { return w.oracle.mixed != "" }
+			worst, _ := explore(1, most, tt.off, mixed)
+			if worst.err == nil {
+				t.Fatalf("no mixed step in %d runs without the %s", most, tt.name)
 			}
-			t.Fatalf("no mixed step in %d runs without the %s", most, tt.name)
+			t.Log(worst.err)
 		})
 	}
 }
