--- a/core/group/duty.go
+++ b/core/group/duty.go
@@ -33,6 +33,17 @@
 	return d.steward
 }
 
+// Resign gives up the duty, when the agent drains, and tells the agent that
+// should take it over. The steward does nothing more; Wanted is false until the
+// lease has been released.
+func (d *Duty) Resign(to string) []Action {
+	if d.steward == nil || d.steward.deposed {
+		return nil
+	}
+	d.steward.deposed = true
+	return []Action{Send{To: to, Message: Handover{Fence: d.fence}}}
+}
+
 // Wanted reports whether the agent should have the duty: it goes on with a lease
 // until a member knows of a newer one, and asks for one when due says that
 // nobody else seems to hold it.
--- a/core/group/explorer_test.go
+++ b/core/group/explorer_test.go
@@ -402,7 +402,9 @@
 		return
 	}
 	back := w.now + time.Duration(w.rng.Int64N(int64(simTTL)))
-	switch w.rng.IntN(8) {
+	switch w.rng.IntN(9) {
+	case 8:
+		n.take(w, n.duty.Resign(w.names[w.rng.IntN(len(w.names))]))
 	case 0, 1:
 		n.up, n.out, n.back, n.agentBack = false, nil, nil, back
 		if w.rng.IntN(2) == 0 {
--- a/core/group/member.go
+++ b/core/group/member.go
@@ -80,9 +80,12 @@
 
 	steward string
 	heard   time.Duration
+	vacant  bool
 	sentAs  Health
 	reports uint64
 
+	incarnation uint64
+
 	ballot  *ballot
 	prepare *Prepare
 	form    *Form
@@ -109,13 +112,12 @@
 // nothing. Incarnation must grow with every start of the agent.
 func NewMember(cfg MemberConfig, incarnation uint64, now time.Duration) *Member {
 	cfg = cfg.withDefaults()
-	const reportsPerIncarnation = 1 << 32
 	return &Member{
-		cfg:     cfg,
-		guard:   lease.NewGuard(cfg.Habit, cfg.Lifetime),
-		reports: incarnation * reportsPerIncarnation,
-		pulse:   pulse{lastAnswer: now},
-		heard:   now,
+		cfg:         cfg,
+		guard:       lease.NewGuard(cfg.Habit, cfg.Lifetime),
+		incarnation: incarnation,
+		pulse:       pulse{lastAnswer: now},
+		heard:       now,
 	}
 }
 
@@ -139,10 +141,13 @@
 	return m.heard
 }
 
-// Orphaned reports whether the rank stands still and no steward has been heard
-// for a while, so that a candidate should take the duty without waiting for the
-// steward's usual silence.
+// Orphaned reports whether a candidate should take the duty without waiting for
+// the steward's usual silence: the steward has handed it over, or the rank stands
+// still and no steward has been heard for a while.
 func (m *Member) Orphaned(now time.Duration) bool {
+	if m.vacant {
+		return true
+	}
 	if now-m.heard < m.cfg.Orphan {
 		return false
 	}
@@ -170,6 +175,8 @@
 		acts = m.voted(from, msg)
 	case Outcome:
 		m.learned(msg)
+	case Handover:
+		m.vacant = m.vacant || msg.Fence >= m.guard.Fence()
 	}
 	return append(acts, m.advance(now)...)
 }
@@ -180,7 +187,7 @@
 	if m.guard.Hear(fence) != nil && !m.off.fence {
 		return false
 	}
-	m.steward, m.heard = from, now
+	m.steward, m.heard, m.vacant = from, now, false
 	return true
 }
 
@@ -284,6 +291,6 @@
 		m.sentAs = health
 	}
 	return []Action{Send{To: to, Message: Report{
-		Sequence: m.reports, Fence: m.guard.Fence(), Health: health, Rank: s, StepTime: m.pulse.perStep,
+		Incarnation: m.incarnation, Sequence: m.reports, Fence: m.guard.Fence(), Health: health, Rank: s, StepTime: m.pulse.perStep,
 	}}}
 }
--- a/core/group/message.go
+++ b/core/group/message.go
@@ -19,9 +19,10 @@
 
 // Report is a member's view of its rank.
 type Report struct {
-	// Sequence orders the reports of one incarnation of an agent; the later
-	// incarnation has the higher numbers.
-	Sequence uint64 `json:"sequence,omitzero"`
+	// Incarnation grows with every start of the agent; Sequence orders the
+	// reports of one incarnation.
+	Incarnation uint64 `json:"incarnation,omitzero"`
+	Sequence    uint64 `json:"sequence,omitzero"`
 	// Fence is the highest fencing number the agent has heard of.
 	Fence uint64 `json:"fence,omitzero"`
 	// Health is the agent's first-hand view of the rank.
@@ -71,13 +72,28 @@
 	Incarnation uint64 `json:"incarnation,omitzero"`
 }
 
-func (Probe) message()   {}
-func (Report) message()  {}
-func (Prepare) message() {}
-func (Arm) message()     {}
-func (Ballot) message()  {}
-func (Outcome) message() {}
-func (Form) message()    {}
+// Handover tells a member's agent that the steward has given up its lease, and
+// that the agent should ask for the duty without waiting.
+type Handover struct {
+	Fence uint64 `json:"fence,omitzero"`
+}
+
+// before reports whether r was made before o by the same member.
+func (r Report) before(o Report) bool {
+	if r.Incarnation != o.Incarnation {
+		return r.Incarnation < o.Incarnation
+	}
+	return r.Sequence < o.Sequence
+}
+
+func (Probe) message()    {}
+func (Report) message()   {}
+func (Prepare) message()  {}
+func (Arm) message()      {}
+func (Ballot) message()   {}
+func (Outcome) message()  {}
+func (Form) message()     {}
+func (Handover) message() {}
 
 // Action is something that the adapter has to do.
 type Action interface{ action() }
--- a/core/group/steward.go
+++ b/core/group/steward.go
@@ -181,7 +181,7 @@
 	}
 	st := s.seats[from]
 	// A report that was overtaken by a later one would bring back an old state.
-	if st.known && r.Sequence <= st.report.Sequence {
+	if st.known && !st.report.before(r) {
 		return
 	}
 	if len(r.Rank.Members) == 0 && r.Rank.Epoch == st.report.Rank.Epoch {
