Proofs of handover, changed targets, stale peers and faults together

Cause: the first set lacked graceful stops beyond their bound, moved homes, a stale word at the start and several faults at once.

--- a/proof/death_test.go
+++ b/proof/death_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"verbenashift/core/outcome"
+	"verbenashift/standin/client"
 	"verbenashift/standin/deployment"
 	"verbenashift/standin/ledger"
 )
@@ -30,19 +31,20 @@
 	}
 }
 
-// An arranger books a chapel; the entry dies after the booking reached the
-// desk. The arranger's program sends the booking again, with its key, to the
+// An arranger books a chapel, another waits for a whole draft; the entry dies
+// after the booking reached the desk. The arranger's program sends the booking again, with its key, to the
 // other entry. The desk must see it once, and the second try gets its answer.
 func TestEntryKilledMidCall(t *testing.T) {
 	s := start(t, deployment.Shape{Block: "127.0.11"})
-	play := s.Begin(s.ctx, s.Jobs("entry-dies", 12))
-	s.running(12, "")
+	lines := append(s.Jobs("entry-dies", 12), whole(s.Drafts("entry-dies", 12, 60))...)
+	play := s.Begin(s.ctx, lines)
+	s.running(24, "")
 	s.must(s.Kill9("entry-1"))
 	records := play.Wait()
 	v := s.kept(records)
-	s.Equal(v.Complete, 12)
-	s.True(attempts(records) > 12) // some had to ask again
-	s.Equal(s.once(), 12)
+	s.Equal(v.Complete, 24)
+	s.True(attempts(records) > 24) // some had to ask again
+	s.Equal(s.once(), 24)
 }
 
 // A family waits for an obituary draft; the agent beside its engine is killed
@@ -138,6 +140,30 @@
 	s.once()
 }
 
+// The desk runs jobs and its answers are lost on the way back. The callers hear
+// "unknown" and ask again, at the other entry: no job may run a second time,
+// and none that ran may be called "not-run".
+func TestAnswerLostAtTarget(t *testing.T) {
+	s := start(t, deployment.Shape{Block: "127.0.30", PlainFlags: []string{"-work", "20ms"}})
+	for _, desk := range []string{"target-5", "target-6"} {
+		s.must(s.Fault(s.ctx, desk, map[string]int{"lose-answers": 4}))
+	}
+	lines := s.Jobs("lost", 24)
+	records := s.Play(s.ctx, lines)
+	s.Equal(s.kept(records).Unknown, 8)
+	records = append(records, s.Begin(s.ctx, lines, "entry-2", "entry-1").Wait()...)
+	s.kept(records)
+	s.Equal(s.once(), 24)
+}
+
+// whole has the answers come as one document.
+func whole(lines []client.Line) []client.Line {
+	for i := range lines {
+		lines[i].Stream = new(bool)
+	}
+	return lines
+}
+
 // agentOf returns the process name of the agent beside a target.
 func agentOf(target string) string {
 	return "agent" + target[len("target"):]
--- a/proof/shutdown_test.go
+++ b/proof/shutdown_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"verbenashift/core/config"
 	"verbenashift/core/instances"
 	"verbenashift/core/outcome"
 	"verbenashift/standin/client"
@@ -54,6 +55,72 @@
 	s.once()
 }
 
+// An entry is told to stop while drafts run that take longer than its bound.
+// What is left at the bound is handed over: the callers read on at the other
+// entry, without a gap, and nothing runs again.
+func TestEntryHandsOver(t *testing.T) {
+	s := start(t, deployment.Shape{Block: "127.0.31", EntrySettings: deployment.Settings{"drain.bound": "100ms"}})
+	lines := append(s.Streams("long", 12, 200), s.Drafts("long", 12, 200)...)
+	play := s.Begin(s.ctx, lines)
+	s.running(24, "")
+	s.must(s.Term("entry-1"))
+	code, err := s.Wait("entry-1", stopBound)
+	s.must(err)
+	s.Equal(code, 0)
+	records := play.Wait()
+	s.Equal(s.kept(records).Complete, 24)
+	moved := 0
+	for _, r := range records {
+		for _, a := range r.Attempts[:len(r.Attempts)-1] {
+			s.Equal(a.Reason, "handover") // nothing was cut
+			moved++
+		}
+	}
+	s.True(moved > 0)
+	s.Equal(s.once(), 12)
+}
+
+// An agent is told to stop while drafts run that take longer than its bound,
+// and starts again. Drafts that may be repeated go on elsewhere; of those that
+// may not, each ends whole or as unknown, and none runs a second time.
+func TestAgentHandsOver(t *testing.T) {
+	s := start(t, deployment.Shape{Block: "127.0.32", AgentSettings: deployment.Settings{"drain.bound": "100ms"}})
+	streams, drafts := s.Streams("long", 12, 200), s.Drafts("long", 12, 200)
+	plays := []*deployment.Playing{s.Begin(s.ctx, streams), s.Begin(s.ctx, drafts)}
+	at := agentOf(s.running(24, "")[0].Target)
+	s.must(s.Term(at))
+	code, err := s.Wait(at, stopBound)
+	s.must(err)
+	s.Equal(code, 0)
+	s.must(s.Restart(s.ctx, at))
+	s.Equal(s.kept(plays[0].Wait()).Complete, 12)
+	records := append(plays[1].Wait(), s.Begin(s.ctx, drafts, "entry-2", "entry-1").Wait()...)
+	s.kept(records)
+	s.Equal(s.once(), 12)
+}
+
+// Operators take targets out of the configuration and put others in, so that
+// the homes of many keys move to agents that never saw them. Members ask again
+// with their keys: no job may run a second time.
+func TestTargetsChange(t *testing.T) {
+	var spare config.Target
+	s := start(t, deployment.Shape{Block: "127.0.33", PlainFlags: []string{"-work", "20ms"}, Configure: func(c *config.Config) {
+		spare, c.Targets = c.Targets[0], c.Targets[1:]
+	}})
+	lines := s.Jobs("moved", 60)
+	records := s.Play(s.ctx, lines)
+	s.Equal(s.kept(records).Complete, 60)
+	for i, edit := range []config.Edit{{PutTarget: &spare}, {RemoveTarget: "target-2"}, {RemoveTarget: "target-3"}} {
+		_, err := s.Operator(1).Edit(s.ctx, "change targets", edit)
+		s.must(err)
+		s.must(s.WaitRevision(s.ctx, uint64(i+2)))
+		records = append(records, s.Begin(s.ctx, lines, "entry-2", "entry-1").Wait()...)
+	}
+	v := s.kept(records)
+	s.Equal(v.Complete, 240) // the first answer each time
+	s.Equal(s.once(), 60)
+}
+
 // keyed returns the lines that have a key.
 func keyed(lines []client.Line) []client.Line {
 	var list []client.Line
--- a/proof/store_test.go
+++ b/proof/store_test.go
@@ -1,7 +1,9 @@
 package proof
 
 import (
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -41,24 +43,75 @@
 // An operator confirms a plan and the store goes down at once. Nodes are
 // killed and started again while it is down. Each must come back with the
 // confirmed revision, heard from its peers, and none may ever act on the older
-// one that the operator has replaced. Callers are served all the while.
+// one that the operator has replaced. Callers are served all the while, and
+// jobs that ran before do not run again at the agents that forgot them.
 func TestStoreDownAtStart(t *testing.T) {
 	s := start(t, deployment.Shape{Block: "127.0.22"})
 	plan := s.declare(1, "month-end", 3)
 	_, err := s.Operator(1).Confirm(s.ctx, plan.ID)
 	s.must(err)
 	s.must(s.WaitRevision(s.ctx, 2))
+	jobs := s.Jobs("outage", 24)
+	records := s.Play(s.ctx, jobs)
 	s.must(s.Fault(s.ctx, "platform", fault{"down": true}))
 	for _, node := range []string{"entry-1", "agent-1", "agent-5", "entry-2"} {
 		s.must(s.Kill9(node))
 		s.must(s.Restart(s.ctx, node))
 		s.must(s.WaitRevision(s.ctx, 2))
 	}
-	records := s.Play(s.ctx, s.Streams("outage", 12, 20))
-	s.Equal(s.kept(records).Complete, 12)
+	streams := s.Play(s.ctx, s.Streams("outage", 12, 20))
+	s.Equal(s.kept(streams).Complete, 12)
+	records = append(records, s.Begin(s.ctx, jobs, "entry-2", "entry-1").Wait()...)
 	s.must(s.Fault(s.ctx, "platform", fault{"down": false}))
 	s.must(s.WaitRevision(s.ctx, 2))
-	s.kept(records)
+	s.kept(append(records, streams...))
+	s.Equal(s.once(), 24)
+}
+
+// One agent is frozen while an operator revokes what revision 1 allowed; it
+// wakes with the old revision when the store is down, two of the three agents
+// that starting nodes ask are dead and the network is ill. An entry that starts
+// then can hear only the old revision. It must act on none, and say so, until
+// it has heard enough; when it serves, it must be with revision 2.
+func TestStaleWordAtStart(t *testing.T) {
+	s := start(t, deployment.Shape{Block: "127.0.36", LinkAgents: true})
+	s.must(s.Stop("agent-1"))
+	plan := s.declare(2, "month-end", 8)
+	_, err := s.Operator(2).Confirm(s.ctx, plan.ID)
+	s.must(err)
+	s.must(s.WaitRevision(s.ctx, 2, "agent-2", "agent-3", "agent-4", "agent-5", "agent-6", "entry-1", "entry-2"))
+	s.must(s.Fault(s.ctx, "platform", fault{"down": true}))
+	for _, node := range []string{"agent-2", "agent-3", "entry-1"} {
+		s.must(s.Kill9(node))
+	}
+	for _, agent := range []string{"agent-4", "agent-5", "agent-6"} {
+		s.Link(agent).Silence()
+	}
+	s.must(s.Restart(s.ctx, "entry-1"))
+	s.must(s.Cont("agent-1"))
+	s.must(s.WaitRevision(s.ctx, 1, "agent-1")) // the old word can be heard
+	for range 30 {
+		history, err := s.History(s.ctx, "entry-1")
+		s.must(err)
+		s.Equal(len(history), 0) // acts on nothing
+		status, _ := s.ask("GET", s.Entries()[0]+"/v1/requests/x", s.Token("harbor-home"))
+		s.Equal(status, http.StatusServiceUnavailable)
+		time.Sleep(50 * time.Millisecond)
+	}
+	for _, agent := range []string{"agent-4", "agent-5", "agent-6"} {
+		s.Link(agent).Heal()
+	}
+	s.must(s.Fault(s.ctx, "platform", fault{"down": false}))
+	for _, node := range []string{"agent-2", "agent-3"} {
+		s.must(s.Restart(s.ctx, node))
+	}
+	s.must(s.WaitRevision(s.ctx, 2))
+	for _, node := range []string{"agent-2", "agent-3", "entry-1"} {
+		history, err := s.History(s.ctx, node)
+		s.must(err)
+		s.Equal(history, []uint64{2}) // never the old one
+	}
+	s.kept(nil)
 }
 
 // The store takes a second for each call. A confirmed plan still comes into
--- a/proof/workspace_test.go
+++ b/proof/workspace_test.go
@@ -11,6 +11,7 @@
 	"verbenashift/core/outcome"
 	"verbenashift/standin/client"
 	"verbenashift/standin/deployment"
+	"verbenashift/standin/judge"
 )
 
 var errStillUsed = errors.New("the leaving target still gets work")
@@ -55,6 +56,40 @@
 	}
 }
 
+// One workspace sends a closing's whole backlog at once; then a rival's family
+// calls. The call may not wait for the backlog: it begins before most of the
+// work that came before it, as the engine's ledger shows by its order.
+func TestBurstDoesNotStarve(t *testing.T) {
+	s := start(t, deployment.Shape{
+		Block: "127.0.34", ModelTargets: 1, ServiceTargets: 1,
+		AgentSettings: deployment.Settings{"queue.slots": "4"}, EngineFlags: []string{"-step", "2ms", "-slots", "4"},
+	})
+	burst := s.Streams("burst", 80, 60)
+	for i := range burst {
+		burst[i].Workspace = "harbor-home"
+	}
+	player := s.Player()
+	player.Concurrency = len(burst)
+	done := make(chan []judge.Record)
+	go func() { done <- player.Play(s.ctx, burst) }()
+	_, err := s.WaitRuns(s.ctx, 8, func(r ledgerRun) bool { return r.Workspace == "harbor-home" })
+	s.must(err)
+	call := s.Streams("call", 1, 4)
+	call[0].Workspace = "birch-home"
+	records := append(s.Play(s.ctx, call), <-done...)
+	s.kept(records)
+	s.Equal(records[0].Outcome, outcome.Complete)
+	runs, err := s.Runs(func(ledgerRun) bool { return true })
+	s.must(err)
+	after := 0
+	for i, r := range runs {
+		if r.Workspace == "birch-home" {
+			after = len(runs) - i - 1
+		}
+	}
+	s.True(after > len(burst)/2) // most of the backlog came after the call
+}
+
 // Two homes choose the same idempotency key for different families. Each must
 // get its own answer: the key belongs to the workspace, and one home's key
 // must neither return nor block the other's booking.
--- a/standin/deployment/control.go
+++ b/standin/deployment/control.go
@@ -207,14 +207,17 @@
 	return nil
 }
 
-// WaitRevision waits until every node that runs has that revision or a later
-// one in force.
-func (d *Deployment) WaitRevision(ctx context.Context, revision uint64) error {
+// WaitRevision waits until the nodes named, or all of them, have that revision
+// or a later one in force.
+func (d *Deployment) WaitRevision(ctx context.Context, revision uint64, nodes ...string) error {
 	ctx, cancel := context.WithTimeout(ctx, forceTime)
 	defer cancel()
-	for _, n := range d.nodes() {
+	if len(nodes) == 0 {
+		nodes = d.nodes()
+	}
+	for _, n := range nodes {
 		err := Until(ctx, func() error {
-			history, err := revisions(ctx, d.observe(n))
+			history, err := d.History(ctx, n)
 			if err != nil {
 				return err
 			}
@@ -230,6 +233,12 @@
 	return nil
 }
 
+// History returns the revisions that a node has had in force since it started,
+// oldest first.
+func (d *Deployment) History(ctx context.Context, node string) ([]uint64, error) {
+	return revisions(ctx, d.observe(node))
+}
+
 // Until calls f again and again until it returns nil or ctx ends, and then
 // returns its last error.
 func Until(ctx context.Context, f func() error) error {
