--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -120,6 +120,8 @@
 	interval time.Duration
 	// told is the demand last reported, in tokens a second.
 	told float64
+	// active says that the limiter\'s list of active states has it.
+	active bool
 	// ratio is the usual true cost over the expected one.
 	ratio float64
 }
@@ -133,6 +135,8 @@
 	states  map[string]*state
 	byID    map[uint64]*state
 	due     []string
+	// active are the states that have something to report.
+	active []*state
 }
 
 // New returns the limiter of the entry of the given name, without limits. The
@@ -201,6 +205,18 @@
 	if s, ok := l.states[workspace]; ok {
 		delete(l.states, workspace)
 		delete(l.byID, s.id)
+		l.active = slices.DeleteFunc(l.active, func(other *state) bool { return other == s })
+	}
+}
+
+// demand notes that the workspace has something to report.
+func (l *Limiter) demand(s *state, now time.Time) {
+	if s.offered == 0 {
+		s.since = now
+	}
+	if !s.active {
+		s.active = true
+		l.active = append(l.active, s)
 	}
 }
 
@@ -219,9 +235,7 @@
 		return true, 0
 	}
 	cost = max(1, cost)
-	if s.offered == 0 {
-		s.since = now
-	}
+	l.demand(s, now)
 	l.refill(s, now)
 	ok, wait := l.decide(s, float64(cost), now)
 	if ok {
@@ -317,9 +331,7 @@
 	if actual == cost {
 		return
 	}
-	if s.offered == 0 {
-		s.since = now
-	}
+	l.demand(s, now)
 	s.offered = max(1, s.offered+actual-cost)
 	s.admitted += actual - cost
 	l.spend(s, float64(actual-cost), now)
--- a/core/quota/report.go
+++ b/core/quota/report.go
@@ -13,6 +13,8 @@
 	// MaxRecords bounds the records of one digest or reply; the rest waits
 	// for the next one.
 	MaxRecords = 64
+	// earlyPart is the part of the slack at which an entry reports early.
+	earlyPart = 0.5
 	// fellAfter is the shortest time over which a demand is seen to fall.
 	fellAfter = 2 * time.Second
 	// toldPart is the part of the limit up to which a demand that has ended is
@@ -60,7 +62,11 @@
 // next call.
 func (l *Limiter) Due(now time.Time) []string {
 	l.due = l.due[:0]
-	for _, s := range l.states {
+	l.active = slices.DeleteFunc(l.active, func(s *state) bool {
+		s.active = !s.silent() || !s.sentAt.IsZero()
+		return !s.active
+	})
+	for _, s := range l.active {
 		if l.owes(s, now) && !slices.Contains(l.due, s.home) {
 			l.due = append(l.due, s.home)
 		}
@@ -70,7 +76,7 @@
 }
 
 // owes reports whether the workspace's report is due: after the time that the
-// home has asked for, or as soon as half of what may be admitted beyond the
+// home has asked for, or as soon as most of what may be admitted beyond the
 // usual rate is used.
 func (l *Limiter) owes(s *state, now time.Time) bool {
 	if s.silent() || s.home == "" || !s.sentAt.IsZero() {
@@ -87,7 +93,7 @@
 	if from.IsZero() {
 		from = s.since
 	}
-	return now.Sub(from) >= s.interval || float64(s.admitted)-s.usual(now) >= l.slack(s)/2 || s.fell(now)
+	return now.Sub(from) >= s.interval || float64(s.admitted)-s.usual(now) >= earlyPart*l.slack(s) || s.fell(now)
 }
 
 // fell reports whether the demand is far below what was last told, while a
@@ -111,7 +117,7 @@
 func (l *Limiter) Digest(dst []byte, home string, now time.Time) []byte {
 	dst = binary.LittleEndian.AppendUint64(dst, l.id)
 	n := 0
-	for _, s := range l.states {
+	for _, s := range l.active {
 		if n == MaxRecords || s.home != home || s.silent() || !s.sentAt.IsZero() {
 			continue
 		}
@@ -161,7 +167,7 @@
 // Lost tells that a report got no answer. It is sent again; if the home did
 // get it, the workspace is charged twice, which errs on the strict side.
 func (l *Limiter) Lost(home string) {
-	for _, s := range l.states {
+	for _, s := range l.active {
 		if s.home == home {
 			s.giveBack()
 		}
