--- a/bench/groups/switch.go
+++ b/bench/groups/switch.go
@@ -196,7 +196,7 @@
 	perSecond := lease.CallsPerMinute(duties, lease.Config{}) / time.Minute.Seconds()
 	p.printf("store calls: 0 a switch, %d a minute for a group, %.1f a second for %d groups\n", perMinute, perSecond, duties)
 	calls := figure.Figure{
-		Name: "switch-store-calls", Unit: "calls", Better: figure.Lower, Gate: true,
+		Name: "switch-store-calls", Unit: "calls",
 		Baseline: letterGroupRanks + 1, Note: "by construction: no state machine of the switch can call the store",
 	}
 	minute := figure.Figure{
