--- /dev/null
+++ b/bench/capacity/nodes.go
@@ -0,0 +1,127 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"verbenashift/bench/figure"
+	"verbenashift/bench/path"
+	"verbenashift/core/config"
+	"verbenashift/core/peer"
+	"verbenashift/standin/deployment"
+)
+
+// The times in which an entry has met all agents, and a process has settled
+// after that.
+const (
+	meetTime   = 10 * time.Second
+	settleTime = 4 * time.Second
+	// nodeMemory is what a node may use.
+	nodeMemory = 32 << 20
+)
+
+// measureConnections measures how the resident memory of the programs grows
+// with the nodes that are connected to them.
+func measureConnections(ctx context.Context) ([]figure.Figure, error) {
+	entries, err := entryMemory(ctx)
+	if err != nil {
+		return nil, err
+	}
+	agents, err := agentMemory(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return append(entries, agents...), nil
+}
+
+// entryMemory runs an entry with the configuration of the whole fleet among so
+// many agents that answer. It asks them faster than in use, so as to meet them
+// all.
+func entryMemory(ctx context.Context) ([]figure.Figure, error) {
+	memory := series{name: "entry-memory", unit: "bytes", per: "connection", note: "resident, 930 workspaces and 670 targets, connected to so many agents"}
+	for _, n := range []int{0, 70, 250, 670} {
+		value, err := entryAmong(ctx, n)
+		if err != nil {
+			return nil, err
+		}
+		memory.points = append(memory.points, point{fmt.Sprint(n), float64(n), value})
+	}
+	return memory.limited(nodeMemory), nil
+}
+
+// limited returns the figures with a bound that informs.
+func (s series) limited(bound float64) []figure.Figure {
+	list := s.figures()
+	for i := range s.points {
+		list[i].Bound, list[i].Better = bound, figure.Lower
+	}
+	return list
+}
+
+func entryAmong(ctx context.Context, n int) (float64, error) {
+	var t traffic
+	for i := range n {
+		s, _, err := listen(&agent{name: "server"}, path.FleetAgent(i), &t)
+		if err != nil {
+			return 0, err
+		}
+		defer func(s *http.Server) { _ = s.Close() }(s)
+	}
+	largest := sizes[len(sizes)-1]
+	d, err := deployment.Start(ctx, deployment.Shape{
+		Block: "127.0.52", Entries: 1, ModelTargets: 1,
+		Configure:     func(c *config.Config) { path.Fleet(c, largest.workspaces, largest.targets) },
+		EntrySettings: deployment.Settings{"peers.heartbeat": "100ms", "peers.subset": "64"},
+	})
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = d.Close() }()
+	if err := sleep(ctx, meetTime+settleTime); err != nil {
+		return 0, err
+	}
+	return memoryOf(d, "entry-1")
+}
+
+func memoryOf(d *deployment.Deployment, process string) (float64, error) {
+	pid, err := d.PID(process)
+	if err != nil {
+		return 0, err
+	}
+	return path.Memory(pid)
+}
+
+// agentMemory connects more and more nodes to one agent.
+func agentMemory(ctx context.Context) ([]figure.Figure, error) {
+	memory := series{name: "agent-memory", unit: "bytes", per: "connection", note: "resident, 930 workspaces and 670 targets, so many nodes connected to it"}
+	largest := sizes[len(sizes)-1]
+	d, err := deployment.Start(ctx, deployment.Shape{
+		Block: "127.0.52", Entries: 1, ModelTargets: 1,
+		Configure: func(c *config.Config) { path.Fleet(c, largest.workspaces, largest.targets) },
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = d.Close() }()
+	connected := 0
+	for _, n := range []int{0, 133, 530, 1060} {
+		for ; connected < n; connected++ {
+			dialer := peer.NewDialer(peer.DialConfig{})
+			defer dialer.Close()
+			if err := exchange(ctx, dialer, "127.0.52.101:7000", heartbeat()); err != nil {
+				return nil, err
+			}
+		}
+		if err := sleep(ctx, settleTime); err != nil {
+			return nil, err
+		}
+		value, err := memoryOf(d, "agent-1")
+		if err != nil {
+			return nil, err
+		}
+		memory.points = append(memory.points, point{fmt.Sprint(n), float64(n), value})
+	}
+	return memory.limited(nodeMemory), nil
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -31,6 +31,7 @@
 	"github.com/urfave/cli/v3"
 
 	"verbenashift/bench/accepted"
+	"verbenashift/bench/capacity"
 	"verbenashift/bench/figure"
 	"verbenashift/bench/groups"
 	"verbenashift/bench/path"
@@ -52,6 +53,7 @@
 		{"path", []measure{path.Run}},
 		{"routing", []measure{routing.Run}},
 		{"groups", []measure{groups.Run}},
+		{"capacity", []measure{capacity.Run}},
 	}
 }
 
