--- a/bench/groups/planner.go
+++ b/bench/groups/planner.go
@@ -48,7 +48,7 @@
 
 // newPlanned bounds the policy to what the store can give in an interval.
 func newPlanned(g *expert.Group, p expert.Policy) *planned {
-	p.MaxBytes = g.StoreRate * int64((interval-switching).Seconds()) * layers / modelLayers
+	p.MaxBytes = g.StoreRate * int64((interval - switching).Seconds()) * layers / modelLayers
 	return &planned{planner: expert.NewPlanner(g, p), reasons: map[expert.Reason]int{}}
 }
 
--- a/bench/groups/run.go
+++ b/bench/groups/run.go
@@ -124,6 +124,7 @@
 			guard.Bound, guard.Gate = known.regression, true
 			figures = append(figures, guard)
 		}
+		figures = append(figures, means(o)...)
 		figures = append(figures, ratio,
 			share(o.trace.name+"-lightbox", light.bytes()/full.bytes(), lightboxBytes),
 			figure.Figure{
@@ -135,6 +136,19 @@
 	return figures
 }
 
+// means returns the mean skew of each policy on a trace, with the rest of its
+// row in the note.
+func means(o outcome) []figure.Figure {
+	var figures []figure.Figure
+	for _, r := range o.rows {
+		figures = append(figures, figure.Figure{
+			Name: "groups-" + o.trace.name + "-" + r.name + "-mean", Value: r.mean, Unit: "skew",
+			Note: fmt.Sprintf("p95 %.3f, %.0f GB, %d switches; best mean %.3f", r.p95, r.bytes()/1e9, r.switches, o.boundMean),
+		})
+	}
+	return figures
+}
+
 func share(name string, value, bound float64) figure.Figure {
 	return figure.Figure{
 		Name: "groups-" + name + "-bytes-share", Value: value, Unit: "of full re-placement",
