Take in a replaced member

A steward that found a name in the epoch which its settings lack would have crashed before enough ranks answered; SetMembers changes the settings while the duty is held.

--- a/core/group/member_link.go
+++ b/core/group/member_link.go
@@ -167,7 +167,7 @@
 	if f == nil {
 		return Order{}, false
 	}
-	overtaken := !s.Epoch.Less(f.Number) || !s.Last.Less(f.Number.Add(mainPlace))
+	overtaken := !s.Last.Less(f.Number.Add(mainPlace))
 	if (overtaken || f.Incarnation != s.Incarnation) && !m.off.fence {
 		m.form = nil
 		return Order{}, false
--- a/core/group/member_test.go
+++ b/core/group/member_test.go
@@ -153,6 +153,49 @@
 	is.Equal(len(old.Tick(time.Minute)), 0)
 }
 
+// sends returns the messages of one type among actions, by their receivers.
+func sends[M Message](acts []Action) map[string]M {
+	found := make(map[string]M)
+	for _, a := range acts {
+		if s, ok := a.(Send); ok {
+			if m, ok := s.Message.(M); ok {
+				found[s.To] = m
+			}
+		}
+	}
+	return found
+}
+
+// An instance is replaced by one of another name while its group runs. Without
+// a new epoch the group would wait for the old name for good; and a steward that
+// finds a name in the epoch that its settings lack must bear it until enough
+// ranks answer.
+func TestReplacedMemberIsTakenIn(t *testing.T) {
+	is := is.New(t)
+	now := time.Second
+	s := NewSteward(StewardConfig{Members: []string{"a", "c"}}, 5, now)
+	s.Tick(now)
+	report := Report{Sequence: 1, Health: Stepping, Rank: formedRank().State} // of the epoch of a and b
+	s.Receive(now, "a", report)
+	now += 4 * time.Second // c is silent
+	report.Sequence = 2
+	is.Equal(len(sends[Form](s.Receive(now, "a", report))), 0)
+	is.Equal(len(sends[Form](s.Tick(now))), 0) // two ranks are needed
+
+	empty := Report{Sequence: 1, Health: Empty, Rank: RankState{Incarnation: 7}}
+	forms := sends[Form](s.Receive(now, "c", empty))
+	is.Equal(len(forms), 2)
+	is.Equal(forms["c"].Members, []string{"a", "c"})
+	is.Equal(forms["c"].Incarnation, uint64(7))
+	is.Equal(forms["a"].Version, Version(1))
+	is.Equal(forms["a"].Step, uint64(11))
+
+	s.SetMembers(now, []string{"a", "d"})
+	is.Equal(sends[Probe](s.Tick(now))["d"].Fence, uint64(5))
+	empty.Rank.Incarnation = 9
+	is.Equal(sends[Form](s.Receive(now, "d", empty))["d"].Members, []string{"a", "d"})
+}
+
 // leaseAt is a holder whose lease is valid or not.
 type leaseAt struct {
 	valid bool
--- a/core/group/steward.go
+++ b/core/group/steward.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"slices"
 	"time"
 
 	"verbenashift/core/lease"
@@ -85,6 +86,8 @@
 // it needs is in the reports. Its adapter drops it when the lease is no longer
 // valid, and asks lease.Holder.Valid right before each Tick and send.
 type Steward struct {
+	// given is the setting without its defaults.
+	given StewardConfig
 	cfg   StewardConfig
 	fence uint64
 	// sequence is the last base number given out.
@@ -113,16 +116,36 @@
 
 // NewSteward returns the steward of a lease that was given under fence.
 func NewSteward(cfg StewardConfig, fence uint64, now time.Duration) *Steward {
-	cfg = cfg.withDefaults()
-	s := &Steward{cfg: cfg, fence: fence, lead: cfg.Lead, seats: make(map[string]*seat)}
+	s := &Steward{given: cfg, cfg: cfg.withDefaults(), fence: fence, seats: make(map[string]*seat)}
+	s.lead = s.cfg.Lead
 	for _, m := range cfg.Members {
-		s.seats[m] = &seat{probed: now - cfg.Beat}
+		s.seat(m, now)
 	}
 	s.swept = now
 	s.hurry(now)
 	return s
 }
 
+// seat makes sure that a member has a seat.
+func (s *Steward) seat(member string, now time.Duration) {
+	if s.seats[member] == nil {
+		s.seats[member] = &seat{probed: now - s.cfg.Beat}
+	}
+}
+
+// SetMembers changes the configured ranks, as when an instance is replaced by
+// one of another name. The group is formed again once enough of them answer.
+func (s *Steward) SetMembers(now time.Duration, members []string) {
+	if slices.Equal(members, s.cfg.Members) {
+		return
+	}
+	s.given.Members = slices.Clone(members)
+	s.cfg = s.given.withDefaults()
+	for _, m := range members {
+		s.seat(m, now)
+	}
+}
+
 // Want sets the map that the group should use; the zero Version means the one it
 // uses. A change before ranks are armed drops the switch that was prepared.
 func (s *Steward) Want(v Version) {
--- a/core/group/steward_form.go
+++ b/core/group/steward_form.go
@@ -97,6 +97,9 @@
 	if len(found.Members) == 0 {
 		return true
 	}
+	for _, m := range found.Members {
+		s.seat(m, now)
+	}
 	s.form, s.issued, s.announce = found, false, false
 	return false
 }
@@ -110,7 +113,7 @@
 	}
 	for _, m := range s.form.Members {
 		st := s.seats[m]
-		if st == nil || s.lost(now, st) || s.left(st) {
+		if !slices.Contains(s.cfg.Members, m) || s.lost(now, st) || s.left(st) {
 			return true
 		}
 	}
@@ -124,16 +127,17 @@
 }
 
 // left reports whether a member's rank is in another epoch and cannot be
-// brought into this one, or can no longer be told a switch's outcome.
+// brought into this one: it has been in it and lost its memory, or has applied
+// a later order.
 func (s *Steward) left(st *seat) bool {
 	r := st.report.Rank
 	if r.Epoch == s.form.Number {
-		return r.Undecided() && r.Armed.Number.Add(mainPlace).Less(r.Last)
+		return false
 	}
-	if st.report.Rank.Incarnation != st.engine {
+	if !s.issued || !s.announce || r.Incarnation != st.engine {
 		return true
 	}
-	return !s.issued || !s.announce || !r.Last.Less(s.form.Number.Add(mainPlace))
+	return !r.Last.Less(s.form.Number.Add(mainPlace))
 }
 
 // formAnew forms a new epoch from the usable ranks. It starts on the newest map
