--- a/core/health/health.go
+++ b/core/health/health.go
@@ -125,7 +125,8 @@
 	MaxEject time.Duration
 	// SlowStart is the time in which a returned target gets its full share.
 	SlowStart time.Duration
-	// ProbeRate is the most probes a second, of all targets together.
+	// ProbeRate is the most probes a second without an answer, of all targets
+	// together.
 	ProbeRate float64
 	// Silence is the time without any word after which a target that was
 	// heard before is ejected.
--- a/core/health/monitor.go
+++ b/core/health/monitor.go
@@ -111,6 +111,11 @@
 // Succeed records an answer of target i and its time to the first token.
 func (m *Monitor) Succeed(i int, latency time.Duration, now time.Time) {
 	t := &m.targets[i]
+	if t.state == HalfOpen && !t.answered {
+		// A probe that is answered has cost nobody anything: after a large
+		// fault all its targets come back at the pace of their answers.
+		m.probes++
+	}
 	t.failures = 0
 	t.answered = true
 	t.latency.add(latency.Seconds())
