--- a/entry/flow.go
+++ b/entry/flow.go
@@ -68,14 +68,14 @@
 			return a.Err
 		}
 		if f.late(a) {
-			return f.cutShort(ctx)
+			return f.cutShort()
 		}
 		if err := f.pause(ctx, a.Wait); err != nil {
 			return err
 		}
 		a = f.relay.Next(f.step(ctx, a))
 		if ctx.Err() != nil && a.Kind != relay.Finish {
-			return f.cutShort(ctx)
+			return f.cutShort()
 		}
 	}
 }
@@ -88,7 +88,7 @@
 
 // cutShort ends a request whose caller has gone or whose deadline is over.
 // Nothing ran if no attempt has begun.
-func (f *flow) cutShort(ctx context.Context) *outcome.Error {
+func (f *flow) cutShort() *outcome.Error {
 	reason := relay.ReasonCallerGone
 	if !f.deadline.IsZero() && time.Now().After(f.deadline) {
 		reason = relay.ReasonOverDeadline
@@ -110,7 +110,7 @@
 	case <-t.C:
 		return nil
 	case <-ctx.Done():
-		return f.cutShort(ctx)
+		return f.cutShort()
 	}
 }
 
