Let entries tell each other of ejections

Ruled out: ejecting on any one entry's word. One entry whose own network fails would empty every entry's pool down to the floor.

The budget of a hop starts with one retry instead of three, which 390 entries multiply, and earns one in ten seconds as workspaces do: without that a quiet workspace's floor was of no use (TestFloorGivesQuietWorkspaceARetry failed).

go test ./routing, go test -race ./health ./retry pass.

--- a/bench/routing/routing_scenarios.go
+++ b/bench/routing/routing_scenarios.go
@@ -195,17 +195,19 @@
 	}
 }
 
-func failing(naive bool) *trial {
-	set := base(chosen)
+// failing is a trial in which three of ten targets fail.
+func failing(set settings) *trial {
 	set.load, set.bookings, set.heartbeats = 0.5, 0.2, true
-	set.eject, set.naive = !naive, naive
 	set.events = map[time.Duration]func(*trial){faultAt: func(t *trial) { failEvery(t, refusing, breaking) }}
 	return run(set)
 }
 
 func failingFigures() []figure.Figure {
-	own, naive := failing(false), failing(true)
-	refused := func(t *trial) float64 { return float64(t.refusals) / float64(t.requests) }
+	few := base(chosen)
+	few.naive = true
+	naive := failing(few)
+	few.naive, few.eject, few.hints = false, true, true
+	own := failing(few)
 	return []figure.Figure{
 		{
 			Name: "routing-failing-calls-per-request", Value: own.callRatio(), Unit: "ratio", Bound: 1.1, Better: figure.Lower,
@@ -216,12 +218,30 @@
 			Gate: true, Baseline: float64(naive.doubles), Note: "of requests that may not be repeated",
 		},
 		{
-			Name: "routing-failing-given-up", Value: refused(own), Unit: "part", Baseline: refused(naive),
+			Name: "routing-failing-given-up", Value: own.refusedPart(), Unit: "part", Baseline: naive.refusedPart(),
 			Note: "of requests, by a truthful final answer",
 		},
+		manyFailing(),
 	}
 }
 
+// manyFailing is the same with many entries, each of which sees a target too
+// seldom to judge it soon by itself.
+func manyFailing() figure.Figure {
+	set := base(chosen)
+	set.targets, set.entries, set.eject = 84, 390, true
+	alone := failing(set)
+	set.hints = true
+	together := failing(set)
+	return figure.Figure{
+		Name: "routing-failing-390-entries-given-up", Value: together.refusedPart(), Unit: "part", Bound: 0.06,
+		Better: figure.Lower, Gate: true, Baseline: alone.refusedPart(),
+		Note: fmt.Sprintf("with hints, baseline without; calls per request %.3f and %.3f", together.callRatio(), alone.callRatio()),
+	}
+}
+
+func (t *trial) refusedPart() float64 { return float64(t.refusals) / float64(t.requests) }
+
 // returning lets the failing targets come back. While they are away the rest
 // can't do all the work, and refused callers come back too.
 func returning(naive bool, seed uint64) *trial {
@@ -229,6 +249,7 @@
 	set.seed = seed
 	set.load, set.heartbeats, set.comeBack = 0.8, true, true
 	set.eject, set.noSlowStart, set.naive, set.fixedReturn = true, naive, naive, naive
+	set.hints = !naive
 	set.length = 100 * time.Second
 	set.events = map[time.Duration]func(*trial){
 		faultAt:  func(t *trial) { failEvery(t, refusing, breaking) },
--- a/bench/routing/routing_trial.go
+++ b/bench/routing/routing_trial.go
@@ -26,6 +26,7 @@
 	lag        time.Duration
 	heartbeats bool
 	eject      bool
+	hints      bool
 	health     health.Options
 	// naive retries three times at once, whatever the request.
 	naive bool
@@ -42,6 +43,8 @@
 	reportEvery    = 500 * time.Millisecond
 	heartbeatEvery = 500 * time.Millisecond
 	tickEvery      = 250 * time.Millisecond
+	hintEvery      = 500 * time.Millisecond
+	hintDelay      = time.Second
 	naiveTries     = 3
 )
 
@@ -103,6 +106,9 @@
 			}
 		})
 	}
+	if set.hints {
+		t.every(hintEvery, t.hint)
+	}
 	for at, do := range set.events {
 		t.after(at, func() { do(t) })
 	}
@@ -128,6 +134,28 @@
 	})
 }
 
+// hint tells each entry, a second late, how many others have ejected a target.
+func (t *trial) hint() {
+	counts := make([]int, len(t.targets))
+	for _, e := range t.entries {
+		for i := range counts {
+			if e.monitor.Evident(i) {
+				counts[i]++
+			}
+		}
+	}
+	t.after(hintDelay, func() {
+		for _, e := range t.entries {
+			for i, n := range counts {
+				if e.monitor.Evident(i) {
+					n--
+				}
+				e.monitor.Hint(i, max(0, n), t.time())
+			}
+		}
+	})
+}
+
 func (e *entry) heartbeat() {
 	for i, g := range e.targets {
 		if g.condition == refusing {
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -94,6 +94,8 @@
 // only some targets be ejected, these go first.
 const (
 	NoCause Cause = iota
+	// Told means that several other entries have ejected the target.
+	Told
 	// Slow means that first tokens take much longer than at its peers.
 	Slow
 	// Straggler means that the steps of the target's group take much longer
@@ -105,7 +107,7 @@
 	Failing
 )
 
-var causeNames = [...]string{"none", "slow", "straggler", "silent", "failing"}
+var causeNames = [...]string{"none", "told", "slow", "straggler", "silent", "failing"}
 
 // String returns the cause's name in kebab case.
 func (c Cause) String() string { return causeNames[c] }
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -215,18 +215,29 @@
 	is.Equal(r.after(time.Millisecond)[0].State, HalfOpen) // back: at once
 }
 
-// Another entry has ejected a target. An entry that sends it one request in ten
-// seconds would need half a minute to find out by itself; but the word alone
-// must not eject, or one mistaken entry empties everybody's pool.
-func TestHintMakesOneFailureEnough(t *testing.T) {
+// Hundreds of entries send a target a request a minute each. Every one would
+// have callers meet its failure three times before it was out everywhere; but
+// one mistaken entry's word must not empty everybody's pool.
+func TestHintsEjectByAgreement(t *testing.T) {
 	is := is.New(t)
 	r := newRig(4, 0)
-	r.Hint(0, r.now)
+	r.Hint(0, toldBy-1, r.now)
 	is.Equal(len(r.after(time.Second)), 0)
 	r.Fail(0, Soft, r.now)
 	r.Fail(1, Soft, r.now)
 	is.Equal(len(r.after(time.Second)), 1)
-	is.Equal(r.State(0), Ejected)
+	is.True(r.Evident(0)) // one failure was enough
+	for range 20 {
+		r.Hint(2, toldBy, r.now)
+		r.after(time.Second)
+		is.True(r.State(2) == Ejected && !r.Evident(2)) // and no probe
+	}
+	r.after(hintFor + holdFor + time.Second)
+	is.Equal(r.State(2), HalfOpen) // the others found it well
+	r.Succeed(2, time.Millisecond, r.now)
+	r.Hint(2, toldBy, r.now)
+	r.after(time.Second)
+	is.Equal(r.State(2), SlowStart) // its own answer counts more
 }
 
 // A target's load reports say that it is idle, while its agent sees a long
--- a/core/health/monitor.go
+++ b/core/health/monitor.go
@@ -31,7 +31,9 @@
 	probeAt time.Time
 	// answered says that a half-open target answered its probe.
 	answered bool
-	// hinted is until when others' word makes one failure enough.
+	// hints is how many other entries have ejected the target, as told at
+	// the time hinted.
+	hints  int
 	hinted time.Time
 	trust  trust
 	told   Change
@@ -127,19 +129,45 @@
 func (m *Monitor) Fail(i int, severity Severity, now time.Time) {
 	t := &m.targets[i]
 	t.failures += int(severity)
-	if now.Before(t.hinted) {
+	if t.heardOf(now) > 0 {
 		t.failures = max(t.failures, m.opt.Failures)
 	}
 }
 
-// hintFor is how long a hint holds.
-const hintFor = 10 * time.Second
+const (
+	// hintFor is how long a hint holds.
+	hintFor = 3 * time.Second
+	// toldBy is how many entries must agree to eject a target by their word.
+	toldBy = 3
+)
+
+// Hint records how many other entries have ejected target i on evidence of
+// their own, that is with a Cause other than Told. An entry of a large fleet
+// sends a target a request in a minute; all of its callers together would meet
+// each failing target hundreds of times before every entry had found it out.
+// One other entry's word makes a single failure enough; three are believed
+// without any, so that one mistaken entry cannot empty everybody's pool. An
+// ejection by word is no evidence for others, or it would keep itself alive.
+func (m *Monitor) Hint(i, entries int, now time.Time) {
+	t := &m.targets[i]
+	t.hints = entries
+	t.hinted = now
+}
 
-// Hint records that another entry has ejected target i. An entry sees a target
-// seldom at a large size, and would take long to fail often enough; the hint
-// makes one failure enough but ejects nothing by itself, so that a wrong entry
-// cannot empty a pool.
-func (m *Monitor) Hint(i int, now time.Time) { m.targets[i].hinted = now.Add(hintFor) }
+// heardOf returns how many entries vouch for an ejection now.
+func (t *target) heardOf(now time.Time) int {
+	if t.hinted.IsZero() || now.Sub(t.hinted) > hintFor {
+		return 0
+	}
+	return t.hints
+}
+
+// Evident reports whether target i is kept out on evidence of this entry's
+// own, which is what it tells others.
+func (m *Monitor) Evident(i int) bool {
+	t := &m.targets[i]
+	return !t.in() && t.cause != Told
+}
 
 // Step records the recent step time of target i as its agent tells it.
 func (m *Monitor) Step(i int, stepMs float64, now time.Time) {
--- a/core/health/tick.go
+++ b/core/health/tick.go
@@ -22,7 +22,7 @@
 	ejectJitter = 0.3
 	// holdFor is how long an ejected straggler's last slow step keeps it out.
 	holdFor = 2 * time.Second
-	// maxHold is when a straggler is probed whatever its steps.
+	// maxHold is when a target is probed whatever its steps and others say.
 	maxHold = time.Minute
 	// maxDoublings bounds the doubling of ejections before MaxEject does.
 	maxDoublings = 6
@@ -123,6 +123,8 @@
 		v.cause, v.excess = Failing, float64(t.failures)
 	case !t.heard.IsZero() && now.Sub(t.heard) > m.opt.Silence:
 		v.cause, v.excess = Silent, now.Sub(t.heard).Seconds()
+	case t.heardOf(now) >= toldBy && (t.state == Healthy || t.cause == Told):
+		v.cause, v.excess = Told, float64(t.hints)
 	case latency > 0 && own > latency*m.opt.LatencyFactor && own > latency+minExcess:
 		v.cause, v.excess = Slow, own/latency
 	}
@@ -218,10 +220,12 @@
 
 func (m *Monitor) take(t *target, cause Cause, now time.Time, rng *rand.Rand) {
 	if t.state == Ejected {
-		// Heartbeats go on to tell the steps of a straggler: while they are
-		// slow no request needs to find that out. An idle engine may repeat
-		// its last step for ever, so that this holds for a time only.
-		if cause == Straggler && t.cause == Straggler && now.Sub(t.since) < maxHold {
+		// Heartbeats go on to tell the steps of a straggler, and others what
+		// they find: no request is needed to learn that it is still so. An
+		// idle engine may repeat its last step for ever, so that this holds
+		// for a time only.
+		again := cause == t.cause && (cause == Straggler || cause == Told)
+		if again && now.Sub(t.since) < maxHold {
 			t.until = later(t.until, now.Add(holdFor))
 		}
 		return
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -7,20 +7,23 @@
 	// the calls to targets stay below 1.1 of the requests, bursts included.
 	ratio = 0.08
 	// floorEvery lets a workspace with few requests have a retry now and
-	// then. It is long because it counts for each workspace and entry.
+	// then, and a hop as well. It is long because it counts for each entry:
+	// 390 entries give 39 retries a second by it, beside 6,200 requests.
 	floorEvery = 10 * time.Second
 	// keyBurst and hopBurst are the most retries saved up for one workspace
 	// and for one hop.
 	keyBurst = 5
 	hopBurst = 20
 	// hopStart is what a hop may spend before its first requests.
-	hopStart = 3
+	hopStart = 1
 )
 
 // bucket holds the retries saved up.
 type bucket struct {
 	saved float64
-	used  time.Time
+	// used is when a workspace last had a request, or a hop's floor was last
+	// counted.
+	used time.Time
 }
 
 // Key names a budget: retries of one workspace must not spend another's.
@@ -87,6 +90,7 @@
 // and the hop must have it saved up: the floors of many workspaces together
 // would otherwise be the storm that the budget is to prevent.
 func (g *Budget) Take(now time.Time) bool {
+	g.hop.earn(now)
 	if g.hop.saved < 1 {
 		return false
 	}
@@ -101,3 +105,11 @@
 	g.hop.saved--
 	return true
 }
+
+// earn adds the retries of the floor to a hop, which never exceed one.
+func (b *bucket) earn(now time.Time) {
+	if b.saved < 1 && !b.used.IsZero() {
+		b.saved = min(1, b.saved+now.Sub(b.used).Seconds()/floorEvery.Seconds())
+	}
+	b.used = now
+}
