queue: refuse best-effort work early when work above goes on

Ruled out: the same for normal work, which a short run of urgent requests would then refuse for nothing. Change: best-effort work counts on the share that the classes above may take, while their backlog is longer than a burst.

--- a/core/queue/admit.go
+++ b/core/queue/admit.go
@@ -155,12 +155,12 @@
 func (q *Queue) Wait(item Item) time.Duration { return duration(q.wait(item.normal())) }
 
 func (q *Queue) wait(item Item) float64 {
-	if q.items == 0 && q.running < q.limits.Slots-q.limits.Reserve {
+	if q.items == 0 && q.running < q.limits.Slots {
 		return 0
 	}
 	work := q.classes[item.Priority].ahead(item.Workspace, item.Weight)
 	for p := Urgent; p < item.Priority; p++ {
-		work += q.workAbove(p, work)
+		work += q.workAbove(p, item.Priority, work)
 	}
 	if c := &q.classes[item.Priority]; q.waitsBelow(item.Priority) && work > c.credit {
 		// Beyond its credit a class gets only its share of the service.
@@ -173,10 +173,15 @@
 }
 
 // workAbove returns how much of a higher class's backlog goes before work of
-// a lower one: all of it, or as much as its credit and share allow.
-func (q *Queue) workAbove(p Priority, work float64) float64 {
+// the class below: all of it, or as much as its credit and share allow. Best
+// effort work is told the worst, that a long backlog above goes on: it is the
+// first to be refused.
+func (q *Queue) workAbove(p, below Priority, work float64) float64 {
 	c := &q.classes[p]
 	most := math.Max(0, c.credit) + work*c.share/(1-c.share)
+	if below == BestEffort && float64(c.queued) > float64(q.limits.Burst) {
+		return most
+	}
 	return math.Min(float64(c.queued), most)
 }
 
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -259,6 +259,21 @@
 	is.Equal(shed[0].Refusal.Reason, ReasonExpired)
 }
 
+// Normal work backs up and goes on coming. A best-effort caller would wait for
+// its whole deadline only to be refused then; it is the first to be told no.
+func TestBestEffortIsRefusedFirst(t *testing.T) {
+	is := is.New(t)
+	q := newQueue(Limits{Slots: 1, Rate: 100, Burst: 50})
+	for i := range 6 {
+		is.True(q.Enqueue(Item{ID: fmt.Sprint(i), Workspace: "a", Priority: Normal, Cost: 100}, start) == nil)
+	}
+	deadline := start.Add(15 * time.Second)
+	is.True(q.Enqueue(Item{ID: "b", Workspace: "b", Priority: BestEffort, Cost: 100}, start) == nil)
+	is.True(q.Enqueue(Item{ID: "n", Workspace: "b", Priority: Normal, Cost: 100, Deadline: deadline}, start) == nil)
+	refusal := q.Enqueue(Item{ID: "e", Workspace: "b", Priority: BestEffort, Cost: 100, Deadline: deadline}, start)
+	is.True(refusal != nil && refusal.Reason == ReasonDeadline)
+}
+
 // An id that waits already is sent again. "Not run" would be a lie: the first
 // one may run a moment later.
 func TestDuplicateIsUnknown(t *testing.T) {
