Test that ejections by word are held, and tell removed targets apart

An entry that watches the targets of its table counted removed ones into the floor of their pool; Table.Configured tells them apart. Without the hold, the test of ejections by word passed by the chance of its length; it fails now.

--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -227,7 +227,7 @@
 	r.Fail(1, Soft, r.now)
 	is.Equal(len(r.after(time.Second)), 1)
 	is.True(r.Evident(0)) // one failure was enough
-	for range 20 {
+	for range 50 {
 		r.Hint(2, toldBy, r.now)
 		r.after(time.Second)
 		is.True(r.State(2) == Ejected && !r.Evident(2)) // and no probe
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -240,6 +240,7 @@
 	table.Update(append(targets[:1:1], targets[2:4]...))
 	i, ok := table.Lookup("target-003")
 	is.True(ok && i == 3)
+	is.True(table.Configured(3) && !table.Configured(1))
 	is.Equal(shares(table, &Query{Model: "caption"}, start, rng, 200)[1], 0.0)
 	table.End(1, 100, start)
 	table.Observe(1, Load{Queued: 7, Rate: 1}, start)
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -75,6 +75,10 @@
 // Target returns target i as last configured.
 func (t *Table) Target(i int) Target { return t.targets[i] }
 
+// Configured reports whether index i is that of a configured target, rather
+// than of one that is removed and may still have requests in flight.
+func (t *Table) Configured(i int) bool { return t.states[i].configured }
+
 // Lookup returns the index of a configured target.
 func (t *Table) Lookup(name string) (int, bool) {
 	i, ok := t.byName[name]
