Hear of agents' lives by digests on the heartbeats

Cause: entries knew of a draining or dead agent only from its own refusals and from failed calls, chose heartbeat peers at random, and no node noticed that it was cut off. Change: the membership view of package member rides on every exchange; it chooses the peers, spreads draining, suspicion and incarnations, tells the readiness check when nobody is heard, and stops an old copy of an agent when a later process has its name. Two settings went (the view chooses). Ruled out: full heartbeats between all nodes, which at 390 x 670 do not fit 4 KB/s a node.

--- a/agent/app.go
+++ b/agent/app.go
@@ -22,6 +22,7 @@
 	"verbenashift/core/config"
 	"verbenashift/core/draft"
 	"verbenashift/core/follow"
+	"verbenashift/core/member"
 	"verbenashift/core/outcome"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
@@ -53,6 +54,7 @@
 	answers    *answers
 	kept       *kept
 	entries    *entries
+	members    *follow.Members
 	engine     *target.Engine
 	plain      *target.Plain
 	step       stepTime
@@ -150,6 +152,7 @@
 		answers:    newAnswers(cfg.Keep, cfg.Detached),
 		kept:       newKept(cfg.MaxRun + cfg.Retention),
 		entries:    newEntries(),
+		members:    follow.NewMembers(member.Self{Name: cfg.Name, Zone: cfg.Zone, Incarnation: id.incarnation, Agent: true}),
 	}
 	a.ctx, a.stop = context.WithCancel(context.Background())
 	opt := target.Options{OrderToken: cfg.OrderToken}
@@ -160,6 +163,7 @@
 	}
 	f.OnChange(func(x *config.Index) { a.register.configure(a.ctx, x) })
 	f.OnChange(a.entries.update)
+	f.OnChange(a.members.Update)
 	f.OnChange(func(x *config.Index) { log.Info("configuration in force", "revision", x.Revision()) })
 	return a
 }
@@ -182,10 +186,10 @@
 	go a.dispatcher.duty.Run(a.ctx)
 	go a.register.duty.Run(a.ctx)
 	go a.follower.Run(a.ctx)
-	go a.sweep()
+	go a.sweep(shutdown)
 	spread := &follow.Spread{
 		Name: a.cfg.Name, Follower: a.follower, Dialer: a.dialer, Log: a.log,
-		Period: a.cfg.Heartbeat, Fanout: a.cfg.Fanout, Seeds: a.cfg.Seeds,
+		Members: a.members, Period: a.cfg.Heartbeat, Seeds: a.cfg.Seeds,
 		Describe: func(m *wire.ExchangeRequest) { m.Kind, m.Zone, m.Incarnation = "agent", a.cfg.Zone, a.id.incarnation },
 	}
 	go spread.Run(a.ctx)
@@ -193,7 +197,7 @@
 }
 
 // sweep forgets answers and registers that are no longer of use.
-func (a *Agent) sweep() {
+func (a *Agent) sweep(shutdown fx.Shutdowner) {
 	tick := time.NewTicker(sweepPeriod)
 	defer tick.Stop()
 	for {
@@ -202,12 +206,27 @@
 			a.answers.sweep(now)
 			a.kept.sweep(now)
 			a.entries.sweep(now)
+			a.tellMembers(shutdown)
 		case <-a.ctx.Done():
 			return
 		}
 	}
 }
 
+// tellMembers says how long new work waits here, and stops this process if a
+// later one has its name: it was paused and replaced, and must not go on
+// deciding beside its successor.
+func (a *Agent) tellMembers(shutdown fx.Shutdowner) {
+	l := a.dispatcher.load.Load()
+	if l.Rate > 0 {
+		a.members.SetWait(time.Duration(float64(l.Queued) / l.Rate * float64(time.Second)))
+	}
+	if a.members.Superseded() && !a.draining.Load() {
+		a.log.Error("a later process has this agent's name; stopping")
+		_ = shutdown.Shutdown(fx.ExitCode(exitFailure))
+	}
+}
+
 func (a *Agent) listen(shutdown fx.Shutdowner) error {
 	tls, err := a.cfg.Peer.Server()
 	if err != nil {
@@ -259,6 +278,8 @@
 	switch {
 	case a.draining.Load():
 		http.Error(w, "draining", http.StatusServiceUnavailable)
+	case a.members.CutOff():
+		http.Error(w, "cut off from all agents", http.StatusServiceUnavailable)
 	case a.follower.Index() == nil:
 		http.Error(w, a.follower.Reason(), http.StatusServiceUnavailable)
 	default:
@@ -283,6 +304,7 @@
 // register with a peer.
 func (a *Agent) drain(context.Context) error {
 	a.draining.Store(true)
+	a.members.SetDraining()
 	_ = a.register.do(a.ctx, func(time.Duration) { a.register.executor.Drain() })
 	a.log.Info("draining", "running", a.answers.running())
 	if !a.idle(a.cfg.Bound) {
--- a/agent/service.go
+++ b/agent/service.go
@@ -249,7 +249,10 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	resp := &wire.ExchangeResponse{From: a.cfg.Name, Load: a.load(), Revision: a.follower.Revision(), Quota: quota}
+	if err := a.members.Merge(m.Digest); err != nil {
+		a.log.Info("digest of a peer not taken", "peer", m.From, "error", err)
+	}
+	resp := &wire.ExchangeResponse{Digest: a.members.Digest(m.From), From: a.cfg.Name, Load: a.load(), Revision: a.follower.Revision(), Quota: quota}
 	if m.WantNodes {
 		resp.Nodes = a.entries.nodes(now)
 	}
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -32,7 +32,6 @@
 	StoreRefresh time.Duration
 	Seeds        []string
 	Heartbeat    time.Duration
-	Fanout       int
 
 	Slots      int
 	Items      int
@@ -68,7 +67,6 @@
 	s.Duration("store", "refresh", &c.StoreRefresh, 5*time.Minute, time.Second, time.Hour, "how often the head is read beside watches and peers")
 	s.Addresses("peers", "seeds", &c.Seeds, "agents to ask for the configuration when the store is down")
 	s.Duration("peers", "heartbeat", &c.Heartbeat, time.Second, 10*time.Millisecond, time.Minute, "time between heartbeats")
-	s.Int("peers", "fanout", &c.Fanout, 1, 1, 64, "agents a heartbeat", "how many agents are asked in each heartbeat")
 	s.Int("queue", "slots", &c.Slots, 32, 1, 4096, "requests", "requests at the target at once")
 	s.Int("queue", "items", &c.Items, 1024, 1, 1<<20, "requests", "requests that may wait")
 	s.Int("queue", "tokens", &c.Tokens, 1<<20, 1, 1<<30, "tokens", "work that may wait")
--- a/core/follow/spread.go
+++ b/core/follow/spread.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"time"
 
 	"connectrpc.com/connect"
@@ -26,9 +25,10 @@
 	Follower *Follower
 	Dialer   *peer.Dialer
 	Log      *slog.Logger
-	// Period is the time between rounds, Fanout how many agents a round asks.
+	// Members chooses whom a round asks and learns from the answers.
+	Members *Members
+	// Period is the time between rounds.
 	Period time.Duration
-	Fanout int
 	// Seeds are agents to ask while there is no configuration.
 	Seeds []string
 	// Describe, if set, adds what this process says of itself.
@@ -55,20 +55,17 @@
 	}
 }
 
-// choose picks the agents of one round at random.
+// choose picks the agents of one round; the seeds until there is a
+// configuration.
 func (s *Spread) choose() []config.Target {
 	x := s.Follower.Index()
 	if x == nil {
 		return s.seeds()
 	}
-	targets := x.Config().Targets
-	picked := make([]config.Target, 0, s.Fanout)
-	for _, i := range rand.Perm(len(targets)) {
-		if len(picked) == s.Fanout {
-			break
-		}
-		if targets[i].Name != s.Name {
-			picked = append(picked, targets[i])
+	var picked []config.Target
+	for _, name := range s.Members.Round() {
+		if t, ok := x.Target(name); ok {
+			picked = append(picked, *t)
 		}
 	}
 	return picked
@@ -87,17 +84,18 @@
 	defer cancel()
 	asked := time.Now()
 	mine := s.Follower.Held()
-	req := &wire.ExchangeRequest{From: s.Name, Revision: s.Follower.Revision()}
+	req := &wire.ExchangeRequest{From: s.Name, Revision: s.Follower.Revision(), Digest: s.Members.Digest(t.Name)}
 	if s.Describe != nil {
 		s.Describe(req)
 	}
 	resp, err := s.Dialer.Agent(t.Agent).Exchange(ctx, connect.NewRequest(req))
 	if err != nil {
-		if s.Failed != nil {
-			s.Failed(t.Name)
-		}
+		s.fail(t.Name)
 		return
 	}
+	if err := s.Members.Merge(resp.Msg.Digest); err != nil {
+		s.Log.Info("digest of a peer not taken", "peer", t.Name, "error", err)
+	}
 	if s.Heard != nil {
 		s.Heard(t.Name, resp.Msg)
 	}
@@ -113,6 +111,13 @@
 	}
 }
 
+func (s *Spread) fail(agent string) {
+	s.Members.Failed(agent)
+	if s.Failed != nil {
+		s.Failed(agent)
+	}
+}
+
 // fetch takes the configuration of an agent that is ahead.
 func (s *Spread) fetch(ctx context.Context, t config.Target) {
 	resp, err := s.Dialer.Agent(t.Agent).FetchConfig(ctx, connect.NewRequest(&wire.FetchConfigRequest{HaveRevision: s.Follower.Held()}))
--- a/entry/app.go
+++ b/entry/app.go
@@ -20,6 +20,7 @@
 	"verbenashift/core/caller"
 	"verbenashift/core/config"
 	"verbenashift/core/follow"
+	"verbenashift/core/member"
 	"verbenashift/core/operator"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
@@ -43,6 +44,7 @@
 	open     *openCount
 	flows    flowSet
 	fleet    *fleet
+	members  *follow.Members
 
 	// leaving tells the balancer, draining refuses new work.
 	leaving  atomic.Bool
@@ -102,7 +104,9 @@
 		fleet:       newFleet(),
 		incarnation: uint64(time.Now().UnixMilli()),
 	}
+	e.members = follow.NewMembers(member.Self{Name: cfg.Name, Zone: cfg.Zone, Incarnation: e.incarnation})
 	f.OnChange(e.router.update)
+	f.OnChange(e.members.Update)
 	f.OnChange(e.setHomes)
 	f.OnChange(e.limiter.update)
 	f.OnChange(func(x *config.Index) { log.Info("configuration in force", "revision", x.Revision()) })
@@ -141,6 +145,7 @@
 	go e.router.judge(ctx)
 	go e.limiter.report(ctx, e.exchangeQuota)
 	go e.followInstances(ctx)
+	go e.followMembers(ctx)
 	go e.countEntries(ctx)
 	return nil
 }
@@ -149,7 +154,7 @@
 func (e *Entry) spread() *follow.Spread {
 	return &follow.Spread{
 		Name: e.cfg.Name, Follower: e.follower, Dialer: e.dialer, Log: e.log,
-		Period: e.cfg.Heartbeat, Fanout: e.cfg.Subset, Seeds: e.cfg.Seeds,
+		Members: e.members, Period: e.cfg.Heartbeat, Seeds: e.cfg.Seeds,
 		Describe: e.describe,
 		Heard: func(name string, m *wire.ExchangeResponse) {
 			e.fleet.heard(name, m)
@@ -236,6 +241,8 @@
 	switch {
 	case e.leaving.Load():
 		http.Error(w, "draining", http.StatusServiceUnavailable)
+	case e.members.CutOff():
+		http.Error(w, "cut off from all agents", http.StatusServiceUnavailable)
 	case !e.ready():
 		http.Error(w, e.follower.Reason(), http.StatusServiceUnavailable)
 	default:
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -73,6 +73,23 @@
 				leaving[in.Name] = true
 			}
 		}
-		e.router.setLeaving(leaving)
+		e.members.SetLeaving(leaving)
 	})
 }
+
+// memberPeriod is the time between looks at the members.
+const memberPeriod = 250 * time.Millisecond
+
+// followMembers keeps new work away from agents that leave, drain or are gone.
+func (e *Entry) followMembers(ctx context.Context) {
+	tick := time.NewTicker(memberPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			e.router.setLeaving(e.members.Ineligible())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/entry/router.go
+++ b/entry/router.go
@@ -179,8 +179,7 @@
 	}, time.Now())
 }
 
-// setLeaving takes the platform's instance list: the names of targets whose
-// instance is leaving.
+// setLeaving takes the names of the targets that may get no new work.
 func (r *router) setLeaving(leaving map[string]bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -40,7 +40,6 @@
 	Notice        time.Duration
 	Bound         time.Duration
 	Heartbeat     time.Duration
-	Subset        int
 	StoreRefresh  time.Duration
 	BootstrapHash string
 	Instances     string
@@ -69,7 +68,6 @@
 	s.Duration("instances", "poll", &c.InstancesPoll, 2*time.Second, 100*time.Millisecond, time.Minute, "how often the list is read")
 	s.Addresses("peers", "seeds", &c.Seeds, "agents to ask for the configuration when the store is down")
 	s.Duration("peers", "heartbeat", &c.Heartbeat, time.Second, 10*time.Millisecond, time.Minute, "time between heartbeats")
-	s.Int("peers", "subset", &c.Subset, 4, 1, 64, "agents a heartbeat", "how many agents are asked in each heartbeat")
 	s.Int("limits", "body", &c.Body, 1<<20, 1024, 64<<20, "bytes", "largest request body")
 	s.Int("limits", "max-tokens", &c.MaxTokens, 32768, 1, 1<<20, "tokens", "largest max_tokens of a request")
 	s.Int("limits", "streams", &c.Streams, 4096, 1, 1<<20, "requests", "requests in progress at this entry")
