--- /dev/null
+++ b/bench/booking/booking.go
@@ -0,0 +1,208 @@
+// Package booking measures the at-most-once registers: the cost of a claim,
+// the bytes of a key and the cost of a rebuild.
+//
+// # Usage
+//
+//	figures, err := booking.Run(os.Stdout)
+package booking
+
+import (
+	"encoding/gob"
+	"fmt"
+	"io"
+	"runtime"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"verbenashift/bench/figure"
+	core "verbenashift/core/booking"
+)
+
+const (
+	// claims is how many claims one figure is averaged over.
+	claims = 20000
+	// peak is the requests a second that the fleet is designed for, all taken
+	// as not repeatable.
+	peak = 6200
+	// fleet is the number of targets that it is designed for.
+	fleet = 670
+	// megabyte is the unit of the memory figures.
+	megabyte = 1 << 20
+)
+
+// Run measures every figure and tells w of its progress.
+func Run(w io.Writer) ([]figure.Figure, error) {
+	var figures []figure.Figure
+	for _, n := range []int{19, 67, fleet} {
+		fmt.Fprintf(w, "booking: %d executors\n", n)
+		figures = append(figures, claim(n), rebuild(n))
+	}
+	figures = append(figures, sealScan(), homeAllocs(), acceptAllocs())
+	return handover(append(figures, memory()...))
+}
+
+// names returns the names of n targets.
+func names(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("caption-%03d", i)
+	}
+	return out
+}
+
+// keys returns n distinct keys.
+func keys(n int) []core.Key {
+	out := make([]core.Key, n)
+	for i := range out {
+		out[i] = core.KeyOf("lightbox", fmt.Sprint(i))
+	}
+	return out
+}
+
+// newHome returns the home that holds every key: others differ in scores
+// only, so that one list of n names gives the cost and one home the state.
+func newHome(n int) (*core.Home, []core.Key) {
+	all := names(n)
+	h := &core.Home{Name: all[0], Incarnation: 1, First: true, Limits: core.Limits{MaxKeys: 2 * claims}}
+	h.Configure(core.Generation{Revision: 1, Names: all}, 0)
+	own := make([]core.Key, 0, claims)
+	for i := 0; len(own) < claims/n+100; i++ {
+		if key := core.KeyOf("lightbox", fmt.Sprint(i)); core.HomeOf(key, all) == all[0] {
+			own = append(own, key)
+		}
+	}
+	return h, own
+}
+
+func request(key core.Key, id, executor string) core.Claim {
+	return core.Claim{Key: key, RequestID: id, Executor: executor, ExecutorIncarnation: 1, Revision: 1}
+}
+
+// claim measures a first claim with n targets in the list.
+func claim(n int) figure.Figure {
+	h, own := newHome(n)
+	start := time.Now()
+	for _, key := range own {
+		h.Claim(request(key, "0123456789abcdef0123456789abcdef", "caption-001"), 0)
+	}
+	cost := float64(time.Since(start).Nanoseconds()) / float64(len(own))
+	return figure.Figure{
+		Name: fmt.Sprintf("booking-claim-%d", n), Value: cost, Unit: "ns",
+		Bound: 50000, Better: figure.Lower, Note: "first claim, among that many targets",
+	}
+}
+
+// rebuild measures the home's side of a rebuild in process: it merges the
+// lists of n executors, which hold the peak rate's keys of one home.
+func rebuild(n int) figure.Figure {
+	all := names(n)
+	h := &core.Home{Name: all[0], Incarnation: 2}
+	h.Configure(core.Generation{Revision: 1, Names: all}, 0)
+	perHome := int(peak * core.DefaultRetention.Seconds() / fleet)
+	held := keys(perHome)
+	executors := make([]*core.Executor, n)
+	for i := range executors {
+		executors[i] = &core.Executor{Name: all[i], Incarnation: 1, First: true}
+	}
+	for i, key := range held {
+		grant := core.Grant{Key: key, Home: all[0], HomeIncarnation: 1, Attempt: 1}
+		executors[1+i%(n-1)].Accept(core.Submission{Grant: grant, RequestID: "0123456789abcdef", Incarnation: 1}, 0)
+	}
+	start := time.Now()
+	h.Rebuild(0)
+	for _, e := range executors[1:] {
+		h.SealAnswered(e.Name, e.SealHome(core.Seal{Home: all[0], Incarnation: 2}, 0), 0)
+	}
+	return figure.Figure{
+		Name: fmt.Sprintf("booking-rebuild-%d", n), Value: float64(time.Since(start).Microseconds()), Unit: "us",
+		Bound: 1e6, Better: figure.Lower, Note: fmt.Sprintf("%d keys, without the network", h.Len()),
+	}
+}
+
+// sealScan measures an executor's side of a rebuild: it looks through all its
+// keys at the peak rate for those of one home.
+func sealScan() figure.Figure {
+	e := &core.Executor{Name: "a", Incarnation: 1, First: true}
+	count := int(peak * core.DefaultRetention.Seconds() / fleet)
+	for i, key := range keys(count) {
+		grant := core.Grant{Key: key, Home: fmt.Sprint(i % fleet)}
+		e.Accept(core.Submission{Grant: grant, RequestID: "0123456789abcdef", Incarnation: 1}, 0)
+	}
+	start := time.Now()
+	listed := len(e.SealHome(core.Seal{Home: "7", Incarnation: 2}, 0).Keys)
+	return figure.Figure{
+		Name: "booking-seal-scan", Value: float64(time.Since(start).Microseconds()), Unit: "us", Bound: 50000, Better: figure.Lower,
+		Note: fmt.Sprintf("%d of %d keys listed", listed, count),
+	}
+}
+
+// memory measures the bytes of a key in both registers and works out those of
+// an agent at the peak rate.
+func memory() []figure.Figure {
+	const count = 50000
+	before := heap()
+	limits := core.Limits{MaxKeys: 2 * count}
+	h := &core.Home{Name: "a", Incarnation: 1, First: true, Limits: limits}
+	h.Configure(core.Generation{Revision: 1, Names: []string{"a"}}, 0)
+	for i := range count {
+		h.Claim(request(core.KeyOf("w", fmt.Sprint(i)), fmt.Sprintf("%032d", i), "a"), time.Duration(i))
+	}
+	middle := heap()
+	e := &core.Executor{Name: "a", Incarnation: 1, First: true, Limits: limits}
+	for i := range count {
+		key := core.KeyOf("w", fmt.Sprint(i))
+		e.Accept(core.Submission{Grant: core.Grant{Key: key, Home: "b"}, RequestID: fmt.Sprintf("%032d", i), Incarnation: 1}, time.Duration(i))
+		e.Start(key, time.Duration(i))
+		e.End(key, time.Duration(i))
+	}
+	after := heap()
+	perHome, perExecutor := (middle-before)/count, (after-middle)/count
+	runtime.KeepAlive(h)
+	runtime.KeepAlive(e)
+	rate := float64(peak) / fleet
+	agent := rate * (perHome*core.Limits{}.Window().Seconds() + perExecutor*(core.DefaultRetention+10*time.Second).Seconds())
+	return []figure.Figure{
+		{Name: "booking-home-key", Value: perHome, Unit: "bytes", Bound: 512, Better: figure.Lower, Gate: true},
+		{Name: "booking-executor-key", Value: perExecutor, Unit: "bytes", Bound: 512, Better: figure.Lower, Gate: true},
+		{
+			Name: "booking-agent-peak", Value: agent / megabyte, Unit: "MB", Bound: 8, Better: figure.Lower, Gate: true,
+			Note: "worked out: 6,200 requests a second over 670 agents, runs of 10 s",
+		},
+	}
+}
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// handover adds the encoded size of a key that is handed over.
+func handover(figures []figure.Figure) ([]figure.Figure, error) {
+	const count = 5000
+	h := &core.Home{Name: "a", Incarnation: 1, First: true}
+	h.Configure(core.Generation{Revision: 1, Names: []string{"a"}}, 0)
+	for i := range count {
+		h.Claim(request(core.KeyOf("w", fmt.Sprint(i)), fmt.Sprintf("%032d", i), "a"), 0)
+	}
+	var size counter
+	if err := gob.NewEncoder(&size).Encode(h.Export(0)); err != nil {
+		return nil, errors.Wrap(err, "encode the handover")
+	}
+	return append(figures, figure.Figure{
+		Name: "booking-handover-key", Value: float64(size) / count, Unit: "bytes", Bound: 256, Better: figure.Lower, Gate: true,
+		Note: "encoded with encoding/gob",
+	}), nil
+}
+
+// counter counts the bytes that are written to it.
+type counter int
+
+// Write counts p.
+func (c *counter) Write(p []byte) (int, error) {
+	*c += counter(len(p))
+	return len(p), nil
+}
--- a/core/booking/booking_test.go
+++ b/core/booking/booking_test.go
@@ -47,6 +47,9 @@
 	is := is.New(t)
 	key, home := keyOf("a", "a", 0), newHome(1, three)
 	b := &Executor{Name: "b", Incarnation: 1, First: true}
+	is.Equal(home.Claim(claimFor(key, "r1", "a"), 0).Kind, BadExecutor) // one crash would lose both records
+	is.Equal(home.Claim(claimFor(key, "r1", "d"), 0).Kind, BadExecutor) // a rebuild would not ask it
+	is.Equal(home.Claim(Claim{Key: key, Executor: "b", Revision: 2}, 0).Reason, ReasonBehind)
 	first := home.Claim(claimFor(key, "r1", "b"), 0)
 	is.Equal(first.Kind, Granted)
 	is.Equal(home.Claim(claimFor(key, "r1", "c"), 0), first) // a repeated claim gets the same grant
--- a/core/booking/limits.go
+++ b/core/booking/limits.go
@@ -9,7 +9,7 @@
 	DefaultGrantLife      = 30 * time.Second
 	DefaultConfigLag      = time.Minute
 	DefaultRebuildTimeout = 2 * time.Second
-	DefaultMaxKeys        = 65536
+	DefaultMaxKeys        = 32768
 )
 
 // Limits bound what the registers remember. Zero fields take the defaults.
--- a/core/booking/rebuild.go
+++ b/core/booking/rebuild.go
@@ -77,10 +77,8 @@
 // whatever their numbers: at most one of a key's attempts is not sealed.
 func (h *Home) merge(executor string, incarnation uint64, k SealedKey, now time.Duration) {
 	r, ok := h.keys.records[k.Key]
-	// A late answer must not replace what this home granted since.
-	if ok && !r.inherited {
-		return
-	}
+	// A late answer must not replace an attempt that this home knows to be out:
+	// a proof about the older one would set the key free beside it.
 	if ok && (r.executor != 0 || k.State == Sealed && r.attempt > k.Attempt) {
 		return
 	}
