Bound the memory of ended answers at an agent

Ruled out: not keeping them, since a second try of a key gets the first one's answer. Change: an answer that may be repeated is kept for ten seconds after its end, and all together have 8 MB, oldest out first.

--- a/agent/answers.go
+++ b/agent/answers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,15 +26,24 @@
 // answers holds the answers by request id. It is safe for use by several
 // goroutines.
 type answers struct {
+	// keep is how long an ended answer of a key is kept, keepRead how long any
+	// other is.
 	keep     time.Duration
+	keepRead time.Duration
+	// detached is how long a repeatable answer goes on without a reader.
 	detached time.Duration
+	// memory bounds the ended answers, in bytes.
+	memory int
 
 	mu   sync.Mutex
 	byID map[string]*answer
 }
 
-func newAnswers(keep, detached time.Duration) *answers {
-	return &answers{keep: keep, detached: detached, byID: make(map[string]*answer)}
+func newAnswers(cfg Settings) *answers {
+	return &answers{
+		keep: cfg.Keep, keepRead: cfg.KeepRead, detached: cfg.Detached, memory: cfg.AnswerMemory,
+		byID: make(map[string]*answer),
+	}
 }
 
 // put adds a. An older attempt of the same request is stopped and replaced; a
@@ -77,16 +87,44 @@
 func (s *answers) sweep(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var ended []*answer
 	for id, a := range s.byID {
-		_, ended := a.log.Ended()
-		unread := a.log.Readers() == 0
+		_, done := a.log.Ended()
+		idle := now.Sub(a.idle)
 		switch {
-		case ended && unread && now.Sub(a.idle) > s.keep:
+		case a.log.Readers() > 0:
+		case done && idle > s.life(a):
 			delete(s.byID, id)
-		case !ended && unread && !a.mayNotRepeat && now.Sub(a.idle) > s.detached:
+		case done:
+			ended = append(ended, a)
+		case !a.mayNotRepeat && idle > s.detached:
 			a.cancel()
 		}
 	}
+	s.shrink(ended)
+}
+
+// life is how long an ended answer is kept: that of a key may be asked for by
+// a second try, any other only by a caller whose connection broke at its end.
+func (s *answers) life(a *answer) time.Duration {
+	if a.mayNotRepeat {
+		return s.keep
+	}
+	return s.keepRead
+}
+
+// shrink forgets the longest ended answers while all together take more memory
+// than they may. Without it a burst of long answers would take the memory of
+// the instance.
+func (s *answers) shrink(ended []*answer) {
+	slices.SortFunc(ended, func(a, b *answer) int { return b.idle.Compare(a.idle) })
+	total := 0
+	for _, a := range ended {
+		total += a.log.Size()
+		if total > s.memory {
+			delete(s.byID, a.id)
+		}
+	}
 }
 
 // running counts the answers that have not ended.
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -39,11 +39,14 @@
 	Rate       int
 	AnswerSize int
 	Keep       time.Duration
+	KeepRead   time.Duration
 	Detached   time.Duration
-	MaxRun     time.Duration
-	Retention  time.Duration
-	ConfigLag  time.Duration
-	Bound      time.Duration
+	// AnswerMemory is in bytes.
+	AnswerMemory int
+	MaxRun       time.Duration
+	Retention    time.Duration
+	ConfigLag    time.Duration
+	Bound        time.Duration
 
 	TraceExport string
 	TracePerMil int
@@ -72,7 +75,9 @@
 	s.Int("queue", "tokens", &c.Tokens, 1<<20, 1, 1<<30, "tokens", "work that may wait")
 	s.Int("queue", "rate", &c.Rate, 2000, 1, 1<<20, "tokens a second", "first guess of the target's rate")
 	s.Int("answers", "size", &c.AnswerSize, 4<<20, 1024, 256<<20, "bytes", "largest answer")
-	s.Duration("answers", "keep", &c.Keep, 2*time.Minute, time.Second, time.Hour, "how long an ended answer can be read again")
+	s.Duration("answers", "keep", &c.Keep, 2*time.Minute, time.Second, time.Hour, "how long an ended answer of a request that may not be repeated can be read again")
+	s.Duration("answers", "keep-read", &c.KeepRead, 10*time.Second, time.Second, time.Hour, "how long any other ended answer can be read again")
+	s.Int("answers", "memory", &c.AnswerMemory, 8<<20, 1024, 1<<30, "bytes", "memory of all ended answers; the oldest go first")
 	s.Duration("answers", "detached", &c.Detached, 20*time.Second, time.Second, time.Hour, "how long a repeatable answer goes on without a reader")
 	s.Duration("register", "max-run", &c.MaxRun, 10*time.Minute, time.Second, 24*time.Hour, "longest run of a request")
 	s.Duration("register", "retention", &c.Retention, 10*time.Minute, time.Second, 24*time.Hour, "how long a key is remembered after its run")
