Messages of the expert groups between agents, and a client of the rank

Cause: the map switch of core/group had no way onto the processes. Ruled out: carrying the group's messages in heartbeats, which go out once a second; sending a map's content with each order, as a version is its digest and each agent can ask for it once. Change: four calls of AgentService for messages, map contents, loads and weights; core/rank, the client of one rank, whose orders go through the engine's own orders and are never sent twice.

--- a/core/peer/wire/wireconnect/agent.connect.go
+++ b/core/peer/wire/wireconnect/agent.connect.go
@@ -63,6 +63,14 @@
 	AgentServiceFetchConfigProcedure = "/verbenashift.v1.AgentService/FetchConfig"
 	// AgentServiceOrderProcedure is the fully-qualified name of the AgentService's Order RPC.
 	AgentServiceOrderProcedure = "/verbenashift.v1.AgentService/Order"
+	// AgentServiceGroupProcedure is the fully-qualified name of the AgentService's Group RPC.
+	AgentServiceGroupProcedure = "/verbenashift.v1.AgentService/Group"
+	// AgentServiceGroupMapProcedure is the fully-qualified name of the AgentService's GroupMap RPC.
+	AgentServiceGroupMapProcedure = "/verbenashift.v1.AgentService/GroupMap"
+	// AgentServiceGroupLoadsProcedure is the fully-qualified name of the AgentService's GroupLoads RPC.
+	AgentServiceGroupLoadsProcedure = "/verbenashift.v1.AgentService/GroupLoads"
+	// AgentServiceGroupFetchProcedure is the fully-qualified name of the AgentService's GroupFetch RPC.
+	AgentServiceGroupFetchProcedure = "/verbenashift.v1.AgentService/GroupFetch"
 )
 
 // AgentServiceClient is a client for the verbenashift.v1.AgentService service.
@@ -94,6 +102,14 @@
 	FetchConfig(context.Context, *connect.Request[wire.FetchConfigRequest]) (*connect.Response[wire.FetchConfigResponse], error)
 	// Order passes a fenced order on to the target.
 	Order(context.Context, *connect.Request[wire.OrderRequest]) (*connect.Response[wire.OrderResponse], error)
+	// Group carries one message of package group between two agents.
+	Group(context.Context, *connect.Request[wire.GroupRequest]) (*connect.Response[wire.GroupResponse], error)
+	// GroupMap returns the content of an expert map by its version.
+	GroupMap(context.Context, *connect.Request[wire.GroupMapRequest]) (*connect.Response[wire.GroupMapResponse], error)
+	// GroupLoads returns the experts' loads as the agent's rank reports them.
+	GroupLoads(context.Context, *connect.Request[wire.GroupLoadsRequest]) (*connect.Response[wire.GroupLoadsResponse], error)
+	// GroupFetch has the agent's rank read a part of an expert's weights.
+	GroupFetch(context.Context, *connect.Request[wire.GroupFetchRequest]) (*connect.Response[wire.GroupFetchResponse], error)
 }
 
 // NewAgentServiceClient constructs a client for the verbenashift.v1.AgentService service. By
@@ -185,6 +201,30 @@
 			connect.WithSchema(agentServiceMethods.ByName("Order")),
 			connect.WithClientOptions(opts...),
 		),
+		group: connect.NewClient[wire.GroupRequest, wire.GroupResponse](
+			httpClient,
+			baseURL+AgentServiceGroupProcedure,
+			connect.WithSchema(agentServiceMethods.ByName("Group")),
+			connect.WithClientOptions(opts...),
+		),
+		groupMap: connect.NewClient[wire.GroupMapRequest, wire.GroupMapResponse](
+			httpClient,
+			baseURL+AgentServiceGroupMapProcedure,
+			connect.WithSchema(agentServiceMethods.ByName("GroupMap")),
+			connect.WithClientOptions(opts...),
+		),
+		groupLoads: connect.NewClient[wire.GroupLoadsRequest, wire.GroupLoadsResponse](
+			httpClient,
+			baseURL+AgentServiceGroupLoadsProcedure,
+			connect.WithSchema(agentServiceMethods.ByName("GroupLoads")),
+			connect.WithClientOptions(opts...),
+		),
+		groupFetch: connect.NewClient[wire.GroupFetchRequest, wire.GroupFetchResponse](
+			httpClient,
+			baseURL+AgentServiceGroupFetchProcedure,
+			connect.WithSchema(agentServiceMethods.ByName("GroupFetch")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -203,6 +243,10 @@
 	exchange    *connect.Client[wire.ExchangeRequest, wire.ExchangeResponse]
 	fetchConfig *connect.Client[wire.FetchConfigRequest, wire.FetchConfigResponse]
 	order       *connect.Client[wire.OrderRequest, wire.OrderResponse]
+	group       *connect.Client[wire.GroupRequest, wire.GroupResponse]
+	groupMap    *connect.Client[wire.GroupMapRequest, wire.GroupMapResponse]
+	groupLoads  *connect.Client[wire.GroupLoadsRequest, wire.GroupLoadsResponse]
+	groupFetch  *connect.Client[wire.GroupFetchRequest, wire.GroupFetchResponse]
 }
 
 // Submit calls verbenashift.v1.AgentService.Submit.
@@ -270,6 +314,26 @@
 	return c.order.CallUnary(ctx, req)
 }
 
+// Group calls verbenashift.v1.AgentService.Group.
+func (c *agentServiceClient) Group(ctx context.Context, req *connect.Request[wire.GroupRequest]) (*connect.Response[wire.GroupResponse], error) {
+	return c.group.CallUnary(ctx, req)
+}
+
+// GroupMap calls verbenashift.v1.AgentService.GroupMap.
+func (c *agentServiceClient) GroupMap(ctx context.Context, req *connect.Request[wire.GroupMapRequest]) (*connect.Response[wire.GroupMapResponse], error) {
+	return c.groupMap.CallUnary(ctx, req)
+}
+
+// GroupLoads calls verbenashift.v1.AgentService.GroupLoads.
+func (c *agentServiceClient) GroupLoads(ctx context.Context, req *connect.Request[wire.GroupLoadsRequest]) (*connect.Response[wire.GroupLoadsResponse], error) {
+	return c.groupLoads.CallUnary(ctx, req)
+}
+
+// GroupFetch calls verbenashift.v1.AgentService.GroupFetch.
+func (c *agentServiceClient) GroupFetch(ctx context.Context, req *connect.Request[wire.GroupFetchRequest]) (*connect.Response[wire.GroupFetchResponse], error) {
+	return c.groupFetch.CallUnary(ctx, req)
+}
+
 // AgentServiceHandler is an implementation of the verbenashift.v1.AgentService service.
 type AgentServiceHandler interface {
 	// Submit queues a request on the agent's target and streams its answer.
@@ -299,6 +363,14 @@
 	FetchConfig(context.Context, *connect.Request[wire.FetchConfigRequest]) (*connect.Response[wire.FetchConfigResponse], error)
 	// Order passes a fenced order on to the target.
 	Order(context.Context, *connect.Request[wire.OrderRequest]) (*connect.Response[wire.OrderResponse], error)
+	// Group carries one message of package group between two agents.
+	Group(context.Context, *connect.Request[wire.GroupRequest]) (*connect.Response[wire.GroupResponse], error)
+	// GroupMap returns the content of an expert map by its version.
+	GroupMap(context.Context, *connect.Request[wire.GroupMapRequest]) (*connect.Response[wire.GroupMapResponse], error)
+	// GroupLoads returns the experts' loads as the agent's rank reports them.
+	GroupLoads(context.Context, *connect.Request[wire.GroupLoadsRequest]) (*connect.Response[wire.GroupLoadsResponse], error)
+	// GroupFetch has the agent's rank read a part of an expert's weights.
+	GroupFetch(context.Context, *connect.Request[wire.GroupFetchRequest]) (*connect.Response[wire.GroupFetchResponse], error)
 }
 
 // NewAgentServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -386,6 +458,30 @@
 		connect.WithSchema(agentServiceMethods.ByName("Order")),
 		connect.WithHandlerOptions(opts...),
 	)
+	agentServiceGroupHandler := connect.NewUnaryHandler(
+		AgentServiceGroupProcedure,
+		svc.Group,
+		connect.WithSchema(agentServiceMethods.ByName("Group")),
+		connect.WithHandlerOptions(opts...),
+	)
+	agentServiceGroupMapHandler := connect.NewUnaryHandler(
+		AgentServiceGroupMapProcedure,
+		svc.GroupMap,
+		connect.WithSchema(agentServiceMethods.ByName("GroupMap")),
+		connect.WithHandlerOptions(opts...),
+	)
+	agentServiceGroupLoadsHandler := connect.NewUnaryHandler(
+		AgentServiceGroupLoadsProcedure,
+		svc.GroupLoads,
+		connect.WithSchema(agentServiceMethods.ByName("GroupLoads")),
+		connect.WithHandlerOptions(opts...),
+	)
+	agentServiceGroupFetchHandler := connect.NewUnaryHandler(
+		AgentServiceGroupFetchProcedure,
+		svc.GroupFetch,
+		connect.WithSchema(agentServiceMethods.ByName("GroupFetch")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/verbenashift.v1.AgentService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case AgentServiceSubmitProcedure:
@@ -414,6 +510,14 @@
 			agentServiceFetchConfigHandler.ServeHTTP(w, r)
 		case AgentServiceOrderProcedure:
 			agentServiceOrderHandler.ServeHTTP(w, r)
+		case AgentServiceGroupProcedure:
+			agentServiceGroupHandler.ServeHTTP(w, r)
+		case AgentServiceGroupMapProcedure:
+			agentServiceGroupMapHandler.ServeHTTP(w, r)
+		case AgentServiceGroupLoadsProcedure:
+			agentServiceGroupLoadsHandler.ServeHTTP(w, r)
+		case AgentServiceGroupFetchProcedure:
+			agentServiceGroupFetchHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -474,3 +578,19 @@
 func (UnimplementedAgentServiceHandler) Order(context.Context, *connect.Request[wire.OrderRequest]) (*connect.Response[wire.OrderResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("verbenashift.v1.AgentService.Order is not implemented"))
 }
+
+func (UnimplementedAgentServiceHandler) Group(context.Context, *connect.Request[wire.GroupRequest]) (*connect.Response[wire.GroupResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("verbenashift.v1.AgentService.Group is not implemented"))
+}
+
+func (UnimplementedAgentServiceHandler) GroupMap(context.Context, *connect.Request[wire.GroupMapRequest]) (*connect.Response[wire.GroupMapResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("verbenashift.v1.AgentService.GroupMap is not implemented"))
+}
+
+func (UnimplementedAgentServiceHandler) GroupLoads(context.Context, *connect.Request[wire.GroupLoadsRequest]) (*connect.Response[wire.GroupLoadsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("verbenashift.v1.AgentService.GroupLoads is not implemented"))
+}
+
+func (UnimplementedAgentServiceHandler) GroupFetch(context.Context, *connect.Request[wire.GroupFetchRequest]) (*connect.Response[wire.GroupFetchResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("verbenashift.v1.AgentService.GroupFetch is not implemented"))
+}
--- /dev/null
+++ b/core/rank/client.go
@@ -0,0 +1,173 @@
+package rank
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"verbenashift/core/group"
+)
+
+const (
+	ordersPath         = "/v1/orders"
+	defaultDialTimeout = time.Second
+	idleConns          = 8
+	idleTimeout        = 90 * time.Second
+)
+
+// Options holds the settings of a client; the zero value gives defaults.
+type Options struct {
+	// OrderToken is the bearer token of orders, for an engine that checks who
+	// gives them.
+	OrderToken string
+	// DialTimeout limits the time to connect; 0 means one second.
+	DialTimeout time.Duration
+}
+
+// Client is a client of one rank, safe for concurrent use.
+type Client struct {
+	address string
+	token   string
+	http    http.Client
+}
+
+// NewClient returns a client of the rank in the engine at address, an IP number
+// and port.
+func NewClient(address string, o Options) *Client {
+	timeout := o.DialTimeout
+	if timeout == 0 {
+		timeout = defaultDialTimeout
+	}
+	tr := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     idleTimeout,
+	}
+	return &Client{address: address, token: o.OrderToken, http: http.Client{Transport: tr}}
+}
+
+// StatusError is an answer of the rank other than success.
+type StatusError struct {
+	Path   string
+	Status int
+}
+
+// Error returns the path and the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("rank answered %s with status %d", e.Path, e.Status)
+}
+
+// Refused reports whether err shows that the engine does not run: it refused
+// the connection. An engine that is only late gives another error.
+func Refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// State reads the rank's state.
+func (c *Client) State(ctx context.Context) (State, error) {
+	var s State
+	err := c.exchange(ctx, http.MethodGet, StatePath, nil, &s)
+	return s, err
+}
+
+// Map reads the content of a map in the rank's memory. A *StatusError with
+// status 404 says that the rank does not have it.
+func (c *Client) Map(ctx context.Context, v group.Version) (Placement, error) {
+	var p Placement
+	err := c.exchange(ctx, http.MethodGet, MapsPath+strconv.FormatUint(uint64(v), 10), nil, &p)
+	return p, err
+}
+
+// Loads reads the loads of the rank's experts.
+func (c *Client) Loads(ctx context.Context) (Loads, error) {
+	var l Loads
+	err := c.exchange(ctx, http.MethodGet, LoadsPath, nil, &l)
+	return l, err
+}
+
+// Fetch has the rank read a part of an expert's weights into its memory, and
+// returns how many bytes have arrived.
+func (c *Client) Fetch(ctx context.Context, w Weights) (int64, error) {
+	var r Read
+	err := c.exchange(ctx, http.MethodPost, WeightsPath, w, &r)
+	return r.Read, err
+}
+
+// engineOrder is an order in the engine's form.
+type engineOrder struct {
+	Fence    uint64 `json:"fence"`
+	Sequence uint64 `json:"sequence"`
+	Kind     string `json:"kind"`
+	Argument Order  `json:"argument"`
+}
+
+// Apply gives the rank an order. A *group.RefusedError says that it changed
+// nothing; after any other error it may have taken effect.
+func (c *Client) Apply(ctx context.Context, o Order) error {
+	in := engineOrder{Fence: o.Number.Fence, Sequence: o.Number.Sequence, Kind: OrderKind, Argument: o}
+	resp, err := c.send(ctx, http.MethodPost, ordersPath, in)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusOK {
+		return nil
+	}
+	var r Refusal
+	if resp.StatusCode != http.StatusConflict || json.NewDecoder(resp.Body).Decode(&r) != nil || r.Error == "" {
+		return &StatusError{Path: ordersPath, Status: resp.StatusCode}
+	}
+	return &group.RefusedError{Order: o.Order, Reason: r.Error}
+}
+
+// send sends one request. Its body has no GetBody, so that net/http does not
+// send an order again by itself when a kept connection breaks.
+func (c *Client) send(ctx context.Context, method, path string, in any) (*http.Response, error) {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return nil, errors.Wrap(err, "encode request")
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	req.GetBody = nil
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if c.token != "" && path == ordersPath {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "ask rank")
+	}
+	return resp, nil
+}
+
+func (c *Client) exchange(ctx context.Context, method, path string, in, out any) error {
+	resp, err := c.send(ctx, method, path, in)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return &StatusError{Path: path, Status: resp.StatusCode}
+	}
+	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+		return errors.Wrap(err, "decode answer")
+	}
+	return nil
+}
