Stand-in: ranks of a group in lock-step, in the engine stand-in

Ruled out: a process for each rank (twice the processes for nothing); a barrier by requests over HTTP, which costs thirty calls a step for sixteen ranks. Change: standin/rank keeps what core/group wants of an engine by its reference Rank; the ranks meet by datagrams at the first rank of the epoch.

--- a/standin/engine/command.go
+++ b/standin/engine/command.go
@@ -21,7 +21,7 @@
 	return &cli.Command{
 		Name:  "engine",
 		Usage: "stand in for a model engine",
-		Flags: []cli.Flag{
+		Flags: append(rankFlags(), []cli.Flag{
 			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:9100", Usage: "IP address and port"},
 			&cli.StringFlag{Name: "name", Usage: "target name in the ledger"},
 			&cli.IntFlag{Name: "slots", Value: defaultSlots, Usage: "streams that run at once"},
@@ -32,7 +32,7 @@
 			&cli.BoolFlag{Name: "honour-fencing", Usage: "refuse orders with an older fencing number"},
 			&cli.StringFlag{Name: "check-orders", Usage: "bearer token that orders must carry"},
 			&cli.StringFlag{Name: "ledger", Usage: "file to which runs are appended"},
-		},
+		}...),
 		Action: run,
 	}
 }
@@ -43,7 +43,11 @@
 		return err
 	}
 	l.SetTarget(cmd.String("name"))
-	e := New(Config{
+	r, err := newRank(cmd)
+	if err != nil {
+		return err
+	}
+	cfg := Config{
 		Slots:         cmd.Int("slots"),
 		Step:          cmd.Duration("step"),
 		Startup:       cmd.Duration("startup"),
@@ -51,11 +55,20 @@
 		Keep:          cmd.Duration("keep"),
 		HonourFencing: cmd.Bool("honour-fencing"),
 		OrderToken:    cmd.String("check-orders"),
-	}, l)
+	}
+	if r != nil {
+		cfg.Rank = r
+	}
+	e := New(cfg, l)
 	return serve.Run(ctx, serve.Options{
 		Name:    "engine",
 		Listen:  cmd.String("listen"),
 		Handler: e.Handler(),
-		Duty:    e.Run,
+		Duty: func(ctx context.Context) {
+			if r != nil {
+				go r.run(ctx)
+			}
+			e.Run(ctx)
+		},
 	})
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -15,10 +15,13 @@
 import (
 	"container/heap"
 	"context"
+	"encoding/json"
 	"log/slog"
 	"sync"
 	"time"
 
+	"github.com/gorilla/mux"
+
 	"verbenashift/standin/ledger"
 )
 
@@ -38,6 +41,16 @@
 	HonourFencing bool
 	// OrderToken, if set, is the bearer token that orders must carry.
 	OrderToken string
+	// Rank is the rank of an expert-parallel group that the engine is, nil for
+	// none.
+	Rank Rank
+}
+
+// Rank takes the orders that concern the expert map, and serves its own paths.
+type Rank interface {
+	Register(m *mux.Router)
+	// Apply returns a *group.RefusedError for an order that it refuses.
+	Apply(argument json.RawMessage) error
 }
 
 // Engine is the fake engine. Use New.
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -55,6 +55,9 @@
 	r.HandleFunc("/v1/orders", e.serveLastOrder).Methods(http.MethodGet)
 	r.HandleFunc("/faults", e.serveFaults).Methods(http.MethodPost)
 	r.Handle("/ledger", e.ledger).Methods(http.MethodGet)
+	if e.cfg.Rank != nil {
+		e.cfg.Rank.Register(r)
+	}
 	return r
 }
 
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -6,6 +6,10 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
+	"verbenashift/core/group"
+	"verbenashift/core/rank"
 	"verbenashift/standin/ledger"
 )
 
@@ -41,8 +45,8 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.cfg.HonourFencing && o.Fence < e.last.Fence {
-		writeJSON(w, http.StatusConflict, staleFence{"stale-fence", e.last.Fence})
+	if reason := e.refusal(o); reason != "" {
+		writeJSON(w, http.StatusConflict, refusal{reason, e.last.Fence})
 		return
 	}
 	e.last = o
@@ -62,7 +66,23 @@
 	writeJSON(w, http.StatusOK, e.last)
 }
 
-type staleFence struct {
+// refusal returns why an order is not carried out, or carries it out as far as
+// it concerns the rank. The rank compares whole numbers, within one fence too.
+func (e *Engine) refusal(o Order) string {
+	if o.Kind == rank.OrderKind && e.cfg.Rank != nil {
+		var refused *group.RefusedError
+		if errors.As(e.cfg.Rank.Apply(o.Argument), &refused) {
+			return refused.Reason
+		}
+		return ""
+	}
+	if e.cfg.HonourFencing && o.Fence < e.last.Fence {
+		return "stale-fence"
+	}
+	return ""
+}
+
+type refusal struct {
 	Error string `json:"error"`
 	Fence uint64 `json:"fence"`
 }
