Let a held attempt win over any seal when records are joined

Numbers start again when a key is forgotten, so that they can't rank attempts of two lives. Ruled out: numbers that never start again, as two homes have no common counter. Now a held attempt wins whatever its number, and the next number is above all.

Answers are checked for linearizability with porcupine beside the oracle.

--- a/core/booking/booking_test.go
+++ b/core/booking/booking_test.go
@@ -123,19 +123,22 @@
 	is.Equal(home.Claim(claimFor(key, "r1", "c"), end).Grant.Attempt, uint64(1)) // all earlier tries are forgotten
 }
 
-// An executor answers a seal late. It lists an attempt that it sealed long ago;
-// meanwhile the home has granted the key to another. If the old word replaced
-// the new grant, a third try would run beside it.
+// An executor lists a seal of long ago, with a higher number than the attempt
+// that another holds, as numbers start again when a key was forgotten. Another
+// answers late, after the home has granted the key. If either replaced the
+// attempt that is out, a further try would run beside it.
 func TestLateSealAnswer(t *testing.T) {
 	is := is.New(t)
 	key, home := keyOf("a", "a", 0), newHome(2, three)
-	for _, name := range []string{"b", "c"} {
-		home.SealAnswered(name, SealAnswer{Age: Forever}, 0)
-	}
+	other := keyOf("a", "a", 1000)
+	home.SealAnswered("b", SealAnswer{Age: Forever, Keys: []SealedKey{{Key: other, RequestID: "r0", Attempt: 1, State: Running}}}, 0)
+	home.SealAnswered("c", SealAnswer{Age: Forever, Keys: []SealedKey{{Key: other, Attempt: 4, State: Sealed}}}, 0)
+	held := home.Claim(claimFor(other, "r1", "c"), 0)
+	is.Equal(held.Executor, "b")
+	is.Equal(held.Grant.Attempt, uint64(4)) // the next one is above every seal
 	is.Equal(home.Claim(claimFor(key, "r1", "b"), 0).Kind, Granted)
-	home.SealAnswered("c", SealAnswer{Age: Forever, Keys: []SealedKey{{Key: key, Attempt: 4, State: Sealed}}}, 0)
-	is.Equal(home.Claim(claimFor(key, "r2", "c"), 0).Kind, Held)
-	is.Equal(home.Claim(claimFor(key, "r1", "a"), 0).Executor, "b")
+	home.SealAnswered("c", SealAnswer{Age: Forever, Keys: []SealedKey{{Key: key, Attempt: 4, State: Cut}}}, 0)
+	is.Equal(home.Claim(claimFor(key, "r1", "c"), 0).Executor, "b")
 }
 
 // A target joins and takes over keys. The old home has not heard of it and the
@@ -160,9 +163,9 @@
 	is.Equal(d.Claim(claimFor(free, "r2", "c"), 0).Kind, Granted)
 	is.Equal(d.Claim(claimFor(held, "r2", "a"), 0).Kind, Held)
 	late := a.Transfer(Transfer{free, 2}, 0)
-	late.Kind, late.Attempt = TransferRecord, 9
+	late.Kind, late.Attempt, late.Executor = TransferRecord, 9, "b"
 	d.Transferred(free, "a", late, 0) // an answer that comes again is no news
-	is.Equal(d.Claim(claimFor(free, "r3", "b"), 0).Kind, Held)
+	is.Equal(d.Claim(claimFor(free, "r3", "b"), 0).Executor, "c")
 	back := claimFor(held, "r4", "c")
 	back.Revision = 3
 	is.Equal(a.Claim(back, 0).Reason, ReasonBehind)
--- a/core/booking/fuzz_test.go
+++ b/core/booking/fuzz_test.go
@@ -16,27 +16,31 @@
 func TestAtMostOneRun(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
-		t.Repeat(map[string]func(*rapid.T){
-			"try":     w.doTry,
-			"step":    w.doStep,
-			"step-2":  w.doStep,
-			"step-3":  w.doStep,
-			"deliver": w.doDeliver,
-			"give-up": w.doGiveUp,
-			"start":   w.doStart,
-			"end":     w.doEnd,
-			"seal":    w.doSeal,
-			"seal-2":  w.doSeal,
-			"crash":   w.doCrash,
-			"drain":   w.doDrain,
-			"boot":    w.doBoot,
-			"list":    w.doList,
-			"learn":   w.doLearn,
-			"time":    w.doTime,
-		})
+		t.Repeat(w.actions())
 	})
 }
 
+func (w *world) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"try":     w.doTry,
+		"step":    w.doStep,
+		"step-2":  w.doStep,
+		"step-3":  w.doStep,
+		"deliver": w.doDeliver,
+		"give-up": w.doGiveUp,
+		"start":   w.doStart,
+		"end":     w.doEnd,
+		"seal":    w.doSeal,
+		"seal-2":  w.doSeal,
+		"crash":   w.doCrash,
+		"drain":   w.doDrain,
+		"boot":    w.doBoot,
+		"list":    w.doList,
+		"learn":   w.doLearn,
+		"time":    w.doTime,
+	}
+}
+
 // pick draws one of the items that a condition holds for.
 func pick[T any](t *rapid.T, items []T, ok func(T) bool) T {
 	var fit []T
@@ -56,7 +60,7 @@
 func (w *world) doTry(t *rapid.T) {
 	key := KeyOf("lightbox", rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "key"))
 	body := Digest{byte(rapid.IntRange(0, 5).Draw(t, "body") / 5)}
-	y := &try{key: key, body: body, id: fmt.Sprintf("r%d", len(w.tries)), before: len(w.runs[key])}
+	y := &try{key: key, body: body, id: fmt.Sprintf("r%d", len(w.tries)), before: len(w.runs[key]), call: w.tick()}
 	w.tries = append(w.tries, y)
 	w.bodies[y.id] = body
 }
--- a/core/booking/rebuild.go
+++ b/core/booking/rebuild.go
@@ -73,20 +73,18 @@
 	}
 }
 
-// merge takes a listed key. An attempt that is held wins over a sealed one,
-// whatever their numbers: at most one of a key's attempts is not sealed.
+// merge takes a listed key.
 func (h *Home) merge(executor string, incarnation uint64, k SealedKey, now time.Duration) {
-	r, ok := h.keys.records[k.Key]
-	// A late answer must not replace an attempt that this home knows to be out:
-	// a proof about the older one would set the key free beside it.
-	if ok && (r.executor != 0 || k.State == Sealed && r.attempt > k.Attempt) {
+	// A late answer must not replace what this home granted since, or a proof
+	// about an older attempt would set the key free beside it.
+	if r, ok := h.keys.records[k.Key]; ok && !r.inherited && r.movedAt == 0 {
 		return
 	}
-	next := booked{body: k.Body, attempt: k.Attempt, movedAt: r.movedAt, inherited: true}
+	next := booked{body: k.Body, attempt: k.Attempt, inherited: true}
 	if k.State != Sealed {
 		next.requestID, next.incarnation, next.executor = k.RequestID, incarnation, h.index(executor)
 	}
-	h.keep(k.Key, next, now+h.Limits.Window())
+	h.inherit(k.Key, next, now)
 }
 
 // rebuilding reports whether claims must wait for the executors.
--- a/core/booking/transfer.go
+++ b/core/booking/transfer.go
@@ -87,13 +87,30 @@
 	if ok && !r.inherited && r.movedAt == 0 {
 		return
 	}
-	if a.Kind == TransferRecord && (!ok || a.Attempt > r.attempt || a.Attempt == r.attempt && a.Executor == "") {
-		next := booked{body: a.Body, requestID: a.RequestID, attempt: a.Attempt, incarnation: a.ExecutorIncarnation, movedAt: r.movedAt, inherited: true}
-		if a.Executor != "" {
-			next.executor = h.index(a.Executor)
-		}
-		h.keep(key, next, now+h.Limits.Window())
+	if a.Kind == TransferNone {
+		return
+	}
+	next := booked{body: a.Body, requestID: a.RequestID, attempt: a.Attempt, incarnation: a.ExecutorIncarnation, inherited: true}
+	if a.Executor != "" {
+		next.executor = h.index(a.Executor)
+	}
+	h.inherit(key, next, now)
+}
+
+// inherit takes another process's record of a key beside what is known here.
+// A held attempt wins over a free one whatever their numbers: the numbers start
+// again once a key was forgotten, so that a seal of long ago can carry a higher
+// one than an attempt that runs. That the held one is stale is for its executor
+// to say. Of two held ones the later wins, and the highest number is kept, so
+// that the next attempt is above every seal.
+func (h *Home) inherit(key Key, next booked, now time.Duration) {
+	r := h.keys.records[key]
+	highest := max(r.attempt, next.attempt)
+	if r.executor != 0 && (next.executor == 0 || r.attempt >= next.attempt) {
+		next = r
 	}
+	next.attempt, next.movedAt = highest, r.movedAt
+	h.keep(key, next, now+h.Limits.Window())
 }
 
 // sources returns the previous homes that still have to hand over a key. A
--- a/core/booking/world_test.go
+++ b/core/booking/world_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/anishathalye/porcupine"
 	"pgregory.net/rapid"
 
 	"verbenashift/core/outcome"
@@ -43,6 +44,7 @@
 	body   Digest
 	id     string
 	before int
+	call   int64
 	held   Answer
 	until  time.Duration
 	phase  phase
@@ -84,6 +86,7 @@
 	bodies map[string]Digest
 	runs   map[Key][]*execution
 	notRun map[string]bool
+	ops    []porcupine.Operation
 	next   uint64
 }
 
@@ -153,6 +156,7 @@
 		w.t.Fatalf("request %s runs after its caller was told not-run", id)
 	}
 	w.t.Logf("%v run %x %s at %s/%d", w.now, key[0], id, n.name, n.inc)
+	w.record(id, key, ran, id)
 	w.runs[key] = append(w.runs[key], &execution{id: id, at: n.name, start: w.now, end: Forever})
 }
 
@@ -170,6 +174,9 @@
 		return
 	}
 	w.notRun[y.id] = true
+	if why != Mismatch.String() {
+		w.record(y.id, y.key, neverRan, "")
+	}
 	if w.recent(w.runs[y.key][:y.before]) && why != Mismatch.String() {
 		w.t.Fatalf("%s was told not-run (%s), but its key ran before", y.id, why)
 	}
@@ -260,6 +267,9 @@
 		if w.bodies[s.RequestID] != y.body {
 			w.t.Fatalf("%s was attached to %s, which has another body", y.id, s.RequestID)
 		}
+		if s.State != Queued {
+			w.record(y.id, y.key, attached, s.RequestID)
+		}
 		w.finish(y, outcome.Complete, "attached")
 	case s.Kind == NeverRan:
 		if home := w.node(y.held.Grant.Home); home.up && !w.chance("release-lost") {
