Change the groups' expert maps on the processes

Ruled out: the placement inside the switch's messages, which repeat it; one lock around member and steward, which would be held over calls to the rank. Change: an agent's part in its group on one duty: the member, the steward by lease at duties/group/NAME, a planner at an interval, loading by core/load in waves and the switch; handing over at a drain; the guard for other orders; counters, and the state of groups for operators. The stand-ins' ranks run in the quickstart, and the client counts what the judge had before it: ranks without any step are an error.

--- a/agent/answers.go
+++ b/agent/answers.go
@@ -140,6 +140,17 @@
 	return n
 }
 
+// protected counts the answers in progress that may not be repeated.
+func (s *answers) protected() int {
+	n := 0
+	s.each(func(a *answer) {
+		if a.mayNotRepeat {
+			n++
+		}
+	})
+	return n
+}
+
 // each calls f for every answer that has not ended.
 func (s *answers) each(f func(*answer)) {
 	s.mu.Lock()
--- a/agent/app.go
+++ b/agent/app.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -58,6 +59,15 @@
 	engine     *target.Engine
 	plain      *target.Plain
 	step       stepTime
+	store      *store.Client
+
+	// group is the agent's part in its target's expert-parallel group, nil if
+	// there is none; groupMu guards its changes.
+	group        atomic.Pointer[expertGroup]
+	groupMu      sync.Mutex
+	groupStarts  uint64
+	groupMetrics *groupMetrics
+	orders       orderGuard
 
 	// ctx ends with the process, not with a request.
 	ctx      context.Context
@@ -144,15 +154,16 @@
 	return identify(context.Background(), s, cfg.Name, log)
 }
 
-func newAgent(cfg Settings, id identity, log *slog.Logger, tracer trace.Tracer, d *peer.Dialer, f *follow.Follower) *Agent {
+func newAgent(cfg Settings, id identity, log *slog.Logger, tracer trace.Tracer, d *peer.Dialer, s *store.Client, f *follow.Follower) *Agent {
 	a := &Agent{
-		cfg: cfg, id: id, log: log, tracer: tracer, metrics: newMetrics(), dialer: d, follower: f,
-		dispatcher: newDispatcher(cfg),
-		register:   newRegister(cfg, id, d, f, log),
-		answers:    newAnswers(cfg),
-		kept:       newKept(cfg.MaxRun + cfg.Retention),
-		entries:    newEntries(),
-		members:    follow.NewMembers(member.Self{Name: cfg.Name, Zone: cfg.Zone, Incarnation: id.incarnation, Agent: true}),
+		cfg: cfg, id: id, log: log, tracer: tracer, metrics: newMetrics(), dialer: d, follower: f, store: s,
+		groupMetrics: newGroupMetrics(),
+		dispatcher:   newDispatcher(cfg),
+		register:     newRegister(cfg, id, d, f, log),
+		answers:      newAnswers(cfg),
+		kept:         newKept(cfg.MaxRun + cfg.Retention),
+		entries:      newEntries(),
+		members:      follow.NewMembers(member.Self{Name: cfg.Name, Zone: cfg.Zone, Incarnation: id.incarnation, Agent: true}),
 	}
 	a.ctx, a.stop = context.WithCancel(context.Background())
 	opt := target.Options{OrderToken: cfg.OrderToken}
@@ -163,6 +174,7 @@
 	}
 	f.OnChange(func(x *config.Index) { a.register.configure(a.ctx, x) })
 	f.OnChange(a.entries.update)
+	f.OnChange(a.regroup)
 	f.OnChange(a.members.Update)
 	f.OnChange(func(x *config.Index) { log.Info("configuration in force", "revision", x.Revision()) })
 	return a
@@ -253,6 +265,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", addr)
 	}
+	s.ErrorLog = slog.NewLogLogger(a.log.Handler(), slog.LevelWarn)
 	a.servers = append(a.servers, s)
 	go func() {
 		if err := peer.Serve(s, l); !errors.Is(err, http.ErrServerClosed) {
@@ -306,6 +319,9 @@
 	a.draining.Store(true)
 	a.members.SetDraining()
 	_ = a.register.do(a.ctx, func(time.Duration) { a.register.executor.Drain() })
+	if g := a.group.Load(); g != nil {
+		g.resign(a.ctx)
+	}
 	a.log.Info("draining", "running", a.answers.running())
 	if !a.idle(a.cfg.Bound) {
 		a.answers.each(func(ans *answer) {
--- /dev/null
+++ b/agent/group.go
@@ -0,0 +1,378 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"verbenashift/core/duty"
+	"verbenashift/core/expert"
+	"verbenashift/core/group"
+	"verbenashift/core/lease"
+	"verbenashift/core/rank"
+	"verbenashift/core/settings"
+)
+
+// groupTick is the time between looks at the timers of a group.
+const groupTick = 10 * time.Millisecond
+
+// groupRing bounds the events that wait for a group's duty.
+const groupRing = 1024
+
+// groupSends bounds the messages on their way to other agents. The protocol
+// bears the loss of those beyond it.
+const groupSends = 256
+
+// GroupSettings are the settings of an agent's part in an expert-parallel
+// group.
+type GroupSettings struct {
+	// Beat is the steward's interval of probes while all is well, and Silence
+	// how long it may be quiet before another agent asks for its duty.
+	Beat    time.Duration
+	Silence time.Duration
+	// LeaseTTL is that of the steward's lease.
+	LeaseTTL time.Duration
+	// PlanInterval is the time between two looks at the loads.
+	PlanInterval time.Duration
+	// ExpertBytes is the size of one expert's weights in a layer, StoreRate the
+	// group's share of the weight store in bytes a second, and Spare how many
+	// experts a rank has room for beside those of the map in force.
+	ExpertBytes int
+	StoreRate   int
+	Spare       int
+}
+
+// declare names the settings with their defaults and bounds.
+func (c *GroupSettings) declare(s *settings.Set) {
+	const section = "group"
+	s.Duration(section, "beat", &c.Beat, 5*time.Second, 100*time.Millisecond, time.Minute, "time between the steward's probes while all is well")
+	s.Duration(section, "silence", &c.Silence, 20*time.Second, time.Second, 10*time.Minute, "how long the steward may be quiet before another agent asks for its duty")
+	s.Duration(section, "lease", &c.LeaseTTL, lease.DefaultTTL, time.Second, time.Minute, "lease of the steward's duty")
+	s.Duration(section, "plan-interval", &c.PlanInterval, time.Minute, 100*time.Millisecond, time.Hour, "time between two looks at the experts' loads")
+	s.Int(section, "expert-size", &c.ExpertBytes, defaultExpertBytes, 1, 1<<40, "bytes", "weights of one expert in one layer")
+	s.Int(section, "store-rate", &c.StoreRate, defaultStoreRate, 1, 1<<40, "bytes a second", "what the weight store gives to the group")
+	s.Int(section, "spare-slots", &c.Spare, 8, 1, 1<<16, "experts", "experts, of all layers together, that a rank has room for beside those in use")
+}
+
+// The defaults of GroupSettings.
+const (
+	defaultExpertBytes = 1 << 20
+	defaultStoreRate   = 64 << 20
+)
+
+// groupShape is a group as configured.
+type groupShape struct {
+	name  string
+	model string
+	// members are the ranks in the order of the maps, addresses their agents.
+	members   []string
+	addresses map[string]string
+	// candidates are the members whose agents may hold the duty.
+	candidates []string
+	layers     int
+	expert     expert.Group
+	policy     expert.Policy
+	// confirmed says that an operator has confirmed an intent for the group.
+	confirmed bool
+	habit     lease.Habit
+}
+
+// initialVersion returns the version of initial.
+func (s *groupShape) initialVersion() group.Version { return s.initial().Version() }
+
+// initial returns the map of a group that has none yet. It is a function of the
+// shape, so that every agent knows its content.
+func (s *groupShape) initial() rank.Placement {
+	even := slices.Repeat([]float64{1}, s.expert.Experts)
+	layer := expert.Place(&s.expert, even)
+	return slices.Repeat(rank.Placement{layer}, s.layers)
+}
+
+// groupRank is the agent's own rank.
+type groupRank interface {
+	State(ctx context.Context) (rank.State, error)
+	Apply(ctx context.Context, o rank.Order) error
+	Map(ctx context.Context, v group.Version) (rank.Placement, error)
+	Loads(ctx context.Context) (rank.Loads, error)
+	Fetch(ctx context.Context, w rank.Weights) (int64, error)
+}
+
+// groupPeers are the agents of the other ranks, by their names.
+type groupPeers interface {
+	Send(ctx context.Context, to string, m group.Message) error
+	Map(ctx context.Context, to string, v group.Version) (rank.Placement, error)
+	Loads(ctx context.Context, to string) (rank.Loads, int, error)
+	Fetch(ctx context.Context, to string, w rank.Weights) (int64, error)
+}
+
+// leaseCaller makes the calls of a lease.Holder.
+type leaseCaller interface {
+	Call(ctx context.Context, c lease.Call) lease.Answer
+}
+
+// expertGroup is the agent's part in one group: the member beside the rank,
+// and the steward while this agent holds the group's duty. All decisions are
+// made on one duty; what waits for others runs beside it.
+type expertGroup struct {
+	self    string
+	cfg     GroupSettings
+	log     *slog.Logger
+	metrics *groupMetrics
+	rank    groupRank
+	peers   groupPeers
+	store   leaseCaller
+	shape   atomic.Pointer[groupShape]
+	began   time.Time
+	ctx     context.Context
+	stop    context.CancelFunc
+	duty    *duty.Duty
+	ops     chan rankOp
+	sends   chan struct{}
+	// current is the number of the rank's operation that is out.
+	current  atomic.Uint64
+	contents *contents
+
+	// The duty alone uses these.
+	member  *group.Member
+	steward group.Duty
+	holder  *lease.Holder
+	habit   lease.Habit
+	local   []group.Message
+	leaving bool
+	ticked  time.Duration
+	want    group.Version
+	// wantFence is the fence under which want was planned.
+	wantFence uint64
+
+	planning planning
+}
+
+// groupDeps is what an expertGroup needs of others.
+type groupDeps struct {
+	self        string
+	incarnation uint64
+	owner       string
+	settings    GroupSettings
+	log         *slog.Logger
+	metrics     *groupMetrics
+	rank        groupRank
+	peers       groupPeers
+	store       leaseCaller
+}
+
+// newExpertGroup returns the part of an agent that knows nothing yet.
+func newExpertGroup(ctx context.Context, d groupDeps, shape *groupShape) *expertGroup {
+	g := &expertGroup{
+		self: d.self, cfg: d.settings, log: d.log.With("group", shape.name), metrics: d.metrics,
+		rank: d.rank, peers: d.peers, store: d.store, began: time.Now(), habit: shape.habit,
+		duty: duty.New(groupRing), ops: make(chan rankOp, 1), sends: make(chan struct{}, groupSends),
+		contents: newContents(),
+		member:   group.NewMember(group.MemberConfig{Name: d.self, Habit: shape.habit}, d.incarnation, 0),
+		holder: lease.NewHolder(lease.Config{
+			Duty: "duties/group/" + shape.name, Owner: d.owner, TTL: d.settings.LeaseTTL,
+		}),
+	}
+	g.ctx, g.stop = context.WithCancel(ctx)
+	g.shape.Store(shape)
+	g.contents.keep(shape.initial())
+	g.duty.After(g.after, func() (time.Time, bool) { return g.began.Add(g.ticked + groupTick), true })
+	return g
+}
+
+// run takes part in the group until the context ends.
+func (g *expertGroup) run() {
+	go g.serveRank()
+	go g.plan()
+	g.duty.Run(g.ctx)
+}
+
+// now is the time since this part began, by the process's monotonic clock.
+func (g *expertGroup) now() time.Duration { return time.Since(g.began) }
+
+// reshape takes in a changed configuration of the same group.
+func (g *expertGroup) reshape(s *groupShape) {
+	g.shape.Store(s)
+	g.contents.keep(s.initial())
+}
+
+// deliver hands a message of another agent to the duty.
+func (g *expertGroup) deliver(ctx context.Context, from string, m group.Message) error {
+	return g.duty.Post(ctx, func() { g.receive(from, m) })
+}
+
+// after runs on the duty after each event, and when a timer is due.
+func (g *expertGroup) after() {
+	if now := g.now(); now-g.ticked >= groupTick {
+		g.ticked = now
+		g.tick(now)
+	}
+	for len(g.local) > 0 {
+		m := g.local[0]
+		g.local = g.local[1:]
+		g.receive(g.self, m)
+	}
+}
+
+// receive takes a message, as the steward and as the member.
+func (g *expertGroup) receive(from string, m group.Message) {
+	now := g.now()
+	g.contents.note(m, from)
+	if st := g.acting(now); st != nil {
+		g.act(st.Receive(now, from, m))
+	}
+	g.act(g.member.Receive(now, from, m))
+}
+
+// acting returns the steward while the lease is valid. It is asked right before
+// each use.
+func (g *expertGroup) acting(now time.Duration) *group.Steward {
+	return g.steward.Steward(now, g.stewardConfig(), g.holder)
+}
+
+func (g *expertGroup) stewardConfig() group.StewardConfig {
+	s := g.shape.Load()
+	return group.StewardConfig{Members: s.members, Initial: s.initialVersion(), Beat: g.cfg.Beat}
+}
+
+// tick lets time pass: the lease first, then the steward, then the member.
+func (g *expertGroup) tick(now time.Duration) {
+	g.holder.Want(g.steward.Wanted(g.holder, g.due(now)) && !g.leaving)
+	for _, c := range g.holder.Tick(now) {
+		go g.call(c)
+	}
+	if st := g.acting(now); st != nil {
+		st.SetMembers(now, g.shape.Load().members)
+		st.Want(g.wanted())
+		g.act(st.Tick(now))
+	}
+	g.act(g.member.Tick(now))
+}
+
+// wanted returns the map that this steward has planned. A plan made under an
+// earlier lease is not this one's.
+func (g *expertGroup) wanted() group.Version {
+	if g.wantFence != g.holder.Fence() {
+		return 0
+	}
+	return g.want
+}
+
+// The waits before the duty of a group that stands still is taken over.
+const (
+	stillSilence = 2 * time.Second
+	dutyStagger  = 100 * time.Millisecond
+)
+
+// due reports whether this agent should ask for the duty. If the steward has
+// handed it over to this agent it asks at once; if the rank stands still, soon;
+// else only after a long silence. The agents ask in turn, so that a free duty
+// costs the store a few calls and not one from each.
+func (g *expertGroup) due(now time.Duration) bool {
+	shape, heard := g.shape.Load(), g.member.Heard()
+	t := lease.Takeover{Silence: g.cfg.Silence, Stagger: dutyStagger}
+	still := g.member.Orphaned(now)
+	if still && now-heard < stillSilence {
+		return true
+	}
+	if still || g.member.Health(now) == group.Empty {
+		t.Silence = stillSilence
+	}
+	return t.Due(now, heard, "duties/group/"+shape.name, g.self, shape.candidates)
+}
+
+// call makes one call on the store.
+func (g *expertGroup) call(c lease.Call) {
+	a := g.store.Call(g.ctx, c)
+	a.ID = c.ID
+	_ = g.duty.Post(g.ctx, func() { g.holder.Answer(g.now(), a) })
+}
+
+// act carries actions out.
+func (g *expertGroup) act(acts []group.Action) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case group.Send:
+			g.send(a)
+		case group.Apply:
+			g.operate(rankOp{id: a.ID, order: a.Order, began: time.Now()})
+		case group.Read:
+			g.operate(rankOp{id: a.ID, began: time.Now()})
+		case group.Done:
+			g.done(a)
+		}
+	}
+}
+
+// sendTimeout bounds one message to another agent.
+const sendTimeout = time.Second
+
+// send sends a message. Messages may be lost, so that none waits for room.
+func (g *expertGroup) send(s group.Send) {
+	if s.To == g.self {
+		g.local = append(g.local, s.Message)
+		return
+	}
+	select {
+	case g.sends <- struct{}{}:
+	default:
+		g.metrics.counts.Add("messages-dropped", 1)
+		return
+	}
+	go func() {
+		defer func() { <-g.sends }()
+		ctx, cancel := context.WithTimeout(g.ctx, sendTimeout)
+		defer cancel()
+		_ = g.peers.Send(ctx, s.To, s.Message)
+	}()
+}
+
+// done notes the end of a switch or a forming.
+func (g *expertGroup) done(d group.Done) {
+	name := "aborts"
+	switch {
+	case d.Formed:
+		name = "formed"
+	case d.Commit:
+		name = "switches"
+	}
+	g.metrics.counts.Add(name, 1)
+	g.log.Info("group", "event", name, "fence", d.Number.Fence, "sequence", d.Number.Sequence, "took-ms", d.Took.Milliseconds())
+}
+
+// resignTime bounds how long a draining agent waits for the store to release
+// its lease.
+const resignTime = time.Second
+
+// resign gives up the duty, if this agent holds it, and tells the next agent to
+// take it over.
+func (g *expertGroup) resign(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, resignTime)
+	defer cancel()
+	held := false
+	_ = g.duty.Do(ctx, func() {
+		g.leaving = true
+		held = g.holder.Fence() != 0
+		if held {
+			g.act(g.steward.Resign(g.successor()))
+		}
+	})
+	tick := time.NewTicker(groupTick)
+	defer tick.Stop()
+	for held && ctx.Err() == nil {
+		<-tick.C
+		_ = g.duty.Do(ctx, func() { held = g.holder.Fence() != 0 })
+	}
+}
+
+// successor is the agent that should hold the duty when this one leaves.
+func (g *expertGroup) successor() string {
+	s := g.shape.Load()
+	for _, name := range lease.Candidates("duties/group/"+s.name, s.candidates) {
+		if name != g.self {
+			return name
+		}
+	}
+	return g.self
+}
--- /dev/null
+++ b/agent/group_load.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"verbenashift/core/expert"
+	"verbenashift/core/group"
+	loading "verbenashift/core/load"
+	"verbenashift/core/rank"
+)
+
+const (
+	// loadPause is the time between two looks at the rate of the weight store.
+	loadPause = 20 * time.Millisecond
+	// fetchTimeout bounds one read of weights.
+	fetchTimeout = time.Minute
+	// switchTime bounds a switch, with all its tries.
+	switchTime = 30 * time.Second
+	switchPoll = 50 * time.Millisecond
+)
+
+// fetched is the end of a read.
+type fetched struct {
+	fetch loading.Fetch
+	read  int64
+}
+
+// carryOut loads what the moves need, the most useful replica first and within
+// the ranks' memory, and switches the group to the new map wave by wave. It
+// gives up when the lease has passed on, a switch fails, or a rank has no room.
+func (g *expertGroup) carryOut(ctx context.Context, fence uint64, maps rank.Placement, moves []expert.Move) {
+	p, shape := &g.planning, g.shape.Load()
+	plan := loading.Plan{Group: shape.name, Version: uint64(maps.Version()), Tasks: loading.Tasks(&shape.expert, moves)}
+	for range shape.members {
+		plan.Room = append(plan.Room, int64(g.cfg.Spare)*shape.expert.ExpertBytes)
+	}
+	for _, m := range maps {
+		plan.Replicas = append(plan.Replicas, m.Replicas(shape.expert.Experts))
+	}
+	if err := p.queue.Begin(time.Now(), plan); err != nil {
+		g.log.Warn("plan not loaded", "error", err)
+		return
+	}
+	done := make(chan fetched, len(moves)+1)
+	tick := time.NewTicker(loadPause)
+	defer tick.Stop()
+	for p.queue.Loading(shape.name) {
+		todo := p.queue.Next(time.Now())
+		for _, f := range todo.Fetches {
+			go g.fetch(ctx, shape, f, done)
+		}
+		for _, err := range todo.Failed {
+			g.log.Warn("plan given up", "error", err)
+		}
+		if next, ok := nextMaps(&shape.expert, maps, todo); ok {
+			committed := g.switchTo(ctx, fence, next)
+			p.queue.Settled(shape.name, committed)
+			maps = next
+		}
+		select {
+		case f := <-done:
+			p.queue.Progress(f.fetch, f.read)
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		if s, ok := g.standing(ctx); !ok || s.fence != fence {
+			p.fence = 0 // the queue is dropped with the lease
+			return
+		}
+	}
+}
+
+// fetch has a rank read a part of an expert's weights.
+func (g *expertGroup) fetch(ctx context.Context, shape *groupShape, f loading.Fetch, done chan<- fetched) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	n, err := g.peers.Fetch(ctx, shape.members[f.Rank], rank.Weights{
+		Layer: f.Layer, Expert: f.Expert, Offset: f.Offset, Length: f.Length,
+	})
+	if err != nil {
+		g.metrics.counts.Add("fetch-errors", 1)
+		n = 0
+	}
+	g.metrics.counts.Add("fetched-bytes", n)
+	select {
+	case done <- fetched{f, n}:
+	case <-ctx.Done():
+	}
+}
+
+// nextMaps returns the maps that the queue asks to switch to, if it does.
+func nextMaps(shape *expert.Group, maps rank.Placement, todo loading.Actions) (rank.Placement, bool) {
+	var moves []expert.Move
+	for _, a := range todo.Arms {
+		moves = append(moves, loading.Moves(a.Moves)...)
+	}
+	for _, r := range todo.Releases {
+		for _, m := range loading.Moves(r.Drops) {
+			m.Load = expert.Empty
+			moves = append(moves, m)
+		}
+	}
+	if len(moves) == 0 {
+		return nil, false
+	}
+	var next rank.Placement
+	for layer, m := range maps {
+		next = append(next, m.Apply(shape, layer, moves))
+	}
+	return next, true
+}
+
+// switchTo has the steward switch the group to a map and waits for the end. It
+// reports whether the map is in force everywhere.
+func (g *expertGroup) switchTo(ctx context.Context, fence uint64, maps rank.Placement) bool {
+	ctx, cancel := context.WithTimeout(ctx, switchTime)
+	defer cancel()
+	v := g.contents.keep(maps)
+	g.setWant(ctx, fence, v)
+	tick := time.NewTicker(switchPoll)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			// A switch under way still ends one way for all; it is not begun again.
+			g.setWant(context.WithoutCancel(ctx), fence, 0)
+			return false
+		}
+		s, ok := g.standing(ctx)
+		if !ok || s.fence != fence {
+			return false
+		}
+		if s.version == v {
+			g.setWant(ctx, fence, 0)
+			return true
+		}
+	}
+}
+
+func (g *expertGroup) setWant(ctx context.Context, fence uint64, v group.Version) {
+	_ = g.duty.Do(ctx, func() { g.want, g.wantFence = v, fence })
+}
--- /dev/null
+++ b/agent/group_rank.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"verbenashift/core/group"
+	"verbenashift/core/rank"
+)
+
+// rankTimeout is how long an operation at the rank may take; the member gives
+// it up after the same time.
+const rankTimeout = 500 * time.Millisecond
+
+// reasonStaleFence is the refusal of an order with an old number.
+const reasonStaleFence = "stale-fence"
+
+// rankOp is an order to the rank, or a reading of it if the order has no kind.
+type rankOp struct {
+	id    uint64
+	order group.Order
+	began time.Time
+}
+
+// operate hands an operation to the rank's goroutine. A full channel loses it,
+// as if the rank had not answered.
+func (g *expertGroup) operate(op rankOp) {
+	g.current.Store(op.id)
+	select {
+	case g.ops <- op:
+	default:
+	}
+}
+
+// serveRank does the operations at the rank, one after the other.
+func (g *expertGroup) serveRank() {
+	for {
+		select {
+		case op := <-g.ops:
+			g.do(op)
+		case <-g.ctx.Done():
+			return
+		}
+	}
+}
+
+func (g *expertGroup) do(op rankOp) {
+	ctx, cancel := context.WithDeadline(g.ctx, op.began.Add(rankTimeout))
+	defer cancel()
+	if op.order.Kind == 0 {
+		g.read(ctx, op)
+		return
+	}
+	g.apply(ctx, op)
+}
+
+// read reads the rank. An engine that refuses the connection is dead; one that
+// is late may not be, and the member notices that by itself.
+func (g *expertGroup) read(ctx context.Context, op rankOp) {
+	s, err := g.rank.State(ctx)
+	switch {
+	case err == nil:
+		g.metrics.stalled(s.Stalls)
+		g.post(func() { g.act(g.member.Observed(g.now(), op.id, s.RankState, true)) })
+	case rank.Refused(err):
+		g.post(func() { g.act(g.member.Observed(g.now(), op.id, group.RankState{}, false)) })
+	}
+}
+
+// apply gives an order. One for which the member has stopped waiting must not be
+// sent: the member may have sent another, and the rank could take the old one
+// after the new one.
+func (g *expertGroup) apply(ctx context.Context, op rankOp) {
+	o := rank.Order{Order: op.order}
+	if op.order.Kind == group.LoadMap || op.order.Kind == group.FormGroup {
+		p, err := g.content(ctx, op.order.Version)
+		if err != nil {
+			g.log.Warn("content of a map not found", "version", uint64(op.order.Version), "error", err)
+			return
+		}
+		o.Placement = p
+	}
+	if g.current.Load() != op.id || ctx.Err() != nil {
+		return
+	}
+	err := g.rank.Apply(ctx, o)
+	var refused *group.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		if refused.Reason == reasonStaleFence {
+			g.metrics.counts.Add("fencing-refusals", 1)
+		}
+		g.post(func() { g.act(g.member.Applied(g.now(), op.id, refused)) })
+	case err == nil:
+		g.post(func() { g.act(g.member.Applied(g.now(), op.id, nil)) })
+	}
+}
+
+func (g *expertGroup) post(fn func()) { _ = g.duty.Post(g.ctx, fn) }
--- /dev/null
+++ b/agent/group_status.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"encoding/json"
+	"expvar"
+	"sync"
+
+	"verbenashift/core/group"
+	"verbenashift/core/operator"
+)
+
+// groupMetrics are the counters of an agent's part in its group.
+type groupMetrics struct {
+	counts *expvar.Map
+
+	mu sync.Mutex
+	// stalls is the rank's own count at the last reading.
+	stalls uint64
+}
+
+func newGroupMetrics() *groupMetrics {
+	m := &groupMetrics{counts: expvar.NewMap("agent-group")}
+	for _, name := range []string{"switches", "aborts", "formed", "stalled-steps", "fencing-refusals"} {
+		m.counts.Add(name, 0)
+	}
+	return m
+}
+
+// stalled takes the rank's count of the steps for which it stood still. An
+// engine that has started again counts anew.
+func (m *groupMetrics) stalled(total uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if total > m.stalls {
+		m.counts.Add("stalled-steps", int64(total-m.stalls))
+	}
+	m.stalls = total
+}
+
+// The states of a group beside those of operator.GroupStatus.
+const (
+	stateSteady    = "steady"
+	stateForming   = "forming"
+	stateLoading   = "loading"
+	stateSwitching = "switching"
+)
+
+// status returns what operators see of the group, as JSON, or nothing if this
+// agent does not hold the duty.
+func (g *expertGroup) status() []byte {
+	s, ok := g.standing(g.ctx)
+	if !ok {
+		return nil
+	}
+	st := operator.GroupStatus{Name: g.shape.Load().name, Steward: g.self, Fence: s.fence, MapVersion: uint64(commonVersion(s.view))}
+	for _, m := range s.view.Members {
+		st.Step = max(st.Step, m.Next)
+		if m.Health != group.Stepping.String() {
+			st.Waiting = append(st.Waiting, operator.RankStatus{Target: m.Name, Health: m.Health, Lost: m.Lost})
+		}
+	}
+	st.State = stateOf(s.view)
+	g.planning.fill(&st)
+	data, err := json.Marshal(st)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+func stateOf(v group.View) string {
+	for _, m := range v.Members {
+		if m.Epoch != v.Epoch || m.Epoch.IsZero() {
+			return stateForming
+		}
+	}
+	for _, m := range v.Members {
+		if !m.Armed.IsZero() {
+			return stateSwitching
+		}
+	}
+	if !v.Settled {
+		return stateSwitching
+	}
+	return stateSteady
+}
+
+// fill adds what the planner knows.
+func (p *planning) fill(st *operator.GroupStatus) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.loading && st.State == stateSteady {
+		st.State = stateLoading
+	}
+	sum := p.history.Summary()
+	st.Skew, st.Reason, st.Explanation = p.skew, p.reason, p.text
+	st.MeanSkew, st.MaxSkew, st.Moves, st.Bytes = sum.MeanSkew, sum.MaxSkew, sum.Moves, sum.Bytes
+	for _, r := range p.history.Records() {
+		st.Skews = append(st.Skews, r.Skew)
+	}
+}
--- a/agent/service.go
+++ b/agent/service.go
@@ -255,6 +255,9 @@
 	resp := &wire.ExchangeResponse{Digest: a.members.Digest(m.From), From: a.cfg.Name, Load: a.load(), Revision: a.follower.Revision(), Quota: quota}
 	if m.WantNodes {
 		resp.Nodes = a.entries.nodes(now)
+		if g := a.group.Load(); g != nil {
+			resp.GroupStatus = g.status()
+		}
 	}
 	return connect.NewResponse(resp), nil
 }
@@ -367,8 +370,3 @@
 	}
 	return connect.NewResponse(resp), nil
 }
-
-// Order passes a fenced order on to the target.
-func (a *Agent) Order(_ context.Context, _ *connect.Request[wire.OrderRequest]) (*connect.Response[wire.OrderResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, nil)
-}
--- a/core/operator/types.go
+++ b/core/operator/types.go
@@ -45,6 +45,29 @@
 	// Skew is the measured load of the busiest rank over the mean.
 	Skew    float64 `json:"skew"`
 	Steward string  `json:"steward,omitempty"`
+	// Fence is the fencing number of the steward's lease.
+	Fence uint64 `json:"fence,omitempty"`
+	// Reason says why the last plan moved experts or not, as a word, and
+	// Explanation as a sentence.
+	Reason      string `json:"reason,omitempty"`
+	Explanation string `json:"explanation,omitempty"`
+	// Moves, Bytes, MeanSkew and MaxSkew are of the last hour, as far as this
+	// steward has been in office; Skews are its measurements, oldest first.
+	Moves    int       `json:"moves"`
+	Bytes    int64     `json:"bytes"`
+	MeanSkew float64   `json:"mean-skew,omitempty"`
+	MaxSkew  float64   `json:"max-skew,omitempty"`
+	Skews    []float64 `json:"skews,omitempty"`
+	// Waiting lists the ranks that are not stepping.
+	Waiting []RankStatus `json:"waiting,omitempty"`
+}
+
+// RankStatus is a rank that is not stepping.
+type RankStatus struct {
+	Target string `json:"target"`
+	Health string `json:"health"`
+	// Lost says that the steward takes the rank as gone.
+	Lost bool `json:"lost,omitempty"`
 }
 
 // The states of a revision.
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,8 +27,9 @@
 
 // fleet holds what is known of the other processes.
 type fleet struct {
-	mu    sync.Mutex
-	nodes map[string]node
+	mu     sync.Mutex
+	nodes  map[string]node
+	groups map[string]groupHeard
 
 	// status is one look at the fleet, shared by those who ask at once.
 	statusMu sync.Mutex
@@ -33,6 +37,12 @@
 	taken    time.Time
 }
 
+// groupHeard is a group as its steward last told.
+type groupHeard struct {
+	operator.GroupStatus
+	heard time.Time
+}
+
 // node is a process as last heard.
 type node struct {
 	operator.Node
@@ -40,7 +50,7 @@
 }
 
 func newFleet() *fleet {
-	return &fleet{nodes: make(map[string]node)}
+	return &fleet{nodes: make(map[string]node), groups: make(map[string]groupHeard)}
 }
 
 // heard takes the answer of an agent and what it knows of the entries.
@@ -52,6 +62,7 @@
 		Name: name, Kind: operator.KindAgent, Revision: m.Revision, Incarnation: m.GetLoad().GetIncarnation(),
 		Draining: m.GetLoad().GetDraining(), Queued: m.GetLoad().GetQueued(), Running: m.GetLoad().GetRunning(),
 	}})
+	f.keepGroup(m.GroupStatus, now)
 	for _, n := range m.Nodes {
 		f.keep(node{heard: now.Add(-time.Duration(n.AgeMs) * time.Millisecond), Node: operator.Node{
 			Name: n.Name, Kind: operator.KindEntry, Zone: n.Zone, Revision: n.Revision,
@@ -60,6 +71,29 @@
 	}
 }
 
+// keepGroup takes a steward's word on its group. One whose lease has passed on
+// and who does not know it yet has a lower fence. The caller holds mu.
+func (f *fleet) keepGroup(data []byte, now time.Time) {
+	var g operator.GroupStatus
+	if len(data) == 0 || json.Unmarshal(data, &g) != nil || g.Fence < f.groups[g.Name].Fence {
+		return
+	}
+	f.groups[g.Name] = groupHeard{g, now}
+}
+
+// groupList returns the groups heard of lately, by name.
+func (f *fleet) groupList() []operator.GroupStatus {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []operator.GroupStatus
+	for _, name := range slices.Sorted(maps.Keys(f.groups)) {
+		if g := f.groups[name]; time.Since(g.heard) <= nodeLife {
+			list = append(list, g.GroupStatus)
+		}
+	}
+	return list
+}
+
 // keep takes the word that was heard later. The caller holds mu.
 func (f *fleet) keep(n node) {
 	key := n.Kind + "/" + n.Name
@@ -83,6 +117,9 @@
 		}
 		n.Zone = t.Zone
 		n.AgeMillis = now.Sub(n.heard).Milliseconds()
+		if now.Sub(n.heard) >= nodeLife {
+			n.Revision = 0 // its last word says nothing of what it acts on now
+		}
 		nodes = append(nodes, n.Node)
 	}
 	for key, n := range f.nodes {
@@ -127,7 +164,7 @@
 	}
 	targets := x.Config().Targets
 	e.askAll(ctx, targets)
-	s := operator.FleetStatus{Nodes: append(e.fleet.list(targets), e.self())}
+	s := operator.FleetStatus{Nodes: append(e.fleet.list(targets), e.self()), Groups: e.fleet.groupList()}
 	s.Nodes = distinct(s.Nodes)
 	e.fleet.status, e.fleet.taken = s, time.Now()
 	return s, nil
--- a/standin/client/command.go
+++ b/standin/client/command.go
@@ -177,6 +177,9 @@
 			return err
 		}
 	}
+	if err := printRanks(out, e.Ranks); err != nil {
+		return err
+	}
 	v := judge.Judge(e)
 	showBreaches(cmd.Root().ErrWriter, v.Breaches)
 	if err := out.Encode(v); err != nil {
@@ -200,6 +203,16 @@
 	}{counts})
 }
 
+func printRanks(out *json.Encoder, ranks []judge.Rank) error {
+	c, err := countRanks(ranks)
+	if err != nil || c.Ranks == 0 {
+		return err
+	}
+	return out.Encode(struct {
+		Ranks rankCounts `json:"ranks"`
+	}{c})
+}
+
 func showBreaches(w io.Writer, breaches []judge.Breach) {
 	for i, b := range breaches {
 		if i == maxBreachesShown {
--- a/standin/client/evidence.go
+++ b/standin/client/evidence.go
@@ -77,6 +77,32 @@
 	return ranks, nil
 }
 
+var errNoSteps = errors.New("the ranks' ledgers show no steps: the maps cannot be judged")
+
+// rankCounts sums up the ranks' ledgers, to show what the judge had before it.
+type rankCounts struct {
+	Ranks int    `json:"ranks"`
+	Steps uint64 `json:"steps"`
+	// Maps counts the maps that were in use in turn, over all groups.
+	Maps int `json:"maps"`
+}
+
+func countRanks(ranks []judge.Rank) (rankCounts, error) {
+	c := rankCounts{Ranks: len(ranks)}
+	maps := make(map[uint64]bool)
+	for _, r := range ranks {
+		for _, s := range r.Spans {
+			c.Steps += s.To - s.From + 1
+			maps[s.Map] = true
+		}
+	}
+	c.Maps = len(maps)
+	if len(ranks) > 0 && c.Steps == 0 {
+		return c, errNoSteps
+	}
+	return c, nil
+}
+
 // watcher asks nodes for their revisions again and again, so that a node that
 // restarts can't hide what it had in force before.
 type watcher struct {
