Test that a half-open target takes a booking where nothing else can

The last resort of a pool whose work may never be repeated had no test of its own; with it removed on a scratch copy, TestEjectedTargetsGetNoBookings fails.

go test -race ./route passes.

--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -286,6 +286,13 @@
 	is.True(!ok)
 	_, ok = table.Pick(&Query{Model: "caption"}, start, rng)
 	is.True(ok)
+	// Where all work is bookings, only a booking can bring a target back.
+	table.SetHealth(1, 0, true)
+	i, ok := table.Pick(&Query{Model: "caption", MayNotRepeat: true}, start, rng)
+	is.True(ok && i == 1)
+	table.Start(i, 1, start)
+	_, ok = table.Pick(&Query{Model: "caption", MayNotRepeat: true}, start, rng)
+	is.True(!ok) // one at a time
 	var q Query
 	q.Model = "caption"
 	for i := range 3 {
