--- a/agent/identity.go
+++ b/agent/identity.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"verbenashift/core/store"
 )
 
@@ -18,26 +20,50 @@
 	first bool
 }
 
+// The tries to reach the store at the start. A deployment's processes start
+// together, and an agent that gives up at once would count as a later process
+// of its name, whose new keys are unknown for a long time.
+const (
+	identifyTries = 10
+	identifyPause = 300 * time.Millisecond
+)
+
 // identify takes the next incarnation from the store. While the store is down
 // the wall clock serves, and the process counts as a later one, which is the
 // safe side: it asks the others for what it may have forgotten.
 func identify(ctx context.Context, s *store.Client, name string, log *slog.Logger) identity {
-	clock := uint64(time.Now().UnixMilli())
+	var tried identity
+	for range identifyTries {
+		id, err := tryIdentify(ctx, s, name, tried)
+		if err == nil {
+			return id
+		}
+		tried = id
+		log.Warn("no incarnation from the store yet", "error", err)
+		time.Sleep(identifyPause)
+	}
+	id := identity{incarnation: uint64(time.Now().UnixMilli())}
+	log.Warn("incarnation taken from the clock", "incarnation", id.incarnation)
+	return id
+}
+
+// tryIdentify records the next incarnation. It returns what it tried to record
+// also with an error: where only the answer was lost, the next try finds that
+// number in the store and knows it for its own.
+func tryIdentify(ctx context.Context, s *store.Client, name string, tried identity) (identity, error) {
 	key := "agents/" + name
 	kv, err := s.Get(ctx, key)
 	if err != nil {
-		log.Warn("incarnation taken from the clock", "error", err)
-		return identity{incarnation: clock}
+		return tried, err
 	}
 	last, err := strconv.ParseUint(string(kv.Value), 10, 64)
-	first := kv.Version == 0
-	if err != nil && !first {
-		log.Error("incarnation in the store is unreadable", "key", key)
+	if err != nil && kv.Version != 0 {
+		return tried, errors.Wrapf(err, "key %s", key)
 	}
-	id := identity{incarnation: max(clock, last+1), first: first}
-	if _, err := s.CompareAndSwap(ctx, key, kv.Version, strconv.AppendUint(nil, id.incarnation, 10), 0); err != nil {
-		log.Warn("incarnation could not be recorded", "error", err)
-		id.first = false
+	if last != 0 && last == tried.incarnation {
+		return tried, nil
 	}
-	return id
+	id := identity{incarnation: max(uint64(time.Now().UnixMilli()), last+1), first: kv.Version == 0}
+	_, err = s.CompareAndSwap(ctx, key, kv.Version, strconv.AppendUint(nil, id.incarnation, 10), 0)
+	return id, err
 }
--- a/agent/main.go
+++ b/agent/main.go
@@ -53,7 +53,7 @@
 	if file == "" {
 		return cli.Exit("agent: -settings FILE is needed", exitSettings)
 	}
-	if err := load(&cfg, file); err != nil {
+	if err := readSettings(&cfg, file); err != nil {
 		return cli.Exit(err.Error(), exitSettings)
 	}
 	if cmd.String("check") != "" {
@@ -66,8 +66,8 @@
 	return nil
 }
 
-// load reads and checks a settings file, keys included.
-func load(cfg *Settings, file string) error {
+// readSettings reads and checks a settings file, keys included.
+func readSettings(cfg *Settings, file string) error {
 	if err := cfg.declare().Load(file); err != nil {
 		return err
 	}
--- a/core/keys/keys.go
+++ b/core/keys/keys.go
@@ -38,7 +38,7 @@
 
 // Error returns the address.
 func (e *ClearTextError) Error() string {
-	return fmt.Sprintf("clear text is allowed on loopback only: %s needs [tls] cert, key and authority", e.Address)
+	return fmt.Sprintf("clear text is allowed on loopback only: %s needs a certificate and a key", e.Address)
 }
 
 // Declare adds the [tls] settings to s.
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -31,7 +31,6 @@
 	ReasonKeyReused    = "key-reused-with-other-body"
 	ReasonEarlierTry   = "earlier-attempt-unknown"
 	ReasonInterrupted  = "interrupted"
-	ReasonGaveUp       = "retries-used-up"
 	ReasonAnswerGone   = "answer-no-longer-kept"
 	ReasonCallerGone   = "caller-gone"
 	ReasonOverDeadline = "deadline-exceeded"
@@ -168,6 +167,8 @@
 	tries, claims, attaches, submits int
 	// looks counts how often an earlier attempt was not there yet.
 	looks int
+	// progressed says that a piece of the answer came.
+	progressed bool
 	// asked says that the home has decided on the key for this request.
 	asked bool
 	// granted says that this request holds its key.
@@ -218,7 +219,7 @@
 // Next returns the step that follows an event.
 func (r *Relay) Next(e Event) Action {
 	if e.Progress {
-		r.tries, r.attaches = 0, 0
+		r.tries, r.attaches, r.progressed = 0, 0, true
 	}
 	switch e.Kind {
 	case Picked:
@@ -289,7 +290,7 @@
 // same slot under another key.
 func (r *Relay) noTarget(e Event) Action {
 	if r.started {
-		return finish(outcome.Failed, ReasonInterrupted, e.RetryAfter)
+		return finish(r.brokenOff(), ReasonInterrupted, max(e.RetryAfter, r.lim.RetryAfter))
 	}
 	if r.last != nil {
 		return Action{Kind: Finish, Err: r.last}
@@ -376,11 +377,21 @@
 // again tries another target for a repeatable request whose answer broke.
 func (r *Relay) again(reason string) Action {
 	if !r.mayTry() {
-		return finish(outcome.Failed, reason, r.lim.RetryAfter)
+		return finish(r.brokenOff(), reason, r.lim.RetryAfter)
 	}
 	return Action{Kind: Pick}
 }
 
+// brokenOff is the outcome of a repeatable request that is given up after an
+// attempt began: it failed if a piece of the answer came, and otherwise nobody
+// can say whether it ran.
+func (r *Relay) brokenOff() outcome.Outcome {
+	if r.progressed {
+		return outcome.Failed
+	}
+	return outcome.Unknown
+}
+
 // goOn continues an answer that stopped without its end: a repeatable one at
 // another target, any other only where it already runs.
 func (r *Relay) goOn() Action {
--- a/entry/app.go
+++ b/entry/app.go
@@ -22,6 +22,7 @@
 	"verbenashift/core/follow"
 	"verbenashift/core/member"
 	"verbenashift/core/operator"
+	"verbenashift/core/outcome"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/route"
@@ -221,10 +222,16 @@
 	m.HandleFunc(caller.PathChat, e.serveCall).Methods(http.MethodPost)
 	m.PathPrefix(caller.PathServices).HandlerFunc(e.serveCall)
 	m.PathPrefix(caller.PathRequests).HandlerFunc(e.serveResume).Methods(http.MethodGet)
-	m.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { e.refuse(w, errNotFound) })
+	m.NotFoundHandler = e.refuseAll(errNotFound)
+	m.MethodNotAllowedHandler = e.refuseAll(errMethod)
 	return m
 }
 
+// refuseAll answers every request with the same refusal.
+func (e *Entry) refuseAll(err *outcome.Error) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { e.refuse(w, err) })
+}
+
 // observeRoutes serves health, readiness, revisions and metrics to the
 // platform.
 func (e *Entry) observeRoutes() http.Handler {
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -33,8 +33,9 @@
 // countPeriod is the time between two counts of the entries.
 const countPeriod = 5 * time.Second
 
-// countEntries tells the limiter how many entries share the limits, which sets
-// what this entry may admit while it is cut off from a workspace's home.
+// countEntries learns how many entries there are. The limiter sets by it what
+// this entry may admit while it is cut off from a workspace's home, the router
+// which targets are in its subset.
 func (e *Entry) countEntries(ctx context.Context) {
 	tick := time.NewTicker(countPeriod)
 	defer tick.Stop()
@@ -44,7 +45,9 @@
 			if len(targets) > 0 {
 				e.askAll(ctx, []config.Target{targets[rand.IntN(len(targets))]})
 			}
-			e.limiter.setFleet(e.fleet.entries(), *e.homeSet.Load())
+			index, entries := e.fleet.place(e.cfg.Name)
+			e.limiter.setFleet(entries, *e.homeSet.Load())
+			e.router.setEntries(index, entries)
 		}
 		select {
 		case <-tick.C:
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -136,17 +136,21 @@
 	return nodes
 }
 
-// entries counts the entries heard lately, this one included.
-func (f *fleet) entries() int {
+// place returns the place of an entry among the sorted names of the entries
+// heard lately, itself included, and how many they are.
+func (f *fleet) place(self string) (index, entries int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := 0
 	for _, x := range f.nodes {
-		if x.Kind == operator.KindEntry && time.Since(x.heard) <= nodeLife {
-			n++
+		if x.Kind != operator.KindEntry || x.Name == self || time.Since(x.heard) > nodeLife {
+			continue
+		}
+		entries++
+		if x.Name < self {
+			index++
 		}
 	}
-	return max(n, 1)
+	return index, entries + 1
 }
 
 // Status asks all agents how they are and which entries they have heard of.
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -120,6 +120,9 @@
 	}
 	f.reading = m.RequestId
 	f.readingAt = t
+	// The answer has the name of the attempt that made it: the caller can read
+	// it on only by that one.
+	f.sink.rename(m.RequestId)
 	f.picked.target = t
 	f.picked.incarnation = m.ExecutorIncarnation
 	return relay.Event{Kind: relay.Held}
--- a/entry/main.go
+++ b/entry/main.go
@@ -11,9 +11,11 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"os"
 
+	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
 	"verbenashift/core/keys"
@@ -55,7 +57,7 @@
 	if file == "" {
 		return cli.Exit("entry: -settings FILE is needed", exitSettings)
 	}
-	if err := load(&cfg, file); err != nil {
+	if err := readSettings(&cfg, file); err != nil {
 		return cli.Exit(err.Error(), exitSettings)
 	}
 	if cmd.String("check") != "" {
@@ -68,18 +70,25 @@
 	return nil
 }
 
-// load reads and checks a settings file, keys included.
-func load(cfg *Settings, file string) error {
+// readSettings reads and checks a settings file, keys included.
+func readSettings(cfg *Settings, file string) error {
 	if err := cfg.declare().Load(file); err != nil {
 		return err
 	}
 	if cfg.CallerCert == "" {
 		for _, addr := range []string{cfg.Callers, cfg.Operators} {
 			if err := keys.CheckClear(addr); err != nil {
-				return err
+				return errors.Wrapf(err, "settings file %s: [caller-tls]", file)
 			}
 		}
 	}
-	_, err := cfg.Peer.Client()
-	return err
+	if cfg.CallerCert != "" {
+		if _, err := tls.LoadX509KeyPair(cfg.CallerCert, cfg.CallerKey); err != nil {
+			return errors.Wrapf(err, "settings file %s: [caller-tls]", file)
+		}
+	}
+	if _, err := cfg.Peer.Client(); err != nil {
+		return errors.Wrapf(err, "settings file %s: [tls]", file)
+	}
+	return nil
 }
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -1,14 +1,39 @@
 package main
 
 import (
+	"context"
 	"net/http"
 
+	"verbenashift/core/config"
+	"verbenashift/core/follow"
+	"verbenashift/core/intent"
 	"verbenashift/core/operator"
+	"verbenashift/core/store"
 )
 
 // operatorRoutes serves the administration API.
 func (e *Entry) operatorRoutes() http.Handler {
 	return operator.New(operator.Deps{
-		Store: e.store, Fleet: e, Current: e.follower.Index, BootstrapHash: e.cfg.BootstrapHash, Log: e.log,
+		Store: headStore{e.store, e.follower}, Fleet: e, Current: e.follower.Index,
+		BootstrapHash: e.cfg.BootstrapHash, Log: e.log,
 	})
 }
+
+// headStore puts a configuration that the store has accepted from this entry
+// in force here at once, so that an operator's next call finds it.
+type headStore struct {
+	*store.Client
+	follower *follow.Follower
+}
+
+// CompareAndSwap writes a key and offers a new head to this process.
+func (s headStore) CompareAndSwap(ctx context.Context, key string, version int64, value []byte, lease int64) (int64, error) {
+	next, err := s.Client.CompareAndSwap(ctx, key, version, value, lease)
+	if err != nil || key != intent.HeadKey {
+		return next, err
+	}
+	if c, err := config.Decode(value); err == nil {
+		s.follower.Offer(c)
+	}
+	return next, nil
+}
--- a/entry/router.go
+++ b/entry/router.go
@@ -58,7 +58,7 @@
 	for _, t := range cfg.Targets {
 		targets = append(targets, route.Target{
 			Name: t.Name, Region: t.Region, Zone: t.Zone, Model: t.Model, Version: t.Version,
-			Service: t.Service, Role: t.Role, Group: t.Group, Drained: t.Drained,
+			Service: t.Service, Role: t.Role, Group: t.Group, Drained: t.Drained, Adapters: adapters(x, t.Model),
 		})
 	}
 	r.index = x
@@ -66,10 +66,29 @@
 	r.watch()
 }
 
+// adapters returns the adapters that targets of a model may load.
+func adapters(x *config.Index, model string) []string {
+	if m, ok := x.Model(model); ok {
+		return m.Adapters
+	}
+	return nil
+}
+
+// setEntries tells the table its entry's place among the live entries, by
+// which their subsets of targets are spread evenly.
+func (r *router) setEntries(index, entries int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.SetEntries(index, entries)
+}
+
 // watch has the monitor watch the targets at their places in the table.
 func (r *router) watch() {
 	members := make([]health.Member, r.table.Len())
 	for i := range members {
+		if !r.table.Configured(i) {
+			continue // an empty member is none, and counts in no floor
+		}
 		t := r.table.Target(i)
 		members[i] = health.Member{Name: t.Name, Pool: t.Model + "/" + t.Service, Group: t.Group}
 	}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -25,6 +25,7 @@
 // The refusals that are made before a request is looked at.
 var (
 	errUnauthorized = &outcome.Error{Outcome: outcome.NotRun, Reason: "unauthorized", Status: http.StatusUnauthorized}
+	errMethod       = &outcome.Error{Outcome: outcome.NotRun, Reason: "method-not-allowed", Status: http.StatusMethodNotAllowed}
 	errNotFound     = &outcome.Error{Outcome: outcome.NotRun, Reason: "not-found", Status: http.StatusNotFound}
 )
 
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -20,6 +20,8 @@
 	data(id uint64, p []byte) error
 	// restart forgets what was taken; false if some of it has left.
 	restart() bool
+	// rename sets the request id that the caller is told, if none was yet.
+	rename(id string)
 	// alive shows the caller that the request waits.
 	alive()
 	// finish ends the answer; err is nil for a complete one.
@@ -83,6 +85,14 @@
 	return true
 }
 
+func (s *streamSink) rename(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stream == nil && s.refused == nil {
+		s.id = id
+	}
+}
+
 func (s *streamSink) alive() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -170,6 +180,10 @@
 	return !s.sent
 }
 
+func (s *wholeSink) rename(id string) {
+	s.id = id
+}
+
 func (s *wholeSink) alive() {}
 
 // finish aborts the connection when an answer that has partly left cannot be
