Sharpen proofs that passed with their guard off

Change: held back bytes no longer come with the end of their connection, jobs outlast the drain bound too, frozen streams must be whole; a proof of keys when no target is left.

--- a/proof/freeze_test.go
+++ b/proof/freeze_test.go
@@ -30,7 +30,9 @@
 	for _, agent := range frozen {
 		s.must(s.Cont(agent))
 	}
-	records := append(play.Wait(), retry.Wait()...)
+	records := play.Wait()
+	s.Equal(s.kept(records[:8]).Complete, 8) // the streams are whole
+	records = append(records, retry.Wait()...)
 	records = append(records, s.Begin(s.ctx, lines[8:], "entry-1", "entry-2").Wait()...)
 	s.kept(records)
 	s.once()
--- a/proof/shutdown_test.go
+++ b/proof/shutdown_test.go
@@ -80,23 +80,24 @@
 	s.Equal(s.once(), 12)
 }
 
-// An agent is told to stop while drafts run that take longer than its bound,
-// and starts again. Drafts that may be repeated go on elsewhere; of those that
-// may not, each ends whole or as unknown, and none runs a second time.
+// Two agents are told to stop while drafts and jobs run that take longer than
+// their bound, and start again. Drafts that may be repeated go on elsewhere; of
+// what may not, each ends whole or as unknown, and none runs a second time.
 func TestAgentHandsOver(t *testing.T) {
-	s := start(t, deployment.Shape{Block: "127.0.32", AgentSettings: deployment.Settings{"drain.bound": "100ms"}})
-	streams, drafts := s.Streams("long", 12, 200), s.Drafts("long", 12, 200)
-	plays := []*deployment.Playing{s.Begin(s.ctx, streams), s.Begin(s.ctx, drafts)}
-	at := agentOf(s.running(24, "")[0].Target)
-	s.must(s.Term(at))
-	code, err := s.Wait(at, stopBound)
-	s.must(err)
-	s.Equal(code, 0)
-	s.must(s.Restart(s.ctx, at))
+	s := start(t, deployment.Shape{Block: "127.0.32", PlainFlags: []string{"-work", "1500ms"}, AgentSettings: deployment.Settings{"drain.bound": "100ms"}})
+	streams, once := s.Streams("long", 12, 200), append(s.Drafts("long", 12, 200), s.Jobs("long", 12)...)
+	plays := []*deployment.Playing{s.Begin(s.ctx, streams), s.Begin(s.ctx, once)}
+	for _, at := range []string{agentOf(s.running(36, "")[0].Target), "agent-5"} {
+		s.must(s.Term(at))
+		code, err := s.Wait(at, stopBound)
+		s.must(err)
+		s.Equal(code, 0)
+		s.must(s.Restart(s.ctx, at))
+	}
 	s.Equal(s.kept(plays[0].Wait()).Complete, 12)
-	records := append(plays[1].Wait(), s.Begin(s.ctx, drafts, "entry-2", "entry-1").Wait()...)
+	records := append(plays[1].Wait(), s.Begin(s.ctx, once, "entry-2", "entry-1").Wait()...)
 	s.kept(records)
-	s.Equal(s.once(), 12)
+	s.Equal(s.once(), 24)
 }
 
 // Operators take targets out of the configuration and put others in, so that
@@ -121,6 +122,27 @@
 	s.Equal(s.once(), 60)
 }
 
+// Jobs have run; then the operators drain every desk. A member who asks again
+// with the key must get the job's answer: "not run, no target" would be untrue
+// and the member would order the job a second time.
+func TestNoTargetLeft(t *testing.T) {
+	s := start(t, deployment.Shape{Block: "127.0.37", PlainFlags: []string{"-work", "20ms"}})
+	lines := s.Jobs("drained", 12)
+	records := s.Play(s.ctx, lines)
+	_, err := s.Operator(1).Edit(s.ctx, "drain the desks",
+		config.Edit{Drain: &config.Drain{Target: "target-5", Drained: true}},
+		config.Edit{Drain: &config.Drain{Target: "target-6", Drained: true}})
+	s.must(err)
+	s.must(s.WaitRevision(s.ctx, 2))
+	player := s.Player()
+	player.Attempts = 2
+	records = append(records, player.Play(s.ctx, lines)...)
+	s.Equal(s.kept(records).Complete, 24)
+	fresh := s.Jobs("fresh", 1)
+	s.Equal(player.Play(s.ctx, fresh)[0].Outcome, outcome.NotRun) // truly not
+	s.Equal(s.once(), 12)
+}
+
 // keyed returns the lines that have a key.
 func keyed(lines []client.Line) []client.Line {
 	var list []client.Line
--- a/standin/deployment/link.go
+++ b/standin/deployment/link.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -51,7 +52,8 @@
 	l.silent = true
 }
 
-// Heal ends a cut or a silence. Bytes held back arrive now.
+// Heal ends a cut or a silence. Bytes held back arrive now, and the end of a
+// connection that was given up meanwhile a moment after them.
 func (l *Link) Heal() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -104,12 +106,18 @@
 		return
 	}
 	defer l.forget(other)
-	done := make(chan struct{}, 2)
-	go l.pass(other, c, done)
-	go l.pass(c, other, done)
-	<-done
+	done := make(chan bool, 2)
+	go func() { done <- l.pass(other, c) }()
+	go func() { done <- l.pass(c, other) }()
+	if late := <-done; late {
+		time.Sleep(linger)
+	}
 }
 
+// linger is the time between bytes that were held back and the end of their
+// connection: packets that were delayed do not bring the end with them.
+const linger = 500 * time.Millisecond
+
 func (l *Link) keep(c net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -126,22 +134,23 @@
 	delete(l.conns, c)
 }
 
-// pass copies bytes while the link is not silent.
-func (l *Link) pass(to io.Writer, from io.Reader, done chan<- struct{}) {
-	defer func() { done <- struct{}{} }()
+// pass copies bytes while the link is not silent. It reports whether any were
+// held back.
+func (l *Link) pass(to io.Writer, from io.Reader) (late bool) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
 		if wait := l.held(); wait != nil {
+			late = true
 			<-wait
 		}
 		if n > 0 {
 			if _, err := to.Write(buf[:n]); err != nil {
-				return
+				return late
 			}
 		}
 		if err != nil {
-			return
+			return late
 		}
 	}
 }
