caller: test refusals, explicit ends and what stays inside; fuzz bodies

Cause: the edge towards callers had no tests of its own. Change: table of refusals, ends of streams, error texts, a fuzz target for bodies.

--- /dev/null
+++ b/core/caller/caller_test.go
@@ -0,0 +1,119 @@
+package caller_test
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/caller"
+	"verbenashift/core/outcome"
+)
+
+func read(method, path, body string, header map[string]string) (caller.Request, error) {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	for k, v := range header {
+		r.Header.Set(k, v)
+	}
+	return caller.Read(httptest.NewRecorder(), r, caller.Limits{Body: 200, MaxTokens: 100})
+}
+
+func TestReadRefuses(t *testing.T) {
+	tests := []struct {
+		name, path, body, reason string
+		header                   map[string]string
+		status                   int
+	}{
+		{name: "not JSON", body: "{", reason: "body-not-json", status: 400},
+		{name: "no model", body: `{"prompt":"p"}`, reason: "model-missing", status: 400},
+		{name: "no prompt", body: `{"model":"m"}`, reason: "prompt-missing", status: 400},
+		{name: "too many tokens", body: `{"model":"m","prompt":"p","max_tokens":101}`, reason: "max-tokens-out-of-bounds", status: 400},
+		{name: "negative tokens", body: `{"model":"m","prompt":"p","max_tokens":-1}`, reason: "max-tokens-out-of-bounds", status: 400},
+		{name: "large body", body: strings.Repeat("x", 201), reason: "body-too-large", status: 413},
+		{name: "priority", body: "{}", header: map[string]string{caller.HeaderPriority: "high"}, reason: "bad-priority", status: 400},
+		{name: "deadline", body: "{}", header: map[string]string{caller.HeaderDeadline: "0"}, reason: "bad-deadline", status: 400},
+		{name: "long key", body: "{}", header: map[string]string{caller.HeaderIdempotencyKey: strings.Repeat("k", 257)}, reason: "idempotency-key-too-long", status: 400},
+		{name: "no service", path: "/services/", reason: "unknown-service", status: 404},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			path := tt.path
+			if path == "" {
+				path = caller.PathCompletions
+			}
+			_, err := read(http.MethodPost, path, tt.body, tt.header)
+			var e *outcome.Error
+			is.True(errors.As(err, &e))
+			is.Equal(e.Outcome, outcome.NotRun) // nothing has run yet
+			is.Equal(e.Reason, tt.reason)
+			is.Equal(e.Status, tt.status)
+		})
+	}
+}
+
+func TestReadServicePassesThrough(t *testing.T) {
+	is := is.New(t)
+	req, err := read(http.MethodPut, "/services/desk/a%2Fb?x=1&y=%20", "body", nil)
+	is.NoErr(err)
+	is.Equal(req.Service, "desk")
+	is.Equal(req.Path, "/a%2Fb?x=1&y=%20") // as the caller escaped it
+	is.Equal(string(req.Body), "body")
+}
+
+func TestSamePrefixSameHash(t *testing.T) {
+	is := is.New(t)
+	a, err := read(http.MethodPost, caller.PathChat, `{"model":"m","messages":[{"role":"user","content":"x"}],"stream":true}`, nil)
+	is.NoErr(err)
+	b, err := read(http.MethodPost, caller.PathChat, `{"stream":false,"messages":[{"role":"user","content":"x"}],"model":"m"}`, nil)
+	is.NoErr(err)
+	is.Equal(a.Prefix, b.Prefix)
+	is.True(a.Stream && !b.Stream)
+}
+
+// A caller reads a stream whose answer broke off. The last thing it sees must
+// be an event that says so: without one, half an obituary looks whole.
+func TestStreamEndsAreExplicit(t *testing.T) {
+	is := is.New(t)
+	w := httptest.NewRecorder()
+	s := caller.NewStream(w, "r1", time.Second)
+	is.NoErr(s.Event(1, []byte(`{"a":1}`)))
+	is.NoErr(s.Error("r1", &outcome.Error{Outcome: outcome.Failed, Reason: "interrupted", RetryAfter: 2 * time.Second}))
+	want := "id: 1\ndata: {\"a\":1}\n\nretry: 2000\nevent: error\ndata: {\"error\":{\"outcome\":\"failed\",\"reason\":\"interrupted\",\"request-id\":\"r1\"}}\n\n"
+	is.Equal(w.Body.String(), want)
+	is.True(!bytes.Contains(w.Body.Bytes(), []byte("[DONE]")))
+}
+
+// An error of the entry's own may hold a part of a request in its text. The
+// caller of another workspace must never see it.
+func TestForeignErrorTextStaysInside(t *testing.T) {
+	is := is.New(t)
+	w := httptest.NewRecorder()
+	caller.WriteError(w, "r1", errors.New("prompt: dear family"))
+	is.Equal(w.Code, http.StatusInternalServerError)
+	is.Equal(strings.TrimSpace(w.Body.String()), `{"error":{"outcome":"unknown","reason":"internal","request-id":"r1"}}`)
+}
+
+func TestRetryAfterRoundsUp(t *testing.T) {
+	is := is.New(t)
+	w := httptest.NewRecorder()
+	caller.WriteError(w, "", &outcome.Error{Outcome: outcome.NotRun, Reason: "queue-full", RetryAfter: 1100 * time.Millisecond})
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.Equal(w.Header().Get("Retry-After"), "2")
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(`{"model":"m","prompt":"p","max_tokens":3}`)
+	f.Add(`{"model":"m","messages":[]}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		req, err := read(http.MethodPost, caller.PathCompletions, body, nil)
+		if err == nil && (req.Model == "" || req.Cost == 0 || req.Cost > 400) {
+			t.Fatalf("accepted %v with cost %d", req, req.Cost)
+		}
+	})
+}
