--- a/bench/booking/allocs.go
+++ b/bench/booking/allocs.go
@@ -10,8 +10,8 @@
 // homeAllocs counts the allocations of the choice of a home and of a claim
 // that repeats an earlier one.
 func homeAllocs() figure.Figure {
-	h, own := newHome(fleet)
-	c := request(own[0], "r", "caption-001")
+	h := newHome(fleet)
+	c := request(ownKeys(fleet)[0], "r", "caption-001")
 	h.Claim(c, 0)
 	return figure.Figure{
 		Name: "booking-claim-allocs", Value: perRun(func() { h.Claim(c, 0) }), Unit: "allocs",
--- a/bench/booking/booking.go
+++ b/bench/booking/booking.go
@@ -10,6 +10,7 @@
 	"encoding/gob"
 	"fmt"
 	"io"
+	"math"
 	"runtime"
 	"time"
 
@@ -60,36 +61,49 @@
 	return out
 }
 
-// newHome returns the home that holds every key: others differ in scores
-// only, so that one list of n names gives the cost and one home the state.
-func newHome(n int) (*core.Home, []core.Key) {
+// newHome returns a home that knows no keys, among n targets.
+func newHome(n int) *core.Home {
 	all := names(n)
 	h := &core.Home{Name: all[0], Incarnation: 1, First: true, Limits: core.Limits{MaxKeys: 2 * claims}}
 	h.Configure(core.Generation{Revision: 1, Names: all}, 0)
+	return h
+}
+
+// ownKeys returns keys of newHome(n): as many as it has of all the claims, and
+// 100 more.
+func ownKeys(n int) []core.Key {
+	all := names(n)
 	own := make([]core.Key, 0, claims)
 	for i := 0; len(own) < claims/n+100; i++ {
 		if key := core.KeyOf("lightbox", fmt.Sprint(i)); core.HomeOf(key, all) == all[0] {
 			own = append(own, key)
 		}
 	}
-	return h, own
+	return own
 }
 
 func request(key core.Key, id, executor string) core.Claim {
 	return core.Claim{Key: key, RequestID: id, Executor: executor, ExecutorIncarnation: 1, Revision: 1}
 }
 
-// claim measures a first claim with n targets in the list.
+// claim measures a first claim with n targets in the list: the best of some
+// rounds, since other work on the machine only adds to it.
 func claim(n int) figure.Figure {
-	h, own := newHome(n)
-	start := time.Now()
-	for _, key := range own {
-		h.Claim(request(key, "0123456789abcdef0123456789abcdef", "caption-001"), 0)
+	const rounds = 7
+	own := ownKeys(n)
+	best := time.Duration(math.MaxInt64)
+	for range rounds {
+		h := newHome(n)
+		start := time.Now()
+		for _, key := range own {
+			h.Claim(request(key, "0123456789abcdef0123456789abcdef", "caption-001"), 0)
+		}
+		best = min(best, time.Since(start))
 	}
-	cost := float64(time.Since(start).Nanoseconds()) / float64(len(own))
+	cost := float64(best.Nanoseconds()) / float64(len(own))
 	return figure.Figure{
 		Name: fmt.Sprintf("booking-claim-%d", n), Value: cost, Unit: "ns",
-		Bound: 50000, Better: figure.Lower, Note: "first claim, among that many targets",
+		Bound: 50000, Better: figure.Lower, Note: "first claim among that many targets, best round",
 	}
 }
 
