Ask the home also when the entry drains or is full

Cause: in a rolling restart a keyed request that met a draining entry ended as unknown, which its caller takes as final, although its key's home could say that nothing had run. Change: a keyed request that is refused at the entry asks its home first; it hears not-run, or gets the earlier try's answer. Ruled out: not-run without asking.

--- a/entry/resume.go
+++ b/entry/resume.go
@@ -18,7 +18,10 @@
 // show the answer to no other.
 func (e *Entry) serveResume(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
-	index, ws, err := e.admit(r)
+	index, ws, err := e.identify(r)
+	if err == nil {
+		err = e.admit(ws)
+	}
 	if err != nil {
 		e.refuse(w, err)
 		return
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -40,18 +40,25 @@
 // serveCall answers a request for a model or a service.
 func (e *Entry) serveCall(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
-	index, workspace, err := e.admit(r)
+	index, workspace, err := e.identify(r)
 	if err != nil {
 		e.refuse(w, unsure(err, r.Header))
 		return
 	}
-	defer e.open.release(workspace.Name)
+	refused := e.admit(workspace)
+	if refused == nil {
+		defer e.open.release(workspace.Name)
+	}
+	if refused != nil && r.Header.Get(caller.HeaderIdempotencyKey) == "" {
+		e.refuse(w, refused)
+		return
+	}
 	req, rerr := caller.Read(w, r, e.callerLimits())
 	if rerr != nil {
 		e.refuse(w, rerr)
 		return
 	}
-	f, err := e.newFlow(w, req, workspace, index)
+	f, err := e.newFlow(w, req, workspace, index, refused)
 	if err != nil {
 		e.refuse(w, err)
 		return
@@ -61,29 +68,31 @@
 	e.finish(ctx, f, started)
 }
 
-// admit checks who calls and whether the entry can take the request. What it
-// opens is closed by e.open.release.
-func (e *Entry) admit(r *http.Request) (*config.Index, *config.Workspace, *outcome.Error) {
+// identify checks who calls.
+func (e *Entry) identify(r *http.Request) (*config.Index, *config.Workspace, *outcome.Error) {
 	index := e.follower.Index()
-	if index == nil || !e.ready() {
+	if index == nil {
 		return nil, nil, &outcome.Error{Outcome: outcome.NotRun, Reason: "not-ready", RetryAfter: e.cfg.RetryAfter}
 	}
 	workspace, ok := index.WorkspaceByToken(caller.Token(r.Header))
 	if !ok {
 		return nil, nil, errUnauthorized
 	}
+	return index, workspace, nil
+}
+
+// admit checks whether the entry can take a request of the workspace. What it
+// opens is closed by e.open.release.
+func (e *Entry) admit(workspace *config.Workspace) *outcome.Error {
 	if e.draining.Load() {
-		return nil, nil, &outcome.Error{Outcome: outcome.NotRun, Reason: "draining", RetryAfter: e.cfg.RetryAfter}
-	}
-	if err := e.open.take(workspace); err != nil {
-		return nil, nil, err
+		return &outcome.Error{Outcome: outcome.NotRun, Reason: "draining", RetryAfter: e.cfg.RetryAfter}
 	}
-	return index, workspace, nil
+	return e.open.take(workspace)
 }
 
 // unsure turns a refusal into unknown where the caller gave a key and nobody
-// was asked about it: an earlier try of the key may have run, and a caller who
-// hears "not run" could send the work again under another key.
+// can be asked about it: an earlier try of the key may have run, and a caller
+// who hears "not run" could send the work again under another key.
 func unsure(err *outcome.Error, h http.Header) *outcome.Error {
 	if err == errUnauthorized || h.Get(caller.HeaderIdempotencyKey) == "" {
 		return err
@@ -100,8 +109,9 @@
 	return caller.Limits{Body: int64(e.cfg.Body), MaxTokens: e.cfg.MaxTokens}
 }
 
-// newFlow prepares the steps of one request.
-func (e *Entry) newFlow(w http.ResponseWriter, req caller.Request, ws *config.Workspace, x *config.Index) (*flow, *outcome.Error) {
+// newFlow prepares the steps of one request. With refused set the request is
+// not run; only an earlier try of its key is looked for.
+func (e *Entry) newFlow(w http.ResponseWriter, req caller.Request, ws *config.Workspace, x *config.Index, refused *outcome.Error) (*flow, *outcome.Error) {
 	if err := known(req, x); err != nil {
 		return nil, err
 	}
@@ -110,9 +120,8 @@
 	}
 	// A key asks for one run, whatever the route says.
 	req.MayNotRepeat = req.MayNotRepeat || req.IdempotencyKey != ""
-	var refused *outcome.Error
-	if wait, ok := e.limiter.allow(ws.Name, req.Cost); !ok {
-		refused = &outcome.Error{Outcome: outcome.NotRun, Reason: "workspace-limit", RetryAfter: wait, Status: http.StatusTooManyRequests}
+	if refused == nil {
+		refused = e.limit(ws, req)
 	}
 	f := &flow{entry: e, req: req, workspace: ws, id: newID()}
 	f.digest = sha256.Sum256(append([]byte(req.Method+" "+req.Path+"\n"), req.Body...))
@@ -130,6 +139,15 @@
 	return f, nil
 }
 
+// limit charges a request to its workspace's limits, or refuses it.
+func (e *Entry) limit(ws *config.Workspace, req caller.Request) *outcome.Error {
+	wait, ok := e.limiter.allow(ws.Name, req.Cost)
+	if ok {
+		return nil
+	}
+	return &outcome.Error{Outcome: outcome.NotRun, Reason: "workspace-limit", RetryAfter: wait, Status: http.StatusTooManyRequests}
+}
+
 func known(req caller.Request, x *config.Index) *outcome.Error {
 	if req.Service != "" {
 		if _, ok := x.Service(req.Service); !ok {
