--- a/bench/main.go
+++ b/bench/main.go
@@ -31,7 +31,9 @@
 	"github.com/urfave/cli/v3"
 
 	"verbenashift/bench/accepted"
+	"verbenashift/bench/booking"
 	"verbenashift/bench/capacity"
+	"verbenashift/bench/fairness"
 	"verbenashift/bench/figure"
 	"verbenashift/bench/groups"
 	"verbenashift/bench/path"
@@ -51,8 +53,9 @@
 func suites() []suite {
 	return []suite{
 		{"path", []measure{path.Run}},
-		{"routing", []measure{routing.Run}},
-		{"groups", []measure{groups.Run}},
+		{"routing", []measure{routing.Run, fairness.Run}},
+		{"groups", []measure{groups.Run, groups.RunSwitch}},
+		{"booking", []measure{booking.Run}},
 		{"capacity", []measure{capacity.Run}},
 	}
 }
