Carry keys over changes of the target list, dead homes and restarts

Cause: three holes beside the proved registers. A process that started after a change of the target list did not know the older list, at whose homes a key may have been claimed; a home that died and left the configuration left its keys unknown for over twenty minutes; a register kept for a restarting agent was given to a later process too, although one between them had run keys that it lacks. And a key whose home was the only target of its service never ran. Change: the configuration remembers replaced lists for two hours, and agents configure them in order; the keys of a dead home are read from the executors after they have been told to refuse its grants; custody as package booking has it; the only target of a pool is no home; a key whose target could not be reached is taken back; the longest run counts from acceptance.

--- a/agent/app.go
+++ b/agent/app.go
@@ -53,7 +53,6 @@
 	dispatcher *dispatcher
 	register   *register
 	answers    *answers
-	kept       *kept
 	entries    *entries
 	members    *follow.Members
 	engine     *target.Engine
@@ -159,9 +158,8 @@
 		cfg: cfg, id: id, log: log, tracer: tracer, metrics: newMetrics(), dialer: d, follower: f, store: s,
 		groupMetrics: newGroupMetrics(),
 		dispatcher:   newDispatcher(cfg),
-		register:     newRegister(cfg, id, d, f, log),
+		register:     newRegister(cfg, id, s, d, f, log),
 		answers:      newAnswers(cfg),
-		kept:         newKept(cfg.MaxRun + cfg.Retention),
 		entries:      newEntries(),
 		members:      follow.NewMembers(member.Self{Name: cfg.Name, Zone: cfg.Zone, Incarnation: id.incarnation, Agent: true}),
 	}
@@ -216,7 +214,6 @@
 		select {
 		case now := <-tick.C:
 			a.answers.sweep(now)
-			a.kept.sweep(now)
 			a.entries.sweep(now)
 			a.tellMembers(shutdown)
 		case <-a.ctx.Done():
--- a/agent/register.go
+++ b/agent/register.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/go-faster/errors"
 
 	"verbenashift/core/booking"
 	"verbenashift/core/config"
@@ -16,6 +15,7 @@
 	"verbenashift/core/follow"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
+	"verbenashift/core/store"
 )
 
 // The bounds of the register's calls to other agents.
@@ -24,6 +24,7 @@
 	sealTimeout   = 2 * time.Second
 	sealRetry     = time.Second
 	handoverPeers = 3
+	clockSlack    = 10 * time.Minute
 )
 
 // reasonCutOff is the answer of a home that hears nobody.
@@ -35,6 +36,9 @@
 	duty     *duty.Duty
 	home     booking.Home
 	executor booking.Executor
+	custody  booking.Custody
+	store    *store.Client
+	adopt    adoption
 	started  time.Time
 	dialer   *peer.Dialer
 	follower *follow.Follower
@@ -47,12 +51,14 @@
 	ready      chan struct{}
 }
 
-func newRegister(cfg Settings, id identity, d *peer.Dialer, f *follow.Follower, log *slog.Logger) *register {
+func newRegister(cfg Settings, id identity, s *store.Client, d *peer.Dialer, f *follow.Follower, log *slog.Logger) *register {
 	lim := booking.Limits{Retention: cfg.Retention, MaxRun: cfg.MaxRun, ConfigLag: cfg.ConfigLag}
 	return &register{
 		duty:     duty.New(registerRing),
 		home:     booking.Home{Name: cfg.Name, Incarnation: id.incarnation, First: id.first, Limits: lim},
 		executor: booking.Executor{Name: cfg.Name, Incarnation: id.incarnation, First: id.first, Limits: lim},
+		custody:  booking.Custody{Limits: lim},
+		store:    s,
 		started:  time.Now(),
 		dialer:   d,
 		follower: f,
@@ -71,15 +77,31 @@
 	return r.duty.Do(ctx, func() { fn(r.now()) })
 }
 
+// wait returns when the register of the process before has been taken back, if
+// there is one. An executor that answers earlier would deny what it ran.
+func (r *register) wait(ctx context.Context) error {
+	select {
+	case <-r.ready:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // configure puts a new target list in force, and starts the rebuild after the
-// first one.
+// first one. Lists that this process has missed come first, in order: keys may
+// have been claimed at the homes of any of them.
 func (r *register) configure(ctx context.Context, x *config.Index) {
-	g := booking.Generation{Revision: x.Revision(), Names: targetNames(x)}
-	for _, t := range x.Config().Targets {
+	cfg := x.Config()
+	for _, t := range cfg.Targets {
 		r.addresses.Store(t.Name, t.Agent)
 	}
+	lists := r.pastLists(cfg)
+	lists = append(lists, booking.Generation{Revision: cfg.Revision, Names: config.HomeNames(cfg), Executors: config.TargetNames(cfg)})
 	_ = r.duty.Post(ctx, func() {
-		r.home.Configure(g, r.now())
+		for _, g := range lists {
+			r.home.Configure(g, r.now())
+		}
 		if r.configured {
 			return
 		}
@@ -88,13 +110,18 @@
 	})
 }
 
-func targetNames(x *config.Index) []string {
-	cfg := x.Config()
-	names := make([]string, 0, len(cfg.Targets))
-	for _, t := range cfg.Targets {
-		names = append(names, t.Name)
+// pastLists returns the replaced target lists whose keys may still matter. The
+// wall clocks of entries and agents may differ by up to clockSlack.
+func (r *register) pastLists(cfg config.Config) []booking.Generation {
+	life := r.home.Limits.Window() + r.home.Limits.ConfigLag + clockSlack
+	oldest := time.Now().Add(-life).UnixMilli()
+	var lists []booking.Generation
+	for _, p := range cfg.PastTargets {
+		if p.ReplacedUnixMillis >= oldest {
+			lists = append(lists, booking.Generation{Revision: p.Revision, Names: p.Homes, Executors: p.Names})
+		}
 	}
-	return names
+	return lists
 }
 
 // begin takes back a register that was left with a peer and then seals the
@@ -156,11 +183,8 @@
 
 // seal answers another home that seals this executor.
 func (r *register) seal(ctx context.Context, m *wire.SealRequest) (*wire.SealResponse, error) {
-	// A register that is still to be taken back would be missing in the list.
-	select {
-	case <-r.ready:
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	if err := r.wait(ctx); err != nil {
+		return nil, err
 	}
 	var a booking.SealAnswer
 	err := r.do(ctx, func(now time.Duration) {
@@ -223,103 +247,30 @@
 	return ""
 }
 
-// transfer asks a previous home for a key's record.
+// transfer asks a previous home for a key's record, and, where it does not
+// answer, the executors for what they hold of that home.
 func (r *register) transfer(ctx context.Context, key booking.Key, name string) {
-	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
-	defer cancel()
-	resp, err := r.dialer.Agent(r.address(name)).Transfer(ctx, connect.NewRequest(&wire.TransferRequest{
-		Key: key[:], Revision: r.follower.Revision(),
-	}))
+	a, err := r.askTransfer(ctx, key, name)
 	if err != nil {
-		return
+		a, err = r.adopted(ctx, key, name)
 	}
-	var a booking.TransferAnswer
-	if err := json.Unmarshal(resp.Msg.Record, &a); err != nil {
+	if err != nil {
+		r.log.Warn("previous home unreachable", "home", name, "error", err)
 		return
 	}
 	_ = r.do(ctx, func(now time.Duration) { r.home.Transferred(key, name, a, now) })
 }
 
-// handover is the register of an agent that stops, as its peer keeps it.
-type handover struct {
-	Home     booking.HomeExport     `json:"home"`
-	Executor booking.ExecutorExport `json:"executor"`
-}
-
-// leave hands the register to a peer for this agent's next process.
-func (r *register) leave(ctx context.Context) error {
-	var x handover
-	if err := r.do(ctx, func(now time.Duration) {
-		x = handover{Home: r.home.Export(now), Executor: r.executor.Export(now)}
-	}); err != nil {
-		return err
-	}
-	data, err := json.Marshal(x)
+func (r *register) askTransfer(ctx context.Context, key booking.Key, name string) (booking.TransferAnswer, error) {
+	var a booking.TransferAnswer
+	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
+	defer cancel()
+	resp, err := r.dialer.Agent(r.address(name)).Transfer(ctx, connect.NewRequest(&wire.TransferRequest{
+		Key: key[:], Revision: r.follower.Revision(),
+	}))
 	if err != nil {
-		return errors.Wrap(err, "encode register")
-	}
-	for _, t := range r.keepers() {
-		call, cancel := context.WithTimeout(ctx, sealTimeout)
-		_, err = r.dialer.Agent(t.Agent).Handover(call, connect.NewRequest(&wire.HandoverRequest{
-			From: r.home.Name, Incarnation: r.home.Incarnation, Register: data,
-		}))
-		cancel()
-		if err == nil {
-			r.log.Info("register handed over", "to", t.Name, "home-keys", len(x.Home.Keys), "run-keys", len(x.Executor.Keys))
-			return nil
-		}
-	}
-	return errors.Wrap(err, "no peer took the register")
-}
-
-// recall takes the register back from the peer that has the newest one.
-func (r *register) recall(ctx context.Context) (handover, bool) {
-	var best *wire.RecallResponse
-	for _, t := range r.keepers() {
-		call, cancel := context.WithTimeout(ctx, sealTimeout)
-		resp, err := r.dialer.Agent(t.Agent).Recall(call, connect.NewRequest(&wire.RecallRequest{Of: r.home.Name}))
-		cancel()
-		if err == nil && resp.Msg.Found && (best == nil || resp.Msg.Incarnation > best.Incarnation) {
-			best = resp.Msg
-		}
-	}
-	var x handover
-	if best == nil || json.Unmarshal(best.Register, &x) != nil {
-		return x, false
-	}
-	r.log.Info("register taken back", "home-keys", len(x.Home.Keys), "run-keys", len(x.Executor.Keys))
-	return x, true
-}
-
-// keepers are the agents that keep this one's register, in the order in which
-// they are asked: a rendezvous order, which a restart does not change.
-func (r *register) keepers() []config.Target {
-	x := r.follower.Index()
-	if x == nil {
-		return nil
-	}
-	var keepers []config.Target
-	names := targetNames(x)
-	key := booking.KeyOf("register", r.home.Name)
-	for len(keepers) < handoverPeers {
-		names = without(names, r.home.Name)
-		name := booking.HomeOf(key, names)
-		t, ok := x.Target(name)
-		if !ok {
-			return keepers
-		}
-		keepers = append(keepers, *t)
-		names = without(names, name)
-	}
-	return keepers
-}
-
-func without(names []string, name string) []string {
-	kept := make([]string, 0, len(names))
-	for _, n := range names {
-		if n != name {
-			kept = append(kept, n)
-		}
+		return a, err
 	}
-	return kept
+	err = json.Unmarshal(resp.Msg.Record, &a)
+	return a, err
 }
--- a/agent/run.go
+++ b/agent/run.go
@@ -68,17 +68,28 @@
 		r.end(draft.Ending{Outcome: outcome.NotRun, Reason: booking.ReasonSealed})
 		return
 	}
-	ctx, cancel := context.WithTimeoutCause(ctx, r.agent.cfg.MaxRun, errMaxRun)
-	defer cancel()
 	ctx, span := r.agent.tracer.Start(ctx, "target.call", trace.WithAttributes(attribute.Bool("may-not-repeat", r.req.MayNotRepeat)))
 	defer span.End()
 	e := r.call(ctx)
-	if r.keyed {
-		_ = r.agent.register.do(context.WithoutCancel(ctx), func(now time.Duration) { r.agent.register.executor.End(r.key, now) })
-	}
+	r.settle(ctx, e.Outcome)
 	r.end(e)
 }
 
+// settle writes down how the run of a key ended. A key that surely never
+// reached the target is taken back, so that another attempt may run it.
+func (r *run) settle(ctx context.Context, o outcome.Outcome) {
+	if !r.keyed {
+		return
+	}
+	_ = r.agent.register.do(context.WithoutCancel(ctx), func(now time.Duration) {
+		if o == outcome.NotRun {
+			r.agent.register.executor.Unsent(r.key, now)
+			return
+		}
+		r.agent.register.executor.End(r.key, now)
+	})
+}
+
 var errMaxRun = errors.New("run too long")
 
 // end writes the ending and counts it.
--- a/agent/service.go
+++ b/agent/service.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
 
 	"verbenashift/core/booking"
 	"verbenashift/core/draft"
+	"verbenashift/core/operator"
 	"verbenashift/core/outcome"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
@@ -44,7 +46,9 @@
 // begin starts a run in the background: it outlives the stream that asked for
 // it, so that a broken connection cuts no answer off.
 func (a *Agent) begin(r *run) bool {
-	ctx, cancel := context.WithCancel(a.ctx)
+	// The longest run counts from here on, the queue included: the registers
+	// forget a key by that time.
+	ctx, cancel := context.WithTimeoutCause(a.ctx, a.cfg.MaxRun, errMaxRun)
 	r.answer = &answer{
 		id: r.req.RequestId, workspace: r.req.Workspace, attempt: r.req.Attempt,
 		base: r.req.GetResume().GetFrames(), mayNotRepeat: r.req.MayNotRepeat,
@@ -66,6 +70,9 @@
 		Grant: grantOf(m.Grant), Body: booking.Digest(m.BodyDigest), RequestID: m.RequestId, Incarnation: m.Incarnation,
 	}
 	r.key = s.Grant.Key
+	if err := a.register.wait(ctx); err != nil {
+		return true, err
+	}
 	var v booking.Verdict
 	if err := a.register.do(ctx, func(now time.Duration) { v = a.register.executor.Accept(s, now) }); err != nil {
 		return true, err
@@ -237,7 +244,7 @@
 }
 
 // Exchange answers a heartbeat.
-func (a *Agent) Exchange(_ context.Context, req *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error) {
+func (a *Agent) Exchange(ctx context.Context, req *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error) {
 	m := req.Msg
 	if len(m.Config) > 0 && m.Revision > a.follower.Revision() {
 		if _, err := a.follower.OfferEncoded(m.Config); err != nil {
@@ -245,6 +252,9 @@
 		}
 	}
 	now := time.Now()
+	if m.Kind == operator.KindAgent {
+		a.register.heard(ctx, m.From, m.Incarnation)
+	}
 	quota, err := a.entries.hear(m, now)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
@@ -318,6 +328,9 @@
 func (a *Agent) Settle(ctx context.Context, req *connect.Request[wire.SettleRequest]) (*connect.Response[wire.SettleResponse], error) {
 	q := booking.Query{Grant: grantOf(req.Msg.Grant), Incarnation: req.Msg.Incarnation, Body: booking.Digest(req.Msg.BodyDigest)}
 	var s booking.Settlement
+	if err := a.register.wait(ctx); err != nil {
+		return nil, err
+	}
 	if err := a.register.do(ctx, func(now time.Duration) { s = a.register.executor.Settle(q, now) }); err != nil {
 		return nil, err
 	}
@@ -357,16 +370,21 @@
 }
 
 // Handover keeps a register of an agent that restarts.
-func (a *Agent) Handover(_ context.Context, req *connect.Request[wire.HandoverRequest]) (*connect.Response[wire.HandoverResponse], error) {
-	a.kept.put(req.Msg, time.Now())
+func (a *Agent) Handover(ctx context.Context, req *connect.Request[wire.HandoverRequest]) (*connect.Response[wire.HandoverResponse], error) {
+	if a.draining.Load() {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New(reasonDraining))
+	}
+	if err := a.register.keep(ctx, req.Msg); err != nil {
+		return nil, connect.NewError(connect.CodeResourceExhausted, err)
+	}
 	return connect.NewResponse(&wire.HandoverResponse{}), nil
 }
 
 // Recall gives a kept register back.
-func (a *Agent) Recall(_ context.Context, req *connect.Request[wire.RecallRequest]) (*connect.Response[wire.RecallResponse], error) {
-	resp := &wire.RecallResponse{}
-	if m, ok := a.kept.get(req.Msg.Of); ok {
-		resp.Found, resp.Incarnation, resp.Register = true, m.Incarnation, m.Register
+func (a *Agent) Recall(ctx context.Context, req *connect.Request[wire.RecallRequest]) (*connect.Response[wire.RecallResponse], error) {
+	resp, err := a.register.give(ctx, req.Msg)
+	if err != nil {
+		return nil, err
 	}
 	return connect.NewResponse(resp), nil
 }
--- a/core/booking/booking_test.go
+++ b/core/booking/booking_test.go
@@ -10,8 +10,8 @@
 )
 
 var (
-	three = Generation{1, []string{"a", "b", "c"}}
-	four  = Generation{2, []string{"a", "b", "c", "d"}}
+	three = Generation{Revision: 1, Names: []string{"a", "b", "c"}}
+	four  = Generation{Revision: 2, Names: []string{"a", "b", "c", "d"}}
 )
 
 // keyOf returns a key whose home is the first name before and the second after
@@ -169,9 +169,9 @@
 	back := claimFor(held, "r4", "c")
 	back.Revision = 3
 	is.Equal(a.Claim(back, 0).Reason, ReasonBehind)
-	d.Configure(Generation{3, three.Names}, 0)
+	d.Configure(Generation{Revision: 3, Names: three.Names}, 0)
 	a.Configure(four, 0)
-	a.Configure(Generation{3, three.Names}, 0)
+	a.Configure(Generation{Revision: 3, Names: three.Names}, 0)
 	is.Equal(a.Claim(back, 0).From, []string{"d"})
 	a.Transferred(held, "d", d.Transfer(Transfer{held, 3}, 0), 0)
 	is.Equal(a.Claim(back, 0).RequestID, "r1")
@@ -229,7 +229,7 @@
 	is := is.New(t)
 	limits := Limits{MaxKeys: 1}
 	home := &Home{Name: "a", Incarnation: 1, First: true, Limits: limits}
-	home.Configure(Generation{1, []string{"a"}}, 0)
+	home.Configure(Generation{Revision: 1, Names: []string{"a"}}, 0)
 	exec := &Executor{Name: "a", Incarnation: 1, First: true, Limits: limits}
 	first := home.Claim(claimFor(Key{1}, "r1", "a"), 0)
 	full := home.Claim(claimFor(Key{2}, "r2", "a"), 0)
--- a/core/booking/executor.go
+++ b/core/booking/executor.go
@@ -169,6 +169,16 @@
 	e.keep(key, r, Ended, now+e.Limits.withDefaults().Retention)
 }
 
+// Unsent takes a started key back that surely never reached the target, since
+// no connection to it could be made. It reports false if the key does not run.
+func (e *Executor) Unsent(key Key, now time.Duration) (Proof, bool) {
+	r, ok := e.runs.records[key]
+	if !ok || r.state != Running {
+		return Proof{}, false
+	}
+	return e.withdraw(key, r, now), true
+}
+
 // Withdraw takes a queued key back, for a request that is shed before the
 // target saw it. It reports false if the key was started: then it may run.
 func (e *Executor) Withdraw(key Key, now time.Duration) (Proof, bool) {
@@ -176,8 +186,12 @@
 	if !ok || r.state != Queued {
 		return Proof{}, false
 	}
+	return e.withdraw(key, r, now), true
+}
+
+func (e *Executor) withdraw(key Key, r run, now time.Duration) Proof {
 	e.keep(key, r, Sealed, now+e.Limits.Window())
-	return Proof{Key: key, Attempt: r.attempt, Executor: e.Name, Incarnation: e.Incarnation}, true
+	return Proof{Key: key, Attempt: r.attempt, Executor: e.Name, Incarnation: e.Incarnation}
 }
 
 func (e *Executor) keep(key Key, r run, state RunState, until time.Duration) {
--- a/core/booking/fuzz_test.go
+++ b/core/booking/fuzz_test.go
@@ -150,7 +150,7 @@
 	}
 	names := rapid.SampledFrom([][]string{{"a", "b", "c"}, {"a", "b", "c", "d"}, {"b", "c", "d"}, {"a", "d"}}).Draw(t, "names")
 	w.listed = append(w.listed, w.now)
-	w.lists = append(w.lists, Generation{uint64(len(w.lists) + 1), names})
+	w.lists = append(w.lists, Generation{Revision: uint64(len(w.lists) + 1), Names: names})
 }
 
 func (w *world) doLearn(t *rapid.T) { w.configure(pick(t, w.nodes, isUp)) }
--- a/core/booking/home.go
+++ b/core/booking/home.go
@@ -17,8 +17,18 @@
 // Generation is one target list of the configuration.
 type Generation struct {
 	Revision uint64
-	// Names are the names of all targets, drained ones too.
+	// Names are the names of the targets whose agents are homes, drained ones
+	// too.
 	Names []string
+	// Executors are the names of all targets; nil means Names.
+	Executors []string
+}
+
+func (g Generation) executors() []string {
+	if g.Executors == nil {
+		return g.Names
+	}
+	return g.Executors
 }
 
 // booked is a home's record of a key. The executor is a number of index; 0
@@ -176,7 +186,8 @@
 func (h *Home) grant(c Claim, attempt uint64, now time.Duration) Answer {
 	// Home and executor in one process would lose both records in one crash,
 	// and a rebuild asks only the executors of the list.
-	if !h.mayExecute(c.Executor, h.current.Names) || !slices.Contains(h.current.Names, c.Executor) {
+	executors := h.current.executors()
+	if !h.mayExecute(c.Executor, executors) || !slices.Contains(executors, c.Executor) {
 		return Answer{Kind: BadExecutor}
 	}
 	if attempt == 1 && len(h.keys.records) >= h.Limits.withDefaults().MaxKeys {
--- a/core/booking/rebuild.go
+++ b/core/booking/rebuild.go
@@ -36,8 +36,8 @@
 	}
 	var names []string
 	for _, g := range append([]pastGeneration{{Generation: h.current}}, h.previous...) {
-		for _, name := range g.Names {
-			if _, ok := h.rebuild.pending[name]; !ok && h.mayExecute(name, g.Names) {
+		for _, name := range g.executors() {
+			if _, ok := h.rebuild.pending[name]; !ok && h.mayExecute(name, g.executors()) {
 				h.rebuild.pending[name] = struct{}{}
 				names = append(names, name)
 			}
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -34,6 +34,10 @@
 	Targets    []Target        `json:"targets,omitempty"`
 	Groups     []Group         `json:"groups,omitempty"`
 	Operators  []Operator      `json:"operators,omitempty"`
+	// PastTargets are the target lists before the present one, oldest first:
+	// keys of idempotent requests may still be known at the homes of an older
+	// list.
+	PastTargets []PastTargets `json:"past-targets,omitempty"`
 	// Audit holds the last confirmed changes, newest last.
 	Audit []AuditRecord `json:"audit,omitempty"`
 }
@@ -132,6 +136,17 @@
 	TokenHash string `json:"token-hash"`
 }
 
+// PastTargets is a target list that was replaced.
+type PastTargets struct {
+	// Revision is the last one with this list.
+	Revision uint64 `json:"revision"`
+	// Homes and Names are as HomeNames and TargetNames returned them.
+	Homes []string `json:"homes"`
+	Names []string `json:"names"`
+	// ReplacedUnixMillis is the wall time at which another list replaced it.
+	ReplacedUnixMillis int64 `json:"replaced-unix-millis"`
+}
+
 // AuditRecord says who confirmed what.
 type AuditRecord struct {
 	Revision uint64 `json:"revision"`
--- a/core/config/edit.go
+++ b/core/config/edit.go
@@ -114,6 +114,7 @@
 			return Config{}, errors.Wrapf(err, "edit %d", i+1)
 		}
 	}
+	rememberTargets(cur, &next, change.UnixMillis)
 	next.Revision = cur.Revision + 1
 	next.ChangeID = change.ID
 	next.Changes = appendBounded(cur.Changes, MaxChanges,
@@ -183,9 +184,9 @@
 }
 
 func (e Edit) replace(c *Config) error {
-	revision, changes, audit := c.Revision, c.Changes, c.Audit
+	old := *c
 	*c = *e.Replace
-	c.Revision, c.Changes, c.Audit = revision, changes, audit
+	c.Revision, c.Changes, c.Audit, c.PastTargets = old.Revision, old.Changes, old.Audit, old.PastTargets
 	return nil
 }
 
--- a/entry/app.go
+++ b/entry/app.go
@@ -52,9 +52,11 @@
 	draining atomic.Bool
 	// incarnation tells the lives of this entry's name apart.
 	incarnation uint64
-	homeSet     atomic.Pointer[[]string]
-	stop        context.CancelFunc
-	servers     []*http.Server
+	// homeSet names the homes of keys, agentSet all agents.
+	homeSet  atomic.Pointer[[]string]
+	agentSet atomic.Pointer[[]string]
+	stop     context.CancelFunc
+	servers  []*http.Server
 }
 
 func newLogger(cfg Settings) *slog.Logger {
@@ -117,11 +119,9 @@
 // setHomes keeps the names over which the homes of keys are hashed.
 func (e *Entry) setHomes(x *config.Index) {
 	cfg := x.Config()
-	names := make([]string, 0, len(cfg.Targets))
-	for _, t := range cfg.Targets {
-		names = append(names, t.Name)
-	}
-	e.homeSet.Store(&names)
+	homes, agents := config.HomeNames(cfg), config.TargetNames(cfg)
+	e.homeSet.Store(&homes)
+	e.agentSet.Store(&agents)
 }
 
 func (e *Entry) homes(*config.Index) []string {
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -46,7 +46,7 @@
 				e.askAll(ctx, []config.Target{targets[rand.IntN(len(targets))]})
 			}
 			index, entries := e.fleet.place(e.cfg.Name)
-			e.limiter.setFleet(entries, *e.homeSet.Load())
+			e.limiter.setFleet(entries, *e.agentSet.Load())
 			e.router.setEntries(index, entries)
 		}
 		select {
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -8,6 +8,7 @@
 
 	"verbenashift/core/booking"
 	"verbenashift/core/config"
+	"verbenashift/core/outcome"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/relay"
 )
@@ -101,6 +102,9 @@
 		if !f.inFlight {
 			return relay.Event{Kind: relay.Free}
 		}
+		return relay.Event{Kind: relay.Ended, Outcome: outcome.NotRun, Reason: "executor-is-home"}
+	case wire.ClaimState_CLAIM_STATE_FULL:
+		return relay.Event{Kind: relay.Free, RetryAfter: wait}
 	}
 	return relay.Event{Kind: relay.ClaimFailed, RetryAfter: wait}
 }
