--- a/proof/shutdown_test.go
+++ b/proof/shutdown_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -18,6 +19,10 @@
 // stopBound is a generous bound of one graceful shutdown.
 const stopBound = 20 * time.Second
 
+// leaveBound is when a leaving target must have stopped to get work: the list
+// lags by one second and is read every two.
+const leaveBound = 8 * time.Second
+
 // Operators roll a new version out: each entry and agent in turn gets SIGTERM
 // and starts again, under load. No stream may be cut, no first try of a keyed
 // request may end as unknown, and a second try after the restarts must not run
@@ -163,7 +168,9 @@
 	s.running(16, "")
 	s.must(s.Instances(s.ctx, instances.Instance{Name: "target-1", State: instances.Leaving}))
 	atFirst := func(r ledgerRun) bool { return r.Target == "target-1" }
-	s.must(deployment.Until(s.ctx, func() error {
+	few, cancel := context.WithTimeout(s.ctx, leaveBound)
+	defer cancel()
+	s.must(deployment.Until(few, func() error {
 		before, err := s.Runs(atFirst)
 		s.must(err)
 		s.Play(s.ctx, s.Streams("probe", 12, 1))
--- a/proof/start_test.go
+++ b/proof/start_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"os"
+	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,9 +21,20 @@
 // deadline is when a proof gives up. It decides nothing: the ledgers do.
 const deadline = 2 * time.Minute
 
+// TestMain has a second run on the same machine wait for the first: both use
+// the same addresses.
 func TestMain(m *testing.M) {
+	lock, err := os.OpenFile(filepath.Join(os.TempDir(), "verbenashift-proof.lock"), os.O_CREATE|os.O_RDWR, 0o666)
+	if err == nil {
+		err = syscall.Flock(int(lock.Fd()), syscall.LOCK_EX)
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "proof: no lock:", err)
+		os.Exit(1)
+	}
 	code := m.Run()
 	_ = deployment.Clean()
+	_ = lock.Close()
 	os.Exit(code)
 }
 
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -116,7 +116,7 @@
 
 func (d *Deployment) startAll(ctx context.Context) error {
 	s := d.Shape
-	platform := append([]string{"platform", "-listen", s.address(platformHost, portPlatform), "-latency", "2ms", "-instance-lag", "1s"}, s.PlatformFlags...)
+	platform := append([]string{"platform", "-listen", s.address(platformHost, portPlatform), "-latency", "2ms", "-instance-lag", "1s", "-weight-size", expertBytes}, s.PlatformFlags...)
 	if err := d.run(platformName, "standin", platform...); err != nil {
 		return err
 	}
@@ -144,6 +144,9 @@
 // standin returns the command line of target n.
 func (d *Deployment) standin(n int) []string {
 	kind, more := "engine", append([]string{"-step", "4ms", "-slots", "16", "-load-lag", "200ms", "-honour-fencing"}, d.Shape.EngineFlags...)
+	if d.Shape.Group {
+		more = append(more, d.Shape.rankFlags()...)
+	}
 	if n > d.Shape.ModelTargets {
 		kind, more = "plain", d.Shape.PlainFlags
 	}
--- a/standin/deployment/evidence.go
+++ b/standin/deployment/evidence.go
@@ -83,14 +83,33 @@
 	return runs, nil
 }
 
-// Verdict judges records by the ledgers and by the revisions that the nodes
-// have told since the start.
+// Ranks reads the ledgers of the group's ranks, which live in the engines'
+// memory.
+func (d *Deployment) Ranks(ctx context.Context) ([]judge.Rank, error) {
+	if !d.Shape.Group {
+		return nil, nil
+	}
+	ranks := make([]judge.Rank, d.Shape.ModelTargets)
+	for i := range ranks {
+		if err := fetch(ctx, d.Address(name(targetName, i+1)), "/rank/ledger", &ranks[i]); err != nil {
+			return nil, err
+		}
+	}
+	return ranks, nil
+}
+
+// Verdict judges records by the ledgers, by the steps of the group's ranks and
+// by the revisions that the nodes have told since the start.
 func (d *Deployment) Verdict(records []judge.Record) (*judge.Verdict, error) {
 	reports, err := d.Ledgers()
 	if err != nil {
 		return nil, err
 	}
-	return judge.Judge(judge.Evidence{Records: records, Ledgers: reports, Nodes: d.Revisions()}), nil
+	ranks, err := d.Ranks(context.Background())
+	if err != nil {
+		return nil, err
+	}
+	return judge.Judge(judge.Evidence{Records: records, Ledgers: reports, Ranks: ranks, Nodes: d.Revisions()}), nil
 }
 
 // Revisions returns what each node has told of its revisions so far.
@@ -158,22 +177,31 @@
 
 // revisions asks a node which revisions it has had in force.
 func revisions(ctx context.Context, address string) ([]uint64, error) {
+	var answer struct {
+		History []uint64 `json:"history"`
+	}
+	err := fetch(ctx, address, "/revisions", &answer)
+	return answer.History, err
+}
+
+// fetch decodes the JSON answer of http://address/path into v.
+func fetch(ctx context.Context, address, path string, v any) error {
 	ctx, cancel := context.WithTimeout(ctx, sampleTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/revisions", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
-		return nil, err
+		return errors.Wrapf(err, "ask %s", address)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, err
+		return errors.Wrapf(err, "ask %s", address)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	var answer struct {
-		History []uint64 `json:"history"`
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("ask %s%s: status %d", address, path, resp.StatusCode)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
-		return nil, errors.Wrapf(err, "revisions of %s", address)
+	if err := json.NewDecoder(resp.Body).Decode(v); err != nil {
+		return errors.Wrapf(err, "ask %s%s", address, path)
 	}
-	return answer.History, nil
+	return nil
 }
--- a/standin/deployment/shape.go
+++ b/standin/deployment/shape.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 
 	"verbenashift/core/config"
@@ -41,6 +42,8 @@
 	// LinkAgents puts a Link before every agent, LinkTargets one between
 	// every agent and its target.
 	LinkAgents, LinkTargets bool
+	// Group makes the engines the ranks of one expert-parallel group.
+	Group bool
 	// Unconfigured leaves the store empty.
 	Unconfigured bool
 	// Programs is a directory with the built programs; empty means Build.
@@ -86,6 +89,7 @@
 	portAgent    = 7001
 	portLink     = 7500
 	portTarget   = 9100
+	portRank     = 9101
 	portWay      = 9500
 )
 
@@ -142,17 +146,50 @@
 		t := config.Target{Name: name(targetName, n), Zone: s.zone(n), Agent: s.peerAddress(n), HonoursFencing: true}
 		if n <= s.ModelTargets {
 			t.Model = s.Model
+			if s.Group {
+				t.Group = s.Model
+			}
 		} else {
 			t.Service, t.HonoursFencing = s.Service, false
 		}
 		c.Targets = append(c.Targets, t)
 	}
+	if s.Group {
+		c.Groups = []config.Group{{
+			Name: s.Model, Model: s.Model, Ranks: s.ModelTargets,
+			Layers: groupLayers, Experts: groupExperts, SlotsPerRank: s.rankSlots(), SkewWeight: 4, CostWeight: 1,
+		}}
+	}
 	if s.Configure != nil {
 		s.Configure(&c)
 	}
 	return c
 }
 
+// The sizes of the group and the bytes of one expert.
+const (
+	groupLayers  = 2
+	groupExperts = 16
+	expertBytes  = "65536"
+)
+
+// rankSlots is how many experts of a layer a rank holds: twice its part.
+func (s Shape) rankSlots() int { return (2*groupExperts + s.ModelTargets - 1) / s.ModelTargets }
+
+// rankFlags returns the flags that make engines the ranks of the group. The
+// loads of the experts drift fast, so that maps change every few seconds.
+func (s Shape) rankFlags() []string {
+	var peers []string
+	for n := 1; n <= s.ModelTargets; n++ {
+		peers = append(peers, name(targetName, n)+"="+s.address(targetHost+n, portRank))
+	}
+	return []string{
+		"-group", s.Model, "-group-peers", strings.Join(peers, ","), "-model", s.Model,
+		"-weights", s.address(platformHost, portPlatform), "-experts", strconv.Itoa(groupExperts),
+		"-expert-slots", strconv.Itoa(s.rankSlots()), "-rank-step", "5ms", "-drift-period", "8s", "-drift-depth", "1.2",
+	}
+}
+
 func (s Shape) entry(n int) Settings {
 	v := Settings{
 		"node.name": name(entryName, n), "node.zone": s.zone(n),
@@ -181,6 +218,11 @@
 		"target.address": target, "target.kind": kind,
 		"store.addresses": s.address(platformHost, portPlatform), "peers.seeds": s.seeds(), "drain.bound": "5s",
 	}
+	if s.Group {
+		maps.Copy(v, Settings{
+			"group.beat": "200ms", "group.silence": "2s", "group.plan-interval": "1s", "group.expert-size": expertBytes,
+		})
+	}
 	maps.Copy(v, s.AgentSettings)
 	return v
 }
