--- a/agent/group.go
+++ b/agent/group.go
@@ -350,19 +350,19 @@
 func (g *expertGroup) resign(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, resignTime)
 	defer cancel()
-	held := false
+	var held atomic.Bool
 	_ = g.duty.Do(ctx, func() {
 		g.leaving = true
-		held = g.holder.Fence() != 0
-		if held {
+		held.Store(g.holder.Fence() != 0)
+		if held.Load() {
 			g.act(g.steward.Resign(g.successor()))
 		}
 	})
 	tick := time.NewTicker(groupTick)
 	defer tick.Stop()
-	for held && ctx.Err() == nil {
+	for held.Load() && ctx.Err() == nil {
 		<-tick.C
-		_ = g.duty.Do(ctx, func() { held = g.holder.Fence() != 0 })
+		_ = g.duty.Do(ctx, func() { held.Store(g.holder.Fence() != 0) })
 	}
 }
 
--- a/agent/group_load.go
+++ b/agent/group_load.go
@@ -15,6 +15,10 @@
 	loadPause = 20 * time.Millisecond
 	// fetchTimeout bounds one read of weights.
 	fetchTimeout = time.Minute
+	// fetchPause is the pause after a read that failed, and loadTime the longest
+	// that a plan may take: by then its loads are of the past.
+	fetchPause = time.Second
+	loadTime   = 5 * time.Minute
 	// switchTime bounds a switch, with all its tries.
 	switchTime = 30 * time.Second
 	switchPoll = 50 * time.Millisecond
@@ -28,8 +32,11 @@
 
 // carryOut loads what the moves need, the most useful replica first and within
 // the ranks' memory, and switches the group to the new map wave by wave. It
-// gives up when the lease has passed on, a switch fails, or a rank has no room.
+// gives up when the lease has passed on, a switch fails, a rank has no room, or
+// it takes too long.
 func (g *expertGroup) carryOut(ctx context.Context, fence uint64, maps rank.Placement, moves []expert.Move) {
+	ctx, cancel := context.WithTimeout(ctx, loadTime)
+	defer cancel()
 	p, shape := &g.planning, g.shape.Load()
 	plan := loading.Plan{Group: shape.name, Version: uint64(maps.Version()), Tasks: loading.Tasks(&shape.expert, moves)}
 	for range shape.members {
@@ -63,10 +70,11 @@
 			p.queue.Progress(f.fetch, f.read)
 		case <-tick.C:
 		case <-ctx.Done():
+			p.fence = 0 // the queue is dropped with the plan
 			return
 		}
 		if s, ok := g.standing(ctx); !ok || s.fence != fence {
-			p.fence = 0 // the queue is dropped with the lease
+			p.fence = 0
 			return
 		}
 	}
@@ -82,6 +90,7 @@
 	if err != nil {
 		g.metrics.counts.Add("fetch-errors", 1)
 		n = 0
+		time.Sleep(fetchPause)
 	}
 	g.metrics.counts.Add("fetched-bytes", n)
 	select {
@@ -126,7 +135,7 @@
 		case <-tick.C:
 		case <-ctx.Done():
 			// A switch under way still ends one way for all; it is not begun again.
-			g.setWant(context.WithoutCancel(ctx), fence, 0)
+			g.setWant(g.ctx, fence, 0)
 			return false
 		}
 		s, ok := g.standing(ctx)
--- a/agent/group_plan.go
+++ b/agent/group_plan.go
@@ -65,15 +65,20 @@
 // standing returns the group as the steward knows it; ok is false if this agent
 // does not hold the duty.
 func (g *expertGroup) standing(ctx context.Context) (s standing, ok bool) {
+	// The duty may still run the function when ctx has ended.
+	answer := make(chan standing, 1)
 	err := g.duty.Do(ctx, func() {
 		now := g.now()
-		st := g.acting(now)
-		if st == nil || st.Deposed() {
-			return
+		if st := g.acting(now); st != nil && !st.Deposed() {
+			answer <- standing{fence: g.holder.Fence(), view: st.View(now)}
 		}
-		s, ok = standing{fence: g.holder.Fence(), view: st.View(now)}, true
 	})
-	if err != nil || !ok {
+	if err != nil {
+		return standing{}, false
+	}
+	select {
+	case s = <-answer:
+	default:
 		return standing{}, false
 	}
 	if s.view.Settled {
