Prove the stand-in ranks and that the judge sees a mixed step

Cause: a judge that cannot see two maps in one step proves nothing. Change: ranks without sockets on the tests' clock: they switch together, stay in step with a stalled one, report the loads of what they hold, and one that ignores the wait is seen. Conclusion: the check can fail.

--- /dev/null
+++ b/standin/rank/rank_test.go
@@ -0,0 +1,182 @@
+package rank_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/matryer/is"
+
+	"verbenashift/core/group"
+	"verbenashift/core/lease"
+	"verbenashift/core/rank"
+	"verbenashift/standin/judge"
+	standin "verbenashift/standin/rank"
+)
+
+const weightSize = 1024
+
+// readyStore has all weights at once.
+type readyStore struct{}
+
+func (readyStore) Size(context.Context, string, int, int32) (int64, error) { return weightSize, nil }
+
+func (readyStore) Read(_ context.Context, _ string, w rank.Weights) (int64, error) {
+	return w.Length, nil
+}
+
+// ranks is a group whose ranks reach each other in no time.
+type ranks map[string]*standin.Rank
+
+func (r ranks) Send(to string, m standin.Meeting) { go r[to].Receive(m) }
+
+var (
+	names = []string{"a", "b", "c"}
+	maps  = []rank.Placement{{{0, 1, 2}}, {{1, 2, 0}}}
+)
+
+// formed returns ranks that step on the first map and have the second loaded.
+func formed(t *testing.T) ranks {
+	t.Helper()
+	r := make(ranks)
+	for i, n := range names {
+		r[n] = standin.New(standin.Config{
+			Name: n, Group: "caption", Index: i, Step: 5 * time.Millisecond, HonourFencing: true,
+			Model: "caption", Store: readyStore{}, Slots: 1, Drift: standin.Drift{Experts: 3},
+		}, r)
+	}
+	for _, n := range names {
+		go r[n].Run(t.Context())
+	}
+	r.order(t, rank.Order{Placement: maps[0], Order: group.Order{
+		Number: number(2), Base: number(0), Kind: group.FormGroup, Version: maps[0].Version(), Step: 1, Members: names,
+	}})
+	r.order(t, rank.Order{Placement: maps[1], Order: group.Order{
+		Number: number(5), Base: number(4), Kind: group.LoadMap, Version: maps[1].Version(),
+	}})
+	time.Sleep(time.Second)
+	return r
+}
+
+func number(sequence uint64) lease.Number { return lease.Number{Fence: 1, Sequence: sequence + 4} }
+
+func (r ranks) order(t *testing.T, o rank.Order) {
+	t.Helper()
+	data, err := json.Marshal(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range names {
+		if err := r[n].Apply(data); err != nil {
+			t.Fatalf("rank %s: %v", n, err)
+		}
+	}
+}
+
+// arm arms all ranks for a step a little ahead.
+func (r ranks) arm(t *testing.T) (step uint64) {
+	t.Helper()
+	step = r["a"].State().Next + 10
+	r.order(t, rank.Order{Order: group.Order{
+		Number: number(10), Base: number(8), Kind: group.ArmMap, Epoch: number(0), Version: maps[1].Version(), Step: step,
+	}})
+	return step
+}
+
+func (r ranks) resolve(t *testing.T, commit bool) {
+	t.Helper()
+	r.order(t, rank.Order{Order: group.Order{
+		Number: number(11), Base: number(8), Kind: group.ResolveMap, Epoch: number(0), Commit: commit,
+	}})
+}
+
+// judged returns how many steps the ranks made on different maps.
+func (r ranks) judged() int {
+	var evidence judge.Evidence
+	for _, n := range names {
+		evidence.Ranks = append(evidence.Ranks, r[n].Ledger())
+	}
+	return judge.Judge(evidence).MapMismatchSteps
+}
+
+func (r ranks) fault(t *testing.T, name, body string) {
+	t.Helper()
+	m := mux.NewRouter()
+	r[name].Register(m)
+	m.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("POST", standin.LedgerPrefix+"/faults", strings.NewReader(body)))
+}
+
+func TestRanksSwitchTogether(t *testing.T) {
+	for _, commit := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			r := formed(t)
+			step := r.arm(t)
+			time.Sleep(time.Second)
+			for _, n := range names {
+				is.Equal(r[n].State().Next, step) // all wait for the outcome
+				is.Equal(r[n].State().Stalls, uint64(1))
+			}
+			r.resolve(t, commit)
+			time.Sleep(time.Second)
+			for _, n := range names {
+				is.True(r[n].State().Next > step+100)
+				is.Equal(r[n].State().Version == maps[1].Version(), commit)
+			}
+			is.Equal(r.judged(), 0)
+		})
+	}
+}
+
+// One rank does not wait for the outcome of a switch: it computes with other
+// experts than the rest, and callers get garbage. The judge has to see that, or
+// a closing without mixed steps would prove nothing.
+func TestJudgeSeesRankThatIgnoresWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := formed(t)
+		r.fault(t, "b", `{"ignore-wait":true}`)
+		r.arm(t)
+		time.Sleep(time.Second)
+		is.Equal(r.judged(), 0)
+		r.resolve(t, true)
+		time.Sleep(time.Second)
+		is.True(r.judged() > 100)
+	})
+}
+
+// A rank is stalled, as by a slow device. The others must not get ahead of it
+// by more than the step they are in.
+func TestRanksStayInStep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := formed(t)
+		r.fault(t, "c", `{"stall-ms":1000}`)
+		time.Sleep(500 * time.Millisecond)
+		slow := r["c"].State().Next
+		for _, n := range names {
+			is.True(r[n].State().Next <= slow+1)
+		}
+		time.Sleep(time.Second)
+		is.True(r["a"].State().Next > slow+50)
+	})
+}
+
+func TestLoadsAreOfHeldExperts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := formed(t)
+		l := r["b"].Loads(time.Now())
+		is.Equal(l.Version, maps[0].Version())
+		// Rank b holds expert 1 alone.
+		for e, load := range l.Layers[0] {
+			is.Equal(load != rank.NotHeld, e == 1)
+		}
+		is.Equal(r["b"].State().Members, names)
+	})
+}
