bench: time the first token apart from the end of a short answer

The two were one figure, so that a late end looked like a late first token. Trial of two programs at once, calls by turns: frames that share a write and fewer threads for the runtime (GOMAXPROCS 2 and 4) changed no median by more than the noise, and were left out.

--- a/bench/path/path.go
+++ b/bench/path/path.go
@@ -23,15 +23,15 @@
 
 // The load of one run.
 const (
-	pings       = 2000
-	firstTokens = 300
-	loadCalls   = 6000
-	loadWorkers = 8
-	streams     = 16
-	shortTokens = 64
-	longTokens  = 1536
-	idleTime    = 3 * time.Second
-	runTime     = 3 * time.Minute
+	pings        = 2000
+	shortAnswers = 400
+	loadCalls    = 6000
+	loadWorkers  = 8
+	streams      = 16
+	shortTokens  = 64
+	longTokens   = 1536
+	idleTime     = 3 * time.Second
+	runTime      = 3 * time.Minute
 )
 
 // The bounds of the figures.
@@ -88,22 +88,24 @@
 	return figures, nil
 }
 
-// addedTimes compares calls of a plain service and first tokens of a stream
-// with direct ones.
+// addedTimes compares calls of a plain service and streams of one token with
+// direct ones.
 func addedTimes(ctx context.Context, y *way) ([]figure.Figure, error) {
-	calls, err := alternate(pings, func() error { return y.directPing(ctx) }, func() error { return y.ping(ctx) })
+	_, calls, err := alternate(ctx, pings, y.directPing, y.ping)
 	if err != nil {
 		return nil, err
 	}
-	tokens, err := alternate(firstTokens, func() error { return y.directFirst(ctx) }, func() error { return y.first(ctx) })
+	first, whole, err := alternate(ctx, shortAnswers, y.directShort, y.short)
 	if err != nil {
 		return nil, err
 	}
 	return []figure.Figure{
 		calls.added("path-added-median", 0.5, addedMedianBound),
 		calls.added("path-added-p99", 0.99, addedP99Bound),
-		tokens.added("path-first-token-added-median", 0.5, addedMedianBound),
-		tokens.added("path-first-token-added-p99", 0.99, addedP99Bound),
+		first.added("path-first-token-added-median", 0.5, addedMedianBound),
+		first.added("path-first-token-added-p99", 0.99, addedP99Bound),
+		whole.added("path-short-answer-added-median", 0.5, addedMedianBound),
+		whole.added("path-short-answer-added-p99", 0.99, addedP99Bound),
 	}, nil
 }
 
@@ -114,7 +116,12 @@
 	if err != nil {
 		return nil, err
 	}
-	load, err := during(ctx, []probe{entry, agent}, func() error { return together(loadWorkers, loadCalls, func() error { return y.ping(ctx) }) })
+	load, err := during(ctx, []probe{entry, agent}, func() error {
+		return together(loadWorkers, loadCalls, func() error {
+			_, err := y.ping(ctx)
+			return err
+		})
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/bench/path/way.go
+++ b/bench/path/way.go
@@ -40,30 +40,36 @@
 	return probe{d: y.d, name: name}
 }
 
-func (y *way) ping(ctx context.Context) error {
-	_, err := y.call(ctx, y.entry, "/services/"+y.d.Shape.Service+"/pings", `{"at":"counter"}`)
-	return err
+// taken is how long a call took to the first byte of its answer's body and to
+// the end.
+type taken struct {
+	first, whole time.Duration
 }
 
-func (y *way) directPing(ctx context.Context) error {
-	_, err := y.call(ctx, y.plain, "/pings", `{"at":"counter"}`)
-	return err
+func (y *way) ping(ctx context.Context) (taken, error) {
+	_, t, err := y.call(ctx, y.entry, "/services/"+y.d.Shape.Service+"/pings", `{"at":"counter"}`)
+	return t, err
 }
 
-// first streams an answer of one token.
-func (y *way) first(ctx context.Context) error {
-	_, err := y.call(ctx, y.entry, "/v1/completions", y.body(1))
-	return err
+func (y *way) directPing(ctx context.Context) (taken, error) {
+	_, t, err := y.call(ctx, y.plain, "/pings", `{"at":"counter"}`)
+	return t, err
 }
 
-func (y *way) directFirst(ctx context.Context) error {
-	_, err := y.call(ctx, y.engine, "/v1/completions", y.body(1))
-	return err
+// short streams an answer of one token.
+func (y *way) short(ctx context.Context) (taken, error) {
+	_, t, err := y.call(ctx, y.entry, "/v1/completions", y.body(1))
+	return t, err
+}
+
+func (y *way) directShort(ctx context.Context) (taken, error) {
+	_, t, err := y.call(ctx, y.engine, "/v1/completions", y.body(1))
+	return t, err
 }
 
 // stream reads an answer of so many tokens and checks that it is whole.
 func (y *way) stream(ctx context.Context, tokens int) error {
-	answer, err := y.call(ctx, y.entry, "/v1/completions", y.body(tokens))
+	answer, _, err := y.call(ctx, y.entry, "/v1/completions", y.body(tokens))
 	if err != nil {
 		return err
 	}
@@ -80,26 +86,32 @@
 }
 
 // call makes one call and returns the whole answer, which must be a success.
-func (y *way) call(ctx context.Context, address, path, body string) ([]byte, error) {
+func (y *way) call(ctx context.Context, address, path, body string) ([]byte, taken, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
-		return nil, errors.Wrap(err, "make request")
+		return nil, taken{}, errors.Wrap(err, "make request")
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Authorization", "Bearer "+y.d.Token(workspace))
+	began := time.Now()
 	resp, err := y.client.Do(req)
 	if err != nil {
-		return nil, errors.Wrap(err, "call")
+		return nil, taken{}, errors.Wrap(err, "call")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	answer, err := io.ReadAll(bufio.NewReader(resp.Body))
+	var t taken
+	in := bufio.NewReader(resp.Body)
+	_, _ = in.Peek(1)
+	t.first = time.Since(began)
+	answer, err := io.ReadAll(in)
+	t.whole = time.Since(began)
 	if err != nil {
-		return nil, errors.Wrap(err, "read answer")
+		return nil, t, errors.Wrap(err, "read answer")
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("%s%s: status %d: %s", address, path, resp.StatusCode, answer)
+		return nil, t, errors.Errorf("%s%s: status %d: %s", address, path, resp.StatusCode, answer)
 	}
-	return answer, nil
+	return answer, t, nil
 }
 
 // together makes n calls by so many workers.
@@ -119,37 +131,39 @@
 	return g.Wait()
 }
 
-// times are those of the same calls past the system and through it.
-type times struct {
+// series is one time of the same calls past the system and through it.
+type series struct {
 	direct, through []time.Duration
 }
 
-// alternate makes n calls of each kind by turns, after a few to warm up.
-func alternate(n int, direct, through func() error) (times, error) {
+// alternate makes n calls of each kind by turns, after a few to warm up, and
+// returns the times to the first byte and to the end.
+func alternate(ctx context.Context, n int, direct, through func(context.Context) (taken, error)) (first, whole series, err error) {
 	const warm = 20
-	var t times
 	for i := range n + warm {
-		for _, kind := range []struct {
-			call func() error
-			to   *[]time.Duration
-		}{{direct, &t.direct}, {through, &t.through}} {
-			began := time.Now()
-			if err := kind.call(); err != nil {
-				return t, err
-			}
-			if i >= warm {
-				*kind.to = append(*kind.to, time.Since(began))
-			}
+		d, err := direct(ctx)
+		if err != nil {
+			return first, whole, err
 		}
+		t, err := through(ctx)
+		if err != nil {
+			return first, whole, err
+		}
+		if i < warm {
+			continue
+		}
+		first.direct, first.through = append(first.direct, d.first), append(first.through, t.first)
+		whole.direct, whole.through = append(whole.direct, d.whole), append(whole.through, t.whole)
+	}
+	for _, list := range [][]time.Duration{first.direct, first.through, whole.direct, whole.through} {
+		slices.Sort(list)
 	}
-	slices.Sort(t.direct)
-	slices.Sort(t.through)
-	return t, nil
+	return first, whole, nil
 }
 
 // added is the figure of how much later a quantile is through the system.
-func (t times) added(name string, quantile, bound float64) figure.Figure {
-	direct, through := at(t.direct, quantile), at(t.through, quantile)
+func (s series) added(name string, quantile, bound float64) figure.Figure {
+	direct, through := at(s.direct, quantile), at(s.through, quantile)
 	return figure.Figure{
 		Name: name, Value: through - direct, Unit: "us", Bound: bound, Better: figure.Lower, Baseline: direct,
 		Note: "on loopback; baseline is the direct call's own quantile",
