--- a/core/operator/types.go
+++ b/core/operator/types.go
@@ -38,7 +38,9 @@
 // GroupStatus is the state of an expert-parallel group.
 type GroupStatus struct {
 	Name string `json:"name"`
-	// State is "steady" or the stage of a switch of the expert map.
+	// State is "steady", "forming", "loading" or "switching", or "no-steward"
+	// when no steward has been heard for a while: the group goes on with the map
+	// it has.
 	State      string `json:"state"`
 	MapVersion uint64 `json:"map-version"`
 	Step       uint64 `json:"step"`
@@ -58,6 +60,8 @@
 	MeanSkew float64   `json:"mean-skew,omitempty"`
 	MaxSkew  float64   `json:"max-skew,omitempty"`
 	Skews    []float64 `json:"skews,omitempty"`
+	// AgeMillis is how old the steward's last word is, in milliseconds.
+	AgeMillis int64 `json:"age-millis"`
 	// Waiting lists the ranks that are not stepping.
 	Waiting []RankStatus `json:"waiting,omitempty"`
 }
--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -93,6 +93,9 @@
 				state, version, skew, strings.Join(g.Targets, ","))
 		}
 		t.flush()
+		if s.cmd.Args().Present() && list[0].Status != nil {
+			printGroup(s.out, *list[0].Status)
+		}
 	})
 }
 
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -81,13 +81,26 @@
 	f.groups[g.Name] = groupHeard{g, now}
 }
 
-// groupList returns the groups heard of lately, by name.
+// The life of a steward's word: for groupLife it is shown at all, and after
+// nodeLife as that of a group without a steward.
+const (
+	groupLife    = time.Hour
+	stateNoOwner = "no-steward"
+)
+
+// groupList returns the groups heard of, by name.
 func (f *fleet) groupList() []operator.GroupStatus {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []operator.GroupStatus
 	for _, name := range slices.Sorted(maps.Keys(f.groups)) {
-		if g := f.groups[name]; time.Since(g.heard) <= nodeLife {
+		g := f.groups[name]
+		age := time.Since(g.heard)
+		g.AgeMillis = age.Milliseconds()
+		if age > nodeLife {
+			g.State = stateNoOwner
+		}
+		if age <= groupLife {
 			list = append(list, g.GroupStatus)
 		}
 	}
