Plan for the ranks that a group has left

Cause: a drill left an agent away for good between the order to arm and its vote, and the group waited for it: it could be formed only of all its ranks. Ruled out: keeping the lost ranks' slots in the plans, whose replicas are in no memory and take no load. Change: [group] lost-ranks (1) and dead-after (10s); a plan is made for the ranks of the epoch, and the map after it has nothing in the slots of the others; a plan is dropped when ranks are lost or come back; the state degraded. The stand-in rank shares an expert's load among the ranks of its epoch. A change of the number of ranks of a running group is not planned for; the reason says so.

--- a/agent/group.go
+++ b/agent/group.go
@@ -36,6 +36,10 @@
 	LeaseTTL time.Duration
 	// PlanInterval is the time between two looks at the loads.
 	PlanInterval time.Duration
+	// LostRanks is how many ranks the group can be formed without, and DeadAfter
+	// how long an agent may be silent before its rank counts as lost.
+	LostRanks int
+	DeadAfter time.Duration
 	// ExpertBytes is the size of one expert's weights in a layer, StoreRate the
 	// group's share of the weight store in bytes a second, and Spare how many
 	// experts a rank has room for beside those of the map in force.
@@ -50,6 +54,8 @@
 	s.Duration(section, "beat", &c.Beat, 5*time.Second, 100*time.Millisecond, time.Minute, "time between the steward's probes while all is well")
 	s.Duration(section, "silence", &c.Silence, 20*time.Second, time.Second, 10*time.Minute, "how long the steward may be quiet before another agent asks for its duty")
 	s.Duration(section, "lease", &c.LeaseTTL, lease.DefaultTTL, time.Second, time.Minute, "lease of the steward's duty")
+	s.Int(section, "lost-ranks", &c.LostRanks, 1, 0, 1<<16, "ranks", "how many ranks the group can be formed without; with fewer it waits")
+	s.Duration(section, "dead-after", &c.DeadAfter, 10*time.Second, time.Second, 10*time.Minute, "how long an agent may be silent before the group is formed without its rank")
 	s.Duration(section, "plan-interval", &c.PlanInterval, time.Minute, 100*time.Millisecond, time.Hour, "time between two looks at the experts' loads")
 	s.Int(section, "expert-size", &c.ExpertBytes, defaultExpertBytes, 1, 1<<40, "bytes", "weights of one expert in one layer")
 	s.Int(section, "store-rate", &c.StoreRate, defaultStoreRate, 1, 1<<40, "bytes a second", "what the weight store gives to the group")
@@ -90,6 +96,13 @@
 	return slices.Repeat(rank.Placement{layer}, s.layers)
 }
 
+// minRanks returns the least number of ranks that go on without the others: so
+// many may be lost, but those left need slots for every expert.
+func (s *groupShape) minRanks(lost int) int {
+	needed := (s.expert.Experts + s.expert.Slots - 1) / s.expert.Slots
+	return max(len(s.members)-lost, needed, 1)
+}
+
 // groupRank is the agent's own rank.
 type groupRank interface {
 	State(ctx context.Context) (rank.State, error)
@@ -233,7 +246,10 @@
 
 func (g *expertGroup) stewardConfig() group.StewardConfig {
 	s := g.shape.Load()
-	return group.StewardConfig{Members: s.members, Initial: s.initialVersion(), Beat: g.cfg.Beat}
+	return group.StewardConfig{
+		Members: s.members, MinRanks: s.minRanks(g.cfg.LostRanks), Initial: s.initialVersion(),
+		Beat: g.cfg.Beat, DeadAfter: g.cfg.DeadAfter,
+	}
 }
 
 // tick lets time pass: the lease first, then the steward, then the member.
--- a/agent/group_load.go
+++ b/agent/group_load.go
@@ -32,9 +32,9 @@
 
 // carryOut loads what the moves need, the most useful replica first and within
 // the ranks' memory, and switches the group to the new map wave by wave. It
-// gives up when the lease has passed on, a switch fails, a rank has no room, or
-// it takes too long.
-func (g *expertGroup) carryOut(ctx context.Context, fence uint64, maps rank.Placement, moves []expert.Move) {
+// gives up when the lease has passed on, ranks are lost or come back, a switch
+// fails, a rank has no room, or it takes too long.
+func (g *expertGroup) carryOut(ctx context.Context, from standing, left part, maps rank.Placement, moves []expert.Move) {
 	ctx, cancel := context.WithTimeout(ctx, loadTime)
 	defer cancel()
 	p, shape := &g.planning, g.shape.Load()
@@ -42,6 +42,7 @@
 	for range shape.members {
 		plan.Room = append(plan.Room, int64(g.cfg.Spare)*shape.expert.ExpertBytes)
 	}
+	maps = left.vacate(maps)
 	for _, m := range maps {
 		plan.Replicas = append(plan.Replicas, m.Replicas(shape.expert.Experts))
 	}
@@ -61,7 +62,7 @@
 			g.log.Warn("plan given up", "error", err)
 		}
 		if next, ok := nextMaps(&shape.expert, maps, todo); ok {
-			committed := g.switchTo(ctx, fence, next)
+			committed := g.switchTo(ctx, from, next)
 			p.queue.Settled(shape.name, committed)
 			maps = next
 		}
@@ -73,13 +74,19 @@
 			p.fence = 0 // the queue is dropped with the plan
 			return
 		}
-		if s, ok := g.standing(ctx); !ok || s.fence != fence {
+		if s, ok := g.standing(ctx); !ok || !s.follows(from) {
 			p.fence = 0
 			return
 		}
 	}
 }
 
+// follows reports whether the group has still the steward and the ranks that it
+// had when a plan was made.
+func (s standing) follows(from standing) bool {
+	return s.fence == from.fence && s.view.Epoch == from.view.Epoch
+}
+
 // fetch has a rank read a part of an expert's weights.
 func (g *expertGroup) fetch(ctx context.Context, shape *groupShape, f loading.Fetch, done chan<- fetched) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
@@ -123,11 +130,11 @@
 
 // switchTo has the steward switch the group to a map and waits for the end. It
 // reports whether the map is in force everywhere.
-func (g *expertGroup) switchTo(ctx context.Context, fence uint64, maps rank.Placement) bool {
+func (g *expertGroup) switchTo(ctx context.Context, from standing, maps rank.Placement) bool {
 	ctx, cancel := context.WithTimeout(ctx, switchTime)
 	defer cancel()
 	v := g.contents.keep(maps)
-	g.setWant(ctx, fence, v)
+	g.setWant(ctx, from.fence, v)
 	tick := time.NewTicker(switchPoll)
 	defer tick.Stop()
 	for {
@@ -135,15 +142,16 @@
 		case <-tick.C:
 		case <-ctx.Done():
 			// A switch under way still ends one way for all; it is not begun again.
-			g.setWant(g.ctx, fence, 0)
+			g.setWant(g.ctx, from.fence, 0)
 			return false
 		}
 		s, ok := g.standing(ctx)
-		if !ok || s.fence != fence {
+		if !ok || !s.follows(from) {
+			g.setWant(g.ctx, from.fence, 0)
 			return false
 		}
 		if s.version == v {
-			g.setWant(ctx, fence, 0)
+			g.setWant(ctx, from.fence, 0)
 			return true
 		}
 	}
--- a/agent/group_plan.go
+++ b/agent/group_plan.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -109,7 +110,8 @@
 		return
 	}
 	p, shape := &g.planning, g.shape.Load()
-	p.begin(s.fence, shape)
+	left := partOf(shape, s.view)
+	p.begin(s.fence, shape, left)
 	if s.version == 0 {
 		p.note(0, "group-not-settled", "not moving: the group is being formed or switched")
 		return
@@ -119,13 +121,17 @@
 		p.note(0, "map-unknown", "not moving: the content of the map in force is not known")
 		return
 	}
-	protected, skew := g.observe(ctx, s.version, maps, shape)
+	if !shape.fits(maps) {
+		p.note(0, "map-of-another-shape", "not moving: the map in force is for another number of ranks, layers or slots")
+		return
+	}
+	protected, skew := g.observe(ctx, s.version, left.projectAll(maps), left)
 	if !shape.confirmed {
 		p.note(skew, reasonNoIntent, "not moving: no intent has been confirmed for the group")
 		return
 	}
 	in := expert.Input{Now: time.Now(), Protected: protected, Spent: p.budget}
-	for i, m := range maps {
+	for i, m := range left.projectAll(maps) {
 		in.Layers = append(in.Layers, expert.Layer{Map: m, Loads: p.estimators[i]})
 	}
 	plan := p.planner.Plan(in)
@@ -137,21 +143,25 @@
 	p.budget = p.budget.Spend(in.Now, p.planner.Policy, plan)
 	g.log.Info("plan", "moves", len(plan.Moves), "bytes", plan.Bytes, "skew-before", plan.SkewBefore, "skew-after", plan.SkewAfter)
 	p.setLoading(true)
-	g.carryOut(ctx, s.fence, maps, plan.Moves)
+	g.carryOut(ctx, s, left, maps, left.places(plan.Moves))
 	p.setLoading(false)
 }
 
 // begin starts anew under another lease or for a group of another shape; what
-// the estimators of another steward knew is not known here.
-func (p *planning) begin(fence uint64, shape *groupShape) {
+// the estimators of another steward knew is not known here. They serve on when
+// only ranks were lost or have come back.
+func (p *planning) begin(fence uint64, shape *groupShape, left part) {
 	same := p.fence == fence && p.planner != nil && len(p.estimators) == shape.layers &&
 		p.planner.Group.Experts == shape.expert.Experts
 	if same {
+		if !slices.Equal(p.planner.Group.Ranks, left.shape.Ranks) {
+			p.planner = expert.NewPlanner(&left.shape, shape.policy)
+		}
 		p.planner.Policy = shape.policy
 		return
 	}
 	p.fence, p.budget = fence, expert.Budget{}
-	p.planner = expert.NewPlanner(&shape.expert, shape.policy)
+	p.planner = expert.NewPlanner(&left.shape, shape.policy)
 	p.queue = loading.NewQueue(loading.Settings{Rate: shape.expert.StoreRate})
 	p.estimators = nil
 	for range shape.layers {
@@ -188,16 +198,17 @@
 
 // observe asks the ranks for their experts' loads and takes them in. It returns
 // the number of protected requests in progress and the skew by these loads.
-func (g *expertGroup) observe(ctx context.Context, v group.Version, maps rank.Placement, shape *groupShape) (protected int, skew float64) {
+func (g *expertGroup) observe(ctx context.Context, v group.Version, maps rank.Placement, left part) (protected int, skew float64) {
+	members := g.shape.Load().members
 	ctx, cancel := context.WithTimeout(ctx, planTimeout)
 	defer cancel()
 	var calls errgroup.Group
 	calls.SetLimit(planCalls)
-	reports := make([]rank.Loads, len(shape.members))
-	busy := make([]int, len(shape.members))
-	for i, name := range shape.members {
+	reports := make([]rank.Loads, len(left.live))
+	busy := make([]int, len(left.live))
+	for i, place := range left.live {
 		calls.Go(func() error {
-			l, n, err := g.peers.Loads(ctx, name)
+			l, n, err := g.peers.Loads(ctx, members[place])
 			if err == nil && l.Version == v {
 				reports[i], busy[i] = l, n
 			}
@@ -208,11 +219,11 @@
 	for _, n := range busy {
 		protected += n
 	}
-	return protected, g.takeIn(reports, maps, shape)
+	return protected, g.takeIn(reports, maps, left)
 }
 
 // takeIn puts the ranks' reports together and shows them to the estimators.
-func (g *expertGroup) takeIn(reports []rank.Loads, maps rank.Placement, shape *groupShape) (skew float64) {
+func (g *expertGroup) takeIn(reports []rank.Loads, maps rank.Placement, left part) (skew float64) {
 	newest := int64(0)
 	for _, r := range reports {
 		newest = max(newest, r.UnixMillis)
@@ -221,9 +232,9 @@
 		return 0
 	}
 	for layer, m := range maps {
-		loads := together(reports, layer, m.Replicas(shape.expert.Experts))
+		loads := together(reports, layer, m.Replicas(left.shape.Experts))
 		g.planning.estimators[layer].Observe(time.UnixMilli(newest), loads)
-		skew += m.Skew(&shape.expert, withoutGaps(loads)) / float64(len(maps))
+		skew += m.Skew(&left.shape, withoutGaps(loads)) / float64(len(maps))
 	}
 	return skew
 }
--- a/agent/group_status.go
+++ b/agent/group_status.go
@@ -37,12 +37,14 @@
 	m.stalls = total
 }
 
-// The states of a group beside those of operator.GroupStatus.
+// The states of a group, as in operator.GroupStatus.
 const (
 	stateSteady    = "steady"
 	stateForming   = "forming"
 	stateLoading   = "loading"
 	stateSwitching = "switching"
+	// stateDegraded is that of a group that goes on without lost ranks.
+	stateDegraded = "degraded"
 )
 
 // status returns what operators see of the group, as JSON, or nothing if this
@@ -69,20 +71,20 @@
 }
 
 func stateOf(v group.View) string {
-	for _, m := range v.Members {
-		if m.Epoch != v.Epoch || m.Epoch.IsZero() {
-			return stateForming
-		}
+	state := stateSteady
+	if !v.Settled {
+		state = stateSwitching
 	}
 	for _, m := range v.Members {
-		if !m.Armed.IsZero() {
-			return stateSwitching
+		switch {
+		case m.Epoch == v.Epoch && !m.Epoch.IsZero():
+		case !m.Lost:
+			return stateForming
+		case state == stateSteady:
+			state = stateDegraded
 		}
 	}
-	if !v.Settled {
-		return stateSwitching
-	}
-	return stateSteady
+	return state
 }
 
 // fill adds what the planner knows.
--- a/agent/group_test.go
+++ b/agent/group_test.go
@@ -51,6 +51,7 @@
 	index int
 	rank  group.Rank
 	maps  map[group.Version]rank.Placement
+	down  bool
 	// onOrder, if set, is called when the rank has applied an order.
 	onOrder func(group.Kind)
 }
@@ -86,7 +87,7 @@
 	f.starts++
 	g := newExpertGroup(f.ctx, groupDeps{
 		self: name, incarnation: f.starts, owner: fmt.Sprintf("%s/%d", name, f.starts),
-		settings: GroupSettings{Beat: time.Second, Silence: 4 * time.Second, LeaseTTL: 3 * time.Second, PlanInterval: time.Second, Spare: 4},
+		settings: GroupSettings{Beat: time.Second, Silence: 4 * time.Second, LeaseTTL: 3 * time.Second, PlanInterval: time.Second, Spare: 4, LostRanks: 1},
 		log:      slog.New(slog.NewJSONHandler(io.Discard, nil)), metrics: testMetrics(), rank: f.ranks[name], peers: fleetPeers{f, name}, store: f,
 	}, f.shape)
 	f.agents[name] = g
@@ -200,6 +201,9 @@
 	defer f.mu.Unlock()
 	r.rank.FinishLoad()
 	s := r.rank.State
+	if r.down {
+		return
+	}
 	for _, name := range s.Members {
 		if o := f.ranks[name].rank.State; o.Epoch != s.Epoch || o.Next < s.Next {
 			return
@@ -220,12 +224,18 @@
 func (r *fakeRank) State(context.Context) (rank.State, error) {
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
+	if r.down {
+		return rank.State{}, syscall.ECONNREFUSED
+	}
 	return rank.State{RankState: r.rank.State}, nil
 }
 
 func (r *fakeRank) Apply(_ context.Context, o rank.Order) error {
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
+	if r.down {
+		return syscall.ECONNREFUSED
+	}
 	if err := r.rank.Apply(o.Order); err != nil {
 		return err
 	}
@@ -356,6 +366,36 @@
 	})
 }
 
+// An engine dies and its group stands still. It is formed without the rank, and
+// the experts that only the lost rank held are loaded elsewhere: until then
+// nobody could answer a request for them. When the engine is back, with empty
+// memory, the group takes it in again.
+func TestGroupGoesOnWithoutLostRank(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t)
+		first := f.shape.initialVersion()
+		f.await(t, "a switch", func(v group.Version) bool { return v != first })
+		lost := f.ranks["d"]
+		f.set(func() { lost.down = true })
+		time.Sleep(20 * time.Second)
+		s := f.states()[0]
+		is.Equal(s.Members, []string{"a", "b", "c"})
+		next := s.Next
+		p, err := f.Map(t.Context(), "a", s.Version)
+		is.NoErr(err)
+		for _, layer := range p {
+			for _, n := range layer[:3*f.shape.expert.Slots].Replicas(f.shape.expert.Experts) {
+				is.True(n > 0)
+			}
+		}
+		f.set(func() { lost.down, lost.rank.State = false, group.RankState{Incarnation: 2} })
+		f.await(t, "the whole group", func(group.Version) bool { return len(f.states()[3].Members) == 4 })
+		is.True(f.states()[3].Next > next)
+		f.end(is)
+	})
+}
+
 // The agent that holds the duty dies in the middle of a switch, and the store
 // goes out at the same moment, so that nobody can take the duty over. If each
 // rank went its own way, the group would run a step on two maps; if only the
--- a/core/operator/types.go
+++ b/core/operator/types.go
@@ -38,9 +38,9 @@
 // GroupStatus is the state of an expert-parallel group.
 type GroupStatus struct {
 	Name string `json:"name"`
-	// State is "steady", "forming", "loading" or "switching", or "no-steward"
-	// when no steward has been heard for a while: the group goes on with the map
-	// it has.
+	// State is "steady", "forming", "loading", "switching", "degraded" for a
+	// group without its lost ranks, or "no-steward" when no steward has been
+	// heard for a while: the group goes on with the map it has.
 	State      string `json:"state"`
 	MapVersion uint64 `json:"map-version"`
 	Step       uint64 `json:"step"`
--- a/standin/engine/rank_command.go
+++ b/standin/engine/rank_command.go
@@ -59,7 +59,7 @@
 		return nil, err
 	}
 	r := rank.New(rank.Config{
-		Name: cmd.String("name"), Group: cmd.String("group"), Index: slices.Index(order, cmd.String("name")),
+		Name: cmd.String("name"), Group: cmd.String("group"), Index: slices.Index(order, cmd.String("name")), Order: order,
 		Step: cmd.Duration("rank-step"), HonourFencing: cmd.Bool("honour-fencing"),
 		Model: cmd.String("model"), Store: &rank.Store{Address: cmd.String("weights")}, Slots: cmd.Int("expert-slots"),
 		Drift: rank.Drift{
--- a/standin/rank/load.go
+++ b/standin/rank/load.go
@@ -161,6 +161,18 @@
 	return p, ok
 }
 
+// replicas counts the replicas of each expert on the ranks of the epoch: only
+// they share its load.
+func (r *Rank) replicas(m expert.Map, experts int) []int {
+	n := make([]int, experts)
+	for i, e := range m {
+		if e != expert.Empty && slices.Contains(r.rank.State.Members, r.cfg.Order[i/r.cfg.Slots]) {
+			n[e]++
+		}
+	}
+	return n
+}
+
 // Loads returns the loads of this rank's experts as they were a lag ago.
 func (r *Rank) Loads(now time.Time) rank.Loads {
 	r.mu.Lock()
@@ -170,7 +182,7 @@
 	l := rank.Loads{UnixMillis: at.UnixMilli(), Version: v}
 	for layer, m := range r.maps[v] {
 		all := r.cfg.Drift.At(layer, at)
-		n := m.Replicas(len(all))
+		n := r.replicas(m, len(all))
 		held := slices.Repeat([]float64{rank.NotHeld}, len(all))
 		for _, e := range r.slots(m) {
 			if e != expert.Empty {
@@ -189,7 +201,7 @@
 	total := 0.0
 	for layer, m := range p {
 		all := r.cfg.Drift.At(layer, now)
-		n := m.Replicas(len(all))
+		n := r.replicas(m, len(all))
 		own, sum := 0.0, 0.0
 		for _, load := range all {
 			sum += load
@@ -199,7 +211,7 @@
 				own += all[e] / float64(n[e])
 			}
 		}
-		total += own * float64(len(m)/r.cfg.Slots) / sum
+		total += own * float64(len(r.rank.State.Members)) / sum
 	}
 	if len(p) == 0 {
 		return 1
--- a/standin/rank/rank.go
+++ b/standin/rank/rank.go
@@ -33,6 +33,8 @@
 	Name  string
 	Group string
 	Index int
+	// Order names the group's ranks in the order of the maps.
+	Order []string
 	// Step is the time of a step with an even load. The step of a rank takes as
 	// much longer as its load is above the mean.
 	Step time.Duration
--- a/standin/rank/rank_test.go
+++ b/standin/rank/rank_test.go
@@ -46,7 +46,7 @@
 	r := make(ranks)
 	for i, n := range names {
 		r[n] = standin.New(standin.Config{
-			Name: n, Group: "caption", Index: i, Step: 5 * time.Millisecond, HonourFencing: true,
+			Name: n, Group: "caption", Index: i, Order: names, Step: 5 * time.Millisecond, HonourFencing: true,
 			Model: "caption", Store: readyStore{}, Slots: 1, Drift: standin.Drift{Experts: 3},
 		}, r)
 	}
