Test the guards that could be switched off unnoticed

Some stood beside a second guard that hides them, such as the agent's refusal before the rank's own; others, such as the bound on what is decompressed, were held only by an error that comes later all the same.

Each has a comment that says what it is for, and most can be seen at the function itself.

Change: tests at the function for each of them: the member of a group, the steward that bides its time, the at-most-once registers, leaving targets, drains before suspicions, the frames at an entry, the outcome of a failure at an agent. Assertions were added to existing tests, none was taken away.

--- a/core/caller/caller_test.go
+++ b/core/caller/caller_test.go
@@ -87,6 +87,9 @@
 	want := "id: 1\ndata: {\"a\":1}\n\nretry: 2000\nevent: error\ndata: {\"error\":{\"outcome\":\"failed\",\"reason\":\"interrupted\",\"request-id\":\"r1\"}}\n\n"
 	is.Equal(w.Body.String(), want)
 	is.True(!bytes.Contains(w.Body.Bytes(), []byte("[DONE]")))
+	w = httptest.NewRecorder()
+	is.NoErr(caller.NewStream(w, "r2", time.Second).Done())
+	is.Equal(w.Body.String(), "data: [DONE]\n\n")
 }
 
 // An error of the entry's own may hold a part of a request in its text. The
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"fmt"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -160,7 +161,7 @@
 func bomb(is *is.I) []byte {
 	var buf bytes.Buffer
 	w := gzip.NewWriter(&buf)
-	_, err := w.Write(bytes.Repeat([]byte(" "), 2*config.MaxBytes))
+	_, err := w.Write(bytes.Repeat([]byte(" "), 64*config.MaxBytes))
 	is.NoErr(err)
 	is.NoErr(w.Close())
 	return buf.Bytes()
@@ -175,8 +176,13 @@
 	var large *config.TooLargeError
 	_, err := config.EncodeGzip(c)
 	is.True(errors.As(err, &large))
-	_, err = config.Decode(bomb(is))
+	hostile := bomb(is)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err = config.Decode(hostile)
+	runtime.ReadMemStats(&after)
 	is.True(errors.As(err, &large))
+	is.True(after.TotalAlloc-before.TotalAlloc < 32*config.MaxBytes) // it was not read to its end
 }
 
 func TestDecodeStrict(t *testing.T) {
@@ -201,6 +207,8 @@
 	w, ok := x.WorkspaceByToken("token-2")
 	is.True(ok)
 	is.Equal(w.Name, "workspace-002")
+	c.Workspaces[0].TokenHashes = append(c.Workspaces[0].TokenHashes, config.HashToken(""))
+	x = config.NewIndex(c)
 	for _, token := range []string{"", "token-3", config.HashToken("token-2")} {
 		_, ok = x.WorkspaceByToken(token)
 		is.True(!ok)
@@ -258,3 +266,23 @@
 	is.Equal(chosen, 2)
 	is.True(!config.Watches("stranger", zone, 2))
 }
+
+// Two changes are tried on one revision, as when two operators race. If the two
+// results shared a list, the second would rewrite the first's record of itself,
+// and a lost answer would be settled by the wrong change.
+func TestRevisionsShareNoList(t *testing.T) {
+	is := is.New(t)
+	cur := sized(1, 1)
+	apply := func(id string) config.Config {
+		next, err := config.Apply(cur, config.Change{ID: id})
+		is.NoErr(err)
+		return next
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		cur = apply(id)
+	}
+	first := apply("first")
+	apply("second")
+	_, ok := first.Applied("first")
+	is.True(ok)
+}
--- a/core/draft/draft_test.go
+++ b/core/draft/draft_test.go
@@ -40,6 +40,8 @@
 		is.NoErr(log.Append([]byte("ef")))
 		log.End(draft.Ending{Outcome: outcome.Complete})
 		is.Equal(<-got, "cdef")
+		is.NoErr(log.Append([]byte("gh"))) // too late
+		is.Equal(log.Size(), 6)
 		is.Equal(log.Readers(), 0)
 	})
 }
--- a/core/expert/plan_test.go
+++ b/core/expert/plan_test.go
@@ -182,24 +182,29 @@
 	for e := range even {
 		even[e] = 1
 	}
-	p := Lightbox()
-	p.MaxMoves, p.MaxBytes = 10, 6*g.ExpertBytes+1
-	layer := Layer{Map: Place(g, even), Loads: knownLoads(loads)}
-	var budget Budget
-	total := 0
-	for i := range 4 {
-		now := start.Add(time.Duration(i) * 10 * time.Second)
-		plan := NewPlanner(g, p).Plan(Input{Now: now, Layers: []Layer{layer}, Spent: budget})
-		is.True(plan.Wanted > len(plan.Moves))
-		is.Equal(plan.Reason, BoundReached)
-		budget = budget.Spend(now, p, plan)
-		layer.Map = layer.Map.Apply(g, 0, plan.Moves)
-		total += len(plan.Moves)
+	for _, bound := range []struct {
+		moves int
+		bytes int64
+	}{{10, 6*g.ExpertBytes + 1}, {6, 0}} {
+		p := Lightbox()
+		p.MaxMoves, p.MaxBytes = bound.moves, bound.bytes
+		layer := Layer{Map: Place(g, even), Loads: knownLoads(loads)}
+		var budget Budget
+		total := 0
+		for i := range 4 {
+			now := start.Add(time.Duration(i) * 10 * time.Second)
+			plan := NewPlanner(g, p).Plan(Input{Now: now, Layers: []Layer{layer}, Spent: budget})
+			is.True(plan.Wanted > len(plan.Moves))
+			is.Equal(plan.Reason, BoundReached)
+			budget = budget.Spend(now, p, plan)
+			layer.Map = layer.Map.Apply(g, 0, plan.Moves)
+			total += len(plan.Moves)
+		}
+		is.True(total > 0)
+		is.True(total <= 6)
+		later := NewPlanner(g, p).Plan(Input{Now: start.Add(p.Interval), Layers: []Layer{layer}, Spent: budget})
+		is.True(len(later.Moves) > 0) // a new interval
 	}
-	is.True(total > 0)
-	is.True(total <= 6)
-	later := NewPlanner(g, p).Plan(Input{Now: start.Add(p.Interval), Layers: []Layer{layer}, Spent: budget})
-	is.True(len(later.Moves) > 0) // a new interval
 }
 
 // Four layers have the same straggler, and the confirmed bound allows a tenth
--- a/core/group/member_test.go
+++ b/core/group/member_test.go
@@ -53,6 +53,7 @@
 		{"map not loaded", func(_ *Rank, o *Order) { o.Version = 3 }, "not-loaded"},
 		{"map still loading", func(r *Rank, _ *Order) { r.State.Loaded, r.State.Loading = 0, 2 }, "not-loaded"},
 		{"other epoch", func(_ *Rank, o *Order) { o.Epoch = num(1, 8) }, "other-epoch"},
+		{"load while armed", func(r *Rank, o *Order) { r.State.Armed.Number, o.Kind = num(1, 8), LoadMap }, "armed"},
 		{"older order", func(r *Rank, _ *Order) { r.State.Last = num(2, 1) }, "stale-fence"},
 	}
 	for _, tt := range tests {
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -168,6 +168,7 @@
 	is.True(!g.Learn(160*second, Number{Fence: 8, Sequence: 4}))
 	is.True(g.Admit(Number{Fence: 9, Sequence: 1}) != nil)
 	is.True(g.CanRead(160*second+second/2) != nil)
+	is.True(!g.Learn(160*second+second/2, Number{Fence: 8, Sequence: 4})) // it may be on its way yet
 	is.NoErr(g.CanRead(161 * second))
 	is.True(g.Learn(161*second, Number{Fence: 8, Sequence: 5})) // the late order has been carried out
 	is.NoErr(g.Admit(Number{Fence: 9, Sequence: 1}))
--- /dev/null
+++ b/core/member/drain_test.go
@@ -0,0 +1,28 @@
+package member
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// A zone is lost, and an agent elsewhere begins to drain. If the word of it
+// waited its turn among hundreds of suspicions, entries would send to it for
+// many seconds more.
+func TestDrainGoesBeforeSuspicions(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, 200)
+	v := f.nodes[0]
+	for _, in := range f.list[:150] {
+		v.Failed(in.Name, f.now)
+	}
+	leaving := New(Self{Name: "n190", Incarnation: 1, Agent: true}, rand.New(rand.NewPCG(1, 1)))
+	leaving.SetDraining()
+	_, err := v.Merge(leaving.Digest(nil, "n0", nil, f.now), f.now)
+	is.NoErr(err)
+	d, err := Decode(v.Digest(nil, "n180", nil, f.now))
+	is.NoErr(err)
+	is.Equal(d.Records[1].ID, idOf("n190")) // the first after the sender's own
+	is.True(d.Records[1].Draining)
+}
--- a/core/operator/operator_test.go
+++ b/core/operator/operator_test.go
@@ -219,8 +219,11 @@
 // administration to whoever found the old token.
 func TestBootstrapTokenEndsWithTheFirstOperator(t *testing.T) {
 	d, is := started(t)
-	d.index = nil
+	d.store.fail = &store.UnavailableError{Op: "get"}
 	_, err := d.client(bootstrapToken).Config(t.Context())
+	is.Equal(kindOf(err), operator.KindUnauthenticated) // the node knows by itself
+	d.index, d.store.fail = nil, nil
+	_, err = d.client(bootstrapToken).Config(t.Context())
 	is.Equal(kindOf(err), operator.KindUnauthenticated)
 	d.store.fail = &store.UnavailableError{Op: "get"}
 	_, err = d.client(bootstrapToken).Config(t.Context())
@@ -267,6 +270,8 @@
 	accepted, err := c.Restore(ctx)
 	is.NoErr(err)
 	is.Equal(accepted.Revision, uint64(2))
+	_, err = c.Restore(ctx)
+	is.Equal(kindOf(err), operator.KindConflict) // the store holds it: a later change would be undone
 	doc, err := c.Config(ctx)
 	is.NoErr(err)
 	is.True(doc.Config.Targets[0].Drained)
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"math"
@@ -348,3 +349,21 @@
 		}
 	})
 }
+
+// A quiet workspace is used at all entries. If each of them reported every
+// second, one home would answer hundreds of reports a second for nothing.
+func TestManyEntriesReportSeldom(t *testing.T) {
+	is := is.New(t)
+	h, now := newTestHome(), time.Unix(1e9, 0)
+	var last reply
+	for second := range 20 {
+		at := now.Add(time.Duration(second) * time.Second)
+		for entry := range 390 {
+			report := binary.LittleEndian.AppendUint64(nil, uint64(entry))
+			b, err := h.Merge(nil, appendRecord(report, record{ID("w"), 1, 1, fractionUnit, time.Second}), at)
+			is.NoErr(err)
+			last, _ = readReply(b)
+		}
+	}
+	is.Equal(last.interval, calmInterval)
+}
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -58,6 +58,17 @@
 	is.Equal(r.Next(relay.Event{Kind: relay.Released}).Kind, relay.Pick)
 }
 
+// An agent drains and hands the answer of a billed job over. The entry reads on
+// where the answer is; to give up would tell the caller "unknown" of an answer
+// that is there.
+func TestHandedOverAnswerIsReadOn(t *testing.T) {
+	is := is.New(t)
+	r := relay.New(relay.Request{CallerKey: true}, limits)
+	handover := relay.Event{Kind: relay.Ended, Outcome: outcome.Unknown, Handover: true}
+	a := play(r, relay.Event{Kind: relay.Picked}, relay.Event{Kind: relay.Granted}, handover)
+	is.Equal(a.Kind, relay.Attach)
+}
+
 // The register of a key is down. A caller that may have tried the key before
 // must not hear "not run", since its earlier try may have run; a key that the
 // entry made itself has no earlier try.
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -51,7 +51,7 @@
 		{Name: "b", Model: "caption", Version: "2", Role: RoleDecode},
 		{Name: "c", Model: "caption", Version: "2", Role: RolePrefill},
 		{Name: "d", Service: "job-desk"},
-		{Name: "e", Model: "caption", Drained: true},
+		{Name: "e", Model: "caption", Version: "3", Drained: true},
 	}
 	tests := map[string]struct {
 		query Query
@@ -62,6 +62,7 @@
 		"adapter":         {Query{Model: "caption", Adapter: "shoes"}, "a"},
 		"role":            {Query{Model: "caption", Version: "2", Role: RolePrefill}, "c"},
 		"whole answer":    {Query{Model: "caption", Version: "2"}, "b"},
+		"drained":         {Query{Model: "caption", Version: "3"}, ""},
 		"unknown model":   {Query{Model: "obituary"}, ""},
 		"unknown adapter": {Query{Model: "caption", Version: "2", Adapter: "shoes"}, ""},
 	}
--- a/core/target/target_test.go
+++ b/core/target/target_test.go
@@ -246,7 +246,7 @@
 		"Connection: X-Hop\r\nX-Hop: 1\r\nKeep-Alive: timeout=5\r\nX-Two: a\r\nX-Two: b\r\nContent-Length: 2\r\n\r\nhi")
 	h := http.Header{
 		"Connection": {"close, X-Drop"}, "X-Drop": {"1"}, "Te": {"trailers"}, "Upgrade": {"h2c"},
-		"Authorization": {"Bearer secret"}, "X-Workspace": {"theirs"}, "X-Keep": {"a", "b"},
+		"Authorization": {"Bearer secret"}, "X-Workspace": {"theirs"}, "Idempotency-Key": {"theirs"}, "X-Keep": {"a", "b"},
 	}
 	call := target.Call{Method: "PATCH", Path: "/a%2Fb/%C3%A9?q=1&q=%20", Header: h, Body: []byte("body")}
 	call.RequestID, call.Workspace = "r1", "erie"
--- /dev/null
+++ b/entry/flow_test.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/booking"
+	"verbenashift/core/caller"
+	"verbenashift/core/outcome"
+	"verbenashift/core/peer/wire"
+	"verbenashift/core/relay"
+)
+
+// taken is a sink that keeps what the caller is given.
+type taken struct {
+	sink
+	text string
+}
+
+func (s *taken) head(int, []*wire.Header) {}
+
+func (s *taken) data(_ uint64, p []byte) error {
+	s.text += string(p)
+	return nil
+}
+
+// A stream is read on at another place, from before the caller's last piece,
+// and later with a piece missing. The caller must get no piece twice, and an
+// answer with a hole, or one cut short, must never look whole.
+func TestFramesReachCallerOnceAndWhole(t *testing.T) {
+	is := is.New(t)
+	s := &taken{}
+	f := &flow{entry: &Entry{metrics: newMetrics()}, sink: s}
+	data := func(n uint64, text string) *wire.Frame {
+		return &wire.Frame{Kind: wire.FrameKind_FRAME_KIND_DATA, Sequence: n, Data: []byte(text)}
+	}
+	for _, m := range []*wire.Frame{data(1, "a"), data(2, "b"), data(1, "a"), data(2, "b"), data(3, "c")} {
+		done, _ := f.frame(m)
+		is.True(!done)
+	}
+	done, ev := f.frame(data(5, "e"))
+	is.True(done)
+	is.Equal(ev.Kind, relay.Broke)
+	is.Equal(s.text, "abc")
+	end := &wire.Frame{Kind: wire.FrameKind_FRAME_KIND_END, Outcome: wire.Outcome_OUTCOME_COMPLETE, Sequence: 5}
+	is.Equal(endEvent(end, 3).Kind, relay.Broke)
+	end.Sequence = 4
+	is.Equal(endEvent(end, 3).Kind, relay.Ended)
+}
+
+// A long answer of a service has partly left when its target dies. The caller
+// must see a broken connection: a part that ends well would be taken for the
+// whole.
+func TestPartOfAnswerIsAborted(t *testing.T) {
+	is := is.New(t)
+	s := newWholeSink(httptest.NewRecorder(), "r1", 2)
+	is.NoErr(s.data(1, []byte("abc"))) // over the buffer
+	is.True(!s.restart())
+	defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
+	s.finish(&outcome.Error{Outcome: outcome.Failed})
+	t.Fatal("the answer ended well")
+}
+
+// An entry is frozen between the grant of a key and its submission, and wakes
+// when everybody has forgotten the grant. The key may have run elsewhere since.
+func TestOldGrantIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	f := &flow{callerKey: true, claimedAt: time.Now().Add(-booking.DefaultGrantLife - time.Second)}
+	is.True(f.expired())
+	f.claimedAt = time.Now()
+	is.True(!f.expired())
+}
+
+// An entry that has no configuration yet refuses a request with a key. Its
+// caller's earlier try may have run; "not run" would have it book again under
+// another key.
+func TestRefusalOfKeyIsUnknown(t *testing.T) {
+	is := is.New(t)
+	refusal := &outcome.Error{Outcome: outcome.NotRun, Reason: "not-ready"}
+	h := http.Header{}
+	is.Equal(unsure(refusal, h).Outcome, outcome.NotRun)
+	h.Set(caller.HeaderIdempotencyKey, "k1")
+	is.Equal(unsure(refusal, h).Outcome, outcome.Unknown)
+	is.Equal(unsure(errUnauthorized, h), errUnauthorized)
+}
