Tell agents that they leave; bound what the instance list and counts cost

Change: an entry reads the list as seldom as 1 KB a second allows, and tells an agent whose instance leaves; the agent refuses new work at once and its word spreads, so that the first of 390 readers suffices; the number of entries is worked out from counts on the heartbeats.

--- a/agent/app.go
+++ b/agent/app.go
@@ -314,9 +314,7 @@
 // once, lets what runs end, hands over what is left at the bound and leaves its
 // register with a peer.
 func (a *Agent) drain(context.Context) error {
-	a.draining.Store(true)
-	a.members.SetDraining()
-	_ = a.register.do(a.ctx, func(time.Duration) { a.register.executor.Drain() })
+	a.leave(a.ctx)
 	if g := a.group.Load(); g != nil {
 		g.resign(a.ctx)
 	}
@@ -340,6 +338,16 @@
 	return nil
 }
 
+// leave takes no new work from now on. What is queued and running goes on.
+func (a *Agent) leave(ctx context.Context) {
+	if a.draining.Swap(true) {
+		return
+	}
+	a.log.Info("taking no new work")
+	a.members.SetDraining()
+	_ = a.register.do(ctx, func(time.Duration) { a.register.executor.Drain() })
+}
+
 // idle waits until nothing runs, for at most d.
 func (a *Agent) idle(d time.Duration) bool {
 	const poll = 20 * time.Millisecond
--- a/agent/callers.go
+++ b/agent/callers.go
@@ -93,6 +93,13 @@
 	return list
 }
 
+// count returns how many entries were heard within entryLife.
+func (e *entries) count() uint32 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return uint32(len(e.heard))
+}
+
 // sweep forgets entries that have not been heard for long.
 func (e *entries) sweep(now time.Time) {
 	e.mu.Lock()
--- a/agent/service.go
+++ b/agent/service.go
@@ -263,6 +263,10 @@
 		a.log.Info("digest of a peer not taken", "peer", m.From, "error", err)
 	}
 	resp := &wire.ExchangeResponse{Digest: a.members.Digest(m.From), From: a.cfg.Name, Load: a.load(), Revision: a.follower.Revision(), Quota: quota}
+	resp.EntriesHeard = a.entries.count()
+	if m.Leaving {
+		a.leave(ctx)
+	}
 	if m.WantNodes {
 		resp.Nodes = a.entries.nodes(now)
 		if g := a.group.Load(); g != nil {
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"verbenashift/core/config"
@@ -39,15 +40,15 @@
 func (e *Entry) countEntries(ctx context.Context) {
 	tick := time.NewTicker(countPeriod)
 	defer tick.Stop()
+	told := 0
 	for {
-		if x := e.follower.Index(); x != nil {
-			targets := x.Config().Targets
-			if len(targets) > 0 {
-				e.askAll(ctx, []config.Target{targets[rand.IntN(len(targets))]})
+		if agents := e.agentSet.Load(); agents != nil {
+			n := e.fleet.estimate(len(*agents))
+			if n != told {
+				told = n
+				e.limiter.setFleet(n, *agents)
+				e.router.setEntries(int(xxhash.Sum64String(e.cfg.Name)%uint64(n)), n)
 			}
-			index, entries := e.fleet.place(e.cfg.Name)
-			e.limiter.setFleet(entries, *e.agentSet.Load())
-			e.router.setEntries(index, entries)
 		}
 		select {
 		case <-tick.C:
@@ -57,27 +58,68 @@
 	}
 }
 
-// followInstances reads the platform's list and keeps new work away from
-// targets whose instance is leaving. The list lags; an agent that drains says
-// so itself and refuses.
+// listBytesPerSecond bounds what the reading of the platform's list may cost.
+const listBytesPerSecond = 1024
+
+// instanceBytes is the usual size of one line of the list.
+const instanceBytes = 90
+
+// followInstances reads the platform's list and tells the agents whose
+// instance is leaving. The agent is the authority on its draining: it refuses
+// new work at once and its own word spreads, so that in a large fleet each
+// entry may read the long list seldom, and the first that does suffices.
 func (e *Entry) followInstances(ctx context.Context) {
 	if e.cfg.Instances == "" {
 		return
 	}
 	client := instances.New(instances.Config{Address: e.cfg.Instances})
-	_ = client.Poll(ctx, e.cfg.InstancesPoll, func(list []instances.Instance, err error) {
+	for ctx.Err() == nil {
+		list, err := client.List(ctx)
 		if err != nil {
 			e.log.Warn("instance list unavailable", "error", err)
-			return
+		} else {
+			e.takeList(ctx, list)
 		}
-		leaving := make(map[string]bool)
-		for _, in := range list {
-			if in.State == instances.Leaving {
-				leaving[in.Name] = true
-			}
+		wait := max(e.cfg.InstancesPoll, time.Duration(len(list))*instanceBytes*time.Second/listBytesPerSecond)
+		select {
+		case <-time.After(wait*9/10 + rand.N(wait/5+1)):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// takeList keeps new work away from targets whose instance is leaving, and
+// tells their agents.
+func (e *Entry) takeList(ctx context.Context, list []instances.Instance) {
+	x := e.follower.Index()
+	leaving := make(map[string]bool)
+	for _, in := range list {
+		if in.State != instances.Leaving {
+			continue
 		}
-		e.members.SetLeaving(leaving)
-	})
+		leaving[in.Name] = true
+		if x == nil {
+			continue
+		}
+		if t, ok := x.Target(in.Name); ok && !e.fleet.drains(t.Name) {
+			go e.tellLeaving(ctx, t)
+		}
+	}
+	e.members.SetLeaving(leaving)
+}
+
+func (e *Entry) tellLeaving(ctx context.Context, t *config.Target) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req := &wire.ExchangeRequest{Leaving: true}
+	e.describe(req)
+	resp, err := e.dialer.Agent(t.Agent).Exchange(ctx, connect.NewRequest(req))
+	if err != nil {
+		e.log.Info("agent of a leaving instance does not answer", "target", t.Name, "error", err)
+		return
+	}
+	e.fleet.heard(t.Name, resp.Msg)
+	e.router.heard(t.Name, resp.Msg.Load)
 }
 
 // memberPeriod is the time between looks at the members.
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -23,12 +24,19 @@
 	// nodeLife is how long an entry counts as part of the fleet after its
 	// last heartbeat to any agent.
 	nodeLife = 15 * time.Second
+	// keptCounts is how many answers the number of entries is worked out from.
+	keptCounts = 16
+	// exchangesPerMinute is how often an entry exchanges with any agent; see
+	// package member.
+	exchangesPerMinute = 90
 )
 
 // fleet holds what is known of the other processes.
 type fleet struct {
-	mu     sync.Mutex
-	nodes  map[string]node
+	mu    sync.Mutex
+	nodes map[string]node
+	// counts are the last answers on how many entries an agent has heard.
+	counts []uint32
 	groups map[string]groupHeard
 
 	// status is one look at the fleet, shared by those who ask at once.
@@ -58,6 +66,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	f.counts = append(f.counts, m.EntriesHeard)
+	if n := len(f.counts) - keptCounts; n > 0 {
+		f.counts = f.counts[n:]
+	}
 	f.keep(node{heard: now, Node: operator.Node{
 		Name: name, Kind: operator.KindAgent, Revision: m.Revision, Incarnation: m.GetLoad().GetIncarnation(),
 		Draining: m.GetLoad().GetDraining(), Queued: m.GetLoad().GetQueued(), Running: m.GetLoad().GetRunning(),
@@ -149,21 +161,28 @@
 	return nodes
 }
 
-// place returns the place of an entry among the sorted names of the entries
-// heard lately, itself included, and how many they are.
-func (f *fleet) place(self string) (index, entries int) {
+// drains reports whether an agent has said that it takes no new work.
+func (f *fleet) drains(agent string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, x := range f.nodes {
-		if x.Kind != operator.KindEntry || x.Name == self || time.Since(x.heard) > nodeLife {
-			continue
-		}
-		entries++
-		if x.Name < self {
-			index++
-		}
+	return f.nodes[operator.KindAgent+"/"+agent].Draining
+}
+
+// estimate returns how many entries there are, from what the agents have heard
+// in a minute. In a large fleet an entry exchanges with each agent only now and
+// then, so that an agent hears a known part of the entries.
+func (f *fleet) estimate(agents int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.counts) == 0 || agents == 0 {
+		return 1
+	}
+	sum := 0.0
+	for _, c := range f.counts {
+		sum += float64(c)
 	}
-	return index, entries + 1
+	part := 1 - math.Exp(-exchangesPerMinute/float64(agents))
+	return max(1, int(math.Round(sum/float64(len(f.counts))/part)))
 }
 
 // Status asks all agents how they are and which entries they have heard of.
