--- a/core/rank/client.go
+++ b/core/rank/client.go
@@ -129,8 +129,9 @@
 	return &group.RefusedError{Order: o.Order, Reason: r.Error}
 }
 
-// send sends one request. Its body has no GetBody, so that net/http does not
-// send an order again by itself when a kept connection breaks.
+// send sends one request. An order is a POST without an Idempotency-Key, which
+// net/http does not send again by itself when a kept connection breaks after a
+// byte of it was written.
 func (c *Client) send(ctx context.Context, method, path string, in any) (*http.Response, error) {
 	var body []byte
 	if in != nil {
@@ -143,7 +144,6 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "make request")
 	}
-	req.GetBody = nil
 	if in != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
