Bound the deployments that the proofs run at once

Cause: go test runs as many tests at once as there are processors, each with some fifteen processes. Change: four deployments at once; the storm tells how many keys ran.

--- a/proof/start_test.go
+++ b/proof/start_test.go
@@ -21,6 +21,10 @@
 // deadline is when a proof gives up. It decides nothing: the ledgers do.
 const deadline = 2 * time.Minute
 
+// places bounds the deployments that run at once: each has some fifteen
+// processes.
+var places = make(chan struct{}, 4)
+
 // TestMain has a second run on the same machine wait for the first: both use
 // the same addresses.
 func TestMain(m *testing.M) {
@@ -51,6 +55,8 @@
 func start(t *testing.T, s deployment.Shape) *scene {
 	t.Helper()
 	t.Parallel()
+	places <- struct{}{}
+	t.Cleanup(func() { <-places })
 	ctx, cancel := context.WithTimeout(t.Context(), deadline)
 	t.Cleanup(cancel)
 	if s.Entries == 0 {
--- a/proof/together_test.go
+++ b/proof/together_test.go
@@ -42,7 +42,7 @@
 		records = append(records, s.Begin(s.ctx, keyed(load), order...).Wait()...)
 	}
 	s.kept(records)
-	s.once()
+	t.Logf("%d of %d keys ran", s.once(), len(keyed(load)))
 }
 
 // blow breaks something and returns what mends it.
