Count the steps that two ranks made on different maps

Ruled out: comparing the versions of the last reports, which differ in every switch; asking the ranks for their ledgers, which engines do not keep. Change: the steward compares since when each rank is on its map and how far it has come; two facts of the past prove a mixed step, whatever the order and age of the reports. agent-group mixed-steps counts the ranks found, the log names them.

--- a/agent/group.go
+++ b/agent/group.go
@@ -156,6 +156,7 @@
 	leaving bool
 	ticked  time.Duration
 	want    group.Version
+	watched mapWatch
 	// wantFence is the fence under which want was planned.
 	wantFence uint64
 
@@ -232,6 +233,7 @@
 func (g *expertGroup) receive(from string, m group.Message) {
 	now := g.now()
 	g.contents.note(m, from)
+	g.watch(from, m)
 	if st := g.acting(now); st != nil {
 		g.act(st.Receive(now, from, m))
 	}
--- a/agent/group_status.go
+++ b/agent/group_status.go
@@ -20,7 +20,7 @@
 
 func newGroupMetrics() *groupMetrics {
 	m := &groupMetrics{counts: expvar.NewMap("agent-group")}
-	for _, name := range []string{"switches", "aborts", "formed", "stalled-steps", "fencing-refusals"} {
+	for _, name := range []string{"switches", "aborts", "formed", "stalled-steps", "fencing-refusals", "mixed-steps"} {
 		m.counts.Add(name, 0)
 	}
 	return m
