An old step time says nothing of a target

Cause: in a proof two healthy targets were ejected as stragglers: an agent whose target had been idle went on telling the step time of its last slow moment. Ruled out: the median over few targets (both had the time of one token only). Change: a step time is told for five seconds after its last sample.

--- a/agent/app.go
+++ b/agent/app.go
@@ -184,7 +184,7 @@
 	l := a.dispatcher.load.Load()
 	return &wire.Load{
 		Incarnation: a.id.incarnation, Queued: uint64(max(l.Queued, 0)), Running: uint32(l.Running),
-		Rate: l.Rate, Draining: a.draining.Load(), Revision: a.follower.Revision(), StepMs: a.step.ms(),
+		Rate: l.Rate, Draining: a.draining.Load(), Revision: a.follower.Revision(), StepMs: a.step.ms(time.Now()),
 	}
 }
 
--- a/agent/run.go
+++ b/agent/run.go
@@ -257,7 +257,7 @@
 	}
 	now := time.Now()
 	if !r.last.IsZero() {
-		r.agent.step.add(now.Sub(r.last))
+		r.agent.step.add(now.Sub(r.last), now)
 	}
 	r.last = now
 }
