agent: the first map once, the duty's calls on the store tested

Cause: the steward's settings were made at each look, with a whole placement and its digest each time: a hundred a second, and more with each message. The calls of a lease on the store had no test. Change: a shape makes its first map once; settings and shape in a file of their own; tests with a store of one key, in which a lost acquisition is found and renewed. The fakes of the group's tests gave the agents shapes of one to four ranks, which went unseen as each agent made its first map by itself. Figures: the new tests fail without the lease's number from the record, and without the least next step.

--- a/agent/group.go
+++ b/agent/group.go
@@ -3,16 +3,13 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"verbenashift/core/duty"
-	"verbenashift/core/expert"
 	"verbenashift/core/group"
 	"verbenashift/core/lease"
 	"verbenashift/core/rank"
-	"verbenashift/core/settings"
 )
 
 // groupTick is the time between looks at the timers of a group.
@@ -25,84 +22,6 @@
 // bears the loss of those beyond it.
 const groupSends = 256
 
-// GroupSettings are the settings of an agent's part in an expert-parallel
-// group.
-type GroupSettings struct {
-	// Beat is the steward's interval of probes while all is well, and Silence
-	// how long it may be quiet before another agent asks for its duty.
-	Beat    time.Duration
-	Silence time.Duration
-	// LeaseTTL is that of the steward's lease.
-	LeaseTTL time.Duration
-	// PlanInterval is the time between two looks at the loads.
-	PlanInterval time.Duration
-	// LostRanks is how many ranks the group can be formed without, and DeadAfter
-	// how long an agent may be silent before its rank counts as lost.
-	LostRanks int
-	DeadAfter time.Duration
-	// ExpertBytes is the size of one expert's weights in a layer, StoreRate the
-	// group's share of the weight store in bytes a second, and Spare how many
-	// experts a rank has room for beside those of the map in force.
-	ExpertBytes int
-	StoreRate   int
-	Spare       int
-}
-
-// declare names the settings with their defaults and bounds.
-func (c *GroupSettings) declare(s *settings.Set) {
-	const section = "group"
-	s.Duration(section, "beat", &c.Beat, 5*time.Second, 100*time.Millisecond, time.Minute, "time between the steward's probes while all is well")
-	s.Duration(section, "silence", &c.Silence, 20*time.Second, time.Second, 10*time.Minute, "how long the steward may be quiet before another agent asks for its duty")
-	s.Duration(section, "lease", &c.LeaseTTL, lease.DefaultTTL, time.Second, time.Minute, "lease of the steward's duty")
-	s.Int(section, "lost-ranks", &c.LostRanks, 1, 0, 1<<16, "ranks", "how many ranks the group can be formed without; with fewer it waits")
-	s.Duration(section, "dead-after", &c.DeadAfter, 10*time.Second, time.Second, 10*time.Minute, "how long an agent may be silent before the group is formed without its rank")
-	s.Duration(section, "plan-interval", &c.PlanInterval, time.Minute, 100*time.Millisecond, time.Hour, "time between two looks at the experts' loads")
-	s.Int(section, "expert-size", &c.ExpertBytes, defaultExpertBytes, 1, 1<<40, "bytes", "weights of one expert in one layer")
-	s.Int(section, "store-rate", &c.StoreRate, defaultStoreRate, 1, 1<<40, "bytes a second", "what the weight store gives to the group")
-	s.Int(section, "spare-slots", &c.Spare, 8, 1, 1<<16, "experts", "experts, of all layers together, that a rank has room for beside those in use")
-}
-
-// The defaults of GroupSettings.
-const (
-	defaultExpertBytes = 1 << 20
-	defaultStoreRate   = 64 << 20
-)
-
-// groupShape is a group as configured.
-type groupShape struct {
-	name  string
-	model string
-	// members are the ranks in the order of the maps, addresses their agents.
-	members   []string
-	addresses map[string]string
-	// candidates are the members whose agents may hold the duty.
-	candidates []string
-	layers     int
-	expert     expert.Group
-	policy     expert.Policy
-	// confirmed says that an operator has confirmed an intent for the group.
-	confirmed bool
-	habit     lease.Habit
-}
-
-// initialVersion returns the version of initial.
-func (s *groupShape) initialVersion() group.Version { return s.initial().Version() }
-
-// initial returns the map of a group that has none yet. It is a function of the
-// shape, so that every agent knows its content.
-func (s *groupShape) initial() rank.Placement {
-	even := slices.Repeat([]float64{1}, s.expert.Experts)
-	layer := expert.Place(&s.expert, even)
-	return slices.Repeat(rank.Placement{layer}, s.layers)
-}
-
-// minRanks returns the least number of ranks that go on without the others: so
-// many may be lost, but those left need slots for every expert.
-func (s *groupShape) minRanks(lost int) int {
-	needed := (s.expert.Experts + s.expert.Slots - 1) / s.expert.Slots
-	return max(len(s.members)-lost, needed, 1)
-}
-
 // groupRank is the agent's own rank.
 type groupRank interface {
 	State(ctx context.Context) (rank.State, error)
--- a/agent/group_fleet_test.go
+++ b/agent/group_fleet_test.go
@@ -67,8 +67,10 @@
 		policy: expert.Lightbox(), habit: lease.HonoursFencing,
 	}
 	f.shape.candidates = f.shape.members
-	for i, name := range f.shape.members {
+	for _, name := range f.shape.members {
 		f.shape.expert.Ranks = append(f.shape.expert.Ranks, expert.Rank{Server: name})
+	}
+	for i, name := range f.shape.members {
 		r := &fakeRank{fleet: f, name: name, index: i, maps: make(map[group.Version]rank.Placement)}
 		r.rank.Habit, r.rank.State.Incarnation = lease.HonoursFencing, 1
 		f.ranks[name] = r
--- /dev/null
+++ b/agent/group_lease_test.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/lease"
+	"verbenashift/core/store"
+	"verbenashift/core/store/wire"
+)
+
+// oneKey is a store with one key, as far as a duty needs it.
+type oneKey struct {
+	value    []byte
+	revision wire.Int64
+	created  wire.Int64
+	lease    wire.Int64
+	grants   wire.Int64
+	// lose drops the answer to the next write of the key.
+	lose  bool
+	calls map[string]int
+}
+
+func (k *oneKey) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	k.calls[r.URL.Path]++
+	var answer any
+	switch r.URL.Path {
+	case wire.RangePath:
+		answer = wire.RangeResponse{Header: wire.Header{Revision: k.revision}, KVs: k.read()}
+	case wire.GrantPath:
+		k.grants++
+		answer = wire.Lease{ID: k.grants, TTL: 10}
+	case wire.KeepAlivePath:
+		var l wire.Lease
+		_ = json.NewDecoder(r.Body).Decode(&l)
+		answer = wire.KeepAliveLine{Result: wire.Lease{ID: l.ID, TTL: k.left(l.ID)}}
+	case wire.RevokePath:
+		k.value = nil
+		answer = struct{}{}
+	case wire.TxnPath:
+		answer = k.txn(r)
+		if k.lose {
+			k.lose = false
+			panic(http.ErrAbortHandler)
+		}
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (k *oneKey) read() []wire.KeyValue {
+	if k.value == nil {
+		return nil
+	}
+	return []wire.KeyValue{{Key: []byte("duty"), Value: k.value, ModRevision: k.created}}
+}
+
+func (k *oneKey) left(id wire.Int64) wire.Int64 {
+	if k.value != nil && id == k.lease {
+		return 10
+	}
+	return 0
+}
+
+func (k *oneKey) txn(r *http.Request) wire.TxnResponse {
+	var req wire.TxnRequest
+	_ = json.NewDecoder(r.Body).Decode(&req)
+	if k.value != nil {
+		failed := wire.RangeResponse{KVs: k.read()}
+		return wire.TxnResponse{Header: wire.Header{Revision: k.revision}, Responses: []wire.ResponseOp{{Range: &failed}}}
+	}
+	k.revision++
+	k.value, k.created, k.lease = req.Success[0].Put.Value, k.revision, req.Success[0].Put.Lease
+	return wire.TxnResponse{Header: wire.Header{Revision: k.revision}, Succeeded: true}
+}
+
+func newDuty(t *testing.T) (*oneKey, *dutyStore) {
+	t.Helper()
+	k := &oneKey{revision: 6, calls: make(map[string]int)}
+	s := httptest.NewServer(k)
+	t.Cleanup(s.Close)
+	return k, newDutyStore(store.New(store.Config{Addresses: []string{s.URL}}))
+}
+
+func dutyCall(kind lease.CallKind, owner string, fence uint64) lease.Call {
+	return lease.Call{Kind: kind, Duty: "duty", Owner: owner, Fence: fence, TTL: 10 * time.Second}
+}
+
+func TestDutyStore(t *testing.T) {
+	is := is.New(t)
+	k, d := newDuty(t)
+	is.Equal(d.Call(t.Context(), dutyCall(lease.Acquire, "a/1", 0)), lease.Answer{Done: true, Owner: "a/1", Fence: 7})
+	is.Equal(d.Call(t.Context(), dutyCall(lease.Renew, "a/1", 7)), lease.Answer{Done: true, Owner: "a/1", Fence: 7})
+	// Another agent asks, which costs the store one read.
+	is.Equal(newDutyStore(d.store).Call(t.Context(), dutyCall(lease.Acquire, "b/1", 0)), lease.Answer{Owner: "a/1", Fence: 7})
+	is.Equal(k.calls[wire.GrantPath], 1)
+	is.Equal(d.Call(t.Context(), dutyCall(lease.Release, "a/1", 7)), lease.Answer{})
+	is.Equal(d.Call(t.Context(), dutyCall(lease.Renew, "a/1", 7)), lease.Answer{}) // it is gone
+	is.Equal(d.Call(t.Context(), dutyCall(lease.Acquire, "b/1", 0)).Fence, uint64(8))
+}
+
+// The store's answer to an acquisition is lost after the write took effect. The
+// group has no steward for the time of the lease unless the agent finds its own
+// record, and then it must renew the store's lease that this record hangs on.
+func TestLostAcquisitionIsFound(t *testing.T) {
+	is := is.New(t)
+	k, d := newDuty(t)
+	k.lose = true
+	is.True(d.Call(t.Context(), dutyCall(lease.Acquire, "a/1", 0)).Lost)
+	is.Equal(d.Call(t.Context(), dutyCall(lease.Read, "a/1", 0)), lease.Answer{Owner: "a/1", Fence: 7})
+	is.True(d.Call(t.Context(), dutyCall(lease.Renew, "a/1", 7)).Done)
+}
