agent: tests of the guard before a target's other orders

Cause: Order had no test. Change: a former holder's order, and one whose answer is lost, at a target that carries out anything; a late report in the watch for mixed steps.

--- a/agent/group_watch_test.go
+++ b/agent/group_watch_test.go
@@ -32,6 +32,7 @@
 		{"b went on", []report{{"a", at(5, 2, 11)}, {"b", at(1, 1, 11)}}, "b"},
 		{"b's report first", []report{{"b", at(1, 1, 11)}, {"a", at(5, 2, 11)}}, "b"},
 		{"seen by the earlier report", []report{{"a", at(5, 2, 11)}, {"a", at(5, 2, 90)}, {"b", at(1, 1, 20)}}, "b"},
+		{"b's late report last", []report{{"b", at(1, 1, 20)}, {"b", at(1, 1, 9)}, {"a", at(5, 2, 15)}}, "b"},
 		{"the same map again", []report{{"a", at(5, 1, 11)}, {"b", at(1, 1, 20)}}, ""},
 		{"another epoch", []report{
 			{"a", at(5, 2, 11)},
--- /dev/null
+++ b/agent/orders_test.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/lease"
+	"verbenashift/core/target"
+)
+
+// orderTarget is a target that carries out any order and tells the last one.
+type orderTarget struct {
+	done []target.Order
+	// lose drops the answer to the next order after it took effect.
+	lose bool
+}
+
+func (o *orderTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost {
+		var got target.Order
+		_ = json.NewDecoder(r.Body).Decode(&got)
+		o.done = append(o.done, got)
+		if o.lose {
+			o.lose = false
+			panic(http.ErrAbortHandler)
+		}
+	}
+	last := target.Order{}
+	if n := len(o.done); n > 0 {
+		last = o.done[n-1]
+	}
+	_ = json.NewEncoder(w).Encode(last)
+}
+
+// An order of a holder whose lease has passed on comes after one of its
+// successor, to a target that does not look at the number; and the answer to an
+// order is lost, after which the agent must not send another before it has read
+// what the target did.
+func TestOrdersAreGuarded(t *testing.T) {
+	is := is.New(t)
+	o := &orderTarget{done: []target.Order{{Fence: 4, Sequence: 2, Kind: "drain"}}}
+	s := httptest.NewServer(o)
+	defer s.Close()
+	a := &Agent{engine: target.NewEngine(strings.TrimPrefix(s.URL, "http://"), target.Options{}), groupMetrics: testMetrics()}
+	g := &a.orders
+	g.guard, g.began = lease.NewGuard(lease.HonoursFencing, time.Second), time.Now()
+	give := func(fence, sequence uint64) string {
+		resp := g.pass(t.Context(), a, target.Order{Fence: fence, Sequence: sequence, Kind: "set-role"})
+		is.Equal(resp.Applied, resp.Reason == "")
+		return resp.Reason
+	}
+	is.Equal(give(4, 2), reasonStaleFence) // learned from the target
+	is.Equal(give(6, 1), "")
+	is.Equal(give(5, 9), reasonStaleFence)
+	o.lose = true
+	is.Equal(give(6, 2), reasonAnswerLost)
+	is.Equal(give(6, 2), reasonStaleFence) // it had taken effect
+	is.Equal(give(6, 3), "")
+	is.Equal(len(o.done), 4)
+}
