One package for what the programs have in common

Change: core/process. Ruled out: embedding a common struct in both, which would hide what each provides.

--- a/agent/app.go
+++ b/agent/app.go
@@ -18,7 +18,6 @@
 	"github.com/gorilla/mux"
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/fx"
-	"go.uber.org/fx/fxevent"
 
 	"verbenashift/core/config"
 	"verbenashift/core/draft"
@@ -28,6 +27,7 @@
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/peer/wire/wireconnect"
+	"verbenashift/core/process"
 	"verbenashift/core/store"
 	"verbenashift/core/target"
 	"verbenashift/core/telemetry"
@@ -233,7 +233,7 @@
 	}
 	if a.members.Superseded() && !a.draining.Load() {
 		a.log.Error("a later process has this agent's name; stopping")
-		_ = shutdown.Shutdown(fx.ExitCode(exitFailure))
+		_ = shutdown.Shutdown(fx.ExitCode(process.ExitFailure))
 	}
 }
 
@@ -268,7 +268,7 @@
 	go func() {
 		if err := peer.Serve(s, l); !errors.Is(err, http.ErrServerClosed) {
 			a.log.Error("listener ended", "address", addr, "error", err)
-			_ = shutdown.Shutdown(fx.ExitCode(1))
+			_ = shutdown.Shutdown(fx.ExitCode(process.ExitFailure))
 		}
 	}()
 	return nil
@@ -360,29 +360,3 @@
 		}
 	}
 }
-
-// serveUntilSignal starts the agent and returns its exit code when it has
-// stopped.
-func serveUntilSignal(cfg Settings) int {
-	app := fx.New(
-		fx.Supply(cfg),
-		fx.Provide(newLogger, newTracer, newDialer, newStore, newFollower, newIdentity, newAgent),
-		fx.Invoke((*Agent).start),
-		fx.StopTimeout(cfg.Bound+time.Minute),
-		fx.WithLogger(func(log *slog.Logger) fxevent.Logger {
-			l := &fxevent.SlogLogger{Logger: log}
-			l.UseLogLevel(slog.LevelDebug)
-			return l
-		}),
-	)
-	if err := app.Start(context.Background()); err != nil {
-		return 1
-	}
-	sig := <-app.Wait()
-	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
-	defer cancel()
-	if err := app.Stop(ctx); err != nil {
-		return 1
-	}
-	return sig.ExitCode
-}
--- a/agent/main.go
+++ b/agent/main.go
@@ -10,70 +10,39 @@
 package main
 
 import (
-	"context"
-	"fmt"
-	"os"
+	"time"
 
-	"github.com/urfave/cli/v3"
-)
+	"github.com/go-faster/errors"
+	"go.uber.org/fx"
 
-// The exit codes.
-const (
-	exitFailure  = 1
-	exitSettings = 2
+	"verbenashift/core/process"
 )
 
 func main() {
-	cmd := &cli.Command{
-		Name:  "agent",
-		Usage: "serve the target beside this process",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "run with the settings of `FILE`"},
-			&cli.StringFlag{Name: "check", Usage: "check `FILE` and exit"},
-			&cli.BoolFlag{Name: "reference", Usage: "print all settings as a Markdown table"},
-		},
-		Action: act,
-	}
-	if err := cmd.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "agent:", err)
-		os.Exit(exitFailure)
-	}
+	var cfg Settings
+	process.Program{
+		Name: "agent", Usage: "serve the target beside this process",
+		Declare: cfg.declare, Check: cfg.check,
+		Run: func() int { return serve(cfg) },
+	}.Main()
 }
 
-func act(_ context.Context, cmd *cli.Command) error {
-	var cfg Settings
-	set := cfg.declare()
-	if cmd.Bool("reference") {
-		return set.Reference(os.Stdout)
-	}
-	file := cmd.String("check")
-	if file == "" {
-		file = cmd.String("settings")
+// check checks what no single setting shows.
+func (c *Settings) check(file string) error {
+	if err := c.Peer.Check(c.Peers); err != nil {
+		return errors.Wrapf(err, "settings file %s: [tls]", file)
 	}
-	if file == "" {
-		return cli.Exit("agent: -settings FILE is needed", exitSettings)
-	}
-	if err := readSettings(&cfg, file); err != nil {
-		return cli.Exit(err.Error(), exitSettings)
-	}
-	if cmd.String("check") != "" {
-		fmt.Println("ok")
-		return nil
-	}
-	if code := serveUntilSignal(cfg); code != 0 {
-		return cli.Exit("", code)
+	if _, err := c.Peer.Client(); err != nil {
+		return errors.Wrapf(err, "settings file %s", file)
 	}
 	return nil
 }
 
-// readSettings reads and checks a settings file, keys included.
-func readSettings(cfg *Settings, file string) error {
-	if err := cfg.declare().Load(file); err != nil {
-		return err
-	}
-	if err := cfg.Peer.Check(cfg.Peers); err != nil {
-		return err
-	}
-	_, err := cfg.Peer.Client()
-	return err
+// serve runs the agent until it is told to stop.
+func serve(cfg Settings) int {
+	return process.Run(cfg.Bound+time.Minute,
+		fx.Supply(cfg),
+		fx.Provide(newLogger, newTracer, newDialer, newStore, newFollower, newIdentity, newAgent),
+		fx.Invoke((*Agent).start),
+	)
 }
--- /dev/null
+++ b/core/process/process.go
@@ -0,0 +1,122 @@
+// Package process is what the programs of the system have in common: their
+// command line, and a run from start to a graceful stop.
+//
+// # Usage
+//
+//	func main() {
+//		var cfg Settings
+//		process.Program{
+//			Name: "entry", Usage: "serve callers and operators",
+//			Declare: cfg.declare, Check: cfg.check,
+//			Run: func() int { return process.Run(time.Minute, fx.Supply(cfg), fx.Invoke(start)) },
+//		}.Main()
+//	}
+package process
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"verbenashift/core/settings"
+)
+
+// The exit codes of all programs.
+const (
+	ExitFailure  = 1
+	ExitSettings = 2
+)
+
+// Program is one program. All its fields are needed.
+type Program struct {
+	Name  string
+	Usage string
+	// Declare declares the settings anew.
+	Declare func() *settings.Set
+	// Check checks the settings that were read from file beyond their single
+	// values, keys included.
+	Check func(file string) error
+	// Run runs the program until it is told to stop and returns its exit code.
+	Run func() int
+}
+
+// Main parses the command line, acts and exits.
+func (p Program) Main() {
+	cmd := &cli.Command{
+		Name:  p.Name,
+		Usage: p.Usage,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "run with the settings of `FILE`"},
+			&cli.StringFlag{Name: "check", Usage: "check `FILE` and exit"},
+			&cli.BoolFlag{Name: "reference", Usage: "print all settings as a Markdown table"},
+		},
+		Action: func(_ context.Context, cmd *cli.Command) error { return p.act(cmd, os.Stdout) },
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", p.Name, err)
+		os.Exit(ExitFailure)
+	}
+}
+
+func (p Program) act(cmd *cli.Command, out io.Writer) error {
+	if cmd.Bool("reference") {
+		return p.Declare().Reference(out)
+	}
+	check := cmd.String("check")
+	file := check
+	if file == "" {
+		file = cmd.String("settings")
+	}
+	if file == "" {
+		return cli.Exit(p.Name+": -settings FILE is needed", ExitSettings)
+	}
+	if err := p.read(file); err != nil {
+		return cli.Exit(err.Error(), ExitSettings)
+	}
+	if check != "" {
+		_, err := fmt.Fprintln(out, "ok")
+		return err
+	}
+	if code := p.Run(); code != 0 {
+		return cli.Exit("", code)
+	}
+	return nil
+}
+
+func (p Program) read(file string) error {
+	if err := p.Declare().Load(file); err != nil {
+		return err
+	}
+	return p.Check(file)
+}
+
+// Run starts what the options provide, waits for a signal or an fx.Shutdowner,
+// and stops it again within stop. It returns the exit code.
+func Run(stop time.Duration, options ...fx.Option) int {
+	app := fx.New(fx.Options(options...), fx.StopTimeout(stop), fx.WithLogger(newLogger))
+	ctx := context.Background()
+	if err := app.Start(ctx); err != nil {
+		return ExitFailure
+	}
+	signal := <-app.Wait()
+	ctx, cancel := context.WithTimeout(ctx, stop)
+	defer cancel()
+	if err := app.Stop(ctx); err != nil {
+		return ExitFailure
+	}
+	return signal.ExitCode
+}
+
+// newLogger has fx log what it does at the debug level, errors aside.
+func newLogger(log *slog.Logger) fxevent.Logger {
+	l := &fxevent.SlogLogger{Logger: log}
+	l.UseLogLevel(slog.LevelDebug)
+	return l
+}
--- a/entry/app.go
+++ b/entry/app.go
@@ -15,7 +15,6 @@
 	"github.com/gorilla/mux"
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/fx"
-	"go.uber.org/fx/fxevent"
 
 	"verbenashift/core/caller"
 	"verbenashift/core/config"
@@ -25,6 +24,7 @@
 	"verbenashift/core/outcome"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
+	"verbenashift/core/process"
 	"verbenashift/core/route"
 	"verbenashift/core/store"
 	"verbenashift/core/telemetry"
@@ -209,7 +209,7 @@
 		}
 		if !errors.Is(err, http.ErrServerClosed) {
 			e.log.Error("listener ended", "address", addr, "error", err)
-			_ = shutdown.Shutdown(fx.ExitCode(1))
+			_ = shutdown.Shutdown(fx.ExitCode(process.ExitFailure))
 		}
 	}()
 	return nil
@@ -305,28 +305,3 @@
 		}
 	}
 }
-
-// run starts the entry and returns its exit code when it has stopped.
-func run(cfg Settings) int {
-	app := fx.New(
-		fx.Supply(cfg),
-		fx.Provide(newLogger, newTracer, newDialer, newStore, newFollower, newEntry),
-		fx.Invoke((*Entry).start),
-		fx.StopTimeout(cfg.Notice+cfg.Bound+time.Minute),
-		fx.WithLogger(func(log *slog.Logger) fxevent.Logger {
-			l := &fxevent.SlogLogger{Logger: log}
-			l.UseLogLevel(slog.LevelDebug)
-			return l
-		}),
-	)
-	if err := app.Start(context.Background()); err != nil {
-		return 1
-	}
-	sig := <-app.Wait()
-	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
-	defer cancel()
-	if err := app.Stop(ctx); err != nil {
-		return 1
-	}
-	return sig.ExitCode
-}
--- a/entry/main.go
+++ b/entry/main.go
@@ -10,85 +10,54 @@
 package main
 
 import (
-	"context"
 	"crypto/tls"
-	"fmt"
-	"os"
+	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/urfave/cli/v3"
+	"go.uber.org/fx"
 
 	"verbenashift/core/keys"
-)
-
-// The exit codes.
-const (
-	exitFailure  = 1
-	exitSettings = 2
+	"verbenashift/core/process"
 )
 
 func main() {
-	cmd := &cli.Command{
-		Name:  "entry",
-		Usage: "serve callers and operators",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "run with the settings of `FILE`"},
-			&cli.StringFlag{Name: "check", Usage: "check `FILE` and exit"},
-			&cli.BoolFlag{Name: "reference", Usage: "print all settings as a Markdown table"},
-		},
-		Action: act,
-	}
-	if err := cmd.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "entry:", err)
-		os.Exit(exitFailure)
-	}
+	var cfg Settings
+	process.Program{
+		Name: "entry", Usage: "serve callers and operators",
+		Declare: cfg.declare, Check: cfg.check,
+		Run: func() int { return serve(cfg) },
+	}.Main()
 }
 
-func act(_ context.Context, cmd *cli.Command) error {
-	var cfg Settings
-	set := cfg.declare()
-	if cmd.Bool("reference") {
-		return set.Reference(os.Stdout)
-	}
-	file := cmd.String("check")
-	if file == "" {
-		file = cmd.String("settings")
-	}
-	if file == "" {
-		return cli.Exit("entry: -settings FILE is needed", exitSettings)
+// check checks what no single setting shows.
+func (c *Settings) check(file string) error {
+	if err := c.checkCallerKeys(); err != nil {
+		return errors.Wrapf(err, "settings file %s: [caller-tls]", file)
 	}
-	if err := readSettings(&cfg, file); err != nil {
-		return cli.Exit(err.Error(), exitSettings)
-	}
-	if cmd.String("check") != "" {
-		fmt.Println("ok")
-		return nil
-	}
-	if code := run(cfg); code != 0 {
-		return cli.Exit("", code)
+	if _, err := c.Peer.Client(); err != nil {
+		return errors.Wrapf(err, "settings file %s", file)
 	}
 	return nil
 }
 
-// readSettings reads and checks a settings file, keys included.
-func readSettings(cfg *Settings, file string) error {
-	if err := cfg.declare().Load(file); err != nil {
+// checkCallerKeys loads the callers' certificate. Without one the listeners
+// may stand on loopback only.
+func (c *Settings) checkCallerKeys() error {
+	if c.CallerCert != "" {
+		_, err := tls.LoadX509KeyPair(c.CallerCert, c.CallerKey)
 		return err
 	}
-	if cfg.CallerCert == "" {
-		for _, addr := range []string{cfg.Callers, cfg.Operators} {
-			if err := keys.CheckClear(addr); err != nil {
-				return errors.Wrapf(err, "settings file %s: [caller-tls]", file)
-			}
-		}
-	}
-	if cfg.CallerCert != "" {
-		if _, err := tls.LoadX509KeyPair(cfg.CallerCert, cfg.CallerKey); err != nil {
-			return errors.Wrapf(err, "settings file %s: [caller-tls]", file)
-		}
-	}
-	if _, err := cfg.Peer.Client(); err != nil {
-		return errors.Wrapf(err, "settings file %s: [tls]", file)
+	if err := keys.CheckClear(c.Callers); err != nil {
+		return err
 	}
-	return nil
+	return keys.CheckClear(c.Operators)
+}
+
+// serve runs the entry until it is told to stop.
+func serve(cfg Settings) int {
+	return process.Run(cfg.Notice+cfg.Bound+time.Minute,
+		fx.Supply(cfg),
+		fx.Provide(newLogger, newTracer, newDialer, newStore, newFollower, newEntry),
+		fx.Invoke((*Entry).start),
+	)
 }
