--- a/agent/run_test.go
+++ b/agent/run_test.go
@@ -1,13 +1,20 @@
 package main
 
 import (
+	"net"
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
 	"verbenashift/core/draft"
+	"verbenashift/core/follow"
 	"verbenashift/core/outcome"
+	"verbenashift/core/peer"
+	"verbenashift/core/peer/wire"
+	"verbenashift/core/peer/wire/wireconnect"
 	"verbenashift/core/target"
 )
 
@@ -32,3 +39,37 @@
 		})
 	}
 }
+
+// An agent drains, and an entry that has not heard of it sends a request all
+// the same. It is refused at once as not run; to begin it would cut its answer
+// off when the agent stops.
+func TestDrainingAgentRefuses(t *testing.T) {
+	is := is.New(t)
+	a := &Agent{dispatcher: newDispatcher(Settings{Slots: 1}), follower: follow.New(follow.Config{})}
+	a.draining.Store(true)
+	m := http.NewServeMux()
+	m.Handle(wireconnect.AgentServiceSubmitProcedure, peer.HandleFrames(a.submit))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := peer.NewServer(m, nil)
+	go func() { _ = peer.Serve(server, l) }()
+	defer func() { _ = server.Close() }()
+	frames, err := peer.NewDialer(peer.DialConfig{}).Submit(t.Context(), l.Addr().String(), &wire.SubmitRequest{RequestId: "r1"})
+	is.NoErr(err)
+	var end wire.Frame
+	is.NoErr(frames.Receive(&end))
+	is.Equal(end.Outcome, wire.Outcome_OUTCOME_NOT_RUN)
+	is.Equal(end.Reason, reasonDraining)
+}
+
+// An agent is told to stop while an answer is in progress. It may stop early
+// only once that has ended.
+func TestDrainWaitsForAnswers(t *testing.T) {
+	is := is.New(t)
+	a := &Agent{answers: newAnswers(Settings{Keep: time.Minute})}
+	log := draft.New(100)
+	is.True(a.answers.put(&answer{id: "r1", log: log}))
+	is.True(!a.idle(0))
+	log.End(draft.Ending{Outcome: outcome.Complete})
+	is.True(a.idle(time.Minute))
+}
