--- a/standin/engine/rank_command.go
+++ b/standin/engine/rank_command.go
@@ -29,6 +29,7 @@
 		&cli.DurationFlag{Name: "rank-step", Value: defaultRankStep, Usage: "time of a step of the group with an even load"},
 		&cli.Uint64Flag{Name: "drift-seed", Value: 1, Usage: "seed of the experts' loads, the same for a whole group"},
 		&cli.DurationFlag{Name: "drift-period", Value: defaultPeriod, Usage: "time in which the experts' loads swell and ebb"},
+		&cli.BoolFlag{Name: "ignore-wait", Usage: "make the rank a faulty one, which keeps its map at a switch"},
 		&cli.FloatFlag{Name: "drift-depth", Value: defaultDepth, Usage: "how far the logarithm of an expert's load swings"},
 	}
 }
@@ -59,7 +60,7 @@
 		return nil, err
 	}
 	r := rank.New(rank.Config{
-		Name: cmd.String("name"), Group: cmd.String("group"), Index: slices.Index(order, cmd.String("name")), Order: order,
+		Name: cmd.String("name"), Group: cmd.String("group"), Index: slices.Index(order, cmd.String("name")), Order: order, IgnoreWait: cmd.Bool("ignore-wait"),
 		Step: cmd.Duration("rank-step"), HonourFencing: cmd.Bool("honour-fencing"),
 		Model: cmd.String("model"), Store: &rank.Store{Address: cmd.String("weights")}, Slots: cmd.Int("expert-slots"),
 		Drift: rank.Drift{
--- a/standin/rank/rank.go
+++ b/standin/rank/rank.go
@@ -47,6 +47,8 @@
 	Drift Drift
 	// Slots is how many experts of a layer a rank holds.
 	Slots int
+	// IgnoreWait sets the switch of that name at the start.
+	IgnoreWait bool
 }
 
 // WeightStore reads parts of experts' weights.
@@ -109,6 +111,7 @@
 		ledger: judge.Rank{Group: cfg.Group, Rank: cfg.Index, Spans: []judge.Span{}},
 	}
 	r.rank.State.Incarnation = uint64(time.Now().UnixNano())
+	r.faults.ignoreWait = cfg.IgnoreWait
 	if cfg.HonourFencing {
 		r.rank.Habit = lease.HonoursFencing
 	}
