--- a/bench/capacity/capacity.go
+++ b/bench/capacity/capacity.go
@@ -28,7 +28,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), runTime)
 	defer cancel()
 	parts := []func(context.Context) ([]figure.Figure, error){
-		measureDocuments, measureTables, measureStore, measureExchanges, measureIdle, measureNodeLists, measureSpread, measureConnections,
+		measureDocuments, measureTables, measureStore, measureExchanges, measureKeys, measureIdle, measureNodeLists, measureSpread, measureConnections,
 	}
 	var all []figure.Figure
 	for _, part := range parts {
--- a/bench/capacity/exchange.go
+++ b/bench/capacity/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -97,6 +98,11 @@
 
 // listen serves an agent at addr and counts its traffic in t.
 func listen(a *agent, addr string, t *traffic) (*http.Server, string, error) {
+	return listenWith(a, addr, t, nil)
+}
+
+// listenWith serves with keys, or in clear text if they are nil.
+func listenWith(a *agent, addr string, t *traffic, keys *tls.Config) (*http.Server, string, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, "", errors.Wrap(err, "listen")
@@ -104,8 +110,8 @@
 	path, h := wireconnect.NewAgentServiceHandler(a, connect.WithCompression("gzip", nil, nil))
 	m := http.NewServeMux()
 	m.Handle(path, h)
-	s := peer.NewServer(m, nil)
-	go func() { _ = s.Serve(countedListener{l, t}) }()
+	s := peer.NewServer(m, keys)
+	go func() { _ = peer.Serve(s, countedListener{l, t}) }()
 	return s, l.Addr().String(), nil
 }
 
--- a/bench/capacity/spread.go
+++ b/bench/capacity/spread.go
@@ -29,7 +29,7 @@
 func measureSpread(ctx context.Context) ([]figure.Figure, error) {
 	bytes := series{name: "control", unit: "bytes/s", per: "node", note: "a node, both directions, above TCP, in the first seconds"}
 	cpu := series{name: "control-cpu", unit: "us/s", per: "node", note: "a node, in the first seconds"}
-	conns := series{name: "control-connections", unit: "connections", per: "node", note: "a node, after the first seconds; grows on"}
+	conns := series{name: "control-connections", unit: "connections", per: "node", note: "a node, opened in the first seconds"}
 	for _, n := range []int{8, 64, 512} {
 		var t traffic
 		spent, err := spread(ctx, n, &t)
