bench: remove the built programs at the end

Each run that starts processes left some 80 MB of programs in the temporary directory. Seen: as many such directories after a run as before it.

--- a/bench/main.go
+++ b/bench/main.go
@@ -38,6 +38,7 @@
 	"verbenashift/bench/groups"
 	"verbenashift/bench/path"
 	"verbenashift/bench/routing"
+	"verbenashift/standin/deployment"
 )
 
 // measure is a function that measures some figures and tells w of its
@@ -170,6 +171,8 @@
 	if err != nil {
 		return err
 	}
+	// The suites that start processes build the programs once for all.
+	defer func() { _ = deployment.Clean() }()
 	failed := false
 	for _, s := range o.suites {
 		figures, err := s.run(o)
