--- a/tools/guards/check.go
+++ b/tools/guards/check.go
@@ -52,7 +52,7 @@
 type Result struct {
 	Guard
 	Verdict Verdict
-	// Detail explains a verdict other than Killed.
+	// Detail explains the verdict.
 	Detail string
 	order  int
 }
@@ -149,6 +149,9 @@
 	case r.passed:
 		return Survived, g.Tests
 	}
+	if bytes.Contains(r.output, []byte("panic: test timed out")) {
+		return Killed, "by the timeout"
+	}
 	return Killed, ""
 }
 
--- a/tools/guards/guards_test.go
+++ b/tools/guards/guards_test.go
@@ -77,3 +77,19 @@
 		}
 	}
 }
+
+// The page stands in the repository, so that two runs of one tree must give the
+// same text: guards of one promise together, and each survivor with its reason.
+func TestPage(t *testing.T) {
+	text := string(page([]Result{
+		{Guard: Guard{Name: "a", Promise: "one"}, Verdict: Killed},
+		{Guard: Guard{Name: "b", Promise: "two"}, Verdict: Killed, order: 1},
+		{Guard: Guard{Name: "c", Promise: "one", Surviving: "it is shy"}, Verdict: Survived, order: 2},
+	}))
+	if strings.Count(text, "## One") != 1 || strings.Index(text, "| c |") > strings.Index(text, "## Two") {
+		t.Error("a promise stands in two places")
+	}
+	if !strings.Contains(text, "- c (survived): it is shy.") {
+		t.Error("a survivor has no reason")
+	}
+}
--- a/tools/guards/page.go
+++ b/tools/guards/page.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -44,7 +46,7 @@
 	b.WriteString(head)
 	fmt.Fprintf(&b, "%s.\n", summary(results))
 	promise := ""
-	for _, r := range results {
+	for _, r := range byPromise(results) {
 		if r.Promise != promise {
 			promise = r.Promise
 			fmt.Fprintf(&b, "\n## %s\n\n| guard | failure | without it | place | test | result |\n|---|---|---|---|---|---|\n",
@@ -61,6 +63,20 @@
 	return b.Bytes()
 }
 
+// byPromise returns the results with those of one promise together, promises and
+// guards in the order of the list.
+func byPromise(results []Result) []Result {
+	first := make(map[string]int)
+	for _, r := range results {
+		if _, ok := first[r.Promise]; !ok {
+			first[r.Promise] = r.order
+		}
+	}
+	return slices.SortedStableFunc(slices.Values(results), func(a, b Result) int {
+		return cmp.Compare(first[a.Promise], first[b.Promise])
+	})
+}
+
 // surviving lists the guards that no test is seen to hold.
 func surviving(b *bytes.Buffer, results []Result) {
 	b.WriteString("\n## Surviving\n\n")
