--- /dev/null
+++ b/core/duty/duty_test.go
@@ -0,0 +1,60 @@
+package duty_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/duty"
+)
+
+// Two requests decide on the same state at once. Were their functions to run
+// side by side, both could find the last free place and take it.
+func TestTasksRunOneAfterTheOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := duty.New(4)
+		go d.Run(t.Context())
+		n := 0
+		var wg sync.WaitGroup
+		for range 50 {
+			wg.Go(func() { is.NoErr(d.Do(t.Context(), func() { n++ })) })
+		}
+		wg.Wait()
+		is.Equal(n, 50)
+	})
+}
+
+// A queued request's deadline passes while nothing else happens. Its caller
+// must hear so then, and not at the next request.
+func TestAfterRunsAtTheNextTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		start := time.Now()
+		at := start.Add(time.Minute)
+		var ran []time.Duration
+		d := duty.New(4)
+		d.After(func() {
+			ran = append(ran, time.Since(start))
+			at = start.Add(time.Hour)
+		}, func() (time.Time, bool) { return at, true })
+		ctx, cancel := context.WithCancel(t.Context())
+		go d.Run(ctx)
+		time.Sleep(2 * time.Minute)
+		cancel()
+		synctest.Wait()
+		is.Equal(ran[0], time.Minute)
+	})
+}
+
+func TestDoEndsWithItsCaller(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	d := duty.New(1)
+	is.Equal(d.Do(ctx, func() {}), context.Canceled)
+}
--- /dev/null
+++ b/core/follow/follow_test.go
@@ -0,0 +1,123 @@
+package follow_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/config"
+	"verbenashift/core/follow"
+	"verbenashift/core/intent"
+	"verbenashift/core/store"
+)
+
+// fakeStore holds the head of the configuration. Down, it answers nothing.
+type fakeStore struct {
+	head  config.Config
+	down  bool
+	gets  int
+	watch chan config.Config
+}
+
+func (s *fakeStore) kv(c config.Config) store.KV {
+	data, _ := config.Encode(c)
+	return store.KV{Key: intent.HeadKey, Value: data, Version: int64(c.Revision)}
+}
+
+func (s *fakeStore) Get(context.Context, string) (store.KV, error) {
+	s.gets++
+	if s.down {
+		return store.KV{}, &store.UnavailableError{Op: "range"}
+	}
+	return s.kv(s.head), nil
+}
+
+func (s *fakeStore) Watch(ctx context.Context, _ string, _ int64, f func(store.KV)) error {
+	for {
+		select {
+		case c := <-s.watch:
+			f(s.kv(c))
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func revision(n uint64) config.Config {
+	return config.Config{Revision: n, ChangeID: "c"}
+}
+
+func newFollower(s *fakeStore) *follow.Follower {
+	return follow.New(follow.Config{
+		Store: s, Refresh: time.Minute, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Electorate: []string{"a", "b", "c"},
+	})
+}
+
+// A node restarts while the store is down. The first peer that answers was cut
+// off before the last change. If the node acted on that peer's word, a revoked
+// token would be let in again: it must hear a majority first.
+func TestStartInAnOutageNeedsAMajority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFollower(&fakeStore{down: true})
+		now := time.Now()
+		f.Offer(revision(4))
+		f.Answered(config.Answer{From: "a", Revision: 4, Asked: now})
+		is.True(f.Index() == nil)
+		is.Equal(f.Revision(), uint64(0)) // it vouches for nothing
+		is.True(f.Reason() != "")
+		f.Answered(config.Answer{From: "b", Revision: 5, Asked: now})
+		is.True(f.Index() == nil) // revision 5 is still to be fetched
+		f.Offer(revision(5))
+		is.Equal(f.Revision(), uint64(5))
+		is.Equal(len(f.History()), 1) // revision 4 was never in force
+	})
+}
+
+// A late answer brings an older revision after a newer one is in force. It must
+// change nothing, whatever the way it comes.
+func TestNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &fakeStore{head: revision(7), watch: make(chan config.Config)}
+		f := newFollower(s)
+		var seen []uint64
+		f.OnChange(func(x *config.Index) { seen = append(seen, x.Revision()) })
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		synctest.Wait()
+		s.watch <- revision(8)
+		s.watch <- revision(6)
+		synctest.Wait()
+		is.True(!f.Offer(revision(7)))
+		cancel()
+		synctest.Wait()
+		is.Equal(seen, []uint64{7, 8})
+	})
+}
+
+// The store is down for long. Nodes that ask again at once would come back to
+// it all together; the pauses grow, and the store's word is taken when it is
+// back.
+func TestStoreIsAskedSeldomInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &fakeStore{down: true, watch: make(chan config.Config)}
+		f := newFollower(s)
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(2 * time.Minute)
+		is.True(s.gets > 5 && s.gets < 40)
+		s.down, s.head = false, revision(3)
+		time.Sleep(time.Minute)
+		is.Equal(f.Revision(), uint64(3))
+		cancel()
+		synctest.Wait()
+	})
+}
