--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,10 +19,26 @@
 
 // fakeStore holds the head of the configuration. Down, it answers nothing.
 type fakeStore struct {
-	head  config.Config
-	down  bool
-	gets  int
 	watch chan config.Config
+
+	mu   sync.Mutex
+	head config.Config
+	down bool
+	gets int
+}
+
+// set changes what the store holds and whether it is down.
+func (s *fakeStore) set(head config.Config, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.head, s.down = head, down
+}
+
+// asked returns how often the store was read.
+func (s *fakeStore) asked() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gets
 }
 
 func (s *fakeStore) kv(c config.Config) store.KV {
@@ -30,6 +47,8 @@
 }
 
 func (s *fakeStore) Get(context.Context, string) (store.KV, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.gets++
 	if s.down {
 		return store.KV{}, &store.UnavailableError{Op: "range"}
@@ -87,8 +106,13 @@
 		is := is.New(t)
 		s := &fakeStore{head: revision(7), watch: make(chan config.Config)}
 		f := newFollower(s)
+		var mu sync.Mutex
 		var seen []uint64
-		f.OnChange(func(x *config.Index) { seen = append(seen, x.Revision()) })
+		f.OnChange(func(x *config.Index) {
+			mu.Lock()
+			defer mu.Unlock()
+			seen = append(seen, x.Revision())
+		})
 		ctx, cancel := context.WithCancel(t.Context())
 		go f.Run(ctx)
 		synctest.Wait()
@@ -98,6 +122,8 @@
 		is.True(!f.Offer(revision(7)))
 		cancel()
 		synctest.Wait()
+		mu.Lock()
+		defer mu.Unlock()
 		is.Equal(seen, []uint64{7, 8})
 	})
 }
@@ -113,8 +139,8 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go f.Run(ctx)
 		time.Sleep(2 * time.Minute)
-		is.True(s.gets > 5 && s.gets < 40)
-		s.down, s.head = false, revision(3)
+		is.True(s.asked() > 5 && s.asked() < 40)
+		s.set(revision(3), false)
 		time.Sleep(time.Minute)
 		is.Equal(f.Revision(), uint64(3))
 		cancel()
--- a/core/keys/keys_test.go
+++ b/core/keys/keys_test.go
@@ -15,8 +15,8 @@
 	for addr, ok := range map[string]bool{"127.0.1.13:7000": true, "[::1]:7000": true, "10.0.0.5:7000": false, "0.0.0.0:7000": false} {
 		is := is.New(t)
 		err := keys.Files{}.Check(addr)
-		var clear *keys.ClearTextError
-		is.Equal(errors.As(err, &clear), !ok)
+		var refused *keys.ClearTextError
+		is.Equal(errors.As(err, &refused), !ok)
 	}
 	is.New(t).NoErr(keys.Files{Cert: "cert.pem"}.Check("10.0.0.5:7000"))
 }
