retry: send few callers away for a short time

Ruled out: a shorter bound for all, which would let a crowd come back at once. Change: at least one caller a second may come back.

--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -156,3 +156,16 @@
 	is.True(!Hedge(&Attempts{Urgent: true, MayNotRepeat: true}, time.Second, 100*time.Millisecond, rich(key), start))
 	is.True(!Hedge(&Attempts{}, time.Second, 100*time.Millisecond, rich(key), start))
 }
+
+// Two callers of an idle entry are refused, and nothing has completed lately.
+// They must not be sent away for half a minute as if there were a crowd.
+func TestFewCallersComeBackSoon(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	now := time.Now()
+	var r Returns
+	for i := range 3 {
+		wait := r.GaveUp(now, rng)
+		is.True(wait <= time.Duration(float64(i+1)*1.2*float64(time.Second)))
+	}
+}
--- a/core/retry/returns.go
+++ b/core/retry/returns.go
@@ -13,6 +13,10 @@
 	// headroom is the part of the recent rate of completions that returning
 	// callers may add to the load.
 	headroom = 0.15
+	// minRate is how many callers a second may come back where little or
+	// nothing completes. Without it the second of two callers of an idle entry
+	// would be sent away for up to a minute.
+	minRate = 1.0
 	// rateMemory is the time constant of the rate of completions.
 	rateMemory = 20 * time.Second
 	// jitter is the part of a Retry-After that is random, so that callers
@@ -42,7 +46,7 @@
 
 // GaveUp records a request that was given up, and returns the time after which
 // its caller may come back, between one second and a minute. If the queue is
-// longer than that, or nothing completes, callers are spread over a minute.
+// longer than that, callers are spread over a minute.
 func (r *Returns) GaveUp(now time.Time, rng *rand.Rand) time.Duration {
 	r.decay(now)
 	first := now.Add(minReturn)
@@ -50,8 +54,8 @@
 		r.free = first
 	}
 	wait := r.free.Sub(now)
-	if rate := r.rate(now); rate > 0 && wait < maxReturn {
-		gap := time.Duration(float64(time.Second) / rate)
+	if wait < maxReturn {
+		gap := time.Duration(float64(time.Second) / max(r.rate(now), minRate))
 		r.free = r.free.Add(min(gap, maxReturn))
 		// Jitter only shortens: cut off at the maximum, all the longest waits
 		// would end at one moment.
