--- a/core/member/member.go
+++ b/core/member/member.go
@@ -56,11 +56,11 @@
 	ZoneSilentAfter = 15 * time.Second
 	// SubsetSize is how many peers a node keeps to.
 	SubsetSize = 6
-	// Partners is how many random agents a node keeps to for a while, and
-	// PartnerLife the rounds after which one of them is replaced. A new random
-	// agent each round would mean a new connection each second, which with TLS
-	// costs 4.9 KB where an exchange on a kept one costs 0.3.
-	Partners    = 8
+	// Partners is how many random agents a node keeps to for a while. A new
+	// random agent each round would mean a new connection each second, which
+	// with TLS costs 4.9 KB where an exchange on a kept one costs 0.3.
+	Partners = 8
+	// PartnerLife is after how many rounds one of the partners is replaced.
 	PartnerLife = 60
 	// BoostPeers is how many peers more a node exchanges with in a round
 	// after it learned of a new revision.
