--- a/agent/app.go
+++ b/agent/app.go
@@ -319,11 +319,7 @@
 		g.resign(a.ctx)
 	}
 	a.log.Info("draining", "running", a.answers.running())
-	if !a.idle(a.cfg.Bound) {
-		a.answers.each(func(ans *answer) {
-			ans.log.End(draft.Ending{Outcome: outcome.Unknown, Reason: reasonDraining, Handover: true})
-		})
-	}
+	a.endAnswers()
 	if err := a.register.leave(a.ctx); err != nil {
 		a.log.Warn("register not handed over", "error", err)
 	}
@@ -348,6 +344,18 @@
 	_ = a.register.do(ctx, func(time.Duration) { a.register.executor.Drain() })
 }
 
+// endAnswers waits for what runs, and ends what is left at the bound by a
+// handover: the entries read on at this agent's next process, or elsewhere.
+// Without it they would learn of the end by a broken connection only.
+func (a *Agent) endAnswers() {
+	if a.idle(a.cfg.Bound) {
+		return
+	}
+	a.answers.each(func(ans *answer) {
+		ans.log.End(draft.Ending{Outcome: outcome.Unknown, Reason: reasonDraining, Handover: true})
+	})
+}
+
 // idle waits until nothing runs, for at most d.
 func (a *Agent) idle(d time.Duration) bool {
 	const poll = 20 * time.Millisecond
--- a/agent/run_test.go
+++ b/agent/run_test.go
@@ -73,3 +73,16 @@
 	log.End(draft.Ending{Outcome: outcome.Complete})
 	is.True(a.idle(time.Minute))
 }
+
+// An answer is longer than the bound of its agent's drain. Its entry must be
+// told that the answer goes on elsewhere, and not that it is over.
+func TestLongAnswerIsHandedOver(t *testing.T) {
+	is := is.New(t)
+	a := &Agent{answers: newAnswers(Settings{Keep: time.Minute})}
+	log := draft.New(100)
+	is.True(a.answers.put(&answer{id: "r1", log: log}))
+	a.endAnswers()
+	end, ended := log.Ended()
+	is.True(ended && end.Handover)
+	is.Equal(end.Outcome, outcome.Unknown)
+}
--- a/core/caller/caller.go
+++ b/core/caller/caller.go
@@ -86,8 +86,10 @@
 	Stream  bool
 	// Prefix is a hash of the start of the prompt, for prefix affinity.
 	Prefix uint64
-	// Cost is the expected work in tokens.
+	// Cost is the expected work in tokens, Generated the part of it that is the
+	// answer of a model.
 	Cost           uint64
+	Generated      uint64
 	Priority       int
 	IdempotencyKey string
 	MayNotRepeat   bool
@@ -204,7 +206,8 @@
 	}
 	req.Model, req.Stream = b.Model, b.Stream
 	req.Prefix = xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
-	req.Cost = uint64(tokens) + uint64(len(prompt)/bytesPerToken/promptTokensPerCost) + 1
+	req.Generated = uint64(tokens)
+	req.Cost = req.Generated + uint64(len(prompt)/bytesPerToken/promptTokensPerCost) + 1
 	return nil
 }
 
--- a/entry/flow_test.go
+++ b/entry/flow_test.go
@@ -87,3 +87,30 @@
 	is.Equal(unsure(refusal, h).Outcome, outcome.Unknown)
 	is.Equal(unsure(errUnauthorized, h), errUnauthorized)
 }
+
+// A caller that waited for a whole answer was handed over and reads it at
+// another entry. It must get the document as the target made it, and a stream
+// must stay a stream.
+func TestReadAgainKeepsItsForm(t *testing.T) {
+	for form, want := range map[string]string{
+		"application/json":  "{\"a\":\n1}",
+		"text/event-stream": "id: 1\ndata: x\n\ndata: [DONE]\n\n",
+	} {
+		is := is.New(t)
+		w := httptest.NewRecorder()
+		s := &lateSink{
+			stream: func() sink { return newStreamSink(w, "r1", time.Second, time.Second) },
+			whole:  func() sink { return newWholeSink(w, "r1", 100) },
+		}
+		s.alive() // nothing is known yet, and nothing may be said
+		s.head(http.StatusOK, []*wire.Header{{Name: "content-type", Values: []string{form}}})
+		piece := "x"
+		if form == "application/json" {
+			piece = want
+		}
+		is.NoErr(s.data(1, []byte(piece)))
+		s.finish(nil)
+		is.Equal(w.Body.String(), want)
+		is.Equal(w.Header().Get("Content-Type"), form)
+	}
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -213,6 +213,9 @@
 			"outcome", err.Outcome.String(), "reason", err.Reason, "attempts", f.attempt)
 	}
 	e.metrics.total.Record(time.Since(started).Microseconds())
+	if err == nil && f.req.Stream && f.req.Model != "" {
+		e.limiter.settle(f.workspace.Name, f.req.Cost, f.req.Cost-f.req.Generated+f.log.delivered)
+	}
 	f.sink.finish(err)
 }
 
