--- a/proof/pages_test.go
+++ b/proof/pages_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -21,7 +22,10 @@
 // pagesRoot is the root of the repository, seen from this package.
 const pagesRoot = ".."
 
-var shellBlock = regexp.MustCompile("(?ms)^```sh\n(.*?)^```")
+var (
+	shellBlock = regexp.MustCompile("(?ms)^```sh\n(.*?)^```")
+	pageLink   = regexp.MustCompile(`\]\(([^)#:]+)(?:#[^)]*)?\)`)
+)
 
 // awaitProcesses stands between two blocks of a page: a reader is slower than
 // the processes, a script is not.
@@ -100,6 +104,23 @@
 	}
 }
 
+// A reader follows a link to a page that was moved or never written.
+func TestPagesLinkToFiles(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(filepath.WalkDir(pagesRoot, func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || filepath.Ext(path) != ".md" {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		for _, m := range pageLink.FindAllSubmatch(data, -1) {
+			if _, err := os.Stat(filepath.Join(filepath.Dir(path), string(m[1]))); err != nil {
+				t.Errorf("%s: %v", path, err)
+			}
+		}
+		return err
+	}))
+}
+
 // An operator looks a setting up in the reference and finds an old default: a
 // setting was changed and the page was not printed again.
 func TestSettingsPageIsCurrent(t *testing.T) {
