Share the limits over the sides of a partition

Cause: each side of a region cut finds a home for a workspace's limit of its own and gave out the whole of it. Change: a home gives out the part of the limit that corresponds to the agents in zones it can hear of. Ruled out: no limit across the cut.

--- a/agent/app.go
+++ b/agent/app.go
@@ -215,7 +215,7 @@
 		select {
 		case now := <-tick.C:
 			a.answers.sweep(now)
-			a.entries.sweep(now)
+			a.entries.sweep(now, a.members.Visible())
 			a.tellMembers(shutdown)
 		case <-a.ctx.Done():
 			return
--- a/agent/callers.go
+++ b/agent/callers.go
@@ -100,10 +100,13 @@
 	return uint32(len(e.heard))
 }
 
-// sweep forgets entries that have not been heard for long.
-func (e *entries) sweep(now time.Time) {
+// sweep forgets entries that have not been heard for long, and tells the limits
+// which part of the fleet this side of a partition can see: each side has a
+// home of its own, and both together must not give out a limit twice.
+func (e *entries) sweep(now time.Time, visible float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.quota.SetVisible(visible)
 	for name, h := range e.heard {
 		if now.Sub(h.at) > entryLife {
 			delete(e.heard, name)
--- a/core/follow/members.go
+++ b/core/follow/members.go
@@ -109,6 +109,14 @@
 	return out
 }
 
+// Visible returns the part of the agents in zones that can be heard of; it
+// falls below 1 in a partition and not when single agents fail.
+func (m *Members) Visible() float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Visible(time.Now())
+}
+
 // CutOff reports whether this process has heard nobody for some seconds. It
 // must then tell the platform's balancer that it is not ready.
 func (m *Members) CutOff() bool {
