Proof of a leaving target: probe until the bound, not until a lucky round

The product was right: entries read the list every two seconds, and nothing had told them yet. Ruled out: a lost message to the agent (its log shows none was due yet).

--- a/proof/shutdown_test.go
+++ b/proof/shutdown_test.go
@@ -1,7 +1,6 @@
 package proof
 
 import (
-	"context"
 	"testing"
 	"time"
 
@@ -168,19 +167,11 @@
 	s.running(16, "")
 	s.must(s.Instances(s.ctx, instances.Instance{Name: "target-1", State: instances.Leaving}))
 	atFirst := func(r ledgerRun) bool { return r.Target == "target-1" }
-	few, cancel := context.WithTimeout(s.ctx, leaveBound)
-	defer cancel()
-	s.must(deployment.Until(few, func() error {
-		before, err := s.Runs(atFirst)
-		s.must(err)
+	// Probes go on until the bound, and not only until one round of them misses
+	// the target: a busy target is missed by chance too.
+	for end := time.Now().Add(leaveBound); time.Now().Before(end); {
 		s.Play(s.ctx, s.Streams("probe", 12, 1))
-		after, err := s.Runs(atFirst)
-		s.must(err)
-		if len(after) > len(before) {
-			return errStillUsed
-		}
-		return nil
-	}))
+	}
 	before, err := s.Runs(atFirst)
 	s.must(err)
 	s.True(len(before) > 0) // it had work before
--- a/proof/workspace_test.go
+++ b/proof/workspace_test.go
@@ -6,16 +6,12 @@
 	"strings"
 	"testing"
 
-	"github.com/go-faster/errors"
-
 	"verbenashift/core/outcome"
 	"verbenashift/standin/client"
 	"verbenashift/standin/deployment"
 	"verbenashift/standin/judge"
 )
 
-var errStillUsed = errors.New("the leaving target still gets work")
-
 // ask sends a request with a token and returns the status and the body.
 func (s *scene) ask(method, url, token string) (int, string) {
 	s.t.Helper()
