Name once what entry and agent must agree on; drop what nothing calls

Cause: reading the whole change again: the header for shared prefixes and the name of a workspace's second limit stood in both programs, where a change of one side alone would go unnoticed; the follower kept a flag that nothing read, and the entry a method that only returned a field. Change: peer.HeaderSharedPrefix and quota.RequestsOf; the dead code is gone. Behaviour is as it was. Ruled out for now: one provider for the tracer, dialer and store of both programs, which needs a common settings struct first.

--- a/agent/callers.go
+++ b/agent/callers.go
@@ -12,9 +12,6 @@
 // entryLife is how long an entry counts after its last heartbeat.
 const entryLife = time.Minute
 
-// requestsSuffix marks the second limit of a workspace, that on its requests.
-const requestsSuffix = "/requests"
-
 // entries holds the entries that this agent has heard of lately, and the
 // limits of the workspaces whose home it is. It is safe for use by several
 // goroutines.
@@ -43,7 +40,7 @@
 	e.limits = make(map[string]bool)
 	for _, ws := range x.Config().Workspaces {
 		e.limit(ws.Name, ws.TokensPerSecond, gone)
-		e.limit(ws.Name+requestsSuffix, ws.RequestsPerSecond, gone)
+		e.limit(quota.RequestsOf(ws.Name), ws.RequestsPerSecond, gone)
 	}
 	for name := range gone {
 		e.quota.Forget(name)
--- a/agent/run.go
+++ b/agent/run.go
@@ -15,6 +15,7 @@
 	"verbenashift/core/caller"
 	"verbenashift/core/draft"
 	"verbenashift/core/outcome"
+	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/queue"
 	"verbenashift/core/target"
@@ -157,7 +158,7 @@
 // salt separates the workspaces' cached prefixes, unless one shares its own.
 func (r *run) salt() string {
 	for _, h := range r.req.Call.Headers {
-		if h.Name == headerSharedPrefix {
+		if h.Name == peer.HeaderSharedPrefix {
 			return ""
 		}
 	}
@@ -165,9 +166,6 @@
 	return hex.EncodeToString(sum[:16])
 }
 
-// headerSharedPrefix is set by the entry for workspaces that share prefixes.
-const headerSharedPrefix = "X-Shared-Prefix"
-
 // model runs a completion and reads it to its end.
 func (r *run) model(ctx context.Context) draft.Ending {
 	c := target.Completion{
@@ -325,7 +323,7 @@
 	for _, x := range r.req.Call.Headers {
 		h[http.CanonicalHeaderKey(x.Name)] = x.Values
 	}
-	h.Del(headerSharedPrefix)
+	h.Del(peer.HeaderSharedPrefix)
 	a, err := r.agent.plain.Do(ctx, target.Call{
 		Method: r.req.Call.Method, Path: r.req.Call.Path, Tags: r.tags(ctx), Header: h, Body: r.req.Call.Body,
 	})
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -83,8 +83,6 @@
 
 	// heard is when the store or a peer last confirmed the revision.
 	heard atomic.Int64
-	// sawStore is set once the store has answered.
-	sawStore atomic.Bool
 }
 
 // New returns a follower without a configuration.
@@ -146,11 +144,6 @@
 	return f.encodedOf, f.encoded
 }
 
-// SawStore reports whether the store has answered since the start.
-func (f *Follower) SawStore() bool {
-	return f.sawStore.Load()
-}
-
 // Heard tells that a source has confirmed the present revision.
 func (f *Follower) Heard() {
 	f.heard.Store(time.Now().UnixNano())
@@ -273,7 +266,6 @@
 	if err != nil {
 		return 0, err
 	}
-	f.sawStore.Store(true)
 	f.Heard()
 	revision := f.take(kv)
 	f.mu.Lock()
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -160,3 +160,7 @@
 	// ReasonGone says that the answer was lost or is no longer kept.
 	ReasonGone = "answer-gone"
 )
+
+// HeaderSharedPrefix is set by an entry in the headers of a call whose
+// workspace shares its prefix cache; the agent then leaves the cache salt out.
+const HeaderSharedPrefix = "X-Shared-Prefix"
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -341,3 +341,7 @@
 		s.safe = math.Max(s.safe, -l.allowance(s)/2)
 	}
 }
+
+// RequestsOf names the second limit of a workspace, that on its requests. No
+// workspace name holds a slash, so that the two never meet.
+func RequestsOf(workspace string) string { return workspace + "/requests" }
--- a/entry/app.go
+++ b/entry/app.go
@@ -125,10 +125,6 @@
 	e.agentSet.Store(&agents)
 }
 
-func (e *Entry) homes(*config.Index) []string {
-	return *e.homeSet.Load()
-}
-
 // ready reports whether this entry may serve: it has a configuration.
 func (e *Entry) ready() bool {
 	return e.follower.Index() != nil
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -230,19 +230,16 @@
 		}
 	}
 	if f.workspace.SharedPrefix {
-		c.Headers = append(c.Headers, &wire.Header{Name: headerSharedPrefix, Values: []string{"true"}})
+		c.Headers = append(c.Headers, &wire.Header{Name: peer.HeaderSharedPrefix, Values: []string{"true"}})
 	}
 	return c
 }
 
-// headerSharedPrefix tells the agent to leave the cache salt out.
-const headerSharedPrefix = "X-Shared-Prefix"
-
 // passes reports whether a caller's header goes on to the target. The caller's
 // token is for the entry alone.
 func passes(name string) bool {
 	switch name {
-	case "Authorization", headerSharedPrefix, "X-Workspace":
+	case "Authorization", peer.HeaderSharedPrefix, "X-Workspace":
 		return false
 	}
 	return true
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -24,7 +24,7 @@
 	}
 	f.callerKey = true
 	f.key = booking.KeyOf(f.workspace.Name, f.req.IdempotencyKey)
-	home, ok := x.Target(booking.HomeOf(f.key, f.entry.homes(x)))
+	home, ok := x.Target(booking.HomeOf(f.key, *f.entry.homeSet.Load()))
 	if !ok {
 		return
 	}
--- a/entry/limiter.go
+++ b/entry/limiter.go
@@ -13,10 +13,6 @@
 // reportTick is how often the limiter looks for reports that are due.
 const reportTick = 100 * time.Millisecond
 
-// requestsSuffix marks the second limit of a workspace, that on its requests.
-// No workspace name holds a slash.
-const requestsSuffix = "/requests"
-
 // limiter keeps the limits of the workspaces over all entries. Its decisions
 // need no call; what it admitted is reported to the workspace's home.
 type limiter struct {
@@ -60,7 +56,7 @@
 			limits = append(limits, namedLimit{quota.Limit{Rate: ws.TokensPerSecond}, ws.Name})
 		}
 		if ws.RequestsPerSecond > 0 {
-			limits = append(limits, namedLimit{quota.Limit{Rate: ws.RequestsPerSecond}, ws.Name + requestsSuffix})
+			limits = append(limits, namedLimit{quota.Limit{Rate: ws.RequestsPerSecond}, quota.RequestsOf(ws.Name)})
 		}
 	}
 	return limits
@@ -78,7 +74,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	if ok, wait := l.quota.Allow(workspace+requestsSuffix, 1, now); !ok {
+	if ok, wait := l.quota.Allow(quota.RequestsOf(workspace), 1, now); !ok {
 		return wait, false
 	}
 	ok, wait := l.quota.Allow(workspace, int64(cost), now)
