--- /dev/null
+++ b/core/mirror/follower.go
@@ -0,0 +1,203 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"verbenashift/platform"
+)
+
+const (
+	// watchWait is how long a watch waits for changes. It bounds how long a
+	// connection that has gone silent hides a change, since a leaving target
+	// must be known within its drain bound.
+	watchWait = 2 * time.Second
+	// answerWait is how long the store may take beyond that, or for a read.
+	answerWait = 900 * time.Millisecond
+	// firstPause and maxPause bound the pause after a failed call. The pause is
+	// spread by half of itself, so that a fleet does not come back at once.
+	firstPause = 60 * time.Millisecond
+	maxPause   = 600 * time.Millisecond
+	// outageAfter is how long the store must have been out of reach for
+	// entries to have lapsed meanwhile.
+	outageAfter = 1500 * time.Millisecond
+)
+
+// source is the part of the store that a Follower needs.
+type source interface {
+	Range(ctx context.Context, prefix, after string) (platform.Page, error)
+	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Page, error)
+}
+
+// Follower keeps a Mirror at what the store says.
+type Follower struct {
+	store    source
+	log      *slog.Logger
+	mirror   *Mirror
+	view     atomic.Pointer[View]
+	heard    atomic.Int64
+	onChange []func(*View)
+	started  time.Time
+	// lost is when the store was last heard before it was lost; zero while it
+	// answers.
+	lost time.Time
+}
+
+// NewFollower returns a Follower that does nothing before Run.
+func NewFollower(store source, log *slog.Logger) *Follower {
+	return &Follower{store: store, log: log, mirror: New(log), started: time.Now()}
+}
+
+// OnChange adds a function that is called with each new view, from Run's
+// goroutine. It must be called before Run.
+func (f *Follower) OnChange(fn func(*View)) { f.onChange = append(f.onChange, fn) }
+
+// View returns the newest view, or nil before the first configuration.
+func (f *Follower) View() *View { return f.view.Load() }
+
+// Age is how long ago the store last answered.
+func (f *Follower) Age() time.Duration {
+	return time.Since(f.started) - time.Duration(f.heard.Load())
+}
+
+// Run follows the store until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	pause := firstPause
+	whole := false
+	for ctx.Err() == nil {
+		var err error
+		if !whole {
+			err = f.readAll(ctx)
+			whole = err == nil
+		} else {
+			whole, err = f.watch(ctx)
+		}
+		if f.mirror.Tick(time.Now()) {
+			f.publish()
+		}
+		if err == nil {
+			f.regained()
+			pause = firstPause
+			continue
+		}
+		f.failed(err)
+		sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, maxPause)
+	}
+}
+
+// watch waits for changes once. It reports false if the history has gone.
+func (f *Follower) watch(ctx context.Context) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+answerWait)
+	defer cancel()
+	page, err := f.store.Watch(ctx, "", f.mirror.Revision(), watchWait)
+	var status *platform.StatusError
+	if errors.As(err, &status) && status.Compacted() {
+		f.log.Info("history of the store is gone, reading all", "revision", f.mirror.Revision())
+		return false, nil
+	}
+	if err != nil {
+		// After an outage, entries may have lapsed and come back: the events
+		// tell it, unless the outage was long.
+		return f.outage() == 0, err
+	}
+	if f.mirror.Apply(page.Items, page.AsOf) {
+		f.publish()
+	}
+	return true, nil
+}
+
+// readAll reads everything. The watch goes on from the revision before the
+// first page, because pages are no snapshot.
+func (f *Follower) readAll(ctx context.Context) error {
+	var all []platform.Item
+	from := int64(-1)
+	for _, prefix := range []string{platform.ConfigKey, platform.TargetPrefix} {
+		list, asOf, err := f.readPrefix(ctx, prefix)
+		if err != nil {
+			return err
+		}
+		if from < 0 {
+			from = asOf
+		}
+		all = append(all, list...)
+	}
+	if f.mirror.Replace(all, from, f.outage() > 0, time.Now()) {
+		f.publish()
+	}
+	return nil
+}
+
+func (f *Follower) readPrefix(ctx context.Context, prefix string) ([]platform.Item, int64, error) {
+	var all []platform.Item
+	after, first := "", int64(-1)
+	for {
+		page, err := f.page(ctx, prefix, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		if first < 0 {
+			first = page.AsOf
+		}
+		all = append(all, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return all, first, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
+
+func (f *Follower) page(ctx context.Context, prefix, after string) (platform.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerWait)
+	defer cancel()
+	return f.store.Range(ctx, prefix, after)
+}
+
+func (f *Follower) publish() {
+	v := f.mirror.View()
+	if v == nil {
+		return
+	}
+	f.view.Store(v)
+	for _, fn := range f.onChange {
+		fn(v)
+	}
+}
+
+func (f *Follower) regained() {
+	f.heard.Store(int64(time.Since(f.started)))
+	if !f.lost.IsZero() {
+		f.log.Info("store answers again", "after-ms", time.Since(f.lost).Milliseconds())
+		f.lost = time.Time{}
+	}
+}
+
+func (f *Follower) failed(err error) {
+	if f.lost.IsZero() {
+		f.lost = f.started.Add(time.Duration(f.heard.Load()))
+		f.log.Warn("store does not answer", "error", err.Error())
+	}
+}
+
+// outage returns how long the store has been out of reach, or 0 if that was
+// too short for entries to lapse.
+func (f *Follower) outage() time.Duration {
+	if f.lost.IsZero() {
+		return 0
+	}
+	if d := time.Since(f.lost); d > outageAfter {
+		return d
+	}
+	return 0
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/core/mirror/mirror.go
@@ -0,0 +1,178 @@
+// Package mirror keeps a process's copy of what the platform's store says: the
+// operator's configuration and the servers' entries.
+//
+// A Mirror is the decision: which configuration is in force, and which targets
+// may be sent work. It takes what was read or watched, in the order of the
+// store's revisions, and never goes back to an older configuration. A Follower
+// carries the store's answers into it. There is one watch for everything, so
+// that a configuration and the keys and targets that come with it can't be seen
+// in two orders.
+//
+// # Usage
+//
+//	f := mirror.NewFollower(store, log)
+//	f.OnChange(func(v *mirror.View) { table.Update(v.Targets) })
+//	go f.Run(ctx)
+//	view := f.View() // nil until the first configuration
+package mirror
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"verbenashift/platform"
+)
+
+// returnGrace is how long targets that were known before an outage of the
+// store, and are missing after it, count as present: entries that lapsed in
+// the outage are back within about two seconds if their server lives.
+const returnGrace = 2200 * time.Millisecond
+
+// View is one consistent state of what the store says. It is not changed after
+// it was published.
+type View struct {
+	Config *platform.Config
+	// Targets are all registered servers, by their ID.
+	Targets map[string]platform.Target
+	// Revision is the store's revision up to which the view is complete.
+	Revision int64
+}
+
+// Mirror decides what is in force. It is not safe for concurrent use.
+type Mirror struct {
+	log      *slog.Logger
+	config   *platform.Config
+	targets  map[string]platform.Target
+	revision int64
+	// missing are targets that an outage of the store may have hidden, with
+	// the time until which they are kept.
+	missing map[string]time.Time
+}
+
+// New returns an empty Mirror.
+func New(log *slog.Logger) *Mirror {
+	return &Mirror{log: log, targets: map[string]platform.Target{}, missing: map[string]time.Time{}}
+}
+
+// View returns the present state, or nil before the first configuration.
+func (m *Mirror) View() *View {
+	if m.config == nil {
+		return nil
+	}
+	return &View{Config: m.config, Targets: maps.Clone(m.targets), Revision: m.revision}
+}
+
+// Revision is where a watch has to go on.
+func (m *Mirror) Revision() int64 { return m.revision }
+
+// Apply takes changes up to a revision, oldest first. It reports whether the
+// view has changed.
+func (m *Mirror) Apply(events []platform.Item, asOf int64) bool {
+	changed := false
+	for _, it := range events {
+		if m.applyOne(it) {
+			changed = true
+		}
+	}
+	m.revision = max(m.revision, asOf)
+	return changed
+}
+
+func (m *Mirror) applyOne(it platform.Item) bool {
+	switch {
+	case it.Key == platform.ConfigKey && !it.Removed:
+		return m.applyConfig(it)
+	case strings.HasPrefix(it.Key, platform.TargetPrefix):
+		return m.applyTarget(it)
+	}
+	return false
+}
+
+// applyConfig takes a configuration if it is newer than the one in force. A
+// read that was answered late, or from a lagging copy, may bring an older one:
+// acting on it would take back what callers have already seen.
+func (m *Mirror) applyConfig(it platform.Item) bool {
+	cfg, err := platform.ParseConfig(it.Value)
+	if err != nil {
+		m.log.Error("configuration not understood", "revision", it.Revision, "error", err.Error())
+		return false
+	}
+	if m.config != nil && cfg.Version <= m.config.Version {
+		return false
+	}
+	m.config = cfg
+	m.log.Info("configuration in force", "version", cfg.Version, "revision", it.Revision,
+		"routes", len(cfg.Routes), "workspaces", len(cfg.Workspaces))
+	return true
+}
+
+func (m *Mirror) applyTarget(it platform.Item) bool {
+	id := strings.TrimPrefix(it.Key, platform.TargetPrefix)
+	delete(m.missing, id)
+	if it.Removed {
+		return m.remove(id, "its entry was removed", it.Revision)
+	}
+	t, err := platform.ParseTarget(it)
+	if err != nil {
+		m.log.Error("server entry not understood", "target", id, "error", err.Error())
+		return false
+	}
+	old, known := m.targets[id]
+	if known && old == t {
+		return false
+	}
+	m.targets[id] = t
+	if !known || old.Draining != t.Draining {
+		m.log.Info("target", "target", id, "service", t.Service, "addr", t.Addr.String(), "draining", t.Draining, "revision", it.Revision)
+	}
+	return true
+}
+
+func (m *Mirror) remove(id, reason string, revision int64) bool {
+	if _, ok := m.targets[id]; !ok {
+		return false
+	}
+	delete(m.targets, id)
+	m.log.Info("target gone", "target", id, "reason", reason, "revision", revision)
+	return true
+}
+
+// Replace takes the whole state as it was read, which is needed at the start
+// and after a gap in the history. Outage says that the store was away before:
+// then targets that are missing are kept for a while, since their entries may
+// have lapsed with nobody there to renew them.
+func (m *Mirror) Replace(all []platform.Item, asOf int64, outage bool, now time.Time) bool {
+	changed := m.Apply(all, asOf)
+	seen := map[string]bool{}
+	for _, it := range all {
+		seen[strings.TrimPrefix(it.Key, platform.TargetPrefix)] = true
+	}
+	for _, id := range slices.Sorted(maps.Keys(m.targets)) {
+		switch {
+		case seen[id]:
+		case outage:
+			if _, waiting := m.missing[id]; !waiting {
+				m.missing[id] = now.Add(returnGrace)
+				m.log.Info("target missing after an outage of the store", "target", id)
+			}
+		default:
+			changed = m.remove(id, "no entry any more", asOf) || changed
+		}
+	}
+	return changed
+}
+
+// Tick drops targets that have not come back after an outage.
+func (m *Mirror) Tick(now time.Time) bool {
+	changed := false
+	for id, until := range m.missing {
+		if !now.Before(until) {
+			delete(m.missing, id)
+			changed = m.remove(id, "not back after an outage of the store", m.revision) || changed
+		}
+	}
+	return changed
+}
--- /dev/null
+++ b/gateway/catalog.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"math/rand/v2"
+	"strings"
+
+	"verbenashift/platform"
+)
+
+// catalog answers questions about one configuration. It is not changed after
+// it was made.
+type catalog struct {
+	config *platform.Config
+	// routes are those of each host.
+	routes map[string][]*platform.Route
+	// workspaces are found by key.
+	workspaces map[string]*platform.Workspace
+}
+
+func newCatalog(cfg *platform.Config) *catalog {
+	c := &catalog{config: cfg, routes: map[string][]*platform.Route{}, workspaces: map[string]*platform.Workspace{}}
+	for i := range cfg.Routes {
+		r := &cfg.Routes[i]
+		c.routes[r.Host] = append(c.routes[r.Host], r)
+	}
+	for i := range cfg.Workspaces {
+		w := &cfg.Workspaces[i]
+		for _, key := range w.Keys {
+			c.workspaces[key] = w
+		}
+	}
+	return c
+}
+
+// route returns the route of a host with the longest prefix that begins the
+// path, or nil.
+func (c *catalog) route(host, path string) *platform.Route {
+	var best *platform.Route
+	for _, r := range c.routes[host] {
+		if strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// workspace returns the workspace that holds a key. Ok is false if the key is
+// needed and unknown.
+func (c *catalog) workspace(r *platform.Route, key string) (w *platform.Workspace, ok bool) {
+	if len(c.config.Workspaces) == 0 {
+		return nil, true
+	}
+	w = c.workspaces[key]
+	return w, w != nil || r.Public
+}
+
+// service draws one of the services that share a route.
+func service(r *platform.Route, rng *rand.Rand) string {
+	total := 0
+	for _, s := range r.Split {
+		total += max(s.Weight, 0)
+	}
+	if total <= 0 {
+		return r.Split[0].Service
+	}
+	n := rng.IntN(total)
+	for _, s := range r.Split {
+		n -= max(s.Weight, 0)
+		if n < 0 {
+			return s.Service
+		}
+	}
+	return r.Split[0].Service
+}
+
+// urgency is the rank of a request, 0 first. That of the workspace goes before
+// that of the route.
+func urgency(r *platform.Route, w *platform.Workspace) int {
+	if w != nil && w.Priority != nil {
+		return *w.Priority
+	}
+	return r.Priority
+}
--- /dev/null
+++ b/gateway/events.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// eventEnd ends an event of a stream.
+var eventEnd = []byte("\n\n")
+
+// events cuts a stream into whole events. A server may stop in the middle of
+// one: only whole events reach the caller, so that another server can go on.
+type events struct {
+	buf []byte
+}
+
+// add takes bytes of the stream.
+func (e *events) add(b []byte) { e.buf = append(e.buf, b...) }
+
+// next returns the next whole event with its end, or nil. It is valid until the
+// next call of add.
+func (e *events) next() []byte {
+	i := bytes.Index(e.buf, eventEnd)
+	if i < 0 {
+		return nil
+	}
+	event := e.buf[:i+len(eventEnd)]
+	e.buf = e.buf[i+len(eventEnd):]
+	return event
+}
+
+// partial reports whether bytes of an unfinished event are left.
+func (e *events) partial() bool { return len(e.buf) > 0 }
+
+// eventID returns the identifier of an event, or -1 if it has none.
+func eventID(event []byte) int64 {
+	for line := range bytes.Lines(event) {
+		v, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
+		}
+		id, err := strconv.ParseInt(string(bytes.TrimSpace(v)), 10, 64)
+		if err != nil {
+			return -1
+		}
+		return id
+	}
+	return -1
+}
+
+func formatID(id int64) string { return strconv.FormatInt(id, 10) }
--- /dev/null
+++ b/sidecar/main.go
@@ -0,0 +1,6 @@
+// Command sidecar is not written yet.
+package main
+
+import "time"
+
+func main() { time.Sleep(time.Hour) }
