Balance expert groups: lockstep changes of the map, sidecars, a steward

Cause: with map 0 the most loaded server has 3.5 times the mean. Change: core/lockstep (stateless steward over the ranks' own state), expert.Rebalance (local search within the engine's limits), sidecar (orders and counts of its rank, claim of the duty in the store). Open: too many copies; slow reaction at some shifts.

--- a/core/expert/candidate.go
+++ b/core/expert/candidate.go
@@ -22,12 +22,12 @@
 }
 
 func (s *search) mayAdd(e int32, r int) bool {
-	return !holds(s.slotsOf(r), e) && s.spread.deficitWith(e, r, -1) <= s.spread.deficit(e)
+	return !holds(s.slotsOf(r), e) && s.mayLoad(e, r) && s.spread.deficitWith(e, r, -1) <= s.spread.deficit(e)
 }
 
 // mayGo reports whether a replica can go from one rank to another.
 func (s *search) mayGo(e int32, from, to int) bool {
-	return e == Empty || (!holds(s.slotsOf(to), e) && s.spread.deficitWith(e, to, from) <= s.spread.deficit(e))
+	return e == Empty || (!holds(s.slotsOf(to), e) && s.mayLoad(e, to) && s.spread.deficitWith(e, to, from) <= s.spread.deficit(e))
 }
 
 // swaps offers to exchange a replica of the worst rank with another rank's.
--- /dev/null
+++ b/core/expert/rebalance_test.go
@@ -0,0 +1,98 @@
+package expert
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// skewed returns loads of a few popular topics.
+func skewed(rng *rand.Rand, experts int) []float64 {
+	loads := make([]float64, experts)
+	for i, e := range rng.Perm(experts) {
+		loads[e] = math.Pow(float64(i+1), -0.9)
+	}
+	return loads
+}
+
+func inTurn(g *Group) Map {
+	m := NewMap(g)
+	used := make([]int, len(g.Ranks))
+	for e := range g.Experts {
+		r := e % len(g.Ranks)
+		m[r*g.Slots+used[r]] = int32(e)
+		used[r]++
+	}
+	return m
+}
+
+func group16() *Group {
+	return &Group{Ranks: make([]Rank, 16), Experts: 64, Slots: 5}
+}
+
+// A change may make only so many experts new to a rank. Repeated changes must
+// still come near the bound, and each must keep every expert placed.
+func TestRebalanceWithinLimits(t *testing.T) {
+	is := is.New(t)
+	g := group16()
+	for i := range g.Ranks {
+		g.Ranks[i].Server = string(rune('a' + i))
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	maps := []Map{inTurn(g), inTurn(g), inTurn(g), inTurn(g)}
+	loads := [][]float64{skewed(rng, 64), skewed(rng, 64), skewed(rng, 64), skewed(rng, 64)}
+	lim := Limits{PerLayer: 2, PerRank: 4}
+	var skew float64
+	for range 6 {
+		next, before, after := Rebalance(g, maps, loads, lim)
+		is.True(after <= before)
+		total := make([]int, len(g.Ranks))
+		for l := range next {
+			is.NoErr(next[l].Validate(g))
+			fresh := make([]int, len(g.Ranks))
+			for _, m := range Diff(g, l, maps[l], next[l]) {
+				fresh[m.Rank]++
+				total[m.Rank]++
+			}
+			for _, n := range fresh {
+				is.True(n <= lim.PerLayer)
+			}
+		}
+		for _, n := range total {
+			is.True(n <= lim.PerRank)
+		}
+		maps, skew = next, after
+	}
+	t.Logf("skew after six changes %.3f", skew)
+	is.True(skew < 1.15)
+}
+
+func BenchmarkRebalance(b *testing.B) {
+	for _, size := range []struct {
+		name                   string
+		ranks, experts, places int
+		layers                 int
+	}{{"16-ranks", 16, 64, 5, 4}, {"72-ranks", 72, 144, 3, 12}} {
+		b.Run(size.name, func(b *testing.B) {
+			g := &Group{Ranks: make([]Rank, size.ranks), Experts: size.experts, Slots: size.places}
+			for i := range g.Ranks {
+				g.Ranks[i].Server = string(rune('a' + i))
+			}
+			rng := rand.New(rand.NewPCG(1, 2))
+			var maps []Map
+			var loads [][]float64
+			for range size.layers {
+				maps = append(maps, inTurn(g))
+				loads = append(loads, skewed(rng, size.experts))
+			}
+			b.ReportAllocs()
+			var after float64
+			for b.Loop() {
+				_, _, after = Rebalance(g, maps, loads, Limits{PerLayer: 2, PerRank: 4})
+			}
+			b.ReportMetric(after, "skew")
+		})
+	}
+}
--- /dev/null
+++ b/core/expert/recent.go
@@ -0,0 +1,41 @@
+package expert
+
+import (
+	"math"
+	"time"
+)
+
+// Recent keeps how much each expert of a layer was chosen lately. It sums
+// counts that are read first-hand several times a second and forgets them with
+// a time constant, where an Estimator forecasts from late reports with gaps.
+type Recent struct {
+	// Memory is the time constant of forgetting.
+	Memory time.Duration
+
+	loads []float64
+	at    time.Time
+}
+
+// Observe adds what was chosen since the last call.
+func (r *Recent) Observe(now time.Time, chosen []float64) {
+	if len(r.loads) != len(chosen) {
+		r.loads = make([]float64, len(chosen))
+	}
+	if !r.at.IsZero() && r.Memory > 0 {
+		keep := math.Exp(-now.Sub(r.at).Seconds() / r.Memory.Seconds())
+		for e := range r.loads {
+			r.loads[e] *= keep
+		}
+	}
+	r.at = now
+	for e, n := range chosen {
+		r.loads[e] += n
+	}
+}
+
+// Loads returns the loads of the experts; only their proportions matter. It is
+// empty before the first call of Observe.
+func (r *Recent) Loads() []float64 { return r.loads }
+
+// Total returns the sum of the loads.
+func (r *Recent) Total() float64 { return sum(r.loads) }
--- a/core/expert/search.go
+++ b/core/expert/search.go
@@ -21,6 +21,10 @@
 	partners []int32
 	steps    []step
 	loads    int // replicas to load to get from orig to m
+	// quota, if there is one, bounds what may be loaded; fresh counts the
+	// experts of this layer that are new to each rank.
+	quota *quota
+	fresh []int
 }
 
 // step is one change on the way: at most two slots.
@@ -197,6 +201,7 @@
 		s.spread.remove(was, r)
 		s.ranksOf[was] = cut(s.ranksOf[was], int32(r))
 		s.loads -= s.extra(was, r)
+		s.count(was, r, -1)
 		s.refresh(was)
 	}
 	if e != Empty {
@@ -204,6 +209,7 @@
 		s.spread.add(e, r)
 		s.ranksOf[e] = append(s.ranksOf[e], int32(r))
 		s.loads += s.extra(e, r)
+		s.count(e, r, 1)
 		s.refresh(e)
 	}
 	s.recount(r)
--- /dev/null
+++ b/core/lockstep/candidate.go
@@ -0,0 +1,40 @@
+package lockstep
+
+import "time"
+
+// Candidate decides when an agent should take over the duty of a group's
+// steward. The agent hears the steward several times a second; a silence means
+// that the steward is dead, frozen or cut off. The zero value has heard
+// nothing since the beginning of time; use NewCandidate.
+type Candidate struct {
+	heard time.Time
+	tried time.Time
+}
+
+const (
+	// silence is how long a steward may be silent: several of its rounds, so
+	// that a slow round does not cost a change of stewards.
+	silence = 700 * time.Millisecond
+	// stagger is added for each place of the agent's rank, so that usually one
+	// agent takes over.
+	stagger = 120 * time.Millisecond
+	// maxStagger bounds it in large groups.
+	maxStagger = 2 * time.Second
+	// again is the pause between tries.
+	again = 500 * time.Millisecond
+)
+
+// NewCandidate returns a candidate that starts to listen now.
+func NewCandidate(now time.Time) *Candidate { return &Candidate{heard: now} }
+
+// Heard records a word of the steward.
+func (c *Candidate) Heard(now time.Time) { c.heard = now }
+
+// Due reports whether the agent of a rank should try to take over.
+func (c *Candidate) Due(rank int, now time.Time) bool {
+	limit := silence + min(time.Duration(rank)*stagger, maxStagger)
+	return now.Sub(c.heard) >= limit && now.Sub(c.tried) >= again
+}
+
+// Tried records that the agent has tried to.
+func (c *Candidate) Tried(now time.Time) { c.tried = now }
--- /dev/null
+++ b/core/lockstep/lockstep.go
@@ -0,0 +1,399 @@
+// Package lockstep changes the expert map of a rank group whose engines take
+// the orders prepare, arm, disarm, hold and release, so that no pass begins
+// while two ranks have different maps.
+//
+// It is for engines that switch at an armed pass whatever the others do. (Package
+// group is for engines that wait at an armed step for the outcome.) What makes
+// the wait here is a hold: while one rank holds pass S, no rank begins it.
+//
+// A change goes in four moves. All ranks prepare the map. One rank holds a pass
+// S that the group has not reached. All ranks arm the map for S. Once all are
+// armed, the hold is released; released early enough, nothing ever waits.
+//
+// A Steward has no memory that a change depends on. Its next orders are a
+// function of what all ranks say of themselves, so that any agent can go on
+// where another has stopped. These rules make that safe with several stewards
+// at once, one of them paused for any time between looking and ordering:
+//
+//   - A hold on S is released only by one who has seen all ranks armed for the
+//     same map and S. What is armed for a held pass is never taken back, unless
+//     a rank has prepared a newer map since, so that not all can be armed ever.
+//   - A map is armed only while a hold on S stands.
+//   - Each order names the number of orders that the rank had begun when it was
+//     decided, and the epoch. A rank that has begun another one since refuses.
+//     An order that is carried out seconds late is refused in the same way.
+//
+// A group that has lost a rank is formed again by the platform, in a new epoch
+// in which nothing is prepared, armed or held.
+//
+// # Usage
+//
+//	s := lockstep.NewSteward(self)
+//	for {
+//		ranks := readAll()
+//		s.Propose(ranks, next) // when there is a better map
+//		for _, c := range s.Next(ranks, now) {
+//			send(c.Rank, c.Order)
+//		}
+//	}
+package lockstep
+
+import (
+	"time"
+
+	"verbenashift/platform"
+)
+
+// Map is the experts of a group by layer and rank.
+type Map [][][]int
+
+// Rank is what was last read of a rank.
+type Rank struct {
+	// Known says that the rank was read in this round.
+	Known bool
+	State platform.RankState
+}
+
+// Command is an order to one rank.
+type Command struct {
+	Rank  int
+	Order platform.Order
+}
+
+const (
+	// minLead and maxLead bound how many passes ahead of the group a change is
+	// armed, leadTime is the time that it should be: a few round trips between
+	// instances of a region and to their ranks.
+	minLead  = 2
+	maxLead  = 12
+	leadTime = 90 * time.Millisecond
+)
+
+// Steward decides the orders for one group. Use NewSteward to make one. It is
+// not safe for concurrent use.
+type Steward struct {
+	// Fence is put into each order.
+	Fence int64
+
+	self int
+	// version and content are the map being prepared; 0 means none. It changes
+	// the map with the number base.
+	version int64
+	base    int64
+	content Map
+	epoch   int64
+	// highest is the highest number of a map that was seen or refused.
+	highest int64
+	holdAt  int64
+	pass    passClock
+}
+
+// NewSteward returns a steward that places its holds at the rank with the given
+// number.
+func NewSteward(self int) *Steward { return &Steward{self: self} }
+
+// Idle reports whether no change is under way: a new map may be proposed.
+func (s *Steward) Idle(ranks []Rank) bool {
+	return s.version == 0 && whole(ranks) && !engaged(ranks)
+}
+
+// InForce returns the number of the map that all ranks use, if they do.
+func InForce(ranks []Rank) (int64, bool) {
+	if !whole(ranks) {
+		return 0, false
+	}
+	for i := range ranks {
+		if ranks[i].State.Map != ranks[0].State.Map {
+			return 0, false
+		}
+	}
+	return ranks[0].State.Map, true
+}
+
+// Propose begins a change to a map.
+func (s *Steward) Propose(ranks []Rank, m Map) {
+	s.see(ranks)
+	s.highest++
+	s.version, s.content, s.holdAt = s.highest, m, 0
+	s.base, s.epoch = ranks[0].State.Map, ranks[0].State.Epoch
+}
+
+// Stuck reports whether the group is held with no change under way that would
+// let it go on: then a map must be proposed, if only the one in force.
+func (s *Steward) Stuck(ranks []Rank) bool {
+	if !whole(ranks) || s.version != 0 || lowestHeld(ranks) == 0 {
+		return false
+	}
+	version, _ := armed(ranks)
+	return version == 0 && !prepared(ranks)
+}
+
+// prepared reports whether all ranks have prepared the same map and none uses
+// it yet.
+func prepared(ranks []Rank) bool {
+	first := &ranks[0].State
+	return first.Prepared > first.Map && all(ranks, func(st *platform.RankState) bool {
+		return st.Prepared == first.Prepared && st.Map == first.Map
+	})
+}
+
+// Refused tells that a rank refused an order for another reason than its number
+// of orders: then the number of the map may have been used before.
+func (s *Steward) Refused(o platform.Order) {
+	if o.Kind == platform.PrepareMap && o.Version == s.version {
+		s.highest = max(s.highest, s.version) + 1
+		s.version = s.highest
+	}
+	if o.Kind == platform.HoldPass {
+		s.holdAt = 0
+	}
+}
+
+// whole reports whether every rank of one epoch of an open group is known.
+func whole(ranks []Rank) bool {
+	if len(ranks) == 0 || len(ranks) != ranks[0].State.Size {
+		return false
+	}
+	for i := range ranks {
+		st := &ranks[i].State
+		if !ranks[i].Known || !st.Open || st.Epoch != ranks[0].State.Epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// engaged reports whether a rank is armed or holds the group.
+func engaged(ranks []Rank) bool {
+	for i := range ranks {
+		if ranks[i].State.ArmedMap != 0 || ranks[i].State.Held != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Unfinished reports whether a rank that is known is armed or holds the group.
+func Unfinished(ranks []Rank) bool {
+	for i := range ranks {
+		if ranks[i].Known && (ranks[i].State.ArmedMap != 0 || ranks[i].State.Held != 0) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Steward) see(ranks []Rank) {
+	for i := range ranks {
+		st := &ranks[i].State
+		s.highest = max(s.highest, st.Map, st.Prepared, st.ArmedMap)
+	}
+}
+
+// Next returns the orders that take the change one move on. It returns none
+// while a rank is not known, or the group is being formed again.
+func (s *Steward) Next(ranks []Rank, now time.Time) []Command {
+	if !whole(ranks) {
+		return nil
+	}
+	if epoch := ranks[0].State.Epoch; epoch != s.epoch {
+		s.epoch, s.version, s.content, s.holdAt, s.highest = epoch, 0, nil, 0, 0
+		s.pass = passClock{}
+	}
+	s.see(ranks)
+	s.pass.observe(lastStep(ranks), now)
+	if cmds, ok := s.finishArmed(ranks); ok {
+		return cmds
+	}
+	s.forgetDone(ranks)
+	if step := lowestHeld(ranks); step != 0 {
+		return s.underHold(ranks, step)
+	}
+	if s.version == 0 {
+		return nil
+	}
+	if all(ranks, func(st *platform.RankState) bool { return st.Prepared == s.version }) {
+		return s.hold(ranks)
+	}
+	return s.prepare(ranks)
+}
+
+// finishArmed goes on with a change for which a rank is armed.
+func (s *Steward) finishArmed(ranks []Rank) ([]Command, bool) {
+	version, step := armed(ranks)
+	if version == 0 {
+		return nil, false
+	}
+	var cmds []Command
+	missing := 0
+	for i := range ranks {
+		st := &ranks[i].State
+		switch {
+		case st.ArmedMap == version && st.ArmedStep == step, st.Map == version:
+			continue
+		case st.ArmedMap != 0:
+			// Another steward has armed it for an older map, or for a later
+			// pass. Neither can ever be armed everywhere.
+			cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.DisarmMap, Version: st.ArmedMap}))
+		case st.Prepared > version:
+			// Another steward has prepared a newer map here, so that this rank
+			// can never be armed for the older one: those that are must be
+			// taken back, or they would switch alone.
+			return s.disarm(ranks, version), true
+		case st.Prepared == version:
+			cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.ArmMap, Version: version, Step: step}))
+		}
+		missing++
+	}
+	if missing > 0 {
+		return cmds, true
+	}
+	return s.release(ranks, step), true
+}
+
+func (s *Steward) release(ranks []Rank, step int64) []Command {
+	var cmds []Command
+	for i := range ranks {
+		if ranks[i].State.Held == step {
+			cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.ReleasePass, Step: step}))
+		}
+	}
+	return cmds
+}
+
+func (s *Steward) disarm(ranks []Rank, version int64) []Command {
+	var cmds []Command
+	for i := range ranks {
+		if ranks[i].State.ArmedMap == version {
+			cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.DisarmMap, Version: version}))
+		}
+	}
+	return cmds
+}
+
+// underHold goes on while the group is held and no rank is armed. The way out
+// is always a change: what is released without one could still be armed by a
+// late order.
+func (s *Steward) underHold(ranks []Rank, step int64) []Command {
+	if prepared(ranks) {
+		return s.each(ranks, platform.Order{Kind: platform.ArmMap, Version: ranks[0].State.Prepared, Step: step})
+	}
+	return s.prepare(ranks)
+}
+
+// hold stops the group at a pass that it has not reached.
+func (s *Steward) hold(ranks []Rank) []Command {
+	last := lastStep(ranks)
+	if s.holdAt <= last {
+		s.holdAt = last + s.pass.lead()
+	}
+	i := s.self
+	if i < 0 || i >= len(ranks) {
+		i = 0
+	}
+	return []Command{s.command(ranks, i, platform.Order{Kind: platform.HoldPass, Step: s.holdAt})}
+}
+
+// prepare gives the map to the ranks that do not have it. A rank that copies
+// is left alone until it is done.
+func (s *Steward) prepare(ranks []Rank) []Command {
+	if s.version == 0 {
+		return nil
+	}
+	var cmds []Command
+	for i := range ranks {
+		st := &ranks[i].State
+		if st.Prepared != s.version && !st.Busy {
+			cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.PrepareMap, Version: s.version, Map: s.content}))
+		}
+	}
+	return cmds
+}
+
+// forgetDone ends a change that is in force, or that was made for a map that is
+// not in force any more: what it would load was counted from that map.
+func (s *Steward) forgetDone(ranks []Rank) {
+	if s.version != 0 && all(ranks, func(st *platform.RankState) bool { return st.Map != s.base }) {
+		s.version, s.content, s.holdAt = 0, nil, 0
+	}
+}
+
+func (s *Steward) each(ranks []Rank, o platform.Order) []Command {
+	cmds := make([]Command, 0, len(ranks))
+	for i := range ranks {
+		cmds = append(cmds, s.command(ranks, i, o))
+	}
+	return cmds
+}
+
+func (s *Steward) command(ranks []Rank, i int, o platform.Order) Command {
+	o.Epoch, o.Expect, o.Fence = ranks[i].State.Epoch, ranks[i].State.Seq, s.Fence
+	return Command{Rank: i, Order: o}
+}
+
+// armed returns the newest map for which a rank is armed, and the earliest pass
+// for which one is.
+func armed(ranks []Rank) (version, step int64) {
+	for i := range ranks {
+		st := &ranks[i].State
+		switch {
+		case st.ArmedMap == 0 || st.ArmedMap < version:
+		case st.ArmedMap > version:
+			version, step = st.ArmedMap, st.ArmedStep
+		default:
+			step = min(step, st.ArmedStep)
+		}
+	}
+	return version, step
+}
+
+func lowestHeld(ranks []Rank) int64 {
+	lowest := int64(0)
+	for i := range ranks {
+		if h := ranks[i].State.Held; h != 0 && (lowest == 0 || h < lowest) {
+			lowest = h
+		}
+	}
+	return lowest
+}
+
+func lastStep(ranks []Rank) int64 {
+	last := int64(0)
+	for i := range ranks {
+		last = max(last, ranks[i].State.Step)
+	}
+	return last
+}
+
+func all(ranks []Rank, ok func(*platform.RankState) bool) bool {
+	for i := range ranks {
+		if !ok(&ranks[i].State) {
+			return false
+		}
+	}
+	return true
+}
+
+// passClock measures how long the passes of a group take.
+type passClock struct {
+	step int64
+	at   time.Time
+	took time.Duration
+}
+
+func (p *passClock) observe(step int64, now time.Time) {
+	if n := step - p.step; n > 0 {
+		if !p.at.IsZero() {
+			p.took = now.Sub(p.at) / time.Duration(n)
+		}
+		p.step, p.at = step, now
+	}
+}
+
+// lead returns how many passes ahead a change is armed.
+func (p *passClock) lead() int64 {
+	if p.took <= 0 {
+		return minLead
+	}
+	return min(max(int64(leadTime/p.took)+1, minLead), maxLead)
+}
--- /dev/null
+++ b/sidecar/agent.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"verbenashift/core/lockstep"
+	"verbenashift/platform"
+)
+
+// agent is the process beside one rank. It gives the steward's orders to its
+// rank and, when no steward is heard, becomes the steward itself.
+type agent struct {
+	boot  platform.Boot
+	log   *slog.Logger
+	rank  *platform.RankClient
+	store *platform.Store
+	// plan is false when the maps are to stay as they are.
+	plan bool
+
+	mu sync.Mutex
+	// term and from are those of the newest steward heard.
+	term      int64
+	from      string
+	candidate *lockstep.Candidate
+}
+
+func newAgent(boot platform.Boot, log *slog.Logger, plan bool) *agent {
+	return &agent{
+		boot: boot, log: log, plan: plan,
+		rank:      platform.NewRankClient(boot.Target),
+		store:     platform.NewStore(boot.Store.Addr),
+		candidate: lockstep.NewCandidate(time.Now()),
+	}
+}
+
+// hear records a word of a steward and reports whether it is the newest. Two
+// stewards may have the same term only where both act without the store; the
+// name decides then.
+func (a *agent) hear(ask Ask) (int64, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if ask.Term < a.term || ask.Term == a.term && ask.From < a.from {
+		return a.term, false
+	}
+	if ask.From != a.from {
+		a.log.Info("steward", "steward", ask.From, "term", ask.Term, "before", a.from, "term-before", a.term)
+	}
+	a.term, a.from = ask.Term, ask.From
+	a.candidate.Heard(time.Now())
+	return a.term, true
+}
+
+// highestTerm returns the highest term that was heard.
+func (a *agent) highestTerm() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.term
+}
+
+// due reports whether this agent should try to become the steward.
+func (a *agent) due(rank int) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if !a.candidate.Due(rank, now) {
+		return false
+	}
+	a.candidate.Tried(now)
+	return true
+}
+
+const (
+	// watchEvery is how often an agent looks whether it still hears a steward.
+	watchEvery = 100 * time.Millisecond
+	// firstLook is how often it asks its rank for its group after the start.
+	firstLook = 300 * time.Millisecond
+)
+
+// run watches for the silence of the steward until the context ends.
+func (a *agent) run(ctx context.Context) {
+	st, ok := a.firstState(ctx)
+	if !ok {
+		return
+	}
+	if st.Rank == 0 {
+		a.lead(ctx, st)
+	}
+	for sleep(ctx, watchEvery) {
+		if a.due(st.Rank) {
+			a.lead(ctx, st)
+		}
+	}
+}
+
+// firstState waits until the rank says which group it belongs to.
+func (a *agent) firstState(ctx context.Context) (platform.RankState, bool) {
+	for ctx.Err() == nil {
+		st, err := a.readRank(ctx)
+		if err == nil && st.Group != "" {
+			a.log.Info("rank", "group", st.Group, "rank", st.Rank, "size", st.Size, "epoch", st.Epoch)
+			return st, true
+		}
+		sleep(ctx, firstLook)
+	}
+	return platform.RankState{}, false
+}
+
+func (a *agent) readRank(ctx context.Context) (platform.RankState, error) {
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	return a.rank.State(ctx)
+}
+
+// sleep waits and reports whether the context goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/sidecar/peer.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"context"
+	"encoding/gob"
+	"log/slog"
+	"net"
+	"net/netip"
+	"time"
+
+	"verbenashift/platform"
+)
+
+const (
+	// tellWait is how long a sidecar may take to answer: its own waits for the
+	// rank and the way there and back.
+	tellWait = orderWait + readWait + 100*time.Millisecond
+	// directEvery is the pause between tries at the rank itself while its
+	// sidecar does not answer. Such a reading costs the group a moment.
+	directEvery = 400 * time.Millisecond
+	// redialEvery is the pause between tries to reach a sidecar.
+	redialEvery = 250 * time.Millisecond
+)
+
+// peer is the steward's way to one rank: through the sidecar beside it, or
+// straight to the rank while that does not answer.
+type peer struct {
+	target  platform.Target
+	sidecar netip.AddrPort
+	log     *slog.Logger
+	conn    net.Conn
+	in      *gob.Decoder
+	out     *gob.Encoder
+	dialAt  time.Time
+	direct  *platform.RankClient
+	readAt  time.Time
+	// lost says that the sidecar does not answer.
+	lost bool
+}
+
+func newPeer(t platform.Target, port uint16, log *slog.Logger) *peer {
+	return &peer{
+		target: t, sidecar: netip.AddrPortFrom(t.Addr.Addr(), port),
+		direct: platform.NewRankClient(t.Addr), log: log,
+	}
+}
+
+func (p *peer) close() {
+	p.hangUp()
+	p.direct.Close()
+}
+
+func (p *peer) hangUp() {
+	if p.conn != nil {
+		// It is given up; an error in closing it changes nothing.
+		_ = p.conn.Close()
+		p.conn = nil
+	}
+}
+
+// ask asks the sidecar, or else the rank itself.
+func (p *peer) ask(ctx context.Context, ask Ask) Tell {
+	tell, err := p.askSidecar(ctx, ask)
+	if err == nil {
+		if p.lost {
+			p.lost = false
+			p.log.Info("sidecar answers again", "target", p.target.ID)
+		}
+		return tell
+	}
+	if !p.lost {
+		p.lost = true
+		p.log.Warn("sidecar does not answer", "target", p.target.ID, "error", err.Error())
+	}
+	return p.askRank(ctx, ask)
+}
+
+func (p *peer) askSidecar(ctx context.Context, ask Ask) (Tell, error) {
+	if p.conn == nil {
+		if err := p.dial(ctx); err != nil {
+			return Tell{}, err
+		}
+	}
+	var tell Tell
+	err := p.conn.SetDeadline(time.Now().Add(tellWait))
+	if err == nil {
+		err = p.out.Encode(ask)
+	}
+	if err == nil {
+		err = p.in.Decode(&tell)
+	}
+	if err != nil {
+		p.hangUp()
+	}
+	return tell, err
+}
+
+func (p *peer) dial(ctx context.Context) error {
+	now := time.Now()
+	if now.Before(p.dialAt) {
+		return errSoon
+	}
+	p.dialAt = now.Add(redialEvery)
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	c, err := platform.Dial(ctx, "tcp", p.sidecar.String())
+	if err != nil {
+		return err
+	}
+	p.conn, p.in, p.out = c, gob.NewDecoder(c), gob.NewEncoder(c)
+	return nil
+}
+
+type soonError struct{}
+
+func (soonError) Error() string { return "tried a moment ago" }
+
+var errSoon = soonError{}
+
+// askRank gives the order to the rank and reads it from afar. The reading is
+// some hundred milliseconds old, which is safe: see package lockstep. Counts
+// are left out, since the group pauses while they are read from afar.
+func (p *peer) askRank(ctx context.Context, ask Ask) Tell {
+	now := time.Now()
+	if ask.Order == nil && now.Before(p.readAt) {
+		return Tell{}
+	}
+	p.readAt = now.Add(directEvery)
+	tell := Tell{}
+	if ask.Order != nil {
+		tell.Status = giveOrder(p.direct, *ask.Order, p.log)
+	}
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	st, err := p.direct.State(ctx)
+	if err != nil {
+		p.log.Warn("rank not read from afar", "target", p.target.ID, "error", err.Error())
+		return tell
+	}
+	tell.State, tell.Known = st, true
+	if ask.Placement {
+		if place, err := p.direct.Placement(ctx); err == nil {
+			tell.Placement = &place
+		}
+	}
+	return tell
+}
--- /dev/null
+++ b/sidecar/planner.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"time"
+
+	"verbenashift/core/expert"
+	"verbenashift/core/lockstep"
+	"verbenashift/platform"
+)
+
+const (
+	// memory is the time constant in which counts are forgotten. Shorter ones
+	// follow a change of the mix sooner, and see less work to judge it by.
+	memory = 800 * time.Millisecond
+	// leastGain is the mean skew that a change must save. A copy makes passes
+	// 15 in 100 longer for some tenths of a second.
+	leastGain = 0.06
+	// perRank is the most experts that a change copies to one rank: a copy
+	// takes about a tenth of a second.
+	perRank = 4
+	// leastChosen is how often each expert must have been chosen lately, in
+	// the mean, for an estimate.
+	leastChosen = 20
+)
+
+// planner turns counts into better maps. The zero value waits for the shape of
+// the group.
+type planner struct {
+	engine platform.Engine
+	group  expert.Group
+	// ranks are the targets of the group by rank, as last taken.
+	ranks []string
+	// counts and places are the last ones of each target.
+	counts map[string]*platform.Counts
+	places map[string]*platform.Placement
+	recent []expert.Recent
+	// placed says that places are those of the map in force.
+	placed bool
+}
+
+// proposal is a better map with what is expected of it.
+type proposal struct {
+	m             lockstep.Map
+	before, after float64
+	loads         int
+}
+
+// shape takes the figures of the group's engines.
+func (p *planner) shape(e platform.Engine) {
+	if e == p.engine {
+		return
+	}
+	p.engine = e
+	p.counts, p.places = map[string]*platform.Counts{}, map[string]*platform.Placement{}
+	p.recent = make([]expert.Recent, e.Sets)
+	for i := range p.recent {
+		p.recent[i].Memory = memory
+	}
+}
+
+// take takes in what the ranks have told.
+func (p *planner) take(now time.Time, byRank []string, tells map[string]Tell) {
+	p.ranks, p.placed = byRank, false
+	experts := p.engine.Experts
+	if p.engine.Sets == 0 {
+		return
+	}
+	chosen := make([]float64, p.engine.Sets*experts)
+	for _, id := range byRank {
+		t := tells[id]
+		if t.Placement != nil {
+			p.places[id] = t.Placement
+		}
+		if t.Counts != nil && len(t.Counts.Values) == len(chosen) {
+			addChosen(chosen, p.counts[id], t.Counts)
+			p.counts[id] = t.Counts
+		}
+	}
+	for l := range p.recent {
+		p.recent[l].Observe(now, chosen[l*experts:(l+1)*experts])
+	}
+	p.placed = p.known(tells)
+}
+
+// addChosen adds what was chosen between two readings of a rank. A rank that
+// has started anew in between counts from 0.
+func addChosen(chosen []float64, before, after *platform.Counts) {
+	if before == nil {
+		return
+	}
+	for e, n := range after.Values {
+		if was := before.Values[e]; n >= was {
+			chosen[e] += float64(n - was)
+		}
+	}
+}
+
+// known reports whether the places are those of the map in force.
+func (p *planner) known(tells map[string]Tell) bool {
+	for _, id := range p.ranks {
+		t, place := tells[id], p.places[id]
+		if !t.Known || place == nil || place.Map != t.State.Map || place.Epoch != t.State.Epoch || len(place.Experts) != p.engine.Sets {
+			return false
+		}
+	}
+	return len(p.ranks) > 0
+}
+
+// current returns the map in force, or nil if it is not known.
+func (p *planner) current() lockstep.Map {
+	if !p.placed {
+		return nil
+	}
+	m := make(lockstep.Map, p.engine.Sets)
+	for l := range m {
+		for _, id := range p.ranks {
+			m[l] = append(m[l], p.places[id].Experts[l])
+		}
+	}
+	return m
+}
+
+// better returns a better map, if there is one that is worth its copies.
+func (p *planner) better() (proposal, bool) {
+	if !p.placed || !p.enough() {
+		return proposal{}, false
+	}
+	p.fitGroup()
+	maps := p.flat()
+	loads := make([][]float64, len(p.recent))
+	for l := range p.recent {
+		loads[l] = p.recent[l].Loads()
+	}
+	next, before, after := expert.Rebalance(&p.group, maps, loads, expert.Limits{PerLayer: p.engine.Spare, PerRank: perRank})
+	if before-after < leastGain {
+		return proposal{}, false
+	}
+	pr := proposal{before: before, after: after, m: p.nested(next)}
+	for l := range next {
+		pr.loads += len(expert.Diff(&p.group, l, maps[l], next[l]))
+	}
+	return pr, true
+}
+
+// enough reports whether there is work to judge the loads by.
+func (p *planner) enough() bool {
+	for l := range p.recent {
+		if p.recent[l].Total() < leastChosen*float64(p.engine.Experts) {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *planner) fitGroup() {
+	if len(p.group.Ranks) == len(p.ranks) && p.group.Experts == p.engine.Experts && p.group.Slots == p.engine.Places {
+		return
+	}
+	p.group = expert.Group{Ranks: make([]expert.Rank, len(p.ranks)), Experts: p.engine.Experts, Slots: p.engine.Places}
+	for r, id := range p.ranks {
+		p.group.Ranks[r].Server = id
+	}
+}
+
+// flat returns the map in force as the planner of package expert has it.
+func (p *planner) flat() []expert.Map {
+	maps := make([]expert.Map, p.engine.Sets)
+	for l := range maps {
+		m := expert.NewMap(&p.group)
+		for r, id := range p.ranks {
+			for k, e := range p.places[id].Experts[l] {
+				if k < p.group.Slots {
+					m[r*p.group.Slots+k] = int32(e)
+				}
+			}
+		}
+		maps[l] = m
+	}
+	return maps
+}
+
+// nested is the inverse of flat, without the empty places.
+func (p *planner) nested(maps []expert.Map) lockstep.Map {
+	out := make(lockstep.Map, len(maps))
+	for l, m := range maps {
+		out[l] = make([][]int, len(p.group.Ranks))
+		for r := range out[l] {
+			for _, e := range m[r*p.group.Slots : (r+1)*p.group.Slots] {
+				if e != expert.Empty {
+					out[l][r] = append(out[l][r], int(e))
+				}
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/sidecar/steward.go
@@ -0,0 +1,218 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"verbenashift/core/lockstep"
+	"verbenashift/core/mirror"
+	"verbenashift/platform"
+)
+
+const (
+	// calmRound is the pause between rounds while nothing is going on: it bounds
+	// the age of the counts. busyRound is the same while a change is under way.
+	calmRound = 200 * time.Millisecond
+	busyRound = 20 * time.Millisecond
+	// roundLate is how late a round may be before the steward assumes that it
+	// was paused and that another one acts by now.
+	roundLate = 600 * time.Millisecond
+	// reclaimEvery is how often a steward that acts without the store tries to
+	// get a term from it.
+	reclaimEvery = 2 * time.Second
+)
+
+// steward drives the changes of one group's map.
+type steward struct {
+	*agent
+	group string
+	term  int64
+	// acting says that the term does not come from the store.
+	acting  bool
+	targets *mirror.Follower
+	peers   map[string]*peer
+	// byRank are the targets of the group's ranks.
+	byRank  []string
+	core    *lockstep.Steward
+	planner planner
+	pending map[string]platform.Order
+	log *slog.Logger
+}
+
+// lead makes this agent the steward and drives the group until another one has
+// taken over.
+func (a *agent) lead(ctx context.Context, st platform.RankState) {
+	term, acting, ok := a.claim(ctx, st.Group)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := &steward{
+		agent: a, group: st.Group, term: term, acting: acting,
+		targets: mirror.NewFollower(a.store, a.log), peers: map[string]*peer{},
+		core: lockstep.NewSteward(st.Rank), pending: map[string]platform.Order{},
+		log: a.log.With("group", st.Group, "term", term),
+	}
+	s.core.Fence = term
+	go s.targets.Run(ctx)
+	s.log.Info("steward begins", "acting", acting)
+	s.drive(ctx)
+	for _, p := range s.peers {
+		p.close()
+	}
+	s.log.Info("steward ends")
+}
+
+// drive makes rounds until the steward is no longer the newest.
+func (s *steward) drive(ctx context.Context) {
+	claimed := time.Now()
+	began := claimed
+	for ctx.Err() == nil {
+		now := time.Now()
+		if now.Sub(began) > roundLate+tellWait+calmRound {
+			s.log.Warn("paused, another steward may act", "ms", now.Sub(began).Milliseconds())
+			return
+		}
+		began = now
+		if s.acting && now.Sub(claimed) > reclaimEvery {
+			return
+		}
+		busy, ok := s.round(ctx, now)
+		if !ok {
+			return
+		}
+		pause := calmRound
+		if busy {
+			pause = busyRound
+		}
+		if !sleep(ctx, pause) {
+			return
+		}
+	}
+}
+
+// round asks all ranks, takes in what they tell, and decides the next orders.
+// Ok is false when a newer steward has been heard.
+func (s *steward) round(ctx context.Context, now time.Time) (busy, ok bool) {
+	s.meet()
+	needPlaces := !s.planner.placed
+	tells := s.askAll(ctx, needPlaces)
+	for _, t := range tells {
+		if t.Term > s.term {
+			s.log.Info("a newer steward is at work", "newer-term", t.Term)
+			return false, false
+		}
+	}
+	s.refusals(tells)
+	ranks := s.arrange(tells)
+	s.planner.take(now, s.byRank, tells)
+	s.propose(ranks)
+	s.pending = map[string]platform.Order{}
+	for _, c := range s.core.Next(ranks, now) {
+		s.pending[s.byRank[c.Rank]] = c.Order
+	}
+	return len(s.pending) > 0 || !s.core.Idle(ranks) || needPlaces, true
+}
+
+// meet keeps a peer for each target of the service.
+func (s *steward) meet() {
+	v := s.targets.View()
+	if v == nil {
+		return
+	}
+	for id, t := range v.Targets {
+		if t.Service == s.boot.Service && s.peers[id] == nil {
+			s.peers[id] = newPeer(t, s.boot.PortFirst, s.log)
+		}
+	}
+	for id, p := range s.peers {
+		if _, ok := v.Targets[id]; !ok {
+			p.close()
+			delete(s.peers, id)
+		}
+	}
+	for i := range v.Config.Services {
+		if svc := &v.Config.Services[i]; svc.Name == s.boot.Service && svc.Engine != nil {
+			s.planner.shape(*svc.Engine)
+		}
+	}
+}
+
+// askAll asks all peers at once.
+func (s *steward) askAll(ctx context.Context, places bool) map[string]Tell {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	tells := make(map[string]Tell, len(s.peers))
+	for id, p := range s.peers {
+		ask := Ask{Term: s.term, From: s.boot.Instance, Counts: true, Placement: places}
+		if o, ok := s.pending[id]; ok {
+			ask.Order = &o
+		}
+		wg.Go(func() {
+			tell := p.ask(ctx, ask)
+			mu.Lock()
+			tells[id] = tell
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	return tells
+}
+
+// refusals tells the core which orders did not fit.
+func (s *steward) refusals(tells map[string]Tell) {
+	for id, o := range s.pending {
+		t := tells[id]
+		if t.Status == http.StatusConflict && t.Known && t.State.Seq == o.Expect && t.State.Epoch == o.Epoch {
+			s.log.Warn("order refused", "target", id, "order", string(o.Kind), "version", o.Version, "step", o.Step)
+			s.core.Refused(o)
+		}
+	}
+}
+
+// arrange puts what is known of the group's ranks in their order.
+func (s *steward) arrange(tells map[string]Tell) []lockstep.Rank {
+	size := 0
+	for _, t := range tells {
+		if t.Known && t.State.Group == s.group {
+			size = max(size, t.State.Size)
+		}
+	}
+	ranks := make([]lockstep.Rank, size)
+	s.byRank = make([]string, size)
+	for _, id := range slices.Sorted(maps.Keys(tells)) {
+		t := tells[id]
+		if t.Known && t.State.Group == s.group && t.State.Rank >= 0 && t.State.Rank < size {
+			ranks[t.State.Rank] = lockstep.Rank{Known: true, State: t.State}
+			s.byRank[t.State.Rank] = id
+		}
+	}
+	return ranks
+}
+
+// propose begins a change if there is a better map, or if the group can't go on
+// without one.
+func (s *steward) propose(ranks []lockstep.Rank) {
+	if s.core.Stuck(ranks) {
+		if m := s.planner.current(); m != nil {
+			s.log.Warn("group is held without a change, preparing the map in force anew")
+			s.core.Propose(ranks, m)
+		}
+		return
+	}
+	if !s.plan || !s.core.Idle(ranks) {
+		return
+	}
+	p, ok := s.planner.better()
+	if !ok {
+		return
+	}
+	s.log.Info("change of map", "skew", p.before, "expected", p.after, "loads", p.loads, "map", ranks[0].State.Map)
+	s.core.Propose(ranks, p.m)
+}
