Change maps only where it gains, and stop at enough

Ruled out: reaction by polling more often (the round is 0.2 s, the change 0.8 s). Change: a change must save 0.15 of skew, layers under 1.10 are left alone, counts are forgotten in 0.5 s (0.8), at most 3 copies a rank and change (4).

--- a/core/expert/rebalance.go
+++ b/core/expert/rebalance.go
@@ -8,6 +8,9 @@
 	// PerRank is the same over all layers. It bounds how long the copies of a
 	// change take. 0 means no limit.
 	PerRank int
+	// Enough is the skew at which a layer is left alone: what lies below it is
+	// not worth the copies. 0 means as low as can be.
+	Enough float64
 	// Steps bounds the work on one layer; 0 means defaultSteps.
 	Steps int
 }
@@ -41,7 +44,8 @@
 	open := append([]*search(nil), layers...)
 	for len(open) > 0 {
 		k := mostSkewed(open)
-		if len(open[k].steps) >= steps || !open[k].improve() {
+		s := open[k]
+		if s.rank[s.worst()] <= lim.Enough || len(s.steps) >= steps || !s.improve() {
 			open = append(open[:k], open[k+1:]...)
 		}
 	}
--- a/sidecar/planner.go
+++ b/sidecar/planner.go
@@ -11,13 +11,15 @@
 const (
 	// memory is the time constant in which counts are forgotten. Shorter ones
 	// follow a change of the mix sooner, and see less work to judge it by.
-	memory = 800 * time.Millisecond
+	memory = 500 * time.Millisecond
 	// leastGain is the mean skew that a change must save. A copy makes passes
 	// 15 in 100 longer for some tenths of a second.
-	leastGain = 0.06
+	leastGain = 0.15
+	// enough is the skew below which a layer is left alone.
+	enough = 1.10
 	// perRank is the most experts that a change copies to one rank: a copy
 	// takes about a tenth of a second.
-	perRank = 4
+	perRank = 3
 	// leastChosen is how often each expert must have been chosen lately, in
 	// the mean, for an estimate.
 	leastChosen = 20
@@ -122,7 +124,7 @@
 
 // better returns a better map, if there is one that is worth its copies.
 func (p *planner) better() (proposal, bool) {
-	if !p.placed || !p.enough() {
+	if !p.placed || !p.judged() {
 		return proposal{}, false
 	}
 	p.fitGroup()
@@ -131,7 +133,7 @@
 	for l := range p.recent {
 		loads[l] = p.recent[l].Loads()
 	}
-	next, before, after := expert.Rebalance(&p.group, maps, loads, expert.Limits{PerLayer: p.engine.Spare, PerRank: perRank})
+	next, before, after := expert.Rebalance(&p.group, maps, loads, expert.Limits{PerLayer: p.engine.Spare, PerRank: perRank, Enough: enough})
 	if before-after < leastGain {
 		return proposal{}, false
 	}
@@ -142,8 +144,8 @@
 	return pr, true
 }
 
-// enough reports whether there is work to judge the loads by.
-func (p *planner) enough() bool {
+// judged reports whether there is work to judge the loads by.
+func (p *planner) judged() bool {
 	for l := range p.recent {
 		if p.recent[l].Total() < leastChosen*float64(p.engine.Experts) {
 			return false
