--- a/core/lockstep/lockstep.go
+++ b/core/lockstep/lockstep.go
@@ -19,9 +19,15 @@
 //     same map and S. What is armed for a held pass is never taken back, unless
 //     a rank has prepared a newer map since, so that not all can be armed ever.
 //   - A map is armed only while a hold on S stands.
-//   - Each order names the number of orders that the rank had begun when it was
-//     decided, and the epoch. A rank that has begun another one since refuses.
-//     An order that is carried out seconds late is refused in the same way.
+//   - Numbers of maps grow, and no two stewards ever give the same one: part of
+//     each is a random number of the steward's own. Ranks compare numbers, not
+//     maps; two maps under one number would be taken for the same.
+//
+// So an order may come late, also after newer ones. A late prepare has a number
+// that the rank has had or passed. A late arm or release is for a pass that has
+// begun, or is what the others want as well. Orders name the epoch, and the
+// number of orders that the rank had begun when they were decided, for engines
+// that count these.
 //
 // A group that has lost a rank is formed again by the platform, in a new epoch
 // in which nothing is prepared, armed or held.
@@ -76,6 +82,8 @@
 	Fence int64
 
 	self int
+	// salt is the part of the numbers of maps that is this steward's own.
+	salt int64
 	// version and content are the map being prepared; 0 means none. It changes
 	// the map with the number base.
 	version int64
@@ -88,9 +96,21 @@
 	pass    passClock
 }
 
+// saltRange is the range of the steward's own part of the numbers of maps.
+const saltRange = 1 << 20
+
 // NewSteward returns a steward that places its holds at the rank with the given
-// number.
-func NewSteward(self int) *Steward { return &Steward{self: self} }
+// number. The salt is drawn anew for each steward; it is taken modulo 1<<20.
+func NewSteward(self int, salt uint64) *Steward {
+	return &Steward{self: self, salt: int64(salt % saltRange)}
+}
+
+// number returns the next number of a map: higher than all that were seen, and
+// the steward's own.
+func (s *Steward) number() int64 {
+	s.highest = (s.highest/saltRange+1)*saltRange + s.salt
+	return s.highest
+}
 
 // Idle reports whether no change is under way: a new map may be proposed.
 func (s *Steward) Idle(ranks []Rank) bool {
@@ -113,8 +133,7 @@
 // Propose begins a change to a map.
 func (s *Steward) Propose(ranks []Rank, m Map) {
 	s.see(ranks)
-	s.highest++
-	s.version, s.content, s.holdAt = s.highest, m, 0
+	s.version, s.content, s.holdAt = s.number(), m, 0
 	s.base, s.epoch = ranks[0].State.Map, ranks[0].State.Epoch
 }
 
@@ -141,8 +160,7 @@
 // of orders: then the number of the map may have been used before.
 func (s *Steward) Refused(o platform.Order) {
 	if o.Kind == platform.PrepareMap && o.Version == s.version {
-		s.highest = max(s.highest, s.version) + 1
-		s.version = s.highest
+		s.version = s.number()
 	}
 	if o.Kind == platform.HoldPass {
 		s.holdAt = 0
--- a/sidecar/main.go
+++ b/sidecar/main.go
@@ -45,7 +45,16 @@
 	log.Info("start", "listen", l.Addr().String(), "target", boot.Target.String())
 	go a.serve(l)
 	go a.run(ctx)
-	<-ctx.Done()
-	log.Info("stop")
-	return l.Close()
+	hup := make(chan os.Signal, 1)
+	// Without a handler SIGHUP ends the process.
+	signal.Notify(hup, syscall.SIGHUP)
+	for {
+		select {
+		case <-hup:
+			log.Info("reload", "changed", false)
+		case <-ctx.Done():
+			log.Info("stop")
+			return l.Close()
+		}
+	}
 }
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -41,7 +42,7 @@
 	core    *lockstep.Steward
 	planner planner
 	pending map[string]platform.Order
-	log *slog.Logger
+	log     *slog.Logger
 }
 
 // lead makes this agent the steward and drives the group until another one has
@@ -56,7 +57,7 @@
 	s := &steward{
 		agent: a, group: st.Group, term: term, acting: acting,
 		targets: mirror.NewFollower(a.store, a.log), peers: map[string]*peer{},
-		core: lockstep.NewSteward(st.Rank), pending: map[string]platform.Order{},
+		core: lockstep.NewSteward(st.Rank, rand.Uint64()), pending: map[string]platform.Order{},
 		log: a.log.With("group", st.Group, "term", term),
 	}
 	s.core.Fence = term
