A hold survives the loss of the steward's instance; short moves under a hold

Change: the hold is ordered straight at the next rank, the own rank is armed last, a hold without armed ranks is given up when only the rank of the steward before is missing; hold, arming and release follow without pauses; short waits for peers that are lost; one entry an address.

--- a/bench/routing/routing_policy.go
+++ b/bench/routing/routing_policy.go
@@ -51,7 +51,7 @@
 			Bound: bound,
 		}),
 		monitor:  health.New(t.set.health),
-		budgets:  retry.NewBudgets(),
+		budgets:  retry.NewBudgets(retry.Limits{}),
 		rng:      rand.New(rand.NewPCG(t.set.seed, uint64(index))),
 		reported: make([]float64, n),
 		inFlight: make([]int, n),
--- a/core/lockstep/candidate.go
+++ b/core/lockstep/candidate.go
@@ -14,7 +14,7 @@
 const (
 	// silence is how long a steward may be silent: several of its rounds, so
 	// that a slow round does not cost a change of stewards.
-	silence = 700 * time.Millisecond
+	silence = 600 * time.Millisecond
 	// stagger is added for each place of the agent's rank, so that usually one
 	// agent takes over.
 	stagger = 120 * time.Millisecond
--- a/core/lockstep/lockstep.go
+++ b/core/lockstep/lockstep.go
@@ -7,8 +7,14 @@
 // the wait here is a hold: while one rank holds pass S, no rank begins it.
 //
 // A change goes in four moves. All ranks prepare the map. One rank holds a pass
-// S that the group has not reached. All ranks arm the map for S. Once all are
-// armed, the hold is released; released early enough, nothing ever waits.
+// S that the group has not reached. All ranks arm the map for S, that of the
+// steward last. Once all are armed, the hold is released; released early
+// enough, nothing ever waits.
+//
+// The hold is not at the steward's own rank, and the steward orders it straight
+// at the server. So a steward's instance that stops answering just then, its
+// rank included, leaves a hold that others can release: its own rank is not
+// armed before all others are, so that it can't switch alone; see abandon.
 //
 // A Steward has no memory that a change depends on. Its next orders are a
 // function of what all ranks say of themselves, so that any agent can go on
@@ -16,7 +22,7 @@
 // at once, one of them paused for any time between looking and ordering:
 //
 //   - A hold on S is released only by one who has seen all ranks armed for the
-//     same map and S. What is armed for a held pass is never taken back, unless
+//     same map and S, or who knows that no rank ever will be. What is armed for a held pass is never taken back, unless
 //     a rank has prepared a newer map since, so that not all can be armed ever.
 //   - A map is armed only while a hold on S stands.
 //   - Numbers of maps grow, and no two stewards ever give the same one: part of
@@ -64,15 +70,19 @@
 type Command struct {
 	Rank  int
 	Order platform.Order
+	// Direct says that the steward gives the order to the server itself, not
+	// through the agent beside it.
+	Direct bool
 }
 
 const (
 	// minLead and maxLead bound how many passes ahead of the group a change is
-	// armed, leadTime is the time that it should be: a few round trips between
-	// instances of a region and to their ranks.
+	// armed, leadTime is the time that it should be: the three moves of a change
+	// take a round trip each between instances of a region, some ten
+	// milliseconds in all.
 	minLead  = 2
 	maxLead  = 12
-	leadTime = 90 * time.Millisecond
+	leadTime = 40 * time.Millisecond
 )
 
 // Steward decides the orders for one group. Use NewSteward to make one. It is
@@ -82,6 +92,9 @@
 	Fence int64
 
 	self int
+	// before is the rank of the steward from which the duty was taken over, or
+	// -1.
+	before int
 	// salt is the part of the numbers of maps that is this steward's own.
 	salt int64
 	// version and content are the map being prepared; 0 means none. It changes
@@ -94,15 +107,18 @@
 	highest int64
 	holdAt  int64
 	pass    passClock
+	// standing is since when a hold could be given up by abandon.
+	standing time.Time
 }
 
 // saltRange is the range of the steward's own part of the numbers of maps.
 const saltRange = 1 << 20
 
-// NewSteward returns a steward that places its holds at the rank with the given
-// number. The salt is drawn anew for each steward; it is taken modulo 1<<20.
-func NewSteward(self int, salt uint64) *Steward {
-	return &Steward{self: self, salt: int64(salt % saltRange)}
+// NewSteward returns the steward at the rank self. Before is the rank of the
+// steward that was heard last, or -1 if none was. The salt is drawn anew for
+// each steward; it is taken modulo 1<<20.
+func NewSteward(self, before int, salt uint64) *Steward {
+	return &Steward{self: self, before: before, salt: int64(salt % saltRange)}
 }
 
 // number returns the next number of a map: higher than all that were seen, and
@@ -212,12 +228,9 @@
 // while a rank is not known, or the group is being formed again.
 func (s *Steward) Next(ranks []Rank, now time.Time) []Command {
 	if !whole(ranks) {
-		return nil
-	}
-	if epoch := ranks[0].State.Epoch; epoch != s.epoch {
-		s.epoch, s.version, s.content, s.holdAt, s.highest = epoch, 0, nil, 0, 0
-		s.pass = passClock{}
+		return s.abandon(ranks, now)
 	}
+	s.enter(ranks[0].State.Epoch)
 	s.see(ranks)
 	s.pass.observe(lastStep(ranks), now)
 	if cmds, ok := s.finishArmed(ranks); ok {
@@ -236,6 +249,67 @@
 	return s.prepare(ranks)
 }
 
+// enter forgets what was begun in an earlier epoch.
+func (s *Steward) enter(epoch int64) {
+	if epoch != s.epoch {
+		s.epoch, s.version, s.content, s.holdAt, s.highest = epoch, 0, nil, 0, 0
+		s.pass = passClock{}
+	}
+}
+
+// abandonAfter is how long a hold must have been without any armed rank before
+// it is given up: an order that an agent took from the steward before, just
+// before it heard of the new one, has been answered by then or never will be.
+const abandonAfter = 150 * time.Millisecond
+
+// abandon gives up a hold while the rank of the steward before does not answer.
+//
+// That happens when a steward's instance stops answering just after its hold:
+// the group would stand until it is back. No rank that answers is armed, and
+// the agents beside them take no orders from that steward any more. The missing
+// rank is not armed either, since a steward arms its own rank last, after all
+// the others. If another rank is missing, it may be armed: then the hold must
+// stay.
+func (s *Steward) abandon(ranks []Rank, now time.Time) []Command {
+	missing := s.onlyMissing(ranks)
+	step := lowestHeld(ranks)
+	version, _ := armed(ranks)
+	if missing < 0 || missing != s.before || version != 0 || step == 0 {
+		s.standing = time.Time{}
+		return nil
+	}
+	if s.standing.IsZero() {
+		s.standing = now
+	}
+	if now.Sub(s.standing) < abandonAfter {
+		return nil
+	}
+	return s.release(ranks, step)
+}
+
+// onlyMissing returns the one rank that is not known in an otherwise whole
+// group, or -1.
+func (s *Steward) onlyMissing(ranks []Rank) int {
+	missing, first := -1, -1
+	for i := range ranks {
+		st := &ranks[i].State
+		switch {
+		case !ranks[i].Known && missing >= 0:
+			return -1
+		case !ranks[i].Known:
+			missing = i
+			ranks[i].State = platform.RankState{}
+		case !st.Open || st.Size != len(ranks):
+			return -1
+		case first < 0:
+			first = i
+		case st.Epoch != ranks[first].State.Epoch:
+			return -1
+		}
+	}
+	return missing
+}
+
 // finishArmed goes on with a change for which a rank is armed.
 func (s *Steward) finishArmed(ranks []Rank) ([]Command, bool) {
 	version, step := armed(ranks)
@@ -244,7 +318,7 @@
 	}
 	var cmds []Command
 	missing := 0
-	for i := range ranks {
+	for _, i := range s.ownLast(ranks) {
 		st := &ranks[i].State
 		switch {
 		case st.ArmedMap == version && st.ArmedStep == step, st.Map == version:
@@ -258,7 +332,7 @@
 			// can never be armed for the older one: those that are must be
 			// taken back, or they would switch alone.
 			return s.disarm(ranks, version), true
-		case st.Prepared == version:
+		case st.Prepared == version && (i != s.self || missing == 0):
 			cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.ArmMap, Version: version, Step: step}))
 		}
 		missing++
@@ -294,7 +368,7 @@
 // late order.
 func (s *Steward) underHold(ranks []Rank, step int64) []Command {
 	if prepared(ranks) {
-		return s.each(ranks, platform.Order{Kind: platform.ArmMap, Version: ranks[0].State.Prepared, Step: step})
+		return s.others(ranks, platform.Order{Kind: platform.ArmMap, Version: ranks[0].State.Prepared, Step: step})
 	}
 	return s.prepare(ranks)
 }
@@ -305,11 +379,10 @@
 	if s.holdAt <= last {
 		s.holdAt = last + s.pass.lead()
 	}
-	i := s.self
-	if i < 0 || i >= len(ranks) {
-		i = 0
-	}
-	return []Command{s.command(ranks, i, platform.Order{Kind: platform.HoldPass, Step: s.holdAt})}
+	i := (s.self + 1) % len(ranks)
+	cmd := s.command(ranks, i, platform.Order{Kind: platform.HoldPass, Step: s.holdAt})
+	cmd.Direct = i != s.self
+	return []Command{cmd}
 }
 
 // prepare gives the map to the ranks that do not have it. A rank that copies
@@ -336,10 +409,28 @@
 	}
 }
 
-func (s *Steward) each(ranks []Rank, o platform.Order) []Command {
+// ownLast returns the ranks with the steward's own at the end.
+func (s *Steward) ownLast(ranks []Rank) []int {
+	order := make([]int, 0, len(ranks))
+	for i := range ranks {
+		if i != s.self {
+			order = append(order, i)
+		}
+	}
+	if s.self >= 0 && s.self < len(ranks) {
+		order = append(order, s.self)
+	}
+	return order
+}
+
+// others gives an order to all ranks but the steward's own, unless that is the
+// only one.
+func (s *Steward) others(ranks []Rank, o platform.Order) []Command {
 	cmds := make([]Command, 0, len(ranks))
 	for i := range ranks {
-		cmds = append(cmds, s.command(ranks, i, o))
+		if i != s.self || len(ranks) == 1 {
+			cmds = append(cmds, s.command(ranks, i, o))
+		}
 	}
 	return cmds
 }
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -19,6 +19,7 @@
 import (
 	"log/slog"
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -62,7 +63,25 @@
 	if m.config == nil {
 		return nil
 	}
-	return &View{Config: m.config, Targets: maps.Clone(m.targets), Revision: m.revision}
+	return &View{Config: m.config, Targets: m.current(), Revision: m.revision}
+}
+
+// current returns the targets without those whose address another one has
+// registered later. A server that was started again is a new target; the entry
+// of its earlier life stays until its heartbeats are missed, and what is sent
+// there in the meantime is refused.
+func (m *Mirror) current() map[string]platform.Target {
+	newest := make(map[netip.AddrPort]platform.Target, len(m.targets))
+	for _, t := range m.targets {
+		if old, ok := newest[t.Addr]; !ok || t.Created > old.Created {
+			newest[t.Addr] = t
+		}
+	}
+	targets := make(map[string]platform.Target, len(newest))
+	for _, t := range newest {
+		targets[t.ID] = t
+	}
+	return targets
 }
 
 // Revision is where a watch has to go on.
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -36,8 +36,37 @@
 // Budgets holds the budgets of all workspaces and hops at one entry. It is not
 // safe for concurrent use.
 type Budgets struct {
-	keys map[Key]*Budget
-	hops map[string]*bucket
+	limits Limits
+	keys   map[Key]*Budget
+	hops   map[string]*bucket
+}
+
+// Limits are the figures of budgets. Zero fields take the defaults.
+type Limits struct {
+	// Ratio is the part of requests that may be tried again.
+	Ratio float64
+	// KeyBurst and HopBurst are the most retries saved up for one workspace
+	// and for one hop.
+	KeyBurst, HopBurst float64
+	// KeyStart and HopStart are what a workspace and a hop may spend before
+	// their first requests.
+	KeyStart, HopStart float64
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.Ratio <= 0 {
+		l.Ratio = ratio
+	}
+	if l.KeyBurst <= 0 {
+		l.KeyBurst = keyBurst
+	}
+	if l.HopBurst <= 0 {
+		l.HopBurst = hopBurst
+	}
+	if l.HopStart <= 0 {
+		l.HopStart = hopStart
+	}
+	return l
 }
 
 // Budget limits the retries of one workspace at one hop.
@@ -49,17 +78,17 @@
 }
 
 // NewBudgets returns empty budgets.
-func NewBudgets() *Budgets {
-	return &Budgets{keys: map[Key]*Budget{}, hops: map[string]*bucket{}}
+func NewBudgets(limits Limits) *Budgets {
+	return &Budgets{limits: limits.withDefaults(), keys: map[Key]*Budget{}, hops: map[string]*bucket{}}
 }
 
 // Request records a new request, which earns its workspace and its hop a part
 // of a retry.
 func (b *Budgets) Request(key Key, now time.Time) {
 	g := b.For(key)
-	g.own.saved = min(keyBurst, g.own.saved+ratio)
+	g.own.saved = min(b.limits.KeyBurst, g.own.saved+b.limits.Ratio)
 	g.own.used = now
-	g.hop.saved = min(hopBurst, g.hop.saved+ratio)
+	g.hop.saved = min(b.limits.HopBurst, g.hop.saved+b.limits.Ratio)
 }
 
 // For returns the budget of a key, and makes it on first use.
@@ -69,10 +98,10 @@
 	}
 	hop := b.hops[key.Hop]
 	if hop == nil {
-		hop = &bucket{saved: hopStart}
+		hop = &bucket{saved: b.limits.HopStart}
 		b.hops[key.Hop] = hop
 	}
-	g := &Budget{hop: hop}
+	g := &Budget{hop: hop, own: bucket{saved: b.limits.KeyStart}}
 	b.keys[key] = g
 	return g
 }
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -14,7 +14,7 @@
 
 // rich returns a budget that allows a few retries.
 func rich(key Key) *Budget {
-	b := NewBudgets()
+	b := NewBudgets(Limits{})
 	for range 200 {
 		b.Request(key, start)
 	}
@@ -70,7 +70,7 @@
 func TestRetriesDoNotMultiplyLoad(t *testing.T) {
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(1, 1))
-	budgets, returns := NewBudgets(), &Returns{}
+	budgets, returns := NewBudgets(Limits{}), &Returns{}
 	requests, calls := 0, 0
 	for n := range 60_000 {
 		now := start.Add(time.Duration(n) * time.Millisecond)
@@ -91,7 +91,7 @@
 // retries must not leave the others without any.
 func TestBudgetIsPerWorkspace(t *testing.T) {
 	is := is.New(t)
-	budgets := NewBudgets()
+	budgets := NewBudgets(Limits{})
 	noisy, calm := Key{"noisy", "target"}, Key{"calm", "target"}
 	for n := range 1000 {
 		now := start.Add(time.Duration(n) * 10 * time.Millisecond)
@@ -110,7 +110,7 @@
 // retry yet, and its only caller would be refused for one dropped packet.
 func TestFloorGivesQuietWorkspaceARetry(t *testing.T) {
 	is := is.New(t)
-	g := NewBudgets().For(Key{"quiet", "target"})
+	g := NewBudgets(Limits{}).For(Key{"quiet", "target"})
 	is.True(g.Take(start))
 	is.True(!g.Take(start.Add(time.Second)))
 	is.True(g.Take(start.Add(floorEvery)))
--- a/entry/returns.go
+++ b/entry/returns.go
@@ -29,7 +29,7 @@
 }
 
 func newReturns() *returns {
-	return &returns{budgets: retry.NewBudgets(), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	return &returns{budgets: retry.NewBudgets(retry.Limits{}), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 }
 
 // request notes a new request, which earns its workspace part of a retry.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -36,7 +36,27 @@
 func newGateway(boot platform.Boot, log *slog.Logger) *gateway {
 	return &gateway{
 		log: log, fleet: newFleet(boot.Instance, boot.Zone, log),
-		started: time.Now(), budgets: retry.NewBudgets(),
+		started: time.Now(), budgets: retry.NewBudgets(retryLimits(boot.Bounds)),
+	}
+}
+
+const (
+	// retryPart is the part of the deployment's retries that is used, since
+	// what a client sends again at another gateway is counted differently.
+	retryPart = 0.85
+	// gateways is how many gateways the slack of the retries is shared among.
+	// Nothing tells a gateway how many there are; restarted ones start with a
+	// new share.
+	gateways = 24
+)
+
+// retryLimits shares the retries of the whole deployment. The ratio needs no
+// sharing: each gateway keeps to it for its own requests.
+func retryLimits(b platform.Bounds) retry.Limits {
+	share := max(b.RetrySlack/gateways, 1)
+	return retry.Limits{
+		Ratio: b.RetryRatio * retryPart, KeyBurst: share, HopBurst: share,
+		KeyStart: share / 2, HopStart: share / 2,
 	}
 }
 
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -21,9 +21,10 @@
 	plan bool
 
 	mu sync.Mutex
-	// term and from are those of the newest steward heard.
+	// term, from and fromRank are those of the newest steward heard.
 	term      int64
 	from      string
+	fromRank  int
 	candidate *lockstep.Candidate
 }
 
@@ -48,7 +49,7 @@
 	if ask.From != a.from {
 		a.log.Info("steward", "steward", ask.From, "term", ask.Term, "before", a.from, "term-before", a.term)
 	}
-	a.term, a.from = ask.Term, ask.From
+	a.term, a.from, a.fromRank = ask.Term, ask.From, ask.Rank
 	a.candidate.Heard(time.Now())
 	return a.term, true
 }
@@ -60,6 +61,17 @@
 	return a.term
 }
 
+// stewardBefore returns the rank of the steward that was heard last, or -1 if
+// none was or it was this agent itself.
+func (a *agent) stewardBefore(self int) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.from == "" || a.fromRank == self {
+		return -1
+	}
+	return a.fromRank
+}
+
 // due reports whether this agent should try to become the steward.
 func (a *agent) due(rank int) bool {
 	a.mu.Lock()
--- a/sidecar/peer.go
+++ b/sidecar/peer.go
@@ -13,8 +13,10 @@
 
 const (
 	// tellWait is how long a sidecar may take to answer: its own waits for the
-	// rank and the way there and back.
-	tellWait = orderWait + readWait + 100*time.Millisecond
+	// rank and the way there and back. One that has not answered last time gets
+	// lostWait, so that the others still hear the steward in time.
+	tellWait = orderWait + readWait + 60*time.Millisecond
+	lostWait = 50 * time.Millisecond
 	// directEvery is the pause between tries at the rank itself while its
 	// sidecar does not answer. Such a reading costs the group a moment.
 	directEvery = 400 * time.Millisecond
@@ -34,6 +36,8 @@
 	dialAt  time.Time
 	direct  *platform.RankClient
 	readAt  time.Time
+	// last is what the rank told when it was last read directly.
+	last Tell
 	// lost says that the sidecar does not answer.
 	lost bool
 }
@@ -82,7 +86,7 @@
 		}
 	}
 	var tell Tell
-	err := p.conn.SetDeadline(time.Now().Add(tellWait))
+	err := p.conn.SetDeadline(time.Now().Add(p.patience(tellWait)))
 	if err == nil {
 		err = p.out.Encode(ask)
 	}
@@ -95,13 +99,21 @@
 	return tell, err
 }
 
+// patience is how long to wait for a peer that may be gone.
+func (p *peer) patience(d time.Duration) time.Duration {
+	if p.lost {
+		return min(d, lostWait)
+	}
+	return d
+}
+
 func (p *peer) dial(ctx context.Context) error {
 	now := time.Now()
 	if now.Before(p.dialAt) {
 		return errSoon
 	}
 	p.dialAt = now.Add(redialEvery)
-	ctx, cancel := context.WithTimeout(ctx, readWait)
+	ctx, cancel := context.WithTimeout(ctx, p.patience(readWait))
 	defer cancel()
 	c, err := platform.Dial(ctx, "tcp", p.sidecar.String())
 	if err != nil {
@@ -123,21 +135,23 @@
 func (p *peer) askRank(ctx context.Context, ask Ask) Tell {
 	now := time.Now()
 	if ask.Order == nil && now.Before(p.readAt) {
-		return Tell{}
+		return p.last
 	}
 	p.readAt = now.Add(directEvery)
 	tell := Tell{}
 	if ask.Order != nil {
 		tell.Status = giveOrder(p.direct, *ask.Order, p.log)
 	}
-	ctx, cancel := context.WithTimeout(ctx, readWait)
+	ctx, cancel := context.WithTimeout(ctx, p.patience(readWait))
 	defer cancel()
 	st, err := p.direct.State(ctx)
 	if err != nil {
 		p.log.Warn("rank not read from afar", "target", p.target.ID, "error", err.Error())
+		p.last = Tell{}
 		return tell
 	}
 	tell.State, tell.Known = st, true
+	p.last = Tell{State: st, Known: true}
 	if ask.Placement {
 		if place, err := p.direct.Placement(ctx); err == nil {
 			tell.Placement = &place
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -32,7 +32,9 @@
 type steward struct {
 	*agent
 	group string
-	term  int64
+	// rankOf is the rank beside which the steward runs.
+	rankOf int
+	term   int64
 	// acting says that the term does not come from the store.
 	acting  bool
 	targets *mirror.Follower
@@ -41,7 +43,10 @@
 	byRank  []string
 	core    *lockstep.Steward
 	planner planner
-	pending map[string]platform.Order
+	// pending are the orders that go out with the next asks, by target; tells
+	// are the last answers.
+	pending map[string]lockstep.Command
+	tells   map[string]Tell
 	log     *slog.Logger
 }
 
@@ -55,9 +60,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &steward{
-		agent: a, group: st.Group, term: term, acting: acting,
+		agent: a, group: st.Group, rankOf: st.Rank, term: term, acting: acting,
 		targets: mirror.NewFollower(a.store, a.log), peers: map[string]*peer{},
-		core: lockstep.NewSteward(st.Rank, rand.Uint64()), pending: map[string]platform.Order{},
+		core: lockstep.NewSteward(st.Rank, a.stewardBefore(st.Rank), rand.Uint64()), pending: map[string]lockstep.Command{},
 		log: a.log.With("group", st.Group, "term", term),
 	}
 	s.core.Fence = term
@@ -103,22 +108,57 @@
 func (s *steward) round(ctx context.Context, now time.Time) (busy, ok bool) {
 	s.meet()
 	needPlaces := !s.planner.placed
-	tells := s.askAll(ctx, needPlaces)
-	for _, t := range tells {
-		if t.Term > s.term {
-			s.log.Info("a newer steward is at work", "newer-term", t.Term)
+	s.tells = map[string]Tell{}
+	if !s.askAll(ctx, s.peers, needPlaces) {
+		return false, false
+	}
+	ranks := s.arrange()
+	s.planner.take(now, s.byRank, s.tells)
+	s.propose(ranks)
+	for range quickMoves {
+		quick := s.decide(ranks, time.Now())
+		if len(s.pending) == 0 {
+			break
+		}
+		// The group may be held: only the ranks with an order are asked, and
+		// at once. What the others have told is true still; see package
+		// lockstep.
+		if !s.askAll(ctx, s.ordered(), false) {
 			return false, false
 		}
+		ranks = s.arrange()
+		s.pending = nil
+		if !quick {
+			break
+		}
 	}
-	s.refusals(tells)
-	ranks := s.arrange(tells)
-	s.planner.take(now, s.byRank, tells)
-	s.propose(ranks)
-	s.pending = map[string]platform.Order{}
+	return !s.core.Idle(ranks) || needPlaces, true
+}
+
+// quickMoves bounds the moves that are made without a full round between them:
+// a hold, arming, arming again where an order was lost, and the release.
+const quickMoves = 6
+
+// decide sets the next orders and reports whether they belong to a change that
+// holds the group, or is about to.
+func (s *steward) decide(ranks []lockstep.Rank, now time.Time) (quick bool) {
+	s.pending = map[string]lockstep.Command{}
 	for _, c := range s.core.Next(ranks, now) {
-		s.pending[s.byRank[c.Rank]] = c.Order
+		s.pending[s.byRank[c.Rank]] = c
+		quick = quick || c.Order.Kind != platform.PrepareMap
 	}
-	return len(s.pending) > 0 || !s.core.Idle(ranks) || needPlaces, true
+	return quick
+}
+
+// ordered returns the peers that have an order.
+func (s *steward) ordered() map[string]*peer {
+	some := make(map[string]*peer, len(s.pending))
+	for id := range s.pending {
+		if p := s.peers[id]; p != nil {
+			some[id] = p
+		}
+	}
+	return some
 }
 
 // meet keeps a peer for each target of the service.
@@ -145,31 +185,45 @@
 	}
 }
 
-// askAll asks all peers at once.
-func (s *steward) askAll(ctx context.Context, places bool) map[string]Tell {
+// askAll asks peers at once and gives them their orders. It reports false when
+// a newer steward has been heard.
+func (s *steward) askAll(ctx context.Context, peers map[string]*peer, full bool) bool {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	tells := make(map[string]Tell, len(s.peers))
-	for id, p := range s.peers {
-		ask := Ask{Term: s.term, From: s.boot.Instance, Counts: true, Placement: places}
-		if o, ok := s.pending[id]; ok {
-			ask.Order = &o
+	for id, p := range peers {
+		cmd, ordered := s.pending[id]
+		ask := Ask{Term: s.term, From: s.boot.Instance, Rank: s.rankOf, Counts: !ordered, Placement: full}
+		if ordered {
+			ask.Order = &cmd.Order
 		}
 		wg.Go(func() {
-			tell := p.ask(ctx, ask)
+			var tell Tell
+			if cmd.Direct {
+				tell = p.askRank(ctx, ask)
+			} else {
+				tell = p.ask(ctx, ask)
+			}
 			mu.Lock()
-			tells[id] = tell
+			s.tells[id] = tell
 			mu.Unlock()
 		})
 	}
 	wg.Wait()
-	return tells
+	for id := range peers {
+		if newer := s.tells[id].Term; newer > s.term {
+			s.log.Info("a newer steward is at work", "newer-term", newer)
+			return false
+		}
+	}
+	s.refusals()
+	return true
 }
 
 // refusals tells the core which orders did not fit.
-func (s *steward) refusals(tells map[string]Tell) {
-	for id, o := range s.pending {
-		t := tells[id]
+func (s *steward) refusals() {
+	for id, cmd := range s.pending {
+		o := cmd.Order
+		t := s.tells[id]
 		if t.Status == http.StatusConflict && t.Known && t.State.Seq == o.Expect && t.State.Epoch == o.Epoch {
 			s.log.Warn("order refused", "target", id, "order", string(o.Kind), "version", o.Version, "step", o.Step)
 			s.core.Refused(o)
@@ -178,17 +232,17 @@
 }
 
 // arrange puts what is known of the group's ranks in their order.
-func (s *steward) arrange(tells map[string]Tell) []lockstep.Rank {
+func (s *steward) arrange() []lockstep.Rank {
 	size := 0
-	for _, t := range tells {
+	for _, t := range s.tells {
 		if t.Known && t.State.Group == s.group {
 			size = max(size, t.State.Size)
 		}
 	}
 	ranks := make([]lockstep.Rank, size)
 	s.byRank = make([]string, size)
-	for _, id := range slices.Sorted(maps.Keys(tells)) {
-		t := tells[id]
+	for _, id := range slices.Sorted(maps.Keys(s.tells)) {
+		t := s.tells[id]
 		if t.Known && t.State.Group == s.group && t.State.Rank >= 0 && t.State.Rank < size {
 			ranks[t.State.Rank] = lockstep.Rank{Known: true, State: t.State}
 			s.byRank[t.State.Rank] = id
--- a/sidecar/talk.go
+++ b/sidecar/talk.go
@@ -15,6 +15,8 @@
 	// Term is the steward's fencing number, From its instance.
 	Term int64
 	From string
+	// Rank is that beside which the steward runs.
+	Rank int
 	// Counts and Placement ask for more than the state of the rank.
 	Counts    bool
 	Placement bool
@@ -38,8 +40,8 @@
 const (
 	// orderWait is how long a rank may take to answer an order: it answers in
 	// a millisecond or not at all. readWait is the same for a reading.
-	orderWait = 120 * time.Millisecond
-	readWait  = 250 * time.Millisecond
+	orderWait = 100 * time.Millisecond
+	readWait  = 120 * time.Millisecond
 	// quietConnection is how long a steward may leave a connection unused.
 	quietConnection = 30 * time.Second
 )
