Slow ranks get little to do; stewards tell gateways the load of their ranks

Change: expert.Rank.Pace weighs a rank's experts, gateways avoid slow ranks, fed by digests of the steward (core/rankpeer); a log line on the group each second; a direct order is followed by a fresh reading (it was repeated 6 times).

--- a/core/expert/candidate.go
+++ b/core/expert/candidate.go
@@ -40,13 +40,13 @@
 		share := s.share(e)
 		for _, p := range s.partners {
 			r := int(p)
-			room := s.rank[worst] - s.rank[r]
 			for j, f := range s.slotsOf(r) {
 				d := share - s.share(f)
-				if d <= 0 || d >= room {
+				raised := s.rank[r] + d*s.pace[r]
+				if d <= 0 || raised >= s.rank[worst] {
 					continue
 				}
-				gain := s.penalty[worst] + s.penalty[r] - steep(s.rank[worst]-d) - steep(s.rank[r]+d)
+				gain := s.penalty[worst] + s.penalty[r] - steep(s.rank[worst]-d*s.pace[worst]) - steep(raised)
 				if beats(gain/2, best) && s.mayGo(e, worst, r) && s.mayGo(f, r, worst) {
 					offer(candidate{a: int32(worst*slots + i), b: int32(r*slots + j), ea: f, eb: e, gain: gain / 2}, best)
 				}
@@ -63,7 +63,7 @@
 		}
 		lost := s.dropped(e, worst)
 		for f := range s.load {
-			next := s.rank[worst] - s.share(e) + s.part(int32(f), s.n[f]+1)
+			next := s.rank[worst] + (s.part(int32(f), s.n[f]+1)-s.share(e))*s.pace[worst]
 			if next >= s.rank[worst] {
 				continue
 			}
@@ -87,7 +87,7 @@
 		for _, p := range s.partners {
 			r := int(p)
 			for j, f := range s.slotsOf(r) {
-				load := s.rank[r] - s.share(f) + next
+				load := s.rank[r] + (next-s.share(f))*s.pace[r]
 				if load >= s.rank[worst] {
 					continue
 				}
@@ -113,7 +113,7 @@
 		return 0
 	}
 	up := s.part(e, s.n[e]-1) - s.each[e]
-	return s.fewer[e] - (steep(s.rank[r]+up) - s.penalty[r])
+	return s.fewer[e] - (steep(s.rank[r]+up*s.pace[r]) - s.penalty[r])
 }
 
 func beats(gain float64, best *[tries]candidate) bool {
--- a/core/expert/group.go
+++ b/core/expert/group.go
@@ -9,6 +9,17 @@
 type Rank struct {
 	Server string `json:"server"`
 	Zone   string `json:"zone"`
+	// Pace is how much longer the rank takes for the same work than it should;
+	// 0 means 1. A slow rank holds back the whole group, unless it is given as
+	// much less to do.
+	Pace float64 `json:"pace,omitempty"`
+}
+
+func (r *Rank) pace() float64 {
+	if r.Pace <= 0 {
+		return 1
+	}
+	return r.Pace
 }
 
 // Group is the fixed shape of an expert-parallel group.
--- a/core/expert/rebalance_test.go
+++ b/core/expert/rebalance_test.go
@@ -96,3 +96,23 @@
 		})
 	}
 }
+
+// A rank that runs at a third of its speed holds back the whole group, though
+// its experts are no busier than others. It must get about a third of the work.
+func TestRebalanceSlowRank(t *testing.T) {
+	is := is.New(t)
+	g := group16()
+	for i := range g.Ranks {
+		g.Ranks[i].Server = string(rune('a' + i))
+	}
+	g.Ranks[3].Pace = 3
+	rng := rand.New(rand.NewPCG(3, 4))
+	maps, loads := []Map{inTurn(g)}, [][]float64{skewed(rng, 64)}
+	for range 6 {
+		maps, _, _ = Rebalance(g, maps, loads, Limits{PerLayer: 2, PerRank: 4})
+		is.NoErr(maps[0].Validate(g))
+	}
+	_, skew, _ := Rebalance(g, maps, loads, Limits{})
+	t.Logf("slowest rank takes %.3f of the mean", skew)
+	is.True(skew < 1.12)
+}
--- a/core/expert/restore.go
+++ b/core/expert/restore.go
@@ -32,7 +32,7 @@
 		if (f != Empty && !gives(f)) || !s.mayDrop(f, r) || !s.mayAdd(e, r) {
 			continue
 		}
-		if rise := steep(s.rank[r]-s.share(f)+next) - s.penalty[r] + s.dropped(f, r); rise < least {
+		if rise := steep(s.rank[r]+(next-s.share(f))*s.pace[r]) - s.penalty[r] + s.dropped(f, r); rise < least {
 			best, least = int32(i), rise
 		}
 	}
--- a/core/expert/search.go
+++ b/core/expert/search.go
@@ -6,7 +6,8 @@
 	group   *Group
 	m, orig Map
 	load    []float64 // of an expert
-	rank    []float64 // of a rank
+	rank    []float64 // of a rank, times its pace
+	pace    []float64 // of a rank
 	penalty []float64 // of a rank: steep(rank)
 	each    []float64 // of a replica of an expert
 	n       []int     // replicas of an expert
@@ -43,6 +44,10 @@
 		penalty: make([]float64, len(g.Ranks)), n: make([]int, g.Experts), ranksOf: make([][]int32, g.Experts),
 		fewer: make([]float64, g.Experts), more: make([]float64, g.Experts), spread: newSpread(g),
 	}
+	s.pace = make([]float64, len(g.Ranks))
+	for r := range g.Ranks {
+		s.pace[r] = g.Ranks[r].pace()
+	}
 	return s
 }
 
@@ -103,8 +108,8 @@
 	for _, e := range s.m[r*s.group.Slots : (r+1)*s.group.Slots] {
 		total += s.share(e)
 	}
-	s.rank[r] = total
-	s.penalty[r] = steep(total)
+	s.rank[r] = total * s.pace[r]
+	s.penalty[r] = steep(s.rank[r])
 }
 
 func (s *search) worst() int {
@@ -171,8 +176,8 @@
 		up := s.part(int32(e), s.n[e]-1) - share
 		down := share - s.part(int32(e), s.n[e]+1)
 		for _, r := range s.ranksOf[e] {
-			s.fewer[e] += steep(s.rank[r]+up) - s.penalty[r]
-			s.more[e] += steep(s.rank[r]-down) - s.penalty[r]
+			s.fewer[e] += steep(s.rank[r]+up*s.pace[r]) - s.penalty[r]
+			s.more[e] += steep(s.rank[r]-down*s.pace[r]) - s.penalty[r]
 		}
 	}
 }
--- a/core/lockstep/lockstep.go
+++ b/core/lockstep/lockstep.go
@@ -172,6 +172,9 @@
 	})
 }
 
+// PassTime returns how long the last passes took, or 0 before it is known.
+func (s *Steward) PassTime() time.Duration { return s.pass.took }
+
 // Refused tells that a rank refused an order for another reason than its number
 // of orders: then the number of the map may have been used before.
 func (s *Steward) Refused(o platform.Order) {
--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
 
@@ -116,7 +117,7 @@
 func (f *Follower) readAll(ctx context.Context) error {
 	var all []platform.Item
 	from := int64(-1)
-	for _, prefix := range []string{platform.ConfigKey, platform.TargetPrefix} {
+	for _, prefix := range []string{platform.ConfigKey, platform.TargetPrefix, rankpeer.ClaimPrefix} {
 		list, asOf, err := f.readPrefix(ctx, prefix)
 		if err != nil {
 			return err
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -24,6 +24,7 @@
 	"strings"
 	"time"
 
+	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
 
@@ -38,6 +39,8 @@
 	Config *platform.Config
 	// Targets are all registered servers, by their ID.
 	Targets map[string]platform.Target
+	// Stewards are where the stewards of expert groups listen, by group.
+	Stewards map[string]string
 	// Revision is the store's revision up to which the view is complete.
 	Revision int64
 }
@@ -47,6 +50,7 @@
 	log      *slog.Logger
 	config   *platform.Config
 	targets  map[string]platform.Target
+	stewards map[string]string
 	revision int64
 	// missing are targets that an outage of the store may have hidden, with
 	// the time until which they are kept.
@@ -55,7 +59,7 @@
 
 // New returns an empty Mirror.
 func New(log *slog.Logger) *Mirror {
-	return &Mirror{log: log, targets: map[string]platform.Target{}, missing: map[string]time.Time{}}
+	return &Mirror{log: log, targets: map[string]platform.Target{}, stewards: map[string]string{}, missing: map[string]time.Time{}}
 }
 
 // View returns the present state, or nil before the first configuration.
@@ -63,7 +67,7 @@
 	if m.config == nil {
 		return nil
 	}
-	return &View{Config: m.config, Targets: m.current(), Revision: m.revision}
+	return &View{Config: m.config, Targets: m.current(), Stewards: maps.Clone(m.stewards), Revision: m.revision}
 }
 
 // current returns the targets without those whose address another one has
@@ -106,10 +110,24 @@
 		return m.applyConfig(it)
 	case strings.HasPrefix(it.Key, platform.TargetPrefix):
 		return m.applyTarget(it)
+	case strings.HasPrefix(it.Key, rankpeer.ClaimPrefix):
+		return m.applySteward(it)
 	}
 	return false
 }
 
+func (m *Mirror) applySteward(it platform.Item) bool {
+	group := strings.TrimPrefix(it.Key, rankpeer.ClaimPrefix)
+	if it.Removed {
+		delete(m.stewards, group)
+		return true
+	}
+	addr := string(it.Value)
+	changed := m.stewards[group] != addr
+	m.stewards[group] = addr
+	return changed
+}
+
 // applyConfig takes a configuration if it is newer than the one in force. A
 // read that was answered late, or from a lagging copy, may bring an older one:
 // acting on it would take back what callers have already seen.
--- /dev/null
+++ b/core/rankpeer/rankpeer.go
@@ -0,0 +1,134 @@
+// Package rankpeer is what the agents beside the ranks of expert groups say to
+// each other, and to gateways: asks and tells, one at a time on a connection.
+//
+// # Usage
+//
+//	c, err := rankpeer.Dial(ctx, addr, wait)
+//	tell, err := c.Ask(rankpeer.Ask{Digest: true}, wait)
+package rankpeer
+
+import (
+	"context"
+	"encoding/gob"
+	"net"
+	"time"
+
+	"verbenashift/platform"
+)
+
+// ClaimPrefix begins the keys of the store that name the agent that is the
+// steward of a group; the rest of the key is the group's name, the value the
+// address at which the agent listens.
+const ClaimPrefix = "verbenashift/steward/"
+
+// Ask is what a steward asks of the agent beside a rank, or a gateway of the
+// steward.
+type Ask struct {
+	// Digest asks a steward for its view of the group, and nothing else.
+	Digest bool
+	// Term is the steward's fencing number, From its instance.
+	Term int64
+	From string
+	// Rank is that beside which the steward runs.
+	Rank int
+	// Counts and Placement ask for more than the state of the rank.
+	Counts    bool
+	Placement bool
+	// Order, if there is one, is given to the rank before it is read.
+	Order *platform.Order
+}
+
+// Tell is the answer.
+type Tell struct {
+	// Term is the highest that the agent has heard.
+	Term int64
+	// Known says that the rank has answered; State is fresh then.
+	Known     bool
+	State     platform.RankState
+	Counts    *platform.Counts
+	Placement *platform.Placement
+	// Status is that of the answer to the order; 0 means none came.
+	Status int
+	// Digest is nil if the agent is no steward.
+	Digest *Digest
+}
+
+// Digest is a steward's view of its group.
+type Digest struct {
+	Group string
+	// Age is how old the view is when it is sent.
+	Age time.Duration
+	// Pass is how long the last passes took.
+	Pass  time.Duration
+	Ranks []Load
+}
+
+// Load is the load of one rank.
+type Load struct {
+	// Target is the server's identifier.
+	Target          string
+	Running, Queued int
+	// Pace is over 1 while the server is slow.
+	Pace float64
+}
+
+// Conn is a connection to an agent. It serves one ask at a time.
+type Conn struct {
+	conn net.Conn
+	in   *gob.Decoder
+	out  *gob.Encoder
+}
+
+// Dial connects to an agent.
+func Dial(ctx context.Context, addr string, wait time.Duration) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	c, err := platform.Dial(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(c), nil
+}
+
+func newConn(c net.Conn) *Conn {
+	return &Conn{conn: c, in: gob.NewDecoder(c), out: gob.NewEncoder(c)}
+}
+
+// Ask asks and waits for the answer. After an error the connection is of no
+// use any more.
+func (c *Conn) Ask(ask Ask, wait time.Duration) (Tell, error) {
+	var tell Tell
+	if err := c.conn.SetDeadline(time.Now().Add(wait)); err != nil {
+		return tell, err
+	}
+	if err := c.out.Encode(ask); err != nil {
+		return tell, err
+	}
+	err := c.in.Decode(&tell)
+	return tell, err
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error { return c.conn.Close() }
+
+// quiet is how long the other side may leave a connection unused.
+const quiet = 30 * time.Second
+
+// Serve answers the asks on one connection, in turn, until it breaks or is left
+// unused. The error says why it has ended.
+func Serve(nc net.Conn, answer func(Ask) Tell) error {
+	defer func() { _ = nc.Close() }()
+	c := newConn(nc)
+	for {
+		if err := nc.SetDeadline(time.Now().Add(quiet)); err != nil {
+			return err
+		}
+		var ask Ask
+		if err := c.in.Decode(&ask); err != nil {
+			return err
+		}
+		if err := c.out.Encode(answer(ask)); err != nil {
+			return err
+		}
+	}
+}
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -56,7 +56,7 @@
 	k := rng.IntN(len(from))
 	for range min(n, len(from)) {
 		i := int(from[k])
-		if t.usable(i, q) && t.admitted(i, rng) {
+		if t.usable(i, q) && !t.states[i].avoided && t.admitted(i, rng) {
 			if s, _ := t.expect(i, at); s < best.seconds {
 				best = choice{i, s}
 			}
@@ -92,7 +92,7 @@
 		i := int(p.ring[h%uint64(len(p.ring))])
 		h = mix(h + oddMultiplier)
 		s := &t.states[i]
-		if !t.usable(i, q) || s.share < 1 || !limit.allow(s, q.Cost, at) {
+		if !t.usable(i, q) || s.avoided || s.share < 1 || !limit.allow(s, q.Cost, at) {
 			continue
 		}
 		rate := t.rateOf(s)
@@ -161,6 +161,11 @@
 	return none
 }
 
+// SetAvoided keeps requests away from target i while others can take them. The
+// slowest rank of a lock-step group sets the time of each step for all, so that
+// a rank that is slow should have as little to do as possible.
+func (t *Table) SetAvoided(i int, avoided bool) { t.states[i].avoided = avoided }
+
 // usable reports whether target i takes new work at all.
 func (t *Table) usable(i int, q *Query) bool {
 	s := &t.states[i]
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -36,6 +36,8 @@
 	draining   bool
 	leaving    bool
 	distrusted bool
+	// avoided targets are taken only if no other may be.
+	avoided bool
 }
 
 const (
--- /dev/null
+++ b/gateway/admission.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"strconv"
+	"sync"
+	"time"
+
+	"verbenashift/core/outcome"
+	"verbenashift/core/queue"
+	"verbenashift/platform"
+)
+
+const (
+	// pausePart is the part of the longest allowed pause that the mean pause
+	// is held to. Single pauses are up to twice the mean, when a long prompt is
+	// read meanwhile.
+	pausePart = 0.75
+	// firstToken is how long an engine with room takes to the first event.
+	firstToken = 150 * time.Millisecond
+	// longWait is how long a request may wait for a place when the queue was
+	// empty a moment ago. It is late then; but callers of streams wait two
+	// seconds for a first event, and a short burst passes.
+	longWait = 1200 * time.Millisecond
+	// emptyWithin is how recently the queue must have been empty for that. A
+	// queue that stays would make all answers late.
+	emptyWithin = time.Second
+	// firstRate is the first guess of the tokens a second that the engines
+	// take from one gateway. It is learned while they are busy.
+	firstRate = 20000
+	// leastRunning is the least number of requests that may run.
+	leastRunning = 4
+	// firstShare is the part of the engines' slots that a gateway begins with:
+	// several gateways share them.
+	firstShare = 0.3
+	// usualPause stands in for routes that do not say how long a pause may be.
+	usualPause = 120 * time.Millisecond
+)
+
+// admission lets requests through to the engines of one service. It is safe for
+// concurrent use.
+type admission struct {
+	log     *slog.Logger
+	service string
+
+	mu      sync.Mutex
+	queue   *queue.Queue
+	limiter *queue.Limiter
+	waiting map[string]chan *outcome.Error
+	// emptyAt is when nobody waited last.
+	emptyAt time.Time
+	next    uint64
+	shed    []queue.Shed
+}
+
+// newAdmission returns the admission to engines with so many slots in all.
+func newAdmission(service string, slots int, pause time.Duration, log *slog.Logger) *admission {
+	first := max(int(firstShare*float64(slots)), leastRunning)
+	return &admission{
+		log: log, service: service,
+		queue:   queue.New(queue.Limits{Slots: first, Rate: firstRate}, newRand()),
+		limiter: queue.NewLimiter(time.Duration(pausePart*float64(pause)), first, leastRunning, max(slots, leastRunning)),
+		waiting: map[string]chan *outcome.Error{},
+		emptyAt: time.Now(),
+	}
+}
+
+// resize takes a new number of slots of the engines.
+func (a *admission) resize(slots int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.limiter.Most = max(slots, leastRunning)
+	if a.limiter.Begin(int(firstShare * float64(slots))) {
+		a.queue.SetSlots(a.limiter.Limit())
+	}
+}
+
+// enter waits for a place and returns the key that leave takes. A refusal says
+// that the request has not run.
+func (a *admission) enter(ctx context.Context, c *call) (string, *outcome.Error) {
+	now := time.Now()
+	a.mu.Lock()
+	a.next++
+	id := strconv.FormatUint(a.next, 36)
+	item := queue.Item{ID: id, Workspace: c.workspaceName(), Priority: queue.Normal, Cost: int64(c.cost()), Deadline: a.latestStart(c, now)}
+	if refusal := a.queue.Enqueue(item, now); refusal != nil {
+		a.mu.Unlock()
+		return "", refusal
+	}
+	ready := make(chan *outcome.Error, 1)
+	a.waiting[id] = ready
+	a.pump(now)
+	a.mu.Unlock()
+	select {
+	case refusal := <-ready:
+		return id, refusal
+	case <-ctx.Done():
+		return a.withdraw(id, ready)
+	}
+}
+
+// withdraw takes back a request whose caller has left or whose time is over.
+func (a *admission) withdraw(id string, ready chan *outcome.Error) (string, *outcome.Error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, waits := a.queue.Remove(id); !waits {
+		return id, <-ready
+	}
+	delete(a.waiting, id)
+	return "", &outcome.Error{Outcome: outcome.NotRun, Reason: queue.ReasonExpired}
+}
+
+// latestStart is when a request must have started.
+func (a *admission) latestStart(c *call, now time.Time) time.Time {
+	if now.Sub(a.emptyAt) < emptyWithin {
+		return now.Add(longWait)
+	}
+	return now.Add(max(c.route.Objective-firstToken, firstToken))
+}
+
+// pump starts what may start and answers what was shed. It is called with the
+// lock held.
+func (a *admission) pump(now time.Time) {
+	for {
+		item, ok := a.queue.Next(now)
+		if !ok {
+			break
+		}
+		a.tell(item.ID, nil)
+	}
+	a.shed = a.queue.TakeShed(a.shed[:0])
+	for _, s := range a.shed {
+		a.tell(s.ID, s.Refusal)
+	}
+	if a.queue.Load().Items == 0 {
+		a.emptyAt = now
+	}
+}
+
+func (a *admission) tell(id string, refusal *outcome.Error) {
+	if ready := a.waiting[id]; ready != nil {
+		delete(a.waiting, id)
+		ready <- refusal
+	}
+}
+
+// leave gives the place of a request back.
+func (a *admission) leave(id string, cost float64) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.Done(id, int64(cost), now)
+	a.pump(now)
+}
+
+// paused takes the pause before an event of a stream.
+func (a *admission) paused(d time.Duration) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.limiter.Observe(d, a.queue.Load().Running, now) {
+		return
+	}
+	a.queue.SetSlots(a.limiter.Limit())
+	a.pump(now)
+}
+
+// tick lets time pass: requests that can no longer start in time are refused.
+func (a *admission) tick(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.pump(now)
+	if l := a.queue.Load(); l.Items > 0 {
+		a.log.Info("queue", "service", a.service, "waiting", l.Items, "running", l.Running, "limit", l.Slots, "tokens-a-second", int(l.Rate))
+	}
+}
+
+// shortestGap returns the shortest pause that a route to a service allows.
+func shortestGap(cfg *platform.Config, service string) time.Duration {
+	shortest := time.Duration(0)
+	for i := range cfg.Routes {
+		r := &cfg.Routes[i]
+		for _, s := range r.Split {
+			if s.Service == service && r.Gap > 0 && (shortest == 0 || r.Gap < shortest) {
+				shortest = r.Gap
+			}
+		}
+	}
+	if shortest == 0 {
+		return usualPause
+	}
+	return shortest
+}
--- /dev/null
+++ b/gateway/digests.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"verbenashift/core/mirror"
+	"verbenashift/core/rankpeer"
+)
+
+const (
+	// digestEvery is how often a gateway asks a steward: about as often as the
+	// steward looks.
+	digestEvery = 200 * time.Millisecond
+	// digestWait bounds one ask inside a region.
+	digestWait = 150 * time.Millisecond
+	// digestPause is the pause after a failure: a steward that is gone is
+	// replaced in about a second.
+	digestPause = 500 * time.Millisecond
+)
+
+// digests asks the stewards of all expert groups how their ranks are loaded.
+type digests struct {
+	log *slog.Logger
+	use func(*rankpeer.Digest, time.Time)
+
+	mu    sync.Mutex
+	addrs map[string]string
+	stops map[string]context.CancelFunc
+}
+
+func newDigests(log *slog.Logger, use func(*rankpeer.Digest, time.Time)) *digests {
+	return &digests{log: log, use: use, addrs: map[string]string{}, stops: map[string]context.CancelFunc{}}
+}
+
+// update takes a new view: where the stewards are.
+func (d *digests) update(v *mirror.View) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for group, addr := range v.Stewards {
+		if d.addrs[group] == addr {
+			continue
+		}
+		if stop := d.stops[group]; stop != nil {
+			stop()
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		d.addrs[group], d.stops[group] = addr, stop
+		go d.follow(ctx, group, addr)
+	}
+}
+
+// follow asks one steward until the context ends.
+func (d *digests) follow(ctx context.Context, group, addr string) {
+	var conn *rankpeer.Conn
+	heard := false
+	for ctx.Err() == nil {
+		tell, err := d.ask(ctx, &conn, addr)
+		now := time.Now()
+		ok := err == nil && tell.Digest != nil
+		if ok {
+			d.use(tell.Digest, now.Add(-tell.Digest.Age))
+		}
+		if ok != heard {
+			heard = ok
+			d.log.Info("digest", "group", group, "steward", addr, "heard", ok)
+		}
+		pause := digestEvery
+		if !ok {
+			pause = digestPause
+		}
+		wait(ctx, pause)
+	}
+	closeConn(conn)
+}
+
+func (d *digests) ask(ctx context.Context, conn **rankpeer.Conn, addr string) (rankpeer.Tell, error) {
+	if *conn == nil {
+		c, err := rankpeer.Dial(ctx, addr, digestWait)
+		if err != nil {
+			return rankpeer.Tell{}, err
+		}
+		*conn = c
+	}
+	tell, err := (*conn).Ask(rankpeer.Ask{Digest: true}, digestWait)
+	if err != nil {
+		closeConn(*conn)
+		*conn = nil
+	}
+	return tell, err
+}
+
+// closeConn gives a connection up; an error in closing it changes nothing.
+func closeConn(c *rankpeer.Conn) {
+	if c != nil {
+		_ = c.Close()
+	}
+}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -10,6 +10,7 @@
 
 	"verbenashift/core/health"
 	"verbenashift/core/mirror"
+	"verbenashift/core/rankpeer"
 	"verbenashift/core/route"
 	"verbenashift/gateway/upstream"
 	"verbenashift/platform"
@@ -28,8 +29,13 @@
 	// entry is removed.
 	gone map[string]bool
 	rng  *rand.Rand
+	// cost is the moving mean of the requests' costs in tokens.
+	cost float64
 }
 
+// costGain is the weight of one request in the mean cost.
+const costGain = 0.02
+
 // pooled is one target with its connections.
 type pooled struct {
 	platform.Target
@@ -117,6 +123,7 @@
 		return sent{}, false
 	}
 	f.table.Start(i, q.Cost, now)
+	f.cost += (q.Cost - f.cost) * costGain
 	return sent{index: i, cost: q.Cost, started: now, target: p}, true
 }
 
@@ -142,6 +149,30 @@
 	}
 }
 
+const (
+	// slowPace is the pace over which a rank gets no requests while others have
+	// room: all ranks of a group wait for the slowest one's own part of a pass.
+	slowPace = 1.25
+	// engineRate is the rate of a rank at full pace, in tokens a second. Only
+	// the proportions matter.
+	engineRate = 4000
+)
+
+// digest takes what a steward knows of the load of its ranks.
+func (f *fleet) digest(d *rankpeer.Digest, taken time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, l := range d.Ranks {
+		i, ok := f.table.Lookup(l.Target)
+		if !ok {
+			continue
+		}
+		pace := max(l.Pace, 1)
+		f.table.Report(i, route.Load{Queued: float64(l.Queued) * f.cost, Running: l.Running, Rate: engineRate / pace}, taken)
+		f.table.SetAvoided(i, pace > slowPace)
+	}
+}
+
 func (f *fleet) succeeded(s sent, latency time.Duration, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -155,7 +186,7 @@
 }
 
 // tickEvery is how often ejections and idle connections are looked at.
-const tickEvery = 250 * time.Millisecond
+const tickEvery = 100 * time.Millisecond
 
 // tick lets time pass for the health of the targets.
 func (f *fleet) tick(now time.Time) {
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -44,7 +44,7 @@
 	go follower.Run(ctx)
 	go func() {
 		for range time.Tick(tickEvery) {
-			g.fleet.tick(time.Now())
+			g.tick(time.Now())
 		}
 	}()
 	front, err := net.Listen("tcp", boot.Callers.String())
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -31,13 +31,18 @@
 	mu      sync.Mutex
 	budgets *retry.Budgets
 	returns retry.Returns
+	digests *digests
+	// admissions are those of services with engines, by name.
+	admissions map[string]*admission
 }
 
 func newGateway(boot platform.Boot, log *slog.Logger) *gateway {
-	return &gateway{
+	g := &gateway{
 		log: log, fleet: newFleet(boot.Instance, boot.Zone, log),
-		started: time.Now(), budgets: retry.NewBudgets(retryLimits(boot.Bounds)),
+		started: time.Now(), admissions: map[string]*admission{}, budgets: retry.NewBudgets(retryLimits(boot.Bounds)),
 	}
+	g.digests = newDigests(log, g.fleet.digest)
+	return g
 }
 
 const (
@@ -63,11 +68,50 @@
 // update takes a new view of the store: configuration and targets together.
 func (g *gateway) update(v *mirror.View) {
 	g.fleet.update(v)
+	g.admitTo(v)
+	g.digests.update(v)
 	if c := g.catalog.Load(); c == nil || c.config != v.Config {
 		g.catalog.Store(newCatalog(v.Config))
 	}
 }
 
+// admitTo makes an admission for each service with engines.
+func (g *gateway) admitTo(v *mirror.View) {
+	slots := map[string]int{}
+	for _, t := range v.Targets {
+		slots[t.Service] += t.Slots
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i := range v.Config.Services {
+		s := &v.Config.Services[i]
+		if s.Engine == nil || slots[s.Name] == 0 {
+			continue
+		}
+		if g.admissions[s.Name] == nil {
+			g.admissions[s.Name] = newAdmission(s.Name, slots[s.Name], shortestGap(v.Config, s.Name), g.log)
+		}
+		g.admissions[s.Name].resize(slots[s.Name])
+	}
+}
+
+// admission returns the admission of a service, or nil if it has none.
+func (g *gateway) admission(service string) *admission {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admissions[service]
+}
+
+// tick lets time pass for targets and queues.
+func (g *gateway) tick(now time.Time) {
+	g.fleet.tick(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, a := range g.admissions {
+		a.tick(now)
+	}
+}
+
 // ready reports whether the balancer should send callers here.
 func (g *gateway) ready() bool { return g.catalog.Load() != nil && !g.leaving.Load() }
 
@@ -96,7 +140,10 @@
 	begun     bool
 	lastEvent string
 	lastID    int64
-	firstAt   time.Time
+	// eventAt is when the last event was passed on.
+	eventAt time.Time
+	// admission is that of the service, if it has one.
+	admission *admission
 	// failure is the server's own failure, passed on if nothing better comes.
 	failure *answer
 }
@@ -128,6 +175,20 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
 	defer cancel()
+	if c.admission = g.admission(c.service); false {
+		place, refusal := c.admission.enter(ctx, c)
+		if c.callerLeft() {
+			if place != "" {
+				c.admission.leave(place, 0)
+			}
+			return
+		}
+		if refusal != nil {
+			c.refuse(refusal.Reason, refusal.RetryAfter)
+			return
+		}
+		defer c.admission.leave(place, c.cost())
+	}
 	c.run(ctx)
 }
 
@@ -267,9 +328,7 @@
 		TargetID: s.target.ID, Left: time.Until(c.deadline),
 		Urgency: urgency(c.route, c.space), LastEvent: c.lastEvent,
 	}
-	if c.space != nil {
-		f.Workspace = c.space.Name
-	}
+	f.Workspace = c.workspaceName()
 	platform.WriteHeaders(&head, c.r.Header, f)
 	return &upstream.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Head: head.Bytes(),
@@ -394,7 +453,6 @@
 		return
 	}
 	c.begun = true
-	c.firstAt = time.Now()
 	platform.CopyAnswerHeaders(c.w.Header(), reply.Header)
 	c.w.WriteHeader(reply.Status)
 }
@@ -414,6 +472,7 @@
 		c.log.Info("request", "id", c.req.ID, "outcome", "caller-left", "error", err.Error())
 		return false
 	}
+	c.paused()
 	if id >= 0 {
 		c.lastID = id
 		c.lastEvent = formatID(id)
@@ -421,6 +480,23 @@
 	return true
 }
 
+// paused tells the admission how long the caller waited for this event.
+func (c *call) paused() {
+	now := time.Now()
+	if c.admission != nil && !c.eventAt.IsZero() {
+		c.admission.paused(now.Sub(c.eventAt))
+	}
+	c.eventAt = now
+}
+
+// workspaceName returns the name of the caller's workspace, or "".
+func (c *call) workspaceName() string {
+	if c.space == nil {
+		return ""
+	}
+	return c.space.Name
+}
+
 // callerLeft reports whether the caller has closed its connection.
 func (c *call) callerLeft() bool {
 	if c.r.Context().Err() == nil {
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -224,6 +224,12 @@
 }
 
 func (p *Pool) discard(c *conn) {
+	// A server that is frozen or cut off would get the rest of a request when
+	// it is back, long after the caller has left, and run it for nobody: a
+	// reset takes back what has not arrived.
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
 	// The connection is given up; an error in closing it changes nothing.
 	_ = c.Close()
 	p.mu.Lock()
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"log/slog"
+	"net/netip"
 	"sync"
 	"time"
 
 	"verbenashift/core/lockstep"
+	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
 
@@ -26,6 +28,9 @@
 	from      string
 	fromRank  int
 	candidate *lockstep.Candidate
+	// view is the last digest while this agent is the steward, taken at viewAt.
+	view   *rankpeer.Digest
+	viewAt time.Time
 }
 
 func newAgent(boot platform.Boot, log *slog.Logger, plan bool) *agent {
@@ -37,10 +42,13 @@
 	}
 }
 
+// addr is where the agent listens.
+func (a *agent) addr() netip.AddrPort { return netip.AddrPortFrom(a.boot.IP, a.boot.PortFirst) }
+
 // hear records a word of a steward and reports whether it is the newest. Two
 // stewards may have the same term only where both act without the store; the
 // name decides then.
-func (a *agent) hear(ask Ask) (int64, bool) {
+func (a *agent) hear(ask rankpeer.Ask) (int64, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if ask.Term < a.term || ask.Term == a.term && ask.From < a.from {
@@ -61,6 +69,25 @@
 	return a.term
 }
 
+// digest returns what a gateway may know of the group, or nil if this agent is
+// not its steward.
+func (a *agent) digest() *rankpeer.Digest {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.view == nil {
+		return nil
+	}
+	d := *a.view
+	d.Age = time.Since(a.viewAt)
+	return &d
+}
+
+func (a *agent) setDigest(d *rankpeer.Digest) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.view, a.viewAt = d, time.Now()
+}
+
 // stewardBefore returns the rank of the steward that was heard last, or -1 if
 // none was or it was this agent itself.
 func (a *agent) stewardBefore(self int) int {
--- a/sidecar/claim.go
+++ b/sidecar/claim.go
@@ -5,12 +5,10 @@
 	"errors"
 	"time"
 
+	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
 
-// claimPrefix begins the keys of the store that name the steward of a group.
-const claimPrefix = "verbenashift/steward/"
-
 // claimWait bounds a claim: the store answers in milliseconds or is away.
 const claimWait = 600 * time.Millisecond
 
@@ -24,7 +22,7 @@
 func (a *agent) claim(ctx context.Context, group string) (term int64, acting, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, claimWait)
 	defer cancel()
-	key := claimPrefix + group
+	key := rankpeer.ClaimPrefix + group
 	cond := platform.Condition{Key: key}
 	it, err := a.store.Get(ctx, key)
 	var status *platform.StatusError
@@ -36,7 +34,7 @@
 		a.log.Warn("store does not answer a claim", "error", err.Error())
 		return a.highestTerm() + 1, true, true
 	}
-	term, err = a.store.Put(ctx, cond, []byte(a.boot.Instance))
+	term, err = a.store.Put(ctx, cond, []byte(a.addr().String()))
 	if err == nil {
 		a.log.Info("claimed", "group", group, "term", term, "revision-before", cond.Revision)
 		return term, false, true
--- a/sidecar/main.go
+++ b/sidecar/main.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -38,7 +37,7 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer cancel()
 	a := newAgent(boot, log, !slices.Contains(os.Args, "-no-plan"))
-	l, err := net.Listen("tcp", netip.AddrPortFrom(boot.IP, boot.PortFirst).String())
+	l, err := net.Listen("tcp", a.addr().String())
 	if err != nil {
 		return err
 	}
--- a/sidecar/peer.go
+++ b/sidecar/peer.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"encoding/gob"
 	"log/slog"
-	"net"
 	"net/netip"
 	"time"
 
+	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
 
@@ -30,14 +29,12 @@
 	target  platform.Target
 	sidecar netip.AddrPort
 	log     *slog.Logger
-	conn    net.Conn
-	in      *gob.Decoder
-	out     *gob.Encoder
+	conn    *rankpeer.Conn
 	dialAt  time.Time
 	direct  *platform.RankClient
 	readAt  time.Time
 	// last is what the rank told when it was last read directly.
-	last Tell
+	last rankpeer.Tell
 	// lost says that the sidecar does not answer.
 	lost bool
 }
@@ -62,8 +59,22 @@
 	}
 }
 
+// command asks like ask. A direct order is given to the rank itself; the rank is
+// read through its sidecar all the same, because only there the reading is
+// fresh.
+func (p *peer) command(ctx context.Context, ask rankpeer.Ask, direct bool) rankpeer.Tell {
+	if !direct || ask.Order == nil {
+		return p.ask(ctx, ask)
+	}
+	status := giveOrder(p.direct, *ask.Order, p.log)
+	ask.Order = nil
+	tell := p.ask(ctx, ask)
+	tell.Status = status
+	return tell
+}
+
 // ask asks the sidecar, or else the rank itself.
-func (p *peer) ask(ctx context.Context, ask Ask) Tell {
+func (p *peer) ask(ctx context.Context, ask rankpeer.Ask) rankpeer.Tell {
 	tell, err := p.askSidecar(ctx, ask)
 	if err == nil {
 		if p.lost {
@@ -79,20 +90,13 @@
 	return p.askRank(ctx, ask)
 }
 
-func (p *peer) askSidecar(ctx context.Context, ask Ask) (Tell, error) {
+func (p *peer) askSidecar(ctx context.Context, ask rankpeer.Ask) (rankpeer.Tell, error) {
 	if p.conn == nil {
 		if err := p.dial(ctx); err != nil {
-			return Tell{}, err
+			return rankpeer.Tell{}, err
 		}
 	}
-	var tell Tell
-	err := p.conn.SetDeadline(time.Now().Add(p.patience(tellWait)))
-	if err == nil {
-		err = p.out.Encode(ask)
-	}
-	if err == nil {
-		err = p.in.Decode(&tell)
-	}
+	tell, err := p.conn.Ask(ask, p.patience(tellWait))
 	if err != nil {
 		p.hangUp()
 	}
@@ -113,13 +117,11 @@
 		return errSoon
 	}
 	p.dialAt = now.Add(redialEvery)
-	ctx, cancel := context.WithTimeout(ctx, p.patience(readWait))
-	defer cancel()
-	c, err := platform.Dial(ctx, "tcp", p.sidecar.String())
+	c, err := rankpeer.Dial(ctx, p.sidecar.String(), p.patience(readWait))
 	if err != nil {
 		return err
 	}
-	p.conn, p.in, p.out = c, gob.NewDecoder(c), gob.NewEncoder(c)
+	p.conn = c
 	return nil
 }
 
@@ -132,13 +134,13 @@
 // askRank gives the order to the rank and reads it from afar. The reading is
 // some hundred milliseconds old, which is safe: see package lockstep. Counts
 // are left out, since the group pauses while they are read from afar.
-func (p *peer) askRank(ctx context.Context, ask Ask) Tell {
+func (p *peer) askRank(ctx context.Context, ask rankpeer.Ask) rankpeer.Tell {
 	now := time.Now()
 	if ask.Order == nil && now.Before(p.readAt) {
 		return p.last
 	}
 	p.readAt = now.Add(directEvery)
-	tell := Tell{}
+	tell := rankpeer.Tell{}
 	if ask.Order != nil {
 		tell.Status = giveOrder(p.direct, *ask.Order, p.log)
 	}
@@ -147,11 +149,11 @@
 	st, err := p.direct.State(ctx)
 	if err != nil {
 		p.log.Warn("rank not read from afar", "target", p.target.ID, "error", err.Error())
-		p.last = Tell{}
+		p.last = rankpeer.Tell{}
 		return tell
 	}
 	tell.State, tell.Known = st, true
-	p.last = Tell{State: st, Known: true}
+	p.last = rankpeer.Tell{State: st, Known: true}
 	if ask.Placement {
 		if place, err := p.direct.Placement(ctx); err == nil {
 			tell.Placement = &place
--- a/sidecar/planner.go
+++ b/sidecar/planner.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"strconv"
 	"time"
 
 	"verbenashift/core/expert"
 	"verbenashift/core/lockstep"
+	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
 
@@ -23,6 +25,8 @@
 	// leastChosen is how often each expert must have been chosen lately, in
 	// the mean, for an estimate.
 	leastChosen = 20
+	// slowPace is the pace over which a rank counts as slow.
+	slowPace = 1.1
 )
 
 // planner turns counts into better maps. The zero value waits for the shape of
@@ -61,7 +65,7 @@
 }
 
 // take takes in what the ranks have told.
-func (p *planner) take(now time.Time, byRank []string, tells map[string]Tell) {
+func (p *planner) take(now time.Time, byRank []string, tells map[string]rankpeer.Tell) {
 	p.ranks, p.placed = byRank, false
 	experts := p.engine.Experts
 	if p.engine.Sets == 0 {
@@ -82,6 +86,13 @@
 		p.recent[l].Observe(now, chosen[l*experts:(l+1)*experts])
 	}
 	p.placed = p.known(tells)
+	p.fitGroup()
+	for r, id := range byRank {
+		p.group.Ranks[r].Pace = 1
+		if pace := tells[id].State.Pace; pace > slowPace {
+			p.group.Ranks[r].Pace = pace
+		}
+	}
 }
 
 // addChosen adds what was chosen between two readings of a rank. A rank that
@@ -98,7 +109,7 @@
 }
 
 // known reports whether the places are those of the map in force.
-func (p *planner) known(tells map[string]Tell) bool {
+func (p *planner) known(tells map[string]rankpeer.Tell) bool {
 	for _, id := range p.ranks {
 		t, place := tells[id], p.places[id]
 		if !t.Known || place == nil || place.Map != t.State.Map || place.Epoch != t.State.Epoch || len(place.Experts) != p.engine.Sets {
@@ -127,7 +138,6 @@
 	if !p.placed || !p.judged() {
 		return proposal{}, false
 	}
-	p.fitGroup()
 	maps := p.flat()
 	loads := make([][]float64, len(p.recent))
 	for l := range p.recent {
@@ -144,6 +154,19 @@
 	return pr, true
 }
 
+// skew returns the mean skew of the layers under the map in force, or 0 if it is
+// not known.
+func (p *planner) skew() float64 {
+	if !p.placed || !p.judged() {
+		return 0
+	}
+	total := 0.0
+	for l, m := range p.flat() {
+		total += m.Skew(&p.group, p.recent[l].Loads())
+	}
+	return total / float64(len(p.recent))
+}
+
 // judged reports whether there is work to judge the loads by.
 func (p *planner) judged() bool {
 	for l := range p.recent {
@@ -159,8 +182,8 @@
 		return
 	}
 	p.group = expert.Group{Ranks: make([]expert.Rank, len(p.ranks)), Experts: p.engine.Experts, Slots: p.engine.Places}
-	for r, id := range p.ranks {
-		p.group.Ranks[r].Server = id
+	for r := range p.group.Ranks {
+		p.group.Ranks[r].Server = strconv.Itoa(r)
 	}
 }
 
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -12,6 +12,7 @@
 
 	"verbenashift/core/lockstep"
 	"verbenashift/core/mirror"
+	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
 
@@ -46,8 +47,10 @@
 	// pending are the orders that go out with the next asks, by target; tells
 	// are the last answers.
 	pending map[string]lockstep.Command
-	tells   map[string]Tell
-	log     *slog.Logger
+	tells   map[string]rankpeer.Tell
+	// reported is when the state of the group was logged last.
+	reported time.Time
+	log      *slog.Logger
 }
 
 // lead makes this agent the steward and drives the group until another one has
@@ -69,6 +72,7 @@
 	go s.targets.Run(ctx)
 	s.log.Info("steward begins", "acting", acting)
 	s.drive(ctx)
+	s.setDigest(nil)
 	for _, p := range s.peers {
 		p.close()
 	}
@@ -108,12 +112,14 @@
 func (s *steward) round(ctx context.Context, now time.Time) (busy, ok bool) {
 	s.meet()
 	needPlaces := !s.planner.placed
-	s.tells = map[string]Tell{}
+	s.tells = map[string]rankpeer.Tell{}
 	if !s.askAll(ctx, s.peers, needPlaces) {
 		return false, false
 	}
 	ranks := s.arrange()
 	s.planner.take(now, s.byRank, s.tells)
+	s.report(ranks, now)
+	s.setDigest(s.digestOf(ranks))
 	s.propose(ranks)
 	for range quickMoves {
 		quick := s.decide(ranks, time.Now())
@@ -161,6 +167,40 @@
 	return some
 }
 
+// digestOf returns what gateways may know of the group.
+func (s *steward) digestOf(ranks []lockstep.Rank) *rankpeer.Digest {
+	d := &rankpeer.Digest{Group: s.group, Pass: s.core.PassTime()}
+	for i := range ranks {
+		if st := &ranks[i].State; ranks[i].Known {
+			d.Ranks = append(d.Ranks, rankpeer.Load{Target: s.byRank[i], Running: st.Running, Queued: st.Queued, Pace: st.Pace})
+		}
+	}
+	return d
+}
+
+// reportEvery is how often the state of the group is logged.
+const reportEvery = time.Second
+
+// report logs the state of the group for operators.
+func (s *steward) report(ranks []lockstep.Rank, now time.Time) {
+	if now.Sub(s.reported) < reportEvery {
+		return
+	}
+	s.reported = now
+	known, running, queued, slow := 0, 0, 0, 0.0
+	for i := range ranks {
+		st := &ranks[i].State
+		if ranks[i].Known {
+			known++
+			running += st.Running
+			queued += st.Queued
+			slow = max(slow, st.Pace)
+		}
+	}
+	s.log.Info("group state", "ranks", len(ranks), "known", known, "running", running, "queued", queued,
+		"skew", s.planner.skew(), "pass-ms", s.core.PassTime().Milliseconds(), "slowest-pace", slow, "idle", s.core.Idle(ranks), "placed", s.planner.placed)
+}
+
 // meet keeps a peer for each target of the service.
 func (s *steward) meet() {
 	v := s.targets.View()
@@ -192,17 +232,12 @@
 	var wg sync.WaitGroup
 	for id, p := range peers {
 		cmd, ordered := s.pending[id]
-		ask := Ask{Term: s.term, From: s.boot.Instance, Rank: s.rankOf, Counts: !ordered, Placement: full}
+		ask := rankpeer.Ask{Term: s.term, From: s.boot.Instance, Rank: s.rankOf, Counts: !ordered, Placement: full}
 		if ordered {
 			ask.Order = &cmd.Order
 		}
 		wg.Go(func() {
-			var tell Tell
-			if cmd.Direct {
-				tell = p.askRank(ctx, ask)
-			} else {
-				tell = p.ask(ctx, ask)
-			}
+			tell := p.command(ctx, ask, cmd.Direct)
 			mu.Lock()
 			s.tells[id] = tell
 			mu.Unlock()
--- a/sidecar/talk.go
+++ b/sidecar/talk.go
@@ -2,48 +2,19 @@
 
 import (
 	"context"
-	"encoding/gob"
 	"log/slog"
 	"net"
 	"time"
 
+	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
 
-// Ask is what the steward of a group asks of the sidecar beside a rank.
-type Ask struct {
-	// Term is the steward's fencing number, From its instance.
-	Term int64
-	From string
-	// Rank is that beside which the steward runs.
-	Rank int
-	// Counts and Placement ask for more than the state of the rank.
-	Counts    bool
-	Placement bool
-	// Order, if there is one, is given to the rank before it is read.
-	Order *platform.Order
-}
-
-// Tell is the answer.
-type Tell struct {
-	// Term is the highest that the sidecar has heard.
-	Term int64
-	// Known says that the rank has answered; State is fresh then.
-	Known     bool
-	State     platform.RankState
-	Counts    *platform.Counts
-	Placement *platform.Placement
-	// Status is that of the answer to the order; 0 means none came.
-	Status int
-}
-
 const (
 	// orderWait is how long a rank may take to answer an order: it answers in
 	// a millisecond or not at all. readWait is the same for a reading.
 	orderWait = 100 * time.Millisecond
 	readWait  = 120 * time.Millisecond
-	// quietConnection is how long a steward may leave a connection unused.
-	quietConnection = 30 * time.Second
 )
 
 // serve answers stewards until the listener is closed.
@@ -54,43 +25,29 @@
 			a.log.Info("no longer listening", "error", err.Error())
 			return
 		}
-		go a.talk(c)
-	}
-}
-
-// talk answers the asks on one connection, in turn.
-func (a *agent) talk(c net.Conn) {
-	defer func() { _ = c.Close() }()
-	in, out := gob.NewDecoder(c), gob.NewEncoder(c)
-	for {
-		if err := c.SetDeadline(time.Now().Add(quietConnection)); err != nil {
-			return
-		}
-		var ask Ask
-		if err := in.Decode(&ask); err != nil {
-			// The steward has gone or has given the connection up.
-			return
-		}
-		tell := a.answer(ask)
-		if err := out.Encode(tell); err != nil {
-			return
-		}
+		go func() {
+			// It ends when the other side has gone or gives it up.
+			_ = rankpeer.Serve(c, a.answer)
+		}()
 	}
 }
 
 // answer does what a steward asks, unless a newer one has been heard: the
 // orders of a steward that was paused must not reach the rank.
-func (a *agent) answer(ask Ask) Tell {
+func (a *agent) answer(ask rankpeer.Ask) rankpeer.Tell {
+	if ask.Digest {
+		return rankpeer.Tell{Term: a.highestTerm(), Digest: a.digest()}
+	}
 	term, ok := a.hear(ask)
 	if !ok {
-		return Tell{Term: term}
+		return rankpeer.Tell{Term: term}
 	}
 	return a.consult(ask, term)
 }
 
 // consult gives the order to the rank and reads it.
-func (a *agent) consult(ask Ask, term int64) Tell {
-	tell := Tell{Term: term}
+func (a *agent) consult(ask rankpeer.Ask, term int64) rankpeer.Tell {
+	tell := rankpeer.Tell{Term: term}
 	if ask.Order != nil {
 		tell.Status = giveOrder(a.rank, *ask.Order, a.log)
 	}
