Admission at the gateway by what stewards tell of the engines

Change: core/queue before engine services; queue.Allowed gives each gateway its part of the load at which pauses are short; callers that come back go first.

--- a/core/queue/limiter.go
+++ b/core/queue/limiter.go
@@ -5,94 +5,34 @@
 	"time"
 )
 
-const (
-	// limiterWindow is the span over which pauses are averaged: some steps of
-	// an engine under load.
-	limiterWindow = 200 * time.Millisecond
-	// limiterSamples is how many pauses are judged at least.
-	limiterSamples = 8
-	// limiterRaise and limiterLower are the factors of a window with short and
-	// with long pauses. Falling faster than rising keeps several limiters before
-	// the same engines stable and makes their limits fair (Chiu and Jain,
-	// "Analysis of the Increase and Decrease Algorithms", 1989).
-	limiterRaise = 1.06
-	limiterLower = 0.85
-	// limiterPatience is how many windows in a row must be slow before the limit
-	// is lowered: the map of an expert group needs about a second to follow a
-	// change of the mix, and fewer requests would not make that shorter.
-	limiterPatience = 5
-	// limiterUsed is the part of the limit that must have been used for pauses
-	// to say that there is room for more.
-	limiterUsed = 0.85
-)
-
-// Limiter learns how many requests may run at once on engines that batch.
-//
-// An engine with a full batch takes so long for each step that every answer is
-// late, although it makes hardly more tokens than with two thirds of it. What
-// tells this is the pause between the parts of answers, which each entry sees
-// on its own answers: the limit is lowered while the mean pause is over Pause,
-// and raised while it is below and the limit is used. The load pattern it
-// answers is a burst or a stall after which all slots stay full for good: the
-// callers who give up and come back keep them full.
-type Limiter struct {
-	// Pause is the mean pause that is aimed at.
+// Engines is the load of the engines of one group, as its steward tells it.
+type Engines struct {
+	// Slots is how many requests the engines can run at once, Running how many
+	// they do, and Queued how many wait there.
+	Slots, Running, Queued int
+	// Pause is how long the engines take between two parts of an answer.
 	Pause time.Duration
-	// Least and Most bound the limit.
-	Least, Most int
-
-	limit float64
-	began time.Time
-	sum   time.Duration
-	n     int
-	// slow counts the slow windows in a row.
-	slow int
 }
 
-// NewLimiter returns a Limiter with a first limit.
-func NewLimiter(pause time.Duration, first, least, most int) *Limiter {
-	return &Limiter{Pause: pause, Least: least, Most: most, limit: float64(first)}
-}
-
-// Limit returns how many requests may run now.
-func (l *Limiter) Limit() int { return int(math.Round(l.limit)) }
+// leastPart is the part of the slots that is always allowed. With half of its
+// slots in use an engine gives nearly as many tokens as with all, and steps in
+// half the time; with fewer it gives less.
+const leastPart = 0.55
 
-// Begin sets the first limit, as long as nothing has been learned yet.
-func (l *Limiter) Begin(first int) bool {
-	if !l.began.IsZero() {
-		return false
-	}
-	l.limit = math.Min(math.Max(float64(first), float64(l.Least)), float64(l.Most))
-	return true
-}
-
-// Observe takes the pause before a part of an answer while a number of requests
-// run. It reports whether the limit has changed.
-func (l *Limiter) Observe(pause time.Duration, running int, now time.Time) bool {
-	if l.began.IsZero() {
-		l.began = now
-	}
-	// One stall is not many slow steps.
-	l.sum += min(pause, 2*l.Pause)
-	l.n++
-	if now.Sub(l.began) < limiterWindow || l.n < limiterSamples {
-		return false
-	}
-	mean := l.sum / time.Duration(l.n)
-	l.began, l.sum, l.n = now, 0, 0
-	before := l.Limit()
-	l.slow++
-	if mean <= l.Pause {
-		l.slow = 0
-	}
-	switch {
-	case l.slow >= limiterPatience:
-		// From the requests that run, if the limit has not been reached: a
-		// limit far above them would take long to be felt.
-		l.limit = math.Min(l.limit, float64(max(running, l.Least))) * limiterLower
-	case l.slow == 0 && float64(running) >= limiterUsed*l.limit:
-		l.limit = l.limit*limiterRaise + 1
+// Allowed returns how many requests one entry may have at the engines, of which
+// it has own there now, so that the pauses come down to the given one.
+//
+// The load pattern it answers is a stall, or a burst, after which all slots of
+// the engines stay full: answers are then so slow that callers give up and come
+// back, and the slots never empty. An engine with a full batch hardly makes more
+// tokens than with half of it. As all entries use the same figures, and each
+// takes the part of the requests that are its own, they need not talk.
+func Allowed(e Engines, own int, pause time.Duration) int {
+	total := e.Running + e.Queued
+	least := leastPart * float64(e.Slots)
+	if e.Pause <= pause || float64(total) <= least || own == 0 {
+		return e.Slots
 	}
-	l.limit = math.Min(math.Max(l.limit, float64(l.Least)), float64(l.Most))
-	return l.Limit() != before
+	all := math.Max(float64(total)*float64(pause)/float64(e.Pause), least)
+	return max(1, int(math.Round(all*float64(own)/float64(max(total, own)))))
 }
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -13,27 +13,27 @@
 )
 
 const (
-	// pausePart is the part of the longest allowed pause that the mean pause
-	// is held to. Single pauses are up to twice the mean, when a long prompt is
-	// read meanwhile.
-	pausePart = 0.75
+	// pausePart is the part of the longest allowed pause that the engines are
+	// held to. Single pauses are up to twice as long, when long prompts are read
+	// meanwhile.
+	pausePart = 0.6
 	// firstToken is how long an engine with room takes to the first event.
 	firstToken = 150 * time.Millisecond
 	// longWait is how long a request may wait for a place when the queue was
 	// empty a moment ago. It is late then; but callers of streams wait two
 	// seconds for a first event, and a short burst passes.
-	longWait = 1200 * time.Millisecond
+	longWait = 1400 * time.Millisecond
 	// emptyWithin is how recently the queue must have been empty for that. A
 	// queue that stays would make all answers late.
 	emptyWithin = time.Second
 	// firstRate is the first guess of the tokens a second that the engines
 	// take from one gateway. It is learned while they are busy.
 	firstRate = 20000
-	// leastRunning is the least number of requests that may run.
-	leastRunning = 4
-	// firstShare is the part of the engines' slots that a gateway begins with:
-	// several gateways share them.
-	firstShare = 0.3
+	// returnShare is the part of the service that callers who come back may take
+	// while others wait.
+	returnShare = 0.9
+	// digestValid is how old a digest may be to limit anything.
+	digestValid = 1500 * time.Millisecond
 	// usualPause stands in for routes that do not say how long a pause may be.
 	usualPause = 120 * time.Millisecond
 )
@@ -44,9 +44,14 @@
 	log     *slog.Logger
 	service string
 
-	mu      sync.Mutex
-	queue   *queue.Queue
-	limiter *queue.Limiter
+	// pause is what the engines are held to.
+	pause time.Duration
+
+	mu    sync.Mutex
+	queue *queue.Queue
+	// slots are those of all engines; told is when their load was.
+	slots   int
+	told    time.Time
 	waiting map[string]chan *outcome.Error
 	// emptyAt is when nobody waited last.
 	emptyAt time.Time
@@ -54,13 +59,11 @@
 	shed    []queue.Shed
 }
 
-// newAdmission returns the admission to engines with so many slots in all.
-func newAdmission(service string, slots int, pause time.Duration, log *slog.Logger) *admission {
-	first := max(int(firstShare*float64(slots)), leastRunning)
+// newAdmission returns the admission to engines that has no limit yet.
+func newAdmission(service string, pause time.Duration, log *slog.Logger) *admission {
 	return &admission{
-		log: log, service: service,
-		queue:   queue.New(queue.Limits{Slots: first, Rate: firstRate}, newRand()),
-		limiter: queue.NewLimiter(time.Duration(pausePart*float64(pause)), first, leastRunning, max(slots, leastRunning)),
+		log: log, service: service, pause: time.Duration(pausePart * float64(pause)),
+		queue:   queue.New(queue.Limits{Slots: 1, Rate: firstRate, UrgentShare: returnShare}, newRand()),
 		waiting: map[string]chan *outcome.Error{},
 		emptyAt: time.Now(),
 	}
@@ -70,10 +73,18 @@
 func (a *admission) resize(slots int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.limiter.Most = max(slots, leastRunning)
-	if a.limiter.Begin(int(firstShare * float64(slots))) {
-		a.queue.SetSlots(a.limiter.Limit())
-	}
+	a.slots = slots
+	a.queue.SetSlots(slots)
+}
+
+// engines takes the load of the engines as it was told.
+func (a *admission) engines(running, queued int, pause time.Duration, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.told = now
+	e := queue.Engines{Slots: a.slots, Running: running, Queued: queued, Pause: pause}
+	a.queue.SetSlots(queue.Allowed(e, a.queue.Load().Running, a.pause))
+	a.pump(now)
 }
 
 // enter waits for a place and returns the key that leave takes. A refusal says
@@ -83,7 +94,7 @@
 	a.mu.Lock()
 	a.next++
 	id := strconv.FormatUint(a.next, 36)
-	item := queue.Item{ID: id, Workspace: c.workspaceName(), Priority: queue.Normal, Cost: int64(c.cost()), Deadline: a.latestStart(c, now)}
+	item := queue.Item{ID: id, Workspace: c.workspaceName(), Priority: priorityOf(c), Cost: int64(c.cost()), Deadline: a.latestStart(c, now)}
 	if refusal := a.queue.Enqueue(item, now); refusal != nil {
 		a.mu.Unlock()
 		return "", refusal
@@ -111,9 +122,18 @@
 	return "", &outcome.Error{Outcome: outcome.NotRun, Reason: queue.ReasonExpired}
 }
 
+// priorityOf puts callers that come back before the others: they are late
+// already, and a second refusal is mostly the last.
+func priorityOf(c *call) queue.Priority {
+	if c.returning {
+		return queue.Urgent
+	}
+	return queue.Normal
+}
+
 // latestStart is when a request must have started.
 func (a *admission) latestStart(c *call, now time.Time) time.Time {
-	if now.Sub(a.emptyAt) < emptyWithin {
+	if c.returning || now.Sub(a.emptyAt) < emptyWithin {
 		return now.Add(longWait)
 	}
 	return now.Add(max(c.route.Objective-firstToken, firstToken))
@@ -154,22 +174,13 @@
 	a.pump(now)
 }
 
-// paused takes the pause before an event of a stream.
-func (a *admission) paused(d time.Duration) {
-	now := time.Now()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if !a.limiter.Observe(d, a.queue.Load().Running, now) {
-		return
-	}
-	a.queue.SetSlots(a.limiter.Limit())
-	a.pump(now)
-}
-
 // tick lets time pass: requests that can no longer start in time are refused.
 func (a *admission) tick(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if now.Sub(a.told) > digestValid {
+		a.queue.SetSlots(a.slots)
+	}
 	a.pump(now)
 	if l := a.queue.Load(); l.Items > 0 {
 		a.log.Info("queue", "service", a.service, "waiting", l.Items, "running", l.Running, "limit", l.Slots, "tokens-a-second", int(l.Rate))
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -158,8 +158,9 @@
 	engineRate = 4000
 )
 
-// digest takes what a steward knows of the load of its ranks.
-func (f *fleet) digest(d *rankpeer.Digest, taken time.Time) {
+// digest takes what a steward knows of the load of its ranks. It returns the
+// service of the group and the sums over its ranks.
+func (f *fleet) digest(d *rankpeer.Digest, taken time.Time) (service string, running, queued int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, l := range d.Ranks {
@@ -170,7 +171,11 @@
 		pace := max(l.Pace, 1)
 		f.table.Report(i, route.Load{Queued: float64(l.Queued) * f.cost, Running: l.Running, Rate: engineRate / pace}, taken)
 		f.table.SetAvoided(i, pace > slowPace)
+		service = f.table.Target(i).Service
+		running += l.Running
+		queued += l.Queued
 	}
+	return service, running, queued
 }
 
 func (f *fleet) succeeded(s sent, latency time.Duration, now time.Time) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -13,6 +13,7 @@
 
 	"verbenashift/core/mirror"
 	"verbenashift/core/outcome"
+	"verbenashift/core/rankpeer"
 	"verbenashift/core/retry"
 	"verbenashift/core/route"
 	"verbenashift/gateway/upstream"
@@ -32,6 +33,9 @@
 	budgets *retry.Budgets
 	returns retry.Returns
 	digests *digests
+	// patience is the longest time that callers of each route have said they
+	// wait. Who says less has been here before.
+	patience map[string]time.Duration
 	// admissions are those of services with engines, by name.
 	admissions map[string]*admission
 }
@@ -39,9 +43,9 @@
 func newGateway(boot platform.Boot, log *slog.Logger) *gateway {
 	g := &gateway{
 		log: log, fleet: newFleet(boot.Instance, boot.Zone, log),
-		started: time.Now(), admissions: map[string]*admission{}, budgets: retry.NewBudgets(retryLimits(boot.Bounds)),
+		started: time.Now(), admissions: map[string]*admission{}, patience: map[string]time.Duration{}, budgets: retry.NewBudgets(retryLimits(boot.Bounds)),
 	}
-	g.digests = newDigests(log, g.fleet.digest)
+	g.digests = newDigests(log, g.digest)
 	return g
 }
 
@@ -89,12 +93,20 @@
 			continue
 		}
 		if g.admissions[s.Name] == nil {
-			g.admissions[s.Name] = newAdmission(s.Name, slots[s.Name], shortestGap(v.Config, s.Name), g.log)
+			g.admissions[s.Name] = newAdmission(s.Name, shortestGap(v.Config, s.Name), g.log)
 		}
 		g.admissions[s.Name].resize(slots[s.Name])
 	}
 }
 
+// digest takes what a steward tells of its group.
+func (g *gateway) digest(d *rankpeer.Digest, taken time.Time) {
+	service, running, queued := g.fleet.digest(d, taken)
+	if a := g.admission(service); a != nil {
+		a.engines(running, queued, d.Pass, time.Now())
+	}
+}
+
 // admission returns the admission of a service, or nil if it has none.
 func (g *gateway) admission(service string) *admission {
 	g.mu.Lock()
@@ -102,6 +114,21 @@
 	return g.admissions[service]
 }
 
+// returnMargin is by how much the patience of a caller that comes back is
+// shorter at least. Requests spend a few milliseconds on the way.
+const returnMargin = 100 * time.Millisecond
+
+// returning reports whether a caller has come back after an earlier try: it says
+// what is left of its patience.
+func (g *gateway) returning(route string, patience time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if patience > g.patience[route] {
+		g.patience[route] = patience
+	}
+	return patience > 0 && patience+returnMargin < g.patience[route]
+}
+
 // tick lets time pass for targets and queues.
 func (g *gateway) tick(now time.Time) {
 	g.fleet.tick(now)
@@ -140,8 +167,8 @@
 	begun     bool
 	lastEvent string
 	lastID    int64
-	// eventAt is when the last event was passed on.
-	eventAt time.Time
+	// returning says that the caller has been refused or has failed before.
+	returning bool
 	// admission is that of the service, if it has one.
 	admission *admission
 	// failure is the server's own failure, passed on if nothing better comes.
@@ -175,7 +202,7 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
 	defer cancel()
-	if c.admission = g.admission(c.service); false {
+	if c.admission = g.admission(c.service); c.admission != nil {
 		place, refusal := c.admission.enter(ctx, c)
 		if c.callerLeft() {
 			if place != "" {
@@ -234,6 +261,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.service = c.drawService()
+	c.returning = c.gateway.returning(c.route.Name, c.req.Patience)
 	return true
 }
 
@@ -472,7 +500,6 @@
 		c.log.Info("request", "id", c.req.ID, "outcome", "caller-left", "error", err.Error())
 		return false
 	}
-	c.paused()
 	if id >= 0 {
 		c.lastID = id
 		c.lastEvent = formatID(id)
@@ -480,15 +507,6 @@
 	return true
 }
 
-// paused tells the admission how long the caller waited for this event.
-func (c *call) paused() {
-	now := time.Now()
-	if c.admission != nil && !c.eventAt.IsZero() {
-		c.admission.paused(now.Sub(c.eventAt))
-	}
-	c.eventAt = now
-}
-
 // workspaceName returns the name of the caller's workspace, or "".
 func (c *call) workspaceName() string {
 	if c.space == nil {
@@ -540,5 +558,5 @@
 	c.w.Header().Set("Content-Length", "0")
 	c.w.WriteHeader(status)
 	c.log.Info("request", "id", c.req.ID, "service", c.service, "status", status, "reason", reason,
-		"ms", time.Since(c.arrived).Milliseconds(), "errors", c.attempts.Errors, "retry-after-ms", comeback.Milliseconds())
+		"patience-ms", c.req.Patience.Milliseconds(), "ms", time.Since(c.arrived).Milliseconds(), "errors", c.attempts.Errors, "retry-after-ms", comeback.Milliseconds())
 }
