--- a/core/expert/candidate.go
+++ b/core/expert/candidate.go
@@ -75,6 +75,21 @@
 	}
 }
 
+// drops offers to empty a slot of the worst rank whose expert has a replica
+// elsewhere. Nothing is loaded for it, so that a rank that has become slow is
+// relieved faster than by exchanging its experts.
+func (s *search) drops(worst int, best *[tries]candidate) {
+	for i, e := range s.slotsOf(worst) {
+		if e == Empty || s.n[e] < 2 || !s.mayDrop(e, worst) {
+			continue
+		}
+		gain := s.penalty[worst] - steep(s.rank[worst]-s.share(e)*s.pace[worst]) - s.dropped(e, worst)
+		if beats(gain, best) {
+			offer(candidate{a: int32(worst*s.group.Slots + i), b: -1, ea: Empty, gain: gain}, best)
+		}
+	}
+}
+
 // replicates offers to put one more replica of an expert of the worst rank
 // onto another rank.
 func (s *search) replicates(worst int, best *[tries]candidate) {
--- a/core/expert/rebalance_test.go
+++ b/core/expert/rebalance_test.go
@@ -116,3 +116,29 @@
 	t.Logf("slowest rank takes %.3f of the mean", skew)
 	is.True(skew < 1.12)
 }
+
+// A rank becomes seven times slower while the group is well balanced. One change
+// may load few experts onto it or anywhere; it has to take most of the work off
+// the slow rank all the same.
+func TestRebalanceRelievesSlowRankAtOnce(t *testing.T) {
+	is := is.New(t)
+	g := group16()
+	for i := range g.Ranks {
+		g.Ranks[i].Server = string(rune('a' + i))
+	}
+	rng := rand.New(rand.NewPCG(5, 6))
+	maps, loads := []Map{inTurn(g), inTurn(g)}, [][]float64{skewed(rng, 64), skewed(rng, 64)}
+	lim := Limits{PerLayer: 2, PerRank: 3}
+	for range 4 {
+		maps, _, _ = Rebalance(g, maps, loads, lim)
+	}
+	g.Ranks[3].Pace = 7
+	var before, after [2]float64
+	for i := range after {
+		maps, before[i], after[i] = Rebalance(g, maps, loads, lim)
+	}
+	t.Logf("from %.2f to %.2f and %.2f", before[0], after[0], after[1])
+	is.True(before[0] > 5)
+	is.True(after[0] < 2.5)
+	is.True(after[1] < 1.4)
+}
--- a/core/expert/search.go
+++ b/core/expert/search.go
@@ -153,6 +153,9 @@
 	s.swaps(worst, &best)
 	s.replaces(worst, &best)
 	s.replicates(worst, &best)
+	if s.pace[worst] > 1 {
+		s.drops(worst, &best)
+	}
 	before := s.total()
 	for _, c := range best {
 		if c.gain <= least {
