One copy a rank and change; copy less while passes are short

Cause: a change waits for its copies (0.11 s each); three a rank took 0.33 s in which the old map slowed every pass.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -45,6 +45,27 @@
 	Revision int64
 }
 
+// usualGap stands in where no route says how long a pause may be.
+const usualGap = 120 * time.Millisecond
+
+// ShortestGap returns the shortest pause between events that a route to a
+// service allows.
+func (v *View) ShortestGap(service string) time.Duration {
+	shortest := time.Duration(0)
+	for i := range v.Config.Routes {
+		r := &v.Config.Routes[i]
+		for _, s := range r.Split {
+			if s.Service == service && r.Gap > 0 && (shortest == 0 || r.Gap < shortest) {
+				shortest = r.Gap
+			}
+		}
+	}
+	if shortest == 0 {
+		return usualGap
+	}
+	return shortest
+}
+
 // Mirror decides what is in force. It is not safe for concurrent use.
 type Mirror struct {
 	log      *slog.Logger
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -9,7 +9,6 @@
 
 	"verbenashift/core/outcome"
 	"verbenashift/core/queue"
-	"verbenashift/platform"
 )
 
 const (
@@ -34,8 +33,6 @@
 	returnShare = 0.9
 	// digestValid is how old a digest may be to limit anything.
 	digestValid = 1500 * time.Millisecond
-	// usualPause stands in for routes that do not say how long a pause may be.
-	usualPause = 120 * time.Millisecond
 )
 
 // admission lets requests through to the engines of one service. It is safe for
@@ -186,20 +183,3 @@
 		a.log.Info("queue", "service", a.service, "waiting", l.Items, "running", l.Running, "limit", l.Slots, "tokens-a-second", int(l.Rate))
 	}
 }
-
-// shortestGap returns the shortest pause that a route to a service allows.
-func shortestGap(cfg *platform.Config, service string) time.Duration {
-	shortest := time.Duration(0)
-	for i := range cfg.Routes {
-		r := &cfg.Routes[i]
-		for _, s := range r.Split {
-			if s.Service == service && r.Gap > 0 && (shortest == 0 || r.Gap < shortest) {
-				shortest = r.Gap
-			}
-		}
-	}
-	if shortest == 0 {
-		return usualPause
-	}
-	return shortest
-}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -93,7 +93,7 @@
 			continue
 		}
 		if g.admissions[s.Name] == nil {
-			g.admissions[s.Name] = newAdmission(s.Name, shortestGap(v.Config, s.Name), g.log)
+			g.admissions[s.Name] = newAdmission(s.Name, v.ShortestGap(s.Name), g.log)
 		}
 		g.admissions[s.Name].resize(slots[s.Name])
 	}
--- a/sidecar/planner.go
+++ b/sidecar/planner.go
@@ -14,14 +14,21 @@
 	// memory is the time constant in which counts are forgotten. Shorter ones
 	// follow a change of the mix sooner, and see less work to judge it by.
 	memory = 500 * time.Millisecond
-	// leastGain is the mean skew that a change must save. A copy makes passes
-	// 15 in 100 longer for some tenths of a second.
-	leastGain = 0.15
-	// enough is the skew below which a layer is left alone.
-	enough = 1.10
+	// leastGain is the mean skew that a change must save, and enough the skew
+	// below which a layer is left alone, while passes are short; gainPressed and
+	// enoughPressed are the same while they are long. Then a tenth of skew decides
+	// whether answers are on time; otherwise it is not worth its copies, which
+	// make passes 15 in 100 longer for some tenths of a second.
+	leastGain     = 0.25
+	gainPressed   = 0.15
+	enough        = 1.2
+	enoughPressed = 1.1
+	// pressedPart is the part of the longest allowed pause from which passes are
+	// long.
+	pressedPart = 0.5
 	// perRank is the most experts that a change copies to one rank: a copy
 	// takes about a tenth of a second.
-	perRank = 3
+	perRank = 1
 	// leastChosen is how often each expert must have been chosen lately, in
 	// the mean, for an estimate.
 	leastChosen = 20
@@ -133,8 +140,13 @@
 	return m
 }
 
-// better returns a better map, if there is one that is worth its copies.
-func (p *planner) better() (proposal, bool) {
+// better returns a better map, if there is one that is worth its copies. Pressed
+// says that passes are long.
+func (p *planner) better(pressed bool) (proposal, bool) {
+	gain, stop := leastGain, enough
+	if pressed {
+		gain, stop = gainPressed, enoughPressed
+	}
 	if !p.placed || !p.judged() {
 		return proposal{}, false
 	}
@@ -143,8 +155,8 @@
 	for l := range p.recent {
 		loads[l] = p.recent[l].Loads()
 	}
-	next, before, after := expert.Rebalance(&p.group, maps, loads, expert.Limits{PerLayer: p.engine.Spare, PerRank: perRank, Enough: enough})
-	if before-after < leastGain {
+	next, before, after := expert.Rebalance(&p.group, maps, loads, expert.Limits{PerLayer: p.engine.Spare, PerRank: perRank, Enough: stop})
+	if before-after < gain {
 		return proposal{}, false
 	}
 	pr := proposal{before: before, after: after, m: p.nested(next)}
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -167,6 +167,13 @@
 	return some
 }
 
+// pressed reports whether passes are long against the pauses that callers are
+// to see.
+func (s *steward) pressed() bool {
+	v := s.targets.View()
+	return v != nil && float64(s.core.PassTime()) > pressedPart*float64(v.ShortestGap(s.boot.Service))
+}
+
 // digestOf returns what gateways may know of the group.
 func (s *steward) digestOf(ranks []lockstep.Rank) *rankpeer.Digest {
 	d := &rankpeer.Digest{Group: s.group, Pass: s.core.PassTime()}
@@ -299,7 +306,7 @@
 	if !s.plan || !s.core.Idle(ranks) {
 		return
 	}
-	p, ok := s.planner.better()
+	p, ok := s.planner.better(s.pressed())
 	if !ok {
 		return
 	}
