--- a/sidecar/peer.go
+++ b/sidecar/peer.go
@@ -14,7 +14,7 @@
 	// tellWait is how long a sidecar may take to answer: its own waits for the
 	// rank and the way there and back. One that has not answered last time gets
 	// lostWait, so that the others still hear the steward in time.
-	tellWait = orderWait + readWait + 60*time.Millisecond
+	tellWait = orderTries*orderWait + readWait + 60*time.Millisecond
 	lostWait = 50 * time.Millisecond
 	// directEvery is the pause between tries at the rank itself while its
 	// sidecar does not answer. Such a reading costs the group a moment.
--- a/sidecar/talk.go
+++ b/sidecar/talk.go
@@ -12,9 +12,12 @@
 
 const (
 	// orderWait is how long a rank may take to answer an order: it answers in
-	// a millisecond or not at all. readWait is the same for a reading.
-	orderWait = 100 * time.Millisecond
-	readWait  = 120 * time.Millisecond
+	// a millisecond or not at all. An order that is not answered is given again,
+	// orderTries times in all; see package lockstep for why that is safe.
+	orderWait  = 30 * time.Millisecond
+	orderTries = 3
+	// readWait is how long a rank may take to be read.
+	readWait = 120 * time.Millisecond
 )
 
 // serve answers stewards until the listener is closed.
@@ -76,17 +79,24 @@
 	return tell
 }
 
-// giveOrder gives an order to a rank and returns the status of the answer, or 0
-// if none came.
+// giveOrder gives an order to a rank, again if it is not answered, and returns the
+// status of the answer, or 0 if none came.
 func giveOrder(rank *platform.RankClient, o platform.Order, log *slog.Logger) int {
+	attrs := []any{"order", string(o.Kind), "version", o.Version, "step", o.Step, "epoch", o.Epoch, "fence", o.Fence}
+	var err error
+	for try := range orderTries {
+		var status int
+		if status, err = tryOrder(rank, o); err == nil {
+			log.Info("order", append(attrs, "status", status, "try", try+1)...)
+			return status
+		}
+	}
+	log.Warn("order not answered", append(attrs, "tries", orderTries, "error", err.Error())...)
+	return 0
+}
+
+func tryOrder(rank *platform.RankClient, o platform.Order) (int, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), orderWait)
 	defer cancel()
-	status, err := rank.Order(ctx, o)
-	attrs := []any{"order", string(o.Kind), "version", o.Version, "step", o.Step, "epoch", o.Epoch, "expect", o.Expect, "term", o.Fence, "status", status}
-	if err != nil {
-		log.Warn("order not answered", append(attrs, "error", err.Error())...)
-		return 0
-	}
-	log.Info("order", attrs...)
-	return status
+	return rank.Order(ctx, o)
 }
