Requests wait while all targets of a service refuse

Change: queue.Gate closes after three refusals by two targets, lets a probe through each 0.15 s and opens with the first that is taken; what fits into free slots is not told that it would wait.

--- a/core/queue/admit.go
+++ b/core/queue/admit.go
@@ -155,7 +155,9 @@
 func (q *Queue) Wait(item Item) time.Duration { return duration(q.wait(item.normal())) }
 
 func (q *Queue) wait(item Item) float64 {
-	if q.items == 0 && q.running < q.limits.Slots {
+	// While the owner starts nothing, because its targets refuse for a moment,
+	// requests wait although there are slots: all that fit start together.
+	if q.items < q.limits.Slots-q.running {
 		return 0
 	}
 	work := q.classes[item.Priority].ahead(item.Workspace, item.Weight)
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -31,6 +31,9 @@
 	// returnShare is the part of the service that callers who come back may take
 	// while others wait.
 	returnShare = 0.9
+	// passPoll is how often a request that was refused looks whether it may go
+	// again.
+	passPoll = 40 * time.Millisecond
 	// digestValid is how old a digest may be to limit anything.
 	digestValid = 1500 * time.Millisecond
 )
@@ -46,6 +49,7 @@
 
 	mu    sync.Mutex
 	queue *queue.Queue
+	gate  queue.Gate
 	// slots are those of all engines; told is when their load was.
 	slots   int
 	told    time.Time
@@ -139,7 +143,7 @@
 // pump starts what may start and answers what was shed. It is called with the
 // lock held.
 func (a *admission) pump(now time.Time) {
-	for {
+	for l := a.queue.Load(); l.Items > 0 && l.Running < l.Slots && a.gate.Pass(now); l = a.queue.Load() {
 		item, ok := a.queue.Next(now)
 		if !ok {
 			break
@@ -162,6 +166,40 @@
 	}
 }
 
+// refused tells that a target has refused a request.
+func (a *admission) refused(target string) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.gate.Refused(target, now) {
+		a.log.Warn("all targets refuse, requests wait", "service", a.service)
+	}
+}
+
+// accepted tells that a target has taken a request.
+func (a *admission) accepted() {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.gate.Accepted() {
+		a.log.Info("targets take requests again", "service", a.service, "waiting", a.queue.Load().Items)
+		a.pump(now)
+	}
+}
+
+// pass waits until a request that was refused may be tried again.
+func (a *admission) pass(ctx context.Context) {
+	for ctx.Err() == nil && !a.mayPass() {
+		wait(ctx, passPoll)
+	}
+}
+
+func (a *admission) mayPass() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gate.Pass(time.Now())
+}
+
 // leave gives the place of a request back.
 func (a *admission) leave(id string, cost float64) {
 	now := time.Now()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -296,6 +296,9 @@
 		}
 		c.log.Info("retry", "id", c.req.ID, "service", c.service, "reason", reason, "errors", c.attempts.Errors, "ran", c.ran)
 		wait(ctx, time.Until(d.At))
+		if c.admission != nil && kind == retry.Refused {
+			c.admission.pass(ctx)
+		}
 	}
 }
 
@@ -383,9 +386,15 @@
 	now := time.Now()
 	a := platform.ParseAnswer(reply.Status, reply.Header)
 	c.fleet.heard(s, a, now)
+	if c.admission != nil && !a.NotRun {
+		c.admission.accepted()
+	}
 	switch {
 	case a.NotRun:
 		c.ran--
+		if c.admission != nil && !a.Misdirected {
+			c.admission.refused(s.target.ID)
+		}
 		return retry.Refused, "refused by " + s.target.ID, false
 	case !a.Sealed || a.Encoded || a.ID != c.req.ID:
 		c.fleet.failed(s, severityOf(nil), now)
