The loads of experts outlast the steward, in the store

Cause: after a loss of power all ranks begin with the first map, and the new steward waited for counts before it changed anything.

--- a/core/expert/recent.go
+++ b/core/expert/recent.go
@@ -16,8 +16,24 @@
 	at    time.Time
 }
 
-// Observe adds what was chosen since the last call.
+// Begin sets the loads before the first call of Observe, as far as they are
+// guessed. The total says for how much work the guess stands.
+func (r *Recent) Begin(guess []float64, total float64) {
+	r.loads = append([]float64(nil), guess...)
+	if s := sum(guess); s > 0 {
+		for e := range r.loads {
+			r.loads[e] *= total / s
+		}
+	}
+}
+
+// Observe adds what was chosen since the last call. A time without any work is
+// no time: what was chosen before it is still the best guess after it.
 func (r *Recent) Observe(now time.Time, chosen []float64) {
+	if sum(chosen) <= 0 {
+		r.at = now
+		return
+	}
 	if len(r.loads) != len(chosen) {
 		r.loads = make([]float64, len(chosen))
 	}
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -31,6 +31,8 @@
 	// view is the last digest while this agent is the steward, taken at viewAt.
 	view   *rankpeer.Digest
 	viewAt time.Time
+	// toSave are loads that wait to be written while this agent is the steward.
+	toSave *savedLoads
 }
 
 func newAgent(boot platform.Boot, log *slog.Logger, plan bool) *agent {
--- /dev/null
+++ b/sidecar/memory.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"errors"
+	"math"
+	"time"
+
+	"verbenashift/platform"
+)
+
+const (
+	// loadsPrefix begins the keys of the store that hold how much the experts of
+	// a group were chosen lately.
+	loadsPrefix = "verbenashift/loads/"
+	// saveEvery is how often that is written while it changes. The mix of work
+	// changes every few seconds; a write costs the store one call.
+	saveEvery = 4 * time.Second
+)
+
+// savedLoads are the loads of the experts by layer, each layer's scaled to the
+// range of the numbers.
+type savedLoads struct {
+	Layers [][]uint16
+}
+
+// recallLoads reads the loads that an earlier steward has saved. After a loss of
+// power all ranks begin with their first map and all stewards without counts:
+// what was balanced a second ago is the best guess until new counts are in.
+func (a *agent) recallLoads(ctx context.Context, group string) *savedLoads {
+	ctx, cancel := context.WithTimeout(ctx, claimWait)
+	defer cancel()
+	it, err := a.store.Get(ctx, loadsPrefix+group)
+	var status *platform.StatusError
+	if errors.As(err, &status) && status.NotFound() {
+		return nil
+	}
+	if err != nil {
+		a.log.Warn("saved loads not read", "group", group, "error", err.Error())
+		return nil
+	}
+	var saved savedLoads
+	if err := gob.NewDecoder(bytes.NewReader(it.Value)).Decode(&saved); err != nil {
+		a.log.Error("saved loads not understood", "group", group, "error", err.Error())
+		return nil
+	}
+	a.log.Info("loads recalled", "group", group, "revision", it.Revision)
+	return &saved
+}
+
+// keepLoads writes the loads now and then until the context ends. They are a
+// guess for the next steward: one that can't be written is not missed.
+func (s *steward) keepLoads(ctx context.Context) {
+	for sleep(ctx, saveEvery) {
+		s.mu.Lock()
+		saved := s.toSave
+		s.toSave = nil
+		s.mu.Unlock()
+		if saved == nil {
+			continue
+		}
+		if err := s.saveLoads(ctx, saved); err != nil {
+			s.log.Warn("loads not saved", "error", err.Error())
+		}
+	}
+}
+
+func (s *steward) saveLoads(ctx context.Context, saved *savedLoads) error {
+	ctx, cancel := context.WithTimeout(ctx, claimWait)
+	defer cancel()
+	var data bytes.Buffer
+	if err := gob.NewEncoder(&data).Encode(saved); err != nil {
+		return err
+	}
+	return s.store.Set(ctx, loadsPrefix+s.group, data.Bytes())
+}
+
+// scaled returns loads as numbers of the saved form.
+func scaled(loads []float64) []uint16 {
+	most := 0.0
+	for _, x := range loads {
+		most = math.Max(most, x)
+	}
+	out := make([]uint16, len(loads))
+	if most <= 0 {
+		return out
+	}
+	for e, x := range loads {
+		out[e] = uint16(math.Round(x / most * math.MaxUint16))
+	}
+	return out
+}
--- a/sidecar/planner.go
+++ b/sidecar/planner.go
@@ -32,6 +32,9 @@
 	// leastChosen is how often each expert must have been chosen lately, in
 	// the mean, for an estimate.
 	leastChosen = 20
+	// guessCounts is for how many choices of each expert a guess stands: little
+	// more than is needed to plan with it, so that new counts soon outweigh it.
+	guessCounts = 1.5 * leastChosen
 	// slowPace is the pace over which a rank counts as slow.
 	slowPace = 1.1
 )
@@ -47,6 +50,8 @@
 	counts map[string]*platform.Counts
 	places map[string]*platform.Placement
 	recent []expert.Recent
+	// guess are the loads that an earlier steward has saved, until they are used.
+	guess *savedLoads
 	// placed says that places are those of the map in force.
 	placed bool
 }
@@ -69,6 +74,34 @@
 	for i := range p.recent {
 		p.recent[i].Memory = memory
 	}
+	p.begin()
+}
+
+// begin uses the guess, if it fits the shape of the group.
+func (p *planner) begin() {
+	if p.guess == nil || len(p.guess.Layers) != len(p.recent) {
+		return
+	}
+	for l, loads := range p.guess.Layers {
+		if len(loads) != p.engine.Experts {
+			return
+		}
+		guess := make([]float64, len(loads))
+		for e, x := range loads {
+			guess[e] = float64(x)
+		}
+		p.recent[l].Begin(guess, guessCounts*float64(p.engine.Experts))
+	}
+	p.guess = nil
+}
+
+// save returns the loads for the next steward.
+func (p *planner) save() *savedLoads {
+	saved := &savedLoads{}
+	for l := range p.recent {
+		saved.Layers = append(saved.Layers, scaled(p.recent[l].Loads()))
+	}
+	return saved
 }
 
 // take takes in what the ranks have told.
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -69,7 +69,9 @@
 		log: a.log.With("group", st.Group, "term", term),
 	}
 	s.core.Fence = term
+	s.planner.guess = a.recallLoads(ctx, st.Group)
 	go s.targets.Run(ctx)
+	go s.keepLoads(ctx)
 	s.log.Info("steward begins", "acting", acting)
 	s.drive(ctx)
 	s.setDigest(nil)
@@ -167,6 +169,16 @@
 	return some
 }
 
+// offerLoads hands the loads to keepLoads.
+func (s *steward) offerLoads() {
+	if s.planner.judged() {
+		saved := s.planner.save()
+		s.mu.Lock()
+		s.toSave = saved
+		s.mu.Unlock()
+	}
+}
+
 // pressed reports whether passes are long against the pauses that callers are
 // to see.
 func (s *steward) pressed() bool {
@@ -194,6 +206,7 @@
 		return
 	}
 	s.reported = now
+	s.offerLoads()
 	known, running, queued, slow := 0, 0, 0, 0.0
 	for i := range ranks {
 		st := &ranks[i].State
