Let requests in gradually when engines are back

Cause: after an outage all who waited were let in at once: 190 of 192 slots, and steps of 110 ms for six seconds.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -183,6 +183,8 @@
 	defer a.mu.Unlock()
 	if a.gate.Accepted() {
 		a.log.Info("targets take requests again", "service", a.service, "waiting", a.queue.Load().Items)
+		a.queue.SetSlots(queue.Reopened(a.slots))
+		a.told = now
 		a.pump(now)
 	}
 }
