A hold is given up only if its steward alone can have armed; explorer and tests

Change: the holder is told by the salt of the prepared map and the place of the hold; no order to arm may have been given.

--- /dev/null
+++ b/core/lockstep/explorer_test.go
@@ -0,0 +1,416 @@
+package lockstep
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/platform"
+)
+
+var runs = flag.Int("lockstep.runs", 3000, "random runs of the explorer")
+
+// model is a group of ranks as the platform's pages describe them. Orders may
+// be carried out late and more than once; nothing but the version number, the
+// epoch and the pass protects a rank.
+type model struct {
+	ranks []modelRank
+	// step is the last pass that was begun.
+	step  int64
+	epoch int64
+	rng   *rand.Rand
+	// mixed says how two ranks had different maps in one pass.
+	mixed error
+}
+
+type modelRank struct {
+	state platform.RankState
+	had   int64
+	// maps is the content of the versions that this rank has prepared.
+	maps map[int64]string
+	// copying is the version that is complete at tick ready.
+	copying int64
+	ready   int
+}
+
+func newModel(n int, rng *rand.Rand) *model {
+	m := &model{rng: rng, epoch: 1}
+	for i := range n {
+		m.ranks = append(m.ranks, modelRank{
+			state: platform.RankState{Group: "g", Epoch: 1, Rank: i, Size: n, Open: true},
+			maps:  map[int64]string{0: "first"},
+		})
+	}
+	return m
+}
+
+// apply carries out an order and reports whether it fits.
+func (m *model) apply(i int, o platform.Order, tick int) bool {
+	r := &m.ranks[i]
+	st := &r.state
+	if o.Epoch != st.Epoch || !st.Open {
+		return false
+	}
+	switch o.Kind {
+	case platform.PrepareMap:
+		if o.Version <= r.had || st.ArmedMap != 0 {
+			return o.Version == st.Prepared || o.Version == r.copying
+		}
+		r.had, r.copying, r.ready = o.Version, o.Version, tick+1+m.rng.IntN(4)
+		r.maps[o.Version] = fmt.Sprint(o.Map)
+		st.Prepared = 0
+	case platform.ArmMap:
+		if st.Prepared != o.Version || m.step >= o.Step || st.ArmedMap != 0 && st.ArmedMap != o.Version {
+			return false
+		}
+		st.ArmedMap, st.ArmedStep = o.Version, o.Step
+	case platform.DisarmMap:
+		if st.Map == o.Version {
+			return false
+		}
+		if st.ArmedMap == o.Version {
+			st.ArmedMap, st.ArmedStep = 0, 0
+		}
+	case platform.HoldPass:
+		if m.step >= o.Step || st.Held != 0 && st.Held != o.Step {
+			return false
+		}
+		st.Held = o.Step
+	case platform.ReleasePass:
+		if st.Held == o.Step {
+			st.Held = 0
+		}
+	}
+	return true
+}
+
+// tick lets copies complete and the group begin a pass, if nothing holds it.
+func (m *model) tick(tick int) {
+	for i := range m.ranks {
+		r := &m.ranks[i]
+		if r.copying != 0 && tick >= r.ready {
+			r.state.Prepared, r.copying = r.copying, 0
+		}
+	}
+	for i := range m.ranks {
+		if !m.ranks[i].state.Open || m.ranks[i].state.Held == m.step+1 {
+			return
+		}
+	}
+	m.step++
+	var first *modelRank
+	for i := range m.ranks {
+		r := &m.ranks[i]
+		r.state.Step = m.step
+		if r.state.ArmedMap != 0 && r.state.ArmedStep == m.step {
+			r.state.Map = r.state.ArmedMap
+			r.state.ArmedMap, r.state.ArmedStep = 0, 0
+		}
+		if first == nil {
+			first = r
+			continue
+		}
+		if first.state.Map != r.state.Map || first.maps[first.state.Map] != r.maps[r.state.Map] {
+			m.mixed = fmt.Errorf("pass %d: rank %d has map %d (%s), rank %d has %d (%s)", m.step,
+				first.state.Rank, first.state.Map, first.maps[first.state.Map], i, r.state.Map, r.maps[r.state.Map])
+		}
+	}
+}
+
+// restart forms the group anew after the loss of a rank.
+func (m *model) restart() {
+	m.epoch++
+	for i := range m.ranks {
+		r := &m.ranks[i]
+		n := len(m.ranks)
+		r.state = platform.RankState{Group: "g", Epoch: m.epoch, Rank: i, Size: n, Open: true, Step: m.step}
+		r.had, r.copying = 0, 0
+		r.maps = map[int64]string{0: "first"}
+	}
+}
+
+// late is an order that is carried out at a later tick.
+type late struct {
+	at    int
+	rank  int
+	order platform.Order
+}
+
+// driver is a steward with the process around it.
+type driver struct {
+	s    *Steward
+	term int64
+	at   int // its rank
+	// paused is the tick until which its process stands still; what it had
+	// decided goes out when it wakes.
+	paused  int
+	pending []Command
+	ranks   []Rank
+	done    bool
+}
+
+// world plays stewards against the model.
+type world struct {
+	*model
+	drivers []*driver
+	late    []late
+	// cut are ranks that can't be reached until a tick, with the agent there.
+	cut []int
+	// heard is the highest term that the agent beside each rank has heard.
+	heard  []int64
+	term   int64
+	last   *Predecessor
+	tickNo int
+	faults bool
+	// guards of the protocol that a test may switch off.
+	noHold, sameNumbers bool
+}
+
+func (w *world) takeOver() {
+	w.term++
+	at := w.rng.IntN(len(w.ranks))
+	salt := w.rng.Uint64()
+	if w.sameNumbers {
+		salt = 1
+	}
+	before := w.last
+	if before != nil && before.Rank == at {
+		before = nil
+	}
+	w.last = &Predecessor{Rank: at, Salt: salt}
+	w.drivers = append(w.drivers, &driver{s: NewSteward(at, before, salt), term: w.term, at: at})
+}
+
+// reach reports whether a driver can reach a rank, through the agent or
+// straight.
+func (w *world) reach(d *driver, i int) bool {
+	return w.cut[i] <= w.tickNo && w.cut[d.at] <= w.tickNo || i == d.at
+}
+
+// order sends a command: it may be lost, refused by the agent, carried out now
+// or late.
+func (w *world) order(d *driver, c Command) {
+	if !w.reach(d, c.Rank) {
+		return
+	}
+	if !c.Direct {
+		if w.heard[c.Rank] > d.term {
+			d.done = true
+			return
+		}
+		w.heard[c.Rank] = d.term
+	}
+	if w.faults && w.rng.IntN(10) < 2 {
+		if w.rng.IntN(2) == 0 {
+			w.late = append(w.late, late{w.tickNo + 1 + w.rng.IntN(30), c.Rank, c.Order})
+		}
+		return
+	}
+	ok := w.apply(c.Rank, c.Order, w.tickNo)
+	if !ok {
+		d.s.Refused(c.Order)
+	}
+}
+
+// look reads all ranks that can be reached; some readings are old.
+func (w *world) look(d *driver) {
+	if len(d.ranks) != len(w.ranks) {
+		d.ranks = make([]Rank, len(w.ranks))
+	}
+	for i := range w.ranks {
+		if !w.reach(d, i) {
+			d.ranks[i].Known = false
+			continue
+		}
+		if w.heard[i] > d.term {
+			d.done = true
+			return
+		}
+		w.heard[i] = d.term
+		d.ranks[i] = Rank{Known: true, State: w.ranks[i].state}
+	}
+}
+
+func (w *world) drive(d *driver) {
+	if d.done || w.tickNo < d.paused {
+		return
+	}
+	for _, c := range d.pending {
+		w.order(d, c)
+	}
+	d.pending = nil
+	if d.done {
+		return
+	}
+	now := time.Unix(0, 0).Add(time.Duration(w.tickNo) * 100 * time.Millisecond)
+	for range 4 {
+		w.look(d)
+		if d.done {
+			return
+		}
+		w.propose(d)
+		cmds := d.s.Next(d.ranks, now)
+		if w.noHold {
+			cmds = w.withoutHold(d, cmds)
+		}
+		if len(cmds) == 0 {
+			return
+		}
+		if w.faults && w.rng.IntN(12) == 0 {
+			// The process stands still between deciding and sending.
+			d.pending, d.paused = cmds, w.tickNo+w.rng.IntN(40)
+			return
+		}
+		for k, c := range cmds {
+			if w.faults && w.rng.IntN(60) == 0 {
+				d.pending, d.paused = cmds[k:], w.tickNo+w.rng.IntN(40)
+				return
+			}
+			w.order(d, c)
+		}
+	}
+}
+
+// withoutHold is the fault that arming begins without a hold.
+func (w *world) withoutHold(d *driver, cmds []Command) []Command {
+	if len(cmds) != 1 || cmds[0].Order.Kind != platform.HoldPass {
+		return cmds
+	}
+	out := make([]Command, 0, len(w.ranks))
+	for i := range w.ranks {
+		out = append(out, d.s.command(d.ranks, i, platform.Order{Kind: platform.ArmMap, Version: d.s.version, Step: cmds[0].Order.Step}))
+	}
+	return out
+}
+
+func (w *world) propose(d *driver) {
+	fresh := Map{{{w.rng.IntN(1000)}, {d.at}}}
+	if d.s.Stuck(d.ranks) || d.s.Idle(d.ranks) && w.rng.IntN(3) == 0 {
+		d.s.Propose(d.ranks, fresh)
+	}
+}
+
+func (w *world) fault() {
+	switch w.rng.IntN(40) {
+	case 0, 1:
+		w.takeOver()
+	case 2, 3:
+		w.cut[w.rng.IntN(len(w.ranks))] = w.tickNo + 1 + w.rng.IntN(40)
+	case 4:
+		if w.rng.IntN(6) == 0 {
+			w.restart()
+		}
+	case 5:
+		d := w.drivers[w.rng.IntN(len(w.drivers))]
+		d.paused = w.tickNo + w.rng.IntN(40)
+	}
+}
+
+func (w *world) step1() {
+	w.tickNo++
+	if w.faults {
+		w.fault()
+	}
+	kept := w.late[:0]
+	for _, l := range w.late {
+		if l.at <= w.tickNo {
+			w.apply(l.rank, l.order, w.tickNo)
+		} else {
+			kept = append(kept, l)
+		}
+	}
+	w.late = kept
+	for _, d := range w.drivers {
+		w.drive(d)
+	}
+	w.tick(w.tickNo)
+}
+
+func newWorld(seed uint64) *world {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	n := 2 + rng.IntN(4)
+	w := &world{model: newModel(n, rng), cut: make([]int, n), heard: make([]int64, n), faults: true}
+	w.takeOver()
+	return w
+}
+
+const (
+	faultyTicks = 150
+	calmTicks   = 150
+)
+
+// play returns an error if two ranks had different maps in one pass, or if the
+// group did not go on once the faults had stopped.
+func (w *world) play() error {
+	for range faultyTicks {
+		w.step1()
+		if w.mixed != nil {
+			return w.mixed
+		}
+	}
+	w.faults = false
+	clear(w.cut)
+	for _, d := range w.drivers {
+		d.paused = 0
+	}
+	w.takeOver()
+	before := w.step
+	for range calmTicks {
+		w.step1()
+		if w.mixed != nil {
+			return w.mixed
+		}
+	}
+	if w.step-before < calmTicks/3 {
+		return fmt.Errorf("only %d passes in %d ticks after the faults: %+v", w.step-before, calmTicks, w.ranks)
+	}
+	return nil
+}
+
+// A caller would see garbled answers if ranks computed one pass on different
+// maps, and silence if a group stood for good. Stewards die, pause between
+// deciding and sending, and come two at a time; ranks are cut off; orders are
+// lost or carried out seconds late; ranks restart and the group forms anew.
+func TestExplore(t *testing.T) {
+	is := is.New(t)
+	for seed := range *runs {
+		err := newWorld(uint64(seed)).play()
+		if err != nil {
+			t.Logf("seed %d", seed)
+		}
+		is.NoErr(err)
+	}
+}
+
+// Each guard is needed: without it the same runs end in ranks with different
+// maps.
+func TestExploreMissesNoGuard(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		off  func(*world)
+	}{
+		{"hold before arming", func(w *world) { w.noHold = true }},
+		{"numbers of a steward's own", func(w *world) { w.sameNumbers = true }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range 20000 {
+				w := newWorld(uint64(seed))
+				c.off(w)
+				for range faultyTicks {
+					w.step1()
+				}
+				if w.mixed != nil {
+					t.Logf("seed %d: %v", seed, w.mixed)
+					return
+				}
+			}
+			t.Error("no run ended in different maps without this guard")
+		})
+	}
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(1, 7)) }
--- a/core/lockstep/lockstep.go
+++ b/core/lockstep/lockstep.go
@@ -92,9 +92,9 @@
 	Fence int64
 
 	self int
-	// before is the rank of the steward from which the duty was taken over, or
-	// -1.
-	before int
+	// before is the steward from which the duty was taken over, or nil. It is
+	// forgotten with the first order to arm.
+	before *Predecessor
 	// salt is the part of the numbers of maps that is this steward's own.
 	salt int64
 	// version and content are the map being prepared; 0 means none. It changes
@@ -106,7 +106,11 @@
 	// highest is the highest number of a map that was seen or refused.
 	highest int64
 	holdAt  int64
-	pass    passClock
+	// asked is when each rank was last ordered to prepare the map askedFor.
+	asked    []time.Time
+	askedFor int64
+	now      time.Time
+	pass     passClock
 	// standing is since when a hold could be given up by abandon.
 	standing time.Time
 }
@@ -114,10 +118,17 @@
 // saltRange is the range of the steward's own part of the numbers of maps.
 const saltRange = 1 << 20
 
-// NewSteward returns the steward at the rank self. Before is the rank of the
-// steward that was heard last, or -1 if none was. The salt is drawn anew for
-// each steward; it is taken modulo 1<<20.
-func NewSteward(self, before int, salt uint64) *Steward {
+// Predecessor is the steward that was heard last.
+type Predecessor struct {
+	// Rank is that beside which it ran, Salt the one that it was made with.
+	Rank int
+	Salt uint64
+}
+
+// NewSteward returns the steward at the rank self. Before is the steward that
+// was heard last, or nil if none was. The salt is drawn anew for each steward; it
+// is taken modulo 1<<20.
+func NewSteward(self int, before *Predecessor, salt uint64) *Steward {
 	return &Steward{self: self, before: before, salt: int64(salt % saltRange)}
 }
 
@@ -175,6 +186,14 @@
 // PassTime returns how long the last passes took, or 0 before it is known.
 func (s *Steward) PassTime() time.Duration { return s.pass.took }
 
+// Unanswered tells that a rank has not answered an order: it is given again at
+// once.
+func (s *Steward) Unanswered(c Command) {
+	if c.Order.Kind == platform.PrepareMap && c.Rank < len(s.asked) {
+		s.asked[c.Rank] = time.Time{}
+	}
+}
+
 // Refused tells that a rank refused an order for another reason than its number
 // of orders: then the number of the map may have been used before.
 func (s *Steward) Refused(o platform.Order) {
@@ -233,6 +252,7 @@
 	if !whole(ranks) {
 		return s.abandon(ranks, now)
 	}
+	s.now = now
 	s.enter(ranks[0].State.Epoch)
 	s.see(ranks)
 	s.pass.observe(lastStep(ranks), now)
@@ -256,6 +276,7 @@
 func (s *Steward) enter(epoch int64) {
 	if epoch != s.epoch {
 		s.epoch, s.version, s.content, s.holdAt, s.highest = epoch, 0, nil, 0, 0
+		s.asked = nil
 		s.pass = passClock{}
 	}
 }
@@ -270,14 +291,12 @@
 // That happens when a steward's instance stops answering just after its hold:
 // the group would stand until it is back. No rank that answers is armed, and
 // the agents beside them take no orders from that steward any more. The missing
-// rank is not armed either, since a steward arms its own rank last, after all
-// the others. If another rank is missing, it may be armed: then the hold must
-// stay.
+// rank is not armed either: a steward arms its own rank last, after all the
+// others, and nobody else has armed for this hold; see ownHold.
 func (s *Steward) abandon(ranks []Rank, now time.Time) []Command {
-	missing := s.onlyMissing(ranks)
 	step := lowestHeld(ranks)
 	version, _ := armed(ranks)
-	if missing < 0 || missing != s.before || version != 0 || step == 0 {
+	if version != 0 || step == 0 || !s.ownHold(ranks) {
 		s.standing = time.Time{}
 		return nil
 	}
@@ -290,6 +309,25 @@
 	return s.release(ranks, step)
 }
 
+// ownHold reports whether only the steward before can have given orders to arm
+// for the hold, and only its own rank is missing: it is the one that prepared
+// the map, the hold is where it places its holds, and this steward has not armed
+// anything. If another steward had a hand in it, the missing rank may be armed.
+func (s *Steward) ownHold(ranks []Rank) bool {
+	missing := s.onlyMissing(ranks)
+	if s.before == nil || missing < 0 || missing != s.before.Rank {
+		return false
+	}
+	holder := (missing + 1) % len(ranks)
+	for i := range ranks {
+		st := &ranks[i].State
+		if i != missing && (st.Prepared%saltRange != int64(s.before.Salt%saltRange) || st.Held != 0 && i != holder) {
+			return false
+		}
+	}
+	return true
+}
+
 // onlyMissing returns the one rank that is not known in an otherwise whole
 // group, or -1.
 func (s *Steward) onlyMissing(ranks []Rank) int {
@@ -388,16 +426,23 @@
 	return []Command{cmd}
 }
 
-// prepare gives the map to the ranks that do not have it. A rank that copies
-// is left alone until it is done.
+// prepareAgain is how long a rank is left alone with an order to prepare: it
+// says nothing while it copies.
+const prepareAgain = 150 * time.Millisecond
+
+// prepare gives the map to the ranks that do not have it.
 func (s *Steward) prepare(ranks []Rank) []Command {
 	if s.version == 0 {
 		return nil
 	}
+	if s.asked == nil || s.askedFor != s.version {
+		s.asked, s.askedFor = make([]time.Time, len(ranks)), s.version
+	}
 	var cmds []Command
 	for i := range ranks {
 		st := &ranks[i].State
-		if st.Prepared != s.version && !st.Busy {
+		if st.Prepared != s.version && s.now.Sub(s.asked[i]) >= prepareAgain {
+			s.asked[i] = s.now
 			cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.PrepareMap, Version: s.version, Map: s.content}))
 		}
 	}
@@ -439,6 +484,9 @@
 }
 
 func (s *Steward) command(ranks []Rank, i int, o platform.Order) Command {
+	if o.Kind == platform.ArmMap {
+		s.before = nil
+	}
 	o.Epoch, o.Expect, o.Fence = ranks[i].State.Epoch, ranks[i].State.Seq, s.Fence
 	return Command{Rank: i, Order: o}
 }
--- a/core/rankpeer/rankpeer.go
+++ b/core/rankpeer/rankpeer.go
@@ -29,8 +29,9 @@
 	// Term is the steward's fencing number, From its instance.
 	Term int64
 	From string
-	// Rank is that beside which the steward runs.
+	// Rank is that beside which the steward runs, Salt what it was made with.
 	Rank int
+	Salt uint64
 	// Counts and Placement ask for more than the state of the rank.
 	Counts    bool
 	Placement bool
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -23,10 +23,11 @@
 	plan bool
 
 	mu sync.Mutex
-	// term, from and fromRank are those of the newest steward heard.
+	// term, from, fromRank and fromSalt are those of the newest steward heard.
 	term      int64
 	from      string
 	fromRank  int
+	fromSalt  uint64
 	candidate *lockstep.Candidate
 	// view is the last digest while this agent is the steward, taken at viewAt.
 	view   *rankpeer.Digest
@@ -59,7 +60,7 @@
 	if ask.From != a.from {
 		a.log.Info("steward", "steward", ask.From, "term", ask.Term, "before", a.from, "term-before", a.term)
 	}
-	a.term, a.from, a.fromRank = ask.Term, ask.From, ask.Rank
+	a.term, a.from, a.fromRank, a.fromSalt = ask.Term, ask.From, ask.Rank, ask.Salt
 	a.candidate.Heard(time.Now())
 	return a.term, true
 }
@@ -90,15 +91,15 @@
 	a.view, a.viewAt = d, time.Now()
 }
 
-// stewardBefore returns the rank of the steward that was heard last, or -1 if
-// none was or it was this agent itself.
-func (a *agent) stewardBefore(self int) int {
+// stewardBefore returns the steward that was heard last, or nil if none was or
+// it was beside this agent's own rank.
+func (a *agent) stewardBefore(self int) *lockstep.Predecessor {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.from == "" || a.fromRank == self {
-		return -1
+		return nil
 	}
-	return a.fromRank
+	return &lockstep.Predecessor{Rank: a.fromRank, Salt: a.fromSalt}
 }
 
 // due reports whether this agent should try to become the steward.
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -35,7 +35,9 @@
 	group string
 	// rankOf is the rank beside which the steward runs.
 	rankOf int
-	term   int64
+	// salt is what the steward was made with; see lockstep.Predecessor.
+	salt uint64
+	term int64
 	// acting says that the term does not come from the store.
 	acting  bool
 	targets *mirror.Follower
@@ -62,10 +64,11 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	salt := rand.Uint64()
 	s := &steward{
-		agent: a, group: st.Group, rankOf: st.Rank, term: term, acting: acting,
+		agent: a, salt: salt, group: st.Group, rankOf: st.Rank, term: term, acting: acting,
 		targets: mirror.NewFollower(a.store, a.log), peers: map[string]*peer{},
-		core: lockstep.NewSteward(st.Rank, a.stewardBefore(st.Rank), rand.Uint64()), pending: map[string]lockstep.Command{},
+		core: lockstep.NewSteward(st.Rank, a.stewardBefore(st.Rank), salt), pending: map[string]lockstep.Command{},
 		log: a.log.With("group", st.Group, "term", term),
 	}
 	s.core.Fence = term
@@ -252,7 +255,7 @@
 	var wg sync.WaitGroup
 	for id, p := range peers {
 		cmd, ordered := s.pending[id]
-		ask := rankpeer.Ask{Term: s.term, From: s.boot.Instance, Rank: s.rankOf, Counts: !ordered, Placement: full}
+		ask := rankpeer.Ask{Term: s.term, From: s.boot.Instance, Rank: s.rankOf, Salt: s.salt, Counts: !ordered, Placement: full}
 		if ordered {
 			ask.Order = &cmd.Order
 		}
@@ -279,6 +282,9 @@
 	for id, cmd := range s.pending {
 		o := cmd.Order
 		t := s.tells[id]
+		if t.Status == 0 {
+			s.core.Unanswered(cmd)
+		}
 		if t.Status == http.StatusConflict && t.Known && t.State.Seq == o.Expect && t.State.Epoch == o.Epoch {
 			s.log.Warn("order refused", "target", id, "order", string(o.Kind), "version", o.Version, "step", o.Step)
 			s.core.Refused(o)
