--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,210 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// Shape says what a fleet consists of.
+type Shape struct {
+	// Dir is where the settings files go.
+	Dir string
+	// Block is the first three numbers of the loopback addresses.
+	Block           string
+	Ranks, Gateways int
+	// LateOrders is the share of orders that are carried out late.
+	LateOrders float64
+}
+
+// Boot is the settings file of one process.
+type Boot struct {
+	// Name is that of the instance, Role "gateway" or "sidecar".
+	Name, Role, File string
+}
+
+// Fleet is a running stand-in of the platform.
+type Fleet struct {
+	Shape
+	Store  *Store
+	Group  *Group
+	Ledger *Ledger
+	Boots  []Boot
+	// Fronts are the gateways' addresses, Ready those of their checks.
+	Fronts, Ready []string
+
+	refuse  atomic.Bool
+	version int
+	done    chan struct{}
+	servers []*http.Server
+}
+
+// The ports of all processes; each has an address of its own.
+const (
+	storePort = 9300
+	appPort   = 9301
+	frontPort = 9302
+	readyPort = 9303
+	peerPort  = 9310
+	lastPort  = 9319
+)
+
+// graceSeconds is the time from SIGTERM to SIGKILL.
+const graceSeconds = 8
+
+// Start starts the servers and writes the settings files.
+func Start(shape Shape) (*Fleet, error) {
+	f := &Fleet{
+		Shape: shape, Store: NewStore(), Group: NewGroup(shape.Ranks),
+		Ledger: &Ledger{runs: map[string]int{}}, done: make(chan struct{}),
+	}
+	f.Group.lateOrders = shape.LateOrders
+	if err := f.serve(f.ip(1), storePort, f.Store); err != nil {
+		return nil, err
+	}
+	f.Configure(2000)
+	for i := range shape.Ranks {
+		if err := f.addRank(i); err != nil {
+			return nil, err
+		}
+	}
+	for i := range 2 {
+		if err := f.addPlain(i); err != nil {
+			return nil, err
+		}
+	}
+	for i := range shape.Gateways {
+		ip := f.ip(200 + i)
+		f.Fronts = append(f.Fronts, net.JoinHostPort(ip, strconv.Itoa(frontPort)))
+		f.Ready = append(f.Ready, net.JoinHostPort(ip, strconv.Itoa(readyPort)))
+		listen := map[string]string{"front": f.Fronts[i], "ready": f.Ready[i]}
+		if err := f.writeBoot(fmt.Sprintf("front-%d", i), "gateway", ip, listen, ""); err != nil {
+			return nil, err
+		}
+	}
+	go f.Group.Run(f.done)
+	return f, nil
+}
+
+// Stop stops the servers.
+func (f *Fleet) Stop() {
+	close(f.done)
+	for _, s := range f.servers {
+		// Requests in progress are of no interest any more.
+		_ = s.Close()
+	}
+}
+
+// Refuse makes all model servers refuse requests, or serve them.
+func (f *Fleet) Refuse(refuse bool) { f.refuse.Store(refuse) }
+
+func (f *Fleet) ip(n int) string { return f.Block + "." + strconv.Itoa(n) }
+
+func (f *Fleet) serve(ip string, port int, h http.Handler) error {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	f.servers = append(f.servers, s)
+	go func() {
+		// It ends when Stop closes it.
+		_ = s.Serve(l)
+	}()
+	return nil
+}
+
+func (f *Fleet) addRank(i int) error {
+	ip, rank := f.ip(10+i), f.Group.ranks[i]
+	m := &modelServer{server: server{id: rank.id, ledger: f.Ledger, refuse: f.refuse.Load}, rank: rank}
+	if err := f.serve(ip, appPort, m); err != nil {
+		return err
+	}
+	f.register(rank.id, "pool", ip, slots)
+	return f.writeBoot(fmt.Sprintf("side-%d", i), "sidecar", ip, map[string]string{}, net.JoinHostPort(ip, strconv.Itoa(appPort)))
+}
+
+func (f *Fleet) addPlain(i int) error {
+	ip, id := f.ip(100+i), fmt.Sprintf("i-plain%d", i)
+	if err := f.serve(ip, appPort, &plainServer{server{id: id, ledger: f.Ledger}}); err != nil {
+		return err
+	}
+	f.register(id, "desk", ip, 6)
+	return nil
+}
+
+func (f *Fleet) register(id, service, ip string, slots int) {
+	f.put("servers/"+id, map[string]any{
+		"backend": service, "addr": net.JoinHostPort(ip, strconv.Itoa(appPort)), "zone": "z1",
+		"version": "v1", "slots": slots, "state": "ready", "coldMs": 0, "seq": 1,
+	})
+}
+
+func (f *Fleet) put(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // The values are built here.
+	}
+	f.Store.Put(key, data)
+}
+
+// Configure writes a new configuration with a time limit for plain requests.
+func (f *Fleet) Configure(timeoutMs int) {
+	f.version += 3
+	route := func(name, prefix, kind, backend string, more map[string]any) map[string]any {
+		r := map[string]any{
+			"name": name, "host": host, "prefix": prefix, "kind": kind, "backend": backend,
+			"timeoutMs": timeoutMs, "sloMs": 300, "priority": 1, "maxAttempts": 2,
+		}
+		for k, v := range more {
+			r[k] = v
+		}
+		return r
+	}
+	f.put("op/config", map[string]any{
+		"version": f.version,
+		"routes": []any{
+			route("drafts", streamPrefix, "stream", "pool", map[string]any{"timeoutMs": 8000, "resumable": true, "gapTargetMs": 120}),
+			route("lookups", safePrefix, "safe", "desk", nil),
+			route("holds", unsafePrefix, "unsafe", "desk", map[string]any{"maxAttempts": 1}),
+		},
+		"backends": []any{
+			map[string]any{"name": "pool", "healthPath": "/healthz", "maxConns": 400, "engine": map[string]any{
+				"slots": slots, "kvTokens": 100000, "linkMbps": 1000.0, "sets": layers, "experts": experts, "places": places,
+				"spare": spare, "expertMb": 1.0, "usual": map[string]any{"prompt": 100, "answer": 50},
+			}},
+			map[string]any{"name": "desk", "healthPath": "/healthz", "maxConns": 100},
+		},
+		"tenants": []any{map[string]any{"name": workspace, "apiKeys": []string{secret}}},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+}
+
+// writeBoot writes the settings file of one process.
+func (f *Fleet) writeBoot(name, role, ip string, listen map[string]string, app string) error {
+	boot := map[string]any{
+		"node": name, "role": role, "ip": ip, "zone": "z1", "listen": listen,
+		"portRange": []int{peerPort, lastPort}, "heartbeatMs": 1000,
+		"limits":   map[string]any{"memoryMb": 200},
+		"provider": map[string]any{"addr": net.JoinHostPort(f.ip(1), strconv.Itoa(storePort)), "form": "kv", "writesPerS": 400, "readsPerS": 2000},
+		"bounds": map[string]any{
+			"graceS": graceSeconds, "drainMs": 2000, "retryBudgetRatio": 0.2, "budgetSlack": 90, "budgetWindowS": 10, "enforceFencing": false,
+		},
+	}
+	if app != "" {
+		boot["app"], boot["backend"] = app, "pool"
+	}
+	data, err := json.MarshalIndent(boot, "", "  ")
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(f.Dir, name+".json")
+	f.Boots = append(f.Boots, Boot{Name: name, Role: role, File: file})
+	return os.WriteFile(file, data, 0o600)
+}
--- /dev/null
+++ b/standin/fleet/play.go
@@ -0,0 +1,169 @@
+package fleet
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Call is one request as its caller saw it.
+type Call struct {
+	ID string
+	// Kind is the prefix of the route.
+	Kind string
+	// Status is 0 if the connection broke before an answer.
+	Status int
+	// Whole says that the answer was complete and the request's own.
+	Whole bool
+	// Wrong says that the answer was another's, or out of order, or looked
+	// whole and was not.
+	Wrong string
+	// Took is the time to the end.
+	Took time.Duration
+}
+
+// playPause is the pause between two requests.
+const playPause = 4 * time.Millisecond
+
+// Play sends requests of all kinds to the gateways in turn.
+func Play(ctx context.Context, f *Fleet, n int) []Call {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20, DisableCompression: true}}
+	defer client.CloseIdleConnections()
+	calls := make([]Call, n)
+	var wg sync.WaitGroup
+	prefixes := []string{streamPrefix, streamPrefix, safePrefix, unsafePrefix}
+	for i := range n {
+		front := f.Fronts[i%len(f.Fronts)]
+		c := &calls[i]
+		c.ID, c.Kind = fmt.Sprintf("%016x", rand.Uint64()), prefixes[i%len(prefixes)]
+		wg.Go(func() { c.send(ctx, client, front) })
+		time.Sleep(playPause)
+	}
+	wg.Wait()
+	return calls
+}
+
+func (c *Call) send(ctx context.Context, client *http.Client, front string) {
+	began := time.Now()
+	defer func() { c.Took = time.Since(began) }()
+	method, body := http.MethodPost, bytes.NewReader(bytes.Repeat([]byte("x"), 600))
+	if c.Kind == safePrefix {
+		method, body = http.MethodGet, bytes.NewReader(nil)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+front+c.Kind+c.ID, body)
+	if err != nil {
+		return
+	}
+	req.Host = host
+	req.GetBody = nil
+	for k, v := range map[string]string{
+		"X-Request-Id": c.ID, "X-Deadline-Ms": "8000", "Authorization": "Token " + secret,
+		"X-Model": "m", "X-Token-Usage": "100,50", "X-Prompt-Prefix": "1:40,2:60",
+	} {
+		req.Header.Set(k, v)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	c.Status = resp.StatusCode
+	if resp.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return
+	}
+	if resp.Header.Get("X-Response-Seal") != "seal-"+c.ID {
+		c.Wrong = "seal of another request"
+		return
+	}
+	if c.Kind == streamPrefix {
+		c.readStream(resp.Body)
+		return
+	}
+	data, err := io.ReadAll(resp.Body)
+	c.Whole = err == nil && string(data) == plainText(c.ID)
+	if err == nil && !c.Whole {
+		c.Wrong = "body that looks whole and is not"
+	}
+}
+
+// readStream checks that each part comes once and in order.
+func (c *Call) readStream(r io.Reader) {
+	lines := bufio.NewScanner(r)
+	next := 1
+	for lines.Scan() {
+		text, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if text != eventText(c.ID, next) {
+			c.Wrong = fmt.Sprintf("part %q where %d was due", text, next)
+			return
+		}
+		next++
+	}
+	c.Whole = lines.Err() == nil && next == streamEvents+1
+	if lines.Err() == nil && !c.Whole {
+		c.Wrong = fmt.Sprintf("stream ended after %d parts as if it were whole", next-1)
+	}
+}
+
+// Verdict is what the callers' record and the ledger say together.
+type Verdict struct {
+	Requests int `json:"requests"`
+	Complete int `json:"complete"`
+	// Refused were told that they have not run, Unknown were not.
+	Refused int `json:"refused"`
+	Unknown int `json:"unknown"`
+	// The promises that broke.
+	Foreign    int `json:"foreign"`
+	Doubled    int `json:"doubled"`
+	FalseWord  int `json:"refused-but-ran"`
+	Wrong      int `json:"wrong-at-servers"`
+	Mixed      int `json:"map-mismatch-steps"`
+	Changes    int `json:"map-changes"`
+	SkewTenths int `json:"skew-tenths"`
+}
+
+// Kept reports whether all promises were kept.
+func (v Verdict) Kept() bool {
+	return v.Foreign == 0 && v.Doubled == 0 && v.FalseWord == 0 && v.Wrong == 0 && v.Mixed == 0
+}
+
+// Judge compares the callers' record with the ledger.
+func Judge(f *Fleet, calls []Call) Verdict {
+	v := Verdict{Requests: len(calls)}
+	for _, c := range calls {
+		runs := f.Ledger.Runs(c.ID)
+		switch {
+		case c.Wrong != "":
+			v.Foreign++
+		case c.Whole:
+			v.Complete++
+		case c.Status == http.StatusServiceUnavailable || c.Status == http.StatusTooManyRequests:
+			v.Refused++
+			if runs > 0 {
+				v.FalseWord++
+			}
+		default:
+			v.Unknown++
+		}
+		if c.Kind == unsafePrefix && runs > 1 {
+			v.Doubled++
+		}
+	}
+	f.Ledger.mu.Lock()
+	v.Wrong = f.Ledger.wrong
+	f.Ledger.mu.Unlock()
+	f.Group.mu.Lock()
+	defer f.Group.mu.Unlock()
+	v.Mixed, v.Changes, v.SkewTenths = f.Group.mixed, f.Group.changes, int(f.Group.skew*10)
+	return v
+}
--- /dev/null
+++ b/standin/fleet/server.go
@@ -0,0 +1,126 @@
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Ledger counts what servers ran, by request.
+type Ledger struct {
+	mu   sync.Mutex
+	runs map[string]int
+	// wrong are requests that came with a key, without a workspace, or for
+	// another server.
+	wrong int
+}
+
+func (l *Ledger) ran(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[id]++
+}
+
+func (l *Ledger) mark() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wrong++
+}
+
+// Runs returns how often a request ran.
+func (l *Ledger) Runs(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[id]
+}
+
+// server is what model servers and plain ones have in common.
+type server struct {
+	id     string
+	ledger *Ledger
+	// refuse makes it refuse everything, as a full server does.
+	refuse func() bool
+}
+
+// admit checks a request and reports whether it is to run.
+func (s *server) admit(w http.ResponseWriter, r *http.Request) bool {
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != s.id {
+		w.Header().Set("X-Instance-Id", s.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return false
+	}
+	if s.refuse != nil && s.refuse() {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return false
+	}
+	if r.Header.Get("Authorization") != "" || r.Header.Get("X-Tenant") != workspace {
+		s.ledger.mark()
+	}
+	s.ledger.ran(r.Header.Get("X-Request-Id"))
+	w.Header().Set("X-Response-Seal", "seal-"+r.Header.Get("X-Request-Id"))
+	return true
+}
+
+// modelServer answers streams beside the calls of its rank.
+type modelServer struct {
+	server
+	rank *Rank
+}
+
+func (m *modelServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !strings.HasPrefix(r.URL.Path, streamPrefix) {
+		m.rank.ServeHTTP(w, r)
+		return
+	}
+	if _, err := io.ReadAll(r.Body); err != nil || !m.admit(w, r) {
+		return
+	}
+	first := 1
+	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		first = last + 1
+	}
+	st := &stream{next: first, last: streamEvents, events: make(chan int, streamEvents+1), gone: r.Context().Done()}
+	g := m.rank.group
+	g.mu.Lock()
+	m.rank.waiting = append(m.rank.waiting, st)
+	g.mu.Unlock()
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := range st.events {
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventText(r.Header.Get("X-Request-Id"), n))
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return
+		}
+	}
+}
+
+// plainServer answers small requests.
+type plainServer struct{ server }
+
+func (p *plainServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.ReadAll(r.Body); err != nil || !p.admit(w, r) {
+		return
+	}
+	time.Sleep(2 * time.Millisecond)
+	fmt.Fprint(w, plainText(r.Header.Get("X-Request-Id")))
+}
+
+// What answers hold; a caller knows what to expect.
+const (
+	streamEvents = 12
+	streamPrefix = "/drafts/"
+	safePrefix   = "/lookups/"
+	unsafePrefix = "/holds/"
+	workspace    = "harbor-home"
+	secret       = "key-of-harbor-home"
+	host         = "desk.example"
+)
+
+func eventText(id string, n int) string { return fmt.Sprintf("%s part %d", id, n) }
+
+func plainText(id string) string { return "answer to " + id }
--- /dev/null
+++ b/standin/fleet/store.go
@@ -0,0 +1,237 @@
+package fleet
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// item is a key of the store as it goes over the wire.
+type item struct {
+	Key      string `json:"key"`
+	Value    string `json:"value,omitempty"`
+	Revision int64  `json:"revision"`
+	Created  int64  `json:"created,omitempty"`
+	Removed  bool   `json:"removed,omitempty"`
+}
+
+// Store is the platform's metadata store, without leases.
+type Store struct {
+	mu       sync.Mutex
+	revision int64
+	items    map[string]item
+	history  []item
+	// oldest is the first revision that the history still has.
+	oldest  int64
+	changed chan struct{}
+	down    bool
+	calls   int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{items: map[string]item{}, changed: make(chan struct{}), oldest: 1}
+}
+
+// Put writes a key as the operator or a server does.
+func (s *Store) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(key, base64.StdEncoding.EncodeToString(value))
+	s.wake()
+}
+
+// Remove removes a key.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	delete(s.items, key)
+	s.revision++
+	s.history = append(s.history, item{Key: key, Revision: s.revision, Removed: true})
+	s.wake()
+}
+
+// SetDown makes the store refuse all calls, or serve again.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.wake()
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.oldest = nil, s.revision+1
+}
+
+// Calls returns how many calls were made.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *Store) put(key, value string) {
+	s.revision++
+	created := s.revision
+	if old, ok := s.items[key]; ok {
+		created = old.Created
+	}
+	it := item{Key: key, Value: value, Revision: s.revision, Created: created}
+	s.items[key] = it
+	s.history = append(s.history, it)
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP answers the calls of the platform's page.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	switch r.Method + " " + r.URL.Path {
+	case "GET /kv-key":
+		s.get(w, r)
+	case "GET /kv-range":
+		s.list(w, r)
+	case "GET /kv-watch":
+		s.watch(w, r)
+	case "POST /kv-txn":
+		s.change(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	it, ok := s.items[r.URL.Query().Get("key")]
+	asOf := s.revision
+	s.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(w, struct {
+		item
+		AsOf int64 `json:"asOf"`
+	}{it, asOf})
+}
+
+// pageSize is small, so that callers have to read several pages.
+const pageSize = 8
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := []item{}
+	for key, it := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			found = append(found, it)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	more := len(found) > pageSize
+	if more {
+		found = found[:pageSize]
+	}
+	answer(w, map[string]any{"items": found, "hasMore": more, "asOf": s.revision})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("waitMs"))
+	limit := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		if after+1 < s.oldest || s.down {
+			status := http.StatusGone
+			if s.down {
+				status = http.StatusServiceUnavailable
+			}
+			s.mu.Unlock()
+			w.WriteHeader(status)
+			return
+		}
+		events := []item{}
+		for _, it := range s.history {
+			if it.Revision > after && strings.HasPrefix(it.Key, q.Get("prefix")) {
+				events = append(events, it)
+			}
+		}
+		asOf, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(events) > 0 {
+			answer(w, map[string]any{"events": events, "asOf": asOf})
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit:
+			answer(w, map[string]any{"events": events, "asOf": asOf})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) change(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Expect []struct {
+			Key      string `json:"key"`
+			Revision int64  `json:"revision"`
+		} `json:"expect"`
+		Puts []struct {
+			Key   string `json:"key"`
+			Value string `json:"value"`
+		} `json:"puts"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range body.Expect {
+		if s.items[e.Key].Revision != e.Revision {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+	}
+	for _, p := range body.Puts {
+		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+		s.put(p.Key, p.Value)
+	}
+	s.wake()
+	answer(w, map[string]any{"revision": s.revision})
+}
+
+func answer(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	// The caller has gone if this fails.
+	_ = json.NewEncoder(w).Encode(body)
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -11,6 +11,7 @@
 
 	"verbenashift/standin/client"
 	"verbenashift/standin/engine"
+	"verbenashift/standin/fleet"
 	"verbenashift/standin/plain"
 	"verbenashift/standin/platform"
 )
@@ -25,6 +26,7 @@
 			platform.Command(),
 			client.Command(),
 			client.ClosingCommand(),
+			fleet.Command(),
 		},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
