--- a/standin/deployment/build.go
+++ b/standin/deployment/build.go
@@ -11,7 +11,7 @@
 )
 
 // programs are the packages of the programs that a deployment runs.
-var programs = []string{"verbenashift/entry", "verbenashift/agent", "verbenashift/ctl", "verbenashift/standin"}
+var programs = []string{"verbenashift/entry", "verbenashift/agent", "verbenashift/ctl", "verbenashift/standin", "verbenashift/gateway", "verbenashift/sidecar"}
 
 // built holds the programs of this process, which are built once.
 var built struct {
