--- /dev/null
+++ b/core/mirror/follower_test.go
@@ -0,0 +1,142 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/platform"
+)
+
+// script is a store that plays what a test wants.
+type script struct {
+	rangeOf func(prefix string) (platform.Page, error)
+	watch   func(after int64) (platform.Page, error)
+}
+
+func (s *script) Range(_ context.Context, prefix, _ string) (platform.Page, error) {
+	return s.rangeOf(prefix)
+}
+
+func (s *script) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (platform.Page, error) {
+	page, err := s.watch(after)
+	if err == nil && len(page.Items) == 0 {
+		sleep(ctx, wait)
+		return page, ctx.Err()
+	}
+	return page, err
+}
+
+// Pages are no snapshot: a server that registers between two of them is in
+// neither. The watch has to go on from before the first page.
+func TestWatchGoesOnFromTheFirstPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		asOf := int64(10)
+		s := &script{
+			rangeOf: func(prefix string) (platform.Page, error) {
+				asOf++
+				if prefix == platform.ConfigKey {
+					return platform.Page{Items: []platform.Item{config(3)}, AsOf: asOf}, nil
+				}
+				return platform.Page{AsOf: asOf}, nil
+			},
+			watch: func(after int64) (platform.Page, error) {
+				if after < 12 {
+					return platform.Page{Items: []platform.Item{entry("between", "10.0.0.1:80", "ready", 12)}, AsOf: 13}, nil
+				}
+				return platform.Page{AsOf: 13}, nil
+			},
+		}
+		f := NewFollower(s, quiet())
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		is.Equal(len(f.View().Targets), 1)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// The history is gone (410): everything is read again, and what left meanwhile
+// is dropped.
+func TestCompactedHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		compacted := false
+		s := &script{
+			rangeOf: func(prefix string) (platform.Page, error) {
+				page := platform.Page{AsOf: 5}
+				switch {
+				case prefix == platform.ConfigKey:
+					page.Items = []platform.Item{config(3)}
+				case prefix == platform.TargetPrefix && !compacted:
+					page.Items = []platform.Item{entry("a", "10.0.0.1:80", "ready", 2)}
+				}
+				return page, nil
+			},
+		}
+		s.watch = func(int64) (platform.Page, error) {
+			if !compacted {
+				compacted = true
+				return platform.Page{}, &platform.StatusError{Status: 410}
+			}
+			return platform.Page{AsOf: 5}, nil
+		}
+		f := NewFollower(s, quiet())
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		is.Equal(len(f.View().Targets), 0)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// The store is away for long: what is known goes on being used, its age shows,
+// and everything is read again when the store is back.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		down := false
+		reads := 0
+		failed := errors.New("no answer")
+		s := &script{
+			rangeOf: func(prefix string) (platform.Page, error) {
+				if down {
+					return platform.Page{}, failed
+				}
+				reads++
+				if prefix == platform.ConfigKey {
+					return platform.Page{Items: []platform.Item{config(3)}, AsOf: 5}, nil
+				}
+				return platform.Page{AsOf: 5}, nil
+			},
+			watch: func(int64) (platform.Page, error) {
+				if down {
+					return platform.Page{}, failed
+				}
+				return platform.Page{AsOf: 5}, nil
+			},
+		}
+		f := NewFollower(s, quiet())
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		first := reads
+		down = true
+		time.Sleep(10 * time.Second)
+		is.Equal(f.View().Config.Version, int64(3))
+		is.True(f.Age() > 5*time.Second)
+		down = false
+		time.Sleep(2 * maxPause)
+		is.Equal(reads, 2*first)
+		is.True(f.Age() < 2*maxPause)
+		cancel()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/gateway/upstream/upstream_test.go
@@ -0,0 +1,292 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// answerWith serves one connection after the other: each request line read is
+// answered by the next text of the list; an empty one closes the connection.
+func answerWith(t *testing.T, conns ...[]string) (addr string, requests func() int) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	seen := make(chan struct{}, 100)
+	go func() {
+		for _, answers := range conns {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for _, a := range answers {
+					req, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					seen <- struct{}{}
+					if a == "" {
+						return
+					}
+					_, _ = io.WriteString(c, a)
+				}
+				// Kept open until the other side closes.
+				_, _ = br.ReadByte()
+			}()
+		}
+	}()
+	return l.Addr().String(), func() int { return len(seen) }
+}
+
+func dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, network, addr)
+}
+
+func echoes(_ int, h http.Header, id string) bool { return h.Get("Id") == id }
+
+func reply(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func ask(id string) *Request {
+	return &Request{Method: "GET", Target: "/", Host: "h", ID: id}
+}
+
+func read(t *testing.T, p *Pool, r *Request) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	got, err := p.Do(ctx, r)
+	if err != nil {
+		return "", err
+	}
+	defer got.Close()
+	body, err := io.ReadAll(got)
+	return string(body), err
+}
+
+func TestKeptConnection(t *testing.T) {
+	is := is.New(t)
+	addr, _ := answerWith(t, []string{reply("1", "one"), reply("2", "two")})
+	p := NewPool(addr, dial, echoes)
+	defer p.Close()
+	for id, want := range []string{"one", "two"} {
+		got, err := read(t, p, ask(fmt.Sprint(id+1)))
+		is.NoErr(err)
+		is.Equal(got, want)
+	}
+	is.Equal(p.Open(), 1)
+}
+
+// A server sends a second answer to the first request, which arrives just where
+// the answer to the second one is due. The second caller must get its own.
+func TestLateSecondAnswer(t *testing.T) {
+	is := is.New(t)
+	addr, _ := answerWith(t, []string{reply("1", "one"), reply("1", "one") + reply("2", "two")})
+	p := NewPool(addr, dial, echoes)
+	defer p.Close()
+	_, err := read(t, p, ask("1"))
+	is.NoErr(err)
+	got, err := read(t, p, ask("2"))
+	is.NoErr(err)
+	is.Equal(got, "two")
+}
+
+// A server sends bytes after a whole answer. They belong to no request: the
+// connection must not be used again.
+func TestBytesAfterTheAnswer(t *testing.T) {
+	is := is.New(t)
+	addr, _ := answerWith(t, []string{reply("1", "one") + "garbage"}, []string{reply("2", "two")})
+	p := NewPool(addr, dial, echoes)
+	defer p.Close()
+	_, err := read(t, p, ask("1"))
+	is.NoErr(err)
+	got, err := read(t, p, ask("2"))
+	is.NoErr(err)
+	is.Equal(got, "two")
+}
+
+// A kept connection is closed by the server just as a request is sent. The
+// standard client would send it again; here the caller is told that it may have
+// run, and the server sees it once.
+func TestBrokenConnectionIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	addr, requests := answerWith(t, []string{reply("1", "one"), ""}, []string{reply("2", "two")})
+	p := NewPool(addr, dial, echoes)
+	defer p.Close()
+	_, err := read(t, p, ask("1"))
+	is.NoErr(err)
+	_, err = read(t, p, ask("2"))
+	var broken *BrokenError
+	is.True(errors.As(err, &broken))
+	is.Equal(requests(), 2)
+}
+
+func TestNothingListens(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := l.Addr().String()
+	is.NoErr(l.Close())
+	_, err = read(t, NewPool(addr, dial, echoes), ask("1"))
+	var notSent *NotSentError
+	is.True(errors.As(err, &notSent))
+}
+
+// An answer ends before its stated length, or in the middle of a chunk. A caller
+// that took it for whole would have half an answer.
+func TestAnswerCutShort(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nhalf",
+		"chunk":  "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addr, _ := answerWith(t, []string{answer, ""})
+			p := NewPool(addr, dial, echoes)
+			got, err := p.Do(t.Context(), ask("1"))
+			is.NoErr(err)
+			go func() {
+				c, err := net.Dial("tcp", addr)
+				if err == nil {
+					_ = c.Close()
+				}
+			}()
+			_ = got.conn.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+			_, err = io.ReadAll(got)
+			var broken *BrokenError
+			is.True(errors.As(err, &broken))
+			is.Equal(broken.Phase, "body")
+			is.Equal(p.Open(), 0)
+		})
+	}
+}
+
+// An answer without a length ends with its connection. It is whole if the server
+// closes, and the connection is gone then.
+func TestAnswerWithoutLength(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nall of it")
+		}
+		_ = c.Close()
+	}()
+	p := NewPool(l.Addr().String(), dial, echoes)
+	got, err := read(t, p, ask("1"))
+	is.NoErr(err)
+	is.Equal(got, "all of it")
+	is.Equal(p.Open(), 0)
+}
+
+// The caller leaves. The server has to see its connection end, so that it stops
+// working for nobody.
+func TestCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	ended := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		br := bufio.NewReader(c)
+		if _, err := http.ReadRequest(br); err == nil {
+			_, _ = br.ReadByte()
+		}
+		close(ended)
+	}()
+	ctx, cancel := context.WithCancelCause(t.Context())
+	left := errors.New("caller left")
+	time.AfterFunc(20*time.Millisecond, func() { cancel(left) })
+	_, err = NewPool(l.Addr().String(), dial, echoes).Do(ctx, ask("1"))
+	is.True(errors.Is(err, left))
+	<-ended
+}
+
+// A server refuses a long request before it has read it, and keeps the
+// connection. The answer counts; the connection does not, since the rest of the
+// body would be taken for the next request.
+func TestAnswerBeforeTheBody(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nContent-Length: 0\r\n\r\n")
+		}
+	}()
+	p := NewPool(l.Addr().String(), dial, echoes)
+	req := &Request{Method: "POST", Target: "/", Host: "h", ID: "1", Body: []byte(strings.Repeat("x", 4<<20)), HasBody: true}
+	got, err := p.Do(t.Context(), req)
+	is.NoErr(err)
+	is.Equal(got.Status, 503)
+	_, err = io.ReadAll(got)
+	is.NoErr(err)
+	is.Equal(p.Open(), 0)
+}
+
+func TestIdleTime(t *testing.T) {
+	is := is.New(t)
+	is.Equal(idleTime(http.Header{}), defaultIdle)
+	is.Equal(idleTime(http.Header{"Keep-Alive": {"timeout=2, max=10"}}), 2*time.Second-idleMargin)
+	is.Equal(idleTime(http.Header{"Keep-Alive": {"timeout=60"}}), defaultIdle)
+	is.True(idleTime(http.Header{"Keep-Alive": {"timeout=0"}}) < idleMargin)
+}
+
+func BenchmarkExchange(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		// It ends when the listener is closed.
+		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Id", r.Header.Get("Id"))
+			_, _ = io.WriteString(w, "answer")
+		}))
+	}()
+	p := NewPool(l.Addr().String(), dial, echoes)
+	b.ReportAllocs()
+	for b.Loop() {
+		r, err := p.Do(context.Background(), &Request{Method: "GET", Target: "/", Host: "h", ID: "1", Head: []byte("Id: 1\r\n")})
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, r); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
