--- a/core/queue/gate.go
+++ b/core/queue/gate.go
@@ -53,6 +53,9 @@
 	return opened
 }
 
+// Closed reports whether requests are kept waiting.
+func (g *Gate) Closed() bool { return g.closed }
+
 // Pass reports whether a request may go now.
 func (g *Gate) Pass(now time.Time) bool {
 	if !g.closed {
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -22,12 +23,26 @@
 	// empty a moment ago. It is late then; but callers of streams wait two
 	// seconds for a first event, and a short burst passes.
 	longWait = 1400 * time.Millisecond
+	// returnWait is the same for a request that has been refused before: a
+	// second refusal is mostly its last.
+	returnWait = 1700 * time.Millisecond
+	// closedWait is how long a new request waits while all targets refuse. What
+	// is over in that time was a restart; a lost rank takes seconds, and the
+	// caller had better come back then.
+	closedWait = 700 * time.Millisecond
+	// comebackPart is the part of its remaining patience after which the caller
+	// of a service that is down may come back: the longest that callers honour
+	// is a third.
+	comebackPart = 0.32
 	// emptyWithin is how recently the queue must have been empty for that. A
 	// queue that stays would make all answers late.
 	emptyWithin = time.Second
 	// firstRate is the first guess of the tokens a second that the engines
 	// take from one gateway. It is learned while they are busy.
 	firstRate = 20000
+	// comebackSpread is the part of that time that is random, so that callers
+	// don't come back together.
+	comebackSpread = 0.25
 	// returnShare is the part of the service that callers who come back may take
 	// while others wait.
 	returnShare = 0.9
@@ -97,6 +112,7 @@
 	id := strconv.FormatUint(a.next, 36)
 	item := queue.Item{ID: id, Workspace: c.workspaceName(), Priority: priorityOf(c), Cost: int64(c.cost()), Deadline: a.latestStart(c, now)}
 	if refusal := a.queue.Enqueue(item, now); refusal != nil {
+		a.comeback(c, refusal, now)
 		a.mu.Unlock()
 		return "", refusal
 	}
@@ -106,6 +122,11 @@
 	a.mu.Unlock()
 	select {
 	case refusal := <-ready:
+		if refusal != nil {
+			a.mu.Lock()
+			a.comeback(c, refusal, time.Now())
+			a.mu.Unlock()
+		}
 		return id, refusal
 	case <-ctx.Done():
 		return a.withdraw(id, ready)
@@ -134,12 +155,27 @@
 
 // latestStart is when a request must have started.
 func (a *admission) latestStart(c *call, now time.Time) time.Time {
-	if c.returning || now.Sub(a.emptyAt) < emptyWithin {
+	switch {
+	case c.returning:
+		return now.Add(returnWait)
+	case a.gate.Closed():
+		return now.Add(closedWait)
+	case now.Sub(a.emptyAt) < emptyWithin:
 		return now.Add(longWait)
 	}
 	return now.Add(max(c.route.Objective-firstToken, firstToken))
 }
 
+// comeback sets when the caller of a service that is down may come back. The
+// queue's own answer follows from its rate, which says nothing then: callers
+// would be back while the service is still down, and lost.
+func (a *admission) comeback(c *call, refusal *outcome.Error, now time.Time) {
+	if a.gate.Closed() {
+		left := float64(c.deadline.Sub(now))
+		refusal.RetryAfter = time.Duration(left * comebackPart * (1 - comebackSpread*rand.Float64()))
+	}
+}
+
 // pump starts what may start and answers what was shed. It is called with the
 // lock held.
 func (a *admission) pump(now time.Time) {
--- a/sidecar/talk.go
+++ b/sidecar/talk.go
@@ -14,8 +14,8 @@
 	// orderWait is how long a rank may take to answer an order: it answers in
 	// a millisecond or not at all. An order that is not answered is given again,
 	// orderTries times in all; see package lockstep for why that is safe.
-	orderWait  = 30 * time.Millisecond
-	orderTries = 3
+	orderWait  = 15 * time.Millisecond
+	orderTries = 8
 	// readWait is how long a rank may take to be read.
 	readWait = 120 * time.Millisecond
 )
