Groups of 72 ranks: maps as changes, counts as samples, short digests

Cause: on the grown sites a round took over a second: 1,728 counts and a map of some 7 KB a rank on a link of 8 Mbit/s; the steward lost the ranks and its duty. Change: an order to prepare carries what differs from the map in force (the whole for an agent that lacks it), counts are parts in 255 steps from a third of the ranks a round, digests leave out the list of targets, the map in force is known by who made it; changes of the store are gathered for 150 ms.

--- a/core/expert/group.go
+++ b/core/expert/group.go
@@ -117,7 +117,7 @@
 	return nil
 }
 
-// Skew returns the load of the most loaded rank over the mean, for loads per
+// Skew returns the load of the most loaded rank, times its pace, over the mean, for loads per
 // expert in any unit. It is 1 when there is no load. The load of an expert
 // without a replica counts in the mean only.
 func (m Map) Skew(g *Group, loads []float64) float64 {
@@ -134,7 +134,7 @@
 				load += loads[e] / float64(n[e])
 			}
 		}
-		worst = max(worst, load)
+		worst = max(worst, load*g.Ranks[r].pace())
 	}
 	return worst * float64(len(g.Ranks)) / total
 }
--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -23,6 +23,10 @@
 	// spread by half of itself, so that a fleet does not come back at once.
 	firstPause = 60 * time.Millisecond
 	maxPause   = 600 * time.Millisecond
+	// gather is the pause after changes, in which more of them come together: a
+	// call for each would be dear. It is a small part of the bounds within which
+	// a configuration or a drain must be known.
+	gather = 150 * time.Millisecond
 	// outageAfter is how long the store must have been out of reach for
 	// entries to have lapsed meanwhile.
 	outageAfter = 1500 * time.Millisecond
@@ -109,6 +113,10 @@
 	if f.mirror.Apply(page.Items, page.AsOf) {
 		f.publish()
 	}
+	if len(page.Items) > 0 {
+		// Servers that start or leave together are heard of in one call.
+		sleep(ctx, gather)
+	}
 	return true, nil
 }
 
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -79,7 +79,7 @@
 	m.Replace([]platform.Item{config(1)}, 20, true, noon)
 	is.Equal(len(m.View().Targets), 2)
 	m.Apply([]platform.Item{entry("a", "10.0.0.1:80", "ready", 21)}, 21)
-	is.True(!m.Tick(noon.Add(returnGrace-1)))
+	is.True(!m.Tick(noon.Add(returnGrace - 1)))
 	is.True(m.Tick(noon.Add(returnGrace)))
 	v := m.View()
 	is.Equal(len(v.Targets), 1)
--- a/core/rankpeer/rankpeer.go
+++ b/core/rankpeer/rankpeer.go
@@ -24,8 +24,10 @@
 // Ask is what a steward asks of the agent beside a rank, or a gateway of the
 // steward.
 type Ask struct {
-	// Digest asks a steward for its view of the group, and nothing else.
+	// Digest asks a steward for its view of the group, and nothing else. List is
+	// the number of the list of targets that the asker has.
 	Digest bool
+	List   uint64
 	// Term is the steward's fencing number, From its instance.
 	Term int64
 	From string
@@ -35,8 +37,10 @@
 	// Counts and Placement ask for more than the state of the rank.
 	Counts    bool
 	Placement bool
-	// Order, if there is one, is given to the rank before it is read.
-	Order *platform.Order
+	// Order, if there is one, is given to the rank before it is read. Change is
+	// the map of an order to prepare.
+	Order  *platform.Order
+	Change *Change
 }
 
 // Tell is the answer.
@@ -46,10 +50,13 @@
 	// Known says that the rank has answered; State is fresh then.
 	Known     bool
 	State     platform.RankState
-	Counts    *platform.Counts
+	Sample    *Sample
 	Placement *platform.Placement
 	// Status is that of the answer to the order; 0 means none came.
 	Status int
+	// NeedMap says that the order was not given, because the agent does not have
+	// the map that the change starts from.
+	NeedMap bool
 	// Digest is nil if the agent is no steward.
 	Digest *Digest
 }
@@ -60,17 +67,15 @@
 	// Age is how old the view is when it is sent.
 	Age time.Duration
 	// Pass is how long the last passes took.
-	Pass  time.Duration
-	Ranks []Load
-}
-
-// Load is the load of one rank.
-type Load struct {
-	// Target is the server's identifier.
-	Target          string
-	Running, Queued int
-	// Pace is over 1 while the server is slow.
-	Pace float64
+	Pass time.Duration
+	// List numbers the list of targets; Targets is left out where the asker has
+	// it. The loads are in its order.
+	List    uint64
+	Targets []string
+	Running []uint16
+	Queued  []uint16
+	// Pace is ten times the servers' paces; 10 is as fast as it should be.
+	Pace []uint16
 }
 
 // Conn is a connection to an agent. It serves one ask at a time.
--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -55,11 +55,12 @@
 // follow asks one steward until the context ends.
 func (d *digests) follow(ctx context.Context, group, addr string) {
 	var conn *rankpeer.Conn
+	var list rankpeer.Digest
 	heard := false
 	for ctx.Err() == nil {
-		tell, err := d.ask(ctx, &conn, addr)
+		tell, err := d.ask(ctx, &conn, addr, list.List)
 		now := time.Now()
-		ok := err == nil && tell.Digest != nil
+		ok := err == nil && tell.Digest != nil && complete(tell.Digest, &list)
 		if ok {
 			d.use(tell.Digest, now.Add(-tell.Digest.Age))
 		}
@@ -76,7 +77,18 @@
 	closeConn(conn)
 }
 
-func (d *digests) ask(ctx context.Context, conn **rankpeer.Conn, addr string) (rankpeer.Tell, error) {
+// complete fills in the list of targets that the steward has left out, and keeps
+// a new one. It reports false if the digest does not fit its list.
+func complete(d, list *rankpeer.Digest) bool {
+	if d.Targets == nil && d.List == list.List {
+		d.Targets = list.Targets
+	}
+	list.List, list.Targets = d.List, d.Targets
+	n := len(d.Targets)
+	return len(d.Running) == n && len(d.Queued) == n && len(d.Pace) == n
+}
+
+func (d *digests) ask(ctx context.Context, conn **rankpeer.Conn, addr string, list uint64) (rankpeer.Tell, error) {
 	if *conn == nil {
 		c, err := rankpeer.Dial(ctx, addr, digestWait)
 		if err != nil {
@@ -84,7 +96,7 @@
 		}
 		*conn = c
 	}
-	tell, err := (*conn).Ask(rankpeer.Ask{Digest: true}, digestWait)
+	tell, err := (*conn).Ask(rankpeer.Ask{Digest: true, List: list}, digestWait)
 	if err != nil {
 		closeConn(*conn)
 		*conn = nil
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -153,6 +153,8 @@
 	// slowPace is the pace over which a rank gets no requests while others have
 	// room: all ranks of a group wait for the slowest one's own part of a pass.
 	slowPace = 1.25
+	// paceUnit is what a pace of 1 is in a digest.
+	paceUnit = 10
 	// engineRate is the rate of a rank at full pace, in tokens a second. Only
 	// the proportions matter.
 	engineRate = 4000
@@ -163,17 +165,18 @@
 func (f *fleet) digest(d *rankpeer.Digest, taken time.Time) (service string, running, queued int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, l := range d.Ranks {
-		i, ok := f.table.Lookup(l.Target)
+	for k, id := range d.Targets {
+		i, ok := f.table.Lookup(id)
 		if !ok {
 			continue
 		}
-		pace := max(l.Pace, 1)
-		f.table.Report(i, route.Load{Queued: float64(l.Queued) * f.cost, Running: l.Running, Rate: engineRate / pace}, taken)
+		pace := max(float64(d.Pace[k])/paceUnit, 1)
+		load := route.Load{Queued: float64(d.Queued[k]) * f.cost, Running: int(d.Running[k]), Rate: engineRate / pace}
+		f.table.Report(i, load, taken)
 		f.table.SetAvoided(i, pace > slowPace)
 		service = f.table.Target(i).Service
-		running += l.Running
-		queued += l.Queued
+		running += int(d.Running[k])
+		queued += int(d.Queued[k])
 	}
 	return service, running, queued
 }
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -29,6 +29,11 @@
 	fromRank  int
 	fromSalt  uint64
 	candidate *lockstep.Candidate
+	// maps are those that were prepared here lately.
+	maps mapStore
+	// counts are the last ones that were read, in the epoch countsEpoch.
+	counts      []int64
+	countsEpoch int64
 	// view is the last digest while this agent is the steward, taken at viewAt.
 	view   *rankpeer.Digest
 	viewAt time.Time
@@ -73,8 +78,8 @@
 }
 
 // digest returns what a gateway may know of the group, or nil if this agent is
-// not its steward.
-func (a *agent) digest() *rankpeer.Digest {
+// not its steward. The targets are left out if the gateway has the list.
+func (a *agent) digest(list uint64) *rankpeer.Digest {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.view == nil {
@@ -82,6 +87,9 @@
 	}
 	d := *a.view
 	d.Age = time.Since(a.viewAt)
+	if d.List == list {
+		d.Targets = nil
+	}
 	return &d
 }
 
--- a/sidecar/peer.go
+++ b/sidecar/peer.go
@@ -26,7 +26,9 @@
 // peer is the steward's way to one rank: through the sidecar beside it, or
 // straight to the rank while that does not answer.
 type peer struct {
-	target  platform.Target
+	target platform.Target
+	// number spreads the peers over the rounds.
+	number  int
 	sidecar netip.AddrPort
 	log     *slog.Logger
 	conn    *rankpeer.Conn
@@ -39,9 +41,9 @@
 	lost bool
 }
 
-func newPeer(t platform.Target, port uint16, log *slog.Logger) *peer {
+func newPeer(t platform.Target, port uint16, number int, log *slog.Logger) *peer {
 	return &peer{
-		target: t, sidecar: netip.AddrPortFrom(t.Addr.Addr(), port),
+		target: t, number: number, sidecar: netip.AddrPortFrom(t.Addr.Addr(), port),
 		direct: platform.NewRankClient(t.Addr), log: log,
 	}
 }
@@ -66,7 +68,7 @@
 	if !direct || ask.Order == nil {
 		return p.ask(ctx, ask)
 	}
-	status := giveOrder(p.direct, *ask.Order, p.log)
+	status, _ := p.orderDirect(ask)
 	ask.Order = nil
 	tell := p.ask(ctx, ask)
 	tell.Status = status
@@ -142,7 +144,7 @@
 	p.readAt = now.Add(directEvery)
 	tell := rankpeer.Tell{}
 	if ask.Order != nil {
-		tell.Status = giveOrder(p.direct, *ask.Order, p.log)
+		tell.Status, tell.NeedMap = p.orderDirect(ask)
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.patience(readWait))
 	defer cancel()
@@ -161,3 +163,19 @@
 	}
 	return tell
 }
+
+// orderDirect gives an order to the rank itself. It says that it needs the whole
+// map where the order comes with a change: there is nobody to work it out.
+func (p *peer) orderDirect(ask rankpeer.Ask) (status int, needMap bool) {
+	o := *ask.Order
+	if ask.Change != nil {
+		if ask.Change.Full == nil {
+			return 0, true
+		}
+		var ok bool
+		if o.Map, ok = ask.Change.Full.Unpack(); !ok {
+			return 0, true
+		}
+	}
+	return giveOrder(p.direct, o, p.log), false
+}
--- a/sidecar/planner.go
+++ b/sidecar/planner.go
@@ -46,8 +46,7 @@
 	group  expert.Group
 	// ranks are the targets of the group by rank, as last taken.
 	ranks []string
-	// counts and places are the last ones of each target.
-	counts map[string]*platform.Counts
+	// places are the last ones of each target.
 	places map[string]*platform.Placement
 	recent []expert.Recent
 	// guess are the loads that an earlier steward has saved, until they are used.
@@ -69,7 +68,7 @@
 		return
 	}
 	p.engine = e
-	p.counts, p.places = map[string]*platform.Counts{}, map[string]*platform.Placement{}
+	p.places = map[string]*platform.Placement{}
 	p.recent = make([]expert.Recent, e.Sets)
 	for i := range p.recent {
 		p.recent[i].Memory = memory
@@ -117,9 +116,8 @@
 		if t.Placement != nil {
 			p.places[id] = t.Placement
 		}
-		if t.Counts != nil && len(t.Counts.Values) == len(chosen) {
-			addChosen(chosen, p.counts[id], t.Counts)
-			p.counts[id] = t.Counts
+		if t.Sample != nil {
+			t.Sample.AddTo(chosen)
 		}
 	}
 	for l := range p.recent {
@@ -135,17 +133,16 @@
 	}
 }
 
-// addChosen adds what was chosen between two readings of a rank. A rank that
-// has started anew in between counts from 0.
-func addChosen(chosen []float64, before, after *platform.Counts) {
-	if before == nil {
-		return
-	}
-	for e, n := range after.Values {
-		if was := before.Values[e]; n >= was {
-			chosen[e] += float64(n - was)
+// know takes the map in force from who has made it.
+func (p *planner) know(version, epoch int64, m lockstep.Map) {
+	for r, id := range p.ranks {
+		place := &platform.Placement{Epoch: epoch, Map: version}
+		for l := range m {
+			place.Experts = append(place.Experts, m[l][r])
 		}
+		p.places[id] = place
 	}
+	p.placed = len(p.ranks) > 0
 }
 
 // known reports whether the places are those of the map in force.
@@ -183,6 +180,9 @@
 	if !p.placed || !p.judged() {
 		return proposal{}, false
 	}
+	if p.skew()-1 < gain {
+		return proposal{}, false
+	}
 	maps := p.flat()
 	loads := make([][]float64, len(p.recent))
 	for l := range p.recent {
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -50,6 +51,17 @@
 	// are the last answers.
 	pending map[string]lockstep.Command
 	tells   map[string]rankpeer.Tell
+	// turn counts the rounds; the ranks take turns in being asked for counts.
+	turn int
+	// proposed is the newest map that was prepared, under the number proposedAs.
+	proposed   lockstep.Map
+	proposedAs int64
+	// packed is proposed, and base the map in force with the number baseAs, as
+	// they go to the agents.
+	packed, base *rankpeer.Map
+	baseAs       int64
+	// needFull are the targets whose agents lack the base.
+	needFull map[string]bool
 	// reported is when the state of the group was logged last.
 	reported time.Time
 	log      *slog.Logger
@@ -118,11 +130,13 @@
 	s.meet()
 	needPlaces := !s.planner.placed
 	s.tells = map[string]rankpeer.Tell{}
+	s.turn++
 	if !s.askAll(ctx, s.peers, needPlaces) {
 		return false, false
 	}
 	ranks := s.arrange()
 	s.planner.take(now, s.byRank, s.tells)
+	s.keepMap(ranks)
 	s.report(ranks, now)
 	s.setDigest(s.digestOf(ranks))
 	s.propose(ranks)
@@ -143,7 +157,19 @@
 			break
 		}
 	}
-	return !s.core.Idle(ranks) || needPlaces, true
+	return !s.core.Idle(ranks) || !s.planner.placed, true
+}
+
+// keepMap tells the planner the map that has come into force, if it was made
+// here: then it need not be read from all ranks.
+func (s *steward) keepMap(ranks []lockstep.Rank) {
+	if s.planner.placed || s.proposed == nil {
+		return
+	}
+	if version, ok := lockstep.InForce(ranks); ok && version == s.proposedAs {
+		s.planner.know(version, ranks[0].State.Epoch, s.proposed)
+		s.base, s.baseAs = s.packed, version
+	}
 }
 
 // quickMoves bounds the moves that are made without a full round between them:
@@ -192,14 +218,25 @@
 // digestOf returns what gateways may know of the group.
 func (s *steward) digestOf(ranks []lockstep.Rank) *rankpeer.Digest {
 	d := &rankpeer.Digest{Group: s.group, Pass: s.core.PassTime()}
+	list := fnv.New64a()
 	for i := range ranks {
-		if st := &ranks[i].State; ranks[i].Known {
-			d.Ranks = append(d.Ranks, rankpeer.Load{Target: s.byRank[i], Running: st.Running, Queued: st.Queued, Pace: st.Pace})
+		st := &ranks[i].State
+		if !ranks[i].Known {
+			continue
 		}
+		_, _ = list.Write([]byte(s.byRank[i]))
+		d.Targets = append(d.Targets, s.byRank[i])
+		d.Running = append(d.Running, uint16(st.Running))
+		d.Queued = append(d.Queued, uint16(st.Queued))
+		d.Pace = append(d.Pace, uint16(st.Pace*paceUnit))
 	}
+	d.List = list.Sum64()
 	return d
 }
 
+// paceUnit is what a pace of 1 is in a digest.
+const paceUnit = 10
+
 // reportEvery is how often the state of the group is logged.
 const reportEvery = time.Second
 
@@ -232,7 +269,7 @@
 	}
 	for id, t := range v.Targets {
 		if t.Service == s.boot.Service && s.peers[id] == nil {
-			s.peers[id] = newPeer(t, s.boot.PortFirst, s.log)
+			s.peers[id] = newPeer(t, s.boot.PortFirst, len(s.peers), s.log)
 		}
 	}
 	for id, p := range s.peers {
@@ -255,9 +292,10 @@
 	var wg sync.WaitGroup
 	for id, p := range peers {
 		cmd, ordered := s.pending[id]
-		ask := rankpeer.Ask{Term: s.term, From: s.boot.Instance, Rank: s.rankOf, Salt: s.salt, Counts: !ordered, Placement: full}
+		ask := rankpeer.Ask{Term: s.term, From: s.boot.Instance, Rank: s.rankOf, Salt: s.salt, Counts: !ordered && s.countsDue(p), Placement: full}
 		if ordered {
 			ask.Order = &cmd.Order
+			s.pack(id, &ask)
 		}
 		wg.Go(func() {
 			tell := p.command(ctx, ask, cmd.Direct)
@@ -277,11 +315,47 @@
 	return true
 }
 
+// countsInTurn is how many ranks are asked for counts in one round. The mix of
+// work is the same on all ranks, so that some of them show it; the steward's
+// link could not carry all.
+const countsInTurn = 24
+
+// countsDue reports whether it is a peer's turn to tell its counts.
+func (s *steward) countsDue(p *peer) bool {
+	groups := (len(s.peers) + countsInTurn - 1) / countsInTurn
+	return groups <= 1 || (p.number+s.turn)%groups == 0
+}
+
+// pack takes the map out of an order to prepare and puts it into the ask as a
+// change: what differs from the map in force, or all of it for an agent that
+// lacks that.
+func (s *steward) pack(id string, ask *rankpeer.Ask) {
+	if ask.Order.Kind != platform.PrepareMap || len(ask.Order.Map) == 0 {
+		return
+	}
+	o := *ask.Order
+	if s.proposedAs != o.Version {
+		s.proposed, s.proposedAs, s.needFull = o.Map, o.Version, map[string]bool{}
+		s.packed = rankpeer.Pack(o.Map, s.planner.engine.Places)
+	}
+	o.Map = nil
+	ask.Order, ask.Change = &o, &rankpeer.Change{Base: s.baseAs, Full: s.packed}
+	if s.base == nil || s.needFull[id] {
+		return
+	}
+	if moves, ok := rankpeer.Diff(s.base, s.packed); ok {
+		ask.Change.Moves, ask.Change.Full = moves, nil
+	}
+}
+
 // refusals tells the core which orders did not fit.
 func (s *steward) refusals() {
 	for id, cmd := range s.pending {
 		o := cmd.Order
 		t := s.tells[id]
+		if t.NeedMap {
+			s.needFull[id] = true
+		}
 		if t.Status == 0 {
 			s.core.Unanswered(cmd)
 		}
--- a/sidecar/talk.go
+++ b/sidecar/talk.go
@@ -39,7 +39,7 @@
 // orders of a steward that was paused must not reach the rank.
 func (a *agent) answer(ask rankpeer.Ask) rankpeer.Tell {
 	if ask.Digest {
-		return rankpeer.Tell{Term: a.highestTerm(), Digest: a.digest()}
+		return rankpeer.Tell{Term: a.highestTerm(), Digest: a.digest(ask.List)}
 	}
 	term, ok := a.hear(ask)
 	if !ok {
@@ -52,7 +52,7 @@
 func (a *agent) consult(ask rankpeer.Ask, term int64) rankpeer.Tell {
 	tell := rankpeer.Tell{Term: term}
 	if ask.Order != nil {
-		tell.Status = giveOrder(a.rank, *ask.Order, a.log)
+		tell.Status, tell.NeedMap = a.order(ask)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), readWait)
 	defer cancel()
@@ -64,7 +64,7 @@
 	tell.State, tell.Known = st, true
 	if ask.Counts {
 		if counts, err := a.rank.Counts(ctx); err == nil {
-			tell.Counts = &counts
+			tell.Sample = a.sample(counts)
 		} else {
 			a.log.Warn("counts not read", "error", err.Error())
 		}
@@ -79,6 +79,35 @@
 	return tell
 }
 
+// order gives the order of an ask, with the map that its change makes.
+func (a *agent) order(ask rankpeer.Ask) (status int, needMap bool) {
+	o := *ask.Order
+	if ask.Change != nil {
+		m := a.maps.make(o.Epoch, o.Version, ask.Change)
+		if m == nil {
+			return 0, true
+		}
+		var ok bool
+		if o.Map, ok = m.Unpack(); !ok {
+			a.log.Error("map not understood", "version", o.Version)
+			return 0, true
+		}
+	}
+	return giveOrder(a.rank, o, a.log), false
+}
+
+// sample returns what was chosen since the last sample.
+func (a *agent) sample(counts platform.Counts) *rankpeer.Sample {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	before := a.counts
+	if a.countsEpoch != counts.Epoch {
+		before = nil
+	}
+	a.counts, a.countsEpoch = counts.Values, counts.Epoch
+	return rankpeer.NewSample(before, counts.Values)
+}
+
 // giveOrder gives an order to a rank, again if it is not answered, and returns the
 // status of the answer, or 0 if none came.
 func giveOrder(rank *platform.RankClient, o platform.Order, log *slog.Logger) int {
