--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"log/slog"
 	"math/rand/v2"
 	"sync/atomic"
@@ -61,6 +62,10 @@
 // goroutine. It must be called before Run.
 func (f *Follower) OnChange(fn func(*View)) { f.onChange = append(f.onChange, fn) }
 
+// metricAge shows how long ago the store last answered any Follower of this
+// process, in milliseconds.
+var metricAge = expvar.NewInt("store-age-ms")
+
 // View returns the newest view, or nil before the first configuration.
 func (f *Follower) View() *View { return f.view.Load() }
 
@@ -81,6 +86,7 @@
 		} else {
 			whole, err = f.watch(ctx)
 		}
+		metricAge.Set(f.Age().Milliseconds())
 		if f.mirror.Tick(time.Now()) {
 			f.publish()
 		}
--- /dev/null
+++ b/core/rankpeer/rankpeer_test.go
@@ -0,0 +1,131 @@
+package rankpeer
+
+import (
+	"bytes"
+	"encoding/gob"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/platform"
+)
+
+func randomMap(rng *rand.Rand, layers, ranks, places, experts int) [][][]int {
+	m := make([][][]int, layers)
+	for l := range m {
+		m[l] = make([][]int, ranks)
+		for r := range m[l] {
+			for range rng.IntN(places + 1) {
+				m[l][r] = append(m[l][r], rng.IntN(experts))
+			}
+		}
+	}
+	return m
+}
+
+func TestMapsSurviveTheWay(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 200 {
+		a, b := randomMap(rng, 3, 5, 4, 300), randomMap(rng, 3, 5, 4, 300)
+		pa, pb := Pack(a, 4), Pack(b, 4)
+		got, ok := pb.Unpack()
+		is.True(ok)
+		for l := range b {
+			for r := range b[l] {
+				is.Equal(got[l][r], b[l][r])
+			}
+		}
+		moves, ok := Diff(pa, pb)
+		is.True(ok)
+		applied, ok := pa.Apply(moves)
+		is.True(ok)
+		is.Equal(applied.Data, pb.Data)
+	}
+}
+
+// A damaged or foreign change must be refused, not half applied: a rank would
+// prepare another map than the others under the same number.
+func TestChangesThatDoNotFit(t *testing.T) {
+	is := is.New(t)
+	m := Pack([][][]int{{{1}, {2}}}, 2)
+	for _, bad := range []Move{{Layer: 1}, {Rank: 2}, {Place: 2}, {Layer: -1}, {Rank: -1}} {
+		_, ok := m.Apply([]Move{bad})
+		is.True(!ok)
+	}
+	_, ok := (&Map{Layers: 1, Ranks: 2, Places: 2, Data: []byte{1, 2}}).Unpack()
+	is.True(!ok)
+	_, ok = Diff(m, Pack([][][]int{{{1}}}, 2))
+	is.True(!ok)
+}
+
+// A rank starts anew between two readings, so that its counts fall. Taken as
+// differences they would be far below zero.
+func TestSampleOfARestartedRank(t *testing.T) {
+	is := is.New(t)
+	sums := make([]float64, 2)
+	NewSample([]int64{1000, 500}, []int64{10, 600}).AddTo(sums)
+	is.True(sums[0] > 9 && sums[0] < 11)
+	is.True(sums[1] > 99 && sums[1] < 101)
+	NewSample(nil, nil).AddTo(sums)
+	is.True(sums[1] < 101)
+}
+
+// The steward of 72 ranks has a link of 8 Mbit/s: what one round takes has to
+// stay well below what the link carries in 0.2 s (200 KB).
+func TestSizeOfARound(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(2, 2))
+	counts := make([]int64, 12*144)
+	for e := range counts {
+		counts[e] = rng.Int64N(1 << 20)
+	}
+	size := func(v any) int {
+		var b bytes.Buffer
+		enc := gob.NewEncoder(&b)
+		is.NoErr(enc.Encode(v))
+		first := b.Len()
+		is.NoErr(enc.Encode(v))
+		return b.Len() - first // Without the description of the type.
+	}
+	tell := Tell{Known: true, State: platform.RankState{Group: "g0-0", Epoch: 1, Step: 1 << 20, Map: 1 << 30}}
+	state := size(tell)
+	tell.Sample = NewSample(nil, counts)
+	sample := size(tell)
+	from := randomMap(rng, 12, 72, 3, 144)
+	to := make([][][]int, len(from))
+	for l := range from {
+		to[l] = make([][]int, len(from[l]))
+		for r := range from[l] {
+			to[l][r] = append([]int(nil), from[l][r]...)
+			if l == r%12 && len(to[l][r]) > 0 {
+				to[l][r][0] = rng.IntN(144)
+			}
+		}
+	}
+	moves, ok := Diff(Pack(from, 3), Pack(to, 3))
+	is.True(ok)
+	change := size(Ask{Order: &platform.Order{Kind: platform.PrepareMap}, Change: &Change{Moves: moves}})
+	t.Logf("a state %d bytes, with a sample %d, an order with %d moves %d", state, sample, len(moves), change)
+	is.True(72*state+24*(sample-state)+72*change < 120_000)
+}
+
+func TestServeAnswersInTurn(t *testing.T) {
+	is := is.New(t)
+	a, b := net.Pipe()
+	done := make(chan error)
+	go func() {
+		done <- Serve(b, func(ask Ask) Tell { return Tell{Term: ask.Term + 1} })
+	}()
+	c := newConn(a)
+	for term := range int64(5) {
+		tell, err := c.Ask(Ask{Term: term}, time.Second)
+		is.NoErr(err)
+		is.Equal(tell.Term, term+1)
+	}
+	is.NoErr(c.Close())
+	is.True(<-done != nil)
+}
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -169,3 +169,29 @@
 		is.True(wait <= time.Duration(float64(i+1)*1.2*float64(time.Second)))
 	}
 }
+
+// A deployment says how many retries all its entries may make. An entry must not
+// make more than its share in any ten seconds, also just after its start.
+func TestLimitsOfADeployment(t *testing.T) {
+	is := is.New(t)
+	b := NewBudgets(Limits{Ratio: 0.17, KeyBurst: 4, HopBurst: 4, KeyStart: 2, HopStart: 2})
+	now := time.Unix(1000, 0)
+	key := Key{"pool", "pool"}
+	var made []time.Time
+	for range 3000 {
+		b.Request(key, now)
+		if b.For(key).Take(now) {
+			made = append(made, now)
+		}
+		now = now.Add(20 * time.Millisecond)
+	}
+	for i, at := range made {
+		n := 0
+		for _, other := range made[i:] {
+			if other.Sub(at) < 10*time.Second {
+				n++
+			}
+		}
+		is.True(float64(n) <= 0.17*500+4+2)
+	}
+}
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -371,3 +371,26 @@
 	}
 	is.True(moved < 500) // of 10000
 }
+
+// All ranks of a group wait for the slowest one in each step. A slow rank gets
+// no requests while the others may take them, and all if it is the only one left.
+func TestAvoidedTarget(t *testing.T) {
+	is := is.New(t)
+	tab := New(Options{Entry: "e", Choices: 8})
+	tab.Update([]Target{{Name: "a", Service: "s"}, {Name: "b", Service: "s"}, {Name: "c", Service: "s"}})
+	rng := rand.New(rand.NewPCG(1, 1))
+	slow, ok := tab.Lookup("b")
+	is.True(ok)
+	tab.SetAvoided(slow, true)
+	now := time.Unix(1, 0)
+	for range 100 {
+		i, ok := tab.Pick(&Query{Service: "s", Cost: 1}, now, rng)
+		is.True(ok)
+		is.True(i != slow)
+		tab.Start(i, 1, now)
+	}
+	tab.Update([]Target{{Name: "a", Service: "s", Drained: true}, {Name: "b", Service: "s"}, {Name: "c", Service: "s", Drained: true}})
+	i, ok := tab.Pick(&Query{Service: "s", Cost: 1}, now, rng)
+	is.True(ok)
+	is.Equal(i, slow)
+}
