--- a/agent/orders_test.go
+++ b/agent/orders_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,12 +17,15 @@
 
 // orderTarget is a target that carries out any order and tells the last one.
 type orderTarget struct {
+	mu   sync.Mutex
 	done []target.Order
 	// lose drops the answer to the next order after it took effect.
 	lose bool
 }
 
 func (o *orderTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	if r.Method == http.MethodPost {
 		var got target.Order
 		_ = json.NewDecoder(r.Body).Decode(&got)
--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -41,8 +41,9 @@
 )
 
 const (
-	// MetricsPort is where each process shows its metrics, at MetricsPath.
+	// MetricsPort is where each process shows its metrics.
 	MetricsPort = 9750
+	// MetricsPath is the path of the metrics.
 	MetricsPath = "/metrics"
 	// gcPercent trades processor time for memory, which is dear: a heap of a few
 	// megabytes is collected at half of its size again. Peak memory of a sidecar
--- a/core/mirror/follower_test.go
+++ b/core/mirror/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -102,22 +103,22 @@
 func TestOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		down := false
-		reads := 0
+		var down atomic.Bool
+		var reads atomic.Int32
 		failed := errors.New("no answer")
 		s := &script{
 			rangeOf: func(prefix string) (platform.Page, error) {
-				if down {
+				if down.Load() {
 					return platform.Page{}, failed
 				}
-				reads++
+				reads.Add(1)
 				if prefix == platform.ConfigKey {
 					return platform.Page{Items: []platform.Item{config(3)}, AsOf: 5}, nil
 				}
 				return platform.Page{AsOf: 5}, nil
 			},
 			watch: func(int64) (platform.Page, error) {
-				if down {
+				if down.Load() {
 					return platform.Page{}, failed
 				}
 				return platform.Page{AsOf: 5}, nil
@@ -127,14 +128,14 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go f.Run(ctx)
 		time.Sleep(time.Second)
-		first := reads
-		down = true
+		first := reads.Load()
+		down.Store(true)
 		time.Sleep(10 * time.Second)
 		is.Equal(f.View().Config.Version, int64(3))
 		is.True(f.Age() > 5*time.Second)
-		down = false
+		down.Store(false)
 		time.Sleep(2 * maxPause)
-		is.Equal(reads, 2*first)
+		is.Equal(reads.Load(), 2*first)
 		is.True(f.Age() < 2*maxPause)
 		cancel()
 		synctest.Wait()
