--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -21,6 +22,8 @@
 	Ranks, Gateways int
 	// LateOrders is the share of orders that are carried out late.
 	LateOrders float64
+	// Links puts Fleet.Links between the processes and the store and servers.
+	Links bool
 }
 
 // Boot is the settings file of one process.
@@ -36,6 +39,8 @@
 	Group  *Group
 	Ledger *Ledger
 	Boots  []Boot
+	// Links is nil unless the shape asks for it.
+	Links *Links
 	// Fronts are the gateways' addresses, Ready those of their checks.
 	Fronts, Ready []string
 
@@ -43,6 +48,7 @@
 	version int
 	done    chan struct{}
 	servers []*http.Server
+	closers []io.Closer
 }
 
 // The ports of all processes; each has an address of its own.
@@ -53,6 +59,8 @@
 	readyPort = 9303
 	peerPort  = 9310
 	lastPort  = 9319
+	// behind is how far above its port a server listens that stands behind links.
+	behind = 100
 )
 
 // graceSeconds is the time from SIGTERM to SIGKILL.
@@ -65,6 +73,9 @@
 		Ledger: &Ledger{runs: map[string]int{}}, done: make(chan struct{}),
 	}
 	f.Group.lateOrders = shape.LateOrders
+	if shape.Links {
+		f.Links = newLinks()
+	}
 	if err := f.serve(f.ip(1), storePort, f.Store); err != nil {
 		return nil, err
 	}
@@ -95,6 +106,10 @@
 // Stop stops the servers.
 func (f *Fleet) Stop() {
 	close(f.done)
+	for _, c := range f.closers {
+		// A listener; nothing is lost with it.
+		_ = c.Close()
+	}
 	for _, s := range f.servers {
 		// Requests in progress are of no interest any more.
 		_ = s.Close()
@@ -111,6 +126,14 @@
 	if err != nil {
 		return err
 	}
+	if f.Links != nil {
+		front := l
+		if l, err = net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port+behind))); err != nil {
+			return err
+		}
+		f.closers = append(f.closers, front)
+		go f.Links.serve(front, l.Addr().String())
+	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	f.servers = append(f.servers, s)
 	go func() {
--- a/standin/fleet/play.go
+++ b/standin/fleet/play.go
@@ -29,25 +29,43 @@
 	Took time.Duration
 }
 
-// playPause is the pause between two requests.
-const playPause = 4 * time.Millisecond
+const (
+	// playPause is the pause between two requests.
+	playPause = 4 * time.Millisecond
+	// callerPatience is how long a caller waits in all.
+	callerPatience = 20 * time.Second
+)
 
 // Play sends requests of all kinds to the gateways in turn.
 func Play(ctx context.Context, f *Fleet, n int) []Call {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20, DisableCompression: true}}
+	return play(ctx, f, func(i int) bool { return i < n })
+}
+
+// PlayUntil sends requests until the context ends; those in progress are waited
+// for all the same.
+func PlayUntil(ctx context.Context, f *Fleet) []Call {
+	return play(context.WithoutCancel(ctx), f, func(int) bool { return ctx.Err() == nil })
+}
+
+func play(ctx context.Context, f *Fleet, more func(i int) bool) []Call {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20, DisableCompression: true}, Timeout: callerPatience}
 	defer client.CloseIdleConnections()
-	calls := make([]Call, n)
+	var calls []*Call
 	var wg sync.WaitGroup
 	prefixes := []string{streamPrefix, streamPrefix, safePrefix, unsafePrefix}
-	for i := range n {
+	for i := 0; more(i); i++ {
 		front := f.Fronts[i%len(f.Fronts)]
-		c := &calls[i]
-		c.ID, c.Kind = fmt.Sprintf("%016x", rand.Uint64()), prefixes[i%len(prefixes)]
+		c := &Call{ID: fmt.Sprintf("%016x", rand.Uint64()), Kind: prefixes[i%len(prefixes)]}
+		calls = append(calls, c)
 		wg.Go(func() { c.send(ctx, client, front) })
 		time.Sleep(playPause)
 	}
 	wg.Wait()
-	return calls
+	done := make([]Call, len(calls))
+	for i, c := range calls {
+		done[i] = *c
+	}
+	return done
 }
 
 func (c *Call) send(ctx context.Context, client *http.Client, front string) {
