Expire waiting requests also while nothing may start; tests of the gateway

Cause: a new test hung: with the gate closed, or all slots in use, a waiting request was only looked at when another one could start, so that it could wait beyond its limit. Change: pump expires first.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -180,6 +180,9 @@
 // pump starts what may start and answers what was shed. It is called with the
 // lock held.
 func (a *admission) pump(now time.Time) {
+	// Also while nothing may start: a request must not wait beyond its limit
+	// because the gate is closed.
+	a.queue.Expire(now)
 	for l := a.queue.Load(); l.Items > 0 && l.Running < l.Slots && a.gate.Pass(now); l = a.queue.Load() {
 		item, ok := a.queue.Next(now)
 		if !ok {
--- /dev/null
+++ b/gateway/admission_test.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/outcome"
+	"verbenashift/platform"
+)
+
+func testAdmission(slots int) *admission {
+	a := newAdmission("pool", 120*time.Millisecond, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	a.resize(slots)
+	return a
+}
+
+// caller is a call that has just arrived.
+func caller(returning bool) *call {
+	now := time.Now()
+	return &call{
+		gateway: &gateway{}, route: &platform.Route{Objective: 500 * time.Millisecond}, returning: returning,
+		arrived: now, deadline: now.Add(8 * time.Second), req: platform.Request{PromptTokens: 800, AnswerTokens: 100},
+	}
+}
+
+// enter starts callers at once and returns where their refusals will come.
+func enter(ctx context.Context, a *admission, callers ...*call) []chan *outcome.Error {
+	out := make([]chan *outcome.Error, len(callers))
+	for i, c := range callers {
+		out[i] = make(chan *outcome.Error, 1)
+		go func() {
+			_, refusal := a.enter(ctx, c)
+			out[i] <- refusal
+		}()
+		synctest.Wait()
+	}
+	return out
+}
+
+// All targets refuse, as after a restart of the service. Callers wait; when one
+// is served after half a second, all go on. Nobody is sent away.
+func TestCallersWaitForARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := testAdmission(192)
+		for _, target := range []string{"x", "y", "z"} {
+			a.refused(target)
+		}
+		waiting := enter(t.Context(), a, caller(false), caller(false), caller(true))
+		time.Sleep(500 * time.Millisecond)
+		a.accepted()
+		synctest.Wait()
+		for _, w := range waiting {
+			is.Equal(<-w, nil)
+		}
+	})
+}
+
+// The service stays down for seconds. New callers are told so after 0.7 s and to
+// come back after most of a third of their patience; they are not held until
+// their time is over, and it is true that they have not run.
+func TestCallersOfAServiceThatIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := testAdmission(192)
+		for _, target := range []string{"x", "y", "z"} {
+			a.refused(target)
+		}
+		c := caller(false)
+		waiting := enter(t.Context(), a, c)
+		began := time.Now()
+		for range 300 {
+			if len(waiting[0]) > 0 {
+				break
+			}
+			// Probes would start it: as long as the service is down they are
+			// refused.
+			time.Sleep(10 * time.Millisecond)
+			a.mu.Lock()
+			a.gate.Refused("x", time.Now())
+			a.queue.SetSlots(0)
+			a.pump(time.Now())
+			a.mu.Unlock()
+			synctest.Wait()
+		}
+		is.Equal(len(waiting[0]), 1)
+		refusal := <-waiting[0]
+		is.Equal(refusal.Outcome, outcome.NotRun)
+		took := time.Since(began)
+		is.True(took >= closedWait && took < closedWait+100*time.Millisecond)
+		is.True(refusal.RetryAfter > 1500*time.Millisecond && refusal.RetryAfter < 8*time.Second/3)
+	})
+}
+
+// The engines are full. A caller that has been refused before goes first: a
+// second refusal would be its last.
+func TestReturningCallersGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := testAdmission(1)
+		place, refusal := a.enter(t.Context(), caller(false))
+		is.Equal(refusal, nil)
+		waiting := enter(t.Context(), a, caller(false), caller(true))
+		a.leave(place, 900)
+		synctest.Wait()
+		is.Equal(len(waiting[1]), 1)
+		is.Equal(len(waiting[0]), 0)
+		is.Equal(<-waiting[1], nil)
+		time.Sleep(2 * time.Second)
+		a.tick(time.Now())
+		synctest.Wait()
+		is.True(<-waiting[0] != nil) // late by then, and told so
+	})
+}
+
+// A caller leaves while it waits. Its place goes to the next.
+func TestCallerLeavesTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := testAdmission(1)
+		place, _ := a.enter(t.Context(), caller(false))
+		ctx, cancel := context.WithCancel(t.Context())
+		gone := enter(ctx, a, caller(false))
+		next := enter(t.Context(), a, caller(false))
+		cancel()
+		synctest.Wait()
+		is.True(<-gone[0] != nil)
+		a.leave(place, 900)
+		synctest.Wait()
+		is.Equal(<-next[0], nil)
+	})
+}
+
+// Steps have become long at full engines: the limit comes down to this gateway's
+// part, and is lifted when nothing has been told for a while.
+func TestLimitByDigest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := testAdmission(192)
+		for range 60 {
+			_, refusal := a.enter(t.Context(), caller(false))
+			is.Equal(refusal, nil)
+		}
+		a.engines(192, 0, 120*time.Millisecond, time.Now())
+		is.True(a.queue.Load().Slots < 40)
+		time.Sleep(2 * digestValid)
+		a.tick(time.Now())
+		is.Equal(a.queue.Load().Slots, 192)
+	})
+}
