Give the gateway's decisions a random source under their own lock

Cause: decide drew from the fleet's generator with the gateway's lock held, pick, tick and drawService with the fleet's: two locks, so none. It shows as a data race and can spoil the jitter of retries and comebacks. Change: the gateway has its own generator, guarded by the lock that decide and drawService hold. Ruled out: holding both locks, which would make each decision wait for picks. Test: TestConcurrentDecisionsDoNotShareRandomState under -race.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -107,9 +107,9 @@
 }
 
 func (c *call) drawService() string {
-	c.fleet.mu.Lock()
-	defer c.fleet.mu.Unlock()
-	return service(c.route, c.fleet.rng)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return service(c.route, c.rng)
 }
 
 // key names the budget of retries that the request draws on.
@@ -128,7 +128,7 @@
 			c.attempts.MayHaveRun = true
 		}
 	}
-	return retry.Decide(&c.attempts, kind, c.budgets.For(c.key()), &c.returns, c.deadline, now, c.fleet.rng)
+	return retry.Decide(&c.attempts, kind, c.budgets.For(c.key()), &c.returns, c.deadline, now, c.rng)
 }
 
 func wait(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/gateway/call_test.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"verbenashift/core/instance"
+	"verbenashift/core/mirror"
+	"verbenashift/core/retry"
+	"verbenashift/core/route"
+	"verbenashift/platform"
+)
+
+// Some requests choose a target while others decide on a retry. Both draw random
+// numbers, and a generator that two goroutines use at once may repeat itself or
+// break its state: jitter is lost, and callers come back together. The race
+// detector tells.
+func TestConcurrentDecisionsDoNotShareRandomState(_ *testing.T) {
+	g := newGateway(instance.Env{Log: slog.New(slog.DiscardHandler)})
+	rt := &platform.Route{Attempts: 3, Split: []platform.Share{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}}
+	targets := map[string]platform.Target{}
+	for _, id := range []string{"t1", "t2", "t3", "t4", "t5", "t6", "t7", "t8"} {
+		targets[id] = platform.Target{ID: id, Service: "a"}
+	}
+	g.fleet.update(&mirror.View{Targets: targets})
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for range 200 {
+				c := &call{gateway: g, route: rt, service: "a", deadline: time.Now().Add(time.Minute)}
+				c.drawService()
+				c.decide(retry.Refused)
+				g.fleet.pick(&route.Query{Service: "a"}, time.Now())
+				g.fleet.tick(time.Now())
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -24,7 +25,9 @@
 	leaving atomic.Bool
 	started time.Time
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// rng is not the fleet's, which another lock guards.
+	rng     *rand.Rand
 	budgets *retry.Budgets
 	returns retry.Returns
 	digests *digests
@@ -38,7 +41,7 @@
 func newGateway(env instance.Env) *gateway {
 	boot, log := env.Boot, env.Log
 	g := &gateway{
-		log: log, fleet: newFleet(boot.Instance, boot.Zone, log),
+		log: log, rng: newRand(), fleet: newFleet(boot.Instance, boot.Zone, log),
 		started: time.Now(), admissions: map[string]*admission{}, patience: map[string]time.Duration{}, budgets: retry.NewBudgets(retryLimits(boot.Bounds)),
 	}
 	g.digests = newDigests(log, g.digest)
