One pause, one giving of mapped orders, one unit of pace

No change of behaviour but two: a placement that can't be read from afar, and a damaged map there, now leave a log line.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -30,6 +30,7 @@
 
 	"verbenashift/core/config"
 	"verbenashift/core/intent"
+	"verbenashift/core/pause"
 	"verbenashift/core/store"
 )
 
@@ -248,16 +249,16 @@
 
 // Run reads and watches the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	pause := firstPause
+	next := firstPause
 	for ctx.Err() == nil {
 		version, err := f.read(ctx)
 		if err == nil {
-			pause = firstPause
+			next = firstPause
 			f.wait(ctx, version)
 			continue
 		}
-		sleep(ctx, spread(pause))
-		pause = min(2*pause, maxPause)
+		pause.For(ctx, spread(next))
+		next = min(2*next, maxPause)
 	}
 }
 
@@ -309,12 +310,3 @@
 func spread(d time.Duration) time.Duration {
 	return d*3/4 + time.Duration(rand.Int64N(int64(d)/2+1))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"verbenashift/core/pause"
 	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
@@ -76,7 +77,7 @@
 
 // Run follows the store until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	pause := firstPause
+	next := firstPause
 	whole := false
 	for ctx.Err() == nil {
 		var err error
@@ -92,12 +93,12 @@
 		}
 		if err == nil {
 			f.regained()
-			pause = firstPause
+			next = firstPause
 			continue
 		}
 		f.failed(err)
-		sleep(ctx, pause/2+rand.N(pause))
-		pause = min(2*pause, maxPause)
+		pause.For(ctx, next/2+rand.N(next))
+		next = min(2*next, maxPause)
 	}
 }
 
@@ -114,14 +115,14 @@
 	if err != nil {
 		// After an outage, entries may have lapsed and come back: the events
 		// tell it, unless the outage was long.
-		return f.outage() == 0, err
+		return !f.outage(), err
 	}
 	if f.mirror.Apply(page.Items, page.AsOf) {
 		f.publish()
 	}
 	if len(page.Items) > 0 {
 		// Servers that start or leave together are heard of in one call.
-		sleep(ctx, gather)
+		pause.For(ctx, gather)
 	}
 	return true, nil
 }
@@ -141,7 +142,7 @@
 		}
 		all = append(all, list...)
 	}
-	if f.mirror.Replace(all, from, f.outage() > 0, time.Now()) {
+	if f.mirror.Replace(all, from, f.outage(), time.Now()) {
 		f.publish()
 	}
 	return nil
@@ -198,21 +199,8 @@
 	}
 }
 
-// outage returns how long the store has been out of reach, or 0 if that was
-// too short for entries to lapse.
-func (f *Follower) outage() time.Duration {
-	if f.lost.IsZero() {
-		return 0
-	}
-	if d := time.Since(f.lost); d > outageAfter {
-		return d
-	}
-	return 0
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
+// outage reports whether the store has been out of reach for so long that
+// entries may have lapsed.
+func (f *Follower) outage() bool {
+	return !f.lost.IsZero() && time.Since(f.lost) > outageAfter
 }
--- a/core/mirror/follower_test.go
+++ b/core/mirror/follower_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/pause"
 	"verbenashift/platform"
 )
 
@@ -26,7 +27,7 @@
 func (s *script) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (platform.Page, error) {
 	page, err := s.watch(after)
 	if err == nil && len(page.Items) == 0 {
-		sleep(ctx, wait)
+		pause.For(ctx, wait)
 		return page, ctx.Err()
 	}
 	return page, err
--- /dev/null
+++ b/core/pause/pause_test.go
@@ -0,0 +1,26 @@
+package pause
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		is.True(For(t.Context(), time.Second))
+		is.Equal(time.Since(began), time.Second)
+		is.True(For(t.Context(), 0))
+
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		is.True(!For(ctx, time.Hour))
+		is.Equal(time.Since(began), 2*time.Second)
+		is.True(!For(ctx, 0))
+	})
+}
--- a/core/rankpeer/counts.go
+++ b/core/rankpeer/counts.go
@@ -9,6 +9,9 @@
 	Parts []byte
 }
 
+// steps is what the largest count is in a Sample.
+const steps = 255
+
 // NewSample returns the difference of two readings of ever growing counts; before
 // is nil for the first one. A rank that has started anew counts from 0.
 func NewSample(before, after []int64) *Sample {
@@ -24,7 +27,6 @@
 	if s.Most == 0 {
 		return s
 	}
-	const steps = 255
 	for e, n := range chosen {
 		s.Parts[e] = byte((n*steps + s.Most/2) / s.Most)
 	}
@@ -36,7 +38,6 @@
 	if len(sums) != len(s.Parts) {
 		return
 	}
-	const steps = 255
 	for e, part := range s.Parts {
 		sums[e] += float64(part) * float64(s.Most) / steps
 	}
--- a/core/rankpeer/rankpeer.go
+++ b/core/rankpeer/rankpeer.go
@@ -74,10 +74,13 @@
 	Targets []string
 	Running []uint16
 	Queued  []uint16
-	// Pace is ten times the servers' paces; 10 is as fast as it should be.
+	// Pace is the servers' paces in parts of PaceUnit.
 	Pace []uint16
 }
 
+// PaceUnit is what a pace of 1, a server as fast as it should be, is in a Digest.
+const PaceUnit = 10
+
 // Conn is a connection to an agent. It serves one ask at a time.
 type Conn struct {
 	conn net.Conn
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"verbenashift/core/outcome"
+	"verbenashift/core/pause"
 	"verbenashift/core/queue"
 )
 
@@ -232,7 +233,7 @@
 // pass waits until a request that was refused may be tried again.
 func (a *admission) pass(ctx context.Context) {
 	for ctx.Err() == nil && !a.mayPass() {
-		wait(ctx, passPoll)
+		pause.For(ctx, passPoll)
 	}
 }
 
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -65,7 +65,7 @@
 	platform.CopyAnswerHeaders(c.w.Header(), a.header)
 	c.w.WriteHeader(a.status)
 	if _, err := c.w.Write(a.body); err != nil {
-		c.log.Info("request", "id", c.req.ID, "outcome", "caller-left", "error", err.Error())
+		c.notWritten(err)
 		return
 	}
 	c.completed(a.status)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"verbenashift/core/pause"
 	"verbenashift/core/retry"
 	"verbenashift/core/route"
 	"verbenashift/gateway/upstream"
@@ -131,16 +132,6 @@
 	return retry.Decide(&c.attempts, kind, c.budgets.For(c.key()), &c.returns, c.deadline, now, c.rng)
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // cost is the expected work of the request in tokens.
 func (c *call) cost() float64 {
 	return float64(max(c.req.PromptTokens+c.req.AnswerTokens, 1))
@@ -205,6 +196,11 @@
 	return c.space.Name
 }
 
+// notWritten records that the answer could not be written to the caller.
+func (c *call) notWritten(err error) {
+	c.log.Info("request", "id", c.req.ID, "outcome", "caller-left", "error", err.Error())
+}
+
 // callerLeft reports whether the caller has closed its connection.
 func (c *call) callerLeft() bool {
 	if c.r.Context().Err() == nil {
@@ -238,7 +234,7 @@
 			metricResumed.Add(1)
 		}
 		c.log.Info("retry", "id", c.req.ID, "service", c.service, "reason", reason, "errors", c.attempts.Errors, "ran", c.ran)
-		wait(ctx, time.Until(d.At))
+		pause.For(ctx, time.Until(d.At))
 		if c.admission != nil && kind == retry.Refused {
 			c.admission.pass(ctx)
 		}
--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"verbenashift/core/mirror"
+	"verbenashift/core/pause"
 	"verbenashift/core/rankpeer"
 )
 
@@ -68,11 +69,11 @@
 			heard = ok
 			d.log.Info("digest", "group", group, "steward", addr, "heard", ok)
 		}
-		pause := digestEvery
+		next := digestEvery
 		if !ok {
-			pause = digestPause
+			next = digestPause
 		}
-		wait(ctx, pause)
+		pause.For(ctx, next)
 	}
 	closeConn(conn)
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -153,8 +153,6 @@
 	// slowPace is the pace over which a rank gets no requests while others have
 	// room: all ranks of a group wait for the slowest one's own part of a pass.
 	slowPace = 1.25
-	// paceUnit is what a pace of 1 is in a digest.
-	paceUnit = 10
 	// engineRate is the rate of a rank at full pace, in tokens a second. Only
 	// the proportions matter.
 	engineRate = 4000
@@ -170,7 +168,7 @@
 		if !ok {
 			continue
 		}
-		pace := max(float64(d.Pace[k])/paceUnit, 1)
+		pace := max(float64(d.Pace[k])/rankpeer.PaceUnit, 1)
 		load := route.Load{Queued: float64(d.Queued[k]) * f.cost, Running: int(d.Running[k]), Rate: engineRate / pace}
 		f.table.Report(i, load, taken)
 		f.table.SetAvoided(i, pace > slowPace)
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -18,6 +18,7 @@
 
 	"verbenashift/core/instance"
 	"verbenashift/core/mirror"
+	"verbenashift/core/pause"
 	"verbenashift/platform"
 )
 
@@ -88,7 +89,7 @@
 		},
 		OnStop: func(ctx context.Context) error {
 			g.leaving.Store(true)
-			wait(ctx, outOfRotation)
+			pause.For(ctx, outOfRotation)
 			return server.Shutdown(ctx)
 		},
 	})
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -66,11 +66,11 @@
 	}
 	c.begin(reply)
 	if _, err := c.w.Write(event); err != nil {
-		c.log.Info("request", "id", c.req.ID, "outcome", "caller-left", "error", err.Error())
+		c.notWritten(err)
 		return false
 	}
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
-		c.log.Info("request", "id", c.req.ID, "outcome", "caller-left", "error", err.Error())
+		c.notWritten(err)
 		return false
 	}
 	now := time.Now()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,6 +11,7 @@
 
 	"verbenashift/core/instance"
 	"verbenashift/core/mirror"
+	"verbenashift/core/pause"
 	"verbenashift/core/rankpeer"
 	"verbenashift/core/retry"
 	"verbenashift/platform"
@@ -132,7 +133,7 @@
 func (g *gateway) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		g.tick(time.Now())
-		wait(ctx, tickEvery)
+		pause.For(ctx, tickEvery)
 	}
 }
 
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/platform"
 	"verbenashift/standin/deployment"
 	"verbenashift/standin/fleet"
 )
@@ -62,7 +63,7 @@
 	s.NoErr(err)
 	defer log.Close()
 	cmd := exec.Command(filepath.Join(s.dir, b.Role))
-	cmd.Env = append(os.Environ(), "VERBENASHIFT_BOOT="+b.File)
+	cmd.Env = append(os.Environ(), platform.BootEnv+"="+b.File)
 	cmd.Stdout, cmd.Stderr = log, log
 	s.NoErr(cmd.Start())
 	s.mu.Lock()
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -9,6 +9,7 @@
 
 	"verbenashift/core/instance"
 	"verbenashift/core/lockstep"
+	"verbenashift/core/pause"
 	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
@@ -139,7 +140,7 @@
 	if st.Rank == 0 {
 		a.lead(ctx, st)
 	}
-	for sleep(ctx, watchEvery) {
+	for pause.For(ctx, watchEvery) {
 		if a.due(st.Rank) {
 			a.lead(ctx, st)
 		}
@@ -154,7 +155,7 @@
 			a.log.Info("rank", "group", st.Group, "rank", st.Rank, "size", st.Size, "epoch", st.Epoch)
 			return st, true
 		}
-		sleep(ctx, firstLook)
+		pause.For(ctx, firstLook)
 	}
 	return platform.RankState{}, false
 }
@@ -164,15 +165,3 @@
 	defer cancel()
 	return a.rank.State(ctx)
 }
-
-// sleep waits and reports whether the context goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -8,6 +8,7 @@
 	"math"
 	"time"
 
+	"verbenashift/core/pause"
 	"verbenashift/platform"
 )
 
@@ -53,7 +54,7 @@
 // keepLoads writes the loads now and then until the context ends. They are a
 // guess for the next steward: one that can't be written is not missed.
 func (s *steward) keepLoads(ctx context.Context) {
-	for sleep(ctx, saveEvery) {
+	for pause.For(ctx, saveEvery) {
 		s.mu.Lock()
 		saved := s.toSave
 		s.toSave = nil
--- a/sidecar/peer.go
+++ b/sidecar/peer.go
@@ -159,6 +159,8 @@
 	if ask.Placement {
 		if place, err := p.direct.Placement(ctx); err == nil {
 			tell.Placement = &place
+		} else {
+			p.log.Warn("placement not read from afar", "target", p.target.ID, "error", err.Error())
 		}
 	}
 	return tell
@@ -167,15 +169,9 @@
 // orderDirect gives an order to the rank itself. It says that it needs the whole
 // map where the order comes with a change: there is nobody to work it out.
 func (p *peer) orderDirect(ask rankpeer.Ask) (status int, needMap bool) {
-	o := *ask.Order
+	var m *rankpeer.Map
 	if ask.Change != nil {
-		if ask.Change.Full == nil {
-			return 0, true
-		}
-		var ok bool
-		if o.Map, ok = ask.Change.Full.Unpack(); !ok {
-			return 0, true
-		}
+		m = ask.Change.Full
 	}
-	return giveOrder(p.direct, o, p.log), false
+	return giveAsked(p.direct, ask, m, p.log)
 }
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -43,15 +43,12 @@
 		d.Targets = append(d.Targets, s.byRank[i])
 		d.Running = append(d.Running, uint16(st.Running))
 		d.Queued = append(d.Queued, uint16(st.Queued))
-		d.Pace = append(d.Pace, uint16(st.Pace*paceUnit))
+		d.Pace = append(d.Pace, uint16(st.Pace*rankpeer.PaceUnit))
 	}
 	d.List = list.Sum64()
 	return d
 }
 
-// paceUnit is what a pace of 1 is in a digest.
-const paceUnit = 10
-
 // reportEvery is how often the state of the group is logged.
 const reportEvery = time.Second
 
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -8,6 +8,7 @@
 
 	"verbenashift/core/lockstep"
 	"verbenashift/core/mirror"
+	"verbenashift/core/pause"
 	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
@@ -119,11 +120,11 @@
 		if !ok {
 			return
 		}
-		pause := calmRound
+		next := calmRound
 		if busy {
-			pause = busyRound
+			next = busyRound
 		}
-		if !sleep(ctx, pause) {
+		if !pause.For(ctx, next) {
 			return
 		}
 	}
--- a/sidecar/talk.go
+++ b/sidecar/talk.go
@@ -82,19 +82,29 @@
 
 // order gives the order of an ask, with the map that its change makes.
 func (a *agent) order(ask rankpeer.Ask) (status int, needMap bool) {
+	var m *rankpeer.Map
+	if ask.Change != nil {
+		m = a.maps.make(ask.Order.Epoch, ask.Order.Version, ask.Change)
+	}
+	return giveAsked(a.rank, ask, m, a.log)
+}
+
+// giveAsked gives the order of an ask to a rank. An order that comes with a
+// change needs its map m; needMap says that m is nil or damaged, and that the
+// order was not given.
+func giveAsked(rank *platform.RankClient, ask rankpeer.Ask, m *rankpeer.Map, log *slog.Logger) (status int, needMap bool) {
 	o := *ask.Order
 	if ask.Change != nil {
-		m := a.maps.make(o.Epoch, o.Version, ask.Change)
 		if m == nil {
 			return 0, true
 		}
 		var ok bool
 		if o.Map, ok = m.Unpack(); !ok {
-			a.log.Error("map not understood", "version", o.Version)
+			log.Error("map not understood", "version", o.Version)
 			return 0, true
 		}
 	}
-	return giveOrder(a.rank, o, a.log), false
+	return giveOrder(rank, o, log), false
 }
 
 // sample returns what was chosen since the last sample.
