Requests in flight at a target that dies are retried beside the budget

When an engine dies, a stream that has had no piece yet draws on the retry budget, which holds one retry at a young entry; two such streams at one entry and the second ends as unknown though other engines are idle. Whether a stream has had its first piece depends on timing. Ruled out: a slow machine alone. Change: retry.Losses. What was in flight at a target when it died may be tried elsewhere without the budget, once per target in 10 s; what is sent to it afterwards draws on the budget, so a crash loop frees nothing.

--- a/entry/flow.go
+++ b/entry/flow.go
@@ -42,6 +42,9 @@
 	// deadline is the caller's, zero for none.
 	deadline time.Time
 	inFlight bool
+	// freed says that the last attempt broke with its target, so that the next
+	// one draws on no budget.
+	freed bool
 	// firstFrame is when the attempt's first piece came.
 	firstFrame time.Time
 
@@ -117,9 +120,21 @@
 	before := f.log.delivered
 	ev := f.act(ctx, a)
 	ev.Progress = f.log.delivered > before
+	f.freed = f.lost(ev)
 	return ev
 }
 
+// lost reports whether an attempt broke because its target died, or its agent
+// did, with all that was in flight there.
+func (f *flow) lost(ev relay.Event) bool {
+	broke := ev.Kind == relay.Broke && !ev.NotSent
+	died := ev.Kind == relay.Ended && ev.Outcome == outcome.Unknown && !ev.Handover
+	if !broke && !died || f.req.MayNotRepeat || f.picked.target == nil {
+		return false
+	}
+	return f.entry.returns.lost(f.picked.target.Name, f.picked.started)
+}
+
 func (f *flow) act(ctx context.Context, a relay.Action) relay.Event {
 	switch a.Kind {
 	case relay.Pick:
@@ -139,7 +154,7 @@
 
 func (f *flow) pick() relay.Event {
 	f.leave(result{})
-	if f.attempt > 0 && !f.goesOn() && !f.entry.returns.retry(f.workspace.Name) {
+	if f.attempt > 0 && !f.goesOn() && !f.freed && !f.entry.returns.retry(f.workspace.Name) {
 		f.entry.metrics.count("retry-budget-spent")
 		return relay.Event{Kind: relay.NoTarget}
 	}
--- a/entry/returns.go
+++ b/entry/returns.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	budgets *retry.Budgets
 	returns retry.Returns
+	losses  retry.Losses
 	rng     *rand.Rand
 	swept   time.Time
 }
@@ -52,6 +53,14 @@
 	return r.budgets.For(retry.Key{Workspace: workspace, Hop: hopTarget}).Take(time.Now())
 }
 
+// lost notes an attempt that broke at a target, and reports whether its retry is
+// free of the budget.
+func (r *returns) lost(target string, started time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.losses.Lost(target, started, time.Now())
+}
+
 // end notes how a request ended, and spreads the return of a caller whose
 // request was given up.
 func (r *returns) end(err *outcome.Error) {
