Streams of a target that has gone silent go on at another one

Nothing counted against the target, since the callers had ended the requests, and new ones went there. Change: health.Stalled judges silence: of one answer that had begun (1 s), of a whole target with answers due (0.7 s), only while other targets go on. A stream that may be repeated is ended there and resumed elsewhere; the target counts as failing. The stand-in's ranks can stand still, and its callers leave after 2 s.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -44,6 +44,8 @@
 	eventAt time.Time
 	// returning says that the caller has been refused or has failed before.
 	returning bool
+	// flight is the watch over a stream that may go on elsewhere.
+	flight *flight
 	// admission is that of the service, if it has one.
 	admission *admission
 	// failure is the server's own failure, passed on if nothing better comes.
@@ -152,7 +154,12 @@
 	c.exclude.Add(s.index)
 	c.ran++
 	metricAttempts.Add(1)
-	reply, err := s.target.pool.Do(ctx, c.upstream(s))
+	watched := ctx
+	if c.route.Kind == platform.Stream && c.route.Repeatable() {
+		watched, c.flight = c.fleet.depart(ctx, s, c.req.ID, c.service)
+		defer c.fleet.land(c.flight)
+	}
+	reply, err := s.target.pool.Do(watched, c.upstream(s))
 	if err != nil {
 		return c.attemptFailed(ctx, s, err)
 	}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -27,8 +27,9 @@
 	pools   map[string]*pooled
 	// gone are targets whose address answered for another server, until their
 	// entry is removed.
-	gone map[string]bool
-	rng  *rand.Rand
+	gone    map[string]bool
+	rng     *rand.Rand
+	flights flights
 	// cost is the moving mean of the requests' costs in tokens.
 	cost float64
 }
@@ -55,6 +56,7 @@
 		pools:   map[string]*pooled{},
 		gone:    map[string]bool{},
 		rng:     newRand(),
+		flights: newFlights(),
 	}
 }
 
@@ -90,6 +92,7 @@
 		if _, ok := v.Targets[id]; !ok {
 			p.pool.Close()
 			delete(f.pools, id)
+			delete(f.flights.targets, id)
 		}
 	}
 }
@@ -198,6 +201,7 @@
 func (f *fleet) tick(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.endStalled(now)
 	for _, c := range f.monitor.Tick(now, f.rng) {
 		f.table.SetHealth(c.Target, c.Share, c.Probe)
 		f.log.Info("target health", "target", f.table.Target(c.Target).Name, "state", c.State.String(), "share", c.Share, "cause", c.Cause.String())
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -24,6 +24,9 @@
 		n, err := reply.Read(buf)
 		ev.add(buf[:n])
 		for event := ev.next(); event != nil; event = ev.next() {
+			if c.flight != nil {
+				c.fleet.event(c.flight, time.Now())
+			}
 			if first {
 				c.fleet.succeeded(s, time.Since(s.started), time.Now())
 				first = false
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -238,6 +238,22 @@
 	s.True(v.Complete >= v.Requests*95/100)
 }
 
+// The instance of a model server stands still for three seconds: its group goes
+// on, but nothing comes from this server any more. Its callers see their drafts
+// stop, or not begin, and give up after two seconds. The drafts must go on at
+// other servers before that.
+func TestFleetRankStandsStill(t *testing.T) {
+	s := startFleet(t, fleet.Shape{Block: "127.0.69"})
+	v := s.during(1500, func() {
+		time.Sleep(500 * time.Millisecond)
+		s.Freeze(2, true)
+		time.Sleep(3 * time.Second)
+		s.Freeze(2, false)
+	})
+	s.True(v.Kept())
+	s.Equal(v.Complete, v.Requests)
+}
+
 // A gateway gets SIGTERM while it answers. No answer in progress is cut off: the
 // balancer is told first, and connections end with an answer.
 func TestFleetGatewayStops(t *testing.T) {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -45,6 +45,7 @@
 	Fronts, Ready []string
 
 	refuse  atomic.Bool
+	models  []*modelServer
 	version int
 	done    chan struct{}
 	servers []*http.Server
@@ -119,6 +120,10 @@
 // Refuse makes all model servers refuse requests, or serve them.
 func (f *Fleet) Refuse(refuse bool) { f.refuse.Store(refuse) }
 
+// Freeze makes the model server of a rank stand still, or go on. The group goes
+// on meanwhile.
+func (f *Fleet) Freeze(rank int, frozen bool) { f.models[rank].frozen.Store(frozen) }
+
 func (f *Fleet) ip(n int) string { return f.Block + "." + strconv.Itoa(n) }
 
 func (f *Fleet) serve(ip string, port int, h http.Handler) error {
@@ -146,6 +151,7 @@
 func (f *Fleet) addRank(i int) error {
 	ip, rank := f.ip(10+i), f.Group.ranks[i]
 	m := &modelServer{server: server{id: rank.id, ledger: f.Ledger, refuse: f.refuse.Load}, rank: rank}
+	f.models = append(f.models, m)
 	if err := f.serve(ip, appPort, m); err != nil {
 		return err
 	}
--- a/standin/fleet/play.go
+++ b/standin/fleet/play.go
@@ -68,6 +68,9 @@
 	return done
 }
 
+// gapPatience is how long a caller waits for the next event, and for the first.
+const gapPatience = 2 * time.Second
+
 func (c *Call) send(ctx context.Context, client *http.Client, front string) {
 	began := time.Now()
 	defer func() { c.Took = time.Since(began) }()
@@ -75,6 +78,10 @@
 	if c.Kind == safePrefix {
 		method, body = http.MethodGet, bytes.NewReader(nil)
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	leave := time.AfterFunc(gapPatience, cancel)
+	defer leave.Stop()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+front+c.Kind+c.ID, body)
 	if err != nil {
 		return
@@ -102,7 +109,7 @@
 		return
 	}
 	if c.Kind == streamPrefix {
-		c.readStream(resp.Body)
+		c.readStream(resp.Body, func() { leave.Reset(gapPatience) })
 		return
 	}
 	data, err := io.ReadAll(resp.Body)
@@ -112,8 +119,8 @@
 	}
 }
 
-// readStream checks that each part comes once and in order.
-func (c *Call) readStream(r io.Reader) {
+// readStream checks that each part comes once and in order, and tells of each.
+func (c *Call) readStream(r io.Reader, part func()) {
 	lines := bufio.NewScanner(r)
 	next := 1
 	for lines.Scan() {
@@ -125,6 +132,7 @@
 			c.Wrong = fmt.Sprintf("part %q where %d was due", text, next)
 			return
 		}
+		part()
 		next++
 	}
 	c.Whole = lines.Err() == nil && next == streamEvents+1
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -71,9 +72,22 @@
 type modelServer struct {
 	server
 	rank *Rank
+	// frozen makes it stand still: it takes connections and says nothing.
+	frozen atomic.Bool
+}
+
+// freezePoll is how often a frozen server looks whether it goes on.
+const freezePoll = 10 * time.Millisecond
+
+// thaw waits while the server stands still, or until the caller has left.
+func (m *modelServer) thaw(r *http.Request) {
+	for m.frozen.Load() && r.Context().Err() == nil {
+		time.Sleep(freezePoll)
+	}
 }
 
 func (m *modelServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	m.thaw(r)
 	if !strings.HasPrefix(r.URL.Path, streamPrefix) {
 		m.rank.ServeHTTP(w, r)
 		return
@@ -92,6 +106,7 @@
 	g.mu.Unlock()
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := range st.events {
+		m.thaw(r)
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventText(r.Header.Get("X-Request-Id"), n))
 		if err := http.NewResponseController(w).Flush(); err != nil {
 			return
