Agents remember their group, so that a takeover needs no store

Whoever took over learned the ranks from the store alone: all 16 agents became stewards of nobody and the group stood for 3.8 s. Ruled out: orders that come late (the release was answered at the first try). Change: a steward tells each agent the roster of its group once (members, engine, longest pause); a new steward begins with the last one told, and does not ask the store for saved loads if the store has not answered its claim.

--- a/core/rankpeer/rankpeer.go
+++ b/core/rankpeer/rankpeer.go
@@ -41,6 +41,8 @@
 	// the map of an order to prepare.
 	Order  *platform.Order
 	Change *Change
+	// Roster is nil if the agent has been told it.
+	Roster *Roster
 }
 
 // Tell is the answer.
--- /dev/null
+++ b/core/rankpeer/roster.go
@@ -0,0 +1,25 @@
+package rankpeer
+
+import (
+	"net/netip"
+	"time"
+
+	"verbenashift/platform"
+)
+
+// Roster is what a steward has to know of its group. All agents keep the last one
+// that they were told: the steward may die while the store is away, and whoever
+// takes over must find the ranks without it.
+type Roster struct {
+	Members []Member
+	Engine  platform.Engine
+	// Gap is the longest pause between events that callers are to see.
+	Gap time.Duration
+}
+
+// Member is one rank of a group.
+type Member struct {
+	// ID is that of the target.
+	ID   string
+	Addr netip.AddrPort
+}
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -224,6 +224,24 @@
 	s.Equal(v.Complete, v.Requests)
 }
 
+// The steward dies while the store is away for long. Whoever takes over must know
+// the group without asking the store: the load goes on shifting, and a hold that
+// the dead steward has left would let nobody be served.
+func TestFleetStewardDiesWithoutStore(t *testing.T) {
+	s := startFleet(t, fleet.Shape{Block: "127.0.70"})
+	v := s.during(1500, func() {
+		s.changes()
+		s.Store.SetDown(true)
+		s.kill(s.steward())
+		for range 3 {
+			s.changes()
+		}
+		s.Store.SetDown(false)
+	})
+	s.True(v.Kept())
+	s.Equal(v.Complete, v.Requests)
+}
+
 // All model servers refuse for a moment, as after a loss of power. Callers of
 // that moment wait instead of being sent away.
 func TestFleetAllRefuse(t *testing.T) {
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -39,6 +39,8 @@
 	// view is the last digest while this agent is the steward, taken at viewAt.
 	view   *rankpeer.Digest
 	viewAt time.Time
+	// roster is the last that a steward has told; nil before.
+	roster *rankpeer.Roster
 	// toSave are loads that wait to be written while this agent is the steward.
 	toSave *savedLoads
 }
@@ -69,9 +71,19 @@
 	}
 	a.term, a.from, a.fromRank, a.fromSalt = ask.Term, ask.From, ask.Rank, ask.Salt
 	a.candidate.Heard(time.Now())
+	if ask.Roster != nil {
+		a.roster = ask.Roster
+	}
 	return a.term, true
 }
 
+// lastRoster returns the last roster that was told, or nil.
+func (a *agent) lastRoster() *rankpeer.Roster {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.roster
+}
+
 // highestTerm returns the highest term that was heard.
 func (a *agent) highestTerm() int64 {
 	a.mu.Lock()
--- a/sidecar/ask.go
+++ b/sidecar/ask.go
@@ -4,11 +4,13 @@
 	"context"
 	"maps"
 	"net/http"
+	"reflect"
 	"slices"
 	"sync"
 	"time"
 
 	"verbenashift/core/lockstep"
+	"verbenashift/core/mirror"
 	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
@@ -28,7 +30,7 @@
 	// Counts told now would not be taken in.
 	s.pending, s.counting = nil, false
 	for id, p := range s.peers {
-		if p.target.Addr == s.boot.Target {
+		if p.member.Addr == s.boot.Target {
 			return s.askAll(ctx, map[string]*peer{id: p}, false)
 		}
 	}
@@ -46,27 +48,53 @@
 	return some
 }
 
-// meet keeps a peer for each target of the service.
+// meet keeps a peer for each target of the service that the store names.
 func (s *steward) meet() {
 	v := s.targets.View()
-	if v == nil {
+	if v == nil || v == s.seen {
 		return
 	}
-	for id, t := range v.Targets {
-		if t.Service == s.boot.Service && s.peers[id] == nil {
-			s.peers[id] = newPeer(t, s.boot.PortFirst, len(s.peers), s.log)
+	s.seen = v
+	s.enrol(s.rosterOf(v))
+}
+
+// rosterOf makes the roster of a view.
+func (s *steward) rosterOf(v *mirror.View) *rankpeer.Roster {
+	r := &rankpeer.Roster{Gap: v.ShortestGap(s.boot.Service)}
+	for _, id := range slices.Sorted(maps.Keys(v.Targets)) {
+		if t := v.Targets[id]; t.Service == s.boot.Service {
+			r.Members = append(r.Members, rankpeer.Member{ID: id, Addr: t.Addr})
+		}
+	}
+	for i := range v.Config.Services {
+		if svc := &v.Config.Services[i]; svc.Name == s.boot.Service && svc.Engine != nil {
+			r.Engine = *svc.Engine
+		}
+	}
+	return r
+}
+
+// enrol keeps a peer for each member of a roster, and has it told to all agents.
+func (s *steward) enrol(r *rankpeer.Roster) {
+	if r == nil || s.roster != nil && reflect.DeepEqual(r, s.roster) {
+		return
+	}
+	s.roster = r
+	members := make(map[string]bool, len(r.Members))
+	for _, m := range r.Members {
+		members[m.ID] = true
+		if s.peers[m.ID] == nil {
+			s.peers[m.ID] = newPeer(m, s.boot.PortFirst, len(s.peers), s.log)
 		}
 	}
 	for id, p := range s.peers {
-		if _, ok := v.Targets[id]; !ok {
+		if !members[id] {
 			p.close()
 			delete(s.peers, id)
 		}
 	}
-	for i := range v.Config.Services {
-		if svc := &v.Config.Services[i]; svc.Name == s.boot.Service && svc.Engine != nil {
-			s.planner.shape(*svc.Engine)
-		}
+	if r.Engine.Sets > 0 {
+		s.planner.shape(r.Engine)
 	}
 }
 
@@ -82,6 +110,9 @@
 			ask.Order = &cmd.Order
 			s.pack(id, &ask)
 		}
+		if p.told != s.roster {
+			ask.Roster = s.roster
+		}
 		wg.Go(func() {
 			tell := p.command(ctx, ask, cmd.Direct)
 			mu.Lock()
--- a/sidecar/peer.go
+++ b/sidecar/peer.go
@@ -26,7 +26,7 @@
 // peer is the steward's way to one rank: through the sidecar beside it, or
 // straight to the rank while that does not answer.
 type peer struct {
-	target platform.Target
+	member rankpeer.Member
 	// number spreads the peers over the rounds.
 	number  int
 	sidecar netip.AddrPort
@@ -39,12 +39,14 @@
 	last rankpeer.Tell
 	// lost says that the sidecar does not answer.
 	lost bool
+	// told is the roster that the sidecar has.
+	told *rankpeer.Roster
 }
 
-func newPeer(t platform.Target, port uint16, number int, log *slog.Logger) *peer {
+func newPeer(m rankpeer.Member, port uint16, number int, log *slog.Logger) *peer {
 	return &peer{
-		target: t, number: number, sidecar: netip.AddrPortFrom(t.Addr.Addr(), port),
-		direct: platform.NewRankClient(t.Addr), log: log,
+		member: m, number: number, sidecar: netip.AddrPortFrom(m.Addr.Addr(), port),
+		direct: platform.NewRankClient(m.Addr), log: log,
 	}
 }
 
@@ -57,7 +59,7 @@
 	if p.conn != nil {
 		// It is given up; an error in closing it changes nothing.
 		_ = p.conn.Close()
-		p.conn = nil
+		p.conn, p.told = nil, nil
 	}
 }
 
@@ -81,13 +83,13 @@
 	if err == nil {
 		if p.lost {
 			p.lost = false
-			p.log.Info("sidecar answers again", "target", p.target.ID)
+			p.log.Info("sidecar answers again", "target", p.member.ID)
 		}
 		return tell
 	}
 	if !p.lost {
 		p.lost = true
-		p.log.Warn("sidecar does not answer", "target", p.target.ID, "error", err.Error())
+		p.log.Warn("sidecar does not answer", "target", p.member.ID, "error", err.Error())
 	}
 	return p.askRank(ctx, ask)
 }
@@ -101,8 +103,12 @@
 	tell, err := p.conn.Ask(ask, p.patience(tellWait))
 	if err != nil {
 		p.hangUp()
+		return tell, err
 	}
-	return tell, err
+	if ask.Roster != nil {
+		p.told = ask.Roster
+	}
+	return tell, nil
 }
 
 // patience is how long to wait for a peer that may be gone.
@@ -150,7 +156,7 @@
 	defer cancel()
 	st, err := p.direct.State(ctx)
 	if err != nil {
-		p.log.Warn("rank not read from afar", "target", p.target.ID, "error", err.Error())
+		p.log.Warn("rank not read from afar", "target", p.member.ID, "error", err.Error())
 		p.last = rankpeer.Tell{}
 		return tell
 	}
@@ -160,7 +166,7 @@
 		if place, err := p.direct.Placement(ctx); err == nil {
 			tell.Placement = &place
 		} else {
-			p.log.Warn("placement not read from afar", "target", p.target.ID, "error", err.Error())
+			p.log.Warn("placement not read from afar", "target", p.member.ID, "error", err.Error())
 		}
 	}
 	return tell
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -39,6 +39,10 @@
 	acting  bool
 	targets *mirror.Follower
 	peers   map[string]*peer
+	// roster is what the agents are told of the group; seen is the view that it
+	// was made from, nil for one that was told by an earlier steward.
+	roster *rankpeer.Roster
+	seen   *mirror.View
 	// byRank are the targets of the group's ranks.
 	byRank  []string
 	core    *lockstep.Steward
@@ -87,7 +91,10 @@
 		log: a.log.With("group", st.Group, "term", term),
 	}
 	s.core.Fence = term
-	s.planner.guess = a.recallLoads(ctx, st.Group)
+	if !acting {
+		s.planner.guess = a.recallLoads(ctx, st.Group)
+	}
+	s.enrol(a.lastRoster())
 	go s.targets.Run(ctx)
 	go s.keepLoads(ctx)
 	s.log.Info("steward begins", "acting", acting)
@@ -209,8 +216,7 @@
 // pressed reports whether passes are long against the pauses that callers are
 // to see.
 func (s *steward) pressed() bool {
-	v := s.targets.View()
-	return v != nil && float64(s.core.PassTime()) > pressedPart*float64(v.ShortestGap(s.boot.Service))
+	return s.roster != nil && float64(s.core.PassTime()) > pressedPart*float64(s.roster.Gap)
 }
 
 const (
