A new steward acts while its claim is under way

The first round waited 0.3 s for the frozen instance of the steward before. Own tests of claims; the proof with a silent store.

--- a/core/rankpeer/roster.go
+++ b/core/rankpeer/roster.go
@@ -12,6 +12,8 @@
 // takes over must find the ranks without it.
 type Roster struct {
 	Members []Member
+	// Steward is the ID of the member beside which the steward runs.
+	Steward string
 	Engine  platform.Engine
 	// Gap is the longest pause between events that callers are to see.
 	Gap time.Duration
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -228,18 +228,28 @@
 // the group without asking the store: the load goes on shifting, and a hold that
 // the dead steward has left would let nobody be served.
 func TestFleetStewardDiesWithoutStore(t *testing.T) {
-	s := startFleet(t, fleet.Shape{Block: "127.0.70"})
-	v := s.during(1500, func() {
-		s.changes()
-		s.Store.SetDown(true)
-		s.kill(s.steward())
-		for range 3 {
-			s.changes()
-		}
-		s.Store.SetDown(false)
-	})
-	s.True(v.Kept())
-	s.Equal(v.Complete, v.Requests)
+	for name, away := range map[string]struct {
+		block string
+		set   func(*fleet.Store, bool)
+	}{
+		"refuses":   {"127.0.70", (*fleet.Store).SetDown},
+		"is silent": {"127.0.71", (*fleet.Store).SetSilent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startFleet(t, fleet.Shape{Block: away.block})
+			v := s.during(1500, func() {
+				s.changes()
+				away.set(s.Store, true)
+				s.kill(s.steward())
+				for range 3 {
+					s.changes()
+				}
+				away.set(s.Store, false)
+			})
+			s.True(v.Kept())
+			s.Equal(v.Complete, v.Requests)
+		})
+	}
 }
 
 // All model servers refuse for a moment, as after a loss of power. Callers of
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -25,12 +25,14 @@
 	plan bool
 
 	mu sync.Mutex
-	// term, from, fromRank and fromSalt are those of the newest steward heard.
-	term      int64
+	// heardTerm, from, fromRank and fromSalt are those of the newest steward heard.
+	heardTerm int64
 	from      string
 	fromRank  int
 	fromSalt  uint64
 	candidate *lockstep.Candidate
+	// words counts the words of stewards that were heard.
+	words int
 	// maps are those that were prepared here lately.
 	maps mapStore
 	// counts are the last ones that were read, in the epoch countsEpoch.
@@ -63,18 +65,19 @@
 func (a *agent) hear(ask rankpeer.Ask) (int64, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if ask.Term < a.term || ask.Term == a.term && ask.From < a.from {
-		return a.term, false
+	if ask.Term < a.heardTerm || ask.Term == a.heardTerm && ask.From < a.from {
+		return a.heardTerm, false
 	}
 	if ask.From != a.from {
-		a.log.Info("steward", "steward", ask.From, "term", ask.Term, "before", a.from, "term-before", a.term)
+		a.log.Info("steward", "steward", ask.From, "term", ask.Term, "before", a.from, "term-before", a.heardTerm)
 	}
-	a.term, a.from, a.fromRank, a.fromSalt = ask.Term, ask.From, ask.Rank, ask.Salt
+	a.heardTerm, a.from, a.fromRank, a.fromSalt = ask.Term, ask.From, ask.Rank, ask.Salt
 	a.candidate.Heard(time.Now())
+	a.words++
 	if ask.Roster != nil {
 		a.roster = ask.Roster
 	}
-	return a.term, true
+	return a.heardTerm, true
 }
 
 // lastRoster returns the last roster that was told, or nil.
@@ -84,11 +87,18 @@
 	return a.roster
 }
 
+// heardWords returns how many words of stewards were heard.
+func (a *agent) heardWords() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.words
+}
+
 // highestTerm returns the highest term that was heard.
 func (a *agent) highestTerm() int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.term
+	return a.heardTerm
 }
 
 // digest returns what a gateway may know of the group, or nil if this agent is
--- a/sidecar/ask.go
+++ b/sidecar/ask.go
@@ -64,6 +64,9 @@
 	for _, id := range slices.Sorted(maps.Keys(v.Targets)) {
 		if t := v.Targets[id]; t.Service == s.boot.Service {
 			r.Members = append(r.Members, rankpeer.Member{ID: id, Addr: t.Addr})
+			if t.Addr == s.boot.Target {
+				r.Steward = id
+			}
 		}
 	}
 	for i := range v.Config.Services {
@@ -87,6 +90,11 @@
 			s.peers[m.ID] = newPeer(m, s.boot.PortFirst, len(s.peers), s.log)
 		}
 	}
+	if p := s.peers[r.Steward]; p != nil && p.member.Addr != s.boot.Target {
+		// The steward before has fallen silent: its instance must not hold up the
+		// first round, in which a hold that it has left is found.
+		p.lost = true
+	}
 	for id, p := range s.peers {
 		if !members[id] {
 			p.close()
--- a/sidecar/claim.go
+++ b/sidecar/claim.go
@@ -9,17 +9,37 @@
 	"verbenashift/platform"
 )
 
-// claimWait bounds a claim: the store answers in milliseconds or is away.
-const claimWait = 600 * time.Millisecond
+const (
+	// claimWait bounds a claim: the store answers in milliseconds, in half a
+	// second when it is slow, or is away.
+	claimWait = 1500 * time.Millisecond
+	// claimPatience is how long a new steward waits for its claim before it
+	// acts: a group that is held must not wait for the store.
+	claimPatience = 120 * time.Millisecond
+	// reclaimEvery is how often a steward that acts without the store tries to
+	// get a term from it.
+	reclaimEvery = 2 * time.Second
+)
 
-// claim makes this agent the steward of a group. The term is the revision of
-// the write, so that a later steward always has a higher one.
-//
-// While the store is away the agent acts with the next number after the highest
-// that it has heard: a group that is held must not wait for the store. Two
-// agents that do so at once are safe, since the ranks take orders only from who
-// has seen their last one; see package lockstep.
-func (a *agent) claim(ctx context.Context, group string) (term int64, acting, ok bool) {
+// claimed is what became of a claim. The zero value says that the store has not
+// answered.
+type claimed struct {
+	// term is the revision of the write, so that a later steward always has a
+	// higher one; 0 if the claim was not written.
+	term int64
+	// lost says that another agent was faster.
+	lost bool
+}
+
+// claim tries to make this agent the steward of a group, in the background. The
+// channel gets one value.
+func (a *agent) claim(ctx context.Context, group string) <-chan claimed {
+	done := make(chan claimed, 1)
+	go func() { done <- a.writeClaim(ctx, group) }()
+	return done
+}
+
+func (a *agent) writeClaim(ctx context.Context, group string) claimed {
 	ctx, cancel := context.WithTimeout(ctx, claimWait)
 	defer cancel()
 	key := rankpeer.ClaimPrefix + group
@@ -32,17 +52,86 @@
 	case errors.As(err, &status) && status.NotFound():
 	default:
 		a.log.Warn("store does not answer a claim", "error", err.Error())
-		return a.highestTerm() + 1, true, true
+		return claimed{}
 	}
-	term, err = a.store.Put(ctx, cond, []byte(a.addr().String()))
+	term, err := a.store.Put(ctx, cond, []byte(a.addr().String()))
 	if err == nil {
 		a.log.Info("claimed", "group", group, "term", term, "revision-before", cond.Revision)
-		return term, false, true
+		return claimed{term: term}
 	}
 	if errors.As(err, &status) && status.Conflict() {
 		a.log.Info("another steward was faster", "group", group)
-		return 0, false, false
+		return claimed{lost: true}
 	}
 	a.log.Warn("claim not answered", "error", err.Error())
-	return a.highestTerm() + 1, true, true
+	return claimed{}
+}
+
+// duty is the right of an agent to act as the steward of a group.
+//
+// Without the store the agent acts with the next number after the highest that it
+// has heard, and goes on claiming. Two agents that do so at once are safe, since
+// the ranks take orders only from who has seen their last one; see package
+// lockstep.
+type duty struct {
+	term int64
+	// acting says that the term does not come from the store.
+	acting bool
+	// claiming is where the outcome of a claim under way will come, or nil.
+	claiming <-chan claimed
+	// claimedAt is when the last claim began.
+	claimedAt time.Time
+}
+
+// takeOver claims a group and returns the duty. It reports false if another
+// steward is at work.
+func (a *agent) takeOver(ctx context.Context, group string) (duty, bool) {
+	words := a.heardWords()
+	d := duty{claiming: a.claim(ctx, group), claimedAt: time.Now()}
+	wait := time.NewTimer(claimPatience)
+	defer wait.Stop()
+	select {
+	case c := <-d.claiming:
+		d.claiming, d.term = nil, c.term
+		if c.lost {
+			return d, false
+		}
+	case <-wait.C:
+	}
+	if d.term == 0 {
+		if a.heardWords() != words {
+			// Another agent has begun to act meanwhile. Each one that follows
+			// would have the group begin its change anew.
+			a.log.Info("another steward acts", "group", group)
+			return d, false
+		}
+		d.term, d.acting = a.highestTerm()+1, true
+	}
+	return d, true
+}
+
+// renewDuty takes what became of a claim under way, and claims again while the
+// store has not answered. It reports false if another steward was faster.
+func (s *steward) renewDuty(ctx context.Context, now time.Time) bool {
+	if !s.acting {
+		return true
+	}
+	if s.claiming == nil {
+		if now.Sub(s.claimedAt) >= reclaimEvery {
+			s.claiming, s.claimedAt = s.claim(ctx, s.group), now
+		}
+		return true
+	}
+	select {
+	case c := <-s.claiming:
+		s.claiming = nil
+		if c.term > s.term {
+			s.term, s.acting, s.core.Fence = c.term, false, c.term
+			metricTerm.Set(c.term)
+			s.log.Info("acts with a term of the store", "new-term", c.term)
+		}
+		return !c.lost
+	default:
+		return true
+	}
 }
--- /dev/null
+++ b/sidecar/claim_test.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/instance"
+	"verbenashift/core/lockstep"
+	"verbenashift/core/rankpeer"
+	"verbenashift/platform"
+	"verbenashift/standin/fleet"
+)
+
+// testAgent returns an agent before a store of its own.
+func testAgent(t *testing.T) (*agent, *fleet.Store) {
+	store := fleet.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	boot := platform.Boot{
+		Instance: "side-1", IP: netip.MustParseAddr("127.0.0.1"), PortFirst: 9310,
+		Store: platform.StoreSettings{Addr: netip.MustParseAddrPort(server.Listener.Addr().String())},
+	}
+	return newAgent(instance.Env{Boot: boot, Log: slog.New(slog.DiscardHandler)}), store
+}
+
+// outcome waits for what becomes of a claim under way.
+func outcome(t *testing.T, s *steward) bool {
+	t.Helper()
+	for range 1000 {
+		if ok := s.renewDuty(t.Context(), s.claimedAt); !ok || s.claiming == nil {
+			return ok
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("the claim has not ended")
+	return false
+}
+
+// The steward has died with a hold in place, and the store is silent. The next
+// one must act at once; when the store is back, it gets a term from it without
+// another change of stewards.
+func TestStewardActsBeforeTheStoreAnswers(t *testing.T) {
+	is := is.New(t)
+	a, store := testAgent(t)
+	a.heardTerm = 24
+	store.SetSilent(true)
+	d, ok := a.takeOver(t.Context(), "g")
+	is.True(ok)
+	is.True(d.acting)
+	is.Equal(d.term, int64(25))
+	is.True(d.claiming != nil) // the claim goes on
+	s := &steward{agent: a, group: "g", duty: d, core: lockstep.NewSteward(0, nil, 1), log: a.log}
+	for range 40 { // the store has been written to before
+		store.Put("servers/x", nil)
+	}
+	store.SetSilent(false)
+	is.True(outcome(t, s))
+	is.True(!s.acting)
+	is.True(s.term > 25)
+	is.Equal(s.core.Fence, s.term)
+}
+
+// The store is away and two agents notice that the steward is silent. The second
+// one hears the first while it waits for its claim: it must not take the change
+// over again, or the group would begin it anew with each agent that follows.
+func TestSecondAgentDoesNotFollow(t *testing.T) {
+	is := is.New(t)
+	a, store := testAgent(t)
+	store.SetSilent(true)
+	heard := make(chan struct{})
+	go func() {
+		defer close(heard)
+		time.Sleep(claimPatience / 4)
+		a.hear(rankpeer.Ask{Term: 25, From: "side-0"})
+	}()
+	_, ok := a.takeOver(t.Context(), "g")
+	<-heard
+	is.True(!ok)
+}
+
+// Two agents claim at the same time. The store lets one of them through; the
+// other, already acting, must end.
+func TestActingStewardEndsWhenAnotherHasClaimed(t *testing.T) {
+	is := is.New(t)
+	a, store := testAgent(t)
+	key := rankpeer.ClaimPrefix + "g"
+	store.Put(key, []byte("127.0.0.9:9310"))
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	it, err := a.store.Get(ctx, key)
+	is.NoErr(err)
+	lost := make(chan claimed, 1)
+	store.Put(key, []byte("127.0.0.8:9310"))
+	_, err = a.store.Put(ctx, platform.Condition{Key: key, Revision: it.Revision}, nil)
+	is.True(err != nil) // the condition of the slower one fails
+	lost <- claimed{lost: true}
+	s := &steward{agent: a, group: "g", duty: duty{acting: true, term: 3, claiming: lost}, core: lockstep.NewSteward(0, nil, 1), log: a.log}
+	is.True(!s.renewDuty(ctx, time.Now()))
+}
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -21,9 +21,6 @@
 	// roundLate is how late a round may be before the steward assumes that it
 	// was paused and that another one acts by now.
 	roundLate = 600 * time.Millisecond
-	// reclaimEvery is how often a steward that acts without the store tries to
-	// get a term from it.
-	reclaimEvery = 2 * time.Second
 )
 
 // steward drives the changes of one group's map.
@@ -34,9 +31,7 @@
 	rankOf int
 	// salt is what the steward was made with; see lockstep.Predecessor.
 	salt uint64
-	term int64
-	// acting says that the term does not come from the store.
-	acting  bool
+	duty
 	targets *mirror.Follower
 	peers   map[string]*peer
 	// roster is what the agents are told of the group; seen is the view that it
@@ -77,29 +72,29 @@
 // lead makes this agent the steward and drives the group until another one has
 // taken over.
 func (a *agent) lead(ctx context.Context, st platform.RankState) {
-	term, acting, ok := a.claim(ctx, st.Group)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d, ok := a.takeOver(ctx, st.Group)
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	salt := rand.Uint64()
 	s := &steward{
-		agent: a, salt: salt, group: st.Group, rankOf: st.Rank, term: term, acting: acting,
+		agent: a, salt: salt, group: st.Group, rankOf: st.Rank, duty: d,
 		targets: mirror.NewFollower(a.store, a.log), peers: map[string]*peer{},
 		core: lockstep.NewSteward(st.Rank, a.stewardBefore(st.Rank), salt), pending: map[string]lockstep.Command{},
-		log: a.log.With("group", st.Group, "term", term),
+		log: a.log.With("group", st.Group, "steward-from", d.term),
 	}
-	s.core.Fence = term
-	if !acting {
+	s.core.Fence = d.term
+	if !d.acting {
 		s.planner.guess = a.recallLoads(ctx, st.Group)
 	}
 	s.enrol(a.lastRoster())
 	go s.targets.Run(ctx)
 	go s.keepLoads(ctx)
-	s.log.Info("steward begins", "acting", acting)
+	s.log.Info("steward begins", "term", d.term, "acting", d.acting, "members", len(s.peers))
 	metricSteward.Set(1)
-	metricTerm.Set(term)
+	metricTerm.Set(d.term)
 	s.drive(ctx)
 	metricSteward.Set(0)
 	s.setDigest(nil)
@@ -111,8 +106,7 @@
 
 // drive makes rounds until the steward is no longer the newest.
 func (s *steward) drive(ctx context.Context) {
-	claimed := time.Now()
-	began := claimed
+	began := time.Now()
 	for ctx.Err() == nil {
 		now := time.Now()
 		if now.Sub(began) > roundLate+tellWait+calmRound {
@@ -120,7 +114,7 @@
 			return
 		}
 		began = now
-		if s.acting && now.Sub(claimed) > reclaimEvery {
+		if !s.renewDuty(ctx, now) {
 			return
 		}
 		busy, ok := s.round(ctx, now)
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -30,7 +30,9 @@
 	oldest  int64
 	changed chan struct{}
 	down    bool
-	calls   int
+	// silent makes it take calls and answer none.
+	silent bool
+	calls  int
 }
 
 // NewStore returns an empty store.
@@ -67,6 +69,31 @@
 	s.wake()
 }
 
+// SetSilent makes the store answer no call, or serve again.
+func (s *Store) SetSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+	s.wake()
+}
+
+// hush waits while the store is silent, or until the caller has left.
+func (s *Store) hush(r *http.Request) {
+	for {
+		s.mu.Lock()
+		silent, changed := s.silent, s.changed
+		s.mu.Unlock()
+		if !silent {
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
 // Compact drops the history.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -103,6 +130,7 @@
 	s.calls++
 	down := s.down
 	s.mu.Unlock()
+	s.hush(r)
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
