No new requests for a target that has gone silent

Change: a target with a begun answer in progress that has said nothing for 0.3 s while others go on gets no new requests for a second; whole-target silence moves answers after 0.5 s if one of them had begun.

--- a/core/health/stall.go
+++ b/core/health/stall.go
@@ -3,15 +3,21 @@
 import "time"
 
 const (
-	// answerStall is how long an answer in progress may be silent while others
+	// answerStall is how long an answer that has begun may be silent while others
 	// go on. Engines make an event with each pass, some tens to two hundred
 	// milliseconds; a request whose memory was taken for others begins again
 	// within half a second. Callers leave after two seconds, and the answer has
 	// to go on elsewhere before.
 	answerStall = time.Second
 	// targetStall is how long a target may say nothing at all, with answers due,
-	// while others go on.
+	// while others go on: dueStall if one of them had begun, so that something is
+	// due with each pass.
 	targetStall = 700 * time.Millisecond
+	dueStall    = 500 * time.Millisecond
+	// avoidAfter is after how long such a target gets no new requests. To avoid
+	// one in vain costs nothing; a request that it takes is run when it wakes,
+	// whether its caller still waits or not.
+	avoidAfter = 300 * time.Millisecond
 	// poolAlive is how recently another target must have sent something. If all
 	// are silent, the engines stand still together, and no other would help.
 	poolAlive = 300 * time.Millisecond
@@ -20,27 +26,44 @@
 // Progress is when something last came of one answer, of the target that makes
 // it, and of all targets that could.
 type Progress struct {
-	// Begun says that a piece of the answer has come.
-	Begun bool
+	// Begun says that a piece of the answer has come, Due that this is so of any
+	// answer in progress at the target.
+	Begun, Due bool
 	// Answer is when its last piece came, or else when it was asked for.
 	Answer time.Time
 	// Target and Pool are when a piece of any answer came from there last.
 	Target, Pool time.Time
 }
 
-// Stalled reports whether an answer has stopped while other targets go on, so
-// that it had better go on there, and whether it is the whole target that is
-// silent.
+// Silence is what follows from a lack of progress.
+type Silence struct {
+	// Avoid says that the target should get no new requests.
+	Avoid bool
+	// Move says that the answer had better go on at another target.
+	Move bool
+	// Whole says that nothing comes from the target, not only of this answer.
+	Whole bool
+}
+
+// Judge tells a silence that other targets don't share.
 //
 // It is for instances that stand still and for connections that go silent:
 // neither ends a connection, requests sent there wait until their callers leave,
 // and nothing counts as a failure of the target. An answer that has not begun
 // may rightly wait in the queue of a target that works.
-func Stalled(p Progress, now time.Time) (stalled, target bool) {
+func (p Progress) Judge(now time.Time) Silence {
 	if now.Sub(p.Pool) > poolAlive {
-		return false, false
+		return Silence{}
+	}
+	limit := targetStall
+	if p.Due {
+		limit = dueStall
+	}
+	answer, target := now.Sub(p.Answer), now.Sub(p.Target)
+	whole := answer >= limit && target >= limit
+	return Silence{
+		Avoid: p.Due && target >= avoidAfter,
+		Move:  whole || p.Begun && answer >= answerStall,
+		Whole: whole,
 	}
-	silent := now.Sub(p.Answer)
-	target = silent >= targetStall && now.Sub(p.Target) >= targetStall
-	return target && silent >= answerStall || p.Begun && silent >= answerStall, target
 }
--- a/core/health/stall_test.go
+++ b/core/health/stall_test.go
@@ -9,32 +9,29 @@
 
 // An instance stands still for seconds, or a connection goes silent: drafts
 // stop in the middle and nothing says so. They are to go on elsewhere before
-// their callers leave; but a draft that waits in a working target's queue, and
-// drafts of a group that stands still as a whole, stay where they are.
-func TestStalled(t *testing.T) {
+// their callers leave, and no new ones are to go there; but a draft that waits
+// in a working target's queue, and drafts of a group that stands still as a
+// whole, stay where they are.
+func TestSilence(t *testing.T) {
 	now := start.Add(time.Minute)
-	ago := func(d time.Duration) time.Time { return now.Add(-d) }
-	const ms = time.Millisecond
+	ago := func(ms int) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	tests := map[string]struct {
-		p               Progress
-		stalled, target bool
+		p    Progress
+		want Silence
 	}{
-		"runs":                    {Progress{true, ago(80 * ms), ago(40 * ms), ago(5 * ms)}, false, false},
-		"connection silent":       {Progress{true, ago(1000 * ms), ago(40 * ms), ago(5 * ms)}, true, false},
-		"target silent":           {Progress{true, ago(1000 * ms), ago(900 * ms), ago(5 * ms)}, true, true},
-		"target silent, early":    {Progress{true, ago(800 * ms), ago(800 * ms), ago(5 * ms)}, false, true},
-		"not begun, silent":       {Progress{false, ago(1000 * ms), ago(900 * ms), ago(5 * ms)}, true, true},
-		"not begun, in a queue":   {Progress{false, ago(1500 * ms), ago(40 * ms), ago(5 * ms)}, false, false},
-		"asked for just now":      {Progress{false, ago(100 * ms), ago(3000 * ms), ago(5 * ms)}, false, false},
-		"all stand still":         {Progress{true, ago(1500 * ms), ago(1500 * ms), ago(400 * ms)}, false, false},
-		"nothing has come at all": {Progress{Answer: ago(1500 * ms)}, false, false},
+		"runs":                      {Progress{true, true, ago(80), ago(40), ago(5)}, Silence{}},
+		"connection silent":         {Progress{true, true, ago(1000), ago(40), ago(5)}, Silence{Move: true}},
+		"target silent for 0.3 s":   {Progress{true, true, ago(300), ago(300), ago(5)}, Silence{Avoid: true}},
+		"target silent for 0.5 s":   {Progress{true, true, ago(500), ago(500), ago(5)}, Silence{true, true, true}},
+		"sent to a silent target":   {Progress{false, true, ago(200), ago(600), ago(5)}, Silence{Avoid: true}},
+		"not begun, target silent":  {Progress{false, false, ago(700), ago(900), ago(5)}, Silence{Move: true, Whole: true}},
+		"not begun, perhaps queued": {Progress{false, false, ago(600), ago(900), ago(5)}, Silence{}},
+		"not begun, in a queue":     {Progress{false, true, ago(1500), ago(40), ago(5)}, Silence{}},
+		"asked for just now":        {Progress{false, false, ago(100), ago(3000), ago(5)}, Silence{}},
+		"all stand still":           {Progress{true, true, ago(1500), ago(1500), ago(400)}, Silence{}},
+		"nothing has come at all":   {Progress{Answer: ago(1500)}, Silence{}},
 	}
 	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			stalled, target := Stalled(tt.p, now)
-			is.Equal(stalled, tt.stalled)
-			is.Equal(target, tt.target)
-		})
+		t.Run(name, func(t *testing.T) { is.New(t).Equal(tt.p.Judge(now), tt.want) })
 	}
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -41,6 +41,10 @@
 type pooled struct {
 	platform.Target
 	pool *upstream.Pool
+	// slow says that it lengthens the passes of its group; silentUntil is until
+	// when it is taken for silent.
+	slow        bool
+	silentUntil time.Time
 }
 
 // choices is how many targets are compared for a request. With a handful of
@@ -174,7 +178,10 @@
 		pace := max(float64(d.Pace[k])/rankpeer.PaceUnit, 1)
 		load := route.Load{Queued: float64(d.Queued[k]) * f.cost, Running: int(d.Running[k]), Rate: engineRate / pace}
 		f.table.Report(i, load, taken)
-		f.table.SetAvoided(i, pace > slowPace)
+		if p := f.pools[id]; p != nil {
+			p.slow = pace > slowPace
+			f.avoid(p, taken)
+		}
 		service = f.table.Target(i).Service
 		running += int(d.Running[k])
 		queued += int(d.Queued[k])
@@ -201,7 +208,7 @@
 func (f *fleet) tick(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.endStalled(now)
+	f.watchSilence(now)
 	for _, c := range f.monitor.Tick(now, f.rng) {
 		f.table.SetHealth(c.Target, c.Share, c.Probe)
 		f.log.Info("target health", "target", f.table.Target(c.Target).Name, "state", c.State.String(), "share", c.Share, "cause", c.Cause.String())
--- a/gateway/flights.go
+++ b/gateway/flights.go
@@ -64,26 +64,53 @@
 	f.flights.services[fl.service] = now
 }
 
-// endStalled ends the attempts that have gone silent. It is called with the
-// lock held.
-func (f *fleet) endStalled(now time.Time) {
+// silentFor is how long a target gets no new requests after it was found silent.
+// If it is silent for longer, the answers that were moved away have it ejected.
+const silentFor = time.Second
+
+// watchSilence has no requests sent to targets that have gone silent, and ends
+// the attempts there that had better go on elsewhere. It is called with the lock
+// held.
+func (f *fleet) watchSilence(now time.Time) {
+	due := map[string]bool{}
+	for fl := range f.flights.open {
+		due[fl.target.ID] = due[fl.target.ID] || fl.begun
+	}
 	for fl := range f.flights.open {
+		id := fl.target.ID
 		p := health.Progress{
-			Begun: fl.begun, Answer: fl.heardAt,
-			Target: f.flights.targets[fl.target.ID], Pool: f.flights.services[fl.service],
+			Begun: fl.begun, Due: due[id], Answer: fl.heardAt,
+			Target: f.flights.targets[id], Pool: f.flights.services[fl.service],
 		}
-		stalled, whole := health.Stalled(p, now)
-		if !stalled {
-			continue
+		silence := p.Judge(now)
+		if silence.Avoid {
+			fl.target.silentUntil = now.Add(silentFor)
 		}
-		if whole {
-			// One silent answer of a silent target says more than one that
-			// broke: with a second one the target gets no more.
-			f.monitor.Fail(fl.index, health.Hard, now)
+		if silence.Move {
+			f.moveAway(fl, silence, now)
 		}
-		f.log.Warn("target silent", "id", fl.id, "target", fl.target.ID, "service", fl.service, "whole-target", whole,
-			"begun", fl.begun, "silent-ms", now.Sub(fl.heardAt).Milliseconds())
-		delete(f.flights.open, fl)
-		fl.end(errStalled)
 	}
+	for _, p := range f.pools {
+		f.avoid(p, now)
+	}
+}
+
+// avoid tells the table whether a target is to be avoided.
+func (f *fleet) avoid(p *pooled, now time.Time) {
+	if i, ok := f.table.Lookup(p.ID); ok {
+		f.table.SetAvoided(i, p.slow || now.Before(p.silentUntil))
+	}
+}
+
+// moveAway ends an attempt, so that the stream goes on at another target.
+func (f *fleet) moveAway(fl *flight, silence health.Silence, now time.Time) {
+	if silence.Whole {
+		// One silent answer of a silent target says more than one that broke:
+		// with a second one the target gets no more.
+		f.monitor.Fail(fl.index, health.Hard, now)
+	}
+	f.log.Warn("target silent", "id", fl.id, "target", fl.target.ID, "service", fl.service, "whole-target", silence.Whole,
+		"begun", fl.begun, "silent-ms", now.Sub(fl.heardAt).Milliseconds())
+	delete(f.flights.open, fl)
+	fl.end(errStalled)
 }
