A claim that was just made is left alone

The steward froze right after its hold; two agents claimed within 40 ms of each other, the second over the claim of the first, of which it had heard by then. So the first one, not the frozen one, was the steward before it, and a hold is given up only by who follows its steward directly. Ruled out: a rank frozen just as it is armed (no order to arm in the log).

--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -31,6 +31,8 @@
 	fromRank  int
 	fromSalt  uint64
 	candidate *lockstep.Candidate
+	// seenClaim is the revision of the last claim that was seen in the store.
+	seenClaim int64
 	// words counts the words of stewards that were heard.
 	words int
 	// maps are those that were prepared here lately.
--- a/sidecar/claim.go
+++ b/sidecar/claim.go
@@ -39,6 +39,18 @@
 	return done
 }
 
+// unheard reports whether a claim in the store is by a steward that this agent
+// has not heard and has not seen before: it has claimed a moment ago and is about
+// to speak. Taken over at once, it would be the steward before, and a hold of the
+// silent one could not be given up any more; see package lockstep.
+func (a *agent) unheard(revision int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	fresh := a.heardTerm != 0 && revision > a.heardTerm && revision != a.seenClaim
+	a.seenClaim = revision
+	return fresh
+}
+
 func (a *agent) writeClaim(ctx context.Context, group string) claimed {
 	ctx, cancel := context.WithTimeout(ctx, claimWait)
 	defer cancel()
@@ -47,6 +59,9 @@
 	it, err := a.store.Get(ctx, key)
 	var status *platform.StatusError
 	switch {
+	case err == nil && a.unheard(it.Revision):
+		a.log.Info("another steward has claimed", "group", group, "revision", it.Revision)
+		return claimed{lost: true}
 	case err == nil:
 		cond.Revision = it.Revision
 	case errors.As(err, &status) && status.NotFound():
--- a/sidecar/claim_test.go
+++ b/sidecar/claim_test.go
@@ -84,6 +84,26 @@
 	is.True(!ok)
 }
 
+// A steward freezes with a hold in place, and two agents notice at almost the same
+// time. The second finds the claim of the first, of which it has heard nothing
+// yet. It must leave it alone, or the hold would stand until the frozen one is
+// back: only who follows it directly knows that nothing was armed. If the first
+// stays silent, the second takes over at its next try.
+func TestFreshClaimIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	a, store := testAgent(t)
+	for range 30 {
+		store.Put("servers/x", nil)
+	}
+	a.heardTerm = 24
+	store.Put(rankpeer.ClaimPrefix+"g", []byte("127.0.0.9:9310")) // revision 31
+	_, ok := a.takeOver(t.Context(), "g")
+	is.True(!ok)
+	d, ok := a.takeOver(t.Context(), "g")
+	is.True(ok)
+	is.True(d.term > 31)
+}
+
 // Two agents claim at the same time. The store lets one of them through; the
 // other, already acting, must end.
 func TestActingStewardEndsWhenAnotherHasClaimed(t *testing.T) {
