--- a/core/lockstep/lockstep_test.go
+++ b/core/lockstep/lockstep_test.go
@@ -151,7 +151,8 @@
 	ranks[1].State.Held = holdAt
 	is.Equal(s.Next(ranks, start.Add(arming))[0].Order.Kind, platform.ReleasePass)
 	is.Equal(s.took, arming)
-	is.Equal(s.pass.lead(s.took), int64(arming/pass)+1)
+	s.holdAt = 0
+	is.Equal(s.hold(ranks)[0].Order.Step, holdAt-1+int64(arming/pass)+1)
 	// One quick change does not undo it: the next may be slow again.
 	s.heldAt, s.now = start, start.Add(10*time.Millisecond)
 	s.measure()
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -147,6 +147,9 @@
 	defer f.mu.Unlock()
 	if a.Misdirected && !f.gone[s.target.ID] {
 		f.gone[s.target.ID] = true
+		// Every request that is sent there costs a retry. The next view of the
+		// store may be seconds away.
+		f.table.SetLeaving(s.index, true)
 		f.log.Info("target gone", "target", s.target.ID, "reason", "another server answers at its address")
 	}
 	if a.Load != nil {
--- /dev/null
+++ b/gateway/rules_test.go
@@ -0,0 +1,533 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/instance"
+	"verbenashift/core/mirror"
+	"verbenashift/platform"
+	"verbenashift/standin/scripted"
+)
+
+// rig is a gateway between a caller and scripted servers.
+type rig struct {
+	*is.I
+	t       *testing.T
+	gateway *gateway
+	front   string
+	view    mirror.View
+	calls   int
+}
+
+const (
+	rigHost  = "desk.example"
+	rigKey   = "key-of-harbor-home"
+	rigSpace = "harbor-home"
+	// rigPatience is how long callers wait unless a test says otherwise.
+	rigPatience = 5 * time.Second
+)
+
+// route is one of the kinds that a configuration may have.
+func routeOf(kind platform.RouteKind) platform.Route {
+	return platform.Route{
+		Name: "a", Host: rigHost, Prefix: "/a/", Kind: kind, Timeout: 4 * time.Second, Objective: 300 * time.Millisecond,
+		Gap: 120 * time.Millisecond, Attempts: 2, Resumable: kind == platform.Stream,
+		Split: []platform.Share{{Service: "pool", Weight: 1}},
+	}
+}
+
+// newRig starts a gateway whose route leads to servers, the targets t0, t1 and so
+// on.
+func newRig(t *testing.T, route platform.Route, servers ...*scripted.Server) *rig {
+	t.Helper()
+	env := instance.Env{Log: slog.New(slog.DiscardHandler)}
+	env.Boot.Bounds = platform.Bounds{RetryRatio: 0.2, RetrySlack: 90 * gateways}
+	g := newGateway(env)
+	r := &rig{I: is.New(t), t: t, gateway: g, view: mirror.View{
+		Config: &platform.Config{
+			Version: 7, Routes: []platform.Route{route}, Services: []platform.Service{{Name: "pool"}},
+			Workspaces: []platform.Workspace{{Name: rigSpace, Keys: []string{rigKey}}},
+			Limits:     platform.Limits{BodyBytes: 1 << 20},
+		},
+		Targets: map[string]platform.Target{},
+	}}
+	for i, s := range servers {
+		id := fmt.Sprintf("t%d", i)
+		r.view.Targets[id] = platform.Target{ID: id, Service: "pool", Addr: s.Addr, Slots: 12}
+	}
+	g.update(&r.view)
+	front := httptest.NewUnstartedServer(g)
+	front.Config.ErrorLog = log.New(io.Discard, "", 0) // Broken streams are meant here.
+	front.Start()
+	ctx, stop := context.WithCancel(context.Background())
+	go g.run(ctx)
+	t.Cleanup(func() {
+		stop()
+		front.CloseClientConnections()
+		front.Close()
+	})
+	r.front = front.Listener.Addr().String()
+	return r
+}
+
+// call is the next attempt of a caller.
+func (r *rig) call() scripted.Call {
+	r.calls++
+	return scripted.Call{
+		Front: r.front, Method: http.MethodPost, Path: "/a/item?q=1", Host: rigHost, Key: rigKey,
+		ID: fmt.Sprintf("r%d", r.calls), Body: "a body", Patience: rigPatience,
+	}
+}
+
+// ask sends the next attempt.
+func (r *rig) ask() (scripted.Call, scripted.Answer) {
+	c := r.call()
+	return c, c.Do(r.t.Context())
+}
+
+// total counts the arrivals at servers.
+func total(servers ...*scripted.Server) int {
+	n := 0
+	for _, s := range servers {
+		n += len(s.Seen())
+	}
+	return n
+}
+
+// broken are the ways in which a server's answer may be none.
+func broken() map[string]func(*scripted.Exchange) {
+	return map[string]func(*scripted.Exchange){
+		"closed without an answer": func(x *scripted.Exchange) { x.Close() },
+		"no signature":             func(x *scripted.Exchange) { x.Unsealed("other") },
+		"body cut off": func(x *scripted.Exchange) {
+			x.Write(scripted.Head(200, x.ID(), "Content-Length: 100\r\n") + "half")
+			x.Close()
+		},
+		"no bytes of the protocol": func(x *scripted.Exchange) {
+			x.Write("\x00\x01 what is this\r\n\r\n")
+			x.Close()
+		},
+		"answer to another request": func(x *scripted.Exchange) {
+			x.Write(scripted.Head(200, "another", "Content-Length: 5\r\n") + "other")
+			x.Close()
+		},
+		"encoded": func(x *scripted.Exchange) {
+			x.Write(scripted.Head(200, x.ID(), "Content-Encoding: gzip\r\nContent-Length: 3\r\n") + "zip")
+		},
+	}
+}
+
+// A server spoils an answer: it breaks off, loses its signature or answers
+// somebody else. A lookup is repeated at another server and its caller gets that
+// one's whole answer; nobody sees a part that looks whole.
+func TestSpoiledLookupIsRepeated(t *testing.T) {
+	for name, spoil := range broken() {
+		t.Run(name, func(t *testing.T) {
+			var answered atomic.Bool
+			script := func(x *scripted.Exchange) {
+				if !answered.Swap(true) {
+					spoil(x)
+					return
+				}
+				x.Whole(200, "whole answer")
+			}
+			a, b := scripted.Serve(t, script), scripted.Serve(t, script)
+			r := newRig(t, routeOf(platform.Safe), a, b)
+			c, got := r.ask()
+			r.Equal(got.Status, 200)
+			r.True(got.Whole)
+			r.True(got.Sealed(c.ID))
+			r.Equal(got.Body, "whole answer")
+			r.Equal(total(a, b), 2)
+		})
+	}
+}
+
+// The same happens to a chapel booking. It may have run, so that it must not be
+// sent again, and the caller must hear neither "not run" nor a success.
+func TestSpoiledBookingIsUnknown(t *testing.T) {
+	for name, spoil := range broken() {
+		t.Run(name, func(t *testing.T) {
+			a, b := scripted.Serve(t, spoil), scripted.Serve(t, spoil)
+			r := newRig(t, routeOf(platform.Unsafe), a, b)
+			_, got := r.ask()
+			r.Equal(got.Status, platform.StatusUnknown)
+			r.Equal(got.Header.Get("X-Response-Seal"), "")
+			r.Equal(got.Body, "")
+			r.Equal(total(a, b), 1) // sent once
+		})
+	}
+}
+
+// A server closes a kept connection just as a booking is sent over it. Nobody could
+// tell whether it has run, so that bookings never go over kept connections.
+func TestBookingsUseNewConnections(t *testing.T) {
+	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "booked") })
+	r := newRig(t, routeOf(platform.Unsafe), s)
+	for range 3 {
+		_, got := r.ask()
+		r.Equal(got.Status, 200)
+	}
+	conns := map[int]bool{}
+	for _, seen := range s.Seen() {
+		conns[seen.Conn] = true
+	}
+	r.Equal(len(conns), 3)
+}
+
+// A full server refuses a booking and says that it has not run it. Another one
+// may take it; if all refuse, the caller hears "not run" and when to come back.
+func TestRefusedBookingGoesElsewhere(t *testing.T) {
+	refuse := func(x *scripted.Exchange) { x.Refuse() }
+	a := scripted.Serve(t, refuse)
+	b := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "booked") })
+	r := newRig(t, routeOf(platform.Unsafe), a, b)
+	for range 20 { // whichever is tried first
+		_, got := r.ask()
+		r.Equal(got.Status, 200)
+		r.Equal(got.Body, "booked")
+	}
+	r.True(len(a.Seen()) > 0) // the refusing one was asked
+	all := newRig(t, routeOf(platform.Unsafe), scripted.Serve(t, refuse), scripted.Serve(t, refuse))
+	_, got := all.ask()
+	all.Equal(got.Status, platform.StatusNotRun)
+	all.True(got.Comeback() > 0)
+	all.True(got.Comeback() <= rigPatience/3) // the longest that callers honour
+}
+
+// A server that has left is named by its entry for some seconds yet, and its
+// address may belong to a server of another service by then. Each request says
+// which server it is for; the other one declines it and is not asked again.
+func TestAddressOfAnotherServer(t *testing.T) {
+	other := scripted.Serve(t, func(x *scripted.Exchange) { x.Misdirected() })
+	own := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "own") })
+	r := newRig(t, routeOf(platform.Unsafe), other, own)
+	for range 30 {
+		_, got := r.ask()
+		r.Equal(got.Status, 200)
+		r.Equal(got.Body, "own")
+	}
+	for _, seen := range other.Seen() {
+		r.Equal(seen.Meant(), "t0")
+	}
+	r.True(len(other.Seen()) <= 1)
+}
+
+// A family's words, their key and the order of the prompt's parts pass through
+// the gateway. The server must get the request as it was sent, without the key,
+// and with the workspace that the key belongs to whatever the caller claims.
+func TestServerGetsWhatTheCallerSent(t *testing.T) {
+	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
+	r := newRig(t, routeOf(platform.Safe), s)
+	c := r.call()
+	c.Method, c.Path, c.Body = http.MethodPut, "/a/x%2Fy//z?b=2&a=%20", "line 1\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n"
+	c.Header = http.Header{"X-Tenant": {"a-competitor"}, "X-Model": {"m"}, "X-Token-Usage": {"14,80"}, "X-Prompt-Prefix": {"5c:8,91:4"}, "X-Own": {"1", "2"}}
+	r.Equal(c.Do(t.Context()).Status, 200)
+	r.Equal(len(s.Seen()), 1) // the body is no second request
+	got := s.Seen()[0]
+	r.Equal(got.Method, c.Method)
+	r.Equal(got.Target, c.Path)
+	r.Equal(got.Host, rigHost)
+	r.Equal(got.Body, c.Body)
+	r.Equal(got.ID(), c.ID)
+	r.Equal(got.Workspace(), rigSpace)
+	r.Equal(got.Header.Get("Authorization"), "")
+	for _, name := range []string{"X-Model", "X-Token-Usage", "X-Prompt-Prefix", "X-Own"} {
+		r.Equal(got.Header[name], c.Header[name])
+	}
+	r.True(!strings.Contains(fmt.Sprint(got.Header), rigKey))
+}
+
+// The server fails a request by itself. Its caller gets that very answer, status,
+// body and signature, and not one of the gateway's own.
+func TestFailureOfTheServerIsPassedOn(t *testing.T) {
+	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(500, "the desk is closed") })
+	r := newRig(t, routeOf(platform.Unsafe), s)
+	c, got := r.ask()
+	r.Equal(got.Status, 500)
+	r.Equal(got.Body, "the desk is closed")
+	r.True(got.Sealed(c.ID))
+	r.Equal(len(s.Seen()), 1)
+}
+
+// The operator lets a lookup run on two servers. All of three fail it.
+func TestNoMoreServersThanAllowed(t *testing.T) {
+	fail := func(x *scripted.Exchange) { x.Whole(500, "no") }
+	a, b, c := scripted.Serve(t, fail), scripted.Serve(t, fail), scripted.Serve(t, fail)
+	r := newRig(t, routeOf(platform.Safe), a, b, c)
+	_, got := r.ask()
+	r.Equal(got.Status, 500)
+	r.Equal(total(a, b, c), 2)
+}
+
+// A server hangs. The caller has an answer when the route's time or its own is
+// over, whichever comes first, and the server was told no more than what is left.
+func TestTimeOfARequestIsKept(t *testing.T) {
+	for name, tt := range map[string]struct{ route, caller time.Duration }{
+		"the route's":  {200 * time.Millisecond, 5 * time.Second},
+		"the caller's": {4 * time.Second, 200 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := scripted.Serve(t, func(x *scripted.Exchange) { x.WaitForClose(time.Minute) })
+			route := routeOf(platform.Unsafe)
+			route.Timeout = tt.route
+			r := newRig(t, route, s)
+			c := r.call()
+			c.Patience = tt.caller
+			got := c.Do(t.Context())
+			r.Equal(got.Status, platform.StatusTimeout) // it may have run: no promise
+			r.True(s.Seen()[0].Left() <= 200*time.Millisecond)
+			<-s.Left() // the server hears that nobody waits any more
+		})
+	}
+}
+
+// A caller hangs up while its draft is written. The server must hear of it at
+// once, or it goes on with work for nobody.
+func TestCallerThatLeavesFreesTheServer(t *testing.T) {
+	ctx, leave := context.WithCancel(t.Context())
+	s := scripted.Serve(t, func(x *scripted.Exchange) {
+		x.Stream()
+		x.Chunk(scripted.Event(1))
+		leave()
+		x.WaitForClose(time.Minute)
+	})
+	r := newRig(t, routeOf(platform.Stream), s)
+	got := r.call().Do(ctx)
+	r.True(got.Err != nil)
+	<-s.Left()
+	r.Equal(len(s.Seen()), 1) // and it is sent nowhere else
+}
+
+// A server dies in the middle of an event. The draft goes on at another server
+// from the last whole event, inside the same answer, under the signature of the
+// first: each part once and in order.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	dies := func(x *scripted.Exchange) {
+		x.Stream()
+		x.Chunk(scripted.Event(1))
+		x.Chunk(scripted.Event(2) + "id: 3\nda")
+		x.Close()
+	}
+	goesOn := func(x *scripted.Exchange) {
+		x.Stream()
+		for n := 2; n <= 4; n++ { // it repeats one, as it may
+			x.Chunk(scripted.Event(n))
+		}
+		x.End()
+	}
+	script := func(x *scripted.Exchange) {
+		if x.Header.Get("Last-Event-Id") == "" {
+			dies(x)
+			return
+		}
+		goesOn(x)
+	}
+	a, b := scripted.Serve(t, script), scripted.Serve(t, script)
+	r := newRig(t, routeOf(platform.Stream), a, b)
+	c, got := r.ask()
+	r.Equal(got.Status, 200)
+	r.True(got.Whole)
+	r.True(got.Sealed(c.ID))
+	r.Equal(got.Body, scripted.Event(1)+scripted.Event(2)+scripted.Event(3)+scripted.Event(4))
+	last := append(a.Seen(), b.Seen()...)
+	r.Equal(len(last), 2)
+	r.True(last[0].Header.Get("Last-Event-Id") == "2" || last[1].Header.Get("Last-Event-Id") == "2")
+}
+
+// The same where the operator does not allow a second run: the caller's
+// connection breaks, so that the part it has does not look whole.
+func TestStreamThatMayNotBeRepeatedBreaksOff(t *testing.T) {
+	script := func(x *scripted.Exchange) {
+		x.Stream()
+		x.Chunk(scripted.Event(1))
+		x.Close()
+	}
+	a, b := scripted.Serve(t, script), scripted.Serve(t, script)
+	route := routeOf(platform.Stream)
+	route.Resumable = false
+	r := newRig(t, route, a, b)
+	_, got := r.ask()
+	r.True(!got.Whole)
+	r.Equal(total(a, b), 1)
+}
+
+// Events leave as they arrive: a caller reads the first one while the second is
+// not made yet.
+func TestEventsAreNotHeldBack(t *testing.T) {
+	read := make(chan struct{})
+	s := scripted.Serve(t, func(x *scripted.Exchange) {
+		x.Stream()
+		x.Chunk(scripted.Event(1))
+		<-read
+		x.Chunk(scripted.Event(2))
+		x.End()
+	})
+	r := newRig(t, routeOf(platform.Stream), s)
+	got := r.call().DoParts(t.Context(), func(part string) {
+		if strings.Contains(part, "part 1") {
+			close(read)
+		}
+	})
+	r.True(got.Whole)
+	r.Equal(got.Body, scripted.Event(1)+scripted.Event(2))
+}
+
+// A server answers a lookup twice, the second time just when the next lookup has
+// come over the same connection. The next caller must get its own answer, and at
+// the first try.
+func TestSecondAnswerIsSkipped(t *testing.T) {
+	before := ""
+	s := scripted.Serve(t, func(x *scripted.Exchange) {
+		if before != "" {
+			x.Write(scripted.Head(200, before, "Content-Length: 12\r\n") + "for another!")
+		}
+		before = x.ID()
+		x.Whole(200, "own")
+	})
+	r := newRig(t, routeOf(platform.Safe), s)
+	for range 3 {
+		c, got := r.ask()
+		r.Equal(got.Body, "own")
+		r.True(got.Sealed(c.ID))
+	}
+	r.Equal(len(s.Seen()), 3)
+	r.Equal(s.Seen()[2].Conn, s.Seen()[0].Conn)
+}
+
+// A server answers before it has read a long body and reads on later. The next
+// request must not go over that connection, where it would be taken for the rest.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	sent := make(chan struct{})
+	s := scripted.Serve(t, func(x *scripted.Exchange) {
+		x.Whole(200, "early")
+		if x.ReadsLate() {
+			<-sent
+			x.ReadBody()
+		}
+	})
+	r := newRig(t, routeOf(platform.Safe), s)
+	long := r.call()
+	long.Body, long.Header = strings.Repeat("x", 4<<20), scripted.ReadLate()
+	r.view.Config.Limits.BodyBytes = 8 << 20
+	r.Equal(long.Do(t.Context()).Body, "early")
+	c := r.call()
+	answer := make(chan scripted.Answer)
+	go func() { answer <- c.Do(t.Context()) }()
+	time.Sleep(50 * time.Millisecond) // it is on its way, whatever way that is
+	close(sent)
+	r.Equal((<-answer).Status, 200)
+	r.Equal(s.Seen()[1].ID(), c.ID)
+	r.Equal(s.Seen()[1].Body, c.Body)
+	r.True(s.Seen()[1].Conn != s.Seen()[0].Conn)
+}
+
+// What the configuration does not allow is refused as such; what it may allow
+// once it is known is not: a gateway without one says "not run".
+func TestWhatIsNotAllowed(t *testing.T) {
+	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
+	r := newRig(t, routeOf(platform.Safe), s)
+	for name, tt := range map[string]struct {
+		change func(*scripted.Call)
+		status int
+	}{
+		"no route":    {func(c *scripted.Call) { c.Path = "/b/item" }, http.StatusNotFound},
+		"other host":  {func(c *scripted.Call) { c.Host = "other.example" }, http.StatusNotFound},
+		"no key":      {func(c *scripted.Call) { c.Key = "" }, http.StatusUnauthorized},
+		"unknown key": {func(c *scripted.Call) { c.Key = "made-up" }, http.StatusUnauthorized},
+	} {
+		c := r.call()
+		tt.change(&c)
+		if got := c.Do(t.Context()); got.Status != tt.status {
+			t.Errorf("%s: %d", name, got.Status)
+		}
+	}
+	r.Equal(len(s.Seen()), 0)
+	r.gateway.catalog.Store(nil)
+	c := r.call()
+	c.Key = "made-up"
+	r.Equal(c.Do(t.Context()).Status, platform.StatusNotRun)
+}
+
+// The operator takes a key away, moves the route to another service and drops a
+// third, all in one version. From the next request on only that holds.
+func TestNewVersionIsInForce(t *testing.T) {
+	before := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "before") })
+	after := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "after") })
+	r := newRig(t, routeOf(platform.Safe), before)
+	_, got := r.ask()
+	r.Equal(got.Body, "before")
+	cfg := *r.view.Config
+	cfg.Version += 4
+	route := routeOf(platform.Safe)
+	route.Split = []platform.Share{{Service: "annex", Weight: 1}}
+	cfg.Routes = []platform.Route{route}
+	cfg.Workspaces = []platform.Workspace{{Name: rigSpace, Keys: []string{"new-key"}}}
+	view := mirror.View{Config: &cfg, Targets: map[string]platform.Target{
+		"t0": r.view.Targets["t0"], "t1": {ID: "t1", Service: "annex", Addr: after.Addr, Slots: 12},
+	}}
+	r.gateway.update(&view)
+	_, got = r.ask()
+	r.Equal(got.Status, http.StatusUnauthorized)
+	c := r.call()
+	c.Key = "new-key"
+	r.Equal(c.Do(t.Context()).Body, "after")
+	r.Equal(len(before.Seen()), 1)
+}
+
+// A server says that it leaves. No new request may reach it, also over a
+// connection that was kept; what it has begun is answered.
+func TestLeavingServerGetsNothingNew(t *testing.T) {
+	hold := make(chan struct{})
+	leaving := scripted.Serve(t, func(x *scripted.Exchange) {
+		<-hold
+		x.Whole(200, "from the one that leaves")
+	})
+	r := newRig(t, routeOf(platform.Safe), leaving)
+	answer := make(chan scripted.Answer)
+	go func() { answer <- r.call().Do(t.Context()) }()
+	for len(leaving.Seen()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	stays := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "from the one that stays") })
+	t0 := r.view.Targets["t0"]
+	t0.Draining = true
+	view := r.view
+	view.Targets = map[string]platform.Target{"t0": t0, "t1": {ID: "t1", Service: "pool", Addr: stays.Addr, Slots: 12}}
+	r.gateway.update(&view)
+	close(hold)
+	r.Equal((<-answer).Body, "from the one that leaves")
+	for i := range 20 {
+		c := r.call()
+		c.ID = fmt.Sprintf("later%d", i)
+		r.Equal(c.Do(t.Context()).Body, "from the one that stays")
+	}
+	r.Equal(len(leaving.Seen()), 1)
+}
+
+// On SIGTERM the balancer is told, requests that still come are served, and their
+// connections end with the answer.
+func TestStoppingGatewayServesToTheEnd(t *testing.T) {
+	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
+	r := newRig(t, routeOf(platform.Safe), s)
+	r.True(r.gateway.ready())
+	r.gateway.leaving.Store(true)
+	r.True(!r.gateway.ready())
+	c := r.call()
+	c.Keep = true
+	got := c.Do(t.Context())
+	r.Equal(got.Status, 200)
+	r.True(got.Closes)
+}
