The cause of a failed request from its log alone; log levels, reference, metrics

Cause: an engineer on call had to know which line decides; the line of a request lacked the version, the target and the age of the load that it was decided by; there was no way to turn logs off, and no list of the settings. The line of a request says config, target, load-age-ms, queued-ms, ran. Flags -log and -reference. Metrics for the retry budget, calls to the store, the version in force, moved streams. Ruled out: a line for each choice of a target. It doubles the volume and says nothing that the last line does not.

--- a/core/eventlog/eventlog.go
+++ b/core/eventlog/eventlog.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	log, stop := eventlog.New(os.Stdout, "gateway", "front-1")
+//	log, stop := eventlog.New(os.Stdout, "gateway", "front-1", slog.LevelInfo)
 //	defer stop()
 //	log.Info("request", "id", id, "outcome", "complete")
 package eventlog
@@ -39,10 +39,12 @@
 
 // New returns a logger of JSON lines that names the program and the instance in
 // each line, and a function that writes what waits and stops.
-func New(out io.Writer, program, instance string) (*slog.Logger, func()) {
+//
+// Lines below the level are not made at all.
+func New(out io.Writer, program, instance string, level slog.Level) (*slog.Logger, func()) {
 	w := &writer{lines: make(chan []byte, buffered), done: make(chan struct{})}
 	go w.run(out)
-	h := &limiter{Handler: slog.NewJSONHandler(w, nil), budget: &budget{left: map[string]int{}}}
+	h := &limiter{Handler: slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}), budget: &budget{left: map[string]int{}}}
 	return slog.New(h).With("program", program, "instance", instance), w.stop
 }
 
--- a/core/eventlog/eventlog_test.go
+++ b/core/eventlog/eventlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"log/slog"
 	"strings"
 	"sync"
 	"testing"
@@ -25,7 +26,7 @@
 func TestStuckOutputBlocksNobody(t *testing.T) {
 	is := is.New(t)
 	out := &stuck{make(chan struct{})}
-	log, stop := New(out, "p", "i")
+	log, stop := New(out, "p", "i", slog.LevelInfo)
 	before := lost.Value()
 	for i := range 40 * buffered {
 		log.Info(string(rune('a'+i%26)) + time.Duration(i/100).String())
@@ -47,7 +48,7 @@
 			defer mu.Unlock()
 			return b.Write(p)
 		})
-		log, stop := New(out, "p", "i")
+		log, stop := New(out, "p", "i", slog.LevelInfo)
 		for range 10 * perSecond {
 			log.Info("flood", "id", 1)
 			synctest.Wait()
@@ -74,10 +75,28 @@
 func (f writerFunc) Write(b []byte) (int, error) { return f(b) }
 
 func BenchmarkLine(b *testing.B) {
-	log, stop := New(writerFunc(func(p []byte) (int, error) { return len(p), nil }), "p", "i")
+	log, stop := New(writerFunc(func(p []byte) (int, error) { return len(p), nil }), "p", "i", slog.LevelInfo)
 	defer stop()
 	b.ReportAllocs()
 	for b.Loop() {
 		log.Info("request", "id", "9c41d07be2a35f68", "status", 200, "ms", 12)
 	}
 }
+
+// An operator turns the log down. What is below the level must not cost anything
+// beyond the look, and the rest is still written.
+func TestLevel(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log, stop := New(&out, "gateway", "front-1", slog.LevelWarn)
+	log.Info("request", "id", "r1")
+	log.Warn("store does not answer")
+	stop()
+	is.True(!strings.Contains(out.String(), "r1"))
+	is.True(strings.Contains(out.String(), "store does not answer"))
+	off, stopOff := New(&out, "gateway", "front-1", slog.LevelError+1)
+	before := out.Len()
+	off.Error("nothing")
+	stopOff()
+	is.Equal(out.Len(), before)
+}
--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -25,6 +25,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"text/tabwriter"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -79,7 +80,9 @@
 		Usage: p.Usage,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "check", Usage: "check the settings in `FILE` and exit"},
+			&cli.BoolFlag{Name: "reference", Usage: "print what the settings file holds and exit"},
 			&cli.BoolFlag{Name: "version", Usage: "print the build and exit"},
+			&cli.StringFlag{Name: "log", Value: "info", Usage: "write log lines from `LEVEL` on: info, warn, error or off"},
 			&cli.BoolFlag{Name: "no-plan", Usage: "leave expert maps as they are"},
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error { return p.act(cmd, os.Stdout) },
@@ -95,14 +98,41 @@
 		_, err := fmt.Fprintln(out, p.Name, build())
 		return err
 	}
+	if cmd.Bool("reference") {
+		return reference(out)
+	}
 	if file := cmd.String("check"); file != "" {
 		return check(file, out)
 	}
+	level, ok := levels[cmd.String("log")]
+	if !ok {
+		return cli.Exit(p.Name+": -log: want info, warn, error or off", ExitSettings)
+	}
 	boot, err := platform.LoadBoot()
 	if err != nil {
 		return cli.Exit(p.Name+": "+err.Error(), ExitSettings)
 	}
-	return p.run(Env{Boot: boot, NoPlan: cmd.Bool("no-plan")})
+	return p.run(Env{Boot: boot, NoPlan: cmd.Bool("no-plan")}, level)
+}
+
+// levels are the values of the flag -log.
+var levels = map[string]slog.Level{
+	"info": slog.LevelInfo, "warn": slog.LevelWarn, "error": slog.LevelError, "off": slog.LevelError + 1,
+}
+
+// reference prints the fields of the settings file.
+func reference(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, f := range platform.BootFields() {
+		need := "needed"
+		if f.Optional {
+			need = "may be missing"
+		}
+		if _, err := fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", f.Name, f.Want, need, f.Meaning); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
 }
 
 // check checks a settings file and says what was read.
@@ -134,9 +164,9 @@
 }
 
 // run builds the program, runs it until SIGTERM and stops it.
-func (p Program) run(env Env) error {
+func (p Program) run(env Env, level slog.Level) error {
 	debug.SetGCPercent(gcPercent)
-	log, stopLog := eventlog.New(os.Stdout, p.Name, env.Boot.Instance)
+	log, stopLog := eventlog.New(os.Stdout, p.Name, env.Boot.Instance, level)
 	defer stopLog()
 	env.Log = log
 	signals := make(chan os.Signal, 4)
--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"log/slog"
 	"math/rand/v2"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -63,9 +64,29 @@
 // goroutine. It must be called before Run.
 func (f *Follower) OnChange(fn func(*View)) { f.onChange = append(f.onChange, fn) }
 
-// metricAge shows how long ago the store last answered any Follower of this
-// process, in milliseconds.
-var metricAge = expvar.NewInt("store-age-ms")
+// The metrics of all Followers of this process: how long ago the store last
+// answered, what became of the calls, and the configuration in force with the
+// revision up to which the view is complete.
+var (
+	metricAge      = expvar.NewInt("store-age-ms")
+	metricCalls    = expvar.NewMap("store-calls-by-outcome")
+	metricVersion  = expvar.NewInt("configuration-version")
+	metricRevision = expvar.NewInt("store-revision")
+	metricTargets  = expvar.NewInt("targets-known")
+)
+
+// count counts a call to the store.
+func count(err error) {
+	var status *platform.StatusError
+	switch {
+	case err == nil:
+		metricCalls.Add("ok", 1)
+	case errors.As(err, &status):
+		metricCalls.Add("status-"+strconv.Itoa(status.Status), 1)
+	default:
+		metricCalls.Add("no-answer", 1)
+	}
+}
 
 // View returns the newest view, or nil before the first configuration.
 func (f *Follower) View() *View { return f.view.Load() }
@@ -107,6 +128,7 @@
 	ctx, cancel := context.WithTimeout(ctx, watchWait+answerWait)
 	defer cancel()
 	page, err := f.store.Watch(ctx, "", f.mirror.Revision(), watchWait)
+	count(err)
 	var status *platform.StatusError
 	if errors.As(err, &status) && status.Compacted() {
 		f.log.Info("history of the store is gone, reading all", "revision", f.mirror.Revision())
@@ -170,7 +192,9 @@
 func (f *Follower) page(ctx context.Context, prefix, after string) (platform.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerWait)
 	defer cancel()
-	return f.store.Range(ctx, prefix, after)
+	page, err := f.store.Range(ctx, prefix, after)
+	count(err)
+	return page, err
 }
 
 func (f *Follower) publish() {
@@ -179,6 +203,9 @@
 		return
 	}
 	f.view.Store(v)
+	metricVersion.Set(v.Config.Version)
+	metricRevision.Set(v.Revision)
+	metricTargets.Set(int64(len(v.Targets)))
 	for _, fn := range f.onChange {
 		fn(v)
 	}
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -135,6 +135,9 @@
 	return true
 }
 
+// Left returns how many retries the key may make now.
+func (g *Budget) Left() float64 { return min(g.own.saved, g.hop.saved) }
+
 // earn adds the retries of the floor to a hop, which never exceed one.
 func (b *bucket) earn(now time.Time) {
 	if b.saved < 1 && !b.used.IsZero() {
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -94,6 +94,15 @@
 	}
 }
 
+// LoadAge returns how old the last load of target i is, or a negative time if
+// none is known.
+func (t *Table) LoadAge(i int, now time.Time) time.Duration {
+	if s := &t.states[i]; s.known {
+		return time.Duration(t.nanos(now) - s.at)
+	}
+	return -time.Millisecond
+}
+
 // InFlight returns the entry's requests in progress at target i.
 func (t *Table) InFlight(i int) int { return t.states[i].inFlight }
 
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -78,8 +78,7 @@
 	c.mu.Unlock()
 	metricRequests.Add(strconv.Itoa(status), 1)
 	metricWhole.Record(now.Sub(c.arrived).Milliseconds())
-	c.log.Info("request", "id", c.req.ID, "route", c.route.Name, "service", c.service, "status", status,
-		"ms", now.Sub(c.arrived).Milliseconds(), "errors", c.attempts.Errors)
+	c.ended("route", c.route.Name, "status", status)
 }
 
 // giveUp ends a request that no server has answered.
@@ -88,8 +87,7 @@
 		// The caller has a part of the stream: only a broken connection tells
 		// it that the rest is missing.
 		metricBrokenOff.Add(1)
-		c.log.Warn("request", "id", c.req.ID, "route", c.route.Name, "outcome", "broken-off", "reason", reason, "why", e.Reason,
-			"last-event", c.lastEvent, "ms", time.Since(c.arrived).Milliseconds())
+		c.ended("route", c.route.Name, "outcome", "broken-off", "reason", reason, "why", e.Reason, "last-event", c.lastEvent)
 		panic(http.ErrAbortHandler)
 	}
 	if c.failure != nil {
@@ -118,8 +116,7 @@
 	platform.SetOwnAnswer(c.w.Header(), c.req.ID, comeback)
 	c.w.Header().Set("Content-Length", "0")
 	c.w.WriteHeader(status)
-	c.log.Info("request", "id", c.req.ID, "service", c.service, "status", status, "reason", reason,
-		"patience-ms", c.req.Patience.Milliseconds(), "ms", time.Since(c.arrived).Milliseconds(), "errors", c.attempts.Errors, "retry-after-ms", comeback.Milliseconds())
+	c.ended("status", status, "reason", reason, "patience-ms", c.req.Patience.Milliseconds(), "retry-after-ms", comeback.Milliseconds())
 }
 
 // reasonClass cuts off of a reason what differs from request to request, such as
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -33,6 +33,11 @@
 	// deadline is the earlier of what the route and the caller allow.
 	deadline time.Time
 	attempts retry.Attempts
+	// version is that of the configuration that the request was judged by.
+	version int64
+	// queued is how long it waited for a place; last is its last attempt.
+	queued time.Duration
+	last   sent
 	// ran counts the servers that may have run it.
 	ran     int
 	exclude route.Exclude
@@ -69,6 +74,7 @@
 // admit finds the route and the workspace and reads the body. It answers and
 // reports false if the request goes no further.
 func (c *call) admit(cat *catalog) bool {
+	c.version = cat.config.Version
 	c.route = cat.route(c.r.Host, c.r.URL.Path)
 	if c.route == nil {
 		c.end(http.StatusNotFound, "no route", 0)
@@ -101,7 +107,7 @@
 		return false
 	}
 	if err != nil {
-		c.log.Info("request", "id", c.req.ID, "outcome", "caller-left", "error", "body not read: "+err.Error())
+		c.ended("outcome", "caller-left", "error", "body not read: "+err.Error())
 		panic(http.ErrAbortHandler)
 	}
 	c.service = c.drawService()
@@ -116,9 +122,11 @@
 }
 
 // key names the budget of retries that the request draws on.
-func (c *call) key() retry.Key {
-	return retry.Key{Workspace: c.service, Hop: c.service}
-}
+func (c *call) key() retry.Key { return budgetOf(c.service) }
+
+// budgetOf names the budget of retries at a service: the platform bounds them by
+// service, not by workspace.
+func budgetOf(service string) retry.Key { return retry.Key{Workspace: service, Hop: service} }
 
 func (c *call) decide(kind retry.Kind) retry.Decision {
 	c.mu.Lock()
@@ -151,6 +159,7 @@
 		return retry.RefusedAll, "no target", false
 	}
 	defer c.fleet.end(s)
+	c.last = s
 	c.exclude.Add(s.index)
 	c.ran++
 	metricAttempts.Add(1)
@@ -205,7 +214,19 @@
 
 // notWritten records that the answer could not be written to the caller.
 func (c *call) notWritten(err error) {
-	c.log.Info("request", "id", c.req.ID, "outcome", "caller-left", "error", err.Error())
+	c.ended("outcome", "caller-left", "error", err.Error())
+}
+
+// ended writes the line that says how the request has ended, with what it was
+// decided by: the version of the configuration, and the last target with the age
+// of the load by which it was picked.
+func (c *call) ended(attrs ...any) {
+	line := append(make([]any, 0, 28), "id", c.req.ID, "service", c.service, "config", c.version,
+		"ms", time.Since(c.arrived).Milliseconds(), "queued-ms", c.queued.Milliseconds(), "errors", c.attempts.Errors)
+	if c.last.target != nil {
+		line = append(line, "target", c.last.target.ID, "load-age-ms", c.last.loadAge.Milliseconds(), "ran", c.ran)
+	}
+	c.log.Info("request", append(line, attrs...)...)
 }
 
 // callerLeft reports whether the caller has closed its connection.
@@ -213,7 +234,7 @@
 	if c.r.Context().Err() == nil {
 		return false
 	}
-	c.log.Info("request", "id", c.req.ID, "outcome", "caller-left", "ms", time.Since(c.arrived).Milliseconds())
+	c.ended("outcome", "caller-left")
 	return true
 }
 
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -114,6 +114,9 @@
 	cost    float64
 	started time.Time
 	target  *pooled
+	// loadAge is how old the load of the target was when it was picked; negative
+	// if none was known.
+	loadAge time.Duration
 }
 
 // pick chooses a target and counts the request there. It reports false if no
@@ -129,9 +132,10 @@
 	if p == nil {
 		return sent{}, false
 	}
+	age := f.table.LoadAge(i, now)
 	f.table.Start(i, q.Cost, now)
 	f.cost += (q.Cost - f.cost) * costGain
-	return sent{index: i, cost: q.Cost, started: now, target: p}, true
+	return sent{index: i, cost: q.Cost, started: now, target: p, loadAge: age}, true
 }
 
 // end records that an attempt has ended.
--- a/gateway/flights.go
+++ b/gateway/flights.go
@@ -111,6 +111,7 @@
 	}
 	f.log.Warn("target silent", "id", fl.id, "target", fl.target.ID, "service", fl.service, "whole-target", silence.Whole,
 		"begun", fl.begun, "silent-ms", now.Sub(fl.heardAt).Milliseconds())
+	metricSilent.Add(1)
 	delete(f.flights.open, fl)
 	fl.end(errStalled)
 }
--- /dev/null
+++ b/gateway/log_test.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/eventlog"
+	"verbenashift/core/rankpeer"
+	"verbenashift/core/story"
+	"verbenashift/platform"
+	"verbenashift/standin/scripted"
+)
+
+// logged gives a rig a log and returns how to read it.
+func (r *rig) logged() func() []story.Line {
+	var out bytes.Buffer
+	log, stop := eventlog.New(&out, "gateway", "front-1", slog.LevelInfo)
+	r.gateway.log, r.gateway.fleet.log = log, log
+	return func() []story.Line {
+		stop()
+		if strings.Contains(out.String(), rigKey) || strings.Contains(out.String(), rigBody) {
+			r.t.Error("a key or a body is in the log")
+		}
+		return story.Read(&out)
+	}
+}
+
+// failing is a failure that a caller may complain about.
+type failing struct {
+	kind   platform.RouteKind
+	script func(*scripted.Exchange)
+	// change makes the call, or the gateway, what fails.
+	change func(*rig, *scripted.Call)
+	// group is a line that the steward has written meanwhile.
+	group string
+	want  story.Kind
+}
+
+func failures() map[string]failing {
+	ok := func(x *scripted.Exchange) { x.Whole(200, "ok") }
+	hang := func(x *scripted.Exchange) { x.WaitForClose(time.Minute) }
+	group := func(known int, pace, skew float64) string {
+		return fmt.Sprintf(`{"time":%q,"msg":"group state","instance":"side-1","service":"pool","ranks":16,"known":%d,"slowest-pace":%g,"skew":%g}`,
+			time.Now().Format(time.RFC3339Nano), known, pace, skew)
+	}
+	short := func(_ *rig, c *scripted.Call) { c.Patience = 100 * time.Millisecond }
+	return map[string]failing{
+		"served":              {kind: platform.Safe, script: ok, want: story.Served},
+		"no such route":       {kind: platform.Safe, script: ok, change: func(_ *rig, c *scripted.Call) { c.Path = "/none/" }, want: story.NotAllowed},
+		"key taken away":      {kind: platform.Safe, script: ok, change: func(_ *rig, c *scripted.Call) { c.Key = "old" }, want: story.NotAllowed},
+		"gateway just begun":  {kind: platform.Safe, script: ok, change: func(r *rig, _ *scripted.Call) { r.gateway.catalog.Store(nil) }, want: story.NoConfiguration},
+		"failed by servers":   {kind: platform.Unsafe, script: func(x *scripted.Exchange) { x.Whole(500, "no") }, want: story.ServerFailed},
+		"refused by servers":  {kind: platform.Unsafe, script: func(x *scripted.Exchange) { x.Refuse() }, want: story.Refused},
+		"answer lost":         {kind: platform.Unsafe, script: func(x *scripted.Exchange) { x.Close() }, want: story.ServerLost},
+		"stream broken off":   {kind: platform.Stream, script: breakOff, want: story.ServerLost},
+		"server hangs":        {kind: platform.Unsafe, script: hang, change: short, want: story.TimeOver},
+		"a rank is gone":      {kind: platform.Stream, script: func(x *scripted.Exchange) { x.Refuse() }, group: group(15, 1, 1.1), want: story.RankMissing},
+		"a slow server":       {kind: platform.Stream, script: hang, change: short, group: group(16, 4, 1.1), want: story.SlowServer},
+		"uneven experts":      {kind: platform.Stream, script: hang, change: short, group: group(16, 1, 3.2), want: story.UnevenExperts},
+		"another group's ill": {kind: platform.Unsafe, script: func(x *scripted.Exchange) { x.Refuse() }, group: strings.Replace(group(3, 9, 9), `"pool"`, `"other"`, 1), want: story.Refused},
+	}
+}
+
+func breakOff(x *scripted.Exchange) {
+	x.Stream()
+	x.Chunk(scripted.Event(1))
+	x.Close()
+}
+
+// A user complains about one request. The engineer on call has its identifier and
+// the logs, and nothing else; the cause that they give must be the right one.
+func TestCauseFromTheLogAlone(t *testing.T) {
+	for name, tt := range failures() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			route := routeOf(tt.kind)
+			route.Attempts = 1
+			r := newRig(t, route, scripted.Serve(t, tt.script))
+			read := r.logged()
+			c := r.call()
+			if tt.change != nil {
+				tt.change(r, &c)
+			}
+			c.Do(t.Context())
+			lines := read()
+			lines = append(lines, story.Read(strings.NewReader(tt.group))...)
+			is.Equal(story.CauseOf(c.ID, story.Of(c.ID, lines)).Kind, tt.want)
+		})
+	}
+}
+
+// A caller hangs up, and says later that nobody has answered.
+func TestCauseOfACallerThatLeft(t *testing.T) {
+	is := is.New(t)
+	ctx, leave := context.WithCancel(t.Context())
+	s := scripted.Serve(t, func(x *scripted.Exchange) {
+		leave()
+		x.WaitForClose(time.Minute)
+	})
+	r := newRig(t, routeOf(platform.Unsafe), s)
+	read := r.logged()
+	c := r.call()
+	c.Do(ctx)
+	<-s.Left()
+	time.Sleep(20 * time.Millisecond) // The line is written after the connection is closed.
+	is.Equal(story.CauseOf(c.ID, story.Of(c.ID, read())).Kind, story.CallerLeft)
+}
+
+// More requests come than the engines take in time. The refusal names the queue
+// that the request met.
+func TestCauseOfOverload(t *testing.T) {
+	is := is.New(t)
+	hold := make(chan struct{})
+	s := scripted.Serve(t, func(x *scripted.Exchange) {
+		<-hold
+		x.Whole(200, "ok")
+	})
+	route := routeOf(platform.Safe)
+	route.Objective = time.Millisecond // no patience for a place
+	r := newRig(t, route, s)
+	read := r.logged()
+	r.view.Config.Services[0].Engine = &platform.Engine{Slots: 1}
+	r.gateway.update(&r.view)
+	a := r.gateway.admission("pool")
+	a.log = r.gateway.log
+	a.resize(1)
+	first := r.call()
+	answer := make(chan scripted.Answer)
+	go func() { answer <- first.Do(t.Context()) }()
+	for len(s.Seen()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	a.mu.Lock()
+	a.emptyAt = time.Now().Add(-time.Hour) // the queue has been there for long
+	a.mu.Unlock()
+	c := r.call()
+	got := c.Do(t.Context())
+	is.Equal(got.Status, platform.StatusNotRun)
+	close(hold)
+	is.Equal((<-answer).Status, http.StatusOK)
+	is.Equal(story.CauseOf(c.ID, story.Of(c.ID, read())).Kind, story.Overload)
+}
+
+// A server stands still in the middle of a draft, which goes on elsewhere. Each
+// line that led there is in the story.
+func TestStoryOfAMovedStream(t *testing.T) {
+	is := is.New(t)
+	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
+	r := newRig(t, routeOf(platform.Stream), s)
+	read := r.logged()
+	now := time.Now()
+	at, ok := r.gateway.fleet.table.Lookup("t0")
+	is.True(ok)
+	r.gateway.fleet.mu.Lock()
+	fl := &flight{sent: sent{index: at, target: r.gateway.fleet.pools["t0"]}, id: "r1", service: "pool", begun: true, heardAt: now.Add(-time.Second), end: func(error) {}}
+	r.gateway.fleet.flights.open[fl] = struct{}{}
+	r.gateway.fleet.flights.services["pool"] = now
+	r.gateway.fleet.watchSilence(now)
+	r.gateway.fleet.mu.Unlock()
+	c := &call{gateway: r.gateway, req: platform.Request{ID: "r1"}, arrived: now}
+	c.ended("outcome", "broken-off", "reason", "answer broken in body: i/o timeout")
+	own := story.Of("r1", read())
+	is.Equal(own[0].Message, "target silent")
+	is.Equal(story.CauseOf("r1", own).Kind, story.ServerSilent)
+}
+
+// The digest of a steward is what requests are placed by; a line of a request says
+// how old it was.
+func TestLineNamesTheAgeOfTheLoad(t *testing.T) {
+	is := is.New(t)
+	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
+	r := newRig(t, routeOf(platform.Safe), s)
+	read := r.logged()
+	r.gateway.digest(&rankpeer.Digest{Targets: []string{"t0"}, Running: []uint16{1}, Queued: []uint16{0}, Pace: []uint16{10}}, time.Now().Add(-700*time.Millisecond))
+	c, _ := r.ask()
+	for _, l := range story.Of(c.ID, read()) {
+		if l.Message != "request" {
+			continue
+		}
+		is.Equal(l.Field("target"), "t0")
+		is.Equal(l.Field("config"), "7")
+		is.True(len(l.Field("load-age-ms")) >= 3) // 700 and more
+		return
+	}
+	t.Error("no line of the request")
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -6,13 +6,15 @@
 	"verbenashift/core/histogram"
 )
 
-// The metrics of a gateway; docs/OPERATIONS.md has the table with units.
+// The metrics of a gateway beside those of package mirror; docs/OPERATIONS.md has the table with units.
 var (
 	metricRequests  = expvar.NewMap("requests-by-status")
 	metricRefusals  = expvar.NewMap("refusals-by-reason")
 	metricAttempts  = expvar.NewInt("attempts")
 	metricRetries   = expvar.NewInt("retries")
 	metricNoRetry   = expvar.NewMap("no-retry-by-reason")
+	metricBudget    = expvar.NewMap("retry-budget-left")
+	metricSilent    = expvar.NewInt("streams-moved-from-silent-targets")
 	metricBrokenOff = expvar.NewInt("streams-broken-off")
 	metricResumed   = expvar.NewInt("streams-resumed")
 	metricWait      = histogram.New("queue-wait-ms")
--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -35,6 +35,7 @@
 	rigHost  = "desk.example"
 	rigKey   = "key-of-harbor-home"
 	rigSpace = "harbor-home"
+	rigBody  = "a family's own words"
 	// rigPatience is how long callers wait unless a test says otherwise.
 	rigPatience = 5 * time.Second
 )
@@ -87,7 +88,7 @@
 	r.calls++
 	return scripted.Call{
 		Front: r.front, Method: http.MethodPost, Path: "/a/item?q=1", Host: rigHost, Key: rigKey,
-		ID: fmt.Sprintf("r%d", r.calls), Body: "a body", Patience: rigPatience,
+		ID: fmt.Sprintf("r%d", r.calls), Body: rigBody, Patience: rigPatience,
 	}
 }
 
@@ -164,7 +165,7 @@
 			r := newRig(t, routeOf(platform.Unsafe), a, b)
 			_, got := r.ask()
 			r.Equal(got.Status, platform.StatusUnknown)
-			r.Equal(got.Header.Get("X-Response-Seal"), "")
+			r.Equal(got.Signature(), "")
 			r.Equal(got.Body, "")
 			r.Equal(total(a, b), 1) // sent once
 		})
@@ -233,7 +234,10 @@
 	r := newRig(t, routeOf(platform.Safe), s)
 	c := r.call()
 	c.Method, c.Path, c.Body = http.MethodPut, "/a/x%2Fy//z?b=2&a=%20", "line 1\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n"
-	c.Header = http.Header{"X-Tenant": {"a-competitor"}, "X-Model": {"m"}, "X-Token-Usage": {"14,80"}, "X-Prompt-Prefix": {"5c:8,91:4"}, "X-Own": {"1", "2"}}
+	prompt := scripted.PromptHeader("m", "14,80", "5c:8,91:4")
+	c.Header = prompt.Clone()
+	c.Header["X-Own"] = []string{"1", "2"}
+	scripted.ClaimWorkspace(c.Header, "a-competitor")
 	r.Equal(c.Do(t.Context()).Status, 200)
 	r.Equal(len(s.Seen()), 1) // the body is no second request
 	got := s.Seen()[0]
@@ -244,8 +248,9 @@
 	r.Equal(got.ID(), c.ID)
 	r.Equal(got.Workspace(), rigSpace)
 	r.Equal(got.Header.Get("Authorization"), "")
-	for _, name := range []string{"X-Model", "X-Token-Usage", "X-Prompt-Prefix", "X-Own"} {
-		r.Equal(got.Header[name], c.Header[name])
+	r.Equal(got.Header["X-Own"], c.Header["X-Own"])
+	for name := range prompt {
+		r.Equal(got.Header[name], prompt[name])
 	}
 	r.True(!strings.Contains(fmt.Sprint(got.Header), rigKey))
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -76,6 +77,19 @@
 	g.digests.update(v)
 	if c := g.catalog.Load(); c == nil || c.config != v.Config {
 		g.catalog.Store(newCatalog(v.Config))
+		g.showBudgets(v.Config)
+	}
+}
+
+// showBudgets shows how many retries each service may get now.
+func (g *gateway) showBudgets(cfg *platform.Config) {
+	for i := range cfg.Services {
+		key := budgetOf(cfg.Services[i].Name)
+		metricBudget.Set(cfg.Services[i].Name, expvar.Func(func() any {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return g.budgets.For(key).Left()
+		}))
 	}
 }
 
@@ -168,7 +182,8 @@
 	defer cancel()
 	if c.admission = g.admission(c.service); c.admission != nil {
 		place, refusal := c.admission.enter(ctx, c)
-		metricWait.Record(time.Since(c.arrived).Milliseconds())
+		c.queued = time.Since(c.arrived)
+		metricWait.Record(c.queued.Milliseconds())
 		if c.callerLeft() {
 			if place != "" {
 				c.admission.leave(place, 0)
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -85,7 +85,7 @@
 		agent: a, salt: salt, group: st.Group, rankOf: st.Rank, duty: d,
 		targets: mirror.NewFollower(a.store, a.log), peers: map[string]*peer{},
 		core: lockstep.NewSteward(st.Rank, a.stewardBefore(st.Rank), salt), pending: map[string]lockstep.Command{},
-		log: a.log.With("group", st.Group, "steward-from", d.term),
+		log: a.log.With("group", st.Group, "service", a.boot.Service, "steward-from", d.term),
 	}
 	s.core.Fence = d.term
 	if !d.acting {
--- a/standin/scripted/call.go
+++ b/standin/scripted/call.go
@@ -38,8 +38,23 @@
 	Err error
 }
 
+// Signature returns that of the answer, or "".
+func (a Answer) Signature() string { return a.Header.Get("X-Response-Seal") }
+
 // Sealed reports whether the answer bears the signature for a request.
-func (a Answer) Sealed(id string) bool { return a.Header.Get("X-Response-Seal") == Seal(id) }
+func (a Answer) Sealed(id string) bool { return a.Signature() == Seal(id) }
+
+// PromptHeader returns what a caller says of its prompt.
+func PromptHeader(model, tokens, parts string) http.Header {
+	h := http.Header{}
+	h.Set("X-Model", model)
+	h.Set("X-Token-Usage", tokens)
+	h.Set("X-Prompt-Prefix", parts)
+	return h
+}
+
+// ClaimWorkspace adds a claim that a caller has no right to make.
+func ClaimWorkspace(h http.Header, name string) { h.Set("X-Tenant", name) }
 
 // Comeback returns when the caller may come back; 0 if it was not told.
 func (a Answer) Comeback() time.Duration {
