--- a/core/lockstep/lockstep.go
+++ b/core/lockstep/lockstep.go
@@ -213,6 +213,15 @@
 	}
 }
 
+// Malformed tells that a rank does not understand the map of an order: no repeat
+// will change that. The change is given up, so that the next one can be planned;
+// the group would keep a bad map for good otherwise.
+func (s *Steward) Malformed(o platform.Order) {
+	if o.Kind == platform.PrepareMap && o.Version == s.version {
+		s.version, s.content, s.holdAt = 0, nil, 0
+	}
+}
+
 // whole reports whether every rank of one epoch of an open group is known.
 func whole(ranks []Rank) bool {
 	if len(ranks) == 0 || len(ranks) != ranks[0].State.Size {
--- a/core/lockstep/lockstep_test.go
+++ b/core/lockstep/lockstep_test.go
@@ -131,6 +131,26 @@
 	is.Equal(version%saltRange, int64(5))
 }
 
+// A rank answers that it does not understand the map. The steward must not repeat
+// it for ever: callers would see the passes of the old map until the steward dies.
+func TestMalformedMapIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	ranks := held()
+	for i := range ranks {
+		ranks[i].State.Held, ranks[i].State.Prepared = 0, 0
+	}
+	s := NewSteward(0, nil, 5)
+	s.Next(ranks, start) // it learns the epoch
+	s.Propose(ranks, Map{{{1}, {2}, {3}}})
+	cmds := s.Next(ranks, start)
+	is.Equal(kinds(cmds)[platform.PrepareMap], 3)
+	s.Malformed(cmds[1].Order)
+	is.True(s.Idle(ranks))
+	is.Equal(len(s.Next(ranks, start.Add(time.Second))), 0)
+	s.Propose(ranks, Map{{{2}, {1}, {3}}})
+	is.True(s.Next(ranks, start.Add(time.Second))[0].Order.Version != cmds[0].Order.Version)
+}
+
 // Ranks leave orders unanswered, so that it takes 200 ms until all are armed. With
 // a hold for the next pass but one, callers would see a pause of that length at
 // each change. After the first such change the hold stands as far ahead.
--- a/core/story/story.go
+++ b/core/story/story.go
@@ -43,7 +43,7 @@
 
 var groupBeliefs = map[string]bool{
 	"group state": true, "change of map": true, "steward begins": true, "steward ends": true,
-	"order refused": true, "order not answered": true, "sidecar does not answer": true,
+	"order refused": true, "order not answered": true, "order not understood": true, "sidecar does not answer": true,
 }
 
 // Line is one line of a log.
--- a/sidecar/ask.go
+++ b/sidecar/ask.go
@@ -186,6 +186,10 @@
 		if t.Status == 0 {
 			s.core.Unanswered(cmd)
 		}
+		if t.Status == http.StatusBadRequest {
+			s.log.Error("order not understood", "target", id, "order", string(o.Kind), "version", o.Version)
+			s.core.Malformed(o)
+		}
 		if t.Status == http.StatusConflict && t.Known && t.State.Seq == o.Expect && t.State.Epoch == o.Epoch {
 			s.log.Warn("order refused", "target", id, "order", string(o.Kind), "version", o.Version, "step", o.Step)
 			s.core.Refused(o)
