Loads of experts are forgotten when the mix has changed

Change: counts that differ from the loads by 1.3 times of what is usual make them forgotten but for a tenth. After one call the loads differ by 0.10 from the new mix instead of 0.38 (TestLoadsFollowAShift).

--- a/core/expert/recent.go
+++ b/core/expert/recent.go
@@ -14,6 +14,44 @@
 
 	loads []float64
 	at    time.Time
+	// usual is how much the counts of one call differ from the loads on average:
+	// 0 for the same proportions, 1 for none in common.
+	usual float64
+}
+
+const (
+	// shiftFactor is how many times the usual difference shows that other experts
+	// are in demand, and shiftKeep the part of the loads that is kept then: what
+	// was counted before would hide the change for a memory's time. One call after
+	// a shift the loads differ by 0.10 from the new mix, without this by 0.38
+	// (TestLoadsFollowAShift).
+	shiftFactor = 1.3
+	shiftKeep   = 0.1
+	// usualGain is the weight of one call in the usual difference.
+	usualGain = 0.05
+)
+
+// shifted reports whether the counts of a call show that other experts are in
+// demand, and learns what is usual.
+func (r *Recent) shifted(chosen []float64) bool {
+	a, b := sum(r.loads), sum(chosen)
+	if a <= 0 || len(r.loads) != len(chosen) {
+		return false
+	}
+	differ := 0.0
+	for e, n := range chosen {
+		differ += math.Abs(r.loads[e]/a - n/b)
+	}
+	differ /= 2
+	if r.usual == 0 {
+		r.usual = differ
+		return false
+	}
+	if differ > shiftFactor*r.usual {
+		return true
+	}
+	r.usual += usualGain * (differ - r.usual)
+	return false
 }
 
 // Begin sets the loads before the first call of Observe, as far as they are
@@ -39,6 +77,9 @@
 	}
 	if !r.at.IsZero() && r.Memory > 0 {
 		keep := math.Exp(-now.Sub(r.at).Seconds() / r.Memory.Seconds())
+		if r.shifted(chosen) {
+			keep *= shiftKeep
+		}
 		for e := range r.loads {
 			r.loads[e] *= keep
 		}
