--- a/core/rankpeer/maps.go
+++ b/core/rankpeer/maps.go
@@ -11,20 +11,21 @@
 }
 
 // Change is a map to prepare, as what differs from one that the receiver may
-// have. A change moves one expert or so on each rank: a hundredth of the map.
+// have. A change moves a few experts on each rank: a tenth of the map.
 type Change struct {
 	// Base is the number of the map that Moves start from.
 	Base  int64
-	Moves []Move
+	Moves Moves
 	// Full is the whole map; it is nil where Moves suffice.
 	Full *Map
 }
 
-// Move puts an expert into a place; Expert is -1 for an empty one.
-type Move struct {
-	Layer, Rank, Place int
-	Expert             int
-}
+// Moves are what differs between two maps of one shape, packed: for each place
+// that differs, how many places after the last one it is, and the expert there
+// plus 1, or 0 for none, as variable-length numbers. That is some two bytes a
+// move; as a list of structs it was nine, and 288 moves for each of 72 ranks took
+// a link of 8 Mbit/s 0.19 s at each change.
+type Moves []byte
 
 // Pack packs a map that has the experts by layer and rank, with at most so many
 // places a rank.
@@ -88,35 +89,43 @@
 }
 
 // Diff returns the moves from one map to another of the same shape.
-func Diff(from, to *Map) ([]Move, bool) {
+func Diff(from, to *Map) (Moves, bool) {
 	a, okA := from.grid()
 	b, okB := to.grid()
 	if !okA || !okB || len(a) != len(b) || from.Ranks != to.Ranks || from.Places != to.Places {
 		return nil, false
 	}
-	var moves []Move
+	moves, last := Moves{}, -1
 	for i, e := range b {
 		if a[i] != e {
-			moves = append(moves, Move{
-				Layer: i / (to.Ranks * to.Places), Rank: i / to.Places % to.Ranks, Place: i % to.Places, Expert: e,
-			})
+			moves = binary.AppendUvarint(moves, uint64(i-last))
+			moves = binary.AppendUvarint(moves, uint64(e+1))
+			last = i
 		}
 	}
 	return moves, true
 }
 
 // Apply returns the map after the moves, or false if they don't fit it.
-func (m *Map) Apply(moves []Move) (*Map, bool) {
+func (m *Map) Apply(moves Moves) (*Map, bool) {
 	grid, ok := m.grid()
 	if !ok {
 		return nil, false
 	}
-	for _, mv := range moves {
-		i := (mv.Layer*m.Ranks+mv.Rank)*m.Places + mv.Place
-		if mv.Rank < 0 || mv.Rank >= m.Ranks || mv.Place < 0 || mv.Place >= m.Places || i < 0 || i >= len(grid) {
+	last := -1
+	for len(moves) > 0 {
+		gap, size := binary.Uvarint(moves)
+		if size <= 0 || gap == 0 || gap >= uint64(len(grid)-last) {
+			return nil, false
+		}
+		moves = moves[size:]
+		expert, size := binary.Uvarint(moves)
+		if size <= 0 || expert > maxExpert {
 			return nil, false
 		}
-		grid[i] = mv.Expert
+		moves = moves[size:]
+		last += int(gap)
+		grid[last] = int(expert) - 1
 	}
 	out := &Map{Layers: m.Layers, Ranks: m.Ranks, Places: m.Places}
 	for _, e := range grid {
@@ -124,3 +133,6 @@
 	}
 	return out, true
 }
+
+// maxExpert bounds the numbers of experts that are taken from the wire.
+const maxExpert = 1 << 16
--- a/core/rankpeer/rankpeer_test.go
+++ b/core/rankpeer/rankpeer_test.go
@@ -52,8 +52,18 @@
 func TestChangesThatDoNotFit(t *testing.T) {
 	is := is.New(t)
 	m := Pack([][][]int{{{1}, {2}}}, 2)
-	for _, bad := range []Move{{Layer: 1}, {Rank: 2}, {Place: 2}, {Layer: -1}, {Rank: -1}} {
-		_, ok := m.Apply([]Move{bad})
+	huge := []byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01}
+	for _, bad := range []Moves{
+		{0, 1},                     // no place
+		{5, 1},                     // behind the last place
+		{4, 1, 1, 1},               // the second one is
+		{1},                        // an expert is missing
+		{0x80},                     // a number breaks off
+		append(huge[:10:10], 1),    // a place beyond all numbers
+		append([]byte{1}, huge...), // an expert beyond all numbers
+		{1, 2, 0, 2},               // the same place twice
+	} {
+		_, ok := m.Apply(bad)
 		is.True(!ok)
 	}
 	_, ok := (&Map{Layers: 1, Ranks: 2, Places: 2, Data: []byte{1, 2}}).Unpack()
@@ -101,7 +111,7 @@
 		to[l] = make([][]int, len(from[l]))
 		for r := range from[l] {
 			to[l][r] = append([]int(nil), from[l][r]...)
-			if l == r%12 && len(to[l][r]) > 0 {
+			if (l+r)%3 == 0 && len(to[l][r]) > 0 { // four on each rank
 				to[l][r][0] = rng.IntN(144)
 			}
 		}
@@ -109,7 +119,7 @@
 	moves, ok := Diff(Pack(from, 3), Pack(to, 3))
 	is.True(ok)
 	change := size(Ask{Order: &platform.Order{Kind: platform.PrepareMap}, Change: &Change{Moves: moves}})
-	t.Logf("a state %d bytes, with a sample %d, an order with %d moves %d", state, sample, len(moves), change)
+	t.Logf("a state %d bytes, with a sample %d, an order with %d moves %d", state, sample, len(moves)/2, change)
 	is.True(72*state+24*(sample-state)+72*change < 120_000)
 }
 
@@ -129,3 +139,15 @@
 	is.NoErr(c.Close())
 	is.True(<-done != nil)
 }
+
+func FuzzApply(f *testing.F) {
+	f.Add([]byte{1, 2, 2, 0})
+	f.Fuzz(func(t *testing.T, moves []byte) {
+		m := Pack([][][]int{{{1}, {2}}, {{3, 4}, {}}}, 2)
+		if after, ok := m.Apply(moves); ok {
+			if _, ok := after.Unpack(); !ok {
+				t.Errorf("%v gives a damaged map", moves)
+			}
+		}
+	})
+}
