Split lockstep and upstream by job; one client of an agent

The connection that gateways and stewards keep and make again stood twice; it is rankpeer.Client. Nothing else changes.

--- /dev/null
+++ b/core/lockstep/moves.go
@@ -0,0 +1,149 @@
+package lockstep
+
+import (
+	"time"
+
+	"verbenashift/platform"
+)
+
+// finishArmed goes on with a change for which a rank is armed.
+func (s *Steward) finishArmed(ranks []Rank) ([]Command, bool) {
+	version, step := armed(ranks)
+	if version == 0 {
+		return nil, false
+	}
+	var cmds []Command
+	missing := 0
+	for _, i := range s.ownLast(ranks) {
+		st := &ranks[i].State
+		switch {
+		case st.ArmedMap == version && st.ArmedStep == step, st.Map == version:
+			continue
+		case st.ArmedMap != 0:
+			// Another steward has armed it for an older map, or for a later
+			// pass. Neither can ever be armed everywhere.
+			cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.DisarmMap, Version: st.ArmedMap}))
+		case st.Prepared > version:
+			// Another steward has prepared a newer map here, so that this rank
+			// can never be armed for the older one: those that are must be
+			// taken back, or they would switch alone.
+			return s.disarm(ranks, version), true
+		case st.Prepared == version && (i != s.self || missing == 0):
+			cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.ArmMap, Version: version, Step: step}))
+		}
+		missing++
+	}
+	if missing > 0 {
+		return cmds, true
+	}
+	s.measure()
+	return s.release(ranks, step), true
+}
+
+func (s *Steward) release(ranks []Rank, step int64) []Command {
+	var cmds []Command
+	for i := range ranks {
+		if ranks[i].State.Held == step {
+			cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.ReleasePass, Step: step}))
+		}
+	}
+	return cmds
+}
+
+func (s *Steward) disarm(ranks []Rank, version int64) []Command {
+	var cmds []Command
+	for i := range ranks {
+		if ranks[i].State.ArmedMap == version {
+			cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.DisarmMap, Version: version}))
+		}
+	}
+	return cmds
+}
+
+// underHold goes on while the group is held and no rank is armed. The way out
+// is always a change: what is released without one could still be armed by a
+// late order.
+func (s *Steward) underHold(ranks []Rank, step int64) []Command {
+	if prepared(ranks) {
+		return s.others(ranks, platform.Order{Kind: platform.ArmMap, Version: ranks[0].State.Prepared, Step: step})
+	}
+	return s.prepare(ranks)
+}
+
+// hold stops the group at a pass that it has not reached.
+func (s *Steward) hold(ranks []Rank) []Command {
+	last := lastStep(ranks)
+	if s.holdAt <= last {
+		s.holdAt = last + s.pass.lead(max(leadTime, s.took))
+	}
+	s.heldAt = s.now
+	i := (s.self + 1) % len(ranks)
+	cmd := s.command(ranks, i, platform.Order{Kind: platform.HoldPass, Step: s.holdAt})
+	cmd.Direct = i != s.self
+	return []Command{cmd}
+}
+
+// prepareAgain is how long a rank is left alone with an order to prepare: it
+// says nothing while it copies.
+const prepareAgain = 150 * time.Millisecond
+
+// prepare gives the map to the ranks that do not have it.
+func (s *Steward) prepare(ranks []Rank) []Command {
+	if s.version == 0 {
+		return nil
+	}
+	if s.asked == nil || s.askedFor != s.version {
+		s.asked, s.askedFor = make([]time.Time, len(ranks)), s.version
+	}
+	var cmds []Command
+	for i := range ranks {
+		st := &ranks[i].State
+		if st.Prepared != s.version && s.now.Sub(s.asked[i]) >= prepareAgain {
+			s.asked[i] = s.now
+			cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.PrepareMap, Version: s.version, Map: s.content}))
+		}
+	}
+	return cmds
+}
+
+// forgetDone ends a change that is in force, or that was made for a map that is
+// not in force any more: what it would load was counted from that map.
+func (s *Steward) forgetDone(ranks []Rank) {
+	if s.version != 0 && all(ranks, func(st *platform.RankState) bool { return st.Map != s.base }) {
+		s.version, s.content, s.holdAt = 0, nil, 0
+	}
+}
+
+// ownLast returns the ranks with the steward's own at the end.
+func (s *Steward) ownLast(ranks []Rank) []int {
+	order := make([]int, 0, len(ranks))
+	for i := range ranks {
+		if i != s.self {
+			order = append(order, i)
+		}
+	}
+	if s.self >= 0 && s.self < len(ranks) {
+		order = append(order, s.self)
+	}
+	return order
+}
+
+// others gives an order to all ranks but the steward's own, unless that is the
+// only one.
+func (s *Steward) others(ranks []Rank, o platform.Order) []Command {
+	cmds := make([]Command, 0, len(ranks))
+	for i := range ranks {
+		if i != s.self || len(ranks) == 1 {
+			cmds = append(cmds, s.command(ranks, i, o))
+		}
+	}
+	return cmds
+}
+
+func (s *Steward) command(ranks []Rank, i int, o platform.Order) Command {
+	if o.Kind == platform.ArmMap {
+		s.before = nil
+	}
+	o.Epoch, o.Expect, o.Fence = ranks[i].State.Epoch, ranks[i].State.Seq, s.Fence
+	return Command{Rank: i, Order: o}
+}
--- /dev/null
+++ b/core/lockstep/rank.go
@@ -0,0 +1,111 @@
+package lockstep
+
+import (
+	"verbenashift/platform"
+)
+
+// Rank is what was last read of a rank.
+type Rank struct {
+	// Known says that the rank was read in this round.
+	Known bool
+	State platform.RankState
+}
+
+// InForce returns the number of the map that all ranks use, if they do.
+func InForce(ranks []Rank) (int64, bool) {
+	if !whole(ranks) {
+		return 0, false
+	}
+	for i := range ranks {
+		if ranks[i].State.Map != ranks[0].State.Map {
+			return 0, false
+		}
+	}
+	return ranks[0].State.Map, true
+}
+
+// prepared reports whether all ranks have prepared the same map and none uses
+// it yet.
+func prepared(ranks []Rank) bool {
+	first := &ranks[0].State
+	return first.Prepared > first.Map && all(ranks, func(st *platform.RankState) bool {
+		return st.Prepared == first.Prepared && st.Map == first.Map
+	})
+}
+
+// whole reports whether every rank of one epoch of an open group is known.
+func whole(ranks []Rank) bool {
+	if len(ranks) == 0 || len(ranks) != ranks[0].State.Size {
+		return false
+	}
+	for i := range ranks {
+		st := &ranks[i].State
+		if !ranks[i].Known || !st.Open || st.Epoch != ranks[0].State.Epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// engaged reports whether a rank is armed or holds the group.
+func engaged(ranks []Rank) bool {
+	for i := range ranks {
+		if ranks[i].State.ArmedMap != 0 || ranks[i].State.Held != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Unfinished reports whether a rank that is known is armed or holds the group.
+func Unfinished(ranks []Rank) bool {
+	for i := range ranks {
+		if ranks[i].Known && (ranks[i].State.ArmedMap != 0 || ranks[i].State.Held != 0) {
+			return true
+		}
+	}
+	return false
+}
+
+// armed returns the newest map for which a rank is armed, and the earliest pass
+// for which one is.
+func armed(ranks []Rank) (version, step int64) {
+	for i := range ranks {
+		st := &ranks[i].State
+		switch {
+		case st.ArmedMap == 0 || st.ArmedMap < version:
+		case st.ArmedMap > version:
+			version, step = st.ArmedMap, st.ArmedStep
+		default:
+			step = min(step, st.ArmedStep)
+		}
+	}
+	return version, step
+}
+
+func lowestHeld(ranks []Rank) int64 {
+	lowest := int64(0)
+	for i := range ranks {
+		if h := ranks[i].State.Held; h != 0 && (lowest == 0 || h < lowest) {
+			lowest = h
+		}
+	}
+	return lowest
+}
+
+func lastStep(ranks []Rank) int64 {
+	last := int64(0)
+	for i := range ranks {
+		last = max(last, ranks[i].State.Step)
+	}
+	return last
+}
+
+func all(ranks []Rank, ok func(*platform.RankState) bool) bool {
+	for i := range ranks {
+		if !ok(&ranks[i].State) {
+			return false
+		}
+	}
+	return true
+}
--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -55,11 +55,12 @@
 
 // follow asks one steward until the context ends.
 func (d *digests) follow(ctx context.Context, group, addr string) {
-	var conn *rankpeer.Conn
+	client := rankpeer.NewClient(addr)
+	defer client.Close()
 	var list rankpeer.Digest
 	heard := false
 	for ctx.Err() == nil {
-		tell, err := d.ask(ctx, &conn, addr, list.List)
+		tell, err := askDigest(ctx, client, list.List)
 		now := time.Now()
 		ok := err == nil && tell.Digest != nil && complete(tell.Digest, &list)
 		if ok {
@@ -75,7 +76,6 @@
 		}
 		pause.For(ctx, next)
 	}
-	closeConn(conn)
 }
 
 // complete fills in the list of targets that the steward has left out, and keeps
@@ -89,25 +89,9 @@
 	return len(d.Running) == n && len(d.Queued) == n && len(d.Pace) == n
 }
 
-func (d *digests) ask(ctx context.Context, conn **rankpeer.Conn, addr string, list uint64) (rankpeer.Tell, error) {
-	if *conn == nil {
-		c, err := rankpeer.Dial(ctx, addr, digestWait)
-		if err != nil {
-			return rankpeer.Tell{}, err
-		}
-		*conn = c
-	}
-	tell, err := (*conn).Ask(rankpeer.Ask{Digest: true, List: list}, digestWait)
-	if err != nil {
-		closeConn(*conn)
-		*conn = nil
-	}
-	return tell, err
-}
-
-// closeConn gives a connection up; an error in closing it changes nothing.
-func closeConn(c *rankpeer.Conn) {
-	if c != nil {
-		_ = c.Close()
+func askDigest(ctx context.Context, client *rankpeer.Client, list uint64) (rankpeer.Tell, error) {
+	if err := client.Connect(ctx, digestWait); err != nil {
+		return rankpeer.Tell{}, err
 	}
+	return client.Ask(rankpeer.Ask{Digest: true, List: list}, digestWait)
 }
--- a/sidecar/peer.go
+++ b/sidecar/peer.go
@@ -29,9 +29,8 @@
 	member rankpeer.Member
 	// number spreads the peers over the rounds.
 	number  int
-	sidecar netip.AddrPort
+	sidecar *rankpeer.Client
 	log     *slog.Logger
-	conn    *rankpeer.Conn
 	dialAt  time.Time
 	direct  *platform.RankClient
 	readAt  time.Time
@@ -45,24 +44,16 @@
 
 func newPeer(m rankpeer.Member, port uint16, number int, log *slog.Logger) *peer {
 	return &peer{
-		member: m, number: number, sidecar: netip.AddrPortFrom(m.Addr.Addr(), port),
+		member: m, number: number, sidecar: rankpeer.NewClient(netip.AddrPortFrom(m.Addr.Addr(), port).String()),
 		direct: platform.NewRankClient(m.Addr), log: log,
 	}
 }
 
 func (p *peer) close() {
-	p.hangUp()
+	p.sidecar.Close()
 	p.direct.Close()
 }
 
-func (p *peer) hangUp() {
-	if p.conn != nil {
-		// It is given up; an error in closing it changes nothing.
-		_ = p.conn.Close()
-		p.conn, p.told = nil, nil
-	}
-}
-
 // command asks like ask. A direct order is given to the rank itself; the rank is
 // read through its sidecar all the same, because only there the reading is
 // fresh.
@@ -95,14 +86,13 @@
 }
 
 func (p *peer) askSidecar(ctx context.Context, ask rankpeer.Ask) (rankpeer.Tell, error) {
-	if p.conn == nil {
-		if err := p.dial(ctx); err != nil {
-			return rankpeer.Tell{}, err
-		}
+	if err := p.connect(ctx); err != nil {
+		return rankpeer.Tell{}, err
 	}
-	tell, err := p.conn.Ask(ask, p.patience(tellWait))
+	tell, err := p.sidecar.Ask(ask, p.patience(tellWait))
 	if err != nil {
-		p.hangUp()
+		// Whoever answers next may be another process.
+		p.told = nil
 		return tell, err
 	}
 	if ask.Roster != nil {
@@ -119,18 +109,17 @@
 	return d
 }
 
-func (p *peer) dial(ctx context.Context) error {
+// connect makes a connection if there is none, now and then.
+func (p *peer) connect(ctx context.Context) error {
+	if p.sidecar.Connected() {
+		return nil
+	}
 	now := time.Now()
 	if now.Before(p.dialAt) {
 		return errSoon
 	}
 	p.dialAt = now.Add(redialEvery)
-	c, err := rankpeer.Dial(ctx, p.sidecar.String(), p.patience(readWait))
-	if err != nil {
-		return err
-	}
-	p.conn = c
-	return nil
+	return p.sidecar.Connect(ctx, p.patience(readWait))
 }
 
 type soonError struct{}
