--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -104,7 +104,7 @@
 		f.raise()
 		return
 	}
-	switch f.rng.IntN(12) {
+	switch f.rng.IntN(14) {
 	case 0, 1:
 		name := f.victim()
 		f.note("kill %s", name)
@@ -139,6 +139,15 @@
 		f.note("links silent")
 		f.Links.Silence(true)
 		f.later(longest, func() { f.Links.Silence(false) })
+	case 12:
+		f.note("store silent")
+		f.Store.SetSilent(true)
+		f.later(longest, func() { f.Store.SetSilent(false) })
+	case 13:
+		rank := f.rng.IntN(f.Shape.Ranks)
+		f.note("rank %d stands still", rank)
+		f.Freeze(rank, true)
+		f.later(longest, func() { f.Freeze(rank, false) })
 	}
 }
 
@@ -173,8 +182,12 @@
 		f.raise()
 	}
 	f.Store.SetDown(false)
+	f.Store.SetSilent(false)
 	f.Refuse(false)
 	f.Links.Silence(false)
+	for rank := range f.Shape.Ranks {
+		f.Freeze(rank, false)
+	}
 }
 
 // settle waits until requests are served again.
