Proofs of fleets play requests as long as something happens; one known red

Cause: the test's 1,500 requests take 6 s; beside load the kill, the takeover and three changes took longer, and without requests there are no counts to plan with. Ruled out: the takeover (21 of 21 otherwise, 14 of them beside 8 busy processes). The proofs now play until what happens is over, which is stricter: more requests are judged. Logs of a failed fleet test are kept. TestRollingRestart (older) failed in the same run: an entry takes callers before it has its configuration.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -46,6 +46,7 @@
 	s.dir, err = deployment.Build(ctx)
 	s.NoErr(err)
 	shape.Dir, shape.Ranks, shape.Gateways = t.TempDir(), 4, 2
+	t.Cleanup(s.keepLogs)
 	s.Fleet, err = fleet.Start(shape)
 	s.NoErr(err)
 	t.Cleanup(s.Stop)
@@ -57,6 +58,18 @@
 	return s
 }
 
+// keepLogs keeps the processes' logs of a test that has failed.
+func (s *fleetScene) keepLogs() {
+	if !s.t.Failed() || s.Fleet == nil {
+		return
+	}
+	kept, err := os.MkdirTemp("", "verbenashift-fleet-")
+	if err == nil {
+		err = os.CopyFS(kept, os.DirFS(s.Shape.Dir))
+	}
+	s.t.Logf("logs are in %s (%v)", kept, err)
+}
+
 // run starts the process of a settings file.
 func (s *fleetScene) run(b fleet.Boot) {
 	log, err := os.OpenFile(filepath.Join(s.Shape.Dir, b.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -134,16 +147,34 @@
 	return best
 }
 
-// during plays requests while something happens, and judges.
+// during plays requests while something happens, n at least, and judges. Without
+// requests there are no counts, and no map would change any more.
 func (s *fleetScene) during(n int, happens func()) fleet.Verdict {
-	done := make(chan []fleet.Call)
-	go func() { done <- fleet.Play(s.ctx, s.Fleet, n) }()
+	over := make(chan struct{})
+	played := make(chan []fleet.Call, 1)
+	go func() {
+		calls := fleet.Play(s.ctx, s.Fleet, n)
+		for {
+			select {
+			case <-over:
+				played <- calls
+				return
+			default:
+				calls = append(calls, fleet.Play(s.ctx, s.Fleet, moreCalls)...)
+			}
+		}
+	}()
 	happens()
-	v := fleet.Judge(s.Fleet, <-done)
+	close(over)
+	v := fleet.Judge(s.Fleet, <-played)
 	s.t.Logf("%+v", v)
 	return v
 }
 
+// moreCalls is how many requests are played at a time while something still
+// happens.
+const moreCalls = 100
+
 // changes shifts what is liked until the map has changed again: a shift that
 // leaves the ranks about even is not worth a change.
 func (s *fleetScene) changes() {
