--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -425,8 +425,9 @@
 	})
 	r := newRig(t, routeOf(platform.Safe), s)
 	long := r.call()
-	long.Body, long.Header = strings.Repeat("x", 4<<20), scripted.ReadLate()
-	r.view.Config.Limits.BodyBytes = 8 << 20
+	// More than the buffers of a connection take in.
+	long.Body, long.Header = strings.Repeat("x", 32<<20), scripted.ReadLate()
+	r.view.Config.Limits.BodyBytes = 64 << 20
 	r.Equal(long.Do(t.Context()).Body, "early")
 	c := r.call()
 	answer := make(chan scripted.Answer)
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -230,6 +230,10 @@
 	<-ended
 }
 
+// unbuffered is the length of a body that the buffers of a connection can't take
+// in, so that it is not all written before it is read.
+const unbuffered = 32 << 20
+
 // A server refuses a long request before it has read it, and keeps the
 // connection. The answer counts; the connection does not, since the rest of the
 // body would be taken for the next request.
@@ -248,7 +252,7 @@
 		}
 	}()
 	p := NewPool(l.Addr().String(), dial, echoes)
-	req := &Request{Method: "POST", Target: "/", Host: "h", ID: "1", Body: []byte(strings.Repeat("x", 4<<20)), HasBody: true}
+	req := &Request{Method: "POST", Target: "/", Host: "h", ID: "1", Body: make([]byte, unbuffered), HasBody: true}
 	got, err := p.Do(t.Context(), req)
 	is.NoErr(err)
 	is.Equal(got.Status, 503)
