--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -426,8 +426,8 @@
 	r := newRig(t, routeOf(platform.Safe), s)
 	long := r.call()
 	// More than the buffers of a connection take in.
-	long.Body, long.Header = strings.Repeat("x", 32<<20), scripted.ReadLate()
-	r.view.Config.Limits.BodyBytes = 64 << 20
+	long.Body, long.Header = strings.Repeat("x", 64<<20), scripted.ReadLate()
+	r.view.Config.Limits.BodyBytes = 128 << 20
 	r.Equal(long.Do(t.Context()).Body, "early")
 	c := r.call()
 	answer := make(chan scripted.Answer)
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -232,7 +231,7 @@
 
 // unbuffered is the length of a body that the buffers of a connection can't take
 // in, so that it is not all written before it is read.
-const unbuffered = 32 << 20
+const unbuffered = 64 << 20
 
 // A server refuses a long request before it has read it, and keeps the
 // connection. The answer counts; the connection does not, since the rest of the
