A new steward waits 0.6 s for the saved loads, as before

Found on a last reading: claims went to the background with a wait of 1.5 s, and the reading of the saved loads shared that constant, though a new steward does wait for it: a group that is held would have waited up to 1.5 s for one lost answer where it was 0.6. The two waits have names of their own now; 0.6 s is what it was.

--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -19,6 +19,10 @@
 	// saveEvery is how often that is written while it changes. The mix of work
 	// changes every few seconds; a write costs the store one call.
 	saveEvery = 4 * time.Second
+	// loadsWait bounds a reading or writing of the loads. A new steward waits for
+	// the reading, so that it is shorter than the wait for a claim, which nobody
+	// waits for to its end.
+	loadsWait = 600 * time.Millisecond
 )
 
 // savedLoads are the loads of the experts by layer, each layer's scaled to the
@@ -31,7 +35,7 @@
 // power all ranks begin with their first map and all stewards without counts:
 // what was balanced a second ago is the best guess until new counts are in.
 func (a *agent) recallLoads(ctx context.Context, group string) *savedLoads {
-	ctx, cancel := context.WithTimeout(ctx, claimWait)
+	ctx, cancel := context.WithTimeout(ctx, loadsWait)
 	defer cancel()
 	it, err := a.store.Get(ctx, loadsPrefix+group)
 	var status *platform.StatusError
@@ -69,7 +73,7 @@
 }
 
 func (s *steward) saveLoads(ctx context.Context, saved *savedLoads) error {
-	ctx, cancel := context.WithTimeout(ctx, claimWait)
+	ctx, cancel := context.WithTimeout(ctx, loadsWait)
 	defer cancel()
 	var data bytes.Buffer
 	if err := gob.NewEncoder(&data).Encode(saved); err != nil {
