Entry opens the callers' port with its first configuration

Cause: the listener for callers opened at start, a moment before the first configuration was in force; a keyed request in that moment ended as "unknown not-ready", though nothing had run (TestRollingRestart, beside load: 36 microseconds after "serving"). There was a second hole in the same place: the index was in force before the homes of keys were set. Ruled out: a longer wait of the caller (it can't know), answering not-run (an earlier try of the key may have run). Now the port opens after every part has taken the first configuration.

--- a/entry/app.go
+++ b/entry/app.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -56,7 +58,11 @@
 	homeSet  atomic.Pointer[[]string]
 	agentSet atomic.Pointer[[]string]
 	stop     context.CancelFunc
-	servers  []*http.Server
+	// configured is closed when the first configuration is in force.
+	configured chan struct{}
+	// mu guards servers, which grows while the entry runs.
+	mu      sync.Mutex
+	servers []*http.Server
 }
 
 func newLogger(cfg Settings) *slog.Logger {
@@ -98,14 +104,16 @@
 }
 
 func newEntry(cfg Settings, log *slog.Logger, tracer trace.Tracer, d *peer.Dialer, s *store.Client, f *follow.Follower) *Entry {
+	var first sync.Once
 	e := &Entry{
-		cfg: cfg, log: log, tracer: tracer, metrics: newMetrics(), dialer: d, store: s, follower: f,
+		cfg: cfg, log: log, tracer: tracer, metrics: processMetrics(), dialer: d, store: s, follower: f,
 		router:      newRouter(route.Options{Entry: cfg.Name, Region: cfg.Region, Zone: cfg.Zone}, log),
 		returns:     newReturns(),
 		limiter:     newLimiter(cfg.Name),
 		open:        newOpenCount(cfg.Streams, cfg.RetryAfter),
 		fleet:       newFleet(),
 		incarnation: uint64(time.Now().UnixMilli()),
+		configured:  make(chan struct{}),
 	}
 	e.members = follow.NewMembers(member.Self{Name: cfg.Name, Zone: cfg.Zone, Incarnation: e.incarnation})
 	f.OnChange(e.router.update)
@@ -114,6 +122,9 @@
 	f.OnChange(e.limiter.update)
 	f.OnChange(follow.ReleaseMemory)
 	f.OnChange(func(x *config.Index) { log.Info("configuration in force", "revision", x.Revision()) })
+	// The last, so that all others have taken the first configuration before a
+	// caller is let in.
+	f.OnChange(func(*config.Index) { first.Do(func() { close(e.configured) }) })
 	return e
 }
 
@@ -130,7 +141,8 @@
 	return e.follower.Index() != nil
 }
 
-// start opens the listeners and starts the duties.
+// start opens the listeners of operators and of the platform and starts the
+// duties. One of them opens the callers' listener.
 func (e *Entry) start(lc fx.Lifecycle, shutdown fx.Shutdowner) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop = cancel
@@ -138,6 +150,7 @@
 		OnStart: func(context.Context) error { return e.listen(shutdown) },
 		OnStop:  e.drain,
 	})
+	go e.listenCallers(ctx, shutdown)
 	go e.follower.Run(ctx)
 	go e.spread().Run(ctx)
 	go e.router.judge(ctx)
@@ -169,23 +182,34 @@
 }
 
 func (e *Entry) listen(shutdown fx.Shutdowner) error {
-	for _, s := range []struct {
-		addr    string
-		handler http.Handler
-		caller  bool
-	}{
-		{e.cfg.Callers, e.callerRoutes(), true},
-		{e.cfg.Operators, e.operatorRoutes(), true},
-		{e.cfg.Observe, e.observeRoutes(), false},
-	} {
-		if err := e.serve(s.addr, s.handler, s.caller, shutdown); err != nil {
-			return err
-		}
+	if err := e.serve(e.cfg.Operators, e.operatorRoutes(), true, shutdown); err != nil {
+		return err
+	}
+	if err := e.serve(e.cfg.Observe, e.observeRoutes(), false, shutdown); err != nil {
+		return err
 	}
-	e.log.Info("serving", "callers", e.cfg.Callers, "operators", e.cfg.Operators, "observe", e.cfg.Observe)
+	e.log.Info("serving", "operators", e.cfg.Operators, "observe", e.cfg.Observe)
 	return nil
 }
 
+// listenCallers lets callers in when the first configuration is in force. An
+// entry that has just started can look no key up; if it took a caller, a
+// request with a key would have to end as unknown, whereas a connection that is
+// refused shows that nothing has run and that another entry is to be asked.
+func (e *Entry) listenCallers(ctx context.Context, shutdown fx.Shutdowner) {
+	select {
+	case <-e.configured:
+	case <-ctx.Done():
+		return
+	}
+	if err := e.serve(e.cfg.Callers, e.callerRoutes(), true, shutdown); err != nil {
+		e.log.Error("callers cannot be served", "error", err)
+		_ = shutdown.Shutdown(fx.ExitCode(process.ExitFailure))
+		return
+	}
+	e.log.Info("serving callers", "callers", e.cfg.Callers)
+}
+
 func (e *Entry) serve(addr string, h http.Handler, withTLS bool, shutdown fx.Shutdowner) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -195,7 +219,9 @@
 		Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10,
 		ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelWarn),
 	}
+	e.mu.Lock()
 	e.servers = append(e.servers, srv)
+	e.mu.Unlock()
 	go func() {
 		var err error
 		if withTLS && e.cfg.CallerCert != "" {
@@ -280,7 +306,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	for _, s := range e.servers {
+	e.mu.Lock()
+	servers := slices.Clone(e.servers)
+	e.mu.Unlock()
+	for _, s := range servers {
 		_ = s.Shutdown(ctx)
 	}
 	e.stop()
--- a/entry/flow_test.go
+++ b/entry/flow_test.go
@@ -37,7 +37,7 @@
 func TestFramesReachCallerOnceAndWhole(t *testing.T) {
 	is := is.New(t)
 	s := &taken{}
-	f := &flow{entry: &Entry{metrics: newMetrics()}, sink: s}
+	f := &flow{entry: &Entry{metrics: processMetrics()}, sink: s}
 	data := func(n uint64, text string) *wire.Frame {
 		return &wire.Frame{Kind: wire.FrameKind_FRAME_KIND_DATA, Sequence: n, Data: []byte(text)}
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"sync"
 
 	"verbenashift/core/histogram"
 )
@@ -15,7 +16,9 @@
 	total        *histogram.Histogram
 }
 
-func newMetrics() *metrics {
+// processMetrics returns the metrics of this process. There is one set, since
+// expvar knows each name once.
+var processMetrics = sync.OnceValue(func() *metrics {
 	return &metrics{
 		outcomes:     expvar.NewMap("entry-outcomes"),
 		refused:      expvar.NewInt("entry-refused"),
@@ -23,7 +26,7 @@
 		releasesLost: expvar.NewInt("entry-releases-lost"),
 		total:        histogram.New("entry-request-us"),
 	}
-}
+})
 
 func (m *metrics) count(name string) {
 	m.outcomes.Add(name, 1)
