What stays down for long is refused at once, a refused probe too

Load pattern: a service whose targets all refuse for long (a group that lacks ranks never forms). Ruled out: the steward (no order is given), placement, the gate's probes. Now: closed for 7 s refuses at once, with the time to come back; a probe waits as long as others do.

--- a/core/queue/admit.go
+++ b/core/queue/admit.go
@@ -15,6 +15,8 @@
 	ReasonExpired   = "deadline-passed"
 	ReasonDisplaced = "displaced"
 	ReasonDuplicate = "request-already-queued"
+	// ReasonDown says that all targets have refused for long.
+	ReasonDown = "all-targets-refuse"
 )
 
 const (
--- a/core/queue/gate.go
+++ b/core/queue/gate.go
@@ -11,6 +11,10 @@
 	// through. Each may be refused and has to be tried again, out of a budget
 	// of a few a second.
 	gateProbe = 150 * time.Millisecond
+	// gateLasting is how long a gate has been closed when nobody should wait for
+	// it any more. A lost or frozen rank stops its group for up to 6 s: the stall,
+	// the start of its instance and the forming of the group.
+	gateLasting = 7 * time.Second
 )
 
 // Gate keeps requests waiting while all targets refuse them.
@@ -20,8 +24,13 @@
 // callers of the second, although they could be served in the next. A closed
 // gate lets one request through now and then, and opens with the first that is
 // not refused. The zero value is open.
+//
+// A service that has refused for long, as a group does that is not complete,
+// will hardly serve within a caller's patience. Whoever cannot be its next probe
+// is better off with a refusal at once than with one after a wait; see Lasting.
 type Gate struct {
 	closed  bool
+	since   time.Time
 	next    time.Time
 	refused int
 	targets []string
@@ -41,7 +50,7 @@
 	if g.closed || g.refused < gateRefusals || len(g.targets) < gateTargets {
 		return false
 	}
-	g.closed, g.next = true, now.Add(gateProbe)
+	g.closed, g.since, g.next = true, now, now.Add(gateProbe)
 	return true
 }
 
@@ -56,6 +65,12 @@
 // Closed reports whether requests are kept waiting.
 func (g *Gate) Closed() bool { return g.closed }
 
+// Lasting reports whether a request that comes now should be refused at once:
+// the gate has been closed for long, and it is not time for a probe.
+func (g *Gate) Lasting(now time.Time) bool {
+	return g.closed && now.Sub(g.since) >= gateLasting && now.Before(g.next)
+}
+
 // Pass reports whether a request may go now.
 func (g *Gate) Pass(now time.Time) bool {
 	if !g.closed {
--- a/core/story/cause.go
+++ b/core/story/cause.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strconv"
 	"strings"
+
+	"verbenashift/core/queue"
 )
 
 // Kind says why a request has not been served.
@@ -134,6 +136,8 @@
 		return Cause{Refused, strings.Trim(reason, `"`)}
 	case strings.Contains(reason, "not sent"):
 		return Cause{ServerLost, strings.Trim(reason, `"`)}
+	case strings.Contains(reason, queue.ReasonDown):
+		return Cause{Refused, "all targets have refused for long"}
 	case strings.Contains(reason, "no target"):
 		return Cause{Refused, "no target is left"}
 	case strings.Contains(reason, "deadline"), strings.Contains(reason, "full"), strings.Contains(reason, "displaced"):
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -110,6 +110,12 @@
 func (a *admission) enter(ctx context.Context, c *call) (string, *outcome.Error) {
 	now := time.Now()
 	a.mu.Lock()
+	if a.gate.Lasting(now) {
+		refusal := &outcome.Error{Outcome: outcome.NotRun, Reason: queue.ReasonDown}
+		a.comeback(c, refusal, now)
+		a.mu.Unlock()
+		return "", refusal
+	}
 	a.next++
 	id := strconv.FormatUint(a.next, 36)
 	item := queue.Item{ID: id, Workspace: c.workspaceName(), Priority: priorityOf(c), Cost: int64(c.cost()), Deadline: a.latestStart(c, now)}
@@ -125,9 +131,7 @@
 	select {
 	case refusal := <-ready:
 		if refusal != nil {
-			a.mu.Lock()
-			a.comeback(c, refusal, time.Now())
-			a.mu.Unlock()
+			a.later(c, refusal)
 		}
 		return id, refusal
 	case <-ctx.Done():
@@ -168,6 +172,13 @@
 	return now.Add(max(c.route.Objective-firstToken, firstToken))
 }
 
+// later sets in a refusal when the caller may come back.
+func (a *admission) later(c *call, refusal *outcome.Error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.comeback(c, refusal, time.Now())
+}
+
 // comeback sets when the caller of a service that is down may come back. The
 // queue's own answer follows from its rate, which says nothing then: callers
 // would be back while the service is still down, and lost.
@@ -230,17 +241,38 @@
 	}
 }
 
-// pass waits until a request that was refused may be tried again.
-func (a *admission) pass(ctx context.Context) {
-	for ctx.Err() == nil && !a.mayPass() {
+// pass waits until a request that was refused may be tried again. It reports
+// false if the request had better be refused: the service is down for long, or
+// the time is over that a request waits for a service that is down. Without that
+// bound a caller is held to its deadline. A caller that has a part of its answer
+// waits on, since nothing can be refused any more.
+func (a *admission) pass(ctx context.Context, c *call) bool {
+	until := c.arrived.Add(longWait)
+	if c.returning {
+		until = c.arrived.Add(returnWait)
+	}
+	for ctx.Err() == nil {
+		switch now := time.Now(); {
+		case a.mayPass(now):
+			return true
+		case !c.begun && (a.lasting(now) || now.After(until)):
+			return false
+		}
 		pause.For(ctx, passPoll)
 	}
+	return true
+}
+
+func (a *admission) mayPass(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gate.Pass(now)
 }
 
-func (a *admission) mayPass() bool {
+func (a *admission) lasting(now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.gate.Pass(time.Now())
+	return a.gate.Lasting(now)
 }
 
 // leave gives the place of a request back.
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -98,6 +98,74 @@
 	})
 }
 
+// A group lacks a rank and stays away for long. After seven seconds a caller is
+// told so at once, and not after a wait that helps nobody; now and then one is
+// let through, so that the first target that serves is found.
+func TestServiceThatStaysDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := testAdmission(192)
+		for _, target := range []string{"x", "y", "z"} {
+			a.refused(target)
+		}
+		time.Sleep(8 * time.Second)
+		place, refusal := a.enter(t.Context(), caller(false)) // the probe
+		is.Equal(refusal, nil)
+		a.refused("x")
+		a.leave(place, 0)
+		for _, returning := range []bool{false, true} {
+			began := time.Now()
+			_, refusal = a.enter(t.Context(), caller(returning))
+			is.Equal(time.Since(began), time.Duration(0))
+			is.True(refusal != nil)
+			is.Equal(refusal.Outcome, outcome.NotRun)
+			is.True(refusal.RetryAfter > 1500*time.Millisecond)
+		}
+		time.Sleep(200 * time.Millisecond)
+		_, refusal = a.enter(t.Context(), caller(false)) // the next probe
+		is.Equal(refusal, nil)
+		a.accepted()
+		_, refusal = a.enter(t.Context(), caller(false))
+		is.Equal(refusal, nil)
+	})
+}
+
+// A caller's request was a probe and was refused, and probes of others go on
+// being refused. It may not be held until its time is over: it hears that
+// nothing has run while it can still come back. A caller that has a part of its
+// stream is held, because only the rest can serve it.
+func TestRefusedProbeIsNotHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := testAdmission(192)
+		for _, target := range []string{"x", "y", "z"} {
+			a.refused(target)
+		}
+		others := make(chan struct{})
+		defer func() { others <- struct{}{} }()
+		go func() { // their probes
+			for {
+				select {
+				case <-others:
+					return
+				case <-time.After(time.Millisecond):
+					a.mayPass(time.Now())
+				}
+			}
+		}()
+		c := caller(false)
+		time.Sleep(time.Millisecond)
+		is.True(!a.pass(t.Context(), c))
+		is.True(time.Since(c.arrived) < longWait+100*time.Millisecond)
+		begun := caller(false)
+		begun.begun = true
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		is.True(a.pass(ctx, begun))
+		is.True(ctx.Err() != nil)
+	})
+}
+
 // The engines are full. A caller that has been refused before goes first: a
 // second refusal would be its last.
 func TestReturningCallersGoFirst(t *testing.T) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"verbenashift/core/pause"
+	"verbenashift/core/queue"
 	"verbenashift/core/retry"
 	"verbenashift/core/route"
 	"verbenashift/gateway/upstream"
@@ -263,8 +264,11 @@
 		}
 		c.log.Info("retry", "id", c.req.ID, "service", c.service, "reason", reason, "errors", c.attempts.Errors, "ran", c.ran)
 		pause.For(ctx, time.Until(d.At))
-		if c.admission != nil && kind == retry.Refused {
-			c.admission.pass(ctx)
+		if c.admission != nil && kind == retry.Refused && !c.admission.pass(ctx, c) {
+			refusal := c.decide(retry.RefusedAll).Err
+			c.admission.later(c, refusal)
+			c.giveUp(refusal, queue.ReasonDown)
+			return
 		}
 	}
 }
