--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -493,6 +494,67 @@
 	r.Equal(len(before.Seen()), 1)
 }
 
+// Operators add a route in each of many versions while nothing else happens. The
+// last must be served as well as the first: a gateway that kept what it knew at
+// its start would send their callers away for ever.
+func TestLaterRoutesAreServed(t *testing.T) {
+	const later = 30
+	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, x.Target) })
+	r := newRig(t, routeOf(platform.Safe), s)
+	for i := range later {
+		cfg := *r.view.Config
+		cfg.Version++
+		added := routeOf(platform.Safe)
+		added.Name, added.Prefix = fmt.Sprintf("later-%d", i), fmt.Sprintf("/later-%d/", i)
+		cfg.Routes = append(slices.Clone(cfg.Routes), added)
+		r.view.Config = &cfg
+		view := r.view
+		r.gateway.update(&view)
+		for _, path := range []string{added.Prefix + "item", "/a/item"} {
+			c := r.call()
+			c.Path = path
+			got := c.Do(r.t.Context())
+			r.Equal(got.Status, 200)
+			r.Equal(got.Body, path)
+		}
+	}
+}
+
+// A caller keeps its connection and sends one request after the other, while
+// nothing is planned and nothing is out of order but single servers: they close
+// connections that were kept, break off, refuse, and callers ask for what is not
+// there. Each request read must get an answer: a connection that ends without
+// one leaves its caller not knowing whether a chapel is booked.
+func TestKeptConnectionGetsAnswers(t *testing.T) {
+	scripts := []func(*scripted.Exchange){
+		func(x *scripted.Exchange) { x.Whole(200, "ok") },
+		func(x *scripted.Exchange) { x.Whole(200, "ok"); x.Close() },
+		func(x *scripted.Exchange) { x.Close() },
+		func(x *scripted.Exchange) { x.Refuse() },
+	}
+	for _, kind := range []platform.RouteKind{platform.Safe, platform.Unsafe, platform.Stream} {
+		var n atomic.Int64
+		script := func(x *scripted.Exchange) { scripts[int(n.Add(1))%len(scripts)](x) }
+		r := newRig(t, routeOf(kind), scripted.Serve(t, script), scripted.Serve(t, script))
+		over := scripted.OneConnection()
+		for i := range 60 {
+			c := r.call()
+			c.Over = over
+			switch i % 10 {
+			case 4:
+				c.Path = "/nowhere"
+			case 9:
+				c.Key = "no key"
+			}
+			got := c.Do(r.t.Context())
+			r.NoErr(got.Err)
+			r.True(got.Whole)
+			r.True(!got.Closes) // the caller may go on
+		}
+		over.CloseIdleConnections()
+	}
+}
+
 // A server says that it leaves. No new request may reach it, also over a
 // connection that was kept; what it has begun is answered.
 func TestLeavingServerGetsNothingNew(t *testing.T) {
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -330,6 +331,46 @@
 	s.True(bytes.Contains([]byte(s.log("front-0")), []byte(`"msg":"stopped"`)))
 }
 
+// All gateways get SIGTERM at once, while they answer. Each must say that it is
+// not ready while it still runs: the balancer goes on sending callers to one that
+// ends without a word, and they meet a closed port.
+func TestFleetAllGatewaysStop(t *testing.T) {
+	s := startFleet(t, fleet.Shape{Block: "127.0.68"})
+	stopped := make(chan []int, len(s.Ready))
+	v := s.during(200, func() {
+		time.Sleep(300 * time.Millisecond)
+		for _, addr := range s.Ready {
+			go func() { stopped <- s.statuses(addr) }()
+		}
+		for i := range s.Ready {
+			s.signal(fmt.Sprintf("front-%d", i), syscall.SIGTERM)
+		}
+	})
+	s.True(v.Kept())
+	for range s.Ready {
+		seen := <-stopped
+		s.True(len(seen) > 0)
+		s.Equal(seen[len(seen)-1], http.StatusServiceUnavailable)
+	}
+}
+
+// statuses asks a gateway whether it is ready until it is gone, and returns the
+// answers.
+func (s *fleetScene) statuses(addr string) []int {
+	const pollReady = 5 * time.Millisecond
+	var seen []int
+	for s.ctx.Err() == nil {
+		resp, err := http.Get("http://" + addr + platform.ReadyPath)
+		if err != nil {
+			return seen
+		}
+		_ = resp.Body.Close() // Only the status counts.
+		seen = append(seen, resp.StatusCode)
+		time.Sleep(pollReady)
+	}
+	return seen
+}
+
 // The settings file's signal and changes of the configuration come while callers
 // are served. Nobody may notice.
 func TestFleetReloads(t *testing.T) {
--- a/standin/scripted/call.go
+++ b/standin/scripted/call.go
@@ -21,6 +21,9 @@
 	Patience time.Duration
 	// Keep says that the caller would use the connection again.
 	Keep bool
+	// Over is where the caller keeps its connections; nil for a connection of the
+	// call's own.
+	Over *http.Transport
 	// Header is sent beside what a Call sets itself.
 	Header http.Header
 }
@@ -93,10 +96,19 @@
 	if c.Patience > 0 {
 		req.Header.Set("X-Deadline-Ms", strconv.FormatInt(c.Patience.Milliseconds(), 10))
 	}
-	t := &http.Transport{DisableKeepAlives: !c.Keep, DisableCompression: true}
+	t := c.Over
+	if t == nil {
+		t = &http.Transport{DisableKeepAlives: !c.Keep, DisableCompression: true}
+	}
 	return t.RoundTrip(req)
 }
 
+// OneConnection returns a place for connections that holds one, which is used
+// again as long as the gateway lets it.
+func OneConnection() *http.Transport {
+	return &http.Transport{MaxConnsPerHost: 1, DisableCompression: true}
+}
+
 // Left returns how long a server was told that its caller still waits.
 func (r Request) Left() time.Duration {
 	ms, err := strconv.ParseFloat(r.Header.Get("X-Deadline-Ms"), 64)
