Streams leave a rank that has become slow

Gateways sent it no new requests, but its ten streams stayed, and in each pass all ranks waited for their part: 330 ms a pass until the last had ended 7 s later, 60 ms then.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -166,15 +166,15 @@
 	metricAttempts.Add(1)
 	watched := ctx
 	if c.route.Kind == platform.Stream && c.route.Repeatable() {
-		watched, c.flight = c.fleet.depart(ctx, s, c.req.ID, c.service)
+		watched, c.flight = c.fleet.depart(ctx, s, c.req.ID, c.service, c.ran < c.route.Attempts)
 		defer c.fleet.land(c.flight)
 	}
 	reply, err := s.target.pool.Do(watched, c.upstream(s))
 	if err != nil {
-		return c.attemptFailed(ctx, s, err)
+		return c.attemptFailed(watched, s, err)
 	}
 	defer reply.Close()
-	return c.answered(ctx, s, reply)
+	return c.answered(watched, s, reply)
 }
 
 func (c *call) upstream(s sent) *upstream.Request {
@@ -192,10 +192,15 @@
 	}
 }
 
-// attemptFailed classifies an attempt without an answer.
+// attemptFailed classifies an attempt without an answer. The context is that of
+// the attempt: an attempt that was ended because it was no longer wanted here says
+// nothing of its target.
 func (c *call) attemptFailed(ctx context.Context, s sent, err error) (retry.Kind, string, bool) {
-	if ctx.Err() == nil {
+	switch cause := context.Cause(ctx); cause {
+	case nil, errStalled:
 		c.fleet.failed(s, severityOf(err), time.Now())
+	case errSlow:
+		err = cause
 	}
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -172,11 +172,21 @@
 	engineRate = 4000
 )
 
-// digest takes what a steward knows of the load of its ranks. It returns the
-// service of the group and the sums over its ranks.
-func (f *fleet) digest(d *rankpeer.Digest, taken time.Time) (service string, running, queued int) {
+// groupLoad is the load of an expert group as its steward tells it.
+type groupLoad struct {
+	service string
+	// running and queued are the sums over the ranks.
+	running, queued int
+	ranks           int
+	// slow are the targets that hold the group up.
+	slow map[string]bool
+}
+
+// digest takes what a steward knows of the load of its ranks.
+func (f *fleet) digest(d *rankpeer.Digest, taken time.Time) groupLoad {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	g := groupLoad{ranks: len(d.Targets), slow: map[string]bool{}}
 	for k, id := range d.Targets {
 		i, ok := f.table.Lookup(id)
 		if !ok {
@@ -189,11 +199,14 @@
 			p.slow = pace > slowPace
 			f.avoid(p, taken)
 		}
-		service = f.table.Target(i).Service
-		running += int(d.Running[k])
-		queued += int(d.Queued[k])
+		if health.SlowRank(pace) {
+			g.slow[id] = true
+		}
+		g.service = f.table.Target(i).Service
+		g.running += int(d.Running[k])
+		g.queued += int(d.Queued[k])
 	}
-	return service, running, queued
+	return g
 }
 
 func (f *fleet) succeeded(s sent, latency time.Duration, now time.Time) {
--- a/gateway/flights.go
+++ b/gateway/flights.go
@@ -12,6 +12,9 @@
 // others do.
 var errStalled = errors.New("target silent while others go on")
 
+// errSlow is why an attempt is ended whose target holds its group up.
+var errSlow = errors.New("target slows its group")
+
 // flight is a stream in progress that may go on at another target.
 type flight struct {
 	sent
@@ -19,6 +22,8 @@
 	id      string
 	service string
 	begun   bool
+	// mayMove says that another server may run the request.
+	mayMove bool
 	// heardAt is when its last event came, or when it was sent.
 	heardAt time.Time
 	end     context.CancelCauseFunc
@@ -37,10 +42,11 @@
 	return flights{open: map[*flight]struct{}{}, targets: map[string]time.Time{}, services: map[string]time.Time{}}
 }
 
-// depart watches an attempt: its context ends if the target goes silent.
-func (f *fleet) depart(ctx context.Context, s sent, id, service string) (context.Context, *flight) {
+// depart watches an attempt: its context ends if the target goes silent, or if
+// it holds its group up and another server may run the request.
+func (f *fleet) depart(ctx context.Context, s sent, id, service string, mayMove bool) (context.Context, *flight) {
 	ctx, end := context.WithCancelCause(ctx)
-	fl := &flight{sent: s, id: id, service: service, heardAt: s.started, end: end}
+	fl := &flight{sent: s, id: id, service: service, mayMove: mayMove, heardAt: s.started, end: end}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.flights.open[fl] = struct{}{}
@@ -95,6 +101,26 @@
 	}
 }
 
+// leave ends up to so many attempts at slow targets, so that the streams go on at
+// others of their group.
+func (f *fleet) leave(slow map[string]bool, most int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for fl := range f.flights.open {
+		if most <= 0 {
+			return
+		}
+		if !slow[fl.target.ID] || !fl.mayMove {
+			continue
+		}
+		most--
+		f.log.Info("target slow", "id", fl.id, "target", fl.target.ID, "service", fl.service, "begun", fl.begun)
+		metricSlow.Add(1)
+		delete(f.flights.open, fl)
+		fl.end(errSlow)
+	}
+}
+
 // avoid tells the table whether a target is to be avoided.
 func (f *fleet) avoid(p *pooled, now time.Time) {
 	if i, ok := f.table.Lookup(p.ID); ok {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -15,6 +15,7 @@
 	metricNoRetry   = expvar.NewMap("no-retry-by-reason")
 	metricBudget    = expvar.NewMap("retry-budget-left")
 	metricSilent    = expvar.NewInt("streams-moved-from-silent-targets")
+	metricSlow      = expvar.NewInt("streams-moved-from-slow-targets")
 	metricBrokenOff = expvar.NewInt("streams-broken-off")
 	metricResumed   = expvar.NewInt("streams-resumed")
 	metricWait      = histogram.New("queue-wait-ms")
--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -18,6 +18,7 @@
 
 	"verbenashift/core/instance"
 	"verbenashift/core/mirror"
+	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 	"verbenashift/standin/scripted"
 )
@@ -353,6 +354,83 @@
 	r.True(last[0].Header.Get("Last-Event-Id") == "2" || last[1].Header.Get("Last-Event-Id") == "2")
 }
 
+// A rank of a group becomes twelve times as slow while a draft runs there. The
+// whole group waits for it in each pass, so that the draft goes on at another rank
+// and its caller gets each part once. It stays where the operator allows one run
+// only, and where too many ranks are slow for the others to take their drafts.
+func TestStreamLeavesASlowRank(t *testing.T) {
+	const ranks = 5
+	for name, tt := range map[string]struct {
+		slow, attempts int
+		moves          bool
+	}{
+		"one rank slow":  {1, 2, true},
+		"one run only":   {1, 1, false},
+		"two ranks slow": {2, 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, told := make(chan string, 1), make(chan struct{})
+			script := func(x *scripted.Exchange) {
+				x.Stream()
+				if x.Header.Get("Last-Event-Id") != "" {
+					x.Chunk(scripted.Event(2) + scripted.Event(3))
+					x.End()
+					return
+				}
+				x.Chunk(scripted.Event(1))
+				first <- x.Expect()
+				<-told
+				x.Chunk(scripted.Event(2) + scripted.Event(3))
+				x.End()
+			}
+			var servers []*scripted.Server
+			for range ranks {
+				servers = append(servers, scripted.Serve(t, script))
+			}
+			route := routeOf(platform.Stream)
+			route.Attempts = tt.attempts
+			r := newRig(t, route, servers...)
+			got := make(chan scripted.Answer, 1)
+			begun := make(chan struct{}, 8)
+			go func() { got <- r.call().DoParts(t.Context(), func(string) { begun <- struct{}{} }) }()
+			at := <-first
+			<-begun
+			r.gateway.digest(slowDigest(ranks, at, tt.slow), time.Now())
+			var answer scripted.Answer
+			if tt.moves {
+				answer = <-got // the slow server has said nothing more
+			}
+			close(told)
+			if !tt.moves {
+				answer = <-got
+			}
+			r.True(answer.Whole)
+			r.Equal(answer.Body, scripted.Event(1)+scripted.Event(2)+scripted.Event(3))
+			r.Equal(total(servers...) == 2, tt.moves)
+		})
+	}
+}
+
+// slowDigest is what a steward tells of ranks of which so many are slow, one of
+// them the given target.
+func slowDigest(ranks int, target string, slow int) *rankpeer.Digest {
+	const slowPace = 12
+	d := &rankpeer.Digest{Running: make([]uint16, ranks), Queued: make([]uint16, ranks)}
+	others := slow - 1
+	for i := range ranks {
+		id, pace := fmt.Sprintf("t%d", i), uint16(rankpeer.PaceUnit)
+		switch {
+		case id == target:
+			pace *= slowPace
+		case others > 0:
+			others--
+			pace *= slowPace
+		}
+		d.Targets, d.Pace = append(d.Targets, id), append(d.Pace, pace)
+	}
+	return d
+}
+
 // The same where the operator does not allow a second run: the caller's
 // connection breaks, so that the part it has does not look whole.
 func TestStreamThatMayNotBeRepeatedBreaksOff(t *testing.T) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"verbenashift/core/health"
 	"verbenashift/core/instance"
 	"verbenashift/core/mirror"
 	"verbenashift/core/pause"
@@ -115,10 +116,24 @@
 
 // digest takes what a steward tells of its group.
 func (g *gateway) digest(d *rankpeer.Digest, taken time.Time) {
-	service, running, queued := g.fleet.digest(d, taken)
-	if a := g.admission(service); a != nil {
-		a.engines(running, queued, d.Pass, time.Now())
+	load := g.fleet.digest(d, taken)
+	if a := g.admission(load.service); a != nil {
+		a.engines(load.running, load.queued, d.Pass, time.Now())
 	}
+	if health.Leave(len(load.slow), load.ranks) {
+		g.fleet.leave(load.slow, g.spareRetries(load.service))
+	}
+}
+
+// keptRetries is how many retries are kept for what fails by itself.
+const keptRetries = 1
+
+// spareRetries returns how many requests to a service may be moved now: each is a
+// retry, and one without would be broken off.
+func (g *gateway) spareRetries(service string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return int(g.budgets.For(budgetOf(service)).Left()) - keptRetries
 }
 
 // admission returns the admission of a service, or nil if it has none.
