A hold is given up also while some ranks are armed, and safely

The next steward found ranks armed and could not give the hold up; twice two agents claimed one after the other, and the one that acted did not follow the frozen one directly. Now all but two ranks are armed first, then the next, then the own one, so that one that is not armed proves that the steward's own is not; what is armed is taken back and the hold released. A claim is dropped if another steward speaks while the store is asked. Replaced test: 'one is armed' held that the hold must stay; what must stay is the hold while all others are armed, which has its case now.

--- a/core/lockstep/abandon.go
+++ b/core/lockstep/abandon.go
@@ -13,38 +13,106 @@
 	Salt uint64
 }
 
-// abandonAfter is how long a hold must have been without any armed rank before
-// it is given up: an order that an agent took from the steward before, just
-// before it heard of the new one, has been answered by then or never will be.
+// abandonAfter is how long the ranks must have said the same before a hold is
+// given up: an order that an agent took from the steward before, just before it
+// heard of the new one, has been answered by then or never will be.
 const abandonAfter = 150 * time.Millisecond
 
 // abandon gives up a hold while the rank of the steward before does not answer.
 //
-// That happens when a steward's instance stops answering just after its hold:
-// the group would stand until it is back. No rank that answers is armed, and
-// the agents beside them take no orders from that steward any more. The missing
-// rank is not armed either: a steward arms its own rank last, after all the
-// others, and nobody else has armed for this hold; see ownHold.
+// That happens when a steward's instance stops answering between its hold and the
+// end of its change: the group would stand until it is back. The missing rank is
+// not armed as long as another one is not: a steward arms its own rank last, after
+// all the others, and nobody else has armed for this hold; see ownHold. The agents
+// beside the others take no orders from that steward any more. So those that are
+// armed are taken back. Then all prepare another map, and the hold is released.
 func (s *Steward) abandon(ranks []Rank, now time.Time) []Command {
 	step := lowestHeld(ranks)
-	version, _ := armed(ranks)
-	if version != 0 || step == 0 || !s.ownHold(ranks) {
+	if step == 0 || !s.ownHold(ranks) || allArmed(ranks) {
 		s.standing = time.Time{}
+		s.endBar()
 		return nil
 	}
-	if s.standing.IsZero() {
-		s.standing = now
+	s.now = now
+	version, _ := armed(ranks)
+	if s.standing.IsZero() || s.standingArmed != version {
+		s.standing, s.standingArmed = now, version
 	}
-	if now.Sub(s.standing) < abandonAfter {
+	switch {
+	case now.Sub(s.standing) < abandonAfter:
 		return nil
+	case version != 0:
+		return s.disarm(ranks, version)
+	case !s.barred(ranks):
+		return s.bar(ranks)
 	}
 	return s.release(ranks, step)
 }
 
+// bar has all ranks that are known prepare the stopgap, under a number of this
+// steward's own that nobody will ever arm. An order to arm the old map that is
+// carried out late, perhaps just before the release, finds its map replaced;
+// otherwise one rank would switch alone.
+func (s *Steward) bar(ranks []Rank) []Command {
+	if s.Stopgap == nil {
+		return nil
+	}
+	if !s.barring {
+		s.enter(epochOf(ranks))
+		s.see(ranks)
+		s.barring, s.version, s.content = true, s.number(), s.Stopgap
+	}
+	var cmds []Command
+	for _, c := range s.prepare(ranks) {
+		if ranks[c.Rank].Known {
+			cmds = append(cmds, c)
+		}
+	}
+	return cmds
+}
+
+// epochOf returns the epoch of the ranks that are known.
+func epochOf(ranks []Rank) int64 {
+	for i := range ranks {
+		if ranks[i].Known {
+			return ranks[i].State.Epoch
+		}
+	}
+	return 0
+}
+
+// barred reports whether no rank that is known can be armed any more.
+func (s *Steward) barred(ranks []Rank) bool {
+	for i := range ranks {
+		if ranks[i].Known && (!s.barring || ranks[i].State.Prepared != s.version) {
+			return false
+		}
+	}
+	return true
+}
+
+// endBar forgets the stopgap: it is not to become the map in force.
+func (s *Steward) endBar() {
+	if s.barring {
+		s.barring, s.version, s.content = false, 0, nil
+	}
+}
+
+// allArmed reports whether every rank that is known is armed.
+func allArmed(ranks []Rank) bool {
+	for i := range ranks {
+		if ranks[i].Known && ranks[i].State.ArmedMap == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // ownHold reports whether only the steward before can have given orders to arm
 // for the hold, and only its own rank is missing: it is the one that prepared
 // the map, the hold is where it places its holds, and this steward has not armed
 // anything. If another steward had a hand in it, the missing rank may be armed.
+// What is prepared says nothing any more once this steward has begun to replace it.
 func (s *Steward) ownHold(ranks []Rank) bool {
 	missing := s.onlyMissing(ranks)
 	if s.before == nil || missing < 0 || missing != s.before.Rank {
@@ -53,13 +121,21 @@
 	holder := (missing + 1) % len(ranks)
 	for i := range ranks {
 		st := &ranks[i].State
-		if i != missing && (st.Prepared%saltRange != int64(s.before.Salt%saltRange) || st.Held != 0 && i != holder) {
+		if i == missing {
+			continue
+		}
+		if !s.madeBefore(st.Prepared) && !s.barring || st.ArmedMap != 0 && !s.madeBefore(st.ArmedMap) || st.Held != 0 && i != holder {
 			return false
 		}
 	}
 	return true
 }
 
+// madeBefore reports whether a number of a map is one of the steward before.
+func (s *Steward) madeBefore(version int64) bool {
+	return version%saltRange == int64(s.before.Salt%saltRange)
+}
+
 // onlyMissing returns the one rank that is not known in an otherwise whole
 // group, or -1.
 func (s *Steward) onlyMissing(ranks []Rank) int {
--- a/core/lockstep/explorer_test.go
+++ b/core/lockstep/explorer_test.go
@@ -182,7 +182,9 @@
 		before = nil
 	}
 	w.last = &Predecessor{Rank: at, Salt: salt}
-	w.drivers = append(w.drivers, &driver{s: NewSteward(at, before, salt), term: w.term, at: at})
+	d := &driver{s: NewSteward(at, before, salt), term: w.term, at: at}
+	d.s.Stopgap = Map{{{-1}, {at}}}
+	w.drivers = append(w.drivers, d)
 }
 
 // reach reports whether a driver can reach a rank, through the agent or
--- a/core/lockstep/lockstep.go
+++ b/core/lockstep/lockstep.go
@@ -22,9 +22,12 @@
 // at once, one of them paused for any time between looking and ordering:
 //
 //   - A hold on S is released only by one who has seen all ranks armed for the
-//     same map and S, or who knows that no rank ever will be. What is armed for a held pass is never taken back, unless
-//     a rank has prepared a newer map since, so that not all can be armed ever.
-//   - A map is armed only while a hold on S stands.
+//     same map and S, or who knows that no rank ever will be. What is armed for a
+//     held pass is never taken back, unless a rank has prepared a newer map since,
+//     so that not all can be armed ever, or the steward that armed is lost before
+//     it had armed its own rank; see abandon.
+//   - A map is armed only while a hold on S stands that the steward has ordered
+//     itself. An order to release the one of another may be under way.
 //   - Numbers of maps grow, and no two stewards ever give the same one: part of
 //     each is a random number of the steward's own. Ranks compare numbers, not
 //     maps; two maps under one number would be taken for the same.
@@ -73,6 +76,10 @@
 type Steward struct {
 	// Fence is put into each order.
 	Fence int64
+	// Stopgap is a map that the ranks which are known can prepare without loading
+	// anything, or nil. It is prepared, and never armed, when a hold has to be
+	// given up.
+	Stopgap Map
 
 	self int
 	// before is the steward from which the duty was taken over, or nil. It is
@@ -88,7 +95,9 @@
 	epoch   int64
 	// highest is the highest number of a map that was seen or refused.
 	highest int64
-	holdAt  int64
+	// holdAt is the pass that this steward has had the rank holder hold.
+	holdAt int64
+	holder int
 	// asked is when each rank was last ordered to prepare the map askedFor.
 	asked    []time.Time
 	askedFor int64
@@ -98,8 +107,12 @@
 	// changes took lately from there to the release.
 	heldAt time.Time
 	took   time.Duration
-	// standing is since when a hold could be given up by abandon.
-	standing time.Time
+	// standing is since when a hold could be given up by abandon, with some ranks
+	// armed for standingArmed, or none if that is 0.
+	standing      time.Time
+	standingArmed int64
+	// barring says that version is the stopgap's.
+	barring bool
 }
 
 // saltRange is the range of the steward's own part of the numbers of maps.
@@ -186,6 +199,7 @@
 		return s.abandon(ranks, now)
 	}
 	s.now = now
+	s.endBar()
 	s.enter(ranks[0].State.Epoch)
 	s.see(ranks)
 	s.pass.observe(lastStep(ranks), now)
--- a/core/lockstep/lockstep_test.go
+++ b/core/lockstep/lockstep_test.go
@@ -38,22 +38,61 @@
 
 var start = time.Unix(100, 0)
 
+// stopgap stands for a map that loads nothing.
+var stopgap = Map{{{0}, {1}, {2}}}
+
+// heir returns the steward that follows the one that has placed the hold of held.
+func heir(self int) *Steward {
+	s := NewSteward(self, &Predecessor{Rank: 0, Salt: oldSalt}, 9)
+	s.Stopgap = stopgap
+	return s
+}
+
 // A steward's instance freezes just after its hold, its rank with it. All
 // callers of the group would wait until it is back. The next steward finds
-// nothing armed and lets the group go on without a change.
+// nothing armed, has the old map replaced, so that no late order can arm it, and
+// lets the group go on without a change.
 func TestHoldOfLostStewardIsGivenUp(t *testing.T) {
 	is := is.New(t)
 	ranks := held()
 	ranks[0].Known = false
-	s := NewSteward(2, &Predecessor{Rank: 0, Salt: oldSalt}, 9)
+	s := heir(2)
 	is.Equal(len(s.Next(ranks, start)), 0)
-	cmds := s.Next(ranks, start.Add(abandonAfter))
+	now := start.Add(abandonAfter)
+	cmds := s.Next(ranks, now)
+	is.Equal(len(cmds), 2) // the ranks that are known
+	for _, c := range cmds {
+		is.Equal(c.Order.Kind, platform.PrepareMap)
+		is.True(c.Order.Version > oldMap)
+		is.Equal(c.Order.Map, [][][]int(stopgap))
+	}
+	ranks[1].State.Prepared = cmds[0].Order.Version
+	is.Equal(kinds(s.Next(ranks, now))[platform.ReleasePass], 0) // one may still be armed
+	ranks[2].State.Prepared = cmds[0].Order.Version
+	cmds = s.Next(ranks, now)
 	is.Equal(len(cmds), 1)
 	is.Equal(cmds[0].Rank, 1)
 	is.Equal(cmds[0].Order.Kind, platform.ReleasePass)
 	is.Equal(cmds[0].Order.Step, int64(holdAt))
 }
 
+// The steward before is back before its hold was given up. The map that was
+// prepared instead is forgotten: it is no better than the one in force.
+func TestStopgapIsForgotten(t *testing.T) {
+	is := is.New(t)
+	ranks := held()
+	ranks[0].Known = false
+	s := heir(2)
+	s.Next(ranks, start)
+	is.Equal(kinds(s.Next(ranks, start.Add(abandonAfter)))[platform.PrepareMap], 2)
+	ranks[0].Known = true
+	ranks[0].State = ranks[1].State
+	ranks[0].State.Rank, ranks[0].State.Held = 0, 0
+	ranks[1].State.Prepared = oldMap + 2*saltRange
+	is.Equal(len(s.Next(ranks, start.Add(time.Second))), 0)
+	is.True(s.Stuck(ranks)) // a map is to be proposed
+}
+
 // The missing rank may be armed, and would then switch alone: its order to arm
 // was given by this steward and not answered, or by a third one, or another rank
 // than that of the steward before is missing. The hold has to stay.
@@ -62,8 +101,10 @@
 	t.Run("armed by this steward", func(t *testing.T) {
 		is := is.New(t)
 		ranks := held()
-		s := NewSteward(2, &Predecessor{Rank: 0, Salt: oldSalt}, 9)
-		is.Equal(kinds(s.Next(ranks, start))[platform.ArmMap], 2)
+		s := heir(2)
+		is.Equal(kinds(s.Next(ranks, start))[platform.HoldPass], 1) // a hold of its own
+		ranks[0].State.Held = holdAt
+		is.Equal(kinds(s.Next(ranks, start))[platform.ArmMap], 1)
 		ranks[0].Known = false
 		is.Equal(len(s.Next(ranks, start)), 0)
 		is.Equal(len(s.Next(ranks, late)), 0)
@@ -84,19 +125,109 @@
 		is.Equal(len(s.Next(ranks, start)), 0)
 		is.Equal(len(s.Next(ranks, late)), 0)
 	})
-	t.Run("one is armed", func(t *testing.T) {
+	t.Run("all others are armed", func(t *testing.T) {
+		is := is.New(t)
+		ranks := held()
+		ranks[0].Known = false
+		for i := range ranks {
+			ranks[i].State.ArmedMap, ranks[i].State.ArmedStep = oldMap, holdAt
+		}
+		s := heir(2)
+		is.Equal(len(s.Next(ranks, start)), 0)
+		is.Equal(len(s.Next(ranks, late)), 0)
+	})
+	t.Run("armed for a map of a third steward", func(t *testing.T) {
+		is := is.New(t)
+		ranks := held()
+		ranks[0].Known = false
+		ranks[2].State.ArmedMap, ranks[2].State.ArmedStep = oldMap+1, holdAt
+		s := heir(2)
+		is.Equal(len(s.Next(ranks, start)), 0)
+		is.Equal(len(s.Next(ranks, late)), 0)
+	})
+	t.Run("no stopgap is known", func(t *testing.T) {
 		is := is.New(t)
 		ranks := held()
 		ranks[0].Known = false
-		ranks[2].State.ArmedMap, ranks[2].State.ArmedStep = oldMap, holdAt
-		s := NewSteward(2, &Predecessor{Rank: 0, Salt: oldSalt}, 9)
+		s := heir(2)
+		s.Stopgap = nil
 		is.Equal(len(s.Next(ranks, start)), 0)
 		is.Equal(len(s.Next(ranks, late)), 0)
 	})
 }
 
+// A steward's instance freezes while the ranks are being armed: some are, some
+// are not. Its own can't be, since it is armed after all others. The next steward
+// takes back what is armed, waits whether a late order arms another, and lets the
+// group go on.
+func TestHoldIsGivenUpWhileSomeAreArmed(t *testing.T) {
+	is := is.New(t)
+	ranks := held()
+	ranks[0].Known = false
+	ranks[2].State.ArmedMap, ranks[2].State.ArmedStep = oldMap, holdAt
+	s := heir(1)
+	is.Equal(len(s.Next(ranks, start)), 0)
+	now := start.Add(abandonAfter)
+	cmds := s.Next(ranks, now)
+	is.Equal(len(cmds), 1)
+	is.Equal(cmds[0].Rank, 2)
+	is.Equal(cmds[0].Order.Kind, platform.DisarmMap)
+	is.Equal(cmds[0].Order.Version, int64(oldMap))
+	ranks[2].State.ArmedMap, ranks[2].State.ArmedStep = 0, 0
+	is.Equal(len(s.Next(ranks, now)), 0)
+	is.Equal(len(s.Next(ranks, now.Add(abandonAfter-1))), 0)
+	is.Equal(kinds(s.Next(ranks, now.Add(abandonAfter)))[platform.PrepareMap], 2)
+}
+
+// A hold of another steward stands, under which nothing is armed: perhaps a third
+// has given it up, and its order to release it is still under way. Whoever arms
+// does so under a hold of its own, at a rank that holds nothing.
+func TestArmsUnderItsOwnHold(t *testing.T) {
+	is := is.New(t)
+	ranks := held()
+	s := NewSteward(0, nil, 9)
+	cmds := s.Next(ranks, start)
+	is.Equal(len(cmds), 1)
+	is.Equal(cmds[0].Order.Kind, platform.HoldPass)
+	is.Equal(cmds[0].Order.Step, int64(holdAt))
+	is.Equal(cmds[0].Rank, 2)
+	ranks[2].State.Held = holdAt
+	is.Equal(kinds(s.Next(ranks, start))[platform.ArmMap], 1)
+}
+
+// A steward gives its orders to arm and freezes within milliseconds; agents carry
+// out what they were asked. One rank must not be armed then, or nobody could tell
+// whether the steward's own is.
+func TestRanksAreArmedInTurn(t *testing.T) {
+	is := is.New(t)
+	ranks := held()
+	for i := range 2 {
+		more := ranks[i+1]
+		more.State.Rank, more.State.Held = len(ranks), 0
+		ranks = append(ranks, more)
+	}
+	for i := range ranks {
+		ranks[i].State.Size = len(ranks)
+	}
+	s := NewSteward(0, nil, 9)
+	s.Next(ranks, start)
+	ranks[s.holder].State.Held = holdAt
+	var turns [][]int
+	for range 3 {
+		var turn []int
+		for _, c := range s.Next(ranks, start) {
+			is.Equal(c.Order.Kind, platform.ArmMap)
+			ranks[c.Rank].State.ArmedMap, ranks[c.Rank].State.ArmedStep = c.Order.Version, c.Order.Step
+			turn = append(turn, c.Rank)
+		}
+		turns = append(turns, turn)
+	}
+	is.Equal(turns, [][]int{{2, 3, 4}, {1}, {0}})
+}
+
 // A change on ranks that do what they are told: prepare everywhere, hold at the
-// next rank and straight at its server, arm the others, arm the own rank, release.
+// next rank and straight at its server, arm the others, arm the next and then the
+// own rank, release.
 func TestMovesOfAChange(t *testing.T) {
 	is := is.New(t)
 	m := newModel(3, newRand())
@@ -125,7 +256,7 @@
 		}
 		is.NoErr(m.mixed)
 	}
-	is.Equal(moves, []platform.OrderKind{platform.PrepareMap, platform.HoldPass, platform.ArmMap, platform.ArmMap, platform.ReleasePass})
+	is.Equal(moves, []platform.OrderKind{platform.PrepareMap, platform.HoldPass, platform.ArmMap, platform.ArmMap, platform.ArmMap, platform.ReleasePass})
 	version, same := InForce(read())
 	is.True(same)
 	is.Equal(version%saltRange, int64(5))
--- a/core/lockstep/moves.go
+++ b/core/lockstep/moves.go
@@ -14,7 +14,7 @@
 	}
 	var cmds []Command
 	missing := 0
-	for _, i := range s.ownLast(ranks) {
+	for _, i := range s.inTurn(ranks) {
 		st := &ranks[i].State
 		switch {
 		case st.ArmedMap == version && st.ArmedStep == step, st.Map == version:
@@ -28,7 +28,7 @@
 			// can never be armed for the older one: those that are must be
 			// taken back, or they would switch alone.
 			return s.disarm(ranks, version), true
-		case st.Prepared == version && (i != s.self || missing == 0):
+		case st.Prepared == version && (missing == 0 || i != s.self && i != s.nextRank(ranks)):
 			cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.ArmMap, Version: version, Step: step}))
 		}
 		missing++
@@ -65,7 +65,10 @@
 // late order.
 func (s *Steward) underHold(ranks []Rank, step int64) []Command {
 	if prepared(ranks) {
-		return s.others(ranks, platform.Order{Kind: platform.ArmMap, Version: ranks[0].State.Prepared, Step: step})
+		if i := s.freeRank(ranks); i >= 0 && !s.holdsAt(ranks, step) {
+			return s.holdRank(ranks, i, step)
+		}
+		return s.arm(ranks, ranks[0].State.Prepared, step)
 	}
 	return s.prepare(ranks)
 }
@@ -77,12 +80,35 @@
 		s.holdAt = last + s.pass.lead(max(leadTime, s.took))
 	}
 	s.heldAt = s.now
-	i := (s.self + 1) % len(ranks)
-	cmd := s.command(ranks, i, platform.Order{Kind: platform.HoldPass, Step: s.holdAt})
+	return s.holdRank(ranks, s.nextRank(ranks), s.holdAt)
+}
+
+// holdRank has one rank hold the group at a pass.
+func (s *Steward) holdRank(ranks []Rank, i int, step int64) []Command {
+	s.holdAt, s.holder = step, i
+	cmd := s.command(ranks, i, platform.Order{Kind: platform.HoldPass, Step: step})
 	cmd.Direct = i != s.self
 	return []Command{cmd}
 }
 
+// holdsAt reports whether a hold of this steward stands at a pass. Under a hold of
+// another one nothing may be armed: if a third has given that hold up, its order to
+// release it may still be under way.
+func (s *Steward) holdsAt(ranks []Rank, step int64) bool {
+	return s.holdAt == step && s.holder < len(ranks) && ranks[s.holder].State.Held == step
+}
+
+// freeRank returns a rank that holds nothing, the steward's own last, or -1.
+func (s *Steward) freeRank(ranks []Rank) int {
+	for k := 1; k <= len(ranks); k++ {
+		i := (s.self + k) % len(ranks)
+		if ranks[i].State.Held == 0 {
+			return i
+		}
+	}
+	return -1
+}
+
 // prepareAgain is how long a rank is left alone with an order to prepare: it
 // says nothing while it copies.
 const prepareAgain = 150 * time.Millisecond
@@ -114,28 +140,31 @@
 	}
 }
 
-// ownLast returns the ranks with the steward's own at the end.
-func (s *Steward) ownLast(ranks []Rank) []int {
-	order := make([]int, 0, len(ranks))
-	for i := range ranks {
-		if i != s.self {
-			order = append(order, i)
-		}
+// nextRank returns the rank after the steward's own.
+func (s *Steward) nextRank(ranks []Rank) int { return (s.self + 1) % len(ranks) }
+
+// inTurn returns the ranks in the order in which they are armed: the steward's own
+// at the end, the next one before it, each when all before are. So a steward that
+// is lost just after its orders to the many leaves one that is not armed, which
+// shows that its own is not; see abandon.
+func (s *Steward) inTurn(ranks []Rank) []int {
+	turn := make([]int, 0, len(ranks))
+	for k := 2; k <= len(ranks)+1; k++ {
+		turn = append(turn, (s.self+k)%len(ranks))
 	}
-	if s.self >= 0 && s.self < len(ranks) {
-		order = append(order, s.self)
+	if n := len(turn); n > 1 {
+		turn[n-2], turn[n-1] = turn[n-1], turn[n-2]
 	}
-	return order
+	return turn
 }
 
-// others gives an order to all ranks but the steward's own, unless that is the
-// only one.
-func (s *Steward) others(ranks []Rank, o platform.Order) []Command {
-	cmds := make([]Command, 0, len(ranks))
-	for i := range ranks {
-		if i != s.self || len(ranks) == 1 {
-			cmds = append(cmds, s.command(ranks, i, o))
-		}
+// arm gives the first orders to arm, to all ranks whose turn does not come later.
+func (s *Steward) arm(ranks []Rank, version, step int64) []Command {
+	turn := s.inTurn(ranks)
+	first := turn[:max(1, len(turn)-2)]
+	cmds := make([]Command, 0, len(first))
+	for _, i := range first {
+		cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.ArmMap, Version: version, Step: step}))
 	}
 	return cmds
 }
--- a/sidecar/claim.go
+++ b/sidecar/claim.go
@@ -31,14 +31,18 @@
 	lost bool
 }
 
-// claim tries to make this agent the steward of a group, in the background. The
-// channel gets one value.
-func (a *agent) claim(ctx context.Context, group string) <-chan claimed {
+// claim tries to make this agent the steward of a group, in the background, unless
+// it is needless by the time that the claim would be written. The channel gets one
+// value.
+func (a *agent) claim(ctx context.Context, group string, needless func() bool) <-chan claimed {
 	done := make(chan claimed, 1)
-	go func() { done <- a.writeClaim(ctx, group) }()
+	go func() { done <- a.writeClaim(ctx, group, needless) }()
 	return done
 }
 
+// needed is for claims that are written whatever is heard meanwhile.
+func needed() bool { return false }
+
 // unheard reports whether a claim in the store is by a steward that this agent
 // has not heard and has not seen before: it has claimed a moment ago and is about
 // to speak. Taken over at once, it would be the steward before, and a hold of the
@@ -51,7 +55,7 @@
 	return fresh
 }
 
-func (a *agent) writeClaim(ctx context.Context, group string) claimed {
+func (a *agent) writeClaim(ctx context.Context, group string, needless func() bool) claimed {
 	ctx, cancel := context.WithTimeout(ctx, claimWait)
 	defer cancel()
 	key := rankpeer.ClaimPrefix + group
@@ -59,6 +63,12 @@
 	it, err := a.store.Get(ctx, key)
 	var status *platform.StatusError
 	switch {
+	case needless():
+		// Another steward has spoken while the store was asked. If it were taken
+		// over from, it would be the steward before, and a hold of the silent one
+		// could not be given up any more; see package lockstep.
+		a.log.Info("another steward is at work", "group", group)
+		return claimed{lost: true}
 	case err == nil && a.unheard(it.Revision):
 		a.log.Info("another steward has claimed", "group", group, "revision", it.Revision)
 		return claimed{lost: true}
@@ -102,7 +112,8 @@
 // steward is at work.
 func (a *agent) takeOver(ctx context.Context, group string) (duty, bool) {
 	words := a.heardWords()
-	d := duty{claiming: a.claim(ctx, group), claimedAt: time.Now()}
+	spoken := func() bool { return a.heardWords() != words }
+	d := duty{claiming: a.claim(ctx, group, spoken), claimedAt: time.Now()}
 	wait := time.NewTimer(claimPatience)
 	defer wait.Stop()
 	select {
@@ -114,7 +125,7 @@
 	case <-wait.C:
 	}
 	if d.term == 0 {
-		if a.heardWords() != words {
+		if spoken() {
 			// Another agent has begun to act meanwhile. Each one that follows
 			// would have the group begin its change anew.
 			a.log.Info("another steward acts", "group", group)
@@ -133,7 +144,7 @@
 	}
 	if s.claiming == nil {
 		if now.Sub(s.claimedAt) >= reclaimEvery {
-			s.claiming, s.claimedAt = s.claim(ctx, s.group), now
+			s.claiming, s.claimedAt = s.claim(ctx, s.group, needed), now
 		}
 		return true
 	}
--- a/sidecar/claim_test.go
+++ b/sidecar/claim_test.go
@@ -104,6 +104,26 @@
 	is.True(d.term > 31)
 }
 
+// The same, but the first speaks while the second is asking the store. The second
+// knows it by now, so that its claim is no fresh one; still it must not be taken
+// over from.
+func TestClaimIsDroppedWhenAnotherSpeaks(t *testing.T) {
+	is := is.New(t)
+	a, store := testAgent(t)
+	for range 30 {
+		store.Put("servers/x", nil)
+	}
+	key := rankpeer.ClaimPrefix + "g"
+	store.Put(key, []byte("127.0.0.9:9310")) // revision 31
+	a.heardTerm = 31
+	got := a.writeClaim(t.Context(), "g", func() bool { return true })
+	is.True(got.lost)
+	it, err := a.store.Get(t.Context(), key)
+	is.NoErr(err)
+	is.Equal(it.Revision, int64(31))
+	is.True(!a.writeClaim(t.Context(), "g", needed).lost)
+}
+
 // Two agents claim at the same time. The store lets one of them through; the
 // other, already acting, must end.
 func TestActingStewardEndsWhenAnotherHasClaimed(t *testing.T) {
--- /dev/null
+++ b/sidecar/planner_test.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/lockstep"
+	"verbenashift/core/rankpeer"
+	"verbenashift/platform"
+)
+
+// A rank does not answer, and the others are to prepare a map that loads nothing.
+// They keep what they have; the missing one gets what nobody else has, so that the
+// map has every expert. With two ranks missing no such map is known.
+func TestStopgapLoadsNothing(t *testing.T) {
+	is := is.New(t)
+	p := planner{
+		engine: platform.Engine{Sets: 1, Experts: 5, Places: 3}, ranks: []string{"a", "b", "c"},
+		places: map[string]*platform.Placement{
+			"a": {Epoch: 2, Map: 7, Experts: [][]int{{0, 1}}},
+			"c": {Epoch: 2, Map: 7, Experts: [][]int{{1, 3}}},
+		},
+	}
+	in := platform.RankState{Epoch: 2, Map: 7}
+	tells := map[string]rankpeer.Tell{"a": {Known: true, State: in}, "c": {Known: true, State: in}}
+	is.Equal(p.stopgap(tells), lockstep.Map{{{0, 1}, {2, 4}, {1, 3}}})
+	tells["c"] = rankpeer.Tell{Known: true, State: platform.RankState{Epoch: 2, Map: 8}}
+	is.Equal(p.stopgap(tells), nil) // what c has is of an older map
+	p.engine.Places = 1
+	tells["c"] = rankpeer.Tell{Known: true, State: in}
+	is.Equal(p.stopgap(tells), nil) // it does not fit
+}
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -158,6 +158,9 @@
 	s.report(ranks, now)
 	s.setDigest(s.digestOf(ranks))
 	s.propose(ranks)
+	if !s.planner.placed && lockstep.Unfinished(ranks) {
+		s.core.Stopgap = s.planner.stopgap(s.tells)
+	}
 	for range quickMoves {
 		quick := s.decide(ranks, time.Now())
 		if len(s.pending) == 0 {
@@ -203,8 +206,9 @@
 }
 
 // quickMoves bounds the moves that are made without a full round between them:
-// a hold, arming, arming again where an order was lost, and the release.
-const quickMoves = 6
+// a hold, arming in three turns, arming again where an order was lost, and the
+// release.
+const quickMoves = 8
 
 // decide sets the next orders and reports whether they belong to a change that
 // holds the group, or is about to.
