--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -65,7 +65,7 @@
 	baseAs       int64
 	// needFull are the targets whose agents lack the base.
 	needFull map[string]bool
-	// holding says that a change is under way, which holds the group or will.
+	// holding says that the group is held, or is about to be.
 	holding bool
 	// changedAt is when a change came into force last.
 	changedAt time.Time
@@ -237,9 +237,7 @@
 		s.pending[s.byRank[c.Rank]] = c
 		quick = quick || c.Order.Kind != platform.PrepareMap
 	}
-	// A steward that is lost just after its hold has told of its orders to prepare
-	// last: they count as well.
-	s.holding = len(s.pending) > 0
+	s.holding = quick
 	return quick
 }
 
