--- a/core/lockstep/lockstep.go
+++ b/core/lockstep/lockstep.go
@@ -7,14 +7,14 @@
 // the wait here is a hold: while one rank holds pass S, no rank begins it.
 //
 // A change goes in four moves. All ranks prepare the map. One rank holds a pass
-// S that the group has not reached. All ranks arm the map for S, that of the
-// steward last. Once all are armed, the hold is released; released early
-// enough, nothing ever waits.
+// S that the group has not reached. All ranks arm the map for S, the one beside
+// that of the steward last but one, the steward's own last. Once all are armed,
+// the hold is released; released early enough, nothing ever waits.
 //
 // The hold is not at the steward's own rank, and the steward orders it straight
 // at the server. So a steward's instance that stops answering just then, its
-// rank included, leaves a hold that others can release: its own rank is not
-// armed before all others are, so that it can't switch alone; see abandon.
+// rank included, leaves a hold that others can release: as long as another rank is
+// not armed, its own is not either, and can't switch alone; see abandon.
 //
 // A Steward has no memory that a change depends on. Its next orders are a
 // function of what all ranks say of themselves, so that any agent can go on
