Reading the change again: one piece of code where two stood

The rule of the turns in which ranks are armed stood in arm and in finishArmed; armInTurn has it for both. Release and disarm were one loop with another state and order. Whether all known ranks say something, how many retries are left, what a log line says of the chosen target, the place of a test's deployment, and four blocks of tests stood twice or more. A request's entry into the queue is a function of its own, so that the lock is given back in one place. Left: the entry's answer 'not-ready' and unsure can't be reached since its port opens with the configuration; their test stands, and so do they. The two program frames (process, instance) have different settings and are not joined.

--- a/core/lockstep/abandon.go
+++ b/core/lockstep/abandon.go
@@ -83,12 +83,7 @@
 
 // barred reports whether no rank that is known can be armed any more.
 func (s *Steward) barred(ranks []Rank) bool {
-	for i := range ranks {
-		if ranks[i].Known && (!s.barring || ranks[i].State.Prepared != s.version) {
-			return false
-		}
-	}
-	return true
+	return s.barring && allKnown(ranks, func(st *platform.RankState) bool { return st.Prepared == s.version })
 }
 
 // endBar forgets the stopgap: it is not to become the map in force.
@@ -100,12 +95,7 @@
 
 // allArmed reports whether every rank that is known is armed.
 func allArmed(ranks []Rank) bool {
-	for i := range ranks {
-		if ranks[i].Known && ranks[i].State.ArmedMap == 0 {
-			return false
-		}
-	}
-	return true
+	return allKnown(ranks, func(st *platform.RankState) bool { return st.ArmedMap != 0 })
 }
 
 // ownHold reports whether only the steward before can have given orders to arm
--- a/core/lockstep/lockstep_test.go
+++ b/core/lockstep/lockstep_test.go
@@ -97,7 +97,6 @@
 // was given by this steward and not answered, or by a third one, or another rank
 // than that of the steward before is missing. The hold has to stay.
 func TestHoldStaysIfTheMissingRankMayBeArmed(t *testing.T) {
-	late := start.Add(time.Minute)
 	t.Run("armed by this steward", func(t *testing.T) {
 		is := is.New(t)
 		ranks := held()
@@ -106,24 +105,21 @@
 		ranks[0].State.Held = holdAt
 		is.Equal(kinds(s.Next(ranks, start))[platform.ArmMap], 1)
 		ranks[0].Known = false
-		is.Equal(len(s.Next(ranks, start)), 0)
-		is.Equal(len(s.Next(ranks, late)), 0)
+		stays(is, s, ranks)
 	})
 	t.Run("prepared by a third steward", func(t *testing.T) {
 		is := is.New(t)
 		ranks := held()
 		ranks[0].Known = false
 		s := NewSteward(2, &Predecessor{Rank: 0, Salt: oldSalt + 1}, 9)
-		is.Equal(len(s.Next(ranks, start)), 0)
-		is.Equal(len(s.Next(ranks, late)), 0)
+		stays(is, s, ranks)
 	})
 	t.Run("another rank is missing", func(t *testing.T) {
 		is := is.New(t)
 		ranks := held()
 		ranks[2].Known = false
 		s := NewSteward(1, &Predecessor{Rank: 0, Salt: oldSalt}, 9)
-		is.Equal(len(s.Next(ranks, start)), 0)
-		is.Equal(len(s.Next(ranks, late)), 0)
+		stays(is, s, ranks)
 	})
 	t.Run("all others are armed", func(t *testing.T) {
 		is := is.New(t)
@@ -133,8 +129,7 @@
 			ranks[i].State.ArmedMap, ranks[i].State.ArmedStep = oldMap, holdAt
 		}
 		s := heir(2)
-		is.Equal(len(s.Next(ranks, start)), 0)
-		is.Equal(len(s.Next(ranks, late)), 0)
+		stays(is, s, ranks)
 	})
 	t.Run("armed for a map of a third steward", func(t *testing.T) {
 		is := is.New(t)
@@ -142,8 +137,7 @@
 		ranks[0].Known = false
 		ranks[2].State.ArmedMap, ranks[2].State.ArmedStep = oldMap+1, holdAt
 		s := heir(2)
-		is.Equal(len(s.Next(ranks, start)), 0)
-		is.Equal(len(s.Next(ranks, late)), 0)
+		stays(is, s, ranks)
 	})
 	t.Run("no stopgap is known", func(t *testing.T) {
 		is := is.New(t)
@@ -151,11 +145,17 @@
 		ranks[0].Known = false
 		s := heir(2)
 		s.Stopgap = nil
-		is.Equal(len(s.Next(ranks, start)), 0)
-		is.Equal(len(s.Next(ranks, late)), 0)
+		stays(is, s, ranks)
 	})
 }
 
+// stays checks that a steward gives no order, now or a minute later.
+func stays(is *is.I, s *Steward, ranks []Rank) {
+	is.Helper()
+	is.Equal(len(s.Next(ranks, start)), 0)
+	is.Equal(len(s.Next(ranks, start.Add(time.Minute))), 0)
+}
+
 // A steward's instance freezes while the ranks are being armed: some are, some
 // are not. Its own can't be, since it is armed after all others. The next steward
 // takes back what is armed, waits whether a late order arms another, and lets the
--- a/core/lockstep/moves.go
+++ b/core/lockstep/moves.go
@@ -12,7 +12,20 @@
 	if version == 0 {
 		return nil, false
 	}
-	var cmds []Command
+	cmds, done := s.armInTurn(ranks, version, step)
+	if !done {
+		return cmds, true
+	}
+	s.measure()
+	return s.release(ranks, step), true
+}
+
+// armInTurn returns the next orders to arm a map for a pass, or to take back what
+// is in their way, and reports whether all ranks are armed. The steward's own rank
+// is armed last, the next one before it, each when all before are. So a steward
+// that is lost just after its orders to the many leaves one that is not armed,
+// which shows that its own is not; see abandon.
+func (s *Steward) armInTurn(ranks []Rank, version, step int64) (cmds []Command, done bool) {
 	missing := 0
 	for _, i := range s.inTurn(ranks) {
 		st := &ranks[i].State
@@ -27,34 +40,33 @@
 			// Another steward has prepared a newer map here, so that this rank
 			// can never be armed for the older one: those that are must be
 			// taken back, or they would switch alone.
-			return s.disarm(ranks, version), true
+			return s.disarm(ranks, version), false
 		case st.Prepared == version && (missing == 0 || i != s.self && i != s.nextRank(ranks)):
 			cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.ArmMap, Version: version, Step: step}))
 		}
 		missing++
 	}
-	if missing > 0 {
-		return cmds, true
-	}
-	s.measure()
-	return s.release(ranks, step), true
+	return cmds, missing == 0
 }
 
+// release lets the group begin a pass that is held.
 func (s *Steward) release(ranks []Rank, step int64) []Command {
-	var cmds []Command
-	for i := range ranks {
-		if ranks[i].State.Held == step {
-			cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.ReleasePass, Step: step}))
-		}
-	}
-	return cmds
+	return s.order(ranks, platform.Order{Kind: platform.ReleasePass, Step: step},
+		func(st *platform.RankState) bool { return st.Held == step })
 }
 
+// disarm takes back what is armed for a map.
 func (s *Steward) disarm(ranks []Rank, version int64) []Command {
+	return s.order(ranks, platform.Order{Kind: platform.DisarmMap, Version: version},
+		func(st *platform.RankState) bool { return st.ArmedMap == version })
+}
+
+// order gives an order to the ranks whose state asks for it.
+func (s *Steward) order(ranks []Rank, o platform.Order, due func(*platform.RankState) bool) []Command {
 	var cmds []Command
 	for i := range ranks {
-		if ranks[i].State.ArmedMap == version {
-			cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.DisarmMap, Version: version}))
+		if due(&ranks[i].State) {
+			cmds = append(cmds, s.command(ranks, i, o))
 		}
 	}
 	return cmds
@@ -68,7 +80,8 @@
 		if i := s.freeRank(ranks); i >= 0 && !s.holdsAt(ranks, step) {
 			return s.holdRank(ranks, i, step)
 		}
-		return s.arm(ranks, ranks[0].State.Prepared, step)
+		cmds, _ := s.armInTurn(ranks, ranks[0].State.Prepared, step)
+		return cmds
 	}
 	return s.prepare(ranks)
 }
@@ -143,10 +156,7 @@
 // nextRank returns the rank after the steward's own.
 func (s *Steward) nextRank(ranks []Rank) int { return (s.self + 1) % len(ranks) }
 
-// inTurn returns the ranks in the order in which they are armed: the steward's own
-// at the end, the next one before it, each when all before are. So a steward that
-// is lost just after its orders to the many leaves one that is not armed, which
-// shows that its own is not; see abandon.
+// inTurn returns the ranks in the order in which they are armed.
 func (s *Steward) inTurn(ranks []Rank) []int {
 	turn := make([]int, 0, len(ranks))
 	for k := 2; k <= len(ranks)+1; k++ {
@@ -158,17 +168,6 @@
 	return turn
 }
 
-// arm gives the first orders to arm, to all ranks whose turn does not come later.
-func (s *Steward) arm(ranks []Rank, version, step int64) []Command {
-	turn := s.inTurn(ranks)
-	first := turn[:max(1, len(turn)-2)]
-	cmds := make([]Command, 0, len(first))
-	for _, i := range first {
-		cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.ArmMap, Version: version, Step: step}))
-	}
-	return cmds
-}
-
 func (s *Steward) command(ranks []Rank, i int, o platform.Order) Command {
 	if o.Kind == platform.ArmMap {
 		s.before = nil
--- a/core/lockstep/rank.go
+++ b/core/lockstep/rank.go
@@ -112,3 +112,13 @@
 	}
 	return true
 }
+
+// allKnown is like all for the ranks that are known.
+func allKnown(ranks []Rank, ok func(*platform.RankState) bool) bool {
+	for i := range ranks {
+		if ranks[i].Known && !ok(&ranks[i].State) {
+			return false
+		}
+	}
+	return true
+}
--- a/core/mirror/follower_test.go
+++ b/core/mirror/follower_test.go
@@ -33,6 +33,19 @@
 	return page, err
 }
 
+// targetsSoon follows a store for a second and returns how many targets are known
+// then.
+func targetsSoon(t *testing.T, s *script) int {
+	t.Helper()
+	f := NewFollower(s, quiet())
+	ctx, cancel := context.WithCancel(t.Context())
+	go f.Run(ctx)
+	time.Sleep(time.Second)
+	cancel()
+	synctest.Wait()
+	return len(f.View().Targets)
+}
+
 // Pages are no snapshot: a server that registers between two of them is in
 // neither. The watch has to go on from before the first page.
 func TestWatchGoesOnFromTheFirstPage(t *testing.T) {
@@ -54,13 +67,7 @@
 				return platform.Page{AsOf: 13}, nil
 			},
 		}
-		f := NewFollower(s, quiet())
-		ctx, cancel := context.WithCancel(t.Context())
-		go f.Run(ctx)
-		time.Sleep(time.Second)
-		is.Equal(len(f.View().Targets), 1)
-		cancel()
-		synctest.Wait()
+		is.Equal(targetsSoon(t, s), 1)
 	})
 }
 
@@ -89,13 +96,7 @@
 			}
 			return platform.Page{AsOf: 5}, nil
 		}
-		f := NewFollower(s, quiet())
-		ctx, cancel := context.WithCancel(t.Context())
-		go f.Run(ctx)
-		time.Sleep(time.Second)
-		is.Equal(len(f.View().Targets), 0)
-		cancel()
-		synctest.Wait()
+		is.Equal(targetsSoon(t, s), 0)
 	})
 }
 
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -108,26 +108,11 @@
 // enter waits for a place and returns the key that leave takes. A refusal says
 // that the request has not run.
 func (a *admission) enter(ctx context.Context, c *call) (string, *outcome.Error) {
-	now := time.Now()
-	a.mu.Lock()
-	if a.gate.Lasting(now) {
-		refusal := &outcome.Error{Outcome: outcome.NotRun, Reason: queue.ReasonDown}
-		a.comeback(c, refusal, now)
-		a.mu.Unlock()
+	id, ready, refusal := a.join(c, time.Now())
+	if refusal != nil {
+		a.later(c, refusal)
 		return "", refusal
 	}
-	a.next++
-	id := strconv.FormatUint(a.next, 36)
-	item := queue.Item{ID: id, Workspace: c.workspaceName(), Priority: priorityOf(c), Cost: int64(c.cost()), Deadline: a.latestStart(c, now)}
-	if refusal := a.queue.Enqueue(item, now); refusal != nil {
-		a.comeback(c, refusal, now)
-		a.mu.Unlock()
-		return "", refusal
-	}
-	ready := make(chan *outcome.Error, 1)
-	a.waiting[id] = ready
-	a.pump(now)
-	a.mu.Unlock()
 	select {
 	case refusal := <-ready:
 		if refusal != nil {
@@ -139,8 +124,28 @@
 	}
 }
 
+// join puts a request into the queue and returns its key and where its turn will
+// be told, or refuses it at once.
+func (a *admission) join(c *call, now time.Time) (string, <-chan *outcome.Error, *outcome.Error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.gate.Lasting(now) {
+		return "", nil, &outcome.Error{Outcome: outcome.NotRun, Reason: queue.ReasonDown}
+	}
+	a.next++
+	id := strconv.FormatUint(a.next, 36)
+	item := queue.Item{ID: id, Workspace: c.workspaceName(), Priority: priorityOf(c), Cost: int64(c.cost()), Deadline: a.latestStart(c, now)}
+	if refusal := a.queue.Enqueue(item, now); refusal != nil {
+		return "", nil, refusal
+	}
+	ready := make(chan *outcome.Error, 1)
+	a.waiting[id] = ready
+	a.pump(now)
+	return id, ready, nil
+}
+
 // withdraw takes back a request whose caller has left or whose time is over.
-func (a *admission) withdraw(id string, ready chan *outcome.Error) (string, *outcome.Error) {
+func (a *admission) withdraw(id string, ready <-chan *outcome.Error) (string, *outcome.Error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if _, waits := a.queue.Remove(id); !waits {
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -20,6 +20,15 @@
 	return a
 }
 
+// refusedAdmission is one of a service whose targets have all just refused.
+func refusedAdmission() *admission {
+	a := testAdmission(192)
+	for _, target := range []string{"x", "y", "z"} {
+		a.refused(target)
+	}
+	return a
+}
+
 // caller is a call that has just arrived.
 func caller(returning bool) *call {
 	now := time.Now()
@@ -48,10 +57,7 @@
 func TestCallersWaitForARestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		a := testAdmission(192)
-		for _, target := range []string{"x", "y", "z"} {
-			a.refused(target)
-		}
+		a := refusedAdmission()
 		waiting := enter(t.Context(), a, caller(false), caller(false), caller(true))
 		time.Sleep(500 * time.Millisecond)
 		a.accepted()
@@ -68,10 +74,7 @@
 func TestCallersOfAServiceThatIsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		a := testAdmission(192)
-		for _, target := range []string{"x", "y", "z"} {
-			a.refused(target)
-		}
+		a := refusedAdmission()
 		c := caller(false)
 		waiting := enter(t.Context(), a, c)
 		began := time.Now()
@@ -104,10 +107,7 @@
 func TestServiceThatStaysDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		a := testAdmission(192)
-		for _, target := range []string{"x", "y", "z"} {
-			a.refused(target)
-		}
+		a := refusedAdmission()
 		time.Sleep(8 * time.Second)
 		place, refusal := a.enter(t.Context(), caller(false)) // the probe
 		is.Equal(refusal, nil)
@@ -137,10 +137,7 @@
 func TestRefusedProbeIsNotHeld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		a := testAdmission(192)
-		for _, target := range []string{"x", "y", "z"} {
-			a.refused(target)
-		}
+		a := refusedAdmission()
 		others := make(chan struct{})
 		defer func() { others <- struct{}{} }()
 		go func() { // their probes
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -229,21 +229,25 @@
 func (c *call) ended(attrs ...any) {
 	line := append(make([]any, 0, 28), "id", c.req.ID, "service", c.service, "config", c.version,
 		"ms", time.Since(c.arrived).Milliseconds(), "queued-ms", c.queued.Milliseconds(), "errors", c.attempts.Errors)
-	if c.last.target != nil {
-		line = append(line, "target", c.last.target.ID, "load-age-ms", c.last.loadAge.Milliseconds(), "ran", c.ran)
-	}
+	line = append(line, c.chosen()...)
 	c.log.Info("request", append(line, attrs...)...)
 }
 
+// chosen returns the last target with the age of the load by which it was picked,
+// and how many servers may have run the request; nothing if none was picked.
+func (c *call) chosen() []any {
+	if c.last.target == nil {
+		return nil
+	}
+	return []any{"target", c.last.target.ID, "load-age-ms", c.last.loadAge.Milliseconds(), "ran", c.ran}
+}
+
 // logRetry writes the line of an attempt after which another follows, with the
-// choice that it was: the target and the age of the load by which it was picked.
+// choice that it was.
 func (c *call) logRetry(reason string) {
 	line := append(make([]any, 0, 16), "id", c.req.ID, "service", c.service, "config", c.version,
-		"reason", reason, "errors", c.attempts.Errors, "ran", c.ran)
-	if c.last.target != nil {
-		line = append(line, "target", c.last.target.ID, "load-age-ms", c.last.loadAge.Milliseconds())
-	}
-	c.log.Info("retry", line...)
+		"reason", reason, "errors", c.attempts.Errors)
+	c.log.Info("retry", append(line, c.chosen()...)...)
 }
 
 // callerLeft reports whether the caller has closed its connection.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -85,11 +85,9 @@
 // showBudgets shows how many retries each service may get now.
 func (g *gateway) showBudgets(cfg *platform.Config) {
 	for i := range cfg.Services {
-		key := budgetOf(cfg.Services[i].Name)
-		metricBudget.Set(cfg.Services[i].Name, expvar.Func(func() any {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			return g.budgets.For(key).Left()
+		service := cfg.Services[i].Name
+		metricBudget.Set(service, expvar.Func(func() any {
+			return g.retriesLeft(service)
 		}))
 	}
 }
@@ -131,9 +129,14 @@
 // spareRetries returns how many requests to a service may be moved now: each is a
 // retry, and one without would be broken off.
 func (g *gateway) spareRetries(service string) int {
+	return int(g.retriesLeft(service)) - keptRetries
+}
+
+// retriesLeft returns how many retries a service may get now.
+func (g *gateway) retriesLeft(service string) float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return int(g.budgets.For(budgetOf(service)).Left()) - keptRetries
+	return g.budgets.For(budgetOf(service)).Left()
 }
 
 // admission returns the admission of a service, or nil if it has none.
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -81,6 +81,21 @@
 	return string(body), err
 }
 
+// secondGetsItsOwn sends two requests to a server that answers so on each of its
+// connections, and checks that the second gets the answer to it.
+func secondGetsItsOwn(t *testing.T, answers ...[]string) {
+	t.Helper()
+	is := is.New(t)
+	addr, _ := answerWith(t, answers...)
+	p := NewPool(addr, dial, echoes)
+	defer p.Close()
+	_, err := read(t, p, ask("1"))
+	is.NoErr(err)
+	got, err := read(t, p, ask("2"))
+	is.NoErr(err)
+	is.Equal(got, "two")
+}
+
 func TestKeptConnection(t *testing.T) {
 	is := is.New(t)
 	addr, _ := answerWith(t, []string{reply("1", "one"), reply("2", "two")})
@@ -97,29 +112,13 @@
 // A server sends a second answer to the first request, which arrives just where
 // the answer to the second one is due. The second caller must get its own.
 func TestLateSecondAnswer(t *testing.T) {
-	is := is.New(t)
-	addr, _ := answerWith(t, []string{reply("1", "one"), reply("1", "one") + reply("2", "two")})
-	p := NewPool(addr, dial, echoes)
-	defer p.Close()
-	_, err := read(t, p, ask("1"))
-	is.NoErr(err)
-	got, err := read(t, p, ask("2"))
-	is.NoErr(err)
-	is.Equal(got, "two")
+	secondGetsItsOwn(t, []string{reply("1", "one"), reply("1", "one") + reply("2", "two")})
 }
 
 // A server sends bytes after a whole answer. They belong to no request: the
 // connection must not be used again.
 func TestBytesAfterTheAnswer(t *testing.T) {
-	is := is.New(t)
-	addr, _ := answerWith(t, []string{reply("1", "one") + "garbage"}, []string{reply("2", "two")})
-	p := NewPool(addr, dial, echoes)
-	defer p.Close()
-	_, err := read(t, p, ask("1"))
-	is.NoErr(err)
-	got, err := read(t, p, ask("2"))
-	is.NoErr(err)
-	is.Equal(got, "two")
+	secondGetsItsOwn(t, []string{reply("1", "one") + "garbage"}, []string{reply("2", "two")})
 }
 
 // A kept connection is closed by the server just as a request is sent. The
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -37,11 +37,7 @@
 // ready.
 func startFleet(t *testing.T, shape fleet.Shape) *fleetScene {
 	t.Helper()
-	t.Parallel()
-	places <- struct{}{}
-	t.Cleanup(func() { <-places })
-	ctx, cancel := context.WithTimeout(t.Context(), deadline)
-	t.Cleanup(cancel)
+	ctx := inPlace(t)
 	s := &fleetScene{I: is.New(t), t: t, ctx: ctx, cmds: map[string]*exec.Cmd{}}
 	var err error
 	s.dir, err = deployment.Build(ctx)
--- a/proof/start_test.go
+++ b/proof/start_test.go
@@ -50,15 +50,23 @@
 	ctx context.Context
 }
 
-// start starts a small deployment: four engines, two plain services, an agent
-// by each and two entries, unless the shape says otherwise.
-func start(t *testing.T, s deployment.Shape) *scene {
+// inPlace waits for a place beside the other tests' deployments, which is given
+// back when the test ends, and returns the context of the test.
+func inPlace(t *testing.T) context.Context {
 	t.Helper()
 	t.Parallel()
 	places <- struct{}{}
 	t.Cleanup(func() { <-places })
 	ctx, cancel := context.WithTimeout(t.Context(), deadline)
 	t.Cleanup(cancel)
+	return ctx
+}
+
+// start starts a small deployment: four engines, two plain services, an agent
+// by each and two entries, unless the shape says otherwise.
+func start(t *testing.T, s deployment.Shape) *scene {
+	t.Helper()
+	ctx := inPlace(t)
 	if s.Entries == 0 {
 		s.Entries = 2
 	}
