TestLostAcquisitionIsFound: the fake store's calls are ordered by a lock

Cause: the fake drops an answer by ending its connection without a write. The client's next call comes on a second connection, whose goroutine the race detector orders after the first one only by chance; both touch the fake's fields. Ruled out: the store client, which the reports do not name. The other fakes that drop answers have a lock or an atomic already.

--- a/agent/group_lease_test.go
+++ b/agent/group_lease_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,8 +15,11 @@
 	"verbenashift/core/store/wire"
 )
 
-// oneKey is a store with one key, as far as a duty needs it.
+// oneKey is a store with one key, as far as a duty needs it. Calls on two
+// connections are handled by two goroutines that nothing else orders: an aborted
+// answer closes its connection without a write.
 type oneKey struct {
+	mu       sync.Mutex
 	value    []byte
 	revision wire.Int64
 	created  wire.Int64
@@ -27,6 +31,8 @@
 }
 
 func (k *oneKey) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	k.calls[r.URL.Path]++
 	var answer any
 	switch r.URL.Path {
