A stream's line tells its first event, its longest pause, its caller's patience

Change: the request's line has first-ms, longest-pause-ms, returning, and patience-ms for every request.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -116,7 +116,7 @@
 	platform.SetOwnAnswer(c.w.Header(), c.req.ID, comeback)
 	c.w.Header().Set("Content-Length", "0")
 	c.w.WriteHeader(status)
-	c.ended("status", status, "reason", reason, "patience-ms", c.req.Patience.Milliseconds(), "retry-after-ms", comeback.Milliseconds())
+	c.ended("status", status, "reason", reason, "retry-after-ms", comeback.Milliseconds())
 }
 
 // reasonClass cuts off of a reason what differs from request to request, such as
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -46,8 +46,11 @@
 	begun     bool
 	lastEvent string
 	lastID    int64
-	// eventAt is when the last event was passed on.
-	eventAt time.Time
+	// eventAt is when the last event was passed on, firstAfter how long after its
+	// arrival the request got the first, longestPause the longest time between two.
+	eventAt      time.Time
+	firstAfter   time.Duration
+	longestPause time.Duration
 	// returning says that the caller has been refused or has failed before.
 	returning bool
 	// flight is the watch over a stream that may go on elsewhere.
@@ -227,12 +230,23 @@
 // decided by: the version of the configuration, and the last target with the age
 // of the load by which it was picked.
 func (c *call) ended(attrs ...any) {
-	line := append(make([]any, 0, 28), "id", c.req.ID, "service", c.service, "config", c.version,
-		"ms", time.Since(c.arrived).Milliseconds(), "queued-ms", c.queued.Milliseconds(), "errors", c.attempts.Errors)
+	line := append(make([]any, 0, 40), "id", c.req.ID, "service", c.service, "config", c.version,
+		"ms", time.Since(c.arrived).Milliseconds(), "queued-ms", c.queued.Milliseconds(), "errors", c.attempts.Errors,
+		"patience-ms", c.req.Patience.Milliseconds())
 	line = append(line, c.chosen()...)
+	line = append(line, c.pacing()...)
 	c.log.Info("request", append(line, attrs...)...)
 }
 
+// pacing returns when a stream began and its longest pause, by which it was on time
+// or late, and whether its caller had been here before; nothing before an event.
+func (c *call) pacing() []any {
+	if c.eventAt.IsZero() {
+		return nil
+	}
+	return []any{"first-ms", c.firstAfter.Milliseconds(), "longest-pause-ms", c.longestPause.Milliseconds(), "returning", c.returning}
+}
+
 // chosen returns the last target with the age of the load by which it was picked,
 // and how many servers may have run the request; nothing if none was picked.
 func (c *call) chosen() []any {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -76,16 +76,23 @@
 		c.notWritten(err)
 		return false
 	}
-	now := time.Now()
-	if c.eventAt.IsZero() {
-		metricFirst.Record(now.Sub(c.arrived).Milliseconds())
-	} else {
-		metricGap.Record(now.Sub(c.eventAt).Milliseconds())
-	}
-	c.eventAt = now
+	c.timeEvent(time.Now())
 	if id >= 0 {
 		c.lastID = id
 		c.lastEvent = formatID(id)
 	}
 	return true
 }
+
+// timeEvent records when an event was passed on.
+func (c *call) timeEvent(now time.Time) {
+	if c.eventAt.IsZero() {
+		c.firstAfter = now.Sub(c.arrived)
+		metricFirst.Record(c.firstAfter.Milliseconds())
+	} else {
+		pause := now.Sub(c.eventAt)
+		c.longestPause = max(c.longestPause, pause)
+		metricGap.Record(pause.Milliseconds())
+	}
+	c.eventAt = now
+}
