--- a/core/queue/limiter.go
+++ b/core/queue/limiter.go
@@ -18,7 +18,7 @@
 	// leastPart is the part of the slots that is always allowed. With half of
 	// its slots in use an engine gives nearly as many tokens as with all, and
 	// steps in half the time; with fewer it gives less.
-	leastPart = 0.55
+	leastPart = 0.82
 	// growth is how much more than at the engines now is allowed above that,
 	// until their load is told anew: how long steps take shows half a second
 	// later. At 1.25 the load swung between 400 and 600 of 720 slots.
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -19,8 +19,8 @@
 	// held to. Single pauses are up to twice as long, when long prompts are read
 	// meanwhile.
 	pausePart = 0.45
-	// firstToken is how long an engine with room takes to the first event.
-	firstToken = 150 * time.Millisecond
+	// leastWait is how long a request may always wait for its place.
+	leastWait = 100 * time.Millisecond
 	// longWait is how long a request may wait for a place when the queue was
 	// empty a moment ago. It is late then; but callers of streams wait two
 	// seconds for a first event, and a short burst passes.
@@ -67,22 +67,31 @@
 	mu    sync.Mutex
 	queue *queue.Queue
 	gate  queue.Gate
+	// firstEvent is how long the engines take to the first event.
+	firstEvent queue.ServiceTime
 	// slots are those of all engines; told is when their load was.
 	slots   int
 	told    time.Time
-	waiting map[string]chan *outcome.Error
+	waiting map[string]*waiter
 	// emptyAt is when nobody waited last.
 	emptyAt time.Time
 	next    uint64
 	shed    []queue.Shed
 }
 
+// waiter is a request that waits.
+type waiter struct {
+	ready chan *outcome.Error
+	// until is how long the request may wait in all; it is late after less.
+	until time.Time
+}
+
 // newAdmission returns the admission to engines that has no limit yet.
 func newAdmission(service string, pause time.Duration, log *slog.Logger) *admission {
 	return &admission{
 		log: log, service: service, pause: time.Duration(pausePart * float64(pause)),
 		queue:   queue.New(queue.Limits{Slots: 1, Rate: firstRate, UrgentShare: returnShare}, newRand()),
-		waiting: map[string]chan *outcome.Error{},
+		waiting: map[string]*waiter{},
 		emptyAt: time.Now(),
 	}
 }
@@ -134,14 +143,23 @@
 	}
 	a.next++
 	id := strconv.FormatUint(a.next, 36)
-	item := queue.Item{ID: id, Workspace: c.workspaceName(), Priority: priorityOf(c), Cost: int64(c.cost()), Deadline: a.latestStart(c, now)}
+	onTime, until := a.latestStart(c, now)
+	item := queue.Item{ID: id, Workspace: c.workspaceName(), Priority: priorityOf(c), Cost: int64(c.cost()), Deadline: onTime}
 	if refusal := a.queue.Enqueue(item, now); refusal != nil {
-		return "", nil, refusal
+		if refusal = a.enqueueLate(item, until, now); refusal != nil {
+			return "", nil, refusal
+		}
 	}
-	ready := make(chan *outcome.Error, 1)
-	a.waiting[id] = ready
+	w := &waiter{ready: make(chan *outcome.Error, 1), until: until}
+	a.waiting[id] = w
 	a.pump(now)
-	return id, ready, nil
+	return id, w.ready, nil
+}
+
+// enqueueLate puts a request that can no longer be on time behind those that can.
+func (a *admission) enqueueLate(item queue.Item, until, now time.Time) *outcome.Error {
+	item.Priority, item.Deadline = queue.BestEffort, until
+	return a.queue.Enqueue(item, now)
 }
 
 // withdraw takes back a request whose caller has left or whose time is over.
@@ -164,17 +182,17 @@
 	return queue.Normal
 }
 
-// latestStart is when a request must have started.
-func (a *admission) latestStart(c *call, now time.Time) time.Time {
+// latestStart returns until when a request must have started to be on time, and
+// until when it may wait at all.
+func (a *admission) latestStart(c *call, now time.Time) (onTime, until time.Time) {
 	switch {
 	case c.returning:
-		return now.Add(returnWait)
+		return now.Add(returnWait), now.Add(returnWait)
 	case a.gate.Closed():
-		return now.Add(closedWait)
-	case now.Sub(a.emptyAt) < emptyWithin:
-		return now.Add(longWait)
+		return now.Add(closedWait), now.Add(closedWait)
 	}
-	return now.Add(max(c.route.Objective-firstToken, firstToken))
+	onTime = now.Add(max(c.route.Objective-a.firstEvent.Usual(), leastWait))
+	return onTime, onTime
 }
 
 // later sets in a refusal when the caller may come back.
@@ -209,17 +227,29 @@
 	}
 	a.shed = a.queue.TakeShed(a.shed[:0])
 	for _, s := range a.shed {
-		a.tell(s.ID, s.Refusal)
+		a.demote(s, now)
 	}
 	if a.queue.Load().Items == 0 {
 		a.emptyAt = now
 	}
 }
 
+// demote has a request that can't be on time any more wait behind those that can,
+// or refuses it.
+func (a *admission) demote(s queue.Shed, now time.Time) {
+	w := a.waiting[s.ID]
+	if w != nil && s.Refusal.Reason == queue.ReasonExpired && now.Before(w.until) {
+		if a.enqueueLate(s.Item, w.until, now) == nil {
+			return
+		}
+	}
+	a.tell(s.ID, s.Refusal)
+}
+
 func (a *admission) tell(id string, refusal *outcome.Error) {
-	if ready := a.waiting[id]; ready != nil {
+	if w := a.waiting[id]; w != nil {
 		delete(a.waiting, id)
-		ready <- refusal
+		w.ready <- refusal
 	}
 }
 
@@ -280,6 +310,13 @@
 	return a.gate.Lasting(now)
 }
 
+// began tells how long after its start a request got its first event.
+func (a *admission) began(d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.firstEvent.Observe(d)
+}
+
 // leave gives the place of a request back.
 func (a *admission) leave(id string, cost float64) {
 	now := time.Now()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -34,9 +34,8 @@
 	budgets *retry.Budgets
 	returns retry.Returns
 	digests *digests
-	// patience is the longest time that callers of each route have said they
-	// wait. Who says less has been here before.
-	patience map[string]time.Duration
+	// patience tells by route which callers have been here before.
+	patience map[string]*retry.Patience
 	// admissions are those of services with engines, by name.
 	admissions map[string]*admission
 }
@@ -45,7 +44,7 @@
 	boot, log := env.Boot, env.Log
 	g := &gateway{
 		log: log, rng: newRand(), fleet: newFleet(boot.Instance, boot.Zone, log),
-		started: time.Now(), admissions: map[string]*admission{}, patience: map[string]time.Duration{}, budgets: retry.NewBudgets(retryLimits(boot.Bounds)),
+		started: time.Now(), admissions: map[string]*admission{}, patience: map[string]*retry.Patience{}, budgets: retry.NewBudgets(retryLimits(boot.Bounds)),
 	}
 	g.digests = newDigests(log, g.digest)
 	return g
@@ -146,19 +145,16 @@
 	return g.admissions[service]
 }
 
-// returnMargin is by how much the patience of a caller that comes back is
-// shorter at least. Requests spend a few milliseconds on the way.
-const returnMargin = 100 * time.Millisecond
-
-// returning reports whether a caller has come back after an earlier try: it says
-// what is left of its patience.
+// returning reports whether a caller of a route has come back after an earlier try.
 func (g *gateway) returning(route string, patience time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if patience > g.patience[route] {
-		g.patience[route] = patience
+	p := g.patience[route]
+	if p == nil {
+		p = &retry.Patience{}
+		g.patience[route] = p
 	}
-	return patience > 0 && patience+returnMargin < g.patience[route]
+	return p.Returning(patience)
 }
 
 // run lets time pass until the context ends.
