ctl shares: who is served, by workspace, route, size or instance, from the logs

Change: a request's line tells its workspace, its size and whether it was on time; ctl shares counts these. readLogs serves explain and shares.

--- /dev/null
+++ b/core/story/shares.go
@@ -0,0 +1,115 @@
+package story
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+)
+
+// Share is what became of the tries of one group of requests. Each try of a caller
+// has an identifier of its own, so that one that was refused and came back is two.
+type Share struct {
+	Group string
+	Tries int
+	// OnTime and Late are whole answers, Refused has not run, Failed ended in another
+	// way, and Left is of callers that did not wait for the end.
+	OnTime, Late, Refused, Failed, Left int
+}
+
+// Served returns the part of the tries that got a whole answer, of those whose
+// callers waited for one.
+func (s Share) Served() float64 {
+	if s.Tries == s.Left {
+		return 0
+	}
+	return float64(s.OnTime+s.Late) / float64(s.Tries-s.Left)
+}
+
+func (s *Share) add(l Line) {
+	s.Tries++
+	switch status := l.Field("status"); {
+	case l.Field("outcome") == "caller-left":
+		s.Left++
+	case status == "503":
+		s.Refused++
+	case status != "200":
+		s.Failed++
+	case l.Field("on-time") == "true":
+		s.OnTime++
+	default:
+		s.Late++
+	}
+}
+
+// Shares counts the requests that have ended, by groups, in the order of their
+// names. Lines whose group is "" are left out.
+func Shares(lines []Line, group func(Line) string) []Share {
+	shares := map[string]*Share{}
+	for _, l := range lines {
+		name := ""
+		if l.Message == "request" {
+			name = group(l)
+		}
+		if name == "" {
+			continue
+		}
+		if shares[name] == nil {
+			shares[name] = &Share{Group: name}
+		}
+		shares[name].add(l)
+	}
+	out := make([]Share, 0, len(shares))
+	for _, s := range shares {
+		out = append(out, *s)
+	}
+	slices.SortFunc(out, func(a, b Share) int { return cmp.Compare(a.Group, b.Group) })
+	return out
+}
+
+// ByField groups requests by an attribute of their lines.
+func ByField(name string) func(Line) string {
+	return func(l Line) string { return l.Field(name) }
+}
+
+// The groups of BySize.
+const (
+	largestTenth = "largest tenth"
+	fifthBelow   = "fifth below"
+	smaller      = "smaller"
+)
+
+// BySize groups requests by their size in tokens among those of the same route: the
+// largest tenth, the fifth below it, and the rest.
+func BySize(lines []Line) func(Line) string {
+	sizes := map[string][]int{}
+	for _, l := range lines {
+		if n := tokens(l); l.Message == "request" && n > 0 {
+			route := l.Field("route")
+			sizes[route] = append(sizes[route], n)
+		}
+	}
+	for _, s := range sizes {
+		slices.Sort(s)
+	}
+	return func(l Line) string {
+		s, n := sizes[l.Field("route")], tokens(l)
+		switch {
+		case n <= 0 || len(s) == 0:
+			return ""
+		case n >= s[len(s)*9/10]:
+			return largestTenth
+		case n >= s[len(s)*7/10]:
+			return fifthBelow
+		}
+		return smaller
+	}
+}
+
+// tokens returns the size of a request, or 0 if its line does not tell.
+func tokens(l Line) int {
+	n, err := strconv.Atoi(l.Field("tokens"))
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -27,18 +27,9 @@
 
 // explain reads the logs and prints the story of a request.
 func (p *program) explain(id string, files []string) error {
-	var lines []story.Line
-	if len(files) == 0 {
-		lines = story.Read(p.in)
-	}
-	for _, name := range files {
-		f, err := os.Open(name)
-		if err != nil {
-			return errors.Wrap(err, "open log")
-		}
-		lines = append(lines, story.Read(f)...)
-		// Nothing was written.
-		_ = f.Close()
+	lines, err := p.readLogs(files)
+	if err != nil {
+		return err
 	}
 	own := story.Of(id, lines)
 	if len(own) == 0 {
@@ -49,6 +40,24 @@
 			return err
 		}
 	}
-	_, err := fmt.Fprintln(p.out, "cause:", story.CauseOf(id, own))
+	_, err = fmt.Fprintln(p.out, "cause:", story.CauseOf(id, own))
 	return err
 }
+
+// readLogs reads the lines of all files, or of standard input if there are none.
+func (p *program) readLogs(files []string) ([]story.Line, error) {
+	if len(files) == 0 {
+		return story.Read(p.in), nil
+	}
+	var lines []story.Line
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "open log")
+		}
+		lines = append(lines, story.Read(f)...)
+		// Nothing was written.
+		_ = f.Close()
+	}
+	return lines, nil
+}
--- /dev/null
+++ b/ctl/shares.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"verbenashift/core/story"
+)
+
+func (p *program) sharesCommand() *cli.Command {
+	return &cli.Command{
+		Name: "shares", Usage: "tell from log files who was served", ArgsUsage: "[FILE...]",
+		Description: "Prints what became of the requests of each workspace, route, size or instance, one\n" +
+			"line a group. Each try of a caller counts. Without files the log is read from standard input.",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "by", Value: "workspace", Usage: "workspace, route, size or instance"}},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			return p.shares(cmd.String("by"), cmd.Args().Slice())
+		},
+	}
+}
+
+// shares reads the logs and prints a table of who was served.
+func (p *program) shares(by string, files []string) error {
+	lines, err := p.readLogs(files)
+	if err != nil {
+		return err
+	}
+	var group func(story.Line) string
+	switch by {
+	case "workspace", "route":
+		group = story.ByField(by)
+	case "instance":
+		group = func(l story.Line) string { return l.Instance }
+	case "size":
+		group = story.BySize(lines)
+	default:
+		return usagef("shares: -by %s: want workspace, route, size or instance", by)
+	}
+	w := tabwriter.NewWriter(p.out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	if _, err := fmt.Fprintln(w, by+"\ttries\ton-time\tlate\trefused\tfailed\tleft\tserved\t"); err != nil {
+		return err
+	}
+	for _, s := range story.Shares(lines, group) {
+		if _, err := fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t\n", s.Group, s.Tries, s.OnTime, s.Late, s.Refused, s.Failed, s.Left, s.Served()); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/ctl/shares_test.go
@@ -0,0 +1,21 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// One workspace is served and another is refused. The table shows it, and a group that
+// nobody knows is an error of usage.
+func TestShares(t *testing.T) {
+	is := is.New(t)
+	var out, errs bytes.Buffer
+	p := &program{in: strings.NewReader(""), out: &out, err: &errs}
+	is.Equal(p.run(t.Context(), strings.Fields("ctl shares testdata/shares.log")), exitOK)
+	golden(t, "shares", out.String())
+	is.Equal(p.run(t.Context(), strings.Fields("ctl shares -by colour testdata/shares.log")), exitUsage)
+	is.Equal(p.run(t.Context(), strings.Fields("ctl shares testdata/missing.log")), exitFailure)
+}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -78,7 +78,7 @@
 	c.mu.Unlock()
 	metricRequests.Add(strconv.Itoa(status), 1)
 	metricWhole.Record(now.Sub(c.arrived).Milliseconds())
-	c.ended("route", c.route.Name, "status", status)
+	c.ended("status", status, "on-time", c.onTime(now))
 }
 
 // giveUp ends a request that no server has answered.
@@ -87,7 +87,7 @@
 		// The caller has a part of the stream: only a broken connection tells
 		// it that the rest is missing.
 		metricBrokenOff.Add(1)
-		c.ended("route", c.route.Name, "outcome", "broken-off", "reason", reason, "why", e.Reason, "last-event", c.lastEvent)
+		c.ended("outcome", "broken-off", "reason", reason, "why", e.Reason, "last-event", c.lastEvent)
 		panic(http.ErrAbortHandler)
 	}
 	if c.failure != nil {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -213,6 +213,14 @@
 	return retry.Broken, err.Error(), false
 }
 
+// routeName returns the name of the request's route, or "" before it is known.
+func (c *call) routeName() string {
+	if c.route == nil {
+		return ""
+	}
+	return c.route.Name
+}
+
 // workspaceName returns the name of the caller's workspace, or "".
 func (c *call) workspaceName() string {
 	if c.space == nil {
@@ -230,14 +238,29 @@
 // decided by: the version of the configuration, and the last target with the age
 // of the load by which it was picked.
 func (c *call) ended(attrs ...any) {
-	line := append(make([]any, 0, 40), "id", c.req.ID, "service", c.service, "config", c.version,
+	line := append(make([]any, 0, 48), "id", c.req.ID, "service", c.service, "config", c.version,
 		"ms", time.Since(c.arrived).Milliseconds(), "queued-ms", c.queued.Milliseconds(), "errors", c.attempts.Errors,
-		"patience-ms", c.req.Patience.Milliseconds())
+		"patience-ms", c.req.Patience.Milliseconds(), "workspace", c.workspaceName(), "route", c.routeName())
+	if n := c.req.PromptTokens + c.req.AnswerTokens; n > 0 {
+		line = append(line, "tokens", n)
+	}
 	line = append(line, c.chosen()...)
 	line = append(line, c.pacing()...)
 	c.log.Info("request", append(line, attrs...)...)
 }
 
+// onTime reports whether an answer that ends now has kept what its route asks for. To
+// a caller that comes back it is late in any case.
+func (c *call) onTime(now time.Time) bool {
+	if c.returning {
+		return false
+	}
+	if c.route.Kind != platform.Stream {
+		return now.Sub(c.arrived) <= c.route.Objective
+	}
+	return c.firstAfter <= c.route.Objective && (c.route.Gap <= 0 || c.longestPause <= c.route.Gap)
+}
+
 // pacing returns when a stream began and its longest pause, by which it was on time
 // or late, and whether its caller had been here before; nothing before an event.
 func (c *call) pacing() []any {
