--- /dev/null
+++ b/gateway/record.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"time"
+
+	"verbenashift/platform"
+)
+
+// ended writes the line that says how the request has ended, with what it was
+// decided by: the version of the configuration, and the last target with the age
+// of the load by which it was picked.
+func (c *call) ended(attrs ...any) {
+	line := append(make([]any, 0, 48), "id", c.req.ID, "service", c.service, "config", c.version,
+		"ms", time.Since(c.arrived).Milliseconds(), "queued-ms", c.queued.Milliseconds(), "errors", c.attempts.Errors,
+		"patience-ms", c.req.Patience.Milliseconds(), "workspace", c.workspaceName(), "route", c.routeName())
+	if n := c.req.PromptTokens + c.req.AnswerTokens; n > 0 {
+		line = append(line, "tokens", n)
+	}
+	line = append(line, c.chosen()...)
+	line = append(line, c.pacing()...)
+	c.log.Info("request", append(line, attrs...)...)
+}
+
+// onTime reports whether an answer that ends now has kept what its route asks for. To
+// a caller that comes back it is late in any case.
+func (c *call) onTime(now time.Time) bool {
+	if c.returning {
+		return false
+	}
+	if c.route.Kind != platform.Stream {
+		return now.Sub(c.arrived) <= c.route.Objective
+	}
+	return c.firstAfter <= c.route.Objective && (c.route.Gap <= 0 || c.longestPause <= c.route.Gap)
+}
+
+// pacing returns when a stream began and its longest pause, by which it was on time
+// or late, and whether its caller had been here before; nothing before an event.
+func (c *call) pacing() []any {
+	if c.eventAt.IsZero() {
+		return nil
+	}
+	return []any{"first-ms", c.firstAfter.Milliseconds(), "longest-pause-ms", c.longestPause.Milliseconds(), "returning", c.returning}
+}
+
+// chosen returns the last target with the age of the load by which it was picked,
+// and how many servers may have run the request; nothing if none was picked.
+func (c *call) chosen() []any {
+	if c.last.target == nil {
+		return nil
+	}
+	return []any{"target", c.last.target.ID, "load-age-ms", c.last.loadAge.Milliseconds(), "ran", c.ran}
+}
+
+// logRetry writes the line of an attempt after which another follows, with the
+// choice that it was.
+func (c *call) logRetry(reason string) {
+	line := append(make([]any, 0, 16), "id", c.req.ID, "service", c.service, "config", c.version,
+		"reason", reason, "errors", c.attempts.Errors)
+	c.log.Info("retry", append(line, c.chosen()...)...)
+}
+
+// routeName returns the name of the request's route, or "" before it is known.
+func (c *call) routeName() string {
+	if c.route == nil {
+		return ""
+	}
+	return c.route.Name
+}
+
+// workspaceName returns the name of the caller's workspace, or "".
+func (c *call) workspaceName() string {
+	if c.space == nil {
+		return ""
+	}
+	return c.space.Name
+}
