Gateways make a span for a request, its wait and each hop, on demand

Cause: the house asks for traces with a span for each hop; the gateway had none. A hop that did not end the request says why. Nothing is added to what targets get. Off by default. The sidecar stays without: no request goes through it.

--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -28,6 +28,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 	"go.uber.org/fx"
 
@@ -62,6 +63,10 @@
 	Log  *slog.Logger
 	// NoPlan says that expert maps are to stay as they are.
 	NoPlan bool
+	// Trace is the IP address and port of a collector of spans, or empty; TraceRatio
+	// is the part of the requests that are traced, from 0 to 1.
+	Trace      string
+	TraceRatio float64
 }
 
 // Program is one program. All its fields are needed.
@@ -84,6 +89,8 @@
 			&cli.BoolFlag{Name: "version", Usage: "print the build and exit"},
 			&cli.StringFlag{Name: "log", Value: "info", Usage: "write log lines from `LEVEL` on: info, warn, error or off"},
 			&cli.BoolFlag{Name: "no-plan", Usage: "leave expert maps as they are"},
+			&cli.StringFlag{Name: "trace", Usage: "send a gateway's spans to the OTLP/HTTP collector at `ADDR`, an IP address and port"},
+			&cli.FloatFlag{Name: "trace-ratio", Value: 0.01, Usage: "trace this `PART` of the requests, from 0 to 1"},
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error { return p.act(cmd, os.Stdout) },
 	}
@@ -108,11 +115,26 @@
 	if !ok {
 		return cli.Exit(p.Name+": -log: want info, warn, error or off", ExitSettings)
 	}
-	boot, err := platform.LoadBoot()
-	if err != nil {
+	env := Env{NoPlan: cmd.Bool("no-plan"), Trace: cmd.String("trace"), TraceRatio: cmd.Float("trace-ratio")}
+	if err := env.checkTrace(); err != nil {
+		return cli.Exit(p.Name+": "+err.Error(), ExitSettings)
+	}
+	var err error
+	if env.Boot, err = platform.LoadBoot(); err != nil {
 		return cli.Exit(p.Name+": "+err.Error(), ExitSettings)
 	}
-	return p.run(Env{Boot: boot, NoPlan: cmd.Bool("no-plan")}, level)
+	return p.run(env, level)
+}
+
+// checkTrace reports a bad flag of tracing.
+func (e Env) checkTrace() error {
+	if _, err := netip.ParseAddrPort(e.Trace); e.Trace != "" && err != nil {
+		return errors.Errorf("-trace: %q: want an IP address and port", e.Trace)
+	}
+	if !(e.TraceRatio >= 0 && e.TraceRatio <= 1) {
+		return errors.Errorf("-trace-ratio: %v: want 0 to 1", e.TraceRatio)
+	}
+	return nil
 }
 
 // levels are the values of the flag -log.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -167,6 +167,14 @@
 	c.exclude.Add(s.index)
 	c.ran++
 	metricAttempts.Add(1)
+	ctx, span := c.startTarget(ctx, s)
+	// It ends with the hop also when the caller's connection is broken off.
+	defer func() { endTarget(span, reason) }()
+	return c.send(ctx, s)
+}
+
+// send sends the request to a target and takes its answer.
+func (c *call) send(ctx context.Context, s sent) (kind retry.Kind, reason string, done bool) {
 	watched := ctx
 	if c.route.Kind == platform.Stream && c.route.Repeatable() {
 		watched, c.flight = c.fleet.depart(ctx, s, c.req.ID, c.service, c.ran < c.route.Attempts)
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -27,7 +27,7 @@
 }
 
 func build(instance.Env) fx.Option {
-	return fx.Options(fx.Provide(newGateway, newFollower), fx.Invoke(follow, answerReady, serve))
+	return fx.Options(fx.Provide(newTracer, newGateway, newFollower), fx.Invoke(follow, answerReady, serve))
 }
 
 func newFollower(env instance.Env) *mirror.Follower {
--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"verbenashift/core/instance"
 	"verbenashift/core/mirror"
@@ -57,7 +58,7 @@
 	t.Helper()
 	env := instance.Env{Log: slog.New(slog.DiscardHandler)}
 	env.Boot.Bounds = platform.Bounds{RetryRatio: 0.2, RetrySlack: 90 * gateways}
-	g := newGateway(env)
+	g := newGateway(env, noop.NewTracerProvider().Tracer("test"))
 	r := &rig{I: is.New(t), t: t, gateway: g, view: mirror.View{
 		Config: &platform.Config{
 			Version: 7, Routes: []platform.Route{route}, Services: []platform.Service{{Name: "pool"}},
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"verbenashift/core/health"
 	"verbenashift/core/instance"
 	"verbenashift/core/mirror"
@@ -22,6 +24,7 @@
 // gateway serves callers.
 type gateway struct {
 	log     *slog.Logger
+	tracer  trace.Tracer
 	fleet   *fleet
 	catalog atomic.Pointer[catalog]
 	// leaving is set by SIGTERM: the balancer is told to send nothing more.
@@ -40,10 +43,10 @@
 	admissions map[string]*admission
 }
 
-func newGateway(env instance.Env) *gateway {
+func newGateway(env instance.Env, tracer trace.Tracer) *gateway {
 	boot, log := env.Boot, env.Log
 	g := &gateway{
-		log: log, rng: newRand(), fleet: newFleet(boot.Instance, boot.Zone, log),
+		log: log, tracer: tracer, rng: newRand(), fleet: newFleet(boot.Instance, boot.Zone, log),
 		started: time.Now(), admissions: map[string]*admission{}, patience: map[string]*retry.Patience{}, budgets: retry.NewBudgets(retryLimits(boot.Bounds)),
 	}
 	g.digests = newDigests(log, g.digest)
@@ -192,10 +195,14 @@
 	if !c.admit(cat) {
 		return
 	}
-	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
+	ctx, span := c.startSpan()
+	defer c.endSpan(span)
+	ctx, cancel := context.WithDeadlineCause(ctx, c.deadline, errDeadline)
 	defer cancel()
 	if c.admission = g.admission(c.service); c.admission != nil {
+		_, wait := c.tracer.Start(ctx, spanWait)
 		place, refusal := c.admission.enter(ctx, c)
+		wait.End()
 		c.queued = time.Since(c.arrived)
 		metricWait.Record(c.queued.Milliseconds())
 		if c.callerLeft() {
