A line that has stood for less than a second may be joined, late or not

The log has one caller refused after 0.15 s (deadline-passed): the group stood still in a change that its steward had left, and who can't be on time was told so. That was meant for a lasting overload; a stall is over in a second and callers can wait. The test stands as it was.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -52,6 +52,8 @@
 	slots   int
 	told    time.Time
 	waiting map[string]chan *outcome.Error
+	// emptyAt is when nobody waited last.
+	emptyAt time.Time
 	next    uint64
 	shed    []queue.Shed
 }
@@ -146,7 +148,7 @@
 func (a *admission) latestStart(c *call, now time.Time) time.Time {
 	w := queue.Wait{
 		Objective: c.route.Objective, Service: a.firstEvent.Usual(),
-		Returning: c.returning, Closed: a.gate.Closed(),
+		Line: a.line(now), Returning: c.returning, Closed: a.gate.Closed(),
 	}
 	return now.Add(w.Longest())
 }
@@ -185,6 +187,15 @@
 	for _, s := range a.shed {
 		a.tell(s.ID, s.Refusal)
 	}
+	a.line(now)
+}
+
+// line returns how long others have been waiting without a break.
+func (a *admission) line(now time.Time) time.Duration {
+	if a.queue.Load().Items == 0 {
+		a.emptyAt = now
+	}
+	return now.Sub(a.emptyAt)
 }
 
 func (a *admission) tell(id string, refusal *outcome.Error) {
