--- a/core/rankpeer/counts.go
+++ b/core/rankpeer/counts.go
@@ -5,7 +5,7 @@
 // Sample is how often each expert was chosen at a rank since the last sample,
 // each as a part of the largest in 15 steps. A group has thousands of numbers a
 // rank, and a steward a narrow link. Rounding is random, so that the sums over the
-// ranks are right: a load that is spread over 72 ranks is off by some 2 in 100.
+// ranks are right in the mean.
 type Sample struct {
 	// Most is the largest count, which 15 stands for. Parts are two counts a byte,
 	// the first in the lower half; Experts is how many there are.
