Two comments of the gateway say what the code does

endSpan said that a span tells how its request ended; it tells whose it was, where it went and how many may have run it. pump calls line to notice an empty queue, which neither said. No code changed.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -187,10 +187,12 @@
 	for _, s := range a.shed {
 		a.tell(s.ID, s.Refusal)
 	}
+	// A line that has ended is noticed also while nobody comes.
 	a.line(now)
 }
 
-// line returns how long others have been waiting without a break.
+// line notices whether anybody waits, and returns how long others have been waiting
+// without a break.
 func (a *admission) line(now time.Time) time.Duration {
 	if a.queue.Load().Items == 0 {
 		a.emptyAt = now
--- a/gateway/spans.go
+++ b/gateway/spans.go
@@ -42,8 +42,8 @@
 	return c.tracer.Start(ctx, spanRequest, trace.WithAttributes(attribute.String("id", c.req.ID)))
 }
 
-// endSpan says in the span of a request how it has ended, with the words of its line
-// in the log.
+// endSpan ends the span of a request, with whose it was, where it went and how many
+// servers may have run it. How it ended is in its line of the log, under the same id.
 func (c *call) endSpan(span trace.Span) {
 	span.SetAttributes(attribute.String("service", c.service), attribute.String("workspace", c.workspaceName()),
 		attribute.String("route", c.routeName()), attribute.Int("ran", c.ran))
