--- /dev/null
+++ b/core/admission/admission.go
@@ -0,0 +1,394 @@
+// Package admission decides when a request goes to the engines of a service, and to
+// which group of them.
+//
+// The engines of a service may be the ranks of several expert groups. All ranks of a
+// group run each pass together, so that its load, its speed and its troubles are those
+// of the whole group, and nothing that one group does says anything of another. A
+// Pool keeps one queue of the requests that wait for any group, and for each group
+// how many requests this entry may have there, how long first events take, and
+// whether it refuses, stands still or is being formed anew. A request is bound to a
+// group when its turn comes, not when it arrives: whoever waits is served by the
+// first group that has room.
+//
+// The load patterns it answers are those of packages queue and health, and one of
+// its own: a group that slows down, stands or is lost while the others work. It
+// must not take their room, and they serve what it can't as far as they have room.
+//
+// A Pool has no clock, no lock and no input or output: its owner passes the time,
+// calls it from one goroutine at a time, and takes what it has decided from Settled.
+//
+// # Usage
+//
+//	p := admission.New(rng)
+//	p.SetGroups(map[string]int{"g0": 240, "g1": 240}, now)
+//	p.Tell(admission.Load{Group: "g0", Open: true, Running: 180, Pass: pass}, now)
+//	refusal := p.Enter(admission.Request{ID: id, Objective: aim}, now)
+//	for _, s := range p.Settled() {
+//		answer(s.ID, s.Group, s.Refusal)
+//	}
+//	p.Leave(id, cost, now)
+package admission
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"verbenashift/core/outcome"
+	"verbenashift/core/queue"
+)
+
+const (
+	// firstRate is the first guess of the tokens a second that the engines take from
+	// one entry. It is learned while they are busy.
+	firstRate = 20000
+	// returnShare is the part of the service that callers who come back may take
+	// while others wait. They are late already. With a quarter more callers than
+	// places as many are served with any share, but with 0.9 two of ten callers are
+	// on time, with 0.3 six (queue.TestOverload).
+	returnShare = 0.3
+	// comebackPart is the part of its remaining patience after which the caller
+	// of a service that is down may come back: the longest that callers honour
+	// is a third.
+	comebackPart = 0.32
+	// comebackSpread is the part of that time that is random, so that callers
+	// don't come back together.
+	comebackSpread = 0.25
+)
+
+// Request is a request as a Pool sees it.
+type Request struct {
+	// ID is unique among the requests that wait or run.
+	ID        string
+	Workspace string
+	// Cost is the expected work in tokens.
+	Cost int64
+	// Objective is the time within which its route wants the first event.
+	Objective time.Duration
+	// Returning says that its caller has been refused before.
+	Returning bool
+}
+
+// Settled is what became of a request that has waited.
+type Settled struct {
+	ID string
+	// Group is the group that takes it, if Refusal is nil. It is empty for engines
+	// whose group is not known.
+	Group   string
+	Refusal *outcome.Error
+}
+
+// Pool admits requests to the groups of one service. Use New to make one.
+type Pool struct {
+	queue  *queue.Queue
+	rng    *rand.Rand
+	groups map[string]*group
+	// names are those of groups, sorted, so that choices can be replayed.
+	names []string
+	// places are the groups of the requests that run, by ID.
+	places  map[string]*group
+	settled []Settled
+	shed    []queue.Shed
+	// emptyAt is when nobody waited last.
+	emptyAt time.Time
+}
+
+// New returns a Pool without groups: requests wait until there are some. The source
+// spreads choices and times.
+func New(rng *rand.Rand) *Pool {
+	return &Pool{
+		queue: queue.New(queue.Limits{Slots: 1, Rate: firstRate, UrgentShare: returnShare}, rng),
+		rng:   rng, groups: map[string]*group{}, places: map[string]*group{},
+	}
+}
+
+// SetGroups takes how many slots the engines of each group have together. A group that
+// is missing has none any more; it is forgotten when the last request there has ended.
+func (p *Pool) SetGroups(slots map[string]int, now time.Time) {
+	for name, n := range slots {
+		g := p.groups[name]
+		if g == nil {
+			g = &group{name: name}
+			p.groups[name] = g
+		}
+		g.resize(n, now)
+	}
+	for name, g := range p.groups {
+		if slots[name] == 0 {
+			g.resize(0, now)
+			p.forget(g)
+		}
+	}
+	p.names = slices.Sorted(maps.Keys(p.groups))
+	p.pump(now)
+}
+
+// forget drops a group that has neither slots nor requests.
+func (p *Pool) forget(g *group) {
+	if g.slots == 0 && g.own == 0 {
+		delete(p.groups, g.name)
+		p.names = slices.Sorted(maps.Keys(p.groups))
+	}
+}
+
+// Tell takes the load of a group as its steward tells it.
+func (p *Pool) Tell(l Load, now time.Time) {
+	if g := p.groups[l.Group]; g != nil {
+		g.tell(l, now)
+		p.pump(now)
+	}
+}
+
+// Enter takes a request in, or refuses it at once: then it has not run. What becomes
+// of it otherwise comes out of Settled.
+func (p *Pool) Enter(r Request, now time.Time) *outcome.Error {
+	if p.lasting(now) {
+		return &outcome.Error{Outcome: outcome.NotRun, Reason: queue.ReasonDown}
+	}
+	item := queue.Item{ID: r.ID, Workspace: r.Workspace, Priority: priorityOf(r), Cost: r.Cost, Deadline: p.latestStart(r, now)}
+	if refusal := p.queue.Enqueue(item, now); refusal != nil {
+		return refusal
+	}
+	p.pump(now)
+	return nil
+}
+
+// priorityOf puts callers that come back before the others: they are late
+// already, and a second refusal is mostly the last.
+func priorityOf(r Request) queue.Priority {
+	if r.Returning {
+		return queue.Urgent
+	}
+	return queue.Normal
+}
+
+// latestStart is when a request must have started. As long as one group could still
+// serve it in time, it waits for that one.
+func (p *Pool) latestStart(r Request, now time.Time) time.Time {
+	w := queue.Wait{
+		Objective: r.Objective, Service: p.service(), Line: p.line(now),
+		Returning: r.Returning, Closed: p.Closed(),
+	}
+	return now.Add(w.Longest())
+}
+
+// service returns how long the fastest group that takes requests needs to the first
+// event.
+func (p *Pool) service() time.Duration {
+	least := time.Duration(0)
+	for _, name := range p.names {
+		g := p.groups[name]
+		if usual := g.firstEvent.Usual(); !g.gate.Closed() && (least == 0 || usual < least) {
+			least = usual
+		}
+	}
+	if least == 0 {
+		return (&queue.ServiceTime{}).Usual()
+	}
+	return least
+}
+
+// Withdraw takes back a request that waits. It reports false if the request does not
+// wait any more.
+func (p *Pool) Withdraw(id string) bool {
+	_, waits := p.queue.Remove(id)
+	return waits
+}
+
+// Leave ends a request that has run, with the tokens that it cost.
+func (p *Pool) Leave(id string, cost int64, now time.Time) {
+	p.queue.Done(id, cost, now)
+	if g := p.places[id]; g != nil {
+		delete(p.places, id)
+		g.own--
+		p.forget(g)
+	}
+	p.pump(now)
+}
+
+// Refused tells that a target has refused the request. It reports whether this closed
+// the gate of the target's group.
+func (p *Pool) Refused(id, target string, now time.Time) bool {
+	g := p.places[id]
+	return g != nil && g.gate.Refused(target, now)
+}
+
+// Accepted tells that a target has taken the request. It reports whether this opened
+// the gate of its group.
+func (p *Pool) Accepted(id string, now time.Time) bool {
+	g := p.places[id]
+	if g == nil || !g.gate.Accepted() {
+		return false
+	}
+	g.reopen(now)
+	p.pump(now)
+	return true
+}
+
+// Began tells how long after its start the request got its first event.
+func (p *Pool) Began(id string, d time.Duration) {
+	if g := p.places[id]; g != nil {
+		g.firstEvent.Observe(d)
+	}
+}
+
+// Silent tells that nothing has come from a group for a while although answers are in
+// progress there: until the given time it is taken to stand still.
+func (p *Pool) Silent(group string, until time.Time) {
+	if g := p.groups[group]; g != nil {
+		g.silentUntil = until
+	}
+}
+
+// Move returns the group for another attempt of a request, and whether it is another
+// one than before. A group that refuses, stands still or has lost a rank is left if
+// another one works, also if that has no room: the stream has begun somewhere, or its
+// caller has waited its turn.
+func (p *Pool) Move(id string, now time.Time) (name string, moved bool) {
+	from := p.places[id]
+	if from == nil {
+		return "", false
+	}
+	if from.works(now) {
+		return from.name, false
+	}
+	to := p.choose(now, func(g *group) bool { return g != from && g.works(now) })
+	if to == nil {
+		return from.name, false
+	}
+	from.own--
+	to.own++
+	p.places[id] = to
+	p.forget(from)
+	return to.name, true
+}
+
+// MayPass reports whether the request, which was refused, may be tried again now.
+func (p *Pool) MayPass(id string, now time.Time) bool {
+	g := p.places[id]
+	return g == nil || g.gate.Pass(now)
+}
+
+// Lasting reports whether all groups have refused for so long that nobody should wait.
+func (p *Pool) Lasting(now time.Time) bool { return p.lasting(now) }
+
+func (p *Pool) lasting(now time.Time) bool {
+	return p.every(func(g *group) bool { return g.gate.Lasting(now) })
+}
+
+// Closed reports whether all groups refuse.
+func (p *Pool) Closed() bool {
+	return p.every(func(g *group) bool { return g.gate.Closed() })
+}
+
+// every reports whether there is a group with slots and all such are so.
+func (p *Pool) every(so func(*group) bool) bool {
+	some := false
+	for _, g := range p.groups {
+		if g.slots == 0 {
+			continue
+		}
+		if !so(g) {
+			return false
+		}
+		some = true
+	}
+	return some
+}
+
+// Comeback returns when the caller of a service that is down may come back, of the time
+// that it has left, and false while the service is up. The queue's own answer follows
+// from its rate, which says nothing then: callers would be back while the service is
+// still down, and lost.
+func (p *Pool) Comeback(left time.Duration) (time.Duration, bool) {
+	if !p.Closed() {
+		return 0, false
+	}
+	return time.Duration(float64(left) * comebackPart * (1 - comebackSpread*p.rng.Float64())), true
+}
+
+// Tick lets time pass: requests that can no longer start in time are refused, and loads
+// that are too old limit nothing any more.
+func (p *Pool) Tick(now time.Time) {
+	for _, g := range p.groups {
+		g.age(now)
+	}
+	p.pump(now)
+}
+
+// Settled returns what has become of requests since the last call. It is valid until the
+// next one.
+func (p *Pool) Settled() []Settled {
+	out := p.settled
+	p.settled = p.settled[len(p.settled):]
+	return out
+}
+
+// pump starts what may start and gives up what can't start in time.
+func (p *Pool) pump(now time.Time) {
+	// Also while nothing may start: a request must not wait beyond its limit
+	// because the gates are closed.
+	p.queue.Expire(now)
+	for p.queue.Load().Items > 0 {
+		g := p.next(now)
+		if g == nil {
+			break
+		}
+		p.limit()
+		item, ok := p.queue.Next(now)
+		if !ok {
+			break
+		}
+		g.start(now)
+		p.places[item.ID] = g
+		p.settled = append(p.settled, Settled{ID: item.ID, Group: g.name})
+	}
+	p.limit()
+	p.shed = p.queue.TakeShed(p.shed[:0])
+	for _, s := range p.shed {
+		p.settled = append(p.settled, Settled{ID: s.ID, Refusal: s.Refusal})
+	}
+	// A line that has ended is noticed also while nobody comes.
+	p.line(now)
+}
+
+// limit tells the queue how many requests may run in all.
+func (p *Pool) limit() {
+	total := 0
+	for _, g := range p.groups {
+		total += max(g.allowed, g.own)
+	}
+	p.queue.SetSlots(total)
+}
+
+// line notices whether anybody waits, and returns how long others have been waiting
+// without a break.
+func (p *Pool) line(now time.Time) time.Duration {
+	if p.queue.Load().Items == 0 {
+		p.emptyAt = now
+	}
+	return now.Sub(p.emptyAt)
+}
+
+// Load returns the load of the queue.
+func (p *Pool) Load() queue.Load { return p.queue.Load() }
+
+// GroupLoad is what an entry does at one group.
+type GroupLoad struct {
+	Group string
+	// Running is how many requests of this entry run there, Limit how many may.
+	Running, Limit int
+	// Works is false while the group refuses, stands still or has lost a rank.
+	Works bool
+}
+
+// Groups returns what this entry does at each group, by name.
+func (p *Pool) Groups(now time.Time) []GroupLoad {
+	out := make([]GroupLoad, 0, len(p.names))
+	for _, name := range p.names {
+		g := p.groups[name]
+		out = append(out, GroupLoad{Group: name, Running: g.own, Limit: g.allowed, Works: g.works(now)})
+	}
+	return out
+}
--- /dev/null
+++ b/core/admission/admission_test.go
@@ -0,0 +1,200 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/queue"
+)
+
+var start = time.Unix(1000, 0)
+
+const (
+	objective = 400 * time.Millisecond
+	cost      = 900
+)
+
+func newPool() *Pool { return New(rand.New(rand.NewPCG(1, 2))) }
+
+func request(id string) Request { return Request{ID: id, Cost: cost, Objective: objective} }
+
+// fill enters so many requests and returns those that have got a place, by group.
+func fill(t *testing.T, p *Pool, n int, now time.Time) map[string][]string {
+	t.Helper()
+	for i := range n {
+		// A refusal shows in what is counted.
+		_ = p.Enter(request(now.Sub(start).String()+"-"+strconv.Itoa(i)), now)
+	}
+	return placed(p)
+}
+
+// placed returns the requests that have got a place since the last call, by group.
+func placed(p *Pool) map[string][]string {
+	out := map[string][]string{}
+	for _, s := range p.Settled() {
+		if s.Refusal == nil {
+			out[s.Group] = append(out[s.Group], s.ID)
+		}
+	}
+	return out
+}
+
+// Engines under load take longer to the first event. A request that was let in at
+// the end of the time that is enough at rest could only be late, so that the wait
+// becomes shorter as first events take longer.
+func TestWaitFollowsTheFirstEvents(t *testing.T) {
+	is := is.New(t)
+	p := newPool()
+	p.SetGroups(map[string]int{"": 1}, start)
+	is.Equal(p.Enter(request("a"), start), nil)
+	is.Equal(p.Enter(Request{ID: "b", Cost: cost, Objective: objective, Returning: true}, start), nil) // it waits
+	now := start.Add(1100 * time.Millisecond)
+	before := p.latestStart(request("c"), now)
+	for range 100 {
+		p.Began("a", 300*time.Millisecond)
+	}
+	after := p.latestStart(request("c"), now)
+	is.True(before.Sub(after) > 100*time.Millisecond)
+	for range 1000 {
+		p.Began("a", time.Second)
+	}
+	is.Equal(p.latestStart(request("c"), now), now.Add(queue.Wait{Line: time.Minute}.Longest()))
+}
+
+// Three groups serve one service, and their stewards tell their loads in turn. Each
+// word is of one group: taken for the load of all slots, each would set a limit for
+// all, and callers would be sent away while two groups have room.
+func TestLimitsAreOfEachGroup(t *testing.T) {
+	is := is.New(t)
+	p := newPool()
+	p.SetGroups(map[string]int{"g0": 100, "g1": 100, "g2": 100}, start)
+	p.Tell(Load{Group: "g0", Open: true, Running: 100, Queued: 20}, start)
+	p.Tell(Load{Group: "g1", Open: true, Running: 40}, start)
+	p.Tell(Load{Group: "g2", Open: true, Running: 40}, start)
+	got := fill(t, p, 200, start)
+	is.Equal(len(got["g0"]), 1) // a full group lets each entry keep one
+	is.True(len(got["g1"]) >= 15 && len(got["g1"]) <= 60)
+	is.True(len(got["g2"]) >= 15 && len(got["g2"]) <= 60)
+}
+
+// One group has lost a rank and refuses all it gets for seconds. The requests go to
+// the others, which have room, and nobody waits for the one that is lost; while its
+// steward says that it lacks a rank nothing is tried there. When it is back, one
+// request finds it out, and the others follow.
+func TestALostGroupTakesNothingFromTheOthers(t *testing.T) {
+	is := is.New(t)
+	p := newPool()
+	p.SetGroups(map[string]int{"g0": 100, "g1": 100}, start)
+	tell := func(open bool, now time.Time) {
+		p.Tell(Load{Group: "g0", Open: open, Running: 0}, now)
+		p.Tell(Load{Group: "g1", Open: true, Running: 30}, now)
+	}
+	tell(true, start)
+	first := fill(t, p, 10, start)
+	is.True(len(first["g0"]) >= 3)
+	for _, target := range []string{"x", "y", "z"} {
+		p.Refused(first["g0"][0], target, start)
+	}
+	for i := range 20 {
+		now := start.Add(time.Duration(i+1) * 200 * time.Millisecond)
+		tell(false, now)
+		got := fill(t, p, 2, now)
+		is.Equal(len(got["g0"]), 0)
+		is.Equal(len(got["g1"]), 2)
+		is.True(!p.Closed())
+		for _, id := range got["g1"] {
+			p.Leave(id, cost, now)
+		}
+	}
+	now := start.Add(5 * time.Second)
+	tell(true, now)
+	got := fill(t, p, 4, now)
+	is.Equal(len(got["g0"]), 1) // the probe
+	is.True(p.Accepted(got["g0"][0], now))
+	tell(true, now)
+	got = fill(t, p, 20, now)
+	is.True(len(got["g0"]) >= 5)
+}
+
+// A group stands still while a hold is left behind. Its steward does not say so, nothing
+// fails, and its places look free. New requests go to the other group as long as that
+// one has room; a stream that is tried again goes there too.
+func TestAStandingGroupIsLeft(t *testing.T) {
+	is := is.New(t)
+	p := newPool()
+	p.SetGroups(map[string]int{"g0": 100, "g1": 100}, start)
+	p.Tell(Load{Group: "g0", Open: true, Running: 10}, start)
+	p.Tell(Load{Group: "g1", Open: true, Running: 60}, start)
+	got := fill(t, p, 10, start)
+	is.True(len(got["g0"]) > 0)
+	id := got["g0"][0]
+	p.Silent("g0", start.Add(time.Second))
+	now := start.Add(100 * time.Millisecond)
+	is.Equal(len(fill(t, p, 5, now)["g0"]), 0)
+	group, moved := p.Move(id, now)
+	is.True(moved)
+	is.Equal(group, "g1")
+	group, moved = p.Move(id, now)
+	is.True(!moved)
+	is.Equal(group, "g1")
+	later := start.Add(1100 * time.Millisecond)
+	is.True(len(fill(t, p, 10, later)["g0"]) > 0)
+}
+
+// All groups refuse, as after a loss of power. Then there is nobody to leave them for,
+// and requests wait for the first that is back.
+func TestAllGroupsRefuse(t *testing.T) {
+	is := is.New(t)
+	p := newPool()
+	p.SetGroups(map[string]int{"g0": 200, "g1": 200}, start)
+	got := fill(t, p, 10, start)
+	for _, ids := range got {
+		for _, target := range []string{"x", "y", "z"} {
+			p.Refused(ids[0], target, start)
+		}
+	}
+	is.True(p.Closed())
+	group, moved := p.Move(got["g0"][0], start)
+	is.True(!moved)
+	is.Equal(group, "g0")
+	is.Equal(len(fill(t, p, 3, start.Add(10*time.Millisecond))), 0)
+	is.True(p.Accepted(got["g1"][0], start.Add(20*time.Millisecond)))
+	is.Equal(len(placed(p)["g1"]), 3)
+	wait, down := p.Comeback(8 * time.Second)
+	is.True(!down && wait == 0)
+}
+
+// Passes of one group take twice as long as those of the other, whose places are as
+// free. It gets less, so that its passes become shorter again; and it gets some, or
+// all entries would fill the other one before its next word.
+func TestFasterGroupsGetMore(t *testing.T) {
+	is := is.New(t)
+	p := newPool()
+	p.SetGroups(map[string]int{"slow": 1000, "fast": 1000}, start)
+	p.Tell(Load{Group: "slow", Open: true, Running: 400, Pass: 120 * time.Millisecond}, start)
+	p.Tell(Load{Group: "fast", Open: true, Running: 400, Pass: 60 * time.Millisecond}, start)
+	got := fill(t, p, 100, start)
+	is.True(len(got["fast"]) >= 55 && len(got["fast"]) <= 78) // two of three
+	is.Equal(len(got["fast"])+len(got["slow"]), 100)
+}
+
+// A group is re-formed from other ranks under a new name while requests still run under
+// the old one. These end there, and the old name goes with the last of them.
+func TestAGroupThatIsNoMore(t *testing.T) {
+	is := is.New(t)
+	p := newPool()
+	p.SetGroups(map[string]int{"old": 10}, start)
+	got := fill(t, p, 3, start)
+	p.SetGroups(map[string]int{"new": 10}, start)
+	is.Equal(len(p.Groups(start)), 2)
+	is.Equal(len(fill(t, p, 2, start.Add(time.Millisecond))["new"]), 2)
+	for _, id := range got["old"] {
+		p.Leave(id, cost, start)
+	}
+	is.Equal(len(p.Groups(start)), 1)
+	is.Equal(p.Load().Running, 2)
+}
--- a/core/health/stall.go
+++ b/core/health/stall.go
@@ -67,3 +67,34 @@
 		Whole: whole,
 	}
 }
+
+const (
+	// groupAvoidAfter is how long a whole group may say nothing, with answers due, while
+	// other groups of its service go on, before it gets no new requests. A change of its
+	// expert map may hold it for some tenths of a second, and a pass takes up to two.
+	groupAvoidAfter = 500 * time.Millisecond
+	// groupMoveAfter is after how long its answers had better go on in other groups:
+	// callers leave after two seconds, and the prompt has to be read again first. A lost
+	// rank stops its group for 1.5 s before its answers are cut off.
+	groupMoveAfter = 1200 * time.Millisecond
+)
+
+// GroupProgress is when something last came of a group with answers due, and of any
+// other group of the same service.
+type GroupProgress struct {
+	Group, Others time.Time
+}
+
+// Judge tells a silence that the other groups don't share. Avoid says that the group
+// should get no new requests, move that its answers had better go on elsewhere.
+//
+// It is for a group that stands still as a whole, as all ranks do when one of them is
+// lost or a hold is left behind: nothing fails, and its callers wait until they leave
+// while other groups could serve them.
+func (p GroupProgress) Judge(now time.Time) (avoid, move bool) {
+	if now.Sub(p.Others) > poolAlive {
+		return false, false
+	}
+	silent := now.Sub(p.Group)
+	return silent >= groupAvoidAfter, silent >= groupMoveAfter
+}
--- a/core/lockstep/rank.go
+++ b/core/lockstep/rank.go
@@ -33,6 +33,9 @@
 	})
 }
 
+// Whole reports whether every rank of one epoch of an open group is known.
+func Whole(ranks []Rank) bool { return whole(ranks) }
+
 // whole reports whether every rank of one epoch of an open group is known.
 func whole(ranks []Rank) bool {
 	if len(ranks) == 0 || len(ranks) != ranks[0].State.Size {
@@ -47,6 +50,19 @@
 	return true
 }
 
+// Open reports whether a group serves, as far as its ranks are known: none of them
+// says that another one is lost.
+func Open(ranks []Rank) bool {
+	open := false
+	for i := range ranks {
+		if ranks[i].Known && !ranks[i].State.Open {
+			return false
+		}
+		open = open || ranks[i].Known
+	}
+	return open
+}
+
 // engaged reports whether a rank is armed or holds the group.
 func engaged(ranks []Rank) bool {
 	for i := range ranks {
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -39,8 +39,8 @@
 	Config *platform.Config
 	// Targets are all registered servers, by their ID.
 	Targets map[string]platform.Target
-	// Stewards are where the stewards of expert groups listen, by group.
-	Stewards map[string]string
+	// Stewards are the newest claims to be the steward of an expert group, by group.
+	Stewards map[string]rankpeer.Claim
 	// Revision is the store's revision up to which the view is complete.
 	Revision int64
 }
@@ -68,10 +68,11 @@
 
 // Mirror decides what is in force. It is not safe for concurrent use.
 type Mirror struct {
-	log      *slog.Logger
-	config   *platform.Config
-	targets  map[string]platform.Target
-	stewards map[string]string
+	log     *slog.Logger
+	config  *platform.Config
+	targets map[string]platform.Target
+	// stewards are the claims by what follows the prefix of their keys.
+	stewards map[string]rankpeer.Claim
 	revision int64
 	// missing are targets that an outage of the store may have hidden, with
 	// the time until which they are kept.
@@ -80,7 +81,7 @@
 
 // New returns an empty Mirror.
 func New(log *slog.Logger) *Mirror {
-	return &Mirror{log: log, targets: map[string]platform.Target{}, stewards: map[string]string{}, missing: map[string]time.Time{}}
+	return &Mirror{log: log, targets: map[string]platform.Target{}, stewards: map[string]rankpeer.Claim{}, missing: map[string]time.Time{}}
 }
 
 // View returns the present state, or nil before the first configuration.
@@ -88,16 +89,30 @@
 	if m.config == nil {
 		return nil
 	}
-	return &View{Config: m.config, Targets: m.current(), Stewards: maps.Clone(m.stewards), Revision: m.revision}
+	stewards := make(map[string]rankpeer.Claim, len(m.stewards))
+	for _, c := range m.stewards {
+		stewards[c.Group] = c
+	}
+	return &View{Config: m.config, Targets: m.current(), Stewards: stewards, Revision: m.revision}
 }
 
-// current returns the targets without those whose address another one has
-// registered later. A server that was started again is a new target; the entry
-// of its earlier life stays until its heartbeats are missed, and what is sent
-// there in the meantime is refused.
+// current returns the targets of services that the configuration names, without
+// those whose address another one has registered later. A server that was started
+// again may be a new target; the entry of its earlier life stays until its
+// heartbeats are missed, and what is sent there in the meantime is refused.
+//
+// An entry of another writer may name a service that does not exist, at the address
+// of a server that does. It must not hide that one.
 func (m *Mirror) current() map[string]platform.Target {
+	named := make(map[string]bool, len(m.config.Services))
+	for i := range m.config.Services {
+		named[m.config.Services[i].Name] = true
+	}
 	newest := make(map[netip.AddrPort]platform.Target, len(m.targets))
 	for _, t := range m.targets {
+		if !named[t.Service] {
+			continue
+		}
 		if old, ok := newest[t.Addr]; !ok || t.Created > old.Created {
 			newest[t.Addr] = t
 		}
@@ -137,15 +152,22 @@
 	return false
 }
 
+// applySteward takes a claim. One that is under another group's key, or can't be
+// read, says nothing of this group's steward.
 func (m *Mirror) applySteward(it platform.Item) bool {
-	group := strings.TrimPrefix(it.Key, rankpeer.ClaimPrefix)
+	key := strings.TrimPrefix(it.Key, rankpeer.ClaimPrefix)
 	if it.Removed {
-		delete(m.stewards, group)
-		return true
+		_, known := m.stewards[key]
+		delete(m.stewards, key)
+		return known
 	}
-	addr := string(it.Value)
-	changed := m.stewards[group] != addr
-	m.stewards[group] = addr
+	claim, err := rankpeer.ParseClaim(it.Key, it.Value)
+	if err != nil {
+		m.log.Warn("claim not understood", "key", it.Key, "revision", it.Revision, "error", err.Error())
+		return false
+	}
+	changed := m.stewards[key] != claim
+	m.stewards[key] = claim
 	return changed
 }
 
@@ -175,16 +197,24 @@
 	}
 	t, err := platform.ParseTarget(it)
 	if err != nil {
-		m.log.Error("server entry not understood", "target", id, "error", err.Error())
-		return false
+		m.log.Warn("server entry not understood", "target", id, "revision", it.Revision, "error", err.Error())
+		return m.remove(id, "its entry names no server to use", it.Revision)
 	}
 	old, known := m.targets[id]
+	if known && (old.Born != t.Born || old.Addr != t.Addr) {
+		// The server has started again under its ID: it has its address from now.
+		t.Created = max(t.Created, it.Revision)
+		m.log.Info("target started again", "target", id, "born", t.Born, "born-before", old.Born, "addr", t.Addr.String(), "revision", it.Revision)
+	} else if known {
+		t.Created = old.Created
+	}
 	if known && old == t {
 		return false
 	}
 	m.targets[id] = t
-	if !known || old.Draining != t.Draining {
-		m.log.Info("target", "target", id, "service", t.Service, "addr", t.Addr.String(), "draining", t.Draining, "revision", it.Revision)
+	if !known || old.Draining != t.Draining || old.Group != t.Group || old.Open != t.Open {
+		m.log.Info("target", "target", id, "service", t.Service, "addr", t.Addr.String(), "draining", t.Draining,
+			"group", t.Group.Name, "epoch", t.Group.Epoch, "open", t.Open, "revision", it.Revision)
 	}
 	return true
 }
--- a/core/queue/gate.go
+++ b/core/queue/gate.go
@@ -71,6 +71,9 @@
 	return g.closed && now.Sub(g.since) >= gateLasting && now.Before(g.next)
 }
 
+// Due reports whether a closed gate would let a request through now.
+func (g *Gate) Due(now time.Time) bool { return g.closed && !now.Before(g.next) }
+
 // Pass reports whether a request may go now.
 func (g *Gate) Pass(now time.Time) bool {
 	if !g.closed {
--- a/core/rankpeer/rankpeer.go
+++ b/core/rankpeer/rankpeer.go
@@ -13,14 +13,10 @@
 	"net"
 	"time"
 
+	"verbenashift/core/lockstep"
 	"verbenashift/platform"
 )
 
-// ClaimPrefix begins the keys of the store that name the agent that is the
-// steward of a group; the rest of the key is the group's name, the value the
-// address at which the agent listens.
-const ClaimPrefix = "verbenashift/steward/"
-
 // Ask is what a steward asks of the agent beside a rank, or a gateway of the
 // steward.
 type Ask struct {
@@ -28,12 +24,9 @@
 	// the number of the list of targets that the asker has.
 	Digest bool
 	List   uint64
-	// Term is the steward's fencing number, From its instance.
-	Term int64
-	From string
-	// Rank is that beside which the steward runs, Salt what it was made with.
-	Rank int
-	Salt uint64
+	// Word says for which group a steward asks, and which steward it is. Of an ask for
+	// a digest only the group's name counts.
+	Word lockstep.Word
 	// Held says that the group is held, or that the steward is about to hold it.
 	Held bool
 	// Counts and Placement ask for more than the state of the rank.
@@ -49,6 +42,11 @@
 
 // Tell is the answer.
 type Tell struct {
+	// Group is that of the agent's rank, as the agent knows it; its name is empty
+	// if the rank has not answered yet.
+	Group platform.GroupID
+	// Refused says why nothing was done, if so.
+	Refused lockstep.Refusal
 	// Term is the highest that the agent has heard.
 	Term int64
 	// Known says that the rank has answered; State is fresh then.
@@ -67,7 +65,15 @@
 
 // Digest is a steward's view of its group.
 type Digest struct {
-	Group string
+	Group platform.GroupID
+	// Term is the steward's.
+	Term int64
+	// Open says that the group serves: no rank is lost.
+	Open bool
+	// Pass is how long passes take now, 0 if it is not known; Skew is the most
+	// loaded rank over the mean under the map in force, 0 if it is not known.
+	Pass time.Duration
+	Skew float32
 	// Age is how old the view is when it is sent.
 	Age time.Duration
 	// List numbers the list of targets; Targets is left out where the asker has
--- a/core/rankpeer/roster.go
+++ b/core/rankpeer/roster.go
@@ -11,6 +11,8 @@
 // that they were told: the steward may die while the store is away, and whoever
 // takes over must find the ranks without it.
 type Roster struct {
+	// Group is the life of the group whose members these are.
+	Group   platform.GroupID
 	Members []Member
 	// Steward is the ID of the member beside which the steward runs.
 	Steward string
@@ -24,4 +26,6 @@
 	// ID is that of the target.
 	ID   string
 	Addr netip.AddrPort
+	// Born is when the target's server started; 0 if it does not say.
+	Born int64
 }
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -20,7 +20,7 @@
 // Pick chooses the target of a request. It reports false if no target may take
 // it now; the request has then truly not run.
 func (t *Table) Pick(q *Query, now time.Time, rng *rand.Rand) (int, bool) {
-	p := t.pools[poolKey{q.Model, q.Service, q.Version, q.Adapter, q.Role}]
+	p := t.pools[poolKey{q.Model, q.Service, q.Group, q.Version, q.Adapter, q.Role}]
 	if p == nil {
 		return 0, false
 	}
@@ -202,6 +202,7 @@
 // serves reports whether a target may serve a query.
 func serves(g *Target, q *Query) bool {
 	return g.Model == q.Model && g.Service == q.Service &&
+		(q.Group == "" || q.Group == g.Group) &&
 		(q.Version == "" || q.Version == g.Version) &&
 		(q.Adapter == "" || slices.Contains(g.Adapters, q.Adapter)) &&
 		slices.Contains(rolesOf(g.Role), q.Role)
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -77,6 +77,8 @@
 type Query struct {
 	Model   string
 	Service string
+	// Group narrows the choice to the targets of one group; empty takes any.
+	Group string
 	// Version and Adapter narrow the choice; empty takes any.
 	Version string
 	Adapter string
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -7,7 +7,7 @@
 
 // poolKey selects the targets that may serve a query.
 type poolKey struct {
-	model, service, version, adapter, role string
+	model, service, group, version, adapter, role string
 }
 
 // pool is a set of targets that may serve the same queries.
@@ -217,12 +217,18 @@
 	if g.Version != "" {
 		versions = append(versions, g.Version)
 	}
+	groups := []string{""}
+	if g.Group != "" {
+		groups = append(groups, g.Group)
+	}
 	adapters := append([]string{""}, g.Adapters...)
 	var keys []poolKey
-	for _, v := range versions {
-		for _, a := range adapters {
-			for _, r := range rolesOf(g.Role) {
-				keys = append(keys, poolKey{g.Model, g.Service, v, a, r})
+	for _, group := range groups {
+		for _, v := range versions {
+			for _, a := range adapters {
+				for _, r := range rolesOf(g.Role) {
+					keys = append(keys, poolKey{g.Model, g.Service, group, v, a, r})
+				}
 			}
 		}
 	}
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -4,230 +4,173 @@
 	"context"
 	"expvar"
 	"log/slog"
-	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
 
+	"verbenashift/core/admission"
 	"verbenashift/core/outcome"
 	"verbenashift/core/pause"
 	"verbenashift/core/queue"
 )
 
-const (
-	// comebackPart is the part of its remaining patience after which the caller
-	// of a service that is down may come back: the longest that callers honour
-	// is a third.
-	comebackPart = 0.32
-	// firstRate is the first guess of the tokens a second that the engines
-	// take from one gateway. It is learned while they are busy.
-	firstRate = 20000
-	// comebackSpread is the part of that time that is random, so that callers
-	// don't come back together.
-	comebackSpread = 0.25
-	// returnShare is the part of the service that callers who come back may take
-	// while others wait. They are late already. With a quarter more callers than
-	// places as many are served with any share, but with 0.9 two of ten callers are
-	// on time, with 0.3 six (queue.TestOverload).
-	returnShare = 0.3
-	// passPoll is how often a request that was refused looks whether it may go
-	// again.
-	passPoll = 40 * time.Millisecond
-	// digestValid is how old a digest may be to limit anything.
-	digestValid = 1500 * time.Millisecond
-)
+// passPoll is how often a request that was refused looks whether it may go
+// again.
+const passPoll = 40 * time.Millisecond
 
-// admission lets requests through to the engines of one service. It is safe for
-// concurrent use.
-type admission struct {
+// admitter lets requests through to the engines of one service: it carries what a
+// admission.Pool decides to the requests that wait. It is safe for concurrent use.
+type admitter struct {
 	log     *slog.Logger
 	service string
 
-	mu    sync.Mutex
-	queue *queue.Queue
-	gate  queue.Gate
-	// firstEvent is how long the engines take to the first event.
-	firstEvent queue.ServiceTime
-	// slots are those of all engines; told is when their load was.
-	slots   int
-	told    time.Time
-	waiting map[string]chan *outcome.Error
-	// emptyAt is when nobody waited last.
-	emptyAt time.Time
+	mu      sync.Mutex
+	pool    *admission.Pool
+	waiting map[string]chan admission.Settled
 	next    uint64
-	shed    []queue.Shed
 }
 
-// newAdmission returns the admission to engines that has no limit yet.
-func newAdmission(service string, log *slog.Logger) *admission {
-	return &admission{
+// newAdmitter returns the way to engines that are not known yet.
+func newAdmitter(service string, log *slog.Logger) *admitter {
+	return &admitter{
 		log: log, service: service,
-		queue:   queue.New(queue.Limits{Slots: 1, Rate: firstRate, UrgentShare: returnShare}, newRand()),
-		waiting: map[string]chan *outcome.Error{},
+		pool:    admission.New(newRand()),
+		waiting: map[string]chan admission.Settled{},
 	}
 }
 
-// resize takes a new number of slots of the engines.
-func (a *admission) resize(slots int) {
+// locked runs a step of the pool and tells the requests what it has decided.
+func (a *admitter) locked(step func(p *admission.Pool, now time.Time)) {
+	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.slots = slots
-	a.queue.SetSlots(slots)
+	step(a.pool, now)
+	for _, s := range a.pool.Settled() {
+		if ready := a.waiting[s.ID]; ready != nil {
+			delete(a.waiting, s.ID)
+			ready <- s
+		}
+	}
 }
 
-// engines takes the load of the engines as it was told.
-func (a *admission) engines(running, queued int, now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.told = now
-	e := queue.Engines{Slots: a.slots, Running: running, Queued: queued}
-	a.queue.SetSlots(queue.Allowed(e, a.queue.Load().Running))
-	a.pump(now)
+// resize takes the slots of the engines, by group.
+func (a *admitter) resize(slots map[string]int) {
+	a.locked(func(p *admission.Pool, now time.Time) { p.SetGroups(slots, now) })
 }
 
-// enter waits for a place and returns the key that leave takes. A refusal says
-// that the request has not run.
-func (a *admission) enter(ctx context.Context, c *call) (string, *outcome.Error) {
-	id, ready, refusal := a.join(c, time.Now())
-	if refusal != nil {
-		a.later(c, refusal)
-		return "", refusal
-	}
-	select {
-	case refusal := <-ready:
-		if refusal != nil {
-			a.later(c, refusal)
-		}
-		return id, refusal
-	case <-ctx.Done():
-		return a.withdraw(id, ready)
-	}
+// tell takes the load of a group as its steward tells it.
+func (a *admitter) tell(l admission.Load) {
+	a.locked(func(p *admission.Pool, now time.Time) { p.Tell(l, now) })
 }
 
-// join puts a request into the queue and returns its key and where its turn will
-// be told, or refuses it at once.
-func (a *admission) join(c *call, now time.Time) (string, <-chan *outcome.Error, *outcome.Error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.gate.Lasting(now) {
-		return "", nil, &outcome.Error{Outcome: outcome.NotRun, Reason: queue.ReasonDown}
-	}
-	a.next++
-	id := strconv.FormatUint(a.next, 36)
-	item := queue.Item{ID: id, Workspace: c.workspaceName(), Priority: priorityOf(c), Cost: int64(c.cost()), Deadline: a.latestStart(c, now)}
-	if refusal := a.queue.Enqueue(item, now); refusal != nil {
-		return "", nil, refusal
-	}
-	ready := make(chan *outcome.Error, 1)
-	a.waiting[id] = ready
-	a.pump(now)
-	return id, ready, nil
+// silent tells that nothing comes from a group.
+func (a *admitter) silent(group string, until time.Time) {
+	a.locked(func(p *admission.Pool, _ time.Time) { p.Silent(group, until) })
 }
 
-// withdraw takes back a request whose caller has left or whose time is over.
-func (a *admission) withdraw(id string, ready <-chan *outcome.Error) (string, *outcome.Error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if _, waits := a.queue.Remove(id); !waits {
-		return id, <-ready
-	}
-	delete(a.waiting, id)
-	return "", &outcome.Error{Outcome: outcome.NotRun, Reason: queue.ReasonExpired}
+// place is where a request runs. Its zero value is nowhere.
+type place struct {
+	id, group string
 }
 
-// priorityOf puts callers that come back before the others: they are late
-// already, and a second refusal is mostly the last.
-func priorityOf(c *call) queue.Priority {
-	if c.returning {
-		return queue.Urgent
+// enter waits for a place. A refusal says that the request has not run.
+func (a *admitter) enter(ctx context.Context, c *call) (place, *outcome.Error) {
+	id, ready, refusal := a.join(c)
+	if refusal != nil {
+		a.later(c, refusal)
+		return place{}, refusal
 	}
-	return queue.Normal
-}
-
-// latestStart is when a request must have started.
-func (a *admission) latestStart(c *call, now time.Time) time.Time {
-	w := queue.Wait{
-		Objective: c.route.Objective, Service: a.firstEvent.Usual(),
-		Line: a.line(now), Returning: c.returning, Closed: a.gate.Closed(),
+	select {
+	case s := <-ready:
+		return a.settled(c, s)
+	case <-ctx.Done():
+		return a.withdraw(id, ready)
 	}
-	return now.Add(w.Longest())
 }
 
-// later sets in a refusal when the caller may come back.
-func (a *admission) later(c *call, refusal *outcome.Error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.comeback(c, refusal, time.Now())
+// settled returns the place that a request has got, or its refusal.
+func (a *admitter) settled(c *call, s admission.Settled) (place, *outcome.Error) {
+	if s.Refusal != nil {
+		a.later(c, s.Refusal)
+		return place{}, s.Refusal
+	}
+	return place{id: s.ID, group: s.Group}, nil
 }
 
-// comeback sets when the caller of a service that is down may come back. The
-// queue's own answer follows from its rate, which says nothing then: callers
-// would be back while the service is still down, and lost.
-func (a *admission) comeback(c *call, refusal *outcome.Error, now time.Time) {
-	if a.gate.Closed() {
-		left := float64(c.deadline.Sub(now))
-		refusal.RetryAfter = time.Duration(left * comebackPart * (1 - comebackSpread*rand.Float64()))
-	}
+// join puts a request into the queue and returns its key and where its turn will
+// be told, or refuses it at once.
+func (a *admitter) join(c *call) (id string, ready <-chan admission.Settled, refusal *outcome.Error) {
+	a.locked(func(p *admission.Pool, now time.Time) {
+		a.next++
+		id = strconv.FormatUint(a.next, 36)
+		turn := make(chan admission.Settled, 1)
+		a.waiting[id], ready = turn, turn
+		r := admission.Request{
+			ID: id, Workspace: c.workspaceName(), Cost: int64(c.cost()), Objective: c.route.Objective, Returning: c.returning,
+		}
+		if refusal = p.Enter(r, now); refusal != nil {
+			delete(a.waiting, id)
+		}
+	})
+	return id, ready, refusal
 }
 
-// pump starts what may start and answers what was shed. It is called with the
-// lock held.
-func (a *admission) pump(now time.Time) {
-	// Also while nothing may start: a request must not wait beyond its limit
-	// because the gate is closed.
-	a.queue.Expire(now)
-	for l := a.queue.Load(); l.Items > 0 && l.Running < l.Slots && a.gate.Pass(now); l = a.queue.Load() {
-		item, ok := a.queue.Next(now)
-		if !ok {
-			break
+// withdraw takes back a request whose caller has left or whose time is over.
+func (a *admitter) withdraw(id string, ready <-chan admission.Settled) (place, *outcome.Error) {
+	waits := false
+	a.locked(func(p *admission.Pool, _ time.Time) {
+		if waits = p.Withdraw(id); waits {
+			delete(a.waiting, id)
 		}
-		a.tell(item.ID, nil)
+	})
+	if waits {
+		return place{}, &outcome.Error{Outcome: outcome.NotRun, Reason: queue.ReasonExpired}
 	}
-	a.shed = a.queue.TakeShed(a.shed[:0])
-	for _, s := range a.shed {
-		a.tell(s.ID, s.Refusal)
+	s := <-ready
+	if s.Refusal != nil {
+		return place{}, s.Refusal
 	}
-	// A line that has ended is noticed also while nobody comes.
-	a.line(now)
+	return place{id: s.ID, group: s.Group}, nil
 }
 
-// line notices whether anybody waits, and returns how long others have been waiting
-// without a break.
-func (a *admission) line(now time.Time) time.Duration {
-	if a.queue.Load().Items == 0 {
-		a.emptyAt = now
-	}
-	return now.Sub(a.emptyAt)
+// later sets in a refusal when the caller may come back, if the service is down.
+func (a *admitter) later(c *call, refusal *outcome.Error) {
+	a.locked(func(p *admission.Pool, now time.Time) {
+		if wait, down := p.Comeback(c.deadline.Sub(now)); down {
+			refusal.RetryAfter = wait
+		}
+	})
 }
 
-func (a *admission) tell(id string, refusal *outcome.Error) {
-	if ready := a.waiting[id]; ready != nil {
-		delete(a.waiting, id)
-		ready <- refusal
-	}
+// refused tells that a target has refused the request at a place.
+func (a *admitter) refused(at place, target string) {
+	a.locked(func(p *admission.Pool, now time.Time) {
+		if p.Refused(at.id, target, now) {
+			a.log.Warn("all targets of the group refuse", "service", a.service, "group", at.group, "waiting", p.Load().Items)
+		}
+	})
 }
 
-// refused tells that a target has refused a request.
-func (a *admission) refused(target string) {
-	now := time.Now()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.gate.Refused(target, now) {
-		a.log.Warn("all targets refuse, requests wait", "service", a.service)
-	}
+// accepted tells that a target has taken the request at a place.
+func (a *admitter) accepted(at place) {
+	a.locked(func(p *admission.Pool, now time.Time) {
+		if p.Accepted(at.id, now) {
+			a.log.Info("targets of the group take requests again", "service", a.service, "group", at.group, "waiting", p.Load().Items)
+		}
+	})
 }
 
-// accepted tells that a target has taken a request.
-func (a *admission) accepted() {
-	now := time.Now()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.gate.Accepted() {
-		a.log.Info("targets take requests again", "service", a.service, "waiting", a.queue.Load().Items)
-		a.queue.SetSlots(queue.Reopened(a.slots))
-		a.told = now
-		a.pump(now)
-	}
+// move returns the place for another attempt of a request: its group may stand or be
+// lost while others work.
+func (a *admitter) move(at place, requestID string) place {
+	a.locked(func(p *admission.Pool, now time.Time) {
+		group, moved := p.Move(at.id, now)
+		if moved {
+			a.log.Info("another group", "id", requestID, "service", a.service, "group", group, "group-before", at.group)
+			at.group = group
+		}
+	})
+	return at
 }
 
 // pass waits until a request that was refused may be tried again. It reports
@@ -235,68 +178,67 @@
 // the time is over that a request waits for a service that is down. Without that
 // bound a caller is held to its deadline. A caller that has a part of its answer
 // waits on, since nothing can be refused any more.
-func (a *admission) pass(ctx context.Context, c *call) bool {
+func (a *admitter) pass(ctx context.Context, c *call) bool {
 	until := c.arrived.Add(queue.LongestAgain(c.returning))
 	for ctx.Err() == nil {
-		switch now := time.Now(); {
-		case a.mayPass(now):
+		may, lasting := a.mayPass(c.place)
+		switch {
+		case may:
 			return true
-		case !c.begun && (a.lasting(now) || now.After(until)):
+		case !c.begun && (lasting || time.Now().After(until)):
 			return false
 		}
 		pause.For(ctx, passPoll)
+		c.place = a.move(c.place, c.req.ID)
 	}
 	return true
 }
 
-func (a *admission) mayPass(now time.Time) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.gate.Pass(now)
+// mayPass reports whether the request at a place may be tried again now, and whether
+// the service has been down for long.
+func (a *admitter) mayPass(at place) (may, lasting bool) {
+	a.locked(func(p *admission.Pool, now time.Time) {
+		may = p.MayPass(at.id, now)
+		lasting = p.Lasting(now)
+	})
+	return may, lasting
 }
 
-func (a *admission) lasting(now time.Time) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.gate.Lasting(now)
-}
-
-// began tells how long after its start a request got its first event.
-func (a *admission) began(d time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.firstEvent.Observe(d)
+// began tells how long after its start the request at a place got its first event.
+func (a *admitter) began(at place, after time.Duration) {
+	a.locked(func(p *admission.Pool, _ time.Time) { p.Began(at.id, after) })
 }
 
 // leave gives the place of a request back.
-func (a *admission) leave(id string, cost float64) {
-	now := time.Now()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.queue.Done(id, int64(cost), now)
-	a.pump(now)
+func (a *admitter) leave(at place, cost float64) {
+	a.locked(func(p *admission.Pool, now time.Time) { p.Leave(at.id, int64(cost), now) })
 }
 
 // tick lets time pass: requests that can no longer start in time are refused.
-func (a *admission) tick(now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if now.Sub(a.told) > digestValid {
-		a.queue.SetSlots(a.slots)
-	}
-	a.pump(now)
-	a.show()
-	if l := a.queue.Load(); l.Items > 0 {
-		a.log.Info("queue", "service", a.service, "waiting", l.Items, "running", l.Running, "limit", l.Slots, "tokens-a-second", int(l.Rate))
-	}
+func (a *admitter) tick() {
+	a.locked(func(p *admission.Pool, now time.Time) {
+		p.Tick(now)
+		a.show(p, now)
+	})
 }
 
-// show sets the metrics of the queue.
-func (a *admission) show() {
-	l := a.queue.Load()
+// show sets the metrics of the queue and, while somebody waits, writes a line.
+func (a *admitter) show(p *admission.Pool, now time.Time) {
+	l := p.Load()
 	set(metricWaiting, a.service, l.Items)
 	set(metricRunning, a.service, l.Running)
 	set(metricLimit, a.service, l.Slots)
+	groups := p.Groups(now)
+	for _, g := range groups {
+		key := a.service + "/" + g.Group
+		set(metricRunning, key, g.Running)
+		set(metricLimit, key, g.Limit)
+		set(metricWorks, key, one(g.Works))
+	}
+	if l.Items > 0 {
+		a.log.Info("queue", "service", a.service, "waiting", l.Items, "running", l.Running, "limit", l.Slots,
+			"tokens-a-second", int(l.Rate), "groups", groups)
+	}
 }
 
 func set(m *expvar.Map, key string, n int) {
@@ -304,3 +246,11 @@
 	v.Set(int64(n))
 	m.Set(key, v)
 }
+
+// one is 1 for true.
+func one(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -19,14 +19,14 @@
 	now := time.Now()
 	a := platform.ParseAnswer(reply.Status, reply.Header)
 	c.fleet.heard(s, a, now)
-	if c.admission != nil && !a.NotRun {
-		c.admission.accepted()
+	if c.admitter != nil && !a.NotRun {
+		c.admitter.accepted(c.place)
 	}
 	switch {
 	case a.NotRun:
 		c.ran--
-		if c.admission != nil && !a.Misdirected {
-			c.admission.refused(s.target.ID)
+		if c.admitter != nil && !a.Misdirected {
+			c.admitter.refused(c.place, s.target.ID)
 		}
 		return retry.Refused, "refused by " + s.target.ID, false
 	case !a.Sealed || a.Encoded || a.ID != c.req.ID:
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -55,8 +55,9 @@
 	returning bool
 	// flight is the watch over a stream that may go on elsewhere.
 	flight *flight
-	// admission is that of the service, if it has one.
-	admission *admission
+	// admitter is that of the service, if it has one; place is where the request runs.
+	admitter *admitter
+	place    place
 	// failure is the server's own failure, passed on if nothing better comes.
 	failure *answer
 }
@@ -157,8 +158,7 @@
 	if ctx.Err() != nil {
 		return retry.RefusedAll, "deadline", c.callerLeft()
 	}
-	q := &route.Query{Service: c.service, Cost: c.cost(), MayNotRepeat: c.attempts.MayNotRepeat, Exclude: c.exclude}
-	s, ok := c.fleet.pick(q, time.Now())
+	s, ok := c.pick()
 	if !ok {
 		return retry.RefusedAll, "no target", false
 	}
@@ -173,6 +173,18 @@
 	return c.send(ctx, s)
 }
 
+// pick chooses a target in the group where the request has its place, or elsewhere if
+// none there may take it.
+func (c *call) pick() (sent, bool) {
+	q := &route.Query{Service: c.service, Group: c.place.group, Cost: c.cost(), MayNotRepeat: c.attempts.MayNotRepeat, Exclude: c.exclude}
+	s, ok := c.fleet.pick(q, time.Now())
+	if !ok && q.Group != "" {
+		q.Group = ""
+		s, ok = c.fleet.pick(q, time.Now())
+	}
+	return s, ok
+}
+
 // send sends the request to a target and takes its answer.
 func (c *call) send(ctx context.Context, s sent) (kind retry.Kind, reason string, done bool) {
 	watched := ctx
@@ -210,7 +222,7 @@
 	switch cause := context.Cause(ctx); cause {
 	case nil, errStalled:
 		c.fleet.failed(s, severityOf(err), time.Now())
-	case errSlow:
+	case errSlow, errSilentGroup:
 		err = cause
 	}
 	var notSent *upstream.NotSentError
@@ -260,11 +272,21 @@
 		}
 		c.logRetry(reason)
 		pause.For(ctx, time.Until(d.At))
-		if c.admission != nil && kind == retry.Refused && !c.admission.pass(ctx, c) {
+		if !c.again(ctx, kind) {
 			refusal := c.decide(retry.RefusedAll).Err
-			c.admission.later(c, refusal)
+			c.admitter.later(c, refusal)
 			c.giveUp(refusal, queue.ReasonDown)
 			return
 		}
 	}
 }
+
+// again makes ready for another attempt, perhaps in another group. It reports false if
+// the request was refused and none had better follow.
+func (c *call) again(ctx context.Context, kind retry.Kind) bool {
+	if c.admitter == nil {
+		return true
+	}
+	c.place = c.admitter.move(c.place, c.req.ID)
+	return kind != retry.Refused || c.admitter.pass(ctx, c)
+}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -26,8 +26,11 @@
 	monitor *health.Monitor
 	pools   map[string]*pooled
 	// gone are targets whose address answered for another server, until their
-	// entry is removed.
-	gone    map[string]bool
+	// entry is removed or says that they have started again.
+	gone map[string]bool
+	// told are the groups of targets as stewards tell them, for targets whose entry
+	// does not say.
+	told    map[string]string
 	rng     *rand.Rand
 	flights flights
 	// cost is the moving mean of the requests' costs in tokens.
@@ -59,6 +62,7 @@
 		monitor: health.New(health.Options{}),
 		pools:   map[string]*pooled{},
 		gone:    map[string]bool{},
+		told:    map[string]string{},
 		rng:     newRand(),
 		flights: newFlights(),
 	}
@@ -68,37 +72,85 @@
 func (f *fleet) update(v *mirror.View) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for id := range f.gone {
-		if _, ok := v.Targets[id]; !ok {
-			delete(f.gone, id)
-		}
-	}
+	f.drop(v.Targets)
 	targets := make([]route.Target, 0, len(v.Targets))
 	for id, t := range v.Targets {
 		if f.pools[id] == nil {
 			f.pools[id] = &pooled{Target: t, pool: upstream.NewPool(t.Addr.String(), platform.Dial, answersTo)}
 		}
-		targets = append(targets, route.Target{
-			Name: id, Zone: t.Zone, Service: t.Service,
-			Drained: t.Draining || f.gone[id],
-		})
+		f.pools[id].Target = t
+		targets = append(targets, f.routed(&t))
 	}
 	f.table.Update(targets)
+	f.monitor.Update(f.watched())
+}
+
+// drop forgets the targets that are gone or have started again: connections, failures
+// and silences of an earlier life say nothing of this one.
+func (f *fleet) drop(now map[string]platform.Target) {
+	for id := range f.gone {
+		if _, ok := now[id]; !ok {
+			delete(f.gone, id)
+		}
+	}
+	for id, p := range f.pools {
+		t, ok := now[id]
+		if ok && t.Addr == p.Addr && t.Born == p.Born {
+			continue
+		}
+		p.pool.Close()
+		delete(f.pools, id)
+		delete(f.gone, id)
+		delete(f.told, id)
+		delete(f.flights.targets, id)
+		if ok {
+			f.log.Info("target has started again", "target", id, "addr", t.Addr.String(), "born", t.Born, "born-before", p.Born)
+		}
+	}
+	// What the monitor knows of those that stay under their name goes as well.
+	f.monitor.Update(f.watched())
+}
+
+// watched returns the targets whose health is watched: those with connections.
+func (f *fleet) watched() []health.Member {
 	members := make([]health.Member, f.table.Len())
 	for i := range members {
-		if f.table.Configured(i) {
-			t := f.table.Target(i)
+		t := f.table.Target(i)
+		if f.table.Configured(i) && f.pools[t.Name] != nil {
 			members[i] = health.Member{Name: t.Name, Pool: t.Service}
 		}
 	}
-	f.monitor.Update(members)
-	for id, p := range f.pools {
-		if _, ok := v.Targets[id]; !ok {
-			p.pool.Close()
-			delete(f.pools, id)
-			delete(f.flights.targets, id)
+	return members
+}
+
+// routed returns a target as the table knows it.
+func (f *fleet) routed(t *platform.Target) route.Target {
+	return route.Target{
+		Name: t.ID, Zone: t.Zone, Service: t.Service, Group: f.groupOf(t),
+		Drained: t.Draining || f.gone[t.ID],
+	}
+}
+
+// groupOf returns the name of a target's group, or "" if it is not known.
+func (f *fleet) groupOf(t *platform.Target) string {
+	if t.Group.Name != "" {
+		return t.Group.Name
+	}
+	return f.told[t.ID]
+}
+
+// slots returns the slots of the targets by service and group.
+func (f *fleet) slots() map[string]map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	slots := map[string]map[string]int{}
+	for _, p := range f.pools {
+		if slots[p.Service] == nil {
+			slots[p.Service] = map[string]int{}
 		}
+		slots[p.Service][f.groupOf(&p.Target)] += p.Slots
 	}
+	return slots
 }
 
 // answersTo tells the answer to a request by the identifier that it echoes. A
@@ -172,41 +224,57 @@
 	engineRate = 4000
 )
 
-// groupLoad is the load of an expert group as its steward tells it.
-type groupLoad struct {
+// ranks is what a digest says of the targets of an expert group.
+type ranks struct {
 	service string
 	// running and queued are the sums over the ranks.
 	running, queued int
-	ranks           int
 	// slow are the targets that hold the group up.
 	slow map[string]bool
+	// joined says that a target was not known to belong to the group.
+	joined bool
 }
 
 // digest takes what a steward knows of the load of its ranks.
-func (f *fleet) digest(d *rankpeer.Digest, taken time.Time) groupLoad {
+func (f *fleet) digest(d *rankpeer.Digest, taken time.Time) ranks {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	g := groupLoad{ranks: len(d.Targets), slow: map[string]bool{}}
+	r := ranks{slow: map[string]bool{}}
 	for k, id := range d.Targets {
 		i, ok := f.table.Lookup(id)
-		if !ok {
+		p := f.pools[id]
+		if !ok || p == nil {
 			continue
 		}
+		if p.Group.Name == "" && f.told[id] != d.Group.Name {
+			f.told[id], r.joined = d.Group.Name, true
+		}
 		pace := max(float64(d.Pace[k])/rankpeer.PaceUnit, 1)
 		load := route.Load{Queued: float64(d.Queued[k]) * f.cost, Running: int(d.Running[k]), Rate: engineRate / pace}
 		f.table.Report(i, load, taken)
-		if p := f.pools[id]; p != nil {
-			p.slow = pace > slowPace
-			f.avoid(p, taken)
-		}
+		p.slow = pace > slowPace
+		f.avoid(p, taken)
 		if health.SlowRank(pace) {
-			g.slow[id] = true
+			r.slow[id] = true
 		}
-		g.service = f.table.Target(i).Service
-		g.running += int(d.Running[k])
-		g.queued += int(d.Queued[k])
+		r.service = p.Service
+		r.running += int(d.Running[k])
+		r.queued += int(d.Queued[k])
 	}
-	return g
+	if r.joined {
+		f.regroup()
+	}
+	return r
+}
+
+// regroup tells the table which groups the targets belong to. It is called with the
+// lock held.
+func (f *fleet) regroup() {
+	targets := make([]route.Target, 0, len(f.pools))
+	for _, p := range f.pools {
+		targets = append(targets, f.routed(&p.Target))
+	}
+	f.table.Update(targets)
 }
 
 func (f *fleet) succeeded(s sent, latency time.Duration, now time.Time) {
@@ -224,8 +292,9 @@
 // tickEvery is how often ejections and idle connections are looked at.
 const tickEvery = 100 * time.Millisecond
 
-// tick lets time pass for the health of the targets.
-func (f *fleet) tick(now time.Time) {
+// tick lets time pass for the health of the targets, and returns the groups that stand
+// still.
+func (f *fleet) tick(now time.Time) []silentGroup {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.watchSilence(now)
@@ -236,6 +305,7 @@
 	for _, p := range f.pools {
 		p.pool.Sweep(now)
 	}
+	return f.silentGroups(now)
 }
 
 // severityOf says how sure a failed attempt is the target's fault.
--- a/gateway/flights.go
+++ b/gateway/flights.go
@@ -15,6 +15,9 @@
 // errSlow is why an attempt is ended whose target holds its group up.
 var errSlow = errors.New("target slows its group")
 
+// errSilentGroup is why an attempt is ended whose whole group stands still.
+var errSilentGroup = errors.New("group silent while others go on")
+
 // flight is a stream in progress that may go on at another target.
 type flight struct {
 	sent
@@ -33,13 +36,19 @@
 // it.
 type flights struct {
 	open map[*flight]struct{}
-	// targets and services are when an event last came from there.
-	targets  map[string]time.Time
-	services map[string]time.Time
+	// targets and groups are when an event last came from there.
+	targets map[string]time.Time
+	groups  map[groupKey]time.Time
+}
+
+// groupKey names a group of engines. The group is empty where the engines of a service
+// form none, or theirs is not known.
+type groupKey struct {
+	service, group string
 }
 
 func newFlights() flights {
-	return flights{open: map[*flight]struct{}{}, targets: map[string]time.Time{}, services: map[string]time.Time{}}
+	return flights{open: map[*flight]struct{}{}, targets: map[string]time.Time{}, groups: map[groupKey]time.Time{}}
 }
 
 // depart watches an attempt: its context ends if the target goes silent, or if
@@ -67,7 +76,62 @@
 	defer f.mu.Unlock()
 	fl.begun, fl.heardAt = true, now
 	f.flights.targets[fl.target.ID] = now
-	f.flights.services[fl.service] = now
+	f.flights.groups[f.key(fl)] = now
+}
+
+// key names the group in which a flight is. It is called with the lock held.
+func (f *fleet) key(fl *flight) groupKey {
+	return groupKey{fl.service, f.groupOf(&fl.target.Target)}
+}
+
+// silentGroup is a group that stands still while others of its service go on. Move says
+// that its streams had better go on there.
+type silentGroup struct {
+	groupKey
+	move bool
+}
+
+// silentGroups returns the groups that stand still. It is called with the lock held.
+func (f *fleet) silentGroups(now time.Time) []silentGroup {
+	due := map[groupKey]bool{}
+	for fl := range f.flights.open {
+		if fl.begun {
+			due[f.key(fl)] = true
+		}
+	}
+	var silent []silentGroup
+	for key := range due {
+		p := health.GroupProgress{Group: f.flights.groups[key]}
+		for other, at := range f.flights.groups {
+			if other.service == key.service && other != key && at.After(p.Others) {
+				p.Others = at
+			}
+		}
+		if avoid, move := p.Judge(now); avoid {
+			silent = append(silent, silentGroup{key, move})
+		}
+	}
+	return silent
+}
+
+// leaveGroup ends up to so many attempts at a group that stands still, so that the
+// streams go on in others.
+func (f *fleet) leaveGroup(key groupKey, most int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for fl := range f.flights.open {
+		if most <= 0 {
+			return
+		}
+		if f.key(fl) != key || !fl.mayMove {
+			continue
+		}
+		most--
+		f.log.Warn("group silent", "id", fl.id, "target", fl.target.ID, "service", key.service, "group", key.group, "begun", fl.begun)
+		metricSilent.Add(1)
+		delete(f.flights.open, fl)
+		fl.end(errSilentGroup)
+	}
 }
 
 // silentFor is how long a target gets no new requests after it was found silent.
@@ -86,7 +150,7 @@
 		id := fl.target.ID
 		p := health.Progress{
 			Begun: fl.begun, Due: due[id], Answer: fl.heardAt,
-			Target: f.flights.targets[id], Pool: f.flights.services[fl.service],
+			Target: f.flights.targets[id], Pool: f.flights.groups[f.key(fl)],
 		}
 		silence := p.Judge(now)
 		if silence.Avoid {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -25,4 +25,8 @@
 	metricWaiting   = expvar.NewMap("queue-waiting")
 	metricRunning   = expvar.NewMap("running")
 	metricLimit     = expvar.NewMap("running-limit")
+	metricWorks     = expvar.NewMap("group-works")
+	metricSteers    = expvar.NewMap("group-steward")
+	metricSkew      = expvar.NewMap("group-skew")
+	metricPass      = expvar.NewMap("group-pass-ms")
 )
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -48,7 +48,7 @@
 	if c.last.target == nil {
 		return nil
 	}
-	return []any{"target", c.last.target.ID, "load-age-ms", c.last.loadAge.Milliseconds(), "ran", c.ran}
+	return []any{"target", c.last.target.ID, "group", c.place.group, "load-age-ms", c.last.loadAge.Milliseconds(), "ran", c.ran}
 }
 
 // logRetry writes the line of an attempt after which another follows, with the
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -89,8 +89,8 @@
 	if c.eventAt.IsZero() {
 		c.firstAfter = now.Sub(c.arrived)
 		metricFirst.Record(c.firstAfter.Milliseconds())
-		if c.admission != nil {
-			c.admission.began(c.firstAfter - c.queued)
+		if c.admitter != nil {
+			c.admitter.began(c.place, c.firstAfter-c.queued)
 		}
 	} else {
 		pause := now.Sub(c.eventAt)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -12,6 +12,7 @@
 
 	"go.opentelemetry.io/otel/trace"
 
+	"verbenashift/core/admission"
 	"verbenashift/core/health"
 	"verbenashift/core/instance"
 	"verbenashift/core/mirror"
@@ -39,15 +40,15 @@
 	digests *digests
 	// patience tells by route which callers have been here before.
 	patience map[string]*retry.Patience
-	// admissions are those of services with engines, by name.
-	admissions map[string]*admission
+	// admitters are those of services with engines, by name.
+	admitters map[string]*admitter
 }
 
 func newGateway(env instance.Env, tracer trace.Tracer) *gateway {
 	boot, log := env.Boot, env.Log
 	g := &gateway{
 		log: log, tracer: tracer, rng: newRand(), fleet: newFleet(boot.Instance, boot.Zone, log),
-		started: time.Now(), admissions: map[string]*admission{}, patience: map[string]*retry.Patience{}, budgets: retry.NewBudgets(retryLimits(boot.Bounds)),
+		started: time.Now(), admitters: map[string]*admitter{}, patience: map[string]*retry.Patience{}, budgets: retry.NewBudgets(retryLimits(boot.Bounds)),
 	}
 	g.digests = newDigests(log, g.digest)
 	return g
@@ -76,7 +77,7 @@
 // update takes a new view of the store: configuration and targets together.
 func (g *gateway) update(v *mirror.View) {
 	g.fleet.update(v)
-	g.admitTo(v)
+	g.admitTo(v.Config)
 	g.digests.update(v)
 	if c := g.catalog.Load(); c == nil || c.config != v.Config {
 		g.catalog.Store(newCatalog(v.Config))
@@ -94,34 +95,34 @@
 	}
 }
 
-// admitTo makes an admission for each service with engines.
-func (g *gateway) admitTo(v *mirror.View) {
-	slots := map[string]int{}
-	for _, t := range v.Targets {
-		slots[t.Service] += t.Slots
-	}
+// admitTo makes an admitter for each service with engines, and tells it their slots.
+func (g *gateway) admitTo(cfg *platform.Config) {
+	slots := g.fleet.slots()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for i := range v.Config.Services {
-		s := &v.Config.Services[i]
-		if s.Engine == nil || slots[s.Name] == 0 {
+	for i := range cfg.Services {
+		s := &cfg.Services[i]
+		if s.Engine == nil || len(slots[s.Name]) == 0 {
 			continue
 		}
-		if g.admissions[s.Name] == nil {
-			g.admissions[s.Name] = newAdmission(s.Name, g.log)
+		if g.admitters[s.Name] == nil {
+			g.admitters[s.Name] = newAdmitter(s.Name, g.log)
 		}
-		g.admissions[s.Name].resize(slots[s.Name])
+		g.admitters[s.Name].resize(slots[s.Name])
 	}
 }
 
 // digest takes what a steward tells of its group.
 func (g *gateway) digest(d *rankpeer.Digest, taken time.Time) {
-	load := g.fleet.digest(d, taken)
-	if a := g.admission(load.service); a != nil {
-		a.engines(load.running, load.queued, time.Now())
+	r := g.fleet.digest(d, taken)
+	if cat := g.catalog.Load(); r.joined && cat != nil {
+		g.admitTo(cat.config)
+	}
+	if a := g.admitter(r.service); a != nil {
+		a.tell(admission.Load{Group: d.Group.Name, Open: d.Open, Running: r.running, Queued: r.queued, Pass: d.Pass})
 	}
-	if health.Leave(len(load.slow), load.ranks) {
-		g.fleet.leave(load.slow, g.spareRetries(load.service))
+	if health.Leave(len(r.slow), len(d.Targets)) {
+		g.fleet.leave(r.slow, g.spareRetries(r.service))
 	}
 }
 
@@ -141,11 +142,11 @@
 	return g.budgets.For(budgetOf(service)).Left()
 }
 
-// admission returns the admission of a service, or nil if it has none.
-func (g *gateway) admission(service string) *admission {
+// admitter returns the admitter of a service, or nil if it has none.
+func (g *gateway) admitter(service string) *admitter {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.admissions[service]
+	return g.admitters[service]
 }
 
 // returning reports whether a caller of a route has come back after an earlier try.
@@ -170,11 +171,18 @@
 
 // tick lets time pass for targets and queues.
 func (g *gateway) tick(now time.Time) {
-	g.fleet.tick(now)
+	for _, s := range g.fleet.tick(now) {
+		if a := g.admitter(s.service); a != nil {
+			a.silent(s.group, now.Add(silentFor))
+		}
+		if s.move {
+			g.fleet.leaveGroup(s.groupKey, g.spareRetries(s.service))
+		}
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, a := range g.admissions {
-		a.tick(now)
+	for _, a := range g.admitters {
+		a.tick()
 	}
 }
 
@@ -199,23 +207,38 @@
 	defer c.endSpan(span)
 	ctx, cancel := context.WithDeadlineCause(ctx, c.deadline, errDeadline)
 	defer cancel()
-	if c.admission = g.admission(c.service); c.admission != nil {
-		_, wait := c.tracer.Start(ctx, spanWait)
-		place, refusal := c.admission.enter(ctx, c)
-		wait.End()
-		c.queued = time.Since(c.arrived)
-		metricWait.Record(c.queued.Milliseconds())
-		if c.callerLeft() {
-			if place != "" {
-				c.admission.leave(place, 0)
-			}
-			return
-		}
-		if refusal != nil {
-			c.refuse(refusal.Reason, refusal.RetryAfter)
-			return
-		}
-		defer c.admission.leave(place, c.cost())
+	if c.admitter = g.admitter(c.service); c.admitter != nil && !c.enter(ctx) {
+		return
 	}
+	defer c.leave()
 	c.run(ctx)
 }
+
+// enter waits for a place at the engines. It answers and reports false if the request
+// goes no further.
+func (c *call) enter(ctx context.Context) bool {
+	_, wait := c.tracer.Start(ctx, spanWait)
+	at, refusal := c.admitter.enter(ctx, c)
+	wait.End()
+	c.place = at
+	c.queued = time.Since(c.arrived)
+	metricWait.Record(c.queued.Milliseconds())
+	if c.callerLeft() {
+		if at.id != "" {
+			c.admitter.leave(at, 0)
+		}
+		return false
+	}
+	if refusal != nil {
+		c.refuse(refusal.Reason, refusal.RetryAfter)
+		return false
+	}
+	return true
+}
+
+// leave gives the place back.
+func (c *call) leave() {
+	if c.admitter != nil {
+		c.admitter.leave(c.place, c.cost())
+	}
+}
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -25,18 +25,22 @@
 	plan bool
 
 	mu sync.Mutex
-	// heardTerm, from, fromRank and fromSalt are those of the newest steward heard.
-	heardTerm int64
-	from      string
-	fromRank  int
-	fromSalt  uint64
+	// beliefs are void when the rank joins another group or its server starts anew.
+	beliefs
+	// satAt is when the rank was asked that has told its seat last.
+	satAt time.Time
+}
+
+// beliefs are what an agent knows of its rank's group.
+type beliefs struct {
+	listener  lockstep.Listener
 	candidate *lockstep.Candidate
 	// seenClaim is the revision of the last claim that was seen in the store.
 	seenClaim int64
 	// words counts the words of stewards that were heard.
 	words int
 	// maps are those that were prepared here lately.
-	maps mapStore
+	maps *mapStore
 	// counts are the last ones that were read, in the epoch countsEpoch.
 	counts      []int64
 	countsEpoch int64
@@ -52,34 +56,86 @@
 func newAgent(env instance.Env) *agent {
 	return &agent{
 		boot: env.Boot, log: env.Log, plan: !env.NoPlan,
-		rank:      platform.NewRankClient(env.Boot.Target),
-		store:     platform.NewStore(env.Boot.Store.Addr),
-		candidate: lockstep.NewCandidate(time.Now()),
+		rank:    platform.NewRankClient(env.Boot.Target),
+		store:   platform.NewStore(env.Boot.Store.Addr),
+		beliefs: newBeliefs(lockstep.Listener{}, time.Now()),
 	}
 }
 
+// newBeliefs returns what is known at the start of a seat: nothing but the seat.
+func newBeliefs(l lockstep.Listener, now time.Time) beliefs {
+	return beliefs{listener: l, candidate: lockstep.NewCandidate(now), maps: &mapStore{}}
+}
+
 // addr is where the agent listens.
 func (a *agent) addr() netip.AddrPort { return netip.AddrPortFrom(a.boot.IP, a.boot.PortFirst) }
 
-// hear records a word of a steward and reports whether it is the newest. Two
-// stewards may have the same term only where both act without the store; the
-// name decides then.
-func (a *agent) hear(ask rankpeer.Ask) (int64, bool) {
+// sit takes what the rank tells of its seat when it was asked at a time. In another
+// seat, or in another life of its server, nothing holds of what was believed. Answers
+// may overtake each other: one that was asked for earlier says nothing new.
+func (a *agent) sit(st *platform.RankState, asked time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if st.Group == "" || asked.Before(a.satAt) {
+		return
+	}
+	a.satAt = asked
+	before := a.listener.Seat()
+	if !a.listener.Sit(lockstep.SeatOf(st)) {
+		return
+	}
+	a.beliefs = newBeliefs(a.listener, time.Now())
+	a.log.Info("rank", "group", st.Group, "rank", st.Rank, "size", st.Size, "epoch", st.Epoch, "born", st.Born,
+		"group-before", before.Group.Name, "rank-before", before.Rank, "born-before", before.Born)
+}
+
+// seat returns the rank's seat as it was last told.
+func (a *agent) seat() lockstep.Seat {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if ask.Term < a.heardTerm || ask.Term == a.heardTerm && ask.From < a.from {
-		return a.heardTerm, false
+	return a.listener.Seat()
+}
+
+// seatFresh is how old the word of the rank on its seat may be when an order is given:
+// a server takes longer to start, and a group longer to form.
+const seatFresh = 250 * time.Millisecond
+
+// refreshSeat reads the rank if its seat is not known for sure.
+func (a *agent) refreshSeat() {
+	a.mu.Lock()
+	fresh := time.Since(a.satAt) < seatFresh
+	a.mu.Unlock()
+	if fresh {
+		return
 	}
-	if ask.From != a.from {
-		a.log.Info("steward", "steward", ask.From, "term", ask.Term, "before", a.from, "term-before", a.heardTerm)
+	if _, err := a.readRank(context.Background()); err != nil {
+		a.log.Warn("rank not read", "error", err.Error())
+	}
+}
+
+// hear records a word of a steward, or says why it is not heeded.
+func (a *agent) hear(ask rankpeer.Ask) lockstep.Refusal {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	before := a.listener.Heard()
+	if refusal := a.listener.Hear(ask.Word); refusal != lockstep.Heeded {
+		if refusal != lockstep.NewerSteward {
+			seat := a.listener.Seat()
+			a.log.Info("steward not heeded", "reason", string(refusal), "steward", ask.Word.From, "term", ask.Word.Term,
+				"group", ask.Word.Group.Name, "epoch", ask.Word.Group.Epoch, "own-group", seat.Group.Name, "own-epoch", seat.Group.Epoch)
+		}
+		return refusal
+	}
+	if ask.Word.From != before.From {
+		a.log.Info("steward", "group", ask.Word.Group.Name, "epoch", ask.Word.Group.Epoch, "steward", ask.Word.From, "term", ask.Word.Term,
+			"before", before.From, "term-before", before.Term)
 	}
-	a.heardTerm, a.from, a.fromRank, a.fromSalt = ask.Term, ask.From, ask.Rank, ask.Salt
 	a.candidate.Heard(time.Now(), ask.Held)
 	a.words++
-	if ask.Roster != nil {
+	if ask.Roster != nil && ask.Roster.Group.Name == ask.Word.Group.Name {
 		a.roster = ask.Roster
 	}
-	return a.heardTerm, true
+	return lockstep.Heeded
 }
 
 // lastRoster returns the last roster that was told, or nil.
@@ -100,15 +156,15 @@
 func (a *agent) highestTerm() int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.heardTerm
+	return a.listener.Heard().Term
 }
 
-// digest returns what a gateway may know of the group, or nil if this agent is
+// digest returns what a gateway may know of a group, or nil if this agent is
 // not its steward. The targets are left out if the gateway has the list.
-func (a *agent) digest(list uint64) *rankpeer.Digest {
+func (a *agent) digest(group string, list uint64) *rankpeer.Digest {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.view == nil {
+	if a.view == nil || a.view.Group.Name != group {
 		return nil
 	}
 	d := *a.view
@@ -130,10 +186,11 @@
 func (a *agent) stewardBefore(self int) *lockstep.Predecessor {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.from == "" || a.fromRank == self {
+	heard := a.listener.Heard()
+	if heard.From == "" || heard.Rank == self {
 		return nil
 	}
-	return &lockstep.Predecessor{Rank: a.fromRank, Salt: a.fromSalt}
+	return &lockstep.Predecessor{Rank: heard.Rank, Salt: heard.Salt}
 }
 
 // due reports whether this agent should try to become the steward.
@@ -155,28 +212,46 @@
 	firstLook = 300 * time.Millisecond
 )
 
-// run watches for the silence of the steward until the context ends.
+// run watches for the silence of the steward until the context ends, in each group
+// that the rank belongs to in turn.
 func (a *agent) run(ctx context.Context) {
-	st, ok := a.firstState(ctx)
-	if !ok {
-		return
-	}
-	if st.Rank == 0 {
-		a.lead(ctx, st)
+	for {
+		st, ok := a.awaitSeat(ctx)
+		if !ok {
+			return
+		}
+		if st.Rank == 0 {
+			a.lead(ctx, st)
+		}
+		a.watch(ctx, st)
 	}
+}
+
+// watch leads the group whenever its steward is silent, until the rank has another
+// seat.
+func (a *agent) watch(ctx context.Context, st platform.RankState) {
 	for pause.For(ctx, watchEvery) {
-		if a.due(st.Rank) {
+		if !a.seat().Same(lockstep.SeatOf(&st)) {
+			return
+		}
+		if !a.due(st.Rank) {
+			continue
+		}
+		// The last steward may be silent because the group is no more.
+		if now, err := a.readRank(ctx); err == nil {
+			st.Epoch = now.Epoch
+		}
+		if a.seat().Same(lockstep.SeatOf(&st)) {
 			a.lead(ctx, st)
 		}
 	}
 }
 
-// firstState waits until the rank says which group it belongs to.
-func (a *agent) firstState(ctx context.Context) (platform.RankState, bool) {
+// awaitSeat waits until the rank says which group it belongs to.
+func (a *agent) awaitSeat(ctx context.Context) (platform.RankState, bool) {
 	for ctx.Err() == nil {
 		st, err := a.readRank(ctx)
 		if err == nil && st.Group != "" {
-			a.log.Info("rank", "group", st.Group, "rank", st.Rank, "size", st.Size, "epoch", st.Epoch)
 			return st, true
 		}
 		pause.For(ctx, firstLook)
@@ -184,8 +259,14 @@
 	return platform.RankState{}, false
 }
 
+// readRank reads the rank, and takes in where it sits.
 func (a *agent) readRank(ctx context.Context) (platform.RankState, error) {
 	ctx, cancel := context.WithTimeout(ctx, readWait)
 	defer cancel()
-	return a.rank.State(ctx)
+	asked := time.Now()
+	st, err := a.rank.State(ctx)
+	if err == nil {
+		a.sit(&st, asked)
+	}
+	return st, err
 }
--- a/sidecar/ask.go
+++ b/sidecar/ask.go
@@ -4,13 +4,11 @@
 	"context"
 	"maps"
 	"net/http"
-	"reflect"
 	"slices"
 	"sync"
 	"time"
 
 	"verbenashift/core/lockstep"
-	"verbenashift/core/mirror"
 	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
@@ -48,79 +46,13 @@
 	return some
 }
 
-// meet keeps a peer for each target of the service that the store names.
-func (s *steward) meet() {
-	v := s.targets.View()
-	if v == nil || v == s.seen {
-		return
-	}
-	s.seen = v
-	s.enrol(s.rosterOf(v))
-}
-
-// rosterOf makes the roster of a view.
-func (s *steward) rosterOf(v *mirror.View) *rankpeer.Roster {
-	r := &rankpeer.Roster{Gap: v.ShortestGap(s.boot.Service)}
-	for _, id := range slices.Sorted(maps.Keys(v.Targets)) {
-		if t := v.Targets[id]; t.Service == s.boot.Service {
-			r.Members = append(r.Members, rankpeer.Member{ID: id, Addr: t.Addr})
-			if t.Addr == s.boot.Target {
-				r.Steward = id
-			}
-		}
-	}
-	for i := range v.Config.Services {
-		if svc := &v.Config.Services[i]; svc.Name == s.boot.Service && svc.Engine != nil {
-			r.Engine = *svc.Engine
-		}
-	}
-	return r
-}
-
-// enrol keeps a peer for each member of a roster, and has it told to all agents.
-func (s *steward) enrol(r *rankpeer.Roster) {
-	if r == nil || s.roster != nil && reflect.DeepEqual(r, s.roster) {
-		return
-	}
-	s.roster = r
-	members := make(map[string]bool, len(r.Members))
-	for _, m := range r.Members {
-		members[m.ID] = true
-		if s.peers[m.ID] == nil {
-			s.peers[m.ID] = newPeer(m, s.boot.PortFirst, len(s.peers), s.log)
-		}
-	}
-	if p := s.peers[r.Steward]; p != nil && p.member.Addr != s.boot.Target {
-		// The steward before has fallen silent: its instance must not hold up the
-		// first round, in which a hold that it has left is found.
-		p.lost = true
-	}
-	for id, p := range s.peers {
-		if !members[id] {
-			p.close()
-			delete(s.peers, id)
-		}
-	}
-	if r.Engine.Sets > 0 {
-		s.planner.shape(r.Engine)
-	}
-}
-
 // askAll asks peers at once and gives them their orders. It reports false when
 // a newer steward has been heard.
 func (s *steward) askAll(ctx context.Context, peers map[string]*peer, full bool) bool {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for id, p := range peers {
-		cmd, ordered := s.pending[id]
-		ask := rankpeer.Ask{Term: s.term, From: s.boot.Instance, Rank: s.rankOf, Salt: s.salt, Held: s.holding, Counts: !ordered && s.countsDue(p), Placement: full}
-		if ordered {
-			ask.Order = &cmd.Order
-			s.pack(id, &ask)
-		}
-		if p.told != s.roster {
-			ask.Roster = s.roster
-		}
+		ask, cmd := s.askOf(id, p, full)
 		wg.Go(func() {
 			tell := p.command(ctx, ask, cmd.Direct)
 			mu.Lock()
@@ -130,15 +62,36 @@
 	}
 	wg.Wait()
 	for id := range peers {
-		if newer := s.tells[id].Term; newer > s.term {
-			s.log.Info("a newer steward is at work", "newer-term", newer)
+		t := s.tells[id]
+		if t.Refused == lockstep.NewerSteward && t.Term > s.term {
+			s.log.Info("a newer steward is at work", "target", id, "newer-term", t.Term)
 			return false
 		}
+		s.locate(id, t)
 	}
 	s.refusals()
 	return true
 }
 
+// askOf returns what one peer is asked, with the order that it gets.
+func (s *steward) askOf(id string, p *peer, full bool) (rankpeer.Ask, lockstep.Command) {
+	cmd, ordered := s.pending[id]
+	ask := rankpeer.Ask{Word: s.word(), Held: s.holding, Counts: !ordered && s.countsDue(p), Placement: full}
+	if ordered {
+		ask.Order = &cmd.Order
+		s.pack(id, &ask)
+	}
+	if p.told != s.roster {
+		ask.Roster = s.roster
+	}
+	return ask, cmd
+}
+
+// word is what the steward says of itself.
+func (s *steward) word() lockstep.Word {
+	return lockstep.Word{Group: s.group, Term: s.term, From: s.boot.Instance, Rank: s.rankOf, Salt: s.salt}
+}
+
 // countsDue reports whether it is a peer's turn to tell its counts.
 func (s *steward) countsDue(p *peer) bool {
 	groups := (len(s.peers) + countsInTurn - 1) / countsInTurn
@@ -207,7 +160,7 @@
 func (s *steward) arrange() []lockstep.Rank {
 	size := 0
 	for _, t := range s.tells {
-		if t.Known && t.State.Group == s.group {
+		if t.Known && t.State.Group == s.group.Name {
 			size = max(size, t.State.Size)
 		}
 	}
@@ -215,7 +168,7 @@
 	s.byRank = make([]string, size)
 	for _, id := range slices.Sorted(maps.Keys(s.tells)) {
 		t := s.tells[id]
-		if t.Known && t.State.Group == s.group && t.State.Rank >= 0 && t.State.Rank < size {
+		if t.Known && t.State.Group == s.group.Name && t.State.Rank >= 0 && t.State.Rank < size {
 			ranks[t.State.Rank] = lockstep.Rank{Known: true, State: t.State}
 			s.byRank[t.State.Rank] = id
 		}
--- a/sidecar/claim.go
+++ b/sidecar/claim.go
@@ -34,7 +34,7 @@
 // claim tries to make this agent the steward of a group, in the background, unless
 // it is needless by the time that the claim would be written. The channel gets one
 // value.
-func (a *agent) claim(ctx context.Context, group string, needless func() bool) <-chan claimed {
+func (a *agent) claim(ctx context.Context, group platform.GroupID, needless func() bool) <-chan claimed {
 	done := make(chan claimed, 1)
 	go func() { done <- a.writeClaim(ctx, group, needless) }()
 	return done
@@ -50,15 +50,16 @@
 func (a *agent) unheard(revision int64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	fresh := a.heardTerm != 0 && revision > a.heardTerm && revision != a.seenClaim
+	heard := a.listener.Heard().Term
+	fresh := heard != 0 && revision > heard && revision != a.seenClaim
 	a.seenClaim = revision
 	return fresh
 }
 
-func (a *agent) writeClaim(ctx context.Context, group string, needless func() bool) claimed {
+func (a *agent) writeClaim(ctx context.Context, group platform.GroupID, needless func() bool) claimed {
 	ctx, cancel := context.WithTimeout(ctx, claimWait)
 	defer cancel()
-	key := rankpeer.ClaimPrefix + group
+	key := rankpeer.Key(rankpeer.ClaimPrefix, group.Name)
 	cond := platform.Condition{Key: key}
 	it, err := a.store.Get(ctx, key)
 	var status *platform.StatusError
@@ -67,10 +68,10 @@
 		// Another steward has spoken while the store was asked. If it were taken
 		// over from, it would be the steward before, and a hold of the silent one
 		// could not be given up any more; see package lockstep.
-		a.log.Info("another steward is at work", "group", group)
+		a.log.Info("another steward is at work", "group", group.Name)
 		return claimed{lost: true}
 	case err == nil && a.unheard(it.Revision):
-		a.log.Info("another steward has claimed", "group", group, "revision", it.Revision)
+		a.log.Info("another steward has claimed", "group", group.Name, "revision", it.Revision)
 		return claimed{lost: true}
 	case err == nil:
 		cond.Revision = it.Revision
@@ -79,13 +80,13 @@
 		a.log.Warn("store does not answer a claim", "error", err.Error())
 		return claimed{}
 	}
-	term, err := a.store.Put(ctx, cond, []byte(a.addr().String()))
+	term, err := a.store.Put(ctx, cond, rankpeer.Claim{Group: group.Name, Epoch: group.Epoch, Addr: a.addr().String()}.Bytes())
 	if err == nil {
-		a.log.Info("claimed", "group", group, "term", term, "revision-before", cond.Revision)
+		a.log.Info("claimed", "group", group.Name, "epoch", group.Epoch, "term", term, "revision-before", cond.Revision)
 		return claimed{term: term}
 	}
 	if errors.As(err, &status) && status.Conflict() {
-		a.log.Info("another steward was faster", "group", group)
+		a.log.Info("another steward was faster", "group", group.Name)
 		return claimed{lost: true}
 	}
 	a.log.Warn("claim not answered", "error", err.Error())
@@ -110,7 +111,7 @@
 
 // takeOver claims a group and returns the duty. It reports false if another
 // steward is at work.
-func (a *agent) takeOver(ctx context.Context, group string) (duty, bool) {
+func (a *agent) takeOver(ctx context.Context, group platform.GroupID) (duty, bool) {
 	words := a.heardWords()
 	spoken := func() bool { return a.heardWords() != words }
 	d := duty{claiming: a.claim(ctx, group, spoken), claimedAt: time.Now()}
@@ -128,7 +129,7 @@
 		if spoken() {
 			// Another agent has begun to act meanwhile. Each one that follows
 			// would have the group begin its change anew.
-			a.log.Info("another steward acts", "group", group)
+			a.log.Info("another steward acts", "group", group.Name)
 			return d, false
 		}
 		d.term, d.acting = a.highestTerm()+1, true
--- /dev/null
+++ b/sidecar/members.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"maps"
+	"reflect"
+	"slices"
+	"time"
+
+	"verbenashift/core/lockstep"
+	"verbenashift/core/mirror"
+	"verbenashift/core/rankpeer"
+	"verbenashift/platform"
+)
+
+// strayEvery is how often a steward whose group lacks a rank asks all targets of its
+// service where they belong: the store's word on that may lag. A group takes half a
+// second and more to form.
+const strayEvery = 2 * time.Second
+
+// members is what a steward knows of which targets hold the ranks of its group.
+type members struct {
+	peers map[string]*peer
+	// roster is what the agents are told of the group; seen is the view that it
+	// was made from, nil for one that was told by an earlier steward.
+	roster *rankpeer.Roster
+	seen   *mirror.View
+	// elsewhere are targets that have told that they belong to another group.
+	elsewhere map[string]platform.GroupID
+	// strayAt is when all targets of the service were asked last.
+	strayAt time.Time
+}
+
+// meet keeps a peer for each target that may hold a rank of the group. Some services
+// have several groups, and their servers tell the store which one is theirs; those
+// that don't are asked once.
+func (s *steward) meet(now time.Time) {
+	v := s.targets.View()
+	if v == nil {
+		return
+	}
+	stray := !s.whole && now.Sub(s.strayAt) >= strayEvery
+	if v == s.seen && !stray {
+		return
+	}
+	if stray {
+		s.strayAt = now
+		clear(s.elsewhere)
+	}
+	s.seen = v
+	s.enrol(s.rosterOf(v, stray))
+}
+
+// rosterOf makes the roster of a view. All takes in also the targets that, by the
+// store, belong to another group.
+func (s *steward) rosterOf(v *mirror.View, all bool) *rankpeer.Roster {
+	r := &rankpeer.Roster{Group: s.group, Gap: v.ShortestGap(s.boot.Service)}
+	for _, id := range slices.Sorted(maps.Keys(v.Targets)) {
+		t := v.Targets[id]
+		if t.Service != s.boot.Service || !all && !s.mayBelong(&t) {
+			continue
+		}
+		r.Members = append(r.Members, rankpeer.Member{ID: id, Addr: t.Addr, Born: t.Born})
+		if t.Addr == s.boot.Target {
+			r.Steward = id
+		}
+	}
+	for i := range v.Config.Services {
+		if svc := &v.Config.Services[i]; svc.Name == s.boot.Service && svc.Engine != nil {
+			r.Engine = *svc.Engine
+		}
+	}
+	return r
+}
+
+// mayBelong reports whether a target may hold a rank of the group: what its rank has
+// told goes before what stands in the store.
+func (s *steward) mayBelong(t *platform.Target) bool {
+	if _, told := s.elsewhere[t.ID]; told {
+		return false
+	}
+	if p := s.peers[t.ID]; p != nil && p.belongs {
+		return true
+	}
+	return t.Group.Name == "" || t.Group.Name == s.group.Name
+}
+
+// locate takes what a peer has told of where it belongs.
+func (s *steward) locate(id string, t rankpeer.Tell) {
+	p := s.peers[id]
+	if p == nil || t.Group.Name == "" {
+		return
+	}
+	if t.Group.Name == s.group.Name {
+		p.belongs = true
+		if s.group.Older(t.Group) {
+			s.log.Info("group has been formed anew", "epoch", t.Group.Epoch, "epoch-before", s.group.Epoch, "told-by", id)
+			s.group.Epoch = t.Group.Epoch
+		}
+		return
+	}
+	p.belongs = false
+	if _, known := s.elsewhere[id]; !known {
+		s.elsewhere[id] = t.Group
+		s.log.Info("target belongs to another group", "target", id, "its-group", t.Group.Name)
+	}
+	delete(s.tells, id)
+	// It is asked no more; the next view makes the roster without it.
+	p.close()
+	delete(s.peers, id)
+}
+
+// enrol keeps a peer for each member of a roster, and has it told to all agents.
+func (s *steward) enrol(r *rankpeer.Roster) {
+	if r == nil || r.Group.Name != s.group.Name || s.roster != nil && reflect.DeepEqual(r, s.roster) {
+		return
+	}
+	s.roster = r
+	wanted := make(map[string]rankpeer.Member, len(r.Members))
+	for _, m := range r.Members {
+		wanted[m.ID] = m
+	}
+	for id, p := range s.peers {
+		if wanted[id] != p.member {
+			// It is gone, or has started again: what was known of it is void.
+			p.close()
+			delete(s.peers, id)
+		}
+	}
+	for id, m := range wanted {
+		if s.peers[id] == nil {
+			s.peers[id] = newPeer(m, s.boot.PortFirst, len(s.peers), s.log)
+		}
+	}
+	if p := s.peers[r.Steward]; p != nil && p.member.Addr != s.boot.Target {
+		// The steward before has fallen silent: its instance must not hold up the
+		// first round, in which a hold that it has left is found.
+		p.lost = true
+	}
+	if r.Engine.Sets > 0 {
+		s.planner.shape(r.Engine)
+	}
+}
+
+// seated reports whether the steward's own rank still belongs to the group: an agent
+// whose rank has joined another one, or has started anew, has no say in this one.
+func (s *steward) seated() bool {
+	seat := s.seat()
+	return seat.Same(lockstep.Seat{Group: s.group, Rank: s.rankOf, Born: s.born})
+}
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -9,13 +9,11 @@
 	"time"
 
 	"verbenashift/core/pause"
+	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
 
 const (
-	// loadsPrefix begins the keys of the store that hold how much the experts of
-	// a group were chosen lately.
-	loadsPrefix = "verbenashift/loads/"
 	// saveEvery is how often that is written while it changes. The mix of work
 	// changes every few seconds; a write costs the store one call.
 	saveEvery = 4 * time.Second
@@ -28,30 +26,38 @@
 // savedLoads are the loads of the experts by layer, each layer's scaled to the
 // range of the numbers.
 type savedLoads struct {
+	// Group is the group that they were seen in. Loads of another group are not used;
+	// those of an earlier epoch are: they are what callers asked for, not what ranks
+	// held.
+	Group  platform.GroupID
 	Layers [][]uint16
 }
 
 // recallLoads reads the loads that an earlier steward has saved. After a loss of
 // power all ranks begin with their first map and all stewards without counts:
 // what was balanced a second ago is the best guess until new counts are in.
-func (a *agent) recallLoads(ctx context.Context, group string) *savedLoads {
+func (a *agent) recallLoads(ctx context.Context, group platform.GroupID) *savedLoads {
 	ctx, cancel := context.WithTimeout(ctx, loadsWait)
 	defer cancel()
-	it, err := a.store.Get(ctx, loadsPrefix+group)
+	it, err := a.store.Get(ctx, rankpeer.Key(rankpeer.LoadsPrefix, group.Name))
 	var status *platform.StatusError
 	if errors.As(err, &status) && status.NotFound() {
 		return nil
 	}
 	if err != nil {
-		a.log.Warn("saved loads not read", "group", group, "error", err.Error())
+		a.log.Warn("saved loads not read", "group", group.Name, "error", err.Error())
 		return nil
 	}
 	var saved savedLoads
 	if err := gob.NewDecoder(bytes.NewReader(it.Value)).Decode(&saved); err != nil {
-		a.log.Error("saved loads not understood", "group", group, "error", err.Error())
+		a.log.Error("saved loads not understood", "group", group.Name, "error", err.Error())
 		return nil
 	}
-	a.log.Info("loads recalled", "group", group, "revision", it.Revision)
+	if saved.Group.Name != group.Name {
+		a.log.Warn("saved loads are of another group", "group", group.Name, "theirs", saved.Group.Name)
+		return nil
+	}
+	a.log.Info("loads recalled", "group", group.Name, "epoch", saved.Group.Epoch, "own-epoch", group.Epoch, "revision", it.Revision)
 	return &saved
 }
 
@@ -79,7 +85,7 @@
 	if err := gob.NewEncoder(&data).Encode(saved); err != nil {
 		return err
 	}
-	return s.store.Set(ctx, loadsPrefix+s.group, data.Bytes())
+	return s.store.Set(ctx, rankpeer.Key(rankpeer.LoadsPrefix, saved.Group.Name), data.Bytes())
 }
 
 // scaled returns loads as numbers of the saved form.
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"expvar"
+	"sync/atomic"
+	"time"
 
 	"verbenashift/core/histogram"
 )
@@ -12,6 +14,7 @@
 	metricOrders     = expvar.NewMap("orders-by-kind-and-status")
 	metricUnanswered = expvar.NewMap("orders-unanswered-by-kind")
 	metricSteward    = expvar.NewInt("steward")
+	metricGroup      = expvar.NewString("steward-of-group")
 	metricTerm       = expvar.NewInt("steward-term")
 	metricChanges    = expvar.NewInt("map-changes")
 	metricSkew       = expvar.NewFloat("skew")
@@ -20,3 +23,20 @@
 	metricRound      = histogram.New("round-ms")
 	metricHeld       = histogram.New("held-ms")
 )
+
+var (
+	processStart = time.Now()
+	// lastChange is how long after processStart this steward's last change of the map
+	// came into force, in nanoseconds; 0 before any.
+	lastChange atomic.Int64
+)
+
+func init() {
+	expvar.Publish("since-map-change-ms", expvar.Func(func() any {
+		at := time.Duration(lastChange.Load())
+		if at == 0 {
+			return -1
+		}
+		return (time.Since(processStart) - at).Milliseconds()
+	}))
+}
--- a/sidecar/peer.go
+++ b/sidecar/peer.go
@@ -27,6 +27,8 @@
 // straight to the rank while that does not answer.
 type peer struct {
 	member rankpeer.Member
+	// belongs says that its rank has told that it belongs to the steward's group.
+	belongs bool
 	// number spreads the peers over the rounds.
 	number  int
 	sidecar *rankpeer.Client
--- a/sidecar/planner.go
+++ b/sidecar/planner.go
@@ -56,6 +56,9 @@
 	guess *savedLoads
 	// placed says that places are those of the map in force.
 	placed bool
+	// skew is the mean skew of the layers under the map in force, as the last counts
+	// have it; 0 if it is not known.
+	skew float64
 }
 
 // proposal is a better map with what is expected of it.
@@ -108,7 +111,7 @@
 
 // take takes in what the ranks have told.
 func (p *planner) take(now time.Time, byRank []string, tells map[string]rankpeer.Tell) {
-	p.ranks, p.placed = byRank, false
+	p.ranks, p.placed, p.skew = byRank, false, 0
 	experts := p.engine.Experts
 	if p.engine.Sets == 0 {
 		return
@@ -134,6 +137,7 @@
 			p.group.Ranks[r].Pace = pace
 		}
 	}
+	p.skew = p.measure()
 }
 
 // better returns a better map, if there is one that is worth its copies. Pressed
@@ -146,7 +150,7 @@
 	if !p.placed || !p.judged() {
 		return proposal{}, false
 	}
-	if p.skew()-1 < gain {
+	if p.skew-1 < gain {
 		return proposal{}, false
 	}
 	maps := p.flat()
@@ -165,9 +169,9 @@
 	return pr, true
 }
 
-// skew returns the mean skew of the layers under the map in force, or 0 if it is
+// measure returns the mean skew of the layers under the map in force, or 0 if it is
 // not known.
-func (p *planner) skew() float64 {
+func (p *planner) measure() float64 {
 	if !p.placed || !p.judged() {
 		return 0
 	}
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -24,6 +24,7 @@
 func (s *steward) offerLoads() {
 	if s.planner.judged() {
 		saved := s.planner.save()
+		saved.Group = s.group
 		s.mu.Lock()
 		s.toSave = saved
 		s.mu.Unlock()
@@ -32,7 +33,10 @@
 
 // digestOf returns what gateways may know of the group.
 func (s *steward) digestOf(ranks []lockstep.Rank) *rankpeer.Digest {
-	d := &rankpeer.Digest{Group: s.group}
+	d := &rankpeer.Digest{
+		Group: s.group, Term: s.term, Open: lockstep.Open(ranks),
+		Pass: s.core.PassTime(), Skew: float32(s.planner.skew),
+	}
 	list := fnv.New64a()
 	for i := range ranks {
 		st := &ranks[i].State
@@ -59,8 +63,7 @@
 	}
 	s.reported = now
 	s.offerLoads()
-	skew := s.planner.skew()
-	metricSkew.Set(skew)
+	metricSkew.Set(s.planner.skew)
 	metricPass.Set(s.core.PassTime().Milliseconds())
 	known, running, queued, slow := 0, 0, 0, 0.0
 	for i := range ranks {
@@ -73,6 +76,6 @@
 		}
 	}
 	metricKnown.Set(int64(known))
-	s.log.Info("group state", "ranks", len(ranks), "known", known, "running", running, "queued", queued,
-		"skew", skew, "pass-ms", s.core.PassTime().Milliseconds(), "round-ms", s.roundTook.Milliseconds(), "slowest-pace", slow, "idle", s.core.Idle(ranks), "placed", s.planner.placed)
+	s.log.Info("group state", "epoch", s.group.Epoch, "ranks", len(ranks), "known", known, "running", running, "queued", queued,
+		"skew", s.planner.skew, "pass-ms", s.core.PassTime().Milliseconds(), "round-ms", s.roundTook.Milliseconds(), "slowest-pace", slow, "idle", s.core.Idle(ranks), "placed", s.planner.placed)
 }
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -31,18 +31,18 @@
 // steward drives the changes of one group's map.
 type steward struct {
 	*agent
-	group string
-	// rankOf is the rank beside which the steward runs.
+	// group is the life of the group that the steward asks in.
+	group platform.GroupID
+	// rankOf is the rank beside which the steward runs, born when its server started.
 	rankOf int
+	born   int64
 	// salt is what the steward was made with; see lockstep.Predecessor.
 	salt uint64
 	duty
 	targets *mirror.Follower
-	peers   map[string]*peer
-	// roster is what the agents are told of the group; seen is the view that it
-	// was made from, nil for one that was told by an earlier steward.
-	roster *rankpeer.Roster
-	seen   *mirror.View
+	members
+	// whole says that every rank of the group was known in the last round.
+	whole bool
 	// byRank are the targets of the group's ranks.
 	byRank  []string
 	core    *lockstep.Steward
@@ -83,29 +83,33 @@
 func (a *agent) lead(ctx context.Context, st platform.RankState) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	d, ok := a.takeOver(ctx, st.Group)
+	group := st.GroupID()
+	d, ok := a.takeOver(ctx, group)
 	if !ok {
 		return
 	}
 	salt := rand.Uint64()
 	s := &steward{
-		agent: a, salt: salt, group: st.Group, rankOf: st.Rank, duty: d,
-		targets: mirror.NewFollower(a.store, a.log), peers: map[string]*peer{},
-		core: lockstep.NewSteward(st.Rank, a.stewardBefore(st.Rank), salt), pending: map[string]lockstep.Command{},
-		log: a.log.With("group", st.Group, "service", a.boot.Service, "steward-from", d.term),
+		agent: a, salt: salt, group: group, rankOf: st.Rank, born: st.Born, duty: d,
+		targets: mirror.NewFollower(a.store, a.log),
+		members: members{peers: map[string]*peer{}, elsewhere: map[string]platform.GroupID{}, strayAt: time.Now()},
+		core:    lockstep.NewSteward(st.Rank, a.stewardBefore(st.Rank), salt), pending: map[string]lockstep.Command{},
+		log: a.log.With("group", group.Name, "service", a.boot.Service, "steward-from", d.term),
 	}
 	s.core.Fence = d.term
 	if !d.acting {
-		s.planner.guess = a.recallLoads(ctx, st.Group)
+		s.planner.guess = a.recallLoads(ctx, group)
 	}
 	s.enrol(a.lastRoster())
 	go s.targets.Run(ctx)
 	go s.keepLoads(ctx)
-	s.log.Info("steward begins", "term", d.term, "acting", d.acting, "members", len(s.peers))
+	s.log.Info("steward begins", "epoch", group.Epoch, "term", d.term, "acting", d.acting, "members", len(s.peers))
 	metricSteward.Set(1)
+	metricGroup.Set(group.Name)
 	metricTerm.Set(d.term)
 	s.drive(ctx)
 	metricSteward.Set(0)
+	metricGroup.Set("")
 	s.setDigest(nil)
 	for _, p := range s.peers {
 		p.close()
@@ -123,6 +127,10 @@
 			return
 		}
 		began = now
+		if !s.seated() {
+			s.log.Info("own rank has left the group", "own-group", s.seat().Group.Name)
+			return
+		}
 		if !s.renewDuty(ctx, now) {
 			return
 		}
@@ -143,7 +151,7 @@
 // round asks all ranks, takes in what they tell, and decides the next orders.
 // Ok is false when a newer steward has been heard.
 func (s *steward) round(ctx context.Context, now time.Time) (busy, ok bool) {
-	s.meet()
+	s.meet(now)
 	needPlaces := !s.planner.placed
 	s.tells = map[string]rankpeer.Tell{}
 	s.startCounting(now)
@@ -151,6 +159,7 @@
 		return false, false
 	}
 	ranks := s.arrange()
+	s.whole = lockstep.Whole(ranks)
 	s.roundTook = time.Since(now)
 	metricRound.Record(s.roundTook.Milliseconds())
 	s.planner.take(now, s.byRank, s.tells)
@@ -203,6 +212,7 @@
 		s.base, s.baseAs = s.packed, version
 		s.changedAt = time.Now()
 		metricChanges.Add(1)
+		lastChange.Store(int64(time.Since(processStart)))
 	}
 }
 
@@ -216,7 +226,7 @@
 			continue
 		}
 		if s.base == nil || s.baseAs != st.Map {
-			if m := s.maps.get(st.Epoch, st.Map); m != nil {
+			if m := s.keptMaps().get(st.Epoch, st.Map); m != nil {
 				s.base, s.baseAs = m, st.Map
 			}
 		}
--- a/sidecar/talk.go
+++ b/sidecar/talk.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"verbenashift/core/lockstep"
 	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
@@ -41,33 +42,37 @@
 	}
 }
 
-// answer does what a steward asks, unless a newer one has been heard: the
-// orders of a steward that was paused must not reach the rank.
+// answer does what a steward asks, unless its word is not for this rank, or a newer
+// one has been heard: the orders of a steward that was paused, or of one whose group
+// the rank has left, must not reach the rank.
 func (a *agent) answer(ask rankpeer.Ask) rankpeer.Tell {
 	if ask.Digest {
-		return rankpeer.Tell{Term: a.highestTerm(), Digest: a.digest(ask.List)}
+		return rankpeer.Tell{Group: a.seat().Group, Term: a.highestTerm(), Digest: a.digest(ask.Word.Group.Name, ask.List)}
 	}
-	term, ok := a.hear(ask)
-	if !ok {
-		return rankpeer.Tell{Term: term}
+	a.refreshSeat()
+	refusal := a.hear(ask)
+	tell := rankpeer.Tell{Group: a.seat().Group, Refused: refusal, Term: a.highestTerm()}
+	if refusal != lockstep.Heeded {
+		return tell
 	}
-	return a.consult(ask, term)
+	a.consult(ask, &tell)
+	return tell
 }
 
 // consult gives the order to the rank and reads it.
-func (a *agent) consult(ask rankpeer.Ask, term int64) rankpeer.Tell {
-	tell := rankpeer.Tell{Term: term}
+func (a *agent) consult(ask rankpeer.Ask, tell *rankpeer.Tell) {
 	if ask.Order != nil {
 		tell.Status, tell.NeedMap = a.order(ask)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), readWait)
 	defer cancel()
-	st, err := a.rank.State(ctx)
+	st, err := a.readRank(ctx)
 	if err != nil {
 		a.log.Warn("rank not read", "error", err.Error())
-		return tell
+		return
 	}
 	tell.State, tell.Known = st, true
+	tell.Group = st.GroupID()
 	if ask.Counts {
 		if counts, err := a.rank.Counts(ctx); err == nil {
 			tell.Sample = a.sample(counts)
@@ -82,18 +87,24 @@
 			a.log.Warn("placement not read", "error", err.Error())
 		}
 	}
-	return tell
 }
 
 // order gives the order of an ask, with the map that its change makes.
 func (a *agent) order(ask rankpeer.Ask) (status int, needMap bool) {
 	var m *rankpeer.Map
 	if ask.Change != nil {
-		m = a.maps.make(ask.Order.Epoch, ask.Order.Version, ask.Change)
+		m = a.keptMaps().make(ask.Order.Epoch, ask.Order.Version, ask.Change)
 	}
 	return giveAsked(a.rank, ownWait, ask, m, a.log)
 }
 
+// keptMaps returns the maps of the group that the rank belongs to now.
+func (a *agent) keptMaps() *mapStore {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.maps
+}
+
 // giveAsked gives the order of an ask to a rank. An order that comes with a
 // change needs its map m; needMap says that m is nil or damaged, and that the
 // order was not given.
