Stand-in, proofs and stories of several groups; retries are bounded over a window

Cause: the stand-in had one group that nothing could happen to. It has any number now, whose servers tell the store which is theirs or not, may crash, and start again under their ID with their group in a new epoch.

The loss of a group showed that a gateway keeps five retries at most, while the bound is one over ten seconds: drafts that break off together were lost though hardly any retry was made before. Package retry counts over the window (TestMomentMayUseTheWholeWindow: 40 of 40, with a bucket 5).

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -51,6 +51,10 @@
 	// KeyStart and HopStart are what a workspace and a hop may spend before
 	// their first requests.
 	KeyStart, HopStart float64
+	// Window, if it is set, is the span over which retries are bounded: by Ratio of its
+	// requests and KeyBurst. Nothing is saved up beyond it, and one moment may use all
+	// of it. The hops are not bounded apart then.
+	Window time.Duration
 }
 
 func (l Limits) withDefaults() Limits {
@@ -71,8 +75,11 @@
 
 // Budget limits the retries of one workspace at one hop.
 type Budget struct {
-	own bucket
-	hop *bucket
+	limits *Limits
+	// window is nil unless the limits have one; then it replaces the buckets.
+	window *window
+	own    bucket
+	hop    *bucket
 	// floorAt is when the floor last gave a retry.
 	floorAt time.Time
 }
@@ -86,6 +93,11 @@
 // of a retry.
 func (b *Budgets) Request(key Key, now time.Time) {
 	g := b.For(key)
+	if g.window != nil {
+		g.window.at(now).requests++
+		g.own.used = now
+		return
+	}
 	g.own.saved = min(b.limits.KeyBurst, g.own.saved+b.limits.Ratio)
 	g.own.used = now
 	g.hop.saved = min(b.limits.HopBurst, g.hop.saved+b.limits.Ratio)
@@ -101,7 +113,10 @@
 		hop = &bucket{saved: b.limits.HopStart}
 		b.hops[key.Hop] = hop
 	}
-	g := &Budget{hop: hop, own: bucket{saved: b.limits.KeyStart}}
+	g := &Budget{limits: &b.limits, hop: hop, own: bucket{saved: b.limits.KeyStart}}
+	if b.limits.Window > 0 {
+		g.window = newWindow(b.limits.Window)
+	}
 	b.keys[key] = g
 	return g
 }
@@ -119,6 +134,13 @@
 // and the hop must have it saved up: the floors of many workspaces together
 // would otherwise be the storm that the budget is to prevent.
 func (g *Budget) Take(now time.Time) bool {
+	if g.window != nil {
+		if g.Left(now) < 1 {
+			return false
+		}
+		g.window.at(now).retries++
+		return true
+	}
 	g.hop.earn(now)
 	if g.hop.saved < 1 {
 		return false
@@ -136,7 +158,12 @@
 }
 
 // Left returns how many retries the key may make now.
-func (g *Budget) Left() float64 { return min(g.own.saved, g.hop.saved) }
+func (g *Budget) Left(now time.Time) float64 {
+	if g.window != nil {
+		return g.window.left(g.limits.Ratio, g.limits.KeyBurst, now)
+	}
+	return min(g.own.saved, g.hop.saved)
+}
 
 // earn adds the retries of the floor to a hop, which never exceed one.
 func (b *bucket) earn(now time.Time) {
--- /dev/null
+++ b/core/retry/window_test.go
@@ -0,0 +1,88 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// windowed returns budgets over ten seconds.
+func windowed() *Budgets {
+	return NewBudgets(Limits{Ratio: 0.2, KeyBurst: 4, Window: 10 * time.Second})
+}
+
+// A group of servers dies under load, and 40 drafts break off at the same moment. Some 500
+// requests have come in the ten seconds before, and none was tried again. With a few
+// retries saved up most of the drafts would be lost; the bound over ten seconds allows all.
+func TestMomentMayUseTheWholeWindow(t *testing.T) {
+	is := is.New(t)
+	key := Key{Workspace: "pool", Hop: "pool"}
+	b, saved := windowed(), NewBudgets(Limits{Ratio: 0.2, KeyBurst: 4, HopBurst: 4})
+	now := time.Unix(1000, 0)
+	for range 500 {
+		now = now.Add(20 * time.Millisecond)
+		b.Request(key, now)
+		saved.Request(key, now)
+	}
+	took, tookSaved := 0, 0
+	for range 40 {
+		if b.For(key).Take(now) {
+			took++
+		}
+		if saved.For(key).Take(now) {
+			tookSaved++
+		}
+	}
+	is.Equal(took, 40)
+	is.True(tookSaved <= 5)
+}
+
+// Retries come whenever they are wanted. In no span of ten seconds are there more than
+// the part of its requests and the few beside, wherever the span begins.
+func TestNoSpanHoldsMore(t *testing.T) {
+	is := is.New(t)
+	key := Key{Workspace: "pool", Hop: "pool"}
+	b := windowed()
+	start := time.Unix(1000, 0)
+	const step = 10 * time.Millisecond
+	var retries []time.Duration
+	for at := time.Duration(0); at < 45*time.Second; at += step {
+		now := start.Add(at)
+		b.Request(key, now) // 100 a second
+		// Greedy for seconds, then nothing.
+		for at/(7*time.Second)%2 == 0 && b.For(key).Take(now) {
+			retries = append(retries, at)
+		}
+	}
+	most := 0
+	for i, from := range retries {
+		n := 0
+		for _, at := range retries[i:] {
+			if at-from <= 10*time.Second {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	t.Logf("%d retries, at most %d in ten seconds", len(retries), most)
+	is.True(most <= 204)
+	is.True(len(retries) > 400)
+}
+
+// An entry was paused for a minute. What is long past does not count, and a time that is
+// told late counts in the newest step.
+func TestWindowAfterAPause(t *testing.T) {
+	is := is.New(t)
+	key := Key{Workspace: "pool", Hop: "pool"}
+	b := windowed()
+	now := time.Unix(1000, 0)
+	for range 100 {
+		b.Request(key, now)
+	}
+	is.Equal(b.For(key).Left(now), 24.0)
+	is.Equal(b.For(key).Left(now.Add(time.Minute)), 4.0)
+	is.Equal(b.For(key).Left(now), 4.0)
+	is.True(b.For(key).Take(now))
+	is.Equal(b.For(key).Left(now), 3.0)
+}
--- a/core/story/cause.go
+++ b/core/story/cause.go
@@ -28,6 +28,9 @@
 	ServerLost Kind = "connection to the server lost"
 	// ServerSilent: the server said nothing more while others went on.
 	ServerSilent Kind = "server silent"
+	// GroupSilent: all servers of an expert group said nothing more while other
+	// groups went on.
+	GroupSilent Kind = "group silent"
 	// RankMissing: a rank of the expert group did not answer, and its group makes
 	// no passes without it.
 	RankMissing Kind = "rank of the group missing"
@@ -109,13 +112,17 @@
 func lost(own []Line, end Line) Cause {
 	reason := end.Field("reason")
 	for _, l := range own {
-		if l.ID == end.ID && l.Message == "target silent" {
+		switch {
+		case l.ID != end.ID:
+		case l.Message == "target silent":
 			return Cause{ServerSilent, l.Field("target")}
+		case l.Message == "group silent":
+			return Cause{GroupSilent, l.Field("group")}
 		}
 	}
 	switch {
 	case strings.Contains(reason, "time of the request is over"), strings.Contains(reason, "i/o timeout"), reason == "deadline":
-		if c, ok := groupCause(own, end.Field("service")); ok {
+		if c, ok := groupCause(own, end); ok {
 			return c
 		}
 		return Cause{TimeOver, strings.Trim(reason, `"`)}
@@ -128,7 +135,7 @@
 // refused tells why nobody took a request.
 func refused(own []Line, end Line) Cause {
 	reason := end.Field("reason")
-	if c, ok := groupCause(own, end.Field("service")); ok {
+	if c, ok := groupCause(own, end); ok {
 		return c
 	}
 	switch {
@@ -156,14 +163,19 @@
 	return ""
 }
 
-// groupCause tells what kept an expert group from its work, by the last word of
-// its steward.
-func groupCause(own []Line, service string) (Cause, bool) {
+// groupCause tells what kept the request's expert group from its work, by the last
+// word of its steward. A request that has got no place had to wait for all groups of its
+// service; any of them may tell why.
+func groupCause(own []Line, end Line) (Cause, bool) {
+	service, group := end.Field("service"), end.Field("group")
 	for i := len(own) - 1; i >= 0; i-- {
 		l := own[i]
 		if of := l.Field("service"); l.Message != "group state" || of != "" && of != service {
 			continue
 		}
+		if of := l.Field("group"); group != "" && of != "" && of != group {
+			continue
+		}
 		number := func(name string) float64 {
 			x, err := strconv.ParseFloat(l.Field(name), 64)
 			if err != nil {
@@ -173,13 +185,21 @@
 		}
 		switch {
 		case number("known") < number("ranks"):
-			return Cause{RankMissing, fmt.Sprintf("%s of %s known", l.Field("known"), l.Field("ranks"))}, true
+			return Cause{RankMissing, inGroup(l, fmt.Sprintf("%s of %s known", l.Field("known"), l.Field("ranks")))}, true
 		case number("slowest-pace") > slowPace:
-			return Cause{SlowServer, "pace " + l.Field("slowest-pace")}, true
+			return Cause{SlowServer, inGroup(l, "pace "+l.Field("slowest-pace"))}, true
 		case number("skew") > unevenSkew:
-			return Cause{UnevenExperts, "skew " + l.Field("skew")}, true
+			return Cause{UnevenExperts, inGroup(l, "skew "+l.Field("skew"))}, true
 		}
 		return Cause{}, false
 	}
 	return Cause{}, false
 }
+
+// inGroup puts the name of a line's group before what it tells.
+func inGroup(l Line, what string) string {
+	if group := l.Field("group"); group != "" {
+		return "group " + group + ": " + what
+	}
+	return what
+}
--- a/core/story/story.go
+++ b/core/story/story.go
@@ -35,15 +35,17 @@
 // beliefs are the messages that tell what decided a request beside its own lines:
 // those of its gateway, and those of the stewards.
 var beliefs = map[string]bool{
-	"queue": true, "all targets refuse, requests wait": true, "targets take requests again": true,
+	"queue": true, "all targets of the group refuse": true, "targets of the group take requests again": true,
 	"target": true, "target gone": true, "target health": true, "target missing after an outage of the store": true,
 	"configuration in force": true, "store does not answer": true, "store answers again": true, "digest": true,
-	"stop": true, "start": true, "log lines left out": true,
+	"stop": true, "start": true, "log lines left out": true, "digest not used": true, "target started again": true,
+	"target has started again": true, "server entry not understood": true,
 }
 
 var groupBeliefs = map[string]bool{
 	"group state": true, "change of map": true, "steward begins": true, "steward ends": true,
 	"order refused": true, "order not answered": true, "order not understood": true, "sidecar does not answer": true,
+	"group has been formed anew": true, "steward not heeded": true, "own rank has left the group": true, "rank": true,
 }
 
 // Line is one line of a log.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -70,7 +70,7 @@
 	share := max(b.RetrySlack/gateways, 1)
 	return retry.Limits{
 		Ratio: b.RetryRatio * retryPart, KeyBurst: share, HopBurst: share,
-		KeyStart: share / 2, HopStart: share / 2,
+		KeyStart: share / 2, HopStart: share / 2, Window: b.RetryWindow,
 	}
 }
 
@@ -139,7 +139,7 @@
 func (g *gateway) retriesLeft(service string) float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.budgets.For(budgetOf(service)).Left()
+	return g.budgets.For(budgetOf(service)).Left(time.Now())
 }
 
 // admitter returns the admitter of a service, or nil if it has none.
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -33,8 +33,11 @@
 	cmds map[string]*exec.Cmd
 }
 
-// startFleet starts a fleet of four ranks and two gateways and waits until it is
-// ready.
+// fleetRanks is how many ranks a group has in these tests.
+const fleetRanks = 4
+
+// startFleet starts a fleet with groups of four ranks and two gateways and waits until
+// it is ready.
 func startFleet(t *testing.T, shape fleet.Shape) *fleetScene {
 	t.Helper()
 	ctx := inPlace(t)
@@ -42,7 +45,7 @@
 	var err error
 	s.dir, err = deployment.Build(ctx)
 	s.NoErr(err)
-	shape.Dir, shape.Ranks, shape.Gateways = t.TempDir(), 4, 2
+	shape.Dir, shape.Ranks, shape.Gateways = t.TempDir(), fleetRanks, 2
 	t.Cleanup(s.keepLogs)
 	s.Fleet, err = fleet.Start(shape)
 	s.NoErr(err)
@@ -124,10 +127,13 @@
 	return string(data)
 }
 
-// steward returns the name of the sidecar that is the steward.
-func (s *fleetScene) steward() string {
+// steward returns the name of the sidecar that is the steward of the first group.
+func (s *fleetScene) steward() string { return s.stewardOf(0) }
+
+// stewardOf returns the name of the sidecar that is the steward of a group.
+func (s *fleetScene) stewardOf(group int) string {
 	best, at := "", -1
-	for i := range 4 {
+	for i := group * fleetRanks; i < (group+1)*fleetRanks; i++ {
 		name := fmt.Sprintf("side-%d", i)
 		for _, line := range strings.Split(s.log(name), "\n") {
 			var term int
@@ -175,10 +181,17 @@
 // changes shifts what is liked until the map has changed again: a shift that
 // leaves the ranks about even is not worth a change.
 func (s *fleetScene) changes() {
-	before := fleet.Judge(s.Fleet, nil).Changes
-	for i := 0; fleet.Judge(s.Fleet, nil).Changes == before; i++ {
+	for group := range s.Groups {
+		s.changesOf(group)
+	}
+}
+
+// changesOf is the same for one group.
+func (s *fleetScene) changesOf(group int) {
+	before := fleet.Judge(s.Fleet, nil).ChangesOf[group]
+	for i := 0; fleet.Judge(s.Fleet, nil).ChangesOf[group] == before; i++ {
 		if i%20 == 0 {
-			s.Group.Shift()
+			s.Groups[group].Shift()
 		}
 		select {
 		case <-s.ctx.Done():
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -126,7 +126,7 @@
 		f.note("history dropped")
 	case 8:
 		f.Configure(1500 + f.rng.IntN(1000))
-		f.Group.Shift()
+		f.Shift()
 		f.note("configuration and shift")
 	case 9:
 		f.note("servers refuse")
--- a/standin/fleet/command.go
+++ b/standin/fleet/command.go
@@ -28,7 +28,8 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "dir", Usage: "write the settings files to `DIR`", Required: true, Destination: &shape.Dir},
 			&cli.StringFlag{Name: "block", Usage: "first three numbers of the loopback addresses", Value: "127.0.60", Destination: &shape.Block},
-			&cli.IntFlag{Name: "ranks", Usage: "ranks of the expert group", Value: 4, Destination: &shape.Ranks},
+			&cli.IntFlag{Name: "ranks", Usage: "ranks of an expert group", Value: 4, Destination: &shape.Ranks},
+			&cli.IntFlag{Name: "groups", Usage: "expert groups", Value: 2, Destination: &shape.Groups},
 			&cli.IntFlag{Name: "gateways", Usage: "gateways", Value: 2, Destination: &shape.Gateways},
 			&cli.Float64Flag{Name: "late-orders", Usage: "share of orders that are carried out late", Destination: &shape.LateOrders},
 			&cli.IntFlag{Name: "requests", Usage: "requests to play", Value: 600, Destination: &requests},
@@ -50,7 +51,7 @@
 		return err
 	}
 	calls := Play(ctx, f, requests/2)
-	f.Group.Shift()
+	f.Shift()
 	calls = append(calls, Play(ctx, f, requests-requests/2)...)
 	v := Judge(f, calls)
 	if err := json.NewEncoder(os.Stdout).Encode(v); err != nil {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -20,6 +20,11 @@
 	// Block is the first three numbers of the loopback addresses.
 	Block           string
 	Ranks, Gateways int
+	// Groups is how many expert groups serve side by side, each of so many ranks; 0
+	// means one.
+	Groups int
+	// Quiet says that servers do not tell the store which group is theirs.
+	Quiet bool
 	// LateOrders is the share of orders that are carried out late.
 	LateOrders float64
 	// Links puts Fleet.Links between the processes and the store and servers.
@@ -36,7 +41,7 @@
 type Fleet struct {
 	Shape
 	Store  *Store
-	Group  *Group
+	Groups []*Group
 	Ledger *Ledger
 	Boots  []Boot
 	// Links is nil unless the shape asks for it.
@@ -70,10 +75,9 @@
 // Start starts the servers and writes the settings files.
 func Start(shape Shape) (*Fleet, error) {
 	f := &Fleet{
-		Shape: shape, Store: NewStore(), Group: NewGroup(shape.Ranks),
+		Shape: shape, Store: NewStore(),
 		Ledger: &Ledger{runs: map[string]int{}}, done: make(chan struct{}),
 	}
-	f.Group.lateOrders = shape.LateOrders
 	if shape.Links {
 		f.Links = newLinks()
 	}
@@ -81,8 +85,8 @@
 		return nil, err
 	}
 	f.Configure(2000)
-	for i := range shape.Ranks {
-		if err := f.addRank(i); err != nil {
+	for k := range max(shape.Groups, 1) {
+		if err := f.addGroup(k); err != nil {
 			return nil, err
 		}
 	}
@@ -100,7 +104,9 @@
 			return nil, err
 		}
 	}
-	go f.Group.Run(f.done)
+	for _, g := range f.Groups {
+		go g.Run(f.done)
+	}
 	return f, nil
 }
 
@@ -120,10 +126,29 @@
 // Refuse makes all model servers refuse requests, or serve them.
 func (f *Fleet) Refuse(refuse bool) { f.refuse.Store(refuse) }
 
+// Shift changes which experts are liked, in all groups.
+func (f *Fleet) Shift() {
+	for _, g := range f.Groups {
+		g.Shift()
+	}
+}
+
 // Freeze makes the model server of a rank stand still, or go on. The group goes
 // on meanwhile.
 func (f *Fleet) Freeze(rank int, frozen bool) { f.models[rank].frozen.Store(frozen) }
 
+// Crash ends the server of a rank and starts it again under its ID after some time.
+// Its group stands for a moment, then all that runs there is cut off and what comes is
+// refused, until the rank is back and the group is formed anew.
+func (f *Fleet) Crash(rank int, away time.Duration) {
+	m := f.models[rank]
+	m.rank.group.lose(m.rank)
+	time.AfterFunc(away, func() {
+		m.rank.group.form()
+		f.registerRank(m.rank)
+	})
+}
+
 func (f *Fleet) ip(n int) string { return f.Block + "." + strconv.Itoa(n) }
 
 func (f *Fleet) serve(ip string, port int, h http.Handler) error {
@@ -148,15 +173,44 @@
 	return nil
 }
 
-func (f *Fleet) addRank(i int) error {
-	ip, rank := f.ip(10+i), f.Group.ranks[i]
-	m := &modelServer{server: server{id: rank.id, ledger: f.Ledger, refuse: f.refuse.Load}, rank: rank}
+// addGroup starts the servers of a group.
+func (f *Fleet) addGroup(k int) error {
+	g := NewGroup(k, f.Ranks)
+	g.lateOrders = f.LateOrders
+	f.Groups = append(f.Groups, g)
+	for _, r := range g.ranks {
+		if err := f.addRank(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// firstRank is the last number of the address of the first rank.
+const firstRank = 10
+
+func (f *Fleet) addRank(r *Rank) error {
+	n := len(f.models)
+	r.ip = f.ip(firstRank + n)
+	m := &modelServer{server: server{id: r.id, ledger: f.Ledger, refuse: func() bool { return f.refuse.Load() || r.group.refuses() }}, rank: r}
 	f.models = append(f.models, m)
-	if err := f.serve(ip, appPort, m); err != nil {
+	if err := f.serve(r.ip, appPort, m); err != nil {
 		return err
 	}
-	f.register(rank.id, "pool", ip, slots)
-	return f.writeBoot(fmt.Sprintf("side-%d", i), "sidecar", ip, map[string]string{}, net.JoinHostPort(ip, strconv.Itoa(appPort)))
+	f.registerRank(r)
+	return f.writeBoot(fmt.Sprintf("side-%d", n), "sidecar", r.ip, map[string]string{}, net.JoinHostPort(r.ip, strconv.Itoa(appPort)))
+}
+
+// registerRank writes the entry of a rank's server.
+func (f *Fleet) registerRank(r *Rank) {
+	entry := f.entry("pool", r.ip, slots)
+	r.group.mu.Lock()
+	entry["born"] = r.born
+	if !f.Quiet {
+		entry["group"], entry["size"] = r.seat(), len(r.group.ranks)
+	}
+	r.group.mu.Unlock()
+	f.put("servers/"+r.id, entry)
 }
 
 func (f *Fleet) addPlain(i int) error {
@@ -164,15 +218,16 @@
 	if err := f.serve(ip, appPort, &plainServer{server{id: id, ledger: f.Ledger}}); err != nil {
 		return err
 	}
-	f.register(id, "desk", ip, 6)
+	f.put("servers/"+id, f.entry("desk", ip, 6))
 	return nil
 }
 
-func (f *Fleet) register(id, service, ip string, slots int) {
-	f.put("servers/"+id, map[string]any{
+// entry is what every server tells the store.
+func (f *Fleet) entry(service, ip string, slots int) map[string]any {
+	return map[string]any{
 		"backend": service, "addr": net.JoinHostPort(ip, strconv.Itoa(appPort)), "zone": "z1",
 		"version": "v1", "slots": slots, "state": "ready", "coldMs": 0, "seq": 1,
-	})
+	}
 }
 
 func (f *Fleet) put(key string, value any) {
--- a/standin/fleet/group.go
+++ b/standin/fleet/group.go
@@ -22,8 +22,13 @@
 
 // Group is a set of ranks that run every pass together on an expert map.
 type Group struct {
-	mu    sync.Mutex
-	rng   *rand.Rand
+	mu   sync.Mutex
+	rng  *rand.Rand
+	name string
+	// lost is the rank that is away, nil while the group is open; cutAt is when its
+	// stall is over, after which everything is refused.
+	lost  *Rank
+	cutAt time.Time
 	ranks []*Rank
 	step  int64
 	epoch int64
@@ -44,8 +49,11 @@
 	group *Group
 	index int
 	id    string
-	maps  map[int64][][]int
-	had   int64
+	ip    string
+	// born is when the server has started, in Unix milliseconds.
+	born int64
+	maps map[int64][][]int
+	had  int64
 
 	version, prepared int64
 	copying           int64
@@ -61,28 +69,94 @@
 	next, last int
 	events     chan int
 	gone       <-chan struct{}
+	// cut says that the server breaks the answer off.
+	cut bool
 }
 
 const slots = 12
 
-// NewGroup returns a group of ranks on their first map.
-func NewGroup(n int) *Group {
-	g := &Group{epoch: 1, rng: rand.New(rand.NewPCG(1, 2))}
+// stall is how long a group stands that has lost a rank, before it refuses.
+const stall = 300 * time.Millisecond
+
+// NewGroup returns the group with a number, of so many ranks on their first map.
+func NewGroup(number, n int) *Group {
+	g := &Group{epoch: 1, name: fmt.Sprintf("g%d", number), rng: rand.New(rand.NewPCG(1, 2+uint64(number)))}
 	for i := range n {
-		r := &Rank{group: g, index: i, id: fmt.Sprintf("i-rank%d", i), maps: map[int64][][]int{}}
-		first := make([][]int, layers)
-		for l := range first {
-			for e := i; e < experts; e += n {
-				first[l] = append(first[l], e)
-			}
-		}
-		r.maps[0] = first
+		r := &Rank{group: g, index: i, id: fmt.Sprintf("i-%s-rank%d", g.name, i)}
 		g.ranks = append(g.ranks, r)
 	}
+	for _, r := range g.ranks {
+		r.start()
+	}
 	g.Shift()
 	return g
 }
 
+// start makes the server of a rank begin with nothing but its first map.
+func (r *Rank) start() {
+	first := make([][]int, layers)
+	for l := range first {
+		for e := r.index; e < experts; e += len(r.group.ranks) {
+			first[l] = append(first[l], e)
+		}
+	}
+	*r = Rank{
+		group: r.group, index: r.index, id: r.id, ip: r.ip, born: time.Now().UnixMilli(),
+		maps: map[int64][][]int{0: first}, waiting: r.waiting, running: r.running,
+	}
+}
+
+// lose takes a rank away.
+func (g *Group) lose(r *Rank) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lost, g.cutAt = r, time.Now().Add(stall)
+}
+
+// form opens the group anew: its lost rank has started again, the others go on with
+// their first map.
+func (g *Group) form() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cutOff()
+	g.epoch++
+	for _, r := range g.ranks {
+		born := r.born
+		r.start()
+		if r != g.lost {
+			r.born = born
+		}
+	}
+	g.lost = nil
+}
+
+// cutOff breaks off all that runs or waits.
+func (g *Group) cutOff() {
+	for _, r := range g.ranks {
+		for _, s := range append(r.running, r.waiting...) {
+			s.cut = true
+			close(s.events)
+		}
+		r.running, r.waiting = nil, nil
+	}
+}
+
+// refuses reports whether the group takes nothing because it has lost a rank.
+func (g *Group) refuses() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lost != nil && !time.Now().Before(g.cutAt)
+}
+
+// seat is what a rank says of its group.
+func (r *Rank) seat() map[string]any {
+	state := "open"
+	if r.group.lost != nil {
+		state = "broken"
+	}
+	return map[string]any{"name": r.group.name, "epoch": r.group.epoch, "rank": r.index, "state": state}
+}
+
 // Shift changes which experts are liked.
 func (g *Group) Shift() {
 	g.mu.Lock()
@@ -112,6 +186,12 @@
 func (g *Group) pass() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.lost != nil {
+		if !time.Now().Before(g.cutAt) {
+			g.cutOff()
+		}
+		return 2 * time.Millisecond
+	}
 	busy := false
 	for _, r := range g.ranks {
 		r.settle(time.Now())
@@ -232,7 +312,7 @@
 	r.settle(time.Now())
 	body := map[string]any{
 		"stage": "unified", "seq": 0, "size": len(g.ranks), "step": g.step, "map": r.version, "pace": 1.0,
-		"group":  map[string]any{"name": "g", "epoch": g.epoch, "rank": r.index, "state": "open"},
+		"group": r.seat(), "born": r.born,
 		"queued": len(r.waiting), "running": len(r.running), "prepared": nil, "armed": nil, "held": nil,
 	}
 	if r.prepared != 0 {
--- a/standin/fleet/play.go
+++ b/standin/fleet/play.go
@@ -156,6 +156,9 @@
 	Mixed      int `json:"map-mismatch-steps"`
 	Changes    int `json:"map-changes"`
 	SkewTenths int `json:"skew-tenths"`
+	// ChangesOf are the changes of map by group; the others count all groups together,
+	// but for the skew, which is the worst of them.
+	ChangesOf []int `json:"map-changes-of-groups"`
 }
 
 // Kept reports whether all promises were kept.
@@ -188,8 +191,13 @@
 	f.Ledger.mu.Lock()
 	v.Wrong = f.Ledger.wrong
 	f.Ledger.mu.Unlock()
-	f.Group.mu.Lock()
-	defer f.Group.mu.Unlock()
-	v.Mixed, v.Changes, v.SkewTenths = f.Group.mixed, f.Group.changes, int(f.Group.skew*10)
+	for _, g := range f.Groups {
+		g.mu.Lock()
+		v.Mixed += g.mixed
+		v.Changes += g.changes
+		v.ChangesOf = append(v.ChangesOf, g.changes)
+		v.SkewTenths = max(v.SkewTenths, int(g.skew*10))
+		g.mu.Unlock()
+	}
 	return v
 }
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -86,8 +86,19 @@
 	}
 }
 
+// away reports whether the server has crashed and not started again.
+func (m *modelServer) away() bool {
+	g := m.rank.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lost == m.rank
+}
+
 func (m *modelServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	m.thaw(r)
+	if m.away() {
+		panic(http.ErrAbortHandler)
+	}
 	if !strings.HasPrefix(r.URL.Path, streamPrefix) {
 		m.rank.ServeHTTP(w, r)
 		return
@@ -95,6 +106,11 @@
 	if _, err := io.ReadAll(r.Body); err != nil || !m.admit(w, r) {
 		return
 	}
+	m.stream(w, r)
+}
+
+// stream answers with events, one with each pass of the group.
+func (m *modelServer) stream(w http.ResponseWriter, r *http.Request) {
 	first := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
@@ -112,6 +128,12 @@
 			return
 		}
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if st.cut {
+		// The caller must not take it for whole.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // plainServer answers small requests.
