Tests of several groups; ctl stewards, and shares by reason

Tests for entries of other writers, a server that starts again under its ID, claims, digests of an earlier life, a steward whose rank has left, readings that cross.

ctl stewards tells from the logs who steered each group, for how long nobody did, its skew and its passes; ctl shares --by reason why tries were not on time: each has one reason, and what the log does not tell is a line of its own. Lines of late answers say by what (late-by).

--- a/core/lockstep/explorer_test.go
+++ b/core/lockstep/explorer_test.go
@@ -140,11 +140,23 @@
 	order platform.Order
 }
 
+// letter is an ask that reaches the agent beside a rank late, after its steward may be
+// long gone.
+type letter struct {
+	at    int
+	rank  int
+	word  Word
+	order platform.Order
+}
+
 // driver is a steward with the process around it.
 type driver struct {
 	s    *Steward
+	name string
 	term int64
 	at   int // its rank
+	// epoch is the one in which it asks.
+	epoch int64
 	// paused is the tick until which its process stands still; what it had
 	// decided goes out when it wakes.
 	paused  int
@@ -160,16 +172,29 @@
 	late    []late
 	// cut are ranks that can't be reached until a tick, with the agent there.
 	cut []int
-	// heard is the highest term that the agent beside each rank has heard.
-	heard  []int64
-	term   int64
-	last   *Predecessor
-	tickNo int
-	faults bool
+	// listeners are those of the agents beside the ranks.
+	listeners []Listener
+	letters   []letter
+	// neighbour is the group that the ranks of this one have belonged to before: its
+	// epochs are numbers of the same size, and its stewards don't know that it is no more.
+	neighbour neighbour
+	term      int64
+	last      *Predecessor
+	tickNo    int
+	faults    bool
 	// guards of the protocol that a test may switch off.
-	noHold, sameNumbers bool
+	noHold, sameNumbers, anyGroup bool
+}
+
+// neighbour is a change that the stewards of another group are in the middle of.
+type neighbour struct {
+	version, step int64
+	started       int
 }
 
+// groupH is the name of the other group.
+const groupH = "h"
+
 func (w *world) takeOver() {
 	w.term++
 	at := w.rng.IntN(len(w.ranks))
@@ -182,7 +207,7 @@
 		before = nil
 	}
 	w.last = &Predecessor{Rank: at, Salt: salt}
-	d := &driver{s: NewSteward(at, before, salt), term: w.term, at: at}
+	d := &driver{s: NewSteward(at, before, salt), name: fmt.Sprint("s", w.term), term: w.term, at: at, epoch: w.epoch}
 	d.s.Stopgap = Map{{{-1}, {at}}}
 	w.drivers = append(w.drivers, d)
 }
@@ -193,18 +218,51 @@
 	return w.cut[i] <= w.tickNo && w.cut[d.at] <= w.tickNo || i == d.at
 }
 
+// word is what a driver says of itself.
+func (d *driver) word(salt int64) Word {
+	return Word{Group: platform.GroupID{Name: "g", Epoch: d.epoch}, Term: d.term, From: d.name, Rank: d.at, Salt: uint64(salt)}
+}
+
+// hears has the agent beside a rank judge a word, once it has read its rank.
+func (w *world) hears(i int, word Word) Refusal {
+	l := &w.listeners[i]
+	if seat := SeatOf(&w.ranks[i].state); !l.Seat().Same(seat) || l.Seat().Group != seat.Group {
+		l.Sit(seat)
+	}
+	if w.anyGroup {
+		word.Group.Name = "g"
+	}
+	return l.Hear(word)
+}
+
+// listens reports whether the agent beside a rank heeds a driver, and takes what the
+// driver learns from a refusal.
+func (w *world) listens(d *driver, i int) bool {
+	switch w.hears(i, d.word(d.s.salt)) {
+	case NewerSteward:
+		d.done = true
+		return false
+	case OlderEpoch:
+		d.epoch = w.epoch
+		return false
+	}
+	return true
+}
+
 // order sends a command: it may be lost, refused by the agent, carried out now
-// or late.
+// or late, or reach the agent late.
 func (w *world) order(d *driver, c Command) {
 	if !w.reach(d, c.Rank) {
 		return
 	}
 	if !c.Direct {
-		if w.heard[c.Rank] > d.term {
-			d.done = true
+		if w.faults && w.rng.IntN(20) == 0 {
+			w.letters = append(w.letters, letter{w.tickNo + 1 + w.rng.IntN(60), c.Rank, d.word(d.s.salt), c.Order})
+			return
+		}
+		if !w.listens(d, c.Rank) {
 			return
 		}
-		w.heard[c.Rank] = d.term
 	}
 	if w.faults && w.rng.IntN(10) < 2 {
 		if w.rng.IntN(2) == 0 {
@@ -224,19 +282,50 @@
 		d.ranks = make([]Rank, len(w.ranks))
 	}
 	for i := range w.ranks {
-		if !w.reach(d, i) {
+		if !w.reach(d, i) || !w.listens(d, i) {
+			if d.done {
+				return
+			}
 			d.ranks[i].Known = false
 			continue
 		}
-		if w.heard[i] > d.term {
-			d.done = true
-			return
-		}
-		w.heard[i] = d.term
 		d.ranks[i] = Rank{Known: true, State: w.ranks[i].state}
 	}
 }
 
+// deliver brings the asks that have been on their way for long. An agent heeds them if
+// their steward is still the newest that it knows.
+func (w *world) deliver() {
+	kept := w.letters[:0]
+	for _, l := range w.letters {
+		switch {
+		case l.at > w.tickNo:
+			kept = append(kept, l)
+		case w.cut[l.rank] <= w.tickNo && w.hears(l.rank, l.word) == Heeded:
+			w.apply(l.rank, l.order, w.tickNo)
+		}
+	}
+	w.letters = kept
+}
+
+// meddle has a steward of the other group ask ranks that it takes for its own: it goes on
+// with a change of its group, which has a number of its own and the epoch of this one.
+func (w *world) meddle() {
+	n := &w.neighbour
+	if n.version == 0 || w.tickNo-n.started > 30 {
+		n.version, n.step, n.started = n.version+saltRange*int64(2+w.rng.IntN(3))+1, w.step+int64(3+w.rng.IntN(12)), w.tickNo
+	}
+	o := platform.Order{Kind: platform.PrepareMap, Epoch: w.epoch, Version: n.version, Map: Map{{{-7}}}}
+	if age := w.tickNo - n.started; age > 6 {
+		o = platform.Order{Kind: platform.ArmMap, Epoch: w.epoch, Version: n.version, Step: max(n.step, w.step+2)}
+	}
+	word := Word{Group: platform.GroupID{Name: groupH, Epoch: w.epoch}, Term: w.term + 1, From: "h1"}
+	i := w.rng.IntN(len(w.ranks))
+	if w.hears(i, word) == Heeded {
+		w.apply(i, o, w.tickNo)
+	}
+}
+
 func (w *world) drive(d *driver) {
 	if d.done || w.tickNo < d.paused {
 		return
@@ -297,7 +386,9 @@
 }
 
 func (w *world) fault() {
-	switch w.rng.IntN(40) {
+	switch w.rng.IntN(46) {
+	case 40, 41, 42, 43, 44, 45:
+		w.meddle()
 	case 0, 1:
 		w.takeOver()
 	case 2, 3:
@@ -326,6 +417,7 @@
 		}
 	}
 	w.late = kept
+	w.deliver()
 	for _, d := range w.drivers {
 		w.drive(d)
 	}
@@ -335,7 +427,7 @@
 func newWorld(seed uint64) *world {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	n := 2 + rng.IntN(4)
-	w := &world{model: newModel(n, rng), cut: make([]int, n), heard: make([]int64, n), faults: true}
+	w := &world{model: newModel(n, rng), cut: make([]int, n), listeners: make([]Listener, n), faults: true}
 	w.takeOver()
 	return w
 }
@@ -397,6 +489,7 @@
 	}{
 		{"hold before arming", func(w *world) { w.noHold = true }},
 		{"numbers of a steward's own", func(w *world) { w.sameNumbers = true }},
+		{"words of another group are refused", func(w *world) { w.anyGroup = true }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for seed := range 20000 {
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
 
@@ -104,3 +106,69 @@
 	is.True(m.View().Targets["a"].Draining)
 	is.True(!m.Apply([]platform.Item{entry("a", "10.0.0.1:80", "draining", 2)}, 6))
 }
+
+// server returns an entry of a server with its start and its group.
+func server(id, addr string, born, created, revision int64) platform.Item {
+	it := entry(id, addr, "ready", created)
+	it.Revision = revision
+	it.Value = append(it.Value[:len(it.Value)-1], fmt.Appendf(nil, `,"born":%d,"group":{"name":"g1","epoch":2,"rank":0,"state":"open"}}`, born)...)
+	return it
+}
+
+// An entry of a server is overwritten by bytes that nobody can read, or by one whose
+// service does not exist, at the address of another server. The first names no server
+// any more; the second must not hide the server that is really there.
+func TestEntriesThatNameNoServer(t *testing.T) {
+	is := is.New(t)
+	m := New(quiet())
+	m.Apply([]platform.Item{config(1), entry("a", "10.0.0.1:80", "ready", 2), entry("b", "10.0.0.2:80", "ready", 3)}, 3)
+	strange := entry("c", "10.0.0.1:80", "ready", 9)
+	strange.Value = []byte(strings.Replace(string(strange.Value), `"desk"`, `"nowhere"`, 1))
+	m.Apply([]platform.Item{strange, {Key: platform.TargetPrefix + "d", Value: []byte("\x00"), Revision: 10}}, 10)
+	is.Equal(len(m.View().Targets), 2)
+	is.True(m.Apply([]platform.Item{{Key: platform.TargetPrefix + "b", Value: []byte("{"), Revision: 11}}, 11))
+	v := m.View()
+	is.Equal(len(v.Targets), 1)
+	is.Equal(v.Targets["a"].ID, "a")
+	is.True(m.Apply([]platform.Item{entry("b", "10.0.0.2:80", "ready", 3)}, 12))
+	is.Equal(len(m.View().Targets), 2)
+}
+
+// A server starts again under its ID, at an address that another one has had since. It has
+// the address now, although its entry is the older one.
+func TestServerStartsAgainUnderItsID(t *testing.T) {
+	is := is.New(t)
+	m := New(quiet())
+	m.Apply([]platform.Item{config(1), server("a", "10.0.0.1:80", 100, 2, 2), server("b", "10.0.0.2:80", 100, 5, 5)}, 5)
+	is.True(m.Apply([]platform.Item{server("a", "10.0.0.2:80", 900, 2, 8)}, 8))
+	v := m.View()
+	is.Equal(len(v.Targets), 1)
+	is.Equal(v.Targets["a"].Born, int64(900))
+	is.Equal(v.Targets["a"].Addr.String(), "10.0.0.2:80")
+	is.True(!m.Apply([]platform.Item{server("a", "10.0.0.2:80", 900, 2, 9)}, 9))
+	is.Equal(m.View().Targets["a"].Created, int64(8))
+}
+
+// Claims to several groups stand in the store; one is under another group's key, and one
+// can't be read. Whoever followed them would take one group's steward for that of another.
+func TestClaimsBelongToTheirGroups(t *testing.T) {
+	is := is.New(t)
+	m := New(quiet())
+	claim := func(key, group, addr string, revision int64) platform.Item {
+		return platform.Item{Key: rankpeer.ClaimPrefix + key, Value: rankpeer.Claim{Group: group, Epoch: 1, Addr: addr}.Bytes(), Revision: revision}
+	}
+	long := strings.Repeat("a group's name is opaque ", 20)
+	m.Apply([]platform.Item{
+		config(1), claim("g0", "g0", "10.0.0.1:9", 2), claim("g/1 ?", "g/1 ?", "10.0.0.2:9", 3), claim("g2", "g0", "10.0.0.3:9", 4),
+		{Key: rankpeer.ClaimPrefix + "g3", Value: []byte("10.0.0.4:9"), Revision: 5},
+		{Key: rankpeer.Key(rankpeer.ClaimPrefix, long), Value: rankpeer.Claim{Group: long, Addr: "10.0.0.5:9"}.Bytes(), Revision: 6},
+	}, 6)
+	is.True(len(rankpeer.Key(rankpeer.ClaimPrefix, long)) <= 200)
+	v := m.View()
+	is.Equal(len(v.Stewards), 3)
+	is.Equal(v.Stewards["g0"].Addr, "10.0.0.1:9")
+	is.Equal(v.Stewards["g/1 ?"].Addr, "10.0.0.2:9")
+	is.Equal(v.Stewards[long].Addr, "10.0.0.5:9")
+	is.True(m.Apply([]platform.Item{{Key: rankpeer.ClaimPrefix + "g0", Removed: true, Revision: 7}}, 7))
+	is.Equal(len(m.View().Stewards), 2)
+}
--- a/core/story/cause.go
+++ b/core/story/cause.go
@@ -176,19 +176,12 @@
 		if of := l.Field("group"); group != "" && of != "" && of != group {
 			continue
 		}
-		number := func(name string) float64 {
-			x, err := strconv.ParseFloat(l.Field(name), 64)
-			if err != nil {
-				return 0 // The steward has not told it.
-			}
-			return x
-		}
 		switch {
-		case number("known") < number("ranks"):
+		case number(l, "known") < number(l, "ranks"):
 			return Cause{RankMissing, inGroup(l, fmt.Sprintf("%s of %s known", l.Field("known"), l.Field("ranks")))}, true
-		case number("slowest-pace") > slowPace:
+		case number(l, "slowest-pace") > slowPace:
 			return Cause{SlowServer, inGroup(l, "pace "+l.Field("slowest-pace"))}, true
-		case number("skew") > unevenSkew:
+		case number(l, "skew") > unevenSkew:
 			return Cause{UnevenExperts, inGroup(l, "skew "+l.Field("skew"))}, true
 		}
 		return Cause{}, false
--- /dev/null
+++ b/core/story/groups.go
@@ -0,0 +1,145 @@
+package story
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Steered tells how an expert group was steered.
+type Steered struct {
+	Group string
+	// Stewards is how many times an agent has become the steward, MostAtOnce how many
+	// acted at the same time at most.
+	Stewards, MostAtOnce int
+	// Without is how long nobody acted between the first and the last word of a steward.
+	Without time.Duration
+	// Changes counts the changes of the map that were begun.
+	Changes int
+	// Skew and WorstSkew are the mean and the 95th percentile of the most loaded rank
+	// over the mean, Pass the mean length of a pass in milliseconds, as far as known.
+	Skew, WorstSkew, Pass float64
+}
+
+// term is the time for which one steward has acted.
+type term struct {
+	instance    string
+	from, until time.Time
+	ended       bool
+}
+
+// steering collects what lines say of one group.
+type steering struct {
+	Steered
+	terms        []*term
+	skews, waits []float64
+}
+
+// current returns the term that an instance is in, or nil.
+func (s *steering) current(instance string) *term {
+	for i := len(s.terms) - 1; i >= 0; i-- {
+		if t := s.terms[i]; t.instance == instance && !t.ended {
+			return t
+		}
+	}
+	return nil
+}
+
+func (s *steering) add(l Line) {
+	t := s.current(l.Instance)
+	if l.Message == "steward begins" {
+		if t != nil {
+			// Its process was killed and has started again.
+			t.ended = true
+		}
+		s.Stewards++
+		t = &term{instance: l.Instance, from: l.At}
+		s.terms = append(s.terms, t)
+	}
+	if t == nil {
+		return
+	}
+	t.until = l.At
+	switch l.Message {
+	case "steward ends":
+		t.ended = true
+	case "change of map":
+		s.Changes++
+	case "group state":
+		s.skews = appendKnown(s.skews, l.Field("skew"))
+		s.waits = appendKnown(s.waits, l.Field("pass-ms"))
+	}
+}
+
+// appendKnown appends a number that is over 0: 0 stands for one that is not known.
+func appendKnown(list []float64, text string) []float64 {
+	if x, err := strconv.ParseFloat(text, 64); err == nil && x > 0 {
+		return append(list, x)
+	}
+	return list
+}
+
+// finish works out what follows from all lines.
+func (s *steering) finish() Steered {
+	for _, t := range s.terms {
+		at := 0
+		for _, other := range s.terms {
+			if !t.from.Before(other.from) && t.from.Before(other.until) {
+				at++
+			}
+		}
+		s.MostAtOnce = max(s.MostAtOnce, at, 1)
+	}
+	slices.SortFunc(s.terms, func(a, b *term) int { return a.from.Compare(b.from) })
+	var until time.Time
+	for _, t := range s.terms {
+		if !until.IsZero() && t.from.After(until) {
+			s.Without += t.from.Sub(until)
+		}
+		if t.until.After(until) {
+			until = t.until
+		}
+	}
+	s.Skew, s.Pass = mean(s.skews), mean(s.waits)
+	if slices.Sort(s.skews); len(s.skews) > 0 {
+		s.WorstSkew = s.skews[len(s.skews)*95/100]
+	}
+	return s.Steered
+}
+
+func mean(list []float64) float64 {
+	if len(list) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, x := range list {
+		sum += x
+	}
+	return sum / float64(len(list))
+}
+
+// GroupsOf tells how each expert group was steered, by name.
+func GroupsOf(lines []Line) []Steered {
+	sorted := slices.Clone(lines)
+	slices.SortStableFunc(sorted, func(a, b Line) int { return a.At.Compare(b.At) })
+	groups := map[string]*steering{}
+	for _, l := range sorted {
+		switch l.Message {
+		case "steward begins", "steward ends", "group state", "change of map":
+		default:
+			continue
+		}
+		name := l.Field("group")
+		if groups[name] == nil {
+			groups[name] = &steering{Steered: Steered{Group: name}}
+		}
+		groups[name].add(l)
+	}
+	out := make([]Steered, 0, len(groups))
+	for _, s := range groups {
+		out = append(out, s.finish())
+	}
+	slices.SortFunc(out, func(a, b Steered) int { return cmp.Compare(a.Group, b.Group) })
+	return out
+}
--- a/ctl/shares.go
+++ b/ctl/shares.go
@@ -13,9 +13,9 @@
 func (p *program) sharesCommand() *cli.Command {
 	return &cli.Command{
 		Name: "shares", Usage: "tell from log files who was served", ArgsUsage: "[FILE...]",
-		Description: "Prints what became of the requests of each workspace, route, size or instance, one\n" +
+		Description: "Prints what became of the requests of each workspace, route, size, instance or reason, one\n" +
 			"line a group. Each try of a caller counts. Without files the log is read from standard input.",
-		Flags: []cli.Flag{&cli.StringFlag{Name: "by", Value: "workspace", Usage: "workspace, route, size or instance"}},
+		Flags: []cli.Flag{&cli.StringFlag{Name: "by", Value: "workspace", Usage: "workspace, route, size, instance or reason"}},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			return p.shares(cmd.String("by"), cmd.Args().Slice())
 		},
@@ -36,8 +36,10 @@
 		group = func(l story.Line) string { return l.Instance }
 	case "size":
 		group = story.BySize(lines)
+	case "reason":
+		group = story.ByReason(lines)
 	default:
-		return usagef("shares: -by %s: want workspace, route, size or instance", by)
+		return usagef("shares: -by %s: want workspace, route, size, instance or reason", by)
 	}
 	w := tabwriter.NewWriter(p.out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	if _, err := fmt.Fprintln(w, by+"\ttries\ton-time\tlate\trefused\tfailed\tleft\tserved\t"); err != nil {
--- /dev/null
+++ b/ctl/stewards.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"verbenashift/core/story"
+)
+
+func (p *program) stewardsCommand() *cli.Command {
+	return &cli.Command{
+		Name: "stewards", Usage: "tell from log files how expert groups were steered", ArgsUsage: "[FILE...]",
+		Description: "Prints for each expert group how many times it got a steward, how many acted at once at\n" +
+			"most, for how long none did, its changes of map, the mean and the 95th percentile of its\n" +
+			"skew, and its mean pass. Without files the log is read from standard input.",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			return p.stewards(cmd.Args().Slice())
+		},
+	}
+}
+
+// stewards reads the logs and prints a table of the groups.
+func (p *program) stewards(files []string) error {
+	lines, err := p.readLogs(files)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(p.out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	if _, err := fmt.Fprintln(w, "group\tstewards\tat-once\twithout-ms\tchanges\tskew\tskew-p95\tpass-ms\t"); err != nil {
+		return err
+	}
+	for _, g := range story.GroupsOf(lines) {
+		if _, err := fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.0f\t\n", g.Group, g.Stewards, g.MostAtOnce,
+			g.Without.Milliseconds(), g.Changes, g.Skew, g.WorstSkew, g.Pass); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -78,7 +78,11 @@
 	c.mu.Unlock()
 	metricRequests.Add(strconv.Itoa(status), 1)
 	metricWhole.Record(now.Sub(c.arrived).Milliseconds())
-	c.ended("status", status, "on-time", c.onTime(now))
+	line := []any{"status", status, "on-time", true}
+	if late := c.lateBy(now); late != "" {
+		line = []any{"status", status, "on-time", false, "late-by", late}
+	}
+	c.ended(line...)
 }
 
 // giveUp ends a request that no server has answered.
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -21,16 +21,30 @@
 	c.log.Info("request", append(line, attrs...)...)
 }
 
-// onTime reports whether an answer that ends now has kept what its route asks for. To
-// a caller that comes back it is late in any case.
-func (c *call) onTime(now time.Time) bool {
-	if c.returning {
-		return false
-	}
-	if c.route.Kind != platform.Stream {
-		return now.Sub(c.arrived) <= c.route.Objective
+// The reasons for which an answer is late, as lines have them.
+const (
+	lateReturn = "return" // the caller comes back, and is late in any case
+	lateWhole  = "whole"
+	lateFirst  = "first"
+	latePause  = "pause"
+)
+
+// lateBy returns why an answer that ends now has not kept what its route asks for, or ""
+// if it has.
+func (c *call) lateBy(now time.Time) string {
+	switch {
+	case c.returning:
+		return lateReturn
+	case c.route.Kind != platform.Stream && now.Sub(c.arrived) > c.route.Objective:
+		return lateWhole
+	case c.route.Kind != platform.Stream:
+		return ""
+	case c.firstAfter > c.route.Objective:
+		return lateFirst
+	case c.route.Gap > 0 && c.longestPause > c.route.Gap:
+		return latePause
 	}
-	return c.firstAfter <= c.route.Objective && (c.route.Gap <= 0 || c.longestPause <= c.route.Gap)
+	return ""
 }
 
 // pacing returns when a stream began and its longest pause, by which it was on time
--- /dev/null
+++ b/sidecar/members_test.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/lockstep"
+	"verbenashift/core/mirror"
+	"verbenashift/core/rankpeer"
+	"verbenashift/platform"
+)
+
+// viewOf returns a view with targets of one service, at addresses in their order.
+func viewOf(targets ...platform.Target) *mirror.View {
+	v := &mirror.View{Config: &platform.Config{}, Targets: map[string]platform.Target{}}
+	for i, t := range targets {
+		t.Service, t.Slots = "pool", 12
+		t.Addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), 80)
+		v.Targets[t.ID] = t
+	}
+	return v
+}
+
+// testSteward returns a steward of groupG that asks nobody.
+func testSteward(t *testing.T) *steward {
+	a, _ := testAgent(t)
+	seatAndHear(a, 0)
+	a.boot.Service = "pool"
+	return &steward{
+		agent: a, group: groupG, rankOf: 1, log: a.log, core: lockstep.NewSteward(1, nil, 1), tells: map[string]rankpeer.Tell{},
+		members: members{peers: map[string]*peer{}, elsewhere: map[string]platform.GroupID{}},
+	}
+}
+
+func in(group string) platform.GroupID { return platform.GroupID{Name: group, Epoch: 1} }
+
+// Three groups of 24 ranks serve side by side. A steward that asked all 72 agents in each
+// round would take three times as long for it, and would count the ranks of others.
+func TestStewardAsksItsGroup(t *testing.T) {
+	is := is.New(t)
+	s := testSteward(t)
+	v := viewOf(
+		platform.Target{ID: "a", Group: in("g")}, platform.Target{ID: "b", Group: in("h")},
+		platform.Target{ID: "c"}, platform.Target{ID: "d"},
+	)
+	s.enrol(s.rosterOf(v, false))
+	is.Equal(len(s.peers), 3) // b is of another group; c and d don't say
+	s.locate("c", rankpeer.Tell{Group: in("g")})
+	s.locate("d", rankpeer.Tell{Group: in("h"), Refused: lockstep.OtherGroup})
+	is.Equal(len(s.peers), 2)
+	is.True(s.peers["d"] == nil)
+	s.enrol(s.rosterOf(v, false))
+	is.Equal(len(s.peers), 2) // d has told where it belongs
+	is.Equal(s.roster.Group, groupG)
+	is.Equal(len(s.roster.Members), 2)
+}
+
+// A rank joins the group, and the store does not know it yet. Its word goes before what
+// stands there; until it has spoken it is found by asking everybody now and then, as long
+// as the group lacks a rank.
+func TestMissingRankIsLookedForElsewhere(t *testing.T) {
+	is := is.New(t)
+	s := testSteward(t)
+	v := viewOf(platform.Target{ID: "a", Group: in("g")}, platform.Target{ID: "b", Group: in("h")})
+	s.enrol(s.rosterOf(v, false))
+	is.Equal(len(s.peers), 1)
+	s.enrol(s.rosterOf(v, true))
+	is.Equal(len(s.peers), 2)
+	s.locate("b", rankpeer.Tell{Group: in("g")})
+	s.enrol(s.rosterOf(v, false))
+	is.Equal(len(s.peers), 2)
+}
+
+// A server starts again under its ID: what the steward knows of its agent, such as the map
+// that it has, is void.
+func TestMemberThatStartedAgain(t *testing.T) {
+	is := is.New(t)
+	s := testSteward(t)
+	s.enrol(s.rosterOf(viewOf(platform.Target{ID: "a", Group: in("g"), Born: 100}), false))
+	before := s.peers["a"]
+	before.told = s.roster
+	s.enrol(s.rosterOf(viewOf(platform.Target{ID: "a", Group: in("g"), Born: 900}), false))
+	is.True(s.peers["a"] != before)
+	is.True(s.peers["a"].told == nil)
+}
+
+// The group has been formed anew, and a rank says so before the steward has seen it. From
+// then on the steward asks in the new epoch; in the old one nobody would heed it.
+func TestStewardFollowsTheEpoch(t *testing.T) {
+	is := is.New(t)
+	s := testSteward(t)
+	s.enrol(s.rosterOf(viewOf(platform.Target{ID: "a", Group: in("g")}), false))
+	s.locate("a", rankpeer.Tell{Group: platform.GroupID{Name: "g", Epoch: 4}, Refused: lockstep.OlderEpoch})
+	is.Equal(s.word().Group.Epoch, int64(4))
+	s.locate("a", rankpeer.Tell{Group: platform.GroupID{Name: "g", Epoch: 3}})
+	is.Equal(s.word().Group.Epoch, int64(4))
+}
+
+// The rank of a steward joins another group. The steward must end: it would go on giving
+// orders for a group that it is no part of, beside the one that takes over.
+func TestStewardWhoseRankHasLeft(t *testing.T) {
+	for name, st := range map[string]platform.RankState{
+		"another group": {Group: "h", Epoch: 1, Rank: 1},
+		"another rank":  {Group: "g", Epoch: 1, Rank: 3},
+		"another life":  {Group: "g", Epoch: 2, Rank: 1, Born: 900},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := testSteward(t)
+			is.True(s.seated())
+			s.sit(&platform.RankState{Group: "g", Epoch: 5, Rank: 1}, time.Now())
+			is.True(s.seated()) // only the epoch is new
+			s.sit(&st, time.Now())
+			is.True(!s.seated())
+		})
+	}
+}
+
+// Two readings of a rank cross on the way: the older one arrives last, and says that the
+// group has not been formed anew. It must not make the agent go back.
+func TestReadingsThatCross(t *testing.T) {
+	is := is.New(t)
+	a, _ := testAgent(t)
+	asked := time.Now()
+	a.sit(&platform.RankState{Group: "g", Epoch: 2, Rank: 1}, asked.Add(time.Millisecond))
+	a.sit(&platform.RankState{Group: "g", Epoch: 1, Rank: 1}, asked)
+	is.Equal(a.seat().Group.Epoch, int64(2))
+}
+
+// A steward of another group, with a newer term, asks an agent whose rank it takes for its
+// own. It hears why not and whose the rank is, and the agent goes on heeding its own.
+func TestAskOfAnotherGroup(t *testing.T) {
+	is := is.New(t)
+	a, _ := testAgent(t)
+	seatAndHear(a, 24)
+	tell := a.answer(rankpeer.Ask{Word: lockstep.Word{Group: in("h"), Term: 90, From: "side-7"}, Order: &platform.Order{Kind: platform.HoldPass, Epoch: 1}})
+	is.Equal(tell.Refused, lockstep.OtherGroup)
+	is.Equal(tell.Group, groupG)
+	is.Equal(tell.Status, 0)
+	is.Equal(a.highestTerm(), int64(24))
+	a.setDigest(&rankpeer.Digest{Group: groupG})
+	is.True(a.digest("h", 0) == nil)
+	is.True(a.digest("g", 0) != nil)
+}
+
+// Loads that were saved under a group's key by another writer, for another group, are not
+// taken for this one's: the first maps of the day would be those of other callers.
+func TestLoadsOfAnotherGroup(t *testing.T) {
+	is := is.New(t)
+	a, _ := testAgent(t)
+	s := &steward{agent: a, group: in("h"), log: a.log}
+	is.NoErr(s.saveLoads(t.Context(), &savedLoads{Group: in("h"), Layers: [][]uint16{{1}}}))
+	is.True(a.recallLoads(t.Context(), platform.GroupID{Name: "h", Epoch: 9}) != nil) // of an earlier epoch
+	is.NoErr(a.store.Set(t.Context(), rankpeer.Key(rankpeer.LoadsPrefix, "g"), nil))
+	is.True(a.recallLoads(t.Context(), groupG) == nil)
+}
