--- /dev/null
+++ b/core/admission/attempt.go
@@ -0,0 +1,112 @@
+package admission
+
+import "time"
+
+const (
+	// comebackPart is the part of its remaining patience after which the caller
+	// of a service that is down may come back: the longest that callers honour
+	// is a third.
+	comebackPart = 0.32
+	// comebackSpread is the part of that time that is random, so that callers
+	// don't come back together.
+	comebackSpread = 0.25
+)
+
+// Refused tells that a target has refused the request. It reports whether this closed
+// the gate of the target's group.
+func (p *Pool) Refused(id, target string, now time.Time) bool {
+	g := p.places[id]
+	return g != nil && g.gate.Refused(target, now)
+}
+
+// Accepted tells that a target has taken the request. It reports whether this opened
+// the gate of its group.
+func (p *Pool) Accepted(id string, now time.Time) bool {
+	g := p.places[id]
+	if g == nil || !g.gate.Accepted() {
+		return false
+	}
+	g.reopen(now)
+	p.pump(now)
+	return true
+}
+
+// Began tells how long after its start the request got its first event.
+func (p *Pool) Began(id string, d time.Duration) {
+	if g := p.places[id]; g != nil {
+		g.firstEvent.Observe(d)
+	}
+}
+
+// Silent tells that nothing has come from a group for a while although answers are in
+// progress there: until the given time it is taken to stand still.
+func (p *Pool) Silent(group string, until time.Time) {
+	if g := p.groups[group]; g != nil {
+		g.silentUntil = until
+	}
+}
+
+// Move returns the group for another attempt of a request, and whether it is another
+// one than before. A group that refuses, stands still or has lost a rank is left if
+// another one works, also if that has no room: the stream has begun somewhere, or its
+// caller has waited its turn.
+func (p *Pool) Move(id string, now time.Time) (name string, moved bool) {
+	from := p.places[id]
+	if from == nil {
+		return "", false
+	}
+	if from.works(now) {
+		return from.name, false
+	}
+	to := p.choose(now, func(g *group) bool { return g != from && g.works(now) })
+	if to == nil {
+		return from.name, false
+	}
+	from.own--
+	to.own++
+	p.places[id] = to
+	p.forget(from)
+	return to.name, true
+}
+
+// MayPass reports whether the request, which was refused, may be tried again now.
+func (p *Pool) MayPass(id string, now time.Time) bool {
+	g := p.places[id]
+	return g == nil || g.gate.Pass(now)
+}
+
+// Lasting reports whether all groups have refused for so long that nobody should wait.
+func (p *Pool) Lasting(now time.Time) bool {
+	return p.every(func(g *group) bool { return g.gate.Lasting(now) })
+}
+
+// Closed reports whether all groups refuse.
+func (p *Pool) Closed() bool {
+	return p.every(func(g *group) bool { return g.gate.Closed() })
+}
+
+// every reports whether there is a group with slots and all such are so.
+func (p *Pool) every(so func(*group) bool) bool {
+	some := false
+	for _, g := range p.groups {
+		if g.slots == 0 {
+			continue
+		}
+		if !so(g) {
+			return false
+		}
+		some = true
+	}
+	return some
+}
+
+// Comeback returns when the caller of a service that is down may come back, of the time
+// that it has left, and false while the service is up. The queue's own answer follows
+// from its rate, which says nothing then: callers would be back while the service is
+// still down, and lost.
+func (p *Pool) Comeback(left time.Duration) (time.Duration, bool) {
+	if !p.Closed() {
+		return 0, false
+	}
+	return time.Duration(float64(left) * comebackPart * (1 - comebackSpread*p.rng.Float64())), true
+}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -10,7 +10,6 @@
 
 	"verbenashift/core/health"
 	"verbenashift/core/mirror"
-	"verbenashift/core/rankpeer"
 	"verbenashift/core/route"
 	"verbenashift/gateway/upstream"
 	"verbenashift/platform"
@@ -215,68 +214,6 @@
 	}
 }
 
-const (
-	// slowPace is the pace over which a rank gets no requests while others have
-	// room: all ranks of a group wait for the slowest one's own part of a pass.
-	slowPace = 1.25
-	// engineRate is the rate of a rank at full pace, in tokens a second. Only
-	// the proportions matter.
-	engineRate = 4000
-)
-
-// ranks is what a digest says of the targets of an expert group.
-type ranks struct {
-	service string
-	// running and queued are the sums over the ranks.
-	running, queued int
-	// slow are the targets that hold the group up.
-	slow map[string]bool
-	// joined says that a target was not known to belong to the group.
-	joined bool
-}
-
-// digest takes what a steward knows of the load of its ranks.
-func (f *fleet) digest(d *rankpeer.Digest, taken time.Time) ranks {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	r := ranks{slow: map[string]bool{}}
-	for k, id := range d.Targets {
-		i, ok := f.table.Lookup(id)
-		p := f.pools[id]
-		if !ok || p == nil {
-			continue
-		}
-		if p.Group.Name == "" && f.told[id] != d.Group.Name {
-			f.told[id], r.joined = d.Group.Name, true
-		}
-		pace := max(float64(d.Pace[k])/rankpeer.PaceUnit, 1)
-		load := route.Load{Queued: float64(d.Queued[k]) * f.cost, Running: int(d.Running[k]), Rate: engineRate / pace}
-		f.table.Report(i, load, taken)
-		p.slow = pace > slowPace
-		f.avoid(p, taken)
-		if health.SlowRank(pace) {
-			r.slow[id] = true
-		}
-		r.service = p.Service
-		r.running += int(d.Running[k])
-		r.queued += int(d.Queued[k])
-	}
-	if r.joined {
-		f.regroup()
-	}
-	return r
-}
-
-// regroup tells the table which groups the targets belong to. It is called with the
-// lock held.
-func (f *fleet) regroup() {
-	targets := make([]route.Target, 0, len(f.pools))
-	for _, p := range f.pools {
-		targets = append(targets, f.routed(&p.Target))
-	}
-	f.table.Update(targets)
-}
-
 func (f *fleet) succeeded(s sent, latency time.Duration, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
