A steward looks for a missing rank again and again, and tells no strays to its agents

Cause: targets of other groups that were asked while a rank was missing stayed in the roster, so that the next look found nothing new and asked nobody; and all agents were told of them. Ruled out: the store, whose view had not changed. The look lasts one round now. TestMissingRankIsLookedForElsewhere failed before at the second look.

--- a/sidecar/ask.go
+++ b/sidecar/ask.go
@@ -81,7 +81,8 @@
 		ask.Order = &cmd.Order
 		s.pack(id, &ask)
 	}
-	if p.told != s.roster {
+	if p.told != s.roster && !s.straying {
+		// Those who are only asked where they belong are no members.
 		ask.Roster = s.roster
 	}
 	return ask, cmd
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -26,27 +26,33 @@
 	seen   *mirror.View
 	// elsewhere are targets that have told that they belong to another group.
 	elsewhere map[string]platform.GroupID
-	// strayAt is when all targets of the service were asked last.
-	strayAt time.Time
+	// strayAt is when all targets of the service were asked last; straying says that
+	// they are in this round.
+	strayAt  time.Time
+	straying bool
 }
 
 // meet keeps a peer for each target that may hold a rank of the group. Some services
 // have several groups, and their servers tell the store which one is theirs; those
 // that don't are asked once.
 func (s *steward) meet(now time.Time) {
-	v := s.targets.View()
-	if v == nil {
-		return
+	if v := s.targets.View(); v != nil {
+		s.follow(v, now)
 	}
+}
+
+// follow enrols the targets of a view: all of the service, now and then, while the group
+// lacks a rank, and for one round.
+func (s *steward) follow(v *mirror.View, now time.Time) {
 	stray := !s.whole && now.Sub(s.strayAt) >= strayEvery
-	if v == s.seen && !stray {
+	if v == s.seen && !stray && !s.straying {
 		return
 	}
 	if stray {
 		s.strayAt = now
 		clear(s.elsewhere)
 	}
-	s.seen = v
+	s.seen, s.straying = v, stray
 	s.enrol(s.rosterOf(v, stray))
 }
 
--- a/sidecar/members_test.go
+++ b/sidecar/members_test.go
@@ -65,13 +65,27 @@
 	is := is.New(t)
 	s := testSteward(t)
 	v := viewOf(platform.Target{ID: "a", Group: in("g")}, platform.Target{ID: "b", Group: in("h")})
-	s.enrol(s.rosterOf(v, false))
+	now := time.Unix(1000, 0)
+	s.strayAt = now
+	s.follow(v, now)
 	is.Equal(len(s.peers), 1)
-	s.enrol(s.rosterOf(v, true))
-	is.Equal(len(s.peers), 2)
+	for range 2 { // it is not there yet
+		now = now.Add(strayEvery)
+		s.follow(v, now)
+		is.Equal(len(s.peers), 2)
+		ask, _ := s.askOf("a", s.peers["a"], false)
+		is.True(ask.Roster == nil) // the members are not told of one that is only asked
+		s.locate("b", rankpeer.Tell{Group: in("h"), Refused: lockstep.OtherGroup})
+		s.follow(v, now.Add(time.Millisecond))
+		is.Equal(len(s.peers), 1)
+		is.Equal(len(s.roster.Members), 1)
+	}
+	now = now.Add(strayEvery)
+	s.follow(v, now)
 	s.locate("b", rankpeer.Tell{Group: in("g")})
-	s.enrol(s.rosterOf(v, false))
+	s.follow(v, now.Add(time.Millisecond))
 	is.Equal(len(s.peers), 2)
+	is.Equal(len(s.roster.Members), 2)
 }
 
 // A server starts again under its ID: what the steward knows of its agent, such as the map
