--- a/core/rankpeer/counts.go
+++ b/core/rankpeer/counts.go
@@ -53,3 +53,25 @@
 		sums[e] += float64(part) * float64(s.Most) / steps
 	}
 }
+
+// SumSamples returns the sum of samples of one length as a sample, or nil for none.
+// One alone stays as it is; of others the rounding is random again. Samples of another
+// length than the first one, which agents with another configuration may tell, are
+// left out.
+func SumSamples(samples []*Sample) *Sample {
+	if len(samples) <= 1 {
+		if len(samples) == 0 {
+			return nil
+		}
+		return samples[0]
+	}
+	sums := make([]float64, samples[0].Experts)
+	for _, s := range samples {
+		s.AddTo(sums)
+	}
+	chosen := make([]int64, len(sums))
+	for e, n := range sums {
+		chosen[e] = int64(n + 0.5)
+	}
+	return NewSample(nil, chosen)
+}
--- a/core/rankpeer/maps.go
+++ b/core/rankpeer/maps.go
@@ -1,6 +1,10 @@
 package rankpeer
 
-import "encoding/binary"
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+)
 
 // Map is a map of a whole group, packed: the experts by layer, rank and place,
 // as variable-length numbers that are one higher than the expert; 0 is an empty
@@ -13,13 +17,52 @@
 // Change is a map to prepare, as what differs from one that the receiver may
 // have. A change moves a few experts on each rank: a tenth of the map.
 type Change struct {
-	// Base is the number of the map that Moves start from.
-	Base  int64
+	// Base is the number of the map that Moves start from; see Map.Number.
+	Base uint64
+	// First is the shape of a group whose first map is the base: the receiver works it
+	// out.
+	First *Shape
 	Moves Moves
 	// Full is the whole map; it is nil where Moves suffice.
 	Full *Map
 }
 
+// Shape is what the first map of a group follows from.
+type Shape struct {
+	Layers, Ranks, Places, Experts int
+}
+
+// maxPlaces bounds the maps that are worked out for a shape from the wire: a group of
+// 1,000 ranks with 100 layers and 5 places has half as many.
+const maxPlaces = 1 << 20
+
+// FirstMap returns the map that the engines begin with, which assigns the experts in
+// turn: expert e is on rank e modulo the number of ranks. It returns nil if the shape is
+// none. Whoever relies on it compares its number with that of the map in force.
+func FirstMap(s Shape) *Map {
+	if s.Layers <= 0 || s.Ranks <= 0 || s.Places <= 0 || s.Layers > maxPlaces || s.Ranks > maxPlaces || s.Places > maxPlaces ||
+		s.Layers*s.Ranks > maxPlaces || s.Layers*s.Ranks*s.Places > maxPlaces || s.Experts > s.Ranks*s.Places {
+		return nil
+	}
+	m := make([][][]int, s.Layers)
+	for l := range m {
+		m[l] = make([][]int, s.Ranks)
+		for e := range s.Experts {
+			m[l][e%s.Ranks] = append(m[l][e%s.Ranks], e)
+		}
+	}
+	return Pack(m, s.Places)
+}
+
+// Number identifies a map by what is in it, whatever version the ranks had it under: a
+// group that is formed anew begins with a map that its agents know.
+func (m *Map) Number() uint64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintln(h, m.Layers, m.Ranks, m.Places)
+	_, _ = h.Write(m.Data)
+	return h.Sum64()
+}
+
 // Moves are what differs between two maps of one shape, packed: for each place
 // that differs, how many places after the last one it is, and the expert there
 // plus 1, or 0 for none, as variable-length numbers. That is some two bytes a
--- a/core/rankpeer/rankpeer.go
+++ b/core/rankpeer/rankpeer.go
@@ -38,6 +38,14 @@
 	Change *Change
 	// Roster is nil if the agent has been told it.
 	Roster *Roster
+	// Turn is the agent's place in the order in which agents take over from a silent
+	// steward, plus 1; 0 leaves it to the rank.
+	Turn int
+	// Branch has the agent ask others on the steward's behalf.
+	Branch *BranchAsk
+	// View is the steward's view, for gateways that ask this agent for it. An ask that
+	// brings one asks for nothing else.
+	View *Digest
 }
 
 // Tell is the answer.
@@ -49,6 +57,9 @@
 	Refused lockstep.Refusal
 	// Term is the highest that the agent has heard.
 	Term int64
+	// Answered says that the agent has answered, if only with a refusal. Only relays
+	// tell it, of the members of their branches.
+	Answered bool
 	// Known says that the rank has answered; State is fresh then.
 	Known     bool
 	State     platform.RankState
@@ -59,8 +70,13 @@
 	// NeedMap says that the order was not given, because the agent does not have
 	// the map that the change starts from.
 	NeedMap bool
-	// Digest is nil if the agent is no steward.
+	// Digest is nil if the agent has no view of the group.
 	Digest *Digest
+	// List is the number of the list of targets that a relay has from the views that it
+	// was given.
+	List uint64
+	// Branch is the answer of a relay.
+	Branch *BranchTell
 }
 
 // Digest is a steward's view of its group.
@@ -84,6 +100,9 @@
 	Queued  []uint16
 	// Pace is the servers' paces in parts of PaceUnit.
 	Pace []uint16
+	// Relays are where the agents listen that have this view as well; it is empty in
+	// groups whose steward answers gateways itself.
+	Relays []string
 }
 
 // PaceUnit is what a pace of 1, a server as fast as it should be, is in a Digest.
--- a/core/rankpeer/roster.go
+++ b/core/rankpeer/roster.go
@@ -26,6 +26,8 @@
 	// ID is that of the target.
 	ID   string
 	Addr netip.AddrPort
+	// Zone is the availability zone of its instance.
+	Zone string
 	// Born is when the target's server started; 0 if it does not say.
 	Born int64
 }
--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -4,6 +4,8 @@
 	"context"
 	"expvar"
 	"log/slog"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,7 +22,7 @@
 	digestEvery = 200 * time.Millisecond
 	// digestWait bounds one ask inside a region.
 	digestWait = 150 * time.Millisecond
-	// digestPause is the pause after a failure: a steward that is gone is
+	// digestPause is the mean pause after a failure: a steward that is gone is
 	// replaced in about a second.
 	digestPause = 500 * time.Millisecond
 	// lifeValid is how long after the last digest of a group those of an earlier epoch
@@ -28,14 +30,15 @@
 	lifeValid = 5 * time.Second
 )
 
-// digests asks the stewards of all expert groups how their ranks are loaded.
+// digests learns how the ranks of all expert groups are loaded: from their stewards, or
+// from the relays that have a steward's view where there are some.
 type digests struct {
 	log *slog.Logger
 	use func(*rankpeer.Digest, time.Time)
 
-	mu    sync.Mutex
-	addrs map[string]string
-	stops map[string]context.CancelFunc
+	mu sync.Mutex
+	// stewards are where those of the groups listen.
+	stewards map[string]string
 	// last are the epoch and the term of the newest digest of each group.
 	last map[string]life
 }
@@ -48,7 +51,7 @@
 }
 
 func newDigests(log *slog.Logger, use func(*rankpeer.Digest, time.Time)) *digests {
-	return &digests{log: log, use: use, addrs: map[string]string{}, stops: map[string]context.CancelFunc{}, last: map[string]life{}}
+	return &digests{log: log, use: use, stewards: map[string]string{}, last: map[string]life{}}
 }
 
 // update takes a new view: where the stewards are.
@@ -56,41 +59,102 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for group, claim := range v.Stewards {
-		if d.addrs[group] == claim.Addr {
+		before, known := d.stewards[group]
+		if before == claim.Addr {
 			continue
 		}
-		if stop := d.stops[group]; stop != nil {
-			stop()
-		}
-		ctx, stop := context.WithCancel(context.Background())
-		d.addrs[group], d.stops[group] = claim.Addr, stop
+		d.stewards[group] = claim.Addr
 		steers := new(expvar.String)
 		steers.Set(claim.Addr)
 		metricSteers.Set(group, steers)
-		go d.follow(ctx, group, claim.Addr)
+		if !known {
+			go d.follow(context.Background(), group)
+		}
 	}
 }
 
-// follow asks one steward until the context ends.
-func (d *digests) follow(ctx context.Context, group, addr string) {
-	client := rankpeer.NewClient(addr)
-	defer client.Close()
+// steward returns where the steward of a group listens.
+func (d *digests) steward(group string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stewards[group]
+}
+
+// source is whom a gateway asks for the digests of one group.
+type source struct {
+	client *rankpeer.Client
+	addr   string
+	// relays are the other agents that have the digest.
+	relays []string
+	// failures counts the asks in a row that brought nothing to use.
+	failures int
+}
+
+const (
+	// digestValid is how old the digest of a relay may be: several rounds of a steward.
+	digestValid = time.Second
+	// relayTries is how many relays are asked before the steward is. While a steward is
+	// silent and the next one is not heard yet, all relays have an old digest; if all
+	// gateways went to the new steward then, as 53 did, its link of 6 Mbit/s would be
+	// full for a third of a second just when it looks for its ranks.
+	relayTries = 4
+)
+
+// next chooses whom to ask next: a relay, any one, as long as it answers; then other
+// relays; the steward if there is none, or if they bring nothing.
+func (s *source) next(ok bool, steward string) {
+	s.failures++
+	if ok {
+		s.failures = 0
+	}
+	switch {
+	case s.failures >= relayTries:
+		s.relays = nil
+		s.dial(steward)
+	case len(s.relays) == 0:
+		s.dial(steward)
+	case !ok || !slices.Contains(s.relays, s.addr):
+		s.dial(s.relays[rand.IntN(len(s.relays))])
+	}
+}
+
+// dial makes another agent the one that is asked.
+func (s *source) dial(addr string) {
+	if addr == s.addr {
+		return
+	}
+	if s.client != nil {
+		s.client.Close()
+	}
+	s.client, s.addr = rankpeer.NewClient(addr), addr
+}
+
+// follow asks for the digests of one group until the context ends.
+func (d *digests) follow(ctx context.Context, group string) {
+	var from source
+	from.dial(d.steward(group))
+	defer func() { from.client.Close() }()
 	var list rankpeer.Digest
 	heard := false
 	for ctx.Err() == nil {
-		tell, err := askDigest(ctx, client, group, list.List)
+		tell, err := askDigest(ctx, from.client, group, list.List)
 		now := time.Now()
 		ok := err == nil && tell.Digest != nil && complete(tell.Digest, &list) && d.newest(group, tell.Digest)
+		if ok {
+			from.relays = tell.Digest.Relays
+			ok = tell.Digest.Age <= digestValid || len(from.relays) == 0
+		}
 		if ok {
 			d.use(tell.Digest, now.Add(-tell.Digest.Age))
 		}
 		if ok != heard {
 			heard = ok
-			d.log.Info("digest", "group", group, "steward", addr, "heard", ok)
+			d.log.Info("digest", "group", group, "from", from.addr, "heard", ok)
 		}
+		from.next(ok, d.steward(group))
 		next := digestEvery
 		if !ok {
-			next = digestPause
+			next = digestPause/2 + rand.N(digestPause)
 		}
 		pause.For(ctx, next)
 	}
--- a/gateway/digests_test.go
+++ b/gateway/digests_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,3 +35,32 @@
 		is.True(d.newest("g", digest("g", 0, 40)))
 	})
 }
+
+// The steward of a large group dies. Its 53 gateways have its last view from relays, all of
+// which are as old. If they went to the new steward at once, its link would be full while
+// it looks for its ranks: they try other relays first, and the steward only if none has
+// anything new.
+func TestGatewaysStayWithRelays(t *testing.T) {
+	is := is.New(t)
+	var from source
+	from.dial("steward-1")
+	from.next(true, "steward-1")
+	is.Equal(from.addr, "steward-1") // a small group has no relays
+	from.relays = []string{"relay-1", "relay-2", "relay-3"}
+	from.next(true, "steward-1")
+	relay := from.addr
+	is.True(slices.Contains(from.relays, relay))
+	from.next(true, "steward-2")
+	is.Equal(from.addr, relay) // it answers, whoever the steward is
+	for range relayTries - 1 {
+		from.next(false, "steward-2")
+		is.True(slices.Contains(from.relays, from.addr))
+	}
+	from.next(true, "steward-2")
+	is.True(slices.Contains(from.relays, from.addr)) // the next steward's view has come
+	for range relayTries {
+		from.next(false, "steward-2")
+	}
+	is.Equal(from.addr, "steward-2")
+	from.client.Close()
+}
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -24,6 +24,8 @@
 	// plan is false when the maps are to stay as they are.
 	plan bool
 
+	relay relay
+
 	mu sync.Mutex
 	// beliefs are void when the rank joins another group or its server starts anew.
 	beliefs
@@ -35,6 +37,9 @@
 type beliefs struct {
 	listener  lockstep.Listener
 	candidate *lockstep.Candidate
+	// turn is the agent's place among those who take over, plus 1, as the last steward
+	// told it; 0 if none has.
+	turn int
 	// seenClaim is the revision of the last claim that was seen in the store.
 	seenClaim int64
 	// words counts the words of stewards that were heard.
@@ -44,9 +49,11 @@
 	// counts are the last ones that were read, in the epoch countsEpoch.
 	counts      []int64
 	countsEpoch int64
-	// view is the last digest while this agent is the steward, taken at viewAt.
+	// view is the last digest of the group, taken at viewAt: this agent's own while it
+	// steers, or the one that the steward has given to it as a relay.
 	view   *rankpeer.Digest
 	viewAt time.Time
+	steers bool
 	// roster is the last that a steward has told; nil before.
 	roster *rankpeer.Roster
 	// toSave are loads that wait to be written while this agent is the steward.
@@ -100,17 +107,20 @@
 // a server takes longer to start, and a group longer to form.
 const seatFresh = 250 * time.Millisecond
 
-// refreshSeat reads the rank if its seat is not known for sure.
-func (a *agent) refreshSeat() {
+// refreshSeat reads the rank if its seat is not known for sure. It reports false if the
+// rank did not answer.
+func (a *agent) refreshSeat() bool {
 	a.mu.Lock()
 	fresh := time.Since(a.satAt) < seatFresh
 	a.mu.Unlock()
 	if fresh {
-		return
+		return true
 	}
 	if _, err := a.readRank(context.Background()); err != nil {
 		a.log.Warn("rank not read", "error", err.Error())
+		return false
 	}
+	return true
 }
 
 // hear records a word of a steward, or says why it is not heeded.
@@ -131,6 +141,9 @@
 			"before", before.From, "term-before", before.Term)
 	}
 	a.candidate.Heard(time.Now(), ask.Held)
+	if ask.Turn > 0 {
+		a.turn = ask.Turn
+	}
 	a.words++
 	if ask.Roster != nil && ask.Roster.Group.Name == ask.Word.Group.Name {
 		a.roster = ask.Roster
@@ -159,8 +172,9 @@
 	return a.listener.Heard().Term
 }
 
-// digest returns what a gateway may know of a group, or nil if this agent is
-// not its steward. The targets are left out if the gateway has the list.
+// digest returns what a gateway may know of a group, or nil if this agent is neither its
+// steward nor has a view that is worth telling. The targets are left out if the gateway
+// has the list.
 func (a *agent) digest(group string, list uint64) *rankpeer.Digest {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -169,16 +183,40 @@
 	}
 	d := *a.view
 	d.Age = time.Since(a.viewAt)
+	if d.Age > viewValid && !a.steers {
+		return nil
+	}
 	if d.List == list {
 		d.Targets = nil
 	}
 	return &d
 }
 
+// viewValid is how old the view of a steward may be that a relay still tells. Gateways
+// judge its age for themselves; an older one is of an agent that is no relay any more.
+const viewValid = 5 * time.Second
+
+// setDigest sets the view of this agent as the steward; nil ends that.
 func (a *agent) setDigest(d *rankpeer.Digest) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.view, a.viewAt = d, time.Now()
+	a.view, a.viewAt, a.steers = d, time.Now(), d != nil
+}
+
+// takeView takes a steward's view for gateways, and returns the number of the list of
+// targets that it has then.
+func (a *agent) takeView(d *rankpeer.Digest) uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	v := *d
+	if v.Targets == nil {
+		if a.view == nil || a.view.List != v.List {
+			return 0
+		}
+		v.Targets = a.view.Targets
+	}
+	a.view, a.viewAt = &v, time.Now().Add(-d.Age)
+	return v.List
 }
 
 // stewardBefore returns the steward that was heard last, or nil if none was or
@@ -198,6 +236,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
+	if a.turn > 0 {
+		rank = a.turn - 1
+	}
 	if !a.candidate.Due(rank, now) {
 		return false
 	}
--- a/sidecar/ask.go
+++ b/sidecar/ask.go
@@ -29,63 +29,151 @@
 	s.pending, s.counting = nil, false
 	for id, p := range s.peers {
 		if p.member.Addr == s.boot.Target {
-			return s.askAll(ctx, map[string]*peer{id: p}, false)
+			return s.askAll(ctx, func(asked string) bool { return asked == id }, false)
 		}
 	}
 	return true
 }
 
-// ordered returns the peers that have an order.
-func (s *steward) ordered() map[string]*peer {
-	some := make(map[string]*peer, len(s.pending))
-	for id := range s.pending {
-		if p := s.peers[id]; p != nil {
-			some[id] = p
+// everybody asks all ranks.
+func everybody(string) bool { return true }
+
+// ordered asks the ranks that have an order.
+func (s *steward) ordered(id string) bool {
+	_, ok := s.pending[id]
+	return ok
+}
+
+// askAll asks the ranks that are wanted, branch by branch and all branches at once, and
+// gives them their orders. It reports false when a newer steward has been heard.
+func (s *steward) askAll(ctx context.Context, wanted func(id string) bool, full bool) bool {
+	s.rosters = rostersAtOnce
+	s.wholes = max(1, wholeBytes/max(s.planner.mapBytes(), 1))
+	s.giveDirect()
+	answers := make([]branchTell, len(s.branches))
+	asked := make([][]int, len(s.branches))
+	var wg sync.WaitGroup
+	for i, b := range s.branches {
+		asked[i] = b.among(wanted)
+		if len(asked[i]) == 0 {
+			continue
+		}
+		ask := s.branchAsk(b, asked[i], full)
+		wg.Go(func() { answers[i] = s.askBranch(ctx, b, ask, len(asked[i])) })
+	}
+	wg.Wait()
+	for i, b := range s.branches {
+		if len(asked[i]) > 0 && !s.hearBranch(b, asked[i], &answers[i]) {
+			return false
+		}
+	}
+	s.askStraight(ctx, wanted, full)
+	s.locateAll(wanted)
+	s.refusals()
+	return true
+}
+
+// among returns the members of a branch that are wanted.
+func (b *branch) among(wanted func(id string) bool) []int {
+	var out []int
+	for k := range b.members {
+		if wanted(b.members[k].ID) {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// giveDirect gives the orders that the steward gives to the servers themselves. The
+// ranks are read through their sidecars all the same, because only there the reading
+// is fresh.
+func (s *steward) giveDirect() {
+	s.given = map[string]int{}
+	for id, cmd := range s.pending {
+		if p := s.peers[id]; p != nil && cmd.Direct {
+			s.given[id], _ = p.orderDirect(rankpeer.Ask{Order: &cmd.Order})
+		}
+	}
+}
+
+// hearBranch takes in what a relay has told of its branch. It reports false when a
+// newer steward has been heard.
+func (s *steward) hearBranch(b *branch, asked []int, t *branchTell) bool {
+	if t.refused == lockstep.NewerSteward && t.term > s.term {
+		s.log.Info("a newer steward is at work", "target", b.id(), "newer-term", t.term)
+		return false
+	}
+	b.told = t.told
+	if t.failed {
+		s.rotate(b)
+	}
+	if t.sample != nil {
+		s.samples = append(s.samples, t.sample)
+	}
+	for i, k := range asked {
+		tell := rankpeer.Tell{}
+		if t.tells != nil {
+			tell = t.tells[i]
 		}
+		id := b.members[k].ID
+		if tell.Refused == lockstep.NewerSteward && tell.Term > s.term {
+			s.log.Info("a newer steward is at work", "target", id, "newer-term", tell.Term)
+			return false
+		}
+		if status, given := s.given[id]; given {
+			tell.Status = status
+		}
+		if p := s.peers[id]; p != nil && (t.tells != nil || b.single()) {
+			p.answered(tell.Answered)
+		}
+		s.tells[id] = tell
 	}
-	return some
+	return true
 }
 
-// askAll asks peers at once and gives them their orders. It reports false when
-// a newer steward has been heard.
-func (s *steward) askAll(ctx context.Context, peers map[string]*peer, full bool) bool {
+// askStraight asks ranks themselves whose sidecars do not answer, a few in a round; of
+// the others it takes what they told when they were last read.
+func (s *steward) askStraight(ctx context.Context, wanted func(id string) bool, full bool) {
+	now := time.Now()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for id, p := range peers {
-		ask, cmd := s.askOf(id, p, full)
+	left := straightAtOnce
+	for id, p := range s.peers {
+		if !p.lost || !wanted(id) || s.tells[id].Answered {
+			continue
+		}
+		cmd, ordered := s.pending[id]
+		ordered = ordered && !cmd.Direct
+		if left == 0 || !ordered && !p.straightDue(now) {
+			s.tells[id] = p.last
+			continue
+		}
+		left--
+		ask := rankpeer.Ask{Placement: full}
+		if ordered {
+			o := cmd.Order
+			if ask.Change = s.changeFor(id, &o); ask.Change != nil {
+				o.Map = nil
+			}
+			ask.Order = &o
+		}
 		wg.Go(func() {
-			tell := p.command(ctx, ask, cmd.Direct)
+			tell := p.askRank(ctx, ask)
 			mu.Lock()
+			defer mu.Unlock()
 			s.tells[id] = tell
-			mu.Unlock()
 		})
 	}
 	wg.Wait()
-	for id := range peers {
-		t := s.tells[id]
-		if t.Refused == lockstep.NewerSteward && t.Term > s.term {
-			s.log.Info("a newer steward is at work", "target", id, "newer-term", t.Term)
-			return false
-		}
-		s.locate(id, t)
-	}
-	s.refusals()
-	return true
 }
 
-// askOf returns what one peer is asked, with the order that it gets.
-func (s *steward) askOf(id string, p *peer, full bool) (rankpeer.Ask, lockstep.Command) {
-	cmd, ordered := s.pending[id]
-	ask := rankpeer.Ask{Word: s.word(), Held: s.holding, Counts: !ordered && s.countsDue(p), Placement: full}
-	if ordered {
-		ask.Order = &cmd.Order
-		s.pack(id, &ask)
-	}
-	if p.told != s.roster && !s.straying {
-		// Those who are only asked where they belong are no members.
-		ask.Roster = s.roster
+// locateAll takes what the ranks have told of where they belong.
+func (s *steward) locateAll(wanted func(id string) bool) {
+	for id := range s.peers {
+		if wanted(id) {
+			s.locate(id, s.tells[id])
+		}
 	}
-	return ask, cmd
 }
 
 // word is what the steward says of itself.
@@ -93,12 +181,6 @@
 	return lockstep.Word{Group: s.group, Term: s.term, From: s.boot.Instance, Rank: s.rankOf, Salt: s.salt}
 }
 
-// countsDue reports whether it is a peer's turn to tell its counts.
-func (s *steward) countsDue(p *peer) bool {
-	groups := (len(s.peers) + countsInTurn - 1) / countsInTurn
-	return s.counting && (groups <= 1 || (p.number+s.turn)%groups == 0)
-}
-
 // startCounting decides whether this round asks for counts. While a change is under
 // way it does so seldom: the next change is planned with what comes after, and a
 // round without counts takes a third of the time in a large group.
@@ -109,29 +191,45 @@
 	}
 	if s.counting = now.Sub(s.countedAt) >= every; s.counting {
 		s.countedAt = now
-		s.turn++
 	}
 }
 
-// pack takes the map out of an order to prepare and puts it into the ask as a
-// change: what differs from the map in force, or all of it for an agent that
-// lacks that.
-func (s *steward) pack(id string, ask *rankpeer.Ask) {
-	if ask.Order.Kind != platform.PrepareMap || len(ask.Order.Map) == 0 {
-		return
+// changeFor returns the map of an order to prepare as it goes to one agent: what differs
+// from the map in force, or all of it for an agent that lacks that. Other orders have
+// none.
+func (s *steward) changeFor(id string, o *platform.Order) *rankpeer.Change {
+	if o.Kind != platform.PrepareMap || len(o.Map) == 0 {
+		return nil
 	}
-	o := *ask.Order
 	if s.proposedAs != o.Version {
-		s.proposed, s.proposedAs, s.needFull = o.Map, o.Version, map[string]bool{}
-		s.packed = rankpeer.Pack(o.Map, s.planner.engine.Places)
+		s.propound(o)
+	}
+	if s.moves == nil || s.needFull[id] {
+		return s.whole
+	}
+	return s.moves
+}
+
+// propound packs a map that is to be prepared, as what differs from the map in force.
+func (s *steward) propound(o *platform.Order) {
+	s.proposed, s.proposedAs, s.needFull = o.Map, o.Version, map[string]bool{}
+	places := s.planner.engine.Places
+	s.packed = rankpeer.Pack(o.Map, places)
+	if m := s.planner.current(); m != nil {
+		s.base = rankpeer.Pack(m, places)
+	}
+	s.whole, s.moves = &rankpeer.Change{Full: s.packed}, nil
+	if s.base == nil {
+		return
 	}
-	o.Map = nil
-	ask.Order, ask.Change = &o, &rankpeer.Change{Base: s.baseAs, Full: s.packed}
-	if s.base == nil || s.needFull[id] {
+	moves, ok := rankpeer.Diff(s.base, s.packed)
+	if !ok {
 		return
 	}
-	if moves, ok := rankpeer.Diff(s.base, s.packed); ok {
-		ask.Change.Moves, ask.Change.Full = moves, nil
+	s.moves = &rankpeer.Change{Base: s.base.Number(), Moves: moves}
+	shape := rankpeer.Shape{Layers: s.base.Layers, Ranks: s.base.Ranks, Places: places, Experts: s.planner.engine.Experts}
+	if first := rankpeer.FirstMap(shape); first != nil && first.Number() == s.moves.Base {
+		s.moves.First = &shape
 	}
 }
 
--- /dev/null
+++ b/sidecar/branch.go
@@ -0,0 +1,250 @@
+package main
+
+import (
+	"context"
+	"hash/fnv"
+	"time"
+
+	"verbenashift/core/lockstep"
+	"verbenashift/core/rankpeer"
+	"verbenashift/platform"
+)
+
+// relayWait is how long a relay may take to answer: it waits for its members as long
+// as they may take.
+const relayWait = tellWait + 60*time.Millisecond
+
+// branch is the steward's way to some ranks of its group: through the agent beside one
+// of them, the relay.
+type branch struct {
+	members []rankpeer.Member
+	// list numbers the members; turns are their places in the order of takeovers.
+	list  uint64
+	turns []uint16
+	// relay is the member whose agent carries the words; link is the way there.
+	relay int
+	link  *link
+	// told says that the relay has the list.
+	told bool
+	// views is the number of the list of targets that the relay has.
+	views uint64
+}
+
+// id returns the target beside which the relay runs.
+func (b *branch) id() string { return b.members[b.relay].ID }
+
+// single reports whether the branch is one rank, whose agent is asked for itself.
+func (b *branch) single() bool { return len(b.members) == 1 }
+
+// numberOf numbers a list of members.
+func numberOf(members []rankpeer.Member) uint64 {
+	h := fnv.New64a()
+	for _, m := range members {
+		_, _ = h.Write([]byte(m.ID + " " + m.Addr.String() + "\n"))
+	}
+	return h.Sum64()
+}
+
+// branchOut divides the members of the roster anew. An agent that was a relay stays one,
+// so that few connections change when a rank comes or goes; the steward's own agent is
+// the relay of its branch.
+func (s *steward) branchOut() {
+	old := make(map[rankpeer.Member]*branch, len(s.branches))
+	for _, b := range s.branches {
+		old[b.members[b.relay]] = b
+	}
+	parts := rankpeer.Split(s.roster.Members)
+	s.branches = s.branches[:0:0]
+	for _, members := range parts {
+		b := &branch{members: members, list: numberOf(members), relay: s.chooseRelay(members, old)}
+		if before := old[members[b.relay]]; before != nil {
+			b.link, b.views = before.link, before.views
+			b.told = before.told && before.list == b.list
+			delete(old, members[b.relay])
+		} else {
+			b.link = s.linkOf(members[b.relay])
+		}
+		s.branches = append(s.branches, b)
+	}
+	for _, b := range old {
+		b.link.close()
+	}
+	s.giveTurns()
+}
+
+// chooseRelay picks the relay of a branch.
+func (s *steward) chooseRelay(members []rankpeer.Member, old map[rankpeer.Member]*branch) int {
+	chosen := 0
+	for k := len(members) - 1; k >= 0; k-- {
+		if members[k].Addr == s.boot.Target {
+			return k
+		}
+		if old[members[k]] != nil {
+			chosen = k
+		}
+	}
+	return chosen
+}
+
+// linkOf returns a new way to the agent beside a member.
+func (s *steward) linkOf(m rankpeer.Member) *link {
+	return newLink(s.agentOf(m), s.log)
+}
+
+// giveTurns tells who takes over first if the steward falls silent: the relays, which
+// have the roster, one of each branch after the other, then the other members. In a
+// group without relays the ranks decide.
+func (s *steward) giveTurns() {
+	for i, b := range s.branches {
+		b.turns = nil
+		if b.single() {
+			continue
+		}
+		for k := range b.members {
+			place := (k - b.relay + len(b.members)) % len(b.members)
+			b.turns = append(b.turns, uint16(place*len(s.branches)+i))
+		}
+	}
+}
+
+// rotate makes the next member of a branch its relay, after one that did not answer.
+func (s *steward) rotate(b *branch) {
+	if b.single() || b.members[b.relay].Addr == s.boot.Target {
+		return
+	}
+	if p := s.peers[b.id()]; p != nil {
+		p.answered(false)
+	}
+	b.link.close()
+	b.relay = (b.relay + 1) % len(b.members)
+	b.link, b.told, b.views = s.linkOf(b.members[b.relay]), false, 0
+	s.log.Info("relay chosen", "target", b.id(), "members", len(b.members))
+	s.giveTurns()
+}
+
+// branchAsk is what a relay is asked for the given members, of which at least one is
+// asked.
+func (s *steward) branchAsk(b *branch, among []int, full bool) rankpeer.Ask {
+	ask := rankpeer.Ask{Word: s.word(), Held: s.holding, Counts: s.counting, Placement: full}
+	out := &rankpeer.BranchAsk{List: b.list, Turns: b.turns}
+	wholes := s.wholesFor()
+	if !b.told {
+		out.Members = b.members
+	}
+	for _, k := range among {
+		id := b.members[k].ID
+		if len(among) < len(b.members) {
+			out.Among = append(out.Among, uint16(k))
+		}
+		if p := s.peers[id]; p != nil && p.lost {
+			out.Silent = append(out.Silent, uint16(k))
+		}
+		cmd, ordered := s.pending[id]
+		if !ordered || cmd.Direct {
+			continue
+		}
+		change := s.changeFor(id, &cmd.Order)
+		if change != nil && change.Full != nil {
+			if wholes--; wholes < 0 {
+				continue // Its turn comes in a later round.
+			}
+		}
+		s.addOrder(out, k, cmd.Order, change)
+	}
+	if b.link.roster() != s.roster && !s.straying && s.rosters > 0 {
+		// Those who are only asked where they belong are no members.
+		ask.Roster = s.roster
+		s.rosters--
+	}
+	if len(b.turns) > 0 {
+		ask.Turn = int(b.turns[b.relay]) + 1
+	}
+	for i := range out.Orders {
+		if c := out.Orders[i].Change; c != nil && c.Full != nil {
+			s.wholes--
+		}
+	}
+	ask.Branch = out
+	return ask
+}
+
+// wholeBytes is how many bytes of whole maps a process sends at once at most: on a link
+// of 6 Mbit/s they take 50 ms. A map of 192 ranks and 10 layers has 10 KB; told to all
+// agents at once it would fill the links of the steward and the relays for longer than
+// they wait for answers, which breaks the connections, and all begins anew.
+const wholeBytes = 40 << 10
+
+// wholesFor returns how many members of a branch may be sent the whole map in this
+// asking: none, if as many relays as the steward may send it to have got it.
+func (s *steward) wholesFor() int {
+	if s.wholes == 0 {
+		return 0
+	}
+	return max(1, wholeBytes/max(s.planner.mapBytes(), 1))
+}
+
+// addOrder adds the order to one member to those of its branch; what is the same for
+// several is sent once.
+func (s *steward) addOrder(out *rankpeer.BranchAsk, member int, o platform.Order, c *rankpeer.Change) {
+	if c != nil {
+		o.Map = nil
+	}
+	for i := range out.Orders {
+		b := &out.Orders[i]
+		if sameOrder(&b.Order, &o) && b.Change == c {
+			b.Members = append(b.Members, uint16(member))
+			return
+		}
+	}
+	out.Orders = append(out.Orders, rankpeer.BranchOrder{Order: o, Change: c, Members: []uint16{uint16(member)}})
+}
+
+// sameOrder reports whether two orders of one round say the same; their maps are in the
+// changes.
+func sameOrder(a, b *platform.Order) bool {
+	return a.Kind == b.Kind && a.Epoch == b.Epoch && a.Expect == b.Expect && a.Fence == b.Fence && a.Version == b.Version && a.Step == b.Step
+}
+
+// branchTell is the answer of one branch, or none.
+type branchTell struct {
+	tells  []rankpeer.Tell
+	sample *rankpeer.Sample
+	// refused says that the relay has heard a newer steward, with the term.
+	refused lockstep.Refusal
+	term    int64
+	// told says that the relay has the list of its members.
+	told   bool
+	failed bool
+}
+
+// askBranch asks the relay, once more if it lacks the list of its members.
+func (s *steward) askBranch(ctx context.Context, b *branch, ask rankpeer.Ask, count int) branchTell {
+	wait := relayWait
+	if b.single() {
+		wait = tellWait
+	}
+	tell, err := b.link.ask(ctx, ask, wait)
+	if err == nil && tell.Branch != nil && tell.Branch.NeedMembers {
+		again := *ask.Branch
+		again.Members = b.members
+		ask.Branch = &again
+		tell, err = b.link.ask(ctx, ask, wait)
+	}
+	out := branchTell{refused: tell.Refused, term: tell.Term}
+	if err != nil {
+		out.failed = true
+		return out
+	}
+	if tell.Branch == nil {
+		// It has refused to pass the ask on.
+		return out
+	}
+	tells, ok := tell.Branch.Unpack(ask.Word, count)
+	if !ok {
+		s.log.Error("answer of a relay not understood", "target", b.id(), "tells", len(tell.Branch.Tells), "asked", count)
+		out.failed = true
+		return out
+	}
+	out.tells, out.sample, out.told = tells, tell.Branch.Sample, true
+	return out
+}
--- a/sidecar/maps.go
+++ b/sidecar/maps.go
@@ -13,30 +13,29 @@
 // mapStore holds the maps that were prepared lately, newest last. The zero value is
 // empty.
 type mapStore struct {
-	mu    sync.Mutex
-	epoch int64
-	kept  []numberedMap
+	mu   sync.Mutex
+	kept []numberedMap
 }
 
+// numberedMap is a map with the version that it was prepared under in an epoch, and the
+// number of its content.
 type numberedMap struct {
-	version int64
-	m       *rankpeer.Map
+	epoch, version int64
+	number         uint64
+	m              *rankpeer.Map
 }
 
-// make returns the map of a change and keeps it under its number. It returns nil
+// make returns the map of a change and keeps it under its version. It returns nil
 // if the map that the change starts from is not there.
 func (k *mapStore) make(epoch, version int64, c *rankpeer.Change) *rankpeer.Map {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if epoch != k.epoch {
-		k.epoch, k.kept = epoch, nil
-	}
-	if m := k.find(version); m != nil {
+	if m := k.find(epoch, version); m != nil {
 		return m
 	}
 	m := c.Full
 	if m == nil {
-		base := k.find(c.Base)
+		base := k.base(c)
 		if base == nil {
 			return nil
 		}
@@ -45,26 +44,41 @@
 			return nil
 		}
 	}
-	k.kept = append(k.kept, numberedMap{version, m})
+	k.kept = append(k.kept, numberedMap{epoch, version, m.Number(), m})
 	if len(k.kept) > keptMaps {
 		k.kept = k.kept[1:]
 	}
 	return m
 }
 
+// base returns the map that a change starts from, or nil.
+func (k *mapStore) base(c *rankpeer.Change) *rankpeer.Map {
+	for _, n := range k.kept {
+		if n.number == c.Base {
+			return n.m
+		}
+	}
+	if c.First == nil {
+		return nil
+	}
+	// It is worked out only if it is the right one: another platform might assign its
+	// experts in another order.
+	if m := rankpeer.FirstMap(*c.First); m != nil && m.Number() == c.Base {
+		return m
+	}
+	return nil
+}
+
 // get returns a map that was kept in an epoch, or nil.
 func (k *mapStore) get(epoch, version int64) *rankpeer.Map {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if epoch != k.epoch {
-		return nil
-	}
-	return k.find(version)
+	return k.find(epoch, version)
 }
 
-func (k *mapStore) find(version int64) *rankpeer.Map {
+func (k *mapStore) find(epoch, version int64) *rankpeer.Map {
 	for _, n := range k.kept {
-		if n.version == version {
+		if n.epoch == epoch && n.version == version {
 			return n.m
 		}
 	}
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -17,9 +17,20 @@
 // second and more to form.
 const strayEvery = 2 * time.Second
 
+// rostersAtOnce is how many relays are told the roster in one round. It grows with the
+// group; told to all at once, that of 192 ranks fills a link of 6 Mbit/s for a fifth of a
+// second.
+const rostersAtOnce = 4
+
 // members is what a steward knows of which targets hold the ranks of its group.
 type members struct {
 	peers map[string]*peer
+	// branches are the ways to the peers.
+	branches []*branch
+	// rosters is how many agents may still be told the roster in this round.
+	rosters int
+	// wholes is how many relays may still be sent the whole map in this asking.
+	wholes int
 	// roster is what the agents are told of the group; seen is the view that it
 	// was made from, nil for one that was told by an earlier steward.
 	roster *rankpeer.Roster
@@ -44,7 +55,7 @@
 // follow enrols the targets of a view: all of the service, now and then, while the group
 // lacks a rank, and for one round.
 func (s *steward) follow(v *mirror.View, now time.Time) {
-	stray := !s.whole && now.Sub(s.strayAt) >= strayEvery
+	stray := !s.complete && now.Sub(s.strayAt) >= strayEvery
 	if v == s.seen && !stray && !s.straying {
 		return
 	}
@@ -65,7 +76,7 @@
 		if t.Service != s.boot.Service || !all && !s.mayBelong(&t) {
 			continue
 		}
-		r.Members = append(r.Members, rankpeer.Member{ID: id, Addr: t.Addr, Born: t.Born})
+		r.Members = append(r.Members, rankpeer.Member{ID: id, Addr: t.Addr, Zone: t.Zone, Born: t.Born})
 		if t.Addr == s.boot.Target {
 			r.Steward = id
 		}
@@ -134,7 +145,7 @@
 	}
 	for id, m := range wanted {
 		if s.peers[id] == nil {
-			s.peers[id] = newPeer(m, s.boot.PortFirst, len(s.peers), s.log)
+			s.peers[id] = newPeer(m, s.log)
 		}
 	}
 	if p := s.peers[r.Steward]; p != nil && p.member.Addr != s.boot.Target {
@@ -142,6 +153,7 @@
 		// first round, in which a hold that it has left is found.
 		p.lost = true
 	}
+	s.branchOut()
 	if r.Engine.Sets > 0 {
 		s.planner.shape(r.Engine)
 	}
--- a/sidecar/members_test.go
+++ b/sidecar/members_test.go
@@ -73,7 +73,9 @@
 		now = now.Add(strayEvery)
 		s.follow(v, now)
 		is.Equal(len(s.peers), 2)
-		ask, _ := s.askOf("a", s.peers["a"], false)
+		s.rosters = rostersAtOnce
+		ask := s.branchAsk(s.branches[0], []int{0}, false)
+		is.Equal(s.branches[0].id(), "a")
 		is.True(ask.Roster == nil) // the members are not told of one that is only asked
 		s.locate("b", rankpeer.Tell{Group: in("h"), Refused: lockstep.OtherGroup})
 		s.follow(v, now.Add(time.Millisecond))
@@ -95,10 +97,12 @@
 	s := testSteward(t)
 	s.enrol(s.rosterOf(viewOf(platform.Target{ID: "a", Group: in("g"), Born: 100}), false))
 	before := s.peers["a"]
-	before.told = s.roster
+	s.branches[0].told = true
+	s.branches[0].link.told.Store(s.roster)
 	s.enrol(s.rosterOf(viewOf(platform.Target{ID: "a", Group: in("g"), Born: 900}), false))
 	is.True(s.peers["a"] != before)
-	is.True(s.peers["a"].told == nil)
+	is.True(!s.branches[0].told)
+	is.True(s.branches[0].link.roster() == nil)
 }
 
 // The group has been formed anew, and a rank says so before the steward has seen it. From
--- a/sidecar/places.go
+++ b/sidecar/places.go
@@ -19,6 +19,9 @@
 	p.placed = len(p.ranks) > 0
 }
 
+// mapBytes is about how many bytes a packed map of the group has: two a place.
+func (p *planner) mapBytes() int { return 2 * p.engine.Sets * len(p.ranks) * p.engine.Places }
+
 // known reports whether the places are those of the map in force.
 func (p *planner) known(tells map[string]rankpeer.Tell) bool {
 	for _, id := range p.ranks {
--- a/sidecar/planner.go
+++ b/sidecar/planner.go
@@ -109,8 +109,8 @@
 	return saved
 }
 
-// take takes in what the ranks have told.
-func (p *planner) take(now time.Time, byRank []string, tells map[string]rankpeer.Tell) {
+// take takes in what the ranks have told, with the counts of their requests.
+func (p *planner) take(now time.Time, byRank []string, tells map[string]rankpeer.Tell, samples []*rankpeer.Sample) {
 	p.ranks, p.placed, p.skew = byRank, false, 0
 	experts := p.engine.Experts
 	if p.engine.Sets == 0 {
@@ -122,9 +122,9 @@
 		if t.Placement != nil {
 			p.places[id] = t.Placement
 		}
-		if t.Sample != nil {
-			t.Sample.AddTo(chosen)
-		}
+	}
+	for _, sample := range samples {
+		sample.AddTo(chosen)
 	}
 	for l := range p.recent {
 		p.recent[l].Observe(now, chosen[l*experts:(l+1)*experts])
--- /dev/null
+++ b/sidecar/relay.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"verbenashift/core/lockstep"
+	"verbenashift/core/rankpeer"
+)
+
+// relay is what an agent keeps to ask the agents of a branch on a steward's behalf. It
+// carries only: what it passes on is judged by each agent for itself, and it answers
+// with what was told in the same ask, never with what it was told before. The zero
+// value has no branch.
+type relay struct {
+	mu sync.Mutex
+	// list numbers members.
+	list    uint64
+	members []rankpeer.Member
+	links   map[netip.AddrPort]*link
+}
+
+// take returns the members of a branch, or false if the relay has another list. Links to
+// agents that are no longer members are closed.
+func (r *relay) take(b *rankpeer.BranchAsk) ([]rankpeer.Member, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if b.Members == nil {
+		return r.members, r.list == b.List
+	}
+	r.list, r.members = b.List, b.Members
+	wanted := make(map[netip.Addr]bool, len(b.Members))
+	for _, m := range b.Members {
+		wanted[m.Addr.Addr()] = true
+	}
+	for addr, l := range r.links {
+		if !wanted[addr.Addr()] {
+			delete(r.links, addr)
+			go l.close() // An ask under way ends first.
+		}
+	}
+	return r.members, true
+}
+
+// link returns the way to an agent.
+func (a *agent) linkTo(addr netip.AddrPort) *link {
+	a.relay.mu.Lock()
+	defer a.relay.mu.Unlock()
+	l := a.relay.links[addr]
+	if l == nil {
+		if a.relay.links == nil {
+			a.relay.links = map[netip.AddrPort]*link{}
+		}
+		l = newLink(addr, a.log)
+		a.relay.links[addr] = l
+	}
+	return l
+}
+
+// forward asks the agents of a branch and returns what they tell. An order for a
+// frozen relay that it passes on when it wakes is refused by each agent that has heard
+// a newer steward since.
+func (a *agent) forward(ask rankpeer.Ask) *rankpeer.BranchTell {
+	members, ok := a.relay.take(ask.Branch)
+	if !ok {
+		return &rankpeer.BranchTell{NeedMembers: true}
+	}
+	among := ask.Branch.Asked(len(members))
+	silent := make(map[int]bool, len(ask.Branch.Silent))
+	for _, k := range ask.Branch.Silent {
+		silent[int(k)] = true
+	}
+	tells := make([]rankpeer.Tell, len(among))
+	lacks := a.lacksRoster(members, among)
+	var wg sync.WaitGroup
+	for i, k := range among {
+		wait := tellWait
+		if silent[k] {
+			wait = lostWait
+		}
+		one := memberAsk(ask, k)
+		if k == lacks {
+			one.Roster = a.lastRoster()
+		}
+		wg.Go(func() { tells[i] = a.askMember(members[k], one, wait) })
+	}
+	wg.Wait()
+	return rankpeer.PackTells(ask.Word, tells)
+}
+
+// lacksRoster returns the first member that has not been told the relay's roster, or -1.
+// One is told in each ask: any agent may have to take over while the store is away, and
+// with an old roster it would lead a part of the group.
+func (a *agent) lacksRoster(members []rankpeer.Member, among []int) int {
+	roster := a.lastRoster()
+	if roster == nil {
+		return -1
+	}
+	for _, k := range among {
+		if members[k].Addr != a.boot.Target && a.linkTo(a.agentOf(members[k])).roster() != roster {
+			return k
+		}
+	}
+	return -1
+}
+
+// agentOf returns where the agent beside a member listens.
+func (a *agent) agentOf(m rankpeer.Member) netip.AddrPort {
+	return netip.AddrPortFrom(m.Addr.Addr(), a.boot.PortFirst)
+}
+
+// memberAsk is the part of an ask that one member of a branch gets.
+func memberAsk(ask rankpeer.Ask, member int) rankpeer.Ask {
+	b := ask.Branch
+	out := rankpeer.Ask{Word: ask.Word, Held: ask.Held, Counts: ask.Counts, Placement: ask.Placement}
+	out.Order, out.Change = b.OrderOf(member)
+	if member < len(b.Turns) {
+		out.Turn = int(b.Turns[member]) + 1
+	}
+	return out
+}
+
+// askMember asks the agent beside a member, or this one.
+func (a *agent) askMember(m rankpeer.Member, ask rankpeer.Ask, wait time.Duration) rankpeer.Tell {
+	if m.Addr == a.boot.Target {
+		tell := a.judge(ask)
+		tell.Answered = true
+		return tell
+	}
+	tell, err := a.linkTo(a.agentOf(m)).ask(context.Background(), ask, wait)
+	if err != nil {
+		return rankpeer.Tell{} // The link has logged why.
+	}
+	tell.Answered = true
+	return tell
+}
+
+// carries reports whether an ask for a branch is passed on: a word that is older than
+// one that was heard here is refused by all agents that have heard that one too.
+func carries(refusal lockstep.Refusal) bool { return refusal != lockstep.NewerSteward }
--- /dev/null
+++ b/sidecar/relay_test.go
@@ -0,0 +1,348 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/instance"
+	"verbenashift/core/lockstep"
+	"verbenashift/core/rankpeer"
+	"verbenashift/platform"
+)
+
+// The ports of the loopback instances of these tests.
+const (
+	testPeerPort = 9410
+	testRankPort = 9411
+)
+
+// fakeRank is the server of one rank, which only says where it belongs and takes orders.
+type fakeRank struct {
+	mu     sync.Mutex
+	rank   int
+	size   int
+	orders []string
+}
+
+func (f *fakeRank) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r.URL.Path == "/order" {
+		var o struct{ Op string }
+		_ = json.NewDecoder(r.Body).Decode(&o) // An order that can't be read is listed as none.
+		f.orders = append(f.orders, o.Op)
+		w.WriteHeader(http.StatusAccepted)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"size": f.size, "step": 5, "pace": 1, "running": f.rank % 7,
+		"group": map[string]any{"name": groupG.Name, "epoch": groupG.Epoch, "rank": f.rank, "state": "open"},
+	})
+}
+
+// got returns how many orders of a kind the rank has got.
+func (f *fakeRank) got(kind platform.OrderKind) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, o := range f.orders {
+		if o == string(kind) {
+			n++
+		}
+	}
+	return n
+}
+
+// side is a group of agents and ranks on loopback addresses.
+type side struct {
+	*is.I
+	t       *testing.T
+	steward *steward
+	agents  []*agent
+	ranks   []*fakeRank
+	// listeners are those of the agents.
+	listeners []net.Listener
+}
+
+// newSide starts n ranks with their agents, and makes a steward beside the first one.
+func newSide(t *testing.T, n int) *side {
+	s := &side{I: is.New(t), t: t}
+	v := viewOf(make([]platform.Target, n)...)
+	clear(v.Targets)
+	for i := range n {
+		ip := netip.AddrFrom4([4]byte{127, 93, byte(i / 200), byte(i%200 + 1)})
+		addr := netip.AddrPortFrom(ip, testRankPort)
+		rank := &fakeRank{rank: i, size: n}
+		s.serveRank(addr, rank)
+		boot := platform.Boot{Instance: fmt.Sprintf("side-%03d", i), IP: ip, PortFirst: testPeerPort, Target: addr, Service: "pool"}
+		a := newAgent(instance.Env{Boot: boot, Log: slog.New(slog.DiscardHandler)})
+		s.agents, s.ranks = append(s.agents, a), append(s.ranks, rank)
+		s.listeners = append(s.listeners, s.listen(a.addr()))
+		go a.serve(s.listeners[i])
+		id := fmt.Sprintf("i-%03d", i)
+		v.Targets[id] = platform.Target{ID: id, Service: "pool", Addr: addr, Group: groupG}
+	}
+	own := s.agents[0]
+	_, err := own.readRank(t.Context())
+	s.NoErr(err)
+	s.steward = &steward{
+		agent: own, group: groupG, log: own.log, core: lockstep.NewSteward(0, nil, 1), tells: map[string]rankpeer.Tell{},
+		members: members{peers: map[string]*peer{}, elsewhere: map[string]platform.GroupID{}}, duty: duty{term: 7},
+	}
+	s.steward.enrol(s.steward.rosterOf(v, false))
+	t.Cleanup(func() {
+		for _, b := range s.steward.branches {
+			b.link.close()
+		}
+	})
+	return s
+}
+
+func (s *side) listen(addr netip.AddrPort) net.Listener {
+	l, err := net.Listen("tcp", addr.String())
+	s.NoErr(err)
+	s.t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+func (s *side) serveRank(addr netip.AddrPort, h http.Handler) {
+	server := &http.Server{Handler: h}
+	l := s.listen(addr)
+	go func() {
+		// It ends with the test.
+		_ = server.Serve(l)
+	}()
+	s.t.Cleanup(func() { _ = server.Close() })
+}
+
+// freeze makes the agent with a number take connections and say nothing.
+func (s *side) freeze(i int) {
+	s.NoErr(s.listeners[i].Close())
+	s.listen(s.agents[i].addr())
+	for _, a := range s.agents {
+		for _, l := range a.relay.links {
+			if l.addr == s.agents[i].addr() {
+				l.close()
+			}
+		}
+	}
+	for _, b := range s.steward.branches {
+		if b.link.addr == s.agents[i].addr() {
+			b.link.close()
+		}
+	}
+}
+
+// ask has the steward ask everybody and returns how many ranks are known.
+func (s *side) ask() int {
+	s.steward.tells = map[string]rankpeer.Tell{}
+	s.True(s.steward.askAll(s.t.Context(), everybody, false))
+	known := 0
+	for _, r := range s.steward.arrange() {
+		if r.Known {
+			known++
+		}
+	}
+	return known
+}
+
+// numberOfRelay returns which agent is the relay of a branch that is not the steward's.
+func (s *side) numberOfRelay() (*branch, int) {
+	b := s.steward.branches[len(s.steward.branches)-1]
+	return b, slices.IndexFunc(s.agents, func(a *agent) bool { return a.addr() == b.link.addr })
+}
+
+const sideRanks = 40
+
+// A steward hears all ranks of a group through seven relays. Asked one by one, the answers
+// of 192 ranks come too late on its link, agents take it for dead, and the group is
+// never steered.
+func TestRelaysAnswerForTheirBranches(t *testing.T) {
+	s := newSide(t, sideRanks)
+	s.Equal(len(s.steward.branches), 6)
+	s.Equal(s.ask(), sideRanks)
+	for i, r := range s.steward.arrange() {
+		s.Equal(r.State.Rank, i)
+		s.Equal(r.State.Running, i%7)
+	}
+	for _, a := range s.agents {
+		s.Equal(a.highestTerm(), int64(7))
+	}
+}
+
+// A relay stands still: its branch is not known in this round, all others are, and in
+// the next round another agent carries its words. Only its own rank stays away until its
+// agent answers again.
+func TestRelayThatStandsStillIsReplaced(t *testing.T) {
+	s := newSide(t, sideRanks)
+	s.Equal(s.ask(), sideRanks)
+	b, i := s.numberOfRelay()
+	s.freeze(i)
+	s.Equal(s.ask(), sideRanks-len(b.members)+1) // its own rank is read from afar
+	s.True(b.link.addr != s.agents[i].addr())
+	s.Equal(s.ask(), sideRanks)
+	s.True(s.steward.peers[fmt.Sprintf("i-%03d", i)].lost)
+}
+
+// An agent that is no relay stands still. The others of its branch are told in the same
+// round: one frozen instance must not hide twelve ranks.
+func TestSilentMemberHidesNobody(t *testing.T) {
+	s := newSide(t, sideRanks)
+	s.Equal(s.ask(), sideRanks)
+	b, i := s.numberOfRelay()
+	relay := b.link.addr
+	s.freeze(i + 1)
+	s.Equal(s.ask(), sideRanks) // it is read from afar
+	s.Equal(b.link.addr, relay)
+	s.True(s.steward.peers[fmt.Sprintf("i-%03d", i+1)].lost)
+}
+
+// A steward was paused and another one has taken over, of which only one agent far from it
+// has heard. Its word comes back through the relay, and the old steward ends.
+func TestNewerStewardIsHeardThroughARelay(t *testing.T) {
+	s := newSide(t, sideRanks)
+	s.Equal(s.ask(), sideRanks)
+	_, i := s.numberOfRelay()
+	a := s.agents[i+1]
+	a.hear(rankpeer.Ask{Word: lockstep.Word{Group: groupG, Term: 8, From: "side-x"}})
+	s.steward.pending = map[string]lockstep.Command{fmt.Sprintf("i-%03d", i+1): {Rank: i + 1, Order: platform.Order{Kind: platform.ArmMap, Version: 3, Step: 9}}}
+	s.True(!s.steward.askAll(t.Context(), everybody, false))
+	s.Equal(s.ranks[i+1].got(platform.ArmMap), 0)
+}
+
+// A steward was replaced while its ask waited in a frozen relay. When that wakes it passes
+// the order on; the agents have heard the next steward and refuse it.
+func TestRelayThatWakesHarmsNobody(t *testing.T) {
+	s := newSide(t, sideRanks)
+	s.Equal(s.ask(), sideRanks)
+	b, i := s.numberOfRelay()
+	old := s.steward.branchAsk(b, []int{0, 1}, false)
+	old.Branch.Orders = []rankpeer.BranchOrder{{Order: platform.Order{Kind: platform.DisarmMap, Version: 3}, Members: []uint16{0, 1}}}
+	for _, a := range s.agents[i : i+2] {
+		a.hear(rankpeer.Ask{Word: lockstep.Word{Group: groupG, Term: 8, From: "side-x"}})
+	}
+	tell := s.agents[i].answer(old)
+	s.Equal(tell.Refused, lockstep.NewerSteward)
+	s.True(tell.Branch == nil)
+	// Not even one that has not heard of the next steward itself changes that.
+	s.agents[i].listener = lockstep.Listener{}
+	s.agents[i].satAt = time.Time{}
+	_, err := s.agents[i].readRank(t.Context())
+	s.NoErr(err)
+	s.True(s.agents[i].answer(old).Branch != nil)
+	s.Equal(s.ranks[i+1].got(platform.DisarmMap), 0)
+}
+
+// The agents lack the map that a change starts from, and have to be sent the whole one.
+// Sent to all at once it fills the steward's link for longer than it waits for answers;
+// so a few relays get it for a few of their members, and the others in later rounds.
+func TestWholeMapsGoOutAFewAtATime(t *testing.T) {
+	s := newSide(t, sideRanks)
+	st := s.steward
+	st.planner.engine = platform.Engine{Sets: 60, Experts: 80, Places: 3}
+	for r := range sideRanks {
+		st.planner.ranks = append(st.planner.ranks, fmt.Sprintf("i-%03d", r))
+	}
+	m := make(lockstep.Map, 60)
+	for l := range m {
+		m[l] = make([][]int, sideRanks)
+		for e := range 80 {
+			m[l][e%sideRanks] = append(m[l][e%sideRanks], e)
+		}
+	}
+	st.pending = map[string]lockstep.Command{}
+	for r := range sideRanks {
+		id := fmt.Sprintf("i-%03d", r)
+		st.pending[id] = lockstep.Command{Rank: r, Order: platform.Order{Kind: platform.PrepareMap, Version: 9, Map: m}}
+	}
+	st.wholes = max(1, wholeBytes/st.planner.mapBytes())
+	relays := 0
+	for _, b := range st.branches {
+		out := st.branchAsk(b, b.among(everybody), false).Branch
+		sent := 0
+		for _, o := range out.Orders {
+			if o.Change.Full != nil {
+				sent += len(o.Members)
+			}
+		}
+		s.True(sent*st.planner.mapBytes() <= wholeBytes)
+		if sent > 0 {
+			relays++
+		}
+	}
+	s.True(relays > 0)
+	s.True(relays*st.planner.mapBytes() <= wholeBytes)
+}
+
+// The steward falls silent. Agents come due one after the other, those first that know
+// the whole group; two at once would put each other out.
+func TestTurnsOfTakingOver(t *testing.T) {
+	s := newSide(t, sideRanks)
+	seen := map[uint16]bool{}
+	for _, b := range s.steward.branches {
+		s.Equal(len(b.turns), len(b.members))
+		s.True(int(b.turns[b.relay]) < len(s.steward.branches))
+		for _, turn := range b.turns {
+			s.True(!seen[turn])
+			seen[turn] = true
+		}
+	}
+	s.ask()
+	_, i := s.numberOfRelay()
+	s.Equal(s.agents[i].turn-1, len(s.steward.branches)-1)
+	s.True(s.agents[i+1].turn-1 >= len(s.steward.branches))
+}
+
+// 53 gateways ask for the view of the group. The relays have it, so that the steward's link
+// stays free; an agent that is no relay has none to tell.
+func TestRelaysTellTheView(t *testing.T) {
+	s := newSide(t, sideRanks)
+	s.ask()
+	st := s.steward
+	st.setDigest(st.digestOf(st.arrange()))
+	st.tellViews(t.Context(), time.Now())
+	_, i := s.numberOfRelay()
+	ask := rankpeer.Ask{Digest: true, Word: lockstep.Word{Group: groupG}}
+	d := s.agents[i].answer(ask).Digest
+	s.Equal(len(d.Targets), sideRanks)
+	s.Equal(len(d.Relays), len(st.branches))
+	ask.List = d.List
+	s.True(s.agents[i].answer(ask).Digest.Targets == nil) // the gateway has the list
+	s.True(s.agents[i+1].answer(ask).Digest == nil)
+	// The next view leaves the list out, and is told with it all the same.
+	st.viewsAt = time.Time{}
+	st.tellViews(t.Context(), time.Now())
+	ask.List = 0
+	s.Equal(len(s.agents[i].answer(ask).Digest.Targets), sideRanks)
+}
+
+// Any agent may have to take over while the store is away: the roster reaches all of them,
+// a few at a time.
+func TestRosterReachesEverybody(t *testing.T) {
+	s := newSide(t, sideRanks)
+	told := func() int {
+		n := 0
+		for _, a := range s.agents[1:] {
+			if r := a.lastRoster(); r != nil && len(r.Members) == sideRanks {
+				n++
+			}
+		}
+		return n
+	}
+	s.ask()
+	s.True(told() <= rostersAtOnce)
+	for range sideRanks {
+		s.ask()
+	}
+	s.Equal(told(), sideRanks-1)
+}
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -41,8 +41,8 @@
 	duty
 	targets *mirror.Follower
 	members
-	// whole says that every rank of the group was known in the last round.
-	whole bool
+	// complete says that every rank of the group was known in the last round.
+	complete bool
 	// byRank are the targets of the group's ranks.
 	byRank  []string
 	core    *lockstep.Steward
@@ -51,9 +51,11 @@
 	// are the last answers.
 	pending map[string]lockstep.Command
 	tells   map[string]rankpeer.Tell
-	// turn counts the rounds with counts, which the ranks tell in turn; counting
-	// says that this is one of them, countedAt when the last one was.
-	turn      int
+	// given are the statuses of the orders of this asking that went straight to
+	// servers; samples are the counts that were told in this round.
+	given   map[string]int
+	samples []*rankpeer.Sample
+	// counting says that this round asks for counts, countedAt when the last one did.
 	counting  bool
 	countedAt time.Time
 	// proposed is the newest map that was prepared, under the number proposedAs.
@@ -63,10 +65,17 @@
 	// they go to the agents.
 	packed, base *rankpeer.Map
 	baseAs       int64
+	// whole and moves are proposed as it goes to agents that lack the base, and to those
+	// that have it; moves is nil while there is no base.
+	whole, moves *rankpeer.Change
 	// needFull are the targets whose agents lack the base.
 	needFull map[string]bool
 	// holding says that the group is held, or is about to be.
 	holding bool
+	// rounds counts the rounds.
+	rounds int
+	// viewsAt is when relays were given the view last.
+	viewsAt time.Time
 	// changedAt is when a change came into force last.
 	changedAt time.Time
 	// heldSince is when a hold was first seen; zero while there is none.
@@ -101,7 +110,7 @@
 		s.planner.guess = a.recallLoads(ctx, group)
 	}
 	s.enrol(a.lastRoster())
-	go s.targets.Run(ctx)
+	go s.followTargets(ctx, s.roster != nil)
 	go s.keepLoads(ctx)
 	s.log.Info("steward begins", "epoch", group.Epoch, "term", d.term, "acting", d.acting, "members", len(s.peers))
 	metricSteward.Set(1)
@@ -114,9 +123,25 @@
 	for _, p := range s.peers {
 		p.close()
 	}
+	for _, b := range s.branches {
+		b.link.close()
+	}
 	s.log.Info("steward ends")
 }
 
+// settle is how long a steward that knows its group from the roster leaves the store
+// alone. The whole configuration may have hundreds of kilobytes, half a second of a link
+// of 6 Mbit/s, just when it has to find out what the steward before has left behind.
+const settle = 2 * time.Second
+
+// followTargets keeps the view of the store.
+func (s *steward) followTargets(ctx context.Context, known bool) {
+	if known && !pause.For(ctx, settle) {
+		return
+	}
+	s.targets.Run(ctx)
+}
+
 // drive makes rounds until the steward is no longer the newest.
 func (s *steward) drive(ctx context.Context) {
 	began := time.Now()
@@ -138,6 +163,7 @@
 		if !ok {
 			return
 		}
+		s.tellViews(ctx, time.Now())
 		next := calmRound
 		if busy {
 			next = busyRound
@@ -152,17 +178,19 @@
 // Ok is false when a newer steward has been heard.
 func (s *steward) round(ctx context.Context, now time.Time) (busy, ok bool) {
 	s.meet(now)
-	needPlaces := !s.planner.placed
-	s.tells = map[string]rankpeer.Tell{}
+	// The first round tells whether this agent has kept the map in force.
+	needPlaces := !s.planner.placed && s.rounds > 0
+	s.rounds++
+	s.tells, s.samples = map[string]rankpeer.Tell{}, nil
 	s.startCounting(now)
-	if !s.askAll(ctx, s.peers, needPlaces) {
+	if !s.askAll(ctx, everybody, needPlaces) {
 		return false, false
 	}
 	ranks := s.arrange()
-	s.whole = lockstep.Whole(ranks)
+	s.complete = lockstep.Whole(ranks)
 	s.roundTook = time.Since(now)
 	metricRound.Record(s.roundTook.Milliseconds())
-	s.planner.take(now, s.byRank, s.tells)
+	s.planner.take(now, s.byRank, s.tells, s.samples)
 	s.keepMap(ranks)
 	s.adoptBase(ranks)
 	s.report(ranks, now)
@@ -188,7 +216,7 @@
 		// The group may be held: only the ranks with an order are asked, and
 		// at once. What the others have told is true still; see package
 		// lockstep.
-		if !s.askAll(ctx, s.ordered(), false) {
+		if !s.askAll(ctx, s.ordered, false) {
 			return false, false
 		}
 		ranks = s.arrange()
@@ -217,8 +245,9 @@
 }
 
 // adoptBase takes the map in force from what the agent was given to prepare, if an
-// earlier steward has made it. A map of 72 ranks has 3 KB; given whole to all of
-// them it fills the steward's link for a third of a second.
+// earlier steward has made it. Read from all ranks it would take a round of its own, and
+// their lists may have another order: then no agent would know the base of a change, and
+// each would be sent the whole map.
 func (s *steward) adoptBase(ranks []lockstep.Rank) {
 	for i := range ranks {
 		st := &ranks[i].State
@@ -227,13 +256,23 @@
 		}
 		if s.base == nil || s.baseAs != st.Map {
 			if m := s.keptMaps().get(st.Epoch, st.Map); m != nil {
-				s.base, s.baseAs = m, st.Map
+				s.adopt(m, st)
 			}
 		}
 		return
 	}
 }
 
+// adopt takes a map that the agent has kept for the one in force.
+func (s *steward) adopt(m *rankpeer.Map, st *platform.RankState) {
+	s.base, s.baseAs = m, st.Map
+	experts, ok := m.Unpack()
+	if ok && m.Layers == s.planner.engine.Sets && m.Ranks == len(s.planner.ranks) && !s.planner.placed {
+		s.planner.know(st.Map, st.Epoch, experts)
+		s.planner.placed = s.planner.known(s.tells)
+	}
+}
+
 // quickMoves bounds the moves that are made without a full round between them:
 // a hold, arming in three turns, arming again where an order was lost, and the
 // release.
@@ -258,12 +297,6 @@
 }
 
 const (
-	// countsInTurn is how many ranks are asked for counts in one round: those of
-	// 72 ranks, 62 KB, fill the steward's link of 8 Mbit/s for a third of a round's
-	// time. Where half of the ranks were asked in turn, callers of 72 ranks in a high
-	// load earned 0.54 and 0.64 of what they could, with all of them 0.67 and 0.71
-	// (mean of 4 runs): the requests of a rank are its own mix.
-	countsInTurn = 72
 	// countsEvery is how often ranks are asked for counts at most. Rounds are
 	// closer together while a change is under way.
 	countsEvery = 150 * time.Millisecond
--- a/sidecar/talk.go
+++ b/sidecar/talk.go
@@ -49,13 +49,34 @@
 	if ask.Digest {
 		return rankpeer.Tell{Group: a.seat().Group, Term: a.highestTerm(), Digest: a.digest(ask.Word.Group.Name, ask.List)}
 	}
-	a.refreshSeat()
+	if ask.View != nil {
+		tell := rankpeer.Tell{Refused: a.hear(ask), Group: a.seat().Group, Term: a.highestTerm()}
+		if tell.Refused == lockstep.Heeded {
+			tell.List = a.takeView(ask.View)
+		}
+		return tell
+	}
+	if ask.Branch == nil {
+		return a.judge(ask)
+	}
+	tell := rankpeer.Tell{Refused: a.hear(ask)}
+	if carries(tell.Refused) {
+		tell.Branch = a.forward(ask)
+	}
+	tell.Group, tell.Term = a.seat().Group, a.highestTerm()
+	return tell
+}
+
+// judge does what a steward asks of this agent's own rank, if its word is heeded.
+func (a *agent) judge(ask rankpeer.Ask) rankpeer.Tell {
+	reads := a.refreshSeat()
 	refusal := a.hear(ask)
 	tell := rankpeer.Tell{Group: a.seat().Group, Refused: refusal, Term: a.highestTerm()}
-	if refusal != lockstep.Heeded {
-		return tell
+	// A rank that has just not answered would take its time again, and all other ranks of
+	// the branch with it.
+	if refusal == lockstep.Heeded && reads {
+		a.consult(ask, &tell)
 	}
-	a.consult(ask, &tell)
 	return tell
 }
 
