Watches of the store wait longer while the steward tells how far it has come; a group that was just formed is armed for its next passes

Now each digest brings the revision of the newest change that the steward has seen, as long as the store answers it. While such hints come a watch waits 12 s; one that hides a change that the steward knows is given up after 0.6 s, and without hints all is as before. The lead now grows by one pass for each span over which passes were measured. TestHoldIsAsFarAheadAsChangesTake sets its clock as one of a group at work; its checks are unchanged. Tests: hints (a silent watch is noticed in 2 s, no hints, a store that is slow is not asked more often), the lead of a group that was just formed.

--- a/core/lockstep/lockstep_test.go
+++ b/core/lockstep/lockstep_test.go
@@ -321,7 +321,7 @@
 	is := is.New(t)
 	const pass, arming = 50 * time.Millisecond, 200 * time.Millisecond
 	s := NewSteward(0, nil, 5)
-	s.pass.took = pass
+	s.pass.took, s.pass.windows = pass, maxLead // it has been at work for a while
 	ranks := held()
 	s.epoch, s.version = 1, oldMap
 	for i := range ranks {
@@ -412,3 +412,28 @@
 	}
 	is.Equal(s.PassTime(), pass)
 }
+
+// All callers come back to a group that has just been formed. Its first passes take 4 ms,
+// the next ones 300 ms: armed twelve passes ahead, its first good map would come into
+// force after seconds of the worst load.
+func TestLeadOfAGroupThatWasJustFormed(t *testing.T) {
+	is := is.New(t)
+	var p passClock
+	now := start
+	seen := func(passes int64) {
+		now = now.Add(passWindow)
+		p.observe(p.step+passes, now)
+	}
+	p.observe(1, now)
+	is.Equal(p.lead(leadTime), int64(minLead))
+	seen(75)
+	is.Equal(p.lead(leadTime), int64(minLead+1)) // not 11
+	seen(1)
+	is.Equal(p.lead(leadTime), int64(minLead))
+	for range maxLead {
+		seen(75)
+	}
+	is.Equal(p.lead(leadTime), int64(11))
+	seen(0) // it stood idle: what comes next may take longer
+	is.Equal(p.lead(leadTime), int64(minLead))
+}
--- a/core/lockstep/pass.go
+++ b/core/lockstep/pass.go
@@ -38,6 +38,8 @@
 	step int64
 	at   time.Time
 	took time.Duration
+	// windows is over how many spans in a row passes were measured.
+	windows int64
 }
 
 func (p *passClock) observe(step int64, now time.Time) {
@@ -51,14 +53,23 @@
 	}
 	if n := step - p.step; n > 0 {
 		p.took = span / time.Duration(n)
+		p.windows++
+	} else {
+		p.windows = 0
 	}
 	p.step, p.at = step, now
 }
 
 // lead returns how many passes ahead a change is armed that takes so long.
+//
+// A group that was just formed, or that stood idle, begins with passes of a few
+// milliseconds and has some of 0.3 s a moment later, when all callers are back. Armed as
+// far ahead as the first ones say, its change was in force 2.8 s after it was ready (192
+// ranks after a loss of power). So the lead grows with what was seen; that a group is held
+// for the length of one change costs less.
 func (p *passClock) lead(change time.Duration) int64 {
 	if p.took <= 0 {
 		return minLead
 	}
-	return min(max(int64(change/p.took)+1, minLead), maxLead)
+	return min(max(int64(change/p.took)+1, minLead), minLead+p.windows, maxLead)
 }
--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -53,6 +53,10 @@
 	// lost is when the store was last heard before it was lost; zero while it
 	// answers.
 	lost time.Time
+	// hints are what others tell of the store; event is the revision of the newest change
+	// that was seen.
+	hints hints
+	event atomic.Int64
 }
 
 // NewFollower returns a Follower that does nothing before Run.
@@ -117,6 +121,10 @@
 			next = firstPause
 			continue
 		}
+		var stopped *givenUpError
+		if errors.As(err, &stopped) && stopped.Reason == unhinted {
+			continue // It says nothing of the store.
+		}
 		f.failed(err)
 		pause.For(ctx, next/2+rand.N(next))
 		next = min(2*next, maxPause)
@@ -125,10 +133,17 @@
 
 // watch waits for changes once. It reports false if the history has gone.
 func (f *Follower) watch(ctx context.Context) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+answerWait)
+	began := time.Now()
+	wait := f.hints.wait(began)
+	ctx, cancel := context.WithTimeout(ctx, wait+answerWait)
 	defer cancel()
-	page, err := f.store.Watch(ctx, "", f.mirror.Revision(), watchWait)
+	gaveUp := f.guard(ctx, cancel, began)
+	page, err := f.store.Watch(ctx, "", f.mirror.Revision(), wait)
 	count(err)
+	if reason := gaveUp.Load(); err != nil && reason != nil {
+		f.log.Info("watch given up", "reason", string(*reason), "after-ms", time.Since(began).Milliseconds(), "revision", f.mirror.Revision())
+		return !f.outage(), &givenUpError{*reason}
+	}
 	var status *platform.StatusError
 	if errors.As(err, &status) && status.Compacted() {
 		f.log.Info("history of the store is gone, reading all", "revision", f.mirror.Revision())
@@ -142,6 +157,7 @@
 	if f.mirror.Apply(page.Items, page.AsOf) {
 		f.publish()
 	}
+	f.note(page.Items)
 	if len(page.Items) > 0 {
 		// Servers that start or leave together are heard of in one call.
 		pause.For(ctx, gather)
@@ -167,9 +183,53 @@
 	if f.mirror.Replace(all, from, f.outage(), time.Now()) {
 		f.publish()
 	}
+	f.note(all)
 	return nil
 }
 
+// note records how far the store is known, and its newest change.
+func (f *Follower) note(seen []platform.Item) {
+	f.hints.saw(f.mirror.Revision())
+	for i := range seen {
+		f.event.Store(max(f.event.Load(), seen[i].Revision))
+	}
+}
+
+// guard ends a watch that is overdue before its wait is over. The result says why, or nil.
+func (f *Follower) guard(ctx context.Context, end context.CancelFunc, began time.Time) *atomic.Pointer[givenUp] {
+	var gaveUp atomic.Pointer[givenUp]
+	go func() {
+		for pause.For(ctx, hintCheck) {
+			if reason := f.hints.overdue(began, time.Now()); reason != waiting {
+				gaveUp.Store(&reason)
+				end()
+			}
+		}
+	}()
+	return &gaveUp
+}
+
+// storeFresh is how recently the store must have answered for its newest change to be
+// worth telling.
+const storeFresh = watchWait + answerWait + hintGrace
+
+// Event returns the revision of the newest change that was seen, or 0 if the store has not
+// answered for a while: whoever is told relies on it to notice what it misses itself.
+func (f *Follower) Event() int64 {
+	if f.Age() > storeFresh {
+		return 0
+	}
+	return f.event.Load()
+}
+
+// Hint tells that another process has seen a change of a revision, by its Event. Watches
+// wait for longer while such hints come.
+func (f *Follower) Hint(event int64) {
+	if event > 0 {
+		f.hints.told(event, time.Now())
+	}
+}
+
 func (f *Follower) readPrefix(ctx context.Context, prefix string) ([]platform.Item, int64, error) {
 	var all []platform.Item
 	after, first := "", int64(-1)
--- /dev/null
+++ b/core/mirror/hints.go
@@ -0,0 +1,99 @@
+package mirror
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// calmWait is how long a watch waits while others tell how far the store has come, so
+	// that one that hides a change is noticed without it. With 53 gateways, watches of
+	// 2 s were half of all calls to the store.
+	calmWait = 12 * time.Second
+	// hintValid is for how long a word on that counts: several changes of stewards.
+	hintValid = 3 * time.Second
+	// hintGrace is how long a change that others know may take to come over the own
+	// watch, in which changes are gathered.
+	hintGrace = 600 * time.Millisecond
+	// hintCheck is how often a watch of calmWait is looked at.
+	hintCheck = 300 * time.Millisecond
+)
+
+// hints decides how long a watch may wait, and when one under way is given up, by what
+// other processes tell of the store's revision.
+//
+// An open connection may go silent for good, and nothing but the end of the wait shows it.
+// A process that hears several times a second up to which revision another one has seen
+// changes knows at once when it has missed one. It waits as briefly as without hints when
+// these stop. The zero value has none. It is safe for concurrent use.
+type hints struct {
+	mu sync.Mutex
+	// known is the revision up to which this process has seen the store.
+	known int64
+	// toldAt is when others told last how far they have; behindSince since when that is
+	// further than known, or zero.
+	toldAt, behindSince time.Time
+}
+
+// saw records up to which revision the store was seen.
+func (h *hints) saw(revision int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.known, h.behindSince = max(h.known, revision), time.Time{}
+}
+
+// told records that another process has seen a change of a revision.
+func (h *hints) told(revision int64, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.toldAt = now
+	if revision > h.known && h.behindSince.IsZero() {
+		h.behindSince = now
+	}
+}
+
+// wait returns how long a watch that begins now waits.
+func (h *hints) wait(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.Sub(h.toldAt) < hintValid {
+		return calmWait
+	}
+	return watchWait
+}
+
+// overdue says why a watch that has begun at a time is given up, or that it is not: it
+// hides a change, or it waits for longer than it would without hints, and there are none
+// any more. A watch that has just begun is left time to answer, so that a store that is
+// slow, or that turns this process away, is not asked ever more often.
+func (h *hints) overdue(began, now time.Time) givenUp {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case !h.behindSince.IsZero() && now.Sub(h.behindSince) >= hintGrace && now.Sub(began) >= answerWait:
+		return behind
+	case now.Sub(h.toldAt) >= hintValid && now.Sub(began) >= watchWait+answerWait:
+		return unhinted
+	}
+	return waiting
+}
+
+// givenUp says why a watch was ended before its time.
+type givenUp string
+
+const (
+	// waiting is for one that was not.
+	waiting givenUp = ""
+	// behind says that others know a change that has not come over it.
+	behind givenUp = "others know a change that it hides"
+	// unhinted says that nobody tells any more whether it hides one.
+	unhinted givenUp = "nobody tells how far the store has come"
+)
+
+// givenUpError is a watch that was ended before its time.
+type givenUpError struct {
+	Reason givenUp
+}
+
+// Error says why.
+func (e *givenUpError) Error() string { return "watch given up: " + string(e.Reason) }
--- /dev/null
+++ b/core/mirror/hints_test.go
@@ -0,0 +1,121 @@
+package mirror
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/pause"
+	"verbenashift/platform"
+)
+
+func TestHints(t *testing.T) {
+	is := is.New(t)
+	var h hints
+	now := time.Unix(1000, 0)
+	is.Equal(h.wait(now), watchWait) // nobody has told anything
+	h.saw(7)
+	h.told(7, now)
+	is.Equal(h.wait(now), calmWait)
+	is.Equal(h.overdue(now, now.Add(hintValid-1)), waiting)
+	h.told(9, now) // a change that has not come yet
+	is.Equal(h.overdue(now.Add(-time.Minute), now.Add(hintGrace-1)), waiting)
+	is.Equal(h.overdue(now.Add(-time.Minute), now.Add(hintGrace)), behind)
+	is.Equal(h.overdue(now.Add(hintGrace), now.Add(2*hintGrace)), waiting) // it has just begun
+	h.told(9, now.Add(hintGrace))
+	is.Equal(h.overdue(now.Add(-time.Minute), now.Add(hintGrace)), behind) // since the first word
+	h.saw(9)
+	is.Equal(h.overdue(now.Add(-time.Minute), now.Add(hintGrace)), waiting)
+	later := now.Add(hintGrace + hintValid)
+	is.Equal(h.wait(later), watchWait)
+	is.Equal(h.overdue(now, later), unhinted)
+	is.Equal(h.overdue(later.Add(-watchWait), later), waiting) // it ends soon in any case
+}
+
+// silentStore answers the first watches; from a moment on its connections are silent, as
+// they are when a path is lost without a reset, until they are made anew.
+type silentStore struct {
+	silent  atomic.Bool
+	targets atomic.Int64
+	watches atomic.Int64
+}
+
+func (s *silentStore) Range(_ context.Context, prefix, _ string) (platform.Page, error) {
+	if prefix == platform.ConfigKey {
+		return platform.Page{Items: []platform.Item{config(3)}, AsOf: 10}, nil
+	}
+	return platform.Page{AsOf: 10}, nil
+}
+
+func (s *silentStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (platform.Page, error) {
+	s.watches.Add(1)
+	for left := wait; left > 0 || s.silent.Load(); left -= 10 * time.Millisecond {
+		if n := s.targets.Load(); n > after && !s.silent.Load() {
+			return platform.Page{Items: []platform.Item{entry("new", "10.0.0.1:80", "ready", n)}, AsOf: n}, nil
+		}
+		if !pause.For(ctx, 10*time.Millisecond) {
+			s.silent.Store(false) // the next connection works
+			return platform.Page{}, ctx.Err()
+		}
+	}
+	return platform.Page{AsOf: after}, nil
+}
+
+// A gateway's connection to the store has gone silent, and a server registers. The steward's
+// view says that the store has come further, so that the gateway knows the server within
+// two seconds, although its watch would have waited for twelve.
+func TestSilentWatchIsNoticedByHints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &silentStore{}
+		f := NewFollower(s, quiet())
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		var event atomic.Int64
+		event.Store(10)
+		go func() {
+			for pause.For(ctx, 200*time.Millisecond) {
+				f.Hint(event.Load())
+			}
+		}()
+		time.Sleep(time.Minute)
+		is.True(s.watches.Load() <= int64(time.Minute/calmWait)+2)
+		s.silent.Store(true)
+		s.targets.Store(11)
+		time.Sleep(100 * time.Millisecond)
+		event.Store(11) // the steward has seen it
+		time.Sleep(2 * time.Second)
+		is.Equal(len(f.View().Targets), 1)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// The steward is gone, and with it the word on how far the store has come. Watches wait as
+// briefly as they do in a deployment without one.
+func TestWatchesWaitBrieflyWithoutHints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &silentStore{}
+		f := NewFollower(s, quiet())
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(10 * time.Millisecond)
+		f.Hint(10)
+		time.Sleep(20 * time.Second)
+		before := s.watches.Load()
+		time.Sleep(20 * time.Second)
+		is.Equal(s.watches.Load()-before, int64(20*time.Second/watchWait))
+		// A silent connection hides a change for no longer than one wait.
+		s.silent.Store(true)
+		s.targets.Store(11)
+		time.Sleep(watchWait + answerWait + time.Second)
+		is.Equal(f.Event(), int64(11))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/core/rankpeer/rankpeer.go
+++ b/core/rankpeer/rankpeer.go
@@ -92,6 +92,9 @@
 	Skew float32
 	// Age is how old the view is when it is sent.
 	Age time.Duration
+	// Event is the revision of the newest change of the store that the steward has seen; 0
+	// if the store does not answer it.
+	Event int64
 	// List numbers the list of targets; Targets is left out where the asker has
 	// it. The loads are in its order.
 	List    uint64
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -15,8 +15,9 @@
 
 const (
 	// saveEvery is how often that is written while it changes. The mix of work
-	// changes every few seconds; a write costs the store one call.
-	saveEvery = 4 * time.Second
+	// changes every few seconds; a write costs the store one call, and one of each
+	// process that watches it.
+	saveEvery = 12 * time.Second
 	// loadsWait bounds a reading or writing of the loads. A new steward waits for
 	// the reading, so that it is shorter than the wait for a claim, which nobody
 	// waits for to its end.
--- a/sidecar/relay_test.go
+++ b/sidecar/relay_test.go
@@ -16,6 +16,7 @@
 
 	"verbenashift/core/instance"
 	"verbenashift/core/lockstep"
+	"verbenashift/core/mirror"
 	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
@@ -96,7 +97,7 @@
 	_, err := own.readRank(t.Context())
 	s.NoErr(err)
 	s.steward = &steward{
-		agent: own, group: groupG, log: own.log, core: lockstep.NewSteward(0, nil, 1), tells: map[string]rankpeer.Tell{},
+		agent: own, group: groupG, log: own.log, targets: mirror.NewFollower(nil, own.log), core: lockstep.NewSteward(0, nil, 1), tells: map[string]rankpeer.Tell{},
 		members: members{peers: map[string]*peer{}, elsewhere: map[string]platform.GroupID{}}, duty: duty{term: 7},
 	}
 	s.steward.enrol(s.steward.rosterOf(v, false))
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -37,7 +37,7 @@
 func (s *steward) digestOf(ranks []lockstep.Rank) *rankpeer.Digest {
 	d := &rankpeer.Digest{
 		Group: s.group, Term: s.term, Open: lockstep.Open(ranks),
-		Pass: s.core.PassTime(), Skew: float32(s.planner.skew),
+		Pass: s.core.PassTime(), Skew: float32(s.planner.skew), Event: s.targets.Event(),
 	}
 	list := fnv.New64a()
 	for i := range ranks {
