--- a/core/rankpeer/rankpeer.go
+++ b/core/rankpeer/rankpeer.go
@@ -113,7 +113,7 @@
 
 // Conn is a connection to an agent. It serves one ask at a time.
 type Conn struct {
-	conn net.Conn
+	conn *counted
 	in   *gob.Decoder
 	out  *gob.Encoder
 }
@@ -129,7 +129,8 @@
 	return newConn(c), nil
 }
 
-func newConn(c net.Conn) *Conn {
+func newConn(nc net.Conn) *Conn {
+	c := &counted{Conn: nc}
 	return &Conn{conn: c, in: gob.NewDecoder(c), out: gob.NewEncoder(c)}
 }
 
@@ -137,6 +138,7 @@
 // use any more.
 func (c *Conn) Ask(ask Ask, wait time.Duration) (Tell, error) {
 	var tell Tell
+	defer c.conn.record(ask.kind(), "asked", "told")
 	if err := c.conn.SetDeadline(time.Now().Add(wait)); err != nil {
 		return tell, err
 	}
@@ -166,7 +168,9 @@
 		if err := c.in.Decode(&ask); err != nil {
 			return err
 		}
-		if err := c.out.Encode(answer(ask)); err != nil {
+		err := c.out.Encode(answer(ask))
+		c.conn.record(ask.kind(), "answered", "heard")
+		if err != nil {
 			return err
 		}
 	}
