--- a/sidecar/round_test.go
+++ b/sidecar/round_test.go
@@ -5,6 +5,10 @@
 	"fmt"
 	"strconv"
 	"testing"
+	"time"
+
+	"verbenashift/core/lockstep"
+	"verbenashift/core/rankpeer"
 )
 
 // bytesOf returns the bytes of one kind that were counted so far.
@@ -30,26 +34,42 @@
 	// asked and told are those of the steward's link, relayAsked and relayTold those of a
 	// relay's.
 	asked, told, relayAsked, relayTold float64
+	// views are what the relays are given for gateways, digest what one of those gets.
+	views, digest float64
 }
 
-// calmRound makes rounds in a group of n ranks and returns what one of them takes once
+// calmRoundOf makes rounds in a group of n ranks and returns what one of them takes once
 // everybody has the lists and the roster.
 func calmRoundOf(t testing.TB, s *side) roundBytes {
 	const rounds = 5
 	for range 40 {
 		s.ask()
 	}
-	kinds := []string{"branch-asked", "branch-told", "rank-asked", "rank-told"}
+	gateway := rankpeer.NewClient(s.agents[0].addr().String())
+	defer gateway.Close()
+	st := s.steward
+	d := st.digestOf(st.arrange())
+	st.setDigest(d)
+	look := func() {
+		s.ask()
+		st.viewsAt = time.Time{}
+		st.tellViews(s.t.Context(), time.Now())
+		s.NoErr(gateway.Connect(s.t.Context(), time.Second))
+		_, err := gateway.Ask(rankpeer.Ask{Digest: true, List: d.List, Gateway: "front-1", Word: lockstep.Word{Group: groupG}}, time.Second)
+		s.NoErr(err)
+	}
+	look() // the lists go out
+	kinds := []string{"branch-asked", "branch-told", "rank-asked", "rank-told", "view-asked", "digest-told"}
 	before := map[string]float64{}
 	for _, k := range kinds {
 		before[k] = bytesOf(t, k)
 	}
 	for range rounds {
-		s.ask()
+		look()
 	}
 	per := func(k string) float64 { return (bytesOf(t, k) - before[k]) / rounds }
 	n := len(s.steward.branches)
-	return roundBytes{n, per(kinds[0]), per(kinds[1]), per(kinds[2]) / float64(n), per(kinds[3]) / float64(n)}
+	return roundBytes{n, per(kinds[0]), per(kinds[1]), per(kinds[2]) / float64(n), per(kinds[3]) / float64(n), per(kinds[4]), per(kinds[5])}
 }
 
 // A group grows from 72 to 192 ranks. What one link carries in a round must grow with the
@@ -60,7 +80,8 @@
 		t.Run(fmt.Sprint(n, " ranks"), func(t *testing.T) {
 			s := newSide(t, n)
 			r := calmRoundOf(t, s)
-			t.Logf("%d branches; steward: asks %.0f B, tells %.0f B; relay: asks %.0f B, tells %.0f B", r.branches, r.asked, r.told, r.relayAsked, r.relayTold)
+			t.Logf("%d branches; steward: asks %.0f B, tells %.0f B; relay: asks %.0f B, tells %.0f B; views %.0f B, digest %.0f B",
+				r.branches, r.asked, r.told, r.relayAsked, r.relayTold, r.views, r.digest)
 			const (
 				state  = 40  // bytes a rank, of which 24 are the state
 				branch = 400 // bytes a branch that do not depend on its ranks
@@ -70,6 +91,9 @@
 			s.True(r.told <= float64(branch*r.branches+state*n))
 			width := float64(n) / float64(r.branches)
 			s.True(r.relayAsked+r.relayTold <= member*width)
+			const load = 4 // bytes a rank in a view
+			s.True(r.digest <= float64(load*n+branch+30*r.branches))
+			s.True(r.views <= r.digest*float64(r.branches))
 		})
 	}
 }
