--- a/sidecar/relay_test.go
+++ b/sidecar/relay_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -27,6 +28,13 @@
 	testRankPort = 9411
 )
 
+// testIP returns the loopback address of an instance, one of a block of this process:
+// several may run these tests at once.
+func testIP(i int) netip.Addr {
+	pid := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(64 + pid%128), byte(pid/128%48*4 + i/200), byte(i%200 + 1)})
+}
+
 // fakeRank is the server of one rank, which only says where it belongs and takes orders.
 type fakeRank struct {
 	mu     sync.Mutex
@@ -81,7 +89,7 @@
 	v := viewOf(make([]platform.Target, n)...)
 	clear(v.Targets)
 	for i := range n {
-		ip := netip.AddrFrom4([4]byte{127, 93, byte(i / 200), byte(i%200 + 1)})
+		ip := testIP(i)
 		addr := netip.AddrPortFrom(ip, testRankPort)
 		rank := &fakeRank{rank: i, size: n}
 		s.serveRank(addr, rank)
