--- a/sidecar/planner_test.go
+++ b/sidecar/planner_test.go
@@ -73,3 +73,21 @@
 	is.True(!counts(countsInChange - countsEvery - 1))
 	is.True(counts(1))
 }
+
+// A change starts from the first map of a group, which the agent works out. If the engines
+// assign their experts in another order than is thought, the agent must ask for the whole
+// map: one that was made from another base would be prepared on this rank alone.
+func TestFirstMapIsCheckedByItsNumber(t *testing.T) {
+	is := is.New(t)
+	shape := rankpeer.Shape{Layers: 1, Ranks: 2, Places: 2, Experts: 4}
+	first, next := rankpeer.Pack([][][]int{{{0, 2}, {1, 3}}}, 2), rankpeer.Pack([][][]int{{{0, 3}, {1, 2}}}, 2)
+	moves, ok := rankpeer.Diff(first, next)
+	is.True(ok)
+	var maps mapStore
+	is.True(maps.make(1, 7, &rankpeer.Change{Base: first.Number() + 1, First: &shape, Moves: moves}) == nil)
+	is.Equal(maps.make(1, 7, &rankpeer.Change{Base: first.Number(), First: &shape, Moves: moves}), next)
+	// What was made from it is a base in its turn, in any epoch.
+	back, ok := rankpeer.Diff(next, first)
+	is.True(ok)
+	is.Equal(maps.make(2, 9, &rankpeer.Change{Base: next.Number(), Moves: back}), first)
+}
--- a/sidecar/relay_test.go
+++ b/sidecar/relay_test.go
@@ -142,12 +142,14 @@
 		for _, l := range a.relay.links {
 			if l.addr == s.agents[i].addr() {
 				l.close()
+				l.dialAt = time.Time{}
 			}
 		}
 	}
 	for _, b := range s.steward.branches {
 		if b.link.addr == s.agents[i].addr() {
 			b.link.close()
+			b.link.dialAt = time.Time{}
 		}
 	}
 }
