--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -33,11 +33,11 @@
 	cmds map[string]*exec.Cmd
 }
 
-// fleetRanks is how many ranks a group has in these tests.
+// fleetRanks is how many ranks a group has in these tests, if they don't say.
 const fleetRanks = 4
 
-// startFleet starts a fleet with groups of four ranks and two gateways and waits until
-// it is ready.
+// startFleet starts a fleet with groups of four ranks and two gateways, or more if the
+// shape says so, and waits until it is ready.
 func startFleet(t *testing.T, shape fleet.Shape) *fleetScene {
 	t.Helper()
 	ctx := inPlace(t)
@@ -45,7 +45,7 @@
 	var err error
 	s.dir, err = deployment.Build(ctx)
 	s.NoErr(err)
-	shape.Dir, shape.Ranks, shape.Gateways = t.TempDir(), fleetRanks, max(shape.Gateways, 2)
+	shape.Dir, shape.Ranks, shape.Gateways = t.TempDir(), max(shape.Ranks, fleetRanks), max(shape.Gateways, 2)
 	t.Cleanup(s.keepLogs)
 	s.Fleet, err = fleet.Start(shape)
 	s.NoErr(err)
@@ -133,7 +133,7 @@
 // stewardOf returns the name of the sidecar that is the steward of a group.
 func (s *fleetScene) stewardOf(group int) string {
 	best, at := "", -1
-	for i := group * fleetRanks; i < (group+1)*fleetRanks; i++ {
+	for i := group * s.Shape.Ranks; i < (group+1)*s.Shape.Ranks; i++ {
 		name := fmt.Sprintf("side-%d", i)
 		for _, line := range strings.Split(s.log(name), "\n") {
 			var term int
--- a/sidecar/branch.go
+++ b/sidecar/branch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"verbenashift/core/lockstep"
@@ -72,6 +73,21 @@
 		b.link.close()
 	}
 	s.giveTurns()
+	s.logRelays()
+}
+
+// logRelays tells operators which agents carry words, when that has changed.
+func (s *steward) logRelays() {
+	var relays []string
+	for _, b := range s.branches {
+		if !b.single() {
+			relays = append(relays, b.id())
+		}
+	}
+	if !slices.Equal(relays, s.relays) {
+		s.relays = relays
+		s.log.Info("relays", "targets", relays, "members", len(s.roster.Members))
+	}
 }
 
 // chooseRelay picks the relay of a branch.
@@ -122,6 +138,7 @@
 	b.link, b.told, b.views = s.linkOf(b.members[b.relay]), false, 0
 	s.log.Info("relay chosen", "target", b.id(), "members", len(b.members))
 	s.giveTurns()
+	s.logRelays()
 }
 
 // branchAsk is what a relay is asked for the given members, of which at least one is
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -27,6 +27,8 @@
 	peers map[string]*peer
 	// branches are the ways to the peers.
 	branches []*branch
+	// relays are the targets of the relays as they were logged.
+	relays []string
 	// rosters is how many agents may still be told the roster in this round.
 	rosters int
 	// wholes is how many relays may still be sent the whole map in this asking.
