A steward reads the servers' entries alone; gateways pass on how far the store has come

Once the configuration had grown by 1,400 routes, each steward that read it filled its link of 6 Mbit/s for half a second, its relays did not answer in time, and it was taken over from, three times 2.5 s apart (28.9, 31.7, 34.7 s). After all processes were killed, six agents claimed within 0.4 s while the first one read the store. Change: a steward follows servers/ only. What it needs of the configuration (the engines' figures, the pause that callers are to see) comes with the roster, with the saved loads and from gateways; it is read by the first steward of all. The hints by which watches wait longer now come from gateways: three of them, the scouts, keep watches of 2 s, relays and the steward pass on the newest revision that was told in the last 1.5 s. Agents that have heard nobody leave a claim alone at their first try; the first by rank claims at once at its start. Tests: needs, the word on the store goes round, few scouts, agents that start together.

--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -43,7 +43,10 @@
 
 // Follower keeps a Mirror at what the store says.
 type Follower struct {
-	store    source
+	store source
+	// prefixes are read; watched is the one that is watched, which covers them.
+	prefixes []string
+	watched  string
 	log      *slog.Logger
 	mirror   *Mirror
 	view     atomic.Pointer[View]
@@ -61,7 +64,17 @@
 
 // NewFollower returns a Follower that does nothing before Run.
 func NewFollower(store source, log *slog.Logger) *Follower {
-	return &Follower{store: store, log: log, mirror: New(log), started: time.Now()}
+	prefixes := []string{platform.ConfigKey, platform.TargetPrefix, rankpeer.ClaimPrefix}
+	return &Follower{store: store, prefixes: prefixes, log: log, mirror: New(log), started: time.Now()}
+}
+
+// NewTargetFollower returns a Follower of the targets alone, whose views have an empty
+// configuration. It does nothing before Run.
+func NewTargetFollower(store source, log *slog.Logger) *Follower {
+	return &Follower{
+		store: store, prefixes: []string{platform.TargetPrefix}, watched: platform.TargetPrefix,
+		log: log, mirror: NewTargets(log), started: time.Now(),
+	}
 }
 
 // OnChange adds a function that is called with each new view, from Run's
@@ -138,7 +151,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+answerWait)
 	defer cancel()
 	gaveUp := f.guard(ctx, cancel, began)
-	page, err := f.store.Watch(ctx, "", f.mirror.Revision(), wait)
+	page, err := f.store.Watch(ctx, f.watched, f.mirror.Revision(), wait)
 	count(err)
 	if reason := gaveUp.Load(); err != nil && reason != nil {
 		f.log.Info("watch given up", "reason", string(*reason), "after-ms", time.Since(began).Milliseconds(), "revision", f.mirror.Revision())
@@ -170,7 +183,7 @@
 func (f *Follower) readAll(ctx context.Context) error {
 	var all []platform.Item
 	from := int64(-1)
-	for _, prefix := range []string{platform.ConfigKey, platform.TargetPrefix, rankpeer.ClaimPrefix} {
+	for _, prefix := range f.prefixes {
 		list, asOf, err := f.readPrefix(ctx, prefix)
 		if err != nil {
 			return err
@@ -223,10 +236,11 @@
 }
 
 // Hint tells that another process has seen a change of a revision, by its Event. Watches
-// wait for longer while such hints come.
-func (f *Follower) Hint(event int64) {
+// wait for longer while such hints come, unless this process is one of the few whose own
+// word the hints come from.
+func (f *Follower) Hint(event int64, scout bool) {
 	if event > 0 {
-		f.hints.told(event, time.Now())
+		f.hints.told(event, scout, time.Now())
 	}
 }
 
--- a/core/mirror/hints.go
+++ b/core/mirror/hints.go
@@ -23,9 +23,10 @@
 // other processes tell of the store's revision.
 //
 // An open connection may go silent for good, and nothing but the end of the wait shows it.
-// A process that hears several times a second up to which revision another one has seen
-// changes knows at once when it has missed one. It waits as briefly as without hints when
-// these stop. The zero value has none. It is safe for concurrent use.
+// A process that hears several times a second up to which revision others have seen
+// changes knows at once when it has missed one. A few processes, the scouts, wait as briefly
+// as without hints, and so do all when hints stop: a revision is told only by who has heard
+// the store in the last seconds. The zero value has none. It is safe for concurrent use.
 type hints struct {
 	mu sync.Mutex
 	// known is the revision up to which this process has seen the store.
@@ -33,6 +34,8 @@
 	// toldAt is when others told last how far they have; behindSince since when that is
 	// further than known, or zero.
 	toldAt, behindSince time.Time
+	// scout says that others rely on this process to see changes soon.
+	scout bool
 }
 
 // saw records up to which revision the store was seen.
@@ -42,11 +45,12 @@
 	h.known, h.behindSince = max(h.known, revision), time.Time{}
 }
 
-// told records that another process has seen a change of a revision.
-func (h *hints) told(revision int64, now time.Time) {
+// told records that another process has seen a change of a revision, and whether others
+// rely on this one.
+func (h *hints) told(revision int64, scout bool, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.toldAt = now
+	h.toldAt, h.scout = now, scout
 	if revision > h.known && h.behindSince.IsZero() {
 		h.behindSince = now
 	}
@@ -56,7 +60,7 @@
 func (h *hints) wait(now time.Time) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if now.Sub(h.toldAt) < hintValid {
+	if now.Sub(h.toldAt) < hintValid && !h.scout {
 		return calmWait
 	}
 	return watchWait
@@ -72,7 +76,7 @@
 	switch {
 	case !h.behindSince.IsZero() && now.Sub(h.behindSince) >= hintGrace && now.Sub(began) >= answerWait:
 		return behind
-	case now.Sub(h.toldAt) >= hintValid && now.Sub(began) >= watchWait+answerWait:
+	case (h.scout || now.Sub(h.toldAt) >= hintValid) && now.Sub(began) >= watchWait+answerWait:
 		return unhinted
 	}
 	return waiting
--- a/core/mirror/hints_test.go
+++ b/core/mirror/hints_test.go
@@ -19,14 +19,14 @@
 	now := time.Unix(1000, 0)
 	is.Equal(h.wait(now), watchWait) // nobody has told anything
 	h.saw(7)
-	h.told(7, now)
+	h.told(7, false, now)
 	is.Equal(h.wait(now), calmWait)
 	is.Equal(h.overdue(now, now.Add(hintValid-1)), waiting)
-	h.told(9, now) // a change that has not come yet
+	h.told(9, false, now) // a change that has not come yet
 	is.Equal(h.overdue(now.Add(-time.Minute), now.Add(hintGrace-1)), waiting)
 	is.Equal(h.overdue(now.Add(-time.Minute), now.Add(hintGrace)), behind)
 	is.Equal(h.overdue(now.Add(hintGrace), now.Add(2*hintGrace)), waiting) // it has just begun
-	h.told(9, now.Add(hintGrace))
+	h.told(9, false, now.Add(hintGrace))
 	is.Equal(h.overdue(now.Add(-time.Minute), now.Add(hintGrace)), behind) // since the first word
 	h.saw(9)
 	is.Equal(h.overdue(now.Add(-time.Minute), now.Add(hintGrace)), waiting)
@@ -34,6 +34,9 @@
 	is.Equal(h.wait(later), watchWait)
 	is.Equal(h.overdue(now, later), unhinted)
 	is.Equal(h.overdue(later.Add(-watchWait), later), waiting) // it ends soon in any case
+	h.told(9, true, later)                                     // others rely on this process
+	is.Equal(h.wait(later), watchWait)
+	is.Equal(h.overdue(later.Add(-watchWait-answerWait), later), unhinted)
 }
 
 // silentStore answers the first watches; from a moment on its connections are silent, as
@@ -79,7 +82,7 @@
 		event.Store(10)
 		go func() {
 			for pause.For(ctx, 200*time.Millisecond) {
-				f.Hint(event.Load())
+				f.Hint(event.Load(), false)
 			}
 		}()
 		time.Sleep(time.Minute)
@@ -105,7 +108,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go f.Run(ctx)
 		time.Sleep(10 * time.Millisecond)
-		f.Hint(10)
+		f.Hint(10, false)
 		time.Sleep(20 * time.Second)
 		before := s.watches.Load()
 		time.Sleep(20 * time.Second)
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -77,6 +77,8 @@
 	// missing are targets that an outage of the store may have hidden, with
 	// the time until which they are kept.
 	missing map[string]time.Time
+	// targetsOnly says that no configuration is followed: targets of any service count.
+	targetsOnly bool
 }
 
 // New returns an empty Mirror.
@@ -84,6 +86,14 @@
 	return &Mirror{log: log, targets: map[string]platform.Target{}, stewards: map[string]rankpeer.Claim{}, missing: map[string]time.Time{}}
 }
 
+// NewTargets returns an empty Mirror of the targets alone. A configuration may have hundreds
+// of kilobytes, half a second of a sidecar's link; a steward does not need it.
+func NewTargets(log *slog.Logger) *Mirror {
+	m := New(log)
+	m.targetsOnly, m.config = true, &platform.Config{}
+	return m
+}
+
 // View returns the present state, or nil before the first configuration.
 func (m *Mirror) View() *View {
 	if m.config == nil {
@@ -110,7 +120,7 @@
 	}
 	newest := make(map[netip.AddrPort]platform.Target, len(m.targets))
 	for _, t := range m.targets {
-		if !named[t.Service] {
+		if !m.targetsOnly && !named[t.Service] {
 			continue
 		}
 		if old, ok := newest[t.Addr]; !ok || t.Created > old.Created {
--- a/core/rankpeer/rankpeer.go
+++ b/core/rankpeer/rankpeer.go
@@ -24,8 +24,12 @@
 	// the number of the list of targets that the asker has.
 	Digest bool
 	List   uint64
-	// Gateway names the instance that asks for a digest.
+	// Gateway names the instance that asks for a digest. Event is the revision of the newest
+	// change of the store that it has seen, 0 if the store does not answer it; Gap is the
+	// longest pause between events that callers of the group are to see, or 0.
 	Gateway string
+	Event   int64
+	Gap     time.Duration
 	// Word says for which group a steward asks, and which steward it is. Of an ask for
 	// a digest only the group's name counts.
 	Word lockstep.Word
@@ -77,8 +81,14 @@
 	// List is the number of the list of targets that a relay has from the views that it
 	// was given.
 	List uint64
-	// Gateways is how many gateways have asked this agent for digests lately.
+	// Gateways is how many gateways have asked this agent for digests lately, Event and Gap
+	// what they have told; see Ask.
 	Gateways int
+	Event    int64
+	Gap      time.Duration
+	// Scout says that others rely on the gateway that has asked to see changes of the store
+	// soon.
+	Scout bool
 	// Branch is the answer of a relay.
 	Branch *BranchTell
 }
@@ -96,8 +106,8 @@
 	Skew float32
 	// Age is how old the view is when it is sent.
 	Age time.Duration
-	// Event is the revision of the newest change of the store that the steward has seen; 0
-	// if the store does not answer it.
+	// Event is the revision of the newest change of the store that any gateway has seen; 0
+	// if none has heard the store lately.
 	Event int64
 	// List numbers the list of targets; Targets is left out where the asker has
 	// it. The loads are in its order.
--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -33,14 +33,19 @@
 // digests learns how the ranks of all expert groups are loaded: from their stewards, or
 // from the relays that have a steward's view where there are some.
 type digests struct {
-	// instance is the gateway's.
+	// instance is the gateway's; event returns the newest change of the store that it has
+	// seen, hint takes what others have, and whether they rely on this one.
 	instance string
+	event    func() int64
+	hint     func(event int64, scout bool)
 	log      *slog.Logger
 	use      func(*rankpeer.Digest, time.Time)
 
 	mu sync.Mutex
 	// stewards are where those of the groups listen.
 	stewards map[string]string
+	// gaps are the longest pauses that callers of the groups are to see.
+	gaps map[string]time.Duration
 	// last are the epoch and the term of the newest digest of each group.
 	last map[string]life
 }
@@ -53,13 +58,14 @@
 }
 
 func newDigests(instance string, log *slog.Logger, use func(*rankpeer.Digest, time.Time)) *digests {
-	return &digests{instance: instance, log: log, use: use, stewards: map[string]string{}, last: map[string]life{}}
+	return &digests{instance: instance, event: func() int64 { return 0 }, hint: func(int64, bool) {}, gaps: map[string]time.Duration{}, log: log, use: use, stewards: map[string]string{}, last: map[string]life{}}
 }
 
 // update takes a new view: where the stewards are.
 func (d *digests) update(v *mirror.View) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.gaps = gapsOf(v)
 	for group, claim := range v.Stewards {
 		before, known := d.stewards[group]
 		if before == claim.Addr {
@@ -75,6 +81,26 @@
 	}
 }
 
+// gapsOf returns the longest pauses that callers of the groups are to see, for those whose
+// targets say which group is theirs.
+func gapsOf(v *mirror.View) map[string]time.Duration {
+	gaps := map[string]time.Duration{}
+	for id := range v.Targets {
+		t := v.Targets[id]
+		if _, known := gaps[t.Group.Name]; !known && t.Group.Name != "" {
+			gaps[t.Group.Name] = v.ShortestGap(t.Service)
+		}
+	}
+	return gaps
+}
+
+// gap returns the longest pause that callers of a group are to see, or 0 if it is not known.
+func (d *digests) gap(group string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gaps[group]
+}
+
 // steward returns where the steward of a group listens.
 func (d *digests) steward(group string) string {
 	d.mu.Lock()
@@ -147,6 +173,7 @@
 			ok = tell.Digest.Age <= digestValid || len(from.relays) == 0
 		}
 		if ok {
+			d.hint(tell.Digest.Event, tell.Scout)
 			d.use(tell.Digest, now.Add(-tell.Digest.Age))
 		}
 		if ok != heard {
@@ -199,6 +226,6 @@
 	if err := client.Connect(ctx, digestWait); err != nil {
 		return rankpeer.Tell{}, err
 	}
-	ask := rankpeer.Ask{Digest: true, List: list, Gateway: d.instance, Word: lockstep.Word{Group: platform.GroupID{Name: group}}}
+	ask := rankpeer.Ask{Digest: true, List: list, Gateway: d.instance, Event: d.event(), Gap: d.gap(group), Word: lockstep.Word{Group: platform.GroupID{Name: group}}}
 	return client.Ask(ask, digestWait)
 }
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -38,7 +38,7 @@
 func follow(lc fx.Lifecycle, f *mirror.Follower, g *gateway) {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.OnChange(g.update)
-	g.hint = f.Hint
+	g.digests.event, g.digests.hint = f.Event, f.Hint
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go f.Run(ctx)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -30,8 +30,6 @@
 	fleet   *fleet
 	catalog atomic.Pointer[catalog]
 	bounds  platform.Bounds
-	// hint takes how far a steward has seen the store.
-	hint func(event int64)
 	// leaving is set by SIGTERM: the balancer is told to send nothing more.
 	leaving atomic.Bool
 	started time.Time
@@ -52,7 +50,7 @@
 	boot, log := env.Boot, env.Log
 	g := &gateway{
 		log: log, tracer: tracer, rng: newRand(), fleet: newFleet(boot.Instance, boot.Zone, log),
-		bounds: boot.Bounds, hint: func(int64) {}, started: time.Now(), admitters: map[string]*admitter{}, patience: map[string]*retry.Patience{}, budgets: retry.NewBudgets(retryLimits(boot.Bounds)),
+		bounds: boot.Bounds, started: time.Now(), admitters: map[string]*admitter{}, patience: map[string]*retry.Patience{}, budgets: retry.NewBudgets(retryLimits(boot.Bounds)),
 	}
 	g.digests = newDigests(boot.Instance, log, g.digest)
 	g.fleet.spare = g.spareRetries
@@ -137,7 +135,6 @@
 
 // digest takes what a steward tells of its group.
 func (g *gateway) digest(d *rankpeer.Digest, taken time.Time) {
-	g.hint(d.Event)
 	g.shareRetries(d.Gateways)
 	r := g.fleet.digest(d, taken)
 	if cat := g.catalog.Load(); r.joined && cat != nil {
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -41,6 +41,9 @@
 	// turn is the agent's place among those who take over, plus 1, as the last steward
 	// told it; 0 if none has.
 	turn int
+	// opening says that the agent leads because it is the first by rank, without having
+	// waited for anybody.
+	opening bool
 	// seenClaim is the revision of the last claim that was seen in the store.
 	seenClaim int64
 	// words counts the words of stewards that were heard.
@@ -263,12 +266,21 @@
 			return
 		}
 		if st.Rank == 0 {
+			a.open(true)
 			a.lead(ctx, st)
+			a.open(false)
 		}
 		a.watch(ctx, st)
 	}
 }
 
+// open records whether this agent leads as the first by rank.
+func (a *agent) open(opening bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.opening = opening
+}
+
 // watch leads the group whenever its steward is silent, until the rank has another
 // seat.
 func (a *agent) watch(ctx context.Context, st platform.RankState) {
--- a/sidecar/branch.go
+++ b/sidecar/branch.go
@@ -27,8 +27,8 @@
 	link  *link
 	// told says that the relay has the list.
 	told bool
-	// gateways is how many gateways ask the relay for digests.
-	gateways int
+	// asked is what gateways that ask the relay for digests have told it.
+	asked asked
 	// views is the number of the list of targets that the relay has.
 	views uint64
 }
@@ -213,8 +213,15 @@
 	// told says that the relay has the list of its members.
 	told   bool
 	failed bool
-	// gateways is how many gateways have asked the relay lately.
+	asked  asked
+}
+
+// asked is what a relay tells of the gateways that ask it: how many they are, the newest
+// change of the store that they have seen, and the longest pause that callers are to see.
+type asked struct {
 	gateways int
+	event    int64
+	gap      time.Duration
 }
 
 // askBranch asks the relay, once more if it lacks the list of its members.
@@ -230,7 +237,7 @@
 		ask.Branch = &again
 		tell, err = b.link.ask(ctx, ask, wait)
 	}
-	out := branchTell{refused: tell.Refused, term: tell.Term, gateways: tell.Gateways}
+	out := branchTell{refused: tell.Refused, term: tell.Term, asked: asked{tell.Gateways, tell.Event, tell.Gap}}
 	if err != nil {
 		out.failed = true
 		return out
--- a/sidecar/claim.go
+++ b/sidecar/claim.go
@@ -46,12 +46,16 @@
 // unheard reports whether a claim in the store is by a steward that this agent
 // has not heard and has not seen before: it has claimed a moment ago and is about
 // to speak. Taken over at once, it would be the steward before, and a hold of the
-// silent one could not be given up any more; see package lockstep.
+// silent one could not be given up any more; see package lockstep. Where all processes
+// have started together nobody has heard anybody yet: the first by rank claims at once,
+// whatever claim is left of before, and the others let it read the store first (six of
+// them claimed within half a second where that took longer than a silence).
 func (a *agent) unheard(revision int64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	heard := a.listener.Heard().Term
-	fresh := heard != 0 && revision > heard && revision != a.seenClaim
+	opens := a.opening && heard == 0
+	fresh := revision > heard && revision != a.seenClaim && !opens
 	a.seenClaim = revision
 	return fresh
 }
--- a/sidecar/claim_test.go
+++ b/sidecar/claim_test.go
@@ -116,6 +116,31 @@
 	is.True(d.term > 31)
 }
 
+// All processes start together. The agent of the first rank claims at once, although a claim
+// of before is in the store, and needs a while to read who its ranks are. Meanwhile the next
+// ones come due, which have heard nobody. They leave the claim alone at their first try:
+// six stewards at once had the group begin its first change six times.
+func TestAgentsThatStartTogetherLeaveTheFirstAlone(t *testing.T) {
+	is := is.New(t)
+	first, store := testAgent(t)
+	for range 30 {
+		store.Put("servers/x", nil)
+	}
+	store.Put(rankpeer.ClaimPrefix+"g", []byte("127.0.0.9:9310")) // of before
+	seatAndHear(first, 0)
+	first.open(true)
+	d, ok := first.takeOver(t.Context(), groupG)
+	is.True(ok)
+	next := &agent{boot: first.boot, log: first.log, store: first.store, beliefs: newBeliefs(lockstep.Listener{}, time.Now())}
+	seatAndHear(next, 0)
+	_, ok = next.takeOver(t.Context(), groupG)
+	is.True(!ok)
+	// It stays silent: the next try takes over.
+	d2, ok := next.takeOver(t.Context(), groupG)
+	is.True(ok)
+	is.True(d2.term > d.term)
+}
+
 // The same, but the first speaks while the second is asking the store. The second
 // knows it by now, so that its claim is no fresh one; still it must not be taken
 // over from.
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -37,6 +37,9 @@
 	// was made from, nil for one that was told by an earlier steward.
 	roster *rankpeer.Roster
 	seen   *mirror.View
+	// needs are the group's; seenNeeds are those that the roster was made from.
+	needs     needs
+	seenNeeds *groupNeeds
 	// elsewhere are targets that have told that they belong to another group.
 	elsewhere map[string]platform.GroupID
 	// strayAt is when all targets of the service were asked last; straying says that
@@ -58,21 +61,24 @@
 // lacks a rank, and for one round.
 func (s *steward) follow(v *mirror.View, now time.Time) {
 	stray := !s.complete && now.Sub(s.strayAt) >= strayEvery
-	if v == s.seen && !stray && !s.straying {
+	if v == s.seen && s.needs.load() == s.seenNeeds && !stray && !s.straying {
 		return
 	}
 	if stray {
 		s.strayAt = now
 		clear(s.elsewhere)
 	}
-	s.seen, s.straying = v, stray
+	s.seen, s.seenNeeds, s.straying = v, s.needs.load(), stray
 	s.enrol(s.rosterOf(v, stray))
 }
 
 // rosterOf makes the roster of a view. All takes in also the targets that, by the
 // store, belong to another group.
 func (s *steward) rosterOf(v *mirror.View, all bool) *rankpeer.Roster {
-	r := &rankpeer.Roster{Group: s.group, Gap: v.ShortestGap(s.boot.Service)}
+	r := &rankpeer.Roster{Group: s.group}
+	if n := s.needs.load(); n != nil {
+		r.Engine, r.Gap = n.Engine, n.Gap
+	}
 	for _, id := range slices.Sorted(maps.Keys(v.Targets)) {
 		t := v.Targets[id]
 		if t.Service != s.boot.Service || !all && !s.mayBelong(&t) {
@@ -83,11 +89,6 @@
 			r.Steward = id
 		}
 	}
-	for i := range v.Config.Services {
-		if svc := &v.Config.Services[i]; svc.Name == s.boot.Service && svc.Engine != nil {
-			r.Engine = *svc.Engine
-		}
-	}
 	return r
 }
 
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -32,6 +32,9 @@
 	// held.
 	Group  platform.GroupID
 	Layers [][]uint16
+	// Needs are what the next steward of a group whose agents have all started anew has
+	// to know.
+	Needs groupNeeds
 }
 
 // recallLoads reads the loads that an earlier steward has saved. After a loss of
--- a/sidecar/relay_test.go
+++ b/sidecar/relay_test.go
@@ -17,7 +17,6 @@
 
 	"verbenashift/core/instance"
 	"verbenashift/core/lockstep"
-	"verbenashift/core/mirror"
 	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
@@ -105,7 +104,7 @@
 	_, err := own.readRank(t.Context())
 	s.NoErr(err)
 	s.steward = &steward{
-		agent: own, group: groupG, log: own.log, targets: mirror.NewFollower(nil, own.log), core: lockstep.NewSteward(0, nil, 1), tells: map[string]rankpeer.Tell{},
+		agent: own, group: groupG, log: own.log, core: lockstep.NewSteward(0, nil, 1), tells: map[string]rankpeer.Tell{},
 		members: members{peers: map[string]*peer{}, elsewhere: map[string]platform.GroupID{}}, duty: duty{term: 7},
 	}
 	s.steward.enrol(s.steward.rosterOf(v, false))
@@ -373,13 +372,13 @@
 	_, i := s.numberOfRelay()
 	for n := range 53 {
 		at := []int{0, i}[n%2]
-		s.agents[at].answer(rankpeer.Ask{Digest: true, Gateway: fmt.Sprintf("front-%d", n), Word: lockstep.Word{Group: groupG}})
+		s.agents[at].answer(rankpeer.Ask{Digest: true, Gateway: fmt.Sprintf("front-%02d", n), Word: lockstep.Word{Group: groupG}})
 	}
 	s.ask()
 	s.Equal(s.steward.digestOf(s.steward.arrange()).Gateways, 53)
 	s.Equal(s.agents[i].askers.count(time.Now().Add(askerValid+time.Second)), 0)
 	for n := range 2 * maxAskers {
-		s.agents[i].askers.ask(fmt.Sprint(n), time.Now())
+		s.agents[i].askers.ask(&rankpeer.Ask{Gateway: fmt.Sprint(n)}, time.Now())
 	}
 	s.Equal(s.agents[i].askers.count(time.Now()), maxAskers)
 }
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -27,6 +27,9 @@
 	if s.planner.judged() {
 		saved := s.planner.save()
 		saved.Group = s.group
+		if n := s.needs.load(); n != nil {
+			saved.Needs = *n
+		}
 		s.mu.Lock()
 		s.toSave = saved
 		s.mu.Unlock()
@@ -37,7 +40,7 @@
 func (s *steward) digestOf(ranks []lockstep.Rank) *rankpeer.Digest {
 	d := &rankpeer.Digest{
 		Group: s.group, Term: s.term, Open: lockstep.Open(ranks),
-		Pass: s.core.PassTime(), Skew: float32(s.planner.skew), Event: s.targets.Event(),
+		Pass: s.core.PassTime(), Skew: float32(s.planner.skew),
 	}
 	list := fnv.New64a()
 	for i := range ranks {
@@ -53,7 +56,8 @@
 	}
 	d.List = list.Sum64()
 	for _, b := range s.branches {
-		d.Gateways += b.gateways
+		d.Gateways += b.asked.gateways
+		d.Event = max(d.Event, b.asked.event)
 		if !b.single() {
 			d.Relays = append(d.Relays, b.link.addr.String())
 		}
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -100,7 +100,7 @@
 	salt := rand.Uint64()
 	s := &steward{
 		agent: a, salt: salt, group: group, rankOf: st.Rank, born: st.Born, duty: d,
-		targets: mirror.NewFollower(a.store, a.log),
+		targets: mirror.NewTargetFollower(a.store, a.log),
 		members: members{peers: map[string]*peer{}, elsewhere: map[string]platform.GroupID{}, strayAt: time.Now()},
 		core:    lockstep.NewSteward(st.Rank, a.stewardBefore(st.Rank), salt), pending: map[string]lockstep.Command{},
 		log: a.log.With("group", group.Name, "service", a.boot.Service, "steward-from", d.term),
@@ -109,7 +109,14 @@
 	if !d.acting {
 		s.planner.guess = a.recallLoads(ctx, group)
 	}
+	if r := a.lastRoster(); r != nil {
+		s.needs.learn(groupNeeds{r.Engine, r.Gap})
+	}
+	if s.planner.guess != nil {
+		s.needs.learn(s.planner.guess.Needs)
+	}
 	s.enrol(a.lastRoster())
+	go s.readNeeds(ctx)
 	go s.followTargets(ctx, s.roster != nil)
 	go s.keepLoads(ctx)
 	s.log.Info("steward begins", "epoch", group.Epoch, "term", d.term, "acting", d.acting, "members", len(s.peers))
@@ -130,8 +137,8 @@
 }
 
 // settle is how long a steward that knows its group from the roster leaves the store
-// alone. The whole configuration may have hundreds of kilobytes, half a second of a link
-// of 6 Mbit/s, just when it has to find out what the steward before has left behind.
+// alone. The entries of 200 servers take a tenth of a second of a link of 6 Mbit/s, just
+// when it has to find out what the steward before has left behind.
 const settle = 2 * time.Second
 
 // followTargets keeps the view of the store.
--- a/sidecar/talk.go
+++ b/sidecar/talk.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -52,8 +53,7 @@
 // the rank has left, must not reach the rank.
 func (a *agent) answer(ask rankpeer.Ask) rankpeer.Tell {
 	if ask.Digest {
-		a.askers.ask(ask.Gateway, time.Now())
-		return rankpeer.Tell{Group: a.seat().Group, Term: a.highestTerm(), Digest: a.digest(ask.Word.Group.Name, ask.List)}
+		return a.tellDigest(&ask, time.Now())
 	}
 	if ask.View != nil {
 		tell := rankpeer.Tell{Refused: a.hear(ask), Group: a.seat().Group, Term: a.highestTerm()}
@@ -69,10 +69,39 @@
 	if carries(tell.Refused) {
 		tell.Branch = a.forward(ask)
 	}
-	tell.Group, tell.Term, tell.Gateways = a.seat().Group, a.highestTerm(), a.askers.count(time.Now())
+	now := time.Now()
+	tell.Group, tell.Term = a.seat().Group, a.highestTerm()
+	tell.Gateways, tell.Event, tell.Gap = a.askers.count(now), a.askers.newest(now), a.askers.pause()
 	return tell
 }
 
+// scouts is how many gateways are relied on to see changes of the store soon: with
+// three, one may die and the store may turn another one away.
+const scouts = 3
+
+// tellDigest answers a gateway, and takes what it says of the store.
+func (a *agent) tellDigest(ask *rankpeer.Ask, now time.Time) rankpeer.Tell {
+	a.askers.ask(ask, now)
+	tell := rankpeer.Tell{Group: a.seat().Group, Term: a.highestTerm(), Digest: a.digest(ask.Word.Group.Name, ask.List)}
+	if d := tell.Digest; d != nil {
+		d.Event = max(d.Event, a.askers.newest(now))
+		tell.Scout = a.askers.first(ask.Gateway, a.scoutsHere(d), now)
+	}
+	return tell
+}
+
+// scoutsHere returns how many of the gateways that ask this agent are scouts: all of them
+// where the steward answers itself, one at each of the first relays.
+func (a *agent) scoutsHere(d *rankpeer.Digest) int {
+	if len(d.Relays) == 0 {
+		return scouts
+	}
+	if at := slices.Index(d.Relays, a.addr().String()); at >= 0 && at < scouts {
+		return 1
+	}
+	return 0
+}
+
 // judge does what a steward asks of this agent's own rank, if its word is heeded.
 func (a *agent) judge(ask rankpeer.Ask) rankpeer.Tell {
 	reads := a.refreshSeat()
