Ranks are asked straight without writing to a map that is read

The race detector found it in TestBytesOfARoundAreBounded, where a loaded machine makes sidecars late: askStraight wrote answers while it still looked at those of others, which ends the process. The answers are taken in after all have come. TestBytesOfARoundAreBounded, twice, and the other tests of the sidecar pass under the race detector.

--- a/sidecar/ask.go
+++ b/sidecar/ask.go
@@ -136,36 +136,43 @@
 // the others it takes what they told when they were last read.
 func (s *steward) askStraight(ctx context.Context, wanted func(id string) bool, full bool) {
 	now := time.Now()
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	left := straightAtOnce
+	var ids []string
 	for id, p := range s.peers {
 		if !p.lost || !wanted(id) || s.tells[id].Answered {
 			continue
 		}
-		cmd, ordered := s.pending[id]
-		ordered = ordered && !cmd.Direct
-		if left == 0 || !ordered && !p.straightDue(now) {
+		if len(ids) == straightAtOnce || !s.ordered(id) && !p.straightDue(now) {
 			s.tells[id] = p.last
 			continue
 		}
-		left--
-		ask := rankpeer.Ask{Placement: full}
-		if ordered {
-			o := cmd.Order
-			if ask.Change = s.changeFor(id, &o, true); ask.Change != nil {
-				o.Map = nil
-			}
-			ask.Order = &o
-		}
-		wg.Go(func() {
-			tell := p.askRank(ctx, ask)
-			mu.Lock()
-			defer mu.Unlock()
-			s.tells[id] = tell
-		})
+		ids = append(ids, id)
+	}
+	tells := make([]rankpeer.Tell, len(ids))
+	var wg sync.WaitGroup
+	for i, id := range ids {
+		p, ask := s.peers[id], s.straightAsk(id, full)
+		wg.Go(func() { tells[i] = p.askRank(ctx, ask) })
 	}
 	wg.Wait()
+	for i, id := range ids {
+		s.tells[id] = tells[i]
+	}
+}
+
+// straightAsk is what a rank is asked without its sidecar, with its order if that does not
+// go straight in any case.
+func (s *steward) straightAsk(id string, full bool) rankpeer.Ask {
+	ask := rankpeer.Ask{Placement: full}
+	cmd, ordered := s.pending[id]
+	if !ordered || cmd.Direct {
+		return ask
+	}
+	o := cmd.Order
+	if ask.Change = s.changeFor(id, &o, true); ask.Change != nil {
+		o.Map = nil
+	}
+	ask.Order = &o
+	return ask
 }
 
 // locateAll takes what the ranks have told of where they belong.
