View, change of a map and hints in files of their own

Moves only: sidecar/view.go (what gateways are told) from agent, talk and report; change.go (the base, what a change carries) from steward and ask; the follower's part of hints to hints.go.

--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -211,50 +211,6 @@
 	return nil
 }
 
-// note records how far the store is known, and its newest change.
-func (f *Follower) note(seen []platform.Item) {
-	f.hints.saw(f.mirror.Revision())
-	for i := range seen {
-		f.event.Store(max(f.event.Load(), seen[i].Revision))
-	}
-}
-
-// guard ends a watch that is overdue before its wait is over. The result says why, or nil.
-func (f *Follower) guard(ctx context.Context, end context.CancelFunc, began time.Time) *atomic.Pointer[givenUp] {
-	var gaveUp atomic.Pointer[givenUp]
-	go func() {
-		for pause.For(ctx, hintCheck) {
-			if reason := f.hints.overdue(began, time.Now()); reason != waiting {
-				gaveUp.Store(&reason)
-				end()
-			}
-		}
-	}()
-	return &gaveUp
-}
-
-// storeFresh is how recently the store must have answered for its newest change to be
-// worth telling.
-const storeFresh = watchWait + answerWait + hintGrace
-
-// Event returns the revision of the newest change that was seen, or 0 if the store has not
-// answered for a while: whoever is told relies on it to notice what it misses itself.
-func (f *Follower) Event() int64 {
-	if f.Age() > storeFresh {
-		return 0
-	}
-	return f.event.Load()
-}
-
-// Hint tells that another process has seen a change of a revision, by its Event. Watches
-// wait for longer while such hints come, unless this process is one of the few whose own
-// word the hints come from.
-func (f *Follower) Hint(event int64, scout bool) {
-	if event > 0 {
-		f.hints.told(event, scout, time.Now())
-	}
-}
-
 func (f *Follower) readPrefix(ctx context.Context, prefix string) ([]platform.Item, int64, error) {
 	var all []platform.Item
 	after, first := "", int64(-1)
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -176,53 +176,6 @@
 	return a.listener.Heard().Term
 }
 
-// digest returns what a gateway may know of a group, or nil if this agent is neither its
-// steward nor has a view that is worth telling. The targets are left out if the gateway
-// has the list.
-func (a *agent) digest(group string, list uint64) *rankpeer.Digest {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.view == nil || a.view.Group.Name != group {
-		return nil
-	}
-	d := *a.view
-	d.Age = time.Since(a.viewAt)
-	if d.Age > viewValid && !a.steers {
-		return nil
-	}
-	if d.List == list {
-		d.Targets = nil
-	}
-	return &d
-}
-
-// viewValid is how old the view of a steward may be that a relay still tells. Gateways
-// judge its age for themselves; an older one is of an agent that is no relay any more.
-const viewValid = 5 * time.Second
-
-// setDigest sets the view of this agent as the steward; nil ends that.
-func (a *agent) setDigest(d *rankpeer.Digest) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.view, a.viewAt, a.steers = d, time.Now(), d != nil
-}
-
-// takeView takes a steward's view for gateways, and returns the number of the list of
-// targets that it has then.
-func (a *agent) takeView(d *rankpeer.Digest) uint64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	v := *d
-	if v.Targets == nil {
-		if a.view == nil || a.view.List != v.List {
-			return 0
-		}
-		v.Targets = a.view.Targets
-	}
-	a.view, a.viewAt = &v, time.Now().Add(-d.Age)
-	return v.List
-}
-
 // stewardBefore returns the steward that was heard last, or nil if none was or
 // it was beside this agent's own rank.
 func (a *agent) stewardBefore(self int) *lockstep.Predecessor {
--- a/sidecar/ask.go
+++ b/sidecar/ask.go
@@ -202,46 +202,6 @@
 	}
 }
 
-// changeFor returns the map of an order to prepare as it goes to one agent: what differs
-// from the map in force, or all of it for an agent that lacks that and passes it on to
-// others. Other orders have none.
-func (s *steward) changeFor(id string, o *platform.Order, carries bool) *rankpeer.Change {
-	if o.Kind != platform.PrepareMap || len(o.Map) == 0 {
-		return nil
-	}
-	if s.proposedAs != o.Version {
-		s.propound(o)
-	}
-	if carries && s.needFull[id] {
-		return s.whole
-	}
-	return s.moves
-}
-
-// propound packs a map that is to be prepared, as what differs from the map in force.
-func (s *steward) propound(o *platform.Order) {
-	s.proposed, s.proposedAs, s.needFull = o.Map, o.Version, map[string]bool{}
-	places := s.planner.engine.Places
-	s.packed = rankpeer.Pack(o.Map, places)
-	if m := s.planner.current(); m != nil {
-		s.base = rankpeer.Pack(m, places)
-	}
-	// Moves from no base: whoever gets them says that it needs the map.
-	s.whole, s.moves = &rankpeer.Change{Full: s.packed}, &rankpeer.Change{}
-	if s.base == nil {
-		return
-	}
-	moves, ok := rankpeer.Diff(s.base, s.packed)
-	if !ok {
-		return
-	}
-	s.moves = &rankpeer.Change{Base: s.base.Number(), Moves: moves}
-	shape := rankpeer.Shape{Layers: s.base.Layers, Ranks: s.base.Ranks, Places: places, Experts: s.planner.engine.Experts}
-	if first := rankpeer.FirstMap(shape); first != nil && first.Number() == s.moves.Base {
-		s.moves.First = &shape
-	}
-}
-
 // refusals tells the core which orders did not fit.
 func (s *steward) refusals() {
 	for id, cmd := range s.pending {
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -1,9 +1,7 @@
 package main
 
 import (
-	"context"
 	"hash/fnv"
-	"sync"
 	"time"
 
 	"verbenashift/core/lockstep"
@@ -65,43 +63,6 @@
 	return d
 }
 
-const (
-	// viewEvery is how often relays are given the steward's view: as often as gateways
-	// ask for it.
-	viewEvery = 150 * time.Millisecond
-	// viewWait is how long a relay may take to take a view.
-	viewWait = 200 * time.Millisecond
-)
-
-// tellViews gives the relays the view that gateways ask them for. Five times a second to
-// each of 53 gateways it would take a quarter of the steward's link.
-func (s *steward) tellViews(ctx context.Context, now time.Time) {
-	d := s.digest(s.group.Name, 0)
-	if d == nil || len(d.Relays) == 0 || now.Sub(s.viewsAt) < viewEvery {
-		return
-	}
-	s.viewsAt = now
-	var wg sync.WaitGroup
-	for _, b := range s.branches {
-		if b.single() || !b.told || b.members[b.relay].Addr == s.boot.Target {
-			continue // One that has not answered yet has more to do.
-		}
-		v := *d
-		if b.views == v.List {
-			v.Targets = nil
-		}
-		ask := rankpeer.Ask{Word: s.word(), Held: s.holding, View: &v}
-		wg.Go(func() {
-			tell, err := b.link.ask(ctx, ask, viewWait)
-			b.views = 0
-			if err == nil {
-				b.views = tell.List
-			}
-		})
-	}
-	wg.Wait()
-}
-
 // reportEvery is how often the state of the group is logged.
 const reportEvery = time.Second
 
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -236,50 +236,6 @@
 	return !s.core.Idle(ranks) || !s.planner.placed || now.Sub(s.changedAt) < chainFor, true
 }
 
-// keepMap tells the planner the map that has come into force, if it was made
-// here: then it need not be read from all ranks.
-func (s *steward) keepMap(ranks []lockstep.Rank) {
-	if s.planner.placed || s.proposed == nil {
-		return
-	}
-	if version, ok := lockstep.InForce(ranks); ok && version == s.proposedAs {
-		s.planner.know(version, ranks[0].State.Epoch, s.proposed)
-		s.base, s.baseAs = s.packed, version
-		s.changedAt = time.Now()
-		metricChanges.Add(1)
-		lastChange.Store(int64(time.Since(processStart)))
-	}
-}
-
-// adoptBase takes the map in force from what the agent was given to prepare, if an
-// earlier steward has made it. Read from all ranks it would take a round of its own, and
-// their lists may have another order: then no agent would know the base of a change, and
-// each would be sent the whole map.
-func (s *steward) adoptBase(ranks []lockstep.Rank) {
-	for i := range ranks {
-		st := &ranks[i].State
-		if !ranks[i].Known {
-			continue
-		}
-		if s.base == nil || s.baseAs != st.Map {
-			if m := s.keptMaps().get(st.Epoch, st.Map); m != nil {
-				s.adopt(m, st)
-			}
-		}
-		return
-	}
-}
-
-// adopt takes a map that the agent has kept for the one in force.
-func (s *steward) adopt(m *rankpeer.Map, st *platform.RankState) {
-	s.base, s.baseAs = m, st.Map
-	experts, ok := m.Unpack()
-	if ok && m.Layers == s.planner.engine.Sets && m.Ranks == len(s.planner.ranks) && !s.planner.placed {
-		s.planner.know(st.Map, st.Epoch, experts)
-		s.planner.placed = s.planner.known(s.tells)
-	}
-}
-
 // quickMoves bounds the moves that are made without a full round between them:
 // a hold, arming in three turns, arming again where an order was lost, and the
 // release.
--- a/sidecar/talk.go
+++ b/sidecar/talk.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"slices"
 	"strconv"
 	"time"
 
@@ -75,33 +74,6 @@
 	return tell
 }
 
-// scouts is how many gateways are relied on to see changes of the store soon: with
-// three, one may die and the store may turn another one away.
-const scouts = 3
-
-// tellDigest answers a gateway, and takes what it says of the store.
-func (a *agent) tellDigest(ask *rankpeer.Ask, now time.Time) rankpeer.Tell {
-	a.askers.ask(ask, now)
-	tell := rankpeer.Tell{Group: a.seat().Group, Term: a.highestTerm(), Digest: a.digest(ask.Word.Group.Name, ask.List)}
-	if d := tell.Digest; d != nil {
-		d.Event = max(d.Event, a.askers.newest(now))
-		tell.Scout = a.askers.first(ask.Gateway, a.scoutsHere(d), now)
-	}
-	return tell
-}
-
-// scoutsHere returns how many of the gateways that ask this agent are scouts: all of them
-// where the steward answers itself, one at each of the first relays.
-func (a *agent) scoutsHere(d *rankpeer.Digest) int {
-	if len(d.Relays) == 0 {
-		return scouts
-	}
-	if at := slices.Index(d.Relays, a.addr().String()); at >= 0 && at < scouts {
-		return 1
-	}
-	return 0
-}
-
 // judge does what a steward asks of this agent's own rank, if its word is heeded.
 func (a *agent) judge(ask rankpeer.Ask) rankpeer.Tell {
 	reads := a.refreshSeat()
