--- a/sidecar/ask.go
+++ b/sidecar/ask.go
@@ -103,8 +103,8 @@
 		s.log.Info("a newer steward is at work", "target", b.id(), "newer-term", t.term)
 		return false
 	}
-	b.told, b.asked = t.told, t.asked
-	s.needs.hear(t.asked.gap)
+	b.told, b.news = t.told, t.news
+	s.needs.hear(t.news.gap)
 	if t.failed {
 		s.rotate(b)
 	}
--- a/sidecar/branch.go
+++ b/sidecar/branch.go
@@ -31,8 +31,8 @@
 	link  *link
 	// told says that the relay has the list.
 	told bool
-	// asked is what gateways that ask the relay for digests have told it.
-	asked asked
+	// news is what gateways that ask the relay for digests have told it.
+	news gatewayNews
 	// views is the number of the list of targets that the relay has.
 	views uint64
 }
@@ -61,7 +61,7 @@
 		old[b.members[b.relay]] = b
 	}
 	parts := rankpeer.Split(s.roster.Members)
-	s.branches = s.branches[:0:0]
+	s.branches = nil
 	for _, members := range parts {
 		b := &branch{members: members, list: numberOf(members), relay: s.chooseRelay(members, old)}
 		if before := old[members[b.relay]]; before != nil {
@@ -221,12 +221,12 @@
 	// told says that the relay has the list of its members.
 	told   bool
 	failed bool
-	asked  asked
+	news   gatewayNews
 }
 
-// asked is what a relay tells of the gateways that ask it: how many they are, the newest
+// gatewayNews is what a relay tells of the gateways that ask it: how many they are, the newest
 // change of the store that they have seen, and the longest pause that callers are to see.
-type asked struct {
+type gatewayNews struct {
 	gateways int
 	event    int64
 	gap      time.Duration
@@ -245,13 +245,16 @@
 		ask.Branch = &again
 		tell, err = b.link.ask(ctx, ask, wait)
 	}
-	out := branchTell{refused: tell.Refused, term: tell.Term, asked: asked{tell.Gateways, tell.Event, tell.Gap}}
+	out := branchTell{refused: tell.Refused, term: tell.Term, news: gatewayNews{tell.Gateways, tell.Event, tell.Gap}}
 	if err != nil {
 		out.failed = true
 		return out
 	}
 	if tell.Branch == nil {
-		// It has refused to pass the ask on.
+		// It has refused to pass the ask on, or is of a version that has no relays.
+		if out.failed = tell.Refused == lockstep.Heeded; out.failed {
+			s.log.Error("answer of a relay not understood", "target", b.id(), "reason", "it answers for itself alone")
+		}
 		return out
 	}
 	tells, ok := tell.Branch.Unpack(ask.Word, count)
--- a/sidecar/relay.go
+++ b/sidecar/relay.go
@@ -44,7 +44,7 @@
 	return r.members, true
 }
 
-// link returns the way to an agent.
+// linkTo returns the way to the agent at an address.
 func (a *agent) linkTo(addr netip.AddrPort) *link {
 	a.relay.mu.Lock()
 	defer a.relay.mu.Unlock()
--- a/sidecar/relay_test.go
+++ b/sidecar/relay_test.go
@@ -239,6 +239,32 @@
 	s.True(s.steward.peers[fmt.Sprintf("i-%03d", i+1)].lost)
 }
 
+// While sidecars are upgraded one by one, a relay may be of a version that knows nothing of
+// branches: it answers for its own rank alone. Taken as it is, its branch would stay unknown;
+// another member becomes the relay.
+func TestRelayOfAnotherVersion(t *testing.T) {
+	s := newSide(t, sideRanks)
+	b, i := s.numberOfRelay()
+	s.NoErr(s.listeners[i].Close())
+	l := s.listen(s.agents[i].addr())
+	st := platform.RankState{Group: groupG.Name, Epoch: groupG.Epoch, Rank: i, Size: sideRanks, Open: true}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				// It ends with the test.
+				_ = rankpeer.Serve(c, func(rankpeer.Ask) rankpeer.Tell { return rankpeer.Tell{Group: groupG, Known: true, State: st} })
+			}()
+		}
+	}()
+	s.ask()
+	s.True(b.link.addr != s.agents[i].addr())
+	s.Equal(s.ask(), sideRanks)
+}
+
 // A steward was paused and another one has taken over, of which only one agent far from it
 // has heard. Its word comes back through the relay, and the old steward ends.
 func TestNewerStewardIsHeardThroughARelay(t *testing.T) {
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -54,8 +54,8 @@
 	}
 	d.List = list.Sum64()
 	for _, b := range s.branches {
-		d.Gateways += b.asked.gateways
-		d.Event = max(d.Event, b.asked.event)
+		d.Gateways += b.news.gateways
+		d.Event = max(d.Event, b.news.event)
 		if !b.single() {
 			d.Relays = append(d.Relays, b.link.addr.String())
 		}
