A target that an outage has hidden is dropped in time, also during a long watch

A gateway was cut off from 1 to 13 s; a server left at 4 s. Back at 14.03 it found the server's entry missing and kept it for the 2.2 s in which lapsed entries come back; but it is dropped between two watches, and the next one waited 12 s: it went on sending there until 23.8 s. Ruled out: the hint (its watch was given up in time, at 3.01 s). Change: a watch ends when the first such target is due. The test fails without it.

--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -155,6 +155,10 @@
 func (f *Follower) watch(ctx context.Context) (bool, error) {
 	began := time.Now()
 	wait := f.hints.wait(began)
+	if due, ok := f.mirror.Due(began); ok {
+		// A target that has left while the store was away must not wait for a long watch.
+		wait = min(wait, due+time.Millisecond)
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+answerWait)
 	defer cancel()
 	gaveUp := f.guard(ctx, cancel, began)
--- a/core/mirror/hints_test.go
+++ b/core/mirror/hints_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -122,3 +123,55 @@
 		synctest.Wait()
 	})
 }
+
+// A gateway was cut off for ten seconds, and a server has left meanwhile. When it is back, the
+// server counts as present for the grace in which entries that lapsed come back, and no
+// longer: with a watch of twelve seconds, callers were still sent there seven seconds later.
+func TestMissingTargetIsDroppedDuringALongWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var down atomic.Bool
+		left := false
+		failed := errors.New("no answer")
+		s := &script{
+			rangeOf: func(prefix string) (platform.Page, error) {
+				page := platform.Page{AsOf: 5}
+				switch {
+				case down.Load():
+					return page, failed
+				case prefix == platform.ConfigKey:
+					page.Items = []platform.Item{config(3)}
+				case prefix == platform.TargetPrefix && !left:
+					page.Items = []platform.Item{entry("a", "10.0.0.1:80", "ready", 2)}
+				}
+				return page, nil
+			},
+			watch: func(int64) (platform.Page, error) {
+				if down.Load() {
+					return platform.Page{}, failed
+				}
+				return platform.Page{AsOf: 5}, nil
+			},
+		}
+		f := NewFollower(s, quiet())
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		go func() {
+			for pause.For(ctx, 200*time.Millisecond) {
+				f.Hint(5, false)
+			}
+		}()
+		time.Sleep(time.Second)
+		is.Equal(len(f.View().Targets), 1)
+		down.Store(true)
+		time.Sleep(20 * time.Second) // the watch under way ends
+		left = true
+		down.Store(false)
+		time.Sleep(maxPause + maxPause/2 + returnGrace/2)
+		is.Equal(len(f.View().Targets), 1) // it may still come back
+		time.Sleep(returnGrace)
+		is.Equal(len(f.View().Targets), 0)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -263,6 +263,18 @@
 	return changed
 }
 
+// Due returns how long it is until a target that an outage has hidden is to be dropped, and
+// false if there is none.
+func (m *Mirror) Due(now time.Time) (time.Duration, bool) {
+	first := time.Time{}
+	for _, until := range m.missing {
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+	return max(first.Sub(now), 0), !first.IsZero()
+}
+
 // Tick drops targets that have not come back after an outage.
 func (m *Mirror) Tick(now time.Time) bool {
 	changed := false
