Names: short watchers, full maps, layout of branches

Renames only, in sidecar, mirror and rankpeer: words that needed explaining (scout, wholes, propound, branchOut, carries) gave way to the field's.

--- a/core/mirror/hints.go
+++ b/core/mirror/hints.go
@@ -29,7 +29,7 @@
 //
 // An open connection may go silent for good, and nothing but the end of the wait shows it.
 // A process that hears several times a second up to which revision others have seen
-// changes knows at once when it has missed one. A few processes, the scouts, wait as briefly
+// changes knows at once when it has missed one. A few processes, the short watchers, wait as briefly
 // as without hints, and so do all when hints stop: a revision is told only by who has heard
 // the store in the last seconds. The zero value has none. It is safe for concurrent use.
 type hints struct {
@@ -39,8 +39,8 @@
 	// toldAt is when others told last how far they have; behindSince since when that is
 	// further than known, or zero.
 	toldAt, behindSince time.Time
-	// scout says that others rely on this process to see changes soon.
-	scout bool
+	// short says that others rely on this process to see changes soon.
+	short bool
 }
 
 // saw records up to which revision the store was seen.
@@ -52,10 +52,10 @@
 
 // told records that another process has seen a change of a revision, and whether others
 // rely on this one.
-func (h *hints) told(revision int64, scout bool, now time.Time) {
+func (h *hints) told(revision int64, short bool, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.toldAt, h.scout = now, scout
+	h.toldAt, h.short = now, short
 	if revision > h.known && h.behindSince.IsZero() {
 		h.behindSince = now
 	}
@@ -65,7 +65,7 @@
 func (h *hints) wait(now time.Time) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if now.Sub(h.toldAt) < hintValid && !h.scout {
+	if now.Sub(h.toldAt) < hintValid && !h.short {
 		return calmWait
 	}
 	return watchWait
@@ -81,7 +81,7 @@
 	switch {
 	case !h.behindSince.IsZero() && now.Sub(h.behindSince) >= hintGrace && now.Sub(began) >= answerWait:
 		return behind
-	case (h.scout || now.Sub(h.toldAt) >= hintValid) && now.Sub(began) >= watchWait+answerWait:
+	case (h.short || now.Sub(h.toldAt) >= hintValid) && now.Sub(began) >= watchWait+answerWait:
 		return unhinted
 	}
 	return waiting
@@ -145,8 +145,8 @@
 // Hint tells that another process has seen a change of a revision, by its Event. Watches
 // wait for longer while such hints come, unless this process is one of the few whose own
 // word the hints come from.
-func (f *Follower) Hint(event int64, scout bool) {
+func (f *Follower) Hint(event int64, short bool) {
 	if event > 0 {
-		f.hints.told(event, scout, time.Now())
+		f.hints.told(event, short, time.Now())
 	}
 }
--- a/core/rankpeer/rankpeer.go
+++ b/core/rankpeer/rankpeer.go
@@ -86,9 +86,9 @@
 	Gateways int
 	Event    int64
 	Gap      time.Duration
-	// Scout says that others rely on the gateway that has asked to see changes of the store
+	// ShortWatch says that others rely on the gateway that has asked to see changes of the store
 	// soon.
-	Scout bool
+	ShortWatch bool
 	// Branch is the answer of a relay.
 	Branch *BranchTell
 }
--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -37,7 +37,7 @@
 	// seen, hint takes what others have, and whether they rely on this one.
 	instance string
 	event    func() int64
-	hint     func(event int64, scout bool)
+	hint     func(event int64, short bool)
 	log      *slog.Logger
 	use      func(*rankpeer.Digest, time.Time)
 
@@ -173,7 +173,7 @@
 			ok = tell.Digest.Age <= digestValid || len(from.relays) == 0
 		}
 		if ok {
-			d.hint(tell.Digest.Event, tell.Scout)
+			d.hint(tell.Digest.Event, tell.ShortWatch)
 			d.use(tell.Digest, now.Add(-tell.Digest.Age))
 		}
 		if ok != heard {
--- a/sidecar/ask.go
+++ b/sidecar/ask.go
@@ -48,7 +48,7 @@
 // gives them their orders. It reports false when a newer steward has been heard.
 func (s *steward) askAll(ctx context.Context, wanted func(id string) bool, full bool) bool {
 	s.rosters = rostersAtOnce
-	s.wholes = wholesAtOnce(&s.boot, s.planner.mapBytes())
+	s.fullMaps = fullMapsAtOnce(&s.boot, s.planner.mapBytes())
 	s.giveDirect()
 	answers := make([]branchTell, len(s.branches))
 	asked := make([][]int, len(s.branches))
@@ -106,7 +106,7 @@
 	b.told, b.news = t.told, t.news
 	s.needs.hear(t.news.gap)
 	if t.failed {
-		s.rotate(b)
+		s.replaceRelay(b)
 	}
 	if t.sample != nil {
 		s.samples = append(s.samples, t.sample)
--- a/sidecar/branch.go
+++ b/sidecar/branch.go
@@ -52,10 +52,10 @@
 	return h.Sum64()
 }
 
-// branchOut divides the members of the roster anew. An agent that was a relay stays one,
+// layoutBranches divides the members of the roster anew. An agent that was a relay stays one,
 // so that few connections change when a rank comes or goes; the steward's own agent is
 // the relay of its branch.
-func (s *steward) branchOut() {
+func (s *steward) layoutBranches() {
 	old := make(map[rankpeer.Member]*branch, len(s.branches))
 	for _, b := range s.branches {
 		old[b.members[b.relay]] = b
@@ -76,7 +76,7 @@
 	for _, b := range old {
 		b.link.close()
 	}
-	s.giveTurns()
+	s.assignTurns()
 	s.logRelays()
 }
 
@@ -117,10 +117,10 @@
 	return l
 }
 
-// giveTurns tells who takes over first if the steward falls silent: the relays, which
+// assignTurns tells who takes over first if the steward falls silent: the relays, which
 // have the roster, one of each branch after the other, then the other members. In a
 // group without relays the ranks decide.
-func (s *steward) giveTurns() {
+func (s *steward) assignTurns() {
 	for i, b := range s.branches {
 		b.turns = nil
 		if b.single() {
@@ -133,8 +133,8 @@
 	}
 }
 
-// rotate makes the next member of a branch its relay, after one that did not answer.
-func (s *steward) rotate(b *branch) {
+// replaceRelay makes the next member of a branch its relay, after one that did not answer.
+func (s *steward) replaceRelay(b *branch) {
 	if b.single() || b.members[b.relay].Addr == s.boot.Target {
 		return
 	}
@@ -145,7 +145,7 @@
 	b.relay = (b.relay + 1) % len(b.members)
 	b.link, b.told, b.views = s.linkOf(b.members[b.relay], b.members), false, 0
 	s.log.Info("relay chosen", "target", b.id(), "members", len(b.members))
-	s.giveTurns()
+	s.assignTurns()
 	s.logRelays()
 }
 
@@ -171,7 +171,7 @@
 		}
 		change := s.changeFor(id, &cmd.Order, k == b.relay)
 		if change != nil && change.Full != nil {
-			if s.wholes--; s.wholes < 0 {
+			if s.fullMaps--; s.fullMaps < 0 {
 				continue // Its turn comes in a later round.
 			}
 		}
--- a/sidecar/change.go
+++ b/sidecar/change.go
@@ -60,16 +60,16 @@
 		return nil
 	}
 	if s.proposedAs != o.Version {
-		s.propound(o)
+		s.packProposal(o)
 	}
 	if carries && s.needFull[id] {
-		return s.whole
+		return s.full
 	}
 	return s.moves
 }
 
-// propound packs a map that is to be prepared, as what differs from the map in force.
-func (s *steward) propound(o *platform.Order) {
+// packProposal packs a map that is to be prepared, as what differs from the map in force.
+func (s *steward) packProposal(o *platform.Order) {
 	s.proposed, s.proposedAs, s.needFull = o.Map, o.Version, map[string]bool{}
 	places := s.planner.engine.Places
 	s.packed = rankpeer.Pack(o.Map, places)
@@ -77,7 +77,7 @@
 		s.base = rankpeer.Pack(m, places)
 	}
 	// Moves from no base: whoever gets them says that it needs the map.
-	s.whole, s.moves = &rankpeer.Change{Full: s.packed}, &rankpeer.Change{}
+	s.full, s.moves = &rankpeer.Change{Full: s.packed}, &rankpeer.Change{}
 	if s.base == nil {
 		return
 	}
--- a/sidecar/wholes.go
+++ b/sidecar/fullmaps.go
@@ -14,20 +14,20 @@
 // took 6 s. So the steward sends it to the relays, and each of them to its branch.
 
 const (
-	// wholeTime is for how long whole maps may fill the link of a process in one asking:
+	// fullMapTime is for how long whole maps may fill the link of a process in one asking:
 	// less than half of what is waited for answers.
-	wholeTime = 100 * time.Millisecond
+	fullMapTime = 100 * time.Millisecond
 	// usualLink is the link of an instance that does not say, in bytes a second.
 	usualLink = 750_000
 )
 
-// wholesAtOnce is how many whole maps of so many bytes a process sends in one asking.
-func wholesAtOnce(boot *platform.Boot, bytes int) int {
+// fullMapsAtOnce is how many whole maps of so many bytes a process sends in one asking.
+func fullMapsAtOnce(boot *platform.Boot, bytes int) int {
 	link := boot.LinkBytes
 	if link <= 0 {
 		link = usualLink
 	}
-	return max(1, int(link*wholeTime.Seconds())/max(bytes, 1))
+	return max(1, int(link*fullMapTime.Seconds())/max(bytes, 1))
 }
 
 // fill replaces moves by the whole map for members whose agents have said that they lack the
@@ -44,7 +44,7 @@
 			return // The relay gets it first.
 		}
 		if left < 0 {
-			left = wholesAtOnce(&a.boot, len(m.Data))
+			left = fullMapsAtOnce(&a.boot, len(m.Data))
 		}
 		if left == 0 {
 			ask.Order, ask.Change = nil, nil // Its turn comes in a later round.
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -31,8 +31,8 @@
 	relays []string
 	// rosters is how many agents may still be told the roster in this round.
 	rosters int
-	// wholes is how many agents may still be sent the whole map in this asking.
-	wholes int
+	// fullMaps is how many agents may still be sent the whole map in this asking.
+	fullMaps int
 	// roster is what the agents are told of the group; seen is the view that it
 	// was made from, nil for one that was told by an earlier steward.
 	roster *rankpeer.Roster
@@ -156,7 +156,7 @@
 		// first round, in which a hold that it has left is found.
 		p.lost = true
 	}
-	s.branchOut()
+	s.layoutBranches()
 	if r.Engine.Sets > 0 {
 		s.planner.shape(r.Engine)
 	}
--- a/sidecar/needs_test.go
+++ b/sidecar/needs_test.go
@@ -67,7 +67,7 @@
 
 // Whoever all others rely on to see changes of the store soon must be few, since each of
 // their watches is a call, and at least one, since the word would stop.
-func TestFewGatewaysAreScouts(t *testing.T) {
+func TestFewGatewaysWatchBriefly(t *testing.T) {
 	s := newSide(t, sideRanks)
 	s.ask()
 	st := s.steward
@@ -82,7 +82,7 @@
 					at = a
 				}
 			}
-			if at.answer(rankpeer.Ask{Digest: true, Gateway: fmt.Sprintf("front-%02d", g), Word: lockstep.Word{Group: groupG}}).Scout {
+			if at.answer(rankpeer.Ask{Digest: true, Gateway: fmt.Sprintf("front-%02d", g), Word: lockstep.Word{Group: groupG}}).ShortWatch {
 				n++
 			}
 		}
@@ -90,5 +90,5 @@
 	}
 	count() // each relay hears of its gateways
 	n := count()
-	s.True(n >= 1 && n <= scouts)
+	s.True(n >= 1 && n <= shortWatchers)
 }
--- a/sidecar/relay.go
+++ b/sidecar/relay.go
@@ -149,6 +149,6 @@
 	return tell
 }
 
-// carries reports whether an ask for a branch is passed on: a word that is older than
+// forwards reports whether an ask for a branch is passed on: a word that is older than
 // one that was heard here is refused by all agents that have heard that one too.
-func carries(refusal lockstep.Refusal) bool { return refusal != lockstep.NewerSteward }
+func forwards(refusal lockstep.Refusal) bool { return refusal != lockstep.NewerSteward }
--- a/sidecar/relay_test.go
+++ b/sidecar/relay_test.go
@@ -322,7 +322,7 @@
 		st.planner.ranks = append(st.planner.ranks, fmt.Sprintf("i-%03d", r))
 	}
 	size := len(rankpeer.Pack(m, 3).Data)
-	most := wholesAtOnce(&st.boot, size)
+	most := fullMapsAtOnce(&st.boot, size)
 	s.True(most > 1 && most < sideRanks/4) // or the test shows nothing
 	preparedIn := func(members []rankpeer.Member) int {
 		n := 0
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -65,9 +65,9 @@
 	// they go to the agents.
 	packed, base *rankpeer.Map
 	baseAs       int64
-	// whole and moves are proposed as it goes to agents that lack the base, and to those
+	// full and moves are proposed as it goes to agents that lack the base, and to those
 	// that have it.
-	whole, moves *rankpeer.Change
+	full, moves *rankpeer.Change
 	// needFull are the targets whose agents lack the base.
 	needFull map[string]bool
 	// holding says that the group is held, or is about to be.
--- a/sidecar/talk.go
+++ b/sidecar/talk.go
@@ -65,7 +65,7 @@
 		return a.judge(ask)
 	}
 	tell := rankpeer.Tell{Refused: a.hear(ask)}
-	if carries(tell.Refused) {
+	if forwards(tell.Refused) {
 		tell.Branch = a.forward(ask)
 	}
 	now := time.Now()
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -59,9 +59,9 @@
 	return v.List
 }
 
-// scouts is how many gateways are relied on to see changes of the store soon: with
+// shortWatchers is how many gateways are relied on to see changes of the store soon: with
 // three, one may die and the store may turn another one away.
-const scouts = 3
+const shortWatchers = 3
 
 // tellDigest answers a gateway, and takes what it says of the store.
 func (a *agent) tellDigest(ask *rankpeer.Ask, now time.Time) rankpeer.Tell {
@@ -69,18 +69,18 @@
 	tell := rankpeer.Tell{Group: a.seat().Group, Term: a.highestTerm(), Digest: a.digest(ask.Word.Group.Name, ask.List)}
 	if d := tell.Digest; d != nil {
 		d.Event = max(d.Event, a.askers.newest(now))
-		tell.Scout = a.askers.first(ask.Gateway, a.scoutsHere(d), now)
+		tell.ShortWatch = a.askers.first(ask.Gateway, a.shortWatchersHere(d), now)
 	}
 	return tell
 }
 
-// scoutsHere returns how many of the gateways that ask this agent are scouts: all of them
+// shortWatchersHere returns how many of the gateways that ask this agent keep short watches: all of them
 // where the steward answers itself, one at each of the first relays.
-func (a *agent) scoutsHere(d *rankpeer.Digest) int {
+func (a *agent) shortWatchersHere(d *rankpeer.Digest) int {
 	if len(d.Relays) == 0 {
-		return scouts
+		return shortWatchers
 	}
-	if at := slices.Index(d.Relays, a.addr().String()); at >= 0 && at < scouts {
+	if at := slices.Index(d.Relays, a.addr().String()); at >= 0 && at < shortWatchers {
 		return 1
 	}
 	return 0
