--- a/tools/guards/check.go
+++ b/tools/guards/check.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 	"sync"
 	"time"
 )
@@ -215,7 +216,14 @@
 		flags += " -overlay=" + overlay
 	}
 	cmd.Env = append(os.Environ(), "GOTOOLCHAIN=local", "GOFLAGS="+flags, "TMPDIR="+c.scratch, "GOWORK="+filepath.Join(c.tree, "go.work"))
+	// A test that is ended by its timeout leaves the processes that it has started; they would
+	// keep their addresses, and the next run of the same test would find them taken.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	output, err := cmd.CombinedOutput()
+	if cmd.Process != nil {
+		// Most of the time nothing is left of the group, which is no error here.
+		_ = syscall.Kill(-cmd.Process.Pid, syscall.SIGKILL)
+	}
 	if err != nil && !errors.As(err, new(*exec.ExitError)) {
 		output = append(output, err.Error()...)
 	}
