A steward that is refused does not order ranks past their agents

Traced in its logs: the store is away, three agents act with the same term 2 ms apart, the agents heed one and refuse the others; the refused ones took the refusal of a branch of one for silence, ordered the ranks straight, and all prepared maps against each other for two minutes. Fault of the relays' code. Change: only an agent that does not answer counts as silent. The test fails without it.

--- a/sidecar/ask.go
+++ b/sidecar/ask.go
@@ -124,7 +124,8 @@
 		if status, given := s.given[id]; given {
 			tell.Status = status
 		}
-		if p := s.peers[id]; p != nil && (t.tells != nil || b.single()) {
+		// An agent that refuses has answered: its rank is not to be ordered past it.
+		if p := s.peers[id]; p != nil && (t.tells != nil || b.single() && t.failed) {
 			p.answered(tell.Answered)
 		}
 		s.tells[id] = tell
--- a/sidecar/relay_test.go
+++ b/sidecar/relay_test.go
@@ -442,3 +442,24 @@
 	}
 	s.Equal(s.agents[i].askers.count(time.Now()), maxAskers)
 }
+
+// The steward has died while the store is away, and two agents act with the same term. The
+// agents heed one of them and refuse the other. Whoever is refused must not take the ranks
+// for lost and order them straight, past their agents: both would prepare maps for ever,
+// and none would come into force.
+func TestRefusedStewardDoesNotOrderStraight(t *testing.T) {
+	const ranks = 4
+	s := newSide(t, ranks)
+	for _, a := range s.agents {
+		_, err := a.readRank(t.Context())
+		s.NoErr(err)
+		s.Equal(a.hear(rankpeer.Ask{Word: lockstep.Word{Group: groupG, Term: 7, From: "side-999"}}), lockstep.Heeded)
+	}
+	for i := range ranks {
+		o := platform.Order{Kind: platform.DisarmMap, Epoch: groupG.Epoch, Version: 3}
+		s.steward.pending = map[string]lockstep.Command{fmt.Sprintf("i-%03d", i): {Rank: i, Order: o}}
+		s.Equal(s.ask(), 0)
+		s.Equal(s.ranks[i].got(platform.DisarmMap), 0)
+		s.True(!s.steward.peers[fmt.Sprintf("i-%03d", i)].lost)
+	}
+}
