Gateways tell which targets have crashed, and under which requests

Sight before the cause: the logs of the incident could not tell whether two calls were the same request, nor whether a target had ended or only broke off an answer. Change: a fingerprint of a request's content (method, host, path, workspace, body) stands in the lines of calls whose answer broke off. After a broken answer the target's address is asked once: if nobody listens, or if it is silent and its entry goes, a line 'target crashed' has the fingerprints. Nothing is decided by it yet. Ruled out: the word of the store alone, which comes 3.6 s late and does not tell a crash from a planned end; the broken connection alone, which a fault in one answer gives too. Cost: one connection for each target whose answers break off.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -6,9 +6,11 @@
 	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"verbenashift/core/pause"
+	"verbenashift/core/quarantine"
 	"verbenashift/core/queue"
 	"verbenashift/core/retry"
 	"verbenashift/core/route"
@@ -46,6 +48,8 @@
 	begun     bool
 	lastEvent string
 	lastID    int64
+	// print is the fingerprint of the request, once somebody has asked for it.
+	print quarantine.Print
 	// eventAt is when the last event was passed on, firstAfter how long after its
 	// arrival the request got the first, longestPause the longest time between two.
 	eventAt      time.Time
@@ -152,6 +156,17 @@
 	return float64(max(c.req.PromptTokens+c.req.AnswerTokens, 1))
 }
 
+// fingerprint returns what the request has in common with others of the same content.
+func (c *call) fingerprint() quarantine.Print {
+	if c.print == (quarantine.Print{}) {
+		content := quarantine.Content{
+			Method: c.r.Method, Host: c.r.Host, Target: c.r.RequestURI, Workspace: c.workspaceName(), Body: c.body,
+		}
+		c.print = content.Print()
+	}
+	return c.print
+}
+
 // attempt sends the request once. Done says that the caller has its answer, or
 // has left.
 func (c *call) attempt(ctx context.Context) (kind retry.Kind, reason string, done bool) {
@@ -219,7 +234,8 @@
 // the attempt: an attempt that was ended because it was no longer wanted here says
 // nothing of its target.
 func (c *call) attemptFailed(ctx context.Context, s sent, err error) (retry.Kind, string, bool) {
-	switch cause := context.Cause(ctx); cause {
+	cause := context.Cause(ctx)
+	switch cause {
 	case nil, errStalled:
 		c.fleet.failed(s, severityOf(err), time.Now())
 	case errSlow, errSilentGroup:
@@ -228,8 +244,14 @@
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
 		c.ran--
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.fleet.crashes.Refused(s.seen)
+		}
 		return retry.NotSent, err.Error(), false
 	}
+	if cause == nil || cause == errStalled {
+		c.fleet.crashes.Broke(s.seen, c.fingerprint())
+	}
 	return retry.Broken, err.Error(), false
 }
 
--- /dev/null
+++ b/gateway/crash/detector_test.go
@@ -0,0 +1,152 @@
+package crash
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/quarantine"
+	"verbenashift/platform"
+)
+
+// bench is a Detector before one target whose address answers as a test says.
+type bench struct {
+	*Detector
+	// answer is what opening a connection gives.
+	answer     error
+	registered bool
+	dials      int
+	crashes    []quarantine.Crash
+}
+
+func newBench() *bench {
+	b := &bench{registered: true}
+	dial := func(context.Context, string, string) (net.Conn, error) {
+		b.dials++
+		if b.answer != nil {
+			return nil, b.answer
+		}
+		conn, _ := net.Pipe()
+		return conn, nil
+	}
+	b.Detector = New(dial, func(platform.Target) bool { return b.registered }, slog.New(slog.DiscardHandler),
+		func(c quarantine.Crash) { b.crashes = append(b.crashes, c) })
+	return b
+}
+
+func target() platform.Target {
+	return platform.Target{ID: "t0", Born: 7, Addr: netip.MustParseAddrPort("10.0.0.1:80")}
+}
+
+func printOf(n int) quarantine.Print {
+	c := quarantine.Content{Target: fmt.Sprint(n)}
+	return c.Print()
+}
+
+// elapse lets the Detector ask the target's address.
+func elapse() {
+	time.Sleep(time.Second)
+	synctest.Wait()
+}
+
+// errSilent is how opening a connection to an instance without power fails.
+var errSilent = errors.New("i/o timeout")
+
+// An answer breaks off. Whether its target has crashed is told by its address and, where
+// that says nothing, by the store; a lost packet or a fault in one answer is no crash.
+func TestCrashOrBrokenAnswer(t *testing.T) {
+	for name, tt := range map[string]struct {
+		answer error
+		// after happens a while after the answer broke off.
+		after func(b *bench)
+		want  int
+	}{
+		"somebody listens":                     {nil, nil, 0},
+		"somebody listens, and it leaves soon": {nil, func(b *bench) { b.Gone(target()) }, 0},
+		"nobody listens":                       {syscall.ECONNREFUSED, nil, 1},
+		"nobody listens, and its entry goes":   {syscall.ECONNREFUSED, func(b *bench) { b.Gone(target()) }, 1},
+		"no answer":                            {errSilent, nil, 0},
+		"no answer, and its entry goes":        {errSilent, func(b *bench) { b.Gone(target()) }, 1},
+		"no answer, and a call is refused":     {errSilent, func(b *bench) { b.Refused(target()) }, 1},
+		"no answer, and its entry goes late": {errSilent, func(b *bench) {
+			time.Sleep(memory)
+			b.Tick(time.Now())
+			b.Gone(target())
+		}, 0},
+		"no answer, and another one leaves": {errSilent, func(b *bench) { b.Gone(platform.Target{ID: "t1", Born: 7}) }, 0},
+		"no answer, and an earlier life ends": {errSilent, func(b *bench) {
+			b.Gone(platform.Target{ID: "t0", Born: 6})
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench()
+				b.answer = tt.answer
+				b.Broke(target(), printOf(1))
+				elapse()
+				if tt.after != nil {
+					tt.after(b)
+				}
+				is.Equal(len(b.crashes), tt.want)
+				for _, c := range b.crashes {
+					is.Equal(c, quarantine.Crash{Target: "t0", Born: 7, Requests: []quarantine.Print{printOf(1)}})
+				}
+			})
+		})
+	}
+}
+
+// The answers of a target that has gone already break off only now.
+func TestBreaksAfterTheEntryHasGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench()
+		b.answer, b.registered = errSilent, false
+		b.Broke(target(), printOf(1))
+		elapse()
+		is.Equal(len(b.crashes), 1)
+	})
+}
+
+// All answers of a target break off together: it is asked once, and its crash names each
+// request once and not more than are kept.
+func TestManyAnswersBreakTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench()
+		b.answer = syscall.ECONNREFUSED
+		for n := range 2 * maxRequests {
+			b.Broke(target(), printOf(n))
+			b.Broke(target(), printOf(n))
+		}
+		elapse()
+		is.Equal(b.dials, 1)
+		is.Equal(len(b.crashes), 1)
+		is.Equal(len(b.crashes[0].Requests), maxRequests)
+	})
+}
+
+// A target has answered after one request broke off, and crashes under the next: only the
+// second is named.
+func TestAnswerClearsEarlierBreaks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench()
+		b.Broke(target(), printOf(1))
+		elapse()
+		b.answer = syscall.ECONNREFUSED
+		b.Broke(target(), printOf(2))
+		elapse()
+		is.Equal(b.crashes, []quarantine.Crash{{Target: "t0", Born: 7, Requests: []quarantine.Print{printOf(2)}}})
+	})
+}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -11,7 +11,9 @@
 
 	"verbenashift/core/health"
 	"verbenashift/core/mirror"
+	"verbenashift/core/quarantine"
 	"verbenashift/core/route"
+	"verbenashift/gateway/crash"
 	"verbenashift/gateway/upstream"
 	"verbenashift/platform"
 )
@@ -36,6 +38,8 @@
 	told    map[string]string
 	rng     *rand.Rand
 	flights flights
+	// crashes tells targets that have crashed from answers that broke off.
+	crashes *crash.Detector
 	// cost is the moving mean of the requests' costs in tokens.
 	cost float64
 }
@@ -59,7 +63,7 @@
 const choices = 6
 
 func newFleet(instance, zone string, log *slog.Logger) *fleet {
-	return &fleet{
+	f := &fleet{
 		log:     log,
 		spare:   func(string) int { return math.MaxInt },
 		table:   route.New(route.Options{Entry: instance, Zone: zone, Choices: choices}),
@@ -70,6 +74,16 @@
 		rng:     newRand(),
 		flights: newFlights(),
 	}
+	f.crashes = crash.New(platform.Dial, f.registered, log, func(quarantine.Crash) {})
+	return f
+}
+
+// registered reports whether a target is known in the life that was given.
+func (f *fleet) registered(t platform.Target) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.pools[t.ID]
+	return p != nil && p.Born == t.Born
 }
 
 // update takes a new view of the targets.
@@ -103,6 +117,9 @@
 			continue
 		}
 		p.pool.Close()
+		if !p.Draining {
+			f.crashes.Gone(p.Target)
+		}
 		delete(f.pools, id)
 		delete(f.gone, id)
 		delete(f.told, id)
@@ -170,6 +187,8 @@
 	cost    float64
 	started time.Time
 	target  *pooled
+	// seen is what was known of the target when it was picked.
+	seen platform.Target
 	// loadAge is how old the load of the target was when it was picked; negative
 	// if none was known.
 	loadAge time.Duration
@@ -191,7 +210,7 @@
 	age := f.table.LoadAge(i, now)
 	f.table.Start(i, q.Cost, now)
 	f.cost += (q.Cost - f.cost) * costGain
-	return sent{index: i, cost: q.Cost, started: now, target: p, loadAge: age}, true
+	return sent{index: i, cost: q.Cost, started: now, target: p, seen: p.Target, loadAge: age}, true
 }
 
 // end records that an attempt has ended.
@@ -240,6 +259,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.watchSilence(now)
+	f.crashes.Tick(now)
 	for _, c := range f.monitor.Tick(now, f.rng) {
 		f.table.SetHealth(c.Target, c.Share, c.Probe)
 		f.log.Info("target health", "target", f.table.Target(c.Target).Name, "state", c.State.String(), "share", c.Share, "cause", c.Cause.String())
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"verbenashift/core/quarantine"
 	"verbenashift/platform"
 )
 
@@ -18,6 +19,7 @@
 	}
 	line = append(line, c.chosen()...)
 	line = append(line, c.pacing()...)
+	line = append(line, c.sameness()...)
 	c.log.Info("request", append(line, attrs...)...)
 }
 
@@ -65,12 +67,22 @@
 	return []any{"target", c.last.target.ID, "group", c.place.group, "load-age-ms", c.last.loadAge.Milliseconds(), "ran", c.ran}
 }
 
+// sameness returns what tells other calls with the same content; nothing for a call by
+// which no target may have crashed.
+func (c *call) sameness() []any {
+	if c.print == (quarantine.Print{}) {
+		return nil
+	}
+	return []any{"print", c.print.Short(), "begun", c.begun}
+}
+
 // logRetry writes the line of an attempt after which another follows, with the
 // choice that it was.
 func (c *call) logRetry(reason string) {
 	line := append(make([]any, 0, 16), "id", c.req.ID, "service", c.service, "config", c.version,
 		"reason", reason, "errors", c.attempts.Errors)
-	c.log.Info("retry", append(line, c.chosen()...)...)
+	line = append(line, c.chosen()...)
+	c.log.Info("retry", append(line, c.sameness()...)...)
 }
 
 // routeName returns the name of the request's route, or "" before it is known.
