--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -53,7 +53,7 @@
 	models  []*modelServer
 	version int
 	done    chan struct{}
-	servers []*http.Server
+	servers []*process
 	closers []io.Closer
 }
 
@@ -81,7 +81,7 @@
 	if shape.Links {
 		f.Links = newLinks()
 	}
-	if err := f.serve(f.ip(1), storePort, f.Store); err != nil {
+	if _, err := f.serve(f.ip(1), storePort, f.Store); err != nil {
 		return nil, err
 	}
 	f.Configure(2000)
@@ -117,9 +117,8 @@
 		// A listener; nothing is lost with it.
 		_ = c.Close()
 	}
-	for _, s := range f.servers {
-		// Requests in progress are of no interest any more.
-		_ = s.Close()
+	for _, p := range f.servers {
+		p.stop()
 	}
 }
 
@@ -137,6 +136,27 @@
 // on meanwhile.
 func (f *Fleet) Freeze(rank int, frozen bool) { f.models[rank].frozen.Store(frozen) }
 
+// CrashAway is how long a server is away that a request has crashed.
+const CrashAway = 1500 * time.Millisecond
+
+// end ends the process of a rank, and starts it again after CrashAway.
+func (f *Fleet) end(rank int, p *process) {
+	f.Crash(rank, CrashAway)
+	p.stop()
+	time.AfterFunc(CrashAway, func() { f.restart(p) })
+}
+
+// restart starts a process that has ended, unless the fleet has been stopped.
+func (f *Fleet) restart(p *process) {
+	select {
+	case <-f.done:
+	default:
+		if err := p.start(); err != nil {
+			panic(err) // The address is the process's own.
+		}
+	}
+}
+
 // Crash ends the server of a rank and starts it again under its ID after some time.
 // Its group stands for a moment, then all that runs there is cut off and what comes is
 // refused, until the rank is back and the group is formed anew.
@@ -144,33 +164,26 @@
 	m := f.models[rank]
 	m.rank.group.lose(m.rank)
 	time.AfterFunc(away, func() {
-		m.rank.group.form()
+		m.rank.group.rejoin(m.rank)
 		f.registerRank(m.rank)
 	})
 }
 
 func (f *Fleet) ip(n int) string { return f.Block + "." + strconv.Itoa(n) }
 
-func (f *Fleet) serve(ip string, port int, h http.Handler) error {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
-	if err != nil {
-		return err
-	}
+func (f *Fleet) serve(ip string, port int, h http.Handler) (*process, error) {
+	p := &process{addr: net.JoinHostPort(ip, strconv.Itoa(port)), handler: h}
 	if f.Links != nil {
-		front := l
-		if l, err = net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port+behind))); err != nil {
-			return err
+		front, err := net.Listen("tcp", p.addr)
+		if err != nil {
+			return nil, err
 		}
+		p.addr = net.JoinHostPort(ip, strconv.Itoa(port+behind))
 		f.closers = append(f.closers, front)
-		go f.Links.serve(front, l.Addr().String())
+		go f.Links.serve(front, p.addr)
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
-	f.servers = append(f.servers, s)
-	go func() {
-		// It ends when Stop closes it.
-		_ = s.Serve(l)
-	}()
-	return nil
+	f.servers = append(f.servers, p)
+	return p, p.start()
 }
 
 // addGroup starts the servers of a group.
@@ -194,9 +207,11 @@
 	r.ip = f.ip(firstRank + n)
 	m := &modelServer{server: server{id: r.id, ledger: f.Ledger, refuse: func() bool { return f.refuse.Load() || r.group.refuses() }}, rank: r}
 	f.models = append(f.models, m)
-	if err := f.serve(r.ip, appPort, m); err != nil {
+	p, err := f.serve(r.ip, appPort, m)
+	if err != nil {
 		return err
 	}
+	m.crash = func() { f.end(n, p) }
 	f.registerRank(r)
 	return f.writeBoot(fmt.Sprintf("side-%d", n), "sidecar", r.ip, map[string]string{}, net.JoinHostPort(r.ip, strconv.Itoa(appPort)))
 }
@@ -215,9 +230,18 @@
 
 func (f *Fleet) addPlain(i int) error {
 	ip, id := f.ip(100+i), fmt.Sprintf("i-plain%d", i)
-	if err := f.serve(ip, appPort, &plainServer{server{id: id, ledger: f.Ledger}}); err != nil {
+	s := &plainServer{server{id: id, ledger: f.Ledger}}
+	p, err := f.serve(ip, appPort, s)
+	if err != nil {
 		return err
 	}
+	s.crash = func() {
+		p.stop()
+		time.AfterFunc(CrashAway, func() {
+			f.restart(p)
+			f.put("servers/"+id, f.entry("desk", ip, 6))
+		})
+	}
 	f.put("servers/"+id, f.entry("desk", ip, 6))
 	return nil
 }
--- a/standin/fleet/group.go
+++ b/standin/fleet/group.go
@@ -25,9 +25,9 @@
 	mu   sync.Mutex
 	rng  *rand.Rand
 	name string
-	// lost is the rank that is away, nil while the group is open; cutAt is when its
+	// lost are the ranks that are away, none while the group is open; cutAt is when the
 	// stall is over, after which everything is refused.
-	lost  *Rank
+	lost  map[*Rank]bool
 	cutAt time.Time
 	ranks []*Rank
 	step  int64
@@ -80,7 +80,7 @@
 
 // NewGroup returns the group with a number, of so many ranks on their first map.
 func NewGroup(number, n int) *Group {
-	g := &Group{epoch: 1, name: fmt.Sprintf("g%d", number), rng: rand.New(rand.NewPCG(1, 2+uint64(number)))}
+	g := &Group{epoch: 1, lost: map[*Rank]bool{}, name: fmt.Sprintf("g%d", number), rng: rand.New(rand.NewPCG(1, 2+uint64(number)))}
 	for i := range n {
 		r := &Rank{group: g, index: i, id: fmt.Sprintf("i-%s-rank%d", g.name, i)}
 		g.ranks = append(g.ranks, r)
@@ -110,24 +110,29 @@
 func (g *Group) lose(r *Rank) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.lost, g.cutAt = r, time.Now().Add(stall)
+	if len(g.lost) == 0 {
+		g.cutAt = time.Now().Add(stall)
+	}
+	g.lost[r] = true
 }
 
-// form opens the group anew: its lost rank has started again, the others go on with
-// their first map.
-func (g *Group) form() {
+// rejoin takes a rank back that has started again, and opens the group anew if it was the
+// last one that was away: all ranks go on with their first map.
+func (g *Group) rejoin(back *Rank) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.cutOff()
+	back.start()
+	delete(g.lost, back)
+	if len(g.lost) > 0 {
+		return
+	}
 	g.epoch++
 	for _, r := range g.ranks {
 		born := r.born
 		r.start()
-		if r != g.lost {
-			r.born = born
-		}
+		r.born = born
 	}
-	g.lost = nil
 }
 
 // cutOff breaks off all that runs or waits.
@@ -145,13 +150,13 @@
 func (g *Group) refuses() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.lost != nil && !time.Now().Before(g.cutAt)
+	return len(g.lost) > 0 && !time.Now().Before(g.cutAt)
 }
 
 // seat is what a rank says of its group.
 func (r *Rank) seat() map[string]any {
 	state := "open"
-	if r.group.lost != nil {
+	if len(r.group.lost) > 0 {
 		state = "broken"
 	}
 	return map[string]any{"name": r.group.name, "epoch": r.group.epoch, "rank": r.index, "state": state}
@@ -186,7 +191,7 @@
 func (g *Group) pass() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.lost != nil {
+	if len(g.lost) > 0 {
 		if !time.Now().Before(g.cutAt) {
 			g.cutOff()
 		}
--- a/standin/fleet/play.go
+++ b/standin/fleet/play.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -27,6 +28,11 @@
 	Wrong string
 	// Took is the time to the end.
 	Took time.Duration
+	// Comeback is when the caller was told to come back; 0 if it was not.
+	Comeback time.Duration
+
+	// path follows the prefix of the route; body is empty for the usual one.
+	path, body string
 }
 
 const (
@@ -48,17 +54,41 @@
 }
 
 func play(ctx context.Context, f *Fleet, more func(i int) bool) []Call {
+	prefixes := []string{streamPrefix, streamPrefix, safePrefix, unsafePrefix}
+	return send(ctx, f, playPause, more, func(i int) *Call {
+		id := newID()
+		return &Call{ID: id, Kind: prefixes[i%len(prefixes)], path: id}
+	})
+}
+
+// Crashing sends a request that crashes each server that runs it, again and again under
+// new identifiers to the gateways in turn, until the context ends.
+func Crashing(ctx context.Context, f *Fleet, kind string, pause time.Duration) []Call {
+	return send(context.WithoutCancel(ctx), f, pause, func(int) bool { return ctx.Err() == nil }, func(int) *Call {
+		return &Call{ID: newID(), Kind: kind, path: "1", body: crashText}
+	})
+}
+
+// The kinds of requests.
+const (
+	Stream = streamPrefix
+	Safe   = safePrefix
+)
+
+func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// send sends calls to the gateways in turn, with a pause between two.
+func send(ctx context.Context, f *Fleet, pause time.Duration, more func(i int) bool, next func(i int) *Call) []Call {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20, DisableCompression: true}, Timeout: callerPatience}
 	defer client.CloseIdleConnections()
 	var calls []*Call
 	var wg sync.WaitGroup
-	prefixes := []string{streamPrefix, streamPrefix, safePrefix, unsafePrefix}
 	for i := 0; more(i); i++ {
 		front := f.Fronts[i%len(f.Fronts)]
-		c := &Call{ID: fmt.Sprintf("%016x", rand.Uint64()), Kind: prefixes[i%len(prefixes)]}
+		c := next(i)
 		calls = append(calls, c)
 		wg.Go(func() { c.send(ctx, client, front) })
-		time.Sleep(playPause)
+		time.Sleep(pause)
 	}
 	wg.Wait()
 	done := make([]Call, len(calls))
@@ -75,14 +105,17 @@
 	began := time.Now()
 	defer func() { c.Took = time.Since(began) }()
 	method, body := http.MethodPost, bytes.NewReader(bytes.Repeat([]byte("x"), 600))
-	if c.Kind == safePrefix {
+	switch {
+	case c.body != "":
+		body = bytes.NewReader([]byte(c.body))
+	case c.Kind == safePrefix:
 		method, body = http.MethodGet, bytes.NewReader(nil)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	leave := time.AfterFunc(gapPatience, cancel)
 	defer leave.Stop()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+front+c.Kind+c.ID, body)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+front+c.Kind+c.path, body)
 	if err != nil {
 		return
 	}
@@ -100,6 +133,9 @@
 	}
 	defer resp.Body.Close()
 	c.Status = resp.StatusCode
+	if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		c.Comeback = time.Duration(s * float64(time.Second))
+	}
 	if resp.StatusCode != http.StatusOK {
 		_, _ = io.Copy(io.Discard, resp.Body)
 		return
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,6 +16,9 @@
 type Ledger struct {
 	mu   sync.Mutex
 	runs map[string]int
+	// crashing are the arrivals of requests that crash their servers, and crashes the
+	// moments at which servers have ended under one.
+	crashing, crashes []time.Time
 	// wrong are requests that came with a key, without a workspace, or for
 	// another server.
 	wrong int
@@ -32,6 +36,36 @@
 	l.wrong++
 }
 
+// arrived records that a request has reached a server that it would crash.
+func (l *Ledger) arrived() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashing = append(l.crashing, time.Now())
+}
+
+// crashed records that a server has ended under a request.
+func (l *Ledger) crashed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashes = append(l.crashes, time.Now())
+}
+
+// Crashes returns how many servers have ended under a request, and how often such requests
+// have reached servers later than a grace after the third.
+func (l *Ledger) Crashes(grace time.Duration) (ended, later int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.crashes) < 3 {
+		return len(l.crashes), 0
+	}
+	for _, at := range l.crashing {
+		if at.After(l.crashes[2].Add(grace)) {
+			later++
+		}
+	}
+	return len(l.crashes), later
+}
+
 // Runs returns how often a request ran.
 func (l *Ledger) Runs(id string) int {
 	l.mu.Lock()
@@ -45,10 +79,27 @@
 	ledger *Ledger
 	// refuse makes it refuse everything, as a full server does.
 	refuse func() bool
+	// crash ends the server and starts it again later.
+	crash func()
+}
+
+// crashes reports whether a request that has begun ends the server, and ends it.
+func (s *server) crashes(w http.ResponseWriter, body []byte) bool {
+	if !bytes.Contains(body, []byte(crashText)) {
+		return false
+	}
+	// The head is out when the run ends.
+	_ = http.NewResponseController(w).Flush()
+	s.ledger.crashed()
+	s.crash()
+	return true
 }
 
 // admit checks a request and reports whether it is to run.
-func (s *server) admit(w http.ResponseWriter, r *http.Request) bool {
+func (s *server) admit(w http.ResponseWriter, r *http.Request, body []byte) bool {
+	if bytes.Contains(body, []byte(crashText)) {
+		s.ledger.arrived()
+	}
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != s.id {
 		w.Header().Set("X-Instance-Id", s.id)
@@ -91,7 +142,7 @@
 	g := m.rank.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.lost == m.rank
+	return g.lost[m.rank]
 }
 
 func (m *modelServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -103,7 +154,8 @@
 		m.rank.ServeHTTP(w, r)
 		return
 	}
-	if _, err := io.ReadAll(r.Body); err != nil || !m.admit(w, r) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil || !m.admit(w, r, body) || m.crashes(w, body) {
 		return
 	}
 	m.stream(w, r)
@@ -140,7 +192,8 @@
 type plainServer struct{ server }
 
 func (p *plainServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if _, err := io.ReadAll(r.Body); err != nil || !p.admit(w, r) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil || !p.admit(w, r, body) || p.crashes(w, body) {
 		return
 	}
 	time.Sleep(2 * time.Millisecond)
@@ -156,6 +209,8 @@
 	workspace    = "harbor-home"
 	secret       = "key-of-harbor-home"
 	host         = "desk.example"
+	// crashText makes a body one that crashes each server that begins to run it.
+	crashText = "a draft that no engine survives"
 )
 
 func eventText(id string, n int) string { return fmt.Sprintf("%s part %d", id, n) }
