--- a/core/quarantine/print_test.go
+++ b/core/quarantine/print_test.go
@@ -47,3 +47,12 @@
 		is.Equal(bad.Text, text)
 	}
 }
+
+// BenchmarkPrint is what each answered request costs a gateway.
+func BenchmarkPrint(b *testing.B) {
+	c := content()
+	c.Body = make([]byte, 4<<10)
+	for b.Loop() {
+		c.Print()
+	}
+}
--- a/core/quarantine/report.go
+++ b/core/quarantine/report.go
@@ -16,6 +16,9 @@
 	holdPrefix   = Prefix + "held/"
 )
 
+// ReasonHeld is why a request is refused that is held back.
+const ReasonHeld = "held-back"
+
 // reportSlots is how many reports of one gateway stand in the store at a time; a later one
 // takes the place of the oldest.
 const reportSlots = 16
--- a/core/story/cause.go
+++ b/core/story/cause.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 
+	"verbenashift/core/quarantine"
 	"verbenashift/core/queue"
 )
 
@@ -42,6 +43,8 @@
 	Overload Kind = "more requests than the targets take"
 	// Refused: the servers that were asked refused it.
 	Refused Kind = "refused by servers"
+	// HeldBack: targets have crashed under requests with its content, and it is not sent.
+	HeldBack Kind = "held back, crashes targets"
 	// TimeOver: the request's own time was over.
 	TimeOver Kind = "time over"
 	// Unknown: the log does not tell.
@@ -82,6 +85,8 @@
 	switch status, _ := strconv.Atoi(end.Field("status")); {
 	case end.Field("outcome") == "caller-left":
 		return Cause{CallerLeft, strings.TrimSpace("after " + end.Field("ms") + " ms")}
+	case reason == quarantine.ReasonHeld:
+		return Cause{HeldBack, "print " + end.Field("print")}
 	case end.Field("outcome") == "broken-off":
 		return lost(own, end)
 	case status >= 200 && status < 300:
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -271,7 +271,7 @@
 	c.mu.Unlock()
 	for {
 		if refusal := c.heldBack(ctx); refusal != nil {
-			c.giveUp(refusal, reasonHeldBack)
+			c.giveUp(refusal, quarantine.ReasonHeld)
 			return
 		}
 		kind, reason, done := c.attempt(ctx)
--- a/gateway/crash/detector.go
+++ b/gateway/crash/detector.go
@@ -3,12 +3,13 @@
 //
 // A connection that breaks says little: a proxy, a lost link or a fault in a single answer
 // break it as well. So a Detector asks: if nobody listens at the target's address, its
-// process has ended. Where the address does not answer at all, as that of an instance
-// without power, the word of the store decides, once the target's entry has gone.
+// process has ended, by a crash if it had not said that it would. Where the address does not
+// answer at all, as that of an instance without power, the word of the store decides, once
+// the target's entry has gone.
 //
 // # Usage
 //
-//	d := crash.New(platform.Dial, known, log, func(c quarantine.Crash) { report(c) })
+//	d := crash.New(platform.Dial, serves, log, func(c quarantine.Crash) { report(c) })
 //	d.Broke(target, print)  // an answer of the target broke off
 //	d.Gone(target)          // its entry has gone, or tells of a later start
 //	d.Tick(time.Now())      // now and then
@@ -47,10 +48,11 @@
 // Detector tells crashed targets from broken connections. It is safe for concurrent use.
 type Detector struct {
 	dial upstream.Dialer
-	// known reports whether a target is registered in the life that was given.
-	known func(platform.Target) bool
-	ended func(quarantine.Crash)
-	log   *slog.Logger
+	// serves reports whether a target is registered in the life that was given, and not
+	// about to leave.
+	serves func(platform.Target) bool
+	ended  func(quarantine.Crash)
+	log    *slog.Logger
 
 	mu      sync.Mutex
 	suspect map[life]*breaks
@@ -74,8 +76,8 @@
 }
 
 // New returns a Detector that hands on each crash that it has found.
-func New(dial upstream.Dialer, known func(platform.Target) bool, log *slog.Logger, ended func(quarantine.Crash)) *Detector {
-	return &Detector{dial: dial, known: known, log: log, ended: ended, suspect: map[life]*breaks{}}
+func New(dial upstream.Dialer, serves func(platform.Target) bool, log *slog.Logger, ended func(quarantine.Crash)) *Detector {
+	return &Detector{dial: dial, serves: serves, log: log, ended: ended, suspect: map[life]*breaks{}}
 }
 
 // Broke takes the word that a target has broken off the answer to a request.
@@ -97,8 +99,17 @@
 	}
 }
 
-// Refused takes the word that nobody listens at a target's address.
-func (d *Detector) Refused(t platform.Target) { d.crashed(lifeOf(t), "nobody listens") }
+// Refused takes the word that nobody listens at a target's address. One that has said that
+// it leaves, or has taken its entry back, has ended as planned.
+func (d *Detector) Refused(t platform.Target) {
+	if d.serves(t) {
+		d.crashed(lifeOf(t), "nobody listens")
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.suspect, lifeOf(t))
+}
 
 // Gone takes the word of the store that a target's life is over.
 func (d *Detector) Gone(t platform.Target) { d.crashed(lifeOf(t), "its entry has gone") }
@@ -130,7 +141,7 @@
 			continue // More answers have broken off meanwhile.
 		case errors.Is(err, syscall.ECONNREFUSED):
 			d.Refused(b.target)
-		case !d.known(b.target):
+		case !d.serves(b.target):
 			d.Gone(b.target)
 		}
 		d.asked(b)
--- a/gateway/crash/detector_test.go
+++ b/gateway/crash/detector_test.go
@@ -22,14 +22,14 @@
 type bench struct {
 	*Detector
 	// answer is what opening a connection gives.
-	answer     error
-	registered bool
-	dials      int
-	crashes    []quarantine.Crash
+	answer  error
+	serves  bool
+	dials   int
+	crashes []quarantine.Crash
 }
 
 func newBench() *bench {
-	b := &bench{registered: true}
+	b := &bench{serves: true}
 	dial := func(context.Context, string, string) (net.Conn, error) {
 		b.dials++
 		if b.answer != nil {
@@ -38,7 +38,7 @@
 		conn, _ := net.Pipe()
 		return conn, nil
 	}
-	b.Detector = New(dial, func(platform.Target) bool { return b.registered }, slog.New(slog.DiscardHandler),
+	b.Detector = New(dial, func(platform.Target) bool { return b.serves }, slog.New(slog.DiscardHandler),
 		func(c quarantine.Crash) { b.crashes = append(b.crashes, c) })
 	return b
 }
@@ -111,13 +111,27 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		b := newBench()
-		b.answer, b.registered = errSilent, false
+		b.answer, b.serves = errSilent, false
 		b.Broke(target(), printOf(1))
 		elapse()
 		is.Equal(len(b.crashes), 1)
 	})
 }
 
+// A target that has said that it leaves, or has taken its entry back, ends with answers under
+// way. That is planned, and no request has done it.
+func TestPlannedEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench()
+		b.answer, b.serves = syscall.ECONNREFUSED, false
+		b.Broke(target(), printOf(1))
+		elapse()
+		b.Gone(target())
+		is.Equal(len(b.crashes), 0)
+	})
+}
+
 // All answers of a target break off together: it is asked once, and its crash names each
 // request once and not more than are kept.
 func TestManyAnswersBreakTogether(t *testing.T) {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -75,12 +75,13 @@
 	}
 }
 
-// registered reports whether a target is known in the life that was given.
-func (f *fleet) registered(t platform.Target) bool {
+// serves reports whether a target is registered in the life that was given, and not about to
+// leave.
+func (f *fleet) serves(t platform.Target) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.pools[t.ID]
-	return p != nil && p.Born == t.Born
+	return p != nil && p.Born == t.Born && !p.Draining
 }
 
 // update takes a new view of the targets.
--- a/gateway/heldback.go
+++ b/gateway/heldback.go
@@ -7,9 +7,6 @@
 	"verbenashift/core/quarantine"
 )
 
-// reasonHeldBack is why a request is refused under which targets have crashed.
-const reasonHeldBack = "held-back"
-
 // fingerprint returns what the request has in common with others of the same content.
 func (c *call) fingerprint() quarantine.Print {
 	if c.print == (quarantine.Print{}) {
@@ -31,7 +28,7 @@
 	if !v.Held || v.Trial {
 		return false
 	}
-	c.giveUp(c.refusal(v), reasonHeldBack)
+	c.giveUp(c.refusal(v), quarantine.ReasonHeld)
 	return true
 }
 
@@ -60,7 +57,7 @@
 func (c *call) refusal(v quarantine.Verdict) *outcome.Error {
 	c.suspect = true
 	metricHeldCalls.Add(1)
-	return &outcome.Error{Outcome: c.attempts.Outcome(), Reason: reasonHeldBack, RetryAfter: v.Comeback}
+	return &outcome.Error{Outcome: c.attempts.Outcome(), Reason: quarantine.ReasonHeld, RetryAfter: v.Comeback}
 }
 
 // endTrial tells the other gateways of a trial that has shown nothing.
--- a/gateway/heldback_test.go
+++ b/gateway/heldback_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"verbenashift/core/quarantine"
+	"verbenashift/core/story"
 	"verbenashift/platform"
 	"verbenashift/standin/scripted"
 )
@@ -106,6 +107,36 @@
 	}
 }
 
+// All places are taken. A request that is held back does not wait for one, and its line tells
+// why it was refused.
+func TestHeldBackInAFullQueue(t *testing.T) {
+	hold := make(chan struct{})
+	s := scripted.Serve(t, func(x *scripted.Exchange) {
+		<-hold
+		x.Whole(200, "ok")
+	})
+	r := newHeldRig(t, platform.Safe, s)
+	read := r.logged()
+	r.view.Config.Services[0].Engine = &platform.Engine{Slots: 1}
+	r.gateway.update(&r.view)
+	r.gateway.admitter("pool").resize(map[string]int{"": 1})
+	other := r.call()
+	other.Body += "."
+	served := make(chan scripted.Answer)
+	go func() { served <- other.Do(t.Context()) }()
+	for len(s.Seen()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	r.hold(quarantine.Hold{Crashes: 3})
+	c, answer := r.ask()
+	r.Equal(answer.Status, http.StatusServiceUnavailable)
+	r.True(answer.Comeback() > 9*time.Minute) // the word on the hold, not on the queue
+	close(hold)
+	r.Equal((<-served).Status, http.StatusOK)
+	own := story.Of(c.ID, read())
+	r.Equal(story.CauseOf(c.ID, own), story.Cause{Kind: story.HeldBack, Detail: "print " + r.print().Short()})
+}
+
 // A request has crashed a server of its own when it is found to be a culprit. It is not sent
 // to another one, and its caller must not hear that it has not run.
 func TestHeldBackAfterAnAttemptHasRun(t *testing.T) {
@@ -224,3 +255,15 @@
 	r.True(len(s.unwritten.Completed) <= maxUnwritten)
 	r.True(len(s.freed) <= maxUnwritten)
 }
+
+// Two gateways get the same request when a trial is due. One of them sends it.
+func TestOneGatewayTries(t *testing.T) {
+	r := newHeldRig(t, platform.Safe)
+	r.hold(quarantine.Hold{Crashes: 3, Soon: true})
+	other := newIsolator("front-2", r.shelf, r.gateway.log)
+	other.take(r.shelf.all(), true)
+	v := other.judge(r.print())
+	r.True(v.Trial)
+	r.True(other.try(t.Context(), r.print(), v))
+	r.True(!r.gateway.isolator.try(t.Context(), r.print(), v))
+}
