A trial that has told nothing does not keep a neighbour waiting

Found by reading: a trial counted as a crash if its answer broke off, also where its target lived and another one of its group had crashed, and after three trials without a word a neighbour was held for good.

--- a/core/quarantine/register.go
+++ b/core/quarantine/register.go
@@ -90,6 +90,9 @@
 	return &Register{counts: map[Print]int{}, held: map[Print]*held{}, reports: map[string]int64{}, holds: map[string]int64{}}
 }
 
+// Crashes returns in how many crashes that are remembered a request was under way.
+func (g *Register) Crashes(p Print) int { return g.counts[p] }
+
 // Holds reports whether any request is held back.
 func (g *Register) Holds() bool { return len(g.held) > 0 }
 
@@ -243,18 +246,32 @@
 		return Verdict{}
 	}
 	v := Verdict{Held: true, Hold: h.Hold, Revision: h.revision}
-	if h.Trials >= len(trialWaits) {
+	wait, more := h.nextTrial()
+	if !more {
 		return v
 	}
-	if !h.Soon {
-		v.Comeback = max(trialWaits[h.Trials]-now.Sub(h.since), 0)
-	}
-	if v.Comeback == 0 && h.revision > 0 {
-		v.Trial, v.Comeback = true, trialTime
+	v.Comeback = max(wait-now.Sub(h.since), 0)
+	if v.Comeback == 0 {
+		v.Trial, v.Comeback = h.revision > 0, trialTime
 	}
 	return v
 }
 
+// nextTrial returns how long after the last one the next trial is due, and false if there is
+// none.
+func (h Hold) nextTrial() (time.Duration, bool) {
+	switch {
+	case h.Soon && h.Trials < len(trialWaits):
+		return 0, true
+	case h.Soon:
+		// None of the trials has told anything: a neighbour must not be held for ever.
+		return trialWaits[0], true
+	case h.Trials < len(trialWaits):
+		return trialWaits[h.Trials], true
+	}
+	return 0, false
+}
+
 // Due holds back the requests that have been found to crash their targets since the last
 // call, and returns all holds that are not in the store.
 func (g *Register) Due(now time.Time) map[Print]Hold {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -73,7 +73,7 @@
 
 func (c *call) completed(status int) {
 	now := time.Now()
-	c.told = true
+	c.served = true
 	c.isolator.completed(c.fingerprint())
 	c.mu.Lock()
 	c.returns.Completed(now)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -53,8 +53,11 @@
 	print   quarantine.Print
 	suspect bool
 	// trial says that the request was held back and is sent to find out whether it still
-	// crashes targets; told that its answer has shown that.
-	trial, told bool
+	// crashes targets; crashes is how many had crashed before.
+	trial   bool
+	crashes int
+	// served says that the caller was passed a whole answer of a target.
+	served bool
 	// eventAt is when the last event was passed on, firstAfter how long after its
 	// arrival the request got the first, longestPause the longest time between two.
 	eventAt      time.Time
@@ -244,7 +247,7 @@
 		return retry.NotSent, err.Error(), false
 	}
 	if cause == nil || cause == errStalled {
-		c.suspect, c.told = true, true
+		c.suspect = true
 		c.fleet.crashes.Broke(s.seen, c.fingerprint())
 	}
 	return retry.Broken, err.Error(), false
--- a/gateway/heldback.go
+++ b/gateway/heldback.go
@@ -46,7 +46,7 @@
 	case c.trial && c.attempts.Errors == 0:
 		return nil // This is the attempt that was let through.
 	case v.Trial && !c.trial && c.isolator.try(ctx, c.fingerprint(), v):
-		c.trial = true
+		c.trial, c.crashes = true, c.isolator.crashes(c.fingerprint())
 		return nil
 	}
 	return c.refusal(v)
@@ -60,9 +60,9 @@
 	return &outcome.Error{Outcome: c.attempts.Outcome(), Reason: quarantine.ReasonHeld, RetryAfter: v.Comeback}
 }
 
-// endTrial tells the other gateways of a trial that has shown nothing.
+// endTrial follows up a trial that has brought no whole answer.
 func (c *call) endTrial() {
-	if c.trial && !c.told {
-		c.isolator.untold(context.WithoutCancel(c.r.Context()), c.fingerprint())
+	if c.trial && !c.served {
+		go c.isolator.tried(c.fingerprint(), c.crashes)
 	}
 }
--- a/gateway/isolator.go
+++ b/gateway/isolator.go
@@ -25,6 +25,9 @@
 	// the next one waits after a failure.
 	writeWait  = 900 * time.Millisecond
 	writePause = 500 * time.Millisecond
+	// trialSettles is how long it takes at most to know whether the target of a broken answer
+	// has crashed.
+	trialSettles = time.Second
 	// maxUnwritten bounds what is kept for the store while it is away.
 	maxUnwritten = 64
 )
@@ -143,13 +146,26 @@
 	return true
 }
 
-// untold records that a trial has told nothing: the next one need not wait.
-func (s *isolator) untold(ctx context.Context, p quarantine.Print) {
+// tried waits for the word on the target of a trial without a whole answer. If it has not
+// crashed, the trial has told nothing, and the next one need not wait.
+func (s *isolator) tried(p quarantine.Print, before int) {
+	pause.For(context.Background(), trialSettles)
+	if s.crashes(p) > before {
+		return
+	}
 	if v := s.judge(p); v.Held && v.Revision > 0 {
-		s.hold(ctx, p, v.Revision, v.Hold.Untold())
+		s.log.Info("trial has told nothing", "print", p.Short(), "trials", v.Hold.Trials)
+		s.hold(context.Background(), p, v.Revision, v.Hold.Untold())
 	}
 }
 
+// crashes returns how many targets have crashed while a request was under way.
+func (s *isolator) crashes(p quarantine.Print) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.register.Crashes(p)
+}
+
 // hold writes that a request is held back over what stands in the store, and reports whether
 // it did.
 func (s *isolator) hold(ctx context.Context, p quarantine.Print, over int64, h quarantine.Hold) bool {
