--- /dev/null
+++ b/core/engine/engine.go
@@ -0,0 +1,114 @@
+// Package engine holds what is known of the model engines that are ranks of an expert group,
+// and what they are ordered to do, in the words of this project.
+//
+// The engines of a group run every pass together. The group that an engine belongs to is one
+// life of a group, a GroupID; what the engine says of itself is a State, how often its
+// requests chose each expert are Counts, and where the experts are is a Placement. A steward
+// changes the expert map by Orders.
+//
+// # Usage
+//
+//	if st.GroupID() == group && st.Prepared == version {
+//		order = engine.Order{Kind: engine.ArmMap, Epoch: st.Epoch, Expect: st.Seq, Version: version, Step: step}
+//	}
+package engine
+
+import "fmt"
+
+// GroupID is one life of an expert group. The platform forms a group anew, in a
+// new epoch, when it has lost a rank; nothing that was said of an earlier epoch
+// holds in a later one. The name is opaque.
+type GroupID struct {
+	Name  string
+	Epoch int64
+}
+
+// String returns the name and the epoch for logs.
+func (g GroupID) String() string { return fmt.Sprintf("%s@%d", g.Name, g.Epoch) }
+
+// Older reports whether g is an earlier life of the same group.
+func (g GroupID) Older(than GroupID) bool { return g.Name == than.Name && g.Epoch < than.Epoch }
+
+// State is what the engine of a rank says of itself.
+type State struct {
+	Group string
+	Epoch int64
+	// Born is when the server started, in Unix milliseconds by its own clock; 0
+	// if it does not say. A server that starts again under its ID knows nothing of
+	// before.
+	Born int64
+	Rank int
+	Size int
+	// Open is false while the group has lost a rank.
+	Open bool
+	// Seq counts the orders that the server has begun since its start.
+	Seq int64
+	// Step is the last pass that was begun.
+	Step int64
+	// Map is the number of the map in force, Prepared that of the newest map
+	// whose copy is complete; 0 is the first map of an epoch.
+	Map      int64
+	Prepared int64
+	// ArmedMap takes effect as pass ArmedStep begins; both are 0 if none is.
+	ArmedMap  int64
+	ArmedStep int64
+	// Held is the pass that the group does not begin before this rank lets it;
+	// 0 means none.
+	Held int64
+	// Busy says that an order, such as a copy, is in progress.
+	Busy bool
+	// Running and Queued are the requests at the rank.
+	Running, Queued int
+	// Pace is over 1 while the server is slow.
+	Pace float64
+}
+
+// GroupID returns the life of the group that the rank belongs to.
+func (s *State) GroupID() GroupID { return GroupID{Name: s.Group, Epoch: s.Epoch} }
+
+// Counts are how often the requests of a rank chose each expert since the rank
+// started: one number for each expert, set after set.
+type Counts struct {
+	Epoch  int64
+	Step   int64
+	Values []int64
+}
+
+// Placement is the experts of one rank in the map in force, by set.
+type Placement struct {
+	Epoch   int64
+	Map     int64
+	Experts [][]int
+}
+
+// OrderKind is what an order asks of a rank.
+type OrderKind string
+
+// The orders.
+const (
+	// PrepareMap copies the experts of a new map beside those in use.
+	PrepareMap OrderKind = "prepare"
+	// ArmMap makes the rank switch to a prepared map as a pass begins.
+	ArmMap OrderKind = "arm"
+	// DisarmMap takes that back.
+	DisarmMap OrderKind = "disarm"
+	// HoldPass keeps the whole group from beginning a pass.
+	HoldPass OrderKind = "hold"
+	// ReleasePass ends a hold.
+	ReleasePass OrderKind = "go"
+)
+
+// Order is one order to the server of a rank.
+type Order struct {
+	Kind  OrderKind
+	Epoch int64
+	// Expect is the Seq that the rank must have.
+	Expect int64
+	// Fence is the steward's fencing number.
+	Fence int64
+	// Version is the number of the map, Step the pass, where they apply.
+	Version int64
+	Step    int64
+	// Map is the experts by set and rank.
+	Map [][][]int
+}
--- a/core/lockstep/abandon.go
+++ b/core/lockstep/abandon.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"verbenashift/platform"
+	"verbenashift/core/engine"
 )
 
 // Predecessor is the steward that was heard last.
@@ -86,7 +86,7 @@
 // barred reports whether no rank that is known, and is not armed yet, can be armed any
 // more.
 func (s *Steward) barred(ranks []Rank) bool {
-	return s.barring && allKnown(ranks, func(st *platform.RankState) bool { return st.Prepared == s.version || st.ArmedMap != 0 })
+	return s.barring && allKnown(ranks, func(st *engine.State) bool { return st.Prepared == s.version || st.ArmedMap != 0 })
 }
 
 // endBar forgets the stopgap: it is not to become the map in force.
@@ -98,7 +98,7 @@
 
 // allArmed reports whether every rank that is known is armed.
 func allArmed(ranks []Rank) bool {
-	return allKnown(ranks, func(st *platform.RankState) bool { return st.ArmedMap != 0 })
+	return allKnown(ranks, func(st *engine.State) bool { return st.ArmedMap != 0 })
 }
 
 // ownHold reports whether only the steward before can have given orders to arm
@@ -140,7 +140,7 @@
 			return -1
 		case !ranks[i].Known:
 			missing = i
-			ranks[i].State = platform.RankState{}
+			ranks[i].State = engine.State{}
 		case !st.Open || st.Size != len(ranks):
 			return -1
 		case first < 0:
--- a/core/lockstep/explorer_test.go
+++ b/core/lockstep/explorer_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/platform"
+	"verbenashift/core/engine"
 )
 
 var runs = flag.Int("lockstep.runs", 3000, "random runs of the explorer")
@@ -28,7 +28,7 @@
 }
 
 type modelRank struct {
-	state platform.RankState
+	state engine.State
 	had   int64
 	// maps is the content of the versions that this rank has prepared.
 	maps map[int64]string
@@ -41,7 +41,7 @@
 	m := &model{rng: rng, epoch: 1}
 	for i := range n {
 		m.ranks = append(m.ranks, modelRank{
-			state: platform.RankState{Group: "g", Epoch: 1, Rank: i, Size: n, Open: true},
+			state: engine.State{Group: "g", Epoch: 1, Rank: i, Size: n, Open: true},
 			maps:  map[int64]string{0: "first"},
 		})
 	}
@@ -49,38 +49,38 @@
 }
 
 // apply carries out an order and reports whether it fits.
-func (m *model) apply(i int, o platform.Order, tick int) bool {
+func (m *model) apply(i int, o engine.Order, tick int) bool {
 	r := &m.ranks[i]
 	st := &r.state
 	if o.Epoch != st.Epoch || !st.Open {
 		return false
 	}
 	switch o.Kind {
-	case platform.PrepareMap:
+	case engine.PrepareMap:
 		if o.Version <= r.had || st.ArmedMap != 0 {
 			return o.Version == st.Prepared || o.Version == r.copying
 		}
 		r.had, r.copying, r.ready = o.Version, o.Version, tick+1+m.rng.IntN(4)
 		r.maps[o.Version] = fmt.Sprint(o.Map)
 		st.Prepared = 0
-	case platform.ArmMap:
+	case engine.ArmMap:
 		if st.Prepared != o.Version || m.step >= o.Step || st.ArmedMap != 0 && st.ArmedMap != o.Version {
 			return false
 		}
 		st.ArmedMap, st.ArmedStep = o.Version, o.Step
-	case platform.DisarmMap:
+	case engine.DisarmMap:
 		if st.Map == o.Version {
 			return false
 		}
 		if st.ArmedMap == o.Version {
 			st.ArmedMap, st.ArmedStep = 0, 0
 		}
-	case platform.HoldPass:
+	case engine.HoldPass:
 		if m.step >= o.Step || st.Held != 0 && st.Held != o.Step {
 			return false
 		}
 		st.Held = o.Step
-	case platform.ReleasePass:
+	case engine.ReleasePass:
 		if st.Held == o.Step {
 			st.Held = 0
 		}
@@ -127,7 +127,7 @@
 	for i := range m.ranks {
 		r := &m.ranks[i]
 		n := len(m.ranks)
-		r.state = platform.RankState{Group: "g", Epoch: m.epoch, Rank: i, Size: n, Open: true, Step: m.step}
+		r.state = engine.State{Group: "g", Epoch: m.epoch, Rank: i, Size: n, Open: true, Step: m.step}
 		r.had, r.copying = 0, 0
 		r.maps = map[int64]string{0: "first"}
 	}
@@ -137,7 +137,7 @@
 type late struct {
 	at    int
 	rank  int
-	order platform.Order
+	order engine.Order
 }
 
 // letter is an ask that reaches the agent beside a rank late, after its steward may be
@@ -146,7 +146,7 @@
 	at    int
 	rank  int
 	word  Word
-	order platform.Order
+	order engine.Order
 }
 
 // driver is a steward with the process around it.
@@ -183,7 +183,7 @@
 	neighbour neighbour
 	// past are the states of the ranks in the last ticks, newest first: what relays tell
 	// may be as old.
-	past   [][]platform.RankState
+	past   [][]engine.State
 	term   int64
 	last   *Predecessor
 	tickNo int
@@ -226,7 +226,7 @@
 
 // word is what a driver says of itself.
 func (d *driver) word(salt int64) Word {
-	return Word{Group: platform.GroupID{Name: "g", Epoch: d.epoch}, Term: d.term, From: d.name, Rank: d.at, Salt: uint64(salt)}
+	return Word{Group: engine.GroupID{Name: "g", Epoch: d.epoch}, Term: d.term, From: d.name, Rank: d.at, Salt: uint64(salt)}
 }
 
 // hears has the agent beside a rank judge a word, once it has read its rank.
@@ -292,11 +292,11 @@
 
 // remember keeps the states of the ranks for those that tell them late.
 func (w *world) remember() {
-	now := make([]platform.RankState, len(w.ranks))
+	now := make([]engine.State, len(w.ranks))
 	for i := range w.ranks {
 		now[i] = w.ranks[i].state
 	}
-	w.past = append([][]platform.RankState{now}, w.past[:min(len(w.past), relayAge)]...)
+	w.past = append([][]engine.State{now}, w.past[:min(len(w.past), relayAge)]...)
 }
 
 // tellAge draws how old the readings of a branch are, in ticks; they are not older than
@@ -352,11 +352,11 @@
 	if n.version == 0 || w.tickNo-n.started > 30 {
 		n.version, n.step, n.started = n.version+saltRange*int64(2+w.rng.IntN(3))+1, w.step+int64(3+w.rng.IntN(12)), w.tickNo
 	}
-	o := platform.Order{Kind: platform.PrepareMap, Epoch: w.epoch, Version: n.version, Map: Map{{{-7}}}}
+	o := engine.Order{Kind: engine.PrepareMap, Epoch: w.epoch, Version: n.version, Map: Map{{{-7}}}}
 	if age := w.tickNo - n.started; age > 6 {
-		o = platform.Order{Kind: platform.ArmMap, Epoch: w.epoch, Version: n.version, Step: max(n.step, w.step+2)}
+		o = engine.Order{Kind: engine.ArmMap, Epoch: w.epoch, Version: n.version, Step: max(n.step, w.step+2)}
 	}
-	word := Word{Group: platform.GroupID{Name: groupH, Epoch: w.epoch}, Term: w.term + 1, From: "h1"}
+	word := Word{Group: engine.GroupID{Name: groupH, Epoch: w.epoch}, Term: w.term + 1, From: "h1"}
 	i := w.rng.IntN(len(w.ranks))
 	if w.hears(i, word) == Heeded {
 		w.apply(i, o, w.tickNo)
@@ -405,12 +405,12 @@
 
 // withoutHold is the fault that arming begins without a hold.
 func (w *world) withoutHold(d *driver, cmds []Command) []Command {
-	if len(cmds) != 1 || cmds[0].Order.Kind != platform.HoldPass {
+	if len(cmds) != 1 || cmds[0].Order.Kind != engine.HoldPass {
 		return cmds
 	}
 	out := make([]Command, 0, len(w.ranks))
 	for i := range w.ranks {
-		out = append(out, d.s.command(d.ranks, i, platform.Order{Kind: platform.ArmMap, Version: d.s.version, Step: cmds[0].Order.Step}))
+		out = append(out, d.s.command(d.ranks, i, engine.Order{Kind: engine.ArmMap, Version: d.s.version, Step: cmds[0].Order.Step}))
 	}
 	return out
 }
--- a/core/lockstep/listener.go
+++ b/core/lockstep/listener.go
@@ -1,17 +1,19 @@
 package lockstep
 
-import "verbenashift/platform"
+import (
+	"verbenashift/core/engine"
+)
 
 // Seat is the place of a rank in an expert group, in one life of its server.
 type Seat struct {
-	Group platform.GroupID
+	Group engine.GroupID
 	Rank  int
 	// Born is when the server started; 0 if it does not say.
 	Born int64
 }
 
 // SeatOf returns the seat that a rank tells.
-func SeatOf(st *platform.RankState) Seat {
+func SeatOf(st *engine.State) Seat {
 	return Seat{Group: st.GroupID(), Rank: st.Rank, Born: st.Born}
 }
 
@@ -22,7 +24,7 @@
 
 // Word is what a steward says of itself with each ask.
 type Word struct {
-	Group platform.GroupID
+	Group engine.GroupID
 	// Term is the steward's fencing number, From its instance.
 	Term int64
 	From string
--- a/core/lockstep/listener_test.go
+++ b/core/lockstep/listener_test.go
@@ -5,11 +5,11 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/platform"
+	"verbenashift/core/engine"
 )
 
-func inGroup(name string, epoch int64) platform.GroupID {
-	return platform.GroupID{Name: name, Epoch: epoch}
+func inGroup(name string, epoch int64) engine.GroupID {
+	return engine.GroupID{Name: name, Epoch: epoch}
 }
 
 // seated returns the listener of rank 2 of the third life of group g, which has heard a
--- a/core/lockstep/lockstep.go
+++ b/core/lockstep/lockstep.go
@@ -56,7 +56,7 @@
 import (
 	"time"
 
-	"verbenashift/platform"
+	"verbenashift/core/engine"
 )
 
 // Map is the experts of a group by layer and rank.
@@ -65,7 +65,7 @@
 // Command is an order to one rank.
 type Command struct {
 	Rank  int
-	Order platform.Order
+	Order engine.Order
 	// Direct says that the steward gives the order to the server itself, not
 	// through the agent beside it.
 	Direct bool
@@ -163,18 +163,18 @@
 // Unanswered tells that a rank has not answered an order: it is given again at
 // once.
 func (s *Steward) Unanswered(c Command) {
-	if c.Order.Kind == platform.PrepareMap && c.Rank < len(s.asked) {
+	if c.Order.Kind == engine.PrepareMap && c.Rank < len(s.asked) {
 		s.asked[c.Rank] = time.Time{}
 	}
 }
 
 // Refused tells that a rank refused an order for another reason than its number
 // of orders: then the number of the map may have been used before.
-func (s *Steward) Refused(o platform.Order) {
-	if o.Kind == platform.PrepareMap && o.Version == s.version {
+func (s *Steward) Refused(o engine.Order) {
+	if o.Kind == engine.PrepareMap && o.Version == s.version {
 		s.version = s.number()
 	}
-	if o.Kind == platform.HoldPass {
+	if o.Kind == engine.HoldPass {
 		s.holdAt = 0
 	}
 }
@@ -182,8 +182,8 @@
 // Malformed tells that a rank does not understand the map of an order: no repeat
 // will change that. The change is given up, so that the next one can be planned;
 // the group would keep a bad map for good otherwise.
-func (s *Steward) Malformed(o platform.Order) {
-	if o.Kind == platform.PrepareMap && o.Version == s.version {
+func (s *Steward) Malformed(o engine.Order) {
+	if o.Kind == engine.PrepareMap && o.Version == s.version {
 		s.version, s.content, s.holdAt = 0, nil, 0
 	}
 }
@@ -219,7 +219,7 @@
 	if s.version == 0 {
 		return nil
 	}
-	if all(ranks, func(st *platform.RankState) bool { return st.Prepared == s.version }) {
+	if all(ranks, func(st *engine.State) bool { return st.Prepared == s.version }) {
 		return s.hold(ranks)
 	}
 	return s.prepare(ranks)
--- a/core/lockstep/lockstep_test.go
+++ b/core/lockstep/lockstep_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/platform"
+	"verbenashift/core/engine"
 )
 
 const (
@@ -20,7 +20,7 @@
 func held() []Rank {
 	ranks := make([]Rank, 3)
 	for i := range ranks {
-		ranks[i] = Rank{Known: true, State: platform.RankState{
+		ranks[i] = Rank{Known: true, State: engine.State{
 			Group: "g", Epoch: 1, Rank: i, Size: 3, Open: true, Step: holdAt - 1, Prepared: oldMap,
 		}}
 	}
@@ -28,8 +28,8 @@
 	return ranks
 }
 
-func kinds(cmds []Command) map[platform.OrderKind]int {
-	n := map[platform.OrderKind]int{}
+func kinds(cmds []Command) map[engine.OrderKind]int {
+	n := map[engine.OrderKind]int{}
 	for _, c := range cmds {
 		n[c.Order.Kind]++
 	}
@@ -62,17 +62,17 @@
 	cmds := s.Next(ranks, now)
 	is.Equal(len(cmds), 2) // the ranks that are known
 	for _, c := range cmds {
-		is.Equal(c.Order.Kind, platform.PrepareMap)
+		is.Equal(c.Order.Kind, engine.PrepareMap)
 		is.True(c.Order.Version > oldMap)
 		is.Equal(c.Order.Map, [][][]int(stopgap))
 	}
 	ranks[1].State.Prepared = cmds[0].Order.Version
-	is.Equal(kinds(s.Next(ranks, now))[platform.ReleasePass], 0) // one may still be armed
+	is.Equal(kinds(s.Next(ranks, now))[engine.ReleasePass], 0) // one may still be armed
 	ranks[2].State.Prepared = cmds[0].Order.Version
 	cmds = s.Next(ranks, now)
 	is.Equal(len(cmds), 1)
 	is.Equal(cmds[0].Rank, 1)
-	is.Equal(cmds[0].Order.Kind, platform.ReleasePass)
+	is.Equal(cmds[0].Order.Kind, engine.ReleasePass)
 	is.Equal(cmds[0].Order.Step, int64(holdAt))
 }
 
@@ -84,7 +84,7 @@
 	ranks[0].Known = false
 	s := heir(2)
 	s.Next(ranks, start)
-	is.Equal(kinds(s.Next(ranks, start.Add(abandonAfter)))[platform.PrepareMap], 2)
+	is.Equal(kinds(s.Next(ranks, start.Add(abandonAfter)))[engine.PrepareMap], 2)
 	ranks[0].Known = true
 	ranks[0].State = ranks[1].State
 	ranks[0].State.Rank, ranks[0].State.Held = 0, 0
@@ -101,9 +101,9 @@
 		is := is.New(t)
 		ranks := held()
 		s := heir(2)
-		is.Equal(kinds(s.Next(ranks, start))[platform.HoldPass], 1) // a hold of its own
+		is.Equal(kinds(s.Next(ranks, start))[engine.HoldPass], 1) // a hold of its own
 		ranks[0].State.Held = holdAt
-		is.Equal(kinds(s.Next(ranks, start))[platform.ArmMap], 1)
+		is.Equal(kinds(s.Next(ranks, start))[engine.ArmMap], 1)
 		ranks[0].Known = false
 		stays(is, s, ranks)
 	})
@@ -172,7 +172,7 @@
 	cmds := s.Next(ranks, now)
 	is.Equal(len(cmds), 1)
 	is.Equal(cmds[0].Rank, 1)
-	is.Equal(cmds[0].Order.Kind, platform.PrepareMap)
+	is.Equal(cmds[0].Order.Kind, engine.PrepareMap)
 	barred := cmds[0].Order.Version
 	is.True(barred > oldMap)
 	is.Equal(len(s.Next(ranks, now)), 0) // nothing is taken back before
@@ -180,7 +180,7 @@
 	cmds = s.Next(ranks, now)
 	is.Equal(len(cmds), 1)
 	is.Equal(cmds[0].Rank, 2)
-	is.Equal(cmds[0].Order.Kind, platform.DisarmMap)
+	is.Equal(cmds[0].Order.Kind, engine.DisarmMap)
 	is.Equal(cmds[0].Order.Version, int64(oldMap))
 	ranks[2].State.ArmedMap, ranks[2].State.ArmedStep = 0, 0
 	is.Equal(len(s.Next(ranks, now)), 0)
@@ -188,10 +188,10 @@
 	cmds = s.Next(ranks, now.Add(abandonAfter))
 	is.Equal(len(cmds), 1)
 	is.Equal(cmds[0].Rank, 2)
-	is.Equal(cmds[0].Order.Kind, platform.PrepareMap)
+	is.Equal(cmds[0].Order.Kind, engine.PrepareMap)
 	is.Equal(cmds[0].Order.Version, barred)
 	ranks[2].State.Prepared = barred
-	is.Equal(kinds(s.Next(ranks, now.Add(abandonAfter)))[platform.ReleasePass], 1)
+	is.Equal(kinds(s.Next(ranks, now.Add(abandonAfter)))[engine.ReleasePass], 1)
 }
 
 // An order to take back what is armed is carried out late, and the steward that has been
@@ -205,7 +205,7 @@
 	ranks[1].State.Prepared = oldMap + saltRange
 	for _, s := range []*Steward{NewSteward(1, nil, 9), heir(1), heir(2)} {
 		for _, c := range s.Next(ranks, start) {
-			is.Equal(c.Order.Kind, platform.DisarmMap)
+			is.Equal(c.Order.Kind, engine.DisarmMap)
 			is.Equal(c.Rank, 2)
 		}
 	}
@@ -220,11 +220,11 @@
 	s := NewSteward(0, nil, 9)
 	cmds := s.Next(ranks, start)
 	is.Equal(len(cmds), 1)
-	is.Equal(cmds[0].Order.Kind, platform.HoldPass)
+	is.Equal(cmds[0].Order.Kind, engine.HoldPass)
 	is.Equal(cmds[0].Order.Step, int64(holdAt))
 	is.Equal(cmds[0].Rank, 2)
 	ranks[2].State.Held = holdAt
-	is.Equal(kinds(s.Next(ranks, start))[platform.ArmMap], 1)
+	is.Equal(kinds(s.Next(ranks, start))[engine.ArmMap], 1)
 }
 
 // A steward gives its orders to arm and freezes within milliseconds; agents carry
@@ -248,7 +248,7 @@
 	for range 3 {
 		var turn []int
 		for _, c := range s.Next(ranks, start) {
-			is.Equal(c.Order.Kind, platform.ArmMap)
+			is.Equal(c.Order.Kind, engine.ArmMap)
 			ranks[c.Rank].State.ArmedMap, ranks[c.Rank].State.ArmedStep = c.Order.Version, c.Order.Step
 			turn = append(turn, c.Rank)
 		}
@@ -273,22 +273,22 @@
 	s := NewSteward(0, nil, 5)
 	is.True(s.Idle(read()))
 	s.Propose(read(), Map{{{1}, {2}, {3}}})
-	var moves []platform.OrderKind
+	var moves []engine.OrderKind
 	for tick := 1; tick < 40 && !s.Idle(read()); tick++ {
 		cmds := s.Next(read(), start.Add(time.Duration(tick)*20*time.Millisecond))
 		for _, c := range cmds {
-			is.Equal(c.Direct, c.Order.Kind == platform.HoldPass)
+			is.Equal(c.Direct, c.Order.Kind == engine.HoldPass)
 			is.True(m.apply(c.Rank, c.Order, tick))
 		}
-		if len(cmds) > 0 && (len(moves) == 0 || moves[len(moves)-1] != cmds[0].Order.Kind || cmds[0].Order.Kind == platform.ArmMap) {
+		if len(cmds) > 0 && (len(moves) == 0 || moves[len(moves)-1] != cmds[0].Order.Kind || cmds[0].Order.Kind == engine.ArmMap) {
 			moves = append(moves, cmds[0].Order.Kind)
 		}
-		if cmds == nil || cmds[0].Order.Kind == platform.PrepareMap || cmds[0].Order.Kind == platform.ReleasePass {
+		if cmds == nil || cmds[0].Order.Kind == engine.PrepareMap || cmds[0].Order.Kind == engine.ReleasePass {
 			m.tick(tick)
 		}
 		is.NoErr(m.mixed)
 	}
-	is.Equal(moves, []platform.OrderKind{platform.PrepareMap, platform.HoldPass, platform.ArmMap, platform.ArmMap, platform.ArmMap, platform.ReleasePass})
+	is.Equal(moves, []engine.OrderKind{engine.PrepareMap, engine.HoldPass, engine.ArmMap, engine.ArmMap, engine.ArmMap, engine.ReleasePass})
 	version, same := InForce(read())
 	is.True(same)
 	is.Equal(version%saltRange, int64(5))
@@ -306,7 +306,7 @@
 	s.Next(ranks, start) // it learns the epoch
 	s.Propose(ranks, Map{{{1}, {2}, {3}}})
 	cmds := s.Next(ranks, start)
-	is.Equal(kinds(cmds)[platform.PrepareMap], 3)
+	is.Equal(kinds(cmds)[engine.PrepareMap], 3)
 	s.Malformed(cmds[1].Order)
 	is.True(s.Idle(ranks))
 	is.Equal(len(s.Next(ranks, start.Add(time.Second))), 0)
@@ -332,7 +332,7 @@
 		ranks[i].State.ArmedMap, ranks[i].State.ArmedStep = oldMap, holdAt
 	}
 	ranks[1].State.Held = holdAt
-	is.Equal(s.Next(ranks, start.Add(arming))[0].Order.Kind, platform.ReleasePass)
+	is.Equal(s.Next(ranks, start.Add(arming))[0].Order.Kind, engine.ReleasePass)
 	is.Equal(s.took, arming)
 	s.holdAt = 0
 	is.Equal(s.hold(ranks)[0].Order.Step, holdAt-1+int64(arming/pass)+1)
--- a/core/lockstep/moves.go
+++ b/core/lockstep/moves.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"verbenashift/platform"
+	"verbenashift/core/engine"
 )
 
 // finishArmed goes on with a change for which a rank is armed.
@@ -35,14 +35,14 @@
 		case st.ArmedMap != 0:
 			// Another steward has armed it for an older map, or for a later
 			// pass. Neither can ever be armed everywhere.
-			cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.DisarmMap, Version: st.ArmedMap}))
+			cmds = append(cmds, s.command(ranks, i, engine.Order{Kind: engine.DisarmMap, Version: st.ArmedMap}))
 		case st.Prepared > version:
 			// Another steward has prepared a newer map here, so that this rank
 			// can never be armed for the older one: those that are must be
 			// taken back, or they would switch alone.
 			return s.disarm(ranks, version), false
 		case st.Prepared == version && (missing == 0 || i != s.self && i != s.nextRank(ranks)):
-			cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.ArmMap, Version: version, Step: step}))
+			cmds = append(cmds, s.command(ranks, i, engine.Order{Kind: engine.ArmMap, Version: version, Step: step}))
 		}
 		missing++
 	}
@@ -51,18 +51,18 @@
 
 // release lets the group begin a pass that is held.
 func (s *Steward) release(ranks []Rank, step int64) []Command {
-	return s.order(ranks, platform.Order{Kind: platform.ReleasePass, Step: step},
-		func(st *platform.RankState) bool { return st.Held == step })
+	return s.order(ranks, engine.Order{Kind: engine.ReleasePass, Step: step},
+		func(st *engine.State) bool { return st.Held == step })
 }
 
 // disarm takes back what is armed for a map.
 func (s *Steward) disarm(ranks []Rank, version int64) []Command {
-	return s.order(ranks, platform.Order{Kind: platform.DisarmMap, Version: version},
-		func(st *platform.RankState) bool { return st.ArmedMap == version })
+	return s.order(ranks, engine.Order{Kind: engine.DisarmMap, Version: version},
+		func(st *engine.State) bool { return st.ArmedMap == version })
 }
 
 // order gives an order to the ranks whose state asks for it.
-func (s *Steward) order(ranks []Rank, o platform.Order, due func(*platform.RankState) bool) []Command {
+func (s *Steward) order(ranks []Rank, o engine.Order, due func(*engine.State) bool) []Command {
 	var cmds []Command
 	for i := range ranks {
 		if due(&ranks[i].State) {
@@ -99,7 +99,7 @@
 // holdRank has one rank hold the group at a pass.
 func (s *Steward) holdRank(ranks []Rank, i int, step int64) []Command {
 	s.holdAt, s.holder = step, i
-	cmd := s.command(ranks, i, platform.Order{Kind: platform.HoldPass, Step: step})
+	cmd := s.command(ranks, i, engine.Order{Kind: engine.HoldPass, Step: step})
 	cmd.Direct = i != s.self
 	return []Command{cmd}
 }
@@ -139,7 +139,7 @@
 		st := &ranks[i].State
 		if st.Prepared != s.version && s.now.Sub(s.asked[i]) >= prepareAgain {
 			s.asked[i] = s.now
-			cmds = append(cmds, s.command(ranks, i, platform.Order{Kind: platform.PrepareMap, Version: s.version, Map: s.content}))
+			cmds = append(cmds, s.command(ranks, i, engine.Order{Kind: engine.PrepareMap, Version: s.version, Map: s.content}))
 		}
 	}
 	return cmds
@@ -148,7 +148,7 @@
 // forgetDone ends a change that is in force, or that was made for a map that is
 // not in force any more: what it would load was counted from that map.
 func (s *Steward) forgetDone(ranks []Rank) {
-	if s.version != 0 && all(ranks, func(st *platform.RankState) bool { return st.Map != s.base }) {
+	if s.version != 0 && all(ranks, func(st *engine.State) bool { return st.Map != s.base }) {
 		s.version, s.content, s.holdAt = 0, nil, 0
 	}
 }
@@ -168,8 +168,8 @@
 	return turn
 }
 
-func (s *Steward) command(ranks []Rank, i int, o platform.Order) Command {
-	if o.Kind == platform.ArmMap {
+func (s *Steward) command(ranks []Rank, i int, o engine.Order) Command {
+	if o.Kind == engine.ArmMap {
 		s.before = nil
 	}
 	o.Epoch, o.Expect, o.Fence = ranks[i].State.Epoch, ranks[i].State.Seq, s.Fence
--- a/core/lockstep/rank.go
+++ b/core/lockstep/rank.go
@@ -1,14 +1,14 @@
 package lockstep
 
 import (
-	"verbenashift/platform"
+	"verbenashift/core/engine"
 )
 
 // Rank is what was last read of a rank.
 type Rank struct {
 	// Known says that the rank was read in this round.
 	Known bool
-	State platform.RankState
+	State engine.State
 }
 
 // InForce returns the number of the map that all ranks use, if they do.
@@ -28,7 +28,7 @@
 // it yet.
 func prepared(ranks []Rank) bool {
 	first := &ranks[0].State
-	return first.Prepared > first.Map && all(ranks, func(st *platform.RankState) bool {
+	return first.Prepared > first.Map && all(ranks, func(st *engine.State) bool {
 		return st.Prepared == first.Prepared && st.Map == first.Map
 	})
 }
@@ -120,7 +120,7 @@
 	return last
 }
 
-func all(ranks []Rank, ok func(*platform.RankState) bool) bool {
+func all(ranks []Rank, ok func(*engine.State) bool) bool {
 	for i := range ranks {
 		if !ok(&ranks[i].State) {
 			return false
@@ -130,7 +130,7 @@
 }
 
 // allKnown is like all for the ranks that are known.
-func allKnown(ranks []Rank, ok func(*platform.RankState) bool) bool {
+func allKnown(ranks []Rank, ok func(*engine.State) bool) bool {
 	for i := range ranks {
 		if ranks[i].Known && !ok(&ranks[i].State) {
 			return false
--- a/core/rankpeer/branch.go
+++ b/core/rankpeer/branch.go
@@ -1,8 +1,8 @@
 package rankpeer
 
 import (
+	"verbenashift/core/engine"
 	"verbenashift/core/lockstep"
-	"verbenashift/platform"
 )
 
 // A large group has more ranks than its steward's link can carry words to. So the
@@ -33,7 +33,7 @@
 // BranchOrder is one order to some members of a branch. Change is the map of an order
 // to prepare.
 type BranchOrder struct {
-	Order   platform.Order
+	Order   engine.Order
 	Change  *Change
 	Members []uint16
 }
@@ -53,7 +53,7 @@
 }
 
 // OrderOf returns the order of a member and its change, or nil.
-func (b *BranchAsk) OrderOf(member int) (*platform.Order, *Change) {
+func (b *BranchAsk) OrderOf(member int) (*engine.Order, *Change) {
 	for i := range b.Orders {
 		for _, m := range b.Orders[i].Members {
 			if int(m) == member {
@@ -85,7 +85,7 @@
 // PackTells makes the answer of a relay from those of its members.
 func PackTells(word lockstep.Word, tells []Tell) *BranchTell {
 	out := &BranchTell{Tells: make([]Tell, len(tells))}
-	var states []platform.RankState
+	var states []engine.State
 	var samples []*Sample
 	for i, t := range tells {
 		if t.Known {
@@ -94,9 +94,9 @@
 		if t.Sample != nil {
 			samples = append(samples, t.Sample)
 		}
-		t.State, t.Sample = platform.RankState{}, nil
+		t.State, t.Sample = engine.State{}, nil
 		if t.Group == word.Group {
-			t.Group = platform.GroupID{}
+			t.Group = engine.GroupID{}
 		}
 		if t.Term == word.Term {
 			t.Term = 0
--- a/core/rankpeer/branch_test.go
+++ b/core/rankpeer/branch_test.go
@@ -8,13 +8,13 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/engine"
 	"verbenashift/core/lockstep"
-	"verbenashift/platform"
 )
 
 // randomState draws a rank that is somewhere in a change.
-func randomState(rng *rand.Rand, rank int) platform.RankState {
-	return platform.RankState{
+func randomState(rng *rand.Rand, rank int) engine.State {
+	return engine.State{
 		Group: "g", Epoch: rng.Int64N(4), Born: 1_790_000_000_000 + rng.Int64N(5000), Rank: rank, Size: 192, Open: rng.IntN(9) > 0,
 		Seq: rng.Int64N(3), Step: rng.Int64N(100), Map: rng.Int64N(1 << 40), Prepared: rng.Int64N(1 << 40), ArmedMap: rng.Int64N(2) * 77,
 		ArmedStep: rng.Int64N(100), Held: rng.Int64N(3), Busy: rng.IntN(2) == 0, Running: rng.IntN(12), Queued: rng.IntN(40),
@@ -26,7 +26,7 @@
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(1, 1))
 	for n := range 40 {
-		var states []platform.RankState
+		var states []engine.State
 		for r := range n {
 			states = append(states, randomState(rng, r))
 		}
@@ -44,7 +44,7 @@
 func TestStatesThatDoNotFit(t *testing.T) {
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(2, 1))
-	packed := PackStates([]platform.RankState{randomState(rng, 0), randomState(rng, 1)})
+	packed := PackStates([]engine.State{randomState(rng, 0), randomState(rng, 1)})
 	for _, count := range []int{-1, 0, 1, 3, 1 << 40} {
 		_, ok := packed.Unpack("g", count)
 		is.True(!ok)
@@ -59,9 +59,9 @@
 // take one by one, so that a steward hears 768 ranks in a few milliseconds of its link.
 func TestStatesOfACalmGroupAreSmall(t *testing.T) {
 	is := is.New(t)
-	var states []platform.RankState
+	var states []engine.State
 	for r := range 192 {
-		states = append(states, platform.RankState{
+		states = append(states, engine.State{
 			Group: "g", Epoch: 2, Born: 1_790_000_000_000 + int64(r*7), Rank: r, Size: 192, Open: true, Step: 812, Map: 9 << 20, Prepared: 9 << 20,
 			Running: 4 + r%3, Pace: 1,
 		})
@@ -75,12 +75,12 @@
 func TestTellsOfABranch(t *testing.T) {
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(3, 1))
-	word := lockstep.Word{Group: platform.GroupID{Name: "g", Epoch: 3}, Term: 40}
+	word := lockstep.Word{Group: engine.GroupID{Name: "g", Epoch: 3}, Term: 40}
 	one, two := randomState(rng, 5), randomState(rng, 7)
 	tells := []Tell{
 		{Group: word.Group, Term: 40, Answered: true, Known: true, State: one, Status: 202, Sample: NewSample(nil, []int64{3, 0})},
 		{},
-		{Group: platform.GroupID{Name: "g", Epoch: 4}, Term: 40, Answered: true, Refused: lockstep.OlderEpoch},
+		{Group: engine.GroupID{Name: "g", Epoch: 4}, Term: 40, Answered: true, Refused: lockstep.OlderEpoch},
 		{Answered: true, Refused: lockstep.NoSeat},
 		{Group: word.Group, Term: 41, Answered: true, Refused: lockstep.NewerSteward},
 		{Group: word.Group, Term: 40, Answered: true, Known: true, State: two, NeedMap: true, Sample: NewSample(nil, []int64{1, 9})},
--- a/core/rankpeer/rankpeer.go
+++ b/core/rankpeer/rankpeer.go
@@ -13,6 +13,7 @@
 	"net"
 	"time"
 
+	"verbenashift/core/engine"
 	"verbenashift/core/lockstep"
 	"verbenashift/platform"
 )
@@ -40,7 +41,7 @@
 	Placement bool
 	// Order, if there is one, is given to the rank before it is read. Change is
 	// the map of an order to prepare.
-	Order  *platform.Order
+	Order  *engine.Order
 	Change *Change
 	// Roster is nil if the agent has been told it.
 	Roster *Roster
@@ -58,7 +59,7 @@
 type Tell struct {
 	// Group is that of the agent's rank, as the agent knows it; its name is empty
 	// if the rank has not answered yet.
-	Group platform.GroupID
+	Group engine.GroupID
 	// Refused says why nothing was done, if so.
 	Refused lockstep.Refusal
 	// Term is the highest that the agent has heard.
@@ -68,9 +69,9 @@
 	Answered bool
 	// Known says that the rank has answered; State is fresh then.
 	Known     bool
-	State     platform.RankState
+	State     engine.State
 	Sample    *Sample
-	Placement *platform.Placement
+	Placement *engine.Placement
 	// Status is that of the answer to the order; 0 means none came.
 	Status int
 	// NeedMap says that the order was not given, because the agent does not have
@@ -95,7 +96,7 @@
 
 // Digest is a steward's view of its group.
 type Digest struct {
-	Group platform.GroupID
+	Group engine.GroupID
 	// Term is the steward's.
 	Term int64
 	// Open says that the group serves: no rank is lost.
--- a/core/rankpeer/rankpeer_test.go
+++ b/core/rankpeer/rankpeer_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/engine"
 	"verbenashift/core/lockstep"
-	"verbenashift/platform"
 )
 
 func randomMap(rng *rand.Rand, layers, ranks, places, experts int) [][][]int {
@@ -131,7 +131,7 @@
 		is.NoErr(enc.Encode(v))
 		return b.Len() - first // Without the description of the type.
 	}
-	tell := Tell{Known: true, State: platform.RankState{Group: "g0-0", Epoch: 1, Step: 1 << 20, Map: 1 << 30}}
+	tell := Tell{Known: true, State: engine.State{Group: "g0-0", Epoch: 1, Step: 1 << 20, Map: 1 << 30}}
 	state := size(tell)
 	tell.Sample = NewSample(nil, counts)
 	sample := size(tell)
@@ -148,7 +148,7 @@
 	}
 	moves, ok := Diff(Pack(from, 3), Pack(to, 3))
 	is.True(ok)
-	change := size(Ask{Order: &platform.Order{Kind: platform.PrepareMap}, Change: &Change{Moves: moves}})
+	change := size(Ask{Order: &engine.Order{Kind: engine.PrepareMap}, Change: &Change{Moves: moves}})
 	t.Logf("a state %d bytes, with a sample %d, an order with %d moves %d", state, sample, len(moves)/2, change)
 	is.True(72*sample+72*change < 120_000)
 }
--- a/core/rankpeer/roster.go
+++ b/core/rankpeer/roster.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"verbenashift/core/engine"
 	"verbenashift/platform"
 )
 
@@ -12,7 +13,7 @@
 // takes over must find the ranks without it.
 type Roster struct {
 	// Group is the life of the group whose members these are.
-	Group   platform.GroupID
+	Group   engine.GroupID
 	Members []Member
 	// Steward is the ID of the member beside which the steward runs.
 	Steward string
--- a/core/rankpeer/states.go
+++ b/core/rankpeer/states.go
@@ -4,7 +4,7 @@
 	"encoding/binary"
 	"math"
 
-	"verbenashift/platform"
+	"verbenashift/core/engine"
 )
 
 // States are what the ranks of a branch say of themselves, packed: each number as
@@ -22,7 +22,7 @@
 
 // numbers returns a state as the numbers that it is packed into. The name of the
 // group is left out: whoever has asked for one group knows it.
-func numbers(st *platform.RankState) [fields]int64 {
+func numbers(st *engine.State) [fields]int64 {
 	flags := int64(0)
 	if st.Open {
 		flags |= 1
@@ -41,8 +41,8 @@
 const runningShift = 32
 
 // state is the inverse of numbers.
-func state(group string, n *[fields]int64) platform.RankState {
-	return platform.RankState{
+func state(group string, n *[fields]int64) engine.State {
+	return engine.State{
 		Group: group, Open: n[0]&1 != 0, Busy: n[0]&2 != 0, Epoch: n[1], Born: n[2], Rank: int(n[3]), Size: int(n[4]), Seq: n[5],
 		Step: n[6], Map: n[7], Prepared: n[8], ArmedMap: n[9], ArmedStep: n[10], Held: n[11],
 		Running: int(n[12] >> runningShift), Queued: int(n[12] & (1<<runningShift - 1)), Pace: float64(n[13]) / paceUnit,
@@ -50,7 +50,7 @@
 }
 
 // PackStates packs states of one group.
-func PackStates(states []platform.RankState) States {
+func PackStates(states []engine.State) States {
 	var out States
 	var last [fields]int64
 	for i := range states {
@@ -64,11 +64,11 @@
 }
 
 // Unpack returns the states of a group, or false if they are not count states.
-func (s States) Unpack(group string, count int) ([]platform.RankState, bool) {
+func (s States) Unpack(group string, count int) ([]engine.State, bool) {
 	if count < 0 || count*fields > len(s) {
 		return nil, false
 	}
-	out := make([]platform.RankState, 0, count)
+	out := make([]engine.State, 0, count)
 	var last [fields]int64
 	for range count {
 		for f := range last {
--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -9,11 +9,11 @@
 	"sync"
 	"time"
 
+	"verbenashift/core/engine"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/mirror"
 	"verbenashift/core/pause"
 	"verbenashift/core/rankpeer"
-	"verbenashift/platform"
 )
 
 const (
@@ -226,6 +226,6 @@
 	if err := client.Connect(ctx, digestWait); err != nil {
 		return rankpeer.Tell{}, err
 	}
-	ask := rankpeer.Ask{Digest: true, List: list, Gateway: d.instance, Event: d.event(), Gap: d.gap(group), Word: lockstep.Word{Group: platform.GroupID{Name: group}}}
+	ask := rankpeer.Ask{Digest: true, List: list, Gateway: d.instance, Event: d.event(), Gap: d.gap(group), Word: lockstep.Word{Group: engine.GroupID{Name: group}}}
 	return client.Ask(ask, digestWait)
 }
--- a/gateway/digests_test.go
+++ b/gateway/digests_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/engine"
 	"verbenashift/core/rankpeer"
-	"verbenashift/platform"
 )
 
 // A steward was frozen while another one took over and the group was formed anew. It
@@ -21,7 +21,7 @@
 		is := is.New(t)
 		d := newDigests("front-1", slog.New(slog.DiscardHandler), nil)
 		digest := func(group string, epoch, term int64) *rankpeer.Digest {
-			return &rankpeer.Digest{Group: platform.GroupID{Name: group, Epoch: epoch}, Term: term}
+			return &rankpeer.Digest{Group: engine.GroupID{Name: group, Epoch: epoch}, Term: term}
 		}
 		is.True(d.newest("g", digest("g", 2, 30)))
 		is.True(!d.newest("g", digest("h", 9, 90)))
--- a/proof/sources_test.go
+++ b/proof/sources_test.go
@@ -64,3 +64,32 @@
 	})
 	return nil
 }
+
+// What is decided must not depend on how the platform speaks, nor on the program that asks:
+// the platform's package translates into the core's types, and never the other way round.
+func TestCoreKnowsNoPlatformAndNoProgram(t *testing.T) {
+	outer := regexp.MustCompile(`^verbenashift/(platform|gateway|sidecar|entry|agent|ctl)(/|$)`)
+	files := 0
+	err := filepath.WalkDir(filepath.Join("..", "core"), func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") {
+			return err
+		}
+		files++
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+		if err != nil {
+			return err
+		}
+		for _, i := range file.Imports {
+			if name := strings.Trim(i.Path.Value, `"`); outer.MatchString(name) {
+				t.Errorf("%s imports %s", path, name)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if files < 100 {
+		t.Errorf("only %d files were read", files)
+	}
+}
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"verbenashift/core/engine"
 	"verbenashift/core/instance"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/pause"
@@ -84,7 +85,7 @@
 // sit takes what the rank tells of its seat when it was asked at a time. In another
 // seat, or in another life of its server, nothing holds of what was believed. Answers
 // may overtake each other: one that was asked for earlier says nothing new.
-func (a *agent) sit(st *platform.RankState, asked time.Time) {
+func (a *agent) sit(st *engine.State, asked time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if st.Group == "" || asked.Before(a.satAt) {
@@ -236,7 +237,7 @@
 
 // watch leads the group whenever its steward is silent, until the rank has another
 // seat.
-func (a *agent) watch(ctx context.Context, st platform.RankState) {
+func (a *agent) watch(ctx context.Context, st engine.State) {
 	for pause.For(ctx, watchEvery) {
 		if !a.seat().Same(lockstep.SeatOf(&st)) {
 			return
@@ -255,7 +256,7 @@
 }
 
 // awaitSeat waits until the rank says which group it belongs to.
-func (a *agent) awaitSeat(ctx context.Context) (platform.RankState, bool) {
+func (a *agent) awaitSeat(ctx context.Context) (engine.State, bool) {
 	for ctx.Err() == nil {
 		st, err := a.readRank(ctx)
 		if err == nil && st.Group != "" {
@@ -263,11 +264,11 @@
 		}
 		pause.For(ctx, firstLook)
 	}
-	return platform.RankState{}, false
+	return engine.State{}, false
 }
 
 // readRank reads the rank, and takes in where it sits.
-func (a *agent) readRank(ctx context.Context) (platform.RankState, error) {
+func (a *agent) readRank(ctx context.Context) (engine.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, readWait)
 	defer cancel()
 	asked := time.Now()
--- a/sidecar/ask.go
+++ b/sidecar/ask.go
@@ -8,15 +8,15 @@
 	"sync"
 	"time"
 
+	"verbenashift/core/engine"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/rankpeer"
-	"verbenashift/platform"
 )
 
 // holds reports whether the next order is to hold the group.
 func (s *steward) holds() bool {
 	for _, c := range s.pending {
-		if c.Order.Kind == platform.HoldPass {
+		if c.Order.Kind == engine.HoldPass {
 			return true
 		}
 	}
--- a/sidecar/branch.go
+++ b/sidecar/branch.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
+	"verbenashift/core/engine"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/rankpeer"
-	"verbenashift/platform"
 )
 
 const (
@@ -191,7 +191,7 @@
 
 // addOrder adds the order to one member to those of its branch; what is the same for
 // several is sent once.
-func (s *steward) addOrder(out *rankpeer.BranchAsk, member int, o platform.Order, c *rankpeer.Change) {
+func (s *steward) addOrder(out *rankpeer.BranchAsk, member int, o engine.Order, c *rankpeer.Change) {
 	if c != nil {
 		o.Map = nil
 	}
@@ -207,7 +207,7 @@
 
 // sameOrder reports whether two orders of one round say the same; their maps are in the
 // changes.
-func sameOrder(a, b *platform.Order) bool {
+func sameOrder(a, b *engine.Order) bool {
 	return a.Kind == b.Kind && a.Epoch == b.Epoch && a.Expect == b.Expect && a.Fence == b.Fence && a.Version == b.Version && a.Step == b.Step
 }
 
--- a/sidecar/change.go
+++ b/sidecar/change.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"verbenashift/core/engine"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/rankpeer"
-	"verbenashift/platform"
 )
 
 // keepMap tells the planner the map that has come into force, if it was made
@@ -43,7 +43,7 @@
 }
 
 // adopt takes a map that the agent has kept for the one in force.
-func (s *steward) adopt(m *rankpeer.Map, st *platform.RankState) {
+func (s *steward) adopt(m *rankpeer.Map, st *engine.State) {
 	s.base, s.baseAs = m, st.Map
 	experts, ok := m.Unpack()
 	if ok && m.Layers == s.planner.engine.Sets && m.Ranks == len(s.planner.ranks) && !s.planner.placed {
@@ -55,8 +55,8 @@
 // changeFor returns the map of an order to prepare as it goes to one agent: what differs
 // from the map in force, or all of it for an agent that lacks that and passes it on to
 // others. Other orders have none.
-func (s *steward) changeFor(id string, o *platform.Order, carries bool) *rankpeer.Change {
-	if o.Kind != platform.PrepareMap || len(o.Map) == 0 {
+func (s *steward) changeFor(id string, o *engine.Order, carries bool) *rankpeer.Change {
+	if o.Kind != engine.PrepareMap || len(o.Map) == 0 {
 		return nil
 	}
 	if s.proposedAs != o.Version {
@@ -69,7 +69,7 @@
 }
 
 // packProposal packs a map that is to be prepared, as what differs from the map in force.
-func (s *steward) packProposal(o *platform.Order) {
+func (s *steward) packProposal(o *engine.Order) {
 	s.proposed, s.proposedAs, s.needFull = o.Map, o.Version, map[string]bool{}
 	places := s.planner.engine.Places
 	s.packed = rankpeer.Pack(o.Map, places)
--- a/sidecar/claim.go
+++ b/sidecar/claim.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"verbenashift/core/engine"
 	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
@@ -34,7 +35,7 @@
 // claim tries to make this agent the steward of a group, in the background, unless
 // it is needless by the time that the claim would be written. The channel gets one
 // value.
-func (a *agent) claim(ctx context.Context, group platform.GroupID, needless func() bool) <-chan claimed {
+func (a *agent) claim(ctx context.Context, group engine.GroupID, needless func() bool) <-chan claimed {
 	done := make(chan claimed, 1)
 	go func() { done <- a.writeClaim(ctx, group, needless) }()
 	return done
@@ -60,7 +61,7 @@
 	return fresh
 }
 
-func (a *agent) writeClaim(ctx context.Context, group platform.GroupID, needless func() bool) claimed {
+func (a *agent) writeClaim(ctx context.Context, group engine.GroupID, needless func() bool) claimed {
 	ctx, cancel := context.WithTimeout(ctx, claimWait)
 	defer cancel()
 	key := rankpeer.Key(rankpeer.ClaimPrefix, group.Name)
@@ -115,7 +116,7 @@
 
 // takeOver claims a group and returns the duty. It reports false if another
 // steward is at work.
-func (a *agent) takeOver(ctx context.Context, group platform.GroupID) (duty, bool) {
+func (a *agent) takeOver(ctx context.Context, group engine.GroupID) (duty, bool) {
 	words := a.heardWords()
 	spoken := func() bool { return a.heardWords() != words }
 	d := duty{claiming: a.claim(ctx, group, spoken), claimedAt: time.Now()}
--- a/sidecar/claim_test.go
+++ b/sidecar/claim_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/engine"
 	"verbenashift/core/instance"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/rankpeer"
@@ -30,11 +31,11 @@
 }
 
 // groupG is the group of these tests.
-var groupG = platform.GroupID{Name: "g", Epoch: 1}
+var groupG = engine.GroupID{Name: "g", Epoch: 1}
 
 // seatAndHear gives the agent a seat in groupG, at which it has heard a steward with a term.
 func seatAndHear(a *agent, term int64) {
-	a.sit(&platform.RankState{Group: groupG.Name, Epoch: groupG.Epoch, Rank: 1}, time.Now())
+	a.sit(&engine.State{Group: groupG.Name, Epoch: groupG.Epoch, Rank: 1}, time.Now())
 	if term > 0 {
 		a.hear(rankpeer.Ask{Word: lockstep.Word{Group: groupG, Term: term, From: "side-9"}})
 	}
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"verbenashift/core/engine"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/mirror"
 	"verbenashift/core/rankpeer"
@@ -41,7 +42,7 @@
 	needs     needs
 	seenNeeds *groupNeeds
 	// elsewhere are targets that have told that they belong to another group.
-	elsewhere map[string]platform.GroupID
+	elsewhere map[string]engine.GroupID
 	// strayAt is when all targets of the service were asked last; straying says that
 	// they are in this round.
 	strayAt  time.Time
--- a/sidecar/members_test.go
+++ b/sidecar/members_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/engine"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/mirror"
 	"verbenashift/core/rankpeer"
@@ -31,11 +32,11 @@
 	a.boot.Service = "pool"
 	return &steward{
 		agent: a, group: groupG, rankOf: 1, log: a.log, core: lockstep.NewSteward(1, nil, 1), tells: map[string]rankpeer.Tell{},
-		members: members{peers: map[string]*peer{}, elsewhere: map[string]platform.GroupID{}},
+		members: members{peers: map[string]*peer{}, elsewhere: map[string]engine.GroupID{}},
 	}
 }
 
-func in(group string) platform.GroupID { return platform.GroupID{Name: group, Epoch: 1} }
+func in(group string) engine.GroupID { return engine.GroupID{Name: group, Epoch: 1} }
 
 // Three groups of 24 ranks serve side by side. A steward that asked all 72 agents in each
 // round would take three times as long for it, and would count the ranks of others.
@@ -111,16 +112,16 @@
 	is := is.New(t)
 	s := testSteward(t)
 	s.enrol(s.rosterOf(viewOf(platform.Target{ID: "a", Group: in("g")}), false))
-	s.locate("a", rankpeer.Tell{Group: platform.GroupID{Name: "g", Epoch: 4}, Refused: lockstep.OlderEpoch})
+	s.locate("a", rankpeer.Tell{Group: engine.GroupID{Name: "g", Epoch: 4}, Refused: lockstep.OlderEpoch})
 	is.Equal(s.word().Group.Epoch, int64(4))
-	s.locate("a", rankpeer.Tell{Group: platform.GroupID{Name: "g", Epoch: 3}})
+	s.locate("a", rankpeer.Tell{Group: engine.GroupID{Name: "g", Epoch: 3}})
 	is.Equal(s.word().Group.Epoch, int64(4))
 }
 
 // The rank of a steward joins another group. The steward must end: it would go on giving
 // orders for a group that it is no part of, beside the one that takes over.
 func TestStewardWhoseRankHasLeft(t *testing.T) {
-	for name, st := range map[string]platform.RankState{
+	for name, st := range map[string]engine.State{
 		"another group": {Group: "h", Epoch: 1, Rank: 1},
 		"another rank":  {Group: "g", Epoch: 1, Rank: 3},
 		"another life":  {Group: "g", Epoch: 2, Rank: 1, Born: 900},
@@ -129,7 +130,7 @@
 			is := is.New(t)
 			s := testSteward(t)
 			is.True(s.seated())
-			s.sit(&platform.RankState{Group: "g", Epoch: 5, Rank: 1}, time.Now())
+			s.sit(&engine.State{Group: "g", Epoch: 5, Rank: 1}, time.Now())
 			is.True(s.seated()) // only the epoch is new
 			s.sit(&st, time.Now())
 			is.True(!s.seated())
@@ -143,8 +144,8 @@
 	is := is.New(t)
 	a, _ := testAgent(t)
 	asked := time.Now()
-	a.sit(&platform.RankState{Group: "g", Epoch: 2, Rank: 1}, asked.Add(time.Millisecond))
-	a.sit(&platform.RankState{Group: "g", Epoch: 1, Rank: 1}, asked)
+	a.sit(&engine.State{Group: "g", Epoch: 2, Rank: 1}, asked.Add(time.Millisecond))
+	a.sit(&engine.State{Group: "g", Epoch: 1, Rank: 1}, asked)
 	is.Equal(a.seat().Group.Epoch, int64(2))
 }
 
@@ -154,7 +155,7 @@
 	is := is.New(t)
 	a, _ := testAgent(t)
 	seatAndHear(a, 24)
-	tell := a.answer(rankpeer.Ask{Word: lockstep.Word{Group: in("h"), Term: 90, From: "side-7"}, Order: &platform.Order{Kind: platform.HoldPass, Epoch: 1}})
+	tell := a.answer(rankpeer.Ask{Word: lockstep.Word{Group: in("h"), Term: 90, From: "side-7"}, Order: &engine.Order{Kind: engine.HoldPass, Epoch: 1}})
 	is.Equal(tell.Refused, lockstep.OtherGroup)
 	is.Equal(tell.Group, groupG)
 	is.Equal(tell.Status, 0)
@@ -171,7 +172,7 @@
 	a, _ := testAgent(t)
 	s := &steward{agent: a, group: in("h"), log: a.log}
 	is.NoErr(s.saveLoads(t.Context(), &savedLoads{Group: in("h"), Layers: [][]uint16{{1}}}))
-	is.True(a.recallLoads(t.Context(), platform.GroupID{Name: "h", Epoch: 9}) != nil) // of an earlier epoch
+	is.True(a.recallLoads(t.Context(), engine.GroupID{Name: "h", Epoch: 9}) != nil) // of an earlier epoch
 	is.NoErr(a.store.Set(t.Context(), rankpeer.Key(rankpeer.LoadsPrefix, "g"), nil))
 	is.True(a.recallLoads(t.Context(), groupG) == nil)
 }
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -8,6 +8,7 @@
 	"math"
 	"time"
 
+	"verbenashift/core/engine"
 	"verbenashift/core/pause"
 	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
@@ -30,7 +31,7 @@
 	// Group is the group that they were seen in. Loads of another group are not used;
 	// those of an earlier epoch are: they are what callers asked for, not what ranks
 	// held.
-	Group  platform.GroupID
+	Group  engine.GroupID
 	Layers [][]uint16
 	// Needs are what the next steward of a group whose agents have all started anew has
 	// to know.
@@ -40,7 +41,7 @@
 // recallLoads reads the loads that an earlier steward has saved. After a loss of
 // power all ranks begin with their first map and all stewards without counts:
 // what was balanced a second ago is the best guess until new counts are in.
-func (a *agent) recallLoads(ctx context.Context, group platform.GroupID) *savedLoads {
+func (a *agent) recallLoads(ctx context.Context, group engine.GroupID) *savedLoads {
 	ctx, cancel := context.WithTimeout(ctx, loadsWait)
 	defer cancel()
 	it, err := a.store.Get(ctx, rankpeer.Key(rankpeer.LoadsPrefix, group.Name))
--- a/sidecar/places.go
+++ b/sidecar/places.go
@@ -1,16 +1,16 @@
 package main
 
 import (
+	"verbenashift/core/engine"
 	"verbenashift/core/expert"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/rankpeer"
-	"verbenashift/platform"
 )
 
 // know takes the map in force from who has made it.
 func (p *planner) know(version, epoch int64, m lockstep.Map) {
 	for r, id := range p.ranks {
-		place := &platform.Placement{Epoch: epoch, Map: version}
+		place := &engine.Placement{Epoch: epoch, Map: version}
 		for l := range m {
 			place.Experts = append(place.Experts, m[l][r])
 		}
@@ -34,7 +34,7 @@
 
 // inForce returns the places of a rank in the map in force, or nil if they are
 // not known.
-func (p *planner) inForce(id string, t rankpeer.Tell) *platform.Placement {
+func (p *planner) inForce(id string, t rankpeer.Tell) *engine.Placement {
 	place := p.places[id]
 	if !t.Known || place == nil || place.Map != t.State.Map || place.Epoch != t.State.Epoch || len(place.Experts) != p.engine.Sets {
 		return nil
--- a/sidecar/planner.go
+++ b/sidecar/planner.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"verbenashift/core/engine"
 	"verbenashift/core/expert"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/rankpeer"
@@ -50,7 +51,7 @@
 	// ranks are the targets of the group by rank, as last taken.
 	ranks []string
 	// places are the last ones of each target.
-	places map[string]*platform.Placement
+	places map[string]*engine.Placement
 	recent []expert.Recent
 	// guess are the loads that an earlier steward has saved, until they are used.
 	guess *savedLoads
@@ -74,7 +75,7 @@
 		return
 	}
 	p.engine = e
-	p.places = map[string]*platform.Placement{}
+	p.places = map[string]*engine.Placement{}
 	p.recent = make([]expert.Recent, e.Sets)
 	for i := range p.recent {
 		p.recent[i].Memory = memory
--- a/sidecar/planner_test.go
+++ b/sidecar/planner_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/engine"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
@@ -18,15 +19,15 @@
 	is := is.New(t)
 	p := planner{
 		engine: platform.Engine{Sets: 1, Experts: 5, Places: 3}, ranks: []string{"a", "b", "c"},
-		places: map[string]*platform.Placement{
+		places: map[string]*engine.Placement{
 			"a": {Epoch: 2, Map: 7, Experts: [][]int{{0, 1}}},
 			"c": {Epoch: 2, Map: 7, Experts: [][]int{{1, 3}}},
 		},
 	}
-	in := platform.RankState{Epoch: 2, Map: 7}
+	in := engine.State{Epoch: 2, Map: 7}
 	tells := map[string]rankpeer.Tell{"a": {Known: true, State: in}, "c": {Known: true, State: in}}
 	is.Equal(p.stopgap(tells), lockstep.Map{{{0, 1}, {2, 4}, {1, 3}}})
-	tells["c"] = rankpeer.Tell{Known: true, State: platform.RankState{Epoch: 2, Map: 8}}
+	tells["c"] = rankpeer.Tell{Known: true, State: engine.State{Epoch: 2, Map: 8}}
 	is.Equal(p.stopgap(tells), nil) // what c has is of an older map
 	p.engine.Places = 1
 	tells["c"] = rankpeer.Tell{Known: true, State: in}
@@ -41,7 +42,7 @@
 	a := &agent{beliefs: newBeliefs(lockstep.Listener{}, time.Time{})}
 	m := rankpeer.Pack([][][]int{{{0, 1}, {2, 3}}}, 2)
 	is.Equal(a.maps.make(3, 77, &rankpeer.Change{Full: m}), m)
-	ranks := []lockstep.Rank{{}, {Known: true, State: platform.RankState{Epoch: 3, Map: 77}}}
+	ranks := []lockstep.Rank{{}, {Known: true, State: engine.State{Epoch: 3, Map: 77}}}
 	s := &steward{agent: a}
 	s.adoptBase(ranks)
 	is.Equal(s.base, m)
@@ -58,7 +59,7 @@
 func TestCountsWaitForAChange(t *testing.T) {
 	is := is.New(t)
 	s := &steward{core: lockstep.NewSteward(0, nil, 1)}
-	ranks := []lockstep.Rank{{Known: true, State: platform.RankState{Open: true, Size: 1, Epoch: 1}}}
+	ranks := []lockstep.Rank{{Known: true, State: engine.State{Open: true, Size: 1, Epoch: 1}}}
 	now := time.Unix(1000, 0)
 	counts := func(after time.Duration) bool {
 		now = now.Add(after)
--- a/sidecar/relay_test.go
+++ b/sidecar/relay_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/engine"
 	"verbenashift/core/instance"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/rankpeer"
@@ -59,7 +60,7 @@
 }
 
 // got returns how many orders of a kind the rank has got.
-func (f *fakeRank) got(kind platform.OrderKind) int {
+func (f *fakeRank) got(kind engine.OrderKind) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
@@ -105,7 +106,7 @@
 	s.NoErr(err)
 	s.steward = &steward{
 		agent: own, group: groupG, log: own.log, core: lockstep.NewSteward(0, nil, 1), tells: map[string]rankpeer.Tell{},
-		members: members{peers: map[string]*peer{}, elsewhere: map[string]platform.GroupID{}}, duty: duty{term: 7},
+		members: members{peers: map[string]*peer{}, elsewhere: map[string]engine.GroupID{}}, duty: duty{term: 7},
 	}
 	s.steward.enrol(s.steward.rosterOf(v, false))
 	t.Cleanup(func() {
@@ -247,7 +248,7 @@
 	b, i := s.numberOfRelay()
 	s.NoErr(s.listeners[i].Close())
 	l := s.listen(s.agents[i].addr())
-	st := platform.RankState{Group: groupG.Name, Epoch: groupG.Epoch, Rank: i, Size: sideRanks, Open: true}
+	st := engine.State{Group: groupG.Name, Epoch: groupG.Epoch, Rank: i, Size: sideRanks, Open: true}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -273,9 +274,9 @@
 	_, i := s.numberOfRelay()
 	a := s.agents[i+1]
 	a.hear(rankpeer.Ask{Word: lockstep.Word{Group: groupG, Term: 8, From: "side-x"}})
-	s.steward.pending = map[string]lockstep.Command{fmt.Sprintf("i-%03d", i+1): {Rank: i + 1, Order: platform.Order{Kind: platform.ArmMap, Version: 3, Step: 9}}}
+	s.steward.pending = map[string]lockstep.Command{fmt.Sprintf("i-%03d", i+1): {Rank: i + 1, Order: engine.Order{Kind: engine.ArmMap, Version: 3, Step: 9}}}
 	s.True(!s.steward.askAll(t.Context(), everybody, false))
-	s.Equal(s.ranks[i+1].got(platform.ArmMap), 0)
+	s.Equal(s.ranks[i+1].got(engine.ArmMap), 0)
 }
 
 // A steward was replaced while its ask waited in a frozen relay. When that wakes it passes
@@ -285,7 +286,7 @@
 	s.Equal(s.ask(), sideRanks)
 	b, i := s.numberOfRelay()
 	old := s.steward.branchAsk(b, []int{0, 1}, false)
-	old.Branch.Orders = []rankpeer.BranchOrder{{Order: platform.Order{Kind: platform.DisarmMap, Version: 3}, Members: []uint16{0, 1}}}
+	old.Branch.Orders = []rankpeer.BranchOrder{{Order: engine.Order{Kind: engine.DisarmMap, Version: 3}, Members: []uint16{0, 1}}}
 	for _, a := range s.agents[i : i+2] {
 		a.hear(rankpeer.Ask{Word: lockstep.Word{Group: groupG, Term: 8, From: "side-x"}})
 	}
@@ -298,7 +299,7 @@
 	_, err := s.agents[i].readRank(t.Context())
 	s.NoErr(err)
 	s.True(s.agents[i].answer(old).Branch != nil)
-	s.Equal(s.ranks[i+1].got(platform.DisarmMap), 0)
+	s.Equal(s.ranks[i+1].got(engine.DisarmMap), 0)
 }
 
 // All processes have started anew and no agent knows the map that a change starts from:
@@ -341,7 +342,7 @@
 		st.pending = map[string]lockstep.Command{}
 		for r, a := range s.agents {
 			if !has(a) {
-				o := platform.Order{Kind: platform.PrepareMap, Epoch: groupG.Epoch, Version: 9, Map: m}
+				o := engine.Order{Kind: engine.PrepareMap, Epoch: groupG.Epoch, Version: 9, Map: m}
 				st.pending[fmt.Sprintf("i-%03d", r)] = lockstep.Command{Rank: r, Order: o}
 			}
 		}
@@ -456,10 +457,10 @@
 		s.Equal(a.hear(rankpeer.Ask{Word: lockstep.Word{Group: groupG, Term: 7, From: "side-999"}}), lockstep.Heeded)
 	}
 	for i := range ranks {
-		o := platform.Order{Kind: platform.DisarmMap, Epoch: groupG.Epoch, Version: 3}
+		o := engine.Order{Kind: engine.DisarmMap, Epoch: groupG.Epoch, Version: 3}
 		s.steward.pending = map[string]lockstep.Command{fmt.Sprintf("i-%03d", i): {Rank: i, Order: o}}
 		s.Equal(s.ask(), 0)
-		s.Equal(s.ranks[i].got(platform.DisarmMap), 0)
+		s.Equal(s.ranks[i].got(engine.DisarmMap), 0)
 		s.True(!s.steward.peers[fmt.Sprintf("i-%03d", i)].lost)
 	}
 }
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -6,11 +6,11 @@
 	"math/rand/v2"
 	"time"
 
+	"verbenashift/core/engine"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/mirror"
 	"verbenashift/core/pause"
 	"verbenashift/core/rankpeer"
-	"verbenashift/platform"
 )
 
 const (
@@ -32,7 +32,7 @@
 type steward struct {
 	*agent
 	// group is the life of the group that the steward asks in.
-	group platform.GroupID
+	group engine.GroupID
 	// rankOf is the rank beside which the steward runs, born when its server started.
 	rankOf int
 	born   int64
@@ -89,7 +89,7 @@
 
 // lead makes this agent the steward and drives the group until another one has
 // taken over.
-func (a *agent) lead(ctx context.Context, st platform.RankState) {
+func (a *agent) lead(ctx context.Context, st engine.State) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group := st.GroupID()
@@ -101,7 +101,7 @@
 	s := &steward{
 		agent: a, salt: salt, group: group, rankOf: st.Rank, born: st.Born, duty: d,
 		targets: mirror.NewTargetFollower(a.store, a.log),
-		members: members{peers: map[string]*peer{}, elsewhere: map[string]platform.GroupID{}, strayAt: time.Now()},
+		members: members{peers: map[string]*peer{}, elsewhere: map[string]engine.GroupID{}, strayAt: time.Now()},
 		core:    lockstep.NewSteward(st.Rank, a.stewardBefore(st.Rank), salt), pending: map[string]lockstep.Command{},
 		log: a.log.With("group", group.Name, "service", a.boot.Service, "steward-from", d.term),
 	}
@@ -247,7 +247,7 @@
 	s.pending = map[string]lockstep.Command{}
 	for _, c := range s.core.Next(ranks, now) {
 		s.pending[s.byRank[c.Rank]] = c
-		quick = quick || c.Order.Kind != platform.PrepareMap
+		quick = quick || c.Order.Kind != engine.PrepareMap
 	}
 	s.holding = quick
 	return quick
--- a/sidecar/talk.go
+++ b/sidecar/talk.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"verbenashift/core/engine"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
@@ -152,7 +153,7 @@
 }
 
 // sample returns what was chosen since the last sample.
-func (a *agent) sample(counts platform.Counts) *rankpeer.Sample {
+func (a *agent) sample(counts engine.Counts) *rankpeer.Sample {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	before := a.counts
@@ -165,10 +166,10 @@
 
 // giveOrder gives an order to a rank, again if it is not answered, and returns the
 // status of the answer, or 0 if none came.
-func giveOrder(rank *platform.RankClient, wait time.Duration, o platform.Order, log *slog.Logger) int {
+func giveOrder(rank *platform.RankClient, wait time.Duration, o engine.Order, log *slog.Logger) int {
 	attrs := []any{"order", string(o.Kind), "version", o.Version, "step", o.Step, "epoch", o.Epoch, "fence", o.Fence}
 	tries := orderTries
-	if o.Kind == platform.PrepareMap {
+	if o.Kind == engine.PrepareMap {
 		wait, tries = max(wait, prepareWait), prepareTries
 	}
 	var err error
@@ -185,7 +186,7 @@
 	return 0
 }
 
-func tryOrder(rank *platform.RankClient, wait time.Duration, o platform.Order) (int, error) {
+func tryOrder(rank *platform.RankClient, wait time.Duration, o engine.Order) (int, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	return rank.Order(ctx, o)
