--- /dev/null
+++ b/core/kv/kv.go
@@ -0,0 +1,83 @@
+// Package kv holds what the platform's key-value store says and is told, in the words of this
+// project: items, pages of them, and changes that are made whole or not at all.
+//
+// # Usage
+//
+//	_, err := store.Change(ctx, kv.Change{
+//		Expect: []kv.Condition{{Key: key, Revision: it.Revision}},
+//		Puts:   []kv.Write{{Key: key, Value: value}},
+//	})
+//	var status *kv.StatusError
+//	if errors.As(err, &status) && status.Conflict() {
+//		return readAgain()
+//	}
+package kv
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// Item is one key of the store.
+type Item struct {
+	Key   string
+	Value []byte
+	// Revision is that of the last change; 0 means that the key does not exist.
+	Revision int64
+	// Created is the revision at which the key came to be.
+	Created int64
+	// Removed says that the event was the removal of the key.
+	Removed bool
+}
+
+// Page is a part of the keys under a prefix.
+type Page struct {
+	Items []Item
+	More  bool
+	// AsOf is the store's revision when it answered.
+	AsOf int64
+}
+
+// Condition is a key with the revision that it must have; 0 means that it must
+// not exist.
+type Condition struct {
+	Key      string
+	Revision int64
+}
+
+// StatusError is an answer of the store other than the one asked for.
+type StatusError struct {
+	Call   string
+	Status int
+}
+
+// Error names the call and the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("store: %s: status %d", e.Call, e.Status)
+}
+
+// NotFound reports whether the key or the lease does not exist.
+func (e *StatusError) NotFound() bool { return e.Status == http.StatusNotFound }
+
+// Compacted reports whether the history that a watch asked for is gone.
+func (e *StatusError) Compacted() bool { return e.Status == http.StatusGone }
+
+// Conflict reports whether a condition did not hold.
+func (e *StatusError) Conflict() bool { return e.Status == http.StatusPreconditionFailed }
+
+// MaxChange is how many entries a Change may have in all.
+const MaxChange = 32
+
+// Write is a key with the value that it is to have.
+type Write struct {
+	Key   string
+	Value []byte
+}
+
+// Change is several writes and removals that are made together, if all conditions hold,
+// or not at all.
+type Change struct {
+	Expect  []Condition
+	Puts    []Write
+	Deletes []string
+}
--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"verbenashift/core/kv"
 	"verbenashift/core/pause"
 	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
@@ -45,8 +46,8 @@
 
 // source is the part of the store that a Follower needs.
 type source interface {
-	Range(ctx context.Context, prefix, after string) (platform.Page, error)
-	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Page, error)
+	Range(ctx context.Context, prefix, after string) (kv.Page, error)
+	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (kv.Page, error)
 }
 
 // Follower keeps a Mirror at what the store says.
@@ -96,29 +97,29 @@
 // listener gets the items under a prefix.
 type listener struct {
 	prefix string
-	fn     func(items []platform.Item, whole bool)
+	fn     func(items []kv.Item, whole bool)
 }
 
 // Listen adds a function that gets what the store says under a prefix, in the order of the
 // revisions: the changes as they come, and everything that stands there, which is told by
 // whole, at the start and after a gap. It is called from Run's goroutine. It must be called
 // before Run.
-func (f *Follower) Listen(prefix string, fn func(items []platform.Item, whole bool)) {
+func (f *Follower) Listen(prefix string, fn func(items []kv.Item, whole bool)) {
 	f.prefixes = append(f.prefixes, prefix)
 	f.listeners = append(f.listeners, listener{prefix, fn})
 }
 
 // pass hands items to the listeners.
-func (f *Follower) pass(items []platform.Item, whole bool) {
+func (f *Follower) pass(items []kv.Item, whole bool) {
 	for _, l := range f.listeners {
-		var of []platform.Item
+		var of []kv.Item
 		for _, it := range items {
 			if strings.HasPrefix(it.Key, l.prefix) {
 				of = append(of, it)
 			}
 		}
 		if whole || len(of) > 0 {
-			slices.SortStableFunc(of, func(a, b platform.Item) int { return cmp.Compare(a.Revision, b.Revision) })
+			slices.SortStableFunc(of, func(a, b kv.Item) int { return cmp.Compare(a.Revision, b.Revision) })
 			l.fn(of, whole)
 		}
 	}
@@ -137,7 +138,7 @@
 
 // count counts a call to the store.
 func count(err error) {
-	var status *platform.StatusError
+	var status *kv.StatusError
 	switch {
 	case err == nil:
 		metricCalls.Add("ok", 1)
@@ -204,7 +205,7 @@
 		f.log.Info("watch given up", "reason", string(*reason), "after-ms", time.Since(began).Milliseconds(), "revision", f.mirror.Revision())
 		return !f.outage(), &givenUpError{*reason}
 	}
-	var status *platform.StatusError
+	var status *kv.StatusError
 	if errors.As(err, &status) && status.Compacted() {
 		f.log.Info("history of the store is gone, reading all", "revision", f.mirror.Revision())
 		return false, nil
@@ -233,7 +234,7 @@
 // readAll reads everything. The watch goes on from the revision before the
 // first page, because pages are no snapshot.
 func (f *Follower) readAll(ctx context.Context) error {
-	var all []platform.Item
+	var all []kv.Item
 	from := int64(-1)
 	for _, prefix := range f.prefixes {
 		list, asOf, err := f.readPrefix(ctx, prefix)
@@ -253,8 +254,8 @@
 	return nil
 }
 
-func (f *Follower) readPrefix(ctx context.Context, prefix string) ([]platform.Item, int64, error) {
-	var all []platform.Item
+func (f *Follower) readPrefix(ctx context.Context, prefix string) ([]kv.Item, int64, error) {
+	var all []kv.Item
 	after, first := "", int64(-1)
 	for {
 		page, err := f.page(ctx, prefix, after)
@@ -272,7 +273,7 @@
 	}
 }
 
-func (f *Follower) page(ctx context.Context, prefix, after string) (platform.Page, error) {
+func (f *Follower) page(ctx context.Context, prefix, after string) (kv.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerWait)
 	defer cancel()
 	page, err := f.store.Range(ctx, prefix, after)
--- a/core/mirror/follower_test.go
+++ b/core/mirror/follower_test.go
@@ -10,21 +10,22 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/kv"
 	"verbenashift/core/pause"
 	"verbenashift/platform"
 )
 
 // script is a store that plays what a test wants.
 type script struct {
-	rangeOf func(prefix string) (platform.Page, error)
-	watch   func(after int64) (platform.Page, error)
+	rangeOf func(prefix string) (kv.Page, error)
+	watch   func(after int64) (kv.Page, error)
 }
 
-func (s *script) Range(_ context.Context, prefix, _ string) (platform.Page, error) {
+func (s *script) Range(_ context.Context, prefix, _ string) (kv.Page, error) {
 	return s.rangeOf(prefix)
 }
 
-func (s *script) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (platform.Page, error) {
+func (s *script) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (kv.Page, error) {
 	page, err := s.watch(after)
 	if err == nil && len(page.Items) == 0 {
 		pause.For(ctx, wait)
@@ -53,18 +54,18 @@
 		is := is.New(t)
 		asOf := int64(10)
 		s := &script{
-			rangeOf: func(prefix string) (platform.Page, error) {
+			rangeOf: func(prefix string) (kv.Page, error) {
 				asOf++
 				if prefix == platform.ConfigKey {
-					return platform.Page{Items: []platform.Item{config(3)}, AsOf: asOf}, nil
+					return kv.Page{Items: []kv.Item{config(3)}, AsOf: asOf}, nil
 				}
-				return platform.Page{AsOf: asOf}, nil
+				return kv.Page{AsOf: asOf}, nil
 			},
-			watch: func(after int64) (platform.Page, error) {
+			watch: func(after int64) (kv.Page, error) {
 				if after < 12 {
-					return platform.Page{Items: []platform.Item{entry("between", "10.0.0.1:80", "ready", 12)}, AsOf: 13}, nil
+					return kv.Page{Items: []kv.Item{entry("between", "10.0.0.1:80", "ready", 12)}, AsOf: 13}, nil
 				}
-				return platform.Page{AsOf: 13}, nil
+				return kv.Page{AsOf: 13}, nil
 			},
 		}
 		is.Equal(targetsSoon(t, s), 1)
@@ -78,23 +79,23 @@
 		is := is.New(t)
 		compacted := false
 		s := &script{
-			rangeOf: func(prefix string) (platform.Page, error) {
-				page := platform.Page{AsOf: 5}
+			rangeOf: func(prefix string) (kv.Page, error) {
+				page := kv.Page{AsOf: 5}
 				switch {
 				case prefix == platform.ConfigKey:
-					page.Items = []platform.Item{config(3)}
+					page.Items = []kv.Item{config(3)}
 				case prefix == platform.TargetPrefix && !compacted:
-					page.Items = []platform.Item{entry("a", "10.0.0.1:80", "ready", 2)}
+					page.Items = []kv.Item{entry("a", "10.0.0.1:80", "ready", 2)}
 				}
 				return page, nil
 			},
 		}
-		s.watch = func(int64) (platform.Page, error) {
+		s.watch = func(int64) (kv.Page, error) {
 			if !compacted {
 				compacted = true
-				return platform.Page{}, &platform.StatusError{Status: 410}
+				return kv.Page{}, &kv.StatusError{Status: 410}
 			}
-			return platform.Page{AsOf: 5}, nil
+			return kv.Page{AsOf: 5}, nil
 		}
 		is.Equal(targetsSoon(t, s), 0)
 	})
@@ -109,21 +110,21 @@
 		var reads atomic.Int32
 		failed := errors.New("no answer")
 		s := &script{
-			rangeOf: func(prefix string) (platform.Page, error) {
+			rangeOf: func(prefix string) (kv.Page, error) {
 				if down.Load() {
-					return platform.Page{}, failed
+					return kv.Page{}, failed
 				}
 				reads.Add(1)
 				if prefix == platform.ConfigKey {
-					return platform.Page{Items: []platform.Item{config(3)}, AsOf: 5}, nil
+					return kv.Page{Items: []kv.Item{config(3)}, AsOf: 5}, nil
 				}
-				return platform.Page{AsOf: 5}, nil
+				return kv.Page{AsOf: 5}, nil
 			},
-			watch: func(int64) (platform.Page, error) {
+			watch: func(int64) (kv.Page, error) {
 				if down.Load() {
-					return platform.Page{}, failed
+					return kv.Page{}, failed
 				}
-				return platform.Page{AsOf: 5}, nil
+				return kv.Page{AsOf: 5}, nil
 			},
 		}
 		f := NewFollower(s, quiet())
@@ -153,25 +154,25 @@
 		var revision, calls atomic.Int64
 		revision.Store(5)
 		s := &script{
-			rangeOf: func(prefix string) (platform.Page, error) {
+			rangeOf: func(prefix string) (kv.Page, error) {
 				if prefix == platform.ConfigKey {
-					return platform.Page{Items: []platform.Item{config(3)}, AsOf: 5}, nil
+					return kv.Page{Items: []kv.Item{config(3)}, AsOf: 5}, nil
 				}
-				return platform.Page{AsOf: 5}, nil
+				return kv.Page{AsOf: 5}, nil
 			},
 		}
 		ctx, cancel := context.WithCancel(t.Context())
-		s.watch = func(after int64) (platform.Page, error) {
+		s.watch = func(after int64) (kv.Page, error) {
 			calls.Add(1)
 			for range int(watchWait / (10 * time.Millisecond)) {
 				if r := revision.Load(); r > after {
-					return platform.Page{Items: []platform.Item{entry("s", "10.0.0.1:80", "ready", r)}, AsOf: r}, nil
+					return kv.Page{Items: []kv.Item{entry("s", "10.0.0.1:80", "ready", r)}, AsOf: r}, nil
 				}
 				if !pause.For(ctx, 10*time.Millisecond) {
-					return platform.Page{}, ctx.Err()
+					return kv.Page{}, ctx.Err()
 				}
 			}
-			return platform.Page{AsOf: after}, errors.New("cut") // not a page without changes: that would be waited for twice
+			return kv.Page{AsOf: after}, errors.New("cut") // not a page without changes: that would be waited for twice
 		}
 		f := NewFollower(s, quiet())
 		go f.Run(ctx)
--- a/core/mirror/hints.go
+++ b/core/mirror/hints.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"verbenashift/core/kv"
 	"verbenashift/core/pause"
-	"verbenashift/platform"
 )
 
 const (
@@ -108,7 +108,7 @@
 func (e *givenUpError) Error() string { return "watch given up: " + string(e.Reason) }
 
 // note records how far the store is known, and its newest change.
-func (f *Follower) note(seen []platform.Item) {
+func (f *Follower) note(seen []kv.Item) {
 	f.hints.saw(f.mirror.Revision())
 	for i := range seen {
 		f.event.Store(max(f.event.Load(), seen[i].Revision))
--- a/core/mirror/hints_test.go
+++ b/core/mirror/hints_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/kv"
 	"verbenashift/core/pause"
 	"verbenashift/platform"
 )
@@ -48,25 +49,25 @@
 	watches atomic.Int64
 }
 
-func (s *silentStore) Range(_ context.Context, prefix, _ string) (platform.Page, error) {
+func (s *silentStore) Range(_ context.Context, prefix, _ string) (kv.Page, error) {
 	if prefix == platform.ConfigKey {
-		return platform.Page{Items: []platform.Item{config(3)}, AsOf: 10}, nil
+		return kv.Page{Items: []kv.Item{config(3)}, AsOf: 10}, nil
 	}
-	return platform.Page{AsOf: 10}, nil
+	return kv.Page{AsOf: 10}, nil
 }
 
-func (s *silentStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (platform.Page, error) {
+func (s *silentStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (kv.Page, error) {
 	s.watches.Add(1)
 	for left := wait; left > 0 || s.silent.Load(); left -= 10 * time.Millisecond {
 		if n := s.targets.Load(); n > after && !s.silent.Load() {
-			return platform.Page{Items: []platform.Item{entry("new", "10.0.0.1:80", "ready", n)}, AsOf: n}, nil
+			return kv.Page{Items: []kv.Item{entry("new", "10.0.0.1:80", "ready", n)}, AsOf: n}, nil
 		}
 		if !pause.For(ctx, 10*time.Millisecond) {
 			s.silent.Store(false) // the next connection works
-			return platform.Page{}, ctx.Err()
+			return kv.Page{}, ctx.Err()
 		}
 	}
-	return platform.Page{AsOf: after}, nil
+	return kv.Page{AsOf: after}, nil
 }
 
 // A gateway's connection to the store has gone silent, and a server registers. The steward's
@@ -134,23 +135,23 @@
 		left := false
 		failed := errors.New("no answer")
 		s := &script{
-			rangeOf: func(prefix string) (platform.Page, error) {
-				page := platform.Page{AsOf: 5}
+			rangeOf: func(prefix string) (kv.Page, error) {
+				page := kv.Page{AsOf: 5}
 				switch {
 				case down.Load():
 					return page, failed
 				case prefix == platform.ConfigKey:
-					page.Items = []platform.Item{config(3)}
+					page.Items = []kv.Item{config(3)}
 				case prefix == platform.TargetPrefix && !left:
-					page.Items = []platform.Item{entry("a", "10.0.0.1:80", "ready", 2)}
+					page.Items = []kv.Item{entry("a", "10.0.0.1:80", "ready", 2)}
 				}
 				return page, nil
 			},
-			watch: func(int64) (platform.Page, error) {
+			watch: func(int64) (kv.Page, error) {
 				if down.Load() {
-					return platform.Page{}, failed
+					return kv.Page{}, failed
 				}
-				return platform.Page{AsOf: 5}, nil
+				return kv.Page{AsOf: 5}, nil
 			},
 		}
 		f := NewFollower(s, quiet())
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -24,6 +24,7 @@
 	"strings"
 	"time"
 
+	"verbenashift/core/kv"
 	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
@@ -139,7 +140,7 @@
 
 // Apply takes changes up to a revision, oldest first. It reports whether the
 // view has changed.
-func (m *Mirror) Apply(events []platform.Item, asOf int64) bool {
+func (m *Mirror) Apply(events []kv.Item, asOf int64) bool {
 	changed := false
 	for _, it := range events {
 		if m.applyOne(it) {
@@ -150,7 +151,7 @@
 	return changed
 }
 
-func (m *Mirror) applyOne(it platform.Item) bool {
+func (m *Mirror) applyOne(it kv.Item) bool {
 	switch {
 	case it.Key == platform.ConfigKey && !it.Removed:
 		return m.applyConfig(it)
@@ -164,7 +165,7 @@
 
 // applySteward takes a claim. One that is under another group's key, or can't be
 // read, says nothing of this group's steward.
-func (m *Mirror) applySteward(it platform.Item) bool {
+func (m *Mirror) applySteward(it kv.Item) bool {
 	key := strings.TrimPrefix(it.Key, rankpeer.ClaimPrefix)
 	if it.Removed {
 		_, known := m.stewards[key]
@@ -184,7 +185,7 @@
 // applyConfig takes a configuration if it is newer than the one in force. A
 // read that was answered late, or from a lagging copy, may bring an older one:
 // acting on it would take back what callers have already seen.
-func (m *Mirror) applyConfig(it platform.Item) bool {
+func (m *Mirror) applyConfig(it kv.Item) bool {
 	cfg, err := platform.ParseConfig(it.Value)
 	if err != nil {
 		m.log.Error("configuration not understood", "revision", it.Revision, "error", err.Error())
@@ -199,7 +200,7 @@
 	return true
 }
 
-func (m *Mirror) applyTarget(it platform.Item) bool {
+func (m *Mirror) applyTarget(it kv.Item) bool {
 	id := strings.TrimPrefix(it.Key, platform.TargetPrefix)
 	delete(m.missing, id)
 	if it.Removed {
@@ -242,7 +243,7 @@
 // and after a gap in the history. Outage says that the store was away before:
 // then targets that are missing are kept for a while, since their entries may
 // have lapsed with nobody there to renew them.
-func (m *Mirror) Replace(all []platform.Item, asOf int64, outage bool, now time.Time) bool {
+func (m *Mirror) Replace(all []kv.Item, asOf int64, outage bool, now time.Time) bool {
 	changed := m.Apply(all, asOf)
 	seen := map[string]bool{}
 	for _, it := range all {
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -10,25 +10,26 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/kv"
 	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
 
 func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
 
-func config(version int64) platform.Item {
-	return platform.Item{Key: platform.ConfigKey, Value: fmt.Appendf(nil, `{"version":%d,"routes":[],"backends":[{"name":"desk"}]}`, version), Revision: version}
+func config(version int64) kv.Item {
+	return kv.Item{Key: platform.ConfigKey, Value: fmt.Appendf(nil, `{"version":%d,"routes":[],"backends":[{"name":"desk"}]}`, version), Revision: version}
 }
 
-func entry(id, addr, state string, created int64) platform.Item {
-	return platform.Item{
+func entry(id, addr, state string, created int64) kv.Item {
+	return kv.Item{
 		Key: platform.TargetPrefix + id, Created: created, Revision: created,
 		Value: fmt.Appendf(nil, `{"backend":"desk","addr":%q,"zone":"z","version":"v1","slots":6,"state":%q,"coldMs":0,"seq":1}`, addr, state),
 	}
 }
 
-func gone(id string, revision int64) platform.Item {
-	return platform.Item{Key: platform.TargetPrefix + id, Removed: true, Revision: revision}
+func gone(id string, revision int64) kv.Item {
+	return kv.Item{Key: platform.TargetPrefix + id, Removed: true, Revision: revision}
 }
 
 var noon = time.Unix(1000, 0)
@@ -40,11 +41,11 @@
 	is := is.New(t)
 	m := New(quiet())
 	is.Equal(m.View(), nil)
-	is.True(m.Apply([]platform.Item{config(7)}, 7))
-	is.True(!m.Apply([]platform.Item{config(4)}, 8))
-	is.True(!m.Replace([]platform.Item{config(5)}, 9, false, noon))
+	is.True(m.Apply([]kv.Item{config(7)}, 7))
+	is.True(!m.Apply([]kv.Item{config(4)}, 8))
+	is.True(!m.Replace([]kv.Item{config(5)}, 9, false, noon))
 	is.Equal(m.View().Config.Version, int64(7))
-	is.True(m.Apply([]platform.Item{config(11)}, 11))
+	is.True(m.Apply([]kv.Item{config(11)}, 11))
 	is.Equal(m.View().Config.Version, int64(11))
 }
 
@@ -52,8 +53,8 @@
 func TestBadConfigurationIsIgnored(t *testing.T) {
 	is := is.New(t)
 	m := New(quiet())
-	m.Apply([]platform.Item{config(7)}, 7)
-	is.True(!m.Apply([]platform.Item{{Key: platform.ConfigKey, Value: []byte("{"), Revision: 8}}, 8))
+	m.Apply([]kv.Item{config(7)}, 7)
+	is.True(!m.Apply([]kv.Item{{Key: platform.ConfigKey, Value: []byte("{"), Revision: 8}}, 8))
 	is.Equal(m.View().Config.Version, int64(7))
 }
 
@@ -62,12 +63,12 @@
 func TestNewestServerOfAnAddress(t *testing.T) {
 	is := is.New(t)
 	m := New(quiet())
-	m.Apply([]platform.Item{config(1), entry("old", "10.0.0.1:80", "ready", 2)}, 2)
-	m.Apply([]platform.Item{entry("new", "10.0.0.1:80", "ready", 9)}, 9)
+	m.Apply([]kv.Item{config(1), entry("old", "10.0.0.1:80", "ready", 2)}, 2)
+	m.Apply([]kv.Item{entry("new", "10.0.0.1:80", "ready", 9)}, 9)
 	v := m.View()
 	is.Equal(len(v.Targets), 1)
 	is.Equal(v.Targets["new"].ID, "new")
-	m.Apply([]platform.Item{gone("old", 10)}, 10)
+	m.Apply([]kv.Item{gone("old", 10)}, 10)
 	is.Equal(len(m.View().Targets), 1)
 }
 
@@ -77,10 +78,10 @@
 func TestMissingAfterAnOutage(t *testing.T) {
 	is := is.New(t)
 	m := New(quiet())
-	m.Apply([]platform.Item{config(1), entry("a", "10.0.0.1:80", "ready", 2), entry("b", "10.0.0.2:80", "ready", 3)}, 3)
-	m.Replace([]platform.Item{config(1)}, 20, true, noon)
+	m.Apply([]kv.Item{config(1), entry("a", "10.0.0.1:80", "ready", 2), entry("b", "10.0.0.2:80", "ready", 3)}, 3)
+	m.Replace([]kv.Item{config(1)}, 20, true, noon)
 	is.Equal(len(m.View().Targets), 2)
-	m.Apply([]platform.Item{entry("a", "10.0.0.1:80", "ready", 21)}, 21)
+	m.Apply([]kv.Item{entry("a", "10.0.0.1:80", "ready", 21)}, 21)
 	is.True(!m.Tick(noon.Add(returnGrace - 1)))
 	is.True(m.Tick(noon.Add(returnGrace)))
 	v := m.View()
@@ -93,22 +94,22 @@
 func TestMissingAfterAGap(t *testing.T) {
 	is := is.New(t)
 	m := New(quiet())
-	m.Apply([]platform.Item{config(1), entry("a", "10.0.0.1:80", "ready", 2)}, 2)
-	is.True(m.Replace([]platform.Item{config(1)}, 20, false, noon))
+	m.Apply([]kv.Item{config(1), entry("a", "10.0.0.1:80", "ready", 2)}, 2)
+	is.True(m.Replace([]kv.Item{config(1)}, 20, false, noon))
 	is.Equal(len(m.View().Targets), 0)
 }
 
 func TestDrainingIsSeen(t *testing.T) {
 	is := is.New(t)
 	m := New(quiet())
-	m.Apply([]platform.Item{config(1), entry("a", "10.0.0.1:80", "ready", 2)}, 2)
-	is.True(m.Apply([]platform.Item{entry("a", "10.0.0.1:80", "draining", 2)}, 5))
+	m.Apply([]kv.Item{config(1), entry("a", "10.0.0.1:80", "ready", 2)}, 2)
+	is.True(m.Apply([]kv.Item{entry("a", "10.0.0.1:80", "draining", 2)}, 5))
 	is.True(m.View().Targets["a"].Draining)
-	is.True(!m.Apply([]platform.Item{entry("a", "10.0.0.1:80", "draining", 2)}, 6))
+	is.True(!m.Apply([]kv.Item{entry("a", "10.0.0.1:80", "draining", 2)}, 6))
 }
 
 // server returns an entry of a server with its start and its group.
-func server(id, addr string, born, created, revision int64) platform.Item {
+func server(id, addr string, born, created, revision int64) kv.Item {
 	it := entry(id, addr, "ready", created)
 	it.Revision = revision
 	it.Value = append(it.Value[:len(it.Value)-1], fmt.Appendf(nil, `,"born":%d,"group":{"name":"g1","epoch":2,"rank":0,"state":"open"}}`, born)...)
@@ -121,16 +122,16 @@
 func TestEntriesThatNameNoServer(t *testing.T) {
 	is := is.New(t)
 	m := New(quiet())
-	m.Apply([]platform.Item{config(1), entry("a", "10.0.0.1:80", "ready", 2), entry("b", "10.0.0.2:80", "ready", 3)}, 3)
+	m.Apply([]kv.Item{config(1), entry("a", "10.0.0.1:80", "ready", 2), entry("b", "10.0.0.2:80", "ready", 3)}, 3)
 	strange := entry("c", "10.0.0.1:80", "ready", 9)
 	strange.Value = []byte(strings.Replace(string(strange.Value), `"desk"`, `"nowhere"`, 1))
-	m.Apply([]platform.Item{strange, {Key: platform.TargetPrefix + "d", Value: []byte("\x00"), Revision: 10}}, 10)
+	m.Apply([]kv.Item{strange, {Key: platform.TargetPrefix + "d", Value: []byte("\x00"), Revision: 10}}, 10)
 	is.Equal(len(m.View().Targets), 2)
-	is.True(m.Apply([]platform.Item{{Key: platform.TargetPrefix + "b", Value: []byte("{"), Revision: 11}}, 11))
+	is.True(m.Apply([]kv.Item{{Key: platform.TargetPrefix + "b", Value: []byte("{"), Revision: 11}}, 11))
 	v := m.View()
 	is.Equal(len(v.Targets), 1)
 	is.Equal(v.Targets["a"].ID, "a")
-	is.True(m.Apply([]platform.Item{entry("b", "10.0.0.2:80", "ready", 3)}, 12))
+	is.True(m.Apply([]kv.Item{entry("b", "10.0.0.2:80", "ready", 3)}, 12))
 	is.Equal(len(m.View().Targets), 2)
 }
 
@@ -139,13 +140,13 @@
 func TestServerStartsAgainUnderItsID(t *testing.T) {
 	is := is.New(t)
 	m := New(quiet())
-	m.Apply([]platform.Item{config(1), server("a", "10.0.0.1:80", 100, 2, 2), server("b", "10.0.0.2:80", 100, 5, 5)}, 5)
-	is.True(m.Apply([]platform.Item{server("a", "10.0.0.2:80", 900, 2, 8)}, 8))
+	m.Apply([]kv.Item{config(1), server("a", "10.0.0.1:80", 100, 2, 2), server("b", "10.0.0.2:80", 100, 5, 5)}, 5)
+	is.True(m.Apply([]kv.Item{server("a", "10.0.0.2:80", 900, 2, 8)}, 8))
 	v := m.View()
 	is.Equal(len(v.Targets), 1)
 	is.Equal(v.Targets["a"].Born, int64(900))
 	is.Equal(v.Targets["a"].Addr.String(), "10.0.0.2:80")
-	is.True(!m.Apply([]platform.Item{server("a", "10.0.0.2:80", 900, 2, 9)}, 9))
+	is.True(!m.Apply([]kv.Item{server("a", "10.0.0.2:80", 900, 2, 9)}, 9))
 	is.Equal(m.View().Targets["a"].Created, int64(8))
 }
 
@@ -154,11 +155,11 @@
 func TestClaimsBelongToTheirGroups(t *testing.T) {
 	is := is.New(t)
 	m := New(quiet())
-	claim := func(key, group, addr string, revision int64) platform.Item {
-		return platform.Item{Key: rankpeer.ClaimPrefix + key, Value: rankpeer.Claim{Group: group, Epoch: 1, Addr: addr}.Bytes(), Revision: revision}
+	claim := func(key, group, addr string, revision int64) kv.Item {
+		return kv.Item{Key: rankpeer.ClaimPrefix + key, Value: rankpeer.Claim{Group: group, Epoch: 1, Addr: addr}.Bytes(), Revision: revision}
 	}
 	long := strings.Repeat("a group's name is opaque ", 20)
-	m.Apply([]platform.Item{
+	m.Apply([]kv.Item{
 		config(1), claim("g0", "g0", "10.0.0.1:9", 2), claim("g/1 ?", "g/1 ?", "10.0.0.2:9", 3), claim("g2", "g0", "10.0.0.3:9", 4),
 		{Key: rankpeer.ClaimPrefix + "g3", Value: []byte("10.0.0.4:9"), Revision: 5},
 		{Key: rankpeer.Key(rankpeer.ClaimPrefix, long), Value: rankpeer.Claim{Group: long, Addr: "10.0.0.5:9"}.Bytes(), Revision: 6},
@@ -169,6 +170,6 @@
 	is.Equal(v.Stewards["g0"].Addr, "10.0.0.1:9")
 	is.Equal(v.Stewards["g/1 ?"].Addr, "10.0.0.2:9")
 	is.Equal(v.Stewards[long].Addr, "10.0.0.5:9")
-	is.True(m.Apply([]platform.Item{{Key: rankpeer.ClaimPrefix + "g0", Removed: true, Revision: 7}}, 7))
+	is.True(m.Apply([]kv.Item{{Key: rankpeer.ClaimPrefix + "g0", Removed: true, Revision: 7}}, 7))
 	is.Equal(len(m.View().Stewards), 2)
 }
--- a/gateway/heldback_test.go
+++ b/gateway/heldback_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"verbenashift/core/kv"
 	"verbenashift/core/quarantine"
 	"verbenashift/core/story"
 	"verbenashift/platform"
@@ -18,25 +19,25 @@
 	mu       sync.Mutex
 	down     bool
 	revision int64
-	items    map[string]platform.Item
+	items    map[string]kv.Item
 	changes  int
 }
 
-func (s *shelf) Change(_ context.Context, c platform.Change) (int64, error) {
+func (s *shelf) Change(_ context.Context, c kv.Change) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return 0, &platform.StatusError{Status: http.StatusServiceUnavailable}
+		return 0, &kv.StatusError{Status: http.StatusServiceUnavailable}
 	}
 	for _, e := range c.Expect {
 		if s.items[e.Key].Revision != e.Revision {
-			return 0, &platform.StatusError{Status: http.StatusPreconditionFailed}
+			return 0, &kv.StatusError{Status: http.StatusPreconditionFailed}
 		}
 	}
 	s.revision++
 	s.changes++
 	for _, p := range c.Puts {
-		s.items[p.Key] = platform.Item{Key: p.Key, Value: p.Value, Revision: s.revision}
+		s.items[p.Key] = kv.Item{Key: p.Key, Value: p.Value, Revision: s.revision}
 	}
 	for _, key := range c.Deletes {
 		delete(s.items, key)
@@ -45,10 +46,10 @@
 }
 
 // all returns what stands there.
-func (s *shelf) all() []platform.Item {
+func (s *shelf) all() []kv.Item {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var items []platform.Item
+	var items []kv.Item
 	for _, it := range s.items {
 		items = append(items, it)
 	}
@@ -63,7 +64,7 @@
 
 func newHeldRig(t *testing.T, kind platform.RouteKind, servers ...*scripted.Server) *heldRig {
 	r := newRig(t, routeOf(kind), servers...)
-	s := &shelf{items: map[string]platform.Item{}}
+	s := &shelf{items: map[string]kv.Item{}}
 	r.gateway.isolator.store = s
 	return &heldRig{r, s}
 }
--- a/gateway/isolator.go
+++ b/gateway/isolator.go
@@ -9,9 +9,9 @@
 	"sync"
 	"time"
 
+	"verbenashift/core/kv"
 	"verbenashift/core/pause"
 	"verbenashift/core/quarantine"
-	"verbenashift/platform"
 )
 
 const (
@@ -34,7 +34,7 @@
 
 // changer is the part of the store that an isolator writes to.
 type changer interface {
-	Change(ctx context.Context, c platform.Change) (int64, error)
+	Change(ctx context.Context, c kv.Change) (int64, error)
 }
 
 // isolator keeps requests that crash their targets from being sent. It tells the other
@@ -95,7 +95,7 @@
 }
 
 // take takes what the store says under quarantine.Prefix.
-func (s *isolator) take(items []platform.Item, whole bool) {
+func (s *isolator) take(items []kv.Item, whole bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -172,22 +172,22 @@
 	ctx, cancel := context.WithTimeout(ctx, writeWait)
 	defer cancel()
 	key := quarantine.HoldKey(p)
-	revision, err := s.store.Change(ctx, platform.Change{
-		Expect: []platform.Condition{{Key: key, Revision: over}},
-		Puts:   []platform.Write{{Key: key, Value: h.Bytes()}},
+	revision, err := s.store.Change(ctx, kv.Change{
+		Expect: []kv.Condition{{Key: key, Revision: over}},
+		Puts:   []kv.Write{{Key: key, Value: h.Bytes()}},
 	})
 	if err != nil {
 		s.notWritten(err)
 		return false
 	}
-	s.take([]platform.Item{{Key: key, Value: h.Bytes(), Revision: revision}}, false)
+	s.take([]kv.Item{{Key: key, Value: h.Bytes(), Revision: revision}}, false)
 	return true
 }
 
 // notWritten writes the line of a write that has failed; that another gateway was faster
 // is none.
 func (s *isolator) notWritten(err error) {
-	var status *platform.StatusError
+	var status *kv.StatusError
 	if errors.As(err, &status) && status.Conflict() {
 		return
 	}
@@ -213,12 +213,12 @@
 	if told.Empty() && len(freed) == 0 {
 		return true
 	}
-	change := platform.Change{Deletes: surplus}
-	for _, p := range freed[:min(len(freed), platform.MaxChange/4)] {
+	change := kv.Change{Deletes: surplus}
+	for _, p := range freed[:min(len(freed), kv.MaxChange/4)] {
 		change.Deletes = append(change.Deletes, quarantine.HoldKey(p))
 	}
 	if !told.Empty() {
-		change.Puts = []platform.Write{{Key: quarantine.ReportKey(s.instance, s.reports), Value: told.Bytes()}}
+		change.Puts = []kv.Write{{Key: quarantine.ReportKey(s.instance, s.reports), Value: told.Bytes()}}
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeWait)
 	defer cancel()
@@ -231,7 +231,7 @@
 	defer s.mu.Unlock()
 	s.unwritten.Crashes = s.unwritten.Crashes[len(told.Crashes):]
 	s.unwritten.Completed = s.unwritten.Completed[len(told.Completed):]
-	s.freed = s.freed[min(len(freed), platform.MaxChange/4):]
+	s.freed = s.freed[min(len(freed), kv.MaxChange/4):]
 	return true
 }
 
--- a/sidecar/claim.go
+++ b/sidecar/claim.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"verbenashift/core/engine"
+	"verbenashift/core/kv"
 	"verbenashift/core/rankpeer"
-	"verbenashift/platform"
 )
 
 const (
@@ -65,9 +65,9 @@
 	ctx, cancel := context.WithTimeout(ctx, claimWait)
 	defer cancel()
 	key := rankpeer.Key(rankpeer.ClaimPrefix, group.Name)
-	cond := platform.Condition{Key: key}
+	cond := kv.Condition{Key: key}
 	it, err := a.store.Get(ctx, key)
-	var status *platform.StatusError
+	var status *kv.StatusError
 	switch {
 	case needless():
 		// Another steward has spoken while the store was asked. If it were taken
--- a/sidecar/claim_test.go
+++ b/sidecar/claim_test.go
@@ -12,6 +12,7 @@
 
 	"verbenashift/core/engine"
 	"verbenashift/core/instance"
+	"verbenashift/core/kv"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
@@ -175,7 +176,7 @@
 	is.NoErr(err)
 	lost := make(chan claimed, 1)
 	store.Put(key, []byte("127.0.0.8:9310"))
-	_, err = a.store.Put(ctx, platform.Condition{Key: key, Revision: it.Revision}, nil)
+	_, err = a.store.Put(ctx, kv.Condition{Key: key, Revision: it.Revision}, nil)
 	is.True(err != nil) // the condition of the slower one fails
 	lost <- claimed{lost: true}
 	s := &steward{agent: a, group: groupG, duty: duty{acting: true, term: 3, claiming: lost}, core: lockstep.NewSteward(0, nil, 1), log: a.log}
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"verbenashift/core/engine"
+	"verbenashift/core/kv"
 	"verbenashift/core/pause"
 	"verbenashift/core/rankpeer"
-	"verbenashift/platform"
 )
 
 const (
@@ -45,7 +45,7 @@
 	ctx, cancel := context.WithTimeout(ctx, loadsWait)
 	defer cancel()
 	it, err := a.store.Get(ctx, rankpeer.Key(rankpeer.LoadsPrefix, group.Name))
-	var status *platform.StatusError
+	var status *kv.StatusError
 	if errors.As(err, &status) && status.NotFound() {
 		return nil
 	}
