--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -24,6 +24,7 @@
 	"strings"
 	"time"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/kv"
 	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
@@ -37,9 +38,9 @@
 // View is one consistent state of what the store says. It is not changed after
 // it was published.
 type View struct {
-	Config *platform.Config
+	Config *deployment.Config
 	// Targets are all registered servers, by their ID.
-	Targets map[string]platform.Target
+	Targets map[string]deployment.Target
 	// Stewards are the newest claims to be the steward of an expert group, by group.
 	Stewards map[string]rankpeer.Claim
 	// Revision is the store's revision up to which the view is complete.
@@ -70,8 +71,8 @@
 // Mirror decides what is in force. It is not safe for concurrent use.
 type Mirror struct {
 	log     *slog.Logger
-	config  *platform.Config
-	targets map[string]platform.Target
+	config  *deployment.Config
+	targets map[string]deployment.Target
 	// stewards are the claims by what follows the prefix of their keys.
 	stewards map[string]rankpeer.Claim
 	revision int64
@@ -84,14 +85,14 @@
 
 // New returns an empty Mirror.
 func New(log *slog.Logger) *Mirror {
-	return &Mirror{log: log, targets: map[string]platform.Target{}, stewards: map[string]rankpeer.Claim{}, missing: map[string]time.Time{}}
+	return &Mirror{log: log, targets: map[string]deployment.Target{}, stewards: map[string]rankpeer.Claim{}, missing: map[string]time.Time{}}
 }
 
 // NewTargets returns an empty Mirror of the targets alone. A configuration may have hundreds
 // of kilobytes, half a second of a sidecar's link; a steward does not need it.
 func NewTargets(log *slog.Logger) *Mirror {
 	m := New(log)
-	m.targetsOnly, m.config = true, &platform.Config{}
+	m.targetsOnly, m.config = true, &deployment.Config{}
 	return m
 }
 
@@ -114,12 +115,12 @@
 //
 // An entry of another writer may name a service that does not exist, at the address
 // of a server that does. It must not hide that one.
-func (m *Mirror) current() map[string]platform.Target {
+func (m *Mirror) current() map[string]deployment.Target {
 	named := make(map[string]bool, len(m.config.Services))
 	for i := range m.config.Services {
 		named[m.config.Services[i].Name] = true
 	}
-	newest := make(map[netip.AddrPort]platform.Target, len(m.targets))
+	newest := make(map[netip.AddrPort]deployment.Target, len(m.targets))
 	for _, t := range m.targets {
 		if !m.targetsOnly && !named[t.Service] {
 			continue
@@ -128,7 +129,7 @@
 			newest[t.Addr] = t
 		}
 	}
-	targets := make(map[string]platform.Target, len(newest))
+	targets := make(map[string]deployment.Target, len(newest))
 	for _, t := range newest {
 		targets[t.ID] = t
 	}
--- a/core/rankpeer/roster.go
+++ b/core/rankpeer/roster.go
@@ -4,8 +4,8 @@
 	"net/netip"
 	"time"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/engine"
-	"verbenashift/platform"
 )
 
 // Roster is what a steward has to know of its group. All agents keep the last one
@@ -17,7 +17,7 @@
 	Members []Member
 	// Steward is the ID of the member beside which the steward runs.
 	Steward string
-	Engine  platform.Engine
+	Engine  deployment.Engine
 	// Gap is the longest pause between events that callers are to see.
 	Gap time.Duration
 }
--- a/gateway/admitter_test.go
+++ b/gateway/admitter_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"verbenashift/core/admission"
+	"verbenashift/core/deployment"
 	"verbenashift/core/outcome"
 	"verbenashift/core/queue"
 	"verbenashift/platform"
@@ -48,7 +49,7 @@
 func caller(returning bool) *call {
 	now := time.Now()
 	return &call{
-		gateway: &gateway{}, route: &platform.Route{Objective: 500 * time.Millisecond}, returning: returning,
+		gateway: &gateway{}, route: &deployment.Route{Objective: 500 * time.Millisecond}, returning: returning,
 		arrived: now, deadline: now.Add(8 * time.Second), req: platform.Request{PromptTokens: 800, AnswerTokens: 100},
 	}
 }
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/outcome"
 	"verbenashift/core/retry"
 	"verbenashift/gateway/upstream"
@@ -32,7 +33,7 @@
 	case !a.Sealed || a.Encoded || a.ID != c.req.ID:
 		c.fleet.failed(s, severityOf(nil), now)
 		return retry.Broken, "answer without the server's signature", false
-	case reply.Status < 300 && c.route.Kind == platform.Stream:
+	case reply.Status < 300 && c.route.Kind == deployment.Stream:
 		return c.relay(ctx, s, reply)
 	}
 	return c.whole(ctx, s, reply)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/pause"
 	"verbenashift/core/quarantine"
 	"verbenashift/core/queue"
@@ -28,8 +29,8 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	req     platform.Request
-	route   *platform.Route
-	space   *platform.Workspace
+	route   *deployment.Route
+	space   *deployment.Workspace
 	service string
 	body    []byte
 	arrived time.Time
@@ -200,7 +201,7 @@
 // send sends the request to a target and takes its answer.
 func (c *call) send(ctx context.Context, s sent) (kind retry.Kind, reason string, done bool) {
 	watched := ctx
-	if c.route.Kind == platform.Stream && c.route.Repeatable() {
+	if c.route.Kind == deployment.Stream && c.route.Repeatable() {
 		watched, c.flight = c.fleet.depart(ctx, s, c.req.ID, c.service, c.ran < c.route.Attempts)
 		defer c.fleet.land(c.flight)
 	}
--- a/gateway/call_test.go
+++ b/gateway/call_test.go
@@ -8,11 +8,11 @@
 
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/instance"
 	"verbenashift/core/mirror"
 	"verbenashift/core/retry"
 	"verbenashift/core/route"
-	"verbenashift/platform"
 )
 
 // Some requests choose a target while others decide on a retry. Both draw random
@@ -21,10 +21,10 @@
 // detector tells.
 func TestConcurrentDecisionsDoNotShareRandomState(_ *testing.T) {
 	g := newGateway(instance.Env{Log: slog.New(slog.DiscardHandler)}, noop.NewTracerProvider().Tracer("test"), nil)
-	rt := &platform.Route{Attempts: 3, Split: []platform.Share{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}}
-	targets := map[string]platform.Target{}
+	rt := &deployment.Route{Attempts: 3, Split: []deployment.Share{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}}
+	targets := map[string]deployment.Target{}
 	for _, id := range []string{"t1", "t2", "t3", "t4", "t5", "t6", "t7", "t8"} {
-		targets[id] = platform.Target{ID: id, Service: "a"}
+		targets[id] = deployment.Target{ID: id, Service: "a"}
 	}
 	g.fleet.update(&mirror.View{Targets: targets})
 	var wg sync.WaitGroup
--- a/gateway/catalog.go
+++ b/gateway/catalog.go
@@ -4,21 +4,21 @@
 	"math/rand/v2"
 	"strings"
 
-	"verbenashift/platform"
+	"verbenashift/core/deployment"
 )
 
 // catalog answers questions about one configuration. It is not changed after
 // it was made.
 type catalog struct {
-	config *platform.Config
+	config *deployment.Config
 	// routes are those of each host.
-	routes map[string][]*platform.Route
+	routes map[string][]*deployment.Route
 	// workspaces are found by key.
-	workspaces map[string]*platform.Workspace
+	workspaces map[string]*deployment.Workspace
 }
 
-func newCatalog(cfg *platform.Config) *catalog {
-	c := &catalog{config: cfg, routes: map[string][]*platform.Route{}, workspaces: map[string]*platform.Workspace{}}
+func newCatalog(cfg *deployment.Config) *catalog {
+	c := &catalog{config: cfg, routes: map[string][]*deployment.Route{}, workspaces: map[string]*deployment.Workspace{}}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
 		c.routes[r.Host] = append(c.routes[r.Host], r)
@@ -34,8 +34,8 @@
 
 // route returns the route of a host with the longest prefix that begins the
 // path, or nil.
-func (c *catalog) route(host, path string) *platform.Route {
-	var best *platform.Route
+func (c *catalog) route(host, path string) *deployment.Route {
+	var best *deployment.Route
 	for _, r := range c.routes[host] {
 		if strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
 			best = r
@@ -46,7 +46,7 @@
 
 // workspace returns the workspace that holds a key. Ok is false if the key is
 // needed and unknown.
-func (c *catalog) workspace(r *platform.Route, key string) (w *platform.Workspace, ok bool) {
+func (c *catalog) workspace(r *deployment.Route, key string) (w *deployment.Workspace, ok bool) {
 	if len(c.config.Workspaces) == 0 {
 		return nil, true
 	}
@@ -55,7 +55,7 @@
 }
 
 // service draws one of the services that share a route.
-func service(r *platform.Route, rng *rand.Rand) string {
+func service(r *deployment.Route, rng *rand.Rand) string {
 	total := 0
 	for _, s := range r.Split {
 		total += max(s.Weight, 0)
@@ -75,7 +75,7 @@
 
 // urgency is the rank of a request, 0 first. That of the workspace goes before
 // that of the route.
-func urgency(r *platform.Route, w *platform.Workspace) int {
+func urgency(r *deployment.Route, w *deployment.Workspace) int {
 	if w != nil && w.Priority != nil {
 		return *w.Priority
 	}
--- a/gateway/catalog_test.go
+++ b/gateway/catalog_test.go
@@ -6,19 +6,19 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/platform"
+	"verbenashift/core/deployment"
 )
 
 func testCatalog() *catalog {
 	zero := 0
-	return newCatalog(&platform.Config{
+	return newCatalog(&deployment.Config{
 		Version: 1,
-		Routes: []platform.Route{
+		Routes: []deployment.Route{
 			{Name: "wide", Host: "a.example", Prefix: "/x/"},
 			{Name: "narrow", Host: "a.example", Prefix: "/x/y/"},
 			{Name: "other", Host: "b.example", Prefix: "/", Public: true},
 		},
-		Workspaces: []platform.Workspace{{Name: "w", Keys: []string{"k1", "k2"}, Priority: &zero}},
+		Workspaces: []deployment.Workspace{{Name: "w", Keys: []string{"k1", "k2"}, Priority: &zero}},
 	})
 }
 
@@ -66,7 +66,7 @@
 
 func TestSplitByWeight(t *testing.T) {
 	is := is.New(t)
-	r := &platform.Route{Split: []platform.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c", Weight: 0}}}
+	r := &deployment.Route{Split: []deployment.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c", Weight: 0}}}
 	rng := rand.New(rand.NewPCG(1, 2))
 	n := map[string]int{}
 	for range 10000 {
@@ -74,7 +74,7 @@
 	}
 	is.True(n["a"] > 8800 && n["a"] < 9200)
 	is.Equal(n["c"], 0)
-	is.Equal(service(&platform.Route{Split: []platform.Share{{Service: "only"}}}, rng), "only")
+	is.Equal(service(&deployment.Route{Split: []deployment.Share{{Service: "only"}}}, rng), "only")
 }
 
 // A server may stop in the middle of an event. Only whole events may reach the
--- a/gateway/crash/detector.go
+++ b/gateway/crash/detector.go
@@ -24,10 +24,10 @@
 	"syscall"
 	"time"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/pause"
 	"verbenashift/core/quarantine"
 	"verbenashift/gateway/upstream"
-	"verbenashift/platform"
 )
 
 const (
@@ -50,7 +50,7 @@
 	dial upstream.Dialer
 	// serves reports whether a target is registered in the life that was given, and not
 	// about to leave.
-	serves func(platform.Target) bool
+	serves func(deployment.Target) bool
 	ended  func(quarantine.Crash)
 	log    *slog.Logger
 
@@ -64,11 +64,11 @@
 	born int64
 }
 
-func lifeOf(t platform.Target) life { return life{t.ID, t.Born} }
+func lifeOf(t deployment.Target) life { return life{t.ID, t.Born} }
 
 // breaks are the answers of one target that broke off and are not accounted for.
 type breaks struct {
-	target   platform.Target
+	target   deployment.Target
 	requests []quarantine.Print
 	last     time.Time
 	// asking says that its address is being asked.
@@ -76,12 +76,12 @@
 }
 
 // New returns a Detector that hands on each crash that it has found.
-func New(dial upstream.Dialer, serves func(platform.Target) bool, log *slog.Logger, ended func(quarantine.Crash)) *Detector {
+func New(dial upstream.Dialer, serves func(deployment.Target) bool, log *slog.Logger, ended func(quarantine.Crash)) *Detector {
 	return &Detector{dial: dial, serves: serves, log: log, ended: ended, suspect: map[life]*breaks{}}
 }
 
 // Broke takes the word that a target has broken off the answer to a request.
-func (d *Detector) Broke(t platform.Target, p quarantine.Print) {
+func (d *Detector) Broke(t deployment.Target, p quarantine.Print) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	b := d.suspect[lifeOf(t)]
@@ -101,7 +101,7 @@
 
 // Refused takes the word that nobody listens at a target's address. One that has said that
 // it leaves, or has taken its entry back, has ended as planned.
-func (d *Detector) Refused(t platform.Target) {
+func (d *Detector) Refused(t deployment.Target) {
 	if d.serves(t) {
 		d.crashed(lifeOf(t), "nobody listens")
 		return
@@ -112,7 +112,7 @@
 }
 
 // Gone takes the word of the store that a target's life is over.
-func (d *Detector) Gone(t platform.Target) { d.crashed(lifeOf(t), "its entry has gone") }
+func (d *Detector) Gone(t deployment.Target) { d.crashed(lifeOf(t), "its entry has gone") }
 
 // Tick forgets the answers that broke off long ago.
 func (d *Detector) Tick(now time.Time) {
@@ -150,7 +150,7 @@
 }
 
 // connect opens a connection to a target and closes it.
-func (d *Detector) connect(t platform.Target) error {
+func (d *Detector) connect(t deployment.Target) error {
 	ctx, cancel := context.WithTimeout(context.Background(), answerWait)
 	defer cancel()
 	conn, err := d.dial(ctx, "tcp", t.Addr.String())
--- a/gateway/crash/detector_test.go
+++ b/gateway/crash/detector_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/quarantine"
-	"verbenashift/platform"
 )
 
 // bench is a Detector before one target whose address answers as a test says.
@@ -38,13 +38,13 @@
 		conn, _ := net.Pipe()
 		return conn, nil
 	}
-	b.Detector = New(dial, func(platform.Target) bool { return b.serves }, slog.New(slog.DiscardHandler),
+	b.Detector = New(dial, func(deployment.Target) bool { return b.serves }, slog.New(slog.DiscardHandler),
 		func(c quarantine.Crash) { b.crashes = append(b.crashes, c) })
 	return b
 }
 
-func target() platform.Target {
-	return platform.Target{ID: "t0", Born: 7, Addr: netip.MustParseAddrPort("10.0.0.1:80")}
+func target() deployment.Target {
+	return deployment.Target{ID: "t0", Born: 7, Addr: netip.MustParseAddrPort("10.0.0.1:80")}
 }
 
 func printOf(n int) quarantine.Print {
@@ -82,9 +82,9 @@
 			b.Tick(time.Now())
 			b.Gone(target())
 		}, 0},
-		"no answer, and another one leaves": {errSilent, func(b *bench) { b.Gone(platform.Target{ID: "t1", Born: 7}) }, 0},
+		"no answer, and another one leaves": {errSilent, func(b *bench) { b.Gone(deployment.Target{ID: "t1", Born: 7}) }, 0},
 		"no answer, and an earlier life ends": {errSilent, func(b *bench) {
-			b.Gone(platform.Target{ID: "t0", Born: 6})
+			b.Gone(deployment.Target{ID: "t0", Born: 6})
 		}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/health"
 	"verbenashift/core/mirror"
 	"verbenashift/core/route"
@@ -48,7 +49,7 @@
 
 // pooled is one target with its connections.
 type pooled struct {
-	platform.Target
+	deployment.Target
 	pool *upstream.Pool
 	// slow says that it lengthens the passes of its group; silentUntil is until
 	// when it is taken for silent.
@@ -77,7 +78,7 @@
 
 // serves reports whether a target is registered in the life that was given, and not about to
 // leave.
-func (f *fleet) serves(t platform.Target) bool {
+func (f *fleet) serves(t deployment.Target) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.pools[t.ID]
@@ -103,7 +104,7 @@
 
 // drop forgets the targets that are gone or have started again: connections, failures
 // and silences of an earlier life say nothing of this one.
-func (f *fleet) drop(now map[string]platform.Target) {
+func (f *fleet) drop(now map[string]deployment.Target) {
 	for id := range f.gone {
 		if _, ok := now[id]; !ok {
 			delete(f.gone, id)
@@ -143,7 +144,7 @@
 }
 
 // routed returns a target as the table knows it.
-func (f *fleet) routed(t *platform.Target) route.Target {
+func (f *fleet) routed(t *deployment.Target) route.Target {
 	return route.Target{
 		Name: t.ID, Zone: t.Zone, Service: t.Service, Group: f.groupOf(t),
 		Drained: t.Draining || f.gone[t.ID],
@@ -151,7 +152,7 @@
 }
 
 // groupOf returns the name of a target's group, or "" if it is not known.
-func (f *fleet) groupOf(t *platform.Target) string {
+func (f *fleet) groupOf(t *deployment.Target) string {
 	if t.Group.Name != "" {
 		return t.Group.Name
 	}
@@ -186,7 +187,7 @@
 	started time.Time
 	target  *pooled
 	// seen is what was known of the target when it was picked.
-	seen platform.Target
+	seen deployment.Target
 	// loadAge is how old the load of the target was when it was picked; negative
 	// if none was known.
 	loadAge time.Duration
--- a/gateway/heldback_test.go
+++ b/gateway/heldback_test.go
@@ -7,10 +7,10 @@
 	"testing"
 	"time"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/kv"
 	"verbenashift/core/quarantine"
 	"verbenashift/core/story"
-	"verbenashift/platform"
 	"verbenashift/standin/scripted"
 )
 
@@ -62,7 +62,7 @@
 	shelf *shelf
 }
 
-func newHeldRig(t *testing.T, kind platform.RouteKind, servers ...*scripted.Server) *heldRig {
+func newHeldRig(t *testing.T, kind deployment.RouteKind, servers ...*scripted.Server) *heldRig {
 	r := newRig(t, routeOf(kind), servers...)
 	s := &shelf{items: map[string]kv.Item{}}
 	r.gateway.isolator.store = s
@@ -85,7 +85,7 @@
 // A request is held back. It is refused at once with the time of the next trial, and no
 // server sees it; its neighbours are served.
 func TestHeldBackIsRefusedAtOnce(t *testing.T) {
-	for _, kind := range []platform.RouteKind{platform.Safe, platform.Unsafe, platform.Stream} {
+	for _, kind := range []deployment.RouteKind{deployment.Safe, deployment.Unsafe, deployment.Stream} {
 		t.Run(string(kind), func(t *testing.T) {
 			s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
 			r := newHeldRig(t, kind, s)
@@ -116,9 +116,9 @@
 		<-hold
 		x.Whole(200, "ok")
 	})
-	r := newHeldRig(t, platform.Safe, s)
+	r := newHeldRig(t, deployment.Safe, s)
 	read := r.logged()
-	r.view.Config.Services[0].Engine = &platform.Engine{Slots: 1}
+	r.view.Config.Services[0].Engine = &deployment.Engine{Slots: 1}
 	r.gateway.update(&r.view)
 	r.gateway.admitter("pool").resize(map[string]int{"": 1})
 	other := r.call()
@@ -147,7 +147,7 @@
 		x.Close()
 	}
 	s0, s1 := scripted.Serve(t, script), scripted.Serve(t, script)
-	r = newHeldRig(t, platform.Safe, s0, s1)
+	r = newHeldRig(t, deployment.Safe, s0, s1)
 	_, answer := r.ask()
 	r.Equal(answer.Status, http.StatusBadGateway)
 	r.Equal(answer.Comeback(), time.Duration(0))
@@ -165,7 +165,7 @@
 		x.Close()
 	}
 	s0, s1 := scripted.Serve(t, script), scripted.Serve(t, script)
-	r = newHeldRig(t, platform.Stream, s0, s1)
+	r = newHeldRig(t, deployment.Stream, s0, s1)
 	_, answer := r.ask()
 	r.Equal(answer.Status, http.StatusOK)
 	r.True(!answer.Whole)
@@ -176,7 +176,7 @@
 // frees the request, also at the other gateways.
 func TestTrialIsServed(t *testing.T) {
 	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
-	r := newHeldRig(t, platform.Unsafe, s)
+	r := newHeldRig(t, deployment.Unsafe, s)
 	r.hold(quarantine.Hold{Crashes: 3, Soon: true})
 	for range 3 {
 		_, answer := r.ask()
@@ -196,7 +196,7 @@
 		x.Close()
 	}
 	s0, s1 := scripted.Serve(t, script), scripted.Serve(t, script)
-	r = newHeldRig(t, platform.Safe, s0, s1)
+	r = newHeldRig(t, deployment.Safe, s0, s1)
 	r.hold(quarantine.Hold{Crashes: 3, Soon: true})
 	_, first := r.ask()
 	r.Equal(first.Status, http.StatusBadGateway)
@@ -217,7 +217,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel() // It waits most of its time.
 			s := scripted.Serve(t, script)
-			r := newHeldRig(t, platform.Safe, s)
+			r := newHeldRig(t, deployment.Safe, s)
 			r.hold(quarantine.Hold{Crashes: 3, Soon: true})
 			for range 5 {
 				_, answer := r.ask()
@@ -232,7 +232,7 @@
 // The store is away while targets crash under one request: this gateway decides by what it
 // has seen itself, and tells the others when the store is back.
 func TestCrashesWhileTheStoreIsAway(t *testing.T) {
-	r := newHeldRig(t, platform.Safe, scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") }))
+	r := newHeldRig(t, deployment.Safe, scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") }))
 	r.shelf.down = true
 	s := r.gateway.isolator
 	for _, target := range []string{"a", "b", "c"} {
@@ -258,7 +258,7 @@
 
 // Targets crash for as long as the store is away: what is kept for it is bounded.
 func TestUntoldCrashesAreBounded(t *testing.T) {
-	r := newHeldRig(t, platform.Safe)
+	r := newHeldRig(t, deployment.Safe)
 	for n := range 10 * maxUnwritten {
 		s := r.gateway.isolator
 		s.crashed(quarantine.Crash{Target: string(rune(n + 'a')), Requests: []quarantine.Print{r.print()}})
@@ -272,7 +272,7 @@
 
 // Two gateways get the same request when a trial is due. One of them sends it.
 func TestOneGatewayTries(t *testing.T) {
-	r := newHeldRig(t, platform.Safe)
+	r := newHeldRig(t, deployment.Safe)
 	r.hold(quarantine.Hold{Crashes: 3, Soon: true})
 	other := newIsolator("front-2", r.shelf, r.gateway.log)
 	other.take(r.shelf.all(), true)
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/eventlog"
 	"verbenashift/core/rankpeer"
 	"verbenashift/core/story"
@@ -35,7 +36,7 @@
 
 // failing is a failure that a caller may complain about.
 type failing struct {
-	kind   platform.RouteKind
+	kind   deployment.RouteKind
 	script func(*scripted.Exchange)
 	// change makes the call, or the gateway, what fails.
 	change func(*rig, *scripted.Call)
@@ -53,19 +54,19 @@
 	}
 	short := func(_ *rig, c *scripted.Call) { c.Patience = 100 * time.Millisecond }
 	return map[string]failing{
-		"served":              {kind: platform.Safe, script: ok, want: story.Served},
-		"no such route":       {kind: platform.Safe, script: ok, change: func(_ *rig, c *scripted.Call) { c.Path = "/none/" }, want: story.NotAllowed},
-		"key taken away":      {kind: platform.Safe, script: ok, change: func(_ *rig, c *scripted.Call) { c.Key = "old" }, want: story.NotAllowed},
-		"gateway just begun":  {kind: platform.Safe, script: ok, change: func(r *rig, _ *scripted.Call) { r.gateway.catalog.Store(nil) }, want: story.NoConfiguration},
-		"failed by servers":   {kind: platform.Unsafe, script: func(x *scripted.Exchange) { x.Whole(500, "no") }, want: story.ServerFailed},
-		"refused by servers":  {kind: platform.Unsafe, script: func(x *scripted.Exchange) { x.Refuse() }, want: story.Refused},
-		"answer lost":         {kind: platform.Unsafe, script: func(x *scripted.Exchange) { x.Close() }, want: story.ServerLost},
-		"stream broken off":   {kind: platform.Stream, script: breakOff, want: story.ServerLost},
-		"server hangs":        {kind: platform.Unsafe, script: hang, change: short, want: story.TimeOver},
-		"a rank is gone":      {kind: platform.Stream, script: func(x *scripted.Exchange) { x.Refuse() }, group: group(15, 1, 1.1), want: story.RankMissing},
-		"a slow server":       {kind: platform.Stream, script: hang, change: short, group: group(16, 4, 1.1), want: story.SlowServer},
-		"uneven experts":      {kind: platform.Stream, script: hang, change: short, group: group(16, 1, 3.2), want: story.UnevenExperts},
-		"another group's ill": {kind: platform.Unsafe, script: func(x *scripted.Exchange) { x.Refuse() }, group: strings.Replace(group(3, 9, 9), `"pool"`, `"other"`, 1), want: story.Refused},
+		"served":              {kind: deployment.Safe, script: ok, want: story.Served},
+		"no such route":       {kind: deployment.Safe, script: ok, change: func(_ *rig, c *scripted.Call) { c.Path = "/none/" }, want: story.NotAllowed},
+		"key taken away":      {kind: deployment.Safe, script: ok, change: func(_ *rig, c *scripted.Call) { c.Key = "old" }, want: story.NotAllowed},
+		"gateway just begun":  {kind: deployment.Safe, script: ok, change: func(r *rig, _ *scripted.Call) { r.gateway.catalog.Store(nil) }, want: story.NoConfiguration},
+		"failed by servers":   {kind: deployment.Unsafe, script: func(x *scripted.Exchange) { x.Whole(500, "no") }, want: story.ServerFailed},
+		"refused by servers":  {kind: deployment.Unsafe, script: func(x *scripted.Exchange) { x.Refuse() }, want: story.Refused},
+		"answer lost":         {kind: deployment.Unsafe, script: func(x *scripted.Exchange) { x.Close() }, want: story.ServerLost},
+		"stream broken off":   {kind: deployment.Stream, script: breakOff, want: story.ServerLost},
+		"server hangs":        {kind: deployment.Unsafe, script: hang, change: short, want: story.TimeOver},
+		"a rank is gone":      {kind: deployment.Stream, script: func(x *scripted.Exchange) { x.Refuse() }, group: group(15, 1, 1.1), want: story.RankMissing},
+		"a slow server":       {kind: deployment.Stream, script: hang, change: short, group: group(16, 4, 1.1), want: story.SlowServer},
+		"uneven experts":      {kind: deployment.Stream, script: hang, change: short, group: group(16, 1, 3.2), want: story.UnevenExperts},
+		"another group's ill": {kind: deployment.Unsafe, script: func(x *scripted.Exchange) { x.Refuse() }, group: strings.Replace(group(3, 9, 9), `"pool"`, `"other"`, 1), want: story.Refused},
 	}
 }
 
@@ -105,7 +106,7 @@
 		leave()
 		x.WaitForClose(time.Minute)
 	})
-	r := newRig(t, routeOf(platform.Unsafe), s)
+	r := newRig(t, routeOf(deployment.Unsafe), s)
 	read := r.logged()
 	c := r.call()
 	c.Do(ctx)
@@ -123,11 +124,11 @@
 		<-hold
 		x.Whole(200, "ok")
 	})
-	route := routeOf(platform.Safe)
+	route := routeOf(deployment.Safe)
 	route.Objective = time.Millisecond // no patience for a place
 	r := newRig(t, route, s)
 	read := r.logged()
-	r.view.Config.Services[0].Engine = &platform.Engine{Slots: 1}
+	r.view.Config.Services[0].Engine = &deployment.Engine{Slots: 1}
 	r.gateway.update(&r.view)
 	a := r.gateway.admitter("pool")
 	a.log = r.gateway.log
@@ -151,7 +152,7 @@
 func TestStoryOfAMovedStream(t *testing.T) {
 	is := is.New(t)
 	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
-	r := newRig(t, routeOf(platform.Stream), s)
+	r := newRig(t, routeOf(deployment.Stream), s)
 	read := r.logged()
 	now := time.Now()
 	at, ok := r.gateway.fleet.table.Lookup("t0")
@@ -174,7 +175,7 @@
 func TestLineNamesTheAgeOfTheLoad(t *testing.T) {
 	is := is.New(t)
 	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
-	r := newRig(t, routeOf(platform.Safe), s)
+	r := newRig(t, routeOf(deployment.Safe), s)
 	read := r.logged()
 	r.gateway.digest(&rankpeer.Digest{Targets: []string{"t0"}, Running: []uint16{1}, Queued: []uint16{0}, Pace: []uint16{10}}, time.Now().Add(-700*time.Millisecond))
 	c, _ := r.ask()
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"verbenashift/platform"
+	"verbenashift/core/deployment"
 )
 
 // ended writes the line that says how the request has ended, with what it was
@@ -36,9 +36,9 @@
 	switch {
 	case c.returning:
 		return lateReturn
-	case c.route.Kind != platform.Stream && now.Sub(c.arrived) > c.route.Objective:
+	case c.route.Kind != deployment.Stream && now.Sub(c.arrived) > c.route.Objective:
 		return lateWhole
-	case c.route.Kind != platform.Stream:
+	case c.route.Kind != deployment.Stream:
 		return ""
 	case c.firstAfter > c.route.Objective:
 		return lateFirst
--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/instance"
 	"verbenashift/core/mirror"
 	"verbenashift/core/rankpeer"
@@ -44,32 +45,32 @@
 )
 
 // route is one of the kinds that a configuration may have.
-func routeOf(kind platform.RouteKind) platform.Route {
-	return platform.Route{
+func routeOf(kind deployment.RouteKind) deployment.Route {
+	return deployment.Route{
 		Name: "a", Host: rigHost, Prefix: "/a/", Kind: kind, Timeout: 4 * time.Second, Objective: 300 * time.Millisecond,
-		Gap: 120 * time.Millisecond, Attempts: 2, Resumable: kind == platform.Stream,
-		Split: []platform.Share{{Service: "pool", Weight: 1}},
+		Gap: 120 * time.Millisecond, Attempts: 2, Resumable: kind == deployment.Stream,
+		Split: []deployment.Share{{Service: "pool", Weight: 1}},
 	}
 }
 
 // newRig starts a gateway whose route leads to servers, the targets t0, t1 and so
 // on.
-func newRig(t *testing.T, route platform.Route, servers ...*scripted.Server) *rig {
+func newRig(t *testing.T, route deployment.Route, servers ...*scripted.Server) *rig {
 	t.Helper()
 	env := instance.Env{Log: slog.New(slog.DiscardHandler)}
 	env.Boot.Bounds = platform.Bounds{RetryRatio: 0.2, RetrySlack: 90 * gatewaysUntold}
 	g := newGateway(env, noop.NewTracerProvider().Tracer("test"), nil)
 	r := &rig{I: is.New(t), t: t, gateway: g, view: mirror.View{
-		Config: &platform.Config{
-			Version: 7, Routes: []platform.Route{route}, Services: []platform.Service{{Name: "pool"}},
-			Workspaces: []platform.Workspace{{Name: rigSpace, Keys: []string{rigKey}}},
-			Limits:     platform.Limits{BodyBytes: 1 << 20},
+		Config: &deployment.Config{
+			Version: 7, Routes: []deployment.Route{route}, Services: []deployment.Service{{Name: "pool"}},
+			Workspaces: []deployment.Workspace{{Name: rigSpace, Keys: []string{rigKey}}},
+			Limits:     deployment.Limits{BodyBytes: 1 << 20},
 		},
-		Targets: map[string]platform.Target{},
+		Targets: map[string]deployment.Target{},
 	}}
 	for i, s := range servers {
 		id := fmt.Sprintf("t%d", i)
-		r.view.Targets[id] = platform.Target{ID: id, Service: "pool", Addr: s.Addr, Slots: 12}
+		r.view.Targets[id] = deployment.Target{ID: id, Service: "pool", Addr: s.Addr, Slots: 12}
 	}
 	g.update(&r.view)
 	front := httptest.NewUnstartedServer(g)
@@ -148,7 +149,7 @@
 				x.Whole(200, "whole answer")
 			}
 			a, b := scripted.Serve(t, script), scripted.Serve(t, script)
-			r := newRig(t, routeOf(platform.Safe), a, b)
+			r := newRig(t, routeOf(deployment.Safe), a, b)
 			c, got := r.ask()
 			r.Equal(got.Status, 200)
 			r.True(got.Whole)
@@ -165,7 +166,7 @@
 	for name, spoil := range broken() {
 		t.Run(name, func(t *testing.T) {
 			a, b := scripted.Serve(t, spoil), scripted.Serve(t, spoil)
-			r := newRig(t, routeOf(platform.Unsafe), a, b)
+			r := newRig(t, routeOf(deployment.Unsafe), a, b)
 			_, got := r.ask()
 			r.Equal(got.Status, platform.StatusUnknown)
 			r.Equal(got.Signature(), "")
@@ -179,7 +180,7 @@
 // tell whether it has run, so that bookings never go over kept connections.
 func TestBookingsUseNewConnections(t *testing.T) {
 	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "booked") })
-	r := newRig(t, routeOf(platform.Unsafe), s)
+	r := newRig(t, routeOf(deployment.Unsafe), s)
 	for range 3 {
 		_, got := r.ask()
 		r.Equal(got.Status, 200)
@@ -197,14 +198,14 @@
 	refuse := func(x *scripted.Exchange) { x.Refuse() }
 	a := scripted.Serve(t, refuse)
 	b := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "booked") })
-	r := newRig(t, routeOf(platform.Unsafe), a, b)
+	r := newRig(t, routeOf(deployment.Unsafe), a, b)
 	for range 20 { // whichever is tried first
 		_, got := r.ask()
 		r.Equal(got.Status, 200)
 		r.Equal(got.Body, "booked")
 	}
 	r.True(len(a.Seen()) > 0) // the refusing one was asked
-	all := newRig(t, routeOf(platform.Unsafe), scripted.Serve(t, refuse), scripted.Serve(t, refuse))
+	all := newRig(t, routeOf(deployment.Unsafe), scripted.Serve(t, refuse), scripted.Serve(t, refuse))
 	_, got := all.ask()
 	all.Equal(got.Status, platform.StatusNotRun)
 	all.True(got.Comeback() > 0)
@@ -217,7 +218,7 @@
 func TestAddressOfAnotherServer(t *testing.T) {
 	other := scripted.Serve(t, func(x *scripted.Exchange) { x.Misdirected() })
 	own := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "own") })
-	r := newRig(t, routeOf(platform.Unsafe), other, own)
+	r := newRig(t, routeOf(deployment.Unsafe), other, own)
 	for range 30 {
 		_, got := r.ask()
 		r.Equal(got.Status, 200)
@@ -234,7 +235,7 @@
 // and with the workspace that the key belongs to whatever the caller claims.
 func TestServerGetsWhatTheCallerSent(t *testing.T) {
 	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
-	r := newRig(t, routeOf(platform.Safe), s)
+	r := newRig(t, routeOf(deployment.Safe), s)
 	c := r.call()
 	c.Method, c.Path, c.Body = http.MethodPut, "/a/x%2Fy//z?b=2&a=%20", "line 1\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n"
 	prompt := scripted.PromptHeader("m", "14,80", "5c:8,91:4")
@@ -262,7 +263,7 @@
 // body and signature, and not one of the gateway's own.
 func TestFailureOfTheServerIsPassedOn(t *testing.T) {
 	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(500, "the desk is closed") })
-	r := newRig(t, routeOf(platform.Unsafe), s)
+	r := newRig(t, routeOf(deployment.Unsafe), s)
 	c, got := r.ask()
 	r.Equal(got.Status, 500)
 	r.Equal(got.Body, "the desk is closed")
@@ -274,7 +275,7 @@
 func TestNoMoreServersThanAllowed(t *testing.T) {
 	fail := func(x *scripted.Exchange) { x.Whole(500, "no") }
 	a, b, c := scripted.Serve(t, fail), scripted.Serve(t, fail), scripted.Serve(t, fail)
-	r := newRig(t, routeOf(platform.Safe), a, b, c)
+	r := newRig(t, routeOf(deployment.Safe), a, b, c)
 	_, got := r.ask()
 	r.Equal(got.Status, 500)
 	r.Equal(total(a, b, c), 2)
@@ -289,7 +290,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := scripted.Serve(t, func(x *scripted.Exchange) { x.WaitForClose(time.Minute) })
-			route := routeOf(platform.Unsafe)
+			route := routeOf(deployment.Unsafe)
 			route.Timeout = tt.route
 			r := newRig(t, route, s)
 			c := r.call()
@@ -312,7 +313,7 @@
 		leave()
 		x.WaitForClose(time.Minute)
 	})
-	r := newRig(t, routeOf(platform.Stream), s)
+	r := newRig(t, routeOf(deployment.Stream), s)
 	got := r.call().Do(ctx)
 	r.True(got.Err != nil)
 	<-s.Left()
@@ -344,7 +345,7 @@
 		goesOn(x)
 	}
 	a, b := scripted.Serve(t, script), scripted.Serve(t, script)
-	r := newRig(t, routeOf(platform.Stream), a, b)
+	r := newRig(t, routeOf(deployment.Stream), a, b)
 	c, got := r.ask()
 	r.Equal(got.Status, 200)
 	r.True(got.Whole)
@@ -388,7 +389,7 @@
 			for range ranks {
 				servers = append(servers, scripted.Serve(t, script))
 			}
-			route := routeOf(platform.Stream)
+			route := routeOf(deployment.Stream)
 			route.Attempts = tt.attempts
 			r := newRig(t, route, servers...)
 			got := make(chan scripted.Answer, 1)
@@ -441,7 +442,7 @@
 		x.Close()
 	}
 	a, b := scripted.Serve(t, script), scripted.Serve(t, script)
-	route := routeOf(platform.Stream)
+	route := routeOf(deployment.Stream)
 	route.Resumable = false
 	r := newRig(t, route, a, b)
 	_, got := r.ask()
@@ -460,7 +461,7 @@
 		x.Chunk(scripted.Event(2))
 		x.End()
 	})
-	r := newRig(t, routeOf(platform.Stream), s)
+	r := newRig(t, routeOf(deployment.Stream), s)
 	got := r.call().DoParts(t.Context(), func(part string) {
 		if strings.Contains(part, "part 1") {
 			close(read)
@@ -482,7 +483,7 @@
 		before = x.ID()
 		x.Whole(200, "own")
 	})
-	r := newRig(t, routeOf(platform.Safe), s)
+	r := newRig(t, routeOf(deployment.Safe), s)
 	for range 3 {
 		c, got := r.ask()
 		r.Equal(got.Body, "own")
@@ -503,7 +504,7 @@
 			x.ReadBody()
 		}
 	})
-	r := newRig(t, routeOf(platform.Safe), s)
+	r := newRig(t, routeOf(deployment.Safe), s)
 	long := r.call()
 	// More than the buffers of a connection take in.
 	long.Body, long.Header = strings.Repeat("x", 64<<20), scripted.ReadLate()
@@ -524,7 +525,7 @@
 // once it is known is not: a gateway without one says "not run".
 func TestWhatIsNotAllowed(t *testing.T) {
 	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
-	r := newRig(t, routeOf(platform.Safe), s)
+	r := newRig(t, routeOf(deployment.Safe), s)
 	for name, tt := range map[string]struct {
 		change func(*scripted.Call)
 		status int
@@ -552,16 +553,16 @@
 func TestNewVersionIsInForce(t *testing.T) {
 	before := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "before") })
 	after := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "after") })
-	r := newRig(t, routeOf(platform.Safe), before)
+	r := newRig(t, routeOf(deployment.Safe), before)
 	_, got := r.ask()
 	r.Equal(got.Body, "before")
 	cfg := *r.view.Config
 	cfg.Version += 4
-	route := routeOf(platform.Safe)
-	route.Split = []platform.Share{{Service: "annex", Weight: 1}}
-	cfg.Routes = []platform.Route{route}
-	cfg.Workspaces = []platform.Workspace{{Name: rigSpace, Keys: []string{"new-key"}}}
-	view := mirror.View{Config: &cfg, Targets: map[string]platform.Target{
+	route := routeOf(deployment.Safe)
+	route.Split = []deployment.Share{{Service: "annex", Weight: 1}}
+	cfg.Routes = []deployment.Route{route}
+	cfg.Workspaces = []deployment.Workspace{{Name: rigSpace, Keys: []string{"new-key"}}}
+	view := mirror.View{Config: &cfg, Targets: map[string]deployment.Target{
 		"t0": r.view.Targets["t0"], "t1": {ID: "t1", Service: "annex", Addr: after.Addr, Slots: 12},
 	}}
 	r.gateway.update(&view)
@@ -579,11 +580,11 @@
 func TestLaterRoutesAreServed(t *testing.T) {
 	const later = 30
 	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, x.Target) })
-	r := newRig(t, routeOf(platform.Safe), s)
+	r := newRig(t, routeOf(deployment.Safe), s)
 	for i := range later {
 		cfg := *r.view.Config
 		cfg.Version++
-		added := routeOf(platform.Safe)
+		added := routeOf(deployment.Safe)
 		added.Name, added.Prefix = fmt.Sprintf("later-%d", i), fmt.Sprintf("/later-%d/", i)
 		cfg.Routes = append(slices.Clone(cfg.Routes), added)
 		r.view.Config = &cfg
@@ -611,7 +612,7 @@
 		func(x *scripted.Exchange) { x.Close() },
 		func(x *scripted.Exchange) { x.Refuse() },
 	}
-	for _, kind := range []platform.RouteKind{platform.Safe, platform.Unsafe, platform.Stream} {
+	for _, kind := range []deployment.RouteKind{deployment.Safe, deployment.Unsafe, deployment.Stream} {
 		var n atomic.Int64
 		script := func(x *scripted.Exchange) { scripts[int(n.Add(1))%len(scripts)](x) }
 		r := newRig(t, routeOf(kind), scripted.Serve(t, script), scripted.Serve(t, script))
@@ -642,7 +643,7 @@
 		<-hold
 		x.Whole(200, "from the one that leaves")
 	})
-	r := newRig(t, routeOf(platform.Safe), leaving)
+	r := newRig(t, routeOf(deployment.Safe), leaving)
 	answer := make(chan scripted.Answer)
 	go func() { answer <- r.call().Do(t.Context()) }()
 	for len(leaving.Seen()) == 0 {
@@ -652,7 +653,7 @@
 	t0 := r.view.Targets["t0"]
 	t0.Draining = true
 	view := r.view
-	view.Targets = map[string]platform.Target{"t0": t0, "t1": {ID: "t1", Service: "pool", Addr: stays.Addr, Slots: 12}}
+	view.Targets = map[string]deployment.Target{"t0": t0, "t1": {ID: "t1", Service: "pool", Addr: stays.Addr, Slots: 12}}
 	r.gateway.update(&view)
 	close(hold)
 	r.Equal((<-answer).Body, "from the one that leaves")
@@ -668,7 +669,7 @@
 // connections end with the answer.
 func TestStoppingGatewayServesToTheEnd(t *testing.T) {
 	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
-	r := newRig(t, routeOf(platform.Safe), s)
+	r := newRig(t, routeOf(deployment.Safe), s)
 	r.True(r.gateway.ready())
 	r.gateway.leaving.Store(true)
 	r.True(!r.gateway.ready())
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"verbenashift/core/admission"
+	"verbenashift/core/deployment"
 	"verbenashift/core/health"
 	"verbenashift/core/instance"
 	"verbenashift/core/mirror"
@@ -112,7 +113,7 @@
 }
 
 // showBudgets shows how many retries each service may get now.
-func (g *gateway) showBudgets(cfg *platform.Config) {
+func (g *gateway) showBudgets(cfg *deployment.Config) {
 	for i := range cfg.Services {
 		service := cfg.Services[i].Name
 		metricBudget.Set(service, expvar.Func(func() any {
@@ -122,7 +123,7 @@
 }
 
 // admitTo makes an admitter for each service with engines, and tells it their slots.
-func (g *gateway) admitTo(cfg *platform.Config) {
+func (g *gateway) admitTo(cfg *deployment.Config) {
 	slots := g.fleet.slots()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/share_test.go
+++ b/gateway/share_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/rankpeer"
 	"verbenashift/core/retry"
 	"verbenashift/platform"
@@ -15,7 +16,7 @@
 // must not be more than the bound, whoever has been told how many there are.
 func TestSlackOfRetriesIsSharedByAll(t *testing.T) {
 	const slack, all = 264, 53
-	r := newRig(t, routeOf(platform.Safe), scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") }))
+	r := newRig(t, routeOf(deployment.Safe), scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") }))
 	r.gateway.bounds = platform.Bounds{RetryRatio: 0.2, RetrySlack: slack, RetryWindow: 10 * time.Second}
 	r.gateway.budgets = retry.NewBudgets(retryLimits(r.gateway.bounds))
 	left := func() float64 { return r.gateway.retriesLeft("pool") }
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/retry"
-	"verbenashift/platform"
 	"verbenashift/standin/scripted"
 )
 
@@ -39,7 +39,7 @@
 				x.End()
 			}
 			a, b := scripted.Serve(t, script), scripted.Serve(t, script)
-			route := routeOf(platform.Stream)
+			route := routeOf(deployment.Stream)
 			route.Attempts = tt.attempts
 			r := newRig(t, route, a, b)
 			r.gateway.mu.Lock()
--- a/gateway/spans_test.go
+++ b/gateway/spans_test.go
@@ -9,7 +9,7 @@
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
-	"verbenashift/platform"
+	"verbenashift/core/deployment"
 	"verbenashift/standin/scripted"
 )
 
@@ -19,7 +19,7 @@
 	is := is.New(t)
 	bad := scripted.Serve(t, func(x *scripted.Exchange) { x.Refuse() })
 	good := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
-	r := newRig(t, routeOf(platform.Safe), bad, good)
+	r := newRig(t, routeOf(deployment.Safe), bad, good)
 	spans := tracetest.NewSpanRecorder()
 	r.gateway.tracer = sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(spans)).Tracer("test")
 	for range 40 {
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -6,11 +6,11 @@
 	"slices"
 	"time"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/engine"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/mirror"
 	"verbenashift/core/rankpeer"
-	"verbenashift/platform"
 )
 
 // strayEvery is how often a steward whose group lacks a rank asks all targets of its
@@ -95,7 +95,7 @@
 
 // mayBelong reports whether a target may hold a rank of the group: what its rank has
 // told goes before what stands in the store.
-func (s *steward) mayBelong(t *platform.Target) bool {
+func (s *steward) mayBelong(t *deployment.Target) bool {
 	if _, told := s.elsewhere[t.ID]; told {
 		return false
 	}
--- a/sidecar/members_test.go
+++ b/sidecar/members_test.go
@@ -7,16 +7,16 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/engine"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/mirror"
 	"verbenashift/core/rankpeer"
-	"verbenashift/platform"
 )
 
 // viewOf returns a view with targets of one service, at addresses in their order.
-func viewOf(targets ...platform.Target) *mirror.View {
-	v := &mirror.View{Config: &platform.Config{}, Targets: map[string]platform.Target{}}
+func viewOf(targets ...deployment.Target) *mirror.View {
+	v := &mirror.View{Config: &deployment.Config{}, Targets: map[string]deployment.Target{}}
 	for i, t := range targets {
 		t.Service, t.Slots = "pool", 12
 		t.Addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), 80)
@@ -44,8 +44,8 @@
 	is := is.New(t)
 	s := testSteward(t)
 	v := viewOf(
-		platform.Target{ID: "a", Group: in("g")}, platform.Target{ID: "b", Group: in("h")},
-		platform.Target{ID: "c"}, platform.Target{ID: "d"},
+		deployment.Target{ID: "a", Group: in("g")}, deployment.Target{ID: "b", Group: in("h")},
+		deployment.Target{ID: "c"}, deployment.Target{ID: "d"},
 	)
 	s.enrol(s.rosterOf(v, false))
 	is.Equal(len(s.peers), 3) // b is of another group; c and d don't say
@@ -65,7 +65,7 @@
 func TestMissingRankIsLookedForElsewhere(t *testing.T) {
 	is := is.New(t)
 	s := testSteward(t)
-	v := viewOf(platform.Target{ID: "a", Group: in("g")}, platform.Target{ID: "b", Group: in("h")})
+	v := viewOf(deployment.Target{ID: "a", Group: in("g")}, deployment.Target{ID: "b", Group: in("h")})
 	now := time.Unix(1000, 0)
 	s.strayAt = now
 	s.follow(v, now)
@@ -96,11 +96,11 @@
 func TestMemberThatStartedAgain(t *testing.T) {
 	is := is.New(t)
 	s := testSteward(t)
-	s.enrol(s.rosterOf(viewOf(platform.Target{ID: "a", Group: in("g"), Born: 100}), false))
+	s.enrol(s.rosterOf(viewOf(deployment.Target{ID: "a", Group: in("g"), Born: 100}), false))
 	before := s.peers["a"]
 	s.branches[0].told = true
 	s.branches[0].link.told.Store(s.roster)
-	s.enrol(s.rosterOf(viewOf(platform.Target{ID: "a", Group: in("g"), Born: 900}), false))
+	s.enrol(s.rosterOf(viewOf(deployment.Target{ID: "a", Group: in("g"), Born: 900}), false))
 	is.True(s.peers["a"] != before)
 	is.True(!s.branches[0].told)
 	is.True(s.branches[0].link.roster() == nil)
@@ -111,7 +111,7 @@
 func TestStewardFollowsTheEpoch(t *testing.T) {
 	is := is.New(t)
 	s := testSteward(t)
-	s.enrol(s.rosterOf(viewOf(platform.Target{ID: "a", Group: in("g")}), false))
+	s.enrol(s.rosterOf(viewOf(deployment.Target{ID: "a", Group: in("g")}), false))
 	s.locate("a", rankpeer.Tell{Group: engine.GroupID{Name: "g", Epoch: 4}, Refused: lockstep.OlderEpoch})
 	is.Equal(s.word().Group.Epoch, int64(4))
 	s.locate("a", rankpeer.Tell{Group: engine.GroupID{Name: "g", Epoch: 3}})
--- a/sidecar/needs.go
+++ b/sidecar/needs.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/mirror"
 	"verbenashift/core/pause"
 	"verbenashift/platform"
@@ -12,7 +13,7 @@
 
 // groupNeeds is what a steward has to know of its group that only the configuration says.
 type groupNeeds struct {
-	Engine platform.Engine
+	Engine deployment.Engine
 	// Gap is the longest pause between events that callers are to see.
 	Gap time.Duration
 }
--- a/sidecar/needs_test.go
+++ b/sidecar/needs_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
@@ -18,7 +19,7 @@
 // gateways; the configuration is read only by the first steward of all.
 func TestStewardNeedsNoConfiguration(t *testing.T) {
 	is := is.New(t)
-	engine := platform.Engine{Sets: 2, Experts: 8, Places: 3}
+	engine := deployment.Engine{Sets: 2, Experts: 8, Places: 3}
 	a, store := testAgent(t)
 	a.boot.Service = "pool"
 	s := &steward{agent: a, group: groupG, log: a.log}
--- a/sidecar/planner.go
+++ b/sidecar/planner.go
@@ -4,11 +4,11 @@
 	"strconv"
 	"time"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/engine"
 	"verbenashift/core/expert"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/rankpeer"
-	"verbenashift/platform"
 )
 
 const (
@@ -46,7 +46,7 @@
 // planner turns counts into better maps. The zero value waits for the shape of
 // the group.
 type planner struct {
-	engine platform.Engine
+	engine deployment.Engine
 	group  expert.Group
 	// ranks are the targets of the group by rank, as last taken.
 	ranks []string
@@ -70,7 +70,7 @@
 }
 
 // shape takes the figures of the group's engines.
-func (p *planner) shape(e platform.Engine) {
+func (p *planner) shape(e deployment.Engine) {
 	if e == p.engine {
 		return
 	}
--- a/sidecar/planner_test.go
+++ b/sidecar/planner_test.go
@@ -6,10 +6,10 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/engine"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/rankpeer"
-	"verbenashift/platform"
 )
 
 // A rank does not answer, and the others are to prepare a map that loads nothing.
@@ -18,7 +18,7 @@
 func TestStopgapLoadsNothing(t *testing.T) {
 	is := is.New(t)
 	p := planner{
-		engine: platform.Engine{Sets: 1, Experts: 5, Places: 3}, ranks: []string{"a", "b", "c"},
+		engine: deployment.Engine{Sets: 1, Experts: 5, Places: 3}, ranks: []string{"a", "b", "c"},
 		places: map[string]*engine.Placement{
 			"a": {Epoch: 2, Map: 7, Experts: [][]int{{0, 1}}},
 			"c": {Epoch: 2, Map: 7, Experts: [][]int{{1, 3}}},
--- a/sidecar/relay_test.go
+++ b/sidecar/relay_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/engine"
 	"verbenashift/core/instance"
 	"verbenashift/core/lockstep"
@@ -86,7 +87,7 @@
 // newSide starts n ranks with their agents, and makes a steward beside the first one.
 func newSide(t *testing.T, n int) *side {
 	s := &side{I: is.New(t), t: t}
-	v := viewOf(make([]platform.Target, n)...)
+	v := viewOf(make([]deployment.Target, n)...)
 	clear(v.Targets)
 	for i := range n {
 		ip := testIP(i)
@@ -99,7 +100,7 @@
 		s.listeners = append(s.listeners, s.listen(a.addr()))
 		go a.serve(s.listeners[i])
 		id := fmt.Sprintf("i-%03d", i)
-		v.Targets[id] = platform.Target{ID: id, Service: "pool", Addr: addr, Group: groupG}
+		v.Targets[id] = deployment.Target{ID: id, Service: "pool", Addr: addr, Group: groupG}
 	}
 	own := s.agents[0]
 	_, err := own.readRank(t.Context())
@@ -311,7 +312,7 @@
 	s.ask()
 	st := s.steward
 	const sets = 240
-	st.planner.engine = platform.Engine{Sets: sets, Experts: 80, Places: 3}
+	st.planner.engine = deployment.Engine{Sets: sets, Experts: 80, Places: 3}
 	m := make(lockstep.Map, sets)
 	for l := range m {
 		m[l] = make([][]int, sideRanks)
