The mirror of the store and the connections between agents know no platform

deployment.Formats tells the mirror which keys hold a configuration and targets, and how they are decoded; platform.Formats gives those of the users' store. Opening a connection that breaks when its other end is silent is package core/tcp. No behaviour changes; the mirror's tests read formats of their own.

--- a/core/deployment/deployment.go
+++ b/core/deployment/deployment.go
@@ -16,8 +16,19 @@
 	"time"
 
 	"verbenashift/core/engine"
+	"verbenashift/core/kv"
 )
 
+// Formats is how a deployment stands in the store.
+type Formats struct {
+	// ConfigKey holds the newest configuration, TargetPrefix begins the keys of the
+	// targets' entries and is followed by their IDs.
+	ConfigKey, TargetPrefix string
+	// Config and Target decode what stands there.
+	Config func(value []byte) (*Config, error)
+	Target func(it kv.Item) (Target, error)
+}
+
 // Config is the operator's configuration in force.
 type Config struct {
 	// Version increases with each configuration, in uneven steps.
--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -13,10 +13,10 @@
 	"sync/atomic"
 	"time"
 
+	"verbenashift/core/deployment"
 	"verbenashift/core/kv"
 	"verbenashift/core/pause"
 	"verbenashift/core/rankpeer"
-	"verbenashift/platform"
 )
 
 const (
@@ -76,17 +76,17 @@
 }
 
 // NewFollower returns a Follower that does nothing before Run.
-func NewFollower(store source, log *slog.Logger) *Follower {
-	prefixes := []string{platform.ConfigKey, platform.TargetPrefix, rankpeer.ClaimPrefix}
-	return &Follower{store: store, prefixes: prefixes, log: log, mirror: New(log), started: time.Now()}
+func NewFollower(store source, formats deployment.Formats, log *slog.Logger) *Follower {
+	prefixes := []string{formats.ConfigKey, formats.TargetPrefix, rankpeer.ClaimPrefix}
+	return &Follower{store: store, prefixes: prefixes, log: log, mirror: New(formats, log), started: time.Now()}
 }
 
 // NewTargetFollower returns a Follower of the targets alone, whose views have an empty
 // configuration. It does nothing before Run.
-func NewTargetFollower(store source, log *slog.Logger) *Follower {
+func NewTargetFollower(store source, formats deployment.Formats, log *slog.Logger) *Follower {
 	return &Follower{
-		store: store, prefixes: []string{platform.TargetPrefix}, watched: platform.TargetPrefix,
-		log: log, mirror: NewTargets(log), started: time.Now(),
+		store: store, prefixes: []string{formats.TargetPrefix}, watched: formats.TargetPrefix,
+		log: log, mirror: NewTargets(formats, log), started: time.Now(),
 	}
 }
 
--- a/core/mirror/follower_test.go
+++ b/core/mirror/follower_test.go
@@ -12,7 +12,6 @@
 
 	"verbenashift/core/kv"
 	"verbenashift/core/pause"
-	"verbenashift/platform"
 )
 
 // script is a store that plays what a test wants.
@@ -38,7 +37,7 @@
 // then.
 func targetsSoon(t *testing.T, s *script) int {
 	t.Helper()
-	f := NewFollower(s, quiet())
+	f := NewFollower(s, testFormats(), quiet())
 	ctx, cancel := context.WithCancel(t.Context())
 	go f.Run(ctx)
 	time.Sleep(time.Second)
@@ -56,7 +55,7 @@
 		s := &script{
 			rangeOf: func(prefix string) (kv.Page, error) {
 				asOf++
-				if prefix == platform.ConfigKey {
+				if prefix == testConfigKey {
 					return kv.Page{Items: []kv.Item{config(3)}, AsOf: asOf}, nil
 				}
 				return kv.Page{AsOf: asOf}, nil
@@ -82,9 +81,9 @@
 			rangeOf: func(prefix string) (kv.Page, error) {
 				page := kv.Page{AsOf: 5}
 				switch {
-				case prefix == platform.ConfigKey:
+				case prefix == testConfigKey:
 					page.Items = []kv.Item{config(3)}
-				case prefix == platform.TargetPrefix && !compacted:
+				case prefix == testTargetPrefix && !compacted:
 					page.Items = []kv.Item{entry("a", "10.0.0.1:80", "ready", 2)}
 				}
 				return page, nil
@@ -115,7 +114,7 @@
 					return kv.Page{}, failed
 				}
 				reads.Add(1)
-				if prefix == platform.ConfigKey {
+				if prefix == testConfigKey {
 					return kv.Page{Items: []kv.Item{config(3)}, AsOf: 5}, nil
 				}
 				return kv.Page{AsOf: 5}, nil
@@ -127,7 +126,7 @@
 				return kv.Page{AsOf: 5}, nil
 			},
 		}
-		f := NewFollower(s, quiet())
+		f := NewFollower(s, testFormats(), quiet())
 		ctx, cancel := context.WithCancel(t.Context())
 		go f.Run(ctx)
 		time.Sleep(time.Second)
@@ -155,7 +154,7 @@
 		revision.Store(5)
 		s := &script{
 			rangeOf: func(prefix string) (kv.Page, error) {
-				if prefix == platform.ConfigKey {
+				if prefix == testConfigKey {
 					return kv.Page{Items: []kv.Item{config(3)}, AsOf: 5}, nil
 				}
 				return kv.Page{AsOf: 5}, nil
@@ -174,7 +173,7 @@
 			}
 			return kv.Page{AsOf: after}, errors.New("cut") // not a page without changes: that would be waited for twice
 		}
-		f := NewFollower(s, quiet())
+		f := NewFollower(s, testFormats(), quiet())
 		go f.Run(ctx)
 		for range 80 {
 			revision.Add(1)
--- a/core/mirror/hints_test.go
+++ b/core/mirror/hints_test.go
@@ -12,7 +12,6 @@
 
 	"verbenashift/core/kv"
 	"verbenashift/core/pause"
-	"verbenashift/platform"
 )
 
 func TestHints(t *testing.T) {
@@ -50,7 +49,7 @@
 }
 
 func (s *silentStore) Range(_ context.Context, prefix, _ string) (kv.Page, error) {
-	if prefix == platform.ConfigKey {
+	if prefix == testConfigKey {
 		return kv.Page{Items: []kv.Item{config(3)}, AsOf: 10}, nil
 	}
 	return kv.Page{AsOf: 10}, nil
@@ -77,7 +76,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := &silentStore{}
-		f := NewFollower(s, quiet())
+		f := NewFollower(s, testFormats(), quiet())
 		ctx, cancel := context.WithCancel(t.Context())
 		go f.Run(ctx)
 		var event atomic.Int64
@@ -106,7 +105,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := &silentStore{}
-		f := NewFollower(s, quiet())
+		f := NewFollower(s, testFormats(), quiet())
 		ctx, cancel := context.WithCancel(t.Context())
 		go f.Run(ctx)
 		time.Sleep(10 * time.Millisecond)
@@ -140,9 +139,9 @@
 				switch {
 				case down.Load():
 					return page, failed
-				case prefix == platform.ConfigKey:
+				case prefix == testConfigKey:
 					page.Items = []kv.Item{config(3)}
-				case prefix == platform.TargetPrefix && !left:
+				case prefix == testTargetPrefix && !left:
 					page.Items = []kv.Item{entry("a", "10.0.0.1:80", "ready", 2)}
 				}
 				return page, nil
@@ -154,7 +153,7 @@
 				return kv.Page{AsOf: 5}, nil
 			},
 		}
-		f := NewFollower(s, quiet())
+		f := NewFollower(s, testFormats(), quiet())
 		ctx, cancel := context.WithCancel(t.Context())
 		go f.Run(ctx)
 		go func() {
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	f := mirror.NewFollower(store, log)
+//	f := mirror.NewFollower(store, formats, log)
 //	f.OnChange(func(v *mirror.View) { table.Update(v.Targets) })
 //	go f.Run(ctx)
 //	view := f.View() // nil until the first configuration
@@ -27,7 +27,6 @@
 	"verbenashift/core/deployment"
 	"verbenashift/core/kv"
 	"verbenashift/core/rankpeer"
-	"verbenashift/platform"
 )
 
 // returnGrace is how long targets that were known before an outage of the
@@ -71,6 +70,7 @@
 // Mirror decides what is in force. It is not safe for concurrent use.
 type Mirror struct {
 	log     *slog.Logger
+	formats deployment.Formats
 	config  *deployment.Config
 	targets map[string]deployment.Target
 	// stewards are the claims by what follows the prefix of their keys.
@@ -84,14 +84,14 @@
 }
 
 // New returns an empty Mirror.
-func New(log *slog.Logger) *Mirror {
-	return &Mirror{log: log, targets: map[string]deployment.Target{}, stewards: map[string]rankpeer.Claim{}, missing: map[string]time.Time{}}
+func New(formats deployment.Formats, log *slog.Logger) *Mirror {
+	return &Mirror{log: log, formats: formats, targets: map[string]deployment.Target{}, stewards: map[string]rankpeer.Claim{}, missing: map[string]time.Time{}}
 }
 
 // NewTargets returns an empty Mirror of the targets alone. A configuration may have hundreds
 // of kilobytes, half a second of a sidecar's link; a steward does not need it.
-func NewTargets(log *slog.Logger) *Mirror {
-	m := New(log)
+func NewTargets(formats deployment.Formats, log *slog.Logger) *Mirror {
+	m := New(formats, log)
 	m.targetsOnly, m.config = true, &deployment.Config{}
 	return m
 }
@@ -154,9 +154,9 @@
 
 func (m *Mirror) applyOne(it kv.Item) bool {
 	switch {
-	case it.Key == platform.ConfigKey && !it.Removed:
+	case it.Key == m.formats.ConfigKey && !it.Removed:
 		return m.applyConfig(it)
-	case strings.HasPrefix(it.Key, platform.TargetPrefix):
+	case strings.HasPrefix(it.Key, m.formats.TargetPrefix):
 		return m.applyTarget(it)
 	case strings.HasPrefix(it.Key, rankpeer.ClaimPrefix):
 		return m.applySteward(it)
@@ -187,7 +187,7 @@
 // read that was answered late, or from a lagging copy, may bring an older one:
 // acting on it would take back what callers have already seen.
 func (m *Mirror) applyConfig(it kv.Item) bool {
-	cfg, err := platform.ParseConfig(it.Value)
+	cfg, err := m.formats.Config(it.Value)
 	if err != nil {
 		m.log.Error("configuration not understood", "revision", it.Revision, "error", err.Error())
 		return false
@@ -202,12 +202,12 @@
 }
 
 func (m *Mirror) applyTarget(it kv.Item) bool {
-	id := strings.TrimPrefix(it.Key, platform.TargetPrefix)
+	id := strings.TrimPrefix(it.Key, m.formats.TargetPrefix)
 	delete(m.missing, id)
 	if it.Removed {
 		return m.remove(id, "its entry was removed", it.Revision)
 	}
-	t, err := platform.ParseTarget(it)
+	t, err := m.formats.Target(it)
 	if err != nil {
 		m.log.Warn("server entry not understood", "target", id, "revision", it.Revision, "error", err.Error())
 		return m.remove(id, "its entry names no server to use", it.Revision)
@@ -248,7 +248,7 @@
 	changed := m.Apply(all, asOf)
 	seen := map[string]bool{}
 	for _, it := range all {
-		seen[strings.TrimPrefix(it.Key, platform.TargetPrefix)] = true
+		seen[strings.TrimPrefix(it.Key, m.formats.TargetPrefix)] = true
 	}
 	for _, id := range slices.Sorted(maps.Keys(m.targets)) {
 		switch {
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -12,24 +12,23 @@
 
 	"verbenashift/core/kv"
 	"verbenashift/core/rankpeer"
-	"verbenashift/platform"
 )
 
 func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
 
 func config(version int64) kv.Item {
-	return kv.Item{Key: platform.ConfigKey, Value: fmt.Appendf(nil, `{"version":%d,"routes":[],"backends":[{"name":"desk"}]}`, version), Revision: version}
+	return kv.Item{Key: testConfigKey, Value: fmt.Appendf(nil, `{"version":%d,"routes":[],"backends":[{"name":"desk"}]}`, version), Revision: version}
 }
 
 func entry(id, addr, state string, created int64) kv.Item {
 	return kv.Item{
-		Key: platform.TargetPrefix + id, Created: created, Revision: created,
+		Key: testTargetPrefix + id, Created: created, Revision: created,
 		Value: fmt.Appendf(nil, `{"backend":"desk","addr":%q,"zone":"z","version":"v1","slots":6,"state":%q,"coldMs":0,"seq":1}`, addr, state),
 	}
 }
 
 func gone(id string, revision int64) kv.Item {
-	return kv.Item{Key: platform.TargetPrefix + id, Removed: true, Revision: revision}
+	return kv.Item{Key: testTargetPrefix + id, Removed: true, Revision: revision}
 }
 
 var noon = time.Unix(1000, 0)
@@ -39,7 +38,7 @@
 // configuration after the newer one.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	is := is.New(t)
-	m := New(quiet())
+	m := New(testFormats(), quiet())
 	is.Equal(m.View(), nil)
 	is.True(m.Apply([]kv.Item{config(7)}, 7))
 	is.True(!m.Apply([]kv.Item{config(4)}, 8))
@@ -52,9 +51,9 @@
 // A configuration that can't be read must not take the place of one that can.
 func TestBadConfigurationIsIgnored(t *testing.T) {
 	is := is.New(t)
-	m := New(quiet())
+	m := New(testFormats(), quiet())
 	m.Apply([]kv.Item{config(7)}, 7)
-	is.True(!m.Apply([]kv.Item{{Key: platform.ConfigKey, Value: []byte("{"), Revision: 8}}, 8))
+	is.True(!m.Apply([]kv.Item{{Key: testConfigKey, Value: []byte("{"), Revision: 8}}, 8))
 	is.Equal(m.View().Config.Version, int64(7))
 }
 
@@ -62,7 +61,7 @@
 // all be refused until that entry expires.
 func TestNewestServerOfAnAddress(t *testing.T) {
 	is := is.New(t)
-	m := New(quiet())
+	m := New(testFormats(), quiet())
 	m.Apply([]kv.Item{config(1), entry("old", "10.0.0.1:80", "ready", 2)}, 2)
 	m.Apply([]kv.Item{entry("new", "10.0.0.1:80", "ready", 9)}, 9)
 	v := m.View()
@@ -77,7 +76,7 @@
 // One that does not come back is dropped after all.
 func TestMissingAfterAnOutage(t *testing.T) {
 	is := is.New(t)
-	m := New(quiet())
+	m := New(testFormats(), quiet())
 	m.Apply([]kv.Item{config(1), entry("a", "10.0.0.1:80", "ready", 2), entry("b", "10.0.0.2:80", "ready", 3)}, 3)
 	m.Replace([]kv.Item{config(1)}, 20, true, noon)
 	is.Equal(len(m.View().Targets), 2)
@@ -93,7 +92,7 @@
 // its entry go. It must get nothing from then on.
 func TestMissingAfterAGap(t *testing.T) {
 	is := is.New(t)
-	m := New(quiet())
+	m := New(testFormats(), quiet())
 	m.Apply([]kv.Item{config(1), entry("a", "10.0.0.1:80", "ready", 2)}, 2)
 	is.True(m.Replace([]kv.Item{config(1)}, 20, false, noon))
 	is.Equal(len(m.View().Targets), 0)
@@ -101,7 +100,7 @@
 
 func TestDrainingIsSeen(t *testing.T) {
 	is := is.New(t)
-	m := New(quiet())
+	m := New(testFormats(), quiet())
 	m.Apply([]kv.Item{config(1), entry("a", "10.0.0.1:80", "ready", 2)}, 2)
 	is.True(m.Apply([]kv.Item{entry("a", "10.0.0.1:80", "draining", 2)}, 5))
 	is.True(m.View().Targets["a"].Draining)
@@ -121,13 +120,13 @@
 // any more; the second must not hide the server that is really there.
 func TestEntriesThatNameNoServer(t *testing.T) {
 	is := is.New(t)
-	m := New(quiet())
+	m := New(testFormats(), quiet())
 	m.Apply([]kv.Item{config(1), entry("a", "10.0.0.1:80", "ready", 2), entry("b", "10.0.0.2:80", "ready", 3)}, 3)
 	strange := entry("c", "10.0.0.1:80", "ready", 9)
 	strange.Value = []byte(strings.Replace(string(strange.Value), `"desk"`, `"nowhere"`, 1))
-	m.Apply([]kv.Item{strange, {Key: platform.TargetPrefix + "d", Value: []byte("\x00"), Revision: 10}}, 10)
+	m.Apply([]kv.Item{strange, {Key: testTargetPrefix + "d", Value: []byte("\x00"), Revision: 10}}, 10)
 	is.Equal(len(m.View().Targets), 2)
-	is.True(m.Apply([]kv.Item{{Key: platform.TargetPrefix + "b", Value: []byte("{"), Revision: 11}}, 11))
+	is.True(m.Apply([]kv.Item{{Key: testTargetPrefix + "b", Value: []byte("{"), Revision: 11}}, 11))
 	v := m.View()
 	is.Equal(len(v.Targets), 1)
 	is.Equal(v.Targets["a"].ID, "a")
@@ -139,7 +138,7 @@
 // the address now, although its entry is the older one.
 func TestServerStartsAgainUnderItsID(t *testing.T) {
 	is := is.New(t)
-	m := New(quiet())
+	m := New(testFormats(), quiet())
 	m.Apply([]kv.Item{config(1), server("a", "10.0.0.1:80", 100, 2, 2), server("b", "10.0.0.2:80", 100, 5, 5)}, 5)
 	is.True(m.Apply([]kv.Item{server("a", "10.0.0.2:80", 900, 2, 8)}, 8))
 	v := m.View()
@@ -154,7 +153,7 @@
 // can't be read. Whoever followed them would take one group's steward for that of another.
 func TestClaimsBelongToTheirGroups(t *testing.T) {
 	is := is.New(t)
-	m := New(quiet())
+	m := New(testFormats(), quiet())
 	claim := func(key, group, addr string, revision int64) kv.Item {
 		return kv.Item{Key: rankpeer.ClaimPrefix + key, Value: rankpeer.Claim{Group: group, Epoch: 1, Addr: addr}.Bytes(), Revision: revision}
 	}
--- a/core/rankpeer/rankpeer.go
+++ b/core/rankpeer/rankpeer.go
@@ -15,7 +15,7 @@
 
 	"verbenashift/core/engine"
 	"verbenashift/core/lockstep"
-	"verbenashift/platform"
+	"verbenashift/core/tcp"
 )
 
 // Ask is what a steward asks of the agent beside a rank, or a gateway of the
@@ -140,7 +140,7 @@
 func Dial(ctx context.Context, addr string, wait time.Duration) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	c, err := platform.Dial(ctx, "tcp", addr)
+	c, err := tcp.Dial(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/platform/dial.go
+++ b/core/tcp/tcp.go
@@ -1,9 +1,13 @@
-package platform
+// Package tcp opens connections that break when the other end no longer answers.
+//
+// # Usage
+//
+//	conn, err := tcp.Dial(ctx, "tcp", "10.0.0.1:80")
+package tcp
 
 import (
 	"context"
 	"net"
-	"net/http"
 	"syscall"
 	"time"
 )
@@ -13,9 +17,8 @@
 // acknowledgement of sent bytes, means that the other end is gone or cut off:
 // two lost packets in a row are sent again after 600 ms.
 const (
-	dialTimeout    = time.Second
-	ackTimeout     = 800 * time.Millisecond
-	idleConnection = 20 * time.Second
+	dialTimeout = time.Second
+	ackTimeout  = 800 * time.Millisecond
 )
 
 // tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT: how long sent
@@ -41,14 +44,3 @@
 	}
 	return sockErr
 }
-
-func newTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:         Dial,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 2,
-		IdleConnTimeout:     idleConnection,
-		ReadBufferSize:      2 << 10,
-		WriteBufferSize:     2 << 10,
-	}
-}
--- a/gateway/crash/detector.go
+++ b/gateway/crash/detector.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	d := crash.New(platform.Dial, serves, log, func(c quarantine.Crash) { report(c) })
+//	d := crash.New(tcp.Dial, serves, log, func(c quarantine.Crash) { report(c) })
 //	d.Broke(target, print)  // an answer of the target broke off
 //	d.Gone(target)          // its entry has gone, or tells of a later start
 //	d.Tick(time.Now())      // now and then
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -13,6 +13,7 @@
 	"verbenashift/core/health"
 	"verbenashift/core/mirror"
 	"verbenashift/core/route"
+	"verbenashift/core/tcp"
 	"verbenashift/gateway/crash"
 	"verbenashift/gateway/upstream"
 	"verbenashift/platform"
@@ -93,7 +94,7 @@
 	targets := make([]route.Target, 0, len(v.Targets))
 	for id, t := range v.Targets {
 		if f.pools[id] == nil {
-			f.pools[id] = &pooled{Target: t, pool: upstream.NewPool(t.Addr.String(), platform.Dial, answersTo)}
+			f.pools[id] = &pooled{Target: t, pool: upstream.NewPool(t.Addr.String(), tcp.Dial, answersTo)}
 		}
 		f.pools[id].Target = t
 		targets = append(targets, f.routed(&t))
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -34,7 +34,7 @@
 func newStore(env instance.Env) *platform.Store { return platform.NewStore(env.Boot.Store.Addr) }
 
 func newFollower(env instance.Env, store *platform.Store) *mirror.Follower {
-	return mirror.NewFollower(store, env.Log)
+	return mirror.NewFollower(store, platform.Formats(), env.Log)
 }
 
 // follow keeps the gateway at what the store says, and lets time pass for it.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -21,6 +21,7 @@
 	"verbenashift/core/pause"
 	"verbenashift/core/rankpeer"
 	"verbenashift/core/retry"
+	"verbenashift/core/tcp"
 	"verbenashift/gateway/crash"
 	"verbenashift/platform"
 )
@@ -57,7 +58,7 @@
 		bounds: boot.Bounds, started: time.Now(), admitters: map[string]*admitter{}, patience: map[string]*retry.Patience{}, budgets: retry.NewBudgets(retryLimits(boot.Bounds)),
 	}
 	g.isolator = newIsolator(boot.Instance, store, log)
-	g.fleet.crashes = crash.New(platform.Dial, g.fleet.serves, log, g.isolator.crashed)
+	g.fleet.crashes = crash.New(tcp.Dial, g.fleet.serves, log, g.isolator.crashed)
 	g.digests = newDigests(boot.Instance, log, g.digest)
 	g.fleet.spare = g.spareRetries
 	return g
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -13,7 +13,7 @@
 //
 // # Usage
 //
-//	pool := upstream.NewPool(addr, platform.Dial, answersTo)
+//	pool := upstream.NewPool(addr, tcp.Dial, answersTo)
 //	reply, err := pool.Do(ctx, &upstream.Request{Method: "POST", Target: uri, Host: host, Head: head, Body: body, ID: id})
 //	if err != nil {
 //		return err
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -11,6 +11,7 @@
 	"verbenashift/core/mirror"
 	"verbenashift/core/pause"
 	"verbenashift/core/rankpeer"
+	"verbenashift/platform"
 )
 
 const (
@@ -100,7 +101,7 @@
 	salt := rand.Uint64()
 	s := &steward{
 		agent: a, salt: salt, group: group, rankOf: st.Rank, born: st.Born, duty: d,
-		targets: mirror.NewTargetFollower(a.store, a.log),
+		targets: mirror.NewTargetFollower(a.store, platform.Formats(), a.log),
 		members: members{peers: map[string]*peer{}, elsewhere: map[string]engine.GroupID{}, strayAt: time.Now()},
 		core:    lockstep.NewSteward(st.Rank, a.stewardBefore(st.Rank), salt), pending: map[string]lockstep.Command{},
 		log: a.log.With("group", group.Name, "service", a.boot.Service, "steward-from", d.term),
