The frame of the programs takes its settings from whoever has them

core/instance loaded the platform's settings file itself. Its programs now name their source (boot.Source); the settings are types of core/boot, and platform.BootSource reads the file. Modules that needed the platform only through the core need it no more. No behaviour changes.

--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -6,7 +6,7 @@
 //
 //	func main() {
 //		instance.Program{
-//			Name: "gateway", Usage: "serve callers",
+//			Name: "gateway", Usage: "serve callers", Settings: platform.BootSource{},
 //			Build: func(env instance.Env) fx.Option { return fx.Options(fx.Provide(newGateway), fx.Invoke(serve)) },
 //		}.Main()
 //	}
@@ -32,8 +32,8 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/fx"
 
+	"verbenashift/core/boot"
 	"verbenashift/core/eventlog"
-	"verbenashift/platform"
 )
 
 // The exit codes of all programs.
@@ -59,7 +59,7 @@
 
 // Env is what a program is built from.
 type Env struct {
-	Boot platform.Boot
+	Boot boot.Settings
 	Log  *slog.Logger
 	// NoPlan says that expert maps are to stay as they are.
 	NoPlan bool
@@ -73,6 +73,8 @@
 type Program struct {
 	Name  string
 	Usage string
+	// Settings is where those of the process come from.
+	Settings boot.Source
 	// Build returns what the program consists of. Its stop hooks end it
 	// gracefully.
 	Build func(Env) fx.Option
@@ -106,10 +108,10 @@
 		return err
 	}
 	if cmd.Bool("reference") {
-		return reference(out)
+		return reference(p.Settings.Fields(), out)
 	}
 	if file := cmd.String("check"); file != "" {
-		return check(file, out)
+		return check(p.Settings, file, out)
 	}
 	level, ok := levels[cmd.String("log")]
 	if !ok {
@@ -120,7 +122,7 @@
 		return cli.Exit(p.Name+": "+err.Error(), ExitSettings)
 	}
 	var err error
-	if env.Boot, err = platform.LoadBoot(); err != nil {
+	if env.Boot, err = p.Settings.Load(); err != nil {
 		return cli.Exit(p.Name+": "+err.Error(), ExitSettings)
 	}
 	return p.run(env, level)
@@ -143,9 +145,9 @@
 }
 
 // reference prints the fields of the settings file.
-func reference(out io.Writer) error {
+func reference(fields []boot.Field, out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	for _, f := range platform.BootFields() {
+	for _, f := range fields {
 		need := "needed"
 		if f.Optional {
 			need = "may be missing"
@@ -158,12 +160,12 @@
 }
 
 // check checks a settings file and says what was read.
-func check(file string, out io.Writer) error {
+func check(source boot.Source, file string, out io.Writer) error {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return cli.Exit(err.Error(), ExitSettings)
 	}
-	b, err := platform.ParseBoot(file, data)
+	b, err := source.Parse(file, data)
 	if err != nil {
 		return cli.Exit(err.Error(), ExitSettings)
 	}
@@ -219,7 +221,7 @@
 // reload reads the settings again. Nothing in them can change in the life of a
 // process but what it does not use, so that it only says what it found.
 func (p Program) reload(log *slog.Logger) {
-	if _, err := platform.LoadBoot(); err != nil {
+	if _, err := p.Settings.Load(); err != nil {
 		log.Error("reload", "error", err.Error())
 		return
 	}
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -24,7 +24,7 @@
 )
 
 func main() {
-	instance.Program{Name: "gateway", Usage: "serve callers", Build: build}.Main()
+	instance.Program{Name: "gateway", Usage: "serve callers", Settings: platform.BootSource{}, Build: build}.Main()
 }
 
 func build(instance.Env) fx.Option {
--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"verbenashift/core/boot"
 	"verbenashift/core/deployment"
 	"verbenashift/core/instance"
 	"verbenashift/core/mirror"
@@ -58,7 +59,7 @@
 func newRig(t *testing.T, route deployment.Route, servers ...*scripted.Server) *rig {
 	t.Helper()
 	env := instance.Env{Log: slog.New(slog.DiscardHandler)}
-	env.Boot.Bounds = platform.Bounds{RetryRatio: 0.2, RetrySlack: 90 * gatewaysUntold}
+	env.Boot.Bounds = boot.Bounds{RetryRatio: 0.2, RetrySlack: 90 * gatewaysUntold}
 	g := newGateway(env, noop.NewTracerProvider().Tracer("test"), nil)
 	r := &rig{I: is.New(t), t: t, gateway: g, view: mirror.View{
 		Config: &deployment.Config{
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"verbenashift/core/admission"
+	"verbenashift/core/boot"
 	"verbenashift/core/deployment"
 	"verbenashift/core/health"
 	"verbenashift/core/instance"
@@ -32,7 +33,7 @@
 	tracer  trace.Tracer
 	fleet   *fleet
 	catalog atomic.Pointer[catalog]
-	bounds  platform.Bounds
+	bounds  boot.Bounds
 	// leaving is set by SIGTERM: the balancer is told to send nothing more.
 	leaving atomic.Bool
 	started time.Time
@@ -77,7 +78,7 @@
 
 // retryLimits shares the retries of the whole deployment. The ratio needs no
 // sharing: each gateway keeps to it for its own requests.
-func retryLimits(b platform.Bounds) retry.Limits {
+func retryLimits(b boot.Bounds) retry.Limits {
 	share := slackShare(b, gatewaysUntold)
 	return retry.Limits{
 		Ratio: b.RetryRatio * retryPart, KeyBurst: share, HopBurst: share,
@@ -88,7 +89,7 @@
 // slackShare is this gateway's part of the retries that all of them may make beside their
 // part of the requests. Shared among 24, the slack was used more than twice where 53
 // gateways had retries to make at once.
-func slackShare(b platform.Bounds, among int) float64 {
+func slackShare(b boot.Bounds, among int) float64 {
 	return max(math.Floor(b.RetrySlack/float64(max(among, gateways))), 1)
 }
 
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"verbenashift/core/boot"
 	"verbenashift/core/engine"
 	"verbenashift/core/instance"
 	"verbenashift/core/lockstep"
@@ -18,7 +19,7 @@
 // agent is the process beside one rank. It gives the steward's orders to its
 // rank and, when no steward is heard, becomes the steward itself.
 type agent struct {
-	boot  platform.Boot
+	boot  boot.Settings
 	log   *slog.Logger
 	rank  *platform.RankClient
 	store *platform.Store
--- a/sidecar/claim_test.go
+++ b/sidecar/claim_test.go
@@ -10,12 +10,12 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/boot"
 	"verbenashift/core/engine"
 	"verbenashift/core/instance"
 	"verbenashift/core/kv"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/rankpeer"
-	"verbenashift/platform"
 	"verbenashift/standin/fleet"
 )
 
@@ -24,9 +24,9 @@
 	store := fleet.NewStore()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
-	boot := platform.Boot{
+	boot := boot.Settings{
 		Instance: "side-1", IP: netip.MustParseAddr("127.0.0.1"), PortFirst: 9310,
-		Store: platform.StoreSettings{Addr: netip.MustParseAddrPort(server.Listener.Addr().String())},
+		Store: boot.Store{Addr: netip.MustParseAddrPort(server.Listener.Addr().String())},
 	}
 	return newAgent(instance.Env{Boot: boot, Log: slog.New(slog.DiscardHandler)}), store
 }
--- a/sidecar/fullmaps.go
+++ b/sidecar/fullmaps.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"verbenashift/core/boot"
 	"verbenashift/core/rankpeer"
-	"verbenashift/platform"
 )
 
 // A change goes out as moves from a map that the agents know. After a restart of all
@@ -22,7 +22,7 @@
 )
 
 // fullMapsAtOnce is how many whole maps of so many bytes a process sends in one asking.
-func fullMapsAtOnce(boot *platform.Boot, bytes int) int {
+func fullMapsAtOnce(boot *boot.Settings, bytes int) int {
 	link := boot.LinkBytes
 	if link <= 0 {
 		link = usualLink
--- a/sidecar/main.go
+++ b/sidecar/main.go
@@ -15,10 +15,11 @@
 	"go.uber.org/fx"
 
 	"verbenashift/core/instance"
+	"verbenashift/platform"
 )
 
 func main() {
-	instance.Program{Name: "sidecar", Usage: "stand beside a model server", Build: build}.Main()
+	instance.Program{Name: "sidecar", Usage: "stand beside a model server", Settings: platform.BootSource{}, Build: build}.Main()
 }
 
 func build(instance.Env) fx.Option {
--- a/sidecar/relay_test.go
+++ b/sidecar/relay_test.go
@@ -15,12 +15,12 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/boot"
 	"verbenashift/core/deployment"
 	"verbenashift/core/engine"
 	"verbenashift/core/instance"
 	"verbenashift/core/lockstep"
 	"verbenashift/core/rankpeer"
-	"verbenashift/platform"
 )
 
 // The ports of the loopback instances of these tests.
@@ -94,7 +94,7 @@
 		addr := netip.AddrPortFrom(ip, testRankPort)
 		rank := &fakeRank{rank: i, size: n}
 		s.serveRank(addr, rank)
-		boot := platform.Boot{Instance: fmt.Sprintf("side-%03d", i), IP: ip, PortFirst: testPeerPort, Target: addr, Service: "pool"}
+		boot := boot.Settings{Instance: fmt.Sprintf("side-%03d", i), IP: ip, PortFirst: testPeerPort, Target: addr, Service: "pool"}
 		a := newAgent(instance.Env{Boot: boot, Log: slog.New(slog.DiscardHandler)})
 		s.agents, s.ranks = append(s.agents, a), append(s.ranks, rank)
 		s.listeners = append(s.listeners, s.listen(a.addr()))
--- a/tools/guards/check.go
+++ b/tools/guards/check.go
@@ -12,8 +12,8 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"syscall"
 	"sync"
+	"syscall"
 	"time"
 )
 
