A call is what it asks for, where it has been, what its caller was told, and its history

gateway.call had 28 fields side by side. They stand in four embedded structs now, each with one job; newCall makes a call. Two methods of gateway whose names a field of call has were renamed. No behaviour changes; tests keep their assertions.

--- a/gateway/admitter_test.go
+++ b/gateway/admitter_test.go
@@ -49,8 +49,11 @@
 func caller(returning bool) *call {
 	now := time.Now()
 	return &call{
-		gateway: &gateway{}, route: &deployment.Route{Objective: 500 * time.Millisecond}, returning: returning,
-		arrived: now, deadline: now.Add(8 * time.Second), req: platform.Request{PromptTokens: 800, AnswerTokens: 100},
+		gateway: &gateway{},
+		request: request{
+			route: &deployment.Route{Objective: 500 * time.Millisecond}, returning: returning,
+			arrived: now, deadline: now.Add(8 * time.Second), req: platform.Request{PromptTokens: 800, AnswerTokens: 100},
+		},
 	}
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -26,8 +26,16 @@
 // call is one request of a caller on its way.
 type call struct {
 	*gateway
-	w       http.ResponseWriter
-	r       *http.Request
+	w http.ResponseWriter
+	r *http.Request
+	request
+	journey
+	told
+	history
+}
+
+// request is what a call asks for. It does not change once the call was admitted.
+type request struct {
 	req     platform.Request
 	route   *deployment.Route
 	space   *deployment.Workspace
@@ -36,45 +44,53 @@
 	arrived time.Time
 	// deadline is the earlier of what the route and the caller allow.
 	deadline time.Time
-	attempts retry.Attempts
 	// version is that of the configuration that the request was judged by.
 	version int64
+	// returning says that the caller has been refused or has failed before.
+	returning bool
+}
+
+// journey is where a call has been and where it is.
+type journey struct {
+	attempts retry.Attempts
 	// queued is how long it waited for a place; last is its last attempt.
 	queued time.Duration
 	last   sent
 	// ran counts the servers that may have run it.
 	ran     int
 	exclude route.Exclude
-	// begun says that the head of the answer has gone out.
-	begun     bool
-	lastEvent string
-	lastID    int64
-	// print is the fingerprint of the request, once somebody has asked for it; suspect
-	// says that a target may have crashed under it.
-	print   quarantine.Print
-	suspect bool
-	// trial says that the request was held back and is sent to find out whether it still
-	// crashes targets; crashes is how many had crashed before.
-	trial   bool
-	crashes int
-	// served says that the caller was passed a whole answer of a target.
-	served bool
-	// eventAt is when the last event was passed on, firstAfter how long after its
-	// arrival the request got the first, longestPause the longest time between two.
-	eventAt      time.Time
-	firstAfter   time.Duration
-	longestPause time.Duration
-	// returning says that the caller has been refused or has failed before.
-	returning bool
-	// flight is the watch over a stream that may go on elsewhere.
-	flight *flight
 	// admitter is that of the service, if it has one; place is where the request runs.
 	admitter *admitter
 	place    place
+	// flight is the watch over a stream that may go on elsewhere.
+	flight *flight
 	// failure is the server's own failure, passed on if nothing better comes.
 	failure *answer
 }
 
+// told is what the caller has got so far.
+type told struct {
+	// begun says that the head of the answer has gone out, served that a target's answer
+	// has gone out whole.
+	begun, served bool
+	lastEvent     string
+	lastID        int64
+	// eventAt is when the last event was passed on, firstAfter how long after its
+	// arrival the request got the first, longestPause the longest time between two.
+	eventAt      time.Time
+	firstAfter   time.Duration
+	longestPause time.Duration
+}
+
+// newCall returns the call of a caller that has just arrived.
+func newCall(g *gateway, w http.ResponseWriter, r *http.Request) *call {
+	return &call{
+		gateway: g, w: w, r: r,
+		request: request{req: platform.ParseRequest(r.Header), arrived: time.Now()},
+		told:    told{lastID: -1},
+	}
+}
+
 // answer is one whole answer of a server.
 type answer struct {
 	status int
@@ -129,7 +145,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.service = c.drawService()
-	c.returning = c.gateway.returning(c.route.Name, c.req.Patience)
+	c.returning = c.gateway.comesBack(c.route.Name, c.req.Patience)
 	return true
 }
 
--- a/gateway/call_test.go
+++ b/gateway/call_test.go
@@ -31,7 +31,7 @@
 	for range 4 {
 		wg.Go(func() {
 			for range 200 {
-				c := &call{gateway: g, route: rt, service: "a", deadline: time.Now().Add(time.Minute)}
+				c := &call{gateway: g, request: request{route: rt, service: "a", deadline: time.Now().Add(time.Minute)}}
 				c.drawService()
 				c.decide(retry.Refused)
 				g.fleet.pick(&route.Query{Service: "a"}, time.Now())
--- a/gateway/heldback.go
+++ b/gateway/heldback.go
@@ -7,6 +7,18 @@
 	"verbenashift/core/quarantine"
 )
 
+// history is what is known of calls with the same content.
+type history struct {
+	// print is the fingerprint of the request, once somebody has asked for it; suspect
+	// says that a target may have crashed under it.
+	print   quarantine.Print
+	suspect bool
+	// trial says that the request was held back and is sent to find out whether it still
+	// crashes targets; crashes is how many had crashed before.
+	trial   bool
+	crashes int
+}
+
 // fingerprint returns what the request has in common with others of the same content.
 func (c *call) fingerprint() quarantine.Print {
 	if c.print == (quarantine.Print{}) {
--- a/gateway/heldback_test.go
+++ b/gateway/heldback_test.go
@@ -120,7 +120,7 @@
 	read := r.logged()
 	r.view.Config.Services[0].Engine = &deployment.Engine{Slots: 1}
 	r.gateway.update(&r.view)
-	r.gateway.admitter("pool").resize(map[string]int{"": 1})
+	r.gateway.admitterOf("pool").resize(map[string]int{"": 1})
 	other := r.call()
 	other.Body += "."
 	served := make(chan scripted.Answer)
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -130,7 +130,7 @@
 	read := r.logged()
 	r.view.Config.Services[0].Engine = &deployment.Engine{Slots: 1}
 	r.gateway.update(&r.view)
-	a := r.gateway.admitter("pool")
+	a := r.gateway.admitterOf("pool")
 	a.log = r.gateway.log
 	a.resize(map[string]int{"": 1})
 	first := r.call()
@@ -163,7 +163,7 @@
 	r.gateway.fleet.flights.groups[groupKey{service: "pool"}] = now
 	r.gateway.fleet.watchSilence(now)
 	r.gateway.fleet.mu.Unlock()
-	c := &call{gateway: r.gateway, req: platform.Request{ID: "r1"}, arrived: now}
+	c := &call{gateway: r.gateway, request: request{req: platform.Request{ID: "r1"}, arrived: now}}
 	c.ended("outcome", "broken-off", "reason", "answer broken in body: i/o timeout")
 	own := story.Of("r1", read())
 	is.Equal(own[0].Message, "target silent")
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -148,7 +148,7 @@
 	if cat := g.catalog.Load(); r.joined && cat != nil {
 		g.admitTo(cat.config)
 	}
-	if a := g.admitter(r.service); a != nil {
+	if a := g.admitterOf(r.service); a != nil {
 		a.tell(admission.Load{Group: d.Group.Name, Open: d.Open, Running: r.running, Queued: r.queued, Pass: d.Pass, Entries: d.Gateways})
 	}
 	if health.Leave(len(r.slow), len(d.Targets)) {
@@ -172,15 +172,15 @@
 	return g.budgets.For(budgetOf(service)).Left(time.Now())
 }
 
-// admitter returns the admitter of a service, or nil if it has none.
-func (g *gateway) admitter(service string) *admitter {
+// admitterOf returns the admitter of a service, or nil if it has none.
+func (g *gateway) admitterOf(service string) *admitter {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.admitters[service]
 }
 
-// returning reports whether a caller of a route has come back after an earlier try.
-func (g *gateway) returning(route string, patience time.Duration) bool {
+// comesBack reports whether a caller of a route has come back after an earlier try.
+func (g *gateway) comesBack(route string, patience time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.patience[route]
@@ -202,7 +202,7 @@
 // tick lets time pass for targets and queues.
 func (g *gateway) tick(now time.Time) {
 	for _, s := range g.fleet.tick(now) {
-		if a := g.admitter(s.service); a != nil {
+		if a := g.admitterOf(s.service); a != nil {
 			a.silent(s.group, now.Add(silentFor))
 		}
 		if s.move {
@@ -221,7 +221,7 @@
 
 // ServeHTTP serves one request.
 func (g *gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{gateway: g, w: w, r: r, req: platform.ParseRequest(r.Header), arrived: time.Now(), lastID: -1}
+	c := newCall(g, w, r)
 	cat := g.catalog.Load()
 	if cat == nil {
 		c.refuse("no configuration yet", time.Second)
@@ -238,7 +238,7 @@
 	defer c.endSpan(span)
 	ctx, cancel := context.WithDeadlineCause(ctx, c.deadline, errDeadline)
 	defer cancel()
-	if c.admitter = g.admitter(c.service); c.admitter != nil && !c.enter(ctx) {
+	if c.admitter = g.admitterOf(c.service); c.admitter != nil && !c.enter(ctx) {
 		return
 	}
 	defer c.leave()
