--- a/gateway/call.go
+++ b/gateway/call.go
@@ -1,21 +1,14 @@
 package main
 
 import (
-	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net/http"
-	"syscall"
 	"time"
 
 	"verbenashift/core/deployment"
-	"verbenashift/core/pause"
-	"verbenashift/core/quarantine"
-	"verbenashift/core/queue"
 	"verbenashift/core/retry"
 	"verbenashift/core/route"
-	"verbenashift/gateway/upstream"
 	"verbenashift/platform"
 )
 
@@ -181,95 +174,6 @@
 	return float64(max(c.req.PromptTokens+c.req.AnswerTokens, 1))
 }
 
-// attempt sends the request once. Done says that the caller has its answer, or
-// has left.
-func (c *call) attempt(ctx context.Context) (kind retry.Kind, reason string, done bool) {
-	if ctx.Err() != nil {
-		return retry.RefusedAll, "deadline", c.callerLeft()
-	}
-	s, ok := c.pick()
-	if !ok {
-		return retry.RefusedAll, "no target", false
-	}
-	defer c.fleet.end(s)
-	c.last = s
-	c.exclude.Add(s.index)
-	c.ran++
-	metricAttempts.Add(1)
-	ctx, span := c.startTarget(ctx, s)
-	// It ends with the hop also when the caller's connection is broken off.
-	defer func() { endTarget(span, reason) }()
-	return c.send(ctx, s)
-}
-
-// pick chooses a target in the group where the request has its place, or elsewhere if
-// none there may take it.
-func (c *call) pick() (sent, bool) {
-	q := &route.Query{Service: c.service, Group: c.place.group, Cost: c.cost(), MayNotRepeat: c.attempts.MayNotRepeat, Exclude: c.exclude}
-	s, ok := c.fleet.pick(q, time.Now())
-	if !ok && q.Group != "" {
-		q.Group = ""
-		s, ok = c.fleet.pick(q, time.Now())
-	}
-	return s, ok
-}
-
-// send sends the request to a target and takes its answer.
-func (c *call) send(ctx context.Context, s sent) (kind retry.Kind, reason string, done bool) {
-	watched := ctx
-	if c.route.Kind == deployment.Stream && c.route.Repeatable() {
-		watched, c.flight = c.fleet.depart(ctx, s, c.req.ID, c.service, c.ran < c.route.Attempts)
-		defer c.fleet.land(c.flight)
-	}
-	reply, err := s.target.pool.Do(watched, c.upstream(s))
-	if err != nil {
-		return c.attemptFailed(watched, s, err)
-	}
-	defer reply.Close()
-	return c.answered(watched, s, reply)
-}
-
-func (c *call) upstream(s sent) *upstream.Request {
-	var head bytes.Buffer
-	f := platform.Forward{
-		TargetID: s.target.ID, Left: time.Until(c.deadline),
-		Urgency: urgency(c.route, c.space), LastEvent: c.lastEvent,
-	}
-	f.Workspace = c.workspaceName()
-	platform.WriteHeaders(&head, c.r.Header, f)
-	return &upstream.Request{
-		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Head: head.Bytes(),
-		Body: c.body, HasBody: c.r.ContentLength != 0 || len(c.body) > 0, ID: c.req.ID,
-		Fresh: c.attempts.MayNotRepeat,
-	}
-}
-
-// attemptFailed classifies an attempt without an answer. The context is that of
-// the attempt: an attempt that was ended because it was no longer wanted here says
-// nothing of its target.
-func (c *call) attemptFailed(ctx context.Context, s sent, err error) (retry.Kind, string, bool) {
-	cause := context.Cause(ctx)
-	switch cause {
-	case nil, errStalled:
-		c.fleet.failed(s, severityOf(err), time.Now())
-	case errSlow, errSilentGroup:
-		err = cause
-	}
-	var notSent *upstream.NotSentError
-	if errors.As(err, &notSent) {
-		c.ran--
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			c.fleet.crashes.Refused(s.seen)
-		}
-		return retry.NotSent, err.Error(), false
-	}
-	if cause == nil || cause == errStalled {
-		c.suspect = true
-		c.fleet.crashes.Broke(s.seen, c.fingerprint())
-	}
-	return retry.Broken, err.Error(), false
-}
-
 // notWritten records that the answer could not be written to the caller.
 func (c *call) notWritten(err error) {
 	c.ended("outcome", "caller-left", "error", err.Error())
@@ -283,51 +187,3 @@
 	c.ended("outcome", "caller-left")
 	return true
 }
-
-// run makes attempts until one ends the request.
-func (c *call) run(ctx context.Context) {
-	c.mu.Lock()
-	c.budgets.Request(c.key(), time.Now())
-	c.mu.Unlock()
-	for {
-		if refusal := c.heldBack(ctx); refusal != nil {
-			c.giveUp(refusal, quarantine.ReasonHeld)
-			return
-		}
-		kind, reason, done := c.attempt(ctx)
-		if done {
-			return
-		}
-		if c.callerLeft() {
-			return
-		}
-		d := c.decide(kind)
-		if !d.Retry {
-			metricNoRetry.Add(d.Err.Reason, 1)
-			c.giveUp(d.Err, reason)
-			return
-		}
-		metricRetries.Add(1)
-		if c.begun {
-			metricResumed.Add(1)
-		}
-		c.logRetry(reason)
-		pause.For(ctx, time.Until(d.At))
-		if !c.again(ctx, kind) {
-			refusal := c.decide(retry.RefusedAll).Err
-			c.admitter.later(c, refusal)
-			c.giveUp(refusal, queue.ReasonDown)
-			return
-		}
-	}
-}
-
-// again makes ready for another attempt, perhaps in another group. It reports false if
-// the request was refused and none had better follow.
-func (c *call) again(ctx context.Context, kind retry.Kind) bool {
-	if c.admitter == nil {
-		return true
-	}
-	c.place = c.admitter.move(c.place, c.req.ID)
-	return kind != retry.Refused || c.admitter.pass(ctx, c)
-}
