--- a/core/quarantine/register.go
+++ b/core/quarantine/register.go
@@ -57,21 +57,6 @@
 	since time.Time
 }
 
-// Verdict is what is decided on a request that is about to be sent.
-type Verdict struct {
-	// Held says that the request is not to be sent.
-	Held bool
-	// Hold is what is known of it, and Revision that of the store, 0 if the hold does not
-	// stand there yet.
-	Hold     Hold
-	Revision int64
-	// Trial says that the request may be sent once, by the gateway that writes Hold.Tried
-	// over Revision.
-	Trial bool
-	// Comeback is how long it is until the next trial; 0 if there will be none.
-	Comeback time.Duration
-}
-
 // Register decides which requests are held back. It is not safe for concurrent use.
 type Register struct {
 	// crashes are the last ones, oldest first; counts says in how many of them each request
@@ -237,101 +222,6 @@
 	return true
 }
 
-// Judge decides on a request that is about to be sent.
-func (g *Register) Judge(p Print, now time.Time) Verdict {
-	h := g.held[p]
-	if h == nil || h.Soon && h.revision == 0 {
-		// Where another request may be the culprit, a trial must be possible at once, and
-		// it takes the store.
-		return Verdict{}
-	}
-	v := Verdict{Held: true, Hold: h.Hold, Revision: h.revision}
-	wait, more := h.nextTrial()
-	if !more {
-		return v
-	}
-	v.Comeback = max(wait-now.Sub(h.since), 0)
-	if v.Comeback == 0 {
-		v.Trial, v.Comeback = h.revision > 0, trialTime
-	}
-	return v
-}
-
-// nextTrial returns how long after the last one the next trial is due, and false if there is
-// none.
-func (h Hold) nextTrial() (time.Duration, bool) {
-	switch {
-	case h.Soon && h.Trials < len(trialWaits):
-		return 0, true
-	case h.Soon:
-		// None of the trials has told anything: a neighbour must not be held for ever.
-		return trialWaits[0], true
-	case h.Trials < len(trialWaits):
-		return trialWaits[h.Trials], true
-	}
-	return 0, false
-}
-
-// Due holds back the requests that have been found to crash their targets since the last
-// call, and returns all holds that are not in the store.
-func (g *Register) Due(now time.Time) map[Print]Hold {
-	if len(g.crashes) >= enough {
-		g.convict(now)
-	}
-	due := map[Print]Hold{}
-	for p, h := range g.held {
-		if h.revision == 0 {
-			due[p] = h.Hold
-		}
-	}
-	return due
-}
-
-// convict holds back the requests under which enough targets have crashed.
-func (g *Register) convict(now time.Time) {
-	for p, n := range g.counts {
-		if n < enough || g.held[p] != nil || len(g.held) >= 2*maxHolds {
-			continue
-		}
-		settled, likely, clear := g.evidence(p, now)
-		if settled >= enough && likely > 0 {
-			g.held[p] = &held{Hold: Hold{Crashes: n, Soon: clear < enough}, since: now}
-		}
-	}
-}
-
-// evidence counts the crashes that speak against a request: all of which the word has
-// settled, those of which no other request is more likely the culprit, and those of which
-// no other one is nearly as likely.
-func (g *Register) evidence(p Print, now time.Time) (settled, likely, clear int) {
-	n := g.counts[p]
-	for _, c := range g.crashes {
-		if now.Sub(c.heard) < settle || !slices.Contains(c.requests, p) {
-			continue
-		}
-		settled++
-		most := g.mostOf(c, p)
-		if most <= n {
-			likely++
-		}
-		if most < n-1 {
-			clear++
-		}
-	}
-	return settled, likely, clear
-}
-
-// mostOf returns the most crashes in which one of the other requests of a crash was.
-func (g *Register) mostOf(c *crash, p Print) int {
-	most := 0
-	for _, other := range c.requests {
-		if other != p {
-			most = max(most, g.counts[other])
-		}
-	}
-	return most
-}
-
 // Surplus returns the oldest items that stand in the store beyond what is kept there.
 func (g *Register) Surplus() []string {
 	old := oldest(g.holds, len(g.holds)-maxHolds)
