The way of a request has a folder of its own

core was one flat folder of 47 packages by the alphabet. These go to core/request: admission, booking, caller, draft, outcome, quarantine, queue, quota, relay, retry, route, target. No change of code.

--- a/agent/adopt.go
+++ b/agent/adopt.go
@@ -10,8 +10,8 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
-	"verbenashift/core/booking"
 	"verbenashift/core/peer/wire"
+	"verbenashift/core/request/booking"
 )
 
 // adoptCalls is how many executors are asked at once.
--- a/agent/adopt_test.go
+++ b/agent/adopt_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/booking"
 	"verbenashift/core/peer/wire"
+	"verbenashift/core/request/booking"
 )
 
 // A home dies and leaves the configuration. One executor refused the first
--- a/agent/answers.go
+++ b/agent/answers.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/draft"
+	"verbenashift/core/request/draft"
 )
 
 // answer is the answer of one request that this agent runs or has run.
--- a/agent/answers_test.go
+++ b/agent/answers_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/draft"
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/draft"
+	"verbenashift/core/request/outcome"
 )
 
 // held returns an answer of some bytes that ended at a time.
--- a/agent/app.go
+++ b/agent/app.go
@@ -20,17 +20,17 @@
 	"go.uber.org/fx"
 
 	"verbenashift/core/config"
-	"verbenashift/core/draft"
 	"verbenashift/core/follow"
 	"verbenashift/core/histogram"
 	"verbenashift/core/member"
-	"verbenashift/core/outcome"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/peer/wire/wireconnect"
 	"verbenashift/core/process"
+	"verbenashift/core/request/draft"
+	"verbenashift/core/request/outcome"
+	"verbenashift/core/request/target"
 	"verbenashift/core/store"
-	"verbenashift/core/target"
 	"verbenashift/core/telemetry"
 )
 
--- a/agent/callers.go
+++ b/agent/callers.go
@@ -6,7 +6,7 @@
 
 	"verbenashift/core/config"
 	"verbenashift/core/peer/wire"
-	"verbenashift/core/quota"
+	"verbenashift/core/request/quota"
 )
 
 // entryLife is how long an entry counts after its last heartbeat.
--- a/agent/callers_test.go
+++ b/agent/callers_test.go
@@ -9,7 +9,7 @@
 
 	"verbenashift/core/config"
 	"verbenashift/core/peer/wire"
-	"verbenashift/core/quota"
+	"verbenashift/core/request/quota"
 )
 
 // Two regions lose each other, and each finds a home for a workspace's limit
--- a/agent/custody.go
+++ b/agent/custody.go
@@ -8,9 +8,9 @@
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/booking"
 	"verbenashift/core/config"
 	"verbenashift/core/peer/wire"
+	"verbenashift/core/request/booking"
 )
 
 // leave hands the register to a peer for this agent's next process, and passes
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"verbenashift/core/duty"
-	"verbenashift/core/outcome"
-	"verbenashift/core/queue"
+	"verbenashift/core/request/outcome"
+	"verbenashift/core/request/queue"
 )
 
 // dispatchRing is how many events may wait for the dispatcher.
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -11,7 +11,7 @@
 	"verbenashift/core/lease"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/rank"
-	"verbenashift/core/target"
+	"verbenashift/core/request/target"
 )
 
 // The reasons by which an order is refused without being sent.
--- a/agent/orders_test.go
+++ b/agent/orders_test.go
@@ -12,7 +12,7 @@
 	"github.com/matryer/is"
 
 	"verbenashift/core/lease"
-	"verbenashift/core/target"
+	"verbenashift/core/request/target"
 )
 
 // orderTarget is a target that carries out any order and tells the last one.
--- a/agent/register.go
+++ b/agent/register.go
@@ -9,12 +9,12 @@
 
 	"connectrpc.com/connect"
 
-	"verbenashift/core/booking"
 	"verbenashift/core/config"
 	"verbenashift/core/duty"
 	"verbenashift/core/follow"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
+	"verbenashift/core/request/booking"
 	"verbenashift/core/store"
 )
 
--- a/agent/run.go
+++ b/agent/run.go
@@ -11,14 +11,14 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"verbenashift/core/booking"
-	"verbenashift/core/caller"
-	"verbenashift/core/draft"
-	"verbenashift/core/outcome"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
-	"verbenashift/core/queue"
-	"verbenashift/core/target"
+	"verbenashift/core/request/booking"
+	"verbenashift/core/request/caller"
+	"verbenashift/core/request/draft"
+	"verbenashift/core/request/outcome"
+	"verbenashift/core/request/queue"
+	"verbenashift/core/request/target"
 	"verbenashift/core/telemetry"
 )
 
--- a/agent/run_test.go
+++ b/agent/run_test.go
@@ -9,13 +9,13 @@
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
-	"verbenashift/core/draft"
 	"verbenashift/core/follow"
-	"verbenashift/core/outcome"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/peer/wire/wireconnect"
-	"verbenashift/core/target"
+	"verbenashift/core/request/draft"
+	"verbenashift/core/request/outcome"
+	"verbenashift/core/request/target"
 )
 
 // A target refuses, breaks off or cannot be reached. "Not run" is said only
--- a/agent/service.go
+++ b/agent/service.go
@@ -8,12 +8,12 @@
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/booking"
-	"verbenashift/core/draft"
 	"verbenashift/core/operator"
-	"verbenashift/core/outcome"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
+	"verbenashift/core/request/booking"
+	"verbenashift/core/request/draft"
+	"verbenashift/core/request/outcome"
 )
 
 // callTimeout bounds one short call to the target or another agent.
--- a/bench/booking/allocs.go
+++ b/bench/booking/allocs.go
@@ -4,7 +4,7 @@
 	"runtime"
 
 	"verbenashift/bench/figure"
-	core "verbenashift/core/booking"
+	core "verbenashift/core/request/booking"
 )
 
 // homeAllocs counts the allocations of the choice of a home and of a claim
--- a/bench/booking/booking.go
+++ b/bench/booking/booking.go
@@ -17,7 +17,7 @@
 	"github.com/go-faster/errors"
 
 	"verbenashift/bench/figure"
-	core "verbenashift/core/booking"
+	core "verbenashift/core/request/booking"
 )
 
 const (
--- a/bench/capacity/documents.go
+++ b/bench/capacity/documents.go
@@ -13,7 +13,7 @@
 	"verbenashift/bench/path"
 	"verbenashift/core/config"
 	"verbenashift/core/follow"
-	"verbenashift/core/route"
+	"verbenashift/core/request/route"
 	"verbenashift/core/store"
 )
 
--- a/bench/fairness/limits.go
+++ b/bench/fairness/limits.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"verbenashift/bench/figure"
-	"verbenashift/core/quota"
+	"verbenashift/core/request/quota"
 )
 
 const (
--- a/bench/fairness/overload.go
+++ b/bench/fairness/overload.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"verbenashift/bench/figure"
-	"verbenashift/core/queue"
+	"verbenashift/core/request/queue"
 )
 
 const (
--- a/bench/routing/routing_model.go
+++ b/bench/routing/routing_model.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"time"
 
-	"verbenashift/core/route"
+	"verbenashift/core/request/route"
 )
 
 // The figures of one target, near those of one server in a fleet of 670 that
--- a/bench/routing/routing_pick.go
+++ b/bench/routing/routing_pick.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"verbenashift/bench/figure"
-	"verbenashift/core/route"
+	"verbenashift/core/request/route"
 )
 
 const (
--- a/bench/routing/routing_policy.go
+++ b/bench/routing/routing_policy.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 
 	"verbenashift/core/health"
-	"verbenashift/core/retry"
-	"verbenashift/core/route"
+	"verbenashift/core/request/retry"
+	"verbenashift/core/request/route"
 )
 
 // policy is how targets are chosen.
--- a/bench/routing/routing_scenarios.go
+++ b/bench/routing/routing_scenarios.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"verbenashift/bench/figure"
-	"verbenashift/core/route"
+	"verbenashift/core/request/route"
 )
 
 // base is the common ground of the trials: the pool of one model, and a part
--- a/bench/routing/routing_trial.go
+++ b/bench/routing/routing_trial.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"verbenashift/core/health"
-	"verbenashift/core/retry"
-	"verbenashift/core/route"
+	"verbenashift/core/request/retry"
+	"verbenashift/core/request/route"
 )
 
 // settings describe one trial.
--- a/core/admission/admission.go
+++ b/core/request/admission/admission.go
@@ -35,8 +35,8 @@
 	"slices"
 	"time"
 
-	"verbenashift/core/outcome"
-	"verbenashift/core/queue"
+	"verbenashift/core/request/outcome"
+	"verbenashift/core/request/queue"
 )
 
 const (
--- a/core/admission/admission_test.go
+++ b/core/request/admission/admission_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/queue"
+	"verbenashift/core/request/queue"
 )
 
 var start = time.Unix(1000, 0)
--- a/core/admission/group.go
+++ b/core/request/admission/group.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"verbenashift/core/queue"
+	"verbenashift/core/request/queue"
 )
 
 // loadValid is how old the word of a steward may be to limit anything: a steward
--- a/core/admission/pump.go
+++ b/core/request/admission/pump.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"verbenashift/core/queue"
+	"verbenashift/core/request/queue"
 )
 
 // Tick lets time pass: requests that can no longer start in time are refused, and loads
--- a/core/booking/booking_test.go
+++ b/core/request/booking/booking_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 )
 
 var (
--- a/core/booking/grant.go
+++ b/core/request/booking/grant.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 )
 
 // Grant is the right to run a key once, given by its home.
--- a/core/booking/world_test.go
+++ b/core/request/booking/world_test.go
@@ -10,7 +10,7 @@
 	"github.com/anishathalye/porcupine"
 	"pgregory.net/rapid"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 )
 
 // TestMain fixes the seed and the size of the fuzzing; flags of the command
--- a/core/caller/caller.go
+++ b/core/request/caller/caller.go
@@ -29,7 +29,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 )
 
 // The paths of the callers' API.
--- a/core/caller/caller_test.go
+++ b/core/request/caller/caller_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/caller"
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/caller"
+	"verbenashift/core/request/outcome"
 )
 
 func read(method, path, body string, header map[string]string) (caller.Request, error) {
--- a/core/caller/stream.go
+++ b/core/request/caller/stream.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"time"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 )
 
 // Stream writes server-sent events to one caller. Its buffer is reused, so
--- a/core/draft/draft.go
+++ b/core/request/draft/draft.go
@@ -28,7 +28,7 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 )
 
 // Kind tells what a frame carries.
--- a/core/draft/draft_test.go
+++ b/core/request/draft/draft_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/draft"
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/draft"
+	"verbenashift/core/request/outcome"
 )
 
 // A caller's connection breaks in the middle of an obituary; the caller comes
--- a/core/queue/admit.go
+++ b/core/request/queue/admit.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 )
 
 // The reasons of refusals; outcome.Error carries them.
--- a/core/queue/queue.go
+++ b/core/request/queue/queue.go
@@ -46,7 +46,7 @@
 	"math/rand/v2"
 	"time"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 )
 
 // Priority is the class of a request.
--- a/core/queue/queue_test.go
+++ b/core/request/queue/queue_test.go
@@ -10,7 +10,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 )
 
 var start = time.Date(2026, 1, 31, 8, 0, 0, 0, time.UTC)
--- a/core/relay/event.go
+++ b/core/request/relay/event.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 )
 
 // ActionKind is what the entry has to do next.
--- a/core/relay/relay.go
+++ b/core/request/relay/relay.go
@@ -21,7 +21,7 @@
 	"net/http"
 	"time"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 )
 
 // Reasons that the machine gives for an end. Callers see them.
--- a/core/relay/relay_test.go
+++ b/core/request/relay/relay_test.go
@@ -9,8 +9,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"verbenashift/core/outcome"
-	"verbenashift/core/relay"
+	"verbenashift/core/request/outcome"
+	"verbenashift/core/request/relay"
 )
 
 // TestMain fixes the seed; the flag -rapid.seed=0 draws a new one.
--- a/core/relay/step.go
+++ b/core/request/relay/step.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 )
 
 func finish(o outcome.Outcome, reason string, after time.Duration) Action {
--- a/core/retry/retry.go
+++ b/core/request/retry/retry.go
@@ -27,7 +27,7 @@
 	"math/rand/v2"
 	"time"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 )
 
 // Kind says how an attempt ended.
--- a/core/retry/retry_test.go
+++ b/core/request/retry/retry_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 )
 
 var start = time.Date(2026, 1, 31, 12, 0, 0, 0, time.UTC)
--- a/core/target/target_test.go
+++ b/core/request/target/target_test.go
@@ -15,7 +15,7 @@
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
-	"verbenashift/core/target"
+	"verbenashift/core/request/target"
 )
 
 func address(s *httptest.Server) string { return s.Listener.Addr().String() }
--- a/core/story/cause.go
+++ b/core/story/cause.go
@@ -5,8 +5,8 @@
 	"strconv"
 	"strings"
 
-	"verbenashift/core/quarantine"
-	"verbenashift/core/queue"
+	"verbenashift/core/request/quarantine"
+	"verbenashift/core/request/queue"
 )
 
 // Kind says why a request has not been served.
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -10,14 +10,14 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"verbenashift/core/booking"
-	"verbenashift/core/caller"
 	"verbenashift/core/config"
-	"verbenashift/core/outcome"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
-	"verbenashift/core/relay"
-	"verbenashift/core/route"
+	"verbenashift/core/request/booking"
+	"verbenashift/core/request/caller"
+	"verbenashift/core/request/outcome"
+	"verbenashift/core/request/relay"
+	"verbenashift/core/request/route"
 	"verbenashift/core/telemetry"
 )
 
--- a/entry/flow_test.go
+++ b/entry/flow_test.go
@@ -11,11 +11,11 @@
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
-	"verbenashift/core/booking"
-	"verbenashift/core/caller"
-	"verbenashift/core/outcome"
 	"verbenashift/core/peer/wire"
-	"verbenashift/core/relay"
+	"verbenashift/core/request/booking"
+	"verbenashift/core/request/caller"
+	"verbenashift/core/request/outcome"
+	"verbenashift/core/request/relay"
 )
 
 // taken is a sink that keeps what the caller is given.
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -6,11 +6,11 @@
 
 	"connectrpc.com/connect"
 
-	"verbenashift/core/booking"
 	"verbenashift/core/config"
-	"verbenashift/core/outcome"
 	"verbenashift/core/peer/wire"
-	"verbenashift/core/relay"
+	"verbenashift/core/request/booking"
+	"verbenashift/core/request/outcome"
+	"verbenashift/core/request/relay"
 )
 
 // callTimeout bounds one short call to an agent.
--- a/entry/late.go
+++ b/entry/late.go
@@ -5,8 +5,8 @@
 	"strings"
 	"sync"
 
-	"verbenashift/core/outcome"
 	"verbenashift/core/peer/wire"
+	"verbenashift/core/request/outcome"
 )
 
 // lateSink is the sink of a caller that reads an earlier answer: only the head
--- a/entry/limiter.go
+++ b/entry/limiter.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"verbenashift/core/config"
-	"verbenashift/core/quota"
+	"verbenashift/core/request/quota"
 )
 
 // reportTick is how often the limiter looks for reports that are due.
--- a/entry/open.go
+++ b/entry/open.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"verbenashift/core/config"
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 )
 
 // errHandover is the cause with which the requests that are left at the end of
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -5,12 +5,12 @@
 	"net/http"
 	"time"
 
-	"verbenashift/core/caller"
 	"verbenashift/core/config"
-	"verbenashift/core/outcome"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
-	"verbenashift/core/relay"
+	"verbenashift/core/request/caller"
+	"verbenashift/core/request/outcome"
+	"verbenashift/core/request/relay"
 )
 
 // serveResume gives a caller the answer of an earlier request again, from the
--- a/entry/returns.go
+++ b/entry/returns.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/outcome"
-	"verbenashift/core/retry"
+	"verbenashift/core/request/outcome"
+	"verbenashift/core/request/retry"
 )
 
 // hopTarget names the step of the path whose retries are budgeted.
--- a/entry/router.go
+++ b/entry/router.go
@@ -10,7 +10,7 @@
 	"verbenashift/core/config"
 	"verbenashift/core/health"
 	"verbenashift/core/peer/wire"
-	"verbenashift/core/route"
+	"verbenashift/core/request/route"
 )
 
 // judgePeriod is the time between two judgements of the targets' health.
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -6,9 +6,9 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/caller"
-	"verbenashift/core/outcome"
 	"verbenashift/core/peer/wire"
+	"verbenashift/core/request/caller"
+	"verbenashift/core/request/outcome"
 )
 
 // sink takes one request's answer to its caller. Its methods are called by
--- a/gateway/admitter.go
+++ b/gateway/admitter.go
@@ -8,10 +8,10 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/admission"
-	"verbenashift/core/outcome"
 	"verbenashift/core/pause"
-	"verbenashift/core/queue"
+	"verbenashift/core/request/admission"
+	"verbenashift/core/request/outcome"
+	"verbenashift/core/request/queue"
 )
 
 // passPoll is how often a request that was refused looks whether it may go
--- a/gateway/admitter_test.go
+++ b/gateway/admitter_test.go
@@ -10,10 +10,10 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/admission"
 	"verbenashift/core/deployment"
-	"verbenashift/core/outcome"
-	"verbenashift/core/queue"
+	"verbenashift/core/request/admission"
+	"verbenashift/core/request/outcome"
+	"verbenashift/core/request/queue"
 	"verbenashift/platform"
 )
 
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"verbenashift/core/deployment"
-	"verbenashift/core/outcome"
-	"verbenashift/core/retry"
+	"verbenashift/core/request/outcome"
+	"verbenashift/core/request/retry"
 	"verbenashift/gateway/upstream"
 	"verbenashift/platform"
 )
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,10 +9,10 @@
 
 	"verbenashift/core/deployment"
 	"verbenashift/core/pause"
-	"verbenashift/core/quarantine"
-	"verbenashift/core/queue"
-	"verbenashift/core/retry"
-	"verbenashift/core/route"
+	"verbenashift/core/request/quarantine"
+	"verbenashift/core/request/queue"
+	"verbenashift/core/request/retry"
+	"verbenashift/core/request/route"
 	"verbenashift/gateway/upstream"
 	"verbenashift/platform"
 )
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"verbenashift/core/deployment"
-	"verbenashift/core/retry"
-	"verbenashift/core/route"
+	"verbenashift/core/request/retry"
+	"verbenashift/core/request/route"
 	"verbenashift/platform"
 )
 
--- a/gateway/call_test.go
+++ b/gateway/call_test.go
@@ -11,8 +11,8 @@
 	"verbenashift/core/deployment"
 	"verbenashift/core/instance"
 	"verbenashift/core/mirror"
-	"verbenashift/core/retry"
-	"verbenashift/core/route"
+	"verbenashift/core/request/retry"
+	"verbenashift/core/request/route"
 )
 
 // Some requests choose a target while others decide on a retry. Both draw random
--- a/gateway/crash/detector.go
+++ b/gateway/crash/detector.go
@@ -26,7 +26,7 @@
 
 	"verbenashift/core/deployment"
 	"verbenashift/core/pause"
-	"verbenashift/core/quarantine"
+	"verbenashift/core/request/quarantine"
 	"verbenashift/gateway/upstream"
 )
 
--- a/gateway/crash/detector_test.go
+++ b/gateway/crash/detector_test.go
@@ -15,7 +15,7 @@
 	"github.com/matryer/is"
 
 	"verbenashift/core/deployment"
-	"verbenashift/core/quarantine"
+	"verbenashift/core/request/quarantine"
 )
 
 // bench is a Detector before one target whose address answers as a test says.
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -12,7 +12,7 @@
 	"verbenashift/core/deployment"
 	"verbenashift/core/health"
 	"verbenashift/core/mirror"
-	"verbenashift/core/route"
+	"verbenashift/core/request/route"
 	"verbenashift/core/tcp"
 	"verbenashift/gateway/crash"
 	"verbenashift/gateway/upstream"
--- a/gateway/heldback.go
+++ b/gateway/heldback.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
-	"verbenashift/core/outcome"
-	"verbenashift/core/quarantine"
+	"verbenashift/core/request/outcome"
+	"verbenashift/core/request/quarantine"
 )
 
 // history is what is known of calls with the same content.
--- a/gateway/heldback_test.go
+++ b/gateway/heldback_test.go
@@ -9,7 +9,7 @@
 
 	"verbenashift/core/deployment"
 	"verbenashift/core/kv"
-	"verbenashift/core/quarantine"
+	"verbenashift/core/request/quarantine"
 	"verbenashift/core/story"
 	"verbenashift/standin/scripted"
 )
--- a/gateway/isolator.go
+++ b/gateway/isolator.go
@@ -11,7 +11,7 @@
 
 	"verbenashift/core/kv"
 	"verbenashift/core/pause"
-	"verbenashift/core/quarantine"
+	"verbenashift/core/request/quarantine"
 )
 
 const (
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -19,7 +19,7 @@
 	"verbenashift/core/instance"
 	"verbenashift/core/mirror"
 	"verbenashift/core/pause"
-	"verbenashift/core/quarantine"
+	"verbenashift/core/request/quarantine"
 	"verbenashift/platform"
 )
 
--- a/gateway/ranks.go
+++ b/gateway/ranks.go
@@ -5,7 +5,7 @@
 
 	"verbenashift/core/health"
 	"verbenashift/core/rankpeer"
-	"verbenashift/core/route"
+	"verbenashift/core/request/route"
 )
 
 const (
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"verbenashift/core/retry"
+	"verbenashift/core/request/retry"
 	"verbenashift/gateway/upstream"
 	"verbenashift/platform"
 )
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -13,7 +13,6 @@
 
 	"go.opentelemetry.io/otel/trace"
 
-	"verbenashift/core/admission"
 	"verbenashift/core/boot"
 	"verbenashift/core/deployment"
 	"verbenashift/core/health"
@@ -21,7 +20,8 @@
 	"verbenashift/core/mirror"
 	"verbenashift/core/pause"
 	"verbenashift/core/rankpeer"
-	"verbenashift/core/retry"
+	"verbenashift/core/request/admission"
+	"verbenashift/core/request/retry"
 	"verbenashift/core/tcp"
 	"verbenashift/gateway/crash"
 	"verbenashift/platform"
--- a/gateway/share_test.go
+++ b/gateway/share_test.go
@@ -7,7 +7,7 @@
 	"verbenashift/core/boot"
 	"verbenashift/core/deployment"
 	"verbenashift/core/rankpeer"
-	"verbenashift/core/retry"
+	"verbenashift/core/request/retry"
 	"verbenashift/standin/scripted"
 )
 
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"verbenashift/core/deployment"
-	"verbenashift/core/retry"
+	"verbenashift/core/request/retry"
 	"verbenashift/standin/scripted"
 )
 
--- a/proof/death_test.go
+++ b/proof/death_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 	"verbenashift/standin/client"
 	"verbenashift/standin/deployment"
 	"verbenashift/standin/ledger"
--- a/proof/shutdown_test.go
+++ b/proof/shutdown_test.go
@@ -6,7 +6,7 @@
 
 	"verbenashift/core/config"
 	"verbenashift/core/instances"
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 	"verbenashift/standin/client"
 	"verbenashift/standin/deployment"
 	"verbenashift/standin/judge"
--- a/proof/start_test.go
+++ b/proof/start_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 	"verbenashift/standin/deployment"
 	"verbenashift/standin/judge"
 	"verbenashift/standin/ledger"
--- a/proof/workspace_test.go
+++ b/proof/workspace_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 	"verbenashift/standin/client"
 	"verbenashift/standin/deployment"
 	"verbenashift/standin/judge"
--- a/standin/client/client_test.go
+++ b/standin/client/client_test.go
@@ -12,7 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 	"verbenashift/standin/answer"
 	"verbenashift/standin/judge"
 )
--- a/standin/client/exchange.go
+++ b/standin/client/exchange.go
@@ -14,7 +14,7 @@
 
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 )
 
 const (
--- a/standin/client/player.go
+++ b/standin/client/player.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/time/rate"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 	"verbenashift/standin/judge"
 )
 
--- a/standin/client/record.go
+++ b/standin/client/record.go
@@ -10,7 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 	"verbenashift/standin/judge"
 )
 
--- a/standin/judge/judge.go
+++ b/standin/judge/judge.go
@@ -20,7 +20,7 @@
 	"strings"
 	"time"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 	"verbenashift/standin/ledger"
 )
 
--- a/standin/judge/judge_test.go
+++ b/standin/judge/judge_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 	"verbenashift/standin/judge"
 	"verbenashift/standin/ledger"
 )
--- a/standin/judge/runs.go
+++ b/standin/judge/runs.go
@@ -1,7 +1,7 @@
 package judge
 
 import (
-	"verbenashift/core/outcome"
+	"verbenashift/core/request/outcome"
 	"verbenashift/standin/ledger"
 )
 
