The placement of experts and the change of maps have a folder of their own

core was one flat folder of 47 packages by the alphabet. These go to core/experts: engine, expert, group, load, lockstep, rank, rankpeer. No change of code.

--- a/agent/group.go
+++ b/agent/group.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"verbenashift/core/duty"
-	"verbenashift/core/group"
+	"verbenashift/core/experts/group"
+	"verbenashift/core/experts/rank"
 	"verbenashift/core/lease"
-	"verbenashift/core/rank"
 )
 
 // groupTick is the time between looks at the timers of a group.
--- a/agent/group_content.go
+++ b/agent/group_content.go
@@ -6,8 +6,8 @@
 
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/group"
-	"verbenashift/core/rank"
+	"verbenashift/core/experts/group"
+	"verbenashift/core/experts/rank"
 )
 
 // keptContents bounds the contents that an agent remembers.
--- a/agent/group_fleet_test.go
+++ b/agent/group_fleet_test.go
@@ -15,10 +15,10 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/expert"
-	"verbenashift/core/group"
+	"verbenashift/core/experts/expert"
+	"verbenashift/core/experts/group"
+	"verbenashift/core/experts/rank"
 	"verbenashift/core/lease"
-	"verbenashift/core/rank"
 )
 
 // fleet is a group of ranks with the agents beside them, in one process. It
--- a/agent/group_load.go
+++ b/agent/group_load.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
-	"verbenashift/core/expert"
-	"verbenashift/core/group"
-	loading "verbenashift/core/load"
-	"verbenashift/core/rank"
+	"verbenashift/core/experts/expert"
+	"verbenashift/core/experts/group"
+	loading "verbenashift/core/experts/load"
+	"verbenashift/core/experts/rank"
 )
 
 const (
--- a/agent/group_part.go
+++ b/agent/group_part.go
@@ -3,9 +3,9 @@
 import (
 	"slices"
 
-	"verbenashift/core/expert"
-	"verbenashift/core/group"
-	"verbenashift/core/rank"
+	"verbenashift/core/experts/expert"
+	"verbenashift/core/experts/group"
+	"verbenashift/core/experts/rank"
 )
 
 // part is what is left of a group in its epoch, after ranks have been lost. A
--- a/agent/group_peers.go
+++ b/agent/group_peers.go
@@ -7,10 +7,10 @@
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/group"
+	"verbenashift/core/experts/group"
+	"verbenashift/core/experts/rank"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
-	"verbenashift/core/rank"
 )
 
 var errNoMember = errors.New("not a member of the group")
--- a/agent/group_plan.go
+++ b/agent/group_plan.go
@@ -9,10 +9,10 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"verbenashift/core/expert"
-	"verbenashift/core/group"
-	loading "verbenashift/core/load"
-	"verbenashift/core/rank"
+	"verbenashift/core/experts/expert"
+	"verbenashift/core/experts/group"
+	loading "verbenashift/core/experts/load"
+	"verbenashift/core/experts/rank"
 )
 
 // reasonNoIntent is why a group without a confirmed intent is left alone.
--- a/agent/group_shape.go
+++ b/agent/group_shape.go
@@ -5,10 +5,10 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/expert"
-	"verbenashift/core/group"
+	"verbenashift/core/experts/expert"
+	"verbenashift/core/experts/group"
+	"verbenashift/core/experts/rank"
 	"verbenashift/core/lease"
-	"verbenashift/core/rank"
 	"verbenashift/core/settings"
 )
 
--- a/agent/group_status.go
+++ b/agent/group_status.go
@@ -5,7 +5,7 @@
 	"expvar"
 	"sync"
 
-	"verbenashift/core/group"
+	"verbenashift/core/experts/group"
 	"verbenashift/core/operator"
 )
 
--- a/agent/group_test.go
+++ b/agent/group_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/group"
+	"verbenashift/core/experts/group"
 )
 
 func TestGroupSwitchesToPlannedMap(t *testing.T) {
--- a/agent/group_watch.go
+++ b/agent/group_watch.go
@@ -1,7 +1,7 @@
 package main
 
 import (
-	"verbenashift/core/group"
+	"verbenashift/core/experts/group"
 	"verbenashift/core/lease"
 )
 
--- a/agent/group_watch_test.go
+++ b/agent/group_watch_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/group"
+	"verbenashift/core/experts/group"
 	"verbenashift/core/lease"
 )
 
--- a/agent/groups.go
+++ b/agent/groups.go
@@ -4,9 +4,9 @@
 	"fmt"
 
 	"verbenashift/core/config"
-	"verbenashift/core/expert"
+	"verbenashift/core/experts/expert"
+	"verbenashift/core/experts/rank"
 	"verbenashift/core/lease"
-	"verbenashift/core/rank"
 )
 
 // shapeOf returns the group of a target as configured, or nil if the target is
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -8,9 +8,9 @@
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
 
+	"verbenashift/core/experts/rank"
 	"verbenashift/core/lease"
 	"verbenashift/core/peer/wire"
-	"verbenashift/core/rank"
 	"verbenashift/core/request/target"
 )
 
--- a/bench/groups/groups_test.go
+++ b/bench/groups/groups_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/expert"
+	"verbenashift/core/experts/expert"
 )
 
 func TestTracesDependOnTheSeedAlone(t *testing.T) {
--- a/bench/groups/planner.go
+++ b/bench/groups/planner.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"verbenashift/core/expert"
+	"verbenashift/core/experts/expert"
 )
 
 // epoch is the start of all traces.
--- a/bench/groups/planner_outcome.go
+++ b/bench/groups/planner_outcome.go
@@ -5,7 +5,7 @@
 	"slices"
 	"sync"
 
-	"verbenashift/core/expert"
+	"verbenashift/core/experts/expert"
 )
 
 // outcome is what all policies did on one trace.
--- a/bench/groups/planner_time.go
+++ b/bench/groups/planner_time.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"verbenashift/bench/figure"
-	"verbenashift/core/expert"
+	"verbenashift/core/experts/expert"
 )
 
 // The bounds on planning times, on one core.
--- a/bench/groups/run.go
+++ b/bench/groups/run.go
@@ -18,7 +18,7 @@
 	"strings"
 
 	"verbenashift/bench/figure"
-	"verbenashift/core/expert"
+	"verbenashift/core/experts/expert"
 )
 
 // The bounds that the users ask for.
--- a/bench/groups/switch.go
+++ b/bench/groups/switch.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"verbenashift/bench/figure"
-	"verbenashift/core/group"
+	"verbenashift/core/experts/group"
 	"verbenashift/core/lease"
 )
 
--- a/bench/groups/switch_world.go
+++ b/bench/groups/switch_world.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"verbenashift/core/group"
+	"verbenashift/core/experts/group"
 	"verbenashift/core/lease"
 )
 
--- a/bench/groups/trace.go
+++ b/bench/groups/trace.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"verbenashift/core/expert"
+	"verbenashift/core/experts/expert"
 )
 
 // The size of the simulated closings. They were fixed before the first run of
--- a/core/deployment/deployment.go
+++ b/core/deployment/deployment.go
@@ -15,7 +15,7 @@
 	"net/netip"
 	"time"
 
-	"verbenashift/core/engine"
+	"verbenashift/core/experts/engine"
 	"verbenashift/core/kv"
 )
 
--- a/core/load/plan.go
+++ b/core/experts/load/plan.go
@@ -1,6 +1,6 @@
 package load
 
-import "verbenashift/core/expert"
+import "verbenashift/core/experts/expert"
 
 // Tasks returns the tasks that load the moves of an expert plan.
 func Tasks(g *expert.Group, moves []expert.Move) []Task {
--- a/core/load/plan_test.go
+++ b/core/experts/load/plan_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/expert"
+	"verbenashift/core/experts/expert"
 )
 
 // A plan needs more memory than the ranks have to spare, so that it comes into
--- a/core/lockstep/abandon.go
+++ b/core/experts/lockstep/abandon.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"verbenashift/core/engine"
+	"verbenashift/core/experts/engine"
 )
 
 // Predecessor is the steward that was heard last.
--- a/core/lockstep/explorer_test.go
+++ b/core/experts/lockstep/explorer_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/engine"
+	"verbenashift/core/experts/engine"
 )
 
 var runs = flag.Int("lockstep.runs", 3000, "random runs of the explorer")
--- a/core/lockstep/listener.go
+++ b/core/experts/lockstep/listener.go
@@ -1,7 +1,7 @@
 package lockstep
 
 import (
-	"verbenashift/core/engine"
+	"verbenashift/core/experts/engine"
 )
 
 // Seat is the place of a rank in an expert group, in one life of its server.
--- a/core/lockstep/listener_test.go
+++ b/core/experts/lockstep/listener_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/engine"
+	"verbenashift/core/experts/engine"
 )
 
 func inGroup(name string, epoch int64) engine.GroupID {
--- a/core/lockstep/lockstep.go
+++ b/core/experts/lockstep/lockstep.go
@@ -56,7 +56,7 @@
 import (
 	"time"
 
-	"verbenashift/core/engine"
+	"verbenashift/core/experts/engine"
 )
 
 // Map is the experts of a group by layer and rank.
--- a/core/lockstep/lockstep_test.go
+++ b/core/experts/lockstep/lockstep_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/engine"
+	"verbenashift/core/experts/engine"
 )
 
 const (
--- a/core/lockstep/moves.go
+++ b/core/experts/lockstep/moves.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"verbenashift/core/engine"
+	"verbenashift/core/experts/engine"
 )
 
 // finishArmed goes on with a change for which a rank is armed.
--- a/core/lockstep/rank.go
+++ b/core/experts/lockstep/rank.go
@@ -1,7 +1,7 @@
 package lockstep
 
 import (
-	"verbenashift/core/engine"
+	"verbenashift/core/experts/engine"
 )
 
 // Rank is what was last read of a rank.
--- a/core/rank/client.go
+++ b/core/experts/rank/client.go
@@ -13,7 +13,7 @@
 
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/group"
+	"verbenashift/core/experts/group"
 )
 
 const (
--- a/core/rank/client_test.go
+++ b/core/experts/rank/client_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/group"
+	"verbenashift/core/experts/group"
+	"verbenashift/core/experts/rank"
 	"verbenashift/core/lease"
-	"verbenashift/core/rank"
 )
 
 func order() rank.Order {
--- a/core/rank/rank.go
+++ b/core/experts/rank/rank.go
@@ -23,8 +23,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"verbenashift/core/expert"
-	"verbenashift/core/group"
+	"verbenashift/core/experts/expert"
+	"verbenashift/core/experts/group"
 )
 
 // The paths that a rank serves beside the engine's orders.
--- a/core/rankpeer/branch.go
+++ b/core/experts/rankpeer/branch.go
@@ -1,8 +1,8 @@
 package rankpeer
 
 import (
-	"verbenashift/core/engine"
-	"verbenashift/core/lockstep"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/lockstep"
 )
 
 // A large group has more ranks than its steward's link can carry words to. So the
--- a/core/rankpeer/branch_test.go
+++ b/core/experts/rankpeer/branch_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/engine"
-	"verbenashift/core/lockstep"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/lockstep"
 )
 
 // randomState draws a rank that is somewhere in a change.
--- a/core/rankpeer/rankpeer.go
+++ b/core/experts/rankpeer/rankpeer.go
@@ -13,8 +13,8 @@
 	"net"
 	"time"
 
-	"verbenashift/core/engine"
-	"verbenashift/core/lockstep"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/lockstep"
 	"verbenashift/core/tcp"
 )
 
--- a/core/rankpeer/rankpeer_test.go
+++ b/core/experts/rankpeer/rankpeer_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/engine"
-	"verbenashift/core/lockstep"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/lockstep"
 )
 
 func randomMap(rng *rand.Rand, layers, ranks, places, experts int) [][][]int {
--- a/core/rankpeer/roster.go
+++ b/core/experts/rankpeer/roster.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"verbenashift/core/deployment"
-	"verbenashift/core/engine"
+	"verbenashift/core/experts/engine"
 )
 
 // Roster is what a steward has to know of its group. All agents keep the last one
--- a/core/rankpeer/states.go
+++ b/core/experts/rankpeer/states.go
@@ -4,7 +4,7 @@
 	"encoding/binary"
 	"math"
 
-	"verbenashift/core/engine"
+	"verbenashift/core/experts/engine"
 )
 
 // States are what the ranks of a branch say of themselves, packed: each number as
--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"verbenashift/core/deployment"
+	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/kv"
 	"verbenashift/core/pause"
-	"verbenashift/core/rankpeer"
 )
 
 const (
--- a/core/mirror/formats_test.go
+++ b/core/mirror/formats_test.go
@@ -8,7 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"verbenashift/core/deployment"
-	"verbenashift/core/engine"
+	"verbenashift/core/experts/engine"
 	"verbenashift/core/kv"
 )
 
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -25,8 +25,8 @@
 	"time"
 
 	"verbenashift/core/deployment"
+	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/kv"
-	"verbenashift/core/rankpeer"
 )
 
 // returnGrace is how long targets that were known before an outage of the
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/kv"
-	"verbenashift/core/rankpeer"
 )
 
 func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -9,11 +9,11 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/engine"
-	"verbenashift/core/lockstep"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/lockstep"
+	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/mirror"
 	"verbenashift/core/pause"
-	"verbenashift/core/rankpeer"
 )
 
 const (
--- a/gateway/digests_test.go
+++ b/gateway/digests_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/engine"
-	"verbenashift/core/rankpeer"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/rankpeer"
 )
 
 // A steward was frozen while another one took over and the group was formed anew. It
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -14,7 +14,7 @@
 
 	"verbenashift/core/deployment"
 	"verbenashift/core/eventlog"
-	"verbenashift/core/rankpeer"
+	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/story"
 	"verbenashift/platform"
 	"verbenashift/standin/scripted"
--- a/gateway/ranks.go
+++ b/gateway/ranks.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/health"
-	"verbenashift/core/rankpeer"
 	"verbenashift/core/request/route"
 )
 
--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -19,9 +19,9 @@
 
 	"verbenashift/core/boot"
 	"verbenashift/core/deployment"
+	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/instance"
 	"verbenashift/core/mirror"
-	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 	"verbenashift/standin/scripted"
 )
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -15,11 +15,11 @@
 
 	"verbenashift/core/boot"
 	"verbenashift/core/deployment"
+	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/health"
 	"verbenashift/core/instance"
 	"verbenashift/core/mirror"
 	"verbenashift/core/pause"
-	"verbenashift/core/rankpeer"
 	"verbenashift/core/request/admission"
 	"verbenashift/core/request/retry"
 	"verbenashift/core/tcp"
--- a/gateway/share_test.go
+++ b/gateway/share_test.go
@@ -6,7 +6,7 @@
 
 	"verbenashift/core/boot"
 	"verbenashift/core/deployment"
-	"verbenashift/core/rankpeer"
+	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/request/retry"
 	"verbenashift/standin/scripted"
 )
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"verbenashift/core/boot"
-	"verbenashift/core/engine"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/lockstep"
+	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/instance"
-	"verbenashift/core/lockstep"
 	"verbenashift/core/pause"
-	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
 
--- a/sidecar/ask.go
+++ b/sidecar/ask.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/engine"
-	"verbenashift/core/lockstep"
-	"verbenashift/core/rankpeer"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/lockstep"
+	"verbenashift/core/experts/rankpeer"
 )
 
 // holds reports whether the next order is to hold the group.
--- a/sidecar/askers.go
+++ b/sidecar/askers.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/rankpeer"
+	"verbenashift/core/experts/rankpeer"
 )
 
 const (
--- a/sidecar/branch.go
+++ b/sidecar/branch.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
-	"verbenashift/core/engine"
-	"verbenashift/core/lockstep"
-	"verbenashift/core/rankpeer"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/lockstep"
+	"verbenashift/core/experts/rankpeer"
 )
 
 const (
--- a/sidecar/change.go
+++ b/sidecar/change.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"verbenashift/core/engine"
-	"verbenashift/core/lockstep"
-	"verbenashift/core/rankpeer"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/lockstep"
+	"verbenashift/core/experts/rankpeer"
 )
 
 // keepMap tells the planner the map that has come into force, if it was made
--- a/sidecar/claim.go
+++ b/sidecar/claim.go
@@ -5,9 +5,9 @@
 	"errors"
 	"time"
 
-	"verbenashift/core/engine"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/kv"
-	"verbenashift/core/rankpeer"
 )
 
 const (
--- a/sidecar/claim_test.go
+++ b/sidecar/claim_test.go
@@ -11,11 +11,11 @@
 	"github.com/matryer/is"
 
 	"verbenashift/core/boot"
-	"verbenashift/core/engine"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/lockstep"
+	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/instance"
 	"verbenashift/core/kv"
-	"verbenashift/core/lockstep"
-	"verbenashift/core/rankpeer"
 	"verbenashift/standin/fleet"
 )
 
--- a/sidecar/fullmaps.go
+++ b/sidecar/fullmaps.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"verbenashift/core/boot"
-	"verbenashift/core/rankpeer"
+	"verbenashift/core/experts/rankpeer"
 )
 
 // A change goes out as moves from a map that the agents know. After a restart of all
--- a/sidecar/link.go
+++ b/sidecar/link.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"verbenashift/core/lockstep"
-	"verbenashift/core/rankpeer"
+	"verbenashift/core/experts/lockstep"
+	"verbenashift/core/experts/rankpeer"
 )
 
 const (
--- a/sidecar/maps.go
+++ b/sidecar/maps.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"verbenashift/core/rankpeer"
+	"verbenashift/core/experts/rankpeer"
 )
 
 // keptMaps is how many maps an agent keeps: the one in force, the one before and
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"verbenashift/core/deployment"
-	"verbenashift/core/engine"
-	"verbenashift/core/lockstep"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/lockstep"
+	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/mirror"
-	"verbenashift/core/rankpeer"
 )
 
 // strayEvery is how often a steward whose group lacks a rank asks all targets of its
--- a/sidecar/members_test.go
+++ b/sidecar/members_test.go
@@ -8,10 +8,10 @@
 	"github.com/matryer/is"
 
 	"verbenashift/core/deployment"
-	"verbenashift/core/engine"
-	"verbenashift/core/lockstep"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/lockstep"
+	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/mirror"
-	"verbenashift/core/rankpeer"
 )
 
 // viewOf returns a view with targets of one service, at addresses in their order.
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -8,10 +8,10 @@
 	"math"
 	"time"
 
-	"verbenashift/core/engine"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/kv"
 	"verbenashift/core/pause"
-	"verbenashift/core/rankpeer"
 )
 
 const (
--- a/sidecar/needs_test.go
+++ b/sidecar/needs_test.go
@@ -8,8 +8,8 @@
 	"github.com/matryer/is"
 
 	"verbenashift/core/deployment"
-	"verbenashift/core/lockstep"
-	"verbenashift/core/rankpeer"
+	"verbenashift/core/experts/lockstep"
+	"verbenashift/core/experts/rankpeer"
 	"verbenashift/platform"
 )
 
--- a/sidecar/peer.go
+++ b/sidecar/peer.go
@@ -5,7 +5,7 @@
 	"log/slog"
 	"time"
 
-	"verbenashift/core/rankpeer"
+	"verbenashift/core/experts/rankpeer"
 	"verbenashift/platform"
 )
 
--- a/sidecar/places.go
+++ b/sidecar/places.go
@@ -1,10 +1,10 @@
 package main
 
 import (
-	"verbenashift/core/engine"
-	"verbenashift/core/expert"
-	"verbenashift/core/lockstep"
-	"verbenashift/core/rankpeer"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/expert"
+	"verbenashift/core/experts/lockstep"
+	"verbenashift/core/experts/rankpeer"
 )
 
 // know takes the map in force from who has made it.
--- a/sidecar/planner.go
+++ b/sidecar/planner.go
@@ -5,10 +5,10 @@
 	"time"
 
 	"verbenashift/core/deployment"
-	"verbenashift/core/engine"
-	"verbenashift/core/expert"
-	"verbenashift/core/lockstep"
-	"verbenashift/core/rankpeer"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/expert"
+	"verbenashift/core/experts/lockstep"
+	"verbenashift/core/experts/rankpeer"
 )
 
 const (
--- a/sidecar/planner_test.go
+++ b/sidecar/planner_test.go
@@ -7,9 +7,9 @@
 	"github.com/matryer/is"
 
 	"verbenashift/core/deployment"
-	"verbenashift/core/engine"
-	"verbenashift/core/lockstep"
-	"verbenashift/core/rankpeer"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/lockstep"
+	"verbenashift/core/experts/rankpeer"
 )
 
 // A rank does not answer, and the others are to prepare a map that loads nothing.
--- a/sidecar/relay.go
+++ b/sidecar/relay.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/lockstep"
-	"verbenashift/core/rankpeer"
+	"verbenashift/core/experts/lockstep"
+	"verbenashift/core/experts/rankpeer"
 )
 
 // relay is what an agent keeps to ask the agents of a branch on a steward's behalf. It
--- a/sidecar/relay_test.go
+++ b/sidecar/relay_test.go
@@ -17,10 +17,10 @@
 
 	"verbenashift/core/boot"
 	"verbenashift/core/deployment"
-	"verbenashift/core/engine"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/lockstep"
+	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/instance"
-	"verbenashift/core/lockstep"
-	"verbenashift/core/rankpeer"
 )
 
 // The ports of the loopback instances of these tests.
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -4,8 +4,8 @@
 	"hash/fnv"
 	"time"
 
-	"verbenashift/core/lockstep"
-	"verbenashift/core/rankpeer"
+	"verbenashift/core/experts/lockstep"
+	"verbenashift/core/experts/rankpeer"
 )
 
 // heldFor measures how long holds stand, from the first look that shows one.
--- a/sidecar/round_test.go
+++ b/sidecar/round_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"verbenashift/core/lockstep"
-	"verbenashift/core/rankpeer"
+	"verbenashift/core/experts/lockstep"
+	"verbenashift/core/experts/rankpeer"
 )
 
 // bytesOf returns the bytes of one kind that were counted so far.
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -6,11 +6,11 @@
 	"math/rand/v2"
 	"time"
 
-	"verbenashift/core/engine"
-	"verbenashift/core/lockstep"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/lockstep"
+	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/mirror"
 	"verbenashift/core/pause"
-	"verbenashift/core/rankpeer"
 	"verbenashift/platform"
 )
 
--- a/sidecar/talk.go
+++ b/sidecar/talk.go
@@ -7,9 +7,9 @@
 	"strconv"
 	"time"
 
-	"verbenashift/core/engine"
-	"verbenashift/core/lockstep"
-	"verbenashift/core/rankpeer"
+	"verbenashift/core/experts/engine"
+	"verbenashift/core/experts/lockstep"
+	"verbenashift/core/experts/rankpeer"
 	"verbenashift/platform"
 )
 
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/rankpeer"
+	"verbenashift/core/experts/rankpeer"
 )
 
 // The steward's view of its group is for gateways, which place requests by it. Those of a
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -8,8 +8,8 @@
 
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/group"
-	"verbenashift/core/rank"
+	"verbenashift/core/experts/group"
+	"verbenashift/core/experts/rank"
 	"verbenashift/standin/ledger"
 )
 
--- a/standin/rank/http.go
+++ b/standin/rank/http.go
@@ -8,8 +8,8 @@
 
 	"github.com/gorilla/mux"
 
-	"verbenashift/core/group"
-	"verbenashift/core/rank"
+	"verbenashift/core/experts/group"
+	"verbenashift/core/experts/rank"
 )
 
 // LedgerPrefix is where the rank's ledger and faults are in the engine.
--- a/standin/rank/load.go
+++ b/standin/rank/load.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
-	"verbenashift/core/expert"
-	"verbenashift/core/group"
-	"verbenashift/core/rank"
+	"verbenashift/core/experts/expert"
+	"verbenashift/core/experts/group"
+	"verbenashift/core/experts/rank"
 )
 
 // retryPause is the pause after a read of weights that failed.
--- a/standin/rank/rank.go
+++ b/standin/rank/rank.go
@@ -5,7 +5,7 @@
 // of addresses and meet at the first rank of the epoch, by datagrams that may be
 // lost. Each rank writes down which map it used in which step, for the judge.
 //
-// A rank keeps what package core/group wants of an engine, by that package's
+// A rank keeps what package core/experts/group wants of an engine, by that package's
 // reference. It has a switch, ignore-wait, that makes it a faulty one: it goes
 // on with its old map at the step for which it promised to stop.
 //
@@ -21,9 +21,9 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/group"
+	"verbenashift/core/experts/group"
+	"verbenashift/core/experts/rank"
 	"verbenashift/core/lease"
-	"verbenashift/core/rank"
 	"verbenashift/standin/judge"
 )
 
--- a/standin/rank/rank_test.go
+++ b/standin/rank/rank_test.go
@@ -12,9 +12,9 @@
 	"github.com/gorilla/mux"
 	"github.com/matryer/is"
 
-	"verbenashift/core/group"
+	"verbenashift/core/experts/group"
+	"verbenashift/core/experts/rank"
 	"verbenashift/core/lease"
-	"verbenashift/core/rank"
 	"verbenashift/standin/judge"
 	standin "verbenashift/standin/rank"
 )
--- a/standin/rank/udp.go
+++ b/standin/rank/udp.go
@@ -12,7 +12,7 @@
 
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/rank"
+	"verbenashift/core/experts/rank"
 )
 
 // UDP is a Link by datagrams.
