Who is alive and who leads has a folder of its own

core was one flat folder of 47 packages by the alphabet. These go to core/membership: health, instances, lease, member. No change of code.

--- a/agent/app.go
+++ b/agent/app.go
@@ -22,7 +22,7 @@
 	"verbenashift/core/config"
 	"verbenashift/core/follow"
 	"verbenashift/core/histogram"
-	"verbenashift/core/member"
+	"verbenashift/core/membership/member"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/peer/wire/wireconnect"
--- a/agent/group.go
+++ b/agent/group.go
@@ -9,7 +9,7 @@
 	"verbenashift/core/duty"
 	"verbenashift/core/experts/group"
 	"verbenashift/core/experts/rank"
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 // groupTick is the time between looks at the timers of a group.
--- a/agent/group_fleet_test.go
+++ b/agent/group_fleet_test.go
@@ -18,7 +18,7 @@
 	"verbenashift/core/experts/expert"
 	"verbenashift/core/experts/group"
 	"verbenashift/core/experts/rank"
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 // fleet is a group of ranks with the agents beside them, in one process. It
--- a/agent/group_lease.go
+++ b/agent/group_lease.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 	"verbenashift/core/store"
 )
 
--- a/agent/group_lease_test.go
+++ b/agent/group_lease_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 	"verbenashift/core/store"
 	"verbenashift/core/store/wire"
 )
--- a/agent/group_shape.go
+++ b/agent/group_shape.go
@@ -8,7 +8,7 @@
 	"verbenashift/core/experts/expert"
 	"verbenashift/core/experts/group"
 	"verbenashift/core/experts/rank"
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 	"verbenashift/core/settings"
 )
 
--- a/agent/group_watch.go
+++ b/agent/group_watch.go
@@ -2,7 +2,7 @@
 
 import (
 	"verbenashift/core/experts/group"
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 // mapWatch finds steps that two ranks made on different maps, from the ranks'
--- a/agent/group_watch_test.go
+++ b/agent/group_watch_test.go
@@ -6,7 +6,7 @@
 	"github.com/matryer/is"
 
 	"verbenashift/core/experts/group"
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 // One rank's engine goes on with its old map after a switch that it has armed
--- a/agent/groups.go
+++ b/agent/groups.go
@@ -6,7 +6,7 @@
 	"verbenashift/core/config"
 	"verbenashift/core/experts/expert"
 	"verbenashift/core/experts/rank"
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 // shapeOf returns the group of a target as configured, or nil if the target is
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -9,7 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"verbenashift/core/experts/rank"
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/request/target"
 )
--- a/agent/orders_test.go
+++ b/agent/orders_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 	"verbenashift/core/request/target"
 )
 
--- a/bench/capacity/spread.go
+++ b/bench/capacity/spread.go
@@ -11,7 +11,7 @@
 	"verbenashift/bench/figure"
 	"verbenashift/core/config"
 	"verbenashift/core/follow"
-	"verbenashift/core/member"
+	"verbenashift/core/membership/member"
 	"verbenashift/core/peer"
 )
 
--- a/bench/fairness/members.go
+++ b/bench/fairness/members.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"verbenashift/bench/figure"
-	"verbenashift/core/member"
+	"verbenashift/core/membership/member"
 )
 
 const (
--- a/bench/groups/switch.go
+++ b/bench/groups/switch.go
@@ -7,7 +7,7 @@
 
 	"verbenashift/bench/figure"
 	"verbenashift/core/experts/group"
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 // The size of letter 1, and what it allows a node for control.
--- a/bench/groups/switch_world.go
+++ b/bench/groups/switch_world.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"verbenashift/core/experts/group"
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 // The times of the simulated group: a step of a few milliseconds, availability
--- a/bench/routing/routing_policy.go
+++ b/bench/routing/routing_policy.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 
-	"verbenashift/core/health"
+	"verbenashift/core/membership/health"
 	"verbenashift/core/request/retry"
 	"verbenashift/core/request/route"
 )
--- a/bench/routing/routing_trial.go
+++ b/bench/routing/routing_trial.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"verbenashift/core/health"
+	"verbenashift/core/membership/health"
 	"verbenashift/core/request/retry"
 	"verbenashift/core/request/route"
 )
--- a/core/experts/group/end_test.go
+++ b/core/experts/group/end_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 // settledWorld returns a world without faults, come to rest on map 1.
--- a/core/experts/group/explorer_test.go
+++ b/core/experts/group/explorer_test.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 // The times of an exploration are short, so that every timeout is met often.
--- a/core/experts/group/health.go
+++ b/core/experts/group/health.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 // Health is an agent's view of its own rank.
--- a/core/experts/group/member.go
+++ b/core/experts/group/member.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 // MemberConfig is the setting of a Member. Zero values take the defaults.
--- a/core/experts/group/member_link.go
+++ b/core/experts/group/member_link.go
@@ -4,7 +4,7 @@
 	"errors"
 	"time"
 
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 // link is the one operation that a member has out at its rank.
--- a/core/experts/group/member_test.go
+++ b/core/experts/group/member_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 func num(fence, sequence uint64) lease.Number {
--- a/core/experts/group/message.go
+++ b/core/experts/group/message.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 // Message is what agents say to each other about a group. Every message may be
--- a/core/experts/group/rank.go
+++ b/core/experts/group/rank.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"slices"
 
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 // Version names one expert map by the digest of its content, so that the same
--- a/core/experts/group/refusal_test.go
+++ b/core/experts/group/refusal_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 // Orders reach a member late, twice and from a steward that has been replaced.
--- a/core/experts/group/steward.go
+++ b/core/experts/group/steward.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 // StewardConfig is the setting of a Steward. Zero values take the defaults.
--- a/core/experts/group/steward_form.go
+++ b/core/experts/group/steward_form.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 // silent reports whether an agent has left probes without an answer for too
--- a/core/experts/group/view.go
+++ b/core/experts/group/view.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 // MemberView is what operators see of one member.
--- a/core/experts/rank/client_test.go
+++ b/core/experts/rank/client_test.go
@@ -14,7 +14,7 @@
 
 	"verbenashift/core/experts/group"
 	"verbenashift/core/experts/rank"
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 func order() rank.Order {
--- a/core/follow/members.go
+++ b/core/follow/members.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"verbenashift/core/config"
-	"verbenashift/core/member"
+	"verbenashift/core/membership/member"
 )
 
 // Members is this process's view of the agents, fed by the digests that
--- a/core/instances/instances_test.go
+++ b/core/membership/instances/instances_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/instances"
+	"verbenashift/core/membership/instances"
 )
 
 const twoInstances = `[{"name":"a","address":"10.0.0.1:9","zone":"Bole","state":"live"},` +
--- a/entry/app.go
+++ b/entry/app.go
@@ -20,7 +20,7 @@
 
 	"verbenashift/core/config"
 	"verbenashift/core/follow"
-	"verbenashift/core/member"
+	"verbenashift/core/membership/member"
 	"verbenashift/core/operator"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -10,7 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"verbenashift/core/config"
-	"verbenashift/core/instances"
+	"verbenashift/core/membership/instances"
 	"verbenashift/core/peer/wire"
 )
 
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -13,7 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"verbenashift/core/config"
-	"verbenashift/core/member"
+	"verbenashift/core/membership/member"
 	"verbenashift/core/operator"
 	"verbenashift/core/peer/wire"
 )
--- a/entry/router.go
+++ b/entry/router.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"verbenashift/core/config"
-	"verbenashift/core/health"
+	"verbenashift/core/membership/health"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/request/route"
 )
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"verbenashift/core/deployment"
-	"verbenashift/core/health"
+	"verbenashift/core/membership/health"
 	"verbenashift/core/mirror"
 	"verbenashift/core/request/route"
 	"verbenashift/core/tcp"
--- a/gateway/flights.go
+++ b/gateway/flights.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"verbenashift/core/health"
+	"verbenashift/core/membership/health"
 )
 
 // errStalled is why an attempt is ended whose target says nothing more while
--- a/gateway/ranks.go
+++ b/gateway/ranks.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"verbenashift/core/experts/rankpeer"
-	"verbenashift/core/health"
+	"verbenashift/core/membership/health"
 	"verbenashift/core/request/route"
 )
 
--- a/proof/shutdown_test.go
+++ b/proof/shutdown_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"verbenashift/core/config"
-	"verbenashift/core/instances"
+	"verbenashift/core/membership/instances"
 	"verbenashift/core/request/outcome"
 	"verbenashift/standin/client"
 	"verbenashift/standin/deployment"
--- a/standin/deployment/scene.go
+++ b/standin/deployment/scene.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/instances"
+	"verbenashift/core/membership/instances"
 	"verbenashift/standin/client"
 	"verbenashift/standin/judge"
 	"verbenashift/standin/ledger"
--- a/standin/platform/instances.go
+++ b/standin/platform/instances.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/instances"
+	"verbenashift/core/membership/instances"
 )
 
 // stateGone in a posted instance takes it off the list.
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -18,7 +18,7 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
-	"verbenashift/core/instances"
+	"verbenashift/core/membership/instances"
 	"verbenashift/core/store"
 	"verbenashift/standin/platform"
 )
--- a/standin/rank/meet.go
+++ b/standin/rank/meet.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 )
 
 // Meeting is what the ranks of an epoch tell each other to stay in step. Ranks
--- a/standin/rank/rank.go
+++ b/standin/rank/rank.go
@@ -23,7 +23,7 @@
 
 	"verbenashift/core/experts/group"
 	"verbenashift/core/experts/rank"
-	"verbenashift/core/lease"
+	"verbenashift/core/membership/lease"
 	"verbenashift/standin/judge"
 )
 
