Configuration and what follows it have a folder of their own

These go to core/configuration: config, deployment, follow, intent, kv, mirror, operator, store. No change of code.

--- a/agent/app.go
+++ b/agent/app.go
@@ -19,8 +19,9 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/fx"
 
-	"verbenashift/core/config"
-	"verbenashift/core/follow"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/follow"
+	"verbenashift/core/configuration/store"
 	"verbenashift/core/histogram"
 	"verbenashift/core/membership/member"
 	"verbenashift/core/peer"
@@ -30,7 +31,6 @@
 	"verbenashift/core/request/draft"
 	"verbenashift/core/request/outcome"
 	"verbenashift/core/request/target"
-	"verbenashift/core/store"
 	"verbenashift/core/telemetry"
 )
 
--- a/agent/callers.go
+++ b/agent/callers.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/request/quota"
 )
--- a/agent/callers_test.go
+++ b/agent/callers_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/request/quota"
 )
--- a/agent/custody.go
+++ b/agent/custody.go
@@ -8,7 +8,7 @@
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/request/booking"
 )
--- a/agent/group_lease.go
+++ b/agent/group_lease.go
@@ -7,8 +7,8 @@
 
 	"github.com/go-faster/errors"
 
+	"verbenashift/core/configuration/store"
 	"verbenashift/core/membership/lease"
-	"verbenashift/core/store"
 )
 
 // dutyRecord is the value of a duty's key.
--- a/agent/group_lease_test.go
+++ b/agent/group_lease_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/configuration/store"
+	"verbenashift/core/configuration/store/wire"
 	"verbenashift/core/membership/lease"
-	"verbenashift/core/store"
-	"verbenashift/core/store/wire"
 )
 
 // oneKey is a store with one key, as far as a duty needs it. Calls on two
--- a/agent/group_status.go
+++ b/agent/group_status.go
@@ -5,8 +5,8 @@
 	"expvar"
 	"sync"
 
+	"verbenashift/core/configuration/operator"
 	"verbenashift/core/experts/group"
-	"verbenashift/core/operator"
 )
 
 // groupMetrics are the counters of an agent's part in its group.
--- a/agent/groups.go
+++ b/agent/groups.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 	"verbenashift/core/experts/expert"
 	"verbenashift/core/experts/rank"
 	"verbenashift/core/membership/lease"
--- a/agent/identity.go
+++ b/agent/identity.go
@@ -8,7 +8,7 @@
 
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/store"
+	"verbenashift/core/configuration/store"
 )
 
 // identity tells the lives of one agent name apart.
--- a/agent/register.go
+++ b/agent/register.go
@@ -9,13 +9,13 @@
 
 	"connectrpc.com/connect"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/follow"
+	"verbenashift/core/configuration/store"
 	"verbenashift/core/duty"
-	"verbenashift/core/follow"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/request/booking"
-	"verbenashift/core/store"
 )
 
 // The bounds of the register's calls to other agents.
--- a/agent/run_test.go
+++ b/agent/run_test.go
@@ -9,7 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
-	"verbenashift/core/follow"
+	"verbenashift/core/configuration/follow"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/peer/wire/wireconnect"
--- a/agent/service.go
+++ b/agent/service.go
@@ -8,7 +8,7 @@
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/operator"
+	"verbenashift/core/configuration/operator"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/request/booking"
--- a/bench/capacity/documents.go
+++ b/bench/capacity/documents.go
@@ -11,10 +11,10 @@
 
 	"verbenashift/bench/figure"
 	"verbenashift/bench/path"
-	"verbenashift/core/config"
-	"verbenashift/core/follow"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/follow"
+	"verbenashift/core/configuration/store"
 	"verbenashift/core/request/route"
-	"verbenashift/core/store"
 )
 
 // sizes are numbers of workspaces and targets; the last is the size to design
--- a/bench/capacity/exchange.go
+++ b/bench/capacity/exchange.go
@@ -14,7 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"verbenashift/bench/figure"
-	"verbenashift/core/follow"
+	"verbenashift/core/configuration/follow"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/peer/wire/wireconnect"
--- a/bench/capacity/nodes.go
+++ b/bench/capacity/nodes.go
@@ -8,7 +8,7 @@
 
 	"verbenashift/bench/figure"
 	"verbenashift/bench/path"
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 	"verbenashift/core/peer"
 	"verbenashift/standin/deployment"
 )
--- a/bench/capacity/spread.go
+++ b/bench/capacity/spread.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"verbenashift/bench/figure"
-	"verbenashift/core/config"
-	"verbenashift/core/follow"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/follow"
 	"verbenashift/core/membership/member"
 	"verbenashift/core/peer"
 )
--- a/bench/path/memory.go
+++ b/bench/path/memory.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"verbenashift/bench/figure"
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 	"verbenashift/standin/deployment"
 )
 
--- a/core/config/bench_test.go
+++ b/core/configuration/config/bench_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 )
 
 // BenchmarkTakeInForce is what a node spends on one new revision at 930
--- a/core/config/bootstrap_test.go
+++ b/core/configuration/config/bootstrap_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 )
 
 func answersFrom(asked time.Time, revisions map[string]uint64) []config.Answer {
--- a/core/config/config_test.go
+++ b/core/configuration/config/config_test.go
@@ -13,7 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 )
 
 // sized returns a configuration with that many workspaces and targets.
--- a/core/deployment/deployment.go
+++ b/core/configuration/deployment/deployment.go
@@ -15,8 +15,8 @@
 	"net/netip"
 	"time"
 
+	"verbenashift/core/configuration/kv"
 	"verbenashift/core/experts/engine"
-	"verbenashift/core/kv"
 )
 
 // Formats is how a deployment stands in the store.
--- a/core/follow/follow.go
+++ b/core/configuration/follow/follow.go
@@ -28,10 +28,10 @@
 
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/config"
-	"verbenashift/core/intent"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/intent"
+	"verbenashift/core/configuration/store"
 	"verbenashift/core/pause"
-	"verbenashift/core/store"
 )
 
 // The pauses after a failed call to the store: the first, and the bound to
--- a/core/follow/follow_test.go
+++ b/core/configuration/follow/follow_test.go
@@ -11,10 +11,10 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/config"
-	"verbenashift/core/follow"
-	"verbenashift/core/intent"
-	"verbenashift/core/store"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/follow"
+	"verbenashift/core/configuration/intent"
+	"verbenashift/core/configuration/store"
 )
 
 // fakeStore holds the head of the configuration. Down, it answers nothing.
--- a/core/follow/members.go
+++ b/core/configuration/follow/members.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 	"verbenashift/core/membership/member"
 )
 
--- a/core/follow/memory.go
+++ b/core/configuration/follow/memory.go
@@ -4,7 +4,7 @@
 	"runtime/debug"
 	"time"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 )
 
 // releaseDelay lets the old configuration fall out of use first.
--- a/core/follow/spread.go
+++ b/core/configuration/follow/spread.go
@@ -7,7 +7,7 @@
 
 	"connectrpc.com/connect"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
 )
--- a/core/intent/forecast.go
+++ b/core/configuration/intent/forecast.go
@@ -6,7 +6,7 @@
 	"math"
 	"slices"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 )
 
 // The degrees of confidence in a forecast.
--- a/core/intent/head.go
+++ b/core/configuration/intent/head.go
@@ -5,8 +5,8 @@
 
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/config"
-	"verbenashift/core/store"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/store"
 )
 
 // The keys in the platform's store.
--- a/core/intent/intent.go
+++ b/core/configuration/intent/intent.go
@@ -28,7 +28,7 @@
 	"slices"
 	"time"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 )
 
 // The presets of weights.
--- a/core/intent/intent_test.go
+++ b/core/configuration/intent/intent_test.go
@@ -10,9 +10,9 @@
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
-	"verbenashift/core/config"
-	"verbenashift/core/intent"
-	"verbenashift/core/store"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/intent"
+	"verbenashift/core/configuration/store"
 )
 
 // fake is a store in memory with the faults of the real one. before, if set,
--- a/core/intent/oracle_test.go
+++ b/core/configuration/intent/oracle_test.go
@@ -10,9 +10,9 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"verbenashift/core/config"
-	"verbenashift/core/intent"
-	"verbenashift/core/store"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/intent"
+	"verbenashift/core/configuration/store"
 )
 
 // write is a compare-and-swap that the network still holds.
--- a/core/intent/plan.go
+++ b/core/configuration/intent/plan.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 )
 
 // State is where a plan stands.
--- a/core/intent/planner.go
+++ b/core/configuration/intent/planner.go
@@ -9,8 +9,8 @@
 
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/config"
-	"verbenashift/core/store"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/store"
 )
 
 // maxPrevious bounds the earlier plans that an intent's record remembers.
--- a/core/mirror/follower.go
+++ b/core/configuration/mirror/follower.go
@@ -13,9 +13,9 @@
 	"sync/atomic"
 	"time"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
+	"verbenashift/core/configuration/kv"
 	"verbenashift/core/experts/rankpeer"
-	"verbenashift/core/kv"
 	"verbenashift/core/pause"
 )
 
--- a/core/mirror/formats_test.go
+++ b/core/configuration/mirror/formats_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
+	"verbenashift/core/configuration/kv"
 	"verbenashift/core/experts/engine"
-	"verbenashift/core/kv"
 )
 
 // The keys of the tests' store.
--- a/core/mirror/hints.go
+++ b/core/configuration/mirror/hints.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"verbenashift/core/kv"
+	"verbenashift/core/configuration/kv"
 	"verbenashift/core/pause"
 )
 
--- a/core/mirror/hints_test.go
+++ b/core/configuration/mirror/hints_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/kv"
+	"verbenashift/core/configuration/kv"
 	"verbenashift/core/pause"
 )
 
--- a/core/mirror/mirror.go
+++ b/core/configuration/mirror/mirror.go
@@ -24,9 +24,9 @@
 	"strings"
 	"time"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
+	"verbenashift/core/configuration/kv"
 	"verbenashift/core/experts/rankpeer"
-	"verbenashift/core/kv"
 )
 
 // returnGrace is how long targets that were known before an outage of the
--- a/core/mirror/mirror_test.go
+++ b/core/configuration/mirror/mirror_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/configuration/kv"
 	"verbenashift/core/experts/rankpeer"
-	"verbenashift/core/kv"
 )
 
 func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
--- a/core/operator/auth.go
+++ b/core/configuration/operator/auth.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strings"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 )
 
 // bootstrapName is the operator's name while the bootstrap token is used.
--- a/core/operator/client.go
+++ b/core/configuration/operator/client.go
@@ -13,8 +13,8 @@
 
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/config"
-	"verbenashift/core/intent"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/intent"
 )
 
 // maxAnswer bounds what a client reads of one answer, in bytes.
--- a/core/operator/errors.go
+++ b/core/configuration/operator/errors.go
@@ -7,9 +7,9 @@
 
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/config"
-	"verbenashift/core/intent"
-	"verbenashift/core/store"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/intent"
+	"verbenashift/core/configuration/store"
 )
 
 // The kinds of errors.
--- a/core/operator/handlers.go
+++ b/core/configuration/operator/handlers.go
@@ -7,8 +7,8 @@
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
 
-	"verbenashift/core/config"
-	"verbenashift/core/intent"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/intent"
 )
 
 // request returns the intent request of an operator. The role is checked
--- a/core/operator/operator.go
+++ b/core/configuration/operator/operator.go
@@ -31,8 +31,8 @@
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
 
-	"verbenashift/core/config"
-	"verbenashift/core/intent"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/intent"
 )
 
 // Prefix begins the path of every request.
--- a/core/operator/operator_test.go
+++ b/core/configuration/operator/operator_test.go
@@ -12,10 +12,10 @@
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
-	"verbenashift/core/config"
-	"verbenashift/core/intent"
-	"verbenashift/core/operator"
-	"verbenashift/core/store"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/intent"
+	"verbenashift/core/configuration/operator"
+	"verbenashift/core/configuration/store"
 )
 
 // memory is a store in memory; fail, if set, is the answer to each read.
--- a/core/operator/status.go
+++ b/core/configuration/operator/status.go
@@ -5,7 +5,7 @@
 
 	"github.com/gorilla/mux"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 )
 
 func (a *api) status(r *http.Request, _ actor) (any, error) {
--- a/core/operator/types.go
+++ b/core/configuration/operator/types.go
@@ -1,8 +1,8 @@
 package operator
 
 import (
-	"verbenashift/core/config"
-	"verbenashift/core/intent"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/intent"
 )
 
 // FleetStatus is what a node knows of the others.
--- a/core/store/store.go
+++ b/core/configuration/store/store.go
@@ -45,7 +45,7 @@
 	"sync/atomic"
 	"time"
 
-	"verbenashift/core/store/wire"
+	"verbenashift/core/configuration/store/wire"
 )
 
 const (
--- a/core/store/store_test.go
+++ b/core/configuration/store/store_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/store"
-	"verbenashift/core/store/wire"
+	"verbenashift/core/configuration/store"
+	"verbenashift/core/configuration/store/wire"
 )
 
 // server runs h and counts its calls.
--- a/core/store/watch.go
+++ b/core/configuration/store/watch.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/store/wire"
+	"verbenashift/core/configuration/store/wire"
 )
 
 // errWatchEnded is the cause when the store ends a watch without a reason.
--- a/core/store/write.go
+++ b/core/configuration/store/write.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"verbenashift/core/store/wire"
+	"verbenashift/core/configuration/store/wire"
 )
 
 // CompareAndSwap sets key to value if the key is still at version, with 0 for a
--- a/core/experts/rankpeer/roster.go
+++ b/core/experts/rankpeer/roster.go
@@ -4,7 +4,7 @@
 	"net/netip"
 	"time"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/experts/engine"
 )
 
--- a/ctl/configs.go
+++ b/ctl/configs.go
@@ -6,7 +6,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 )
 
 func (p *program) configCommand() *cli.Command {
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -17,9 +17,9 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/config"
-	"verbenashift/core/operator"
-	"verbenashift/core/store"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/operator"
+	"verbenashift/core/configuration/store"
 )
 
 var update = flag.Bool("update", false, "write the golden files")
--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -8,8 +8,8 @@
 
 	"github.com/urfave/cli/v3"
 
-	"verbenashift/core/config"
-	"verbenashift/core/operator"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/operator"
 )
 
 // pollInterval is the time between two looks at the fleet.
--- a/ctl/group.go
+++ b/ctl/group.go
@@ -7,7 +7,7 @@
 
 	"github.com/guptarohit/asciigraph"
 
-	"verbenashift/core/operator"
+	"verbenashift/core/configuration/operator"
 )
 
 // The size of a plot in characters.
--- a/ctl/intents.go
+++ b/ctl/intents.go
@@ -9,8 +9,8 @@
 
 	"github.com/urfave/cli/v3"
 
-	"verbenashift/core/config"
-	"verbenashift/core/intent"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/intent"
 )
 
 func (p *program) intentCommand() *cli.Command {
--- a/ctl/program.go
+++ b/ctl/program.go
@@ -15,7 +15,7 @@
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
-	"verbenashift/core/operator"
+	"verbenashift/core/configuration/operator"
 )
 
 // The exit codes.
--- a/ctl/table.go
+++ b/ctl/table.go
@@ -7,8 +7,8 @@
 	"text/tabwriter"
 	"time"
 
-	"verbenashift/core/intent"
-	"verbenashift/core/operator"
+	"verbenashift/core/configuration/intent"
+	"verbenashift/core/configuration/operator"
 )
 
 // columnGap is the number of spaces between two columns.
--- a/entry/app.go
+++ b/entry/app.go
@@ -18,17 +18,17 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/fx"
 
-	"verbenashift/core/config"
-	"verbenashift/core/follow"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/follow"
+	"verbenashift/core/configuration/operator"
+	"verbenashift/core/configuration/store"
 	"verbenashift/core/membership/member"
-	"verbenashift/core/operator"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/process"
 	"verbenashift/core/request/caller"
 	"verbenashift/core/request/outcome"
 	"verbenashift/core/request/route"
-	"verbenashift/core/store"
 	"verbenashift/core/telemetry"
 )
 
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 	"verbenashift/core/membership/instances"
 	"verbenashift/core/peer/wire"
 )
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -12,9 +12,9 @@
 	"connectrpc.com/connect"
 	"golang.org/x/sync/errgroup"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/operator"
 	"verbenashift/core/membership/member"
-	"verbenashift/core/operator"
 	"verbenashift/core/peer/wire"
 )
 
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -10,7 +10,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/request/booking"
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -6,7 +6,7 @@
 
 	"connectrpc.com/connect"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/request/booking"
 	"verbenashift/core/request/outcome"
--- a/entry/listen_test.go
+++ b/entry/listen_test.go
@@ -11,9 +11,9 @@
 	"github.com/matryer/is"
 	"go.opentelemetry.io/otel/trace/noop"
 
-	"verbenashift/core/config"
-	"verbenashift/core/follow"
-	"verbenashift/core/store"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/follow"
+	"verbenashift/core/configuration/store"
 )
 
 // oneConfig is a platform's store that holds one configuration.
--- a/entry/open.go
+++ b/entry/open.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 	"verbenashift/core/request/outcome"
 )
 
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -4,11 +4,11 @@
 	"context"
 	"net/http"
 
-	"verbenashift/core/config"
-	"verbenashift/core/follow"
-	"verbenashift/core/intent"
-	"verbenashift/core/operator"
-	"verbenashift/core/store"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/follow"
+	"verbenashift/core/configuration/intent"
+	"verbenashift/core/configuration/operator"
+	"verbenashift/core/configuration/store"
 )
 
 // operatorRoutes serves the administration API.
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/request/caller"
--- a/entry/router.go
+++ b/entry/router.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 	"verbenashift/core/membership/health"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/request/route"
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -13,7 +13,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/request/booking"
 	"verbenashift/core/request/caller"
--- a/gateway/admitter_test.go
+++ b/gateway/admitter_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/request/admission"
 	"verbenashift/core/request/outcome"
 	"verbenashift/core/request/queue"
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/request/outcome"
 	"verbenashift/core/request/retry"
 	"verbenashift/gateway/upstream"
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/request/retry"
 	"verbenashift/core/request/route"
 	"verbenashift/platform"
--- a/gateway/call_test.go
+++ b/gateway/call_test.go
@@ -8,9 +8,9 @@
 
 	"go.opentelemetry.io/otel/trace/noop"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
+	"verbenashift/core/configuration/mirror"
 	"verbenashift/core/instance"
-	"verbenashift/core/mirror"
 	"verbenashift/core/request/retry"
 	"verbenashift/core/request/route"
 )
--- a/gateway/catalog.go
+++ b/gateway/catalog.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"strings"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
 )
 
 // catalog answers questions about one configuration. It is not changed after
--- a/gateway/catalog_test.go
+++ b/gateway/catalog_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
 )
 
 func testCatalog() *catalog {
--- a/gateway/crash/detector.go
+++ b/gateway/crash/detector.go
@@ -24,7 +24,7 @@
 	"syscall"
 	"time"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/pause"
 	"verbenashift/core/request/quarantine"
 	"verbenashift/gateway/upstream"
--- a/gateway/crash/detector_test.go
+++ b/gateway/crash/detector_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/request/quarantine"
 )
 
--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -9,10 +9,10 @@
 	"sync"
 	"time"
 
+	"verbenashift/core/configuration/mirror"
 	"verbenashift/core/experts/engine"
 	"verbenashift/core/experts/lockstep"
 	"verbenashift/core/experts/rankpeer"
-	"verbenashift/core/mirror"
 	"verbenashift/core/pause"
 )
 
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -9,9 +9,9 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
+	"verbenashift/core/configuration/mirror"
 	"verbenashift/core/membership/health"
-	"verbenashift/core/mirror"
 	"verbenashift/core/request/route"
 	"verbenashift/core/tcp"
 	"verbenashift/gateway/crash"
--- a/gateway/heldback_test.go
+++ b/gateway/heldback_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"verbenashift/core/deployment"
-	"verbenashift/core/kv"
+	"verbenashift/core/configuration/deployment"
+	"verbenashift/core/configuration/kv"
 	"verbenashift/core/request/quarantine"
 	"verbenashift/core/story"
 	"verbenashift/standin/scripted"
--- a/gateway/isolator.go
+++ b/gateway/isolator.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/kv"
+	"verbenashift/core/configuration/kv"
 	"verbenashift/core/pause"
 	"verbenashift/core/request/quarantine"
 )
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/eventlog"
 	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/story"
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -16,8 +16,8 @@
 
 	"go.uber.org/fx"
 
+	"verbenashift/core/configuration/mirror"
 	"verbenashift/core/instance"
-	"verbenashift/core/mirror"
 	"verbenashift/core/pause"
 	"verbenashift/core/request/quarantine"
 	"verbenashift/platform"
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
 )
 
 // ended writes the line that says how the request has ended, with what it was
--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -18,10 +18,10 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"verbenashift/core/boot"
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
+	"verbenashift/core/configuration/mirror"
 	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/instance"
-	"verbenashift/core/mirror"
 	"verbenashift/platform"
 	"verbenashift/standin/scripted"
 )
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -14,11 +14,11 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"verbenashift/core/boot"
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
+	"verbenashift/core/configuration/mirror"
 	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/instance"
 	"verbenashift/core/membership/health"
-	"verbenashift/core/mirror"
 	"verbenashift/core/pause"
 	"verbenashift/core/request/admission"
 	"verbenashift/core/request/retry"
--- a/gateway/share_test.go
+++ b/gateway/share_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"verbenashift/core/boot"
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/request/retry"
 	"verbenashift/standin/scripted"
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/request/retry"
 	"verbenashift/standin/scripted"
 )
--- a/gateway/spans_test.go
+++ b/gateway/spans_test.go
@@ -9,7 +9,7 @@
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
 	"verbenashift/standin/scripted"
 )
 
--- a/proof/shutdown_test.go
+++ b/proof/shutdown_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 	"verbenashift/core/membership/instances"
 	"verbenashift/core/request/outcome"
 	"verbenashift/standin/client"
--- a/proof/store_test.go
+++ b/proof/store_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/config"
-	"verbenashift/core/intent"
-	"verbenashift/core/operator"
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/intent"
+	"verbenashift/core/configuration/operator"
 	"verbenashift/standin/deployment"
 )
 
--- a/sidecar/claim.go
+++ b/sidecar/claim.go
@@ -5,9 +5,9 @@
 	"errors"
 	"time"
 
+	"verbenashift/core/configuration/kv"
 	"verbenashift/core/experts/engine"
 	"verbenashift/core/experts/rankpeer"
-	"verbenashift/core/kv"
 )
 
 const (
--- a/sidecar/claim_test.go
+++ b/sidecar/claim_test.go
@@ -11,11 +11,11 @@
 	"github.com/matryer/is"
 
 	"verbenashift/core/boot"
+	"verbenashift/core/configuration/kv"
 	"verbenashift/core/experts/engine"
 	"verbenashift/core/experts/lockstep"
 	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/instance"
-	"verbenashift/core/kv"
 	"verbenashift/standin/fleet"
 )
 
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -6,11 +6,11 @@
 	"slices"
 	"time"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
+	"verbenashift/core/configuration/mirror"
 	"verbenashift/core/experts/engine"
 	"verbenashift/core/experts/lockstep"
 	"verbenashift/core/experts/rankpeer"
-	"verbenashift/core/mirror"
 )
 
 // strayEvery is how often a steward whose group lacks a rank asks all targets of its
--- a/sidecar/members_test.go
+++ b/sidecar/members_test.go
@@ -7,11 +7,11 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
+	"verbenashift/core/configuration/mirror"
 	"verbenashift/core/experts/engine"
 	"verbenashift/core/experts/lockstep"
 	"verbenashift/core/experts/rankpeer"
-	"verbenashift/core/mirror"
 )
 
 // viewOf returns a view with targets of one service, at addresses in their order.
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -8,9 +8,9 @@
 	"math"
 	"time"
 
+	"verbenashift/core/configuration/kv"
 	"verbenashift/core/experts/engine"
 	"verbenashift/core/experts/rankpeer"
-	"verbenashift/core/kv"
 	"verbenashift/core/pause"
 )
 
--- a/sidecar/needs.go
+++ b/sidecar/needs.go
@@ -5,8 +5,8 @@
 	"sync/atomic"
 	"time"
 
-	"verbenashift/core/deployment"
-	"verbenashift/core/mirror"
+	"verbenashift/core/configuration/deployment"
+	"verbenashift/core/configuration/mirror"
 	"verbenashift/core/pause"
 	"verbenashift/platform"
 )
--- a/sidecar/needs_test.go
+++ b/sidecar/needs_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/experts/lockstep"
 	"verbenashift/core/experts/rankpeer"
 	"verbenashift/platform"
--- a/sidecar/planner.go
+++ b/sidecar/planner.go
@@ -4,7 +4,7 @@
 	"strconv"
 	"time"
 
-	"verbenashift/core/deployment"
+	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/experts/engine"
 	"verbenashift/core/experts/expert"
 	"verbenashift/core/experts/lockstep"
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -6,10 +6,10 @@
 	"math/rand/v2"
 	"time"
 
+	"verbenashift/core/configuration/mirror"
 	"verbenashift/core/experts/engine"
 	"verbenashift/core/experts/lockstep"
 	"verbenashift/core/experts/rankpeer"
-	"verbenashift/core/mirror"
 	"verbenashift/core/pause"
 	"verbenashift/platform"
 )
--- a/standin/deployment/control.go
+++ b/standin/deployment/control.go
@@ -14,7 +14,7 @@
 
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/operator"
+	"verbenashift/core/configuration/operator"
 )
 
 func (d *Deployment) process(name string) (*process, error) {
--- a/standin/deployment/shape.go
+++ b/standin/deployment/shape.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"strings"
 
-	"verbenashift/core/config"
+	"verbenashift/core/configuration/config"
 )
 
 // Settings are values of a settings file by "section.key".
--- a/standin/platform/gate.go
+++ b/standin/platform/gate.go
@@ -11,7 +11,7 @@
 
 	"golang.org/x/time/rate"
 
-	"verbenashift/core/store/wire"
+	"verbenashift/core/configuration/store/wire"
 )
 
 // The kinds of calls of the store, as the ledger counts them.
--- a/standin/platform/keyspace.go
+++ b/standin/platform/keyspace.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/store/wire"
+	"verbenashift/core/configuration/store/wire"
 )
 
 // keptEvents is how many changes of a key can be watched afterwards.
--- a/standin/platform/lease.go
+++ b/standin/platform/lease.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"verbenashift/core/store/wire"
+	"verbenashift/core/configuration/store/wire"
 )
 
 // lease keeps its keys until its deadline, which renewals push back. It goes
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -1,7 +1,7 @@
 // Package platform is a small fake of the platform's services: the key-value
 // store, the list of instances and the weight store, in one process.
 //
-// The store speaks the messages of verbenashift/core/store/wire. It counts each
+// The store speaks the messages of verbenashift/core/configuration/store/wire. It counts each
 // call, answers after a delay that can be set, and keeps the history of each
 // key. POST /faults sets its switches and GET /ledger tells what it did:
 //
@@ -29,7 +29,7 @@
 
 	"github.com/gorilla/mux"
 
-	"verbenashift/core/store/wire"
+	"verbenashift/core/configuration/store/wire"
 )
 
 // maxBody bounds the body of a request: two values of the largest size in
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -18,8 +18,8 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
+	"verbenashift/core/configuration/store"
 	"verbenashift/core/membership/instances"
-	"verbenashift/core/store"
 	"verbenashift/standin/platform"
 )
 
--- a/standin/platform/watch.go
+++ b/standin/platform/watch.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"net/http"
 
-	"verbenashift/core/store/wire"
+	"verbenashift/core/configuration/store/wire"
 )
 
 // serveWatch streams the changes of one key, one JSON line for each batch.
