What every program needs has a folder of its own

These go to core/plumbing: boot, duty, eventlog, histogram, instance, keys, pause, process, ring, settings, story, tcp, telemetry. No change of code.

--- a/agent/app.go
+++ b/agent/app.go
@@ -22,16 +22,16 @@
 	"verbenashift/core/configuration/config"
 	"verbenashift/core/configuration/follow"
 	"verbenashift/core/configuration/store"
-	"verbenashift/core/histogram"
 	"verbenashift/core/membership/member"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
 	"verbenashift/core/peer/wire/wireconnect"
-	"verbenashift/core/process"
+	"verbenashift/core/plumbing/histogram"
+	"verbenashift/core/plumbing/process"
+	"verbenashift/core/plumbing/telemetry"
 	"verbenashift/core/request/draft"
 	"verbenashift/core/request/outcome"
 	"verbenashift/core/request/target"
-	"verbenashift/core/telemetry"
 )
 
 // errEndOfAnswer is what the target's client returns at an answer's own end.
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"verbenashift/core/duty"
+	"verbenashift/core/plumbing/duty"
 	"verbenashift/core/request/outcome"
 	"verbenashift/core/request/queue"
 )
--- a/agent/group.go
+++ b/agent/group.go
@@ -6,10 +6,10 @@
 	"sync/atomic"
 	"time"
 
-	"verbenashift/core/duty"
 	"verbenashift/core/experts/group"
 	"verbenashift/core/experts/rank"
 	"verbenashift/core/membership/lease"
+	"verbenashift/core/plumbing/duty"
 )
 
 // groupTick is the time between looks at the timers of a group.
--- a/agent/group_shape.go
+++ b/agent/group_shape.go
@@ -9,7 +9,7 @@
 	"verbenashift/core/experts/group"
 	"verbenashift/core/experts/rank"
 	"verbenashift/core/membership/lease"
-	"verbenashift/core/settings"
+	"verbenashift/core/plumbing/settings"
 )
 
 // GroupSettings are the settings of an agent's part in an expert-parallel
--- a/agent/main.go
+++ b/agent/main.go
@@ -15,7 +15,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/fx"
 
-	"verbenashift/core/process"
+	"verbenashift/core/plumbing/process"
 )
 
 func main() {
--- a/agent/register.go
+++ b/agent/register.go
@@ -12,9 +12,9 @@
 	"verbenashift/core/configuration/config"
 	"verbenashift/core/configuration/follow"
 	"verbenashift/core/configuration/store"
-	"verbenashift/core/duty"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
+	"verbenashift/core/plumbing/duty"
 	"verbenashift/core/request/booking"
 )
 
--- a/agent/run.go
+++ b/agent/run.go
@@ -13,13 +13,13 @@
 
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
+	"verbenashift/core/plumbing/telemetry"
 	"verbenashift/core/request/booking"
 	"verbenashift/core/request/caller"
 	"verbenashift/core/request/draft"
 	"verbenashift/core/request/outcome"
 	"verbenashift/core/request/queue"
 	"verbenashift/core/request/target"
-	"verbenashift/core/telemetry"
 )
 
 // The reasons with which a run ends.
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"verbenashift/core/keys"
-	"verbenashift/core/settings"
+	"verbenashift/core/plumbing/keys"
+	"verbenashift/core/plumbing/settings"
 )
 
 // The kinds of targets.
--- a/core/configuration/follow/follow.go
+++ b/core/configuration/follow/follow.go
@@ -31,7 +31,7 @@
 	"verbenashift/core/configuration/config"
 	"verbenashift/core/configuration/intent"
 	"verbenashift/core/configuration/store"
-	"verbenashift/core/pause"
+	"verbenashift/core/plumbing/pause"
 )
 
 // The pauses after a failed call to the store: the first, and the bound to
--- a/core/configuration/mirror/follower.go
+++ b/core/configuration/mirror/follower.go
@@ -16,7 +16,7 @@
 	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/configuration/kv"
 	"verbenashift/core/experts/rankpeer"
-	"verbenashift/core/pause"
+	"verbenashift/core/plumbing/pause"
 )
 
 const (
--- a/core/configuration/mirror/hints.go
+++ b/core/configuration/mirror/hints.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"verbenashift/core/configuration/kv"
-	"verbenashift/core/pause"
+	"verbenashift/core/plumbing/pause"
 )
 
 const (
--- a/core/configuration/mirror/hints_test.go
+++ b/core/configuration/mirror/hints_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 
 	"verbenashift/core/configuration/kv"
-	"verbenashift/core/pause"
+	"verbenashift/core/plumbing/pause"
 )
 
 func TestHints(t *testing.T) {
--- a/core/experts/rankpeer/rankpeer.go
+++ b/core/experts/rankpeer/rankpeer.go
@@ -15,7 +15,7 @@
 
 	"verbenashift/core/experts/engine"
 	"verbenashift/core/experts/lockstep"
-	"verbenashift/core/tcp"
+	"verbenashift/core/plumbing/tcp"
 )
 
 // Ask is what a steward asks of the agent beside a rank, or a gateway of the
--- a/core/duty/duty.go
+++ b/core/plumbing/duty/duty.go
@@ -16,7 +16,7 @@
 	"context"
 	"time"
 
-	"verbenashift/core/ring"
+	"verbenashift/core/plumbing/ring"
 )
 
 // task is one function with the channel that tells its end.
--- a/core/duty/duty_test.go
+++ b/core/plumbing/duty/duty_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/duty"
+	"verbenashift/core/plumbing/duty"
 )
 
 // Two requests decide on the same state at once. Were their functions to run
--- a/core/histogram/histogram_test.go
+++ b/core/plumbing/histogram/histogram_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/histogram"
+	"verbenashift/core/plumbing/histogram"
 )
 
 func TestHistogramShowsQuantiles(t *testing.T) {
--- a/core/instance/instance.go
+++ b/core/plumbing/instance/instance.go
@@ -32,8 +32,8 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/fx"
 
-	"verbenashift/core/boot"
-	"verbenashift/core/eventlog"
+	"verbenashift/core/plumbing/boot"
+	"verbenashift/core/plumbing/eventlog"
 )
 
 // The exit codes of all programs.
--- a/core/keys/keys.go
+++ b/core/plumbing/keys/keys.go
@@ -21,7 +21,7 @@
 
 	"github.com/go-faster/errors"
 
-	"verbenashift/core/settings"
+	"verbenashift/core/plumbing/settings"
 )
 
 // Files names the PEM files of one process. The zero value means clear text.
--- a/core/keys/keys_test.go
+++ b/core/plumbing/keys/keys_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/keys"
+	"verbenashift/core/plumbing/keys"
 )
 
 // An agent is set up on a real address and its keys are forgotten. Prompts
--- a/core/process/process.go
+++ b/core/plumbing/process/process.go
@@ -25,7 +25,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
-	"verbenashift/core/settings"
+	"verbenashift/core/plumbing/settings"
 )
 
 // The exit codes of all programs.
--- a/core/ring/ring_test.go
+++ b/core/plumbing/ring/ring_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/ring"
+	"verbenashift/core/plumbing/ring"
 )
 
 func TestOrderAndBound(t *testing.T) {
--- a/core/settings/settings_test.go
+++ b/core/plumbing/settings/settings_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/settings"
+	"verbenashift/core/plumbing/settings"
 )
 
 type sample struct {
--- a/core/telemetry/telemetry_test.go
+++ b/core/plumbing/telemetry/telemetry_test.go
@@ -14,7 +14,7 @@
 	coltrace "go.opentelemetry.io/proto/otlp/collector/trace/v1"
 	"google.golang.org/protobuf/proto"
 
-	"verbenashift/core/telemetry"
+	"verbenashift/core/plumbing/telemetry"
 )
 
 // An operator looks for where a slow request waited. The spans of the entry
--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -8,7 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
-	"verbenashift/core/story"
+	"verbenashift/core/plumbing/story"
 )
 
 func (p *program) explainCommand() *cli.Command {
--- a/ctl/stewards.go
+++ b/ctl/stewards.go
@@ -7,7 +7,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"verbenashift/core/story"
+	"verbenashift/core/plumbing/story"
 )
 
 func (p *program) stewardsCommand() *cli.Command {
--- a/entry/app.go
+++ b/entry/app.go
@@ -25,11 +25,11 @@
 	"verbenashift/core/membership/member"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
-	"verbenashift/core/process"
+	"verbenashift/core/plumbing/process"
+	"verbenashift/core/plumbing/telemetry"
 	"verbenashift/core/request/caller"
 	"verbenashift/core/request/outcome"
 	"verbenashift/core/request/route"
-	"verbenashift/core/telemetry"
 )
 
 // Entry is one entry instance: callers and operators talk to it.
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -13,12 +13,12 @@
 	"verbenashift/core/configuration/config"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
+	"verbenashift/core/plumbing/telemetry"
 	"verbenashift/core/request/booking"
 	"verbenashift/core/request/caller"
 	"verbenashift/core/request/outcome"
 	"verbenashift/core/request/relay"
 	"verbenashift/core/request/route"
-	"verbenashift/core/telemetry"
 )
 
 // graceAfterDeadline is how long past the caller's deadline an agent may take
--- a/entry/main.go
+++ b/entry/main.go
@@ -16,8 +16,8 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/fx"
 
-	"verbenashift/core/keys"
-	"verbenashift/core/process"
+	"verbenashift/core/plumbing/keys"
+	"verbenashift/core/plumbing/process"
 )
 
 func main() {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -4,7 +4,7 @@
 	"expvar"
 	"sync"
 
-	"verbenashift/core/histogram"
+	"verbenashift/core/plumbing/histogram"
 )
 
 // metrics are the entry's counters, shown by expvar.
--- a/gateway/admitter.go
+++ b/gateway/admitter.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/pause"
+	"verbenashift/core/plumbing/pause"
 	"verbenashift/core/request/admission"
 	"verbenashift/core/request/outcome"
 	"verbenashift/core/request/queue"
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"verbenashift/core/configuration/deployment"
-	"verbenashift/core/pause"
+	"verbenashift/core/plumbing/pause"
 	"verbenashift/core/request/quarantine"
 	"verbenashift/core/request/queue"
 	"verbenashift/core/request/retry"
--- a/gateway/call_test.go
+++ b/gateway/call_test.go
@@ -10,7 +10,7 @@
 
 	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/configuration/mirror"
-	"verbenashift/core/instance"
+	"verbenashift/core/plumbing/instance"
 	"verbenashift/core/request/retry"
 	"verbenashift/core/request/route"
 )
--- a/gateway/crash/detector.go
+++ b/gateway/crash/detector.go
@@ -25,7 +25,7 @@
 	"time"
 
 	"verbenashift/core/configuration/deployment"
-	"verbenashift/core/pause"
+	"verbenashift/core/plumbing/pause"
 	"verbenashift/core/request/quarantine"
 	"verbenashift/gateway/upstream"
 )
--- a/gateway/heldback_test.go
+++ b/gateway/heldback_test.go
@@ -9,8 +9,8 @@
 
 	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/configuration/kv"
+	"verbenashift/core/plumbing/story"
 	"verbenashift/core/request/quarantine"
-	"verbenashift/core/story"
 	"verbenashift/standin/scripted"
 )
 
--- a/gateway/isolator.go
+++ b/gateway/isolator.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"verbenashift/core/configuration/kv"
-	"verbenashift/core/pause"
+	"verbenashift/core/plumbing/pause"
 	"verbenashift/core/request/quarantine"
 )
 
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -13,9 +13,9 @@
 	"github.com/matryer/is"
 
 	"verbenashift/core/configuration/deployment"
-	"verbenashift/core/eventlog"
 	"verbenashift/core/experts/rankpeer"
-	"verbenashift/core/story"
+	"verbenashift/core/plumbing/eventlog"
+	"verbenashift/core/plumbing/story"
 	"verbenashift/platform"
 	"verbenashift/standin/scripted"
 )
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -17,8 +17,8 @@
 	"go.uber.org/fx"
 
 	"verbenashift/core/configuration/mirror"
-	"verbenashift/core/instance"
-	"verbenashift/core/pause"
+	"verbenashift/core/plumbing/instance"
+	"verbenashift/core/plumbing/pause"
 	"verbenashift/core/request/quarantine"
 	"verbenashift/platform"
 )
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -3,7 +3,7 @@
 import (
 	"expvar"
 
-	"verbenashift/core/histogram"
+	"verbenashift/core/plumbing/histogram"
 )
 
 // The metrics of a gateway beside those of package mirror; docs/OPERATIONS.md has the table with units.
--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -17,11 +17,11 @@
 	"github.com/matryer/is"
 	"go.opentelemetry.io/otel/trace/noop"
 
-	"verbenashift/core/boot"
 	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/configuration/mirror"
 	"verbenashift/core/experts/rankpeer"
-	"verbenashift/core/instance"
+	"verbenashift/core/plumbing/boot"
+	"verbenashift/core/plumbing/instance"
 	"verbenashift/platform"
 	"verbenashift/standin/scripted"
 )
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -13,16 +13,16 @@
 
 	"go.opentelemetry.io/otel/trace"
 
-	"verbenashift/core/boot"
 	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/configuration/mirror"
 	"verbenashift/core/experts/rankpeer"
-	"verbenashift/core/instance"
 	"verbenashift/core/membership/health"
-	"verbenashift/core/pause"
+	"verbenashift/core/plumbing/boot"
+	"verbenashift/core/plumbing/instance"
+	"verbenashift/core/plumbing/pause"
+	"verbenashift/core/plumbing/tcp"
 	"verbenashift/core/request/admission"
 	"verbenashift/core/request/retry"
-	"verbenashift/core/tcp"
 	"verbenashift/gateway/crash"
 	"verbenashift/platform"
 )
--- a/gateway/share_test.go
+++ b/gateway/share_test.go
@@ -4,9 +4,9 @@
 	"testing"
 	"time"
 
-	"verbenashift/core/boot"
 	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/experts/rankpeer"
+	"verbenashift/core/plumbing/boot"
 	"verbenashift/core/request/retry"
 	"verbenashift/standin/scripted"
 )
--- a/gateway/spans.go
+++ b/gateway/spans.go
@@ -8,8 +8,8 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/fx"
 
-	"verbenashift/core/instance"
-	"verbenashift/core/telemetry"
+	"verbenashift/core/plumbing/instance"
+	"verbenashift/core/plumbing/telemetry"
 )
 
 // The spans of a request: the whole, its wait for a place, and each hop to a target.
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -7,12 +7,12 @@
 	"sync"
 	"time"
 
-	"verbenashift/core/boot"
 	"verbenashift/core/experts/engine"
 	"verbenashift/core/experts/lockstep"
 	"verbenashift/core/experts/rankpeer"
-	"verbenashift/core/instance"
-	"verbenashift/core/pause"
+	"verbenashift/core/plumbing/boot"
+	"verbenashift/core/plumbing/instance"
+	"verbenashift/core/plumbing/pause"
 	"verbenashift/platform"
 )
 
--- a/sidecar/claim_test.go
+++ b/sidecar/claim_test.go
@@ -10,12 +10,12 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/boot"
 	"verbenashift/core/configuration/kv"
 	"verbenashift/core/experts/engine"
 	"verbenashift/core/experts/lockstep"
 	"verbenashift/core/experts/rankpeer"
-	"verbenashift/core/instance"
+	"verbenashift/core/plumbing/boot"
+	"verbenashift/core/plumbing/instance"
 	"verbenashift/standin/fleet"
 )
 
--- a/sidecar/fullmaps.go
+++ b/sidecar/fullmaps.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"verbenashift/core/boot"
 	"verbenashift/core/experts/rankpeer"
+	"verbenashift/core/plumbing/boot"
 )
 
 // A change goes out as moves from a map that the agents know. After a restart of all
--- a/sidecar/main.go
+++ b/sidecar/main.go
@@ -14,7 +14,7 @@
 
 	"go.uber.org/fx"
 
-	"verbenashift/core/instance"
+	"verbenashift/core/plumbing/instance"
 	"verbenashift/platform"
 )
 
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -11,7 +11,7 @@
 	"verbenashift/core/configuration/kv"
 	"verbenashift/core/experts/engine"
 	"verbenashift/core/experts/rankpeer"
-	"verbenashift/core/pause"
+	"verbenashift/core/plumbing/pause"
 )
 
 const (
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"verbenashift/core/histogram"
+	"verbenashift/core/plumbing/histogram"
 )
 
 // The metrics of a sidecar; those of the group count only at its steward.
--- a/sidecar/needs.go
+++ b/sidecar/needs.go
@@ -7,7 +7,7 @@
 
 	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/configuration/mirror"
-	"verbenashift/core/pause"
+	"verbenashift/core/plumbing/pause"
 	"verbenashift/platform"
 )
 
--- a/sidecar/relay_test.go
+++ b/sidecar/relay_test.go
@@ -15,12 +15,12 @@
 
 	"github.com/matryer/is"
 
-	"verbenashift/core/boot"
 	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/experts/engine"
 	"verbenashift/core/experts/lockstep"
 	"verbenashift/core/experts/rankpeer"
-	"verbenashift/core/instance"
+	"verbenashift/core/plumbing/boot"
+	"verbenashift/core/plumbing/instance"
 )
 
 // The ports of the loopback instances of these tests.
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -10,7 +10,7 @@
 	"verbenashift/core/experts/engine"
 	"verbenashift/core/experts/lockstep"
 	"verbenashift/core/experts/rankpeer"
-	"verbenashift/core/pause"
+	"verbenashift/core/plumbing/pause"
 	"verbenashift/platform"
 )
 
