--- a/entry/flow.go
+++ b/entry/flow.go
@@ -6,14 +6,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/trace"
-
 	"verbenashift/core/configuration/config"
-	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
-	"verbenashift/core/plumbing/telemetry"
 	"verbenashift/core/request/booking"
 	"verbenashift/core/request/caller"
 	"verbenashift/core/request/outcome"
@@ -48,7 +42,16 @@
 	// firstFrame is when the attempt's first piece came.
 	firstFrame time.Time
 
-	// key and the fields below are for requests that may not be repeated.
+	booked
+	// reading is the request whose answer is read: this one, or an earlier
+	// attempt with the same key.
+	reading   string
+	readingAt *config.Target
+	timer     atomic.Pointer[time.Timer]
+}
+
+// booked is what is known of a request that may not be repeated.
+type booked struct {
 	key       booking.Key
 	callerKey bool
 	digest    [sha256.Size]byte
@@ -56,11 +59,6 @@
 	grant     *wire.Grant
 	// claimedAt is when the grant was asked for.
 	claimedAt time.Time
-	// reading is the request whose answer is read: this one, or an earlier
-	// attempt with the same key.
-	reading   string
-	readingAt *config.Target
-	timer     atomic.Pointer[time.Timer]
 }
 
 // run takes steps until the request has its outcome.
@@ -188,194 +186,3 @@
 	f.firstFrame = time.Time{}
 	f.entry.router.end(f.picked, res)
 }
-
-func (f *flow) submit(ctx context.Context, resume bool) relay.Event {
-	ctx, span := f.entry.tracer.Start(ctx, "agent.submit", trace.WithAttributes(attribute.String("target", f.picked.target.Name)))
-	defer span.End()
-	if f.expired() {
-		return relay.Event{Kind: relay.Broke, NotSent: true}
-	}
-	f.attempt++
-	f.reading = f.id
-	msg := f.message(ctx, resume)
-	stream, err := f.entry.dialer.Submit(ctx, f.picked.target.Agent, msg)
-	if err != nil {
-		return f.broken(err)
-	}
-	return f.read(stream)
-}
-
-// message builds the call to the agent. A broken stream that may be repeated
-// goes on from the text that the caller has had; a whole answer begins again.
-func (f *flow) message(ctx context.Context, resume bool) *wire.SubmitRequest {
-	msg := &wire.SubmitRequest{
-		RequestId:    f.id,
-		Attempt:      f.attempt,
-		Workspace:    f.workspace.Name,
-		Priority:     uint32(f.req.Priority),
-		Cost:         f.req.Cost,
-		Weight:       f.workspace.Share,
-		MayNotRepeat: f.req.MayNotRepeat,
-		Grant:        f.grant,
-		Call:         f.call(),
-		TraceParent:  telemetry.Inject(ctx),
-		Revision:     f.entry.follower.Revision(),
-		BodyDigest:   f.digest[:],
-	}
-	if d, ok := ctx.Deadline(); ok {
-		msg.DeadlineMs = uint64(max(time.Until(d)-graceAfterDeadline, time.Millisecond).Milliseconds())
-	}
-	if f.req.MayNotRepeat {
-		msg.Incarnation = f.picked.incarnation
-	}
-	if resume && f.log.delivered > 0 {
-		msg.Resume = &wire.Resume{Frames: f.log.delivered, Text: f.log.text()}
-	}
-	return msg
-}
-
-func (f *flow) call() *wire.Call {
-	c := &wire.Call{
-		Method: f.req.Method, Path: f.req.Path, Body: f.req.Body,
-		Model: f.req.Model, Service: f.req.Service, Stream: f.req.Stream,
-	}
-	for name, values := range f.req.Header {
-		if passes(name) {
-			c.Headers = append(c.Headers, &wire.Header{Name: name, Values: values})
-		}
-	}
-	if f.workspace.SharedPrefix {
-		c.Headers = append(c.Headers, &wire.Header{Name: peer.HeaderSharedPrefix, Values: []string{"true"}})
-	}
-	return c
-}
-
-// passes reports whether a caller's header goes on to the target. The caller's
-// token is for the entry alone.
-func passes(name string) bool {
-	switch name {
-	case "Authorization", peer.HeaderSharedPrefix, "X-Workspace":
-		return false
-	}
-	return true
-}
-
-func (f *flow) attach(ctx context.Context) relay.Event {
-	if f.readingAt == nil {
-		return relay.Event{Kind: relay.Gone}
-	}
-	stream, err := f.entry.dialer.Attach(ctx, f.readingAt.Agent, &wire.AttachRequest{
-		RequestId:  f.reading,
-		Workspace:  f.workspace.Name,
-		After:      f.log.delivered,
-		Attempt:    f.attempt,
-		FromTarget: f.req.Path != "",
-		Path:       f.req.Path,
-	})
-	if err != nil {
-		return f.broken(err)
-	}
-	return f.read(stream)
-}
-
-// read relays frames until the stream ends.
-func (f *flow) read(stream *peer.Frames) relay.Event {
-	defer func() { _ = stream.Close() }()
-	var frame wire.Frame
-	for {
-		if err := stream.Receive(&frame); err != nil {
-			return f.broken(err)
-		}
-		done, ev := f.frame(&frame)
-		if done {
-			return ev
-		}
-	}
-}
-
-// frame takes one frame. Frames that the caller has had are dropped, and a gap
-// ends the attempt, since an answer with a hole must never look whole.
-func (f *flow) frame(m *wire.Frame) (done bool, ev relay.Event) {
-	switch m.Kind {
-	case wire.FrameKind_FRAME_KIND_HEAD:
-		f.sink.head(int(m.Status), m.Headers)
-		if m.Sequence == 0 && f.log.delivered > 0 && !f.req.Stream {
-			return f.beginAgain()
-		}
-		return false, ev
-	case wire.FrameKind_FRAME_KIND_DATA:
-		return f.data(m)
-	case wire.FrameKind_FRAME_KIND_END:
-		ev := endEvent(m, f.log.delivered)
-		f.leave(result{load: m.Load, failed: ev.Outcome == outcome.Failed || ev.Outcome == outcome.Unknown})
-		return true, ev
-	default:
-		return true, relay.Event{Kind: relay.Broke}
-	}
-}
-
-// beginAgain starts a whole answer afresh; it cannot once some of it has left.
-func (f *flow) beginAgain() (bool, relay.Event) {
-	if !f.sink.restart() {
-		return true, relay.Event{Kind: relay.Ended, Outcome: outcome.Failed, Reason: relay.ReasonInterrupted}
-	}
-	f.log = progress{}
-	return false, relay.Event{}
-}
-
-func (f *flow) data(m *wire.Frame) (bool, relay.Event) {
-	if m.Sequence <= f.log.delivered {
-		return false, relay.Event{}
-	}
-	if m.Sequence != f.log.delivered+1 {
-		return true, relay.Event{Kind: relay.Broke}
-	}
-	if f.firstFrame.IsZero() {
-		f.firstFrame = time.Now()
-	}
-	f.entry.metrics.frames.Add(1)
-	f.log.add(m.Data, f.req.Stream && !f.req.MayNotRepeat)
-	if err := f.sink.data(m.Sequence, m.Data); err != nil {
-		return true, relay.Event{Kind: relay.Ended, Outcome: outcome.Failed, Reason: relay.ReasonCallerGone}
-	}
-	return false, relay.Event{}
-}
-
-// endEvent reads an END frame. An end that claims completeness before all its
-// frames came is a broken one.
-func endEvent(m *wire.Frame, delivered uint64) relay.Event {
-	o := fromWire(m.Outcome)
-	if o == outcome.Complete && m.Sequence != delivered+1 {
-		return relay.Event{Kind: relay.Broke}
-	}
-	if m.Reason == peer.ReasonNotSeen {
-		return relay.Event{Kind: relay.NotSeen}
-	}
-	if m.Reason == peer.ReasonGone {
-		return relay.Event{Kind: relay.Gone}
-	}
-	return relay.Event{
-		Kind: relay.Ended, Outcome: o, Reason: m.Reason, Handover: m.Handover,
-		RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond,
-	}
-}
-
-// broken reports a transport error.
-func (f *flow) broken(err error) relay.Event {
-	unsent := peer.NotSent(err)
-	f.leave(result{failed: !errors.Is(err, context.Canceled), unsent: unsent})
-	return relay.Event{Kind: relay.Broke, NotSent: unsent}
-}
-
-func fromWire(o wire.Outcome) outcome.Outcome {
-	switch o {
-	case wire.Outcome_OUTCOME_COMPLETE:
-		return outcome.Complete
-	case wire.Outcome_OUTCOME_NOT_RUN:
-		return outcome.NotRun
-	case wire.Outcome_OUTCOME_FAILED:
-		return outcome.Failed
-	default:
-		return outcome.Unknown
-	}
-}
--- a/entry/flow_test.go
+++ b/entry/flow_test.go
@@ -72,7 +72,7 @@
 // when everybody has forgotten the grant. The key may have run elsewhere since.
 func TestOldGrantIsNotUsed(t *testing.T) {
 	is := is.New(t)
-	f := &flow{callerKey: true, claimedAt: time.Now().Add(-booking.DefaultGrantLife - time.Second)}
+	f := &flow{booked: booked{callerKey: true, claimedAt: time.Now().Add(-booking.DefaultGrantLife - time.Second)}}
 	is.True(f.expired())
 	f.claimedAt = time.Now()
 	is.True(!f.expired())
