--- a/agent/app.go
+++ b/agent/app.go
@@ -2,20 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"expvar"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
-	"github.com/go-faster/errors"
-	"github.com/gorilla/mux"
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/fx"
 
@@ -29,8 +24,6 @@
 	"verbenashift/core/plumbing/histogram"
 	"verbenashift/core/plumbing/process"
 	"verbenashift/core/plumbing/telemetry"
-	"verbenashift/core/request/draft"
-	"verbenashift/core/request/outcome"
 	"verbenashift/core/request/target"
 )
 
@@ -237,135 +230,3 @@
 		_ = shutdown.Shutdown(fx.ExitCode(process.ExitFailure))
 	}
 }
-
-func (a *Agent) listen(shutdown fx.Shutdowner) error {
-	tls, err := a.cfg.Peer.Server()
-	if err != nil {
-		return err
-	}
-	path, h := wireconnect.NewAgentServiceHandler(a, connect.WithCompression("gzip", nil, nil))
-	m := http.NewServeMux()
-	m.Handle(path, h)
-	m.Handle(wireconnect.AgentServiceSubmitProcedure, peer.HandleFrames(a.submit))
-	m.Handle(wireconnect.AgentServiceAttachProcedure, peer.HandleFrames(a.readOn))
-	if err := a.serve(a.cfg.Peers, peer.NewServer(m, tls), shutdown); err != nil {
-		return err
-	}
-	observe := &http.Server{Handler: a.observeRoutes(), ReadHeaderTimeout: 10 * time.Second}
-	if err := a.serve(a.cfg.Observe, observe, shutdown); err != nil {
-		return err
-	}
-	a.log.Info("serving", "peers", a.cfg.Peers, "observe", a.cfg.Observe, "incarnation", a.id.incarnation, "first", a.id.first)
-	return nil
-}
-
-func (a *Agent) serve(addr string, s *http.Server, shutdown fx.Shutdowner) error {
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		return errors.Wrapf(err, "listen on %s", addr)
-	}
-	s.ErrorLog = slog.NewLogLogger(a.log.Handler(), slog.LevelWarn)
-	a.servers = append(a.servers, s)
-	go func() {
-		if err := peer.Serve(s, l); !errors.Is(err, http.ErrServerClosed) {
-			a.log.Error("listener ended", "address", addr, "error", err)
-			_ = shutdown.Shutdown(fx.ExitCode(process.ExitFailure))
-		}
-	}()
-	return nil
-}
-
-// observeRoutes serves health, readiness, revisions and metrics to the
-// platform.
-func (a *Agent) observeRoutes() http.Handler {
-	m := mux.NewRouter()
-	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	m.HandleFunc("/readyz", a.serveReady)
-	m.HandleFunc("/revisions", a.serveRevisions)
-	m.Handle("/debug/vars", expvar.Handler())
-	return m
-}
-
-func (a *Agent) serveReady(w http.ResponseWriter, _ *http.Request) {
-	switch {
-	case a.draining.Load():
-		http.Error(w, "draining", http.StatusServiceUnavailable)
-	case a.members.CutOff():
-		http.Error(w, "cut off from all agents", http.StatusServiceUnavailable)
-	case a.follower.Index() == nil:
-		http.Error(w, a.follower.Reason(), http.StatusServiceUnavailable)
-	default:
-		w.WriteHeader(http.StatusOK)
-	}
-}
-
-func (a *Agent) serveRevisions(w http.ResponseWriter, _ *http.Request) {
-	history := []uint64{}
-	for _, f := range a.follower.History() {
-		history = append(history, f.Revision)
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(struct {
-		Revision uint64   `json:"revision"`
-		History  []uint64 `json:"history"`
-	}{a.follower.Revision(), history})
-}
-
-// drain ends the agent without cutting a request off: it refuses new work at
-// once, lets what runs end, hands over what is left at the bound and leaves its
-// register with a peer.
-func (a *Agent) drain(context.Context) error {
-	a.leave(a.ctx)
-	if g := a.group.Load(); g != nil {
-		g.resign(a.ctx)
-	}
-	a.log.Info("draining", "running", a.answers.running())
-	a.endAnswers()
-	if err := a.register.leave(a.ctx); err != nil {
-		a.log.Warn("register not handed over", "error", err)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	for _, s := range a.servers {
-		_ = s.Shutdown(ctx)
-	}
-	a.stop()
-	a.dialer.Close()
-	a.log.Info("drained")
-	return nil
-}
-
-// leave takes no new work from now on. What is queued and running goes on.
-func (a *Agent) leave(ctx context.Context) {
-	if a.draining.Swap(true) {
-		return
-	}
-	a.log.Info("taking no new work")
-	a.members.SetDraining()
-	_ = a.register.do(ctx, func(time.Duration) { a.register.executor.Drain() })
-}
-
-// endAnswers waits for what runs, and ends what is left at the bound by a
-// handover: the entries read on at this agent's next process, or elsewhere.
-// Without it they would learn of the end by a broken connection only.
-func (a *Agent) endAnswers() {
-	if a.idle(a.cfg.Bound) {
-		return
-	}
-	a.answers.each(func(ans *answer) {
-		ans.log.End(draft.Ending{Outcome: outcome.Unknown, Reason: reasonDraining, Handover: true})
-	})
-}
-
-// idle waits until nothing runs, for at most d.
-func (a *Agent) idle(d time.Duration) bool {
-	const poll = 20 * time.Millisecond
-	for end := time.Now().Add(d); ; time.Sleep(poll) {
-		if a.answers.running() == 0 {
-			return true
-		}
-		if time.Now().After(end) {
-			return false
-		}
-	}
-}
--- /dev/null
+++ b/core/configuration/mirror/listen.go
@@ -0,0 +1,40 @@
+package mirror
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"verbenashift/core/configuration/kv"
+)
+
+// listener gets the items under a prefix.
+type listener struct {
+	prefix string
+	fn     func(items []kv.Item, whole bool)
+}
+
+// Listen adds a function that gets what the store says under a prefix, in the order of the
+// revisions: the changes as they come, and everything that stands there, which is told by
+// whole, at the start and after a gap. It is called from Run's goroutine. It must be called
+// before Run.
+func (f *Follower) Listen(prefix string, fn func(items []kv.Item, whole bool)) {
+	f.prefixes = append(f.prefixes, prefix)
+	f.listeners = append(f.listeners, listener{prefix, fn})
+}
+
+// pass hands items to the listeners.
+func (f *Follower) pass(items []kv.Item, whole bool) {
+	for _, l := range f.listeners {
+		var of []kv.Item
+		for _, it := range items {
+			if strings.HasPrefix(it.Key, l.prefix) {
+				of = append(of, it)
+			}
+		}
+		if whole || len(of) > 0 {
+			slices.SortStableFunc(of, func(a, b kv.Item) int { return cmp.Compare(a.Revision, b.Revision) })
+			l.fn(of, whole)
+		}
+	}
+}
--- a/entry/app.go
+++ b/entry/app.go
@@ -2,19 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
-	"expvar"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
-	"github.com/gorilla/mux"
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/fx"
 
@@ -25,10 +19,7 @@
 	"verbenashift/core/membership/member"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
-	"verbenashift/core/plumbing/process"
 	"verbenashift/core/plumbing/telemetry"
-	"verbenashift/core/request/caller"
-	"verbenashift/core/request/outcome"
 	"verbenashift/core/request/route"
 )
 
@@ -180,153 +171,3 @@
 	m.From, m.Kind, m.Zone = e.cfg.Name, operator.KindEntry, e.cfg.Zone
 	m.Revision, m.Draining, m.Incarnation = e.follower.Revision(), e.leaving.Load(), e.incarnation
 }
-
-func (e *Entry) listen(shutdown fx.Shutdowner) error {
-	if err := e.serve(e.cfg.Operators, e.operatorRoutes(), true, shutdown); err != nil {
-		return err
-	}
-	if err := e.serve(e.cfg.Observe, e.observeRoutes(), false, shutdown); err != nil {
-		return err
-	}
-	e.log.Info("serving", "operators", e.cfg.Operators, "observe", e.cfg.Observe)
-	return nil
-}
-
-// listenCallers lets callers in when the first configuration is in force. An
-// entry that has just started can look no key up; if it took a caller, a
-// request with a key would have to end as unknown, whereas a connection that is
-// refused shows that nothing has run and that another entry is to be asked.
-func (e *Entry) listenCallers(ctx context.Context, shutdown fx.Shutdowner) {
-	select {
-	case <-e.configured:
-	case <-ctx.Done():
-		return
-	}
-	if err := e.serve(e.cfg.Callers, e.callerRoutes(), true, shutdown); err != nil {
-		e.log.Error("callers cannot be served", "error", err)
-		_ = shutdown.Shutdown(fx.ExitCode(process.ExitFailure))
-		return
-	}
-	e.log.Info("serving callers", "callers", e.cfg.Callers)
-}
-
-func (e *Entry) serve(addr string, h http.Handler, withTLS bool, shutdown fx.Shutdowner) error {
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		return errors.Wrapf(err, "listen on %s", addr)
-	}
-	srv := &http.Server{
-		Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10,
-		ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelWarn),
-	}
-	e.mu.Lock()
-	e.servers = append(e.servers, srv)
-	e.mu.Unlock()
-	go func() {
-		var err error
-		if withTLS && e.cfg.CallerCert != "" {
-			err = srv.ServeTLS(l, e.cfg.CallerCert, e.cfg.CallerKey)
-		} else {
-			err = srv.Serve(l)
-		}
-		if !errors.Is(err, http.ErrServerClosed) {
-			e.log.Error("listener ended", "address", addr, "error", err)
-			_ = shutdown.Shutdown(fx.ExitCode(process.ExitFailure))
-		}
-	}()
-	return nil
-}
-
-func (e *Entry) callerRoutes() http.Handler {
-	m := mux.NewRouter()
-	m.UseEncodedPath()
-	m.SkipClean(true)
-	m.HandleFunc(caller.PathCompletions, e.serveCall).Methods(http.MethodPost)
-	m.HandleFunc(caller.PathChat, e.serveCall).Methods(http.MethodPost)
-	m.PathPrefix(caller.PathServices).HandlerFunc(e.serveCall)
-	m.PathPrefix(caller.PathRequests).HandlerFunc(e.serveResume).Methods(http.MethodGet)
-	m.NotFoundHandler = e.refuseAll(errNotFound)
-	m.MethodNotAllowedHandler = e.refuseAll(errMethod)
-	return m
-}
-
-// refuseAll answers every request with the same refusal.
-func (e *Entry) refuseAll(err *outcome.Error) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { e.refuse(w, err) })
-}
-
-// observeRoutes serves health, readiness, revisions and metrics to the
-// platform.
-func (e *Entry) observeRoutes() http.Handler {
-	m := mux.NewRouter()
-	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	m.HandleFunc("/readyz", e.serveReady)
-	m.HandleFunc("/revisions", e.serveRevisions)
-	m.Handle("/debug/vars", expvar.Handler())
-	return m
-}
-
-// serveReady is the balancer's check: it fails before the entry refuses work.
-func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
-	switch {
-	case e.leaving.Load():
-		http.Error(w, "draining", http.StatusServiceUnavailable)
-	case e.members.CutOff():
-		http.Error(w, "cut off from all agents", http.StatusServiceUnavailable)
-	case !e.ready():
-		http.Error(w, e.follower.Reason(), http.StatusServiceUnavailable)
-	default:
-		w.WriteHeader(http.StatusOK)
-	}
-}
-
-func (e *Entry) serveRevisions(w http.ResponseWriter, _ *http.Request) {
-	history := []uint64{}
-	for _, f := range e.follower.History() {
-		history = append(history, f.Revision)
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(struct {
-		Revision uint64   `json:"revision"`
-		History  []uint64 `json:"history"`
-	}{e.follower.Revision(), history})
-}
-
-// drain ends the entry without cutting a request off: the balancer is told
-// first, new work is refused next, what runs may end, and what is left at the
-// bound goes on at another entry.
-func (e *Entry) drain(context.Context) error {
-	e.leaving.Store(true)
-	e.log.Info("draining", "open", e.open.len())
-	time.Sleep(e.cfg.Notice)
-	e.draining.Store(true)
-	if !e.idle(e.cfg.Bound) {
-		e.log.Info("handing over", "requests", e.flows.handOver())
-		e.idle(callTimeout)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	e.mu.Lock()
-	servers := slices.Clone(e.servers)
-	e.mu.Unlock()
-	for _, s := range servers {
-		_ = s.Shutdown(ctx)
-	}
-	e.stop()
-	e.dialer.Close()
-	e.log.Info("drained", "open", e.open.len())
-	return nil
-}
-
-// idle waits until nothing is in progress, for at most d.
-func (e *Entry) idle(d time.Duration) bool {
-	const poll = 20 * time.Millisecond
-	for end := time.Now().Add(d); ; time.Sleep(poll) {
-		if e.open.len() == 0 {
-			return true
-		}
-		if time.Now().After(end) {
-			return false
-		}
-	}
-}
