What a process is asked for is served by one package

entry and agent each had readiness, revisions and counters, the same lines twice. core/plumbing/observe serves them; each program says why it is not ready. Answers are the same (TestRoutes).

--- a/agent/listen.go
+++ b/agent/listen.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"expvar"
 	"log/slog"
 	"net"
 	"net/http"
@@ -11,11 +9,11 @@
 
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
-	"github.com/gorilla/mux"
 	"go.uber.org/fx"
 
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire/wireconnect"
+	"verbenashift/core/plumbing/observe"
 	"verbenashift/core/plumbing/process"
 	"verbenashift/core/request/draft"
 	"verbenashift/core/request/outcome"
@@ -34,7 +32,7 @@
 	if err := a.serve(a.cfg.Peers, peer.NewServer(m, tls), shutdown); err != nil {
 		return err
 	}
-	observe := &http.Server{Handler: a.observeRoutes(), ReadHeaderTimeout: 10 * time.Second}
+	observe := &http.Server{Handler: observe.Routes(observe.Source{Unready: a.unready, Revisions: a.revisions}), ReadHeaderTimeout: 10 * time.Second}
 	if err := a.serve(a.cfg.Observe, observe, shutdown); err != nil {
 		return err
 	}
@@ -58,40 +56,26 @@
 	return nil
 }
 
-// observeRoutes serves health, readiness, revisions and metrics to the
-// platform.
-func (a *Agent) observeRoutes() http.Handler {
-	m := mux.NewRouter()
-	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	m.HandleFunc("/readyz", a.serveReady)
-	m.HandleFunc("/revisions", a.serveRevisions)
-	m.Handle("/debug/vars", expvar.Handler())
-	return m
-}
-
-func (a *Agent) serveReady(w http.ResponseWriter, _ *http.Request) {
+// unready returns why the agent takes no work, or "".
+func (a *Agent) unready() string {
 	switch {
 	case a.draining.Load():
-		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return "draining"
 	case a.members.CutOff():
-		http.Error(w, "cut off from all agents", http.StatusServiceUnavailable)
+		return "cut off from all agents"
 	case a.follower.Index() == nil:
-		http.Error(w, a.follower.Reason(), http.StatusServiceUnavailable)
-	default:
-		w.WriteHeader(http.StatusOK)
+		return a.follower.Reason()
 	}
+	return ""
 }
 
-func (a *Agent) serveRevisions(w http.ResponseWriter, _ *http.Request) {
+// revisions returns those that were in force here.
+func (a *Agent) revisions() observe.Revisions {
 	history := []uint64{}
 	for _, f := range a.follower.History() {
 		history = append(history, f.Revision)
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(struct {
-		Revision uint64   `json:"revision"`
-		History  []uint64 `json:"history"`
-	}{a.follower.Revision(), history})
+	return observe.Revisions{Revision: a.follower.Revision(), History: history}
 }
 
 // drain ends the agent without cutting a request off: it refuses new work at
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"expvar"
 	"log/slog"
 	"net"
 	"net/http"
@@ -14,6 +12,7 @@
 	"github.com/gorilla/mux"
 	"go.uber.org/fx"
 
+	"verbenashift/core/plumbing/observe"
 	"verbenashift/core/plumbing/process"
 	"verbenashift/core/request/caller"
 	"verbenashift/core/request/outcome"
@@ -23,7 +22,7 @@
 	if err := e.serve(e.cfg.Operators, e.operatorRoutes(), true, shutdown); err != nil {
 		return err
 	}
-	if err := e.serve(e.cfg.Observe, e.observeRoutes(), false, shutdown); err != nil {
+	if err := e.serve(e.cfg.Observe, observe.Routes(observe.Source{Unready: e.unready, Revisions: e.revisions}), false, shutdown); err != nil {
 		return err
 	}
 	e.log.Info("serving", "operators", e.cfg.Operators, "observe", e.cfg.Observe)
@@ -93,41 +92,26 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { e.refuse(w, err) })
 }
 
-// observeRoutes serves health, readiness, revisions and metrics to the
-// platform.
-func (e *Entry) observeRoutes() http.Handler {
-	m := mux.NewRouter()
-	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	m.HandleFunc("/readyz", e.serveReady)
-	m.HandleFunc("/revisions", e.serveRevisions)
-	m.Handle("/debug/vars", expvar.Handler())
-	return m
-}
-
-// serveReady is the balancer's check: it fails before the entry refuses work.
-func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+// unready is the balancer's check: it fails before the entry refuses work.
+func (e *Entry) unready() string {
 	switch {
 	case e.leaving.Load():
-		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return "draining"
 	case e.members.CutOff():
-		http.Error(w, "cut off from all agents", http.StatusServiceUnavailable)
+		return "cut off from all agents"
 	case !e.ready():
-		http.Error(w, e.follower.Reason(), http.StatusServiceUnavailable)
-	default:
-		w.WriteHeader(http.StatusOK)
+		return e.follower.Reason()
 	}
+	return ""
 }
 
-func (e *Entry) serveRevisions(w http.ResponseWriter, _ *http.Request) {
+// revisions returns those that were in force here.
+func (e *Entry) revisions() observe.Revisions {
 	history := []uint64{}
 	for _, f := range e.follower.History() {
 		history = append(history, f.Revision)
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(struct {
-		Revision uint64   `json:"revision"`
-		History  []uint64 `json:"history"`
-	}{e.follower.Revision(), history})
+	return observe.Revisions{Revision: e.follower.Revision(), History: history}
 }
 
 // drain ends the entry without cutting a request off: the balancer is told
