An agent's part in a group is a package of its own

agent/ had twelve files with one prefix. They are agent/steering now (Part, Peers, Shape, Settings), which knows an agent's rank, its peers and its store by small interfaces; the calls of other agents stay in agent/groups.go. No behaviour changes; tests keep their assertions.

--- a/agent/app.go
+++ b/agent/app.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/fx"
 
+	"verbenashift/agent/steering"
 	"verbenashift/core/configuration/config"
 	"verbenashift/core/configuration/follow"
 	"verbenashift/core/configuration/store"
@@ -56,10 +57,10 @@
 
 	// group is the agent's part in its target's expert-parallel group, nil if
 	// there is none; groupMu guards its changes.
-	group        atomic.Pointer[expertGroup]
+	group        atomic.Pointer[steering.Part]
 	groupMu      sync.Mutex
 	groupStarts  uint64
-	groupMetrics *groupMetrics
+	groupMetrics *steering.Metrics
 	orders       orderGuard
 
 	// ctx ends with the process, not with a request.
@@ -150,7 +151,7 @@
 func newAgent(cfg Settings, id identity, log *slog.Logger, tracer trace.Tracer, d *peer.Dialer, s *store.Client, f *follow.Follower) *Agent {
 	a := &Agent{
 		cfg: cfg, id: id, log: log, tracer: tracer, metrics: newMetrics(), dialer: d, follower: f, store: s,
-		groupMetrics: newGroupMetrics(),
+		groupMetrics: steering.NewMetrics(),
 		dispatcher:   newDispatcher(cfg),
 		register:     newRegister(cfg, id, s, d, f, log),
 		answers:      newAnswers(cfg),
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -49,7 +49,7 @@
 	if m.WantNodes {
 		resp.Nodes = a.entries.nodes(now)
 		if g := a.group.Load(); g != nil {
-			resp.GroupStatus = g.status()
+			resp.GroupStatus = g.Status()
 		}
 	}
 	return connect.NewResponse(resp), nil
--- a/agent/groups.go
+++ b/agent/groups.go
@@ -3,54 +3,16 @@
 import (
 	"fmt"
 
+	"connectrpc.com/connect"
+	"context"
+	"encoding/json"
+	"verbenashift/agent/steering"
 	"verbenashift/core/configuration/config"
-	"verbenashift/core/experts/expert"
+	"verbenashift/core/experts/group"
 	"verbenashift/core/experts/rank"
-	"verbenashift/core/membership/lease"
+	"verbenashift/core/peer/wire"
 )
 
-// shapeOf returns the group of a target as configured, or nil if the target is
-// in none or the group cannot hold its experts.
-func shapeOf(x *config.Index, target string, cfg GroupSettings) *groupShape {
-	t, ok := x.Target(target)
-	if !ok || t.Group == "" {
-		return nil
-	}
-	c, ok := x.Group(t.Group)
-	if !ok {
-		return nil
-	}
-	s := &groupShape{
-		name: c.Name, model: c.Model, layers: c.Layers, addresses: make(map[string]string),
-		expert: expert.Group{Experts: c.Experts, Slots: c.SlotsPerRank, ExpertBytes: int64(cfg.ExpertBytes), StoreRate: int64(cfg.StoreRate)},
-		policy: policyOf(c), confirmed: c.SkewWeight+c.CostWeight > 0,
-	}
-	if t.HonoursFencing {
-		s.habit = lease.HonoursFencing
-	}
-	for _, m := range x.TargetsOfGroup(c.Name) {
-		s.members = append(s.members, m.Name)
-		s.addresses[m.Name] = m.Agent
-		s.expert.Ranks = append(s.expert.Ranks, expert.Rank{Server: m.Name, Zone: m.Zone})
-		if !m.Drained {
-			s.candidates = append(s.candidates, m.Name)
-		}
-	}
-	if s.layers < 1 || s.expert.Validate() != nil {
-		return nil
-	}
-	return s
-}
-
-// policyOf returns the planner's policy for the weights of the confirmed
-// intent: the preset whose measure weighs more.
-func policyOf(c *config.Group) expert.Policy {
-	if c.CostWeight > c.SkewWeight {
-		return expert.Lakeshore()
-	}
-	return expert.Lightbox()
-}
-
 // regroup takes in a configuration: this agent's part in a group begins, goes
 // on or ends.
 func (a *Agent) regroup(x *config.Index) {
@@ -59,18 +21,18 @@
 	if a.engine == nil {
 		return
 	}
-	s, g := shapeOf(x, a.cfg.Name, a.cfg.Group), a.group.Load()
+	s, g := steering.ShapeOf(x, a.cfg.Name, a.cfg.Group), a.group.Load()
 	if s == nil {
 		if t, ok := x.Target(a.cfg.Name); ok && t.Group != "" {
 			a.log.Warn("group cannot be formed: its slots do not hold its experts", "group", t.Group)
 		}
 	}
-	if g != nil && s != nil && g.shape.Load().name == s.name && g.habit == s.habit {
-		g.reshape(s)
+	if g != nil && s != nil && g.Fits(s) {
+		g.Reshape(s)
 		return
 	}
 	if g != nil {
-		g.stop()
+		g.Stop()
 		a.group.Store(nil)
 	}
 	if s == nil {
@@ -80,13 +42,88 @@
 	// an earlier part of this process would give out that one's numbers again.
 	a.groupStarts++
 	owner := fmt.Sprintf("%s/%d/%d", a.cfg.Name, a.id.incarnation, a.groupStarts)
-	peers := &peerGroup{self: a.cfg.Name, dialer: a.dialer}
-	g = newExpertGroup(a.ctx, groupDeps{
-		self: a.cfg.Name, incarnation: a.id.incarnation + a.groupStarts, owner: owner, settings: a.cfg.Group,
-		log: a.log, metrics: a.groupMetrics, peers: peers, store: newDutyStore(a.store),
-		rank: rank.NewClient(a.cfg.Target, rank.Options{OrderToken: a.cfg.OrderToken}),
+	peers := &steering.Peers{Self: a.cfg.Name, Dialer: a.dialer}
+	g = steering.New(a.ctx, steering.Deps{
+		Self: a.cfg.Name, Incarnation: a.id.incarnation + a.groupStarts, Owner: owner, Settings: a.cfg.Group,
+		Log: a.log, Metrics: a.groupMetrics, Peers: peers, Store: steering.NewDutyStore(a.store),
+		Rank: rank.NewClient(a.cfg.Target, rank.Options{OrderToken: a.cfg.OrderToken}),
 	}, s)
-	peers.shape = g.shape.Load
+	peers.Shape = g.Shape
 	a.group.Store(g)
-	go g.run()
+	go g.Run()
+}
+
+// groupOf returns this agent's part in a group.
+func (a *Agent) groupOf(name string) (*steering.Part, error) {
+	g := a.group.Load()
+	if g == nil || g.Name() != name {
+		return nil, connect.NewError(connect.CodeNotFound, steering.ErrNoMember)
+	}
+	return g, nil
+}
+
+// Group takes a message of another agent of the group.
+func (a *Agent) Group(ctx context.Context, req *connect.Request[wire.GroupRequest]) (*connect.Response[wire.GroupResponse], error) {
+	g, err := a.groupOf(req.Msg.Group)
+	if err != nil {
+		return nil, err
+	}
+	m, err := group.Decode(req.Msg.Kind, req.Msg.Data)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	if err := g.Deliver(ctx, req.Msg.From, m); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&wire.GroupResponse{}), nil
+}
+
+// GroupMap returns the content of a map that this agent or its rank has.
+func (a *Agent) GroupMap(ctx context.Context, req *connect.Request[wire.GroupMapRequest]) (*connect.Response[wire.GroupMapResponse], error) {
+	g, err := a.groupOf(req.Msg.Group)
+	if err != nil {
+		return nil, err
+	}
+	p, ok := g.Content(ctx, group.Version(req.Msg.Version))
+	if !ok {
+		return connect.NewResponse(&wire.GroupMapResponse{}), nil
+	}
+	data, err := json.Marshal(p)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&wire.GroupMapResponse{Found: true, Placement: data}), nil
+}
+
+// GroupLoads returns the loads of this agent's rank.
+func (a *Agent) GroupLoads(ctx context.Context, req *connect.Request[wire.GroupLoadsRequest]) (*connect.Response[wire.GroupLoadsResponse], error) {
+	g, err := a.groupOf(req.Msg.Group)
+	if err != nil {
+		return nil, err
+	}
+	l, err := g.Loads(ctx)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	data, err := json.Marshal(l)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&wire.GroupLoadsResponse{Loads: data, Protected: uint32(a.answers.protected())}), nil
+}
+
+// GroupFetch has this agent's rank read a part of an expert's weights.
+func (a *Agent) GroupFetch(ctx context.Context, req *connect.Request[wire.GroupFetchRequest]) (*connect.Response[wire.GroupFetchResponse], error) {
+	m := req.Msg
+	g, err := a.groupOf(m.Group)
+	if err != nil {
+		return nil, err
+	}
+	n, err := g.Fetch(ctx, rank.Weights{
+		Layer: int(m.Layer), Expert: int32(m.Expert), Offset: int64(m.Offset), Length: int64(m.Length),
+	})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&wire.GroupFetchResponse{Read: uint64(n)}), nil
 }
--- a/agent/listen.go
+++ b/agent/listen.go
@@ -84,7 +84,7 @@
 func (a *Agent) drain(context.Context) error {
 	a.leave(a.ctx)
 	if g := a.group.Load(); g != nil {
-		g.resign(a.ctx)
+		g.Resign(a.ctx)
 	}
 	a.log.Info("draining", "running", a.answers.running())
 	a.endAnswers()
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
 
+	"verbenashift/agent/steering"
 	"verbenashift/core/experts/rank"
 	"verbenashift/core/membership/lease"
 	"verbenashift/core/peer/wire"
@@ -61,8 +62,8 @@
 	var stale *lease.StaleError
 	switch err := g.guard.Admit(lease.Number{Fence: o.Fence, Sequence: o.Sequence}); {
 	case errors.As(err, &stale):
-		a.groupMetrics.counts.Add("fencing-refusals", 1)
-		return &wire.OrderResponse{Fence: stale.Highest.Fence, Reason: reasonStaleFence}
+		a.groupMetrics.Add("fencing-refusals", 1)
+		return &wire.OrderResponse{Fence: stale.Highest.Fence, Reason: steering.ReasonStaleFence}
 	case err != nil:
 		return &wire.OrderResponse{Fence: g.guard.Fence(), Reason: reasonOrderWaits}
 	}
@@ -107,7 +108,7 @@
 		resp.Applied = true
 	case errors.As(err, &stale):
 		g.guard.Done(lease.Refused)
-		resp.Fence, resp.Reason = stale.Fence, reasonStaleFence
+		resp.Fence, resp.Reason = stale.Fence, steering.ReasonStaleFence
 	case errors.As(err, &refused), errors.As(err, &unsent):
 		g.guard.Done(lease.Refused)
 		resp.Reason = reasonNotExecuted
--- a/agent/orders_test.go
+++ b/agent/orders_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/agent/steering"
 	"verbenashift/core/membership/lease"
 	"verbenashift/core/request/target"
 )
@@ -51,7 +52,7 @@
 	o := &orderTarget{done: []target.Order{{Fence: 4, Sequence: 2, Kind: "drain"}}}
 	s := httptest.NewServer(o)
 	defer s.Close()
-	a := &Agent{engine: target.NewEngine(strings.TrimPrefix(s.URL, "http://"), target.Options{}), groupMetrics: testMetrics()}
+	a := &Agent{engine: target.NewEngine(strings.TrimPrefix(s.URL, "http://"), target.Options{}), groupMetrics: steering.NewMetrics()}
 	g := &a.orders
 	g.guard, g.began = lease.NewGuard(lease.HonoursFencing, time.Second), time.Now()
 	give := func(fence, sequence uint64) string {
@@ -59,12 +60,12 @@
 		is.Equal(resp.Applied, resp.Reason == "")
 		return resp.Reason
 	}
-	is.Equal(give(4, 2), reasonStaleFence) // learned from the target
+	is.Equal(give(4, 2), steering.ReasonStaleFence) // learned from the target
 	is.Equal(give(6, 1), "")
-	is.Equal(give(5, 9), reasonStaleFence)
+	is.Equal(give(5, 9), steering.ReasonStaleFence)
 	o.lose = true
 	is.Equal(give(6, 2), reasonAnswerLost)
-	is.Equal(give(6, 2), reasonStaleFence) // it had taken effect
+	is.Equal(give(6, 2), steering.ReasonStaleFence) // it had taken effect
 	is.Equal(give(6, 3), "")
 	is.Equal(len(o.done), 4)
 }
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"verbenashift/agent/steering"
 	"verbenashift/core/plumbing/keys"
 	"verbenashift/core/plumbing/settings"
 )
@@ -48,7 +49,7 @@
 	ConfigLag    time.Duration
 	Bound        time.Duration
 
-	Group GroupSettings
+	Group steering.Settings
 
 	TraceExport string
 	TracePerMil int
@@ -85,7 +86,7 @@
 	s.Duration("register", "retention", &c.Retention, 10*time.Minute, time.Second, 24*time.Hour, "how long a key is remembered after its run")
 	s.Duration("register", "config-lag", &c.ConfigLag, 15*time.Minute, time.Second, 24*time.Hour, "how long this agent decides on keys without hearing of the configuration")
 	s.Duration("drain", "bound", &c.Bound, 30*time.Second, 0, time.Hour, "longest wait for requests in progress; the rest is handed over")
-	c.Group.declare(&s)
+	c.Group.Declare(&s)
 	s.Address("trace", "export", &c.TraceExport, "none", "OTLP/HTTP collector; none turns traces off")
 	s.Int("trace", "per-mille", &c.TracePerMil, 10, 0, 1000, "requests in a thousand", "share of requests traced that no entry has decided on")
 	return &s
--- a/agent/group_content.go
+++ b/agent/steering/content.go
@@ -1,4 +1,4 @@
-package main
+package steering
 
 import (
 	"context"
@@ -78,8 +78,8 @@
 	return c.from[v]
 }
 
-// ownContent returns the content of a map from this agent's memory or its rank.
-func (g *expertGroup) ownContent(ctx context.Context, v group.Version) (rank.Placement, bool) {
+// Content returns the content of a map from this agent's memory or its rank.
+func (g *Part) Content(ctx context.Context, v group.Version) (rank.Placement, bool) {
 	if p, ok := g.contents.get(v); ok {
 		return p, true
 	}
@@ -94,8 +94,8 @@
 // content returns the content of a map: from this agent, from the agent that
 // spoke of it, or from any other. After a change of stewards only the ranks
 // have it.
-func (g *expertGroup) content(ctx context.Context, v group.Version) (rank.Placement, error) {
-	if p, ok := g.ownContent(ctx, v); ok {
+func (g *Part) content(ctx context.Context, v group.Version) (rank.Placement, error) {
+	if p, ok := g.Content(ctx, v); ok {
 		return p, nil
 	}
 	asked := append([]string{g.contents.speaker(v)}, g.shape.Load().members...)
--- a/agent/group_fleet_test.go
+++ b/agent/steering/fleet_test.go
@@ -1,4 +1,4 @@
-package main
+package steering
 
 import (
 	"context"
@@ -24,13 +24,13 @@
 // fleet is a group of ranks with the agents beside them, in one process. It
 // knows which map was used in each step, and nothing else of the protocol.
 type fleet struct {
-	shape *groupShape
+	shape *Shape
 	ctx   context.Context
 	stop  context.CancelFunc
 
 	mu     sync.Mutex
 	ranks  map[string]*fakeRank
-	agents map[string]*expertGroup
+	agents map[string]*Part
 	starts uint64
 	used   map[string]group.Version
 	mixed  string
@@ -58,10 +58,10 @@
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	f := &fleet{
-		ranks: make(map[string]*fakeRank), agents: make(map[string]*expertGroup), used: make(map[string]group.Version),
+		ranks: make(map[string]*fakeRank), agents: make(map[string]*Part), used: make(map[string]group.Version),
 	}
 	f.ctx, f.stop = context.WithCancel(t.Context())
-	f.shape = &groupShape{
+	f.shape = &Shape{
 		name: "caption", model: "caption", members: []string{"a", "b", "c", "d"}, layers: 2, confirmed: true,
 		expert: expert.Group{Experts: 8, Slots: 3, ExpertBytes: 1 << 10, StoreRate: 1 << 20},
 		policy: expert.Lightbox(), habit: lease.HonoursFencing,
@@ -86,19 +86,19 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.starts++
-	g := newExpertGroup(f.ctx, groupDeps{
-		self: name, incarnation: f.starts, owner: fmt.Sprintf("%s/%d", name, f.starts),
-		settings: GroupSettings{Beat: time.Second, Silence: 4 * time.Second, LeaseTTL: 3 * time.Second, PlanInterval: time.Second, Spare: 4, LostRanks: 1},
-		log:      slog.New(slog.NewJSONHandler(io.Discard, nil)), metrics: testMetrics(), rank: f.ranks[name], peers: fleetPeers{f, name}, store: f,
+	g := New(f.ctx, Deps{
+		Self: name, Incarnation: f.starts, Owner: fmt.Sprintf("%s/%d", name, f.starts),
+		Settings: Settings{Beat: time.Second, Silence: 4 * time.Second, LeaseTTL: 3 * time.Second, PlanInterval: time.Second, Spare: 4, LostRanks: 1},
+		Log:      slog.New(slog.NewJSONHandler(io.Discard, nil)), Metrics: testMetrics(), Rank: f.ranks[name], Peers: fleetPeers{f, name}, Store: f,
 	}, f.shape)
 	f.agents[name] = g
-	go g.run()
+	go g.Run()
 }
 
 // testMetrics returns the process's counters, which can be made once only.
-var testMetrics = sync.OnceValue(newGroupMetrics)
+var testMetrics = sync.OnceValue(NewMetrics)
 
-func (f *fleet) agent(name string) (*expertGroup, error) {
+func (f *fleet) agent(name string) (*Part, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if g := f.agents[name]; g != nil && g.ctx.Err() == nil {
@@ -121,7 +121,7 @@
 	if _, ok := m.(group.Outcome); ok && p.deaf(to) {
 		return context.DeadlineExceeded
 	}
-	return g.deliver(ctx, p.self, m)
+	return g.Deliver(ctx, p.self, m)
 }
 
 func (f *fleet) deaf(to string) bool {
@@ -135,7 +135,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p, ok := g.ownContent(ctx, v)
+	p, ok := g.Content(ctx, v)
 	if !ok {
 		return nil, errNoContent
 	}
--- a/agent/group_lease.go
+++ b/agent/steering/lease.go
@@ -1,4 +1,4 @@
-package main
+package steering
 
 import (
 	"context"
@@ -29,7 +29,7 @@
 	leases map[uint64]int64 // by fence
 }
 
-func newDutyStore(s *store.Client) *dutyStore {
+func NewDutyStore(s *store.Client) *dutyStore {
 	return &dutyStore{store: s, leases: make(map[uint64]int64)}
 }
 
--- a/agent/group_lease_test.go
+++ b/agent/steering/lease_test.go
@@ -1,4 +1,4 @@
-package main
+package steering
 
 import (
 	"encoding/json"
@@ -89,7 +89,7 @@
 	k := &oneKey{revision: 6, calls: make(map[string]int)}
 	s := httptest.NewServer(k)
 	t.Cleanup(s.Close)
-	return k, newDutyStore(store.New(store.Config{Addresses: []string{s.URL}}))
+	return k, NewDutyStore(store.New(store.Config{Addresses: []string{s.URL}}))
 }
 
 func dutyCall(kind lease.CallKind, owner string, fence uint64) lease.Call {
@@ -102,7 +102,7 @@
 	is.Equal(d.Call(t.Context(), dutyCall(lease.Acquire, "a/1", 0)), lease.Answer{Done: true, Owner: "a/1", Fence: 7})
 	is.Equal(d.Call(t.Context(), dutyCall(lease.Renew, "a/1", 7)), lease.Answer{Done: true, Owner: "a/1", Fence: 7})
 	// Another agent asks, which costs the store one read.
-	is.Equal(newDutyStore(d.store).Call(t.Context(), dutyCall(lease.Acquire, "b/1", 0)), lease.Answer{Owner: "a/1", Fence: 7})
+	is.Equal(NewDutyStore(d.store).Call(t.Context(), dutyCall(lease.Acquire, "b/1", 0)), lease.Answer{Owner: "a/1", Fence: 7})
 	is.Equal(k.calls[wire.GrantPath], 1)
 	is.Equal(d.Call(t.Context(), dutyCall(lease.Release, "a/1", 7)), lease.Answer{})
 	is.Equal(d.Call(t.Context(), dutyCall(lease.Renew, "a/1", 7)), lease.Answer{}) // it is gone
--- a/agent/group_load.go
+++ b/agent/steering/load.go
@@ -1,4 +1,4 @@
-package main
+package steering
 
 import (
 	"context"
@@ -34,7 +34,7 @@
 // the ranks' memory, and switches the group to the new map wave by wave. It
 // gives up when the lease has passed on, ranks are lost or come back, a switch
 // fails, a rank has no room, or it takes too long.
-func (g *expertGroup) carryOut(ctx context.Context, from standing, left part, maps rank.Placement, moves []expert.Move) {
+func (g *Part) carryOut(ctx context.Context, from standing, left part, maps rank.Placement, moves []expert.Move) {
 	ctx, cancel := context.WithTimeout(ctx, loadTime)
 	defer cancel()
 	p, shape := &g.planning, g.shape.Load()
@@ -88,7 +88,7 @@
 }
 
 // fetch has a rank read a part of an expert's weights.
-func (g *expertGroup) fetch(ctx context.Context, shape *groupShape, f loading.Fetch, done chan<- fetched) {
+func (g *Part) fetch(ctx context.Context, shape *Shape, f loading.Fetch, done chan<- fetched) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	n, err := g.peers.Fetch(ctx, shape.members[f.Rank], rank.Weights{
@@ -130,7 +130,7 @@
 
 // switchTo has the steward switch the group to a map and waits for the end. It
 // reports whether the map is in force everywhere.
-func (g *expertGroup) switchTo(ctx context.Context, from standing, maps rank.Placement) bool {
+func (g *Part) switchTo(ctx context.Context, from standing, maps rank.Placement) bool {
 	ctx, cancel := context.WithTimeout(ctx, switchTime)
 	defer cancel()
 	v := g.contents.keep(maps)
@@ -157,6 +157,6 @@
 	}
 }
 
-func (g *expertGroup) setWant(ctx context.Context, fence uint64, v group.Version) {
+func (g *Part) setWant(ctx context.Context, fence uint64, v group.Version) {
 	_ = g.duty.Do(ctx, func() { g.want, g.wantFence = v, fence })
 }
--- a/agent/group.go
+++ b/agent/steering/part.go
@@ -1,4 +1,4 @@
-package main
+package steering
 
 import (
 	"context"
@@ -44,18 +44,18 @@
 	Call(ctx context.Context, c lease.Call) lease.Answer
 }
 
-// expertGroup is the agent's part in one group: the member beside the rank,
+// Part is the agent's part in one group: the member beside the rank,
 // and the steward while this agent holds the group's duty. All decisions are
 // made on one duty; what waits for others runs beside it.
-type expertGroup struct {
+type Part struct {
 	self    string
-	cfg     GroupSettings
+	cfg     Settings
 	log     *slog.Logger
-	metrics *groupMetrics
+	metrics *Metrics
 	rank    groupRank
 	peers   groupPeers
 	store   leaseCaller
-	shape   atomic.Pointer[groupShape]
+	shape   atomic.Pointer[Shape]
 	began   time.Time
 	ctx     context.Context
 	stop    context.CancelFunc
@@ -82,29 +82,30 @@
 	planning planning
 }
 
-// groupDeps is what an expertGroup needs of others.
-type groupDeps struct {
-	self        string
-	incarnation uint64
-	owner       string
-	settings    GroupSettings
-	log         *slog.Logger
-	metrics     *groupMetrics
-	rank        groupRank
-	peers       groupPeers
-	store       leaseCaller
-}
-
-// newExpertGroup returns the part of an agent that knows nothing yet.
-func newExpertGroup(ctx context.Context, d groupDeps, shape *groupShape) *expertGroup {
-	g := &expertGroup{
-		self: d.self, cfg: d.settings, log: d.log.With("group", shape.name), metrics: d.metrics,
-		rank: d.rank, peers: d.peers, store: d.store, began: time.Now(), habit: shape.habit,
+// Deps is what an Part needs of others.
+type Deps struct {
+	// Self is the agent's name, Owner the one by which it holds the group's lease.
+	Self        string
+	Incarnation uint64
+	Owner       string
+	Settings    Settings
+	Log         *slog.Logger
+	Metrics     *Metrics
+	Rank        groupRank
+	Peers       groupPeers
+	Store       leaseCaller
+}
+
+// New returns the part of an agent that knows nothing yet.
+func New(ctx context.Context, d Deps, shape *Shape) *Part {
+	g := &Part{
+		self: d.Self, cfg: d.Settings, log: d.Log.With("group", shape.name), metrics: d.Metrics,
+		rank: d.Rank, peers: d.Peers, store: d.Store, began: time.Now(), habit: shape.habit,
 		duty: duty.New(groupRing), ops: make(chan rankOp, 1), sends: make(chan struct{}, groupSends),
 		contents: newContents(),
-		member:   group.NewMember(group.MemberConfig{Name: d.self, Habit: shape.habit}, d.incarnation, 0),
+		member:   group.NewMember(group.MemberConfig{Name: d.Self, Habit: shape.habit}, d.Incarnation, 0),
 		holder: lease.NewHolder(lease.Config{
-			Duty: "duties/group/" + shape.name, Owner: d.owner, TTL: d.settings.LeaseTTL,
+			Duty: "duties/group/" + shape.name, Owner: d.Owner, TTL: d.Settings.LeaseTTL,
 		}),
 	}
 	g.ctx, g.stop = context.WithCancel(ctx)
@@ -114,29 +115,47 @@
 	return g
 }
 
-// run takes part in the group until the context ends.
-func (g *expertGroup) run() {
+// Run takes part in the group until the context ends.
+func (g *Part) Run() {
 	go g.serveRank()
 	go g.plan()
 	g.duty.Run(g.ctx)
 }
 
 // now is the time since this part began, by the process's monotonic clock.
-func (g *expertGroup) now() time.Duration { return time.Since(g.began) }
+func (g *Part) now() time.Duration { return time.Since(g.began) }
 
-// reshape takes in a changed configuration of the same group.
-func (g *expertGroup) reshape(s *groupShape) {
+// Name returns the name of the group.
+func (g *Part) Name() string { return g.shape.Load().name }
+
+// Shape returns the group as configured.
+func (g *Part) Shape() *Shape { return g.shape.Load() }
+
+// Fits reports whether a shape is that of the same group, so that the part goes on.
+func (g *Part) Fits(s *Shape) bool { return g.Name() == s.name && g.habit == s.habit }
+
+// Stop ends the part at once.
+func (g *Part) Stop() { g.stop() }
+
+// Loads returns the loads of the agent's own rank.
+func (g *Part) Loads(ctx context.Context) (rank.Loads, error) { return g.rank.Loads(ctx) }
+
+// Fetch has the agent's own rank read a part of an expert's weights.
+func (g *Part) Fetch(ctx context.Context, w rank.Weights) (int64, error) { return g.rank.Fetch(ctx, w) }
+
+// Reshape takes in a changed configuration of the same group.
+func (g *Part) Reshape(s *Shape) {
 	g.shape.Store(s)
 	g.contents.keep(s.initial())
 }
 
-// deliver hands a message of another agent to the duty.
-func (g *expertGroup) deliver(ctx context.Context, from string, m group.Message) error {
+// Deliver hands a message of another agent to the duty.
+func (g *Part) Deliver(ctx context.Context, from string, m group.Message) error {
 	return g.duty.Post(ctx, func() { g.receive(from, m) })
 }
 
 // after runs on the duty after each event, and when a timer is due.
-func (g *expertGroup) after() {
+func (g *Part) after() {
 	if now := g.now(); now-g.ticked >= groupTick {
 		g.ticked = now
 		g.tick(now)
@@ -149,7 +168,7 @@
 }
 
 // receive takes a message, as the steward and as the member.
-func (g *expertGroup) receive(from string, m group.Message) {
+func (g *Part) receive(from string, m group.Message) {
 	now := g.now()
 	g.contents.note(m, from)
 	g.watch(from, m)
@@ -161,11 +180,11 @@
 
 // acting returns the steward while the lease is valid. It is asked right before
 // each use.
-func (g *expertGroup) acting(now time.Duration) *group.Steward {
+func (g *Part) acting(now time.Duration) *group.Steward {
 	return g.steward.Steward(now, g.stewardConfig(), g.holder)
 }
 
-func (g *expertGroup) stewardConfig() group.StewardConfig {
+func (g *Part) stewardConfig() group.StewardConfig {
 	s := g.shape.Load()
 	return group.StewardConfig{
 		Members: s.members, MinRanks: s.minRanks(g.cfg.LostRanks), Initial: s.initialVersion(),
@@ -174,7 +193,7 @@
 }
 
 // tick lets time pass: the lease first, then the steward, then the member.
-func (g *expertGroup) tick(now time.Duration) {
+func (g *Part) tick(now time.Duration) {
 	g.holder.Want(g.steward.Wanted(g.holder, g.due(now)) && !g.leaving)
 	for _, c := range g.holder.Tick(now) {
 		go g.call(c)
@@ -189,7 +208,7 @@
 
 // wanted returns the map that this steward has planned. A plan made under an
 // earlier lease is not this one's.
-func (g *expertGroup) wanted() group.Version {
+func (g *Part) wanted() group.Version {
 	if g.wantFence != g.holder.Fence() {
 		return 0
 	}
@@ -206,7 +225,7 @@
 // handed it over to this agent it asks at once; if the rank stands still, soon;
 // else only after a long silence. The agents ask in turn, so that a free duty
 // costs the store a few calls and not one from each.
-func (g *expertGroup) due(now time.Duration) bool {
+func (g *Part) due(now time.Duration) bool {
 	shape, heard := g.shape.Load(), g.member.Heard()
 	t := lease.Takeover{Silence: g.cfg.Silence, Stagger: dutyStagger}
 	still := g.member.Orphaned(now)
--- a/agent/group_test.go
+++ b/agent/steering/part_test.go
@@ -1,4 +1,4 @@
-package main
+package steering
 
 import (
 	"slices"
--- a/agent/group_rank.go
+++ b/agent/steering/rank.go
@@ -1,4 +1,4 @@
-package main
+package steering
 
 import (
 	"context"
@@ -14,8 +14,8 @@
 // it up after the same time.
 const rankTimeout = 500 * time.Millisecond
 
-// reasonStaleFence is the refusal of an order with an old number.
-const reasonStaleFence = "stale-fence"
+// ReasonStaleFence is the refusal of an order with an old number.
+const ReasonStaleFence = "stale-fence"
 
 // rankOp is an order to the rank, or a reading of it if the order has no kind.
 type rankOp struct {
@@ -26,7 +26,7 @@
 
 // operate hands an operation to the rank's goroutine. A full channel loses it,
 // as if the rank had not answered.
-func (g *expertGroup) operate(op rankOp) {
+func (g *Part) operate(op rankOp) {
 	g.current.Store(op.id)
 	select {
 	case g.ops <- op:
@@ -35,7 +35,7 @@
 }
 
 // serveRank does the operations at the rank, one after the other.
-func (g *expertGroup) serveRank() {
+func (g *Part) serveRank() {
 	for {
 		select {
 		case op := <-g.ops:
@@ -46,7 +46,7 @@
 	}
 }
 
-func (g *expertGroup) do(op rankOp) {
+func (g *Part) do(op rankOp) {
 	ctx, cancel := context.WithDeadline(g.ctx, op.began.Add(rankTimeout))
 	defer cancel()
 	if op.order.Kind == 0 {
@@ -58,7 +58,7 @@
 
 // read reads the rank. An engine that refuses the connection is dead; one that
 // is late may not be, and the member notices that by itself.
-func (g *expertGroup) read(ctx context.Context, op rankOp) {
+func (g *Part) read(ctx context.Context, op rankOp) {
 	s, err := g.rank.State(ctx)
 	switch {
 	case err == nil:
@@ -72,7 +72,7 @@
 // apply gives an order. One for which the member has stopped waiting must not be
 // sent: the member may have sent another, and the rank could take the old one
 // after the new one.
-func (g *expertGroup) apply(ctx context.Context, op rankOp) {
+func (g *Part) apply(ctx context.Context, op rankOp) {
 	o := rank.Order{Order: op.order}
 	if op.order.Kind == group.LoadMap || op.order.Kind == group.FormGroup {
 		p, err := g.content(ctx, op.order.Version)
@@ -89,7 +89,7 @@
 	var refused *group.RefusedError
 	switch {
 	case errors.As(err, &refused):
-		if refused.Reason == reasonStaleFence {
+		if refused.Reason == ReasonStaleFence {
 			g.metrics.counts.Add("fencing-refusals", 1)
 		}
 		g.post(func() { g.act(g.member.Applied(g.now(), op.id, refused)) })
@@ -98,4 +98,4 @@
 	}
 }
 
-func (g *expertGroup) post(fn func()) { _ = g.duty.Post(g.ctx, fn) }
+func (g *Part) post(fn func()) { _ = g.duty.Post(g.ctx, fn) }
--- a/agent/group_part.go
+++ b/agent/steering/round.go
@@ -1,4 +1,4 @@
-package main
+package steering
 
 import (
 	"slices"
@@ -19,7 +19,7 @@
 }
 
 // partOf returns the part of a group that is in the epoch of a view.
-func partOf(s *groupShape, v group.View) part {
+func partOf(s *Shape, v group.View) part {
 	p := part{shape: s.expert}
 	p.shape.Ranks = nil
 	for _, m := range v.Members {
@@ -37,7 +37,7 @@
 
 // fits reports whether maps are of the group's shape. They are not after the
 // number of its ranks has been changed.
-func (s *groupShape) fits(maps rank.Placement) bool {
+func (s *Shape) fits(maps rank.Placement) bool {
 	for _, m := range maps {
 		if len(m) != len(s.members)*s.expert.Slots {
 			return false
--- a/agent/group_shape.go
+++ b/agent/steering/shape.go
@@ -1,10 +1,11 @@
-package main
+package steering
 
 import (
 	"slices"
 	"sync"
 	"time"
 
+	"verbenashift/core/configuration/config"
 	"verbenashift/core/experts/expert"
 	"verbenashift/core/experts/group"
 	"verbenashift/core/experts/rank"
@@ -12,9 +13,9 @@
 	"verbenashift/core/plumbing/settings"
 )
 
-// GroupSettings are the settings of an agent's part in an expert-parallel
+// Settings are the settings of an agent's part in an expert-parallel
 // group.
-type GroupSettings struct {
+type Settings struct {
 	// Beat is the steward's interval of probes while all is well, and Silence
 	// how long it may be quiet before another agent asks for its duty.
 	Beat    time.Duration
@@ -35,8 +36,8 @@
 	Spare       int
 }
 
-// declare names the settings with their defaults and bounds.
-func (c *GroupSettings) declare(s *settings.Set) {
+// Declare names the settings with their defaults and bounds.
+func (c *Settings) Declare(s *settings.Set) {
 	const section = "group"
 	s.Duration(section, "beat", &c.Beat, 5*time.Second, 100*time.Millisecond, time.Minute, "time between the steward's probes while all is well")
 	s.Duration(section, "silence", &c.Silence, 20*time.Second, time.Second, 10*time.Minute, "how long the steward may be quiet before another agent asks for its duty")
@@ -49,14 +50,14 @@
 	s.Int(section, "spare-slots", &c.Spare, 8, 1, 1<<16, "experts", "experts, of all layers together, that a rank has room for beside those in use")
 }
 
-// The defaults of GroupSettings.
+// The defaults of Settings.
 const (
 	defaultExpertBytes = 1 << 20
 	defaultStoreRate   = 64 << 20
 )
 
-// groupShape is a group as configured.
-type groupShape struct {
+// Shape is a group as configured.
+type Shape struct {
 	name  string
 	model string
 	// members are the ranks in the order of the maps, addresses their agents.
@@ -77,20 +78,20 @@
 }
 
 // initialVersion returns the version of initial.
-func (s *groupShape) initialVersion() group.Version {
+func (s *Shape) initialVersion() group.Version {
 	s.start()
 	return s.firstVersion
 }
 
 // initial returns the map of a group that has none yet. It is a function of the
 // shape, so that every agent knows its content.
-func (s *groupShape) initial() rank.Placement {
+func (s *Shape) initial() rank.Placement {
 	s.start()
 	return s.first
 }
 
 // start makes the initial map once: it is asked for at each look at the steward.
-func (s *groupShape) start() {
+func (s *Shape) start() {
 	s.once.Do(func() {
 		even := slices.Repeat([]float64{1}, s.expert.Experts)
 		s.first = slices.Repeat(rank.Placement{expert.Place(&s.expert, even)}, s.layers)
@@ -100,7 +101,49 @@
 
 // minRanks returns the least number of ranks that go on without the others: so
 // many may be lost, but those left need slots for every expert.
-func (s *groupShape) minRanks(lost int) int {
+func (s *Shape) minRanks(lost int) int {
 	needed := (s.expert.Experts + s.expert.Slots - 1) / s.expert.Slots
 	return max(len(s.members)-lost, needed, 1)
 }
+
+// ShapeOf returns the group of a target as configured, or nil if the target is
+// in none or the group cannot hold its experts.
+func ShapeOf(x *config.Index, target string, cfg Settings) *Shape {
+	t, ok := x.Target(target)
+	if !ok || t.Group == "" {
+		return nil
+	}
+	c, ok := x.Group(t.Group)
+	if !ok {
+		return nil
+	}
+	s := &Shape{
+		name: c.Name, model: c.Model, layers: c.Layers, addresses: make(map[string]string),
+		expert: expert.Group{Experts: c.Experts, Slots: c.SlotsPerRank, ExpertBytes: int64(cfg.ExpertBytes), StoreRate: int64(cfg.StoreRate)},
+		policy: policyOf(c), confirmed: c.SkewWeight+c.CostWeight > 0,
+	}
+	if t.HonoursFencing {
+		s.habit = lease.HonoursFencing
+	}
+	for _, m := range x.TargetsOfGroup(c.Name) {
+		s.members = append(s.members, m.Name)
+		s.addresses[m.Name] = m.Agent
+		s.expert.Ranks = append(s.expert.Ranks, expert.Rank{Server: m.Name, Zone: m.Zone})
+		if !m.Drained {
+			s.candidates = append(s.candidates, m.Name)
+		}
+	}
+	if s.layers < 1 || s.expert.Validate() != nil {
+		return nil
+	}
+	return s
+}
+
+// policyOf returns the planner's policy for the weights of the confirmed
+// intent: the preset whose measure weighs more.
+func policyOf(c *config.Group) expert.Policy {
+	if c.CostWeight > c.SkewWeight {
+		return expert.Lakeshore()
+	}
+	return expert.Lightbox()
+}
--- a/agent/group_status.go
+++ b/agent/steering/status.go
@@ -1,4 +1,4 @@
-package main
+package steering
 
 import (
 	"encoding/json"
@@ -9,8 +9,8 @@
 	"verbenashift/core/experts/group"
 )
 
-// groupMetrics are the counters of an agent's part in its group.
-type groupMetrics struct {
+// Metrics are the counters of an agent's part in its group.
+type Metrics struct {
 	counts *expvar.Map
 
 	mu sync.Mutex
@@ -18,17 +18,20 @@
 	stalls uint64
 }
 
-func newGroupMetrics() *groupMetrics {
-	m := &groupMetrics{counts: expvar.NewMap("agent-group")}
+func NewMetrics() *Metrics {
+	m := &Metrics{counts: expvar.NewMap("agent-group")}
 	for _, name := range []string{"switches", "aborts", "formed", "stalled-steps", "fencing-refusals", "mixed-steps"} {
 		m.counts.Add(name, 0)
 	}
 	return m
 }
 
+// Add adds to a counter.
+func (m *Metrics) Add(name string, n int64) { m.counts.Add(name, n) }
+
 // stalled takes the rank's count of the steps for which it stood still. An
 // engine that has started again counts anew.
-func (m *groupMetrics) stalled(total uint64) {
+func (m *Metrics) stalled(total uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if total > m.stalls {
@@ -47,9 +50,9 @@
 	stateDegraded = "degraded"
 )
 
-// status returns what operators see of the group, as JSON, or nothing if this
+// Status returns what operators see of the group, as JSON, or nothing if this
 // agent does not hold the duty.
-func (g *expertGroup) status() []byte {
+func (g *Part) Status() []byte {
 	s, ok := g.standing(g.ctx)
 	if !ok {
 		return nil
--- a/agent/group_watch.go
+++ b/agent/steering/watch.go
@@ -1,4 +1,4 @@
-package main
+package steering
 
 import (
 	"verbenashift/core/experts/group"
@@ -63,7 +63,7 @@
 }
 
 // watch looks at a report for mixed steps.
-func (g *expertGroup) watch(from string, m group.Message) {
+func (g *Part) watch(from string, m group.Message) {
 	r, ok := m.(group.Report)
 	if !ok {
 		return
