entry and agent make their tracer and dialer by the same code

Both had the same lines (duplicates of agent/app.go and entry/app.go); core/plumbing/process has Tracer and Dialer. Three waits that a context cuts short use core/plumbing/pause. No behaviour changes.

--- a/agent/app.go
+++ b/agent/app.go
@@ -94,23 +94,10 @@
 }
 
 func newTracer(lc fx.Lifecycle, cfg Settings) (trace.Tracer, error) {
-	tracer, stop, err := telemetry.NewTracer(context.Background(), telemetry.TraceConfig{
-		Program: "agent", Instance: cfg.Name, Export: cfg.TraceExport, Ratio: float64(cfg.TracePerMil) / 1000,
-	})
-	if err != nil {
-		return nil, err
-	}
-	lc.Append(fx.StopHook(stop))
-	return tracer, nil
+	return process.Tracer(lc, "agent", cfg.Name, cfg.TraceExport, cfg.TracePerMil)
 }
 
-func newDialer(cfg Settings) (*peer.Dialer, error) {
-	tls, err := cfg.Peer.Client()
-	if err != nil {
-		return nil, err
-	}
-	return peer.NewDialer(peer.DialConfig{TLS: tls}), nil
-}
+func newDialer(cfg Settings) (*peer.Dialer, error) { return process.Dialer(cfg.Peer) }
 
 func newStore(cfg Settings) *store.Client {
 	return store.New(store.Config{Addresses: cfg.Store, Timeout: cfg.StoreTimeout})
--- a/bench/capacity/capacity.go
+++ b/bench/capacity/capacity.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"verbenashift/bench/figure"
+	"verbenashift/core/plumbing/pause"
 )
 
 const runTime = 5 * time.Minute
@@ -114,13 +115,8 @@
 	return v, after - before
 }
 
+// sleep waits, and returns why it was cut short.
 func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	pause.For(ctx, d)
+	return ctx.Err()
 }
--- a/bench/path/path.go
+++ b/bench/path/path.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"verbenashift/bench/figure"
+	"verbenashift/core/plumbing/pause"
 	"verbenashift/standin/deployment"
 )
 
@@ -181,13 +182,8 @@
 	return figures, nil
 }
 
+// sleep waits, and returns why it was cut short.
 func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	pause.For(ctx, d)
+	return ctx.Err()
 }
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -8,6 +8,7 @@
 
 	"verbenashift/core/configuration/config"
 	"verbenashift/core/peer/wire"
+	"verbenashift/core/plumbing/pause"
 	"verbenashift/core/request/booking"
 	"verbenashift/core/request/caller"
 	"verbenashift/core/request/outcome"
@@ -100,18 +101,12 @@
 	return &outcome.Error{Outcome: o, Reason: reason, RetryAfter: f.entry.cfg.RetryAfter}
 }
 
+// pause waits, and returns the end of a request that was cut short meanwhile.
 func (f *flow) pause(ctx context.Context, d time.Duration) *outcome.Error {
-	if d == 0 {
+	if d == 0 || pause.For(ctx, d) {
 		return nil
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return f.cutShort()
-	}
+	return f.cutShort()
 }
 
 func (f *flow) step(ctx context.Context, a relay.Action) relay.Event {
