--- a/agent/groups.go
+++ b/agent/groups.go
@@ -1,11 +1,11 @@
 package main
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 
 	"connectrpc.com/connect"
-	"context"
-	"encoding/json"
 	"verbenashift/agent/steering"
 	"verbenashift/core/configuration/config"
 	"verbenashift/core/experts/group"
--- a/agent/steering/lease.go
+++ b/agent/steering/lease.go
@@ -19,22 +19,23 @@
 	Lease int64 `json:"lease"`
 }
 
-// dutyStore makes the calls of a lease.Holder on the platform's store. The
+// DutyStore makes the calls of a lease.Holder on the platform's store. The
 // fence is the version at which the key was created; the key is never changed,
 // and goes with its lease.
-type dutyStore struct {
+type DutyStore struct {
 	store *store.Client
 
 	mu     sync.Mutex
 	leases map[uint64]int64 // by fence
 }
 
-func NewDutyStore(s *store.Client) *dutyStore {
-	return &dutyStore{store: s, leases: make(map[uint64]int64)}
+// NewDutyStore returns what keeps leases in a store.
+func NewDutyStore(s *store.Client) *DutyStore {
+	return &DutyStore{store: s, leases: make(map[uint64]int64)}
 }
 
 // Call makes one call. What the store may or may not have done is Lost.
-func (d *dutyStore) Call(ctx context.Context, c lease.Call) lease.Answer {
+func (d *DutyStore) Call(ctx context.Context, c lease.Call) lease.Answer {
 	switch c.Kind {
 	case lease.Acquire:
 		return d.acquire(ctx, c)
@@ -48,7 +49,7 @@
 }
 
 // read looks who holds the duty.
-func (d *dutyStore) read(ctx context.Context, c lease.Call) lease.Answer {
+func (d *DutyStore) read(ctx context.Context, c lease.Call) lease.Answer {
 	kv, err := d.store.Get(ctx, c.Duty)
 	if err != nil {
 		return lease.Answer{Lost: true}
@@ -56,7 +57,7 @@
 	return d.holder(kv)
 }
 
-func (d *dutyStore) holder(kv store.KV) lease.Answer {
+func (d *DutyStore) holder(kv store.KV) lease.Answer {
 	var r dutyRecord
 	if kv.Version == 0 {
 		return lease.Answer{}
@@ -68,21 +69,21 @@
 	return lease.Answer{Owner: r.Owner, Fence: uint64(kv.Version)}
 }
 
-func (d *dutyStore) remember(fence uint64, id int64) {
+func (d *DutyStore) remember(fence uint64, id int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	clear(d.leases)
 	d.leases[fence] = id
 }
 
-func (d *dutyStore) lease(fence uint64) int64 {
+func (d *DutyStore) lease(fence uint64) int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.leases[fence]
 }
 
 // acquire looks first, because a read is cheaper than a lease for nothing.
-func (d *dutyStore) acquire(ctx context.Context, c lease.Call) lease.Answer {
+func (d *DutyStore) acquire(ctx context.Context, c lease.Call) lease.Answer {
 	if a := d.read(ctx, c); a.Lost || a.Owner != "" {
 		return a
 	}
@@ -108,7 +109,7 @@
 }
 
 // renew extends the lease on which the key hangs, which lives as long as it.
-func (d *dutyStore) renew(ctx context.Context, c lease.Call) lease.Answer {
+func (d *DutyStore) renew(ctx context.Context, c lease.Call) lease.Answer {
 	_, err := d.store.KeepAlive(ctx, d.lease(c.Fence))
 	var gone *store.LeaseGoneError
 	switch {
@@ -120,7 +121,7 @@
 	return lease.Answer{Done: true, Owner: c.Owner, Fence: c.Fence}
 }
 
-func (d *dutyStore) release(ctx context.Context, c lease.Call) lease.Answer {
+func (d *DutyStore) release(ctx context.Context, c lease.Call) lease.Answer {
 	err := d.store.Revoke(ctx, d.lease(c.Fence))
 	var gone *store.LeaseGoneError
 	if err != nil && !errors.As(err, &gone) {
--- a/agent/steering/lease_test.go
+++ b/agent/steering/lease_test.go
@@ -84,7 +84,7 @@
 	return wire.TxnResponse{Header: wire.Header{Revision: k.revision}, Succeeded: true}
 }
 
-func newDuty(t *testing.T) (*oneKey, *dutyStore) {
+func newDuty(t *testing.T) (*oneKey, *DutyStore) {
 	t.Helper()
 	k := &oneKey{revision: 6, calls: make(map[string]int)}
 	s := httptest.NewServer(k)
--- a/agent/steering/part.go
+++ b/agent/steering/part.go
@@ -1,3 +1,16 @@
+// Package steering is an agent's part in one expert-parallel group: the member beside its rank,
+// and the steward while this agent holds the group's duty.
+//
+// What waits for others (the rank, the other agents, the store) runs beside one duty that makes
+// all decisions, by package group. A steward also plans: it collects the ranks' loads, asks
+// package expert for a better map, loads what is new and switches the group to it.
+//
+// # Usage
+//
+//	peers := &steering.Peers{Self: name, Dialer: dialer}
+//	part := steering.New(ctx, steering.Deps{Self: name, Owner: owner, Rank: rank, Peers: peers, Store: store}, shape)
+//	peers.Shape = part.Shape
+//	go part.Run()
 package steering
 
 import (
--- a/agent/steering/peers.go
+++ b/agent/steering/peers.go
@@ -13,6 +13,7 @@
 	"verbenashift/core/peer/wire"
 )
 
+// ErrNoMember says that an agent is not in the group.
 var ErrNoMember = errors.New("not a member of the group")
 
 // Peers reaches the other agents of a group.
--- a/agent/steering/status.go
+++ b/agent/steering/status.go
@@ -18,6 +18,7 @@
 	stalls uint64
 }
 
+// NewMetrics publishes the counters and returns them. A process can do so once.
 func NewMetrics() *Metrics {
 	m := &Metrics{counts: expvar.NewMap("agent-group")}
 	for _, name := range []string{"switches", "aborts", "formed", "stalled-steps", "fencing-refusals", "mixed-steps"} {
--- a/core/request/quarantine/verdict.go
+++ b/core/request/quarantine/verdict.go
@@ -76,9 +76,9 @@
 		if n < enough || g.held[p] != nil || len(g.held) >= 2*maxHolds {
 			continue
 		}
-		settled, likely, clear := g.evidence(p, now)
+		settled, likely, sure := g.evidence(p, now)
 		if settled >= enough && likely > 0 {
-			g.held[p] = &held{Hold: Hold{Crashes: n, Soon: clear < enough}, since: now}
+			g.held[p] = &held{Hold: Hold{Crashes: n, Soon: sure < enough}, since: now}
 		}
 	}
 }
@@ -86,7 +86,7 @@
 // evidence counts the crashes that speak against a request: all of which the word has
 // settled, those of which no other request is more likely the culprit, and those of which
 // no other one is nearly as likely.
-func (g *Register) evidence(p Print, now time.Time) (settled, likely, clear int) {
+func (g *Register) evidence(p Print, now time.Time) (settled, likely, sure int) {
 	n := g.counts[p]
 	for _, c := range g.crashes {
 		if now.Sub(c.heard) < settle || !slices.Contains(c.requests, p) {
@@ -98,10 +98,10 @@
 			likely++
 		}
 		if most < n-1 {
-			clear++
+			sure++
 		}
 	}
-	return settled, likely, clear
+	return settled, likely, sure
 }
 
 // mostOf returns the most crashes in which one of the other requests of a crash was.
