--- /dev/null
+++ b/core/configuration/follow/run.go
@@ -0,0 +1,76 @@
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"verbenashift/core/configuration/config"
+	"verbenashift/core/configuration/intent"
+	"verbenashift/core/configuration/store"
+	"verbenashift/core/plumbing/pause"
+)
+
+// Run reads and watches the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	next := firstPause
+	for ctx.Err() == nil {
+		version, err := f.read(ctx)
+		if err == nil {
+			next = firstPause
+			f.wait(ctx, version)
+			continue
+		}
+		pause.For(ctx, spread(next))
+		next = min(2*next, maxPause)
+	}
+}
+
+func (f *Follower) read(ctx context.Context) (int64, error) {
+	kv, err := f.cfg.Store.Get(ctx, intent.HeadKey)
+	if err != nil {
+		return 0, err
+	}
+	f.Heard()
+	revision := f.take(kv)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.startup.HasStored = true
+	f.startup.Stored = max(f.startup.Stored, revision)
+	f.settle()
+	return kv.Version, nil
+}
+
+// take offers what the store holds and returns its revision.
+func (f *Follower) take(kv store.KV) uint64 {
+	if len(kv.Value) == 0 {
+		return 0
+	}
+	c, err := config.Decode(kv.Value)
+	if err != nil {
+		f.cfg.Log.Error("head of the configuration is unreadable", "version", kv.Version, "error", err)
+		return 0
+	}
+	f.Offer(c)
+	return c.Revision
+}
+
+// wait watches the head until the next refresh is due, if this process
+// watches, and otherwise just waits.
+func (f *Follower) wait(ctx context.Context, version int64) {
+	ctx, cancel := context.WithTimeout(ctx, spread(f.cfg.Refresh))
+	defer cancel()
+	if f.cfg.Watch != nil && !f.cfg.Watch() {
+		<-ctx.Done()
+		return
+	}
+	err := f.cfg.Store.Watch(ctx, intent.HeadKey, version, func(kv store.KV) { f.take(kv) })
+	if ctx.Err() == nil {
+		f.cfg.Log.Info("watch of the configuration ended", "error", err)
+	}
+}
+
+// spread returns d lengthened or shortened by up to a quarter at random.
+func spread(d time.Duration) time.Duration {
+	return d*3/4 + time.Duration(rand.Int64N(int64(d)/2+1))
+}
--- a/core/experts/group/steward.go
+++ b/core/experts/group/steward.go
@@ -7,34 +7,6 @@
 	"verbenashift/core/membership/lease"
 )
 
-// StewardConfig is the setting of a Steward. Zero values take the defaults.
-type StewardConfig struct {
-	// Members are the ranks configured for the group, by the names of their
-	// targets.
-	Members []string
-	// MinRanks is the least number of ranks that make a group; 0 means all.
-	MinRanks int
-	// Initial is the map of a group that has none.
-	Initial Version
-	// Lead is how many steps lie between the estimated step of the group and
-	// the step of a switch. It is doubled after a switch for which it was too
-	// short, up to MaxLead.
-	Lead    uint64
-	MaxLead uint64
-	// Beat is the interval of probes while all is well; FastBeat while
-	// something is under way or a rank is not stepping.
-	Beat     time.Duration
-	FastBeat time.Duration
-	// DeadAfter is how long an agent may leave fast probes without an answer.
-	DeadAfter time.Duration
-	// StallLimit is how long a rank may stall before the group is formed
-	// without it; 0 means never.
-	StallLimit time.Duration
-	// RejoinAfter is how long a returned rank must have answered before the
-	// group is formed again for its sake.
-	RejoinAfter time.Duration
-}
-
 // The defaults of StewardConfig.
 const (
 	defaultLead        = 16
@@ -45,24 +17,6 @@
 	defaultRejoinAfter = 5 * time.Second
 )
 
-func (c StewardConfig) withDefaults() StewardConfig {
-	c.MinRanks = orElse(c.MinRanks, len(c.Members))
-	c.Lead = orElse(c.Lead, defaultLead)
-	c.MaxLead = orElse(c.MaxLead, defaultMaxLead)
-	c.Beat = orElse(c.Beat, defaultBeat)
-	c.FastBeat = orElse(c.FastBeat, defaultFastBeat)
-	c.DeadAfter = orElse(c.DeadAfter, defaultSilentAfter)
-	c.RejoinAfter = orElse(c.RejoinAfter, defaultRejoinAfter)
-	return c
-}
-
-func orElse[T int | uint64 | time.Duration](v, def T) T {
-	if v > 0 {
-		return v
-	}
-	return def
-}
-
 // seat is what the steward knows of one member.
 type seat struct {
 	report Report
--- a/core/request/queue/admit.go
+++ b/core/request/queue/admit.go
@@ -42,59 +42,6 @@
 	maxRetryAfter = time.Minute
 )
 
-// Limits bound a queue; fields that are zero take a default.
-type Limits struct {
-	// Slots is how many requests may run at once.
-	Slots int
-	// Reserve is how many of the slots are kept for workspaces that run no
-	// more than their part; by default an eighth.
-	Reserve int
-	// Items and Tokens bound what waits; a single request that costs more
-	// than Tokens is taken when nothing else waits.
-	Items  int
-	Tokens int64
-	// WorkspaceItems and WorkspaceTokens bound what one workspace has waiting
-	// in one class; by default a quarter of the whole.
-	WorkspaceItems  int
-	WorkspaceTokens int64
-	// UrgentShare and NormalShare, between 0 and 1, are the parts of the
-	// service that the class may take while a lower one waits.
-	UrgentShare float64
-	NormalShare float64
-	// Burst is how far a class may run ahead of its share, in tokens.
-	Burst int64
-	// Rate is the first guess of the service rate in tokens a second.
-	Rate float64
-}
-
-func (l Limits) withDefaults() Limits {
-	l.Slots = orDefault(l.Slots, defaultSlots)
-	l.Reserve = orDefault(l.Reserve, l.Slots/reservePart)
-	l.Items = orDefault(l.Items, defaultItems)
-	l.Tokens = orDefault(l.Tokens, defaultTokens)
-	l.WorkspaceItems = orDefault(l.WorkspaceItems, max(1, l.Items/workspacePart))
-	l.WorkspaceTokens = orDefault(l.WorkspaceTokens, max(1, l.Tokens/workspacePart))
-	l.Burst = orDefault(l.Burst, max(1, l.Tokens/burstPart))
-	l.Rate = orDefault(l.Rate, defaultRate)
-	l.UrgentShare = shareOrDefault(l.UrgentShare, defaultUrgentShare)
-	l.NormalShare = shareOrDefault(l.NormalShare, defaultNormalShare)
-	return l
-}
-
-func orDefault[T int | int64 | float64](v, def T) T {
-	if v > 0 {
-		return v
-	}
-	return def
-}
-
-func shareOrDefault(v, def float64) float64 {
-	if v > 0 && v < 1 {
-		return v
-	}
-	return def
-}
-
 // Enqueue accepts a request or refuses it. A refusal has the outcome not-run,
 // but for an id that already waits or runs: that one is unknown, since the
 // earlier request may still run. Accepting may shed others; see TakeShed.
--- a/core/request/queue/queue.go
+++ b/core/request/queue/queue.go
@@ -42,7 +42,6 @@
 package queue
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -210,69 +209,6 @@
 	return false
 }
 
-// account books service against the credit of the entry's class and gives the
-// classes above it the credit that this service earns them. The credit guards
-// against a flood of urgent requests that stops all other work: it runs out,
-// and comes back only as the lower classes are served.
-func (q *Queue) account(e *entry, tokens int64) {
-	burst := float64(q.limits.Burst)
-	if e.contested {
-		c := &q.classes[e.Priority]
-		c.credit = math.Min(burst, c.credit-float64(tokens))
-	}
-	for p := Urgent; p < e.Priority; p++ {
-		c := &q.classes[p]
-		earned := float64(tokens) * c.share / (1 - c.share)
-		c.credit = math.Min(burst, c.credit+earned)
-	}
-}
-
-// Served tells that the target has produced tokens more for a running
-// request. Work beyond the expected cost is charged as it comes, so that an
-// answer much longer than expected does not ride on the others.
-func (q *Queue) Served(id string, tokens int64, now time.Time) {
-	e, ok := q.entries[id]
-	if !ok || !e.running || tokens <= 0 {
-		return
-	}
-	q.progress(e, tokens)
-	q.meter.observe(tokens, q.running >= q.limits.Slots, now)
-}
-
-func (q *Queue) progress(e *entry, tokens int64) {
-	rest := max(0, e.Cost-e.served)
-	q.remaining -= min(rest, tokens)
-	e.served += tokens
-	if over := e.served - e.charged; over > 0 {
-		q.correct(e, over)
-	}
-}
-
-func (q *Queue) correct(e *entry, tokens int64) {
-	q.classes[e.Priority].charge(e, tokens)
-	q.account(e, tokens)
-}
-
-// Done ends a running request that was served tokens in all. What was charged
-// too much is given back. An unknown id is ignored.
-func (q *Queue) Done(id string, tokens int64, now time.Time) {
-	e, ok := q.entries[id]
-	if !ok || !e.running {
-		return
-	}
-	saturated := q.running >= q.limits.Slots
-	fresh := max(0, tokens-e.served)
-	q.remaining -= max(0, e.Cost-e.served)
-	e.served += fresh
-	if diff := e.served - e.charged; diff != 0 {
-		q.correct(e, diff)
-	}
-	q.running--
-	q.classes[e.Priority].finish(e)
-	q.release(e)
-	q.meter.observe(fresh, saturated, now)
-}
-
 // Remove takes out a waiting request whose caller has gone, and reports
 // whether it was waiting. A running request is left to Done.
 func (q *Queue) Remove(id string) (Item, bool) {
@@ -285,21 +221,6 @@
 	return item, true
 }
 
-// drop takes out a waiting entry.
-func (q *Queue) drop(e *entry) {
-	q.classes[e.Priority].take(e)
-	q.deadlines.remove(e)
-	q.queued -= e.Cost
-	q.items--
-	q.release(e)
-}
-
-func (q *Queue) release(e *entry) {
-	delete(q.entries, e.ID)
-	*e = entry{next: q.free}
-	q.free = e
-}
-
 func (q *Queue) newEntry(item Item) *entry {
 	e := q.free
 	if e == nil {
--- a/core/request/route/table.go
+++ b/core/request/route/table.go
@@ -1,28 +1,9 @@
 package route
 
 import (
-	"slices"
 	"time"
 )
 
-// poolKey selects the targets that may serve a query.
-type poolKey struct {
-	model, service, group, version, adapter, role string
-}
-
-// pool is a set of targets that may serve the same queries.
-type pool struct {
-	members []uint16
-	// near is the entry's subset of the members in its region, far of those
-	// in other regions.
-	near, far []uint16
-	// choices is how many of near are looked at.
-	choices int
-	ring    []uint16
-	// crowd indexes the statistics of the pool's model or service.
-	crowd int
-}
-
 // crowd holds sums over the targets of one model or service.
 type crowd struct {
 	size   int
@@ -146,95 +127,6 @@
 	return len(t.targets) - 1, nil
 }
 
-// rebuild computes pools, subsets, rings and sums from targets and states.
-func (t *Table) rebuild() {
-	t.rebuildCrowds()
-	sets := map[poolKey][]uint16{}
-	for i := range t.targets {
-		if !t.states[i].configured {
-			continue
-		}
-		g := &t.targets[i]
-		t.states[i].group = t.groupIndex(g.Group)
-		t.states[i].distance = t.distance(g)
-		for _, key := range keysOf(g) {
-			sets[key] = append(sets[key], uint16(i))
-		}
-	}
-	t.pools = make(map[poolKey]*pool, len(sets))
-	same := map[string]*pool{}
-	for key, members := range sets {
-		// Most keys differ in version or adapter only and have the same
-		// members: they share one pool and its ring.
-		id := memberID(members)
-		if same[id] == nil {
-			same[id] = t.newPool(members)
-		}
-		t.pools[key] = same[id]
-	}
-}
-
-func memberID(members []uint16) string {
-	b := make([]byte, 0, 2*len(members))
-	for _, m := range members {
-		b = append(b, byte(m), byte(m>>8))
-	}
-	return string(b)
-}
-
-func (t *Table) newPool(members []uint16) *pool {
-	name := func(m uint16) string { return t.targets[m].Name }
-	// The order of the configuration must not matter to the ring, or entries
-	// would disagree on it.
-	sorted := slices.Clone(members)
-	slices.SortFunc(sorted, func(a, b uint16) int {
-		if name(a) < name(b) {
-			return -1
-		}
-		return 1
-	})
-	var local, remote []uint16
-	for _, m := range sorted {
-		if t.targets[m].Region == t.opt.Region {
-			local = append(local, m)
-			continue
-		}
-		remote = append(remote, m)
-	}
-	return &pool{
-		members: sorted,
-		choices: t.opt.choices(len(members)),
-		near:    subset(local, name, t.opt.index(), t.opt.Subset),
-		far:     subset(remote, name, t.opt.index(), t.opt.Subset),
-		ring:    buildRing(sorted, name),
-		crowd:   t.states[members[0]].crowd,
-	}
-}
-
-// keysOf returns the keys of the queries that a target may serve.
-func keysOf(g *Target) []poolKey {
-	versions := []string{""}
-	if g.Version != "" {
-		versions = append(versions, g.Version)
-	}
-	groups := []string{""}
-	if g.Group != "" {
-		groups = append(groups, g.Group)
-	}
-	adapters := append([]string{""}, g.Adapters...)
-	var keys []poolKey
-	for _, group := range groups {
-		for _, v := range versions {
-			for _, a := range adapters {
-				for _, r := range rolesOf(g.Role) {
-					keys = append(keys, poolKey{g.Model, g.Service, group, v, a, r})
-				}
-			}
-		}
-	}
-	return keys
-}
-
 // The roles of queries that targets of each role serve.
 var (
 	prefillRoles = []string{RolePrefill}
@@ -242,29 +134,6 @@
 	allRoles     = []string{"", RolePrefill, RoleDecode}
 )
 
-func rolesOf(role string) []string {
-	switch role {
-	case RolePrefill:
-		return prefillRoles
-	case RoleDecode:
-		return decodeRoles
-	default:
-		return allRoles
-	}
-}
-
-// distance returns the penalty in seconds for where a target is.
-func (t *Table) distance(g *Target) float64 {
-	switch {
-	case g.Region != t.opt.Region:
-		return t.opt.RegionPenalty.Seconds()
-	case g.Zone != t.opt.Zone:
-		return t.opt.ZonePenalty.Seconds()
-	default:
-		return 0
-	}
-}
-
 func (t *Table) groupIndex(name string) int {
 	g, ok := t.byGroup[name]
 	if !ok {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -6,8 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -261,81 +259,3 @@
 	}
 	f.Store.Put(key, data)
 }
-
-// Configure writes a new configuration with a time limit for plain requests.
-func (f *Fleet) Configure(timeoutMs int) {
-	f.version += 3
-	route := func(name, prefix, kind, backend string, more map[string]any) map[string]any {
-		r := map[string]any{
-			"name": name, "host": host, "prefix": prefix, "kind": kind, "backend": backend,
-			"timeoutMs": timeoutMs, "sloMs": 300, "priority": 1, "maxAttempts": 2,
-		}
-		for k, v := range more {
-			r[k] = v
-		}
-		return r
-	}
-	f.put("op/config", map[string]any{
-		"version": f.version,
-		"routes": []any{
-			route("drafts", streamPrefix, "stream", "pool", map[string]any{"timeoutMs": 8000, "resumable": true, "gapTargetMs": 120}),
-			route("lookups", safePrefix, "safe", "desk", nil),
-			route("holds", unsafePrefix, "unsafe", "desk", map[string]any{"maxAttempts": 1}),
-		},
-		"backends": []any{
-			map[string]any{"name": "pool", "healthPath": "/healthz", "maxConns": 400, "engine": map[string]any{
-				"slots": slots, "kvTokens": 100000, "linkMbps": 1000.0, "sets": layers, "experts": experts, "places": places,
-				"spare": spare, "expertMb": 1.0, "usual": map[string]any{"prompt": 100, "answer": 50},
-			}},
-			map[string]any{"name": "desk", "healthPath": "/healthz", "maxConns": 100},
-		},
-		"tenants": []any{map[string]any{"name": workspace, "apiKeys": []string{secret}}},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
-}
-
-// Resettle writes the settings file of a process anew, with another interval of the
-// servers' heartbeats and a field that nobody knows.
-func (f *Fleet) Resettle(b Boot, heartbeatMs int) error {
-	data, err := os.ReadFile(b.File)
-	if err != nil {
-		return err
-	}
-	boot := map[string]any{}
-	if err := json.Unmarshal(data, &boot); err != nil {
-		return err
-	}
-	boot["heartbeatMs"], boot["newer"] = heartbeatMs, map[string]any{"field": true}
-	if data, err = json.MarshalIndent(boot, "", "  "); err != nil {
-		return err
-	}
-	// A process that starts meanwhile must not read half of it.
-	next := b.File + ".next"
-	if err := os.WriteFile(next, data, 0o600); err != nil {
-		return err
-	}
-	return os.Rename(next, b.File)
-}
-
-// writeBoot writes the settings file of one process.
-func (f *Fleet) writeBoot(name, role, ip string, listen map[string]string, app string) error {
-	boot := map[string]any{
-		"node": name, "role": role, "ip": ip, "zone": "z1", "listen": listen,
-		"portRange": []int{peerPort, lastPort}, "heartbeatMs": 1000,
-		"limits":   map[string]any{"memoryMb": 200},
-		"provider": map[string]any{"addr": net.JoinHostPort(f.ip(1), strconv.Itoa(storePort)), "form": "kv", "writesPerS": 400, "readsPerS": 2000},
-		"bounds": map[string]any{
-			"graceS": graceSeconds, "drainMs": 2000, "retryBudgetRatio": 0.2, "budgetSlack": 90, "budgetWindowS": 10, "enforceFencing": false,
-		},
-	}
-	if app != "" {
-		boot["app"], boot["backend"] = app, "pool"
-	}
-	data, err := json.MarshalIndent(boot, "", "  ")
-	if err != nil {
-		return err
-	}
-	file := filepath.Join(f.Dir, name+".json")
-	f.Boots = append(f.Boots, Boot{Name: name, Role: role, File: file})
-	return os.WriteFile(file, data, 0o600)
-}
