A server that is back at once after a crash is told by the store; soak with requests that crash servers

Found by reading: a detector that is answered at the target's address took the target for alive, also if its process had been started again within 50 ms, or stood behind a proxy that listens for it. Such a request was never held back.

--- a/gateway/crash/detector.go
+++ b/gateway/crash/detector.go
@@ -5,13 +5,16 @@
 // break it as well. So a Detector asks: if nobody listens at the target's address, its
 // process has ended, by a crash if it had not said that it would. Where the address does not
 // answer at all, as that of an instance without power, the word of the store decides, once
-// the target's entry has gone.
+// the target's entry has gone. Where somebody listens, the target lives, unless the store
+// soon tells that it has started again: a process that is back at once, or one behind a
+// proxy, is not told by its address.
 //
 // # Usage
 //
 //	d := crash.New(tcp.Dial, serves, log, func(c quarantine.Crash) { report(c) })
 //	d.Broke(target, print)  // an answer of the target broke off
-//	d.Gone(target)          // its entry has gone, or tells of a later start
+//	d.Gone(target)          // its entry has gone
+//	d.Restarted(target)     // its entry, or another one at its address, tells of a later start
 //	d.Tick(time.Now())      // now and then
 package crash
 
@@ -39,6 +42,9 @@
 	// memory is for how long a broken answer waits for the store's word: three missed
 	// heartbeats of the target, and the time in which a gateway hears of them.
 	memory = 10 * time.Second
+	// livingMemory is the same for one of a target that somebody listens for: a server that has
+	// started again writes its entry when it starts.
+	livingMemory = 5 * time.Second
 	// maxRequests bounds the requests that are remembered of one target.
 	maxRequests = 64
 	// maxLogged is how many of them a line has.
@@ -68,13 +74,36 @@
 
 // breaks are the answers of one target that broke off and are not accounted for.
 type breaks struct {
-	target   deployment.Target
-	requests []quarantine.Print
-	last     time.Time
+	target deployment.Target
+	// fresh have broken off since somebody was last seen to listen for the target, before
+	// those that had broken off until then.
+	fresh  []quarantine.Print
+	before []broken
+	last   time.Time
 	// asking says that its address is being asked.
 	asking bool
 }
 
+// broken is a request whose answer broke off.
+type broken struct {
+	request quarantine.Print
+	at      time.Time
+}
+
+// over reports whether all answers have broken off too long ago to be accounted for.
+func (b *breaks) over(now time.Time) bool { return !b.asking && now.Sub(b.last) > memory }
+
+// recent returns the requests that may have been under way when a target started again.
+func (b *breaks) recent(now time.Time) []quarantine.Print {
+	list := slices.Clone(b.fresh)
+	for _, r := range b.before {
+		if now.Sub(r.at) <= livingMemory && len(list) < maxRequests && !slices.Contains(list, r.request) {
+			list = append(list, r.request)
+		}
+	}
+	return list
+}
+
 // New returns a Detector that hands on each crash that it has found.
 func New(dial upstream.Dialer, serves func(deployment.Target) bool, log *slog.Logger, ended func(quarantine.Crash)) *Detector {
 	return &Detector{dial: dial, serves: serves, log: log, ended: ended, suspect: map[life]*breaks{}}
@@ -84,14 +113,15 @@
 func (d *Detector) Broke(t deployment.Target, p quarantine.Print) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	b := d.suspect[lifeOf(t)]
-	if b == nil {
+	if b == nil || b.over(now) {
 		b = &breaks{target: t}
 		d.suspect[lifeOf(t)] = b
 	}
-	b.last = time.Now()
-	if len(b.requests) < maxRequests && !slices.Contains(b.requests, p) {
-		b.requests = append(b.requests, p)
+	b.last = now
+	if len(b.fresh) < maxRequests && !slices.Contains(b.fresh, p) {
+		b.fresh = append(b.fresh, p)
 	}
 	if !b.asking {
 		b.asking = true
@@ -102,24 +132,47 @@
 // Refused takes the word that nobody listens at a target's address. One that has said that
 // it leaves, or has taken its entry back, has ended as planned.
 func (d *Detector) Refused(t deployment.Target) {
-	if d.serves(t) {
-		d.crashed(lifeOf(t), "nobody listens")
-		return
+	b := d.take(t)
+	if b != nil && d.serves(t) {
+		d.tell(b, b.fresh, "nobody listens")
 	}
+}
+
+// Gone takes the word of the store that a target's entry has gone. What had broken off while
+// somebody listened for it has nothing to do with that.
+func (d *Detector) Gone(t deployment.Target) {
+	if b := d.take(t); b != nil {
+		d.tell(b, b.fresh, "its entry has gone")
+	}
+}
+
+// Restarted takes the word of the store that a target has started again since.
+func (d *Detector) Restarted(t deployment.Target) {
+	if b := d.take(t); b != nil {
+		d.tell(b, b.recent(time.Now()), "it has started again")
+	}
+}
+
+// take returns what is not accounted for of a target, and forgets it.
+func (d *Detector) take(t deployment.Target) *breaks {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	b := d.suspect[lifeOf(t)]
+	if b == nil {
+		return nil
+	}
 	delete(d.suspect, lifeOf(t))
+	taken := *b
+	taken.fresh, taken.before = slices.Clone(b.fresh), slices.Clone(b.before)
+	return &taken
 }
 
-// Gone takes the word of the store that a target's life is over.
-func (d *Detector) Gone(t deployment.Target) { d.crashed(lifeOf(t), "its entry has gone") }
-
 // Tick forgets the answers that broke off long ago.
 func (d *Detector) Tick(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for key, b := range d.suspect {
-		if !b.asking && now.Sub(b.last) > memory {
+		if b.over(now) {
 			delete(d.suspect, key)
 		}
 	}
@@ -130,12 +183,12 @@
 	for {
 		pause.For(context.Background(), settle)
 		d.mu.Lock()
-		before := len(b.requests)
+		count := len(b.fresh)
 		d.mu.Unlock()
 		err := d.connect(b.target)
 		switch {
 		case err == nil:
-			if d.lives(b, before) {
+			if d.answered(b, count) {
 				return
 			}
 			continue // More answers have broken off meanwhile.
@@ -162,20 +215,21 @@
 	return nil
 }
 
-// lives records that a target lives after so many of its broken answers, and reports
-// whether that were all.
-func (d *Detector) lives(b *breaks, count int) bool {
+// answered records that somebody listens for a target after so many of its broken answers,
+// and reports whether that were all.
+func (d *Detector) answered(b *breaks, count int) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	b.requests = slices.Clone(b.requests[min(count, len(b.requests)):])
-	if len(b.requests) > 0 {
-		return false
-	}
-	b.asking = false
-	if d.suspect[lifeOf(b.target)] == b {
-		delete(d.suspect, lifeOf(b.target))
+	now := time.Now()
+	b.before = slices.DeleteFunc(b.before, func(r broken) bool { return now.Sub(r.at) > livingMemory })
+	for _, p := range b.fresh[:count] {
+		if len(b.before) < maxRequests {
+			b.before = append(b.before, broken{p, now})
+		}
 	}
-	return true
+	b.fresh = slices.Delete(b.fresh, 0, count)
+	b.asking = len(b.fresh) > 0
+	return !b.asking
 }
 
 // asked records that a target's address was asked and that nothing more is known by that.
@@ -185,20 +239,15 @@
 	b.asking = false
 }
 
-// crashed hands on the crash of a target, if answers broke off with it.
-func (d *Detector) crashed(key life, how string) {
-	d.mu.Lock()
-	b := d.suspect[key]
-	if b == nil {
-		d.mu.Unlock()
+// tell hands on the crash of a target, if answers broke off with it.
+func (d *Detector) tell(b *breaks, requests []quarantine.Print, how string) {
+	if len(requests) == 0 {
 		return
 	}
-	delete(d.suspect, key)
-	requests, last := slices.Clone(b.requests), b.last
-	d.mu.Unlock()
-	d.log.Warn("target crashed", "target", key.id, "service", b.target.Service, "addr", b.target.Addr.String(), "born", key.born,
-		"how", how, "broken-off", len(requests), "prints", short(requests), "after-ms", time.Since(last).Milliseconds())
-	d.ended(quarantine.Crash{Target: key.id, Born: key.born, Requests: requests})
+	t := b.target
+	d.log.Warn("target crashed", "target", t.ID, "service", t.Service, "addr", t.Addr.String(), "born", t.Born,
+		"how", how, "broken-off", len(requests), "prints", short(requests), "after-ms", time.Since(b.last).Milliseconds())
+	d.ended(quarantine.Crash{Target: t.ID, Born: t.Born, Requests: requests})
 }
 
 // short returns the beginnings of some fingerprints for a line.
--- a/gateway/crash/detector_test.go
+++ b/gateway/crash/detector_test.go
@@ -70,13 +70,19 @@
 		after func(b *bench)
 		want  int
 	}{
-		"somebody listens":                     {nil, nil, 0},
-		"somebody listens, and it leaves soon": {nil, func(b *bench) { b.Gone(target()) }, 0},
-		"nobody listens":                       {syscall.ECONNREFUSED, nil, 1},
-		"nobody listens, and its entry goes":   {syscall.ECONNREFUSED, func(b *bench) { b.Gone(target()) }, 1},
-		"no answer":                            {errSilent, nil, 0},
-		"no answer, and its entry goes":        {errSilent, func(b *bench) { b.Gone(target()) }, 1},
-		"no answer, and a call is refused":     {errSilent, func(b *bench) { b.Refused(target()) }, 1},
+		"somebody listens":                           {nil, nil, 0},
+		"somebody listens, and it leaves soon":       {nil, func(b *bench) { b.Gone(target()) }, 0},
+		"somebody listens, and it has started again": {nil, func(b *bench) { b.Restarted(target()) }, 1},
+		"somebody listens, and it starts again later": {nil, func(b *bench) {
+			time.Sleep(livingMemory)
+			b.Restarted(target())
+		}, 0},
+		"no answer, and it has started again": {errSilent, func(b *bench) { b.Restarted(target()) }, 1},
+		"nobody listens":                      {syscall.ECONNREFUSED, nil, 1},
+		"nobody listens, and its entry goes":  {syscall.ECONNREFUSED, func(b *bench) { b.Gone(target()) }, 1},
+		"no answer":                           {errSilent, nil, 0},
+		"no answer, and its entry goes":       {errSilent, func(b *bench) { b.Gone(target()) }, 1},
+		"no answer, and a call is refused":    {errSilent, func(b *bench) { b.Refused(target()) }, 1},
 		"no answer, and its entry goes late": {errSilent, func(b *bench) {
 			time.Sleep(memory)
 			b.Tick(time.Now())
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -111,15 +112,17 @@
 			delete(f.gone, id)
 		}
 	}
+	addrs := make(map[netip.AddrPort]bool, len(now))
+	for _, t := range now {
+		addrs[t.Addr] = true
+	}
 	for id, p := range f.pools {
 		t, ok := now[id]
 		if ok && t.Addr == p.Addr && t.Born == p.Born {
 			continue
 		}
 		p.pool.Close()
-		if !p.Draining {
-			f.crashes.Gone(p.Target)
-		}
+		f.ended(p, ok || addrs[p.Addr])
 		delete(f.pools, id)
 		delete(f.gone, id)
 		delete(f.told, id)
@@ -132,6 +135,18 @@
 	f.monitor.Update(f.watched())
 }
 
+// ended tells of a target whose life is over, by the store. One that had said that it leaves has
+// not crashed.
+func (f *fleet) ended(p *pooled, replaced bool) {
+	switch {
+	case p.Draining:
+	case replaced:
+		f.crashes.Restarted(p.Target)
+	default:
+		f.crashes.Gone(p.Target)
+	}
+}
+
 // watched returns the targets whose health is watched: those with connections.
 func (f *fleet) watched() []health.Member {
 	members := make([]health.Member, f.table.Len())
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -33,8 +34,8 @@
 // a seed, in series and overlapping: processes killed, paused, stopped gently one
 // after the other and restarted, settings changed, links delayed, reset, silent and cut
 // in one direction, the store away or forgetful, orders carried out late, servers that
-// refuse, stand still, or crash and start again under their ID so that a group is formed
-// anew, configurations and shifts of the load. Clocks don't jump here: that would take a
+// refuse, stand still, crash under a request that comes again, or crash and start again under
+// their ID so that a group is formed anew, configurations and shifts of the load. Clocks don't jump here: that would take a
 // privilege. What callers got
 // and servers ran must keep the promises all the while, and when the faults stop,
 // everybody is served again.
@@ -88,7 +89,9 @@
 	*fleetScene
 	rng          *rand.Rand
 	down, paused map[string]bool
-	done         []string
+	// crashing sends requests that crash their servers.
+	crashing sync.WaitGroup
+	done     []string
 }
 
 func (f *faulty) note(format string, args ...any) {
@@ -113,7 +116,7 @@
 		f.raise()
 		return
 	}
-	switch f.rng.IntN(18) {
+	switch f.rng.IntN(19) {
 	case 0, 1:
 		name := f.victim()
 		f.note("kill %s", name)
@@ -173,6 +176,14 @@
 		f.Crash(rank, time.Duration(f.rng.Int64N(int64(longest))))
 	case 17:
 		f.roll()
+	case 18:
+		kind := []string{fleet.Stream, fleet.Safe}[f.rng.IntN(2)]
+		f.note("a request crashes servers of %s", kind)
+		f.crashing.Go(func() {
+			ctx, stop := context.WithTimeout(f.ctx, longest)
+			defer stop()
+			fleet.Crashing(ctx, f.Fleet, kind, repeatPause)
+		})
 	}
 }
 
@@ -231,6 +242,8 @@
 	f.Store.SetDown(false)
 	f.Store.SetSilent(false)
 	f.Refuse(false)
+	f.crashing.Wait()
+	time.Sleep(fleet.CrashAway) // Servers that were crashed are back.
 	f.Links.Silence(false)
 	f.Links.Delay(fleet.Towards, 0)
 	f.Links.Delay(fleet.Back, 0)
--- a/standin/fleet/process.go
+++ b/standin/fleet/process.go
@@ -12,20 +12,24 @@
 	addr    string
 	handler http.Handler
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// server is nil while the process has ended.
 	server *http.Server
 }
 
-// start listens and serves.
+// start listens and serves, if the process has ended.
 func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.server != nil {
+		return nil
+	}
 	l, err := net.Listen("tcp", p.addr)
 	if err != nil {
 		return err
 	}
 	s := &http.Server{Handler: p.handler, ReadHeaderTimeout: time.Minute}
-	p.mu.Lock()
 	p.server = s
-	p.mu.Unlock()
 	go func() {
 		// It ends when stop closes it.
 		_ = s.Serve(l)
@@ -37,6 +41,10 @@
 func (p *process) stop() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.server == nil {
+		return
+	}
 	// Requests in progress are of no interest any more.
 	_ = p.server.Close()
+	p.server = nil
 }
