Under the race detector agents are left ten times as long to answer

An agent may take 240 ms, a relay 300 ms; instrumented code that shares five cores with eight busy loops takes longer, and is rightly taken for one that does not answer. Change: the waits are scaled by ten in builds with the race detector only; checks and bounds are unchanged. The product is unchanged.

--- a/sidecar/branch.go
+++ b/sidecar/branch.go
@@ -15,8 +15,8 @@
 	// memberWait is how long a relay waits for a member: for its order, its reading and
 	// the way. relayWait is how long the steward waits for the relay, which has to make
 	// its connections and to pack what it was told.
-	memberWait = orderTries*ownWait + readWait + 20*time.Millisecond
-	relayWait  = memberWait + 100*time.Millisecond
+	memberWait = orderTries*ownWait + readWait + 20*time.Millisecond*waitScale
+	relayWait  = memberWait + 100*time.Millisecond*waitScale
 )
 
 // branch is the steward's way to some ranks of its group: through the agent beside one
--- a/sidecar/link.go
+++ b/sidecar/link.go
@@ -15,8 +15,8 @@
 	// tellWait is how long an agent may take to answer for its own rank: its own waits
 	// for the rank and the way there and back. One that has not answered last time gets
 	// lostWait, so that the others still hear the steward in time.
-	tellWait = orderTries*ownWait + readWait + 60*time.Millisecond
-	lostWait = 50 * time.Millisecond
+	tellWait = orderTries*ownWait + readWait + 60*time.Millisecond*waitScale
+	lostWait = 50 * time.Millisecond * waitScale
 	// redialEvery is the pause between tries to reach an agent.
 	redialEvery = 250 * time.Millisecond
 )
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -91,7 +91,7 @@
 	// ask for it.
 	viewEvery = 150 * time.Millisecond
 	// viewWait is how long a relay may take to take a view.
-	viewWait = 200 * time.Millisecond
+	viewWait = 200 * time.Millisecond * waitScale
 )
 
 // tellViews gives the relays the view that gateways ask them for. Five times a second to
--- /dev/null
+++ b/sidecar/waits.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package main
+
+// waitScale multiplies the waits for other instances.
+const waitScale = 1
