A request that an operator has freed stays free

Found by reading: an operator removes the key of a request that is held back, and the reports of its crashes still stand in the store. A gateway that started later, or read everything again, held it back again by them. Whoever sees the key go now tells that the request is free, and a request that is told to be free is, whatever reports say of earlier crashes (TestFreedRequestStaysFree, TestOperatorFreesARequest). Of items that were changed together, what was written is passed on before what was removed, so that a trial's end is told once.

--- a/core/configuration/mirror/listen.go
+++ b/core/configuration/mirror/listen.go
@@ -33,8 +33,22 @@
 			}
 		}
 		if whole || len(of) > 0 {
-			slices.SortStableFunc(of, func(a, b kv.Item) int { return cmp.Compare(a.Revision, b.Revision) })
+			slices.SortStableFunc(of, inOrder)
 			l.fn(of, whole)
 		}
 	}
 }
+
+// inOrder compares items by their revisions; of those that were changed together, what was
+// written comes before what was removed.
+func inOrder(a, b kv.Item) int {
+	switch {
+	case a.Revision != b.Revision:
+		return cmp.Compare(a.Revision, b.Revision)
+	case a.Removed == b.Removed:
+		return 0
+	case a.Removed:
+		return 1
+	}
+	return -1
+}
--- a/core/request/quarantine/register.go
+++ b/core/request/quarantine/register.go
@@ -114,13 +114,18 @@
 
 // Remove takes the word that an item has been removed from the store. A request whose hold
 // is removed, by an operator or after a trial, is free: what was known of its crashes does
-// not count any more.
-func (g *Register) Remove(key string) {
+// not count any more. It reports whether one was freed that was held back until then: the
+// reports of its crashes still stand in the store, and must not count for whoever reads
+// them next.
+func (g *Register) Remove(key string) (freed Print, ok bool) {
 	delete(g.reports, key)
 	delete(g.holds, key)
-	if p, err := heldPrint(key); err == nil {
-		g.acquit(p)
+	p, err := heldPrint(key)
+	if err != nil || g.held[p] == nil {
+		return Print{}, false
 	}
+	g.acquit(p)
+	return p, true
 }
 
 // Keep takes the keys that stand in the store after everything was read: the others have
@@ -142,7 +147,7 @@
 // targets have answered whole here, and that others may hold for culprits.
 func (g *Register) Report(r *Report, now time.Time) (innocent []Print) {
 	for _, p := range r.Completed {
-		g.clear(p)
+		g.acquit(p)
 	}
 	for i := range r.Crashes {
 		g.record(&r.Crashes[i], now)
--- a/core/request/quarantine/register_test.go
+++ b/core/request/quarantine/register_test.go
@@ -247,10 +247,35 @@
 	other := newBench(t)
 	other.store(1, Hold{Crashes: 3, Trials: 1})
 	other.Equal(other.held(), []int{1})
-	other.Remove(HoldKey(printOf(1)))
+	freed, ok := other.Remove(HoldKey(printOf(1)))
+	other.True(ok)
+	other.Equal(freed, printOf(1))
 	other.Equal(other.held(), nil)
 }
 
+// An operator frees a request. The reports of its crashes still stand in the store; a gateway
+// that starts later reads them, and must not hold the request back by them again.
+func TestFreedRequestStaysFree(t *testing.T) {
+	var items [][2]string
+	put := func(n int, r Report) { items = append(items, [2]string{ReportKey("front-1", n), string(r.Bytes())}) }
+	for n := range 3 {
+		put(n, Report{Crashes: []Crash{{Target: fmt.Sprint(n), Requests: []Print{printOf(1)}}}})
+	}
+	b := newBench(t)
+	b.store(1, Hold{Crashes: 3})
+	freed, ok := b.Remove(HoldKey(printOf(1)))
+	b.True(ok)
+	put(3, Report{Completed: []Print{freed}}) // as a gateway does that has seen it
+	later := newBench(t)
+	for i, it := range items {
+		_, err := later.Take(it[0], int64(i+1), []byte(it[1]), later.now)
+		later.NoErr(err)
+	}
+	later.Equal(later.held(), nil)
+	_, ok = later.Remove(HoldKey(printOf(1)))
+	later.True(!ok) // it was told already
+}
+
 // A gateway starts again while a request is held back: it reads so in the store, and knows
 // of what has been removed meanwhile.
 func TestStart(t *testing.T) {
--- a/gateway/heldback_test.go
+++ b/gateway/heldback_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"sync"
 	"testing"
@@ -281,3 +282,25 @@
 	r.True(other.try(t.Context(), r.print(), v))
 	r.True(!r.gateway.isolator.try(t.Context(), r.print(), v))
 }
+
+// An operator removes the key of a request that is held back: it is served again, and those
+// who read the reports of its crashes later are told.
+func TestOperatorFreesARequest(t *testing.T) {
+	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
+	r := newHeldRig(t, deployment.Safe, s)
+	r.hold(quarantine.Hold{Crashes: 3})
+	_, answer := r.ask()
+	r.Equal(answer.Status, http.StatusServiceUnavailable)
+	r.gateway.isolator.take([]kv.Item{{Key: quarantine.HoldKey(r.print()), Revision: 9, Removed: true}}, false)
+	_, answer = r.ask()
+	r.Equal(answer.Status, http.StatusOK)
+	r.True(r.gateway.isolator.tell(t.Context()))
+	for _, it := range r.shelf.all() {
+		var told quarantine.Report
+		if json.Unmarshal(it.Value, &told) == nil && len(told.Completed) == 1 {
+			r.Equal(told.Completed[0], r.print())
+			return
+		}
+	}
+	t.Error("nobody is told")
+}
--- a/gateway/isolator.go
+++ b/gateway/isolator.go
@@ -103,7 +103,10 @@
 	for _, it := range items {
 		keys[it.Key] = !it.Removed
 		if it.Removed {
-			s.register.Remove(it.Key)
+			if p, ok := s.register.Remove(it.Key); ok {
+				s.log.Info("request cleared", "print", p.Short(), "reason", "its hold was removed")
+				s.innocent([]quarantine.Print{p})
+			}
 			continue
 		}
 		innocent, err := s.register.Take(it.Key, it.Revision, it.Value, now)
