News of a revision during a read of the store is no sign that the store has gone back

What callers saw: of two operators who confirm plans that conflict, the loser was told 'regressed', as if the store had been restored from a copy, and not who had won. Cause: the revision in force on the entry was looked up after the head had been read; it had become 2 by a heartbeat in between ('configuration in force' revision 2 and 'answer regressed' 0.4 ms apart in the entry's log). Ruled out: load as the cause, which only widens the gap; the code is as old as the check. Change: what is known before the read is compared; the store's answer cannot be older than that unless it has gone back. TestNewsDuringAReadIsNoRegress fails without it.

--- a/core/configuration/intent/head.go
+++ b/core/configuration/intent/head.go
@@ -38,11 +38,16 @@
 // Read returns the head and its version in the store; before the first
 // configuration both are zero.
 func (h Head) Read(ctx context.Context) (config.Config, int64, error) {
+	// What is heard while the store answers may be newer than its answer.
+	known := uint64(0)
+	if h.InForce != nil {
+		known = h.InForce()
+	}
 	cur, version, err := h.readAny(ctx)
 	if err != nil {
 		return config.Config{}, 0, err
 	}
-	return cur, version, h.checkRegress(cur.Revision)
+	return cur, version, checkRegress(cur.Revision, known)
 }
 
 // readAny reads the head, even one older than the revision in force.
@@ -64,11 +69,8 @@
 // checkRegress is for a store that was restored from a copy. A change on top
 // of the old head would get a revision number that nodes already hold for
 // another configuration, so that half of the fleet would ignore it.
-func (h Head) checkRegress(stored uint64) error {
-	if h.InForce == nil {
-		return nil
-	}
-	if inForce := h.InForce(); inForce > stored {
+func checkRegress(stored, inForce uint64) error {
+	if inForce > stored {
 		return &RegressedError{Stored: stored, InForce: inForce}
 	}
 	return nil
--- a/core/configuration/intent/intent_test.go
+++ b/core/configuration/intent/intent_test.go
@@ -293,6 +293,34 @@
 	is.Equal(f.writes, writes)
 }
 
+// newsDuring is a store during whose answers the node hears of a newer revision.
+type newsDuring struct {
+	intent.Store
+	news func()
+}
+
+func (s newsDuring) Get(ctx context.Context, key string) (store.KV, error) {
+	kv, err := s.Store.Get(ctx, key)
+	s.news()
+	return kv, err
+}
+
+// Two operators confirm plans that conflict. While the second entry reads the head, it hears by
+// heartbeat of the revision that the first has made. The loser was told that the store had gone
+// back ("answer":"regressed" in the entry's log, in the same millisecond as "configuration in
+// force" with revision 2), in place of the conflict that names the winner.
+func TestNewsDuringAReadIsNoRegress(t *testing.T) {
+	p, f, is := start(t)
+	inForce := uint64(0)
+	p.Head.InForce = func() uint64 { return inForce }
+	p.Head.Store = newsDuring{Store: f, news: func() { inForce = 7 }}
+	_, _, err := p.Head.Read(t.Context())
+	is.NoErr(err)
+	var regressed *intent.RegressedError
+	_, _, err = p.Head.Read(t.Context()) // it was known before this read
+	is.True(errors.As(err, &regressed))
+}
+
 // The store is restored from a copy in which an intent has one declaration
 // fewer, and the head is put back from a node. The next plan would get the
 // identifier of one that was confirmed, and be shown as confirmed itself.
