Crashes are judged when something new is known of them, not ten times a second

Found by reading the whole change: Register.Due weighed all remembered crashes at each tick of a gateway (100 ms) for as long as three were remembered, which may be weeks, and a gateway listed the addresses of all targets at each new view of the store, though they are needed only where a target has gone. Both are done only when they are needed now; Register.Holds said the same as Held and is gone. Ruled out: a check of Due's cost by its caller, which cannot know what has changed. Not measured.

--- a/core/request/quarantine/register.go
+++ b/core/request/quarantine/register.go
@@ -64,6 +64,9 @@
 	crashes []*crash
 	counts  map[Print]int
 	held    map[Print]*held
+	// unjudged says that crashes are known that have not been judged, or not since the last
+	// change of what is known, or whose word has not settled.
+	unjudged bool
 	// done are requests that targets have answered to this gateway.
 	done recent
 	// reports and holds are the items in the store, by key, with their revisions.
@@ -78,9 +81,6 @@
 // Crashes returns in how many crashes that are remembered a request was under way.
 func (g *Register) Crashes(p Print) int { return g.counts[p] }
 
-// Holds reports whether any request is held back.
-func (g *Register) Holds() bool { return len(g.held) > 0 }
-
 // Held returns how many requests are held back.
 func (g *Register) Held() int { return len(g.held) }
 
@@ -170,6 +170,7 @@
 		if len(c.requests) < maxRequests && !slices.Contains(c.requests, p) {
 			c.requests = append(c.requests, p)
 			g.counts[p]++
+			g.unjudged = true
 		}
 	}
 }
@@ -193,6 +194,7 @@
 }
 
 func (g *Register) uncount(p Print) {
+	g.unjudged = true
 	if g.counts[p]--; g.counts[p] <= 0 {
 		delete(g.counts, p)
 	}
@@ -203,6 +205,7 @@
 	if g.counts[p] == 0 {
 		return
 	}
+	g.unjudged = true
 	delete(g.counts, p)
 	for _, c := range g.crashes {
 		c.requests = slices.DeleteFunc(c.requests, func(q Print) bool { return q == p })
@@ -211,6 +214,7 @@
 
 // acquit frees a request.
 func (g *Register) acquit(p Print) {
+	g.unjudged = true
 	delete(g.held, p)
 	g.clear(p)
 }
--- a/core/request/quarantine/verdict.go
+++ b/core/request/quarantine/verdict.go
@@ -58,8 +58,10 @@
 // Due holds back the requests that have been found to crash their targets since the last
 // call, and returns all holds that are not in the store.
 func (g *Register) Due(now time.Time) map[Print]Hold {
-	if len(g.crashes) >= enough {
+	if g.unjudged && len(g.crashes) >= enough {
 		g.convict(now)
+		newest := g.crashes[len(g.crashes)-1]
+		g.unjudged = now.Sub(newest.heard) < settle
 	}
 	due := map[Print]Hold{}
 	for p, h := range g.held {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -112,17 +112,13 @@
 			delete(f.gone, id)
 		}
 	}
-	addrs := make(map[netip.AddrPort]bool, len(now))
-	for _, t := range now {
-		addrs[t.Addr] = true
-	}
 	for id, p := range f.pools {
 		t, ok := now[id]
 		if ok && t.Addr == p.Addr && t.Born == p.Born {
 			continue
 		}
 		p.pool.Close()
-		f.ended(p, ok || addrs[p.Addr])
+		f.ended(p, ok || listensAt(now, p.Addr))
 		delete(f.pools, id)
 		delete(f.gone, id)
 		delete(f.told, id)
@@ -135,6 +131,16 @@
 	f.monitor.Update(f.watched())
 }
 
+// listensAt reports whether one of the targets has an address.
+func listensAt(targets map[string]deployment.Target, addr netip.AddrPort) bool {
+	for _, t := range targets {
+		if t.Addr == addr {
+			return true
+		}
+	}
+	return false
+}
+
 // ended tells of a target whose life is over, by the store. One that had said that it leaves has
 // not crashed.
 func (f *fleet) ended(p *pooled, replaced bool) {
--- a/gateway/isolator.go
+++ b/gateway/isolator.go
@@ -128,7 +128,7 @@
 func (s *isolator) holds() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.register.Holds()
+	return s.register.Held() > 0
 }
 
 // judge decides on a request that is about to be sent.
