A gateway that has just started holds its callers until it has a configuration

Cause: between listening and the first read of the store (47 ms) a gateway answered 503 "no configuration yet". Callers that reach it then have mostly lost an attempt to the process before, and the refusal was their last answer. Change: package gateway/startup holds requests, bounded in number (512) and time (0.9 s, a third of the caller's patience); once the store is known not to answer they are refused at once, as before. mirror.Follower tells that (OnLost). Ways: refusing at once (the standing way) and holding; listening only once there is a configuration was not built, since the platform's balancer sends callers to an address that refuses connections all the same. TestStartingGatewayHoldsCallers fails without it.

--- a/core/configuration/mirror/follower.go
+++ b/core/configuration/mirror/follower.go
@@ -58,6 +58,7 @@
 	view     atomic.Pointer[View]
 	heard    atomic.Int64
 	onChange []func(*View)
+	onLost   []func()
 	// listeners get the items under prefixes that are no part of the view.
 	listeners []listener
 	started   time.Time
@@ -91,6 +92,10 @@
 // goroutine. It must be called before Run.
 func (f *Follower) OnChange(fn func(*View)) { f.onChange = append(f.onChange, fn) }
 
+// OnLost adds a function that is called when the store stops answering, from Run's
+// goroutine. It must be called before Run.
+func (f *Follower) OnLost(fn func()) { f.onLost = append(f.onLost, fn) }
+
 // The metrics of all Followers of this process: how long ago the store last
 // answered, what became of the calls, and the configuration in force with the
 // revision up to which the view is complete.
@@ -273,6 +278,9 @@
 	if f.lost.IsZero() {
 		f.lost = f.started.Add(time.Duration(f.heard.Load()))
 		f.log.Warn("store does not answer", "error", err.Error())
+		for _, fn := range f.onLost {
+			fn()
+		}
 	}
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -46,7 +46,9 @@
 // journey is where a call has been and where it is.
 type journey struct {
 	attempts retry.Attempts
-	// queued is how long it waited for a place; last is its last attempt.
+	// held is how long it waited for the gateway to start, queued for a place; last is its
+	// last attempt.
+	held   time.Duration
 	queued time.Duration
 	last   sent
 	// ran counts the servers that may have run it.
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -41,6 +41,7 @@
 func follow(lc fx.Lifecycle, f *mirror.Follower, g *gateway) {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.OnChange(g.update)
+	f.OnLost(g.startup.Lost)
 	f.Listen(quarantine.Prefix, g.isolator.take)
 	g.digests.event, g.digests.hint = f.Event, f.Hint
 	lc.Append(fx.Hook{
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -16,6 +16,9 @@
 	if n := c.req.PromptTokens + c.req.AnswerTokens; n > 0 {
 		line = append(line, "tokens", n)
 	}
+	if held := c.held.Milliseconds(); held > 0 {
+		line = append(line, "held-ms", held)
+	}
 	line = append(line, c.chosen()...)
 	line = append(line, c.pacing()...)
 	line = append(line, c.sameness()...)
--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -22,6 +22,7 @@
 	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/plumbing/boot"
 	"verbenashift/core/plumbing/instance"
+	"verbenashift/gateway/startup"
 	"verbenashift/platform"
 	"verbenashift/standin/scripted"
 )
@@ -103,6 +104,12 @@
 	return c, c.Do(r.t.Context())
 }
 
+// restart makes the gateway one that has just started and has no configuration.
+func (r *rig) restart() {
+	r.gateway.catalog.Store(nil)
+	r.gateway.startup = startup.New()
+}
+
 // total counts the arrivals at servers.
 func total(servers ...*scripted.Server) int {
 	n := 0
@@ -543,12 +550,30 @@
 		}
 	}
 	r.Equal(len(s.Seen()), 0)
-	r.gateway.catalog.Store(nil)
+	r.restart()
+	r.gateway.startup.Lost()
 	c := r.call()
 	c.Key = "made-up"
 	r.Equal(c.Do(t.Context()).Status, platform.StatusNotRun)
 }
 
+// Guards against refusing the callers of a gateway that reads its configuration just now:
+// many have lost an attempt already and get no third one.
+func TestStartingGatewayHoldsCallers(t *testing.T) {
+	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
+	r := newRig(t, routeOf(deployment.Safe), s)
+	r.restart()
+	answers := make(chan scripted.Answer)
+	c := r.call()
+	go func() { answers <- c.Do(t.Context()) }()
+	for r.gateway.startup.Held() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	r.Equal(len(s.Seen()), 0)
+	r.gateway.update(&r.view)
+	r.Equal((<-answers).Status, http.StatusOK)
+}
+
 // The operator takes a key away, moves the route to another service and drops a
 // third, all in one version. From the next request on only that holds.
 func TestNewVersionIsInForce(t *testing.T) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"log/slog"
 	"math"
@@ -24,6 +25,7 @@
 	"verbenashift/core/request/admission"
 	"verbenashift/core/request/retry"
 	"verbenashift/gateway/crash"
+	"verbenashift/gateway/startup"
 	"verbenashift/platform"
 )
 
@@ -37,6 +39,8 @@
 	// leaving is set by SIGTERM: the balancer is told to send nothing more.
 	leaving atomic.Bool
 	started time.Time
+	// startup holds requests until there is a configuration.
+	startup *startup.Gate
 
 	mu sync.Mutex
 	// rng is not the fleet's, which another lock guards.
@@ -56,7 +60,7 @@
 	boot, log := env.Boot, env.Log
 	g := &gateway{
 		log: log, tracer: tracer, rng: newRand(), fleet: newFleet(boot.Instance, boot.Zone, log),
-		bounds: boot.Bounds, started: time.Now(), admitters: map[string]*admitter{}, patience: map[string]*retry.Patience{}, budgets: retry.NewBudgets(retryLimits(boot.Bounds)),
+		bounds: boot.Bounds, started: time.Now(), startup: startup.New(), admitters: map[string]*admitter{}, patience: map[string]*retry.Patience{}, budgets: retry.NewBudgets(retryLimits(boot.Bounds)),
 	}
 	g.isolator = newIsolator(boot.Instance, store, log)
 	g.fleet.crashes = crash.New(tcp.Dial, g.fleet.serves, log, g.isolator.crashed)
@@ -112,6 +116,7 @@
 		g.catalog.Store(newCatalog(v.Config))
 		g.showBudgets(v.Config)
 	}
+	g.startup.Open()
 }
 
 // showBudgets shows how many retries each service may get now.
@@ -222,11 +227,10 @@
 // ServeHTTP serves one request.
 func (g *gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := newCall(g, w, r)
-	cat := g.catalog.Load()
-	if cat == nil {
-		c.refuse("no configuration yet", time.Second)
+	if !c.started() {
 		return
 	}
+	cat := g.catalog.Load()
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -245,6 +249,23 @@
 	c.run(ctx)
 }
 
+// started waits until the gateway has a configuration. It answers and reports false if
+// the request is not to wait any longer.
+func (c *call) started() bool {
+	err := c.startup.Wait(c.r.Context(), c.req.Patience)
+	c.held = time.Since(c.arrived)
+	if err == nil {
+		return true
+	}
+	var refused *startup.RefusedError
+	if errors.As(err, &refused) {
+		c.refuse(refused.Reason, refused.RetryAfter)
+		return false
+	}
+	c.callerLeft()
+	return false
+}
+
 // enter waits for a place at the engines. It answers and reports false if the request
 // goes no further.
 func (c *call) enter(ctx context.Context) bool {
--- /dev/null
+++ b/gateway/startup/startup_test.go
@@ -0,0 +1,109 @@
+package startup
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// reason returns why a request was refused, or "".
+func reason(err error) string {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return refused.Reason
+	}
+	return ""
+}
+
+// waiter starts a request and returns where its outcome will be.
+func waiter(ctx context.Context, g *Gate, patience time.Duration) chan error {
+	out := make(chan error, 1)
+	go func() { out <- g.Wait(ctx, patience) }()
+	synctest.Wait()
+	return out
+}
+
+// Guards against refusing callers who could be served some milliseconds later.
+func TestRequestsAreHeldUntilOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := New()
+		first, second := waiter(t.Context(), g, 7*time.Second), waiter(t.Context(), g, 0)
+		is.Equal(g.Held(), 2)
+		time.Sleep(50 * time.Millisecond)
+		is.Equal(len(first)+len(second), 0)
+		g.Open()
+		is.Equal(<-first, nil)
+		is.Equal(<-second, nil)
+		is.Equal(g.Wait(t.Context(), time.Second), nil)
+		is.Equal(g.Held(), 0)
+	})
+}
+
+// Guards against holding callers while the configuration can't come.
+func TestLostConfigurationRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := New()
+		held := waiter(t.Context(), g, 7*time.Second)
+		g.Lost()
+		g.Lost()
+		is.Equal(reason(<-held), ReasonLost)
+		began := time.Now()
+		is.Equal(reason(g.Wait(t.Context(), 7*time.Second)), ReasonLost)
+		is.Equal(time.Since(began), time.Duration(0))
+		g.Open()
+		is.Equal(g.Wait(t.Context(), 7*time.Second), nil)
+	})
+}
+
+// Guards against holding a caller until it gives up on the process.
+func TestHoldIsBoundedInTime(t *testing.T) {
+	for name, c := range map[string]struct{ patience, want time.Duration }{
+		"long patience":  {7 * time.Second, longestHold},
+		"short patience": {600 * time.Millisecond, 200 * time.Millisecond},
+		"not told":       {0, longestHold},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				began := time.Now()
+				is.Equal(reason(New().Wait(t.Context(), c.patience)), ReasonLong)
+				is.Equal(time.Since(began), c.want)
+			})
+		})
+	}
+}
+
+// Guards against memory that grows with the callers of a process that cannot serve yet.
+func TestHoldIsBoundedInNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := New()
+		for range maxHeld {
+			waiter(t.Context(), g, 7*time.Second)
+		}
+		is.Equal(reason(g.Wait(t.Context(), 7*time.Second)), ReasonFull)
+		g.Open()
+		synctest.Wait()
+		is.Equal(g.Held(), 0)
+	})
+}
+
+// Guards against counting callers that have left as held.
+func TestCallerThatLeavesIsNotHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := New()
+		ctx, cancel := context.WithCancel(t.Context())
+		held := waiter(ctx, g, 7*time.Second)
+		cancel()
+		is.Equal(<-held, context.Canceled)
+		synctest.Wait()
+		is.Equal(g.Held(), 0)
+	})
+}
