How requests wait for engines that are away, and who goes first when they return

A steward that knows none of its ranks yet tells no target, so that gateways took its word for nothing; a load of no requests made each gateway take all free slots for its own part (own 1 of 1), so that twelve of them sent 700 requests to the first group of 240 slots that opened. Ruled out: that the expected wait was too long (nothing waited); that the store or the config was late.

Changes, one decision (core/request/admission, core/request/queue) with a replay of its load each (outage_test.go): - a group of which nothing is known yet gets one request at a time until its load is told or a target takes one; one of which its steward tells that it lacks a rank is tried once a second, and at once when it has its ranks again - a request that was refused waits until a group takes requests and there is a retry for it, as long as its caller waits - how long a caller waits for a first event follows from its route (platform) and from the time to first events, in place of three constants; at its first try 0.7 s while all are down, as before - while requests wait, the free slots are shared out once, not three times over - after all groups were down, callers who come back go first (0.95 for 0.3 of the service) until the line is gone; others come back spread over the time that they have left - a gateway that has just started tells who comes back by the operator's timeout until it has seen 50 callers

--- a/core/configuration/deployment/deployment.go
+++ b/core/configuration/deployment/deployment.go
@@ -66,6 +66,9 @@
 	Objective time.Duration
 	// Gap is the longest pause between events for which a stream is on time.
 	Gap time.Duration
+	// Silence is how long callers of a stream wait for its next event, also for the
+	// first, before they leave; 0 if they wait until their deadline.
+	Silence time.Duration
 	// Priority is 0 for the most urgent requests.
 	Priority int
 	// Split says which services share the requests, by weight.
--- a/core/request/admission/admission.go
+++ b/core/request/admission/admission.go
@@ -44,10 +44,12 @@
 	// one entry. It is learned while they are busy.
 	firstRate = 20000
 	// returnShare is the part of the service that callers who come back may take
-	// while others wait. They are late already. With a quarter more callers than
-	// places as many are served with any share, but with 0.9 two of ten callers are
-	// on time, with 0.3 six (queue.TestOverload).
+	// while others wait. They are late already, and the others can be on time
+	// (queue.TestOverload).
 	returnShare = 0.3
+	// recoveryShare is the same after all groups were down, until all who have waited
+	// for them are gone: the others are late as well then, and have another try left.
+	recoveryShare = 0.95
 )
 
 // Request is a request as a Pool sees it.
@@ -59,6 +61,8 @@
 	Cost int64
 	// Objective is the time within which its route wants the first event.
 	Objective time.Duration
+	// Patience is how long its caller waits for the first event; 0 if that is not known.
+	Patience time.Duration
 	// Returning says that its caller has been refused before.
 	Returning bool
 }
@@ -85,6 +89,10 @@
 	shed    []queue.Shed
 	// emptyAt is when nobody waited last.
 	emptyAt time.Time
+	// recovering says that some who wait have done so since all groups were down.
+	recovering bool
+	// unproven says that nothing is known of groups that are met for the first time.
+	unproven bool
 }
 
 // New returns a Pool without groups: requests wait until there are some. The source
@@ -96,13 +104,22 @@
 	}
 }
 
+// Starting tells that this entry has just started and knows nothing of the groups that it
+// meets. Until the load of such a group is told, or a target there takes a request, it gets
+// one request at a time.
+//
+// The load pattern it answers is a loss of power of entries and engines together: the
+// entries are back first, and what each sends to find that out has to be sent again later,
+// out of the few retries that all of them have.
+func (p *Pool) Starting() { p.unproven = true }
+
 // SetGroups takes how many slots the engines of each group have together. A group that
 // is missing has none any more; it is forgotten when the last request there has ended.
 func (p *Pool) SetGroups(slots map[string]int, now time.Time) {
 	for name, n := range slots {
 		g := p.groups[name]
 		if g == nil {
-			g = &group{name: name}
+			g = &group{name: name, unproven: p.unproven && name != ""}
 			p.groups[name] = g
 		}
 		g.resize(n, now)
@@ -128,7 +145,7 @@
 // Tell takes the load of a group as its steward tells it.
 func (p *Pool) Tell(l Load, now time.Time) {
 	if g := p.groups[l.Group]; g != nil {
-		g.tell(l, now)
+		g.tell(l, p.queue.Load().Items > 0, now)
 		p.pump(now)
 	}
 }
@@ -139,7 +156,13 @@
 	if p.Lasting(now) {
 		return &outcome.Error{Outcome: outcome.NotRun, Reason: queue.ReasonDown}
 	}
-	item := queue.Item{ID: r.ID, Workspace: r.Workspace, Priority: priorityOf(r), Cost: r.Cost, Deadline: p.latestStart(r, now)}
+	p.judge(now)
+	item := queue.Item{
+		ID: r.ID, Workspace: r.Workspace, Priority: priorityOf(r), Cost: r.Cost, Deadline: p.latestStart(r, now),
+		// How long a wait will be is not known while nothing is served, and who comes back
+		// has nothing to gain by a refusal.
+		Patient: r.Returning || p.Down(now),
+	}
 	if refusal := p.queue.Enqueue(item, now); refusal != nil {
 		return refusal
 	}
@@ -159,13 +182,20 @@
 // latestStart is when a request must have started. As long as one group could still
 // serve it in time, it waits for that one.
 func (p *Pool) latestStart(r Request, now time.Time) time.Time {
-	w := queue.Wait{
-		Objective: r.Objective, Service: p.service(), Line: p.line(now),
-		Returning: r.Returning, Closed: p.Closed(),
+	return now.Add(p.wait(r, now).Longest())
+}
+
+func (p *Pool) wait(r Request, now time.Time) queue.Wait {
+	return queue.Wait{
+		Objective: r.Objective, Service: p.service(), Patience: r.Patience, Line: p.line(now),
+		Returning: r.Returning, Closed: p.Down(now),
 	}
-	return now.Add(w.Longest())
 }
 
+// LongestAgain returns how long after its arrival a request may start that a target has
+// refused.
+func (p *Pool) LongestAgain(r Request, now time.Time) time.Duration { return p.wait(r, now).Last() }
+
 // service returns how long the fastest group that takes requests needs to the first
 // event.
 func (p *Pool) service() time.Duration {
--- a/core/request/admission/attempt.go
+++ b/core/request/admission/attempt.go
@@ -9,7 +9,7 @@
 	comebackPart = 0.32
 	// comebackSpread is the part of that time that is random, so that callers
 	// don't come back together.
-	comebackSpread = 0.25
+	comebackSpread = 0.4
 )
 
 // Refused tells that a target has refused the request. It reports whether this closed
@@ -23,12 +23,17 @@
 // the gate of its group.
 func (p *Pool) Accepted(id string, now time.Time) bool {
 	g := p.places[id]
-	if g == nil || !g.gate.Accepted() {
+	if g == nil {
 		return false
 	}
-	g.reopen(now)
-	p.pump(now)
-	return true
+	proved := g.unproven
+	g.unproven = false
+	opened := g.gate.Accepted()
+	if opened || proved {
+		g.reopen(now)
+		p.pump(now)
+	}
+	return opened
 }
 
 // Began tells how long after its start the request got its first event.
@@ -72,7 +77,14 @@
 // MayPass reports whether the request, which was refused, may be tried again now.
 func (p *Pool) MayPass(id string, now time.Time) bool {
 	g := p.places[id]
-	return g == nil || g.gate.Pass(now)
+	if g == nil || g.works(now) {
+		return true
+	}
+	if !g.mayProbe(now) {
+		return false
+	}
+	g.probed(now)
+	return true
 }
 
 // Lasting reports whether all groups have refused for so long that nobody should wait.
@@ -85,6 +97,11 @@
 	return p.every(func(g *group) bool { return g.gate.Closed() })
 }
 
+// Down reports whether no group works, as far as is known.
+func (p *Pool) Down(now time.Time) bool {
+	return p.every(func(g *group) bool { return !g.works(now) })
+}
+
 // every reports whether there is a group with slots and all such are so.
 func (p *Pool) every(so func(*group) bool) bool {
 	some := false
@@ -100,12 +117,12 @@
 	return some
 }
 
-// Comeback returns when the caller of a service that is down may come back, of the time
-// that it has left, and false while the service is up. The queue's own answer follows
-// from its rate, which says nothing then: callers would be back while the service is
-// still down, and lost.
-func (p *Pool) Comeback(left time.Duration) (time.Duration, bool) {
-	if !p.Closed() {
+// Comeback returns when a caller that is refused may come back, of the time that it has
+// left, and false unless all groups are down or have been a moment ago. The queue's own
+// answer follows from its rate, which says nothing then: callers would be back while the
+// service is still down, or all together when it returns, and lost.
+func (p *Pool) Comeback(left time.Duration, now time.Time) (time.Duration, bool) {
+	if !p.recovering && !p.Down(now) {
 		return 0, false
 	}
 	return time.Duration(float64(left) * comebackPart * (1 - comebackSpread*p.rng.Float64())), true
--- a/core/request/admission/choose.go
+++ b/core/request/admission/choose.go
@@ -28,7 +28,7 @@
 	if p.anyWorks(now) {
 		return nil
 	}
-	return p.choose(now, func(g *group) bool { return roomy(g) && g.passes(now) })
+	return p.choose(now, func(g *group) bool { return roomy(g) && g.mayProbe(now) })
 }
 
 // probe returns a group that refuses, though its steward says that it has its ranks, and
@@ -43,9 +43,6 @@
 	return nil
 }
 
-// passes reports whether the gate lets a request through now, without using that up.
-func (g *group) passes(now time.Time) bool { return !g.gate.Closed() || g.gate.Due(now) }
-
 func (p *Pool) anyWorks(now time.Time) bool {
 	for _, g := range p.groups {
 		if g.works(now) {
--- a/core/request/admission/group.go
+++ b/core/request/admission/group.go
@@ -39,6 +39,10 @@
 	// firstEvent is how long its engines take to the first event.
 	firstEvent  queue.ServiceTime
 	silentUntil time.Time
+	// unproven says that nothing is known of it yet; see Pool.Starting.
+	unproven bool
+	// probeAt is when it may get the next request while it does not work.
+	probeAt time.Time
 }
 
 // fresh reports whether the last load still counts.
@@ -53,30 +57,43 @@
 	}
 	g.slots = slots
 	if g.fresh(now) {
-		g.allow()
+		g.allow(false)
 		return
 	}
 	g.age(now)
 }
 
-// tell takes a load.
-func (g *group) tell(l Load, now time.Time) {
+// tell takes a load. A group that has its ranks again is tried at once. Waiting says that
+// requests wait at this entry.
+func (g *group) tell(l Load, waiting bool, now time.Time) {
+	if l.Open && g.lost(now) {
+		g.gate.Retry(now)
+	}
 	g.last, g.toldAt, g.since = l, now, 0
-	g.allow()
+	g.unproven = false
+	if !l.Open {
+		g.allowed = queue.Reopened(g.slots, l.Entries)
+		return
+	}
+	g.allow(waiting)
 }
 
 // allow sets the limit by the last load.
-func (g *group) allow() {
+func (g *group) allow(waiting bool) {
 	if g.slots == 0 {
 		g.allowed = 0
 		return
 	}
-	g.allowed = queue.Allowed(queue.Engines{Slots: g.slots, Running: g.last.Running, Queued: g.last.Queued, Entries: g.last.Entries}, g.own)
+	e := queue.Engines{Slots: g.slots, Running: g.last.Running, Queued: g.last.Queued, Entries: g.last.Entries, Waiting: waiting}
+	g.allowed = queue.Allowed(e, g.own)
 }
 
 // age sets the limit without a load when nothing has been told for a while.
 func (g *group) age(now time.Time) {
-	if !g.fresh(now) {
+	switch {
+	case g.unproven:
+		g.allowed = queue.Reopened(g.slots, g.last.Entries)
+	case !g.fresh(now):
 		g.allowed = queue.Untold(g.slots, g.last.Entries)
 	}
 }
@@ -89,11 +106,34 @@
 
 // start counts a request that goes there.
 func (g *group) start(now time.Time) {
+	if !g.works(now) {
+		g.probed(now)
+	}
 	g.own++
 	g.since++
-	if g.gate.Closed() {
-		// It is the probe; the next one comes later.
-		g.gate.Pass(now)
+}
+
+const (
+	// probeEvery is the pause between the requests that a group gets which does not work,
+	// as far as is known, and lostProbe that of a group of which its steward tells that it
+	// lacks a rank. The steward is seldom wrong, and each such request is refused and has
+	// to be sent again, out of a budget that all entries share.
+	probeEvery = 150 * time.Millisecond
+	lostProbe  = time.Second
+)
+
+// mayProbe reports whether a group that does not work may get a request all the same, so
+// that somebody finds out when it is back.
+func (g *group) mayProbe(now time.Time) bool {
+	return !now.Before(g.probeAt) && (!g.gate.Closed() || g.gate.Due(now))
+}
+
+// probed counts a request to a group that does not work.
+func (g *group) probed(now time.Time) {
+	g.gate.Pass(now)
+	g.probeAt = now.Add(probeEvery)
+	if g.lost(now) {
+		g.probeAt = now.Add(lostProbe)
 	}
 }
 
@@ -102,5 +142,5 @@
 
 // works reports whether the group serves, as far as is known.
 func (g *group) works(now time.Time) bool {
-	return g.slots > 0 && !g.gate.Closed() && !g.lost(now) && !now.Before(g.silentUntil)
+	return g.slots > 0 && !g.unproven && !g.gate.Closed() && !g.lost(now) && !now.Before(g.silentUntil)
 }
--- /dev/null
+++ b/core/request/admission/outage_test.go
@@ -0,0 +1,158 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/request/queue"
+)
+
+// Guards against the loss of requests by an entry that is back before the engines: each one
+// that is sent to find that out is refused, and there are few retries for all of them.
+func TestStartingEntryTriesOneAtATime(t *testing.T) {
+	is := is.New(t)
+	p := newPool()
+	p.Starting()
+	p.SetGroups(map[string]int{"g0": 200, "g1": 200}, start)
+	tried := 0
+	for at := time.Duration(0); at < time.Second; at += 10 * time.Millisecond {
+		for group, ids := range fill(t, p, 1, start.Add(at)) {
+			tried += len(ids)
+			is.True(p.Down(start.Add(at)))
+			p.Refused(ids[0], group+"-x", start.Add(at))
+			p.Leave(ids[0], cost, start.Add(at))
+		}
+	}
+	is.True(tried >= 2 && tried <= 2*int(time.Second/probeEvery+1))
+	now := start.Add(time.Second)
+	p.Tell(Load{Group: "g1", Open: true, Running: 5, Entries: 12}, now)
+	is.True(!p.Down(now))
+	is.True(len(placed(p)["g1"]) > 0)
+}
+
+// Guards against a starting entry that waits for a steward which does not speak: a target
+// that takes a request proves its group.
+func TestAcceptedRequestProvesItsGroup(t *testing.T) {
+	is := is.New(t)
+	p := newPool()
+	p.Starting()
+	p.SetGroups(map[string]int{"g0": 200}, start)
+	got := fill(t, p, 5, start)
+	is.Equal(len(got["g0"]), 1)
+	p.Accepted(got["g0"][0], start.Add(time.Millisecond))
+	is.Equal(len(placed(p)["g0"]), 4)
+}
+
+// Guards against requests that are sent, and refused, while the steward tells that its group
+// lacks a rank; and against waiting any longer than that.
+func TestLostGroupIsTriedSeldom(t *testing.T) {
+	is := is.New(t)
+	p := newPool()
+	p.SetGroups(map[string]int{"g0": 200}, start)
+	tried := 0
+	for i := range 15 {
+		now := start.Add(time.Duration(i) * 200 * time.Millisecond)
+		p.Tell(Load{Group: "g0", Open: false}, now)
+		got := fill(t, p, 1, now)["g0"]
+		tried += len(got)
+		for _, id := range got {
+			p.Refused(id, fmt.Sprint("x", i%3), now)
+			p.Leave(id, cost, now)
+		}
+	}
+	is.True(tried <= int(3*time.Second/lostProbe)+1)
+	now := start.Add(3 * time.Second)
+	p.Tell(Load{Group: "g0", Open: true}, now)
+	is.True(len(placed(p)["g0"]) >= 1)
+}
+
+// recovery replays callers of an entry whose engines are down for two seconds: new ones
+// come each 20 ms, and after a second come back those whose attempts were cut at the loss.
+type recovery struct {
+	pool *Pool
+	t    *testing.T
+	now  time.Time
+	next int
+	// lost counts those of the returning callers that were refused.
+	lost   int
+	served int
+}
+
+func (r *recovery) ask(returning bool) {
+	r.next++
+	id := fmt.Sprintf("%t-%d", returning, r.next)
+	q := Request{ID: id, Workspace: "w", Cost: cost, Objective: objective, Patience: 2 * time.Second, Returning: returning}
+	if refusal := r.pool.Enter(q, r.now); refusal != nil && returning {
+		r.lost++
+	}
+}
+
+func (r *recovery) settle(running map[string]time.Time) {
+	for _, s := range r.pool.Settled() {
+		returning := s.ID[0] == 't'
+		switch {
+		case s.Refusal == nil:
+			running[s.ID] = r.now.Add(2 * time.Second)
+			if returning {
+				r.served++
+			}
+		case returning:
+			r.lost++
+		}
+	}
+}
+
+// Guards against the loss of callers who have no other try left: when engines return after
+// a loss of power, those who come back go first, and nobody is refused by a guess of how
+// long a wait will be.
+func TestReturningCallersGoFirstAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	r := &recovery{pool: newPool(), t: t, now: start}
+	r.pool.SetGroups(map[string]int{"g0": 100}, start)
+	running := map[string]time.Time{}
+	const step, back, open = 20 * time.Millisecond, time.Second, 2 * time.Second
+	for at := time.Duration(0); at < 6*time.Second; at += step {
+		r.now = start.Add(at)
+		for id, end := range running {
+			if !r.now.Before(end) {
+				delete(running, id)
+				r.pool.Leave(id, cost, r.now)
+			}
+		}
+		if at%(200*time.Millisecond) == 0 {
+			r.pool.Tell(Load{Group: "g0", Open: at >= open, Running: len(running), Entries: 1}, r.now)
+		}
+		r.ask(false)
+		if at >= back && at < back+500*time.Millisecond {
+			r.ask(true)
+			r.ask(true)
+		}
+		r.pool.Tick(r.now)
+		r.settle(running)
+	}
+	t.Logf("served %d, lost %d", r.served, r.lost)
+	is.Equal(r.lost, 0)
+}
+
+// Guards against entries that take a moment's free slots several times over, so that what
+// they send waits at the engines until its callers leave.
+func TestWaitingEntriesShareFreeSlots(t *testing.T) {
+	is := is.New(t)
+	const slots, entries = 240, 12
+	for _, running := range []int{0, 6, 60, 200} {
+		e := queue.Engines{Slots: slots, Running: running, Entries: entries, Waiting: true}
+		sum := 0
+		for i := range entries {
+			own := running / entries
+			if i < running%entries {
+				own++
+			}
+			sum += queue.Allowed(e, own) - own
+		}
+		is.True(sum <= slots-running+entries)
+		is.True(sum >= (slots-running)*9/10)
+	}
+}
--- a/core/request/admission/pump.go
+++ b/core/request/admission/pump.go
@@ -27,6 +27,7 @@
 func (p *Pool) pump(now time.Time) {
 	// Also while nothing may start: a request must not wait beyond its limit
 	// because the gates are closed.
+	p.judge(now)
 	p.queue.Expire(now)
 	for p.queue.Load().Items > 0 {
 		g := p.next(now)
@@ -43,6 +44,7 @@
 		p.settled = append(p.settled, Settled{ID: item.ID, Group: g.name})
 	}
 	p.limit()
+	p.judge(now)
 	p.shed = p.queue.TakeShed(p.shed[:0])
 	for _, s := range p.shed {
 		p.settled = append(p.settled, Settled{ID: s.ID, Refusal: s.Refusal})
@@ -51,6 +53,26 @@
 	p.line(now)
 }
 
+// judge decides who goes first: callers who come back, as long as somebody waits who has
+// done so since all groups were down, and else those who can be on time.
+//
+// The load pattern it answers is the return of engines after a loss of power. Whoever was
+// served then has lost an attempt, comes back together with all the others, and mostly has
+// no other try; for about as long as all of them take nobody is on time in any case.
+func (p *Pool) judge(now time.Time) {
+	switch {
+	case p.Down(now):
+		p.recovering = true
+	case p.queue.Load().Items == 0:
+		p.recovering = false
+	}
+	share := returnShare
+	if p.recovering {
+		share = recoveryShare
+	}
+	p.queue.SetUrgentShare(share)
+}
+
 // limit tells the queue how many requests may run in all.
 func (p *Pool) limit() {
 	total := 0
--- a/core/request/queue/admit.go
+++ b/core/request/queue/admit.go
@@ -92,6 +92,9 @@
 	if !now.Before(item.Deadline) {
 		return q.refuse(ReasonExpired, 0)
 	}
+	if item.Patient {
+		return nil
+	}
 	wait := q.wait(item)
 	if !now.Add(duration(wait)).After(item.Deadline) {
 		return nil
--- a/core/request/queue/limiter.go
+++ b/core/request/queue/limiter.go
@@ -9,6 +9,8 @@
 	Slots, Running, Queued int
 	// Entries is how many entries send them requests, 0 if that is not known.
 	Entries int
+	// Waiting says that requests wait at this entry.
+	Waiting bool
 }
 
 const (
@@ -16,15 +18,19 @@
 	// of the requests was its own lately: callers may come to it at any time.
 	leastShare = 0.25
 	// overcommit is how often the free slots may be used if all entries take that part at
-	// once. All see the same free slots: with a quarter each, 53 entries took them
-	// thirteen times over, and 300 to 500 requests waited at 1,152 slots for seconds.
+	// once, while none of them lets requests wait: then few do. All see the same free
+	// slots, and what is too much waits at the engines.
 	overcommit = 3
 )
 
-// leastPart returns the part of the free slots that each of so many entries may use.
-func leastPart(entries int) float64 {
-	if entries <= 0 {
+// leastPart returns the part of the free slots that each of so many entries may use. Where
+// requests wait at one entry they wait at others as well, and all take theirs at once.
+func leastPart(entries int, waiting bool) float64 {
+	switch {
+	case entries <= 0:
 		return leastShare
+	case waiting:
+		return math.Min(leastShare, 1/float64(entries))
 	}
 	return math.Min(leastShare, overcommit/float64(entries))
 }
@@ -50,17 +56,38 @@
 	if total >= slots {
 		return max(1, int(math.Round(slots*float64(own)/total)))
 	}
-	share := leastPart(e.Entries)
+	return own + max(1, int(math.Round((slots-total)*e.share(float64(own), total))))
+}
+
+// share returns the part of the free slots that the entry may use.
+//
+// While requests wait, they wait at all entries, and the parts of all must not be more than
+// there is: each takes the part that its requests have of all, which says little where few
+// run, as at engines that have just come back, and counts together with an even part there.
+func (e Engines) share(own, total float64) float64 {
+	part := leastPart(e.Entries, e.Waiting)
+	if e.Waiting {
+		even := e.Slots / evenPart
+		return (own + part*float64(even)) / (total + float64(even))
+	}
 	if total > 0 {
-		share = math.Max(float64(own)/total, share)
+		return math.Max(own/total, part)
 	}
-	return own + max(1, int(math.Round((slots-total)*share)))
+	return part
 }
 
+// evenPart is the part of the slots, one in so many, that have to be taken for what the
+// requests of an entry are of all to count as much as an even part.
+const evenPart = 8
+
 // Reopened returns how many requests each of so many entries may have at engines that have
 // just come back, until their load is told.
 func Reopened(slots, entries int) int {
-	return max(1, int(leastPart(entries)*reopenedPart*float64(slots)))
+	part := leastShare * reopenedPart
+	if entries > 0 {
+		part = math.Min(part, 1/float64(entries))
+	}
+	return max(1, int(part*float64(slots)))
 }
 
 // Untold returns how many requests an entry may have at engines whose load has not been
@@ -73,7 +100,7 @@
 	return max(1, int(math.Min(1, overcommit/float64(entries))*float64(slots)))
 }
 
-// reopenedPart is the part of the slots that all entries fill together when engines
-// are back: those that waited begin at once, and there is room for whom another
-// entry has let wait.
+// reopenedPart is the part of the slots that a few entries fill together when engines are
+// back: those that waited begin at once, and there is room for whom another entry has let
+// wait.
 const reopenedPart = 0.55
--- a/core/request/queue/queue.go
+++ b/core/request/queue/queue.go
@@ -71,6 +71,8 @@
 	Weight float64
 	// Deadline is the latest useful start; zero means none.
 	Deadline time.Time
+	// Patient items wait until their deadline, whatever the expected wait is.
+	Patient bool
 }
 
 // Shed is an item that the queue gave up after it had accepted it.
@@ -130,6 +132,16 @@
 	q.limits.Reserve = n / reservePart
 }
 
+// SetUrgentShare sets the part of the service that the urgent class may take while a lower
+// one waits; what it has had so far counts no more.
+func (q *Queue) SetUrgentShare(share float64) {
+	c := &q.classes[Urgent]
+	if share == c.share {
+		return
+	}
+	c.share, c.credit = share, float64(q.limits.Burst)
+}
+
 // Load returns the present load.
 func (q *Queue) Load() Load {
 	return Load{Queued: q.queued, Items: q.items, Running: q.running, Slots: q.limits.Slots, Rate: q.meter.rate}
--- a/core/request/queue/wait.go
+++ b/core/request/queue/wait.go
@@ -5,21 +5,20 @@
 const (
 	// leastWait is how long a request may always wait for its place.
 	leastWait = 100 * time.Millisecond
-	// longWait is how long a new request may wait that will be late: one that a target
-	// has refused, until it is tried again, or one that finds a line which has only
-	// begun to form. Callers of streams wait two seconds for a first event.
-	longWait = 1400 * time.Millisecond
 	// shortLine is how long a line may have stood for a request to be let into it
 	// although it will be late: a group that its steward has left in a change stands
 	// for about so long.
 	shortLine = time.Second
-	// returnWait is how long a caller that has been refused before may wait: a
-	// second refusal is mostly its last.
-	returnWait = 1700 * time.Millisecond
-	// closedWait is how long a new request waits while all targets refuse. What
-	// is over in that time was a restart; a lost rank takes seconds, and the
-	// caller had better come back then.
+	// closedWait is how long a request at its first try waits while no target takes
+	// requests. What is over in that time was a restart; a lost rank takes seconds, and the
+	// caller had better come back then, with a try left, than when all others do.
 	closedWait = 700 * time.Millisecond
+	// defaultPatience is how long the caller of a stream waits for its first event where
+	// the route does not tell.
+	defaultPatience = 2 * time.Second
+	// startMargin is what is left between the first event and the end of its caller's
+	// patience: the time on the wire, and of a pass that takes longer than usual.
+	startMargin = 150 * time.Millisecond
 )
 
 // Wait is what decides how long a request may wait for its place.
@@ -27,38 +26,42 @@
 	// Objective is the time within which its route wants the first part of the
 	// answer, Service the time that engines take to it from the start.
 	Objective, Service time.Duration
+	// Patience is how long its caller waits for the first part of the answer; 0 if that
+	// is not known.
+	Patience time.Duration
 	// Line is how long others have been waiting without a break.
 	Line time.Duration
-	// Returning says that its caller has been refused before, Closed that all targets
-	// refuse now.
+	// Returning says that its caller has been refused before, Closed that no target takes
+	// requests now.
 	Returning, Closed bool
 }
 
 // Longest returns how long the request may wait from its arrival.
 //
-// The load patterns it answers are a group that stands still for a moment, and more
-// requests than the engines take, for seconds. The first is over soon, and nobody need
-// be sent away for it. In the second, whoever can't be on time any more is told so, and
-// comes back a moment later: a line of requests that are late already makes all that
-// come after them late as well. With a quarter more callers than places six of ten are
-// on time, and hardly any with a line of 1.4 s (TestOverload).
+// The load patterns it answers are engines that are away for a moment, and more
+// requests than they take, for seconds. The first is over soon, and nobody need be sent
+// away for it: a request waits as long as its caller may still get an answer. In the second, whoever can't be on time any
+// more is told so, and comes back a moment later: a line of requests that are late already
+// makes all that come after them late as well. Who comes back waits as long as it can,
+// since a second refusal is mostly its last.
 func (w Wait) Longest() time.Duration {
 	switch {
 	case w.Returning:
-		return returnWait
+		return w.Last()
 	case w.Closed:
-		return closedWait
+		return min(closedWait, w.Last())
 	case w.Line <= shortLine:
-		return longWait
+		return w.Last()
 	}
-	return max(w.Objective-w.Service, leastWait)
+	return min(max(w.Objective-w.Service, leastWait), w.Last())
 }
 
-// LongestAgain returns how long a request may wait from its arrival to be tried again
-// after a target has refused it.
-func LongestAgain(returning bool) time.Duration {
-	if returning {
-		return returnWait
+// Last returns how long after its arrival the request must have started for its caller
+// to be there still when its answer begins.
+func (w Wait) Last() time.Duration {
+	patience := w.Patience
+	if patience <= 0 {
+		patience = defaultPatience
 	}
-	return longWait
+	return max(patience-w.Service-startMargin, leastWait)
 }
--- a/core/request/retry/patience.go
+++ b/core/request/retry/patience.go
@@ -15,15 +15,33 @@
 //
 // The load pattern it answers is overload, when both kinds wait together: a second
 // refusal is mostly the last, and an answer to who comes back is late in any case.
-// A margin in place of a part took nine callers of ten for returning ones where
-// patience differs by 15 in 100, and put them all into one line.
 type Patience struct {
 	longest time.Duration
+	seen    int
 }
 
+const (
+	// enoughSeen is how many callers have to be seen before the longest patience of all
+	// is taken to be known: those that a process meets right after its start have mostly
+	// lost an attempt to the one before.
+	enoughSeen = 50
+	// boundPart is the part of the operator's timeout, one in so many, that callers must
+	// wait at least for the timeout to tell how long they wait.
+	boundPart = 2
+)
+
 // Returning reports whether a caller that is ready to wait so long has been here
-// before. A caller that does not say counts as one at its first try.
-func (p *Patience) Returning(patience time.Duration) bool {
+// before. A caller that does not say counts as one at its first try. Bound is the longest
+// time that the operator lets such a caller wait, 0 if there is none.
+func (p *Patience) Returning(patience, bound time.Duration) bool {
+	if patience <= 0 {
+		return false
+	}
+	p.seen++
 	p.longest = max(p.longest, patience)
-	return patience > 0 && float64(patience) < firstPart*float64(p.longest)
+	longest := p.longest
+	if p.seen < enoughSeen && p.longest >= bound/boundPart {
+		longest = max(longest, bound)
+	}
+	return float64(patience) < firstPart*float64(longest)
 }
--- a/gateway/admitter.go
+++ b/gateway/admitter.go
@@ -32,11 +32,13 @@
 
 // newAdmitter returns the way to engines that are not known yet.
 func newAdmitter(service string, log *slog.Logger) *admitter {
-	return &admitter{
+	a := &admitter{
 		log: log, service: service,
 		pool:    admission.New(newRand()),
 		waiting: map[string]chan admission.Settled{},
 	}
+	a.pool.Starting()
+	return a
 }
 
 // locked runs a step of the pool and tells the requests what it has decided.
@@ -105,16 +107,30 @@
 		id = strconv.FormatUint(a.next, 36)
 		turn := make(chan admission.Settled, 1)
 		a.waiting[id], ready = turn, turn
-		r := admission.Request{
-			ID: id, Workspace: c.workspaceName(), Cost: int64(c.cost()), Objective: c.route.Objective, Returning: c.returning,
-		}
-		if refusal = p.Enter(r, now); refusal != nil {
+		if refusal = p.Enter(c.asked(id), now); refusal != nil {
 			delete(a.waiting, id)
 		}
 	})
 	return id, ready, refusal
 }
 
+// asked returns the call as a pool sees it.
+func (c *call) asked(id string) admission.Request {
+	return admission.Request{
+		ID: id, Workspace: c.workspaceName(), Cost: int64(c.cost()), Objective: c.route.Objective,
+		Patience: c.silence(), Returning: c.returning,
+	}
+}
+
+// silence is how long the caller waits for the first part of its answer.
+func (c *call) silence() time.Duration {
+	left := c.deadline.Sub(c.arrived)
+	if c.route.Silence > 0 {
+		return min(c.route.Silence, left)
+	}
+	return left
+}
+
 // withdraw takes back a request whose caller has left or whose time is over.
 func (a *admitter) withdraw(id string, ready <-chan admission.Settled) (place, *outcome.Error) {
 	waits := false
@@ -136,7 +152,7 @@
 // later sets in a refusal when the caller may come back, if the service is down.
 func (a *admitter) later(c *call, refusal *outcome.Error) {
 	a.locked(func(p *admission.Pool, now time.Time) {
-		if wait, down := p.Comeback(c.deadline.Sub(now)); down {
+		if wait, down := p.Comeback(c.deadline.Sub(now), now); down {
 			refusal.RetryAfter = wait
 		}
 	})
@@ -173,32 +189,39 @@
 	return at
 }
 
-// pass waits until a request that was refused may be tried again. It reports
-// false if the request had better be refused: the service is down for long, or
-// the time is over that a request waits for a service that is down. Without that
-// bound a caller is held to its deadline. A caller that has a part of its answer
-// waits on, since nothing can be refused any more.
-func (a *admitter) pass(ctx context.Context, c *call) bool {
-	until := c.arrived.Add(queue.LongestAgain(c.returning))
+// pass waits until a request that was refused may be sent again: a group takes requests,
+// and there is a retry for it. It reports false if the request had better be refused: the
+// service is down for long, or the time is over that a request waits for its place.
+// Without that bound a caller is held to its deadline. A caller that has a part of its
+// answer waits on, since nothing can be refused any more.
+func (a *admitter) pass(ctx context.Context, c *call) (waited, ok bool) {
+	until := c.arrived.Add(a.longestAgain(c))
 	for ctx.Err() == nil {
-		may, lasting := a.mayPass(c.place)
+		c.place = a.move(c.place, c.req.ID)
+		may, lasting := a.mayPass(c.place, c.retriesLeft(c.service) >= 1)
 		switch {
 		case may:
-			return true
+			return waited, true
 		case !c.begun && (lasting || time.Now().After(until)):
-			return false
+			return waited, false
 		}
+		waited = true
 		pause.For(ctx, passPoll)
-		c.place = a.move(c.place, c.req.ID)
 	}
-	return true
+	return waited, true
+}
+
+// longestAgain returns how long after its arrival a request may be sent once more.
+func (a *admitter) longestAgain(c *call) (longest time.Duration) {
+	a.locked(func(p *admission.Pool, now time.Time) { longest = p.LongestAgain(c.asked(c.place.id), now) })
+	return longest
 }
 
-// mayPass reports whether the request at a place may be tried again now, and whether
-// the service has been down for long.
-func (a *admitter) mayPass(at place) (may, lasting bool) {
+// mayPass reports whether the request at a place may be tried again now, if there is a
+// retry for it, and whether the service has been down for long.
+func (a *admitter) mayPass(at place, retry bool) (may, lasting bool) {
 	a.locked(func(p *admission.Pool, now time.Time) {
-		may = p.MayPass(at.id, now)
+		may = retry && p.MayPass(at.id, now)
 		lasting = p.Lasting(now)
 	})
 	return may, lasting
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -123,6 +123,12 @@
 		if c.callerLeft() {
 			return
 		}
+		if kind == retry.Refused && !c.again(ctx) {
+			refusal := c.decide(retry.RefusedAll).Err
+			c.admitter.later(c, refusal)
+			c.giveUp(refusal, queue.ReasonDown)
+			return
+		}
 		d := c.decide(kind)
 		if !d.Retry {
 			metricNoRetry.Add(d.Err.Reason, 1)
@@ -135,21 +141,24 @@
 		}
 		c.logRetry(reason)
 		pause.For(ctx, time.Until(d.At))
-		if !c.again(ctx, kind) {
-			refusal := c.decide(retry.RefusedAll).Err
-			c.admitter.later(c, refusal)
-			c.giveUp(refusal, queue.ReasonDown)
-			return
+		if c.admitter != nil {
+			c.place = c.admitter.move(c.place, c.req.ID)
 		}
 	}
 }
 
-// again makes ready for another attempt, perhaps in another group. It reports false if
-// the request was refused and none had better follow.
-func (c *call) again(ctx context.Context, kind retry.Kind) bool {
+// again waits until a request that a target has refused may be sent once more. It
+// reports false if it had better be refused.
+func (c *call) again(ctx context.Context) bool {
 	if c.admitter == nil {
 		return true
 	}
-	c.place = c.admitter.move(c.place, c.req.ID)
-	return kind != retry.Refused || c.admitter.pass(ctx, c)
+	waited, ok := c.admitter.pass(ctx, c)
+	if waited && ok {
+		// All targets of its group have refused: that says nothing of the ones that it
+		// was sent to.
+		c.exclude = route.Exclude{}
+		c.attempts.Errors = 0
+	}
+	return ok
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -140,7 +140,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.service = c.drawService()
-	c.returning = c.gateway.comesBack(c.route.Name, c.req.Patience)
+	c.returning = c.gateway.comesBack(c.route, c.req.Patience)
 	return true
 }
 
--- a/gateway/ranks.go
+++ b/gateway/ranks.go
@@ -57,9 +57,23 @@
 	if r.joined {
 		f.regroup()
 	}
+	if r.service == "" {
+		r.service = f.serviceOf(d.Group.Name)
+	}
 	return r
 }
 
+// serviceOf returns the service of a group's targets: a steward that knows none of its
+// ranks yet has something to tell all the same. It is called with the lock held.
+func (f *fleet) serviceOf(group string) string {
+	for _, p := range f.pools {
+		if f.groupOf(&p.Target) == group {
+			return p.Service
+		}
+	}
+	return ""
+}
+
 // regroup tells the table which groups the targets belong to. It is called with the
 // lock held.
 func (f *fleet) regroup() {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -185,15 +185,15 @@
 }
 
 // comesBack reports whether a caller of a route has come back after an earlier try.
-func (g *gateway) comesBack(route string, patience time.Duration) bool {
+func (g *gateway) comesBack(r *deployment.Route, patience time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p := g.patience[route]
+	p := g.patience[r.Name]
 	if p == nil {
 		p = &retry.Patience{}
-		g.patience[route] = p
+		g.patience[r.Name] = p
 	}
-	return p.Returning(patience)
+	return p.Returning(patience, r.Timeout)
 }
 
 // run lets time pass until the context ends.
