What one gateway learns of a target of plain requests, all act on

Cause: health is judged by each gateway alone. Each gateway meets each server about once a second. Ruled out: slow ejection (the two that did eject took 3 s to see three failures). A third of the targets is never avoided. Requests that may be repeated go on elsewhere, out of the retries. A steward's `target silent` is told by `ctl explain` as before; `target answers nothing` has the same cause.

--- a/core/configuration/mirror/listen.go
+++ b/core/configuration/mirror/listen.go
@@ -12,6 +12,8 @@
 type listener struct {
 	prefix string
 	fn     func(items []kv.Item, whole bool)
+	// changes says that it gets nothing but changes.
+	changes bool
 }
 
 // Listen adds a function that gets what the store says under a prefix, in the order of the
@@ -20,12 +22,23 @@
 // before Run.
 func (f *Follower) Listen(prefix string, fn func(items []kv.Item, whole bool)) {
 	f.prefixes = append(f.prefixes, prefix)
-	f.listeners = append(f.listeners, listener{prefix, fn})
+	f.listeners = append(f.listeners, listener{prefix: prefix, fn: fn})
+}
+
+// ListenChanges adds a function that gets the changes under a prefix as they come, and
+// nothing of what stands there or of what a gap has hidden: nothing is read for it. It is
+// called from Run's goroutine. It must be called before Run.
+func (f *Follower) ListenChanges(prefix string, fn func(items []kv.Item)) {
+	changed := func(items []kv.Item, _ bool) { fn(items) }
+	f.listeners = append(f.listeners, listener{prefix: prefix, fn: changed, changes: true})
 }
 
 // pass hands items to the listeners.
 func (f *Follower) pass(items []kv.Item, whole bool) {
 	for _, l := range f.listeners {
+		if whole && l.changes {
+			continue
+		}
 		var of []kv.Item
 		for _, it := range items {
 			if strings.HasPrefix(it.Key, l.prefix) {
--- /dev/null
+++ b/core/configuration/mirror/listen_test.go
@@ -0,0 +1,67 @@
+package mirror
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/configuration/kv"
+)
+
+// Guards against old words that are taken for new ones, and against a reading of the store for
+// those who want to hear of changes alone.
+func TestListenChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		read := map[string]bool{}
+		s := &script{
+			rangeOf: func(prefix string) (kv.Page, error) {
+				read[prefix] = true
+				if prefix == testConfigKey {
+					return kv.Page{Items: []kv.Item{config(3)}, AsOf: 10}, nil
+				}
+				return kv.Page{AsOf: 10}, nil
+			},
+			watch: func(after int64) (kv.Page, error) {
+				if after < 12 {
+					return kv.Page{Items: []kv.Item{{Key: "news/a", Revision: 11}, {Key: "other/a", Revision: 12}}, AsOf: 12}, nil
+				}
+				return kv.Page{AsOf: 12}, nil
+			},
+		}
+		f := NewFollower(s, testFormats(), quiet())
+		var heard []string
+		f.ListenChanges("news/", func(items []kv.Item) {
+			for _, it := range items {
+				heard = append(heard, it.Key)
+			}
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		cancel()
+		synctest.Wait()
+		is.Equal(heard, []string{"news/a"})
+		is.True(!read["news/"])
+	})
+}
+
+// Guards against a process that waits for a store which does not answer without being told.
+func TestLostStoreIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &script{rangeOf: func(string) (kv.Page, error) { return kv.Page{}, context.DeadlineExceeded }}
+		f := NewFollower(s, testFormats(), quiet())
+		lost := 0
+		f.OnLost(func() { lost++ })
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(5 * time.Second)
+		cancel()
+		synctest.Wait()
+		is.Equal(lost, 1)
+	})
+}
--- /dev/null
+++ b/core/membership/health/unanswered_test.go
@@ -0,0 +1,54 @@
+package health
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// usual returns an AnswerTime that has learned the times of so many answers.
+func usual(n int, d time.Duration) *AnswerTime {
+	var t AnswerTime
+	for range n {
+		t.Observe(d)
+	}
+	return &t
+}
+
+// Guards against doubting targets by a guess, before answers were seen.
+func TestPatienceIsLearned(t *testing.T) {
+	is := is.New(t)
+	_, known := usual(usualSamples-1, time.Millisecond).Patience()
+	is.True(!known)
+	patience, known := usual(usualSamples, time.Millisecond).Patience()
+	is.True(known)
+	is.Equal(patience, leastPending)
+	patience, _ = usual(100, 100*time.Millisecond).Patience()
+	is.Equal(patience, 600*time.Millisecond)
+}
+
+// Guards against requests that wait for a target which answers nothing, and against
+// doubting one that is only slow, or that no other is faster than.
+func TestUnanswered(t *testing.T) {
+	after := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	never := time.Time{}
+	for _, tt := range []struct {
+		name           string
+		target, others time.Time
+		now            time.Time
+		want           bool
+	}{
+		{"target hangs", never, after(90), after(300), true},
+		{"target has answered before", after(-10), after(90), after(300), true},
+		{"others have answered just before", never, after(-500), after(300), true},
+		{"target answers other requests", after(40), after(90), after(300), false},
+		{"no other answers", after(-10), after(-800), after(300), false},
+		{"a packet was lost", never, after(90), after(240), false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			p := Pending{Sent: start, Target: tt.target, Others: tt.others, Patience: leastPending}
+			is.New(t).Equal(p.Unanswered(tt.now), tt.want)
+		})
+	}
+}
--- a/core/plumbing/story/cause.go
+++ b/core/plumbing/story/cause.go
@@ -119,7 +119,7 @@
 	for _, l := range own {
 		switch {
 		case l.ID != end.ID:
-		case l.Message == "target silent":
+		case l.Message == "target silent", l.Message == "target answers nothing":
 			return Cause{ServerSilent, l.Field("target")}
 		case l.Message == "group silent":
 			return Cause{GroupSilent, l.Field("group")}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -20,6 +20,9 @@
 	now := time.Now()
 	a := platform.ParseAnswer(reply.Status, reply.Header)
 	c.fleet.heard(s, a, now)
+	if c.pending != nil {
+		c.fleet.answered(c.pending, !a.NotRun, reply.Status >= http.StatusInternalServerError, now)
+	}
 	if c.admitter != nil && !a.NotRun {
 		c.admitter.accepted(c.place)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -57,6 +57,10 @@
 		watched, c.flight = c.fleet.depart(ctx, s, c.req.ID, c.service, c.ran < c.route.Attempts)
 		defer c.fleet.land(c.flight)
 	}
+	if c.route.Kind != deployment.Stream {
+		watched, c.pending = c.fleet.expect(ctx, s, c)
+		defer c.fleet.settle(c.pending)
+	}
 	reply, err := s.target.pool.Do(watched, c.upstream(s))
 	if err != nil {
 		return c.attemptFailed(watched, s, err)
@@ -88,7 +92,10 @@
 	switch cause {
 	case nil, errStalled:
 		c.fleet.failed(s, severityOf(err), time.Now())
-	case errSlow, errSilentGroup:
+		if c.pending != nil {
+			c.fleet.broke(c.pending, err, time.Now())
+		}
+	case errSlow, errSilentGroup, errUnanswered:
 		err = cause
 	}
 	var notSent *upstream.NotSentError
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -59,6 +59,8 @@
 	place    place
 	// flight is the watch over a stream that may go on elsewhere.
 	flight *flight
+	// pending is the watch over a plain request.
+	pending *pending
 	// failure is the server's own failure, passed on if nothing better comes.
 	failure *answer
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -40,6 +40,11 @@
 	told    map[string]string
 	rng     *rand.Rand
 	flights flights
+	// pendings are the plain requests in progress, doubts the targets that fail while their
+	// peers do not; tellDoubt tells the other gateways.
+	pendings  pendings
+	doubts    health.Doubts
+	tellDoubt func(doubt)
 	// crashes tells targets that have crashed from answers that broke off.
 	crashes *crash.Detector
 	// cost is the moving mean of the requests' costs in tokens.
@@ -57,6 +62,10 @@
 	// when it is taken for silent.
 	slow        bool
 	silentUntil time.Time
+	// doubtedUntil is until when it is avoided since it fails while its peers do not, and
+	// strikes are its failures of late.
+	doubtedUntil time.Time
+	strikes      health.Strikes
 }
 
 // choices is how many targets are compared for a request. With a handful of
@@ -74,7 +83,7 @@
 		gone:    map[string]bool{},
 		told:    map[string]string{},
 		rng:     newRand(),
-		flights: newFlights(),
+		flights: newFlights(), pendings: newPendings(), tellDoubt: func(doubt) {}, doubts: health.Doubts{Turn: rand.Float64()},
 	}
 }
 
@@ -123,6 +132,7 @@
 		delete(f.gone, id)
 		delete(f.told, id)
 		delete(f.flights.targets, id)
+		delete(f.pendings.targets, id)
 		if ok {
 			f.log.Info("target has started again", "target", id, "addr", t.Addr.String(), "born", t.Born, "born-before", p.Born)
 		}
@@ -279,6 +289,8 @@
 func (f *fleet) tick(now time.Time) []silentGroup {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.watchPending(now)
+	f.avoidDoubted(now)
 	f.watchSilence(now)
 	f.crashes.Tick(now)
 	for _, c := range f.monitor.Tick(now, f.rng) {
--- a/gateway/flights.go
+++ b/gateway/flights.go
@@ -141,8 +141,7 @@
 // watchSilence has no requests sent to targets that have gone silent, and ends
 // the attempts there that had better go on elsewhere. One that nobody else may run, or
 // for which no retry is left, stays: it would be broken off in the middle of an answer
-// that its target, which may only be slow, still finishes (of 12,500 drafts of an
-// overloaded group two a day were, none with this). It is called with the lock held.
+// that its target, which may only be slow, still finishes. It is called with the lock held.
 func (f *fleet) watchSilence(now time.Time) {
 	due, left := map[string]bool{}, map[string]int{}
 	for fl := range f.flights.open {
@@ -199,7 +198,7 @@
 // avoid tells the table whether a target is to be avoided.
 func (f *fleet) avoid(p *pooled, now time.Time) {
 	if i, ok := f.table.Lookup(p.ID); ok {
-		f.table.SetAvoided(i, p.slow || now.Before(p.silentUntil))
+		f.table.SetAvoided(i, p.slow || now.Before(p.silentUntil) || now.Before(p.doubtedUntil))
 	}
 }
 
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -43,12 +43,14 @@
 	f.OnChange(g.update)
 	f.OnLost(g.startup.Lost)
 	f.Listen(quarantine.Prefix, g.isolator.take)
+	f.ListenChanges(doubtsPrefix, g.doubts.take)
 	g.digests.event, g.digests.hint = f.Event, f.Hint
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go f.Run(ctx)
 			go g.run(ctx)
 			go g.isolator.run(ctx)
+			go g.doubts.run(ctx)
 			return nil
 		},
 		OnStop: func(context.Context) error {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -8,12 +8,16 @@
 
 // The metrics of a gateway beside those of package mirror; docs/OPERATIONS.md has the table with units.
 var (
-	metricRequests  = expvar.NewMap("requests-by-status")
-	metricRefusals  = expvar.NewMap("refusals-by-reason")
-	metricAttempts  = expvar.NewInt("attempts")
-	metricRetries   = expvar.NewInt("retries")
-	metricNoRetry   = expvar.NewMap("no-retry-by-reason")
-	metricBudget    = expvar.NewMap("retry-budget-left")
+	metricRequests = expvar.NewMap("requests-by-status")
+	metricRefusals = expvar.NewMap("refusals-by-reason")
+	metricAttempts = expvar.NewInt("attempts")
+	metricRetries  = expvar.NewInt("retries")
+	metricNoRetry  = expvar.NewMap("no-retry-by-reason")
+	metricBudget   = expvar.NewMap("retry-budget-left")
+	// metricUnanswered counts plain requests whose target answered nothing while others did.
+	metricUnanswered = expvar.NewInt("requests-unanswered-by-targets")
+	// metricDoubts counts doubts of targets by their cause, those of other gateways as told.
+	metricDoubts    = expvar.NewMap("target-doubts-by-cause")
 	metricSilent    = expvar.NewInt("streams-moved-from-silent-targets")
 	metricSlow      = expvar.NewInt("streams-moved-from-slow-targets")
 	metricBrokenOff = expvar.NewInt("streams-broken-off")
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -50,6 +50,8 @@
 	digests *digests
 	// isolator keeps requests that crash their targets from being sent.
 	isolator *isolator
+	// doubts are told to the other gateways.
+	doubts *doubts
 	// patience tells by route which callers have been here before.
 	patience map[string]*retry.Patience
 	// admitters are those of services with engines, by name.
@@ -63,6 +65,9 @@
 		bounds: boot.Bounds, started: time.Now(), startup: startup.New(), admitters: map[string]*admitter{}, patience: map[string]*retry.Patience{}, budgets: retry.NewBudgets(retryLimits(boot.Bounds)),
 	}
 	g.isolator = newIsolator(boot.Instance, store, log)
+	g.doubts = newDoubts(boot.Instance, store, log)
+	g.doubts.report = g.fleet.doubted
+	g.fleet.tellDoubt = g.doubts.tell
 	g.fleet.crashes = crash.New(tcp.Dial, g.fleet.serves, log, g.isolator.crashed)
 	g.digests = newDigests(boot.Instance, log, g.digest)
 	g.fleet.spare = g.spareRetries
@@ -91,8 +96,7 @@
 }
 
 // slackShare is this gateway's part of the retries that all of them may make beside their
-// part of the requests. Shared among 24, the slack was used more than twice where 53
-// gateways had retries to make at once.
+// part of the requests.
 func slackShare(b boot.Bounds, among int) float64 {
 	return max(math.Floor(b.RetrySlack/float64(max(among, gateways))), 1)
 }
