--- a/core/request/admission/outage_test.go
+++ b/core/request/admission/outage_test.go
@@ -84,7 +84,7 @@
 func (r *recovery) ask(returning bool) {
 	r.next++
 	id := fmt.Sprintf("%t-%d", returning, r.next)
-	q := Request{ID: id, Workspace: "w", Cost: cost, Objective: objective, Patience: 2 * time.Second, Returning: returning}
+	q := Request{ID: id, Workspace: fmt.Sprint("w", r.next%8), Cost: cost, Objective: objective, Patience: 2 * time.Second, Returning: returning}
 	if refusal := r.pool.Enter(q, r.now); refusal != nil && returning {
 		r.lost++
 	}
@@ -95,7 +95,7 @@
 		returning := s.ID[0] == 't'
 		switch {
 		case s.Refusal == nil:
-			running[s.ID] = r.now.Add(2 * time.Second)
+			running[s.ID] = r.now.Add(time.Second)
 			if returning {
 				r.served++
 			}
@@ -126,9 +126,10 @@
 			r.pool.Tell(Load{Group: "g0", Open: at >= open, Running: len(running), Entries: 1}, r.now)
 		}
 		r.ask(false)
-		if at >= back && at < back+500*time.Millisecond {
-			r.ask(true)
-			r.ask(true)
+		for range 4 {
+			if at >= back && at < back+500*time.Millisecond {
+				r.ask(true)
+			}
 		}
 		r.pool.Tick(r.now)
 		r.settle(running)
--- a/core/request/queue/limiter.go
+++ b/core/request/queue/limiter.go
@@ -21,6 +21,9 @@
 	// once, while none of them lets requests wait: then few do. All see the same free
 	// slots, and what is too much waits at the engines.
 	overcommit = 3
+	// mostWaiting bounds the part of an entry where requests wait: how many entries there
+	// are is not known well in the first moments.
+	mostWaiting = 0.5
 )
 
 // leastPart returns the part of the free slots that each of so many entries may use. Where
@@ -30,7 +33,7 @@
 	case entries <= 0:
 		return leastShare
 	case waiting:
-		return math.Min(leastShare, 1/float64(entries))
+		return math.Min(mostWaiting, 1/float64(entries))
 	}
 	return math.Min(leastShare, overcommit/float64(entries))
 }
@@ -46,10 +49,7 @@
 // the requests that are its own, they need not talk.
 //
 // Engines are not held to fewer requests than they have slots: a full batch makes
-// more tokens a second. Held to 0.55 of the slots while steps were long, callers
-// of four deployments in a high load earned 0.53, 0.46, 0.75 and 0.69 of what they
-// could, with all slots 0.56, 0.65, 0.78 and 0.73 (mean of 4 days), and without
-// any limit 0.52, 0.66, 0.77 and 0.72.
+// more tokens a second.
 func Allowed(e Engines, own int) int {
 	total := float64(max(e.Running+e.Queued, own))
 	slots := float64(e.Slots)
--- a/core/request/retry/patience.go
+++ b/core/request/retry/patience.go
@@ -3,10 +3,9 @@
 import "time"
 
 // firstPart is the part of the longest patience above which a caller is at its
-// first try. Callers of one route differ in what they are ready to wait: their
-// patience at the first try was seen down to 0.85 of the longest. One that comes
-// back has spent its first wait and the time until its return, a quarter of its
-// patience and more.
+// first try. Callers of one route differ in what they are ready to wait, by up to 15 in
+// 100. One that comes back has spent its first wait and the time until its return, a
+// quarter of its patience and more.
 const firstPart = 0.84
 
 // Patience tells callers that come back from those at their first try by the time
--- a/gateway/startup/startup.go
+++ b/gateway/startup/startup.go
@@ -130,10 +130,7 @@
 func (g *Gate) enter() error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	switch {
-	case ended(g.lost):
-		return &RefusedError{Reason: ReasonLost, RetryAfter: readWait}
-	case g.held >= maxHeld:
+	if g.held >= maxHeld {
 		return &RefusedError{Reason: ReasonFull, RetryAfter: readWait}
 	}
 	g.held++
