--- a/core/configuration/mirror/follower.go
+++ b/core/configuration/mirror/follower.go
@@ -33,7 +33,7 @@
 	gather = 150 * time.Millisecond
 	// gatherMost is how long the pause grows while changes keep coming, as they do when
 	// 200 servers start, and calmAfter how long nothing must have changed for it to be
-	// short again. With 150 ms each, 53 gateways made 1,000 calls in the first seconds.
+	// short again: each call is made by every process that watches.
 	gatherMost = 600 * time.Millisecond
 	calmAfter  = time.Second
 	// outageAfter is how long the store must have been out of reach for
--- a/core/configuration/mirror/hints.go
+++ b/core/configuration/mirror/hints.go
@@ -12,8 +12,7 @@
 
 const (
 	// calmWait is how long a watch waits while others tell how far the store has come, so
-	// that one that hides a change is noticed without it. With 53 gateways, watches of
-	// 2 s were half of all calls to the store.
+	// that one that hides a change is noticed without it.
 	calmWait = 12 * time.Second
 	// hintValid is for how long a word on that counts: several changes of stewards.
 	hintValid = 3 * time.Second
--- a/core/experts/lockstep/candidate.go
+++ b/core/experts/lockstep/candidate.go
@@ -29,7 +29,7 @@
 	stagger = 120 * time.Millisecond
 	// maxStagger bounds it. It has room for 250 turns: agents of a large group that came
 	// due together would put each other out, and the group would have no steward for
-	// long (43 claims in 44 s in a group of 192 ranks with a bound of 2 s, none needed).
+	// long.
 	maxStagger = 30 * time.Second
 	// again is the pause between tries.
 	again = 500 * time.Millisecond
--- a/core/experts/rankpeer/maps.go
+++ b/core/experts/rankpeer/maps.go
@@ -65,9 +65,8 @@
 
 // Moves are what differs between two maps of one shape, packed: for each place
 // that differs, how many places after the last one it is, and the expert there
-// plus 1, or 0 for none, as variable-length numbers. That is some two bytes a
-// move; as a list of structs it was nine, and 288 moves for each of 72 ranks took
-// a link of 8 Mbit/s 0.19 s at each change.
+// plus 1, or 0 for none, as variable-length numbers: some two bytes a move, since each
+// change goes to all ranks over one narrow link.
 type Moves []byte
 
 // Pack packs a map that has the experts by layer and rank, with at most so many
--- a/core/membership/health/slow.go
+++ b/core/membership/health/slow.go
@@ -22,9 +22,7 @@
 // It is for a rank that becomes slow under load, for seconds: all ranks wait in
 // each pass for its own part, which grows with the requests that it has. To send
 // it no new ones is not enough. The streams that it has take longest of all just
-// then, and for as long nobody in the group is answered in time: with a rank
-// twelve times as slow, passes took 330 ms until its last stream had ended seven
-// seconds later, and 60 ms after that.
+// then, and for as long nobody in the group is answered in time.
 func Leave(slow, ranks int) bool {
 	return slow > 0 && slow*leavePart <= ranks
 }
--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -123,8 +123,8 @@
 	digestValid = time.Second
 	// relayTries is how many relays are asked before the steward is. While a steward is
 	// silent and the next one is not heard yet, all relays have an old digest; if all
-	// gateways went to the new steward then, as 53 did, its link of 6 Mbit/s would be
-	// full for a third of a second just when it looks for its ranks.
+	// gateways went to the new steward then, its link would be full just when it looks
+	// for its ranks.
 	relayTries = 4
 )
 
--- a/sidecar/fullmaps.go
+++ b/sidecar/fullmaps.go
@@ -8,10 +8,9 @@
 )
 
 // A change goes out as moves from a map that the agents know. After a restart of all
-// processes they know none, and each has to get the whole map: 10 KB for 192 ranks and 10
-// layers. Sent by the steward to all at once it fills links for longer than answers are
-// waited for, which breaks the connections, and all begins anew; sent a few at a time it
-// took 6 s. So the steward sends it to the relays, and each of them to its branch.
+// processes they know none, and each has to get the whole map. Sent by the steward to all
+// at once it fills links for longer than answers are waited for, which breaks the
+// connections, and all begins anew; sent a few at a time it takes seconds. So the steward sends it to the relays, and each of them to its branch.
 
 const (
 	// fullMapTime is for how long whole maps may fill the link of a process in one asking:
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -19,8 +19,7 @@
 const strayEvery = 2 * time.Second
 
 // rostersAtOnce is how many relays are told the roster in one round. It grows with the
-// group; told to all at once, that of 192 ranks fills a link of 6 Mbit/s for a fifth of a
-// second.
+// group; told to all at once it would fill the steward's link.
 const rostersAtOnce = 4
 
 // members is what a steward knows of which targets hold the ranks of its group.
--- a/sidecar/planner.go
+++ b/sidecar/planner.go
@@ -17,9 +17,9 @@
 	memory = 500 * time.Millisecond
 	// leastGain is the mean skew that a change must save, and enough the skew
 	// below which a layer is left alone, while passes are short; gainPressed and
-	// enoughPressed are the same while they are long. Then a tenth of skew decides
+	// enoughPressed are the same while they are long. Then a little skew decides
 	// whether answers are on time; otherwise it is not worth its copies, which
-	// make passes 15 in 100 longer for some tenths of a second.
+	// make passes longer while they are under way.
 	leastGain     = 0.25
 	gainPressed   = 0.1
 	enough        = 1.2
@@ -28,10 +28,7 @@
 	// long.
 	pressedPart = 0.5
 	// copyTime is how long the copies of a change may take on one rank. Until
-	// they are done the bad map slows every pass. With experts of 0.11 s, three
-	// copies a rank gave a worth of 0.669 on a day of high load, two 0.717, one
-	// 0.778; with experts of 0.016 s, one copy gave 0.289, three 0.318, four 0.304
-	// (72 ranks under full load, mean of 4 runs).
+	// they are done the bad map slows every pass.
 	copyTime = 50 * time.Millisecond
 	// leastChosen is how often each expert must have been chosen lately, in
 	// the mean, for an estimate.
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -16,9 +16,8 @@
 
 const (
 	// chainFor is how long after a change the rounds stay close together: one
-	// change seldom is enough after a shift, and a round of 72 ranks takes 72 ms as
-	// it is. Callers of 72 ranks under full load earned 0.33 of what they could
-	// without and 0.36 with it (mean of 4 runs); groups of 16 ranks gain nothing.
+	// change seldom is enough after a shift, and a round of a large group takes long
+	// as it is.
 	chainFor = 300 * time.Millisecond
 	// calmRound is the pause between rounds while nothing is going on: it bounds
 	// the age of the counts. busyRound is the same while a change is under way.
@@ -264,10 +263,9 @@
 	// countsEvery is how often ranks are asked for counts at most. Rounds are
 	// closer together while a change is under way.
 	countsEvery = 150 * time.Millisecond
-	// countsInChange is the same while a change is under way: callers of 72 ranks in
-	// a high load earned 0.67 and 0.71 without, 0.69 and 0.75 with it. A change that takes
-	// longer, as while orders go unanswered, must not end with counts of a mix that
-	// is long over.
+	// countsInChange is the same while a change is under way, when counts would lengthen
+	// its rounds. A change that takes longer, as while orders go unanswered, must not end
+	// with counts of a mix that is long over.
 	countsInChange = 500 * time.Millisecond
 )
 
--- a/sidecar/talk.go
+++ b/sidecar/talk.go
@@ -20,9 +20,7 @@
 	// order, afarWait another one: it answers in a millisecond or not at all. An
 	// order that is not answered is given again, orderTries times in all; see
 	// package lockstep for why that is safe. The group may be held meanwhile, and
-	// the slowest of all ranks decides for how long: with four of ten orders
-	// unanswered callers earned 0.44 of what they could with 15 ms, 0.55 with 8
-	// and 0.59 with 5 (16 ranks, shifts of the load each 3 s, mean of 8 runs).
+	// the slowest of all ranks decides for how long.
 	ownWait  = 5 * time.Millisecond
 	afarWait = 15 * time.Millisecond
 	// prepareWait and prepareTries are the same for orders to prepare, which bring the
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -93,8 +93,8 @@
 // viewWait is how long a relay may take to take a view.
 var viewWait = 200 * time.Millisecond
 
-// tellViews gives the relays the view that gateways ask them for. Five times a second to
-// each of 53 gateways it would take a quarter of the steward's link.
+// tellViews gives the relays the view that gateways ask them for: to tell each of many
+// gateways itself would take a large part of the steward's link.
 func (s *steward) tellViews(ctx context.Context, now time.Time) {
 	d := s.digest(s.group.Name, 0)
 	if d == nil || len(d.Relays) == 0 || now.Sub(s.viewsAt) < viewEvery {
