--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -34,7 +34,7 @@
 // a seed, in series and overlapping: processes killed, paused, stopped gently one
 // after the other and restarted, settings changed, links delayed, reset, silent and cut
 // in one direction, the store away or forgetful, orders carried out late, servers that
-// refuse, stand still, crash under a request that comes again, or crash and start again under
+// refuse, stand still, answer nothing or with failures, crash under a request that comes again, or crash and start again under
 // their ID so that a group is formed anew, configurations and shifts of the load. Clocks don't jump here: that would take a
 // privilege. What callers got
 // and servers ran must keep the promises all the while, and when the faults stop,
@@ -116,7 +116,7 @@
 		f.raise()
 		return
 	}
-	switch f.rng.IntN(19) {
+	switch f.rng.IntN(20) {
 	case 0, 1:
 		name := f.victim()
 		f.note("kill %s", name)
@@ -184,6 +184,11 @@
 			defer stop()
 			fleet.Crashing(ctx, f.Fleet, kind, repeatPause)
 		})
+	case 19:
+		plain, fault := f.rng.IntN(f.Plains()), fleet.Fault(1+f.rng.IntN(2))
+		f.note("plain server %d has fault %d", plain, fault)
+		f.Spoil(plain, fault)
+		f.later(2*longest, func() { f.Spoil(plain, fleet.Sound) })
 	}
 }
 
@@ -250,6 +255,9 @@
 	for rank := range f.ranks() {
 		f.Freeze(rank, false)
 	}
+	for plain := range f.Plains() {
+		f.Spoil(plain, fleet.Sound)
+	}
 }
 
 // settle waits until requests are served again.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -49,6 +49,7 @@
 
 	refuse  atomic.Bool
 	models  []*modelServer
+	plains  []*plainServer
 	version int
 	done    chan struct{}
 	servers []*process
@@ -134,6 +135,12 @@
 // on meanwhile.
 func (f *Fleet) Freeze(rank int, frozen bool) { f.models[rank].frozen.Store(frozen) }
 
+// Plains returns how many plain servers there are.
+func (f *Fleet) Plains() int { return len(f.plains) }
+
+// Spoil gives a plain server a fault, or makes it sound.
+func (f *Fleet) Spoil(plain int, fault Fault) { f.plains[plain].fault.Store(int32(fault)) }
+
 // CrashAway is how long a server is away that a request has crashed.
 const CrashAway = 1500 * time.Millisecond
 
@@ -228,7 +235,8 @@
 
 func (f *Fleet) addPlain(i int) error {
 	ip, id := f.ip(100+i), fmt.Sprintf("i-plain%d", i)
-	s := &plainServer{server{id: id, ledger: f.Ledger}}
+	s := &plainServer{server: server{id: id, ledger: f.Ledger}}
+	f.plains = append(f.plains, s)
 	p, err := f.serve(ip, appPort, s)
 	if err != nil {
 		return err
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -188,8 +188,24 @@
 	}
 }
 
+// Fault is what a plain server does wrong while it takes requests and says that it is well.
+type Fault int32
+
+// The faults of plain servers.
+const (
+	// Sound servers answer.
+	Sound Fault = iota
+	// Mute servers run requests and answer nothing.
+	Mute
+	// Failing servers run requests and answer with failures.
+	Failing
+)
+
 // plainServer answers small requests.
-type plainServer struct{ server }
+type plainServer struct {
+	server
+	fault atomic.Int32
+}
 
 func (p *plainServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
@@ -197,6 +213,12 @@
 		return
 	}
 	time.Sleep(2 * time.Millisecond)
+	for Fault(p.fault.Load()) == Mute && r.Context().Err() == nil {
+		time.Sleep(freezePoll)
+	}
+	if Fault(p.fault.Load()) == Failing {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
 	fmt.Fprint(w, plainText(r.Header.Get("X-Request-Id")))
 }
 
