--- a/core/request/queue/limiter.go
+++ b/core/request/queue/limiter.go
@@ -21,9 +21,6 @@
 	// once, while none of them lets requests wait: then few do. All see the same free
 	// slots, and what is too much waits at the engines.
 	overcommit = 3
-	// mostWaiting bounds the part of an entry where requests wait: how many entries there
-	// are is not known well in the first moments.
-	mostWaiting = 0.5
 )
 
 // leastPart returns the part of the free slots that each of so many entries may use. Where
@@ -33,7 +30,7 @@
 	case entries <= 0:
 		return leastShare
 	case waiting:
-		return math.Min(mostWaiting, 1/float64(entries))
+		return math.Min(leastShare, 1/float64(entries))
 	}
 	return math.Min(leastShare, overcommit/float64(entries))
 }
