A refused request that waits for a retry has a test; the gateway is put together in one step

TestRefusedRequestWaitsForARetry fails when the wait for a retry is left out of admitter.pass. newGateway lists what it consists of, a line each; the two tests of a server that answers nothing share their set-up. No behaviour changes.

--- a/core/request/admission/outage_test.go
+++ b/core/request/admission/outage_test.go
@@ -73,12 +73,10 @@
 // come each 20 ms, and after a second come back those whose attempts were cut at the loss.
 type recovery struct {
 	pool *Pool
-	t    *testing.T
 	now  time.Time
 	next int
-	// lost counts those of the returning callers that were refused.
-	lost   int
-	served int
+	// lost and served count the returning callers.
+	lost, served int
 }
 
 func (r *recovery) ask(returning bool) {
@@ -110,7 +108,7 @@
 // long a wait will be.
 func TestReturningCallersGoFirstAfterAnOutage(t *testing.T) {
 	is := is.New(t)
-	r := &recovery{pool: newPool(), t: t, now: start}
+	r := &recovery{pool: newPool(), now: start}
 	r.pool.SetGroups(map[string]int{"g0": 100}, start)
 	running := map[string]time.Time{}
 	const step, back, open = 20 * time.Millisecond, time.Second, 2 * time.Second
--- a/gateway/admitter_test.go
+++ b/gateway/admitter_test.go
@@ -186,6 +186,35 @@
 	})
 }
 
+// Guards against ending a request for want of a retry while its caller would still wait.
+func TestRefusedRequestWaitsForARetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := testAdmitter(192)
+		c := caller(false)
+		c.service = "pool"
+		c.budgets = retry.NewBudgets(retry.Limits{Ratio: 0.1, KeyBurst: 1, Window: 10 * time.Second})
+		is.True(c.budgets.For(budgetOf(c.service)).Take(time.Now()))
+		at, refusal := a.enter(t.Context(), c)
+		is.Equal(refusal, nil)
+		c.place = at
+		passed := make(chan bool)
+		go func() {
+			waited, ok := a.pass(t.Context(), c)
+			passed <- waited && ok
+		}()
+		time.Sleep(500 * time.Millisecond)
+		synctest.Wait()
+		c.mu.Lock()
+		for range 20 {
+			c.budgets.Request(budgetOf(c.service), time.Now())
+		}
+		c.mu.Unlock()
+		is.True(<-passed)
+		is.True(time.Since(c.arrived) < 600*time.Millisecond)
+	})
+}
+
 // The engines are full. A caller that has been refused before goes first: a
 // second refusal would be its last.
 func TestReturningCallersGoFirst(t *testing.T) {
--- a/gateway/pending_test.go
+++ b/gateway/pending_test.go
@@ -13,19 +13,28 @@
 	"verbenashift/standin/scripted"
 )
 
-// hanging is a server that answers nothing once it is told to, and how to tell it.
-func hanging(t *testing.T) (s *scripted.Server, hang *atomic.Bool) {
-	hang = &atomic.Bool{}
-	return scripted.Serve(t, func(x *scripted.Exchange) {
+// newHangingRig starts a gateway before two servers, the first of which answers nothing any
+// more, and sends requests until the gateway has learned how long both take.
+func newHangingRig(t *testing.T, kind deployment.RouteKind, timeout time.Duration) (r *rig, hangs, answers *scripted.Server) {
+	t.Helper()
+	var hang atomic.Bool
+	hangs = scripted.Serve(t, func(x *scripted.Exchange) {
 		if hang.Load() {
 			x.WaitForClose(time.Minute)
 			return
 		}
 		x.Whole(200, "ok")
-	}), hang
+	})
+	answers = scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
+	route := routeOf(kind)
+	route.Timeout = timeout
+	r = newRig(t, route, hangs, answers)
+	r.warm()
+	hang.Store(true)
+	return r, hangs, answers
 }
 
-// warm sends requests until the gateway knows how long both servers take.
+// warm sends requests until the gateway knows how long answers take.
 func (r *rig) warm() {
 	for range 40 {
 		r.ask()
@@ -60,13 +69,8 @@
 // nothing and says that it is well: requests that may be repeated go on elsewhere, and the
 // server gets no new ones.
 func TestLookupLeavesAServerThatAnswersNothing(t *testing.T) {
-	first, hang := hanging(t)
-	second := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
-	route := routeOf(deployment.Safe)
-	route.Timeout = 1500 * time.Millisecond
-	r := newRig(t, route, first, second)
-	r.warm()
-	hang.Store(true)
+	const timeout = 1500 * time.Millisecond
+	r, first, second := newHangingRig(t, deployment.Safe, timeout)
 	failed := r.traffic()
 	for range 40 {
 		_, got := r.ask()
@@ -78,20 +82,14 @@
 		r.ask()
 	}
 	r.True(len(first.Seen())-before <= (len(second.Seen())-all)/10)
-	time.Sleep(route.Timeout)
+	time.Sleep(timeout)
 	r.Equal(failed(), int64(0))
 }
 
 // Guards against a second run of a request that may run once, and against sending more of
 // them to a server that answers nothing.
 func TestBookingStaysWithAServerThatAnswersNothing(t *testing.T) {
-	first, hang := hanging(t)
-	second := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
-	route := routeOf(deployment.Unsafe)
-	route.Timeout = 500 * time.Millisecond
-	r := newRig(t, route, first, second)
-	r.warm()
-	hang.Store(true)
+	r, first, second := newHangingRig(t, deployment.Unsafe, 500*time.Millisecond)
 	r.traffic()
 	asked, lost := 60, 0
 	for range asked {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -61,11 +61,15 @@
 func newGateway(env instance.Env, tracer trace.Tracer, store *platform.Store) *gateway {
 	boot, log := env.Boot, env.Log
 	g := &gateway{
-		log: log, tracer: tracer, rng: newRand(), fleet: newFleet(boot.Instance, boot.Zone, log),
-		bounds: boot.Bounds, started: time.Now(), startup: startup.New(), admitters: map[string]*admitter{}, patience: map[string]*retry.Patience{}, budgets: retry.NewBudgets(retryLimits(boot.Bounds)),
+		log: log, tracer: tracer, rng: newRand(), bounds: boot.Bounds, started: time.Now(),
+		startup:   startup.New(),
+		fleet:     newFleet(boot.Instance, boot.Zone, log),
+		budgets:   retry.NewBudgets(retryLimits(boot.Bounds)),
+		isolator:  newIsolator(boot.Instance, store, log),
+		doubts:    newDoubts(boot.Instance, store, log),
+		admitters: map[string]*admitter{},
+		patience:  map[string]*retry.Patience{},
 	}
-	g.isolator = newIsolator(boot.Instance, store, log)
-	g.doubts = newDoubts(boot.Instance, store, log)
 	g.doubts.report = g.fleet.doubted
 	g.fleet.tellDoubt = g.doubts.tell
 	g.fleet.crashes = crash.New(tcp.Dial, g.fleet.serves, log, g.isolator.crashed)
