--- a/core/request/admission/admission_test.go
+++ b/core/request/admission/admission_test.go
@@ -43,9 +43,7 @@
 	return out
 }
 
-// Engines under load take longer to the first event. A request that was let in at
-// the end of the time that is enough at rest could only be late, so that the wait
-// becomes shorter as first events take longer.
+// Guards against starting requests that can only be late, since engines under load take longer.
 func TestWaitFollowsTheFirstEvents(t *testing.T) {
 	is := is.New(t)
 	p := newPool()
@@ -65,9 +63,8 @@
 	is.Equal(p.latestStart(request("c"), now), now.Add(queue.Wait{Line: time.Minute}.Longest()))
 }
 
-// Three groups serve one service, and their stewards tell their loads in turn. Each
-// word is of one group: taken for the load of all slots, each would set a limit for
-// all, and callers would be sent away while two groups have room.
+// Guards against taking the load of one group for that of all, which sends callers away while
+// others have room.
 func TestLimitsAreOfEachGroup(t *testing.T) {
 	is := is.New(t)
 	p := newPool()
@@ -81,10 +78,7 @@
 	is.True(len(got["g2"]) >= 15 && len(got["g2"]) <= 60)
 }
 
-// One group has lost a rank and refuses all it gets for seconds. The requests go to
-// the others, which have room, and nobody waits for the one that is lost; while its
-// steward says that it lacks a rank nothing is tried there. When it is back, one
-// request finds it out, and the others follow.
+// Guards against callers that wait for a group which has lost a rank while others have room.
 func TestALostGroupTakesNothingFromTheOthers(t *testing.T) {
 	is := is.New(t)
 	p := newPool()
@@ -120,8 +114,8 @@
 	is.True(len(got["g0"]) >= 5)
 }
 
-// The steward tells that its group has lost a rank. The requests that run there have not
-// been cut off yet and nothing was refused; what comes now goes elsewhere at once.
+// Guards against new requests at a group whose steward tells that a rank is lost, before
+// anything is refused.
 func TestAGroupThatHasJustLostARank(t *testing.T) {
 	is := is.New(t)
 	p := newPool()
@@ -135,9 +129,8 @@
 	is.True(len(fill(t, p, 10, later)["g0"]) > 0)
 }
 
-// A group stands still while a hold is left behind. Its steward does not say so, nothing
-// fails, and its places look free. New requests go to the other group as long as that
-// one has room; a stream that is tried again goes there too.
+// Guards against new requests at a group that makes no passes although nothing fails and its
+// places look free.
 func TestAStandingGroupIsLeft(t *testing.T) {
 	is := is.New(t)
 	p := newPool()
@@ -160,8 +153,7 @@
 	is.True(len(fill(t, p, 10, later)["g0"]) > 0)
 }
 
-// All groups refuse, as after a loss of power. Then there is nobody to leave them for,
-// and requests wait for the first that is back.
+// Guards against leaving a group that refuses when no other works either.
 func TestAllGroupsRefuse(t *testing.T) {
 	is := is.New(t)
 	p := newPool()
@@ -183,9 +175,8 @@
 	is.True(!down && wait == 0)
 }
 
-// Passes of one group take twice as long as those of the other, whose places are as
-// free. It gets less, so that its passes become shorter again; and it gets some, or
-// all entries would fill the other one before its next word.
+// Guards against filling a slow group as much as a fast one, and sending everything to the fast
+// one.
 func TestFasterGroupsGetMore(t *testing.T) {
 	is := is.New(t)
 	p := newPool()
@@ -202,8 +193,7 @@
 	is.Equal(len(got["fast"])+len(got["slow"]), 1000)
 }
 
-// A group is re-formed from other ranks under a new name while requests still run under
-// the old one. These end there, and the old name goes with the last of them.
+// Guards against forgetting the requests of a group that was formed anew under another name.
 func TestAGroupThatIsNoMore(t *testing.T) {
 	is := is.New(t)
 	p := newPool()
--- a/core/request/queue/gate_test.go
+++ b/core/request/queue/gate_test.go
@@ -7,9 +7,7 @@
 	"github.com/matryer/is"
 )
 
-// The power of all servers was gone for a moment. Each refuses what it gets for
-// a second; then all serve. Requests have to wait for that, with a probe now and
-// then, and all go on with the first that is taken.
+// Guards against passing on the refusals of a service that starts again as a whole.
 func TestGateOfAServiceThatStartsAgain(t *testing.T) {
 	is := is.New(t)
 	var g Gate
@@ -31,8 +29,7 @@
 	is.True(!g.Accepted())
 }
 
-// One server leaves and refuses what it still gets. The others serve: nobody may
-// wait for it.
+// Guards against waiting for one target that leaves and refuses what it still gets.
 func TestGateStaysOpenForOneTarget(t *testing.T) {
 	is := is.New(t)
 	var g Gate
--- a/core/request/queue/limiter_test.go
+++ b/core/request/queue/limiter_test.go
@@ -6,9 +6,7 @@
 	"github.com/matryer/is"
 )
 
-// After a stall more requests are at the engines than they have slots, and those
-// that wait there are served in the order in which they came, late or not. The
-// entries come down together to what the engines can run.
+// Guards against requests that wait at full engines, where they are served late or not.
 func TestAllowedUnderFullSlots(t *testing.T) {
 	is := is.New(t)
 	full := Engines{Slots: 192, Running: 192, Queued: 48}
@@ -21,9 +19,7 @@
 	is.Equal(sum, 192)
 }
 
-// A few entries have nearly all of the requests and one has hardly any. Each may use
-// its part of the free slots, and the last one a quarter: callers may come to it at
-// any time.
+// Guards against an entry with few requests that may send none of a sudden burst.
 func TestAllowedWithFreeSlots(t *testing.T) {
 	is := is.New(t)
 	e := Engines{Slots: 192, Running: 92}
@@ -33,16 +29,15 @@
 	is.Equal(Allowed(Engines{Slots: 192}, 0), 48)
 }
 
-// The load of the engines was told a moment ago, and one entry has sent more since.
-// What it has there itself counts, so that one alone never goes beyond the slots.
+// Guards against an entry that alone goes beyond the slots before the next load is told.
 func TestAllowedWithOldLoad(t *testing.T) {
 	is := is.New(t)
 	is.Equal(Allowed(Engines{Slots: 192, Running: 10}, 192), 192)
 	is.Equal(Allowed(Engines{Slots: 192, Running: 10}, 191), 192)
 }
 
-// Engines come back and hundreds have waited at four entries. What is let in grows
-// with each word of their load and never goes beyond the slots.
+// Guards against filling engines that come back beyond their slots, and leaving them half
+// empty.
 func TestAllowedGrowsToTheSlots(t *testing.T) {
 	is := is.New(t)
 	own := Reopened(192, 4)
@@ -56,9 +51,7 @@
 	is.True(4*own >= 190)
 }
 
-// 53 entries see the same 100 free slots at the same time. If each took a quarter of them,
-// 1,300 requests would go to 100 slots and wait there, late or not. Together they use
-// them three times over at most, beside one request that each may always send.
+// Guards against many entries that each take a quarter of the same free slots.
 func TestAllowedForManyEntries(t *testing.T) {
 	is := is.New(t)
 	const slots, entries = 1152, 53
--- a/core/request/queue/overload_test.go
+++ b/core/request/queue/overload_test.go
@@ -113,11 +113,8 @@
 	return Wait{Objective: replayObjective, Service: replayService, Line: line, Returning: returning}.Longest()
 }
 
-// For 20 s a quarter more callers come than there are places. If they all stand in one
-// line until they would give up, each of them waits for longer than it may to be on
-// time, and hardly anybody is served well though the engines never rest. Those who
-// can't be on time have to be told. And if these go first when they come back, the
-// places are theirs, and those who come for the first time are told in their turn.
+// Guards against an overload in which hardly anybody is on time: all stand in one line, or
+// those who come back go first.
 func TestOverload(t *testing.T) {
 	is := is.New(t)
 	play := func(name string, share float64, longest func(bool, time.Duration) time.Duration) (onTime float64, served int) {
@@ -136,7 +133,7 @@
 	is.True(servedTold >= servedLine && servedTold >= servedFirst)
 }
 
-// With places for all, nobody is told anything.
+// Guards against sending callers away while there are places for all.
 func TestNoOverload(t *testing.T) {
 	is := is.New(t)
 	o := newOverload(0.3, inTime)
--- a/core/request/queue/service_test.go
+++ b/core/request/queue/service_test.go
@@ -8,8 +8,7 @@
 	"github.com/matryer/is"
 )
 
-// Answers that begin after 100 to 300 ms, evenly spread: nine of ten of them within
-// 280 ms. A few that take a second, as at a lost rank, do not carry it away.
+// Guards against a few answers of a lost rank that carry the usual time away.
 func TestServiceTimeIsThatOfNineInTen(t *testing.T) {
 	is := is.New(t)
 	var s ServiceTime
@@ -25,8 +24,7 @@
 	is.True(s.Usual() < 320*time.Millisecond)
 }
 
-// Whatever comes, a request may wait for a moment and need not have started before
-// it came.
+// Guards against waits without end and starts before the arrival, whatever is observed.
 func TestServiceTimeIsBounded(t *testing.T) {
 	is := is.New(t)
 	var s ServiceTime
--- a/core/request/retry/patience_test.go
+++ b/core/request/retry/patience_test.go
@@ -7,9 +7,8 @@
 	"github.com/matryer/is"
 )
 
-// Callers of one route wait 6.8 to 8 s, each as long as it likes. Under load those
-// that were refused come back with what is left of it, and go first. If the first
-// tries were taken for these, nearly all would be in one line, late ones first.
+// Guards against taking callers at their first try, who differ in patience, for those who come
+// back.
 func TestPatienceTellsWhoComesBack(t *testing.T) {
 	for _, tt := range []struct {
 		name      string
--- a/core/request/retry/window_test.go
+++ b/core/request/retry/window_test.go
@@ -12,9 +12,8 @@
 	return NewBudgets(Limits{Ratio: 0.2, KeyBurst: 4, Window: 10 * time.Second})
 }
 
-// A group of servers dies under load, and 40 drafts break off at the same moment. Some 500
-// requests have come in the ten seconds before, and none was tried again. With a few
-// retries saved up most of the drafts would be lost; the bound over ten seconds allows all.
+// Guards against losing what breaks off at one moment although hardly any retry was made
+// before.
 func TestMomentMayUseTheWholeWindow(t *testing.T) {
 	is := is.New(t)
 	key := Key{Workspace: "pool", Hop: "pool"}
@@ -38,8 +37,7 @@
 	is.True(tookSaved <= 5)
 }
 
-// Retries come whenever they are wanted. In no span of ten seconds are there more than
-// the part of its requests and the few beside, wherever the span begins.
+// Guards against more retries in some span than its requests allow, wherever the span begins.
 func TestNoSpanHoldsMore(t *testing.T) {
 	is := is.New(t)
 	key := Key{Workspace: "pool", Hop: "pool"}
@@ -70,8 +68,8 @@
 	is.True(len(retries) > 400)
 }
 
-// An entry was paused for a minute. What is long past does not count, and a time that is
-// told late counts in the newest step.
+// Guards against counting what is long past, or losing what is told late, after a pause of the
+// process.
 func TestWindowAfterAPause(t *testing.T) {
 	is := is.New(t)
 	key := Key{Workspace: "pool", Hop: "pool"}
--- a/gateway/admitter_test.go
+++ b/gateway/admitter_test.go
@@ -72,8 +72,8 @@
 	return out
 }
 
-// All targets refuse, as after a restart of the service. Callers wait; when one
-// is served after half a second, all go on. Nobody is sent away.
+// Guards against sending callers away for a restart of all targets that is over in half a
+// second.
 func TestCallersWaitForARestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -88,9 +88,7 @@
 	})
 }
 
-// The service stays down for seconds. New callers are told so while they still wait, and to
-// come back after most of a third of their patience; they are not held until
-// their time is over, and it is true that they have not run.
+// Guards against holding callers of a service that is down until their time is over.
 func TestCallersOfAServiceThatIsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -121,9 +119,7 @@
 	})
 }
 
-// A group lacks a rank and stays away for long. After seven seconds a caller is
-// told so at once, and not after a wait that helps nobody; now and then one is
-// let through, so that the first target that serves is found.
+// Guards against a wait that helps nobody, and a service that nobody finds to be back.
 func TestServiceThatStaysDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -150,10 +146,8 @@
 	})
 }
 
-// A caller's request was a probe and was refused, and probes of others go on
-// being refused. It may not be held until its time is over: it hears that
-// nothing has run while it can still come back. A caller that has a part of its
-// stream is held, because only the rest can serve it.
+// Guards against holding a refused request until its time is over while other requests find out
+// that the service is down.
 func TestRefusedProbeIsNotHeld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -215,8 +209,7 @@
 	})
 }
 
-// The engines are full. A caller that has been refused before goes first: a
-// second refusal would be its last.
+// Guards against a second refusal, which is mostly the last, while new callers are served.
 func TestReturningCallersGoFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -236,7 +229,7 @@
 	})
 }
 
-// A caller leaves while it waits. Its place goes to the next.
+// Guards against places that are kept for callers who have left.
 func TestCallerLeavesTheQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -254,9 +247,8 @@
 	})
 }
 
-// More requests are at the engines than they have slots: the limit comes down to
-// this gateway's part of the slots, and is lifted when nothing has been told for a
-// while.
+// Guards against requests that wait at full engines, and a limit that outlasts the word it
+// follows from.
 func TestLimitByDigest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -273,8 +265,7 @@
 	})
 }
 
-// The group stands still for a moment, as in a change of its map, and nobody has
-// waited before. Callers wait for the end, late or not: none is sent away for it.
+// Guards against sending callers away for a change of the expert map.
 func TestCallersWaitForAMoment(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -294,10 +285,7 @@
 	})
 }
 
-// There is a line for more than a moment. Whoever comes then and still waits when its
-// first event can no longer come in time is told so then, and that it has not run; it
-// is not kept in a line in which all who come later would be late as well. The next
-// caller that comes when a place is free is served at once.
+// Guards against a line in which all are late, since nobody is told that it can only be late.
 func TestWhoCannotBeOnTimeIsTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/gateway/share_test.go
+++ b/gateway/share_test.go
@@ -11,9 +11,8 @@
 	"verbenashift/standin/scripted"
 )
 
-// The platform bounds the retries of all gateways together. A rank is lost and breaks off
-// streams at all 53 of them at once: what they may retry beside their part of the requests
-// must not be more than the bound, whoever has been told how many there are.
+// Guards against more retries of all gateways together than the platform allows, when all lose
+// streams at once.
 func TestSlackOfRetriesIsSharedByAll(t *testing.T) {
 	const slack, all = 264, 53
 	r := newRig(t, routeOf(deployment.Safe), scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") }))
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -9,10 +9,8 @@
 	"verbenashift/standin/scripted"
 )
 
-// A draft's server says nothing for 0.7 s while others go on, since the passes of an
-// overloaded group are long. The gateway would have the draft go on elsewhere, but the
-// operator allows no further server, or no retry is left: the caller's connection would
-// be broken off in the middle of an answer that its server goes on to finish.
+// Guards against breaking a draft off whose slow server finishes it, when no other server may
+// run it.
 func TestSilentStreamStaysWhereNobodyElseMayRunIt(t *testing.T) {
 	for name, tt := range map[string]struct {
 		attempts int
