--- a/core/membership/health/health_test.go
+++ b/core/membership/health/health_test.go
@@ -51,8 +51,8 @@
 	return n
 }
 
-// A target fails, is ejected, comes back and is sent its full share at once:
-// its caches are empty, it falls behind and fails again.
+// Guards against sending a target that comes back its full share at once, so that it fails
+// again.
 func TestEjectProbeSlowStart(t *testing.T) {
 	is := is.New(t)
 	r := newRig(4, 0)
@@ -79,8 +79,7 @@
 	is.Equal(r.after(5 * time.Second)[0].State, Healthy)
 }
 
-// The entry's own network fails: every target looks dead to it. With all of
-// them ejected, the entry refuses every caller long after the network is back.
+// Guards against ejecting all targets for a fault of the entry's own network.
 func TestFloorKeepsHalf(t *testing.T) {
 	for n, want := range map[int]int{1: 0, 2: 1, 3: 1, 16: 8, 67: 33} {
 		is := is.New(t)
@@ -96,8 +95,7 @@
 	}
 }
 
-// Some targets are slow and one is dead. The floor leaves room for one: it
-// must be the dead one, or requests go on failing there.
+// Guards against keeping a dead target since slow ones have used up the floor.
 func TestFloorEjectsSurestFirst(t *testing.T) {
 	is := is.New(t)
 	r := newRig(3, 0)
@@ -113,9 +111,7 @@
 	is.Equal(c[2].Cause, Failing)
 }
 
-// One rank of a group stalls. All ranks of the group wait for it in every
-// step, so that callers on any of its targets get slow tokens; ejecting the
-// one rank helps none of them.
+// Guards against ejecting one rank where all ranks of its group are as slow.
 func TestStalledRankEjectsItsGroup(t *testing.T) {
 	is := is.New(t)
 	r := newRig(16, 4)
@@ -156,9 +152,7 @@
 	}
 }
 
-// Two groups serve a model and one stalls: with two values there is no middle
-// one, and the slow group must not count as the usual. A single group has
-// nothing to be compared with.
+// Guards against taking the slow one of two groups for the usual, and judging a single one.
 func TestStragglerOfTwoGroups(t *testing.T) {
 	is := is.New(t)
 	for groupSize, want := range map[int]int{4: 4, 8: 0} {
@@ -169,8 +163,7 @@
 	}
 }
 
-// Half the targets fail for long. If each were probed as soon as it may be,
-// a good part of all requests would meet a target that still fails.
+// Guards against spending a good part of all requests on targets that still fail.
 func TestProbesAreLimited(t *testing.T) {
 	is := is.New(t)
 	r := newRig(100, 0)
@@ -199,8 +192,7 @@
 	is.Equal(r.count(Ejected)+r.count(HalfOpen), 0)
 }
 
-// A target's process is paused: it neither fails nor answers, its agent falls
-// silent, and callers would be sent there until their deadlines.
+// Guards against sending callers to a paused target until their deadlines.
 func TestSilentTargetIsEjected(t *testing.T) {
 	is := is.New(t)
 	r := newRig(4, 0)
@@ -215,9 +207,8 @@
 	is.Equal(r.after(time.Millisecond)[0].State, HalfOpen) // back: at once
 }
 
-// Hundreds of entries send a target a request a minute each. Every one would
-// have callers meet its failure three times before it was out everywhere; but
-// one mistaken entry's word must not empty everybody's pool.
+// Guards against a failing target that hundreds of entries find out one by one, and one
+// mistaken entry that empties all pools.
 func TestHintsEjectByAgreement(t *testing.T) {
 	is := is.New(t)
 	r := newRig(4, 0)
@@ -240,8 +231,7 @@
 	is.Equal(r.State(2), SlowStart) // its own answer counts more
 }
 
-// A target's load reports say that it is idle, while its agent sees a long
-// queue. Entries that go by the reports send it all they have.
+// Guards against sending everything to a target whose reports say that it is idle.
 func TestLyingReporterLosesTrust(t *testing.T) {
 	is := is.New(t)
 	r := newRig(2, 0)
--- a/core/membership/health/slow_test.go
+++ b/core/membership/health/slow_test.go
@@ -6,9 +6,8 @@
 	"github.com/matryer/is"
 )
 
-// One rank of a group becomes slow under load, and each pass waits for the part
-// that its streams make. They leave it. If many ranks are slow, the others could
-// not take all their streams, and everything stays where it is.
+// Guards against passes that wait for the streams of a slow rank, and moving more streams than
+// the others can take.
 func TestLeave(t *testing.T) {
 	is := is.New(t)
 	for _, tt := range []struct {
--- a/core/membership/health/stall_test.go
+++ b/core/membership/health/stall_test.go
@@ -7,11 +7,8 @@
 	"github.com/matryer/is"
 )
 
-// An instance stands still for seconds, or a connection goes silent: drafts
-// stop in the middle and nothing says so. They are to go on elsewhere before
-// their callers leave, and no new ones are to go there; but a draft that waits
-// in a working target's queue, and drafts of a group that stands still as a
-// whole, stay where they are.
+// Guards against drafts that stop in the middle at a stalled instance, and moving those that
+// rightly wait.
 func TestSilence(t *testing.T) {
 	now := start.Add(time.Minute)
 	ago := func(ms int) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
--- a/gateway/call_test.go
+++ b/gateway/call_test.go
@@ -15,10 +15,7 @@
 	"verbenashift/core/request/route"
 )
 
-// Some requests choose a target while others decide on a retry. Both draw random
-// numbers, and a generator that two goroutines use at once may repeat itself or
-// break its state: jitter is lost, and callers come back together. The race
-// detector tells.
+// Guards against a random generator that two goroutines use at once; the race detector tells.
 func TestConcurrentDecisionsDoNotShareRandomState(_ *testing.T) {
 	g := newGateway(instance.Env{Log: slog.New(slog.DiscardHandler)}, noop.NewTracerProvider().Tracer("test"), nil)
 	rt := &deployment.Route{Attempts: 3, Split: []deployment.Share{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}}
--- a/gateway/catalog_test.go
+++ b/gateway/catalog_test.go
@@ -42,8 +42,7 @@
 	}
 }
 
-// A key that was taken away is refused; a public route needs none, but knows the
-// workspace of one that is shown.
+// Guards against serving a key that was taken away, and refusing a public route.
 func TestKeys(t *testing.T) {
 	is := is.New(t)
 	c := testCatalog()
@@ -77,8 +76,7 @@
 	is.Equal(service(&deployment.Route{Split: []deployment.Share{{Service: "only"}}}, rng), "only")
 }
 
-// A server may stop in the middle of an event. Only whole events may reach the
-// caller; what is left must be known.
+// Guards against passing on a part of an event.
 func TestEventsAreWhole(t *testing.T) {
 	is := is.New(t)
 	var e events
--- a/gateway/digests_test.go
+++ b/gateway/digests_test.go
@@ -13,9 +13,7 @@
 	"verbenashift/core/experts/rankpeer"
 )
 
-// A steward was frozen while another one took over and the group was formed anew. It
-// wakes and still answers with the loads of before; another one answers for a group that
-// it does not steer. Places chosen by these would be those of ranks that are full, or gone.
+// Guards against placing requests by the loads of an earlier epoch or of another group.
 func TestDigestsOfAnEarlierLife(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -36,10 +34,7 @@
 	})
 }
 
-// The steward of a large group dies. Its 53 gateways have its last view from relays, all of
-// which are as old. If they went to the new steward at once, its link would be full while
-// it looks for its ranks: they try other relays first, and the steward only if none has
-// anything new.
+// Guards against filling the link of a new steward with all gateways' questions.
 func TestGatewaysStayWithRelays(t *testing.T) {
 	is := is.New(t)
 	var from source
--- a/gateway/heldback_test.go
+++ b/gateway/heldback_test.go
@@ -83,8 +83,8 @@
 	r.True(is.hold(r.t.Context(), r.print(), over, h))
 }
 
-// A request is held back. It is refused at once with the time of the next trial, and no
-// server sees it; its neighbours are served.
+// Guards against holding or sending a request that crashes servers, and refusing its
+// neighbours.
 func TestHeldBackIsRefusedAtOnce(t *testing.T) {
 	for _, kind := range []deployment.RouteKind{deployment.Safe, deployment.Unsafe, deployment.Stream} {
 		t.Run(string(kind), func(t *testing.T) {
@@ -109,8 +109,7 @@
 	}
 }
 
-// All places are taken. A request that is held back does not wait for one, and its line tells
-// why it was refused.
+// Guards against a request that crashes servers and waits for a place.
 func TestHeldBackInAFullQueue(t *testing.T) {
 	hold := make(chan struct{})
 	s := scripted.Serve(t, func(x *scripted.Exchange) {
@@ -139,8 +138,7 @@
 	r.Equal(story.CauseOf(c.ID, own), story.Cause{Kind: story.HeldBack, Detail: "print " + r.print().Short()})
 }
 
-// A request has crashed a server of its own when it is found to be a culprit. It is not sent
-// to another one, and its caller must not hear that it has not run.
+// Guards against calling a request "not run" that has crashed a server.
 func TestHeldBackAfterAnAttemptHasRun(t *testing.T) {
 	var r *heldRig
 	script := func(x *scripted.Exchange) {
@@ -155,8 +153,7 @@
 	r.Equal(total(s0, s1), 1)
 }
 
-// A caller has a part of its stream when its request is found to be a culprit: only a broken
-// connection tells it that the rest is missing.
+// Guards against a part of a draft that looks whole when its request is held back.
 func TestHeldBackInTheMiddleOfAStream(t *testing.T) {
 	var r *heldRig
 	script := func(x *scripted.Exchange) {
@@ -173,8 +170,7 @@
 	r.Equal(total(s0, s1), 1)
 }
 
-// Another request may be the culprit: the first call is tried at once, and its whole answer
-// frees the request, also at the other gateways.
+// Guards against keeping a neighbour back that one whole answer clears.
 func TestTrialIsServed(t *testing.T) {
 	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
 	r := newHeldRig(t, deployment.Unsafe, s)
@@ -189,7 +185,7 @@
 	r.True(items[0].Key != quarantine.HoldKey(r.print()))
 }
 
-// A trial crashes its server as well: it is the last send for a while, and not repeated.
+// Guards against repeating a trial that has crashed its server.
 func TestTrialCrashes(t *testing.T) {
 	var r *heldRig
 	script := func(x *scripted.Exchange) {
@@ -208,8 +204,7 @@
 	r.Equal(total(s0, s1), 1)
 }
 
-// A trial is refused by a busy server, or its answer breaks off while the server lives, and
-// tells nothing: the next call is tried, three times at most in all.
+// Guards against taking a trial that has told nothing for one that has.
 func TestTrialWithoutAnAnswer(t *testing.T) {
 	for name, script := range map[string]func(*scripted.Exchange){
 		"refused":    func(x *scripted.Exchange) { x.Refuse() },
@@ -230,8 +225,7 @@
 	}
 }
 
-// The store is away while targets crash under one request: this gateway decides by what it
-// has seen itself, and tells the others when the store is back.
+// Guards against crashes that nobody acts on while the store is away.
 func TestCrashesWhileTheStoreIsAway(t *testing.T) {
 	r := newHeldRig(t, deployment.Safe, scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") }))
 	r.shelf.down = true
@@ -257,7 +251,7 @@
 	}
 }
 
-// Targets crash for as long as the store is away: what is kept for it is bounded.
+// Guards against memory that grows with the crashes while the store is away.
 func TestUntoldCrashesAreBounded(t *testing.T) {
 	r := newHeldRig(t, deployment.Safe)
 	for n := range 10 * maxUnwritten {
@@ -271,7 +265,7 @@
 	r.True(len(s.freed) <= maxUnwritten)
 }
 
-// Two gateways get the same request when a trial is due. One of them sends it.
+// Guards against a trial by each gateway.
 func TestOneGatewayTries(t *testing.T) {
 	r := newHeldRig(t, deployment.Safe)
 	r.hold(quarantine.Hold{Crashes: 3, Soon: true})
@@ -283,8 +277,7 @@
 	r.True(!r.gateway.isolator.try(t.Context(), r.print(), v))
 }
 
-// An operator removes the key of a request that is held back: it is served again, and those
-// who read the reports of its crashes later are told.
+// Guards against holding a request again by old reports after an operator has freed it.
 func TestOperatorFreesARequest(t *testing.T) {
 	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
 	r := newHeldRig(t, deployment.Safe, s)
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -76,8 +76,7 @@
 	x.Close()
 }
 
-// A user complains about one request. The engineer on call has its identifier and
-// the logs, and nothing else; the cause that they give must be the right one.
+// Guards against a wrong or missing cause where only an identifier and the logs are known.
 func TestCauseFromTheLogAlone(t *testing.T) {
 	for name, tt := range failures() {
 		t.Run(name, func(t *testing.T) {
@@ -98,7 +97,7 @@
 	}
 }
 
-// A caller hangs up, and says later that nobody has answered.
+// Guards against blaming the gateway for a caller that hung up.
 func TestCauseOfACallerThatLeft(t *testing.T) {
 	is := is.New(t)
 	ctx, leave := context.WithCancel(t.Context())
@@ -115,8 +114,7 @@
 	is.Equal(story.CauseOf(c.ID, story.Of(c.ID, read())).Kind, story.CallerLeft)
 }
 
-// More requests come than the engines take in time. The refusal names the queue
-// that the request met.
+// Guards against a refusal that does not name the queue that it met.
 func TestCauseOfOverload(t *testing.T) {
 	is := is.New(t)
 	hold := make(chan struct{})
@@ -147,8 +145,7 @@
 	is.Equal(story.CauseOf(c.ID, story.Of(c.ID, read())).Kind, story.Overload)
 }
 
-// A server stands still in the middle of a draft, which goes on elsewhere. Each
-// line that led there is in the story.
+// Guards against a story that lacks a line on why a draft went on elsewhere.
 func TestStoryOfAMovedStream(t *testing.T) {
 	is := is.New(t)
 	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
@@ -170,8 +167,7 @@
 	is.Equal(story.CauseOf("r1", own).Kind, story.ServerSilent)
 }
 
-// The digest of a steward is what requests are placed by; a line of a request says
-// how old it was.
+// Guards against lines that do not say how old the load was by which a target was picked.
 func TestLineNamesTheAgeOfTheLoad(t *testing.T) {
 	is := is.New(t)
 	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -142,9 +142,8 @@
 	}
 }
 
-// A server spoils an answer: it breaks off, loses its signature or answers
-// somebody else. A lookup is repeated at another server and its caller gets that
-// one's whole answer; nobody sees a part that looks whole.
+// Guards against an answer that broke off, lost its signature or is another one's and looks
+// whole to the caller of a lookup.
 func TestSpoiledLookupIsRepeated(t *testing.T) {
 	for name, spoil := range broken() {
 		t.Run(name, func(t *testing.T) {
@@ -168,8 +167,8 @@
 	}
 }
 
-// The same happens to a chapel booking. It may have run, so that it must not be
-// sent again, and the caller must hear neither "not run" nor a success.
+// Guards against a second run of a booking that may have run, and calling it "not run" or a
+// success.
 func TestSpoiledBookingIsUnknown(t *testing.T) {
 	for name, spoil := range broken() {
 		t.Run(name, func(t *testing.T) {
@@ -184,8 +183,7 @@
 	}
 }
 
-// A server closes a kept connection just as a booking is sent over it. Nobody could
-// tell whether it has run, so that bookings never go over kept connections.
+// Guards against sending a booking over a kept connection that its server closes just then.
 func TestBookingsUseNewConnections(t *testing.T) {
 	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "booked") })
 	r := newRig(t, routeOf(deployment.Unsafe), s)
@@ -200,8 +198,7 @@
 	r.Equal(len(conns), 3)
 }
 
-// A full server refuses a booking and says that it has not run it. Another one
-// may take it; if all refuse, the caller hears "not run" and when to come back.
+// Guards against losing a booking that a full server has not run while another one may take it.
 func TestRefusedBookingGoesElsewhere(t *testing.T) {
 	refuse := func(x *scripted.Exchange) { x.Refuse() }
 	a := scripted.Serve(t, refuse)
@@ -220,9 +217,7 @@
 	all.True(got.Comeback() <= rigPatience/3) // the longest that callers honour
 }
 
-// A server that has left is named by its entry for some seconds yet, and its
-// address may belong to a server of another service by then. Each request says
-// which server it is for; the other one declines it and is not asked again.
+// Guards against a run by another service, at the address of a server that has left.
 func TestAddressOfAnotherServer(t *testing.T) {
 	other := scripted.Serve(t, func(x *scripted.Exchange) { x.Misdirected() })
 	own := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "own") })
@@ -238,9 +233,8 @@
 	r.True(len(other.Seen()) <= 1)
 }
 
-// A family's words, their key and the order of the prompt's parts pass through
-// the gateway. The server must get the request as it was sent, without the key,
-// and with the workspace that the key belongs to whatever the caller claims.
+// Guards against a request that is changed on its way, a key that a server sees, and a
+// workspace that the caller claims.
 func TestServerGetsWhatTheCallerSent(t *testing.T) {
 	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
 	r := newRig(t, routeOf(deployment.Safe), s)
@@ -267,8 +261,7 @@
 	r.True(!strings.Contains(fmt.Sprint(got.Header), rigKey))
 }
 
-// The server fails a request by itself. Its caller gets that very answer, status,
-// body and signature, and not one of the gateway's own.
+// Guards against replacing a server's own failure by one of the gateway's.
 func TestFailureOfTheServerIsPassedOn(t *testing.T) {
 	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(500, "the desk is closed") })
 	r := newRig(t, routeOf(deployment.Unsafe), s)
@@ -279,7 +272,7 @@
 	r.Equal(len(s.Seen()), 1)
 }
 
-// The operator lets a lookup run on two servers. All of three fail it.
+// Guards against running a lookup on more servers than the operator allows.
 func TestNoMoreServersThanAllowed(t *testing.T) {
 	fail := func(x *scripted.Exchange) { x.Whole(500, "no") }
 	a, b, c := scripted.Serve(t, fail), scripted.Serve(t, fail), scripted.Serve(t, fail)
@@ -289,8 +282,8 @@
 	r.Equal(total(a, b, c), 2)
 }
 
-// A server hangs. The caller has an answer when the route's time or its own is
-// over, whichever comes first, and the server was told no more than what is left.
+// Guards against answers after the route's or the caller's time, and servers that are told more
+// than what is left.
 func TestTimeOfARequestIsKept(t *testing.T) {
 	for name, tt := range map[string]struct{ route, caller time.Duration }{
 		"the route's":  {200 * time.Millisecond, 5 * time.Second},
@@ -311,8 +304,7 @@
 	}
 }
 
-// A caller hangs up while its draft is written. The server must hear of it at
-// once, or it goes on with work for nobody.
+// Guards against work for a caller that has hung up.
 func TestCallerThatLeavesFreesTheServer(t *testing.T) {
 	ctx, leave := context.WithCancel(t.Context())
 	s := scripted.Serve(t, func(x *scripted.Exchange) {
@@ -328,9 +320,8 @@
 	r.Equal(len(s.Seen()), 1) // and it is sent nowhere else
 }
 
-// A server dies in the middle of an event. The draft goes on at another server
-// from the last whole event, inside the same answer, under the signature of the
-// first: each part once and in order.
+// Guards against a draft that is lost, or has parts missing or twice, when its server dies in
+// the middle of an event.
 func TestStreamGoesOnElsewhere(t *testing.T) {
 	dies := func(x *scripted.Exchange) {
 		x.Stream()
@@ -364,10 +355,7 @@
 	r.True(last[0].Header.Get("Last-Event-Id") == "2" || last[1].Header.Get("Last-Event-Id") == "2")
 }
 
-// A rank of a group becomes twelve times as slow while a draft runs there. The
-// whole group waits for it in each pass, so that the draft goes on at another rank
-// and its caller gets each part once. It stays where the operator allows one run
-// only, and where too many ranks are slow for the others to take their drafts.
+// Guards against a group that waits in each pass for a slow rank, since drafts stay there.
 func TestStreamLeavesASlowRank(t *testing.T) {
 	const ranks = 5
 	for name, tt := range map[string]struct {
@@ -441,8 +429,8 @@
 	return d
 }
 
-// The same where the operator does not allow a second run: the caller's
-// connection breaks, so that the part it has does not look whole.
+// Guards against a second run that the operator does not allow, and a part of a draft that
+// looks whole.
 func TestStreamThatMayNotBeRepeatedBreaksOff(t *testing.T) {
 	script := func(x *scripted.Exchange) {
 		x.Stream()
@@ -458,8 +446,7 @@
 	r.Equal(total(a, b), 1)
 }
 
-// Events leave as they arrive: a caller reads the first one while the second is
-// not made yet.
+// Guards against events that reach the caller later than they are made.
 func TestEventsAreNotHeldBack(t *testing.T) {
 	read := make(chan struct{})
 	s := scripted.Serve(t, func(x *scripted.Exchange) {
@@ -479,9 +466,7 @@
 	r.Equal(got.Body, scripted.Event(1)+scripted.Event(2))
 }
 
-// A server answers a lookup twice, the second time just when the next lookup has
-// come over the same connection. The next caller must get its own answer, and at
-// the first try.
+// Guards against giving a caller the second answer to another one's lookup.
 func TestSecondAnswerIsSkipped(t *testing.T) {
 	before := ""
 	s := scripted.Serve(t, func(x *scripted.Exchange) {
@@ -501,8 +486,7 @@
 	r.Equal(s.Seen()[2].Conn, s.Seen()[0].Conn)
 }
 
-// A server answers before it has read a long body and reads on later. The next
-// request must not go over that connection, where it would be taken for the rest.
+// Guards against a request that its server takes for the rest of a long body.
 func TestEarlyAnswerToALongBody(t *testing.T) {
 	sent := make(chan struct{})
 	s := scripted.Serve(t, func(x *scripted.Exchange) {
@@ -529,8 +513,8 @@
 	r.True(s.Seen()[1].Conn != s.Seen()[0].Conn)
 }
 
-// What the configuration does not allow is refused as such; what it may allow
-// once it is known is not: a gateway without one says "not run".
+// Guards against serving what the configuration does not allow, and sending away what it may
+// allow once it is known.
 func TestWhatIsNotAllowed(t *testing.T) {
 	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
 	r := newRig(t, routeOf(deployment.Safe), s)
@@ -574,8 +558,7 @@
 	r.Equal((<-answers).Status, http.StatusOK)
 }
 
-// The operator takes a key away, moves the route to another service and drops a
-// third, all in one version. From the next request on only that holds.
+// Guards against acting on an older configuration after a newer one is in force.
 func TestNewVersionIsInForce(t *testing.T) {
 	before := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "before") })
 	after := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "after") })
@@ -600,9 +583,7 @@
 	r.Equal(len(before.Seen()), 1)
 }
 
-// Operators add a route in each of many versions while nothing else happens. The
-// last must be served as well as the first: a gateway that kept what it knew at
-// its start would send their callers away for ever.
+// Guards against a gateway that only knows the routes of its start.
 func TestLaterRoutesAreServed(t *testing.T) {
 	const later = 30
 	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, x.Target) })
@@ -626,11 +607,7 @@
 	}
 }
 
-// A caller keeps its connection and sends one request after the other, while
-// nothing is planned and nothing is out of order but single servers: they close
-// connections that were kept, break off, refuse, and callers ask for what is not
-// there. Each request read must get an answer: a connection that ends without
-// one leaves its caller not knowing whether a chapel is booked.
+// Guards against closing a kept connection without an answer to a request that was read.
 func TestKeptConnectionGetsAnswers(t *testing.T) {
 	scripts := []func(*scripted.Exchange){
 		func(x *scripted.Exchange) { x.Whole(200, "ok") },
@@ -661,8 +638,7 @@
 	}
 }
 
-// A server says that it leaves. No new request may reach it, also over a
-// connection that was kept; what it has begun is answered.
+// Guards against new requests at a server that leaves, also over kept connections.
 func TestLeavingServerGetsNothingNew(t *testing.T) {
 	hold := make(chan struct{})
 	leaving := scripted.Serve(t, func(x *scripted.Exchange) {
@@ -691,8 +667,7 @@
 	r.Equal(len(leaving.Seen()), 1)
 }
 
-// On SIGTERM the balancer is told, requests that still come are served, and their
-// connections end with the answer.
+// Guards against cutting off requests at a stop.
 func TestStoppingGatewayServesToTheEnd(t *testing.T) {
 	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
 	r := newRig(t, routeOf(deployment.Safe), s)
--- a/gateway/spans_test.go
+++ b/gateway/spans_test.go
@@ -13,8 +13,7 @@
 	"verbenashift/standin/scripted"
 )
 
-// A lookup fails at one server and is answered by another. The trace shows the
-// request with a hop to each, in the caller's own trace, and which one failed.
+// Guards against a trace that lacks a hop or does not say which one failed.
 func TestSpanOfEachHop(t *testing.T) {
 	is := is.New(t)
 	bad := scripted.Serve(t, func(x *scripted.Exchange) { x.Refuse() })
