--- /dev/null
+++ b/core/plumbing/story/doubts_test.go
@@ -0,0 +1,36 @@
+package story
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a target that gateways avoid while nobody can tell why, by whose evidence and
+// since when.
+func TestHowTargetsWereDoubted(t *testing.T) {
+	is := is.New(t)
+	begin := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	line := func(ms int, instance, message, more string) string {
+		at := begin.Add(time.Duration(ms) * time.Millisecond)
+		return fmt.Sprintf(`{"time":%q,"msg":%q,"instance":%q,%s}`, at.Format(time.RFC3339Nano), message, instance, more)
+	}
+	doubt := func(ms int, instance, cause, by string) string {
+		return line(ms, instance, "target doubted", fmt.Sprintf(`"target":"t0","service":"desk","cause":%q,"by":%q,"reports":2`, cause, by))
+	}
+	got := DoubtsOf(Read(strings.NewReader(strings.Join([]string{
+		doubt(300, "f1", "unanswered", "own requests"),
+		doubt(310, "f2", "unanswered", "key-of-f1"),
+		doubt(350, "f2", "broken", "own requests"),
+		doubt(700, "f3", "unanswered", "key-of-f1"),
+		line(5000, "f1", "target health", `"target":"t0","state":"ejected"`),
+		line(5000, "f1", "target health", `"target":"t1","state":"ejected"`), // nobody has doubted it
+	}, "\n"))))
+	is.Equal(got, []Doubted{{
+		Target: "t0", Service: "desk", Causes: []string{"broken", "unanswered"}, Own: 2, Finders: 2, Told: 2,
+		From: begin.Add(300 * time.Millisecond), Until: begin.Add(700 * time.Millisecond), All: 400 * time.Millisecond, Ejected: 1,
+	}})
+}
--- a/core/plumbing/story/story.go
+++ b/core/plumbing/story/story.go
@@ -39,7 +39,7 @@
 	"target": true, "target gone": true, "target health": true, "target missing after an outage of the store": true,
 	"configuration in force": true, "store does not answer": true, "store answers again": true, "digest": true,
 	"stop": true, "start": true, "log lines left out": true, "digest not used": true, "target started again": true,
-	"target has started again": true, "server entry not understood": true,
+	"target has started again": true, "target doubted": true, "server entry not understood": true,
 }
 
 var groupBeliefs = map[string]bool{
--- a/ctl/program.go
+++ b/ctl/program.go
@@ -115,7 +115,7 @@
 		Reader:                p.in, Writer: p.out, ErrWriter: p.err,
 		Commands: []*cli.Command{
 			p.intentCommand(), p.planCommand(), p.configCommand(), p.targetCommand(),
-			p.workspaceCommand(), p.groupCommand(), p.statusCommand(), p.explainCommand(), p.sharesCommand(), p.stewardsCommand(),
+			p.workspaceCommand(), p.groupCommand(), p.statusCommand(), p.explainCommand(), p.sharesCommand(), p.stewardsCommand(), p.doubtsCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
