--- a/core/configuration/mirror/follower_test.go
+++ b/core/configuration/mirror/follower_test.go
@@ -46,8 +46,7 @@
 	return len(f.View().Targets)
 }
 
-// Pages are no snapshot: a server that registers between two of them is in
-// neither. The watch has to go on from before the first page.
+// Guards against missing a server that registers between two pages.
 func TestWatchGoesOnFromTheFirstPage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -71,8 +70,7 @@
 	})
 }
 
-// The history is gone (410): everything is read again, and what left meanwhile
-// is dropped.
+// Guards against keeping what has left while the history was dropped.
 func TestCompactedHistory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -100,8 +98,7 @@
 	})
 }
 
-// The store is away for long: what is known goes on being used, its age shows,
-// and everything is read again when the store is back.
+// Guards against forgetting what is known during an outage, or hiding how old it is.
 func TestOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -144,9 +141,8 @@
 	})
 }
 
-// 200 servers start within four seconds, and each gateway hears of each of them. A call for
-// every few of them would be a thousand calls in all; a single change later is known as
-// soon as ever.
+// Guards against a call to the store for each of many changes, and a single one that is known
+// late.
 func TestChangesThatKeepComingAreGathered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/core/configuration/mirror/hints_test.go
+++ b/core/configuration/mirror/hints_test.go
@@ -69,9 +69,7 @@
 	return kv.Page{AsOf: after}, nil
 }
 
-// A gateway's connection to the store has gone silent, and a server registers. The steward's
-// view says that the store has come further, so that the gateway knows the server within
-// two seconds, although its watch would have waited for twelve.
+// Guards against a change that a silent connection hides for the length of a watch.
 func TestSilentWatchIsNoticedByHints(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -99,8 +97,7 @@
 	})
 }
 
-// The steward is gone, and with it the word on how far the store has come. Watches wait as
-// briefly as they do in a deployment without one.
+// Guards against long watches when nobody tells how far the store has come.
 func TestWatchesWaitBrieflyWithoutHints(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -124,9 +121,7 @@
 	})
 }
 
-// A gateway was cut off for ten seconds, and a server has left meanwhile. When it is back, the
-// server counts as present for the grace in which entries that lapsed come back, and no
-// longer: with a watch of twelve seconds, callers were still sent there seven seconds later.
+// Guards against a server that has left and counts as present until a long watch ends.
 func TestMissingTargetIsDroppedDuringALongWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/core/configuration/mirror/mirror_test.go
+++ b/core/configuration/mirror/mirror_test.go
@@ -33,9 +33,7 @@
 
 var noon = time.Unix(1000, 0)
 
-// A caller's request is served by a new route, and the next one is told that
-// the route does not exist: a late answer of the store has brought an older
-// configuration after the newer one.
+// Guards against an older configuration that a late answer brings back.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	is := is.New(t)
 	m := New(testFormats(), quiet())
@@ -57,8 +55,7 @@
 	is.Equal(m.View().Config.Version, int64(7))
 }
 
-// A server is started again at its address. Requests to its earlier life would
-// all be refused until that entry expires.
+// Guards against sending to the earlier server of an address.
 func TestNewestServerOfAnAddress(t *testing.T) {
 	is := is.New(t)
 	m := New(testFormats(), quiet())
@@ -71,9 +68,8 @@
 	is.Equal(len(m.View().Targets), 1)
 }
 
-// The store was away; entries have lapsed though their servers live, and are
-// back two seconds later. Dropping them at once would leave nobody to serve.
-// One that does not come back is dropped after all.
+// Guards against dropping all servers whose entries have lapsed, and keeping those that are
+// gone.
 func TestMissingAfterAnOutage(t *testing.T) {
 	is := is.New(t)
 	m := New(testFormats(), quiet())
@@ -88,8 +84,7 @@
 	is.Equal(v.Targets["a"].ID, "a")
 }
 
-// A server leaves while the history of the store is dropped, so that nobody sees
-// its entry go. It must get nothing from then on.
+// Guards against a server that left while the history was dropped.
 func TestMissingAfterAGap(t *testing.T) {
 	is := is.New(t)
 	m := New(testFormats(), quiet())
@@ -115,9 +110,7 @@
 	return it
 }
 
-// An entry of a server is overwritten by bytes that nobody can read, or by one whose
-// service does not exist, at the address of another server. The first names no server
-// any more; the second must not hide the server that is really there.
+// Guards against an entry of another writer that names or hides a server.
 func TestEntriesThatNameNoServer(t *testing.T) {
 	is := is.New(t)
 	m := New(testFormats(), quiet())
@@ -134,8 +127,7 @@
 	is.Equal(len(m.View().Targets), 2)
 }
 
-// A server starts again under its ID, at an address that another one has had since. It has
-// the address now, although its entry is the older one.
+// Guards against sending to the server that had an address before.
 func TestServerStartsAgainUnderItsID(t *testing.T) {
 	is := is.New(t)
 	m := New(testFormats(), quiet())
@@ -149,8 +141,7 @@
 	is.Equal(m.View().Targets["a"].Created, int64(8))
 }
 
-// Claims to several groups stand in the store; one is under another group's key, and one
-// can't be read. Whoever followed them would take one group's steward for that of another.
+// Guards against taking one group's steward for that of another.
 func TestClaimsBelongToTheirGroups(t *testing.T) {
 	is := is.New(t)
 	m := New(testFormats(), quiet())
--- a/core/experts/lockstep/lockstep_test.go
+++ b/core/experts/lockstep/lockstep_test.go
@@ -48,10 +48,7 @@
 	return s
 }
 
-// A steward's instance freezes just after its hold, its rank with it. All
-// callers of the group would wait until it is back. The next steward finds
-// nothing armed, has the old map replaced, so that no late order can arm it, and
-// lets the group go on without a change.
+// Guards against a group that is held until a frozen steward is back.
 func TestHoldOfLostStewardIsGivenUp(t *testing.T) {
 	is := is.New(t)
 	ranks := held()
@@ -76,8 +73,7 @@
 	is.Equal(cmds[0].Order.Step, int64(holdAt))
 }
 
-// The steward before is back before its hold was given up. The map that was
-// prepared instead is forgotten: it is no better than the one in force.
+// Guards against putting a stopgap map in force after the steward before has come back.
 func TestStopgapIsForgotten(t *testing.T) {
 	is := is.New(t)
 	ranks := held()
@@ -93,9 +89,7 @@
 	is.True(s.Stuck(ranks)) // a map is to be proposed
 }
 
-// The missing rank may be armed, and would then switch alone: its order to arm
-// was given by this steward and not answered, or by a third one, or another rank
-// than that of the steward before is missing. The hold has to stay.
+// Guards against releasing a group of which a missing rank may switch alone.
 func TestHoldStaysIfTheMissingRankMayBeArmed(t *testing.T) {
 	t.Run("armed by this steward", func(t *testing.T) {
 		is := is.New(t)
@@ -156,11 +150,7 @@
 	is.Equal(len(s.Next(ranks, start.Add(time.Minute))), 0)
 }
 
-// A steward's instance freezes while the ranks are being armed: some are, some
-// are not. Its own can't be, since it is armed after all others. The next steward
-// first has those that are not armed prepare another map, so that nobody can go on with
-// the old one; then it takes back what is armed, waits whether a late order arms another,
-// and lets the group go on.
+// Guards against a group that is held since some of its ranks are armed.
 func TestHoldIsGivenUpWhileSomeAreArmed(t *testing.T) {
 	is := is.New(t)
 	ranks := held()
@@ -194,10 +184,7 @@
 	is.Equal(kinds(s.Next(ranks, now.Add(abandonAfter)))[engine.ReleasePass], 1)
 }
 
-// An order to take back what is armed is carried out late, and the steward that has been
-// missing is back. The third steward finds one rank armed for the old map and another
-// with a newer one prepared. If it armed the rest and released the hold, the late
-// order would leave the first rank with the map before.
+// Guards against a late order that leaves one rank with the map before.
 func TestMapThatWasBarredIsArmedByNobody(t *testing.T) {
 	is := is.New(t)
 	ranks := held()
@@ -211,9 +198,7 @@
 	}
 }
 
-// A hold of another steward stands, under which nothing is armed: perhaps a third
-// has given it up, and its order to release it is still under way. Whoever arms
-// does so under a hold of its own, at a rank that holds nothing.
+// Guards against arming under a hold whose release is on its way.
 func TestArmsUnderItsOwnHold(t *testing.T) {
 	is := is.New(t)
 	ranks := held()
@@ -227,9 +212,7 @@
 	is.Equal(kinds(s.Next(ranks, start))[engine.ArmMap], 1)
 }
 
-// A steward gives its orders to arm and freezes within milliseconds; agents carry
-// out what they were asked. One rank must not be armed then, or nobody could tell
-// whether the steward's own is.
+// Guards against a steward that freezes when nobody can tell whether its own rank is armed.
 func TestRanksAreArmedInTurn(t *testing.T) {
 	is := is.New(t)
 	ranks := held()
@@ -257,9 +240,7 @@
 	is.Equal(turns, [][]int{{2, 3, 4}, {1}, {0}})
 }
 
-// A change on ranks that do what they are told: prepare everywhere, hold at the
-// next rank and straight at its server, arm the others, arm the next and then the
-// own rank, release.
+// Guards against a change that takes more rounds, or another order, than it needs.
 func TestMovesOfAChange(t *testing.T) {
 	is := is.New(t)
 	m := newModel(3, newRand())
@@ -294,8 +275,7 @@
 	is.Equal(version%saltRange, int64(5))
 }
 
-// A rank answers that it does not understand the map. The steward must not repeat
-// it for ever: callers would see the passes of the old map until the steward dies.
+// Guards against repeating for ever a map that ranks do not understand.
 func TestMalformedMapIsGivenUp(t *testing.T) {
 	is := is.New(t)
 	ranks := held()
@@ -314,9 +294,7 @@
 	is.True(s.Next(ranks, start.Add(time.Second))[0].Order.Version != cmds[0].Order.Version)
 }
 
-// Ranks leave orders unanswered, so that it takes 200 ms until all are armed. With
-// a hold for the next pass but one, callers would see a pause of that length at
-// each change. After the first such change the hold stands as far ahead.
+// Guards against pauses as long as it takes to arm all ranks.
 func TestHoldIsAsFarAheadAsChangesTake(t *testing.T) {
 	is := is.New(t)
 	const pass, arming = 50 * time.Millisecond, 200 * time.Millisecond
@@ -342,8 +320,7 @@
 	is.Equal(s.took, time.Duration(tookKept*float64(arming)))
 }
 
-// The steward is silent: the agents beside the first ranks should try before
-// the others, and not all at once.
+// Guards against agents that all try at once when the steward is silent.
 func TestCandidateTakesTurns(t *testing.T) {
 	is := is.New(t)
 	c := NewCandidate(start)
@@ -359,9 +336,7 @@
 	is.True(c.Due(1000, start.Add(time.Minute+silence+maxStagger)))
 }
 
-// The steward's instance freezes right after its hold, and no caller of the group
-// is served until somebody takes over. An agent that has heard of the hold does
-// so sooner, one that has not waits its turn.
+// Guards against a held group that waits its turn for a steward.
 func TestHeldGroupWaitsLessForANewSteward(t *testing.T) {
 	is := is.New(t)
 	knows, other := NewCandidate(start), NewCandidate(start)
@@ -375,8 +350,7 @@
 	is.True(knows.Due(1000, start.Add(silence+maxStagger)))
 }
 
-// The time of a pass decides how many callers are let in. Read over single passes
-// it jumped between 6 and 190 ms while it was 100.
+// Guards against a time of passes that jumps from reading to reading.
 func TestPassClockIsSteady(t *testing.T) {
 	is := is.New(t)
 	var p passClock
@@ -397,9 +371,7 @@
 	is.Equal(p.took, before)
 }
 
-// A rank does not answer for seconds while the others go on. How long their passes
-// take decides how many requests are let in: without it the group is taken for one
-// that is short of work, and filled.
+// Guards against filling a group whose passes are not timed while a rank is missing.
 func TestPassesAreTimedWithoutARank(t *testing.T) {
 	is := is.New(t)
 	const pass = 100 * time.Millisecond
@@ -413,9 +385,7 @@
 	is.Equal(s.PassTime(), pass)
 }
 
-// All callers come back to a group that has just been formed. Its first passes take 4 ms,
-// the next ones 300 ms: armed twelve passes ahead, its first good map would come into
-// force after seconds of the worst load.
+// Guards against a first map that is armed seconds ahead, by the passes of an empty group.
 func TestLeadOfAGroupThatWasJustFormed(t *testing.T) {
 	is := is.New(t)
 	var p passClock
--- a/core/experts/rankpeer/branch_test.go
+++ b/core/experts/rankpeer/branch_test.go
@@ -39,8 +39,7 @@
 	}
 }
 
-// States that are cut short, or of another number of ranks than were asked, must be
-// refused: taken as they are, one rank would be taken for another.
+// Guards against taking the state of one rank for that of another.
 func TestStatesThatDoNotFit(t *testing.T) {
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(2, 1))
@@ -55,8 +54,7 @@
 	}
 }
 
-// The ranks of a calm group say nearly the same. Their states take a tenth of what they
-// take one by one, so that a steward hears 768 ranks in a few milliseconds of its link.
+// Guards against states that fill the link of a large group.
 func TestStatesOfACalmGroupAreSmall(t *testing.T) {
 	is := is.New(t)
 	var states []engine.State
@@ -70,8 +68,7 @@
 	is.True(len(PackStates(states)) <= most*len(states))
 }
 
-// A relay's answer brings what each member told: who refused and why, who did not answer,
-// and the states of the others, each at its place.
+// Guards against losing or mixing up what the members of a branch have told.
 func TestTellsOfABranch(t *testing.T) {
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(3, 1))
@@ -103,8 +100,7 @@
 	is.True(!ok)
 }
 
-// Counts that are summed on the way are rounded twice. Over many rounds the sums must come
-// out right all the same, or the planner would move the wrong experts.
+// Guards against sums of counts that rounding on the way makes wrong.
 func TestSumsOfSamplesAreRightInTheMean(t *testing.T) {
 	is := is.New(t)
 	counts := [][]int64{{10, 1, 0, 300}, {7, 0, 2, 20}, {1, 1, 1, 1}}
@@ -138,8 +134,7 @@
 	return out
 }
 
-// Nobody in a group speaks to more others than about twice the square root of its size;
-// otherwise the steward of a large group would be the one whose link is full.
+// Guards against an agent of a large group that speaks to all others.
 func TestBranchesOfAGroup(t *testing.T) {
 	for name, tt := range map[string]struct{ zones, each, branches, width int }{
 		"16 ranks, asked one by one": {1, 16, 16, 1},
@@ -171,8 +166,7 @@
 	}
 }
 
-// The first map of a group follows from its shape; a shape from the wire that is none, or
-// would fill the memory, gives nothing.
+// Guards against a shape from the wire that is none, or fills the memory.
 func TestFirstMap(t *testing.T) {
 	is := is.New(t)
 	m, ok := FirstMap(Shape{Layers: 2, Ranks: 3, Places: 2, Experts: 5}).Unpack()
--- a/core/experts/rankpeer/rankpeer_test.go
+++ b/core/experts/rankpeer/rankpeer_test.go
@@ -49,8 +49,7 @@
 	}
 }
 
-// A damaged or foreign change must be refused, not half applied: a rank would
-// prepare another map than the others under the same number.
+// Guards against applying half of a damaged or foreign change.
 func TestChangesThatDoNotFit(t *testing.T) {
 	is := is.New(t)
 	m := Pack([][][]int{{{1}, {2}}}, 2)
@@ -74,8 +73,7 @@
 	is.True(!ok)
 }
 
-// A rank starts anew between two readings, so that its counts fall. Taken as
-// differences they would be far below zero.
+// Guards against counts below zero after a restart of a rank.
 func TestSampleOfARestartedRank(t *testing.T) {
 	is := is.New(t)
 	sums := make([]float64, 2)
@@ -85,9 +83,7 @@
 	is.Equal(sums, []float64{15, 15})
 }
 
-// Most experts get a few choices at each rank where one gets hundreds. A sample has
-// only fifteen steps: if small counts were rounded to none, or all up or down, the
-// sums over the ranks would say that hardly anybody wants most of the experts.
+// Guards against rounding away the experts that few requests choose at each rank.
 func TestSumsOfSamplesAreRight(t *testing.T) {
 	is := is.New(t)
 	const ranks = 7200
@@ -114,8 +110,7 @@
 	is.Equal(sums, []float64{0, 0, 0})
 }
 
-// The steward of 72 ranks has a link of 8 Mbit/s: what one round takes has to
-// stay well below what the link carries in 0.2 s (200 KB).
+// Guards against rounds that fill the steward's link.
 func TestSizeOfARound(t *testing.T) {
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(2, 2))
--- a/core/request/quarantine/register_test.go
+++ b/core/request/quarantine/register_test.go
@@ -123,8 +123,7 @@
 	b.Equal(b.held(), []int{1})
 }
 
-// A gateway hears of the third crash under a request before the others have told that the
-// culprit was there as well. It must not decide before they can.
+// Guards against deciding on a culprit before the other gateways can have told.
 func TestDecisionWaitsForTheOthers(t *testing.T) {
 	b := newBench(t)
 	for range 3 {
@@ -139,9 +138,7 @@
 	b.Equal(b.held(), []int{2})
 }
 
-// A lookup that is asked for all the time is under way at every target, whatever ends them.
-// It has been answered before, so that it is not taken for the culprit, and the other
-// gateways are told so.
+// Guards against taking a request that is always under way for the culprit.
 func TestWhatWasAnsweredHasNotCrashed(t *testing.T) {
 	b := newBench(t)
 	b.Equal(b.Completed(printOf(1)), false) // nobody holds it for a culprit
@@ -164,8 +161,7 @@
 	other.Equal(other.held(), nil)
 }
 
-// A request that is held back is tried again after waits that grow, and no more after the
-// last. Its caller is told when.
+// Guards against trials without end, and callers who are not told when the next one is.
 func TestTrials(t *testing.T) {
 	b := newBench(t)
 	for range 3 {
@@ -191,9 +187,7 @@
 	b.Equal(b.Judge(printOf(1), b.now), Verdict{Held: true, Hold: h, Revision: b.stored})
 }
 
-// Two requests were under way in the same three crashes. Both are tried at once, one after
-// the other: the one is answered whole and free, the other one crashes a fourth target. While
-// the store is away nobody can try, and neither is held back.
+// Guards against holding a neighbour back that was in the same crashes.
 func TestTrialsTellCulpritFromNeighbour(t *testing.T) {
 	b := newBench(t)
 	for range 3 {
@@ -215,8 +209,7 @@
 	b.Equal(b.doubtful(), nil)
 }
 
-// A trial ends without telling anything, since the target was busy: the next one need not
-// wait. After three of them it does, but the request is not held for ever.
+// Guards against a neighbour that is held for ever since its trials tell nothing.
 func TestTrialThatTellsNothing(t *testing.T) {
 	b := newBench(t)
 	h := Hold{Crashes: 3, Soon: true}
@@ -253,8 +246,7 @@
 	other.Equal(other.held(), nil)
 }
 
-// An operator frees a request. The reports of its crashes still stand in the store; a gateway
-// that starts later reads them, and must not hold the request back by them again.
+// Guards against holding a request again by reports of before an operator freed it.
 func TestFreedRequestStaysFree(t *testing.T) {
 	var items [][2]string
 	put := func(n int, r Report) { items = append(items, [2]string{ReportKey("front-1", n), string(r.Bytes())}) }
@@ -276,8 +268,7 @@
 	later.True(!ok) // it was told already
 }
 
-// A gateway starts again while a request is held back: it reads so in the store, and knows
-// of what has been removed meanwhile.
+// Guards against a gateway that does not know after a start what is held back or free.
 func TestStart(t *testing.T) {
 	b := newBench(t)
 	b.store(1, Hold{Crashes: 3})
--- a/core/request/queue/queue_test.go
+++ b/core/request/queue/queue_test.go
@@ -17,9 +17,7 @@
 
 func newQueue(l Limits) *Queue { return New(l, rand.New(rand.NewPCG(1, 2))) }
 
-// Two studios keep their queues full while a third comes and goes. Each has
-// paid for its share; if the one with long requests or the one that was idle
-// got ahead by more than the bound, the others would wait for its work.
+// Guards against a workspace that gets ahead of its share by long requests or idle times.
 func TestServiceBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const steps = 150
@@ -74,10 +72,7 @@
 	})
 }
 
-// An importer has hundreds of requests waiting and would hold every slot; an
-// arranger's single request then waits until one of its long answers ends. The
-// kept slots are for the arranger, also when the importer is the next in turn,
-// and nobody's when the importer is alone.
+// Guards against a workspace that holds every slot while the single request of another waits.
 func TestKeptSlots(t *testing.T) {
 	is := is.New(t)
 	q := newQueue(Limits{Slots: 16, Reserve: 2})
@@ -108,8 +103,7 @@
 	is.Equal(len(fill()), 16)
 }
 
-// A market seller's queue has been silent all morning. Then it sends a batch.
-// Were its silence credit, the studio at work would wait for the whole batch.
+// Guards against a workspace that saves up service while it is idle.
 func TestIdleEarnsNoCredit(t *testing.T) {
 	is := is.New(t)
 	q := newQueue(Limits{Slots: 1, Items: 1 << 16, Tokens: 1 << 30, WorkspaceItems: 1 << 16})
@@ -134,10 +128,8 @@
 	is.True(had["studio"] >= 49) // half of the service, less one item
 }
 
-// A seller declares four huge jobs, goes silent, and comes back as they end
-// after one token each. What they were charged too much belongs to a time when
-// the seller did not wait; given back now it would shut the studio out. An
-// answer that runs ten times longer than declared is charged in full.
+// Guards against giving back estimates of a time that is over, and answers that ride on the
+// others.
 func TestWrongEstimates(t *testing.T) {
 	is := is.New(t)
 	q := newQueue(Limits{Slots: 5, Items: 1 << 16, Tokens: 1 << 30, WorkspaceItems: 1 << 16})
@@ -179,9 +171,7 @@
 	is.Equal(q.classes[Normal].flows["studio"].counter, before+float64(studio)*100)
 }
 
-// Render-ready pings flood in from many members at once. An arranger's draft
-// is normal work: it is slower then, but it must neither stand still nor be
-// pushed out of the queue by the pings.
+// Guards against urgent requests that stop all other work.
 func TestUrgentFloodIsBounded(t *testing.T) {
 	is := is.New(t)
 	const cost, burst = 10, 200
@@ -210,8 +200,7 @@
 	is.True(refused < 6000*7/10) // the draft's workspace sends 2.5 times what it gets
 }
 
-// One home's importer sends far more than the queue holds. A competitor's
-// single request must still find a place, and only the importer is refused.
+// Guards against a queue that one workspace fills.
 func TestOneWorkspaceCannotFillTheQueue(t *testing.T) {
 	is := is.New(t)
 	q := newQueue(Limits{Slots: 1, Items: 100, Tokens: 1000, WorkspaceItems: 100, WorkspaceTokens: 1000, NormalShare: 0.9})
@@ -234,9 +223,7 @@
 	is.True(refusal.RetryAfter > 0)
 }
 
-// A family's request has a second left and the target is three seconds behind.
-// The answer "not run" has to come now, not when the second is over; and what
-// expires while it waits is answered too, and never started.
+// Guards against holding a request that cannot start in time until its deadline.
 func TestDeadlines(t *testing.T) {
 	is := is.New(t)
 	q := newQueue(Limits{Slots: 1, Rate: 100})
@@ -259,8 +246,7 @@
 	is.Equal(shed[0].Refusal.Reason, ReasonExpired)
 }
 
-// Normal work backs up and goes on coming. A best-effort caller would wait for
-// its whole deadline only to be refused then; it is the first to be told no.
+// Guards against best-effort callers that wait only to be refused.
 func TestBestEffortIsRefusedFirst(t *testing.T) {
 	is := is.New(t)
 	q := newQueue(Limits{Slots: 1, Rate: 100, Burst: 50})
@@ -274,8 +260,7 @@
 	is.True(refusal != nil && refusal.Reason == ReasonDeadline)
 }
 
-// An id that waits already is sent again. "Not run" would be a lie: the first
-// one may run a moment later.
+// Guards against calling a request "not run" whose identifier already waits.
 func TestDuplicateIsUnknown(t *testing.T) {
 	is := is.New(t)
 	q := newQueue(Limits{})
@@ -283,8 +268,7 @@
 	is.Equal(q.Enqueue(Item{ID: "x"}, start).Outcome, outcome.Unknown)
 }
 
-// A thousand callers are refused together. If all were told the same time they
-// would return together, and the second wave would be as high as the first.
+// Guards against refused callers that return all together.
 func TestRetryAfterIsSpread(t *testing.T) {
 	is := is.New(t)
 	q := newQueue(Limits{Slots: 1, Items: 1, Rate: 100})
@@ -299,9 +283,7 @@
 	}
 }
 
-// Whatever happens, each accepted request ends exactly once: started, shed or
-// removed. One that vanished would be a caller who waits for ever; one that
-// came twice would be a brief billed twice.
+// Guards against accepted requests that vanish or end twice.
 func TestEachRequestEndsOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		q := newQueue(Limits{Slots: 3, Items: 20, Tokens: 400, Rate: 50})
--- a/core/request/retry/retry_test.go
+++ b/core/request/retry/retry_test.go
@@ -64,9 +64,7 @@
 	}
 }
 
-// At the month's end the targets fail for minutes. Every request of every
-// workspace is tried again, some of them four times, and the targets that
-// still work get several times their load and fail too.
+// Guards against retries that multiply the load on targets that fail.
 func TestRetriesDoNotMultiplyLoad(t *testing.T) {
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(1, 1))
@@ -87,8 +85,7 @@
 	is.True(calls > requests) // but some are
 }
 
-// One workspace's requests all fail, because of something they ask for. Its
-// retries must not leave the others without any.
+// Guards against one workspace that spends the others' retries.
 func TestBudgetIsPerWorkspace(t *testing.T) {
 	is := is.New(t)
 	budgets := NewBudgets(Limits{})
@@ -106,8 +103,7 @@
 	is.Equal(len(budgets.keys), 0)
 }
 
-// A quiet workspace sends a request a minute and one fails: it has earned no
-// retry yet, and its only caller would be refused for one dropped packet.
+// Guards against a quiet workspace that has earned no retry for a dropped packet.
 func TestFloorGivesQuietWorkspaceARetry(t *testing.T) {
 	is := is.New(t)
 	g := NewBudgets(Limits{}).For(Key{"quiet", "target"})
@@ -116,9 +112,7 @@
 	is.True(g.Take(start.Add(floorEvery)))
 }
 
-// A thousand callers are refused in one second while the targets complete a
-// hundred requests a second. All told to come back after one second would
-// come as a second wave, of the same size, and be refused again.
+// Guards against refused callers that come back as a second wave.
 func TestReturnIsNoSecondWave(t *testing.T) {
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(1, 1))
@@ -139,8 +133,7 @@
 	is.True(idle.GaveUp(start, rng) != idle.GaveUp(start, rng))
 }
 
-// Urgent notices wait behind a slow target. Sending all of them twice would
-// double the load on targets that are slow because of load.
+// Guards against hedging that doubles the load on slow targets.
 func TestHedgeWithinBudget(t *testing.T) {
 	is := is.New(t)
 	key := Key{"bole", "target"}
@@ -157,8 +150,7 @@
 	is.True(!Hedge(&Attempts{}, time.Second, 100*time.Millisecond, rich(key), start))
 }
 
-// Two callers of an idle entry are refused, and nothing has completed lately.
-// They must not be sent away for half a minute as if there were a crowd.
+// Guards against sending the few callers of an idle entry away for long.
 func TestFewCallersComeBackSoon(t *testing.T) {
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(1, 2))
@@ -170,8 +162,7 @@
 	}
 }
 
-// A deployment says how many retries all its entries may make. An entry must not
-// make more than its share in any ten seconds, also just after its start.
+// Guards against more retries in some span than a deployment allows, also just after a start.
 func TestLimitsOfADeployment(t *testing.T) {
 	is := is.New(t)
 	b := NewBudgets(Limits{Ratio: 0.17, KeyBurst: 4, HopBurst: 4, KeyStart: 2, HopStart: 2})
--- a/gateway/crash/detector_test.go
+++ b/gateway/crash/detector_test.go
@@ -61,8 +61,7 @@
 // errSilent is how opening a connection to an instance without power fails.
 var errSilent = errors.New("i/o timeout")
 
-// An answer breaks off. Whether its target has crashed is told by its address and, where
-// that says nothing, by the store; a lost packet or a fault in one answer is no crash.
+// Guards against taking a lost packet or a fault in one answer for the crash of a target.
 func TestCrashOrBrokenAnswer(t *testing.T) {
 	for name, tt := range map[string]struct {
 		answer error
@@ -124,8 +123,7 @@
 	})
 }
 
-// A target that has said that it leaves, or has taken its entry back, ends with answers under
-// way. That is planned, and no request has done it.
+// Guards against taking a planned end for a crash.
 func TestPlannedEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -138,8 +136,8 @@
 	})
 }
 
-// All answers of a target break off together: it is asked once, and its crash names each
-// request once and not more than are kept.
+// Guards against asking a target once for each answer that broke off, and crashes without
+// bound.
 func TestManyAnswersBreakTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -156,8 +154,7 @@
 	})
 }
 
-// A target has answered after one request broke off, and crashes under the next: only the
-// second is named.
+// Guards against naming a request for a crash before which its target has answered others.
 func TestAnswerClearsEarlierBreaks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -109,21 +109,17 @@
 	is.Equal(p.Open(), 1)
 }
 
-// A server sends a second answer to the first request, which arrives just where
-// the answer to the second one is due. The second caller must get its own.
+// Guards against giving a caller the second answer to another one's request.
 func TestLateSecondAnswer(t *testing.T) {
 	secondGetsItsOwn(t, []string{reply("1", "one"), reply("1", "one") + reply("2", "two")})
 }
 
-// A server sends bytes after a whole answer. They belong to no request: the
-// connection must not be used again.
+// Guards against using a connection again on which bytes follow a whole answer.
 func TestBytesAfterTheAnswer(t *testing.T) {
 	secondGetsItsOwn(t, []string{reply("1", "one") + "garbage"}, []string{reply("2", "two")})
 }
 
-// A kept connection is closed by the server just as a request is sent. The
-// standard client would send it again; here the caller is told that it may have
-// run, and the server sees it once.
+// Guards against sending a request a second time when its kept connection breaks.
 func TestBrokenConnectionIsNotRepeated(t *testing.T) {
 	is := is.New(t)
 	addr, requests := answerWith(t, []string{reply("1", "one"), ""}, []string{reply("2", "two")})
@@ -148,8 +144,7 @@
 	is.True(errors.As(err, &notSent))
 }
 
-// An answer ends before its stated length, or in the middle of a chunk. A caller
-// that took it for whole would have half an answer.
+// Guards against taking an answer that was cut short for whole.
 func TestAnswerCutShort(t *testing.T) {
 	for name, answer := range map[string]string{
 		"length": "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nhalf",
@@ -177,8 +172,7 @@
 	}
 }
 
-// An answer without a length ends with its connection. It is whole if the server
-// closes, and the connection is gone then.
+// Guards against losing an answer without a length, and using its connection again.
 func TestAnswerWithoutLength(t *testing.T) {
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -201,8 +195,7 @@
 	is.Equal(p.Open(), 0)
 }
 
-// The caller leaves. The server has to see its connection end, so that it stops
-// working for nobody.
+// Guards against work for a caller that has left.
 func TestCallerLeaves(t *testing.T) {
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -232,9 +225,7 @@
 // in, so that it is not all written before it is read.
 const unbuffered = 64 << 20
 
-// A server refuses a long request before it has read it, and keeps the
-// connection. The answer counts; the connection does not, since the rest of the
-// body would be taken for the next request.
+// Guards against a request that its server takes for the rest of the last body.
 func TestAnswerBeforeTheBody(t *testing.T) {
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/sidecar/claim_test.go
+++ b/sidecar/claim_test.go
@@ -55,9 +55,7 @@
 	return false
 }
 
-// The steward has died with a hold in place, and the store is silent. The next
-// one must act at once; when the store is back, it gets a term from it without
-// another change of stewards.
+// Guards against a group that is held until the store is back.
 func TestStewardActsBeforeTheStoreAnswers(t *testing.T) {
 	is := is.New(t)
 	a, store := testAgent(t)
@@ -79,9 +77,7 @@
 	is.Equal(s.core.Fence, s.term)
 }
 
-// The store is away and two agents notice that the steward is silent. The second
-// one hears the first while it waits for its claim: it must not take the change
-// over again, or the group would begin it anew with each agent that follows.
+// Guards against a change that begins anew with each agent that notices the silence.
 func TestSecondAgentDoesNotFollow(t *testing.T) {
 	is := is.New(t)
 	a, store := testAgent(t)
@@ -98,11 +94,7 @@
 	is.True(!ok)
 }
 
-// A steward freezes with a hold in place, and two agents notice at almost the same
-// time. The second finds the claim of the first, of which it has heard nothing
-// yet. It must leave it alone, or the hold would stand until the frozen one is
-// back: only who follows it directly knows that nothing was armed. If the first
-// stays silent, the second takes over at its next try.
+// Guards against taking over from a claim whose holder may have armed ranks.
 func TestFreshClaimIsLeftAlone(t *testing.T) {
 	is := is.New(t)
 	a, store := testAgent(t)
@@ -118,10 +110,7 @@
 	is.True(d.term > 31)
 }
 
-// All processes start together. The agent of the first rank claims at once, although a claim
-// of before is in the store, and needs a while to read who its ranks are. Meanwhile the next
-// ones come due, which have heard nobody. They leave the claim alone at their first try:
-// six stewards at once had the group begin its first change six times.
+// Guards against several stewards at once after a start of all processes.
 func TestAgentsThatStartTogetherLeaveTheFirstAlone(t *testing.T) {
 	is := is.New(t)
 	first, store := testAgent(t)
@@ -143,9 +132,7 @@
 	is.True(d2.term > d.term)
 }
 
-// The same, but the first speaks while the second is asking the store. The second
-// knows it by now, so that its claim is no fresh one; still it must not be taken
-// over from.
+// Guards against taking over from a steward that speaks while the store is asked.
 func TestClaimIsDroppedWhenAnotherSpeaks(t *testing.T) {
 	is := is.New(t)
 	a, store := testAgent(t)
@@ -163,8 +150,7 @@
 	is.True(!a.writeClaim(t.Context(), groupG, needed).lost)
 }
 
-// Two agents claim at the same time. The store lets one of them through; the
-// other, already acting, must end.
+// Guards against two stewards that go on after the store has let one of them through.
 func TestActingStewardEndsWhenAnotherHasClaimed(t *testing.T) {
 	is := is.New(t)
 	a, store := testAgent(t)
--- a/sidecar/members_test.go
+++ b/sidecar/members_test.go
@@ -38,8 +38,7 @@
 
 func in(group string) engine.GroupID { return engine.GroupID{Name: group, Epoch: 1} }
 
-// Three groups of 24 ranks serve side by side. A steward that asked all 72 agents in each
-// round would take three times as long for it, and would count the ranks of others.
+// Guards against asking and counting the ranks of other groups.
 func TestStewardAsksItsGroup(t *testing.T) {
 	is := is.New(t)
 	s := testSteward(t)
@@ -59,9 +58,7 @@
 	is.Equal(len(s.roster.Members), 2)
 }
 
-// A rank joins the group, and the store does not know it yet. Its word goes before what
-// stands there; until it has spoken it is found by asking everybody now and then, as long
-// as the group lacks a rank.
+// Guards against a rank that is never found, since the store does not know its group.
 func TestMissingRankIsLookedForElsewhere(t *testing.T) {
 	is := is.New(t)
 	s := testSteward(t)
@@ -91,8 +88,7 @@
 	is.Equal(len(s.roster.Members), 2)
 }
 
-// A server starts again under its ID: what the steward knows of its agent, such as the map
-// that it has, is void.
+// Guards against acting on what an agent knew in an earlier incarnation.
 func TestMemberThatStartedAgain(t *testing.T) {
 	is := is.New(t)
 	s := testSteward(t)
@@ -106,8 +102,7 @@
 	is.True(s.branches[0].link.roster() == nil)
 }
 
-// The group has been formed anew, and a rank says so before the steward has seen it. From
-// then on the steward asks in the new epoch; in the old one nobody would heed it.
+// Guards against asking in an epoch that is over.
 func TestStewardFollowsTheEpoch(t *testing.T) {
 	is := is.New(t)
 	s := testSteward(t)
@@ -118,8 +113,7 @@
 	is.Equal(s.word().Group.Epoch, int64(4))
 }
 
-// The rank of a steward joins another group. The steward must end: it would go on giving
-// orders for a group that it is no part of, beside the one that takes over.
+// Guards against orders for a group that the steward is no part of.
 func TestStewardWhoseRankHasLeft(t *testing.T) {
 	for name, st := range map[string]engine.State{
 		"another group": {Group: "h", Epoch: 1, Rank: 1},
@@ -138,8 +132,7 @@
 	}
 }
 
-// Two readings of a rank cross on the way: the older one arrives last, and says that the
-// group has not been formed anew. It must not make the agent go back.
+// Guards against an agent that goes back to an older epoch by a reading that comes late.
 func TestReadingsThatCross(t *testing.T) {
 	is := is.New(t)
 	a, _ := testAgent(t)
@@ -149,8 +142,7 @@
 	is.Equal(a.seat().Group.Epoch, int64(2))
 }
 
-// A steward of another group, with a newer term, asks an agent whose rank it takes for its
-// own. It hears why not and whose the rank is, and the agent goes on heeding its own.
+// Guards against heeding another group's steward since its term is newer.
 func TestAskOfAnotherGroup(t *testing.T) {
 	is := is.New(t)
 	a, _ := testAgent(t)
@@ -165,8 +157,7 @@
 	is.True(a.digest("g", 0) != nil)
 }
 
-// Loads that were saved under a group's key by another writer, for another group, are not
-// taken for this one's: the first maps of the day would be those of other callers.
+// Guards against first maps made from the loads of another group.
 func TestLoadsOfAnotherGroup(t *testing.T) {
 	is := is.New(t)
 	a, _ := testAgent(t)
--- a/sidecar/needs_test.go
+++ b/sidecar/needs_test.go
@@ -13,10 +13,7 @@
 	"verbenashift/platform"
 )
 
-// The configuration has grown to hundreds of kilobytes. A steward that read it whenever it
-// began filled its own link for half a second, was taken for dead, and so was the next one.
-// What it needs comes with the roster, from what the steward before has saved, and from
-// gateways; the configuration is read only by the first steward of all.
+// Guards against stewards that are taken for dead while they read a large configuration.
 func TestStewardNeedsNoConfiguration(t *testing.T) {
 	is := is.New(t)
 	engine := deployment.Engine{Sets: 2, Experts: 8, Places: 3}
@@ -38,9 +35,7 @@
 	is.Equal(s.needs.load().Engine.Experts, 384)
 }
 
-// A gateway's word on the store goes round by the relays: all others wait long with their
-// watches, and learn within a second that there is something new. Without a fresh word
-// nobody is told anything, so that they look for themselves.
+// Guards against long watches that hide a change of the store.
 func TestWordOnTheStoreGoesRound(t *testing.T) {
 	s := newSide(t, sideRanks)
 	s.ask()
@@ -66,8 +61,7 @@
 	s.Equal(s.agents[i].askers.newest(now.Add(eventValid+time.Second)), int64(7))
 }
 
-// Whoever all others rely on to see changes of the store soon must be few, since each of
-// their watches is a call, and at least one, since the word would stop.
+// Guards against short watches of all gateways, and of none.
 func TestFewGatewaysWatchBriefly(t *testing.T) {
 	s := newSide(t, sideRanks)
 	s.ask()
--- a/sidecar/planner_test.go
+++ b/sidecar/planner_test.go
@@ -12,9 +12,7 @@
 	"verbenashift/core/experts/rankpeer"
 )
 
-// A rank does not answer, and the others are to prepare a map that loads nothing.
-// They keep what they have; the missing one gets what nobody else has, so that the
-// map has every expert. With two ranks missing no such map is known.
+// Guards against a map for a missing rank that loads experts or lacks some.
 func TestStopgapLoadsNothing(t *testing.T) {
 	is := is.New(t)
 	p := planner{
@@ -34,9 +32,7 @@
 	is.Equal(p.stopgap(tells), nil) // it does not fit
 }
 
-// A steward has died. The next one, which did not make the map in force, knows it
-// all the same from what its agent was given to prepare, so that its orders carry
-// what differs and not the whole map; but not a map of an earlier epoch.
+// Guards against a new steward that sends whole maps, or starts from one of an earlier epoch.
 func TestNewStewardKnowsTheMap(t *testing.T) {
 	is := is.New(t)
 	a := &agent{beliefs: newBeliefs(lockstep.Listener{}, time.Time{})}
@@ -53,9 +49,7 @@
 	is.Equal(later.base, nil)
 }
 
-// A change is under way in a large group, and the counts of all ranks take three
-// quarters of each round: the change would wait for them. They are asked for again
-// when it is over, or when it takes so long that the mix of work may have changed.
+// Guards against a change that waits for the counts of all ranks.
 func TestCountsWaitForAChange(t *testing.T) {
 	is := is.New(t)
 	s := &steward{core: lockstep.NewSteward(0, nil, 1)}
@@ -75,9 +69,7 @@
 	is.True(counts(1))
 }
 
-// A change starts from the first map of a group, which the agent works out. If the engines
-// assign their experts in another order than is thought, the agent must ask for the whole
-// map: one that was made from another base would be prepared on this rank alone.
+// Guards against a change made from another first map than that of the engines.
 func TestFirstMapIsCheckedByItsNumber(t *testing.T) {
 	is := is.New(t)
 	shape := rankpeer.Shape{Layers: 1, Ranks: 2, Places: 2, Experts: 4}
--- a/sidecar/relay_test.go
+++ b/sidecar/relay_test.go
@@ -176,9 +176,8 @@
 
 const sideRanks = 40
 
-// A steward hears all ranks of a group through seven relays. Asked one by one, the answers
-// of 192 ranks come too late on its link, agents take it for dead, and the group is
-// never steered.
+// Guards against a group that is never steered, since the answers of all ranks fill its
+// steward's link.
 func TestRelaysAnswerForTheirBranches(t *testing.T) {
 	s := newSide(t, sideRanks)
 	s.Equal(len(s.steward.branches), 6)
@@ -192,9 +191,7 @@
 	}
 }
 
-// A relay stands still: its branch is not known in this round, all others are, and in
-// the next round another agent carries its words. Only its own rank stays away until its
-// agent answers again.
+// Guards against a branch that stays unknown while its relay is stalled.
 func TestRelayThatStandsStillIsReplaced(t *testing.T) {
 	s := newSide(t, sideRanks)
 	s.Equal(s.ask(), sideRanks)
@@ -206,9 +203,7 @@
 	s.True(s.steward.peers[fmt.Sprintf("i-%03d", i)].lost)
 }
 
-// A relay was replaced, and the next one has to connect to its members first. Given the view
-// of the group just then, with a shorter wait, it was taken for lost in its turn, and so was
-// each one after it: the branch was not known for three seconds.
+// Guards against replacing relay after relay, none of which is left the time to connect.
 func TestNewRelayIsLeftItsTime(t *testing.T) {
 	s := newSide(t, sideRanks)
 	s.ask()
@@ -228,8 +223,7 @@
 	s.True(chosen.patient)
 }
 
-// An agent that is no relay stands still. The others of its branch are told in the same
-// round: one frozen instance must not hide twelve ranks.
+// Guards against one stalled instance that hides its whole branch.
 func TestSilentMemberHidesNobody(t *testing.T) {
 	s := newSide(t, sideRanks)
 	s.Equal(s.ask(), sideRanks)
@@ -241,9 +235,8 @@
 	s.True(s.steward.peers[fmt.Sprintf("i-%03d", i+1)].lost)
 }
 
-// While sidecars are upgraded one by one, a relay may be of a version that knows nothing of
-// branches: it answers for its own rank alone. Taken as it is, its branch would stay unknown;
-// another member becomes the relay.
+// Guards against a branch that stays unknown during an upgrade, since its relay answers for
+// itself alone.
 func TestRelayOfAnotherVersion(t *testing.T) {
 	s := newSide(t, sideRanks)
 	b, i := s.numberOfRelay()
@@ -267,8 +260,8 @@
 	s.Equal(s.ask(), sideRanks)
 }
 
-// A steward was paused and another one has taken over, of which only one agent far from it
-// has heard. Its word comes back through the relay, and the old steward ends.
+// Guards against an old steward that goes on, since only an agent far from it has heard the
+// next.
 func TestNewerStewardIsHeardThroughARelay(t *testing.T) {
 	s := newSide(t, sideRanks)
 	s.Equal(s.ask(), sideRanks)
@@ -280,8 +273,7 @@
 	s.Equal(s.ranks[i+1].got(engine.ArmMap), 0)
 }
 
-// A steward was replaced while its ask waited in a frozen relay. When that wakes it passes
-// the order on; the agents have heard the next steward and refuse it.
+// Guards against orders of a steward that was replaced, passed on by a relay that wakes.
 func TestRelayThatWakesHarmsNobody(t *testing.T) {
 	s := newSide(t, sideRanks)
 	s.Equal(s.ask(), sideRanks)
@@ -303,10 +295,7 @@
 	s.Equal(s.ranks[i+1].got(engine.DisarmMap), 0)
 }
 
-// All processes have started anew and no agent knows the map that a change starts from:
-// each has to get the whole one. Sent by the steward to all at once it fills the links for
-// longer than answers are waited for; sent a few at a time by the steward alone it took
-// seconds, in which the bad map stayed in force. The relays send it on, a few at a time.
+// Guards against whole maps that fill the steward's link, or reach the agents one by one.
 func TestWholeMapsGoThroughTheRelays(t *testing.T) {
 	s := newSide(t, sideRanks)
 	s.ask()
@@ -364,8 +353,7 @@
 	t.Logf("%d maps of %d bytes at once, %d rounds", most, size, rounds)
 }
 
-// The steward falls silent. Agents come due one after the other, those first that know
-// the whole group; two at once would put each other out.
+// Guards against agents that come due at the same time and put each other out.
 func TestTurnsOfTakingOver(t *testing.T) {
 	s := newSide(t, sideRanks)
 	seen := map[uint16]bool{}
@@ -383,8 +371,7 @@
 	s.True(s.agents[i+1].turn-1 >= len(s.steward.branches))
 }
 
-// 53 gateways ask for the view of the group. The relays have it, so that the steward's link
-// stays free; an agent that is no relay has none to tell.
+// Guards against gateways that fill the steward's link.
 func TestRelaysTellTheView(t *testing.T) {
 	s := newSide(t, sideRanks)
 	s.ask()
@@ -406,8 +393,7 @@
 	s.Equal(len(s.agents[i].answer(ask).Digest.Targets), sideRanks)
 }
 
-// Any agent may have to take over while the store is away: the roster reaches all of them,
-// a few at a time.
+// Guards against an agent that has to take over and does not know its group.
 func TestRosterReachesEverybody(t *testing.T) {
 	s := newSide(t, sideRanks)
 	told := func() int {
@@ -427,8 +413,7 @@
 	s.Equal(told(), sideRanks-1)
 }
 
-// Gateways share what all of them may do, such as retries, by how many there are. They are
-// counted where they ask, and forgotten soon after they have gone.
+// Guards against sharing among gateways that are gone, or forgetting some that ask.
 func TestGatewaysAreCounted(t *testing.T) {
 	s := newSide(t, sideRanks)
 	_, i := s.numberOfRelay()
@@ -445,10 +430,8 @@
 	s.Equal(s.agents[i].askers.count(time.Now()), maxAskers)
 }
 
-// The steward has died while the store is away, and two agents act with the same term. The
-// agents heed one of them and refuse the other. Whoever is refused must not take the ranks
-// for lost and order them straight, past their agents: both would prepare maps for ever,
-// and none would come into force.
+// Guards against two stewards of one term that order the ranks for ever, past the agents that
+// refuse one of them.
 func TestRefusedStewardDoesNotOrderStraight(t *testing.T) {
 	const ranks = 4
 	s := newSide(t, ranks)
