A target that starts again under its name gets requests again though its earlier incarnation was ejected

The monitor forgets them, counts them as healthy and tells nothing, since healthy is what it told a new target first; the routing table keeps the share of 0, and requests that may run once found no target for two minutes, until the test's end. The same held for a target whose address had answered for another server (leaving). Ruled out: doubts (they avoid, and had ended), the faults themselves (all ended), the calm load (the other gateway served it). Change: Table.Restarted forgets what was decided on the earlier incarnation; doubts of it are dropped as well. TestRestartedTargetIsSentRequests failed before (503, no target).

--- a/core/membership/health/doubts.go
+++ b/core/membership/health/doubts.go
@@ -148,6 +148,9 @@
 	return out[:max(most, 0)]
 }
 
+// Drop forgets a target that is gone, or that has started again.
+func (d *Doubts) Drop(target string) { delete(d.targets, target) }
+
 // Any reports whether any target is doubted.
 func (d *Doubts) Any() bool { return len(d.targets) > 0 }
 
--- a/core/membership/health/doubts_test.go
+++ b/core/membership/health/doubts_test.go
@@ -24,6 +24,8 @@
 	var own Doubts
 	own.Report("a", "self", true, now)
 	is.Equal(own.Avoided(targets, now), []string{"a"})
+	own.Drop("a") // it has started again
+	is.Equal(len(own.Avoided(targets, now)), 0)
 }
 
 // Guards against old reports that add up to a new one.
--- a/core/request/route/state.go
+++ b/core/request/route/state.go
@@ -205,6 +205,14 @@
 	return mean + crowdGain*(sample-mean)
 }
 
+// Restarted forgets what was decided on an earlier incarnation of target i: that it was
+// ejected, avoided, or said to leave.
+func (t *Table) Restarted(i int) {
+	s := &t.states[i]
+	s.share, s.leaving, s.avoided, s.draining = 1, false, false, false
+	t.setProbing(i, false)
+}
+
 // SetLeaving records what the platform's instance list says of target i.
 func (t *Table) SetLeaving(i int, leaving bool) { t.states[i].leaving = leaving }
 
--- a/gateway/call_test.go
+++ b/gateway/call_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -10,9 +11,11 @@
 
 	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/configuration/mirror"
+	"verbenashift/core/membership/health"
 	"verbenashift/core/plumbing/instance"
 	"verbenashift/core/request/retry"
 	"verbenashift/core/request/route"
+	"verbenashift/standin/scripted"
 )
 
 // Guards against a random generator that two goroutines use at once; the race detector tells.
@@ -38,3 +41,30 @@
 	}
 	wg.Wait()
 }
+
+// Guards against a target that gets nothing any more after a restart under its name, since what
+// was decided on its earlier incarnation still holds in the table.
+func TestRestartedTargetIsSentRequests(t *testing.T) {
+	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
+	other := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
+	r := newRig(t, routeOf(deployment.Unsafe), s, other)
+	f := r.gateway.fleet
+	f.mu.Lock()
+	i, ok := f.table.Lookup("t0")
+	r.True(ok)
+	f.monitor.Fail(i, health.Hard, time.Now())
+	f.monitor.Fail(i, health.Hard, time.Now())
+	f.table.SetLeaving(i, true)
+	f.mu.Unlock()
+	f.tick(time.Now())
+	f.mu.Lock()
+	r.Equal(f.monitor.State(i), health.Ejected)
+	f.mu.Unlock()
+	t0 := r.view.Targets["t0"]
+	t0.Born = 8
+	view := r.view
+	view.Targets = map[string]deployment.Target{"t0": t0}
+	r.gateway.update(&view)
+	_, got := r.ask()
+	r.Equal(got.Status, http.StatusOK)
+}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -133,6 +133,10 @@
 		delete(f.told, id)
 		delete(f.flights.targets, id)
 		delete(f.pendings.targets, id)
+		f.doubts.Drop(id)
+		if i, known := f.table.Lookup(id); ok && known {
+			f.table.Restarted(i)
+		}
 		if ok {
 			f.log.Info("target has started again", "target", id, "addr", t.Addr.String(), "born", t.Born, "born-before", p.Born)
 		}
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -28,7 +28,11 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{817, "a plain server that was ejected started again under its ID and stayed ejected in the routing table"},
+	{830, "the same"},
+	{831, "the same, with both plain servers"},
+}
 
 // The soak runs gateways and sidecars as processes and injects faults drawn from
 // a seed, in series and overlapping: processes killed, paused, stopped gently one
