Callers of groups that have lacked a rank for long are refused at once again

Cause: a group that its steward calls incomplete is tried once a second since, but a gate lets its next request through after 150 ms and counts as lasting only until then: for most of each second callers were let in to wait. The gate takes the time of the next trial. Nothing changes while groups are away for less than seven seconds.

--- a/core/request/admission/group.go
+++ b/core/request/admission/group.go
@@ -67,7 +67,7 @@
 // requests wait at this entry.
 func (g *group) tell(l Load, waiting bool, now time.Time) {
 	if l.Open && g.lost(now) {
-		g.gate.Retry(now)
+		g.gate.RetryAt(now)
 	}
 	g.last, g.toldAt, g.since = l, now, 0
 	g.unproven = false
@@ -134,6 +134,7 @@
 	g.probeAt = now.Add(probeEvery)
 	if g.lost(now) {
 		g.probeAt = now.Add(lostProbe)
+		g.gate.RetryAt(g.probeAt)
 	}
 }
 
--- a/core/request/admission/outage_test.go
+++ b/core/request/admission/outage_test.go
@@ -155,3 +155,31 @@
 		is.True(sum >= (slots-running)*9/10)
 	}
 }
+
+// Guards against a wait that helps nobody, at a service whose groups have lacked a rank for
+// long: all but those that find out when it is back are refused at once.
+func TestLostGroupsRefuseAtOnceAfterAWhile(t *testing.T) {
+	is := is.New(t)
+	p := newPool()
+	p.Starting()
+	p.SetGroups(map[string]int{"g0": 200}, start)
+	waited := 0
+	for i := range 200 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		if i%2 == 0 {
+			p.Tell(Load{Group: "g0", Open: false}, now)
+		}
+		refusal := p.Enter(request(fmt.Sprint("r", i)), now)
+		p.Tick(now)
+		for _, s := range p.Settled() {
+			if s.Refusal == nil {
+				p.Refused(s.ID, fmt.Sprint("x", i%3), now)
+				p.Leave(s.ID, cost, now)
+			}
+		}
+		if now.Sub(start) > 12*time.Second && refusal == nil {
+			waited++
+		}
+	}
+	is.True(waited <= 9) // one a second, of ten
+}
--- a/core/request/queue/gate.go
+++ b/core/request/queue/gate.go
@@ -74,9 +74,9 @@
 // Due reports whether a closed gate would let a request through now.
 func (g *Gate) Due(now time.Time) bool { return g.closed && !now.Before(g.next) }
 
-// Retry lets the next request through at once, since something else tells that the targets
-// may take requests again.
-func (g *Gate) Retry(now time.Time) { g.next = now }
+// RetryAt sets when the next request is let through, since something else tells whether the
+// targets may take requests again.
+func (g *Gate) RetryAt(t time.Time) { g.next = t }
 
 // Pass reports whether a request may go now.
 func (g *Gate) Pass(now time.Time) bool {
