A group serves although its steward, which cannot read one of the ranks, tells that it is not whole

Before that it got all of them as long as nothing was refused. Change: a request that was sent after the steward's word and that a target takes proves the group for a second; when a rank is really lost all ranks stand still and nothing is taken. TestStewardThatIsWrongStopsNobody failed before; a guard is listed and killed. A group without slots is never tried (seen in reading).

--- a/core/request/admission/admission.go
+++ b/core/request/admission/admission.go
@@ -67,6 +67,12 @@
 	Returning bool
 }
 
+// place is the group in which a request runs, and when it was sent there last.
+type place struct {
+	group *group
+	sent  time.Time
+}
+
 // Settled is what became of a request that has waited.
 type Settled struct {
 	ID string
@@ -83,8 +89,8 @@
 	groups map[string]*group
 	// names are those of groups, sorted, so that choices can be replayed.
 	names []string
-	// places are the groups of the requests that run, by ID.
-	places  map[string]*group
+	// places are where the requests run, by ID.
+	places  map[string]place
 	settled []Settled
 	shed    []queue.Shed
 	// emptyAt is when nobody waited last.
@@ -100,7 +106,7 @@
 func New(rng *rand.Rand) *Pool {
 	return &Pool{
 		queue: queue.New(queue.Limits{Slots: 1, Rate: firstRate, UrgentShare: returnShare}, rng),
-		rng:   rng, groups: map[string]*group{}, places: map[string]*group{},
+		rng:   rng, groups: map[string]*group{}, places: map[string]place{},
 	}
 }
 
@@ -222,7 +228,7 @@
 // Leave ends a request that has run, with the tokens that it cost.
 func (p *Pool) Leave(id string, cost int64, now time.Time) {
 	p.queue.Done(id, cost, now)
-	if g := p.places[id]; g != nil {
+	if g := p.places[id].group; g != nil {
 		delete(p.places, id)
 		g.own--
 		p.forget(g)
--- a/core/request/admission/attempt.go
+++ b/core/request/admission/attempt.go
@@ -15,21 +15,23 @@
 // Refused tells that a target has refused the request. It reports whether this closed
 // the gate of the target's group.
 func (p *Pool) Refused(id, target string, now time.Time) bool {
-	g := p.places[id]
+	g := p.places[id].group
 	return g != nil && g.gate.Refused(target, now)
 }
 
 // Accepted tells that a target has taken the request. It reports whether this opened
 // the gate of its group.
 func (p *Pool) Accepted(id string, now time.Time) bool {
-	g := p.places[id]
+	at := p.places[id]
+	g := at.group
 	if g == nil {
 		return false
 	}
-	proved := g.unproven
+	worked := g.works(now)
 	g.unproven = false
+	g.accepted(at.sent, now)
 	opened := g.gate.Accepted()
-	if opened || proved {
+	if !worked && g.works(now) {
 		g.reopen(now)
 		p.pump(now)
 	}
@@ -38,7 +40,7 @@
 
 // Began tells how long after its start the request got its first event.
 func (p *Pool) Began(id string, d time.Duration) {
-	if g := p.places[id]; g != nil {
+	if g := p.places[id].group; g != nil {
 		g.firstEvent.Observe(d)
 	}
 }
@@ -56,7 +58,7 @@
 // another one works, also if that has no room: the stream has begun somewhere, or its
 // caller has waited its turn.
 func (p *Pool) Move(id string, now time.Time) (name string, moved bool) {
-	from := p.places[id]
+	from := p.places[id].group
 	if from == nil {
 		return "", false
 	}
@@ -69,21 +71,24 @@
 	}
 	from.own--
 	to.own++
-	p.places[id] = to
+	p.places[id] = place{to, now}
 	p.forget(from)
 	return to.name, true
 }
 
 // MayPass reports whether the request, which was refused, may be tried again now.
 func (p *Pool) MayPass(id string, now time.Time) bool {
-	g := p.places[id]
-	if g == nil || g.works(now) {
+	g := p.places[id].group
+	if g == nil {
 		return true
 	}
-	if !g.mayProbe(now) {
-		return false
+	if !g.works(now) {
+		if !g.mayProbe(now) {
+			return false
+		}
+		g.probed(now)
 	}
-	g.probed(now)
+	p.places[id] = place{g, now}
 	return true
 }
 
--- a/core/request/admission/group.go
+++ b/core/request/admission/group.go
@@ -43,6 +43,9 @@
 	unproven bool
 	// probeAt is when it may get the next request while it does not work.
 	probeAt time.Time
+	// lostAt is since when its steward tells that it lacks a rank, and provedAt when a
+	// target there has last taken a request that was sent after that.
+	lostAt, provedAt time.Time
 }
 
 // fresh reports whether the last load still counts.
@@ -66,12 +69,15 @@
 // tell takes a load. A group that has its ranks again is tried at once. Waiting says that
 // requests wait at this entry.
 func (g *group) tell(l Load, waiting bool, now time.Time) {
-	if l.Open && g.lost(now) {
+	switch {
+	case l.Open && g.lost(now):
 		g.gate.RetryAt(now)
+	case !l.Open && (g.last.Open || !g.fresh(now)):
+		g.lostAt = now
 	}
 	g.last, g.toldAt, g.since = l, now, 0
 	g.unproven = false
-	if !l.Open {
+	if g.lost(now) {
 		g.allowed = queue.Reopened(g.slots, l.Entries)
 		return
 	}
@@ -125,7 +131,7 @@
 // mayProbe reports whether a group that does not work may get a request all the same, so
 // that somebody finds out when it is back.
 func (g *group) mayProbe(now time.Time) bool {
-	return !now.Before(g.probeAt) && (!g.gate.Closed() || g.gate.Due(now))
+	return g.slots > 0 && !now.Before(g.probeAt) && (!g.gate.Closed() || g.gate.Due(now))
 }
 
 // probed counts a request to a group that does not work.
@@ -138,8 +144,22 @@
 	}
 }
 
-// lost reports whether the steward tells that the group has lost a rank.
-func (g *group) lost(now time.Time) bool { return g.fresh(now) && !g.last.Open }
+// lost reports whether the steward tells that the group has lost a rank, and no target there
+// has shown that it is wrong: it may just be unable to read one.
+func (g *group) lost(now time.Time) bool {
+	return g.fresh(now) && !g.last.Open && now.Sub(g.provedAt) > provedFor
+}
+
+// provedFor is how long a request that was taken goes before the word of the steward. All
+// ranks stand still at once when one is lost.
+const provedFor = time.Second
+
+// accepted takes the word that a target has taken a request that was sent at a time.
+func (g *group) accepted(sent, now time.Time) {
+	if g.fresh(now) && !g.last.Open && !sent.Before(g.lostAt) {
+		g.provedAt = now
+	}
+}
 
 // works reports whether the group serves, as far as is known.
 func (g *group) works(now time.Time) bool {
--- a/core/request/admission/outage_test.go
+++ b/core/request/admission/outage_test.go
@@ -183,3 +183,41 @@
 	}
 	is.True(waited <= 9) // one a second, of ten
 }
+
+// Guards against refusing callers of a group that serves although its steward, which cannot
+// read one of the ranks, tells that it is not whole.
+func TestStewardThatIsWrongStopsNobody(t *testing.T) {
+	is := is.New(t)
+	p := newPool()
+	p.SetGroups(map[string]int{"g0": 200}, start)
+	const first = 140 * time.Millisecond // to the first event
+	refused, served := 0, 0
+	begun := map[string]time.Time{}
+	for i := range 300 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		if i%20 == 0 {
+			p.Tell(Load{Group: "g0", Open: i < 20, Running: 10}, now)
+		}
+		for id, at := range begun {
+			if now.Sub(at) >= first {
+				p.Accepted(id, now)
+				p.Leave(id, cost, now)
+				delete(begun, id)
+				served++
+			}
+		}
+		if refusal := p.Enter(request(fmt.Sprint("r", i)), now); refusal != nil {
+			refused++
+		}
+		p.Tick(now)
+		for _, s := range p.Settled() {
+			if s.Refusal != nil {
+				refused++
+				continue
+			}
+			begun[s.ID] = now
+		}
+	}
+	is.Equal(refused, 0)
+	is.True(served >= 270)
+}
--- a/core/request/admission/pump.go
+++ b/core/request/admission/pump.go
@@ -40,7 +40,7 @@
 			break
 		}
 		g.start(now)
-		p.places[item.ID] = g
+		p.places[item.ID] = place{g, now}
 		p.settled = append(p.settled, Settled{ID: item.ID, Group: g.name})
 	}
 	p.limit()
