Gateways log the limit that a target names

Whether a gateway has had a target's word on how many requests a second it takes, and when, could not be told from any log or metric. Nothing is decided by it yet.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -66,6 +66,9 @@
 	// strikes are its failures of late.
 	doubtedUntil time.Time
 	strikes      health.Strikes
+	// limit is how many requests a second it takes from all gateways together; nil if it
+	// names no limit.
+	limit *float64
 }
 
 // choices is how many targets are compared for a request. With a handful of
@@ -255,6 +258,19 @@
 	f.table.End(s.index, s.cost, s.started)
 }
 
+// limited takes the limit that an answer of a target names, or nil if it names none. It is
+// called with the lock held.
+func (f *fleet) limited(p *pooled, requestID string, limit *float64) {
+	switch {
+	case limit != nil && (p.limit == nil || *p.limit != *limit):
+		metricLimitsNamed.Add(1)
+		f.log.Info("target names a limit", "id", requestID, "target", p.ID, "service", p.Service, "requests-a-second", *limit)
+	case limit == nil && p.limit != nil:
+		f.log.Info("target names no limit any more", "id", requestID, "target", p.ID, "service", p.Service, "requests-a-second-before", *p.limit)
+	}
+	p.limit = limit
+}
+
 // heard takes what an answer says of its target.
 func (f *fleet) heard(s sent, a platform.Answer, now time.Time) {
 	f.mu.Lock()
@@ -266,6 +282,9 @@
 		f.table.SetLeaving(s.index, true)
 		f.log.Info("target gone", "target", s.target.ID, "reason", "another server answers at its address")
 	}
+	if !a.Misdirected && (a.Sealed || a.NotRun) {
+		f.limited(s.target, a.ID, a.Limit)
+	}
 	if a.Load != nil {
 		f.table.Observe(s.index, route.Load{
 			Queued: float64(a.Load.Waiting) * s.cost, Running: a.Load.Running,
