Failing test: a limit that a target names is kept by all gateways together

Six gateways, a plain server and a model server that take 1 request a second: 187 and 95 in 4 s, where 11 are allowed. The line 'target names a limit' is in the logs of all six, which leaves the first hypothesis alone: the word arrives and nothing acts on it. The stand-in of the store has leases now, and its servers name limits.

--- /dev/null
+++ b/standin/fleet/limit.go
@@ -0,0 +1,86 @@
+package fleet
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// limit is how many requests a second a server takes from all gateways, as it says in its
+// answers, and what it got. The zero value names none.
+type limit struct {
+	mu    sync.Mutex
+	named bool
+	rate  float64
+	since time.Time
+	// arrivals are those since the limit was named first.
+	arrivals []time.Time
+}
+
+// arrive counts a request and names the limit in its answer.
+func (l *limit) arrive(h http.Header) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.named {
+		return
+	}
+	l.arrivals = append(l.arrivals, time.Now())
+	h.Set("Server-Limit", strconv.FormatFloat(l.rate, 'g', -1, 64))
+}
+
+// name has the server name a limit from now on.
+func (l *limit) name(rate float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.named, l.rate, l.since, l.arrivals = true, rate, time.Now(), nil
+}
+
+// lift has the server name no limit any more.
+func (l *limit) lift() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.named = false
+}
+
+// most returns the most requests that have arrived within a span, later than a grace after
+// the limit was named, and how many have in all since then.
+func (l *limit) most(grace, span time.Duration) (most, all int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first := 0
+	for i, at := range l.arrivals {
+		if at.Before(l.since.Add(grace)) {
+			first = i + 1
+			continue
+		}
+		for at.Sub(l.arrivals[first]) > span {
+			first++
+		}
+		most, all = max(most, i-first+1), all+1
+	}
+	return most, all
+}
+
+// Limit has a plain server name how many requests a second it takes from all gateways.
+func (f *Fleet) Limit(plain int, rate float64) { f.plains[plain].limit.name(rate) }
+
+// LiftLimit has a plain server name no limit any more.
+func (f *Fleet) LiftLimit(plain int) { f.plains[plain].limit.lift() }
+
+// LimitRank has a model server name how many requests a second it takes from all gateways.
+func (f *Fleet) LimitRank(rank int, rate float64) { f.models[rank].limit.name(rate) }
+
+// LiftRank has a model server name no limit any more.
+func (f *Fleet) LiftRank(rank int) { f.models[rank].limit.lift() }
+
+// Limited returns the most requests that reached a plain server within a span, later than a
+// grace after it named its limit, and how many in all since then.
+func (f *Fleet) Limited(plain int, grace, span time.Duration) (most, all int) {
+	return f.plains[plain].limit.most(grace, span)
+}
+
+// LimitedRank is the same for a model server.
+func (f *Fleet) LimitedRank(rank int, grace, span time.Duration) (most, all int) {
+	return f.models[rank].limit.most(grace, span)
+}
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -81,6 +81,7 @@
 	refuse func() bool
 	// crash ends the server and starts it again later.
 	crash func()
+	limit limit
 }
 
 // crashes reports whether a request that has begun ends the server, and ends it.
@@ -106,6 +107,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return false
 	}
+	s.limit.arrive(w.Header())
 	if s.refuse != nil && s.refuse() {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -20,7 +20,7 @@
 	Removed  bool   `json:"removed,omitempty"`
 }
 
-// Store is the platform's metadata store, without leases.
+// Store is the platform's metadata store.
 type Store struct {
 	mu       sync.Mutex
 	revision int64
@@ -33,11 +33,12 @@
 	// silent makes it take calls and answer none.
 	silent bool
 	calls  int
+	leases leases
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{items: map[string]item{}, changed: make(chan struct{}), oldest: 1}
+	return &Store{items: map[string]item{}, changed: make(chan struct{}), oldest: 1, leases: leases{live: map[int64]*lease{}}}
 }
 
 // Put writes a key as the operator or a server does.
@@ -140,6 +141,14 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	switch {
+	case strings.HasPrefix(r.URL.Path, keepPath):
+		s.keepLease(w, r)
+		return
+	case strings.HasPrefix(r.URL.Path, endPath):
+		s.dropLease(w, r)
+		return
+	}
 	switch r.Method + " " + r.URL.Path {
 	case "GET /kv-key":
 		s.get(w, r)
@@ -149,6 +158,8 @@
 		s.watch(w, r)
 	case "POST /kv-txn":
 		s.change(w, r)
+	case "POST /kv-lease":
+		s.grantLease(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
@@ -238,6 +249,7 @@
 		Puts []struct {
 			Key   string `json:"key"`
 			Value string `json:"value"`
+			Lease int64  `json:"lease"`
 		} `json:"puts"`
 		Deletes []string `json:"deletes"`
 	}
@@ -253,12 +265,19 @@
 			return
 		}
 	}
+	for _, p := range body.Puts {
+		if p.Lease != 0 && s.leases.live[p.Lease] == nil {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+	}
 	for _, p := range body.Puts {
 		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
 			w.WriteHeader(http.StatusForbidden)
 			return
 		}
 		s.put(p.Key, p.Value)
+		s.tie(p.Key, p.Lease)
 	}
 	for _, key := range body.Deletes {
 		s.remove(key)
