A limit that a target names is kept by all gateways together

Cause: the answer's limit was not read at all, and nothing between an answer and the choice of a target could keep all requests away from one. Evidence: the rate at the server did not change with its word at any gateway, all arrivals were first attempts, and the line 'target names a limit' came at all six. Class: a wish of a target that binds all gateways together, which no gateway can keep from what it sees itself.

A limit is cut into permits that gateways claim in the store, one holder each, under a lease; whoever has none sends nothing there, also as a last resort. By count the bound holds whatever callers do: 4 N + 4 + N in four seconds of 6 N + 5.

--- a/core/configuration/kv/kv.go
+++ b/core/configuration/kv/kv.go
@@ -14,6 +14,8 @@
 package kv
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"net/http"
 )
@@ -72,6 +74,8 @@
 type Write struct {
 	Key   string
 	Value []byte
+	// Lease is that with which the key is removed; 0 for none.
+	Lease int64
 }
 
 // Change is several writes and removals that are made together, if all conditions hold,
@@ -81,3 +85,13 @@
 	Puts    []Write
 	Deletes []string
 }
+
+// shortBytes is how much of a digest stands for a name.
+const shortBytes = 8
+
+// Short returns a part of a key that stands for a name: a key of the store is short and has
+// slashes of its own, and the name of an instance or a target need not.
+func Short(name string) string {
+	sum := sha256.Sum256([]byte(name))
+	return hex.EncodeToString(sum[:shortBytes])
+}
--- a/core/plumbing/story/cause.go
+++ b/core/plumbing/story/cause.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 
+	"verbenashift/core/request/permit"
 	"verbenashift/core/request/quarantine"
 	"verbenashift/core/request/queue"
 )
@@ -150,6 +151,8 @@
 		return Cause{ServerLost, strings.Trim(reason, `"`)}
 	case strings.Contains(reason, queue.ReasonDown):
 		return Cause{Refused, "all targets have refused for long"}
+	case strings.Contains(reason, permit.ReasonHeld):
+		return Cause{Refused, "all targets that could take it have asked for less"}
 	case strings.Contains(reason, "no target"):
 		return Cause{Refused, "no target is left"}
 	case strings.Contains(reason, "deadline"), strings.Contains(reason, "full"), strings.Contains(reason, "displaced"):
--- /dev/null
+++ b/core/request/permit/book.go
@@ -0,0 +1,340 @@
+package permit
+
+import (
+	"iter"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"verbenashift/core/configuration/kv"
+)
+
+const (
+	// demandFor is how long a service counts as in demand after its last request: a sender
+	// without requests claims nothing.
+	demandFor = 5 * time.Second
+	// idleFor is how long permits are kept that are not used, and for how long none of the
+	// target is claimed after they were given back.
+	idleFor = 20 * time.Second
+	// liftedFor is how long the word stands in the store that a target names no limit any
+	// more, and is believed against older ones.
+	liftedFor = 2 * time.Second
+	// moreAfter is the wait before a further permit of a target is claimed, for each that is
+	// held: those who have none come first.
+	moreAfter = 500 * time.Millisecond
+	// claimPause is the time between two changes of the store; after one that has failed
+	// it doubles up to maxClaimPause.
+	claimPause    = 100 * time.Millisecond
+	maxClaimPause = 4 * time.Second
+	// maxTargets bounds the targets whose limits are known.
+	maxTargets = 2048
+)
+
+// Book is what a sender knows of the limits of targets and of who holds their permits. Use
+// NewBook to make one.
+type Book struct {
+	instance, self string
+
+	rng     *rand.Rand
+	targets map[string]*target
+	// demanded is when each service was last in demand.
+	demanded map[string]time.Time
+	lease    int64
+	// leaseEnds is until when the permits under the lease count.
+	leaseEnds time.Time
+	// nextChange is when the store may be asked for a change again, pause the time after it.
+	nextChange time.Time
+	pause      time.Duration
+}
+
+// target is what is known of one target. A target without a limit is kept while permits of
+// it stand in the store.
+type target struct {
+	service string
+	born    int64
+	// limited says that the target names limit, told since when; own that it has told this
+	// sender itself.
+	limited bool
+	limit   float64
+	since   time.Time
+	own     bool
+	// liftedAt is when it was found that it names none any more, and untold that the others
+	// are still to hear of it.
+	liftedAt time.Time
+	untold   bool
+	permits  map[int]held
+	// last is when it was sent a request last, or this sender got its first permit.
+	last time.Time
+	// missed says that it could have been sent a request since the last claim if there were
+	// more permits.
+	missed bool
+	// claimAt is when the next permit may be claimed.
+	claimAt time.Time
+}
+
+// held is a permit that stands in the store.
+type held struct {
+	Record
+	revision int64
+}
+
+// NewBook returns a Book of a sender: one start of an instance.
+func NewBook(instance, start string, rng *rand.Rand) *Book {
+	return &Book{
+		instance: instance, self: instance + separator + start, rng: rng,
+		targets: map[string]*target{}, demanded: map[string]time.Time{}, pause: claimPause,
+	}
+}
+
+// separator stands between the instance and the start in the name of a holder.
+const separator = "/"
+
+// Answer is what an answer of a target says of its limit.
+type Answer struct {
+	Target, Service string
+	Born            int64
+	// Limit is in requests a second; nil if the answer names none.
+	Limit *float64
+	// Sent is when the request was sent that is answered.
+	Sent time.Time
+}
+
+// Named takes what an answer says of the limit of its target. It reports whether the limit
+// has changed.
+func (b *Book) Named(a Answer, now time.Time) bool {
+	t := b.targets[a.Target]
+	if t != nil && a.Born < t.born {
+		return false
+	}
+	if a.Limit == nil {
+		// An answer to a request that was sent before the limit was known may be older.
+		return t != nil && t.born == a.Born && a.Sent.After(t.since) && t.lift(now)
+	}
+	if t == nil {
+		if t = b.add(a.Target, a.Born); t == nil {
+			return false
+		}
+	}
+	t.restart(a.Born)
+	changed := t.limit != *a.Limit || !t.limited
+	t.limits(a.Service, *a.Limit, now)
+	t.own, t.untold = true, false
+	return changed
+}
+
+// limits takes the limit of the target.
+func (t *target) limits(service string, limit float64, now time.Time) {
+	if !t.limited {
+		t.since = now
+	}
+	t.service, t.limited, t.limit = service, true, limit
+}
+
+// lift takes the word of the target that it names no limit any more.
+func (t *target) lift(now time.Time) bool {
+	if !t.limited {
+		return false
+	}
+	t.limited, t.own, t.liftedAt, t.untold = false, false, now, true
+	return true
+}
+
+// restart forgets what an earlier start of the target has named.
+func (t *target) restart(born int64) {
+	if born != t.born {
+		t.born, t.limited, t.own, t.untold, t.liftedAt = born, false, false, false, time.Time{}
+	}
+}
+
+// add makes room for a target, or returns nil if there is none.
+func (b *Book) add(id string, born int64) *target {
+	if len(b.targets) >= maxTargets {
+		return nil
+	}
+	t := &target{born: born, permits: map[int]held{}}
+	b.targets[id] = t
+	return t
+}
+
+// Restarted voids the limit of an earlier start of a target.
+func (b *Book) Restarted(id string, born int64) {
+	if t := b.targets[id]; t != nil && born > t.born {
+		t.restart(born)
+		b.tidy(id)
+	}
+}
+
+// Gone voids the limit of a target that is no more.
+func (b *Book) Gone(id string) {
+	if t := b.targets[id]; t != nil {
+		t.restart(gone)
+		b.tidy(id)
+	}
+}
+
+// gone stands for a start after all others.
+const gone = math.MaxInt64
+
+// tidy drops a target of which nothing is left to know.
+func (b *Book) tidy(id string) {
+	if t := b.targets[id]; !t.limited && len(t.permits) == 0 {
+		delete(b.targets, id)
+	}
+}
+
+// Leased takes the lease under which this sender claims permits from now on, and until when
+// its permits count: before the store may end it. A lease of 0 is none.
+func (b *Book) Leased(lease int64, until time.Time) { b.lease, b.leaseEnds = lease, until }
+
+// Demand tells that there is a request for a service.
+func (b *Book) Demand(service string, now time.Time) {
+	if len(b.targets) == 0 {
+		return
+	}
+	b.demanded[service] = now
+	for id, t := range b.targets {
+		if t.limited && t.service == service && !b.Ready(id, now) {
+			t.missed = true
+		}
+	}
+}
+
+// Ready reports whether a target may be sent a request now.
+func (b *Book) Ready(id string, now time.Time) bool {
+	at, limited := b.ReadyAt(id, now)
+	return !limited || !at.IsZero() && !now.Before(at)
+}
+
+// ReadyAt returns when a target may be sent a request, and whether it names a limit. The time
+// is zero if it is not known, since this sender has no permit.
+func (b *Book) ReadyAt(id string, now time.Time) (at time.Time, limited bool) {
+	t := b.targets[id]
+	if t == nil || !t.limited {
+		return time.Time{}, false
+	}
+	n := b.count(t, now)
+	if n == 0 {
+		return time.Time{}, true
+	}
+	return t.last.Add(spacing(t.limit, n)), true
+}
+
+// Rate returns how many requests a second this sender may send to a target that names a
+// limit.
+func (b *Book) Rate(id string, now time.Time) float64 {
+	t := b.targets[id]
+	if t == nil || !t.limited {
+		return 0
+	}
+	n := b.count(t, now)
+	if n == 0 {
+		return 0
+	}
+	return 1 / spacing(t.limit, n).Seconds()
+}
+
+// count returns how many permits of a target this sender holds that count now.
+func (b *Book) count(t *target, now time.Time) int {
+	if b.lease == 0 || !now.Before(b.leaseEnds) {
+		return 0
+	}
+	n := 0
+	for _, p := range t.permits {
+		if b.mine(t, p) && p.Index < Count(t.limit) {
+			n++
+		}
+	}
+	return n
+}
+
+// mine reports whether a permit is this sender's, of its lease and of this start of the
+// target.
+func (b *Book) mine(t *target, p held) bool {
+	return p.Holder == b.self && p.Lease == b.lease && p.Born == t.born && !p.Lifted
+}
+
+// Use counts a request that a target is sent.
+func (b *Book) Use(id string, now time.Time) {
+	if t := b.targets[id]; t != nil {
+		t.last = now
+	}
+}
+
+// Limited returns the targets that name limits.
+func (b *Book) Limited() iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for id, t := range b.targets {
+			if t.limited && !yield(id) {
+				return
+			}
+		}
+	}
+}
+
+// Take takes what the store says under Prefix: changes, or by whole everything that stands
+// there. It returns the errors of items that are no permits.
+func (b *Book) Take(items []kv.Item, whole bool, now time.Time) []error {
+	var errs []error
+	if whole {
+		for _, t := range b.targets {
+			clear(t.permits)
+		}
+	}
+	for _, it := range items {
+		if it.Removed {
+			b.remove(it.Key)
+			continue
+		}
+		r, err := parse(it)
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		b.put(r, it.Revision, now)
+	}
+	for id := range b.targets {
+		b.tidy(id)
+	}
+	return errs
+}
+
+// remove takes the removal of a key.
+func (b *Book) remove(key string) {
+	for _, t := range b.targets {
+		for i, p := range t.permits {
+			if p.Key() == key {
+				delete(t.permits, i)
+				return
+			}
+		}
+	}
+}
+
+// put takes a permit that stands in the store.
+func (b *Book) put(r Record, revision int64, now time.Time) {
+	t := b.targets[r.Target]
+	if t == nil {
+		if t = b.add(r.Target, r.Born); t == nil {
+			return
+		}
+	}
+	if revision < t.permits[r.Index].revision {
+		return
+	}
+	first := b.count(t, now) == 0
+	t.permits[r.Index] = held{r, revision}
+	if r.Born < t.born {
+		return
+	}
+	t.restart(r.Born)
+	switch {
+	case r.Lifted:
+		t.limited, t.own, t.liftedAt = false, false, now
+		return
+	case r.Holder == b.self && first:
+		t.last = now
+	}
+	if !t.own && now.Sub(t.liftedAt) >= liftedFor {
+		t.limits(r.Service, r.Limit, now)
+	}
+}
--- /dev/null
+++ b/core/request/permit/record.go
@@ -0,0 +1,65 @@
+package permit
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"verbenashift/core/configuration/kv"
+)
+
+// Prefix begins the keys of the store that hold permits.
+const Prefix = "verbenashift/permits/"
+
+// Record is a permit as it stands in the store.
+type Record struct {
+	Target  string `json:"target"`
+	Service string `json:"service"`
+	// Born tells the starts of a target under one name apart, in Unix milliseconds.
+	Born int64 `json:"born"`
+	// Limit is what the target takes from all senders, in requests a second.
+	Limit float64 `json:"limit"`
+	// Index numbers the permits of a target from 0.
+	Index  int    `json:"index"`
+	Holder string `json:"holder"`
+	// Lease is the holder's own: a permit of an earlier lease of the holder is void.
+	Lease int64 `json:"lease"`
+	// Lifted says that the target names no limit any more.
+	Lifted bool `json:"lifted,omitempty"`
+}
+
+// Key returns the key of the permit.
+func (r *Record) Key() string {
+	return fmt.Sprintf("%s%s/%d", Prefix, kv.Short(r.Target), r.Index)
+}
+
+// bytes returns the record as it stands in the store.
+func (r *Record) bytes() []byte {
+	data, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // It has no fields that can't be encoded: a limit is finite.
+	}
+	return data
+}
+
+// parse decodes a permit. Another writer may have left anything under its key.
+func parse(it kv.Item) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(it.Value, &r); err != nil {
+		return Record{}, err
+	}
+	if r.Key() != it.Key || r.Index < 0 || r.Index >= maxPermits || r.Limit < 0 {
+		return Record{}, &RecordError{Key: it.Key, Record: r}
+	}
+	return r, nil
+}
+
+// RecordError says that an item of the store is no permit of the key that it stands under.
+type RecordError struct {
+	Key    string
+	Record Record
+}
+
+// Error names the key and what stands there.
+func (e *RecordError) Error() string {
+	return fmt.Sprintf("permit: %s: permit %d of target %q", e.Key, e.Record.Index, e.Record.Target)
+}
--- /dev/null
+++ b/core/request/permit/replay_test.go
@@ -0,0 +1,372 @@
+package permit
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"verbenashift/core/configuration/kv"
+)
+
+// load is what a replay meets: a target that names a limit before many senders.
+type load struct {
+	senders int
+	limit   float64
+	// wanted is how many requests a second each sender would send to it.
+	wanted float64
+	// rush is how often all senders have a request at once; 0 for never.
+	rush time.Duration
+	// restarts is how often a sender starts again, cut how long the store answers nobody.
+	restarts int
+	cut      time.Duration
+	// lifted is when the target names no limit any more; 0 for never.
+	lifted time.Duration
+}
+
+const (
+	replayFor  = 60 * time.Second
+	replayStep = 20 * time.Millisecond
+	// replayDelay is the longest time in which a sender hears of a change of the store.
+	replayDelay = 300 * time.Millisecond
+	replayTTL   = 12 * time.Second
+	replayRenew = 4 * time.Second
+	// settled is when the senders have to keep the limit, span over which it is judged.
+	settled = 3 * time.Second
+	span    = 4 * time.Second
+)
+
+var start = time.Unix(1000, 0)
+
+// way is how a sender decides whether it may send.
+type way interface {
+	named(limit *float64, sent, now time.Time)
+	ready(now time.Time) bool
+	use(now time.Time)
+}
+
+// unheeding sends whatever the target says.
+type unheeding struct{}
+
+func (unheeding) named(*float64, time.Time, time.Time) {}
+func (unheeding) ready(time.Time) bool                 { return true }
+func (unheeding) use(time.Time)                        {}
+
+// parted keeps to an equal part of the limit.
+type parted struct {
+	part  float64
+	limit float64
+	last  time.Time
+}
+
+func (p *parted) named(limit *float64, _, now time.Time) {
+	if limit != nil && p.limit == 0 {
+		p.limit, p.last = *limit*p.part, now
+	}
+}
+
+func (p *parted) ready(now time.Time) bool {
+	return p.limit == 0 || now.Sub(p.last).Seconds()*p.limit >= 1
+}
+func (p *parted) use(now time.Time) { p.last = now }
+
+// holder keeps to permits.
+type holder struct {
+	*Book
+	sim     *replay
+	lease   int64
+	renewAt time.Time
+	inbox   []delivery
+}
+
+type delivery struct {
+	at    time.Time
+	items []kv.Item
+}
+
+func (h *holder) named(limit *float64, sent, now time.Time) {
+	h.Named(Answer{Target: "t", Service: "s", Born: 1, Limit: limit, Sent: sent}, now)
+}
+
+func (h *holder) ready(now time.Time) bool {
+	h.Demand("s", now)
+	return h.Ready("t", now)
+}
+func (h *holder) use(now time.Time) { h.Use("t", now) }
+
+// replay is senders before a target and a store.
+type replay struct {
+	load
+	rng      *rand.Rand
+	now      time.Time
+	ways     []way
+	told     []time.Time
+	arrivals []time.Time
+	// counted are those of senders that had been told half a second before.
+	counted  []time.Time
+	revision int64
+	items    map[string]kv.Item
+	leases   map[int64]time.Time
+	leaseOf  map[string]int64
+	writes   int
+}
+
+func newReplay(l load, seed uint64, begin func(*replay, int) way) *replay {
+	r := &replay{
+		load: l, rng: rand.New(rand.NewPCG(seed, 7)), now: start, told: slices.Repeat([]time.Time{{}}, l.senders),
+		items: map[string]kv.Item{}, leases: map[int64]time.Time{}, leaseOf: map[string]int64{},
+	}
+	for i := range l.senders {
+		r.ways = append(r.ways, begin(r, i))
+	}
+	return r
+}
+
+func withPermits(r *replay, i int) way {
+	return &holder{Book: NewBook(fmt.Sprintf("sender-%d", i), fmt.Sprint(r.rng.Uint32()), r.rng), sim: r}
+}
+
+func asOne(*replay, int) way          { return &parted{part: 1} }
+func equalParts(r *replay, _ int) way { return &parted{part: 1 / float64(r.senders)} }
+func heedless(*replay, int) way       { return unheeding{} }
+
+// run plays the load to its end.
+func (r *replay) run() {
+	for ; r.now.Before(start.Add(replayFor)); r.now = r.now.Add(replayStep) {
+		r.expire()
+		for _, w := range r.ways {
+			if h, ok := w.(*holder); ok {
+				h.act()
+			}
+		}
+		r.restart()
+		r.requests()
+	}
+}
+
+// requests sends what comes in this step.
+func (r *replay) requests() {
+	part := r.wanted * replayStep.Seconds()
+	rush := r.rush > 0 && r.now.After(start) && r.now.Sub(start)%r.rush == 0
+	for i, w := range r.ways {
+		if !rush && r.rng.Float64() >= part || !w.ready(r.now) {
+			continue
+		}
+		w.use(r.now)
+		r.arrivals = append(r.arrivals, r.now)
+		if !r.told[i].IsZero() && r.now.Sub(r.told[i]) >= 500*time.Millisecond {
+			r.counted = append(r.counted, r.now)
+		}
+		if r.lifted > 0 && r.now.Sub(start) >= r.lifted {
+			w.named(nil, r.now, r.now.Add(time.Millisecond))
+			continue
+		}
+		w.named(&r.limit, r.now, r.now)
+		if r.told[i].IsZero() {
+			r.told[i] = r.now
+		}
+	}
+}
+
+// restart starts senders again at random moments: they know nothing but what stands in the
+// store, and their leases end in their own time.
+func (r *replay) restart() {
+	if r.restarts == 0 || r.rng.Float64() >= float64(r.restarts)*replayStep.Seconds()/replayFor.Seconds() {
+		return
+	}
+	i := r.rng.IntN(r.senders)
+	h := withPermits(r, i).(*holder)
+	h.Take(slices.Collect(maps.Values(r.items)), true, r.now)
+	r.ways[i], r.told[i] = h, time.Time{}
+}
+
+func (r *replay) down() bool {
+	at := r.now.Sub(start)
+	return r.cut > 0 && at >= 15*time.Second && at < 15*time.Second+r.cut
+}
+
+// expire ends the leases that were not renewed.
+func (r *replay) expire() {
+	for id, ends := range r.leases {
+		if r.now.Before(ends) {
+			continue
+		}
+		delete(r.leases, id)
+		for key, lease := range r.leaseOf {
+			if lease == id {
+				r.remove(key)
+			}
+		}
+	}
+}
+
+func (r *replay) remove(key string) {
+	delete(r.items, key)
+	delete(r.leaseOf, key)
+	r.revision++
+	r.tell(kv.Item{Key: key, Revision: r.revision, Removed: true})
+}
+
+// tell has all senders hear of a change, each in its own time and in order.
+func (r *replay) tell(it kv.Item) {
+	for _, w := range r.ways {
+		if h, ok := w.(*holder); ok {
+			at := r.now.Add(time.Duration(r.rng.Int64N(int64(replayDelay))))
+			if n := len(h.inbox); n > 0 && at.Before(h.inbox[n-1].at) {
+				at = h.inbox[n-1].at
+			}
+			h.inbox = append(h.inbox, delivery{at, []kv.Item{it}})
+		}
+	}
+}
+
+// change makes a change, all or nothing.
+func (r *replay) change(c kv.Change) (int64, bool) {
+	r.writes++
+	if r.down() {
+		return 0, false
+	}
+	for _, e := range c.Expect {
+		if r.items[e.Key].Revision != e.Revision {
+			return 0, false
+		}
+	}
+	for _, p := range c.Puts {
+		if _, ok := r.leases[p.Lease]; !ok {
+			return 0, false
+		}
+		r.revision++
+		it := kv.Item{Key: p.Key, Value: p.Value, Revision: r.revision}
+		r.items[p.Key], r.leaseOf[p.Key] = it, p.Lease
+		r.tell(it)
+	}
+	for _, key := range c.Deletes {
+		r.remove(key)
+	}
+	return r.revision, true
+}
+
+// act hears, renews the lease and asks for changes, as the owner of a Book does.
+func (h *holder) act() {
+	now := h.sim.now
+	for len(h.inbox) > 0 && !now.Before(h.inbox[0].at) && !h.sim.down() {
+		h.Take(h.inbox[0].items, false, now)
+		h.inbox = h.inbox[1:]
+	}
+	h.renew(now)
+	if c, ok := h.Next(now); ok {
+		revision, made := h.sim.change(c.Change)
+		h.Done(c, revision, made, now)
+	}
+}
+
+func (h *holder) renew(now time.Time) {
+	if !h.NeedsLease(now) || now.Before(h.renewAt) || h.sim.down() {
+		return
+	}
+	if _, ok := h.sim.leases[h.lease]; !ok {
+		h.lease = int64(h.sim.rng.Uint32()) + 1
+	}
+	h.sim.leases[h.lease] = now.Add(replayTTL)
+	h.renewAt = now.Add(replayRenew)
+	h.Leased(h.lease, now.Add(replayTTL*9/10))
+}
+
+// most returns the most arrivals in a span from a time on, and how many there are.
+func most(arrivals []time.Time, from time.Duration) (peak, all int) {
+	first := 0
+	for i, at := range arrivals {
+		if at.Before(start.Add(from)) {
+			first = i + 1
+			continue
+		}
+		for at.Sub(arrivals[first]) > span {
+			first++
+		}
+		peak, all = max(peak, i-first+1), all+1
+	}
+	return peak, all
+}
+
+// allowed is how many requests a target may get in span.
+func allowed(limit float64) int { return int(1.5*limit*span.Seconds()) + 5 }
+
+// Guards against senders that each keep a limit for themselves, or save up their parts of it:
+// at 390 of them a target that takes one request a second would get dozens at once.
+func TestReplayManySenders(t *testing.T) {
+	for _, l := range []load{
+		{senders: 6, limit: 1, wanted: 4},
+		{senders: 6, limit: 1, wanted: 4, rush: 10 * time.Second, restarts: 3},
+		{senders: 12, limit: 2.5, wanted: 8, rush: 10 * time.Second, restarts: 4},
+		{senders: 53, limit: 1, wanted: 8, rush: 10 * time.Second, restarts: 6},
+		{senders: 390, limit: 1, wanted: 0.02, rush: 10 * time.Second, restarts: 10},
+		{senders: 390, limit: 1, wanted: 16, rush: 10 * time.Second, restarts: 10},
+		{senders: 390, limit: 20, wanted: 16, rush: 10 * time.Second, restarts: 10},
+		{senders: 53, limit: 1, wanted: 8, rush: 10 * time.Second, cut: 15 * time.Second},
+	} {
+		t.Run(fmt.Sprintf("%d before %g", l.senders, l.limit), func(t *testing.T) {
+			for seed := range uint64(max(1, 106/l.senders)) {
+				r := newReplay(l, seed, withPermits)
+				r.run()
+				peak, all := most(r.counted, settled)
+				if peak > allowed(l.limit) {
+					t.Errorf("seed %d: %d requests in %v, %d are allowed", seed, peak, span, allowed(l.limit))
+				}
+				offered := int(l.limit * (replayFor - settled - 2*l.cut).Seconds())
+				if l.wanted >= l.limit/float64(Count(l.limit)) && all < offered*6/10 {
+					t.Errorf("seed %d: %d requests were sent, the target would have taken %d", seed, all, offered)
+				}
+				t.Logf("seed %d: %d in %v at most, %d of %d in all, %d changes of the store", seed, peak, span, all, offered, r.writes)
+			}
+		})
+	}
+}
+
+// The other ways break the limit under loads that permits bear: senders that heed nothing, that
+// each keep the limit for themselves, and that save up equal parts of it until all have a
+// request at once.
+func TestReplayOtherWays(t *testing.T) {
+	many := load{senders: 390, limit: 1, wanted: 0.02}
+	saving := load{senders: 20, limit: 1, wanted: 0.02, rush: 22 * time.Second}
+	for _, c := range []struct {
+		name string
+		load
+		way func(*replay, int) way
+	}{
+		{"heedless", many, heedless},
+		{"as one", many, asOne},
+		{"equal parts", saving, equalParts},
+	} {
+		r := newReplay(c.load, 1, c.way)
+		r.run()
+		peak, _ := most(r.counted, settled)
+		t.Logf("%s: %d requests in %v", c.name, peak, span)
+		if peak <= allowed(c.limit) {
+			t.Errorf("%s: the load tells nothing", c.name)
+		}
+		r = newReplay(c.load, 1, withPermits)
+		r.run()
+		peak, _ = most(r.counted, settled)
+		t.Logf("permits: %d requests in %v", peak, span)
+		if peak > allowed(c.limit) {
+			t.Errorf("permits: %d requests in %v, %d are allowed", peak, span, allowed(c.limit))
+		}
+	}
+}
+
+// Guards against senders that go on avoiding a target which names no limit any more.
+func TestReplayLifted(t *testing.T) {
+	for _, senders := range []int{6, 53, 390} {
+		r := newReplay(load{senders: senders, limit: 1, wanted: 4, lifted: 20 * time.Second}, 3, withPermits)
+		r.run()
+		_, late := most(r.arrivals, 30*time.Second)
+		if want := senders * 4 * 30 * 9 / 10; late < want {
+			t.Errorf("%d senders: %d requests in the last 30 s, %d were wanted", senders, late, want)
+		}
+		if len(r.items) > 0 {
+			t.Errorf("%d senders: %d permits are left in the store", senders, len(r.items))
+		}
+	}
+}
--- a/core/request/quarantine/report.go
+++ b/core/request/quarantine/report.go
@@ -1,11 +1,11 @@
 package quarantine
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"strings"
+
+	"verbenashift/core/configuration/kv"
 )
 
 // Prefix begins the keys of the store that this package reads.
@@ -25,9 +25,7 @@
 
 // ReportKey returns the key for the n-th report of a gateway.
 func ReportKey(instance string, n int) string {
-	// A key of the store is short, and the name of an instance need not be.
-	sum := sha256.Sum256([]byte(instance))
-	return fmt.Sprintf("%s%s/%d", reportPrefix, hex.EncodeToString(sum[:8]), n%reportSlots)
+	return fmt.Sprintf("%s%s/%d", reportPrefix, kv.Short(instance), n%reportSlots)
 }
 
 // HoldKey returns the key that says that a request is held back.
--- a/core/request/route/pick.go
+++ b/core/request/route/pick.go
@@ -166,10 +166,14 @@
 // a rank that is slow should have as little to do as possible.
 func (t *Table) SetAvoided(i int, avoided bool) { t.states[i].avoided = avoided }
 
+// SetHeld keeps all requests away from target i, even if no other may take them: it has asked
+// for that.
+func (t *Table) SetHeld(i int, held bool) { t.states[i].held = held }
+
 // usable reports whether target i takes new work at all.
 func (t *Table) usable(i int, q *Query) bool {
 	s := &t.states[i]
-	return !s.draining && !s.leaving && !t.targets[i].Drained && !q.Exclude.Has(i)
+	return !s.draining && !s.leaving && !s.held && !t.targets[i].Drained && !q.Exclude.Has(i)
 }
 
 // admitted thins out the choice of a target in slow start.
--- a/core/request/route/state.go
+++ b/core/request/route/state.go
@@ -36,8 +36,9 @@
 	draining   bool
 	leaving    bool
 	distrusted bool
-	// avoided targets are taken only if no other may be.
+	// avoided targets are taken only if no other may be, held ones never.
 	avoided bool
+	held    bool
 }
 
 const (
@@ -209,7 +210,7 @@
 // ejected, avoided, or said to leave.
 func (t *Table) Restarted(i int) {
 	s := &t.states[i]
-	s.share, s.leaving, s.avoided, s.draining = 1, false, false, false
+	s.share, s.leaving, s.avoided, s.held, s.draining = 1, false, false, false, false
 	t.setProbing(i, false)
 }
 
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -104,6 +104,9 @@
 		c.pass(c.failure)
 		return
 	}
+	if c.comeback > 0 {
+		e.RetryAfter = c.comeback
+	}
 	switch {
 	case e.Outcome == outcome.NotRun:
 		c.refuse(reason, e.RetryAfter)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,6 +9,7 @@
 
 	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/plumbing/pause"
+	"verbenashift/core/request/permit"
 	"verbenashift/core/request/quarantine"
 	"verbenashift/core/request/queue"
 	"verbenashift/core/request/retry"
@@ -23,9 +24,12 @@
 	if ctx.Err() != nil {
 		return retry.RefusedAll, "deadline", c.callerLeft()
 	}
-	s, ok := c.pick()
+	s, ok := c.pickInTime(ctx)
+	if !ok && c.comeback > 0 {
+		return retry.RefusedAll, permit.ReasonHeld, false
+	}
 	if !ok {
-		return retry.RefusedAll, "no target", false
+		return retry.RefusedAll, reasonNoTarget, false
 	}
 	defer c.fleet.end(s)
 	c.last = s
@@ -38,10 +42,57 @@
 	return c.send(ctx, s)
 }
 
+// reasonNoTarget is why a request is refused that no target may take.
+const reasonNoTarget = "no target"
+
+// heldPoll is how often a request that waits for a target looks for one.
+const heldPoll = 20 * time.Millisecond
+
+// pickInTime chooses a target. If those that could take the request have asked that nothing
+// be sent to them yet, it waits for its turn, as far as that is near.
+func (c *call) pickInTime(ctx context.Context) (sent, bool) {
+	s, ok := c.pick()
+	if ok || !c.turnIsNear(0) {
+		return s, ok
+	}
+	metricHeldWaits.Add(1)
+	c.fleet.wait(c.service, 1)
+	defer c.fleet.wait(c.service, -1)
+	for pause.For(ctx, heldPoll) {
+		if s, ok = c.pick(); ok || !c.turnIsNear(1) {
+			break
+		}
+	}
+	return s, ok
+}
+
+// turnIsNear reports whether a request that no target takes yet should wait for one. Otherwise
+// its caller is told when its turn would be. Own is 1 if the request is one of those that
+// wait already.
+func (c *call) turnIsNear(own int) bool {
+	now := time.Now()
+	o, held := c.fleet.opening(c.query(), now)
+	if !held {
+		return false
+	}
+	o.Waiting -= own
+	turn := o.Turn(now)
+	if !turn.After(permit.Latest(c.arrived, c.deadline)) {
+		return true
+	}
+	c.comeback = turn.Sub(now)
+	return false
+}
+
+// query asks for a target in the group where the request has its place.
+func (c *call) query() *route.Query {
+	return &route.Query{Service: c.service, Group: c.place.group, Cost: c.cost(), MayNotRepeat: c.attempts.MayNotRepeat, Exclude: c.exclude}
+}
+
 // pick chooses a target in the group where the request has its place, or elsewhere if
 // none there may take it.
 func (c *call) pick() (sent, bool) {
-	q := &route.Query{Service: c.service, Group: c.place.group, Cost: c.cost(), MayNotRepeat: c.attempts.MayNotRepeat, Exclude: c.exclude}
+	q := c.query()
 	s, ok := c.fleet.pick(q, time.Now())
 	if !ok && q.Group != "" {
 		q.Group = ""
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -63,6 +63,9 @@
 	pending *pending
 	// failure is the server's own failure, passed on if nothing better comes.
 	failure *answer
+	// comeback is when a target takes the request that no target takes yet; 0 if that is
+	// not known.
+	comeback time.Duration
 }
 
 // told is what the caller has got so far.
--- a/gateway/doubts.go
+++ b/gateway/doubts.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"log/slog"
@@ -37,10 +35,7 @@
 }
 
 // doubtKey returns the key for the doubts of a gateway.
-func doubtKey(instance string) string {
-	sum := sha256.Sum256([]byte(instance))
-	return doubtsPrefix + hex.EncodeToString(sum[:8])
-}
+func doubtKey(instance string) string { return doubtsPrefix + kv.Short(instance) }
 
 // doubts tells the other gateways which targets this one doubts, and takes what they say. It
 // is safe for concurrent use.
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -14,6 +14,7 @@
 	"verbenashift/core/configuration/mirror"
 	"verbenashift/core/membership/health"
 	"verbenashift/core/plumbing/tcp"
+	"verbenashift/core/request/permit"
 	"verbenashift/core/request/route"
 	"verbenashift/gateway/crash"
 	"verbenashift/gateway/upstream"
@@ -47,6 +48,11 @@
 	tellDoubt func(doubt)
 	// crashes tells targets that have crashed from answers that broke off.
 	crashes *crash.Detector
+	// limits are those that targets name, and held the targets that take no request yet.
+	limits *limits
+	held   map[string]bool
+	// waiting counts the requests by service that wait for a target which takes none yet.
+	waiting map[string]int
 	// cost is the moving mean of the requests' costs in tokens.
 	cost float64
 }
@@ -66,9 +72,6 @@
 	// strikes are its failures of late.
 	doubtedUntil time.Time
 	strikes      health.Strikes
-	// limit is how many requests a second it takes from all gateways together; nil if it
-	// names no limit.
-	limit *float64
 }
 
 // choices is how many targets are compared for a request. With a handful of
@@ -86,6 +89,7 @@
 		gone:    map[string]bool{},
 		told:    map[string]string{},
 		rng:     newRand(),
+		limits:  newLimits(instance, log), held: map[string]bool{}, waiting: map[string]int{},
 		flights: newFlights(), pendings: newPendings(), tellDoubt: func(doubt) {}, doubts: health.Doubts{Turn: rand.Float64()},
 	}
 }
@@ -137,6 +141,12 @@
 		delete(f.flights.targets, id)
 		delete(f.pendings.targets, id)
 		f.doubts.Drop(id)
+		delete(f.held, id)
+		if ok {
+			f.limits.restarted(id, t.Born)
+		} else {
+			f.limits.gone(id)
+		}
 		if i, known := f.table.Lookup(id); ok && known {
 			f.table.Restarted(i)
 		}
@@ -237,6 +247,7 @@
 func (f *fleet) pick(q *route.Query, now time.Time) (sent, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.hold(q.Service, now)
 	i, ok := f.table.Pick(q, now, f.rng)
 	if !ok {
 		return sent{}, false
@@ -247,6 +258,7 @@
 	}
 	age := f.table.LoadAge(i, now)
 	f.table.Start(i, q.Cost, now)
+	f.limits.use(p.ID, now)
 	f.cost += (q.Cost - f.cost) * costGain
 	return sent{index: i, cost: q.Cost, started: now, target: p, seen: p.Target, loadAge: age}, true
 }
@@ -258,17 +270,71 @@
 	f.table.End(s.index, s.cost, s.started)
 }
 
-// limited takes the limit that an answer of a target names, or nil if it names none. It is
-// called with the lock held.
-func (f *fleet) limited(p *pooled, requestID string, limit *float64) {
-	switch {
-	case limit != nil && (p.limit == nil || *p.limit != *limit):
-		metricLimitsNamed.Add(1)
-		f.log.Info("target names a limit", "id", requestID, "target", p.ID, "service", p.Service, "requests-a-second", *limit)
-	case limit == nil && p.limit != nil:
-		f.log.Info("target names no limit any more", "id", requestID, "target", p.ID, "service", p.Service, "requests-a-second-before", *p.limit)
+// limited takes the limit that an answer names, or nil if it names none. It is called with
+// the lock held.
+func (f *fleet) limited(s sent, requestID string, limit *float64, now time.Time) {
+	p := s.target
+	if !f.limits.named(permit.Answer{Target: p.ID, Service: p.Service, Born: p.Born, Limit: limit, Sent: s.started}, now) {
+		return
+	}
+	if limit == nil {
+		f.log.Info("target names no limit any more", "id", requestID, "target", p.ID, "service", p.Service)
+		return
+	}
+	metricLimitsNamed.Add(1)
+	f.log.Info("target names a limit", "id", requestID, "target", p.ID, "service", p.Service, "requests-a-second", *limit)
+}
+
+// hold keeps requests for a service away from the targets that take none yet. It is called
+// with the lock held.
+func (f *fleet) hold(service string, now time.Time) {
+	unready := f.limits.unready(service, now)
+	if len(unready) == 0 && len(f.held) == 0 {
+		return
 	}
-	p.limit = limit
+	for id := range f.held {
+		if !unready[id] {
+			delete(f.held, id)
+			f.setHeld(id, false)
+		}
+	}
+	for id := range unready {
+		if !f.held[id] && f.pools[id] != nil {
+			f.held[id] = true
+			f.setHeld(id, true)
+		}
+	}
+}
+
+func (f *fleet) setHeld(id string, held bool) {
+	if i, ok := f.table.Lookup(id); ok {
+		f.table.SetHeld(i, held)
+	}
+}
+
+// opening returns what is known of the targets of a query that take no request yet, and false
+// if there are none.
+func (f *fleet) opening(q *route.Query, now time.Time) (permit.Opening, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	o := permit.Opening{Waiting: f.waiting[q.Service]}
+	some := false
+	for id := range f.held {
+		i, ok := f.table.Lookup(id)
+		if !ok || f.pools[id].Service != q.Service || q.Exclude.Has(i) || f.pools[id].Draining {
+			continue
+		}
+		some = true
+		f.limits.open(&o, id, now)
+	}
+	return o, some
+}
+
+// wait counts a request that begins or ends to wait for a target of a service.
+func (f *fleet) wait(service string, change int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.waiting[service] += change
 }
 
 // heard takes what an answer says of its target.
@@ -283,7 +349,7 @@
 		f.log.Info("target gone", "target", s.target.ID, "reason", "another server answers at its address")
 	}
 	if !a.Misdirected && (a.Sealed || a.NotRun) {
-		f.limited(s.target, a.ID, a.Limit)
+		f.limited(s, a.ID, a.Limit, now)
 	}
 	if a.Load != nil {
 		f.table.Observe(s.index, route.Load{
--- /dev/null
+++ b/gateway/limits.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"verbenashift/core/configuration/kv"
+	"verbenashift/core/plumbing/pause"
+	"verbenashift/core/request/permit"
+)
+
+const (
+	// limitsTick is how often it is looked whether the store is to be changed.
+	limitsTick = 50 * time.Millisecond
+	// permitLease is the time after which the permits of a gateway that is gone are free
+	// again, and leaseMargin the part of it by which this gateway stops before.
+	permitLease = 12 * time.Second
+	leaseMargin = 10
+	// renewEvery is how often the lease is renewed, renewPause the wait after a failure.
+	renewEvery = permitLease / 3
+	renewPause = 500 * time.Millisecond
+)
+
+// leaser is the part of the store in which permits are claimed.
+type leaser interface {
+	changer
+	Grant(ctx context.Context, ttl time.Duration) (lease int64, lasts time.Duration, err error)
+	Keep(ctx context.Context, lease int64) (lasts time.Duration, err error)
+}
+
+// limits keeps to what targets take from all gateways together. It is safe for concurrent
+// use.
+type limits struct {
+	log   *slog.Logger
+	store leaser
+
+	mu   sync.Mutex
+	book *permit.Book
+
+	// What follows is used by run alone.
+	lease      int64
+	leaseEnds  time.Time
+	renewAfter time.Time
+}
+
+func newLimits(instance string, log *slog.Logger) *limits {
+	start := fmt.Sprintf("%08x", rand.Uint32())
+	return &limits{log: log, book: permit.NewBook(instance, start, newRand())}
+}
+
+// named takes what an answer says of the limit of its target, and reports whether that is
+// new.
+func (l *limits) named(a permit.Answer, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.book.Named(a, now)
+}
+
+// restarted voids the limit of an earlier start of a target, gone that of one that is no more.
+func (l *limits) restarted(id string, born int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.book.Restarted(id, born)
+}
+
+func (l *limits) gone(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.book.Gone(id)
+}
+
+// unready returns the targets that may not be sent a request now, of those that name limits.
+// Service is the one that a request wants.
+func (l *limits) unready(service string, now time.Time) map[string]bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.book.Demand(service, now)
+	var ids map[string]bool
+	for id := range l.book.Limited() {
+		if l.book.Ready(id, now) {
+			continue
+		}
+		if ids == nil {
+			ids = map[string]bool{}
+		}
+		ids[id] = true
+	}
+	return ids
+}
+
+// use counts a request that a target is sent.
+func (l *limits) use(id string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.book.Use(id, now)
+}
+
+// open adds a target to an opening, if it names a limit.
+func (l *limits) open(o *permit.Opening, id string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if at, limited := l.book.ReadyAt(id, now); limited {
+		o.Add(at, l.book.Rate(id, now))
+	}
+}
+
+// take takes what the store says under permit.Prefix.
+func (l *limits) take(items []kv.Item, whole bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, err := range l.book.Take(items, whole, time.Now()) {
+		l.log.Warn("permit not understood", "error", err.Error())
+	}
+}
+
+// run claims and gives back permits until the context ends.
+func (l *limits) run(ctx context.Context) {
+	for pause.For(ctx, limitsTick) {
+		l.renew(ctx, time.Now())
+		l.change(ctx)
+	}
+}
+
+// renew keeps the lease as long as it is needed.
+func (l *limits) renew(ctx context.Context, now time.Time) {
+	l.mu.Lock()
+	needed := l.book.NeedsLease(now)
+	l.mu.Unlock()
+	if !needed || now.Before(l.renewAfter) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeWait)
+	defer cancel()
+	lasts, err := l.keep(ctx)
+	if err != nil {
+		l.renewAfter = time.Now().Add(renewPause)
+		l.log.Warn("lease of permits not renewed", "lease", l.lease, "left-ms", time.Until(l.leaseEnds).Milliseconds(), "error", err.Error())
+		return
+	}
+	l.renewAfter = now.Add(min(renewEvery, lasts/3))
+	// The store counts from when the call arrived, which is later than now.
+	l.leaseEnds = now.Add(lasts - lasts/leaseMargin)
+	l.leased()
+}
+
+// keep renews the lease, or begins one if there is none any more.
+func (l *limits) keep(ctx context.Context) (lasts time.Duration, err error) {
+	if l.lease != 0 {
+		lasts, err = l.store.Keep(ctx, l.lease)
+		var status *kv.StatusError
+		if !errors.As(err, &status) || !status.NotFound() {
+			return lasts, err
+		}
+		l.log.Warn("lease of permits has ended", "lease", l.lease)
+		l.lease, l.leaseEnds = 0, time.Time{}
+		l.leased()
+	}
+	lease, lasts, err := l.store.Grant(ctx, permitLease)
+	if err == nil {
+		l.lease = lease
+	}
+	return lasts, err
+}
+
+// leased tells the book of the lease.
+func (l *limits) leased() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.book.Leased(l.lease, l.leaseEnds)
+}
+
+// change makes the change of the store that is wanted most.
+func (l *limits) change(ctx context.Context) {
+	l.mu.Lock()
+	c, ok := l.book.Next(time.Now())
+	l.mu.Unlock()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeWait)
+	defer cancel()
+	revision, err := l.store.Change(ctx, c.Change)
+	l.mu.Lock()
+	l.book.Done(c, revision, err == nil, time.Now())
+	l.mu.Unlock()
+	line := []any{"target", c.Target, "kind", c.Kind.String(), "key", c.Expect[0].Key, "lease", l.lease}
+	if err != nil {
+		metricPermits.Add(c.Kind.String()+"-failed", 1)
+		l.log.Info("permit not changed", append(line, "error", err.Error())...)
+		return
+	}
+	metricPermits.Add(c.Kind.String(), 1)
+	l.log.Info("permit changed", append(line, "revision", revision)...)
+}
--- /dev/null
+++ b/gateway/limits_test.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/configuration/deployment"
+	"verbenashift/core/configuration/kv"
+	"verbenashift/core/request/permit"
+	"verbenashift/standin/scripted"
+)
+
+// naming answers like a server that takes so many requests a second.
+func naming(limit string) func(x *scripted.Exchange) {
+	return func(x *scripted.Exchange) {
+		x.Write(scripted.Head(200, x.ID(), "Server-Limit: "+limit+"\r\nContent-Length: 2\r\n") + "ok")
+	}
+}
+
+// Guards against requests to a server that has named a limit, from a gateway without a permit.
+func TestLimitedTargetGetsNothingWithoutAPermit(t *testing.T) {
+	for _, kind := range []deployment.RouteKind{deployment.Safe, deployment.Unsafe} {
+		limited := scripted.Serve(t, naming("1"))
+		free := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
+		r := newRig(t, routeOf(kind), limited, free)
+		for range 40 {
+			_, got := r.ask()
+			r.Equal(got.Status, 200)
+		}
+		r.Equal(len(limited.Seen()), 1)
+	}
+}
+
+// Guards against callers that are held, or told nothing, when all targets have named limits.
+func TestAllTargetsLimited(t *testing.T) {
+	s := scripted.Serve(t, naming("0.5"))
+	r := newRig(t, routeOf(deployment.Unsafe), s)
+	_, got := r.ask()
+	r.Equal(got.Status, 200)
+	c := r.call()
+	c.Patience = time.Second
+	came := time.Now()
+	got = c.Do(t.Context())
+	r.Equal(got.Status, 503)
+	r.True(got.Comeback() > 0)
+	r.True(time.Since(came) < time.Second/3)
+	r.Equal(len(s.Seen()), 1)
+}
+
+// leasing is a store that grants one lease and keeps what it is told, until it is down.
+type leasing struct {
+	written
+	down    bool
+	granted int64
+}
+
+var errAway = errors.New("no answer")
+
+func (s *leasing) Grant(context.Context, time.Duration) (int64, time.Duration, error) {
+	if s.down {
+		return 0, 0, errAway
+	}
+	s.granted++
+	return s.granted, permitLease, nil
+}
+
+func (s *leasing) Keep(_ context.Context, lease int64) (time.Duration, error) {
+	if s.down {
+		return 0, errAway
+	}
+	if lease != s.granted {
+		return 0, &kv.StatusError{Status: 404}
+	}
+	return permitLease, nil
+}
+
+func (s *leasing) Change(ctx context.Context, c kv.Change) (int64, error) {
+	if s.down {
+		return 0, errAway
+	}
+	return s.written.Change(ctx, c)
+}
+
+// Guards against a gateway that goes on under permits which others may have claimed, since the
+// store has not renewed its lease.
+func TestPermitsEndWithTheirLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var store leasing
+		l := newLimits("front-1", slog.New(slog.DiscardHandler))
+		l.store = &store
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go l.run(ctx)
+		rate := 2.0
+		l.named(permit.Answer{Target: "t0", Service: "pool", Limit: &rate, Sent: time.Now()}, time.Now())
+		ready := func() bool { return !l.unready("pool", time.Now())["t0"] }
+		is.True(!ready())
+		uses := 0
+		wait := func(d time.Duration) {
+			for range d / limitsTick {
+				if ready() {
+					l.use("t0", time.Now())
+					uses++
+				}
+				time.Sleep(limitsTick)
+			}
+			synctest.Wait()
+		}
+		wait(20 * time.Second)
+		is.True(len(store.changes) > 0)
+		is.Equal(store.granted, int64(1)) // it was renewed
+		sent := func(d time.Duration) int {
+			before := uses
+			wait(d)
+			return uses - before
+		}
+		is.True(sent(10*time.Second) > 0)
+		store.down = true
+		wait(permitLease)
+		is.Equal(sent(10*time.Second), 0)
+		store.down = false
+		is.True(sent(10*time.Second) > 0) // its permits were still its own
+		store.granted++                   // its lease has ended
+		claims := len(store.changes)
+		wait(10 * time.Second)
+		is.True(store.granted > 2)
+		is.True(len(store.changes) > claims) // they are claimed anew under another
+		is.True(sent(10*time.Second) > 0)
+	})
+}
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -19,6 +19,7 @@
 	"verbenashift/core/configuration/mirror"
 	"verbenashift/core/plumbing/instance"
 	"verbenashift/core/plumbing/pause"
+	"verbenashift/core/request/permit"
 	"verbenashift/core/request/quarantine"
 	"verbenashift/platform"
 )
@@ -44,6 +45,7 @@
 	f.OnLost(g.startup.Lost)
 	f.Listen(quarantine.Prefix, g.isolator.take)
 	f.ListenChanges(doubtsPrefix, g.doubts.take)
+	f.Listen(permit.Prefix, g.fleet.limits.take)
 	g.digests.event, g.digests.hint = f.Event, f.Hint
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -51,6 +53,7 @@
 			go g.run(ctx)
 			go g.isolator.run(ctx)
 			go g.doubts.run(ctx)
+			go g.fleet.limits.run(ctx)
 			return nil
 		},
 		OnStop: func(context.Context) error {
