Agents keep to the limit that their target names

An agent is the only sender of its target, so that its queue starts requests no faster than the limit, in the order and with the bounds that it has.

--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -8,6 +8,7 @@
 
 	"verbenashift/core/plumbing/duty"
 	"verbenashift/core/request/outcome"
+	"verbenashift/core/request/permit"
 	"verbenashift/core/request/queue"
 )
 
@@ -22,6 +23,8 @@
 	jobs  map[string]*job
 	shed  []queue.Shed
 	load  atomic.Pointer[queue.Load]
+	// pacer keeps to the limit that the target names.
+	pacer permit.Pacer
 }
 
 // job is a request that waits for its turn. verdict gets nil when it may
@@ -40,7 +43,7 @@
 		jobs: make(map[string]*job),
 	}
 	d.load.Store(&queue.Load{Slots: cfg.Slots, Rate: float64(cfg.Rate)})
-	d.duty.After(d.settle, d.queue.NextDeadline)
+	d.duty.After(d.settle, d.next)
 	return d
 }
 
@@ -48,9 +51,7 @@
 func (d *dispatcher) settle() {
 	now := time.Now()
 	d.queue.Expire(now)
-	for item, ok := d.queue.Next(now); ok; item, ok = d.queue.Next(now) {
-		d.answer(item.ID, nil)
-	}
+	d.startReady(now)
 	d.shed = d.queue.TakeShed(d.shed[:0])
 	for _, s := range d.shed {
 		d.answer(s.ID, s.Refusal)
@@ -59,6 +60,29 @@
 	d.load.Store(&load)
 }
 
+// startReady starts what can start, as fast as the target takes it.
+func (d *dispatcher) startReady(now time.Time) {
+	for !now.Before(d.pacer.ReadyAt()) {
+		item, ok := d.queue.Next(now)
+		if !ok {
+			return
+		}
+		d.pacer.Use(now)
+		d.answer(item.ID, nil)
+	}
+}
+
+// next returns when there is work without a new event: a request that waits is too late, or
+// the target takes the next one.
+func (d *dispatcher) next() (time.Time, bool) {
+	at, ok := d.queue.NextDeadline()
+	ready := d.pacer.ReadyAt()
+	if d.queue.Load().Items > 0 && ready.After(time.Now()) && (!ok || ready.Before(at)) {
+		return ready, true
+	}
+	return at, ok
+}
+
 func (d *dispatcher) answer(id string, refusal *outcome.Error) {
 	if j, ok := d.jobs[id]; ok {
 		delete(d.jobs, id)
--- a/agent/ending.go
+++ b/agent/ending.go
@@ -60,6 +60,17 @@
 	return draft.Ending{Outcome: outcome.Complete}
 }
 
+// heed has the queue keep to what the target asks in an answer.
+func (r *run) heed(a target.Asks) {
+	d := r.agent.dispatcher
+	// An agent that stops starts nothing more.
+	_ = d.duty.Post(context.Background(), func() {
+		if d.pacer.Named(a.Limit, time.Now()) {
+			r.agent.log.Info("limit of the target", "request-id", r.req.RequestId, "requests-a-second", a.Limit)
+		}
+	})
+}
+
 // stopped ends a run that was cancelled or took too long.
 func (r *run) stopped(ctx context.Context) draft.Ending {
 	r.cancelAtTarget(ctx)
@@ -84,6 +95,7 @@
 		return r.failure(ctx, err)
 	}
 	defer func() { _ = a.Body.Close() }()
+	r.heed(a.Asks)
 	r.answer.log.Head(a.Status, headersOf(a.Header))
 	r.tokens = 1
 	buf := make([]byte, serviceBuffer)
--- a/agent/run.go
+++ b/agent/run.go
@@ -176,6 +176,10 @@
 		c.Resume = &target.Resume{Text: res.Text, Tokens: int(res.Frames)}
 	}
 	stream, err := r.agent.engine.Start(ctx, c)
+	var refused *target.RefusedError
+	if errors.As(err, &refused) {
+		r.heed(refused.Asks)
+	}
 	if err != nil {
 		return r.failure(ctx, err)
 	}
@@ -186,6 +190,7 @@
 // may still be at work: the rest is asked for by the request's name, which
 // runs nothing twice.
 func (r *run) pump(ctx context.Context, stream *target.Stream) draft.Ending {
+	r.heed(stream.Asks)
 	r.answer.log.Head(http.StatusOK, headersOf(stream.Header))
 	for try := 0; ; try++ {
 		err := r.copy(stream)
--- a/core/request/target/plain.go
+++ b/core/request/target/plain.go
@@ -33,6 +33,7 @@
 type Answer struct {
 	Status int
 	Header http.Header
+	Asks   Asks
 	// Body ends with io.EOF when the answer is whole, and with a *BrokenError
 	// when the connection was lost before. The receiver closes it.
 	Body io.ReadCloser
@@ -64,7 +65,7 @@
 		return nil, err
 	}
 	RemoveHopByHop(resp.Header)
-	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: &answerBody{resp.Body}}, nil
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, Asks: asksOf(resp.Header), Body: &answerBody{resp.Body}}, nil
 }
 
 // entryHeaders are meant for the entry and do not reach the target: the
--- a/core/request/target/stream.go
+++ b/core/request/target/stream.go
@@ -31,6 +31,7 @@
 type Stream struct {
 	// Header holds the headers of the answer.
 	Header http.Header
+	Asks   Asks
 
 	body   io.ReadCloser
 	events bool
@@ -45,6 +46,7 @@
 func newStream(resp *http.Response) *Stream {
 	return &Stream{
 		Header: resp.Header,
+		Asks:   asksOf(resp.Header),
 		body:   resp.Body,
 		events: strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream),
 		buf:    make([]byte, readSize),
