Gateways log the pause that a target asks for

Which refusals asked for a pause, and how long, was in no log line or metric, so that the hypotheses on the incident could not be told apart.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -351,6 +351,10 @@
 	if !a.Misdirected && (a.Sealed || a.NotRun) {
 		f.limited(s, a.ID, a.Limit, now)
 	}
+	if a.Pause > 0 && !a.Misdirected {
+		metricPauses.Add(1)
+		f.log.Info("target asks for a pause", "id", a.ID, "target", s.target.ID, "service", s.target.Service, "ms", a.Pause.Milliseconds())
+	}
 	if a.Load != nil {
 		f.table.Observe(s.index, route.Load{
 			Queued: float64(a.Load.Waiting) * s.cost, Running: a.Load.Running,
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -20,6 +20,8 @@
 	metricDoubts = expvar.NewMap("target-doubts-by-cause")
 	// metricLimitsNamed counts how often targets have named a limit, or another one.
 	metricLimitsNamed = expvar.NewInt("target-limits-named")
+	// metricPauses counts refusals of targets that ask for a pause.
+	metricPauses = expvar.NewInt("target-pauses-asked")
 	// metricPermits counts changes of permits by kind.
 	metricPermits = expvar.NewMap("permit-changes")
 	// metricHeldWaits counts requests that have waited for a target that takes none yet.
