Failing tests: pauses that targets ask for, groups of which some servers refuse

Two gateways, a plain server and five of sixteen model servers that refuse with 503 and Retry-After 3: 41 and 6 to 12 requests of one gateway within a pause, where 2 are allowed. The lines 'target asks for a pause' are in the logs for each refusal, and new requests go to the same targets after them: the first hypothesis.

--- a/standin/fleet/play.go
+++ b/standin/fleet/play.go
@@ -87,6 +87,7 @@
 		front := f.Fronts[i%len(f.Fronts)]
 		c := next(i)
 		calls = append(calls, c)
+		f.Ledger.sent(c.ID, front)
 		wg.Go(func() { c.send(ctx, client, front) })
 		time.Sleep(pause)
 	}
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -22,6 +22,22 @@
 	// wrong are requests that came with a key, without a workspace, or for
 	// another server.
 	wrong int
+	// fronts are the gateways to which requests were sent.
+	fronts map[string]string
+}
+
+// sent records to which gateway a request is sent.
+func (l *Ledger) sent(id, front string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fronts[id] = front
+}
+
+// front returns the gateway to which a request was sent.
+func (l *Ledger) front(id string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fronts[id]
 }
 
 func (l *Ledger) ran(id string) {
@@ -82,6 +98,7 @@
 	// crash ends the server and starts it again later.
 	crash func()
 	limit limit
+	pause pause
 }
 
 // crashes reports whether a request that has begun ends the server, and ends it.
@@ -108,7 +125,8 @@
 		return false
 	}
 	s.limit.arrive(w.Header())
-	if s.refuse != nil && s.refuse() {
+	paused := s.pause.refuses(s.ledger.front(r.Header.Get("X-Request-Id")), w.Header())
+	if paused || s.refuse != nil && s.refuse() {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return false
