A target that refuses and asks for a pause is left alone by the gateway that it has told

Cause: the pause was not read, and a refusal counted for the one request that met it, so that the next one went there at once. Evidence: every refusal in the logs asks for a pause, and first attempts of other requests follow it. Class: what a target says in one answer is lost with the request that got it.

The target is held like one whose limit leaves no room: no request goes there, also as a last resort, until the time is over. If all targets are held, a request waits if its turn is near, and is refused at once otherwise, and told when it would be.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -48,8 +48,10 @@
 	tellDoubt func(doubt)
 	// crashes tells targets that have crashed from answers that broke off.
 	crashes *crash.Detector
-	// limits are those that targets name, and held the targets that take no request yet.
+	// limits are those that targets name, paused until when targets have asked to be left
+	// alone, and held the targets that take no request yet.
 	limits *limits
+	paused map[string]time.Time
 	held   map[string]bool
 	// waiting counts the requests by service that wait for a target which takes none yet.
 	waiting map[string]int
@@ -89,7 +91,7 @@
 		gone:    map[string]bool{},
 		told:    map[string]string{},
 		rng:     newRand(),
-		limits:  newLimits(instance, log), held: map[string]bool{}, waiting: map[string]int{},
+		limits:  newLimits(instance, log), paused: map[string]time.Time{}, held: map[string]bool{}, waiting: map[string]int{},
 		flights: newFlights(), pendings: newPendings(), tellDoubt: func(doubt) {}, doubts: health.Doubts{Turn: rand.Float64()},
 	}
 }
@@ -142,6 +144,7 @@
 		delete(f.pendings.targets, id)
 		f.doubts.Drop(id)
 		delete(f.held, id)
+		delete(f.paused, id)
 		if ok {
 			f.limits.restarted(id, t.Born)
 		} else {
@@ -289,11 +292,16 @@
 // with the lock held.
 func (f *fleet) hold(service string, now time.Time) {
 	unready := f.limits.unready(service, now)
-	if len(unready) == 0 && len(f.held) == 0 {
+	if len(unready) == 0 && len(f.held) == 0 && len(f.paused) == 0 {
 		return
 	}
+	for id, until := range f.paused {
+		if !now.Before(until) {
+			delete(f.paused, id)
+		}
+	}
 	for id := range f.held {
-		if !unready[id] {
+		if !unready[id] && f.paused[id].IsZero() {
 			delete(f.held, id)
 			f.setHeld(id, false)
 		}
@@ -312,6 +320,21 @@
 	}
 }
 
+// pause leaves a target alone for the time that it has asked for. It is called with the lock
+// held.
+func (f *fleet) pause(p *pooled, requestID string, d time.Duration, now time.Time) {
+	metricPauses.Add(1)
+	f.log.Info("target asks for a pause", "id", requestID, "target", p.ID, "service", p.Service, "ms", d.Milliseconds())
+	if f.pools[p.ID] != p {
+		return // It has ended meanwhile.
+	}
+	if until := now.Add(d); until.After(f.paused[p.ID]) {
+		f.paused[p.ID] = until
+	}
+	f.held[p.ID] = true
+	f.setHeld(p.ID, true)
+}
+
 // opening returns what is known of the targets of a query that take no request yet, and false
 // if there are none.
 func (f *fleet) opening(q *route.Query, now time.Time) (permit.Opening, bool) {
@@ -325,7 +348,7 @@
 			continue
 		}
 		some = true
-		f.limits.open(&o, id, now)
+		f.limits.open(&o, id, f.paused[id], now)
 	}
 	return o, some
 }
@@ -352,8 +375,7 @@
 		f.limited(s, a.ID, a.Limit, now)
 	}
 	if a.Pause > 0 && !a.Misdirected {
-		metricPauses.Add(1)
-		f.log.Info("target asks for a pause", "id", a.ID, "target", s.target.ID, "service", s.target.Service, "ms", a.Pause.Milliseconds())
+		f.pause(s.target, a.ID, a.Pause, now)
 	}
 	if a.Load != nil {
 		f.table.Observe(s.index, route.Load{
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -100,13 +100,20 @@
 	l.book.Use(id, now)
 }
 
-// open adds a target to an opening, if it names a limit.
-func (l *limits) open(o *permit.Opening, id string, now time.Time) {
+// open adds a target to an opening that is left alone until a time, or takes a request by its
+// limit.
+func (l *limits) open(o *permit.Opening, id string, paused, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if at, limited := l.book.ReadyAt(id, now); limited {
-		o.Add(at, l.book.Rate(id, now))
+	at, limited := l.book.ReadyAt(id, now)
+	if !limited {
+		o.Add(paused, 0)
+		return
+	}
+	if !at.IsZero() && at.Before(paused) {
+		at = paused
 	}
+	o.Add(at, l.book.Rate(id, now))
 }
 
 // take takes what the store says under permit.Prefix.
--- /dev/null
+++ b/gateway/pause_test.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"verbenashift/core/configuration/deployment"
+	"verbenashift/standin/scripted"
+)
+
+// resting refuses and asks for a pause of so many seconds, as long as it is told to.
+func resting(seconds string, on *atomic.Bool) func(x *scripted.Exchange) {
+	return func(x *scripted.Exchange) {
+		if !on.Load() {
+			x.Whole(200, "ok")
+			return
+		}
+		x.Write(scripted.Head(503, x.ID(), "X-Not-Executed: 1\r\nRetry-After: "+seconds+"\r\nContent-Length: 0\r\n"))
+	}
+}
+
+// Guards against requests to a server in the time for which it has asked to be left alone, and
+// against leaving it alone for longer.
+func TestTargetIsLeftAlone(t *testing.T) {
+	for _, kind := range []deployment.RouteKind{deployment.Safe, deployment.Unsafe} {
+		var on atomic.Bool
+		on.Store(true)
+		pausing := scripted.Serve(t, resting("0.8", &on))
+		other := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
+		r := newRig(t, routeOf(kind), pausing, other)
+		for range 20 {
+			_, got := r.ask()
+			r.Equal(got.Status, 200)
+		}
+		r.Equal(len(pausing.Seen()), 1)
+		on.Store(false)
+		time.Sleep(800 * time.Millisecond)
+		for range 40 {
+			r.ask()
+		}
+		r.True(len(pausing.Seen()) > 1)
+	}
+}
+
+// Guards against callers that are held, or told the wrong time, when all servers have asked to be
+// left alone.
+func TestAllTargetsPause(t *testing.T) {
+	var on atomic.Bool
+	on.Store(true)
+	s := scripted.Serve(t, resting("3", &on))
+	r := newRig(t, routeOf(deployment.Unsafe), s)
+	came := time.Now()
+	r.ask()
+	_, got := r.ask()
+	r.Equal(got.Status, 503)
+	r.True(got.Comeback() > 2*time.Second && got.Comeback() <= 3*time.Second)
+	r.True(time.Since(came) < 2*time.Second)
+	r.Equal(len(s.Seen()), 1)
+}
+
+// Guards against refusing callers that could have been served after a short pause.
+func TestShortPauseIsWaitedFor(t *testing.T) {
+	var on atomic.Bool
+	on.Store(true)
+	s := scripted.Serve(t, resting("0.5", &on))
+	r := newRig(t, routeOf(deployment.Unsafe), s)
+	r.ask()
+	on.Store(false)
+	_, got := r.ask()
+	r.Equal(got.Status, 200)
+}
