Targets that refuse are avoided for a moment, so that the others serve their callers

Cause: a server that refuses is picked again at once, since it looks idle; three refusals in a row have the whole group taken for down, and its return is careful. 59 such closings in six seconds in the logs. Class: a sign of the whole (nobody takes requests) that a part of it can give.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -55,6 +55,8 @@
 	held   map[string]bool
 	// waiting counts the requests by service that wait for a target which takes none yet.
 	waiting map[string]int
+	// refusers are the targets that are avoided since they refuse requests.
+	refusers map[string]*pooled
 	// cost is the moving mean of the requests' costs in tokens.
 	cost float64
 }
@@ -74,6 +76,7 @@
 	// strikes are its failures of late.
 	doubtedUntil time.Time
 	strikes      health.Strikes
+	refusals     health.Refusals
 }
 
 // choices is how many targets are compared for a request. With a handful of
@@ -91,7 +94,7 @@
 		gone:    map[string]bool{},
 		told:    map[string]string{},
 		rng:     newRand(),
-		limits:  newLimits(instance, log), paused: map[string]time.Time{}, held: map[string]bool{}, waiting: map[string]int{},
+		limits:  newLimits(instance, log), paused: map[string]time.Time{}, held: map[string]bool{}, waiting: map[string]int{}, refusers: map[string]*pooled{},
 		flights: newFlights(), pendings: newPendings(), tellDoubt: func(doubt) {}, doubts: health.Doubts{Turn: rand.Float64()},
 	}
 }
@@ -145,6 +148,7 @@
 		f.doubts.Drop(id)
 		delete(f.held, id)
 		delete(f.paused, id)
+		delete(f.refusers, id)
 		if ok {
 			f.limits.restarted(id, t.Born)
 		} else {
@@ -251,6 +255,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.hold(q.Service, now)
+	f.forgive(now)
 	i, ok := f.table.Pick(q, now, f.rng)
 	if !ok {
 		return sent{}, false
@@ -335,6 +340,27 @@
 	f.setHeld(p.ID, true)
 }
 
+// refused takes the refusal of a target that asks for nothing.
+func (f *fleet) refused(p *pooled, now time.Time) {
+	if f.pools[p.ID] != p {
+		return // It has ended meanwhile.
+	}
+	p.refusals.Refused(now)
+	f.refusers[p.ID] = p
+	f.avoid(p, now)
+}
+
+// forgive has requests sent again to targets that have refused some. It is called with the
+// lock held.
+func (f *fleet) forgive(now time.Time) {
+	for id, p := range f.refusers {
+		if !p.refusals.Avoided(now) {
+			delete(f.refusers, id)
+			f.avoid(p, now)
+		}
+	}
+}
+
 // opening returns what is known of the targets of a query that take no request yet, and false
 // if there are none.
 func (f *fleet) opening(q *route.Query, now time.Time) (permit.Opening, bool) {
@@ -374,8 +400,14 @@
 	if !a.Misdirected && (a.Sealed || a.NotRun) {
 		f.limited(s, a.ID, a.Limit, now)
 	}
-	if a.Pause > 0 && !a.Misdirected {
+	switch {
+	case a.Misdirected:
+	case a.Pause > 0:
 		f.pause(s.target, a.ID, a.Pause, now)
+	case a.NotRun:
+		f.refused(s.target, now)
+	default:
+		s.target.refusals.Accepted()
 	}
 	if a.Load != nil {
 		f.table.Observe(s.index, route.Load{
--- a/gateway/flights.go
+++ b/gateway/flights.go
@@ -198,7 +198,7 @@
 // avoid tells the table whether a target is to be avoided.
 func (f *fleet) avoid(p *pooled, now time.Time) {
 	if i, ok := f.table.Lookup(p.ID); ok {
-		f.table.SetAvoided(i, p.slow || now.Before(p.silentUntil) || now.Before(p.doubtedUntil))
+		f.table.SetAvoided(i, p.slow || now.Before(p.silentUntil) || now.Before(p.doubtedUntil) || p.refusals.Avoided(now))
 	}
 }
 
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -70,3 +70,21 @@
 	_, got := r.ask()
 	r.Equal(got.Status, 200)
 }
+
+// Guards against spending retries on a server that refuses everything while another has room,
+// and against keeping requests from the only one that is left.
+func TestRefusingTargetIsAvoided(t *testing.T) {
+	refusing := scripted.Serve(t, func(x *scripted.Exchange) { x.Refuse() })
+	other := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
+	r := newRig(t, routeOf(deployment.Unsafe), refusing, other)
+	for range 40 {
+		_, got := r.ask()
+		r.Equal(got.Status, 200)
+	}
+	r.True(len(refusing.Seen()) <= 3)
+	alone := newRig(t, routeOf(deployment.Unsafe), refusing)
+	before := len(refusing.Seen())
+	alone.ask()
+	alone.ask()
+	r.Equal(len(refusing.Seen()), before+2)
+}
