A target that says in an answer that it leaves gets no new requests

Some servers never say in the store that they drain. Class: as with limits and pauses, what a target says of itself in an answer was read for its load alone.

The gateway drains the target at once, whatever the store says, until it starts again; its end is no crash.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -77,8 +77,13 @@
 	doubtedUntil time.Time
 	strikes      health.Strikes
 	refusals     health.Refusals
+	// leaving says that it has said in an answer that it leaves.
+	leaving bool
 }
 
+// leaves reports whether the target takes no new requests, by the store or its own word.
+func (p *pooled) leaves() bool { return p.Draining || p.leaving }
+
 // choices is how many targets are compared for a request. With a handful of
 // gateways before a few dozen targets, comparing several finds an idle one, and
 // random ones keep the gateways from all taking the same.
@@ -105,7 +110,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.pools[t.ID]
-	return p != nil && p.Born == t.Born && !p.Draining
+	return p != nil && p.Born == t.Born && !p.leaves()
 }
 
 // update takes a new view of the targets.
@@ -179,7 +184,7 @@
 // not crashed.
 func (f *fleet) ended(p *pooled, replaced bool) {
 	switch {
-	case p.Draining:
+	case p.leaves():
 	case replaced:
 		f.crashes.Restarted(p.Target)
 	default:
@@ -203,7 +208,7 @@
 func (f *fleet) routed(t *deployment.Target) route.Target {
 	return route.Target{
 		Name: t.ID, Zone: t.Zone, Service: t.Service, Group: f.groupOf(t),
-		Drained: t.Draining || f.gone[t.ID],
+		Drained: f.pools[t.ID].leaves() || f.gone[t.ID],
 	}
 }
 
@@ -325,6 +330,18 @@
 	}
 }
 
+// leavesNow takes the word of a target that it leaves. Its entry in the store may never say so.
+// It is called with the lock held.
+func (f *fleet) leavesNow(s sent, requestID string) {
+	p := s.target
+	p.leaving = true
+	metricLeaving.Add(1)
+	f.log.Info("target says that it leaves", "id", requestID, "target", p.ID, "service", p.Service, "draining-by-store", p.Draining)
+	if f.pools[p.ID] == p {
+		f.table.SetLeaving(s.index, true)
+	}
+}
+
 // pause leaves a target alone for the time that it has asked for. It is called with the lock
 // held.
 func (f *fleet) pause(p *pooled, requestID string, d time.Duration, now time.Time) {
@@ -370,7 +387,7 @@
 	some := false
 	for id := range f.held {
 		i, ok := f.table.Lookup(id)
-		if !ok || f.pools[id].Service != q.Service || q.Exclude.Has(i) || f.pools[id].Draining {
+		if !ok || f.pools[id].Service != q.Service || q.Exclude.Has(i) || f.pools[id].leaves() {
 			continue
 		}
 		some = true
@@ -397,6 +414,9 @@
 		f.table.SetLeaving(s.index, true)
 		f.log.Info("target gone", "target", s.target.ID, "reason", "another server answers at its address")
 	}
+	if a.Leaving && !a.Misdirected && !s.target.leaving {
+		f.leavesNow(s, a.ID)
+	}
 	if !a.Misdirected && (a.Sealed || a.NotRun) {
 		f.limited(s, a.ID, a.Limit, now)
 	}
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -16,17 +16,10 @@
 	"verbenashift/standin/scripted"
 )
 
-// naming answers like a server that takes so many requests a second.
-func naming(limit string) func(x *scripted.Exchange) {
-	return func(x *scripted.Exchange) {
-		x.Write(scripted.Head(200, x.ID(), "Server-Limit: "+limit+"\r\nContent-Length: 2\r\n") + "ok")
-	}
-}
-
 // Guards against requests to a server that has named a limit, from a gateway without a permit.
 func TestLimitedTargetGetsNothingWithoutAPermit(t *testing.T) {
 	for _, kind := range []deployment.RouteKind{deployment.Safe, deployment.Unsafe} {
-		limited := scripted.Serve(t, naming("1"))
+		limited := scripted.Serve(t, func(x *scripted.Exchange) { x.Limited("1", "ok") })
 		free := scripted.Serve(t, func(x *scripted.Exchange) { x.Whole(200, "ok") })
 		r := newRig(t, routeOf(kind), limited, free)
 		for range 40 {
@@ -39,7 +32,7 @@
 
 // Guards against callers that are held, or told nothing, when all targets have named limits.
 func TestAllTargetsLimited(t *testing.T) {
-	s := scripted.Serve(t, naming("0.5"))
+	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Limited("0.5", "ok") })
 	r := newRig(t, routeOf(deployment.Unsafe), s)
 	_, got := r.ask()
 	r.Equal(got.Status, 200)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -22,6 +22,8 @@
 	metricLimitsNamed = expvar.NewInt("target-limits-named")
 	// metricPauses counts refusals of targets that ask for a pause.
 	metricPauses = expvar.NewInt("target-pauses-asked")
+	// metricLeaving counts targets that have said in an answer that they leave.
+	metricLeaving = expvar.NewInt("targets-leaving-by-answer")
 	// metricPermits counts changes of permits by kind.
 	metricPermits = expvar.NewMap("permit-changes")
 	// metricHeldWaits counts requests that have waited for a target that takes none yet.
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -16,7 +16,7 @@
 			x.Whole(200, "ok")
 			return
 		}
-		x.Write(scripted.Head(503, x.ID(), "X-Not-Executed: 1\r\nRetry-After: "+seconds+"\r\nContent-Length: 0\r\n"))
+		x.RefuseFor(seconds)
 	}
 }
 
@@ -88,3 +88,27 @@
 	alone.ask()
 	r.Equal(len(refusing.Seen()), before+2)
 }
+
+// Guards against new requests to a server that has said that it leaves, also when it is the only
+// one, after a new view of the store, and against taking its later start for leaving.
+func TestTargetThatSaysThatItLeaves(t *testing.T) {
+	for _, kind := range []deployment.RouteKind{deployment.Safe, deployment.Unsafe} {
+		leaving := scripted.Serve(t, func(x *scripted.Exchange) { x.Leaving("ok") })
+		r := newRig(t, routeOf(kind), leaving)
+		_, got := r.ask()
+		r.Equal(got.Status, 200)
+		for range 2 {
+			_, got = r.ask()
+			r.Equal(got.Status, 503)
+			r.gateway.update(&r.view)
+		}
+		r.Equal(len(leaving.Seen()), 1)
+		r.True(!r.gateway.fleet.serves(r.view.Targets["t0"])) // its end is no crash
+		later := r.view.Targets["t0"]
+		later.Born = 9
+		r.view.Targets = map[string]deployment.Target{"t0": later}
+		r.gateway.update(&r.view)
+		_, got = r.ask()
+		r.Equal(got.Status, 200)
+	}
+}
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -96,9 +96,10 @@
 	// refuse makes it refuse everything, as a full server does.
 	refuse func() bool
 	// crash ends the server and starts it again later.
-	crash func()
-	limit limit
-	pause pause
+	crash   func()
+	limit   limit
+	pause   pause
+	leaving leaving
 }
 
 // crashes reports whether a request that has begun ends the server, and ends it.
@@ -124,8 +125,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return false
 	}
+	front := s.ledger.front(r.Header.Get("X-Request-Id"))
 	s.limit.arrive(w.Header())
-	paused := s.pause.refuses(s.ledger.front(r.Header.Get("X-Request-Id")), w.Header())
+	s.leaving.arrive(front, w.Header())
+	paused := s.pause.refuses(front, w.Header())
 	if paused || s.refuse != nil && s.refuse() {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/standin/scripted/scripted.go
+++ b/standin/scripted/scripted.go
@@ -172,6 +172,22 @@
 	x.Write(fmt.Sprintf("HTTP/1.1 503 Busy\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", x.ID()))
 }
 
+// RefuseFor says that the server has not run the request, and wants nothing for so many seconds.
+func (x *Exchange) RefuseFor(seconds string) {
+	x.Write(fmt.Sprintf("HTTP/1.1 503 Busy\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n", x.ID(), seconds))
+}
+
+// Limited sends a whole answer that names how many requests a second the server takes.
+func (x *Exchange) Limited(rate, body string) { x.with("Server-Limit: "+rate, body) }
+
+// Leaving sends a whole answer that says that the server leaves.
+func (x *Exchange) Leaving(body string) { x.with("Server-Leaving: 1", body) }
+
+// with sends a whole answer with a header line more.
+func (x *Exchange) with(line, body string) {
+	x.Write(Head(http.StatusOK, x.ID(), fmt.Sprintf("%s\r\nContent-Length: %d\r\n", line, len(body))) + body)
+}
+
 // Misdirected says that another server has the address now.
 func (x *Exchange) Misdirected() {
 	x.Write(fmt.Sprintf("HTTP/1.1 421 Other\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", x.ID()))
