Agents and entries keep to the pauses of targets, and heed those that say that they leave

The agent's queue starts nothing in a pause, the agent refuses what comes meanwhile with the time that is left, and an entry that has been told so sends nothing there until then.

--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -23,8 +23,29 @@
 	jobs  map[string]*job
 	shed  []queue.Shed
 	load  atomic.Pointer[queue.Load]
-	// pacer keeps to the limit that the target names.
+	// pacer keeps to what the target asks.
 	pacer permit.Pacer
+	// pausedUntil is until when the target wants nothing, nil if it has never asked for that.
+	pausedUntil atomic.Pointer[time.Time]
+}
+
+// pause starts nothing for a time. It is called on the duty's goroutine.
+func (d *dispatcher) pause(span time.Duration, now time.Time) {
+	if span <= 0 {
+		return
+	}
+	d.pacer.Pause(span, now)
+	until := now.Add(d.pacer.Paused(now))
+	d.pausedUntil.Store(&until)
+}
+
+// paused returns for how long the target wants nothing; 0 if it takes requests.
+func (d *dispatcher) paused() time.Duration {
+	until := d.pausedUntil.Load()
+	if until == nil {
+		return 0
+	}
+	return max(time.Until(*until), 0)
 }
 
 // job is a request that waits for its turn. verdict gets nil when it may
--- a/agent/dispatch_test.go
+++ b/agent/dispatch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -13,7 +14,11 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/configuration/follow"
+	"verbenashift/core/membership/member"
+	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
+	"verbenashift/core/peer/wire/wireconnect"
 	"verbenashift/core/request/draft"
 	"verbenashift/core/request/queue"
 	"verbenashift/core/request/target"
@@ -47,6 +52,77 @@
 	})
 }
 
+// Guards against starting requests while the target wants none, and never again after that.
+func TestQueueKeepsToThePauseOfItsTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		a := &Agent{dispatcher: newDispatcher(Settings{Slots: 4, Items: 100, Tokens: 10000, Rate: 1000}), log: slog.New(slog.DiscardHandler)}
+		go a.dispatcher.duty.Run(ctx)
+		(&run{agent: a, req: &wire.SubmitRequest{}}).heed(target.Asks{Pause: 3 * time.Second})
+		started := make(chan time.Time, 1)
+		began := time.Now()
+		go func() {
+			if a.dispatcher.wait(ctx, queue.Item{ID: "r", Cost: 1}) == nil {
+				started <- time.Now()
+			}
+		}()
+		is.Equal((<-started).Sub(began), 3*time.Second)
+		is.Equal(a.dispatcher.paused(), time.Duration(0))
+	})
+}
+
+// Guards against taking in requests that wait for a target which wants none, while others have
+// room.
+func TestAgentOfAPausedTargetRefuses(t *testing.T) {
+	is := is.New(t)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	a := &Agent{dispatcher: newDispatcher(Settings{Slots: 1}), follower: follow.New(follow.Config{}), log: slog.New(slog.DiscardHandler)}
+	go a.dispatcher.duty.Run(ctx)
+	r := &run{agent: a, req: &wire.SubmitRequest{}, answer: &answer{log: draft.New(100)}}
+	refused := &target.RefusedError{Status: http.StatusServiceUnavailable, Asks: target.Asks{Pause: time.Minute}}
+	end := r.failure(ctx, refused)
+	is.Equal(end.Reason, peer.ReasonPaused)
+	is.Equal(end.RetryAfter, time.Minute)
+	r.heed(refused.Asks)
+	is.NoErr(a.dispatcher.duty.Do(ctx, func() {}))
+	m := http.NewServeMux()
+	m.Handle(wireconnect.AgentServiceSubmitProcedure, peer.HandleFrames(a.submit))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := peer.NewServer(m, nil)
+	go func() { _ = peer.Serve(server, l) }()
+	defer func() { _ = server.Close() }()
+	frames, err := peer.NewDialer(peer.DialConfig{}).Submit(ctx, l.Addr().String(), &wire.SubmitRequest{RequestId: "r1"})
+	is.NoErr(err)
+	var last wire.Frame
+	is.NoErr(frames.Receive(&last))
+	is.Equal(last.Outcome, wire.Outcome_OUTCOME_NOT_RUN)
+	is.Equal(last.Reason, peer.ReasonPaused)
+	is.True(last.RetryAfterMs > 50000 && last.RetryAfterMs <= 60000)
+}
+
+// Guards against new requests to a target that has said that it leaves.
+func TestAgentOfALeavingTargetDrains(t *testing.T) {
+	is := is.New(t)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	log := slog.New(slog.DiscardHandler)
+	f := follow.New(follow.Config{})
+	a := &Agent{
+		dispatcher: newDispatcher(Settings{Slots: 1}), follower: f, log: log,
+		members:  follow.NewMembers(member.Self{Name: "a"}),
+		register: newRegister(Settings{}, identity{}, nil, nil, f, log),
+	}
+	go a.dispatcher.duty.Run(ctx)
+	go a.register.duty.Run(ctx)
+	(&run{agent: a, req: &wire.SubmitRequest{}}).heed(target.Asks{Leaving: true})
+	is.True(a.draining.Load())
+	is.True(a.load().Draining)
+}
+
 // Guards against an agent that does not read the limit in the answer of its target.
 func TestLimitOfTheTargetIsHeeded(t *testing.T) {
 	is := is.New(t)
--- a/agent/ending.go
+++ b/agent/ending.go
@@ -48,6 +48,8 @@
 // it stands; a busy target has not run it.
 func (r *run) refusal(e *target.RefusedError) draft.Ending {
 	switch {
+	case e.Asks.Pause > 0:
+		return draft.Ending{Outcome: outcome.NotRun, Reason: peer.ReasonPaused, RetryAfter: e.Asks.Pause}
 	case e.Status == http.StatusServiceUnavailable || e.Status == http.StatusTooManyRequests:
 		return draft.Ending{Outcome: outcome.NotRun, Reason: reasonRefused, RetryAfter: time.Second}
 	case e.Status >= http.StatusInternalServerError:
@@ -65,10 +67,19 @@
 	d := r.agent.dispatcher
 	// An agent that stops starts nothing more.
 	_ = d.duty.Post(context.Background(), func() {
-		if d.pacer.Named(a.Limit, time.Now()) {
+		now := time.Now()
+		if d.pacer.Named(a.Limit, now) {
 			r.agent.log.Info("limit of the target", "request-id", r.req.RequestId, "requests-a-second", a.Limit)
 		}
+		d.pause(a.Pause, now)
 	})
+	if a.Pause > 0 {
+		r.agent.log.Info("target asks for a pause", "request-id", r.req.RequestId, "ms", a.Pause.Milliseconds())
+	}
+	if a.Leaving && !r.agent.draining.Load() {
+		r.agent.log.Info("target says that it leaves", "request-id", r.req.RequestId)
+		r.agent.leave(context.Background())
+	}
 }
 
 // stopped ends a run that was cancelled or took too long.
--- a/agent/service.go
+++ b/agent/service.go
@@ -25,6 +25,9 @@
 	if a.draining.Load() {
 		return a.refuse(stream, m.Attempt, outcome.NotRun, reasonDraining, a.cfg.Heartbeat)
 	}
+	if left := a.dispatcher.paused(); left > 0 {
+		return a.refuse(stream, m.Attempt, outcome.NotRun, peer.ReasonPaused, left)
+	}
 	r := &run{agent: a, req: m}
 	if m.MayNotRepeat {
 		r.keyed = true
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -161,6 +161,10 @@
 	ReasonGone = "answer-gone"
 )
 
+// ReasonPaused is why an agent refuses a request whose target has refused others and asked to
+// be left alone, for the time of the refusal's RetryAfter.
+const ReasonPaused = "target-paused"
+
 // HeaderSharedPrefix is set by an entry in the headers of a call whose
 // workspace shares its prefix cache; the agent then leaves the cache salt out.
 const HeaderSharedPrefix = "X-Shared-Prefix"
--- a/core/request/permit/pacer.go
+++ b/core/request/permit/pacer.go
@@ -7,14 +7,26 @@
 	"time"
 )
 
-// Pacer keeps to the limit of a target on behalf of its only sender, which needs no permits.
-// The zero value knows of no limit.
+// Pacer keeps to the limit and the pauses of a target on behalf of its only sender, which needs
+// no permits. The zero value knows of none.
 type Pacer struct {
 	limit   float64
 	limited bool
 	last    time.Time
+	// paused is until when the target wants nothing.
+	paused time.Time
 }
 
+// Pause takes the word of the target that it wants nothing for a time.
+func (p *Pacer) Pause(d time.Duration, now time.Time) {
+	if until := now.Add(d); d > 0 && until.After(p.paused) {
+		p.paused = until
+	}
+}
+
+// Paused returns for how long the target wants nothing; 0 if it takes requests.
+func (p *Pacer) Paused(now time.Time) time.Duration { return max(p.paused.Sub(now), 0) }
+
 // Named takes the limit that an answer names, in requests a second, or nil if it names none.
 // It reports whether the limit has changed.
 func (p *Pacer) Named(limit *float64, now time.Time) bool {
@@ -34,9 +46,13 @@
 // ReadyAt returns when the target may be sent a request; zero if at any time.
 func (p *Pacer) ReadyAt() time.Time {
 	if !p.limited {
-		return time.Time{}
+		return p.paused
+	}
+	at := p.last.Add(time.Duration(float64(time.Second) / max(p.limit, leastRate)))
+	if at.Before(p.paused) {
+		return p.paused
 	}
-	return p.last.Add(time.Duration(float64(time.Second) / max(p.limit, leastRate)))
+	return at
 }
 
 // Use counts a request that the target is sent.
--- a/core/request/target/asks.go
+++ b/core/request/target/asks.go
@@ -2,17 +2,38 @@
 
 import (
 	"net/http"
+	"strings"
+	"time"
 
 	"verbenashift/core/request/permit"
+	"verbenashift/core/request/retry"
 )
 
-// HeaderLimit is where a target names how many requests a second it takes.
-const HeaderLimit = "Server-Limit"
+// The headers in which a target says what it asks.
+const (
+	// HeaderLimit names how many requests a second it takes.
+	HeaderLimit = "Server-Limit"
+	// HeaderLeaving is 1 if it leaves.
+	HeaderLeaving = "Server-Leaving"
+)
 
 // Asks is what a target asks, in an answer, of those that send to it.
 type Asks struct {
 	// Limit is how many requests a second it takes from all together; nil if it names none.
 	Limit *float64
+	// Pause is how long a target that has refused wants nothing; 0 if it does not say.
+	Pause time.Duration
+	// Leaving says that the target leaves and takes no new requests.
+	Leaving bool
 }
 
-func asksOf(h http.Header) Asks { return Asks{Limit: permit.ParseLimit(h.Get(HeaderLimit))} }
+func asksOf(status int, h http.Header) Asks {
+	a := Asks{
+		Limit:   permit.ParseLimit(h.Get(HeaderLimit)),
+		Leaving: strings.TrimSpace(h.Get(HeaderLeaving)) == "1",
+	}
+	if status == http.StatusServiceUnavailable {
+		a.Pause = retry.ParseAfter(h.Get("Retry-After"))
+	}
+	return a
+}
--- a/core/request/target/plain.go
+++ b/core/request/target/plain.go
@@ -65,7 +65,7 @@
 		return nil, err
 	}
 	RemoveHopByHop(resp.Header)
-	return &Answer{Status: resp.StatusCode, Header: resp.Header, Asks: asksOf(resp.Header), Body: &answerBody{resp.Body}}, nil
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, Asks: asksOf(resp.StatusCode, resp.Header), Body: &answerBody{resp.Body}}, nil
 }
 
 // entryHeaders are meant for the entry and do not reach the target: the
--- a/core/request/target/stream.go
+++ b/core/request/target/stream.go
@@ -46,7 +46,7 @@
 func newStream(resp *http.Response) *Stream {
 	return &Stream{
 		Header: resp.Header,
-		Asks:   asksOf(resp.Header),
+		Asks:   asksOf(resp.StatusCode, resp.Header),
 		body:   resp.Body,
 		events: strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream),
 		buf:    make([]byte, readSize),
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -153,7 +153,7 @@
 	}
 	c, ok := f.entry.router.pick(&f.query)
 	if !ok {
-		return relay.Event{Kind: relay.NoTarget}
+		return relay.Event{Kind: relay.NoTarget, RetryAfter: f.entry.router.comeback()}
 	}
 	f.picked, f.inFlight = c, true
 	f.readingAt = c.target
--- a/entry/frames.go
+++ b/entry/frames.go
@@ -133,7 +133,9 @@
 		return f.data(m)
 	case wire.FrameKind_FRAME_KIND_END:
 		ev := endEvent(m, f.log.delivered)
-		f.leave(result{load: m.Load, failed: ev.Outcome == outcome.Failed || ev.Outcome == outcome.Unknown})
+		f.leave(result{
+			load: m.Load, failed: ev.Outcome == outcome.Failed || ev.Outcome == outcome.Unknown, pause: pauseOf(m),
+		})
 		return true, ev
 	default:
 		return true, relay.Event{Kind: relay.Broke}
@@ -186,6 +188,14 @@
 	}
 }
 
+// pauseOf returns for how long the target of an attempt wants nothing, by its END frame.
+func pauseOf(m *wire.Frame) time.Duration {
+	if m.Reason != peer.ReasonPaused {
+		return 0
+	}
+	return time.Duration(m.RetryAfterMs) * time.Millisecond
+}
+
 // broken reports a transport error.
 func (f *flow) broken(err error) relay.Event {
 	unsent := peer.NotSent(err)
--- a/entry/router.go
+++ b/entry/router.go
@@ -25,6 +25,8 @@
 	table   *route.Table
 	monitor *health.Monitor
 	rng     *rand.Rand
+	// paused is until when targets want nothing.
+	paused map[string]time.Time
 	// incarnations holds the last known incarnation of each target's agent.
 	incarnations map[string]uint64
 	index        *config.Index
@@ -45,6 +47,7 @@
 		monitor:      health.New(health.Options{}),
 		table:        route.New(opt),
 		rng:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		paused:       make(map[string]time.Time),
 		incarnations: make(map[string]uint64),
 	}
 }
@@ -127,6 +130,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
+	r.resume(now)
 	slot, ok := r.table.Pick(q, now, r.rng)
 	if !ok {
 		return choice{}, false
@@ -141,6 +145,20 @@
 	return choice{slot: slot, target: t, incarnation: r.incarnations[name], cost: q.Cost, started: now}, true
 }
 
+// comeback returns when the first target that has asked for a pause takes requests again; 0 if
+// none has.
+func (r *router) comeback() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first := time.Duration(0)
+	for _, until := range r.paused {
+		if left := time.Until(until); left > 0 && (first == 0 || left < first) {
+			first = left
+		}
+	}
+	return first
+}
+
 // result is how an attempt at a target went.
 type result struct {
 	// load is what the agent said last, nil if nothing.
@@ -150,6 +168,8 @@
 	// failed says that the target or the way to it failed, unsent that nothing
 	// reached it.
 	failed, unsent bool
+	// pause is how long the target wants nothing; 0 if it takes requests.
+	pause time.Duration
 }
 
 // end closes an attempt.
@@ -169,6 +189,33 @@
 	if load != nil {
 		r.observe(c.slot, c.target.Name, load)
 	}
+	if res.pause > 0 {
+		r.pause(c.target.Name, res.pause, now)
+	}
+}
+
+// pause sends nothing to a target for a time. The caller holds mu.
+func (r *router) pause(target string, d time.Duration, now time.Time) {
+	slot, ok := r.table.Lookup(target)
+	if !ok {
+		return
+	}
+	r.log.Info("target asks for a pause", "target", target, "ms", d.Milliseconds())
+	r.paused[target] = now.Add(d)
+	r.table.SetHeld(slot, true)
+}
+
+// resume sends again to targets whose pause is over. The caller holds mu.
+func (r *router) resume(now time.Time) {
+	for target, until := range r.paused {
+		if now.Before(until) {
+			continue
+		}
+		delete(r.paused, target)
+		if slot, ok := r.table.Lookup(target); ok {
+			r.table.SetHeld(slot, false)
+		}
+	}
 }
 
 // heard takes an agent's load from a heartbeat.
