Soak and a proof with servers that name limits, ask for pauses and leave

The soak draws such servers beside its faults, by a generator of its own, so that its seeds keep their faults.

--- a/proof/limit_test.go
+++ b/proof/limit_test.go
@@ -30,15 +30,57 @@
 	})
 	s.True(v.Kept())
 	s.Equal(v.Complete, v.Requests)
-	for name, limited := range map[string]func(grace, span time.Duration) (int, int){
-		"plain server": func(grace, span time.Duration) (int, int) { return s.Limited(0, grace, span) },
-		"model server": func(grace, span time.Duration) (int, int) { return s.LimitedRank(1, grace, span) },
+	s.keptTo(rate)
+}
+
+// keptTo checks that the first plain server and the second model server, which take so many
+// requests a second, got some and not too many, but for those of excused gateways.
+func (s *fleetScene) keptTo(rate float64, excused ...string) {
+	for name, limited := range map[string]func() (int, int){
+		"plain server": func() (int, int) { return s.Limited(0, limitGrace, limitSpan, excused...) },
+		"model server": func() (int, int) { return s.LimitedRank(1, limitGrace, limitSpan, excused...) },
 	} {
-		most, all := limited(limitGrace, limitSpan)
-		t.Logf("%s: %d requests in %v at most, %d in all", name, most, limitSpan, all)
+		most, all := limited()
+		s.t.Logf("%s: %d requests in %v at most, %d in all", name, most, limitSpan, all)
 		if most > mostOf(rate) {
-			t.Errorf("%s got %d requests in %v, %d are allowed", name, most, limitSpan, mostOf(rate))
+			s.t.Errorf("%s got %d requests in %v, %d are allowed", name, most, limitSpan, mostOf(rate))
 		}
 		s.True(all > 0) // it is used as far as it allows
 	}
 }
+
+// Guards against a burst at a server that has named a limit when gateways are killed, the store
+// forgets its history, refuses or answers nothing, and against leaving the server out for good
+// when it names none any more.
+func TestFleetNamedLimitUnderFaults(t *testing.T) {
+	const rate = 2
+	s := startFleet(t, fleet.Shape{Block: "127.0.98", Gateways: 6})
+	v := s.during(600, func() {
+		s.Limit(0, rate)
+		s.LimitRank(1, rate)
+		time.Sleep(limitGrace)
+		s.kill("front-4")
+		s.Store.SetDown(true)
+		time.Sleep(limitGrace)
+		s.Store.SetDown(false)
+		s.run(s.boot("front-4"))
+		s.Store.Compact()
+		time.Sleep(limitGrace)
+		s.kill("front-5")
+		s.Store.SetSilent(true)
+		time.Sleep(2 * time.Second)
+		s.Store.SetSilent(false)
+		s.run(s.boot("front-5"))
+		time.Sleep(limitFor)
+	})
+	s.True(v.Kept())
+	s.keptTo(rate, s.Fronts[4], s.Fronts[5])
+	s.LiftLimit(0)
+	s.LiftRank(1)
+	s.during(100, func() { time.Sleep(limitFor) })
+	before := s.Served(0)
+	s.during(200, func() {})
+	served := s.Served(0) - before
+	t.Logf("%d of 200 requests and more after the limit was lifted", served)
+	s.True(served > 20) // a fourth is its part
+}
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -38,7 +38,7 @@
 // a seed, in series and overlapping: processes killed, paused, stopped gently one
 // after the other and restarted, settings changed, links delayed, reset, silent and cut
 // in one direction, the store away or forgetful, orders carried out late, servers that
-// refuse, stand still, answer nothing or with failures, crash under a request that comes again, or crash and start again under
+// refuse, stand still, answer nothing or with failures, crash under a request that comes again, name limits, ask for pauses, leave, or crash and start again under
 // their ID so that a group is formed anew, configurations and shifts of the load. Clocks don't jump here: that would take a
 // privilege. What callers got
 // and servers ran must keep the promises all the while, and when the faults stop,
@@ -63,18 +63,21 @@
 		Groups: *soakGroups, Gateways: *soakGateways,
 	})
 	faults := &faulty{fleetScene: s, rng: rng, down: map[string]bool{}, paused: map[string]bool{}}
+	servers := &asking{faulty: faults, rng: rand.New(rand.NewPCG(seed, 12))}
 	ctx, cancel := context.WithTimeout(s.ctx, *soakFor)
 	defer cancel()
 	stop := make(chan []fleet.Call)
 	go func() { stop <- fleet.PlayUntil(ctx, s.Fleet) }()
 	for ctx.Err() == nil {
 		faults.strike()
+		servers.ask()
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Duration(20+rng.IntN(500)) * time.Millisecond):
 		}
 	}
 	faults.mend()
+	servers.calm()
 	v := fleet.Judge(s.Fleet, <-stop)
 	t.Logf("seed %d: %s\n%+v", seed, strings.Join(faults.done, ", "), v)
 	s.True(v.Kept())
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -135,6 +135,9 @@
 // on meanwhile.
 func (f *Fleet) Freeze(rank int, frozen bool) { f.models[rank].frozen.Store(frozen) }
 
+// Served returns how many requests a plain server has run.
+func (f *Fleet) Served(plain int) int { return int(f.plains[plain].served.Load()) }
+
 // Plains returns how many plain servers there are.
 func (f *Fleet) Plains() int { return len(f.plains) }
 
--- a/standin/fleet/leaving.go
+++ b/standin/fleet/leaving.go
@@ -53,9 +53,28 @@
 	l.on, l.told, l.arrivals = true, map[string]time.Time{}, map[string][]time.Time{}
 }
 
+func (l *leaving) unset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.on = false
+}
+
 // Leave has a plain server say from now on that it leaves.
 func (f *Fleet) Leave(plain int) { f.plains[plain].leaving.set() }
 
+// Stay has no server say any more that it leaves.
+func (f *Fleet) Stay() {
+	for _, p := range f.plains {
+		p.leaving.unset()
+	}
+	for _, m := range f.models {
+		m.leaving.unset()
+	}
+}
+
+// Restart ends a plain server and starts it again under its ID.
+func (f *Fleet) Restart(plain int) { f.plains[plain].crash() }
+
 // LeaveRank has a model server say so.
 func (f *Fleet) LeaveRank(rank int) { f.models[rank].leaving.set() }
 
--- a/standin/fleet/limit.go
+++ b/standin/fleet/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -15,17 +16,23 @@
 	rate  float64
 	since time.Time
 	// arrivals are those since the limit was named first.
-	arrivals []time.Time
+	arrivals []arrival
 }
 
-// arrive counts a request and names the limit in its answer.
-func (l *limit) arrive(h http.Header) {
+// arrival is a request that came from a gateway.
+type arrival struct {
+	at    time.Time
+	front string
+}
+
+// arrive counts a request of a gateway and names the limit in its answer.
+func (l *limit) arrive(front string, h http.Header) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.named {
 		return
 	}
-	l.arrivals = append(l.arrivals, time.Now())
+	l.arrivals = append(l.arrivals, arrival{time.Now(), front})
 	h.Set("Server-Limit", strconv.FormatFloat(l.rate, 'g', -1, 64))
 }
 
@@ -44,22 +51,25 @@
 }
 
 // most returns the most requests that have arrived within a span, later than a grace after
-// the limit was named, and how many have in all since then.
-func (l *limit) most(grace, span time.Duration) (most, all int) {
+// the limit was named, and how many have in all since then. Those of excused gateways don't
+// count.
+func (l *limit) most(grace, span time.Duration, excused []string) (most, all int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	first := 0
-	for i, at := range l.arrivals {
-		if at.Before(l.since.Add(grace)) {
-			first = i + 1
-			continue
+	var counted []time.Time
+	for _, a := range l.arrivals {
+		if !a.at.Before(l.since.Add(grace)) && !slices.Contains(excused, a.front) {
+			counted = append(counted, a.at)
 		}
-		for at.Sub(l.arrivals[first]) > span {
+	}
+	first := 0
+	for i, at := range counted {
+		for at.Sub(counted[first]) > span {
 			first++
 		}
-		most, all = max(most, i-first+1), all+1
+		most = max(most, i-first+1)
 	}
-	return most, all
+	return most, len(counted)
 }
 
 // Limit has a plain server name how many requests a second it takes from all gateways.
@@ -75,12 +85,13 @@
 func (f *Fleet) LiftRank(rank int) { f.models[rank].limit.lift() }
 
 // Limited returns the most requests that reached a plain server within a span, later than a
-// grace after it named its limit, and how many in all since then.
-func (f *Fleet) Limited(plain int, grace, span time.Duration) (most, all int) {
-	return f.plains[plain].limit.most(grace, span)
+// grace after it named its limit, and how many in all since then, but for those of excused
+// gateways.
+func (f *Fleet) Limited(plain int, grace, span time.Duration, excused ...string) (most, all int) {
+	return f.plains[plain].limit.most(grace, span, excused)
 }
 
 // LimitedRank is the same for a model server.
-func (f *Fleet) LimitedRank(rank int, grace, span time.Duration) (most, all int) {
-	return f.models[rank].limit.most(grace, span)
+func (f *Fleet) LimitedRank(rank int, grace, span time.Duration, excused ...string) (most, all int) {
+	return f.models[rank].limit.most(grace, span, excused)
 }
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -97,6 +97,7 @@
 	refuse func() bool
 	// crash ends the server and starts it again later.
 	crash   func()
+	served  atomic.Int64
 	limit   limit
 	pause   pause
 	leaving leaving
@@ -126,7 +127,7 @@
 		return false
 	}
 	front := s.ledger.front(r.Header.Get("X-Request-Id"))
-	s.limit.arrive(w.Header())
+	s.limit.arrive(front, w.Header())
 	s.leaving.arrive(front, w.Header())
 	paused := s.pause.refuses(front, w.Header())
 	if paused || s.refuse != nil && s.refuse() {
@@ -138,6 +139,7 @@
 		s.ledger.mark()
 	}
 	s.ledger.ran(r.Header.Get("X-Request-Id"))
+	s.served.Add(1)
 	w.Header().Set("X-Response-Seal", "seal-"+r.Header.Get("X-Request-Id"))
 	return true
 }
