--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -14,7 +14,6 @@
 	"verbenashift/core/configuration/mirror"
 	"verbenashift/core/membership/health"
 	"verbenashift/core/plumbing/tcp"
-	"verbenashift/core/request/permit"
 	"verbenashift/core/request/route"
 	"verbenashift/gateway/crash"
 	"verbenashift/gateway/upstream"
@@ -48,15 +47,7 @@
 	tellDoubt func(doubt)
 	// crashes tells targets that have crashed from answers that broke off.
 	crashes *crash.Detector
-	// limits are those that targets name, paused until when targets have asked to be left
-	// alone, and held the targets that take no request yet.
-	limits *limits
-	paused map[string]time.Time
-	held   map[string]bool
-	// waiting counts the requests by service that wait for a target which takes none yet.
-	waiting map[string]int
-	// refusers are the targets that are avoided since they refuse requests.
-	refusers map[string]*pooled
+	asks    asks
 	// cost is the moving mean of the requests' costs in tokens.
 	cost float64
 }
@@ -99,7 +90,7 @@
 		gone:    map[string]bool{},
 		told:    map[string]string{},
 		rng:     newRand(),
-		limits:  newLimits(instance, log), paused: map[string]time.Time{}, held: map[string]bool{}, waiting: map[string]int{}, refusers: map[string]*pooled{},
+		asks:    newAsks(instance, log),
 		flights: newFlights(), pendings: newPendings(), tellDoubt: func(doubt) {}, doubts: health.Doubts{Turn: rand.Float64()},
 	}
 }
@@ -151,14 +142,7 @@
 		delete(f.flights.targets, id)
 		delete(f.pendings.targets, id)
 		f.doubts.Drop(id)
-		delete(f.held, id)
-		delete(f.paused, id)
-		delete(f.refusers, id)
-		if ok {
-			f.limits.restarted(id, t.Born)
-		} else {
-			f.limits.gone(id)
-		}
+		f.asks.drop(id, t.Born, ok)
 		if i, known := f.table.Lookup(id); ok && known {
 			f.table.Restarted(i)
 		}
@@ -271,7 +255,7 @@
 	}
 	age := f.table.LoadAge(i, now)
 	f.table.Start(i, q.Cost, now)
-	f.limits.use(p.ID, now)
+	f.asks.limits.use(p.ID, now)
 	f.cost += (q.Cost - f.cost) * costGain
 	return sent{index: i, cost: q.Cost, started: now, target: p, seen: p.Target, loadAge: age}, true
 }
@@ -283,126 +267,6 @@
 	f.table.End(s.index, s.cost, s.started)
 }
 
-// limited takes the limit that an answer names, or nil if it names none. It is called with
-// the lock held.
-func (f *fleet) limited(s sent, requestID string, limit *float64, now time.Time) {
-	p := s.target
-	if !f.limits.named(permit.Answer{Target: p.ID, Service: p.Service, Born: p.Born, Limit: limit, Sent: s.started}, now) {
-		return
-	}
-	if limit == nil {
-		f.log.Info("target names no limit any more", "id", requestID, "target", p.ID, "service", p.Service)
-		return
-	}
-	metricLimitsNamed.Add(1)
-	f.log.Info("target names a limit", "id", requestID, "target", p.ID, "service", p.Service, "requests-a-second", *limit)
-}
-
-// hold keeps requests for a service away from the targets that take none yet. It is called
-// with the lock held.
-func (f *fleet) hold(service string, now time.Time) {
-	unready := f.limits.unready(service, now)
-	if len(unready) == 0 && len(f.held) == 0 && len(f.paused) == 0 {
-		return
-	}
-	for id, until := range f.paused {
-		if !now.Before(until) {
-			delete(f.paused, id)
-		}
-	}
-	for id := range f.held {
-		if !unready[id] && f.paused[id].IsZero() {
-			delete(f.held, id)
-			f.setHeld(id, false)
-		}
-	}
-	for id := range unready {
-		if !f.held[id] && f.pools[id] != nil {
-			f.held[id] = true
-			f.setHeld(id, true)
-		}
-	}
-}
-
-func (f *fleet) setHeld(id string, held bool) {
-	if i, ok := f.table.Lookup(id); ok {
-		f.table.SetHeld(i, held)
-	}
-}
-
-// leavesNow takes the word of a target that it leaves. Its entry in the store may never say so.
-// It is called with the lock held.
-func (f *fleet) leavesNow(s sent, requestID string) {
-	p := s.target
-	p.leaving = true
-	metricLeaving.Add(1)
-	f.log.Info("target says that it leaves", "id", requestID, "target", p.ID, "service", p.Service, "draining-by-store", p.Draining)
-	if f.pools[p.ID] == p {
-		f.table.SetLeaving(s.index, true)
-	}
-}
-
-// pause leaves a target alone for the time that it has asked for. It is called with the lock
-// held.
-func (f *fleet) pause(p *pooled, requestID string, d time.Duration, now time.Time) {
-	metricPauses.Add(1)
-	f.log.Info("target asks for a pause", "id", requestID, "target", p.ID, "service", p.Service, "ms", d.Milliseconds())
-	if f.pools[p.ID] != p {
-		return // It has ended meanwhile.
-	}
-	if until := now.Add(d); until.After(f.paused[p.ID]) {
-		f.paused[p.ID] = until
-	}
-	f.held[p.ID] = true
-	f.setHeld(p.ID, true)
-}
-
-// refused takes the refusal of a target that asks for nothing.
-func (f *fleet) refused(p *pooled, now time.Time) {
-	if f.pools[p.ID] != p {
-		return // It has ended meanwhile.
-	}
-	p.refusals.Refused(now)
-	f.refusers[p.ID] = p
-	f.avoid(p, now)
-}
-
-// forgive has requests sent again to targets that have refused some. It is called with the
-// lock held.
-func (f *fleet) forgive(now time.Time) {
-	for id, p := range f.refusers {
-		if !p.refusals.Avoided(now) {
-			delete(f.refusers, id)
-			f.avoid(p, now)
-		}
-	}
-}
-
-// opening returns what is known of the targets of a query that take no request yet, and false
-// if there are none.
-func (f *fleet) opening(q *route.Query, now time.Time) (permit.Opening, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	o := permit.Opening{Waiting: f.waiting[q.Service]}
-	some := false
-	for id := range f.held {
-		i, ok := f.table.Lookup(id)
-		if !ok || f.pools[id].Service != q.Service || q.Exclude.Has(i) || f.pools[id].leaves() {
-			continue
-		}
-		some = true
-		f.limits.open(&o, id, f.paused[id], now)
-	}
-	return o, some
-}
-
-// wait counts a request that begins or ends to wait for a target of a service.
-func (f *fleet) wait(service string, change int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.waiting[service] += change
-}
-
 // heard takes what an answer says of its target.
 func (f *fleet) heard(s sent, a platform.Answer, now time.Time) {
 	f.mu.Lock()
@@ -414,20 +278,8 @@
 		f.table.SetLeaving(s.index, true)
 		f.log.Info("target gone", "target", s.target.ID, "reason", "another server answers at its address")
 	}
-	if a.Leaving && !a.Misdirected && !s.target.leaving {
-		f.leavesNow(s, a.ID)
-	}
-	if !a.Misdirected && (a.Sealed || a.NotRun) {
-		f.limited(s, a.ID, a.Limit, now)
-	}
-	switch {
-	case a.Misdirected:
-	case a.Pause > 0:
-		f.pause(s.target, a.ID, a.Pause, now)
-	case a.NotRun:
-		f.refused(s.target, now)
-	default:
-		s.target.refusals.Accepted()
+	if !a.Misdirected {
+		f.heed(s, a, now)
 	}
 	if a.Load != nil {
 		f.table.Observe(s.index, route.Load{
