--- a/core/request/permit/book_test.go
+++ b/core/request/permit/book_test.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -201,3 +202,24 @@
 	is.True(wants && c.Kind == Claim)
 	is.Equal(c.Expect, []kv.Condition{{Key: item(own(2), 0).Key, Revision: 12}})
 }
+
+// BenchmarkPick is what limits add to the choice of a target when all of a service name some.
+func BenchmarkPick(b *testing.B) {
+	for _, targets := range []int{3, 72, 670} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			book := NewBook("front-1", "a", rand.New(rand.NewPCG(1, 2)))
+			book.Leased(7, start.Add(time.Hour))
+			for i := range targets {
+				limit := 1.0
+				book.Named(Answer{Target: fmt.Sprint(i), Service: "s", Born: 1, Limit: &limit}, start)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				book.Demand("s", start)
+				for id := range book.Limited() {
+					book.Ready(id, start)
+				}
+			}
+		})
+	}
+}
