--- a/agent/listen.go
+++ b/agent/listen.go
@@ -14,6 +14,7 @@
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire/wireconnect"
 	"verbenashift/core/plumbing/observe"
+	"verbenashift/core/plumbing/pause"
 	"verbenashift/core/plumbing/process"
 	"verbenashift/core/request/draft"
 	"verbenashift/core/request/outcome"
@@ -126,13 +127,5 @@
 
 // idle waits until nothing runs, for at most d.
 func (a *Agent) idle(d time.Duration) bool {
-	const poll = 20 * time.Millisecond
-	for end := time.Now().Add(d); ; time.Sleep(poll) {
-		if a.answers.running() == 0 {
-			return true
-		}
-		if time.Now().After(end) {
-			return false
-		}
-	}
+	return pause.Until(d, func() bool { return a.answers.running() == 0 })
 }
--- a/agent/service.go
+++ b/agent/service.go
@@ -97,7 +97,7 @@
 // refuse ends a stream with one frame.
 func (a *Agent) refuse(stream *frames, attempt uint32, o outcome.Outcome, reason string, after time.Duration) error {
 	return stream.Send(&wire.Frame{
-		Sequence: 1, Attempt: attempt, Kind: wire.FrameKind_FRAME_KIND_END, Outcome: toWire(o),
+		Sequence: 1, Attempt: attempt, Kind: wire.FrameKind_FRAME_KIND_END, Outcome: peer.ToWire(o),
 		Reason: reason, RetryAfterMs: uint64(after.Milliseconds()), Load: a.load(),
 	})
 }
@@ -211,23 +211,10 @@
 		msg.Data = f.Data
 	case draft.End:
 		msg.Kind = wire.FrameKind_FRAME_KIND_END
-		msg.Outcome = toWire(f.Ending.Outcome)
+		msg.Outcome = peer.ToWire(f.Ending.Outcome)
 		msg.Reason = f.Ending.Reason
 		msg.RetryAfterMs = uint64(f.Ending.RetryAfter.Milliseconds())
 		msg.Handover = f.Ending.Handover
 		msg.Load = a.load()
 	}
 }
-
-func toWire(o outcome.Outcome) wire.Outcome {
-	switch o {
-	case outcome.Complete:
-		return wire.Outcome_OUTCOME_COMPLETE
-	case outcome.NotRun:
-		return wire.Outcome_OUTCOME_NOT_RUN
-	case outcome.Failed:
-		return wire.Outcome_OUTCOME_FAILED
-	default:
-		return wire.Outcome_OUTCOME_UNKNOWN
-	}
-}
--- /dev/null
+++ b/core/peer/outcome.go
@@ -0,0 +1,34 @@
+package peer
+
+import (
+	"verbenashift/core/peer/wire"
+	"verbenashift/core/request/outcome"
+)
+
+// ToWire returns an outcome as frames have it.
+func ToWire(o outcome.Outcome) wire.Outcome {
+	switch o {
+	case outcome.Complete:
+		return wire.Outcome_OUTCOME_COMPLETE
+	case outcome.NotRun:
+		return wire.Outcome_OUTCOME_NOT_RUN
+	case outcome.Failed:
+		return wire.Outcome_OUTCOME_FAILED
+	default:
+		return wire.Outcome_OUTCOME_UNKNOWN
+	}
+}
+
+// FromWire returns the outcome that a frame has. What a later version may say is unknown.
+func FromWire(o wire.Outcome) outcome.Outcome {
+	switch o {
+	case wire.Outcome_OUTCOME_COMPLETE:
+		return outcome.Complete
+	case wire.Outcome_OUTCOME_NOT_RUN:
+		return outcome.NotRun
+	case wire.Outcome_OUTCOME_FAILED:
+		return outcome.Failed
+	default:
+		return outcome.Unknown
+	}
+}
--- /dev/null
+++ b/core/peer/outcome_test.go
@@ -0,0 +1,20 @@
+package peer
+
+import (
+	"testing"
+
+	"verbenashift/core/peer/wire"
+	"verbenashift/core/request/outcome"
+)
+
+// Guards against an outcome that becomes another one on its way between processes.
+func TestOutcomesOnTheWire(t *testing.T) {
+	for _, o := range []outcome.Outcome{outcome.Unknown, outcome.Complete, outcome.NotRun, outcome.Failed} {
+		if got := FromWire(ToWire(o)); got != o {
+			t.Errorf("%v arrives as %v", o, got)
+		}
+	}
+	if got := FromWire(wire.Outcome(99)); got != outcome.Unknown {
+		t.Errorf("what a later version may say is taken for %v", got)
+	}
+}
--- a/core/plumbing/pause/pause.go
+++ b/core/plumbing/pause/pause.go
@@ -27,3 +27,18 @@
 		return true
 	}
 }
+
+// untilPoll is how often Until looks.
+const untilPoll = 20 * time.Millisecond
+
+// Until waits until a condition holds, for at most d, and reports whether it does.
+func Until(d time.Duration, holds func() bool) bool {
+	for end := time.Now().Add(d); ; time.Sleep(untilPoll) {
+		if holds() {
+			return true
+		}
+		if time.Now().After(end) {
+			return false
+		}
+	}
+}
--- a/core/plumbing/pause/pause_test.go
+++ b/core/plumbing/pause/pause_test.go
@@ -24,3 +24,13 @@
 		is.True(!For(ctx, 0))
 	})
 }
+
+func TestUntil(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		is.True(Until(time.Second, func() bool { return time.Since(began) >= 100*time.Millisecond }))
+		is.Equal(time.Since(began), 100*time.Millisecond)
+		is.True(!Until(time.Second, func() bool { return false }))
+	})
+}
--- a/entry/frames.go
+++ b/entry/frames.go
@@ -172,7 +172,7 @@
 // endEvent reads an END frame. An end that claims completeness before all its
 // frames came is a broken one.
 func endEvent(m *wire.Frame, delivered uint64) relay.Event {
-	o := fromWire(m.Outcome)
+	o := peer.FromWire(m.Outcome)
 	if o == outcome.Complete && m.Sequence != delivered+1 {
 		return relay.Event{Kind: relay.Broke}
 	}
@@ -202,16 +202,3 @@
 	f.leave(result{failed: !errors.Is(err, context.Canceled), unsent: unsent})
 	return relay.Event{Kind: relay.Broke, NotSent: unsent}
 }
-
-func fromWire(o wire.Outcome) outcome.Outcome {
-	switch o {
-	case wire.Outcome_OUTCOME_COMPLETE:
-		return outcome.Complete
-	case wire.Outcome_OUTCOME_NOT_RUN:
-		return outcome.NotRun
-	case wire.Outcome_OUTCOME_FAILED:
-		return outcome.Failed
-	default:
-		return outcome.Unknown
-	}
-}
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -13,6 +13,7 @@
 	"go.uber.org/fx"
 
 	"verbenashift/core/plumbing/observe"
+	"verbenashift/core/plumbing/pause"
 	"verbenashift/core/plumbing/process"
 	"verbenashift/core/request/caller"
 	"verbenashift/core/request/outcome"
@@ -142,13 +143,5 @@
 
 // idle waits until nothing is in progress, for at most d.
 func (e *Entry) idle(d time.Duration) bool {
-	const poll = 20 * time.Millisecond
-	for end := time.Now().Add(d); ; time.Sleep(poll) {
-		if e.open.len() == 0 {
-			return true
-		}
-		if time.Now().After(end) {
-			return false
-		}
-	}
+	return pause.Until(d, func() bool { return e.open.len() == 0 })
 }
