Names of the field for what targets ask for

Backpressure, rate limit, throttled, shutdown in place of asks, heed, forgive and leaves, in names, log lines and metrics that this change brought; permit.Tracker with Observe, Apply, NextChange and Complete in place of Book with Named, Take, Next and Done.

--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -23,7 +23,7 @@
 	jobs  map[string]*job
 	shed  []queue.Shed
 	load  atomic.Pointer[queue.Load]
-	// pacer keeps to what the target asks.
+	// pacer keeps to the limit and the pauses that the target asks for.
 	pacer permit.Pacer
 	// pausedUntil is until when the target wants nothing, nil if it has never asked for that.
 	pausedUntil atomic.Pointer[time.Time]
--- a/agent/dispatch_test.go
+++ b/agent/dispatch_test.go
@@ -33,7 +33,7 @@
 		a := &Agent{dispatcher: newDispatcher(Settings{Slots: 4, Items: 100, Tokens: 10000, Rate: 1000}), log: slog.New(slog.DiscardHandler)}
 		go a.dispatcher.duty.Run(ctx)
 		limit := 2.0
-		(&run{agent: a, req: &wire.SubmitRequest{}}).heed(target.Asks{Limit: &limit})
+		(&run{agent: a, req: &wire.SubmitRequest{}}).applyBackpressure(target.Backpressure{Limit: &limit})
 		var started atomic.Int32
 		for i := range 20 {
 			go func() {
@@ -46,7 +46,7 @@
 		}
 		time.Sleep(4*time.Second + time.Millisecond)
 		is.Equal(started.Load(), int32(8))
-		(&run{agent: a, req: &wire.SubmitRequest{}}).heed(target.Asks{})
+		(&run{agent: a, req: &wire.SubmitRequest{}}).applyBackpressure(target.Backpressure{})
 		synctest.Wait()
 		is.Equal(started.Load(), int32(20)) // it names none any more
 	})
@@ -60,7 +60,7 @@
 		defer stop()
 		a := &Agent{dispatcher: newDispatcher(Settings{Slots: 4, Items: 100, Tokens: 10000, Rate: 1000}), log: slog.New(slog.DiscardHandler)}
 		go a.dispatcher.duty.Run(ctx)
-		(&run{agent: a, req: &wire.SubmitRequest{}}).heed(target.Asks{Pause: 3 * time.Second})
+		(&run{agent: a, req: &wire.SubmitRequest{}}).applyBackpressure(target.Backpressure{Pause: 3 * time.Second})
 		started := make(chan time.Time, 1)
 		began := time.Now()
 		go func() {
@@ -82,11 +82,11 @@
 	a := &Agent{dispatcher: newDispatcher(Settings{Slots: 1}), follower: follow.New(follow.Config{}), log: slog.New(slog.DiscardHandler)}
 	go a.dispatcher.duty.Run(ctx)
 	r := &run{agent: a, req: &wire.SubmitRequest{}, answer: &answer{log: draft.New(100)}}
-	refused := &target.RefusedError{Status: http.StatusServiceUnavailable, Asks: target.Asks{Pause: time.Minute}}
+	refused := &target.RefusedError{Status: http.StatusServiceUnavailable, Backpressure: target.Backpressure{Pause: time.Minute}}
 	end := r.failure(ctx, refused)
 	is.Equal(end.Reason, peer.ReasonPaused)
 	is.Equal(end.RetryAfter, time.Minute)
-	r.heed(refused.Asks)
+	r.applyBackpressure(refused.Backpressure)
 	is.NoErr(a.dispatcher.duty.Do(ctx, func() {}))
 	m := http.NewServeMux()
 	m.Handle(wireconnect.AgentServiceSubmitProcedure, peer.HandleFrames(a.submit))
@@ -118,7 +118,7 @@
 	}
 	go a.dispatcher.duty.Run(ctx)
 	go a.register.duty.Run(ctx)
-	(&run{agent: a, req: &wire.SubmitRequest{}}).heed(target.Asks{Leaving: true})
+	(&run{agent: a, req: &wire.SubmitRequest{}}).applyBackpressure(target.Backpressure{Leaving: true})
 	is.True(a.draining.Load())
 	is.True(a.load().Draining)
 }
--- a/agent/ending.go
+++ b/agent/ending.go
@@ -48,8 +48,8 @@
 // it stands; a busy target has not run it.
 func (r *run) refusal(e *target.RefusedError) draft.Ending {
 	switch {
-	case e.Asks.Pause > 0:
-		return draft.Ending{Outcome: outcome.NotRun, Reason: peer.ReasonPaused, RetryAfter: e.Asks.Pause}
+	case e.Backpressure.Pause > 0:
+		return draft.Ending{Outcome: outcome.NotRun, Reason: peer.ReasonPaused, RetryAfter: e.Backpressure.Pause}
 	case e.Status == http.StatusServiceUnavailable || e.Status == http.StatusTooManyRequests:
 		return draft.Ending{Outcome: outcome.NotRun, Reason: reasonRefused, RetryAfter: time.Second}
 	case e.Status >= http.StatusInternalServerError:
@@ -62,22 +62,22 @@
 	return draft.Ending{Outcome: outcome.Complete}
 }
 
-// heed has the queue keep to what the target asks in an answer.
-func (r *run) heed(a target.Asks) {
+// applyBackpressure has the queue keep to what the target has asked for in an answer.
+func (r *run) applyBackpressure(a target.Backpressure) {
 	d := r.agent.dispatcher
 	// An agent that stops starts nothing more.
 	_ = d.duty.Post(context.Background(), func() {
 		now := time.Now()
 		if d.pacer.Named(a.Limit, now) {
-			r.agent.log.Info("limit of the target", "request-id", r.req.RequestId, "requests-a-second", a.Limit)
+			r.agent.log.Info("target set a rate limit", "request-id", r.req.RequestId, "requests-a-second", a.Limit)
 		}
 		d.pause(a.Pause, now)
 	})
 	if a.Pause > 0 {
-		r.agent.log.Info("target asks for a pause", "request-id", r.req.RequestId, "ms", a.Pause.Milliseconds())
+		r.agent.log.Info("target requested a pause", "request-id", r.req.RequestId, "ms", a.Pause.Milliseconds())
 	}
 	if a.Leaving && !r.agent.draining.Load() {
-		r.agent.log.Info("target says that it leaves", "request-id", r.req.RequestId)
+		r.agent.log.Info("target announced its shutdown", "request-id", r.req.RequestId)
 		r.agent.leave(context.Background())
 	}
 }
@@ -106,7 +106,7 @@
 		return r.failure(ctx, err)
 	}
 	defer func() { _ = a.Body.Close() }()
-	r.heed(a.Asks)
+	r.applyBackpressure(a.Backpressure)
 	r.answer.log.Head(a.Status, headersOf(a.Header))
 	r.tokens = 1
 	buf := make([]byte, serviceBuffer)
--- a/agent/run.go
+++ b/agent/run.go
@@ -178,7 +178,7 @@
 	stream, err := r.agent.engine.Start(ctx, c)
 	var refused *target.RefusedError
 	if errors.As(err, &refused) {
-		r.heed(refused.Asks)
+		r.applyBackpressure(refused.Backpressure)
 	}
 	if err != nil {
 		return r.failure(ctx, err)
@@ -190,7 +190,7 @@
 // may still be at work: the rest is asked for by the request's name, which
 // runs nothing twice.
 func (r *run) pump(ctx context.Context, stream *target.Stream) draft.Ending {
-	r.heed(stream.Asks)
+	r.applyBackpressure(stream.Backpressure)
 	r.answer.log.Head(http.StatusOK, headersOf(stream.Header))
 	for try := 0; ; try++ {
 		err := r.copy(stream)
--- a/core/plumbing/story/cause.go
+++ b/core/plumbing/story/cause.go
@@ -151,7 +151,7 @@
 		return Cause{ServerLost, strings.Trim(reason, `"`)}
 	case strings.Contains(reason, queue.ReasonDown):
 		return Cause{Refused, "all targets have refused for long"}
-	case strings.Contains(reason, permit.ReasonHeld):
+	case strings.Contains(reason, permit.ReasonThrottled):
 		return Cause{Refused, "all targets that could take it have asked for less"}
 	case strings.Contains(reason, "no target"):
 		return Cause{Refused, "no target is left"}
--- a/core/request/permit/opening.go
+++ b/core/request/permit/availability.go
@@ -11,15 +11,15 @@
 	waitPart = 1.0 / 3
 )
 
-// ReasonHeld is why a request is refused that no target takes yet.
-const ReasonHeld = "targets-take-none-yet"
+// ReasonThrottled is why a request is refused that no target takes yet.
+const ReasonThrottled = "targets-throttled"
 
-// Opening is what is known of the targets of a service that may take a request but not yet.
+// Availability is what is known of the targets of a service that may take a request but not yet.
 //
 // The load pattern it answers is a service all of whose targets name limits. What they take is
 // a part of what comes, so that whoever can't have its turn soon is told at once when to come
 // back, and the others wait instead of losing one of their few tries.
-type Opening struct {
+type Availability struct {
 	// At is when the first of them takes a request; zero if this is not known, since permits
 	// are still to be claimed.
 	At time.Time
@@ -36,7 +36,7 @@
 }
 
 // Turn returns when a request has its turn, if it comes now.
-func (o Opening) Turn(now time.Time) time.Time {
+func (o Availability) Turn(now time.Time) time.Time {
 	turn := o.At
 	if turn.IsZero() {
 		turn = now.Add(claimTime)
@@ -52,7 +52,7 @@
 
 // Add takes a further target into the opening: when it takes a request, zero if this is not
 // known, and how many a second.
-func (o *Opening) Add(at time.Time, rate float64) {
+func (o *Availability) Add(at time.Time, rate float64) {
 	if !at.IsZero() && (o.At.IsZero() || at.Before(o.At)) {
 		o.At = at
 	}
--- a/core/request/permit/change.go
+++ b/core/request/permit/change.go
@@ -9,7 +9,7 @@
 	"verbenashift/core/configuration/kv"
 )
 
-// Change is a change of the store that a Book wants.
+// Change is a change of the store that a Tracker wants.
 type Change struct {
 	kv.Change
 	// Target is the target whose permit it is about, Kind what becomes of it.
@@ -35,13 +35,13 @@
 func (k Kind) String() string { return [...]string{"claim", "release", "lift"}[k] }
 
 // NeedsLease reports whether this sender holds permits, or may claim some.
-func (b *Book) NeedsLease(now time.Time) bool {
-	for _, t := range b.targets {
-		if b.wants(t, 0, now) && len(b.free(t)) > 0 {
+func (tr *Tracker) NeedsLease(now time.Time) bool {
+	for _, t := range tr.targets {
+		if tr.wants(t, 0, now) && len(tr.free(t)) > 0 {
 			return true
 		}
 		for _, p := range t.permits {
-			if p.Holder == b.self && p.Lease == b.lease {
+			if p.Holder == tr.self && p.Lease == tr.lease {
 				return true
 			}
 		}
@@ -50,33 +50,33 @@
 }
 
 // demands reports whether there are requests for a target.
-func (b *Book) demands(t *target, now time.Time) bool {
-	at, ok := b.demanded[t.service]
+func (tr *Tracker) demands(t *target, now time.Time) bool {
+	at, ok := tr.demanded[t.service]
 	return ok && now.Sub(at) < demandFor
 }
 
-// Next returns the change of the store that is wanted most, and whether there is one. Without
+// NextChange returns the change of the store that is wanted most, and whether there is one. Without
 // a lease there is none.
-func (b *Book) Next(now time.Time) (Change, bool) {
-	if b.lease == 0 || now.Before(b.nextChange) || !now.Before(b.leaseEnds) {
+func (tr *Tracker) NextChange(now time.Time) (Change, bool) {
+	if tr.lease == 0 || now.Before(tr.nextChange) || !now.Before(tr.leaseEnds) {
 		return Change{}, false
 	}
-	names := slices.Sorted(maps.Keys(b.targets))
+	names := slices.Sorted(maps.Keys(tr.targets))
 	for _, id := range names {
-		if c, ok := b.giveBack(b.targets[id], now); ok {
+		if c, ok := tr.giveBack(tr.targets[id], now); ok {
 			return c, true
 		}
 	}
-	return b.claim(names, now)
+	return tr.claim(names, now)
 }
 
 // giveBack returns the change for a permit of this sender that it has no use for: of a target
 // that names no limit any more, of an earlier start, beyond the number of a lower limit, or
 // one that was not used.
-func (b *Book) giveBack(t *target, now time.Time) (Change, bool) {
+func (tr *Tracker) giveBack(t *target, now time.Time) (Change, bool) {
 	for _, i := range slices.Sorted(maps.Keys(t.permits)) {
 		p := t.permits[i]
-		if p.Holder != b.self || p.Lease != b.lease {
+		if p.Holder != tr.self || p.Lease != tr.lease {
 			continue
 		}
 		if t.untold && p.Born == t.born {
@@ -110,45 +110,45 @@
 
 // claim returns the change that takes a permit of one of the targets of which this sender
 // holds the fewest. Names are those of all targets.
-func (b *Book) claim(names []string, now time.Time) (Change, bool) {
+func (tr *Tracker) claim(names []string, now time.Time) (Change, bool) {
 	if len(names) == 0 {
 		return Change{}, false
 	}
 	id, least := "", maxPermits+1
 	// Senders that begin with the same target would claim the same permits.
-	for k, first := 0, b.rng.IntN(len(names)); k < len(names); k++ {
+	for k, first := 0, tr.rng.IntN(len(names)); k < len(names); k++ {
 		name := names[(first+k)%len(names)]
-		t := b.targets[name]
-		if n := b.count(t, now); n < least && b.wants(t, n, now) && len(b.free(t)) > 0 {
+		t := tr.targets[name]
+		if n := tr.count(t, now); n < least && tr.wants(t, n, now) && len(tr.free(t)) > 0 {
 			id, least = name, n
 		}
 	}
 	if id == "" {
 		return Change{}, false
 	}
-	t := b.targets[id]
-	free := b.free(t)
-	index := free[b.rng.IntN(len(free))]
+	t := tr.targets[id]
+	free := tr.free(t)
+	index := free[tr.rng.IntN(len(free))]
 	t.missed = false
 	t.claimAt = now.Add(time.Duration(least+1) * moreAfter)
 	return change(Claim, Record{
 		Target: id, Service: t.service, Born: t.born, Limit: t.limit,
-		Index: index, Holder: b.self, Lease: b.lease,
+		Index: index, Holder: tr.self, Lease: tr.lease,
 	}, t.permits[index].revision), true
 }
 
 // wants reports whether this sender, which holds n permits of a target, wants a further one.
-func (b *Book) wants(t *target, n int, now time.Time) bool {
-	return t.limited && !now.Before(t.claimAt) && b.demands(t, now) && (n == 0 || t.missed)
+func (tr *Tracker) wants(t *target, n int, now time.Time) bool {
+	return t.limited && !now.Before(t.claimAt) && tr.demands(t, now) && (n == 0 || t.missed)
 }
 
 // free returns the permits of a target that may be claimed, as far as is known: those that
 // nobody holds, and those of this instance under leases that are over.
-func (b *Book) free(t *target) []int {
+func (tr *Tracker) free(t *target) []int {
 	var free []int
 	for i := range Count(t.limit) {
 		p, taken := t.permits[i]
-		former := p.Lease != b.lease && strings.HasPrefix(p.Holder, b.instance+separator)
+		former := p.Lease != tr.lease && strings.HasPrefix(p.Holder, tr.instance+separator)
 		if !taken || former {
 			free = append(free, i)
 		}
@@ -156,26 +156,26 @@
 	return free
 }
 
-// Done takes what became of a change: the revision at which the store has made it, or that
+// Complete takes what became of a change: the revision at which the store has made it, or that
 // this is not known or has failed.
-func (b *Book) Done(c Change, revision int64, made bool, now time.Time) {
+func (tr *Tracker) Complete(c Change, revision int64, made bool, now time.Time) {
 	if !made {
-		b.pause = min(2*b.pause, maxClaimPause)
-		b.nextChange = now.Add(b.pause/2 + time.Duration(b.rng.Int64N(int64(b.pause))))
+		tr.pause = min(2*tr.pause, maxClaimPause)
+		tr.nextChange = now.Add(tr.pause/2 + time.Duration(tr.rng.Int64N(int64(tr.pause))))
 		return
 	}
-	b.pause = claimPause
-	b.nextChange = now.Add(claimPause)
-	t := b.targets[c.Target]
+	tr.pause = claimPause
+	tr.nextChange = now.Add(claimPause)
+	t := tr.targets[c.Target]
 	switch {
 	case c.Kind == Release:
-		b.remove(c.record.Key())
+		tr.remove(c.record.Key())
 		if t != nil {
-			b.tidy(c.Target)
+			tr.tidy(c.Target)
 		}
 		return
 	case c.Kind == Lift && t != nil:
 		t.untold = false
 	}
-	b.put(c.record, revision, now)
+	tr.put(c.record, revision, now)
 }
--- a/core/request/permit/doc.go
+++ b/core/request/permit/doc.go
@@ -12,22 +12,22 @@
 // the target would get some hundred times as much. If each had an equal part, what they have
 // saved up would still come all at once when callers do.
 //
-// A Book is what one sender knows of all limits and permits. It has no clock, no lock and no
+// A Tracker is what one sender knows of all limits and permits. It has no clock, no lock and no
 // input or output: its owner tells it what targets and the store say, asks whether a target
 // may be sent a request now, and carries out the changes of the store that it wants.
 //
 // # Usage
 //
-//	b := permit.NewBook("gateway-1", start, rng)
-//	b.Named(id, service, born, limit, sent, now)  // an answer names a limit
-//	b.Take(items, whole, now)                     // what the store says under Prefix
-//	if b.Ready(id, now) {
-//		b.Use(id, now)
+//	tr := permit.NewTracker("gateway-1", start, rng)
+//	tr.Observe(id, service, born, limit, sent, now)  // an answer names a limit
+//	tr.Apply(items, whole, now)                     // what the store says under Prefix
+//	if tr.Ready(id, now) {
+//		tr.Use(id, now)
 //		send(id)
 //	}
-//	if c, ok := b.Next(now); ok {                 // after b.Leased
+//	if c, ok := tr.NextChange(now); ok {                 // after tr.Leased
 //		revision, err := store.Change(ctx, c.Change)
-//		b.Done(c, revision, err == nil, now)
+//		tr.Complete(c, revision, err == nil, now)
 //	}
 package permit
 
--- a/core/request/permit/replay_test.go
+++ b/core/request/permit/replay_test.go
@@ -74,7 +74,7 @@
 
 // holder keeps to permits.
 type holder struct {
-	*Book
+	*Tracker
 	sim     *replay
 	lease   int64
 	renewAt time.Time
@@ -87,11 +87,11 @@
 }
 
 func (h *holder) named(limit *float64, sent, now time.Time) {
-	h.Named(Answer{Target: "t", Service: "s", Born: 1, Limit: limit, Sent: sent}, now)
+	h.Observe(Answer{Target: "t", Service: "s", Born: 1, Limit: limit, Sent: sent}, now)
 }
 
 func (h *holder) ready(now time.Time) bool {
-	h.Demand("s", now)
+	h.RecordDemand("s", now)
 	return h.Ready("t", now)
 }
 func (h *holder) use(now time.Time) { h.Use("t", now) }
@@ -125,7 +125,7 @@
 }
 
 func withPermits(r *replay, i int) way {
-	return &holder{Book: NewBook(fmt.Sprintf("sender-%d", i), fmt.Sprint(r.rng.Uint32()), r.rng), sim: r}
+	return &holder{Tracker: NewTracker(fmt.Sprintf("sender-%d", i), fmt.Sprint(r.rng.Uint32()), r.rng), sim: r}
 }
 
 func asOne(*replay, int) way          { return &parted{part: 1} }
@@ -178,7 +178,7 @@
 	}
 	i := r.rng.IntN(r.senders)
 	h := withPermits(r, i).(*holder)
-	h.Take(slices.Collect(maps.Values(r.items)), true, r.now)
+	h.Apply(slices.Collect(maps.Values(r.items)), true, r.now)
 	r.ways[i], r.told[i] = h, time.Time{}
 }
 
@@ -248,17 +248,17 @@
 	return r.revision, true
 }
 
-// act hears, renews the lease and asks for changes, as the owner of a Book does.
+// act hears, renews the lease and asks for changes, as the owner of a Tracker does.
 func (h *holder) act() {
 	now := h.sim.now
 	for len(h.inbox) > 0 && !now.Before(h.inbox[0].at) && !h.sim.down() {
-		h.Take(h.inbox[0].items, false, now)
+		h.Apply(h.inbox[0].items, false, now)
 		h.inbox = h.inbox[1:]
 	}
 	h.renew(now)
-	if c, ok := h.Next(now); ok {
+	if c, ok := h.NextChange(now); ok {
 		revision, made := h.sim.change(c.Change)
-		h.Done(c, revision, made, now)
+		h.Complete(c, revision, made, now)
 	}
 }
 
@@ -271,7 +271,7 @@
 	}
 	h.sim.leases[h.lease] = now.Add(replayTTL)
 	h.renewAt = now.Add(replayRenew)
-	h.Leased(h.lease, now.Add(replayTTL*9/10))
+	h.SetLease(h.lease, now.Add(replayTTL*9/10))
 }
 
 // most returns the most arrivals in a span from a time on, and how many there are.
--- a/core/request/permit/book.go
+++ b/core/request/permit/tracker.go
@@ -30,9 +30,9 @@
 	maxTargets = 2048
 )
 
-// Book is what a sender knows of the limits of targets and of who holds their permits. Use
-// NewBook to make one.
-type Book struct {
+// Tracker is what a sender knows of the limits of targets and of who holds their permits. Use
+// NewTracker to make one.
+type Tracker struct {
 	instance, self string
 
 	rng     *rand.Rand
@@ -62,7 +62,7 @@
 	// are still to hear of it.
 	liftedAt time.Time
 	untold   bool
-	permits  map[int]held
+	permits  map[int]storedPermit
 	// last is when it was sent a request last, or this sender got its first permit.
 	last time.Time
 	// missed says that it could have been sent a request since the last claim if there were
@@ -72,15 +72,15 @@
 	claimAt time.Time
 }
 
-// held is a permit that stands in the store.
-type held struct {
+// storedPermit is a permit that stands in the store.
+type storedPermit struct {
 	Record
 	revision int64
 }
 
-// NewBook returns a Book of a sender: one start of an instance.
-func NewBook(instance, start string, rng *rand.Rand) *Book {
-	return &Book{
+// NewTracker returns a Tracker of a sender: one start of an instance.
+func NewTracker(instance, start string, rng *rand.Rand) *Tracker {
+	return &Tracker{
 		instance: instance, self: instance + separator + start, rng: rng,
 		targets: map[string]*target{}, demanded: map[string]time.Time{}, pause: claimPause,
 	}
@@ -99,10 +99,10 @@
 	Sent time.Time
 }
 
-// Named takes what an answer says of the limit of its target. It reports whether the limit
+// Observe takes what an answer says of the limit of its target. It reports whether the limit
 // has changed.
-func (b *Book) Named(a Answer, now time.Time) bool {
-	t := b.targets[a.Target]
+func (tr *Tracker) Observe(a Answer, now time.Time) bool {
+	t := tr.targets[a.Target]
 	if t != nil && a.Born < t.born {
 		return false
 	}
@@ -111,7 +111,7 @@
 		return t != nil && t.born == a.Born && a.Sent.After(t.since) && t.lift(now)
 	}
 	if t == nil {
-		if t = b.add(a.Target, a.Born); t == nil {
+		if t = tr.add(a.Target, a.Born); t == nil {
 			return false
 		}
 	}
@@ -147,28 +147,28 @@
 }
 
 // add makes room for a target, or returns nil if there is none.
-func (b *Book) add(id string, born int64) *target {
-	if len(b.targets) >= maxTargets {
+func (tr *Tracker) add(id string, born int64) *target {
+	if len(tr.targets) >= maxTargets {
 		return nil
 	}
-	t := &target{born: born, permits: map[int]held{}}
-	b.targets[id] = t
+	t := &target{born: born, permits: map[int]storedPermit{}}
+	tr.targets[id] = t
 	return t
 }
 
 // Restarted voids the limit of an earlier start of a target.
-func (b *Book) Restarted(id string, born int64) {
-	if t := b.targets[id]; t != nil && born > t.born {
+func (tr *Tracker) Restarted(id string, born int64) {
+	if t := tr.targets[id]; t != nil && born > t.born {
 		t.restart(born)
-		b.tidy(id)
+		tr.tidy(id)
 	}
 }
 
-// Gone voids the limit of a target that is no more.
-func (b *Book) Gone(id string) {
-	if t := b.targets[id]; t != nil {
+// Remove voids the limit of a target that is no more.
+func (tr *Tracker) Remove(id string) {
+	if t := tr.targets[id]; t != nil {
 		t.restart(gone)
-		b.tidy(id)
+		tr.tidy(id)
 	}
 }
 
@@ -176,43 +176,43 @@
 const gone = math.MaxInt64
 
 // tidy drops a target of which nothing is left to know.
-func (b *Book) tidy(id string) {
-	if t := b.targets[id]; !t.limited && len(t.permits) == 0 {
-		delete(b.targets, id)
+func (tr *Tracker) tidy(id string) {
+	if t := tr.targets[id]; !t.limited && len(t.permits) == 0 {
+		delete(tr.targets, id)
 	}
 }
 
-// Leased takes the lease under which this sender claims permits from now on, and until when
+// SetLease takes the lease under which this sender claims permits from now on, and until when
 // its permits count: before the store may end it. A lease of 0 is none.
-func (b *Book) Leased(lease int64, until time.Time) { b.lease, b.leaseEnds = lease, until }
+func (tr *Tracker) SetLease(lease int64, until time.Time) { tr.lease, tr.leaseEnds = lease, until }
 
-// Demand tells that there is a request for a service.
-func (b *Book) Demand(service string, now time.Time) {
-	if len(b.targets) == 0 {
+// RecordDemand tells that there is a request for a service.
+func (tr *Tracker) RecordDemand(service string, now time.Time) {
+	if len(tr.targets) == 0 {
 		return
 	}
-	b.demanded[service] = now
-	for id, t := range b.targets {
-		if t.limited && t.service == service && !b.Ready(id, now) {
+	tr.demanded[service] = now
+	for id, t := range tr.targets {
+		if t.limited && t.service == service && !tr.Ready(id, now) {
 			t.missed = true
 		}
 	}
 }
 
 // Ready reports whether a target may be sent a request now.
-func (b *Book) Ready(id string, now time.Time) bool {
-	at, limited := b.ReadyAt(id, now)
+func (tr *Tracker) Ready(id string, now time.Time) bool {
+	at, limited := tr.ReadyAt(id, now)
 	return !limited || !at.IsZero() && !now.Before(at)
 }
 
 // ReadyAt returns when a target may be sent a request, and whether it names a limit. The time
 // is zero if it is not known, since this sender has no permit.
-func (b *Book) ReadyAt(id string, now time.Time) (at time.Time, limited bool) {
-	t := b.targets[id]
+func (tr *Tracker) ReadyAt(id string, now time.Time) (at time.Time, limited bool) {
+	t := tr.targets[id]
 	if t == nil || !t.limited {
 		return time.Time{}, false
 	}
-	n := b.count(t, now)
+	n := tr.count(t, now)
 	if n == 0 {
 		return time.Time{}, true
 	}
@@ -221,12 +221,12 @@
 
 // Rate returns how many requests a second this sender may send to a target that names a
 // limit.
-func (b *Book) Rate(id string, now time.Time) float64 {
-	t := b.targets[id]
+func (tr *Tracker) Rate(id string, now time.Time) float64 {
+	t := tr.targets[id]
 	if t == nil || !t.limited {
 		return 0
 	}
-	n := b.count(t, now)
+	n := tr.count(t, now)
 	if n == 0 {
 		return 0
 	}
@@ -234,13 +234,13 @@
 }
 
 // count returns how many permits of a target this sender holds that count now.
-func (b *Book) count(t *target, now time.Time) int {
-	if b.lease == 0 || !now.Before(b.leaseEnds) {
+func (tr *Tracker) count(t *target, now time.Time) int {
+	if tr.lease == 0 || !now.Before(tr.leaseEnds) {
 		return 0
 	}
 	n := 0
 	for _, p := range t.permits {
-		if b.mine(t, p) && p.Index < Count(t.limit) {
+		if tr.mine(t, p) && p.Index < Count(t.limit) {
 			n++
 		}
 	}
@@ -249,21 +249,21 @@
 
 // mine reports whether a permit is this sender's, of its lease and of this start of the
 // target.
-func (b *Book) mine(t *target, p held) bool {
-	return p.Holder == b.self && p.Lease == b.lease && p.Born == t.born && !p.Lifted
+func (tr *Tracker) mine(t *target, p storedPermit) bool {
+	return p.Holder == tr.self && p.Lease == tr.lease && p.Born == t.born && !p.Lifted
 }
 
 // Use counts a request that a target is sent.
-func (b *Book) Use(id string, now time.Time) {
-	if t := b.targets[id]; t != nil {
+func (tr *Tracker) Use(id string, now time.Time) {
+	if t := tr.targets[id]; t != nil {
 		t.last = now
 	}
 }
 
 // Limited returns the targets that name limits.
-func (b *Book) Limited() iter.Seq[string] {
+func (tr *Tracker) Limited() iter.Seq[string] {
 	return func(yield func(string) bool) {
-		for id, t := range b.targets {
+		for id, t := range tr.targets {
 			if t.limited && !yield(id) {
 				return
 			}
@@ -271,18 +271,18 @@
 	}
 }
 
-// Take takes what the store says under Prefix: changes, or by whole everything that stands
+// Apply takes what the store says under Prefix: changes, or by whole everything that stands
 // there. It returns the errors of items that are no permits.
-func (b *Book) Take(items []kv.Item, whole bool, now time.Time) []error {
+func (tr *Tracker) Apply(items []kv.Item, whole bool, now time.Time) []error {
 	var errs []error
 	if whole {
-		for _, t := range b.targets {
+		for _, t := range tr.targets {
 			clear(t.permits)
 		}
 	}
 	for _, it := range items {
 		if it.Removed {
-			b.remove(it.Key)
+			tr.remove(it.Key)
 			continue
 		}
 		r, err := parse(it)
@@ -290,17 +290,17 @@
 			errs = append(errs, err)
 			continue
 		}
-		b.put(r, it.Revision, now)
+		tr.put(r, it.Revision, now)
 	}
-	for id := range b.targets {
-		b.tidy(id)
+	for id := range tr.targets {
+		tr.tidy(id)
 	}
 	return errs
 }
 
 // remove takes the removal of a key.
-func (b *Book) remove(key string) {
-	for _, t := range b.targets {
+func (tr *Tracker) remove(key string) {
+	for _, t := range tr.targets {
 		for i, p := range t.permits {
 			if p.Key() == key {
 				delete(t.permits, i)
@@ -311,18 +311,18 @@
 }
 
 // put takes a permit that stands in the store.
-func (b *Book) put(r Record, revision int64, now time.Time) {
-	t := b.targets[r.Target]
+func (tr *Tracker) put(r Record, revision int64, now time.Time) {
+	t := tr.targets[r.Target]
 	if t == nil {
-		if t = b.add(r.Target, r.Born); t == nil {
+		if t = tr.add(r.Target, r.Born); t == nil {
 			return
 		}
 	}
 	if revision < t.permits[r.Index].revision {
 		return
 	}
-	first := b.count(t, now) == 0
-	t.permits[r.Index] = held{r, revision}
+	first := tr.count(t, now) == 0
+	t.permits[r.Index] = storedPermit{r, revision}
 	if r.Born < t.born {
 		return
 	}
@@ -331,7 +331,7 @@
 	case r.Lifted:
 		t.limited, t.own, t.liftedAt = false, false, now
 		return
-	case r.Holder == b.self && first:
+	case r.Holder == tr.self && first:
 		t.last = now
 	}
 	if !t.own && now.Sub(t.liftedAt) >= liftedFor {
--- a/core/request/target/asks.go
+++ b/core/request/target/backpressure.go
@@ -9,7 +9,7 @@
 	"verbenashift/core/request/retry"
 )
 
-// The headers in which a target says what it asks.
+// The headers in which a target says what it asks for.
 const (
 	// HeaderLimit names how many requests a second it takes.
 	HeaderLimit = "Server-Limit"
@@ -17,8 +17,8 @@
 	HeaderLeaving = "Server-Leaving"
 )
 
-// Asks is what a target asks, in an answer, of those that send to it.
-type Asks struct {
+// Backpressure is what a target asks for in an answer of those that send to it.
+type Backpressure struct {
 	// Limit is how many requests a second it takes from all together; nil if it names none.
 	Limit *float64
 	// Pause is how long a target that has refused wants nothing; 0 if it does not say.
@@ -27,8 +27,8 @@
 	Leaving bool
 }
 
-func asksOf(status int, h http.Header) Asks {
-	a := Asks{
+func backpressureOf(status int, h http.Header) Backpressure {
+	a := Backpressure{
 		Limit:   permit.ParseLimit(h.Get(HeaderLimit)),
 		Leaving: strings.TrimSpace(h.Get(HeaderLeaving)) == "1",
 	}
--- a/core/request/target/errors.go
+++ b/core/request/target/errors.go
@@ -27,8 +27,8 @@
 	// Status is the HTTP status.
 	Status int
 	// RetryAfter is the target's Retry-After header as it stands.
-	RetryAfter string
-	Asks       Asks
+	RetryAfter   string
+	Backpressure Backpressure
 	// Body is the answer's body, at most 64 KiB of it. It may hold content of
 	// the request and does not show in Error.
 	Body []byte
--- a/core/request/target/plain.go
+++ b/core/request/target/plain.go
@@ -31,9 +31,9 @@
 
 // Answer is a service's answer, whatever its status.
 type Answer struct {
-	Status int
-	Header http.Header
-	Asks   Asks
+	Status       int
+	Header       http.Header
+	Backpressure Backpressure
 	// Body ends with io.EOF when the answer is whole, and with a *BrokenError
 	// when the connection was lost before. The receiver closes it.
 	Body io.ReadCloser
@@ -65,7 +65,7 @@
 		return nil, err
 	}
 	RemoveHopByHop(resp.Header)
-	return &Answer{Status: resp.StatusCode, Header: resp.Header, Asks: asksOf(resp.StatusCode, resp.Header), Body: &answerBody{resp.Body}}, nil
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, Backpressure: backpressureOf(resp.StatusCode, resp.Header), Body: &answerBody{resp.Body}}, nil
 }
 
 // entryHeaders are meant for the entry and do not reach the target: the
--- a/core/request/target/stream.go
+++ b/core/request/target/stream.go
@@ -30,8 +30,8 @@
 // An answer that is one JSON document instead of events counts as one event.
 type Stream struct {
 	// Header holds the headers of the answer.
-	Header http.Header
-	Asks   Asks
+	Header       http.Header
+	Backpressure Backpressure
 
 	body   io.ReadCloser
 	events bool
@@ -45,11 +45,11 @@
 
 func newStream(resp *http.Response) *Stream {
 	return &Stream{
-		Header: resp.Header,
-		Asks:   asksOf(resp.StatusCode, resp.Header),
-		body:   resp.Body,
-		events: strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream),
-		buf:    make([]byte, readSize),
+		Header:       resp.Header,
+		Backpressure: backpressureOf(resp.StatusCode, resp.Header),
+		body:         resp.Body,
+		events:       strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream),
+		buf:          make([]byte, readSize),
 	}
 }
 
--- a/core/request/target/target.go
+++ b/core/request/target/target.go
@@ -184,5 +184,5 @@
 	if err != nil {
 		return &BrokenError{Cause: err}
 	}
-	return &RefusedError{Status: resp.StatusCode, RetryAfter: resp.Header.Get("Retry-After"), Asks: asksOf(resp.StatusCode, resp.Header), Body: body}
+	return &RefusedError{Status: resp.StatusCode, RetryAfter: resp.Header.Get("Retry-After"), Backpressure: backpressureOf(resp.StatusCode, resp.Header), Body: body}
 }
--- a/entry/router.go
+++ b/entry/router.go
@@ -200,7 +200,7 @@
 	if !ok {
 		return
 	}
-	r.log.Info("target asks for a pause", "target", target, "ms", d.Milliseconds())
+	r.log.Info("target requested a pause", "target", target, "ms", d.Milliseconds())
 	r.paused[target] = now.Add(d)
 	r.table.SetHeld(slot, true)
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -26,7 +26,7 @@
 	}
 	s, ok := c.pickInTime(ctx)
 	if !ok && c.comeback > 0 {
-		return retry.RefusedAll, permit.ReasonHeld, false
+		return retry.RefusedAll, permit.ReasonThrottled, false
 	}
 	if !ok {
 		return retry.RefusedAll, reasonNoTarget, false
@@ -55,7 +55,7 @@
 	if ok || !c.turnIsNear(0) {
 		return s, ok
 	}
-	metricHeldWaits.Add(1)
+	metricThrottledWaits.Add(1)
 	c.fleet.wait(c.service, 1)
 	defer c.fleet.wait(c.service, -1)
 	for pause.For(ctx, heldPoll) {
--- a/gateway/asks.go
+++ b/gateway/backpressure.go
@@ -9,10 +9,9 @@
 	"verbenashift/platform"
 )
 
-// asks is what targets ask, in their answers, of those that send to them: to get no more than a
-// limit, to be left alone for a while, and to get nothing new since they leave. The fleet's
-// lock guards it.
-type asks struct {
+// backpressure is what targets have asked for in their answers: a rate limit, a pause, or no new
+// requests since they shut down. The fleet's lock guards it.
+type backpressure struct {
 	limits *limits
 	// paused is until when targets want nothing of this gateway.
 	paused map[string]time.Time
@@ -20,34 +19,34 @@
 	held map[string]bool
 	// waiting counts the requests by service that wait for a held target.
 	waiting map[string]int
-	// refusers are the targets that are avoided since they refuse requests.
-	refusers map[string]*pooled
+	// refusing are the targets that are avoided since they refuse requests.
+	refusing map[string]*pooled
 }
 
-func newAsks(instance string, log *slog.Logger) asks {
-	return asks{
+func newBackpressure(instance string, log *slog.Logger) backpressure {
+	return backpressure{
 		limits: newLimits(instance, log), paused: map[string]time.Time{}, held: map[string]bool{},
-		waiting: map[string]int{}, refusers: map[string]*pooled{},
+		waiting: map[string]int{}, refusing: map[string]*pooled{},
 	}
 }
 
 // drop forgets what an earlier start of a target has asked. Stays says that it has started
 // again, as one that was born at a time.
-func (a *asks) drop(id string, born int64, stays bool) {
-	delete(a.held, id)
-	delete(a.paused, id)
-	delete(a.refusers, id)
+func (b *backpressure) drop(id string, born int64, stays bool) {
+	delete(b.held, id)
+	delete(b.paused, id)
+	delete(b.refusing, id)
 	if stays {
-		a.limits.restarted(id, born)
+		b.limits.restarted(id, born)
 		return
 	}
-	a.limits.gone(id)
+	b.limits.gone(id)
 }
 
-// heed takes what an answer of a target asks. It is called with the lock held.
-func (f *fleet) heed(s sent, a platform.Answer, now time.Time) {
+// applyBackpressure takes what a target asks for in an answer. It is called with the lock held.
+func (f *fleet) applyBackpressure(s sent, a platform.Answer, now time.Time) {
 	if a.Leaving && !s.target.leaving {
-		f.leavesNow(s, a.ID)
+		f.markLeaving(s, a.ID)
 	}
 	if a.Sealed || a.NotRun {
 		f.limited(s, a.ID, a.Limit, now)
@@ -62,13 +61,13 @@
 	}
 }
 
-// leavesNow takes the word of a target that it leaves. Its entry in the store may never say so.
+// markLeaving takes the word of a target that it leaves. Its entry in the store may never say so.
 // It is called with the lock held.
-func (f *fleet) leavesNow(s sent, requestID string) {
+func (f *fleet) markLeaving(s sent, requestID string) {
 	p := s.target
 	p.leaving = true
 	metricLeaving.Add(1)
-	f.log.Info("target says that it leaves", "id", requestID, "target", p.ID, "service", p.Service, "draining-by-store", p.Draining)
+	f.log.Info("target announced its shutdown", "id", requestID, "target", p.ID, "service", p.Service, "draining-by-store", p.Draining)
 	if f.pools[p.ID] == p {
 		f.table.SetLeaving(s.index, true)
 	}
@@ -78,61 +77,61 @@
 // the lock held.
 func (f *fleet) limited(s sent, requestID string, limit *float64, now time.Time) {
 	p := s.target
-	if !f.asks.limits.named(permit.Answer{Target: p.ID, Service: p.Service, Born: p.Born, Limit: limit, Sent: s.started}, now) {
+	if !f.backpressure.limits.named(permit.Answer{Target: p.ID, Service: p.Service, Born: p.Born, Limit: limit, Sent: s.started}, now) {
 		return
 	}
 	if limit == nil {
-		f.log.Info("target names no limit any more", "id", requestID, "target", p.ID, "service", p.Service)
+		f.log.Info("target lifted its rate limit", "id", requestID, "target", p.ID, "service", p.Service)
 		return
 	}
-	metricLimitsNamed.Add(1)
-	f.log.Info("target names a limit", "id", requestID, "target", p.ID, "service", p.Service, "requests-a-second", *limit)
+	metricRateLimits.Add(1)
+	f.log.Info("target set a rate limit", "id", requestID, "target", p.ID, "service", p.Service, "requests-a-second", *limit)
 }
 
 // pause leaves a target alone for the time that it has asked for. It is called with the lock
 // held.
 func (f *fleet) pause(p *pooled, requestID string, d time.Duration, now time.Time) {
 	metricPauses.Add(1)
-	f.log.Info("target asks for a pause", "id", requestID, "target", p.ID, "service", p.Service, "ms", d.Milliseconds())
+	f.log.Info("target requested a pause", "id", requestID, "target", p.ID, "service", p.Service, "ms", d.Milliseconds())
 	if f.pools[p.ID] != p {
 		return // It has ended meanwhile.
 	}
-	if until := now.Add(d); until.After(f.asks.paused[p.ID]) {
-		f.asks.paused[p.ID] = until
+	if until := now.Add(d); until.After(f.backpressure.paused[p.ID]) {
+		f.backpressure.paused[p.ID] = until
 	}
 	f.setHeld(p.ID, true)
 }
 
-// refused takes the refusal of a target that asks for nothing. It is called with the lock
+// refused takes the refusal of a target that has not asked for a pause. It is called with the lock
 // held.
 func (f *fleet) refused(p *pooled, now time.Time) {
 	if f.pools[p.ID] != p {
 		return // It has ended meanwhile.
 	}
 	p.refusals.Refused(now)
-	f.asks.refusers[p.ID] = p
+	f.backpressure.refusing[p.ID] = p
 	f.avoid(p, now)
 }
 
 // hold keeps requests for a service away from the targets that take none yet. It is called
 // with the lock held.
 func (f *fleet) hold(service string, now time.Time) {
-	unready := f.asks.limits.unready(service, now)
-	if len(unready) == 0 && len(f.asks.held) == 0 {
+	unready := f.backpressure.limits.unready(service, now)
+	if len(unready) == 0 && len(f.backpressure.held) == 0 {
 		return
 	}
-	for id, until := range f.asks.paused {
+	for id, until := range f.backpressure.paused {
 		if !now.Before(until) {
-			delete(f.asks.paused, id)
+			delete(f.backpressure.paused, id)
 		}
 	}
-	for id := range f.asks.held {
-		if !unready[id] && f.asks.paused[id].IsZero() {
+	for id := range f.backpressure.held {
+		if !unready[id] && f.backpressure.paused[id].IsZero() {
 			f.setHeld(id, false)
 		}
 	}
 	for id := range unready {
-		if !f.asks.held[id] && f.pools[id] != nil {
+		if !f.backpressure.held[id] && f.pools[id] != nil {
 			f.setHeld(id, true)
 		}
 	}
@@ -141,21 +140,21 @@
 // setHeld has no request sent to a target, or again. It is called with the lock held.
 func (f *fleet) setHeld(id string, held bool) {
 	if held {
-		f.asks.held[id] = true
+		f.backpressure.held[id] = true
 	} else {
-		delete(f.asks.held, id)
+		delete(f.backpressure.held, id)
 	}
 	if i, ok := f.table.Lookup(id); ok {
 		f.table.SetHeld(i, held)
 	}
 }
 
-// forgive has requests sent again to targets that have refused some. It is called with the
+// expireRefusals has requests sent again to targets that have refused some. It is called with the
 // lock held.
-func (f *fleet) forgive(now time.Time) {
-	for id, p := range f.asks.refusers {
+func (f *fleet) expireRefusals(now time.Time) {
+	for id, p := range f.backpressure.refusing {
 		if !p.refusals.Avoided(now) {
-			delete(f.asks.refusers, id)
+			delete(f.backpressure.refusing, id)
 			f.avoid(p, now)
 		}
 	}
@@ -163,18 +162,18 @@
 
 // opening returns what is known of the targets of a query that take no request yet, and false
 // if there are none.
-func (f *fleet) opening(q *route.Query, now time.Time) (permit.Opening, bool) {
+func (f *fleet) opening(q *route.Query, now time.Time) (permit.Availability, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	o := permit.Opening{Waiting: f.asks.waiting[q.Service]}
+	o := permit.Availability{Waiting: f.backpressure.waiting[q.Service]}
 	some := false
-	for id := range f.asks.held {
+	for id := range f.backpressure.held {
 		i, ok := f.table.Lookup(id)
-		if !ok || f.pools[id].Service != q.Service || q.Exclude.Has(i) || f.pools[id].leaves() {
+		if !ok || f.pools[id].Service != q.Service || q.Exclude.Has(i) || f.pools[id].shuttingDown() {
 			continue
 		}
 		some = true
-		f.asks.limits.open(&o, id, f.asks.paused[id], now)
+		f.backpressure.limits.open(&o, id, f.backpressure.paused[id], now)
 	}
 	return o, some
 }
@@ -183,5 +182,5 @@
 func (f *fleet) wait(service string, change int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.asks.waiting[service] += change
+	f.backpressure.waiting[service] += change
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -46,8 +46,8 @@
 	doubts    health.Doubts
 	tellDoubt func(doubt)
 	// crashes tells targets that have crashed from answers that broke off.
-	crashes *crash.Detector
-	asks    asks
+	crashes      *crash.Detector
+	backpressure backpressure
 	// cost is the moving mean of the requests' costs in tokens.
 	cost float64
 }
@@ -72,8 +72,8 @@
 	leaving bool
 }
 
-// leaves reports whether the target takes no new requests, by the store or its own word.
-func (p *pooled) leaves() bool { return p.Draining || p.leaving }
+// shuttingDown reports whether the target takes no new requests, by the store or its own word.
+func (p *pooled) shuttingDown() bool { return p.Draining || p.leaving }
 
 // choices is how many targets are compared for a request. With a handful of
 // gateways before a few dozen targets, comparing several finds an idle one, and
@@ -82,16 +82,16 @@
 
 func newFleet(instance, zone string, log *slog.Logger) *fleet {
 	return &fleet{
-		log:     log,
-		spare:   func(string) int { return math.MaxInt },
-		table:   route.New(route.Options{Entry: instance, Zone: zone, Choices: choices}),
-		monitor: health.New(health.Options{}),
-		pools:   map[string]*pooled{},
-		gone:    map[string]bool{},
-		told:    map[string]string{},
-		rng:     newRand(),
-		asks:    newAsks(instance, log),
-		flights: newFlights(), pendings: newPendings(), tellDoubt: func(doubt) {}, doubts: health.Doubts{Turn: rand.Float64()},
+		log:          log,
+		spare:        func(string) int { return math.MaxInt },
+		table:        route.New(route.Options{Entry: instance, Zone: zone, Choices: choices}),
+		monitor:      health.New(health.Options{}),
+		pools:        map[string]*pooled{},
+		gone:         map[string]bool{},
+		told:         map[string]string{},
+		rng:          newRand(),
+		backpressure: newBackpressure(instance, log),
+		flights:      newFlights(), pendings: newPendings(), tellDoubt: func(doubt) {}, doubts: health.Doubts{Turn: rand.Float64()},
 	}
 }
 
@@ -101,7 +101,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.pools[t.ID]
-	return p != nil && p.Born == t.Born && !p.leaves()
+	return p != nil && p.Born == t.Born && !p.shuttingDown()
 }
 
 // update takes a new view of the targets.
@@ -142,7 +142,7 @@
 		delete(f.flights.targets, id)
 		delete(f.pendings.targets, id)
 		f.doubts.Drop(id)
-		f.asks.drop(id, t.Born, ok)
+		f.backpressure.drop(id, t.Born, ok)
 		if i, known := f.table.Lookup(id); ok && known {
 			f.table.Restarted(i)
 		}
@@ -168,7 +168,7 @@
 // not crashed.
 func (f *fleet) ended(p *pooled, replaced bool) {
 	switch {
-	case p.leaves():
+	case p.shuttingDown():
 	case replaced:
 		f.crashes.Restarted(p.Target)
 	default:
@@ -192,7 +192,7 @@
 func (f *fleet) routed(t *deployment.Target) route.Target {
 	return route.Target{
 		Name: t.ID, Zone: t.Zone, Service: t.Service, Group: f.groupOf(t),
-		Drained: f.pools[t.ID].leaves() || f.gone[t.ID],
+		Drained: f.pools[t.ID].shuttingDown() || f.gone[t.ID],
 	}
 }
 
@@ -244,7 +244,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.hold(q.Service, now)
-	f.forgive(now)
+	f.expireRefusals(now)
 	i, ok := f.table.Pick(q, now, f.rng)
 	if !ok {
 		return sent{}, false
@@ -255,7 +255,7 @@
 	}
 	age := f.table.LoadAge(i, now)
 	f.table.Start(i, q.Cost, now)
-	f.asks.limits.use(p.ID, now)
+	f.backpressure.limits.use(p.ID, now)
 	f.cost += (q.Cost - f.cost) * costGain
 	return sent{index: i, cost: q.Cost, started: now, target: p, seen: p.Target, loadAge: age}, true
 }
@@ -279,7 +279,7 @@
 		f.log.Info("target gone", "target", s.target.ID, "reason", "another server answers at its address")
 	}
 	if !a.Misdirected {
-		f.heed(s, a, now)
+		f.applyBackpressure(s, a, now)
 	}
 	if a.Load != nil {
 		f.table.Observe(s.index, route.Load{
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -39,8 +39,8 @@
 	log   *slog.Logger
 	store leaser
 
-	mu   sync.Mutex
-	book *permit.Book
+	mu      sync.Mutex
+	tracker *permit.Tracker
 
 	// What follows is used by run alone.
 	lease      int64
@@ -50,7 +50,7 @@
 
 func newLimits(instance string, log *slog.Logger) *limits {
 	start := fmt.Sprintf("%08x", rand.Uint32())
-	return &limits{log: log, book: permit.NewBook(instance, start, newRand())}
+	return &limits{log: log, tracker: permit.NewTracker(instance, start, newRand())}
 }
 
 // named takes what an answer says of the limit of its target, and reports whether that is
@@ -58,20 +58,20 @@
 func (l *limits) named(a permit.Answer, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.book.Named(a, now)
+	return l.tracker.Observe(a, now)
 }
 
 // restarted voids the limit of an earlier start of a target, gone that of one that is no more.
 func (l *limits) restarted(id string, born int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.book.Restarted(id, born)
+	l.tracker.Restarted(id, born)
 }
 
 func (l *limits) gone(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.book.Gone(id)
+	l.tracker.Remove(id)
 }
 
 // unready returns the targets that may not be sent a request now, of those that name limits.
@@ -79,10 +79,10 @@
 func (l *limits) unready(service string, now time.Time) map[string]bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.book.Demand(service, now)
+	l.tracker.RecordDemand(service, now)
 	var ids map[string]bool
-	for id := range l.book.Limited() {
-		if l.book.Ready(id, now) {
+	for id := range l.tracker.Limited() {
+		if l.tracker.Ready(id, now) {
 			continue
 		}
 		if ids == nil {
@@ -97,15 +97,15 @@
 func (l *limits) use(id string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.book.Use(id, now)
+	l.tracker.Use(id, now)
 }
 
 // open adds a target to an opening that is left alone until a time, or takes a request by its
 // limit.
-func (l *limits) open(o *permit.Opening, id string, paused, now time.Time) {
+func (l *limits) open(o *permit.Availability, id string, paused, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	at, limited := l.book.ReadyAt(id, now)
+	at, limited := l.tracker.ReadyAt(id, now)
 	if !limited {
 		o.Add(paused, 0)
 		return
@@ -113,14 +113,14 @@
 	if !at.IsZero() && at.Before(paused) {
 		at = paused
 	}
-	o.Add(at, l.book.Rate(id, now))
+	o.Add(at, l.tracker.Rate(id, now))
 }
 
 // take takes what the store says under permit.Prefix.
 func (l *limits) take(items []kv.Item, whole bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, err := range l.book.Take(items, whole, time.Now()) {
+	for _, err := range l.tracker.Apply(items, whole, time.Now()) {
 		l.log.Warn("permit not understood", "error", err.Error())
 	}
 }
@@ -136,7 +136,7 @@
 // renew keeps the lease as long as it is needed.
 func (l *limits) renew(ctx context.Context, now time.Time) {
 	l.mu.Lock()
-	needed := l.book.NeedsLease(now)
+	needed := l.tracker.NeedsLease(now)
 	l.mu.Unlock()
 	if !needed || now.Before(l.renewAfter) {
 		return
@@ -174,17 +174,17 @@
 	return lasts, err
 }
 
-// leased tells the book of the lease.
+// leased tells the tracker of the lease.
 func (l *limits) leased() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.book.Leased(l.lease, l.leaseEnds)
+	l.tracker.SetLease(l.lease, l.leaseEnds)
 }
 
 // change makes the change of the store that is wanted most.
 func (l *limits) change(ctx context.Context) {
 	l.mu.Lock()
-	c, ok := l.book.Next(time.Now())
+	c, ok := l.tracker.NextChange(time.Now())
 	l.mu.Unlock()
 	if !ok {
 		return
@@ -193,7 +193,7 @@
 	defer cancel()
 	revision, err := l.store.Change(ctx, c.Change)
 	l.mu.Lock()
-	l.book.Done(c, revision, err == nil, time.Now())
+	l.tracker.Complete(c, revision, err == nil, time.Now())
 	l.mu.Unlock()
 	line := []any{"target", c.Target, "kind", c.Kind.String(), "key", c.Expect[0].Key, "lease", l.lease}
 	if err != nil {
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -45,7 +45,7 @@
 	f.OnLost(g.startup.Lost)
 	f.Listen(quarantine.Prefix, g.isolator.take)
 	f.ListenChanges(doubtsPrefix, g.doubts.take)
-	f.Listen(permit.Prefix, g.fleet.asks.limits.take)
+	f.Listen(permit.Prefix, g.fleet.backpressure.limits.take)
 	g.digests.event, g.digests.hint = f.Event, f.Hint
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -53,7 +53,7 @@
 			go g.run(ctx)
 			go g.isolator.run(ctx)
 			go g.doubts.run(ctx)
-			go g.fleet.asks.limits.run(ctx)
+			go g.fleet.backpressure.limits.run(ctx)
 			return nil
 		},
 		OnStop: func(context.Context) error {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -72,7 +72,7 @@
 	}
 	g.doubts.report = g.fleet.doubted
 	g.fleet.tellDoubt = g.doubts.tell
-	g.fleet.asks.limits.store = store
+	g.fleet.backpressure.limits.store = store
 	g.fleet.crashes = crash.New(tcp.Dial, g.fleet.serves, log, g.isolator.crashed)
 	g.digests = newDigests(boot.Instance, log, g.digest)
 	g.fleet.spare = g.spareRetries
