--- a/core/membership/health/refusals.go
+++ b/core/membership/health/refusals.go
@@ -3,10 +3,10 @@
 import "time"
 
 const (
-	// firstRefusal is for how long a target is avoided that has refused a request, as long as
-	// the word on its load lags; each further refusal in a row doubles it, up to maxRefusal.
-	firstRefusal = 250 * time.Millisecond
-	maxRefusal   = 2 * time.Second
+	// firstRefusal is for how long a target is avoided that has refused a request; each
+	// further refusal in a row doubles it, up to maxRefusal.
+	firstRefusal = 500 * time.Millisecond
+	maxRefusal   = 4 * time.Second
 )
 
 // Refusals tells for how long a target is avoided that refuses requests, although it does not
--- a/core/membership/health/refusals_test.go
+++ b/core/membership/health/refusals_test.go
@@ -22,7 +22,7 @@
 			r.Refused(at) // another that was under way
 		}
 	}
-	is.Equal(tried, 6) // after 0, 0.25, 0.75, 1.75, 3.75 and 5.75 s
+	is.Equal(tried, 4) // after 0, 0.5, 1.5 and 3.5 s
 	r.Accepted()
 	is.True(!r.Avoided(now.Add(6 * time.Second)))
 	is.Equal(r.Refused(now), now.Add(firstRefusal))
