Removals of permits are found by key, and late ones end no later claim

And a removal that is heard of after the permit was claimed again would have ended the claim (found by reading; TestLateRemovalEndsNoPermit).

--- a/core/request/permit/change.go
+++ b/core/request/permit/change.go
@@ -169,7 +169,7 @@
 	t := tr.targets[c.Target]
 	switch {
 	case c.Kind == Release:
-		tr.remove(c.record.Key())
+		tr.remove(c.record.Key(), revision)
 		if t != nil {
 			tr.tidy(c.Target)
 		}
--- a/core/request/permit/doc.go
+++ b/core/request/permit/doc.go
@@ -19,13 +19,13 @@
 // # Usage
 //
 //	tr := permit.NewTracker("gateway-1", start, rng)
-//	tr.Observe(id, service, born, limit, sent, now)  // an answer names a limit
-//	tr.Apply(items, whole, now)                     // what the store says under Prefix
+//	tr.Observe(permit.Answer{Target: id, Service: service, Limit: limit, Sent: sent}, now)
+//	tr.Apply(items, whole, now) // what the store says under Prefix
 //	if tr.Ready(id, now) {
 //		tr.Use(id, now)
 //		send(id)
 //	}
-//	if c, ok := tr.NextChange(now); ok {                 // after tr.Leased
+//	if c, ok := tr.NextChange(now); ok { // after SetLease
 //		revision, err := store.Change(ctx, c.Change)
 //		tr.Complete(c, revision, err == nil, now)
 //	}
--- a/core/request/permit/tracker.go
+++ b/core/request/permit/tracker.go
@@ -37,6 +37,8 @@
 
 	rng     *rand.Rand
 	targets map[string]*target
+	// places are where the permits of the store are, by key.
+	places map[string]place
 	// demanded is when each service was last in demand.
 	demanded map[string]time.Time
 	lease    int64
@@ -72,6 +74,12 @@
 	claimAt time.Time
 }
 
+// place is the target of a permit, and its index there.
+type place struct {
+	target string
+	index  int
+}
+
 // storedPermit is a permit that stands in the store.
 type storedPermit struct {
 	Record
@@ -82,7 +90,7 @@
 func NewTracker(instance, start string, rng *rand.Rand) *Tracker {
 	return &Tracker{
 		instance: instance, self: instance + separator + start, rng: rng,
-		targets: map[string]*target{}, demanded: map[string]time.Time{}, pause: claimPause,
+		targets: map[string]*target{}, places: map[string]place{}, demanded: map[string]time.Time{}, pause: claimPause,
 	}
 }
 
@@ -276,13 +284,14 @@
 func (tr *Tracker) Apply(items []kv.Item, whole bool, now time.Time) []error {
 	var errs []error
 	if whole {
+		clear(tr.places)
 		for _, t := range tr.targets {
 			clear(t.permits)
 		}
 	}
 	for _, it := range items {
 		if it.Removed {
-			tr.remove(it.Key)
+			tr.remove(it.Key, it.Revision)
 			continue
 		}
 		r, err := parse(it)
@@ -298,16 +307,18 @@
 	return errs
 }
 
-// remove takes the removal of a key.
-func (tr *Tracker) remove(key string) {
-	for _, t := range tr.targets {
-		for i, p := range t.permits {
-			if p.Key() == key {
-				delete(t.permits, i)
-				return
-			}
-		}
+// remove takes the removal of a key at a revision.
+func (tr *Tracker) remove(key string, revision int64) {
+	at, ok := tr.places[key]
+	if !ok {
+		return
+	}
+	t := tr.targets[at.target]
+	if t.permits[at.index].revision > revision {
+		return // It was claimed again meanwhile.
 	}
+	delete(t.permits, at.index)
+	delete(tr.places, key)
 }
 
 // put takes a permit that stands in the store.
@@ -323,6 +334,7 @@
 	}
 	first := tr.count(t, now) == 0
 	t.permits[r.Index] = storedPermit{r, revision}
+	tr.places[r.Key()] = place{r.Target, r.Index}
 	if r.Born < t.born {
 		return
 	}
--- a/core/request/permit/tracker_test.go
+++ b/core/request/permit/tracker_test.go
@@ -140,6 +140,17 @@
 	is.Equal(len(tr.targets), 0) // nothing is left to know
 }
 
+// Guards against giving up a permit that was claimed again after the removal that is heard of late.
+func TestLateRemovalEndsNoPermit(t *testing.T) {
+	is := is.New(t)
+	tr := newTracker(1)
+	tr.Apply([]kv.Item{item(own(0), 5)}, false, start)
+	tr.Apply([]kv.Item{{Key: item(own(0), 0).Key, Revision: 4, Removed: true}}, false, start)
+	is.True(tr.Ready("t", start.Add(time.Minute)))
+	tr.Apply([]kv.Item{{Key: item(own(0), 0).Key, Revision: 6, Removed: true}}, false, start)
+	is.True(!tr.Ready("t", start.Add(time.Minute)))
+}
+
 // Guards against what another writer may have left under the keys of permits.
 func TestItemsThatAreNoPermits(t *testing.T) {
 	is := is.New(t)
