--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -146,7 +146,7 @@
 	lasts, err := l.keep(ctx)
 	if err != nil {
 		l.renewAfter = time.Now().Add(renewPause)
-		l.log.Warn("lease of permits not renewed", "lease", l.lease, "left-ms", time.Until(l.leaseEnds).Milliseconds(), "error", err.Error())
+		l.log.Warn("lease of permits not renewed", "lease", l.lease, "left-ms", l.left().Milliseconds(), "error", err.Error())
 		return
 	}
 	l.renewAfter = now.Add(min(renewEvery, lasts/3))
@@ -155,6 +155,14 @@
 	l.leased()
 }
 
+// left returns for how long the permits still count.
+func (l *limits) left() time.Duration {
+	if l.lease == 0 {
+		return 0
+	}
+	return max(time.Until(l.leaseEnds), 0)
+}
+
 // keep renews the lease, or begins one if there is none any more.
 func (l *limits) keep(ctx context.Context) (lasts time.Duration, err error) {
 	if l.lease != 0 {
