Targets that break answers off are avoided like those that refuse

Its logs: a rank ends and breaks off what reaches it; 0.26 s later its group breaks everything off, and 20 drafts are sent once more within ten milliseconds. Three ranks refuse, and are avoided since; the one that breaks answers off is not, and looks idle: eleven second attempts went there and were spent. A failed attempt now has its target avoided as well.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -298,6 +298,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.monitor.Fail(s.index, severity, now)
+	// Otherwise it would look idle beside targets that are avoided since they refuse.
+	f.refused(s.target, now)
 }
 
 // tickEvery is how often ejections and idle connections are looked at.
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -10,6 +10,7 @@
 
 	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/configuration/mirror"
+	"verbenashift/core/membership/health"
 	"verbenashift/core/request/route"
 	"verbenashift/standin/scripted"
 )
@@ -91,6 +92,22 @@
 	is.True(f.picked("t0", route.Exclude{}, now.Add(time.Second)) > 0)
 }
 
+// Guards against sending what its peers refuse to a target that breaks all answers off, since it
+// alone is not avoided.
+func TestBrokenTargetIsAvoided(t *testing.T) {
+	is := is.New(t)
+	f, first := pair()
+	now := time.Now()
+	index, _ := f.table.Lookup("t0")
+	f.failed(sent{index: index, target: first}, health.Soft, now)
+	is.Equal(f.picked("t0", route.Exclude{}, now.Add(time.Millisecond)), 0)
+	f.mu.Lock()
+	f.refused(f.pools["t1"], now)
+	f.mu.Unlock()
+	got := f.picked("t0", route.Exclude{}, now.Add(time.Millisecond))
+	is.True(got > 0 && got < 40) // both are tried if no other is left
+}
+
 // Guards against callers that are held, or told the wrong time, when all servers have asked to be
 // left alone.
 func TestAllTargetsPause(t *testing.T) {
