Each choice of a target looks at the limits of targets once

A pick asked for each target that names a limit whether it may be sent a request twice over: to record the demand, and to list those that may not. Recording the demand returns the list now; the time and the rate of a target's next request come from one interval as well. Behaviour as before.

Tests of permit and of the gateway's limits and pauses green, their assertions as they were.

--- a/core/request/permit/tracker.go
+++ b/core/request/permit/tracker.go
@@ -1,7 +1,6 @@
 package permit
 
 import (
-	"iter"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -194,51 +193,60 @@
 // its permits count: before the store may end it. A lease of 0 is none.
 func (tr *Tracker) SetLease(lease int64, until time.Time) { tr.lease, tr.leaseEnds = lease, until }
 
-// RecordDemand tells that there is a request for a service.
-func (tr *Tracker) RecordDemand(service string, now time.Time) {
+// RecordDemand tells that there is a request for a service. It returns the targets of all
+// services that may not be sent a request now.
+func (tr *Tracker) RecordDemand(service string, now time.Time) map[string]bool {
 	if len(tr.targets) == 0 {
-		return
+		return nil
 	}
 	tr.demanded[service] = now
+	unready := map[string]bool{}
 	for id, t := range tr.targets {
-		if t.limited && t.service == service && !tr.Ready(id, now) {
-			t.missed = true
+		if tr.ready(t, now) {
+			continue
 		}
+		unready[id] = true
+		t.missed = t.missed || t.service == service
 	}
+	return unready
 }
 
 // Ready reports whether a target may be sent a request now.
 func (tr *Tracker) Ready(id string, now time.Time) bool {
-	at, limited := tr.ReadyAt(id, now)
-	return !limited || !at.IsZero() && !now.Before(at)
+	t := tr.targets[id]
+	return t == nil || tr.ready(t, now)
 }
 
-// ReadyAt returns when a target may be sent a request, and whether it names a limit. The time
-// is zero if it is not known, since this sender has no permit.
-func (tr *Tracker) ReadyAt(id string, now time.Time) (at time.Time, limited bool) {
-	t := tr.targets[id]
-	if t == nil || !t.limited {
-		return time.Time{}, false
-	}
-	n := tr.count(t, now)
-	if n == 0 {
-		return time.Time{}, true
+func (tr *Tracker) ready(t *target, now time.Time) bool {
+	if !t.limited {
+		return true
 	}
-	return t.last.Add(spacing(t.limit, n)), true
+	interval := tr.interval(t, now)
+	return interval > 0 && !now.Before(t.last.Add(interval))
 }
 
-// Rate returns how many requests a second this sender may send to a target that names a
-// limit.
-func (tr *Tracker) Rate(id string, now time.Time) float64 {
+// ReadyAt returns when a target may be sent a request and how many it may be sent a second, and
+// whether it names a limit. The time is zero if it is not known, since this sender has no permit.
+func (tr *Tracker) ReadyAt(id string, now time.Time) (at time.Time, rate float64, limited bool) {
 	t := tr.targets[id]
 	if t == nil || !t.limited {
-		return 0
+		return time.Time{}, 0, false
+	}
+	interval := tr.interval(t, now)
+	if interval == 0 {
+		return time.Time{}, 0, true
 	}
+	return t.last.Add(interval), 1 / interval.Seconds(), true
+}
+
+// interval returns the least time between two requests to a target that names a limit; 0 if
+// this sender may send none, since it has no permit.
+func (tr *Tracker) interval(t *target, now time.Time) time.Duration {
 	n := tr.count(t, now)
 	if n == 0 {
 		return 0
 	}
-	return 1 / spacing(t.limit, n).Seconds()
+	return spacing(t.limit, n)
 }
 
 // count returns how many permits of a target this sender holds that count now.
@@ -268,17 +276,6 @@
 	}
 }
 
-// Limited returns the targets that name limits.
-func (tr *Tracker) Limited() iter.Seq[string] {
-	return func(yield func(string) bool) {
-		for id, t := range tr.targets {
-			if t.limited && !yield(id) {
-				return
-			}
-		}
-	}
-}
-
 // Apply takes what the store says under Prefix: changes, or by whole everything that stands
 // there. It returns the errors of items that are no permits.
 func (tr *Tracker) Apply(items []kv.Item, whole bool, now time.Time) []error {
--- a/core/request/permit/tracker_test.go
+++ b/core/request/permit/tracker_test.go
@@ -107,11 +107,11 @@
 	is := is.New(t)
 	tr := newTracker(1)
 	tr.Apply([]kv.Item{item(own(0), 3)}, false, start)
-	at, limited := tr.ReadyAt("t", start)
+	at, _, limited := tr.ReadyAt("t", start)
 	is.True(limited)
 	is.Equal(at, start.Add(spacing(1, 1)))
 	tr.Apply([]kv.Item{item(own(1), 4)}, false, start)
-	at, _ = tr.ReadyAt("t", start)
+	at, _, _ = tr.ReadyAt("t", start)
 	is.Equal(at, start.Add(spacing(1, 2)))
 }
 
@@ -227,9 +227,6 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				tr.RecordDemand("s", start)
-				for id := range tr.Limited() {
-					tr.Ready(id, start)
-				}
 			}
 		})
 	}
--- a/gateway/backpressure.go
+++ b/gateway/backpressure.go
@@ -102,8 +102,8 @@
 	f.setHeld(p.ID, true)
 }
 
-// refused takes the refusal of a target that has not asked for a pause, or a failure of it. It is called with the lock
-// held.
+// refused takes the refusal of a target that has not asked for a pause, or a failure of it. It
+// is called with the lock held.
 func (f *fleet) refused(p *pooled, now time.Time) {
 	if f.pools[p.ID] != p {
 		return // It has ended meanwhile.
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -79,18 +79,7 @@
 func (l *limits) unready(service string, now time.Time) map[string]bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.tracker.RecordDemand(service, now)
-	var ids map[string]bool
-	for id := range l.tracker.Limited() {
-		if l.tracker.Ready(id, now) {
-			continue
-		}
-		if ids == nil {
-			ids = map[string]bool{}
-		}
-		ids[id] = true
-	}
-	return ids
+	return l.tracker.RecordDemand(service, now)
 }
 
 // use counts a request that a target is sent.
@@ -105,7 +94,7 @@
 func (l *limits) open(o *permit.Availability, id string, paused, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	at, limited := l.tracker.ReadyAt(id, now)
+	at, rate, limited := l.tracker.ReadyAt(id, now)
 	if !limited {
 		o.Add(paused, 0)
 		return
@@ -113,7 +102,7 @@
 	if !at.IsZero() && at.Before(paused) {
 		at = paused
 	}
-	o.Add(at, l.tracker.Rate(id, now))
+	o.Add(at, rate)
 }
 
 // take takes what the store says under permit.Prefix.
