Let the limit of a group that is back grow with what it accepts

Change: each accepted request raises the limit by one, up to that without a report (StaleLimit); a report ends it. Test first: TestLimitGrowsWithoutACoordinator fails with the growth switched off (6 running of 48).

--- a/core/request/admission/attempt.go
+++ b/core/request/admission/attempt.go
@@ -33,6 +33,8 @@
 	if !wasAvailable && g.available(now) {
 		g.resetAfterOutage(now)
 		p.dispatch(now)
+	} else if g.growLimit() {
+		p.dispatch(now)
 	}
 	return opened
 }
--- a/core/request/admission/group.go
+++ b/core/request/admission/group.go
@@ -39,6 +39,8 @@
 	// firstEvent estimates how long its engines take to the first event.
 	firstEvent   queue.ServiceTime
 	stalledUntil time.Time
+	// recovering reports that limit is that of a group that has just become available.
+	recovering bool
 	// unproven reports that nothing is known of the group yet; see Pool.ColdStart.
 	unproven bool
 	// probeAt is when it may get the next request while it is not available.
@@ -76,7 +78,7 @@
 		g.missingSince = now
 	}
 	g.lastLoad, g.loadAt, g.startedSince = l, now, 0
-	g.unproven = false
+	g.unproven, g.recovering = false, false
 	if g.missingRank(now) {
 		g.limit = queue.RecoveryLimit(g.slots, l.Entries)
 		return
@@ -107,7 +109,7 @@
 // resetAfterOutage limits the requests to a group that has just become available, until its
 // load is reported.
 func (g *group) resetAfterOutage(now time.Time) {
-	g.limit = queue.RecoveryLimit(g.slots, g.lastLoad.Entries)
+	g.limit, g.recovering = queue.RecoveryLimit(g.slots, g.lastLoad.Entries), true
 	g.lastLoad, g.loadAt, g.startedSince = Load{Group: g.name, Complete: true, Running: g.running, Entries: g.lastLoad.Entries}, now, 0
 }
 
@@ -162,6 +164,17 @@
 	}
 }
 
+// growLimit raises the limit of a group that has just become available by one, since it has
+// accepted a request, and reports whether it did. The limit would otherwise stay low until a
+// coordinator reports, and none does while it is being replaced.
+func (g *group) growLimit() bool {
+	if !g.recovering || g.limit >= queue.StaleLimit(g.slots, g.lastLoad.Entries) {
+		return false
+	}
+	g.limit++
+	return true
+}
+
 // available reports whether the group serves requests, as far as is known.
 func (g *group) available(now time.Time) bool {
 	return g.slots > 0 && !g.unproven && !g.gate.Closed() && !g.missingRank(now) && !now.Before(g.stalledUntil)
--- a/core/request/admission/outage_test.go
+++ b/core/request/admission/outage_test.go
@@ -221,3 +221,26 @@
 	is.Equal(refused, 0)
 	is.True(served >= 270)
 }
+
+// Guards against refused requests at a group that has just become available while no coordinator
+// reports its load: the limit has to grow as the group accepts requests.
+func TestLimitGrowsWithoutACoordinator(t *testing.T) {
+	is := is.New(t)
+	const slots, entries = 48, 2
+	p := newPool()
+	p.ColdStart()
+	p.SetGroups(map[string]int{"g0": slots}, start)
+	p.ReportLoad(Load{Group: "g0", Complete: false, Entries: entries}, start)
+	sent := fill(t, p, slots, start)["g0"]
+	is.Equal(len(sent), 1)
+	now := start
+	for range 5 {
+		now = now.Add(60 * time.Millisecond)
+		for _, id := range sent {
+			p.Accepted(id, now)
+		}
+		sent = placed(p)["g0"]
+	}
+	is.True(p.Load().Running > slots/2)
+	is.True(p.Load().Running <= queue.StaleLimit(slots, entries))
+}
