Divide the burst of retries among the gateways that there are

Change: retry.Burst divides by twice the number of gateways once a gateway has run for a whole window, or if the whole system starts for the first time (setting bootstrap of the platform); by 24 at least before. A lower number of gateways than in the last window is not used yet. At two gateways 22 retries instead of 3, at 12 and more as before. Both shares together stay within the burst (TestRestartedSendersStayWithinTheBurst). The check of the gateway test on three reported gateways is stricter: it is held to the share among those reported before (burst/106), not to burst/24. The stand-in writes the setting as the platform does: true until the system has started.

--- a/core/plumbing/boot/boot.go
+++ b/core/plumbing/boot/boot.go
@@ -22,6 +22,9 @@
 	// IP is the address of the instance, Zone its availability zone.
 	IP   netip.Addr
 	Zone string
+	// FirstStart says that the whole system starts for the first time: no process of it has run
+	// before.
+	FirstStart bool
 	// Callers and Ready are the listen addresses for callers' requests and for
 	// the load balancer's readiness checks; both are the zero value on a target's instance.
 	Callers netip.AddrPort
--- /dev/null
+++ b/core/request/retry/burst.go
@@ -0,0 +1,64 @@
+package retry
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// minSenders is the least number of senders among which the burst is divided by a sender that
+	// may have had a share before it restarted.
+	minSenders = 24
+	// lives is how many shares one sender may use within a window: its own, and as much again
+	// after a restart.
+	lives = 2
+	// unknownSenders is the number assumed until one is reported.
+	unknownSenders = 64
+)
+
+// Burst is the part of one sender in the retries that all senders together may make within a
+// window in addition to the ratio of their requests.
+//
+// The load pattern it handles is the loss of everything that a few senders have at one group of
+// targets: each of them needs as many retries at once as it has requests there. A sender that has
+// restarted may have spent its share just before, and has a smaller one until a window has passed.
+type Burst struct {
+	// Total is the number of retries of all senders together.
+	Total float64
+	// Window is the time span that Total applies to.
+	Window time.Duration
+	// StartedAt is when this sender started. It is zero if it cannot have run before.
+	StartedAt time.Time
+
+	// most holds the highest reported numbers of senders in this window and the one before.
+	most  [2]int
+	until time.Time
+}
+
+// Report records how many senders there are. A lower number than in the last window is not used
+// yet: senders that restart are not counted for a moment.
+func (b *Burst) Report(senders int, now time.Time) {
+	if !now.Before(b.until) {
+		b.most = [2]int{0, b.most[0]}
+		b.until = now.Add(b.Window)
+	}
+	b.most[0] = max(b.most[0], senders)
+}
+
+// Share returns how many retries this sender may make, at least one.
+func (b *Burst) Share(now time.Time) float64 {
+	return max(math.Floor(b.Total/float64(b.parts(now))), 1)
+}
+
+// parts returns the number of equal parts that Total is divided into.
+func (b *Burst) parts(now time.Time) int {
+	senders := max(b.most[0], b.most[1])
+	if senders == 0 {
+		return unknownSenders
+	}
+	least := minSenders
+	if b.StartedAt.IsZero() || now.Sub(b.StartedAt) > b.Window {
+		least = min(least, lives*senders)
+	}
+	return max(senders, least)
+}
--- /dev/null
+++ b/core/request/retry/burst_test.go
@@ -0,0 +1,79 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const burstWindow = 10 * time.Second
+
+func TestBurstShares(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, tt := range map[string]struct {
+		total   float64
+		senders int
+		age     time.Duration
+		want    float64
+	}{
+		"unknown number":            {264, 0, time.Minute, 4},
+		"few":                       {90, 2, time.Minute, 22},
+		"few, just restarted":       {90, 2, time.Second, 3},
+		"a dozen":                   {116, 12, time.Minute, 4},
+		"many":                      {264, 53, time.Minute, 4},
+		"many, just restarted":      {264, 53, time.Second, 4},
+		"more senders than retries": {90, 390, time.Minute, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := Burst{Total: tt.total, Window: burstWindow, StartedAt: now.Add(-tt.age)}
+			b.Report(tt.senders, now)
+			is.Equal(b.Share(now), tt.want)
+		})
+	}
+}
+
+// Guards against requests that are lost with a group of targets because the retries are divided
+// among more senders than there are.
+func TestFewSendersCanRetryAllTheyLose(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := Burst{Total: 90, Window: burstWindow}
+	b.Report(2, now)
+	budgets := NewBudgets(Limits{Ratio: 0.17, KeyBurst: b.Share(now), Window: burstWindow})
+	g := budgets.For(Key{"pool", "pool"})
+	for range 12 {
+		is.True(g.Take(now))
+	}
+}
+
+// Guards against more retries than all senders may make together, when each spends its share,
+// restarts and spends another one.
+func TestRestartedSendersStayWithinTheBurst(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	for senders := 1; senders <= minSenders/lives; senders++ {
+		before := Burst{Total: 90, Window: burstWindow}
+		before.Report(senders, now)
+		after := Burst{Total: 90, Window: burstWindow, StartedAt: now}
+		after.Report(senders, now)
+		is.True(float64(senders)*(before.Share(now)+after.Share(now)) <= 90)
+	}
+}
+
+// Guards against a share that grows because senders that restart are not counted.
+func TestSendersThatRestartStayCounted(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := Burst{Total: 264, Window: burstWindow}
+	b.Report(53, now)
+	for at := time.Duration(0); at < burstWindow; at += 200 * time.Millisecond {
+		b.Report(3, now.Add(at))
+		is.Equal(b.Share(now.Add(at)), 4.0)
+	}
+	b.Report(3, now.Add(burstWindow))
+	is.Equal(b.Share(now.Add(burstWindow)), 4.0)
+	b.Report(3, now.Add(2*burstWindow))
+	is.Equal(b.Share(now.Add(2*burstWindow)), 44.0)
+}
--- a/gateway/retry_share_test.go
+++ b/gateway/retry_share_test.go
@@ -16,18 +16,20 @@
 func TestRetryBurstIsSharedByAllGateways(t *testing.T) {
 	const burst, all = 264, 53
 	r := newRig(t, routeOf(deployment.Safe), scripted.Serve(t, func(x *scripted.Exchange) { x.Respond(200, "ok") }))
-	r.gateway.bounds = boot.Bounds{RetryRatio: 0.2, RetryBurst: burst, RetryWindow: 10 * time.Second}
-	r.gateway.budgets = retry.NewBudgets(retryLimits(r.gateway.bounds))
+	bounds := boot.Bounds{RetryRatio: 0.2, RetryBurst: burst, RetryWindow: 10 * time.Second}
+	now := time.Now()
+	r.gateway.burst = newBurst(boot.Settings{Bounds: bounds}, now)
+	r.gateway.budgets = retry.NewBudgets(retryLimits(bounds, r.gateway.burst.Share(now)))
 	left := func() float64 { return r.gateway.retriesLeft("pool") }
-	r.gateway.shareRetries(all)
+	r.True(left()*all <= burst)
+	r.gateway.shareRetries(all, now)
 	r.True(left() >= 1)
 	r.True(left()*all <= burst)
-	r.gateway.shareRetries(0) // a coordinator that does not know
+	r.gateway.shareRetries(0, now) // a coordinator that does not know
 	r.True(left()*all <= burst)
 	r.gateway.digest(&rankpeer.Digest{Gateways: 2 * all}, time.Now())
 	r.True(left()*2*all <= burst)
 	// The number of gateways after a restart of a few is not taken as the total.
-	r.gateway.shareRetries(3)
-	r.True(left() <= burst/minGateways)
-	r.True(burstShare(boot.Bounds{RetryBurst: burst}, defaultGateways)*all <= burst)
+	r.gateway.shareRetries(3, now)
+	r.True(left() <= burst/(2*all))
 }
--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -42,6 +42,8 @@
 	rigKey   = "key-of-harbor-home"
 	rigSpace = "harbor-home"
 	rigBody  = "a family's own words"
+	// rigRetries is the burst of retries of all gateways: far more than a test needs.
+	rigRetries = 5760
 	// rigTimeout is how long callers wait unless a test says otherwise.
 	rigTimeout = 5 * time.Second
 )
@@ -60,7 +62,7 @@
 func newRig(t *testing.T, route deployment.Route, servers ...*scripted.Server) *rig {
 	t.Helper()
 	env := instance.Env{Log: slog.New(slog.DiscardHandler)}
-	env.Boot.Bounds = boot.Bounds{RetryRatio: 0.2, RetryBurst: 90 * defaultGateways}
+	env.Boot.Bounds = boot.Bounds{RetryRatio: 0.2, RetryBurst: rigRetries}
 	g := newGateway(env, noop.NewTracerProvider().Tracer("test"), nil)
 	r := &rig{I: is.New(t), t: t, gateway: g, view: mirror.Snapshot{
 		Config: &deployment.Config{
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 	"expvar"
 	"log/slog"
-	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -35,7 +34,6 @@
 	tracer  trace.Tracer
 	fleet   *fleet
 	catalog atomic.Pointer[catalog]
-	bounds  boot.Bounds
 	// shuttingDown is set on SIGTERM: the readiness check fails from then on.
 	shuttingDown atomic.Bool
 	started      time.Time
@@ -46,6 +44,7 @@
 	// rng is separate from the fleet's, which another lock guards.
 	rng             *rand.Rand
 	budgets         *retry.Budgets
+	burst           retry.Burst
 	returnScheduler retry.ReturnScheduler
 	digests         *digests
 	// isolator quarantines requests that crash their targets.
@@ -59,12 +58,13 @@
 }
 
 func newGateway(env instance.Env, tracer trace.Tracer, store *platform.Store) *gateway {
-	boot, log := env.Boot, env.Log
+	boot, log, now := env.Boot, env.Log, time.Now()
+	burst := newBurst(boot, now)
 	g := &gateway{
-		log: log, tracer: tracer, rng: newRand(), bounds: boot.Bounds, started: time.Now(),
+		log: log, tracer: tracer, rng: newRand(), burst: burst, started: now,
 		startup:         startup.New(),
 		fleet:           newFleet(boot.Instance, boot.Zone, log),
-		budgets:         retry.NewBudgets(retryLimits(boot.Bounds)),
+		budgets:         retry.NewBudgets(retryLimits(boot.Bounds, burst.Share(now))),
 		isolator:        newIsolator(boot.Instance, store, log),
 		suspicions:      newSuspicionExchange(boot.Instance, store, log),
 		admitters:       map[string]*admitter{},
@@ -79,40 +79,36 @@
 	return g
 }
 
-const (
-	// retryFraction is the part of the deployment's retries that is used, since
-	// a request that a client repeats at another gateway is counted differently.
-	retryFraction = 0.85
-	// minGateways is the minimum number of gateways among which the burst of retries is
-	// divided: restarted ones start with a new share.
-	minGateways = 24
-	// defaultGateways is the number used until a coordinator has reported the actual one.
-	defaultGateways = 64
-)
+// retryFraction is the part of the deployment's retries that is used, since a request that a
+// client repeats at another gateway is counted differently.
+const retryFraction = 0.85
+
+// newBurst returns this gateway's part of the burst of retries of the whole deployment.
+func newBurst(s boot.Settings, now time.Time) retry.Burst {
+	b := retry.Burst{Total: s.Bounds.RetryBurst, Window: s.Bounds.RetryWindow}
+	if !s.FirstStart {
+		b.StartedAt = now
+	}
+	return b
+}
 
 // retryLimits returns this gateway's part of the retries of the whole deployment. The
 // ratio is not divided: each gateway applies it to its own requests.
-func retryLimits(b boot.Bounds) retry.Limits {
-	share := burstShare(b, defaultGateways)
+func retryLimits(b boot.Bounds, share float64) retry.Limits {
 	return retry.Limits{
 		Ratio: b.RetryRatio * retryFraction, KeyBurst: share, HopBurst: share,
 		KeyStart: share / 2, HopStart: share / 2, Window: b.RetryWindow,
 	}
 }
 
-// burstShare returns this gateway's part of the retries that all gateways may make in
-// addition to the ratio of their requests.
-func burstShare(b boot.Bounds, among int) float64 {
-	return max(math.Floor(b.RetryBurst/float64(max(among, minGateways))), 1)
-}
-
-// shareRetries sets the number of gateways, as counted by those that poll a coordinator
+// shareRetries records the number of gateways, as counted by those that poll a coordinator
 // and its relays.
-func (g *gateway) shareRetries(among int) {
+func (g *gateway) shareRetries(among int, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if among > 0 {
-		g.budgets.SetKeyBurst(burstShare(g.bounds, among))
+		g.burst.Report(among, now)
+		g.budgets.SetKeyBurst(g.burst.Share(now))
 	}
 }
 
@@ -157,7 +153,7 @@
 
 // digest applies what a coordinator reports of its group.
 func (g *gateway) digest(d *rankpeer.Digest, taken time.Time) {
-	g.shareRetries(d.Gateways)
+	g.shareRetries(d.Gateways, time.Now())
 	r := g.fleet.digest(d, taken)
 	if cat := g.catalog.Load(); r.joined && cat != nil {
 		g.updateAdmitters(cat.config)
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -54,6 +54,7 @@
 	}
 	t.Cleanup(s.killAll)
 	s.NoErr(s.WaitReady(ctx, time.Minute))
+	s.NoErr(s.Started())
 	return s
 }
 
--- a/standin/fleet/settings.go
+++ b/standin/fleet/settings.go
@@ -43,32 +43,59 @@
 // RewriteSettings rewrites the settings file of a process with another heartbeat
 // interval of the servers and with an unknown field.
 func (f *Fleet) RewriteSettings(b Boot, heartbeatMs int) error {
-	data, err := os.ReadFile(b.File)
+	settings, err := readSettings(b.File)
 	if err != nil {
 		return err
 	}
-	settings := map[string]any{}
-	if err := json.Unmarshal(data, &settings); err != nil {
-		return err
-	}
 	settings["heartbeatMs"], settings["newer"] = heartbeatMs, map[string]any{"field": true}
-	if data, err = json.MarshalIndent(settings, "", "  "); err != nil {
+	return writeFile(b.File, settings)
+}
+
+// Started rewrites the settings files of all processes after the first start of the whole system:
+// a process that starts now may have run before.
+func (f *Fleet) Started() error {
+	for _, b := range f.Boots {
+		settings, err := readSettings(b.File)
+		if err != nil {
+			return err
+		}
+		settings["bootstrap"] = false
+		if err := writeFile(b.File, settings); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readSettings(file string) (map[string]any, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	settings := map[string]any{}
+	return settings, json.Unmarshal(data, &settings)
+}
+
+// writeFile replaces a settings file.
+func writeFile(file string, settings map[string]any) error {
+	data, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
 		return err
 	}
 	// Rename the file into place: a process that starts now must not read a partial
 	// file.
-	next := b.File + ".next"
+	next := file + ".next"
 	if err := os.WriteFile(next, data, 0o600); err != nil {
 		return err
 	}
-	return os.Rename(next, b.File)
+	return os.Rename(next, file)
 }
 
 // writeSettings writes the settings file of one process.
 func (f *Fleet) writeSettings(name, role, ip string, listen map[string]string, app string) error {
 	settings := map[string]any{
 		"node": name, "role": role, "ip": ip, "zone": "z1", "listen": listen,
-		"portRange": []int{peerPort, lastPort}, "heartbeatMs": 1000,
+		"portRange": []int{peerPort, lastPort}, "heartbeatMs": 1000, "bootstrap": true,
 		"limits":   map[string]any{"memoryMb": 200},
 		"provider": map[string]any{"addr": net.JoinHostPort(f.ip(1), strconv.Itoa(storePort)), "form": "kv", "writesPerS": 400, "readsPerS": 2000},
 		"bounds": map[string]any{
