--- a/standin/client/exchange.go
+++ b/standin/client/exchange.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -32,11 +33,14 @@
 	// lastID is the ID of the last event.
 	lastID uint64
 	first  time.Time
+	// begun counts the requests that have received a part of their answer.
+	begun *atomic.Int64
 }
 
 func (p *progress) add(text string) {
 	if p.first.IsZero() && text != "" {
 		p.first = time.Now()
+		p.begun.Add(1)
 	}
 	p.text.WriteString(text)
 }
--- a/standin/client/player.go
+++ b/standin/client/player.go
@@ -36,6 +36,7 @@
 
 	exchange *exchanger
 	next     atomic.Uint64
+	begun    atomic.Int64
 	mu       sync.Mutex
 	// firstEntry maps a key to the index of the entry that it was first sent to,
 	// so that a request that repeats the key starts at another entry.
@@ -69,6 +70,9 @@
 	return records
 }
 
+// Begun returns how many requests have received a part of their answer.
+func (p *Player) Begun() int { return int(p.begun.Load()) }
+
 func newRecord(l *Line) judge.Record {
 	return judge.Record{
 		Line: l.Number, Workspace: l.Workspace, Class: l.Class,
@@ -81,7 +85,7 @@
 	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
 	defer cancel()
 	r, c := newRecord(l), newCall(l)
-	var got progress
+	got := progress{begun: &p.begun}
 	began := time.Now()
 	first := p.entry(l)
 	for n := range p.Attempts {
--- a/standin/deployment/scene.go
+++ b/standin/deployment/scene.go
@@ -55,6 +55,7 @@
 
 // Playback is a workload that is being played in the background.
 type Playback struct {
+	player  *client.Player
 	done    chan struct{}
 	records []judge.Record
 }
@@ -72,7 +73,7 @@
 	for i := range lines {
 		lines[i].Number = i + 1
 	}
-	g := &Playback{done: make(chan struct{})}
+	g := &Playback{player: p, done: make(chan struct{})}
 	go func() {
 		defer close(g.done)
 		g.records = p.Play(ctx, lines)
@@ -80,6 +81,18 @@
 	return g
 }
 
+// WaitBegun waits until at least n requests have received a part of their answer.
+func (g *Playback) WaitBegun(ctx context.Context, n int) error {
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	return Until(ctx, func() error {
+		if begun := g.player.Begun(); begun < n {
+			return errors.Errorf("%d requests have begun, want at least %d", begun, n)
+		}
+		return nil
+	})
+}
+
 // Wait waits until the workload has been played and returns the client's record.
 func (g *Playback) Wait() []judge.Record {
 	<-g.done
