Send nothing new to an evacuated zone

Their targets get no new request, also as a last resort, and have no slots, so that admission knows what is left; streams in progress end where they are, and the ranks there go on computing for their group. A service all of whose targets are evacuated refuses at once. What can only be a mistake (no target there, or no other zone left) is obeyed and logged as an error.

--- a/core/configuration/deployment/deployment.go
+++ b/core/configuration/deployment/deployment.go
@@ -24,6 +24,11 @@
 	// ConfigKey is the key of the newest configuration, and TargetPrefix the prefix of
 	// the keys of the targets' entries, which is followed by their IDs.
 	ConfigKey, TargetPrefix string
+	// EvacuationPrefix is the prefix of the keys of evacuations, which is followed by an
+	// availability zone: no new requests go to targets there while the key exists.
+	EvacuationPrefix string
+	// OperatorPrefix is the common prefix of the configuration's key and those of evacuations.
+	OperatorPrefix string
 	// Config and Target decode the values of these keys.
 	Config func(value []byte) (*Config, error)
 	Target func(it kv.Item) (Target, error)
--- a/core/configuration/mirror/follower.go
+++ b/core/configuration/mirror/follower.go
@@ -76,7 +76,7 @@
 
 // NewFollower returns a Follower that does nothing before Run.
 func NewFollower(store storeReader, formats deployment.Formats, log *slog.Logger) *Follower {
-	prefixes := []string{formats.ConfigKey, formats.TargetPrefix, rankpeer.ClaimPrefix}
+	prefixes := []string{formats.OperatorPrefix, formats.TargetPrefix, rankpeer.ClaimPrefix}
 	return &Follower{store: store, prefixes: prefixes, log: log, mirror: New(formats, log), started: time.Now()}
 }
 
--- a/core/configuration/mirror/follower_test.go
+++ b/core/configuration/mirror/follower_test.go
@@ -54,7 +54,7 @@
 		s := &script{
 			rangeOf: func(prefix string) (kv.Page, error) {
 				asOf++
-				if prefix == testConfigKey {
+				if prefix == testOperatorPrefix {
 					return kv.Page{Items: []kv.Item{config(3)}, Revision: asOf}, nil
 				}
 				return kv.Page{Revision: asOf}, nil
@@ -79,7 +79,7 @@
 			rangeOf: func(prefix string) (kv.Page, error) {
 				page := kv.Page{Revision: 5}
 				switch {
-				case prefix == testConfigKey:
+				case prefix == testOperatorPrefix:
 					page.Items = []kv.Item{config(3)}
 				case prefix == testTargetPrefix && !compacted:
 					page.Items = []kv.Item{entry("a", "10.0.0.1:80", "ready", 2)}
@@ -111,7 +111,7 @@
 					return kv.Page{}, failed
 				}
 				reads.Add(1)
-				if prefix == testConfigKey {
+				if prefix == testOperatorPrefix {
 					return kv.Page{Items: []kv.Item{config(3)}, Revision: 5}, nil
 				}
 				return kv.Page{Revision: 5}, nil
@@ -150,7 +150,7 @@
 		revision.Store(5)
 		s := &script{
 			rangeOf: func(prefix string) (kv.Page, error) {
-				if prefix == testConfigKey {
+				if prefix == testOperatorPrefix {
 					return kv.Page{Items: []kv.Item{config(3)}, Revision: 5}, nil
 				}
 				return kv.Page{Revision: 5}, nil
--- a/core/configuration/mirror/formats_test.go
+++ b/core/configuration/mirror/formats_test.go
@@ -14,13 +14,18 @@
 
 // The keys of the tests' store.
 const (
-	testConfigKey    = "test/config"
-	testTargetPrefix = "test/targets/"
+	testOperatorPrefix   = "test/op/"
+	testConfigKey        = testOperatorPrefix + "config"
+	testEvacuationPrefix = testOperatorPrefix + "evacuate/"
+	testTargetPrefix     = "test/targets/"
 )
 
 // testFormats decodes the entries that the tests write.
 func testFormats() deployment.Formats {
-	return deployment.Formats{ConfigKey: testConfigKey, TargetPrefix: testTargetPrefix, Config: testConfig, Target: testTarget}
+	return deployment.Formats{
+		ConfigKey: testConfigKey, TargetPrefix: testTargetPrefix, EvacuationPrefix: testEvacuationPrefix,
+		OperatorPrefix: testOperatorPrefix, Config: testConfig, Target: testTarget,
+	}
 }
 
 func testConfig(value []byte) (*deployment.Config, error) {
--- a/core/configuration/mirror/hints_test.go
+++ b/core/configuration/mirror/hints_test.go
@@ -49,7 +49,7 @@
 }
 
 func (s *silentStore) Range(_ context.Context, prefix, _ string) (kv.Page, error) {
-	if prefix == testConfigKey {
+	if prefix == testOperatorPrefix {
 		return kv.Page{Items: []kv.Item{config(3)}, Revision: 10}, nil
 	}
 	return kv.Page{Revision: 10}, nil
@@ -134,7 +134,7 @@
 				switch {
 				case down.Load():
 					return page, failed
-				case prefix == testConfigKey:
+				case prefix == testOperatorPrefix:
 					page.Items = []kv.Item{config(3)}
 				case prefix == testTargetPrefix && !left:
 					page.Items = []kv.Item{entry("a", "10.0.0.1:80", "ready", 2)}
--- a/core/configuration/mirror/listen_test.go
+++ b/core/configuration/mirror/listen_test.go
@@ -20,7 +20,7 @@
 		s := &script{
 			rangeOf: func(prefix string) (kv.Page, error) {
 				read[prefix] = true
-				if prefix == testConfigKey {
+				if prefix == testOperatorPrefix {
 					return kv.Page{Items: []kv.Item{config(3)}, Revision: 10}, nil
 				}
 				return kv.Page{Revision: 10}, nil
--- a/core/configuration/mirror/mirror.go
+++ b/core/configuration/mirror/mirror.go
@@ -42,6 +42,8 @@
 	Targets map[string]deployment.Target
 	// Coordinators are the newest claims to coordinate an expert group, by group.
 	Coordinators map[string]rankpeer.Claim
+	// Evacuated holds the availability zones whose targets get no new requests.
+	Evacuated map[string]bool
 	// Revision is the store's revision up to which the snapshot is complete.
 	Revision int64
 }
@@ -75,8 +77,10 @@
 	config  *deployment.Config
 	targets map[string]deployment.Target
 	// claims are the claims by their keys without the prefix.
-	claims   map[string]rankpeer.Claim
-	revision int64
+	claims map[string]rankpeer.Claim
+	// evacuated holds the evacuated availability zones.
+	evacuated map[string]bool
+	revision  int64
 	// missing are targets whose entries may have expired in an outage of the
 	// store, with the time until which they are retained.
 	missing map[string]time.Time
@@ -87,7 +91,7 @@
 
 // New returns an empty Mirror.
 func New(formats deployment.Formats, log *slog.Logger) *Mirror {
-	return &Mirror{log: log, formats: formats, targets: map[string]deployment.Target{}, claims: map[string]rankpeer.Claim{}, missing: map[string]time.Time{}}
+	return &Mirror{log: log, formats: formats, targets: map[string]deployment.Target{}, claims: map[string]rankpeer.Claim{}, evacuated: map[string]bool{}, missing: map[string]time.Time{}}
 }
 
 // NewTargets returns an empty Mirror of the targets alone. A configuration may have hundreds
@@ -108,7 +112,10 @@
 	for _, c := range m.claims {
 		coordinators[c.Group] = c
 	}
-	return &Snapshot{Config: m.config, Targets: m.usableTargets(), Coordinators: coordinators, Revision: m.revision}
+	return &Snapshot{
+		Config: m.config, Targets: m.usableTargets(), Coordinators: coordinators,
+		Evacuated: maps.Clone(m.evacuated), Revision: m.revision,
+	}
 }
 
 // usableTargets returns the targets of services that the configuration names, without
@@ -159,6 +166,8 @@
 	switch {
 	case it.Key == m.formats.ConfigKey && !it.Deleted:
 		return m.applyConfig(it)
+	case strings.HasPrefix(it.Key, m.formats.EvacuationPrefix):
+		return m.applyEvacuation(it)
 	case strings.HasPrefix(it.Key, m.formats.TargetPrefix):
 		return m.applyTarget(it)
 	case strings.HasPrefix(it.Key, rankpeer.ClaimPrefix):
@@ -186,6 +195,48 @@
 	return changed
 }
 
+// applyEvacuation begins or ends the evacuation of an availability zone. The value of the key
+// says nothing.
+func (m *Mirror) applyEvacuation(it kv.Item) bool {
+	return m.setEvacuated(strings.TrimPrefix(it.Key, m.formats.EvacuationPrefix), !it.Deleted, it.Revision)
+}
+
+// setEvacuated records whether a zone is evacuated, and reports whether that has changed.
+func (m *Mirror) setEvacuated(zone string, evacuated bool, revision int64) bool {
+	if zone == "" || m.evacuated[zone] == evacuated {
+		return false
+	}
+	if !evacuated {
+		delete(m.evacuated, zone)
+		m.log.Info("zone restored", "zone", zone, "revision", revision)
+		return true
+	}
+	m.evacuated[zone] = true
+	in, total := m.targetsIn(zone)
+	line := []any{"zone", zone, "revision", revision, "targets", in, "targets-of-all-zones", total}
+	if in == 0 || in == total {
+		m.log.Error("evacuation of a zone that holds no target, or all", line...)
+		return true
+	}
+	m.log.Warn("zone evacuated", line...)
+	return true
+}
+
+// targetsIn returns how many targets are in a zone, and in all zones that are not evacuated or are
+// this one.
+func (m *Mirror) targetsIn(zone string) (in, total int) {
+	for _, t := range m.targets {
+		switch {
+		case t.Zone == zone:
+			in++
+			total++
+		case !m.evacuated[t.Zone]:
+			total++
+		}
+	}
+	return in, total
+}
+
 // applyConfig puts a configuration in force if it is newer than the current one.
 // A read that was answered late, or from a lagging replica, may return an older
 // one: applying it would revert what callers have already seen.
@@ -250,9 +301,15 @@
 // entries may have expired because they could not be renewed.
 func (m *Mirror) Replace(all []kv.Item, asOf int64, outage bool, now time.Time) bool {
 	changed := m.Apply(all, asOf)
-	seen := map[string]bool{}
+	seen, keys := map[string]bool{}, map[string]bool{}
 	for _, it := range all {
 		seen[strings.TrimPrefix(it.Key, m.formats.TargetPrefix)] = true
+		keys[it.Key] = true
+	}
+	for _, zone := range slices.Sorted(maps.Keys(m.evacuated)) {
+		if !keys[m.formats.EvacuationPrefix+zone] {
+			changed = m.setEvacuated(zone, false, asOf) || changed
+		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(m.targets)) {
 		switch {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -38,7 +38,9 @@
 	// reportedGroups holds the groups of targets as reported by coordinators, for targets
 	// whose entry names none.
 	reportedGroups map[string]string
-	rng            *rand.Rand
+	// evacuated holds the availability zones whose targets get no new requests.
+	evacuated map[string]bool
+	rng       *rand.Rand
 	streams        activeStreams
 	// pendingRequests tracks the plain requests in progress, suspicions the targets that fail while
 	// their peers do not; shareSuspicion reports one to the other gateways.
@@ -110,6 +112,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.drop(v.Targets)
+	f.evacuated = v.Evacuated
+	metricEvacuated.Set(int64(len(v.Evacuated)))
 	targets := make([]route.Target, 0, len(v.Targets))
 	for id, t := range v.Targets {
 		if f.targetStates[id] == nil {
@@ -193,7 +197,7 @@
 func (f *fleet) routed(t *deployment.Target) route.Target {
 	return route.Target{
 		Name: t.ID, Zone: t.Zone, Service: t.Service, Group: f.groupOf(t),
-		Drained: f.targetStates[t.ID].shuttingDown() || f.misdirected[t.ID],
+		Drained: f.targetStates[t.ID].shuttingDown() || f.misdirected[t.ID] || f.evacuated[t.Zone],
 	}
 }
 
@@ -205,7 +209,8 @@
 	return f.reportedGroups[t.ID]
 }
 
-// slots returns the slots of the targets by service and group.
+// slots returns the slots of the targets by service and group. Targets in evacuated zones have
+// none.
 func (f *fleet) slots() map[string]map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -214,11 +219,35 @@
 		if slots[p.Service] == nil {
 			slots[p.Service] = map[string]int{}
 		}
-		slots[p.Service][f.groupOf(&p.Target)] += p.Slots
+		open := p.Slots
+		if f.evacuated[p.Zone] {
+			open = 0
+		}
+		slots[p.Service][f.groupOf(&p.Target)] += open
 	}
 	return slots
 }
 
+// evacuatedWhole reports whether a service has targets and all of them are in evacuated zones.
+func (f *fleet) evacuatedWhole(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.evacuated) == 0 {
+		return false
+	}
+	some := false
+	for _, p := range f.targetStates {
+		switch {
+		case p.Service != service:
+		case !f.evacuated[p.Zone]:
+			return false
+		default:
+			some = true
+		}
+	}
+	return some
+}
+
 // answersTo reports whether an answer belongs to the request with an identifier, by the
 // identifier that it echoes. A refusal may lack one.
 func answersTo(status int, h http.Header, id string) bool {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -239,7 +239,7 @@
 	if g.shuttingDown.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if !c.admit(cat) || c.refuseIfQuarantined() {
+	if !c.admit(cat) || c.refuseIfEvacuated() || c.refuseIfQuarantined() {
 		return
 	}
 	defer c.endProbe()
