Evacuate and restore zones over the administration API and ctl

Evacuation stood only in the platform's store. Our own configuration has a list of evacuated zones now, changed by an edit that any operator may make, with audit and rollout like every revision: ctl zone list, evacuate, restore. Entries send nothing new to targets there; agents and the ranks of a group that spans the zone go on. An evacuation of a zone without targets, or of the last zone with a target of some model or service, is refused with the reason unless it is forced. Tests: config, operator (through ctl, golden files), entry's router.

--- a/core/configuration/config/config.go
+++ b/core/configuration/config/config.go
@@ -34,6 +34,8 @@
 	Targets    []Target        `json:"targets,omitempty"`
 	Groups     []Group         `json:"groups,omitempty"`
 	Operators  []Operator      `json:"operators,omitempty"`
+	// EvacuatedZones are the availability zones whose targets get no new work, sorted.
+	EvacuatedZones []string `json:"evacuated-zones,omitempty"`
 	// PastTargets are the target lists before the current one, oldest first:
 	// keys of idempotent requests may still be stored at the homes of an older
 	// list.
--- a/core/configuration/config/diff.go
+++ b/core/configuration/config/diff.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 )
 
@@ -45,6 +46,7 @@
 	lines = append(lines, diffList("target", from.Targets, to.Targets)...)
 	lines = append(lines, diffList("group", from.Groups, to.Groups)...)
 	lines = append(lines, diffList("operator", from.Operators, to.Operators)...)
+	lines = append(lines, diffZones(from.EvacuatedZones, to.EvacuatedZones)...)
 	return lines
 }
 
@@ -71,6 +73,22 @@
 	return lines
 }
 
+// diffZones lists the zones that are evacuated or restored.
+func diffZones(from, to []string) []DiffLine {
+	var lines []DiffLine
+	for _, zone := range from {
+		if !slices.Contains(to, zone) {
+			lines = append(lines, DiffLine{Op: "-", Kind: "evacuated-zone", Name: zone})
+		}
+	}
+	for _, zone := range to {
+		if !slices.Contains(from, zone) {
+			lines = append(lines, DiffLine{Op: "+", Kind: "evacuated-zone", Name: zone})
+		}
+	}
+	return lines
+}
+
 func diffFields[T named](kind string, from, to T) []DiffLine {
 	var lines []DiffLine
 	a, b := reflect.ValueOf(from), reflect.ValueOf(to)
--- a/core/configuration/config/edit.go
+++ b/core/configuration/config/edit.go
@@ -50,6 +50,7 @@
 	PutOperator     *Operator     `json:"put-operator,omitempty"`
 	RemoveOperator  string        `json:"remove-operator,omitempty"`
 	Drain           *Drain        `json:"drain,omitempty"`
+	Evacuate        *Evacuate     `json:"evacuate,omitempty"`
 	Share           *Share        `json:"share,omitempty"`
 	GroupWeights    *GroupWeights `json:"group-weights,omitempty"`
 }
@@ -178,6 +179,7 @@
 	add(e.PutOperator != nil, func(c *Config) error { return put(&c.Operators, e.PutOperator) })
 	add(e.RemoveOperator != "", func(c *Config) error { return remove(&c.Operators, "operator", e.RemoveOperator) })
 	add(e.Drain != nil, e.drain)
+	add(e.Evacuate != nil, func(c *Config) error { return e.Evacuate.apply(c) })
 	add(e.Share != nil, e.share)
 	add(e.GroupWeights != nil, e.groupWeights)
 	return ops
--- a/core/configuration/config/validate.go
+++ b/core/configuration/config/validate.go
@@ -60,12 +60,20 @@
 	each(v, "groups", c.Groups, v.group)
 	each(v, "targets", c.Targets, v.target)
 	each(v, "operators", c.Operators, v.operator)
+	v.evacuatedZones(c.EvacuatedZones)
 	if v.err == nil {
 		return nil
 	}
 	return v.err
 }
 
+// evacuatedZones checks that the list is sorted and has each zone once, as lookups require.
+func (v *validator) evacuatedZones(zones []string) {
+	for i, zone := range zones {
+		v.check(zone != "" && (i == 0 || zones[i-1] < zone), "evacuated-zones", zone, "distinct names in ascending order")
+	}
+}
+
 func names[T named](list []T) map[string]bool {
 	set := make(map[string]bool, len(list))
 	for _, item := range list {
--- a/core/configuration/operator/status.go
+++ b/core/configuration/operator/status.go
@@ -74,8 +74,9 @@
 		}
 	}
 	list := []TargetStatus{}
-	for _, t := range a.document(r).Config.Targets {
-		list = append(list, TargetStatus{Target: t, Node: nodes[t.Name]})
+	cfg := a.document(r).Config
+	for _, t := range cfg.Targets {
+		list = append(list, TargetStatus{Target: t, Evacuated: cfg.Evacuated(t.Zone), Node: nodes[t.Name]})
 	}
 	return list, nil
 }
--- a/core/configuration/operator/types.go
+++ b/core/configuration/operator/types.go
@@ -164,6 +164,8 @@
 // TargetStatus is a target with the state of the agent beside it.
 type TargetStatus struct {
 	config.Target
+	// Evacuated says that the target's availability zone is evacuated.
+	Evacuated bool `json:"evacuated,omitempty"`
 	// Node is nil if the agent has not reported.
 	Node *Node `json:"node,omitempty"`
 }
--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -43,13 +43,16 @@
 
 func targetState(t operator.TargetStatus) (state, queued, running string) {
 	state = "serving"
+	if t.Evacuated {
+		state = "evacuated"
+	}
 	if t.Drained {
 		state = "drained"
 	}
 	if t.Node == nil {
 		return state + ", not heard", "", ""
 	}
-	if t.Node.Draining && !t.Drained {
+	if t.Node.Draining && !t.Drained && !t.Evacuated {
 		state = "draining"
 	}
 	return state, fmt.Sprint(t.Node.Queued), fmt.Sprint(t.Node.Running)
--- a/ctl/program.go
+++ b/ctl/program.go
@@ -114,7 +114,7 @@
 		Flags:                 globalFlags(),
 		Reader:                p.in, Writer: p.out, ErrWriter: p.err,
 		Commands: []*cli.Command{
-			p.intentCommand(), p.planCommand(), p.configCommand(), p.targetCommand(),
+			p.intentCommand(), p.planCommand(), p.configCommand(), p.targetCommand(), p.zoneCommand(),
 			p.workspaceCommand(), p.groupCommand(), p.statusCommand(), p.explainCommand(), p.sharesCommand(), p.stewardsCommand(), p.doubtsCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- a/entry/router.go
+++ b/entry/router.go
@@ -61,7 +61,7 @@
 	for _, t := range cfg.Targets {
 		targets = append(targets, route.Target{
 			Name: t.Name, Region: t.Region, Zone: t.Zone, Model: t.Model, Version: t.Version,
-			Service: t.Service, Role: t.Role, Group: t.Group, Drained: t.Drained, Adapters: adapters(x, t.Model),
+			Service: t.Service, Role: t.Role, Group: t.Group, Drained: cfg.Closed(t), Adapters: adapters(x, t.Model),
 		})
 	}
 	r.index = x
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -41,7 +41,7 @@
 	// evacuated holds the availability zones whose targets get no new requests.
 	evacuated map[string]bool
 	rng       *rand.Rand
-	streams        activeStreams
+	streams   activeStreams
 	// pendingRequests tracks the plain requests in progress, suspicions the targets that fail while
 	// their peers do not; shareSuspicion reports one to the other gateways.
 	pendingRequests pendingRequests
