Send a cold target no more than it tolerates from all gateways

No message and no call to the store. A target is cold by its entry, its answers, after a start seen by the gateway, and when its zone is restored. The number of senders, with the memory for those that restart, is a package of its own now.

--- a/core/configuration/deployment/deployment.go
+++ b/core/configuration/deployment/deployment.go
@@ -106,7 +106,11 @@
 	HealthPath string
 	// MaxConnections is how many connections a server accepts from all callers together.
 	MaxConnections int
-	Engine         *Engine
+	// ColdStart is how long a server is cold after it has started, and ColdRate how many requests
+	// a second it tolerates while it is, from all callers together; 0 means any number.
+	ColdStart time.Duration
+	ColdRate  float64
+	Engine    *Engine
 }
 
 // Engine describes the model servers of a service.
@@ -160,6 +164,8 @@
 	// StartedAt is when the server started, in Unix milliseconds by its own clock; 0
 	// if not reported.
 	StartedAt int64
+	// ColdFor is how much longer the server was cold when it wrote its entry.
+	ColdFor time.Duration
 	// Group is the expert group that the server's rank belongs to; its name is
 	// empty if not reported. GroupComplete is false while that group lacks a rank.
 	Group         engine.GroupID
--- a/core/plumbing/boot/boot.go
+++ b/core/plumbing/boot/boot.go
@@ -67,6 +67,10 @@
 	RetryRatio  float64
 	RetryBurst  float64
 	RetryWindow time.Duration
+	// A cold server tolerates ColdFactor times its rate plus ColdSlack requests in any second,
+	// from all instances together.
+	ColdFactor float64
+	ColdSlack  float64
 	// EnforceFencing says that servers reject orders with an outdated fencing token.
 	EnforceFencing bool
 }
--- a/core/request/retry/burst.go
+++ b/core/request/retry/burst.go
@@ -29,30 +29,16 @@
 	Window time.Duration
 	// StartedAt is when this sender started. It is zero if it cannot have run before.
 	StartedAt time.Time
-
-	// most holds the highest reported numbers of senders in this window and the one before.
-	most  [2]int
-	until time.Time
-}
-
-// Report records how many senders there are. A lower number than in the last window is not used
-// yet: senders that restart are not counted for a moment.
-func (b *Burst) Report(senders int, now time.Time) {
-	if !now.Before(b.until) {
-		b.most = [2]int{0, b.most[0]}
-		b.until = now.Add(b.Window)
-	}
-	b.most[0] = max(b.most[0], senders)
 }
 
-// Share returns how many retries this sender may make, at least one.
-func (b *Burst) Share(now time.Time) float64 {
-	return max(math.Floor(b.Total/float64(b.parts(now))), 1)
+// Share returns how many retries this sender may make, at least one, given the number of senders;
+// 0 means that it is not known.
+func (b *Burst) Share(senders int, now time.Time) float64 {
+	return max(math.Floor(b.Total/float64(b.parts(senders, now))), 1)
 }
 
 // parts returns the number of equal parts that Total is divided into.
-func (b *Burst) parts(now time.Time) int {
-	senders := max(b.most[0], b.most[1])
+func (b *Burst) parts(senders int, now time.Time) int {
 	if senders == 0 {
 		return unknownSenders
 	}
--- a/core/request/retry/burst_test.go
+++ b/core/request/retry/burst_test.go
@@ -28,8 +28,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			b := Burst{Total: tt.total, Window: burstWindow, StartedAt: now.Add(-tt.age)}
-			b.Report(tt.senders, now)
-			is.Equal(b.Share(now), tt.want)
+			is.Equal(b.Share(tt.senders, now), tt.want)
 		})
 	}
 }
@@ -40,8 +39,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	b := Burst{Total: 90, Window: burstWindow}
-	b.Report(2, now)
-	budgets := NewBudgets(Limits{Ratio: 0.17, KeyBurst: b.Share(now), Window: burstWindow})
+	budgets := NewBudgets(Limits{Ratio: 0.17, KeyBurst: b.Share(2, now), Window: burstWindow})
 	g := budgets.For(Key{"pool", "pool"})
 	for range 12 {
 		is.True(g.Take(now))
@@ -55,25 +53,7 @@
 	now := time.Unix(1000, 0)
 	for senders := 1; senders <= minSenders/lives; senders++ {
 		before := Burst{Total: 90, Window: burstWindow}
-		before.Report(senders, now)
 		after := Burst{Total: 90, Window: burstWindow, StartedAt: now}
-		after.Report(senders, now)
-		is.True(float64(senders)*(before.Share(now)+after.Share(now)) <= 90)
+		is.True(float64(senders)*(before.Share(senders, now)+after.Share(senders, now)) <= 90)
 	}
 }
-
-// Guards against a share that grows because senders that restart are not counted.
-func TestSendersThatRestartStayCounted(t *testing.T) {
-	is := is.New(t)
-	now := time.Unix(1000, 0)
-	b := Burst{Total: 264, Window: burstWindow}
-	b.Report(53, now)
-	for at := time.Duration(0); at < burstWindow; at += 200 * time.Millisecond {
-		b.Report(3, now.Add(at))
-		is.Equal(b.Share(now.Add(at)), 4.0)
-	}
-	b.Report(3, now.Add(burstWindow))
-	is.Equal(b.Share(now.Add(burstWindow)), 4.0)
-	b.Report(3, now.Add(2*burstWindow))
-	is.Equal(b.Share(now.Add(2*burstWindow)), 44.0)
-}
--- a/gateway/backpressure.go
+++ b/gateway/backpressure.go
@@ -117,6 +117,12 @@
 // It is called with the lock held.
 func (f *fleet) updateThrottled(service string, now time.Time) {
 	unready := f.backpressure.limits.unready(service, now)
+	for _, id := range f.cold.Unready(now) {
+		if unready == nil {
+			unready = map[string]bool{}
+		}
+		unready[id] = true
+	}
 	if len(unready) == 0 && len(f.backpressure.throttled) == 0 {
 		return
 	}
@@ -173,7 +179,7 @@
 			continue
 		}
 		some = true
-		f.backpressure.limits.addTo(&o, id, f.backpressure.paused[id], now)
+		f.addAvailability(&o, id, now)
 	}
 	return o, some
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -14,6 +14,7 @@
 	"verbenashift/core/configuration/mirror"
 	"verbenashift/core/membership/health"
 	"verbenashift/core/plumbing/tcp"
+	"verbenashift/core/request/coldstart"
 	"verbenashift/core/request/route"
 	"verbenashift/gateway/crash"
 	"verbenashift/gateway/upstream"
@@ -50,6 +51,12 @@
 	// crashes distinguishes crashed targets from answers that merely broke off.
 	crashes      *crash.Detector
 	backpressure backpressure
+	// services holds the services of the configuration by name.
+	services map[string]deployment.Service
+	// cold limits the requests to cold targets; coldFactor and coldSlack are what these tolerate
+	// beyond their rate.
+	cold                  *coldstart.Tracker
+	coldFactor, coldSlack float64
 	// cost is the moving mean of the requests' costs in tokens.
 	cost float64
 }
@@ -94,6 +101,7 @@
 		reportedGroups: map[string]string{},
 		rng:            newRand(),
 		backpressure:   newBackpressure(instance, log),
+		cold:           coldstart.NewTracker(instance),
 		streams:        newActiveStreams(), pendingRequests: newPendingRequests(), shareSuspicion: func(suspicion) {}, suspicions: health.Suspicions{ReturnOrder: rand.Float64()},
 	}
 }
@@ -111,14 +119,21 @@
 func (f *fleet) update(v *mirror.Snapshot) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now, first := time.Now(), f.services == nil
 	f.drop(v.Targets)
+	f.services = servicesOf(v.Config)
+	f.markRestored(v.Evacuated, now)
 	f.evacuated = v.Evacuated
 	metricEvacuated.Set(int64(len(v.Evacuated)))
 	targets := make([]route.Target, 0, len(v.Targets))
 	for id, t := range v.Targets {
 		if f.targetStates[id] == nil {
 			f.targetStates[id] = &targetState{Target: t, pool: upstream.NewPool(t.Addr.String(), tcp.Dial, answersTo)}
+			if !first {
+				f.markCold(&t, f.services[t.Service].ColdStart, now)
+			}
 		}
+		f.markCold(&t, t.ColdFor, now)
 		f.targetStates[id].Target = t
 		targets = append(targets, f.routed(&t))
 	}
@@ -148,6 +163,7 @@
 		delete(f.pendingRequests.targets, id)
 		f.suspicions.Drop(id)
 		f.backpressure.drop(id, t.StartedAt, ok)
+		f.cold.Remove(id)
 		if i, known := f.table.Lookup(id); ok && known {
 			f.table.Restarted(i)
 		}
@@ -286,6 +302,7 @@
 	age := f.table.LoadAge(i, now)
 	f.table.Start(i, q.Cost, now)
 	f.backpressure.limits.recordSent(p.ID, now)
+	f.cold.RecordSent(p.ID, now)
 	f.cost += (q.Cost - f.cost) * costGain
 	return activeAttempt{index: i, cost: q.Cost, started: now, target: p, seen: p.Target, loadAge: age}, true
 }
@@ -310,6 +327,7 @@
 	}
 	if !a.Misdirected {
 		f.applyBackpressure(s, a, now)
+		f.markCold(&s.seen, a.ColdFor, now)
 	}
 	if a.Load != nil {
 		f.table.Observe(s.index, route.Load{
--- a/gateway/retry_share_test.go
+++ b/gateway/retry_share_test.go
@@ -19,7 +19,8 @@
 	bounds := boot.Bounds{RetryRatio: 0.2, RetryBurst: burst, RetryWindow: 10 * time.Second}
 	now := time.Now()
 	r.gateway.burst = newBurst(boot.Settings{Bounds: bounds}, now)
-	r.gateway.budgets = retry.NewBudgets(retryLimits(bounds, r.gateway.burst.Share(now)))
+	r.gateway.senders.Window = bounds.RetryWindow
+	r.gateway.budgets = retry.NewBudgets(retryLimits(bounds, r.gateway.burst.Share(0, now)))
 	left := func() float64 { return r.gateway.retriesLeft("pool") }
 	r.True(left()*all <= burst)
 	r.gateway.shareRetries(all, now)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -17,6 +17,7 @@
 	"verbenashift/core/configuration/mirror"
 	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/membership/health"
+	"verbenashift/core/membership/senders"
 	"verbenashift/core/plumbing/boot"
 	"verbenashift/core/plumbing/instance"
 	"verbenashift/core/plumbing/pause"
@@ -42,9 +43,11 @@
 
 	mu sync.Mutex
 	// rng is separate from the fleet's, which another lock guards.
-	rng             *rand.Rand
-	budgets         *retry.Budgets
-	burst           retry.Burst
+	rng     *rand.Rand
+	budgets *retry.Budgets
+	burst   retry.Burst
+	// senders counts the gateways.
+	senders         senders.Count
 	returnScheduler retry.ReturnScheduler
 	digests         *digests
 	// isolator quarantines requests that crash their targets.
@@ -61,15 +64,16 @@
 	boot, log, now := env.Boot, env.Log, time.Now()
 	burst := newBurst(boot, now)
 	g := &gateway{
-		log: log, tracer: tracer, rng: newRand(), burst: burst, started: now,
+		log: log, tracer: tracer, rng: newRand(), burst: burst, senders: senders.Count{Window: boot.Bounds.RetryWindow}, started: now,
 		startup:         startup.New(),
 		fleet:           newFleet(boot.Instance, boot.Zone, log),
-		budgets:         retry.NewBudgets(retryLimits(boot.Bounds, burst.Share(now))),
+		budgets:         retry.NewBudgets(retryLimits(boot.Bounds, burst.Share(0, now))),
 		isolator:        newIsolator(boot.Instance, store, log),
 		suspicions:      newSuspicionExchange(boot.Instance, store, log),
 		admitters:       map[string]*admitter{},
 		returnDetectors: map[string]*retry.ReturnDetector{},
 	}
+	g.fleet.coldFactor, g.fleet.coldSlack = boot.Bounds.ColdFactor, boot.Bounds.ColdSlack
 	g.suspicions.report = g.fleet.addSuspicion
 	g.fleet.shareSuspicion = g.suspicions.share
 	g.fleet.backpressure.limits.store = store
@@ -104,12 +108,20 @@
 // shareRetries records the number of gateways, as counted by those that poll a coordinator
 // and its relays.
 func (g *gateway) shareRetries(among int, now time.Time) {
+	if among <= 0 {
+		return
+	}
+	// The fleet's lock is taken before the gateway's elsewhere.
+	g.fleet.setSenders(g.countSenders(among, now))
+}
+
+// countSenders records the number of gateways and returns the one to use.
+func (g *gateway) countSenders(among int, now time.Time) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if among > 0 {
-		g.burst.Report(among, now)
-		g.budgets.SetKeyBurst(g.burst.Share(now))
-	}
+	g.senders.Report(among, now)
+	g.budgets.SetKeyBurst(g.burst.Share(g.senders.Value(), now))
+	return g.senders.Value()
 }
 
 // update applies a new view of the store: configuration and targets together.
--- a/standin/scripted/scripted.go
+++ b/standin/scripted/scripted.go
@@ -182,6 +182,9 @@
 // Limited sends a complete response with the server's limit in requests a second.
 func (x *Exchange) Limited(rate, body string) { x.respondWith("Server-Limit: "+rate, body) }
 
+// Cold responds that the server is cold for some milliseconds more.
+func (x *Exchange) Cold(ms, body string) { x.respondWith("X-Cold-Ms: "+ms, body) }
+
 // Leaving sends a complete response that announces the server's shutdown.
 func (x *Exchange) Leaving(body string) { x.respondWith("Server-Leaving: 1", body) }
 
