Few gateways of a zone watch the store for the others

Cause: each change of the store wakes each gateway's watch, so that calls grow with gateways times changes. Change: gateways offer an address in their requests for digests; relays report the first of each zone to their coordinator, which names two of each zone in its digest where a zone has eight gateways or more. These watch the store and serve its changes (core/configuration/changefeed); the others follow one of their own zone. A feed is left for another one, and then for the store, if it fails, lacks a change, misses one that hints name, or if the store has not confirmed its state for one watch. Without hints nobody follows a feed. What remains grows with zones times changes.

--- /dev/null
+++ b/core/configuration/mirror/feeds_test.go
@@ -0,0 +1,158 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenashift/core/configuration/kv"
+	"verbenashift/core/plumbing/pause"
+)
+
+// scriptedFeed is a feed whose answers a test defines.
+type scriptedFeed struct {
+	addr  string
+	watch func(after int64) (kv.Page, time.Duration, error)
+	calls *atomic.Int64
+}
+
+func (s *scriptedFeed) Addr() string { return s.addr }
+func (s *scriptedFeed) Close()       {}
+
+func (s *scriptedFeed) Watch(ctx context.Context, after int64, wait time.Duration) (kv.Page, time.Duration, error) {
+	s.calls.Add(1)
+	page, age, err := s.watch(after)
+	for end := time.Now().Add(wait); err == nil && len(page.Items) == 0 && time.Now().Before(end); {
+		if !pause.For(ctx, 10*time.Millisecond) {
+			return page, age, ctx.Err()
+		}
+		page, age, err = s.watch(after)
+	}
+	return page, age, err
+}
+
+// followFeeds runs a Follower of two feeds with the same answers, while hints name a revision. It
+// returns the Follower and counts of the store's and the feeds' watches.
+func followFeeds(t *testing.T, hinted *atomic.Int64, watch func(after int64) (kv.Page, time.Duration, error)) (f *Follower, ofStore, ofFeeds *atomic.Int64) {
+	t.Helper()
+	ofStore, ofFeeds = new(atomic.Int64), new(atomic.Int64)
+	store := &script{
+		rangeOf: func(prefix string) (kv.Page, error) {
+			if prefix == testOperatorPrefix {
+				return kv.Page{Items: []kv.Item{config(3)}, Revision: 5}, nil
+			}
+			return kv.Page{Revision: 5}, nil
+		},
+		watch: func(after int64) (kv.Page, error) {
+			ofStore.Add(1)
+			if now := hinted.Load(); now > after {
+				return kv.Page{Items: []kv.Item{entry("s", "10.0.0.1:80", "ready", now)}, Revision: now}, nil
+			}
+			return kv.Page{Revision: after}, nil
+		},
+	}
+	f = NewFollower(store, testFormats(), quiet())
+	f.feeds.dial = func(addr string) feedClient {
+		return &scriptedFeed{addr, func(after int64) (kv.Page, time.Duration, error) {
+			return watch(after)
+		}, ofFeeds}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	f.SetFeeds([]string{"a", "b"}, false)
+	go func() {
+		for pause.For(ctx, 200*time.Millisecond) {
+			f.Hint(hinted.Load(), false)
+		}
+	}()
+	go f.Run(ctx)
+	return f, ofStore, ofFeeds
+}
+
+// Guards against calls to the store for each change by each process.
+func TestChangesComeFromAFeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var revision atomic.Int64
+		revision.Store(5)
+		f, ofStore, ofFeeds := followFeeds(t, &revision, func(after int64) (kv.Page, time.Duration, error) {
+			if now := revision.Load(); now > after {
+				return kv.Page{Items: []kv.Item{entry("s", "10.0.0.1:80", "ready", now)}, Revision: now}, 0, nil
+			}
+			return kv.Page{Revision: after}, 0, nil
+		})
+		time.Sleep(15 * time.Second) // the watch that was begun before the first hint has ended
+		before := ofStore.Load()
+		for range 60 {
+			revision.Add(1)
+			time.Sleep(time.Second)
+		}
+		is.Equal(ofStore.Load(), before)
+		is.True(ofFeeds.Load() >= 30)
+		is.Equal(len(f.Snapshot().Targets), 1)
+		is.True(f.Age() <= watchWait+time.Second)
+	})
+}
+
+// Guards against a process that goes on with an old state because its feed is dead, lacks a change,
+// misses one without noticing, or has itself lost the store.
+func TestFailingFeedsAreLeft(t *testing.T) {
+	for name, watch := range map[string]func(after int64) (kv.Page, time.Duration, error){
+		"dead":               func(int64) (kv.Page, time.Duration, error) { return kv.Page{}, 0, errors.New("refused") },
+		"lacks a change":     func(int64) (kv.Page, time.Duration, error) { return kv.Page{}, 0, &kv.StatusError{Status: 410} },
+		"misses a change":    func(after int64) (kv.Page, time.Duration, error) { return kv.Page{Revision: after}, 0, nil },
+		"has lost the store": func(after int64) (kv.Page, time.Duration, error) { return kv.Page{Revision: after}, time.Minute, nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var revision atomic.Int64
+				revision.Store(5)
+				f, _, _ := followFeeds(t, &revision, watch)
+				time.Sleep(15 * time.Second)
+				for range 5 {
+					revision.Add(1)
+					time.Sleep(5 * time.Second)
+					is.True(f.event.Load() >= revision.Load())
+				}
+			})
+		})
+	}
+}
+
+// Guards against feeds that are followed while nobody tells whether they miss a change.
+func TestFeedsNeedHints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var none atomic.Int64
+		_, ofStore, ofFeeds := followFeeds(t, &none, func(after int64) (kv.Page, time.Duration, error) {
+			return kv.Page{Revision: after}, 0, nil
+		})
+		time.Sleep(10 * time.Second)
+		is.Equal(ofFeeds.Load(), int64(0))
+		is.True(ofStore.Load() > 2)
+	})
+}
+
+// Guards against a process that follows others although they rely on it.
+func TestAFeedWatchesTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var revision atomic.Int64
+		revision.Store(5)
+		f, ofStore, ofFeeds := followFeeds(t, &revision, func(after int64) (kv.Page, time.Duration, error) {
+			return kv.Page{Revision: after}, 0, nil
+		})
+		f.SetFeeds([]string{"a", "b"}, true)
+		time.Sleep(15 * time.Second)
+		before := ofStore.Load()
+		time.Sleep(10 * time.Second)
+		is.True(ofStore.Load() > before)
+		is.Equal(ofFeeds.Load(), int64(0))
+	})
+}
--- a/core/configuration/mirror/follower.go
+++ b/core/configuration/mirror/follower.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"verbenashift/core/configuration/changefeed"
 	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/configuration/kv"
 	"verbenashift/core/experts/rankpeer"
@@ -72,6 +73,9 @@
 	event atomic.Int64
 	// pause is the batch delay after the next changes.
 	pause time.Duration
+	// feeds are where changes come from in place of the store; feed serves them to others.
+	feeds feeds
+	feed  changefeed.Feed
 }
 
 // NewFollower returns a Follower that does nothing before Run.
@@ -124,7 +128,10 @@
 // Snapshot returns the newest snapshot, or nil before the first configuration.
 func (f *Follower) Snapshot() *Snapshot { return f.snapshot.Load() }
 
-// Age is how long ago the store last answered.
+// confirmed returns when the store has last confirmed the state.
+func (f *Follower) confirmed() time.Time { return f.started.Add(time.Duration(f.lastAnswer.Load())) }
+
+// Age is how long ago the store last answered, this process or the feed that it follows.
 func (f *Follower) Age() time.Duration {
 	return time.Since(f.started) - time.Duration(f.lastAnswer.Load())
 }
@@ -146,7 +153,6 @@
 			f.publish()
 		}
 		if err == nil {
-			f.storeAnswered()
 			next = firstPause
 			continue
 		}
@@ -160,14 +166,36 @@
 	}
 }
 
-// watch waits for changes once. It reports false if everything must be read
-// again.
+// watch waits for changes once, from a feed if there is one. It reports false if everything must be
+// read again.
 func (f *Follower) watch(ctx context.Context) (bool, error) {
-	began := time.Now()
-	wait := f.hints.wait(began)
-	if due, ok := f.mirror.NextExpiry(began); ok {
+	now := time.Now()
+	if c := f.feeds.next(now); c != nil && f.hints.fresh(now) {
+		f.feed.Stop()
+		f.watchFeed(ctx, c)
+		return true, nil
+	}
+	return f.watchStore(ctx)
+}
+
+// wait returns how long a watch that begins now may wait, given the longest time.
+func (f *Follower) wait(longest time.Duration, now time.Time) time.Duration {
+	if due, ok := f.mirror.NextExpiry(now); ok {
 		// Removing a target that left during an outage must not wait for a long watch.
-		wait = min(wait, due+time.Millisecond)
+		return min(longest, due+time.Millisecond)
+	}
+	return longest
+}
+
+// watchStore waits for changes of the store once. It reports false if everything must be read
+// again.
+func (f *Follower) watchStore(ctx context.Context) (bool, error) {
+	began := time.Now()
+	wait := f.wait(f.hints.wait(began), began)
+	if f.feeds.serves() {
+		f.feed.Start(f.mirror.Revision(), f.confirmed())
+	} else {
+		f.feed.Stop()
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+responseTimeout)
 	defer cancel()
@@ -188,11 +216,8 @@
 		// events show it, unless the outage was long.
 		return !f.outage(), err
 	}
-	if f.mirror.Apply(page.Items, page.Revision) {
-		f.publish()
-	}
-	f.notify(page.Items, false)
-	f.recordSeen(page.Items)
+	f.feed.Record(page.Items, page.Revision, time.Now())
+	f.apply(&page, time.Now())
 	if len(page.Items) > 0 {
 		// Servers that start or leave together are reported in one call.
 		if time.Since(began) >= batchResetAfter || f.pause == 0 {
@@ -204,8 +229,18 @@
 	return true, nil
 }
 
-// readAll reads all prefixes. The watch continues from the revision of the first
-// page, because the pages are not a consistent snapshot.
+// apply applies the changes of an answer that the store confirmed at a time.
+func (f *Follower) apply(page *kv.Page, confirmed time.Time) {
+	if f.mirror.Apply(page.Items, page.Revision) {
+		f.publish()
+	}
+	f.notify(page.Items, false)
+	f.recordSeen(page.Items)
+	f.storeAnswered(confirmed)
+}
+
+// readAll reads all prefixes. The watch continues from the lowest revision of the pages, because
+// they are not a consistent snapshot.
 func (f *Follower) readAll(ctx context.Context) error {
 	var all []kv.Item
 	from := int64(-1)
@@ -214,33 +249,35 @@
 		if err != nil {
 			return err
 		}
-		if from < 0 {
+		if from < 0 || asOf < from {
 			from = asOf
 		}
 		all = append(all, list...)
 	}
+	f.feed.Reset(from)
 	if f.mirror.Replace(all, from, f.outage(), time.Now()) {
 		f.publish()
 	}
 	f.notify(all, true)
 	f.recordSeen(all)
+	f.storeAnswered(time.Now())
 	return nil
 }
 
 func (f *Follower) readPrefix(ctx context.Context, prefix string) ([]kv.Item, int64, error) {
 	var all []kv.Item
-	after, first := "", int64(-1)
+	after, lowest := "", int64(-1)
 	for {
 		page, err := f.page(ctx, prefix, after)
 		if err != nil {
 			return nil, 0, err
 		}
-		if first < 0 {
-			first = page.Revision
+		if lowest < 0 || page.Revision < lowest {
+			lowest = page.Revision
 		}
 		all = append(all, page.Items...)
 		if !page.More || len(page.Items) == 0 {
-			return all, first, nil
+			return all, lowest, nil
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
@@ -268,8 +305,9 @@
 	}
 }
 
-func (f *Follower) storeAnswered() {
-	f.lastAnswer.Store(int64(time.Since(f.started)))
+// storeAnswered records that the store has confirmed the state at a time.
+func (f *Follower) storeAnswered(at time.Time) {
+	f.lastAnswer.Store(max(f.lastAnswer.Load(), int64(at.Sub(f.started))))
 	if !f.unreachableSince.IsZero() {
 		f.log.Info("store answers again", "after-ms", time.Since(f.unreachableSince).Milliseconds())
 		f.unreachableSince = time.Time{}
@@ -278,7 +316,7 @@
 
 func (f *Follower) storeFailed(err error) {
 	if f.unreachableSince.IsZero() {
-		f.unreachableSince = f.started.Add(time.Duration(f.lastAnswer.Load()))
+		f.unreachableSince = f.confirmed()
 		f.log.Warn("store does not answer", "error", err.Error())
 		for _, fn := range f.onUnreachable {
 			fn()
--- a/core/configuration/mirror/hints.go
+++ b/core/configuration/mirror/hints.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// fresh reports whether others report the store's revision.
+func (h *hints) fresh(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.receivedAt.IsZero() && now.Sub(h.receivedAt) < hintTTL
+}
+
 // wait returns how long a watch that begins now waits.
 func (h *hints) wait(now time.Time) time.Duration {
 	h.mu.Lock()
@@ -148,6 +155,6 @@
 // that this process is one of the few that the hints come from.
 func (f *Follower) Hint(event int64, short bool) {
 	if event > 0 {
-		f.hints.receive(event, short, time.Now())
+		f.hints.receive(event, short || f.feeds.serves(), time.Now())
 	}
 }
--- a/core/experts/rankpeer/rankpeer.go
+++ b/core/experts/rankpeer/rankpeer.go
@@ -32,6 +32,12 @@
 	Gateway string
 	Event   int64
 	Gap     time.Duration
+	// Zone is the gateway's availability zone, and Feed the address at which it can serve the
+	// store's changes to others, or empty. FeedList is the number of the list of feeds that the
+	// sender has from this agent.
+	Zone     string
+	Feed     string
+	FeedList uint64
 	// Word identifies the group and the coordinator that sends the request. In a request
 	// for a digest only the name of the group is used.
 	Word lockstep.Announcement
@@ -88,6 +94,11 @@
 	Gateways int
 	Event    int64
 	Gap      time.Duration
+	// Feeds are candidates among these gateways; see FirstFeeds. FeedList is the number of that
+	// list, or of the one in the digests that a relay has received. Feeds is left out if the
+	// sender has that list.
+	Feeds    []Feed
+	FeedList uint64
 	// ShortWatch tells the requesting gateway that others rely on it to see store changes
 	// promptly.
 	ShortWatch bool
@@ -122,6 +133,10 @@
 	// Gateways is the number of gateways that request this digest, here or at the relays.
 	// What they share, such as a budget of retries, is divided by it.
 	Gateways int
+	// Feeds are the gateways that watch the store for others, or nil. FeedList is their number,
+	// and Feeds is left out if the requester has that list.
+	Feeds    []Feed
+	FeedList uint64
 	// Relays are the addresses of the agents that also serve this digest. It is empty in
 	// groups whose coordinator answers gateways itself.
 	Relays []string
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -12,9 +12,12 @@
 // metricCold counts how often a target was found to be cold.
 var metricCold = expvar.NewInt("targets-cold")
 
-// servicesOf returns the services of a configuration by name.
+// servicesOf returns the services of a configuration, if there is one, by name.
 func servicesOf(cfg *deployment.Config) map[string]deployment.Service {
-	services := make(map[string]deployment.Service, len(cfg.Services))
+	services := map[string]deployment.Service{}
+	if cfg == nil {
+		return services
+	}
 	for _, s := range cfg.Services {
 		services[s.Name] = s
 	}
--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -40,8 +40,10 @@
 	instance string
 	event    func() int64
 	hint     func(event int64, short bool)
-	log      *slog.Logger
-	use      func(*rankpeer.Digest, time.Time)
+	// feeds chooses the feeds of the store's changes.
+	feeds *feedChooser
+	log   *slog.Logger
+	use   func(*rankpeer.Digest, time.Time)
 
 	mu sync.Mutex
 	// coordinators holds the addresses of the coordinators, by group.
@@ -60,7 +62,7 @@
 }
 
 func newDigests(instance string, log *slog.Logger, use func(*rankpeer.Digest, time.Time)) *digests {
-	return &digests{instance: instance, event: func() int64 { return 0 }, hint: func(int64, bool) {}, gaps: map[string]time.Duration{}, log: log, use: use, coordinators: map[string]string{}, last: map[string]digestVersion{}}
+	return &digests{instance: instance, feeds: newFeedChooser(instance, "", ""), event: func() int64 { return 0 }, hint: func(int64, bool) {}, gaps: map[string]time.Duration{}, log: log, use: use, coordinators: map[string]string{}, last: map[string]digestVersion{}}
 }
 
 // update applies the addresses of the coordinators in a new view of the store.
@@ -169,7 +171,7 @@
 	var list rankpeer.Digest
 	received := false
 	for ctx.Err() == nil {
-		resp, err := d.fetchDigest(ctx, from.client, group, list.List)
+		resp, err := d.fetchDigest(ctx, from.client, group, &list)
 		now := time.Now()
 		ok := err == nil && resp.Digest != nil && complete(resp.Digest, &list) && d.isCurrent(group, resp.Digest)
 		if ok {
@@ -177,6 +179,7 @@
 			ok = resp.Digest.Age <= maxDigestAge || len(from.relays) == 0
 		}
 		if ok {
+			d.feeds.report(group, resp.Digest.Feeds, now)
 			d.hint(resp.Digest.Event, resp.ShortWatch)
 			d.use(resp.Digest, now.Add(-resp.Digest.Age))
 		}
@@ -193,13 +196,16 @@
 	}
 }
 
-// complete fills in the list of targets if the coordinator has omitted it, and stores a new
-// one in list. It reports false if the digest does not match its list.
+// complete fills in the lists of targets and feeds if the coordinator has omitted them, and stores
+// new ones in list. It reports false if the digest does not match its list.
 func complete(d, list *rankpeer.Digest) bool {
 	if d.Targets == nil && d.List == list.List {
 		d.Targets = list.Targets
 	}
-	list.List, list.Targets = d.List, d.Targets
+	if d.Feeds == nil && d.FeedList == list.FeedList {
+		d.Feeds = list.Feeds
+	}
+	list.List, list.Targets, list.FeedList, list.Feeds = d.List, d.Targets, d.FeedList, d.Feeds
 	n := len(d.Targets)
 	return len(d.Running) == n && len(d.Queued) == n && len(d.Pace) == n
 }
@@ -226,10 +232,13 @@
 	return true
 }
 
-func (d *digests) fetchDigest(ctx context.Context, client *rankpeer.Client, group string, list uint64) (rankpeer.Response, error) {
+func (d *digests) fetchDigest(ctx context.Context, client *rankpeer.Client, group string, list *rankpeer.Digest) (rankpeer.Response, error) {
 	if err := client.Connect(ctx, digestTimeout); err != nil {
 		return rankpeer.Response{}, err
 	}
-	req := rankpeer.Request{Digest: true, List: list, Gateway: d.instance, Event: d.event(), Gap: d.gap(group), Word: lockstep.Announcement{Group: engine.GroupID{Name: group}}}
+	req := rankpeer.Request{
+		Digest: true, List: list.List, Gateway: d.instance, Event: d.event(), Gap: d.gap(group), Word: lockstep.Announcement{Group: engine.GroupID{Name: group}},
+		Zone: d.feeds.zone, Feed: d.feeds.offer(), FeedList: list.FeedList,
+	}
 	return client.Do(req, digestTimeout)
 }
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -28,7 +28,7 @@
 }
 
 func build(instance.Env) fx.Option {
-	return fx.Options(fx.Provide(newTracer, newStore, newGateway, newFollower), fx.Invoke(follow, answerReady, serve))
+	return fx.Options(fx.Provide(newTracer, newStore, newGateway, newFollower), fx.Invoke(serveFeed, follow, answerReady, serve))
 }
 
 func newStore(env instance.Env) *platform.Store { return platform.NewStore(env.Boot.Store.Addr) }
--- a/sidecar/branch.go
+++ b/sidecar/branch.go
@@ -36,6 +36,8 @@
 	report gatewayReport
 	// digestList is the hash of the list of targets that the relay has.
 	digestList uint64
+	// feedList is the number of the list of feeds that the relay has.
+	feedList uint64
 }
 
 // id returns the target next to which the relay runs.
@@ -66,7 +68,7 @@
 	for _, members := range parts {
 		b := &branch{members: members, list: listHash(members), relay: co.chooseRelay(members, old)}
 		if before := old[members[b.relay]]; before != nil {
-			b.link, b.digestList = before.link, before.digestList
+			b.link, b.digestList, b.feedList = before.link, before.digestList, before.feedList
 			b.listKnown = before.listKnown && before.list == b.list
 			delete(old, members[b.relay])
 		} else {
@@ -144,7 +146,8 @@
 	}
 	b.link.close()
 	b.relay = (b.relay + 1) % len(b.members)
-	b.link, b.listKnown, b.digestList = co.linkOf(b.members[b.relay], b.members), false, 0
+	b.link, b.listKnown, b.digestList, b.feedList = co.linkOf(b.members[b.relay], b.members), false, 0, 0
+	b.report.feeds, b.report.feedList = nil, 0
 	co.log.Info("relay chosen", "target", b.id(), "members", len(b.members))
 	co.assignTurns()
 	co.logRelays()
@@ -231,6 +234,18 @@
 	gateways int
 	event    int64
 	gap      time.Duration
+	// feeds are the candidates for feeds among them, and feedList the number of that list.
+	feeds    []rankpeer.Feed
+	feedList uint64
+}
+
+// reportOf returns the report of a relay whose last one is given.
+func reportOf(resp *rankpeer.Response, last *gatewayReport) gatewayReport {
+	r := gatewayReport{resp.Gateways, resp.Event, resp.Gap, resp.Feeds, resp.FeedList}
+	if resp.FeedList == last.feedList {
+		r.feeds = last.feeds
+	}
+	return r
 }
 
 // queryBranch queries the relay, again if it lacks the list of its members.
@@ -239,6 +254,7 @@
 	if b.single() {
 		wait = responseWait
 	}
+	req.FeedList = b.report.feedList
 	resp, err := b.link.query(ctx, req, wait)
 	if err == nil && resp.Branch != nil && resp.Branch.NeedMembers {
 		again := *req.Branch
@@ -246,7 +262,7 @@
 		req.Branch = &again
 		resp, err = b.link.query(ctx, req, wait)
 	}
-	out := branchResult{refused: resp.Refused, term: resp.Term, report: gatewayReport{resp.Gateways, resp.Event, resp.Gap}}
+	out := branchResult{refused: resp.Refused, term: resp.Term, report: reportOf(&resp, &b.report)}
 	if err != nil {
 		out.failed = true
 		return out
--- a/sidecar/digest.go
+++ b/sidecar/digest.go
@@ -15,7 +15,7 @@
 // digest returns the digest of a group for a gateway, or nil if this agent is not its
 // coordinator and has no recent digest of it. The targets are left out if the gateway has the
 // list.
-func (a *agent) digest(group string, list uint64) *rankpeer.Digest {
+func (a *agent) digest(group string, list, feedList uint64) *rankpeer.Digest {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.groupDigest == nil || a.groupDigest.Group.Name != group {
@@ -29,6 +29,9 @@
 	if d.List == list {
 		d.Targets = nil
 	}
+	if d.FeedList == feedList {
+		d.Feeds = nil
+	}
 	return &d
 }
 
@@ -43,20 +46,27 @@
 	a.groupDigest, a.digestAt, a.coordinating = d, time.Now(), d != nil
 }
 
-// storeDigest stores a coordinator's digest for gateways, and returns the hash of the list of
-// targets that this agent has then, or 0 if it lacks the list.
-func (a *agent) storeDigest(d *rankpeer.Digest) uint64 {
+// storeDigest stores a coordinator's digest for gateways, and returns the numbers of the lists of
+// targets and of feeds that this agent has then, or 0 for a list that it lacks.
+func (a *agent) storeDigest(d *rankpeer.Digest) (list, feedList uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	v := *d
 	if v.Targets == nil {
 		if a.groupDigest == nil || a.groupDigest.List != v.List {
-			return 0
+			return 0, 0
 		}
 		v.Targets = a.groupDigest.Targets
 	}
+	if v.Feeds == nil && v.FeedList != 0 {
+		if a.groupDigest != nil && a.groupDigest.FeedList == v.FeedList {
+			v.Feeds = a.groupDigest.Feeds
+		} else {
+			v.FeedList = 0
+		}
+	}
 	a.groupDigest, a.digestAt = &v, time.Now().Add(-d.Age)
-	return v.List
+	return v.List, v.FeedList
 }
 
 // shortWatchers is how many gateways are relied on to see changes of the store soon: with three,
@@ -67,7 +77,7 @@
 // store.
 func (a *agent) answerDigest(req *rankpeer.Request, now time.Time) rankpeer.Response {
 	a.gateways.record(req, now)
-	resp := rankpeer.Response{Group: a.membership().Group, Term: a.highestTerm(), Digest: a.digest(req.Word.Group.Name, req.List)}
+	resp := rankpeer.Response{Group: a.membership().Group, Term: a.highestTerm(), Digest: a.digest(req.Word.Group.Name, req.List, req.FeedList)}
 	if d := resp.Digest; d != nil {
 		d.Event = max(d.Event, a.gateways.newestEvent(now))
 		resp.ShortWatch = a.gateways.amongFirst(req.Gateway, a.shortWatcherCount(d), now)
@@ -97,7 +107,7 @@
 // sendDigests sends the digest to the relays, from which gateways request it: answering each of
 // many gateways itself would take a large part of the coordinator's link.
 func (co *coordinator) sendDigests(ctx context.Context, now time.Time) {
-	d := co.digest(co.group.Name, 0)
+	d := co.digest(co.group.Name, 0, 0)
 	if d == nil || len(d.Relays) == 0 || now.Sub(co.digestsSentAt) < digestInterval {
 		return
 	}
@@ -111,12 +121,15 @@
 		if b.digestList == v.List {
 			v.Targets = nil
 		}
+		if b.feedList == v.FeedList {
+			v.Feeds = nil
+		}
 		req := rankpeer.Request{Word: co.announcement(), Held: co.holding, View: &v}
 		wg.Go(func() {
 			resp, err := b.link.query(ctx, req, digestWait)
-			b.digestList = 0
+			b.digestList, b.feedList = 0, 0
 			if err == nil {
-				b.digestList = resp.List
+				b.digestList, b.feedList = resp.List, resp.FeedList
 			}
 		})
 	}
--- a/sidecar/gateways.go
+++ b/sidecar/gateways.go
@@ -21,7 +21,7 @@
 // of the store. The zero value has none. It is safe for concurrent use.
 type gateways struct {
 	mu       sync.Mutex
-	lastPoll map[string]time.Time
+	lastPoll map[string]gatewayPoll
 	// event is the newest change of the store that a gateway has reported, at eventAt; gap the
 	// longest gap between events that callers are to see, or 0.
 	event   int64
@@ -29,15 +29,21 @@
 	gap     time.Duration
 }
 
+// gatewayPoll is the last poll of a gateway.
+type gatewayPoll struct {
+	at         time.Time
+	zone, feed string
+}
+
 // record records a gateway's request for a digest.
 func (g *gateways) record(req *rankpeer.Request, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.lastPoll == nil {
-		g.lastPoll = map[string]time.Time{}
+		g.lastPoll = map[string]gatewayPoll{}
 	}
-	if len(g.lastPoll) < maxGateways || !g.lastPoll[req.Gateway].IsZero() {
-		g.lastPoll[req.Gateway] = now
+	if _, known := g.lastPoll[req.Gateway]; known || len(g.lastPoll) < maxGateways {
+		g.lastPoll[req.Gateway] = gatewayPoll{now, req.Zone, req.Feed}
 	}
 	if req.Event > 0 && (req.Event >= g.event || now.Sub(g.eventAt) > eventMaxAge) {
 		g.event, g.eventAt = req.Event, now
@@ -57,8 +63,8 @@
 
 // expire removes the gateways that have stopped polling. The lock must be held.
 func (g *gateways) expire(now time.Time) {
-	for gateway, at := range g.lastPoll {
-		if now.Sub(at) > gatewayPollMaxAge {
+	for gateway, poll := range g.lastPoll {
+		if now.Sub(poll.at) > gatewayPollMaxAge {
 			delete(g.lastPoll, gateway)
 		}
 	}
@@ -95,3 +101,23 @@
 	}
 	return n > 0
 }
+
+// feeds returns the gateways of each zone that could watch the store for others, with the number of
+// that list. The list is nil if it is the one with the number that is known already.
+func (g *gateways) feeds(known uint64, now time.Time) ([]rankpeer.Feed, uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.expire(now)
+	var candidates []rankpeer.Feed
+	for gateway, poll := range g.lastPoll {
+		if poll.feed != "" {
+			candidates = append(candidates, rankpeer.Feed{Gateway: gateway, Zone: poll.zone, Addr: poll.feed})
+		}
+	}
+	list := rankpeer.FirstFeeds(candidates)
+	number := rankpeer.FeedList(list)
+	if number == known {
+		return nil, number
+	}
+	return list, number
+}
--- a/sidecar/members_test.go
+++ b/sidecar/members_test.go
@@ -153,8 +153,8 @@
 	is.Equal(resp.Status, 0)
 	is.Equal(a.highestTerm(), int64(24))
 	a.setDigest(&rankpeer.Digest{Group: groupG})
-	is.True(a.digest("h", 0) == nil)
-	is.True(a.digest("g", 0) != nil)
+	is.True(a.digest("h", 0, 0) == nil)
+	is.True(a.digest("g", 0, 0) != nil)
 }
 
 // Guards against first maps made from the loads of another group.
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -53,13 +53,17 @@
 		d.Pace = append(d.Pace, uint16(st.Pace*rankpeer.PaceUnit))
 	}
 	d.List = list.Sum64()
+	var candidates []rankpeer.Feed
 	for _, b := range co.branches {
+		candidates = append(candidates, b.report.feeds...)
 		d.Gateways += b.report.gateways
 		d.Event = max(d.Event, b.report.event)
 		if !b.single() {
 			d.Relays = append(d.Relays, b.link.addr.String())
 		}
 	}
+	d.Feeds = rankpeer.ChooseFeeds(candidates, d.Gateways)
+	d.FeedList = rankpeer.FeedList(d.Feeds)
 	return d
 }
 
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -63,7 +63,7 @@
 	if req.View != nil {
 		resp := rankpeer.Response{Refused: a.acceptAnnouncement(req), Group: a.membership().Group, Term: a.highestTerm()}
 		if resp.Refused == lockstep.Accepted {
-			resp.List = a.storeDigest(req.View)
+			resp.List, resp.FeedList = a.storeDigest(req.View)
 		}
 		return resp
 	}
@@ -76,6 +76,7 @@
 	}
 	now := time.Now()
 	resp.Group, resp.Term = a.membership().Group, a.highestTerm()
+	resp.Feeds, resp.FeedList = a.gateways.feeds(req.FeedList, now)
 	resp.Gateways, resp.Event, resp.Gap = a.gateways.count(now), a.gateways.newestEvent(now), a.gateways.longestGap()
 	return resp
 }
