Read old states at the start, and what the number of senders is until it is known

After a gap in the history current states are read as before: there a missing entry counts as removed.

--- a/core/configuration/mirror/follower.go
+++ b/core/configuration/mirror/follower.go
@@ -46,6 +46,8 @@
 // storeReader is the part of the store that a Follower needs.
 type storeReader interface {
 	Range(ctx context.Context, prefix, after string) (kv.Page, error)
+	// StaleRange is a cheaper Range whose state may be seconds old.
+	StaleRange(ctx context.Context, prefix, after string) (kv.Page, error)
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (kv.Page, error)
 }
 
@@ -286,7 +288,12 @@
 func (f *Follower) page(ctx context.Context, prefix, after string) (kv.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, responseTimeout)
 	defer cancel()
-	page, err := f.store.Range(ctx, prefix, after)
+	read := f.store.Range
+	if f.mirror.Revision() == 0 {
+		// Nothing is known yet, and the watch that follows brings what an old state lacks.
+		read = f.store.StaleRange
+	}
+	page, err := read(ctx, prefix, after)
 	count(err)
 	return page, err
 }
--- a/core/configuration/mirror/follower_test.go
+++ b/core/configuration/mirror/follower_test.go
@@ -17,10 +17,21 @@
 // script is a store whose answers a test defines.
 type script struct {
 	rangeOf func(prefix string) (kv.Page, error)
-	watch   func(after int64) (kv.Page, error)
+	// staleRangeOf is rangeOf if it is nil; current counts the reads that were not stale.
+	staleRangeOf func(prefix string) (kv.Page, error)
+	current      atomic.Int64
+	watch        func(after int64) (kv.Page, error)
 }
 
 func (s *script) Range(_ context.Context, prefix, _ string) (kv.Page, error) {
+	s.current.Add(1)
+	return s.rangeOf(prefix)
+}
+
+func (s *script) StaleRange(_ context.Context, prefix, _ string) (kv.Page, error) {
+	if s.staleRangeOf != nil {
+		return s.staleRangeOf(prefix)
+	}
 	return s.rangeOf(prefix)
 }
 
@@ -70,6 +81,45 @@
 	})
 }
 
+// Guards against a state of different ages in which a change is missing, and against old states
+// where entries that are missing count as removed.
+func TestOldStatesAreReadAtTheStartOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		compacted := false
+		s := &script{
+			rangeOf: func(prefix string) (kv.Page, error) {
+				if prefix == testTargetPrefix {
+					return kv.Page{Items: []kv.Item{entry("a", "10.0.0.1:80", "ready", 2), entry("b", "10.0.0.2:80", "ready", 8)}, Revision: 9}, nil
+				}
+				return kv.Page{Revision: 9}, nil
+			},
+			staleRangeOf: func(prefix string) (kv.Page, error) {
+				switch prefix {
+				case testOperatorPrefix:
+					return kv.Page{Items: []kv.Item{config(3)}, Revision: 9}, nil
+				case testTargetPrefix:
+					return kv.Page{Items: []kv.Item{entry("a", "10.0.0.1:80", "ready", 2)}, Revision: 7}, nil
+				}
+				return kv.Page{Revision: 9}, nil
+			},
+		}
+		s.watch = func(after int64) (kv.Page, error) {
+			switch {
+			case after < 9:
+				return kv.Page{Items: []kv.Item{entry("b", "10.0.0.2:80", "ready", 8)}, Revision: 9}, nil
+			case !compacted:
+				compacted = true
+				return kv.Page{}, &kv.StatusError{Status: 410}
+			}
+			return kv.Page{Revision: 9}, nil
+		}
+		is.Equal(targetsSoon(t, s), 2)
+		is.True(compacted)
+		is.Equal(s.current.Load(), int64(3))
+	})
+}
+
 // Guards against retaining entries that were removed while the history was compacted.
 func TestCompactedHistory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/configuration/mirror/hints_test.go
+++ b/core/configuration/mirror/hints_test.go
@@ -55,6 +55,10 @@
 	return kv.Page{Revision: 10}, nil
 }
 
+func (s *silentStore) StaleRange(ctx context.Context, prefix, after string) (kv.Page, error) {
+	return s.Range(ctx, prefix, after)
+}
+
 func (s *silentStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (kv.Page, error) {
 	s.watches.Add(1)
 	for left := wait; left > 0 || s.silent.Load(); left -= 10 * time.Millisecond {
--- a/core/request/coldstart/coldstart.go
+++ b/core/request/coldstart/coldstart.go
@@ -37,8 +37,6 @@
 	// deviations is by how many standard deviations the expected number of senders stays below
 	// the limit if not all may send.
 	deviations = 4
-	// unknownSenders is the number assumed until one is reported.
-	unknownSenders = 64
 )
 
 // Limit is the number of requests that a cold target tolerates in any second:
@@ -75,18 +73,13 @@
 	targets  map[string]*target
 }
 
-// NewTracker returns a Tracker without cold targets for the sender on an instance.
+// NewTracker returns a Tracker without cold targets for the only sender, on an instance.
 func NewTracker(instance string) *Tracker {
-	return &Tracker{instance: instance, senders: unknownSenders, targets: map[string]*target{}}
+	return &Tracker{instance: instance, senders: 1, targets: map[string]*target{}}
 }
 
-// SetSenders sets the number of senders; 0 means that it is not known.
-func (tr *Tracker) SetSenders(n int) {
-	tr.senders = n
-	if n <= 0 {
-		tr.senders = unknownSenders
-	}
-}
+// SetSenders sets the number of senders.
+func (tr *Tracker) SetSenders(n int) { tr.senders = max(n, 1) }
 
 // Mark records that a target is cold until a time, or longer if that is known already.
 func (tr *Tracker) Mark(id string, l Limit, until, now time.Time) {
--- a/core/request/retry/burst.go
+++ b/core/request/retry/burst.go
@@ -12,8 +12,6 @@
 	// lives is how many shares one sender may use within a window: its own, and as much again
 	// after a restart.
 	lives = 2
-	// unknownSenders is the number assumed until one is reported.
-	unknownSenders = 64
 )
 
 // Burst is the part of one sender in the retries that all senders together may make within a
@@ -31,17 +29,18 @@
 	StartedAt time.Time
 }
 
-// Share returns how many retries this sender may make, at least one, given the number of senders;
-// 0 means that it is not known.
+// Share returns how many retries this sender may make, at least one, given the number of senders.
+// It is one while that number is not known, which is 0: any other would be too many for some number
+// of senders.
 func (b *Burst) Share(senders int, now time.Time) float64 {
+	if senders <= 0 {
+		return 1
+	}
 	return max(math.Floor(b.Total/float64(b.parts(senders, now))), 1)
 }
 
 // parts returns the number of equal parts that Total is divided into.
 func (b *Burst) parts(senders int, now time.Time) int {
-	if senders == 0 {
-		return unknownSenders
-	}
 	least := minSenders
 	if b.StartedAt.IsZero() || now.Sub(b.StartedAt) > b.Window {
 		least = min(least, lives*senders)
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -67,5 +67,16 @@
 func (f *fleet) setSenders(n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.senders = n
+	f.shareCold()
+}
+
+// shareCold divides what cold targets tolerate among the gateways; as long as their number is not
+// known, among as many as there are targets. It is called with the lock held.
+func (f *fleet) shareCold() {
+	n := f.senders
+	if n == 0 {
+		n = len(f.targetStates)
+	}
 	f.cold.SetSenders(n)
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -57,6 +57,8 @@
 	// beyond their rate.
 	cold                  *coldstart.Tracker
 	coldFactor, coldSlack float64
+	// senders is the number of gateways, or 0 if it is not known.
+	senders int
 	// cost is the moving mean of the requests' costs in tokens.
 	cost float64
 }
@@ -137,6 +139,7 @@
 		f.targetStates[id].Target = t
 		targets = append(targets, f.routed(&t))
 	}
+	f.shareCold()
 	f.table.Update(targets)
 	f.monitor.Update(f.watched())
 }
