--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -20,6 +20,9 @@
 	Ranks, Gateways int
 	// Groups is the number of expert groups, each with Ranks ranks; 0 means one.
 	Groups int
+	// Zones is the number of availability zones, named z1, z2 and so on, to which the servers
+	// belong in turn; 0 means one. The other processes are in z1.
+	Zones int
 	// OmitGroup makes the servers omit their group from their entries in the store.
 	OmitGroup bool
 	// LateOrders is the share of orders that are carried out late and not answered.
@@ -75,7 +78,7 @@
 func Start(shape Shape) (*Fleet, error) {
 	f := &Fleet{
 		Shape: shape, Store: NewStore(),
-		Ledger: &Ledger{runs: map[string]int{}, fronts: map[string]string{}}, done: make(chan struct{}),
+		Ledger: &Ledger{runs: map[string]int{}, runsIn: map[string]int{}, fronts: map[string]string{}}, done: make(chan struct{}),
 	}
 	if shape.Links {
 		f.Links = newLinks()
@@ -213,7 +216,7 @@
 func (f *Fleet) addRank(r *Rank) error {
 	n := len(f.models)
 	r.ip = f.ip(firstRank + n)
-	m := &modelServer{server: server{id: r.id, ledger: f.Ledger, refuse: func() bool { return f.refuse.Load() || r.group.refuses() }}, rank: r}
+	m := &modelServer{server: server{id: r.id, zone: f.zone(r.index), ledger: f.Ledger, refuse: func() bool { return f.refuse.Load() || r.group.refuses() }}, rank: r}
 	f.models = append(f.models, m)
 	p, err := f.serve(r.ip, appPort, m)
 	if err != nil {
@@ -226,7 +229,7 @@
 
 // registerRank writes the store entry of a rank's server.
 func (f *Fleet) registerRank(r *Rank) {
-	entry := f.entry("pool", r.ip, slots)
+	entry := f.entry("pool", r.ip, f.zone(r.index), slots)
 	r.group.mu.Lock()
 	entry["born"] = r.startedAt
 	if !f.OmitGroup {
@@ -238,7 +241,7 @@
 
 func (f *Fleet) addPlain(i int) error {
 	ip, id := f.ip(100+i), fmt.Sprintf("i-plain%d", i)
-	s := &plainServer{server: server{id: id, ledger: f.Ledger}}
+	s := &plainServer{server: server{id: id, zone: f.zone(i), ledger: f.Ledger}}
 	f.plains = append(f.plains, s)
 	p, err := f.serve(ip, appPort, s)
 	if err != nil {
@@ -248,17 +251,30 @@
 		p.stop()
 		time.AfterFunc(CrashDowntime, func() {
 			f.restart(p)
-			f.put("servers/"+id, f.entry("desk", ip, 6))
+			f.put("servers/"+id, f.entry("desk", ip, f.zone(i), 6))
 		})
 	}
-	f.put("servers/"+id, f.entry("desk", ip, 6))
+	f.put("servers/"+id, f.entry("desk", ip, f.zone(i), 6))
 	return nil
 }
 
+// zone returns the zone of the nth server of a service.
+func (f *Fleet) zone(n int) string { return fmt.Sprintf("z%d", 1+n%max(f.Zones, 1)) }
+
+// Evacuate evacuates a zone as an operator of the platform does, or takes it back.
+func (f *Fleet) Evacuate(zone string, evacuated bool) {
+	key := "op/evacuate/" + zone
+	if evacuated {
+		f.put(key, map[string]any{})
+		return
+	}
+	f.Store.Remove(key)
+}
+
 // entry returns the fields that every server writes to the store.
-func (f *Fleet) entry(service, ip string, slots int) map[string]any {
+func (f *Fleet) entry(service, ip, zone string, slots int) map[string]any {
 	return map[string]any{
-		"backend": service, "addr": net.JoinHostPort(ip, strconv.Itoa(appPort)), "zone": "z1",
+		"backend": service, "addr": net.JoinHostPort(ip, strconv.Itoa(appPort)), "zone": zone,
 		"version": "v1", "slots": slots, "state": "ready", "coldMs": 0, "seq": 1, "born": time.Now().UnixMilli(),
 	}
 }
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -16,6 +16,8 @@
 type Ledger struct {
 	mu   sync.Mutex
 	runs map[string]int
+	// runsIn counts the runs by zone of the server.
+	runsIn map[string]int
 	// crashingArrivals are the arrival times of requests that crash their servers,
 	// crashes the times at which servers crashed.
 	crashingArrivals, crashes []time.Time
@@ -40,10 +42,11 @@
 	return l.fronts[id]
 }
 
-func (l *Ledger) recordRun(id string) {
+func (l *Ledger) recordRun(id, zone string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs[id]++
+	l.runsIn[zone]++
 }
 
 func (l *Ledger) recordInvalid() {
@@ -89,9 +92,17 @@
 	return l.runs[id]
 }
 
+// RunsIn returns how many runs have begun at the servers of a zone.
+func (l *Ledger) RunsIn(zone string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runsIn[zone]
+}
+
 // server holds what model servers and plain servers have in common.
 type server struct {
 	id     string
+	zone   string
 	ledger *Ledger
 	// refuse, if not nil, reports whether the server refuses everything, as a full
 	// server does.
@@ -139,7 +150,7 @@
 	if r.Header.Get("Authorization") != "" || r.Header.Get("X-Tenant") != workspace {
 		s.ledger.recordInvalid()
 	}
-	s.ledger.recordRun(r.Header.Get("X-Request-Id"))
+	s.ledger.recordRun(r.Header.Get("X-Request-Id"), s.zone)
 	s.served.Add(1)
 	w.Header().Set("X-Response-Seal", "seal-"+r.Header.Get("X-Request-Id"))
 	return true
