Start from a checkpoint of the store's state

Cause: whoever starts reads the whole state, and after a loss of all processes everybody does so at once over the one link of the store: gateways times (configuration and targets). Change: the first of all feeds writes the followed state, compressed, into one key, each 5 s at most and only if it has changed. Who starts reads that key as an old state and goes on with the watch; a missing, damaged or too old one leads to the read as before.

--- a/core/configuration/mirror/feeds.go
+++ b/core/configuration/mirror/feeds.go
@@ -30,6 +30,8 @@
 	// addrs are in the order in which they are tried; serving says that this process is a feed.
 	addrs   []string
 	serving bool
+	// firstOfAll says that it is the first of all.
+	firstOfAll bool
 	// failedUntil holds until when feeds that have failed are left alone.
 	failedUntil map[string]time.Time
 	client      feedClient
@@ -48,10 +50,10 @@
 func newFeedClient(addr string) feedClient { return changefeed.NewClient(addr) }
 
 // set sets the addresses of the feeds.
-func (s *feeds) set(addrs []string, serving bool) {
+func (s *feeds) set(addrs []string, serving, first bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.serving = serving
+	s.serving, s.firstOfAll = serving, first
 	kept := slices.DeleteFunc(slices.Clone(s.addrs), func(a string) bool { return !slices.Contains(addrs, a) })
 	// Followers begin at different feeds, and new ones come last.
 	for _, i := range rand.Perm(len(addrs)) {
@@ -74,6 +76,13 @@
 	return s.serving
 }
 
+// first reports whether this process is the first feed of all.
+func (s *feeds) first() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serving && s.firstOfAll
+}
+
 // next returns the client of the first feed that has not failed lately, or nil if this process
 // has to watch the store itself.
 func (s *feeds) next(now time.Time) feedClient {
@@ -110,9 +119,10 @@
 }
 
 // SetFeeds sets the addresses of the feeds that this process may follow in place of the store, and
-// whether it is one itself and others rely on it. It follows one only while hints arrive, since
-// these show whether a feed misses a change.
-func (f *Follower) SetFeeds(addrs []string, serving bool) { f.feeds.set(addrs, serving) }
+// whether it is one itself and others rely on it; first says that it is the first of all, which
+// writes checkpoints. It follows one only while hints arrive, since these show whether a feed
+// misses a change.
+func (f *Follower) SetFeeds(addrs []string, serving, first bool) { f.feeds.set(addrs, serving, first) }
 
 // Feed returns the feed in which this process serves the store's changes while it is one.
 func (f *Follower) Feed() *changefeed.Feed { return &f.feed }
--- a/core/configuration/mirror/feeds_test.go
+++ b/core/configuration/mirror/feeds_test.go
@@ -64,7 +64,7 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
-	f.SetFeeds([]string{"a", "b"}, false)
+	f.SetFeeds([]string{"a", "b"}, false, false)
 	go func() {
 		for pause.For(ctx, 200*time.Millisecond) {
 			f.Hint(hinted.Load(), false)
@@ -148,7 +148,7 @@
 		f, ofStore, ofFeeds := followFeeds(t, &revision, func(after int64) (kv.Page, time.Duration, error) {
 			return kv.Page{Revision: after}, 0, nil
 		})
-		f.SetFeeds([]string{"a", "b"}, true)
+		f.SetFeeds([]string{"a", "b"}, true, false)
 		time.Sleep(15 * time.Second)
 		before := ofStore.Load()
 		time.Sleep(10 * time.Second)
--- a/core/configuration/mirror/follower.go
+++ b/core/configuration/mirror/follower.go
@@ -76,8 +76,9 @@
 	// pause is the batch delay after the next changes.
 	pause time.Duration
 	// feeds are where changes come from in place of the store; feed serves them to others.
-	feeds feeds
-	feed  changefeed.Feed
+	feeds       feeds
+	feed        changefeed.Feed
+	checkpoints checkpoints
 }
 
 // NewFollower returns a Follower that does nothing before Run.
@@ -144,11 +145,15 @@
 	complete := false
 	for ctx.Err() == nil {
 		var err error
-		if !complete {
+		switch {
+		case complete:
+			complete, err = f.watch(ctx)
+			f.writeCheckpoint(ctx, time.Now())
+		case f.mirror.Revision() == 0 && f.readCheckpoint(ctx):
+			complete = true
+		default:
 			err = f.readAll(ctx)
 			complete = err == nil
-		} else {
-			complete, err = f.watch(ctx)
 		}
 		metricAge.Set(f.Age().Milliseconds())
 		if f.mirror.ExpireMissing(time.Now()) {
@@ -237,6 +242,7 @@
 		f.publish()
 	}
 	f.notify(page.Items, false)
+	f.checkpoints.record(page.Items, f.prefixes, false)
 	f.recordSeen(page.Items)
 	f.storeAnswered(confirmed)
 }
@@ -256,14 +262,20 @@
 		}
 		all = append(all, list...)
 	}
-	f.feed.Reset(from)
-	if f.mirror.Replace(all, from, f.outage(), time.Now()) {
+	f.replace(all, from)
+	return nil
+}
+
+// replace applies a complete read of the store up to a revision.
+func (f *Follower) replace(all []kv.Item, revision int64) {
+	f.feed.Reset(revision)
+	if f.mirror.Replace(all, revision, f.outage(), time.Now()) {
 		f.publish()
 	}
 	f.notify(all, true)
+	f.checkpoints.record(all, f.prefixes, true)
 	f.recordSeen(all)
 	f.storeAnswered(time.Now())
-	return nil
 }
 
 func (f *Follower) readPrefix(ctx context.Context, prefix string) ([]kv.Item, int64, error) {
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -36,13 +36,22 @@
 	// age returns how long ago the store has confirmed this gateway's state.
 	age func() time.Duration
 	// set applies the choice.
-	set func(addrs []string, serving bool)
+	set func(choice feedChoice)
 
 	mu     sync.Mutex
 	groups map[string]feedList
-	// addrs and serving are the last choice.
-	addrs   []string
-	serving bool
+	last   feedChoice
+}
+
+// feedChoice holds the feeds that a gateway follows, whether it is one itself, and whether it is the
+// first of all.
+type feedChoice struct {
+	addrs          []string
+	serving, first bool
+}
+
+func (c feedChoice) equal(d feedChoice) bool {
+	return c.serving == d.serving && c.first == d.first && slices.Equal(c.addrs, d.addrs)
 }
 
 // feedList is the list of feeds of a group.
@@ -54,7 +63,7 @@
 func newFeedChooser(instance, zone, addr string) *feedChooser {
 	return &feedChooser{
 		instance: instance, zone: zone, addr: addr, age: func() time.Duration { return 0 },
-		set: func([]string, bool) {}, groups: map[string]feedList{},
+		set: func(feedChoice) {}, groups: map[string]feedList{},
 	}
 }
 
@@ -72,33 +81,33 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.groups[group] = feedList{feeds, now}
-	addrs, serving := f.choose(now)
-	if serving != f.serving || !slices.Equal(addrs, f.addrs) {
-		f.addrs, f.serving = addrs, serving
-		f.set(addrs, serving)
+	if c := f.choose(now); !c.equal(f.last) {
+		f.last = c
+		f.set(c)
 	}
 }
 
 // choose returns the feeds of this gateway's zone, and whether it is one of them.
-func (f *feedChooser) choose(now time.Time) (addrs []string, serving bool) {
+func (f *feedChooser) choose(now time.Time) feedChoice {
+	var c feedChoice
 	for _, group := range slices.Sorted(maps.Keys(f.groups)) {
 		l := f.groups[group]
 		if now.Sub(l.at) > feedListValid {
 			delete(f.groups, group)
 			continue
 		}
-		for _, feed := range l.feeds {
+		for i, feed := range l.feeds {
 			switch {
 			case feed.Zone != f.zone:
 			case feed.Gateway == f.instance:
-				serving = true
+				c.serving, c.first = true, i == 0
 			default:
-				addrs = append(addrs, feed.Addr)
+				c.addrs = append(c.addrs, feed.Addr)
 			}
 		}
-		return addrs, serving
+		return c
 	}
-	return nil, false
+	return c
 }
 
 // serveFeed serves this gateway's feed on the first port that instances may use between themselves.
@@ -106,9 +115,9 @@
 	addr := netip.AddrPortFrom(env.Boot.IP, env.Boot.PortFirst).String()
 	chooser := newFeedChooser(env.Boot.Instance, env.Boot.Zone, addr)
 	chooser.age = f.Age
-	chooser.set = func(addrs []string, serving bool) {
-		env.Log.Info("feeds chosen", "feeds", addrs, "serving", serving)
-		f.SetFeeds(addrs, serving)
+	chooser.set = func(c feedChoice) {
+		env.Log.Info("feeds chosen", "feeds", c.addrs, "serving", c.serving, "first", c.first)
+		f.SetFeeds(c.addrs, c.serving, c.first)
 	}
 	g.digests.feeds = chooser
 	lc.Append(fx.Hook{OnStart: func(context.Context) error {
--- a/gateway/feeds_test.go
+++ b/gateway/feeds_test.go
@@ -24,7 +24,7 @@
 	var addrs []string
 	serving, choices := false, 0
 	c := newFeedChooser("b2", "b", "own")
-	c.set = func(a []string, s bool) { addrs, serving, choices = a, s, choices+1 }
+	c.set = func(f feedChoice) { addrs, serving, choices = f.addrs, f.serving, choices+1 }
 	c.report("g1", feeds("a1", "b1", "b3"), now)
 	is.Equal(addrs, []string{"addr of b1", "addr of b3"})
 	is.True(!serving)
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -34,7 +34,9 @@
 func newStore(env instance.Env) *platform.Store { return platform.NewStore(env.Boot.Store.Addr) }
 
 func newFollower(env instance.Env, store *platform.Store) *mirror.Follower {
-	return mirror.NewFollower(store, platform.Formats(), env.Log)
+	f := mirror.NewFollower(store, platform.Formats(), env.Log)
+	f.UseCheckpoints(store)
+	return f
 }
 
 // follow subscribes the gateway to the store and runs its periodic work.
--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -22,6 +22,7 @@
 	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/plumbing/boot"
 	"verbenashift/core/plumbing/instance"
+	"verbenashift/core/request/retry"
 	"verbenashift/gateway/startup"
 	"verbenashift/platform"
 	"verbenashift/standin/scripted"
@@ -42,8 +43,8 @@
 	rigKey   = "key-of-harbor-home"
 	rigSpace = "harbor-home"
 	rigBody  = "a family's own words"
-	// rigRetries is the burst of retries of all gateways: far more than a test needs.
-	rigRetries = 5760
+	// rigRetries is the gateway's burst of retries: far more than a test needs.
+	rigRetries = 90
 	// rigTimeout is how long callers wait unless a test says otherwise.
 	rigTimeout = 5 * time.Second
 )
@@ -64,6 +65,7 @@
 	env := instance.Env{Log: slog.New(slog.DiscardHandler)}
 	env.Boot.Bounds = boot.Bounds{RetryRatio: 0.2, RetryBurst: rigRetries}
 	g := newGateway(env, noop.NewTracerProvider().Tracer("test"), nil)
+	g.budgets = retry.NewBudgets(retryLimits(env.Boot.Bounds, rigRetries))
 	r := &rig{I: is.New(t), t: t, gateway: g, view: mirror.Snapshot{
 		Config: &deployment.Config{
 			Version: 7, Routes: []deployment.Route{route}, Services: []deployment.Service{{Name: "pool"}},
