--- a/core/request/retry/burst.go
+++ b/core/request/retry/burst.go
@@ -12,6 +12,10 @@
 	// lives is how many shares one sender may use within a window: its own, and as much again
 	// after a restart.
 	lives = 2
+	// minAssumed is the least number of senders to assume until one is reported, and
+	// targetsPerSender how many targets there are for each sender at least.
+	minAssumed       = 64
+	targetsPerSender = 3
 )
 
 // Burst is the part of one sender in the retries that all senders together may make within a
@@ -29,13 +33,12 @@
 	StartedAt time.Time
 }
 
+// AssumedSenders returns the number of senders to assume until one is reported, given the number of
+// targets: senders are seldom more than a third of them.
+func AssumedSenders(targets int) int { return max(minAssumed, targets/targetsPerSender) }
+
 // Share returns how many retries this sender may make, at least one, given the number of senders.
-// It is one while that number is not known, which is 0: any other would be too many for some number
-// of senders.
 func (b *Burst) Share(senders int, now time.Time) float64 {
-	if senders <= 0 {
-		return 1
-	}
 	return max(math.Floor(b.Total/float64(b.parts(senders, now))), 1)
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -67,7 +67,7 @@
 		log: log, tracer: tracer, rng: newRand(), burst: burst, senders: senders.Count{Window: boot.Bounds.RetryWindow}, started: now,
 		startup:         startup.New(),
 		fleet:           newFleet(boot.Instance, boot.Zone, log),
-		budgets:         retry.NewBudgets(retryLimits(boot.Bounds, burst.Share(0, now))),
+		budgets:         retry.NewBudgets(retryLimits(boot.Bounds, burst.Share(retry.AssumedSenders(0), now))),
 		isolator:        newIsolator(boot.Instance, store, log),
 		suspicions:      newSuspicionExchange(boot.Instance, store, log),
 		admitters:       map[string]*admitter{},
@@ -115,6 +115,16 @@
 	g.fleet.setSenders(g.countSenders(among, now))
 }
 
+// assumeSenders divides the retries by the number of targets as long as that of the gateways is not
+// known.
+func (g *gateway) assumeSenders(targets int, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.senders.Value() == 0 && g.burst.Total > 0 {
+		g.budgets.SetKeyBurst(g.burst.Share(retry.AssumedSenders(targets), now))
+	}
+}
+
 // countSenders records the number of gateways and returns the one to use.
 func (g *gateway) countSenders(among int, now time.Time) int {
 	g.mu.Lock()
@@ -127,6 +137,7 @@
 // update applies a new view of the store: configuration and targets together.
 func (g *gateway) update(v *mirror.Snapshot) {
 	g.fleet.update(v)
+	g.assumeSenders(len(v.Targets), time.Now())
 	g.updateAdmitters(v.Config)
 	g.digests.update(v)
 	if c := g.catalog.Load(); c == nil || c.config != v.Config {
