A gateway serves its feed as soon as it is one

Change: the feed starts with the choice, from the revision that is seen; an answer counts as seen before it goes into the feed, so that a start in between misses nothing.

--- a/core/configuration/changefeed/changefeed.go
+++ b/core/configuration/changefeed/changefeed.go
@@ -13,7 +13,7 @@
 //
 // # Usage
 //
-//	feed.Start(mirror.Revision())                // at a process that watches the store
+//	feed.Start(mirror.Revision(), confirmed)     // at a process that watches the store
 //	feed.Record(page.Items, page.Revision, now)  // after each answer
 //	go changefeed.Serve(listener, feed)
 //
@@ -110,7 +110,9 @@
 	if !f.active {
 		return
 	}
-	f.confirmed = now
+	if now.After(f.confirmed) {
+		f.confirmed = now
+	}
 	for _, it := range items {
 		c := compressed(it)
 		f.changes = append(f.changes, c)
--- a/core/configuration/mirror/feeds.go
+++ b/core/configuration/mirror/feeds.go
@@ -122,7 +122,13 @@
 // whether it is one itself and others rely on it; first says that it is the first of all, which
 // writes checkpoints. It follows one only while hints arrive, since these show whether a feed
 // misses a change.
-func (f *Follower) SetFeeds(addrs []string, serving, first bool) { f.feeds.set(addrs, serving, first) }
+func (f *Follower) SetFeeds(addrs []string, serving, first bool) {
+	f.feeds.set(addrs, serving, first)
+	if serving {
+		// Followers turn to it at once.
+		f.feed.Start(f.hints.revision(), f.confirmed())
+	}
+}
 
 // Feed returns the feed in which this process serves the store's changes while it is one.
 func (f *Follower) Feed() *changefeed.Feed { return &f.feed }
--- a/core/configuration/mirror/feeds_test.go
+++ b/core/configuration/mirror/feeds_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/configuration/changefeed"
 	"verbenashift/core/configuration/kv"
 	"verbenashift/core/plumbing/pause"
 )
@@ -156,3 +158,43 @@
 		is.Equal(ofFeeds.Load(), int64(0))
 	})
 }
+
+// Guards against followers that turn to the store because the process that they are to follow is
+// still in a watch that it began before it knew.
+func TestAFeedServesAtOnce(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	watching := make(chan struct{}, 1)
+	f := NewFollower(&script{
+		rangeOf: func(prefix string) (kv.Page, error) {
+			if prefix == testOperatorPrefix {
+				return kv.Page{Items: []kv.Item{config(3)}, Revision: 5}, nil
+			}
+			return kv.Page{Revision: 5}, nil
+		},
+		watch: func(int64) (kv.Page, error) {
+			watching <- struct{}{}
+			<-ctx.Done()
+			return kv.Page{}, ctx.Err()
+		},
+	}, testFormats(), quiet())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go func() {
+		// It returns when the listener is closed.
+		_ = changefeed.Serve(l, f.Feed())
+	}()
+	c := changefeed.NewClient(l.Addr().String())
+	defer c.Close()
+	go f.Run(ctx)
+	<-watching
+	_, _, err = c.Watch(ctx, 5, 0)
+	is.True(err != nil)
+	f.SetFeeds(nil, true, false)
+	_, _, err = c.Watch(ctx, 5, 0)
+	is.NoErr(err)
+	_, _, err = c.Watch(ctx, 4, 0)
+	is.True(err != nil)
+}
--- a/core/configuration/mirror/follower.go
+++ b/core/configuration/mirror/follower.go
@@ -199,9 +199,7 @@
 func (f *Follower) watchStore(ctx context.Context) (bool, error) {
 	began := time.Now()
 	wait := f.wait(f.hints.wait(began), began)
-	if f.feeds.serves() {
-		f.feed.Start(f.mirror.Revision(), f.confirmed())
-	} else {
+	if !f.feeds.serves() {
 		f.feed.Stop()
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+responseTimeout)
@@ -223,7 +221,6 @@
 		// events show it, unless the outage was long.
 		return !f.outage(), err
 	}
-	f.feed.Record(page.Items, page.Revision, time.Now())
 	f.apply(&page, time.Now())
 	if len(page.Items) > 0 {
 		// Servers that start or leave together are reported in one call.
@@ -243,8 +240,10 @@
 	}
 	f.notify(page.Items, false)
 	f.checkpoints.record(page.Items, f.prefixes, false)
-	f.recordSeen(page.Items)
 	f.storeAnswered(confirmed)
+	// The feed may be started at any moment from what is seen, so that it gets the changes last.
+	f.recordSeen(page.Items)
+	f.feed.Record(page.Items, page.Revision, confirmed)
 }
 
 // readAll reads all prefixes. The watch continues from the lowest revision of the pages, because
@@ -268,14 +267,14 @@
 
 // replace applies a complete read of the store up to a revision.
 func (f *Follower) replace(all []kv.Item, revision int64) {
-	f.feed.Reset(revision)
 	if f.mirror.Replace(all, revision, f.outage(), time.Now()) {
 		f.publish()
 	}
 	f.notify(all, true)
 	f.checkpoints.record(all, f.prefixes, true)
-	f.recordSeen(all)
 	f.storeAnswered(time.Now())
+	f.recordSeen(all)
+	f.feed.Reset(f.mirror.Revision())
 }
 
 func (f *Follower) readPrefix(ctx context.Context, prefix string) ([]kv.Item, int64, error) {
--- a/core/configuration/mirror/hints.go
+++ b/core/configuration/mirror/hints.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// revision returns up to which revision this process has seen the store's changes.
+func (h *hints) revision() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.known
+}
+
 // fresh reports whether others report the store's revision.
 func (h *hints) fresh(now time.Time) bool {
 	h.mu.Lock()
