Gateways find relays through any agent of a group

Cause: whoever starts asks the coordinator for its first digest, 6 KB with the list of targets: 212 gateways at each of four coordinators, 1.3 MB over a link of 10 Mbit/s, just when these contact their ranks. Change: in groups with relays a gateway asks any agent, beside a target that it knows from the store; an agent that has no digest names the relay of its branch, which names itself once a second; the coordinator is asked after four failures.

--- a/core/experts/rankpeer/rankpeer.go
+++ b/core/experts/rankpeer/rankpeer.go
@@ -57,6 +57,9 @@
 	Turn int
 	// Branch makes the agent a relay that queries other agents for the coordinator.
 	Branch *BranchRequest
+	// Relay is the address of the relay that sends this request to a member of its branch. It is
+	// left out of most requests.
+	Relay string
 	// View is the coordinator's digest, which this agent serves to gateways. A request
 	// with a View requests nothing else.
 	View *Digest
@@ -99,6 +102,9 @@
 	// sender has that list.
 	Feeds    []Feed
 	FeedList uint64
+	// Referral is the address of an agent that may have the digest that this one lacks: the relay
+	// that queries this agent; or empty.
+	Referral string
 	// ShortWatch tells the requesting gateway that others rely on it to see store changes
 	// promptly.
 	ShortWatch bool
--- a/core/experts/rankpeer/tree.go
+++ b/core/experts/rankpeer/tree.go
@@ -11,6 +11,9 @@
 // and processor.
 const directRanks = 32
 
+// UsesRelays reports whether the coordinator of a group with so many members uses relays.
+func UsesRelays(members int) bool { return members > directRanks }
+
 // Split divides the members of a group into branches. Each branch has members of one
 // availability zone, and about as many as there are branches, so that neither the
 // coordinator nor a relay talks to more than about the square root of the group. In a
@@ -21,7 +24,7 @@
 		return cmp.Or(cmp.Compare(a.Zone, b.Zone), a.Addr.Compare(b.Addr), cmp.Compare(a.ID, b.ID))
 	})
 	width := 1
-	if len(members) > directRanks {
+	if UsesRelays(len(members)) {
 		width = int(math.Ceil(math.Sqrt(float64(len(members)))))
 	}
 	var out [][]Member
--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -25,6 +26,8 @@
 	// digestRetryDelay is the mean delay after a failure: a failed coordinator is replaced
 	// in about a second.
 	digestRetryDelay = 500 * time.Millisecond
+	// referralDelay is the delay before the agent is polled that another one has named.
+	referralDelay = 20 * time.Millisecond
 	// digestVersionValid is how long after the last digest of a group those of an earlier
 	// epoch or term are rejected. A coordinator that was paused steps down within a second
 	// after it resumes.
@@ -48,6 +51,8 @@
 	mu sync.Mutex
 	// coordinators holds the addresses of the coordinators, by group.
 	coordinators map[string]string
+	// members holds the addresses of the agents of groups whose coordinators use relays.
+	members map[string][]string
 	// gaps holds the longest pauses in a stream that callers should see, by group.
 	gaps map[string]time.Duration
 	// last holds the version of the newest digest of each group.
@@ -69,7 +74,7 @@
 func (d *digests) update(v *mirror.Snapshot) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.gaps = gapsOf(v)
+	d.gaps, d.members = gapsOf(v), agentsOf(v)
 	for group, claim := range v.Coordinators {
 		before, known := d.coordinators[group]
 		if before == claim.Addr {
@@ -85,6 +90,47 @@
 	}
 }
 
+// agentsOf returns the addresses of the agents beside the targets of each group whose coordinator
+// uses relays. All agents listen at the port of the coordinator.
+func agentsOf(v *mirror.Snapshot) map[string][]string {
+	agents := map[string][]string{}
+	for id := range v.Targets {
+		t := v.Targets[id]
+		c, err := netip.ParseAddrPort(v.Coordinators[t.Group.Name].Addr)
+		if err != nil {
+			continue // The group has no coordinator.
+		}
+		agents[t.Group.Name] = append(agents[t.Group.Name], netip.AddrPortFrom(t.Addr.Addr(), c.Port()).String())
+	}
+	for group, addrs := range agents {
+		if !rankpeer.UsesRelays(len(addrs)) {
+			delete(agents, group)
+		}
+	}
+	return agents
+}
+
+// start returns the agent to poll first for the digest of a group, given how many polls have failed
+// since the last digest: any agent of a group with relays, which names the relay of its branch, and
+// the coordinator now and then. If all gateways polled the coordinator they would saturate its link
+// just when it contacts its ranks.
+func (d *digests) start(group string, failures int) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	agents := d.members[group]
+	if len(agents) == 0 || failures > 0 && failures%relayTries == 0 {
+		return d.coordinators[group]
+	}
+	return agents[rand.IntN(len(agents))]
+}
+
+// coordinator returns the address of the coordinator of a group.
+func (d *digests) coordinator(group string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.coordinators[group]
+}
+
 // gapsOf returns the longest pauses in a stream that callers should see, for the groups that
 // the entries of their targets name.
 func gapsOf(v *mirror.Snapshot) map[string]time.Duration {
@@ -105,13 +151,6 @@
 	return d.gaps[group]
 }
 
-// coordinator returns the address of the coordinator of a group.
-func (d *digests) coordinator(group string) string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.coordinators[group]
-}
-
 // source is the agent that a gateway polls for the digests of one group.
 type source struct {
 	client *rankpeer.Client
@@ -133,20 +172,24 @@
 	relayTries = 4
 )
 
-// next chooses the agent to poll next: a random relay, which is kept as long as it answers;
-// after a failure another relay; the coordinator if there is no relay, or after relayTries
-// failures.
-func (s *source) next(ok bool, coordinator string) {
+// next chooses the agent to poll next: a random relay, which is kept as long as it answers, or the
+// coordinator if there is none; after a failure the agent that the last one has named, or another
+// relay; start if there is no relay, or after relayTries failures.
+func (s *source) next(ok bool, referral, coordinator string, start func(failures int) string) {
 	s.failures++
 	if ok {
 		s.failures = 0
 	}
 	switch {
+	case !ok && referral != "":
+		s.dial(referral)
 	case s.failures >= relayTries:
 		s.relays = nil
+		s.dial(start(s.failures))
+	case len(s.relays) == 0 && ok:
 		s.dial(coordinator)
 	case len(s.relays) == 0:
-		s.dial(coordinator)
+		s.dial(start(s.failures))
 	case !ok || !slices.Contains(s.relays, s.addr):
 		s.dial(s.relays[rand.IntN(len(s.relays))])
 	}
@@ -166,7 +209,8 @@
 // follow polls the digests of one group until the context ends.
 func (d *digests) follow(ctx context.Context, group string) {
 	var from source
-	from.dial(d.coordinator(group))
+	start := func(failures int) string { return d.start(group, failures) }
+	from.dial(start(0))
 	defer func() { from.client.Close() }()
 	var list rankpeer.Digest
 	received := false
@@ -187,9 +231,12 @@
 			received = ok
 			d.log.Info("digest", "group", group, "from", from.addr, "heard", ok)
 		}
-		from.next(ok, d.coordinator(group))
+		from.next(ok, resp.Referral, d.coordinator(group), start)
 		next := digestInterval
-		if !ok {
+		switch {
+		case !ok && resp.Referral != "":
+			next = referralDelay
+		case !ok:
 			next = digestRetryDelay/2 + rand.N(digestRetryDelay)
 		}
 		pause.For(ctx, next)
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -55,6 +55,9 @@
 	// counts are the last ones that were read, in the epoch countsEpoch.
 	counts      []int64
 	countsEpoch int64
+	// relayAddr is the address of the relay of its branch, as named at relayedAt.
+	relayAddr string
+	relayedAt time.Time
 	// groupDigest is the last digest of the group, as of digestAt: this agent's own while it
 	// is the coordinator, or the one that the coordinator has sent to it as a relay.
 	groupDigest  *rankpeer.Digest
--- a/sidecar/digest.go
+++ b/sidecar/digest.go
@@ -78,6 +78,9 @@
 func (a *agent) answerDigest(req *rankpeer.Request, now time.Time) rankpeer.Response {
 	a.gateways.record(req, now)
 	resp := rankpeer.Response{Group: a.membership().Group, Term: a.highestTerm(), Digest: a.digest(req.Word.Group.Name, req.List, req.FeedList)}
+	if resp.Digest == nil {
+		resp.Referral = a.referral(now)
+	}
 	if d := resp.Digest; d != nil {
 		d.Event = max(d.Event, a.gateways.newestEvent(now))
 		resp.ShortWatch = a.gateways.amongFirst(req.Gateway, a.shortWatcherCount(d), now)
@@ -85,6 +88,26 @@
 	return resp
 }
 
+// referralValid is how long after its last query a relay is named to gateways.
+const referralValid = 3 * relayNameInterval
+
+// recordRelay records the address of the relay that queries this agent.
+func (a *agent) recordRelay(addr string, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.relayAddr, a.relayedAt = addr, now
+}
+
+// referral returns the address of the relay that has queried this agent lately, or "".
+func (a *agent) referral(now time.Time) string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if now.Sub(a.relayedAt) > referralValid {
+		return ""
+	}
+	return a.relayAddr
+}
+
 // shortWatcherCount returns how many of the gateways that poll this agent keep short watches:
 // all shortWatchers where the coordinator answers itself, one at each of the first relays.
 func (a *agent) shortWatcherCount(d *rankpeer.Digest) int {
--- a/sidecar/link.go
+++ b/sidecar/link.go
@@ -39,6 +39,18 @@
 	sentRoster atomic.Pointer[rankpeer.Roster]
 	// missingBase is the version of the map whose base the agent has reported as missing, or 0.
 	missingBase atomic.Int64
+	// namedAt is when this process last named itself to the agent as its relay, in Unix
+	// nanoseconds.
+	namedAt atomic.Int64
+}
+
+// relayNameInterval is how often a relay names itself to the members of its branch: seldom, since
+// that makes its requests longer.
+const relayNameInterval = time.Second
+
+// nameDue reports whether this process is to name itself to the agent as its relay now.
+func (l *link) nameDue(now time.Time) bool {
+	return now.UnixNano()-l.namedAt.Load() >= int64(relayNameInterval)
 }
 
 // newLink returns a link to an agent, not yet connected.
--- a/sidecar/relay.go
+++ b/sidecar/relay.go
@@ -78,6 +78,9 @@
 		if k == lacks {
 			reqs[i].Roster = a.lastRoster()
 		}
+		if links[i] != nil && links[i].nameDue(time.Now()) {
+			reqs[i].Relay = a.addr().String()
+		}
 	}
 	a.substituteFullMaps(reqs, links)
 	responses := make([]rankpeer.Response, len(selected))
@@ -144,6 +147,9 @@
 	if err != nil {
 		return rankpeer.Response{} // The link has logged why.
 	}
+	if req.Relay != "" && resp.Refused == lockstep.Accepted {
+		l.namedAt.Store(time.Now().UnixNano())
+	}
 	resp.Answered = true
 	return resp
 }
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -86,6 +86,9 @@
 	reads := a.refreshMembership()
 	refusal := a.acceptAnnouncement(req)
 	resp := rankpeer.Response{Group: a.membership().Group, Refused: refusal, Term: a.highestTerm()}
+	if refusal == lockstep.Accepted && req.Relay != "" {
+		a.recordRelay(req.Relay, time.Now())
+	}
 	// A rank that has just timed out would time out again, and delay all other ranks of the
 	// branch.
 	if refusal == lockstep.Accepted && reads {
