--- a/core/configuration/mirror/feeds_test.go
+++ b/core/configuration/mirror/feeds_test.go
@@ -127,6 +127,22 @@
 	}
 }
 
+// Guards against a process that follows a feed whose own process has lost the store: that shows only
+// in the age of its answers as long as nothing changes.
+func TestFeedThatHasLostTheStoreIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var revision atomic.Int64
+		revision.Store(5)
+		_, ofStore, ofFeeds := followFeeds(t, &revision, func(after int64) (kv.Page, time.Duration, error) {
+			return kv.Page{Revision: after}, time.Minute, nil
+		})
+		time.Sleep(time.Minute)
+		is.True(ofFeeds.Load() > 0)
+		is.True(ofStore.Load() >= 4)
+	})
+}
+
 // Guards against feeds that are followed while nobody tells whether they miss a change.
 func TestFeedsNeedHints(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
