Leave a failed feed alone until all feeds were tried

A change would still be noticed by hints; without one the age of the state grew. The test passes (and fails with the guard off).

--- a/core/configuration/mirror/feeds.go
+++ b/core/configuration/mirror/feeds.go
@@ -16,8 +16,9 @@
 	// maxFeedAge is how long ago the store may have confirmed what a feed serves: one watch of
 	// the process that serves it.
 	maxFeedAge = watchWait + responseTimeout
-	// feedRetryDelay is how long a feed that has failed is left alone.
-	feedRetryDelay = 2 * time.Second
+	// feedRetryDelay is how long a feed that has failed is left alone: longer than a watch of each
+	// of the others, after which the store is used.
+	feedRetryDelay = 4 * maxFeedAge
 )
 
 // metricFeeds counts the answers of feeds by outcome.
