--- a/core/configuration/mirror/checkpoint_test.go
+++ b/core/configuration/mirror/checkpoint_test.go
@@ -64,12 +64,18 @@
 	f := NewFollower(s, testFormats(), quiet())
 	f.UseCheckpoints(store, true)
 	f.SetFeeds(nil, first, first)
+	runFor(t, f, 3*checkpointInterval)
+	return f
+}
+
+// runFor runs a Follower for a while.
+func runFor(t *testing.T, f *Follower, d time.Duration) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	go f.Run(ctx)
-	time.Sleep(3 * checkpointInterval)
+	time.Sleep(d)
 	cancel()
 	synctest.Wait()
-	return f
 }
 
 // Guards against a restart of all processes in which each reads the whole state, and against a
@@ -87,11 +93,7 @@
 		after := NewFollower(checkpointScript(&reads), testFormats(), quiet())
 		after.UseCheckpoints(&store, true)
 		after.Listen("elsewhere", func(items []kv.Item, _ bool) { listened += len(items) })
-		ctx, cancel := context.WithCancel(t.Context())
-		go after.Run(ctx)
-		time.Sleep(time.Second)
-		cancel()
-		synctest.Wait()
+		runFor(t, after, time.Second)
 		is.Equal(reads.Load(), int64(0))
 		is.Equal(after.Snapshot().Targets, before.Snapshot().Targets)
 		is.Equal(after.Snapshot().Config, before.Snapshot().Config)
@@ -178,11 +180,7 @@
 		reads.Store(0)
 		f := NewTargetFollower(checkpointScript(&reads), testFormats(), quiet())
 		f.UseCheckpoints(&store, false)
-		ctx, cancel := context.WithCancel(t.Context())
-		go f.Run(ctx)
-		time.Sleep(time.Second)
-		cancel()
-		synctest.Wait()
+		runFor(t, f, time.Second)
 		is.Equal(reads.Load(), int64(0))
 		is.Equal(f.Snapshot().Config.Version, int64(0))
 		is.Equal(len(f.Snapshot().Targets), 1)
