A feed passes on what has changed when the history of the store is gone

Change: a feed that reads the state again compares it with what it has followed and serves the difference, deletions included; its followers go on. After an outage of the store it drops all as before, since entries may then be missing for a moment. Test first; with the difference switched off it fails.

--- a/core/configuration/mirror/checkpoint.go
+++ b/core/configuration/mirror/checkpoint.go
@@ -109,6 +109,29 @@
 	}
 }
 
+// missed returns the changes between the followed items and a complete read up to a revision, and
+// false if the items are not known.
+func (c *checkpoints) missed(all []kv.Item, prefixes []string, revision int64) ([]kv.Item, bool) {
+	if len(c.items) == 0 {
+		return nil, false
+	}
+	var changes []kv.Item
+	read := make(map[string]bool, len(all))
+	for _, it := range all {
+		read[it.Key] = true
+		if followed(it.Key, prefixes) && c.items[it.Key].Revision != it.Revision {
+			changes = append(changes, it)
+		}
+	}
+	for key := range c.items {
+		if !read[key] {
+			changes = append(changes, kv.Item{Key: key, Revision: revision, Deleted: true})
+		}
+	}
+	slices.SortStableFunc(changes, compareRevisions)
+	return changes, true
+}
+
 // followed reports whether a key lies under one of the prefixes.
 func followed(key string, prefixes []string) bool {
 	for _, prefix := range prefixes {
--- a/core/configuration/mirror/feeds_test.go
+++ b/core/configuration/mirror/feeds_test.go
@@ -214,3 +214,69 @@
 	_, _, err = c.Watch(ctx, 4, 0)
 	is.True(err != nil)
 }
+
+// Guards against followers that all read the whole state when the history of the store is gone: the
+// feed knows what has changed meanwhile, and passes it on.
+func TestFeedOutlivesACompaction(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var compacted atomic.Bool
+	watching := make(chan struct{}, 8)
+	f := NewFollower(&script{
+		rangeOf: func(prefix string) (kv.Page, error) {
+			revision := int64(5)
+			if compacted.Load() {
+				revision = 9
+			}
+			switch {
+			case prefix == testOperatorPrefix:
+				return kv.Page{Items: []kv.Item{config(3)}, Revision: revision}, nil
+			case prefix == testTargetPrefix && !compacted.Load():
+				return kv.Page{Items: []kv.Item{entry("a", "10.0.0.1:80", "ready", 4)}, Revision: revision}, nil
+			case prefix == testTargetPrefix:
+				return kv.Page{Items: []kv.Item{entry("b", "10.0.0.2:80", "ready", 8)}, Revision: revision}, nil
+			}
+			return kv.Page{Revision: revision}, nil
+		},
+		watch: func(after int64) (kv.Page, error) {
+			if after < 9 && compacted.Load() {
+				return kv.Page{}, &kv.StatusError{Status: 410}
+			}
+			watching <- struct{}{}
+			if after < 9 {
+				for !compacted.Load() {
+					if !pause.For(ctx, time.Millisecond) {
+						return kv.Page{}, ctx.Err()
+					}
+				}
+				return kv.Page{}, &kv.StatusError{Status: 410}
+			}
+			<-ctx.Done()
+			return kv.Page{}, ctx.Err()
+		},
+	}, testFormats(), quiet())
+	f.UseCheckpoints(&memoryStore{}, true)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go func() {
+		// It returns when the listener is closed.
+		_ = changefeed.Serve(l, f.Feed())
+	}()
+	go f.Run(ctx)
+	<-watching
+	f.SetFeeds(nil, true, false)
+	c := changefeed.NewClient(l.Addr().String())
+	defer c.Close()
+	compacted.Store(true)
+	<-watching
+	page, _, err := c.Watch(ctx, 5, 0)
+	is.NoErr(err)
+	is.Equal(page.Revision, int64(9))
+	m := New(testFormats(), quiet())
+	m.Apply([]kv.Item{config(3), entry("a", "10.0.0.1:80", "ready", 4)}, 5)
+	m.Apply(page.Items, page.Revision)
+	is.Equal(len(m.Snapshot().Targets), 1)
+	is.Equal(m.Snapshot().Targets["b"].Addr.String(), "10.0.0.2:80")
+}
--- a/core/configuration/mirror/follower.go
+++ b/core/configuration/mirror/follower.go
@@ -267,6 +267,8 @@
 
 // replace applies a complete read of the store up to a revision.
 func (f *Follower) replace(all []kv.Item, revision int64) {
+	missed, known := f.checkpoints.missed(all, f.prefixes, max(revision, f.mirror.Revision()))
+	known = known && !f.outage()
 	if f.mirror.Replace(all, revision, f.outage(), time.Now()) {
 		f.publish()
 	}
@@ -274,6 +276,12 @@
 	f.checkpoints.record(all, f.prefixes, true)
 	f.storeAnswered(time.Now())
 	f.recordSeen(all)
+	if known {
+		// The followers of the feed need not read everything as well.
+		f.feed.Record(missed, f.mirror.Revision(), time.Now())
+		return
+	}
+	// After an outage entries may be missing for a while, which each process has to bear in mind.
 	f.feed.Reset(f.mirror.Revision())
 }
 
