--- a/core/configuration/mirror/mirror.go
+++ b/core/configuration/mirror/mirror.go
@@ -6,7 +6,8 @@
 // revisions, and never goes back to an older configuration. A Follower reads and
 // watches the store for it. There is one watch for all keys, so that a
 // configuration and the keys and targets that come with it are always seen in
-// the same order.
+// the same order. In large fleets most Followers get the changes from feeds, which a few
+// processes serve (package changefeed), and start from a checkpoint in the store.
 //
 // # Usage
 //
