Log what a read of the store finds, and its era

Each complete read is logged with the store's revision, the one known before, the one that the watch continues from, the era and the version in force; an answer of a store that is behind what is known has a line and a counter. No change of logic.

--- a/core/configuration/kv/kv.go
+++ b/core/configuration/kv/kv.go
@@ -39,6 +39,8 @@
 	More  bool
 	// Revision is the store's revision when it answered.
 	Revision int64
+	// Era counts how often the store has come back from an older copy of its data.
+	Era int64
 }
 
 // Condition is a key with the revision that it must have; 0 means that it must
@@ -52,6 +54,8 @@
 type StatusError struct {
 	Call   string
 	Status int
+	// Era is that of the store when it answered.
+	Era int64
 }
 
 // Error names the call and the status.
--- a/core/configuration/mirror/follower.go
+++ b/core/configuration/mirror/follower.go
@@ -79,6 +79,8 @@
 	feeds       feeds
 	feed        changefeed.Feed
 	checkpoints checkpoints
+	// era is that of the last answer.
+	era int64
 }
 
 // NewFollower returns a Follower that does nothing before Run.
@@ -113,6 +115,11 @@
 	metricVersion  = expvar.NewInt("configuration-version")
 	metricRevision = expvar.NewInt("store-revision")
 	metricTargets  = expvar.NewInt("targets-known")
+	// metricEra is the era of the store's last answer, metricReads counts complete reads, and
+	// metricBehind the answers with a lower revision or another era than what was known.
+	metricEra    = expvar.NewInt("store-era")
+	metricReads  = expvar.NewInt("store-reads-complete")
+	metricBehind = expvar.NewInt("store-answers-behind")
 )
 
 // count counts a call to the store.
@@ -213,7 +220,7 @@
 	}
 	var status *kv.StatusError
 	if errors.As(err, &status) && status.Compacted() {
-		f.log.Info("history of the store is compacted; reading all keys", "revision", f.mirror.Revision())
+		f.log.Info("history of the store is compacted; reading all keys", "revision", f.mirror.Revision(), "era", status.Era)
 		return false, nil
 	}
 	if err != nil {
@@ -221,6 +228,7 @@
 		// events show it, unless the outage was long.
 		return !f.outage(), err
 	}
+	f.noteAnswer(&page)
 	f.apply(&page, time.Now())
 	if len(page.Items) > 0 {
 		// Servers that start or leave together are reported in one call.
@@ -269,9 +277,12 @@
 func (f *Follower) replace(all []kv.Item, revision int64) {
 	missed, known := f.checkpoints.missed(all, f.prefixes, max(revision, f.mirror.Revision()))
 	known = known && !f.outage()
+	before := f.mirror.Revision()
 	if f.mirror.Replace(all, revision, f.outage(), time.Now()) {
 		f.publish()
 	}
+	metricReads.Add(1)
+	f.log.Info("store read", "revision", revision, "era", f.era, "known-before", before, "watch-from", f.mirror.Revision(), "items", len(all), "version", f.mirror.configVersion())
 	f.notify(all, true)
 	f.checkpoints.record(all, f.prefixes, true)
 	f.storeAnswered(time.Now())
@@ -314,9 +325,25 @@
 	}
 	page, err := read(ctx, prefix, after)
 	count(err)
+	if err == nil {
+		f.noteAnswer(&page)
+	}
 	return page, err
 }
 
+// noteAnswer logs an answer of a store whose era has changed or that is behind the revision up to
+// which it is known.
+func (f *Follower) noteAnswer(page *kv.Page) {
+	metricEra.Set(page.Era)
+	before := f.era
+	f.era = page.Era
+	if page.Revision >= f.mirror.Revision() && (before == page.Era || f.mirror.Revision() == 0) {
+		return
+	}
+	metricBehind.Add(1)
+	f.log.Warn("store is behind what is known", "revision", page.Revision, "known", f.mirror.Revision(), "era", page.Era, "era-before", before)
+}
+
 func (f *Follower) publish() {
 	v := f.mirror.Snapshot()
 	if v == nil {
--- a/core/configuration/mirror/mirror.go
+++ b/core/configuration/mirror/mirror.go
@@ -150,6 +150,14 @@
 // Revision is the revision after which a watch has to continue.
 func (m *Mirror) Revision() int64 { return m.revision }
 
+// configVersion returns the version of the configuration in force, or 0.
+func (m *Mirror) configVersion() int64 {
+	if m.config == nil {
+		return 0
+	}
+	return m.config.Version
+}
+
 // Apply applies changes up to a revision, oldest first. It reports whether the
 // snapshot has changed.
 func (m *Mirror) Apply(events []kv.Item, asOf int64) bool {
