Failing tests: a store that comes back from an older copy

The stand-in of the platform's store can be restored from a copy: revisions and leases are given out again, Store-Era rises, calls in progress are cut, a watch from a revision beyond its own gets 410, and what the operator and the servers wrote is written again on request.

--- a/standin/fleet/lease.go
+++ b/standin/fleet/lease.go
@@ -43,15 +43,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leases.last++
-	id := s.leases.last
-	l := &lease{ttl: ttl, keys: map[string]bool{}}
+	s.startLease(s.leases.last, ttl, map[string]bool{})
+	answer(w, leaseBody{Lease: s.leases.last, TTLMs: ttl.Milliseconds()})
+}
+
+// startLease starts a lease that holds keys. The caller must hold s.mu.
+func (s *Store) startLease(id int64, ttl time.Duration, keys map[string]bool) {
+	l := &lease{ttl: ttl, keys: keys}
 	l.expiry = time.AfterFunc(ttl, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.endLease(id)
+		if s.leases.live[id] == l {
+			s.endLease(id)
+		}
 	})
 	s.leases.live[id] = l
-	answer(w, leaseBody{Lease: id, TTLMs: ttl.Milliseconds()})
 }
 
 // leaseOf returns the lease that a path names, or nil. The caller must hold s.mu.
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -34,25 +34,38 @@
 	unresponsive bool
 	calls        int
 	leases       leases
+	// era counts how often the store was restored from a copy.
+	era int64
+	// reads counts the pages read since then.
+	reads int
+	// external holds the values that the operator and the servers have written last.
+	external map[string]string
+	// afterWrite is called once, after the next transaction and before its answer.
+	afterWrite func()
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{items: map[string]item{}, changed: make(chan struct{}), oldest: 1, leases: leases{live: map[int64]*lease{}}}
+	return &Store{
+		items: map[string]item{}, changed: make(chan struct{}), oldest: 1, leases: leases{live: map[int64]*lease{}},
+		external: map[string]string{},
+	}
 }
 
 // Put writes a key, as the operator or a server does.
 func (s *Store) Put(key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.put(key, base64.StdEncoding.EncodeToString(value))
+	s.external[key] = base64.StdEncoding.EncodeToString(value)
+	s.put(key, s.external[key])
 	s.notifyWatchers()
 }
 
-// Remove removes a key.
+// Remove removes a key, as the operator or a server does.
 func (s *Store) Remove(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.external, key)
 	s.remove(key)
 	s.notifyWatchers()
 }
@@ -135,9 +148,10 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	down := s.down
+	down, era := s.down, s.era
 	s.mu.Unlock()
 	s.waitWhileUnresponsive(r)
+	w.Header().Set(eraHeader, strconv.FormatInt(era, 10))
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -188,6 +202,7 @@
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reads++
 	found := []item{}
 	for key, it := range s.items {
 		if strings.HasPrefix(key, prefix) && key > after {
@@ -209,7 +224,11 @@
 	limit := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		if after+1 < s.oldest || s.down {
+		if s.restoredSince(w) {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if after+1 < s.oldest || after > s.revision || s.down {
 			status := http.StatusGone
 			if s.down {
 				status = http.StatusServiceUnavailable
@@ -260,6 +279,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.restoredSince(w) {
+		panic(http.ErrAbortHandler)
+	}
 	for _, e := range body.Expect {
 		if s.items[e.Key].Revision != e.Revision {
 			w.WriteHeader(http.StatusPreconditionFailed)
@@ -273,7 +295,7 @@
 		}
 	}
 	for _, p := range body.Puts {
-		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
+		if isExternal(p.Key) {
 			w.WriteHeader(http.StatusForbidden)
 			return
 		}
@@ -284,7 +306,11 @@
 		s.remove(key)
 	}
 	s.notifyWatchers()
-	answer(w, map[string]any{"revision": s.revision})
+	revision := s.revision
+	if s.callAfterWrite(); s.restoredSince(w) {
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, map[string]any{"revision": revision})
 }
 
 func answer(w http.ResponseWriter, body any) {
