Order revisions across restores of the store

Cause: a process knows the store up to a revision, and the number of a revision is all that it kept. A store that comes back from an older copy gives the numbers after that of the copy out again.

Change: a revision has the store's era (Store-Era) in its upper bits, so that one of a later era is higher than all before, wherever revisions are compared, stored or sent: the watch, hints, feeds, checkpoints, claims and the terms and fencing tokens made from them. Without a restore it is the number itself. The client answers a watch from an earlier era as a compacted one, conditions and leases of an earlier era as ones that do not hold, and reports a change that was applied on such a premise before the era was known. After a failure, a stale read or a feed that was given up, the first watch does not wait, so that a new era is known before a watch that could skip changes. A feed or a checkpoint of another era is not used.

Why it works: the watch goes on from a revision of the era that was read, so that what was written after the read is after it.

--- a/core/configuration/changefeed/changefeed.go
+++ b/core/configuration/changefeed/changefeed.go
@@ -153,11 +153,12 @@
 }
 
 // since returns the changes after a revision. It reports a *kv.StatusError like that of a store
-// with a compacted history if some are missing or the Feed is not active.
+// with a compacted history if some are missing, the store has come back from an older copy since, or
+// the Feed is not active.
 func (f *Feed) since(after int64) (batch, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.active || after < f.from {
+	if !f.active || after < f.from || kv.Era(after) > kv.Era(f.revision) {
 		return batch{}, &kv.StatusError{Call: "changes", Status: http.StatusGone}
 	}
 	b := batch{revision: f.revision, confirmed: f.confirmed}
--- a/core/configuration/kv/kv.go
+++ b/core/configuration/kv/kv.go
@@ -24,8 +24,8 @@
 type Item struct {
 	Key   string
 	Value []byte
-	// Revision is the store's revision at the last change of the key; 0 means that the key
-	// does not exist.
+	// Revision is the store's revision at the last change of the key, see NewRevision; 0 means
+	// that the key does not exist.
 	Revision int64
 	// CreateRevision is the store's revision at which the key was created.
 	CreateRevision int64
@@ -39,8 +39,6 @@
 	More  bool
 	// Revision is the store's revision when it answered.
 	Revision int64
-	// Era counts how often the store has come back from an older copy of its data.
-	Era int64
 }
 
 // Condition is a key with the revision that it must have; 0 means that it must
@@ -72,6 +70,20 @@
 // Conflict reports whether a condition did not hold.
 func (e *StatusError) Conflict() bool { return e.Status == http.StatusPreconditionFailed }
 
+// RestoredError reports that the store has come back from an older copy during a call, so that a
+// condition or a lease of a transaction may have been that of others. The transaction was applied.
+type RestoredError struct {
+	Call string
+	// Era is the era of the store in which the transaction was applied, Before the one that its
+	// conditions and leases are from.
+	Era, Before int64
+}
+
+// Error names the call and the eras.
+func (e *RestoredError) Error() string {
+	return fmt.Sprintf("store: %s: applied in era %d on a premise of era %d", e.Call, e.Era, e.Before)
+}
+
 // MaxTxnEntries is the maximum number of conditions, puts and deletes of a Txn in all.
 const MaxTxnEntries = 32
 
--- a/core/configuration/mirror/checkpoint.go
+++ b/core/configuration/mirror/checkpoint.go
@@ -161,9 +161,15 @@
 		f.log.Warn("checkpoint not understood", "revision", it.Revision, "bytes", len(it.Value))
 		return false
 	}
+	if kv.Era(c.Revision) != kv.Era(it.Revision) {
+		metricCheckpoints.Add("outdated", 1)
+		f.log.Info("checkpoint is of another era of the store", "revision", c.Revision, "era", kv.Era(it.Revision))
+		return false
+	}
 	metricCheckpoints.Add("read", 1)
 	items := slices.DeleteFunc(c.Items, func(it kv.Item) bool { return !followed(it.Key, f.prefixes) })
 	f.log.Info("started from a checkpoint", "revision", c.Revision, "items", len(items), "bytes", len(it.Value))
+	f.unverified = true
 	f.replace(items, c.Revision)
 	return true
 }
--- a/core/configuration/mirror/feeds.go
+++ b/core/configuration/mirror/feeds.go
@@ -151,8 +151,11 @@
 		reason = err.Error()
 	case age > maxFeedAge:
 		reason = "its process has lost the store"
+	case kv.Era(page.Revision) != kv.Era(f.mirror.Revision()):
+		reason = "it is of another era of the store"
 	}
 	if reason != "" {
+		f.unverified = true
 		metricFeeds.Add("failed", 1)
 		f.feeds.fail(c.Addr(), time.Now())
 		f.log.Info("feed given up", "feed", c.Addr(), "reason", reason, "age-ms", age.Milliseconds(), "revision", f.mirror.Revision())
--- a/core/configuration/mirror/follower.go
+++ b/core/configuration/mirror/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"strconv"
@@ -79,8 +80,9 @@
 	feeds       feeds
 	feed        changefeed.Feed
 	checkpoints checkpoints
-	// era is that of the last answer.
-	era int64
+	// unverified says that the store may have come back from an older copy since its last answer.
+	unverified bool
+	onRestored []func()
 }
 
 // NewFollower returns a Follower that does nothing before Run.
@@ -106,6 +108,12 @@
 // goroutine. It must be called before Run.
 func (f *Follower) OnStoreUnreachable(fn func()) { f.onUnreachable = append(f.onUnreachable, fn) }
 
+// OnRestored adds a function that is called when the store has come back from an older copy, before
+// the listeners get what it holds. Until then everything that this process has written and read
+// may have been lost, and the leases of others as well. It is called from Run's goroutine, and must
+// be added before Run.
+func (f *Follower) OnRestored(fn func()) { f.onRestored = append(f.onRestored, fn) }
+
 // The metrics of all Followers of this process: how long ago the store last
 // answered, the calls by outcome, and the configuration in force with the
 // revision up to which the snapshot is complete.
@@ -115,11 +123,9 @@
 	metricVersion  = expvar.NewInt("configuration-version")
 	metricRevision = expvar.NewInt("store-revision")
 	metricTargets  = expvar.NewInt("targets-known")
-	// metricEra is the era of the store's last answer, metricReads counts complete reads, and
-	// metricBehind the answers with a lower revision or another era than what was known.
-	metricEra    = expvar.NewInt("store-era")
-	metricReads  = expvar.NewInt("store-reads-complete")
-	metricBehind = expvar.NewInt("store-answers-behind")
+	// metricEra is the era of the store, and metricReads counts complete reads.
+	metricEra   = expvar.NewInt("store-era")
+	metricReads = expvar.NewInt("store-reads-complete")
 )
 
 // count counts a call to the store.
@@ -206,6 +212,11 @@
 func (f *Follower) watchStore(ctx context.Context) (bool, error) {
 	began := time.Now()
 	wait := f.wait(f.hints.wait(began), began)
+	if f.unverified {
+		// A watch from a revision that the store has given out again would miss what was written
+		// under it until its answer tells.
+		wait = 0
+	}
 	if !f.feeds.serves() {
 		f.feed.Stop()
 	}
@@ -228,7 +239,7 @@
 		// events show it, unless the outage was long.
 		return !f.outage(), err
 	}
-	f.noteAnswer(&page)
+	f.unverified = false
 	f.apply(&page, time.Now())
 	if len(page.Items) > 0 {
 		// Servers that start or leave together are reported in one call.
@@ -257,32 +268,78 @@
 // readAll reads all prefixes. The watch continues from the lowest revision of the pages, because
 // they are not a consistent snapshot.
 func (f *Follower) readAll(ctx context.Context) error {
-	var all []kv.Item
-	from := int64(-1)
+	// While nothing is known, an old state will do: the watch that follows brings what it lacks.
+	stale := f.mirror.Revision() == 0
+	all, from, err := f.readPages(ctx, stale)
+	var mixed *mixedErasError
+	if errors.As(err, &mixed) {
+		f.log.Info("store was restored during a read; reading again", "revision", mixed.Revision, "other-revision", mixed.Other)
+		all, from, err = f.readPages(ctx, false)
+	}
+	if err != nil {
+		return err
+	}
+	f.unverified = stale
+	f.replace(all, from)
+	return nil
+}
+
+// mixedErasError reports that the pages of a read are of different eras of the store.
+type mixedErasError struct {
+	// Revision and Other are the revisions of two pages.
+	Revision, Other int64
+}
+
+// Error returns the revisions.
+func (e *mixedErasError) Error() string {
+	return fmt.Sprintf("read of eras %d and %d of the store", kv.Era(e.Revision), kv.Era(e.Other))
+}
+
+// readPages reads all prefixes and returns the items with the lowest revision of the pages.
+func (f *Follower) readPages(ctx context.Context, stale bool) (all []kv.Item, from int64, err error) {
+	from = -1
 	for _, prefix := range f.prefixes {
-		list, asOf, err := f.readPrefix(ctx, prefix)
+		list, asOf, err := f.readPrefix(ctx, prefix, stale)
 		if err != nil {
-			return err
+			return nil, 0, err
 		}
-		if from < 0 || asOf < from {
-			from = asOf
+		if from, err = lowest(from, asOf); err != nil {
+			return nil, 0, err
 		}
 		all = append(all, list...)
 	}
-	f.replace(all, from)
-	return nil
+	return all, from, nil
+}
+
+// lowest returns the lower of two revisions of one era; a negative one is none.
+func lowest(a, b int64) (int64, error) {
+	switch {
+	case a < 0:
+		return b, nil
+	case kv.Era(a) != kv.Era(b):
+		return 0, &mixedErasError{a, b}
+	}
+	return min(a, b), nil
 }
 
 // replace applies a complete read of the store up to a revision.
 func (f *Follower) replace(all []kv.Item, revision int64) {
-	missed, known := f.checkpoints.missed(all, f.prefixes, max(revision, f.mirror.Revision()))
-	known = known && !f.outage()
 	before := f.mirror.Revision()
+	restored := before > 0 && kv.Era(revision) > kv.Era(before)
+	if restored {
+		f.log.Warn("store has come back from an older copy", "revision", revision, "known-before", before, "era", kv.Era(revision))
+		for _, fn := range f.onRestored {
+			fn()
+		}
+	}
+	missed, known := f.checkpoints.missed(all, f.prefixes, max(revision, before))
+	known = known && !f.outage() && !restored
 	if f.mirror.Replace(all, revision, f.outage(), time.Now()) {
 		f.publish()
 	}
 	metricReads.Add(1)
-	f.log.Info("store read", "revision", revision, "era", f.era, "known-before", before, "watch-from", f.mirror.Revision(), "items", len(all), "version", f.mirror.configVersion())
+	metricEra.Set(kv.Era(revision))
+	f.log.Info("store read", "revision", revision, "era", kv.Era(revision), "known-before", before, "watch-from", f.mirror.Revision(), "items", len(all), "version", f.mirror.configVersion())
 	f.notify(all, true)
 	f.checkpoints.record(all, f.prefixes, true)
 	f.storeAnswered(time.Now())
@@ -296,54 +353,36 @@
 	f.feed.Reset(f.mirror.Revision())
 }
 
-func (f *Follower) readPrefix(ctx context.Context, prefix string) ([]kv.Item, int64, error) {
-	var all []kv.Item
-	after, lowest := "", int64(-1)
-	for {
-		page, err := f.page(ctx, prefix, after)
+func (f *Follower) readPrefix(ctx context.Context, prefix string, stale bool) (all []kv.Item, asOf int64, err error) {
+	after := ""
+	for asOf = -1; ; {
+		page, err := f.page(ctx, prefix, after, stale)
 		if err != nil {
 			return nil, 0, err
 		}
-		if lowest < 0 || page.Revision < lowest {
-			lowest = page.Revision
+		if asOf, err = lowest(asOf, page.Revision); err != nil {
+			return nil, 0, err
 		}
 		all = append(all, page.Items...)
 		if !page.More || len(page.Items) == 0 {
-			return all, lowest, nil
+			return all, asOf, nil
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
 }
 
-func (f *Follower) page(ctx context.Context, prefix, after string) (kv.Page, error) {
+func (f *Follower) page(ctx context.Context, prefix, after string, stale bool) (kv.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, responseTimeout)
 	defer cancel()
 	read := f.store.Range
-	if f.mirror.Revision() == 0 {
-		// Nothing is known yet, and the watch that follows brings what an old state lacks.
+	if stale {
 		read = f.store.StaleRange
 	}
 	page, err := read(ctx, prefix, after)
 	count(err)
-	if err == nil {
-		f.noteAnswer(&page)
-	}
 	return page, err
 }
 
-// noteAnswer logs an answer of a store whose era has changed or that is behind the revision up to
-// which it is known.
-func (f *Follower) noteAnswer(page *kv.Page) {
-	metricEra.Set(page.Era)
-	before := f.era
-	f.era = page.Era
-	if page.Revision >= f.mirror.Revision() && (before == page.Era || f.mirror.Revision() == 0) {
-		return
-	}
-	metricBehind.Add(1)
-	f.log.Warn("store is behind what is known", "revision", page.Revision, "known", f.mirror.Revision(), "era", page.Era, "era-before", before)
-}
-
 func (f *Follower) publish() {
 	v := f.mirror.Snapshot()
 	if v == nil {
@@ -368,6 +407,7 @@
 }
 
 func (f *Follower) storeFailed(err error) {
+	f.unverified = true
 	if f.unreachableSince.IsZero() {
 		f.unreachableSince = f.confirmed()
 		f.log.Warn("store does not answer", "error", err.Error())
--- a/core/configuration/mirror/mirror.go
+++ b/core/configuration/mirror/mirror.go
@@ -281,7 +281,7 @@
 		// revision on.
 		t.CreateRevision = max(t.CreateRevision, it.Revision)
 		m.log.Info("target started again", "target", id, "born", t.StartedAt, "born-before", old.StartedAt, "addr", t.Addr.String(), "revision", it.Revision)
-	} else if known {
+	} else if known && kv.Era(old.CreateRevision) == kv.Era(it.Revision) {
 		t.CreateRevision = old.CreateRevision
 	}
 	if known && old == t {
