Keep what was known until a restored store has it again

What callers would see: after the store has come back from an older copy, requests to a server that had said that it drains, or that was removed; a zone that is used although its evacuation was acknowledged; gateways that turn to a former coordinator; all servers dropped that registered after the copy was made.

Change: after a restore an entry, an evacuation or a claim that is missing in the copy, or says something else there and is not certainly newer (a later start, draining, a later epoch), applies only when its key has not been written again within 2.2 s; the entry of a target that was removed before, within 10 s, by when the store has removed it again or its heartbeats prove that it lives. The starts of the last 1,024 removed targets are remembered for that.

Why it works: the operator and the servers write again what the store has lost, and that is an event after the read, which replaces what waits.

--- a/core/configuration/mirror/follower.go
+++ b/core/configuration/mirror/follower.go
@@ -169,7 +169,7 @@
 			complete = err == nil
 		}
 		metricAge.Set(f.Age().Milliseconds())
-		if f.mirror.ExpireMissing(time.Now()) {
+		if f.mirror.ApplyDeferred(time.Now()) {
 			f.publish()
 		}
 		if err == nil {
--- a/core/configuration/mirror/mirror.go
+++ b/core/configuration/mirror/mirror.go
@@ -36,6 +36,17 @@
 // still running.
 const reregisterGrace = 2200 * time.Millisecond
 
+const (
+	// rewriteGrace is how long what was known before the store came back from an older copy counts
+	// in place of what the copy says: the operator and the servers write again what it lacks.
+	rewriteGrace = reregisterGrace
+	// removalGrace is the same for targets that were removed before: the store removes their entries
+	// again after three missed heartbeats.
+	removalGrace = 10 * time.Second
+	// maxRemoved bounds the removed targets that are remembered, of which the oldest are forgotten.
+	maxRemoved = 1024
+)
+
 // Snapshot is one consistent state of the store. It is immutable once published.
 type Snapshot struct {
 	Config *deployment.Config
@@ -82,9 +93,11 @@
 	// evacuated holds the evacuated availability zones.
 	evacuated map[string]bool
 	revision  int64
-	// missing are targets whose entries may have expired in an outage of the
-	// store, with the time until which they are retained.
-	missing map[string]time.Time
+	// deferred holds what a complete read says of targets and evacuations, by key, and is not
+	// applied yet because the store may have lost a newer state.
+	deferred map[string]deferredItem
+	// removed holds the targets that were removed, by key.
+	removed removedTargets
 	// targetsOnly says that no configuration is followed: targets of all services
 	// are included.
 	targetsOnly bool
@@ -92,7 +105,10 @@
 
 // New returns an empty Mirror.
 func New(formats deployment.Formats, log *slog.Logger) *Mirror {
-	return &Mirror{log: log, formats: formats, targets: map[string]deployment.Target{}, claims: map[string]rankpeer.Claim{}, evacuated: map[string]bool{}, missing: map[string]time.Time{}}
+	return &Mirror{
+		log: log, formats: formats, targets: map[string]deployment.Target{}, claims: map[string]rankpeer.Claim{},
+		evacuated: map[string]bool{}, deferred: map[string]deferredItem{},
+	}
 }
 
 // NewTargets returns an empty Mirror of the targets alone. A configuration may have hundreds
@@ -172,6 +188,7 @@
 }
 
 func (m *Mirror) applyOne(it kv.Item) bool {
+	delete(m.deferred, it.Key)
 	switch {
 	case it.Key == m.formats.ConfigKey && !it.Deleted:
 		return m.applyConfig(it)
@@ -266,7 +283,6 @@
 
 func (m *Mirror) applyTarget(it kv.Item) bool {
 	id := strings.TrimPrefix(it.Key, m.formats.TargetPrefix)
-	delete(m.missing, id)
 	if it.Deleted {
 		return m.remove(id, "its entry was removed", it.Revision)
 	}
@@ -284,6 +300,7 @@
 	} else if known && kv.Era(old.CreateRevision) == kv.Era(it.Revision) {
 		t.CreateRevision = old.CreateRevision
 	}
+	m.removed.forget(it.Key)
 	if known && old == t {
 		return false
 	}
@@ -296,10 +313,12 @@
 }
 
 func (m *Mirror) remove(id, reason string, revision int64) bool {
-	if _, ok := m.targets[id]; !ok {
+	t, known := m.targets[id]
+	if !known {
 		return false
 	}
 	delete(m.targets, id)
+	m.removed.add(m.formats.TargetPrefix+id, t.StartedAt)
 	m.log.Info("target gone", "target", id, "reason", reason, "revision", revision)
 	return true
 }
@@ -307,54 +326,39 @@
 // Replace applies a complete read of the store, which is needed at the start and
 // after a gap in the history. outage says that the store was unavailable before:
 // then missing targets are retained for a while, since the leases of their
-// entries may have expired because they could not be renewed.
+// entries may have expired because they could not be renewed. If the store has come back from an
+// older copy, what was known is retained as well until it is written again.
 func (m *Mirror) Replace(all []kv.Item, asOf int64, outage bool, now time.Time) bool {
-	changed := m.Apply(all, asOf)
-	seen, keys := map[string]bool{}, map[string]bool{}
+	restored := m.revision > 0 && kv.Era(asOf) > kv.Era(m.revision)
+	read := make(map[string]bool, len(all))
+	var current []kv.Item
 	for _, it := range all {
-		seen[strings.TrimPrefix(it.Key, m.formats.TargetPrefix)] = true
-		keys[it.Key] = true
+		read[it.Key] = true
+		if restored && m.deferItem(it, now) {
+			continue
+		}
+		current = append(current, it)
 	}
+	changed := m.Apply(current, asOf)
 	for _, zone := range slices.Sorted(maps.Keys(m.evacuated)) {
-		if !keys[m.formats.EvacuationPrefix+zone] {
+		key := m.formats.EvacuationPrefix + zone
+		switch {
+		case read[key]:
+		case restored:
+			m.postpone(kv.Item{Key: key, Revision: asOf, Deleted: true}, rewriteGrace, now)
+		default:
 			changed = m.setEvacuated(zone, false, asOf) || changed
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(m.targets)) {
+		key := m.formats.TargetPrefix + id
 		switch {
-		case seen[id]:
-		case outage:
-			if _, waiting := m.missing[id]; !waiting {
-				m.missing[id] = now.Add(reregisterGrace)
-				m.log.Info("target missing after an outage of the store", "target", id)
-			}
+		case read[key]:
+		case outage || restored:
+			m.postpone(kv.Item{Key: key, Revision: asOf, Deleted: true}, reregisterGrace, now)
 		default:
 			changed = m.remove(id, "no entry any more", asOf) || changed
 		}
 	}
 	return changed
 }
-
-// NextExpiry returns the time until the next missing target is to be removed, and false
-// if there is none.
-func (m *Mirror) NextExpiry(now time.Time) (time.Duration, bool) {
-	first := time.Time{}
-	for _, until := range m.missing {
-		if first.IsZero() || until.Before(first) {
-			first = until
-		}
-	}
-	return max(first.Sub(now), 0), !first.IsZero()
-}
-
-// ExpireMissing removes targets that have not registered again after an outage.
-func (m *Mirror) ExpireMissing(now time.Time) bool {
-	changed := false
-	for id, until := range m.missing {
-		if !now.Before(until) {
-			delete(m.missing, id)
-			changed = m.remove(id, "not back after an outage of the store", m.revision) || changed
-		}
-	}
-	return changed
-}
--- a/core/configuration/mirror/restore_test.go
+++ b/core/configuration/mirror/restore_test.go
@@ -1,12 +1,14 @@
 package mirror
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"verbenashift/core/configuration/kv"
+	"verbenashift/core/experts/rankpeer"
 )
 
 // at returns a revision of an era.
@@ -36,3 +38,153 @@
 	is.Equal(targets["new"].ID, "new")
 	is.Equal(m.Revision(), at(1, 12))
 }
+
+// restore replaces the state of a mirror by items of a store that was restored for the first time.
+func restore(m *Mirror, revision int64, items ...kv.Item) {
+	for i := range items {
+		items[i] = inEra(1, items[i])
+	}
+	m.Replace(items, at(1, revision), false, noon)
+}
+
+// Guards against requests to a server that leaves, after the store has lost what it wrote.
+func TestDrainingOutlivesARestore(t *testing.T) {
+	is := is.New(t)
+	m := New(testFormats(), quiet())
+	m.Apply([]kv.Item{config(1), entry("a", "10.0.0.1:80", "ready", 2)}, 2)
+	m.Apply([]kv.Item{entry("a", "10.0.0.1:80", "draining", 9)}, 9)
+	restore(m, 5, config(1), entry("a", "10.0.0.1:80", "ready", 2))
+	is.True(m.Snapshot().Targets["a"].Draining)
+	m.Apply([]kv.Item{inEra(1, entry("a", "10.0.0.1:80", "draining", 6))}, at(1, 6))
+	is.True(!m.ApplyDeferred(noon.Add(time.Hour)))
+	is.True(m.Snapshot().Targets["a"].Draining)
+}
+
+// Guards against requests to a server that has left, because its entry is in the store again.
+func TestRemovedTargetStaysRemovedAfterARestore(t *testing.T) {
+	is := is.New(t)
+	m := New(testFormats(), quiet())
+	m.Apply([]kv.Item{config(1), entry("a", "10.0.0.1:80", "ready", 2), deletedItem("a", 9)}, 9)
+	restore(m, 5, config(1), entry("a", "10.0.0.1:80", "ready", 2))
+	is.Equal(len(m.Snapshot().Targets), 0)
+	m.Apply([]kv.Item{inEra(1, deletedItem("a", 6))}, at(1, 6))
+	is.True(!m.ApplyDeferred(noon.Add(time.Hour)))
+	is.Equal(len(m.Snapshot().Targets), 0)
+}
+
+// Guards against a server that stays unused because it was cut off from the store for a while before
+// a restore.
+func TestRemovedTargetThatLivesReturns(t *testing.T) {
+	is := is.New(t)
+	m := New(testFormats(), quiet())
+	m.Apply([]kv.Item{config(1), entry("a", "10.0.0.1:80", "ready", 2), deletedItem("a", 9)}, 9)
+	restore(m, 5, config(1), entry("a", "10.0.0.1:80", "ready", 2))
+	is.True(!m.ApplyDeferred(noon.Add(removalGrace - 1)))
+	is.True(m.ApplyDeferred(noon.Add(removalGrace))) // its heartbeats have kept the entry
+	is.Equal(len(m.Snapshot().Targets), 1)
+}
+
+// Guards against a server that is dropped because the store has lost its entry, and against one that
+// is retained although it does not register again.
+func TestTargetsMissingAfterARestore(t *testing.T) {
+	is := is.New(t)
+	m := New(testFormats(), quiet())
+	m.Apply([]kv.Item{config(1), entry("a", "10.0.0.1:80", "ready", 2), entry("b", "10.0.0.2:80", "ready", 3)}, 3)
+	restore(m, 1, config(1))
+	is.Equal(len(m.Snapshot().Targets), 2)
+	m.Apply([]kv.Item{inEra(1, entry("a", "10.0.0.1:80", "ready", 2))}, at(1, 2))
+	is.True(m.ApplyDeferred(noon.Add(reregisterGrace)))
+	is.Equal(len(m.Snapshot().Targets), 1)
+	is.Equal(m.Snapshot().Targets["a"].ID, "a")
+}
+
+// Guards against a change that a server has written to the restored store and that waits as if it
+// were old: it starts to drain, or has started again, before the store is read.
+func TestNewerStateOfARestoredStoreApplies(t *testing.T) {
+	is := is.New(t)
+	m := New(testFormats(), quiet())
+	m.Apply([]kv.Item{config(1), entry("a", "10.0.0.1:80", "ready", 2), server("b", "10.0.0.2:80", 100, 3, 3)}, 9)
+	restore(m, 8, config(1), entry("a", "10.0.0.1:80", "draining", 2), server("b", "10.0.0.3:80", 200, 3, 8))
+	is.True(m.Snapshot().Targets["a"].Draining)
+	is.Equal(m.Snapshot().Targets["b"].StartedAt, int64(200))
+}
+
+// Guards against a server that has started again and whose former start counts after a restore.
+func TestFormerStartStaysReplacedAfterARestore(t *testing.T) {
+	is := is.New(t)
+	m := New(testFormats(), quiet())
+	m.Apply([]kv.Item{config(1), server("b", "10.0.0.2:80", 200, 3, 9)}, 9)
+	restore(m, 5, config(1), server("b", "10.0.0.2:80", 100, 3, 3))
+	is.Equal(m.Snapshot().Targets["b"].StartedAt, int64(200))
+	is.True(m.ApplyDeferred(noon.Add(rewriteGrace))) // it was not written again
+	is.Equal(m.Snapshot().Targets["b"].StartedAt, int64(100))
+}
+
+// Guards against requests to an evacuated zone after the store has lost the evacuation.
+func TestEvacuationOutlivesARestore(t *testing.T) {
+	is := is.New(t)
+	m := New(testFormats(), quiet())
+	m.Apply([]kv.Item{config(1), evacuation("y", 8), evacuation("z", 9)}, 9)
+	restore(m, 5, config(1))
+	m.Apply([]kv.Item{inEra(1, evacuation("z", 6))}, at(1, 6))
+	is.Equal(m.Snapshot().Evacuated, map[string]bool{"y": true, "z": true})
+	is.True(m.ApplyDeferred(noon.Add(rewriteGrace)))
+	is.Equal(m.Snapshot().Evacuated, map[string]bool{"z": true})
+}
+
+// claimOf returns the claim of an agent to coordinate the group g1.
+func claimOf(addr string, revision int64) kv.Item {
+	return kv.Item{Key: rankpeer.Key(rankpeer.ClaimPrefix, "g1"), Value: rankpeer.Claim{Group: "g1", Addr: addr}.Bytes(), Revision: revision}
+}
+
+// Guards against gateways that turn to an earlier coordinator after the store has lost the claim of
+// the one at work.
+func TestCoordinatorOutlivesARestore(t *testing.T) {
+	is := is.New(t)
+	m := New(testFormats(), quiet())
+	m.Apply([]kv.Item{config(1), claimOf("10.0.0.1:7580", 2), claimOf("10.0.0.2:7580", 9)}, 9)
+	restore(m, 5, config(1), claimOf("10.0.0.1:7580", 2))
+	is.Equal(m.Snapshot().Coordinators["g1"].Addr, "10.0.0.2:7580")
+	m.Apply([]kv.Item{inEra(1, claimOf("10.0.0.2:7580", 6))}, at(1, 6))
+	is.True(!m.ApplyDeferred(noon.Add(rewriteGrace)))
+	is.Equal(m.Snapshot().Coordinators["g1"].Addr, "10.0.0.2:7580")
+}
+
+// Guards against an older configuration in force after a restore.
+func TestConfigurationOutlivesARestore(t *testing.T) {
+	is := is.New(t)
+	m := New(testFormats(), quiet())
+	m.Apply([]kv.Item{config(3), config(9)}, 9)
+	restore(m, 5, config(3))
+	is.Equal(m.Snapshot().Config.Version, int64(9))
+}
+
+// Guards against a state of the first restored store that applies after a second restore, and
+// against one that is retained for too short a time after it.
+func TestRestoredTwice(t *testing.T) {
+	is := is.New(t)
+	m := New(testFormats(), quiet())
+	m.Apply([]kv.Item{config(1), entry("a", "10.0.0.1:80", "ready", 2), entry("a", "10.0.0.1:80", "draining", 9)}, 9)
+	restore(m, 5, config(1), entry("a", "10.0.0.1:80", "ready", 2))
+	later := noon.Add(rewriteGrace - 1)
+	m.Replace([]kv.Item{inEra(2, config(1))}, at(2, 1), false, later)
+	is.True(!m.ApplyDeferred(later.Add(rewriteGrace - 1)))
+	is.True(m.Snapshot().Targets["a"].Draining)
+	is.True(m.ApplyDeferred(later.Add(rewriteGrace)))
+	is.Equal(len(m.Snapshot().Targets), 0)
+}
+
+// Guards against memory that grows with the targets that have ever left.
+func TestRemovedTargetsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var r removedTargets
+	for n := range 2 * maxRemoved {
+		r.add(fmt.Sprint(n), 1)
+	}
+	is.Equal(len(r.startedAt), maxRemoved)
+	is.Equal(len(r.order), maxRemoved)
+	is.True(!r.has("0", 1))
+	is.True(r.has(fmt.Sprint(2*maxRemoved-1), 1))
+	r.forget(fmt.Sprint(2*maxRemoved - 1))
+	is.Equal(len(r.order), maxRemoved-1)
+}
