Quarantine outlives a restore of the store

What callers would see: a request that crashes its servers is sent again after the store has come back from an older copy, since a hold that is missing in a complete read counts as removed; or a request that was cleared is refused again, because its hold is back. A gateway that starts later would know of no crash.

Change: after a restore holds that the store has lost are written again by one of the gateways, each gateway writes its reports of the last minute (32 at most) again, and holds of requests that were released are removed again. A probe that the store has lost still counts. A report that was written in an earlier era than the store's is not taken for written.

Why it works: what a gateway has read or written stays in its memory, and the store's copy only adds to it.

--- a/core/configuration/mirror/follower.go
+++ b/core/configuration/mirror/follower.go
@@ -335,7 +335,7 @@
 	}
 	missed, known := f.checkpoints.missed(all, f.prefixes, max(revision, before))
 	known = known && !f.outage() && !restored
-	if f.mirror.Replace(all, revision, f.outage(), time.Now()) {
+	if f.mirror.Replace(all, revision, f.outage(), time.Now()) || restored {
 		f.publish()
 	}
 	metricReads.Add(1)
--- a/core/request/quarantine/register.go
+++ b/core/request/quarantine/register.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"verbenashift/core/configuration/kv"
 )
 
 const (
@@ -69,8 +71,9 @@
 	// needsEvaluation reports that some crashes have not been evaluated, were evaluated before
 	// the last change of state, or are more recent than reportDelay.
 	needsEvaluation bool
-	// answered are the requests of this gateway that targets have answered completely.
-	answered recent
+	// answered are the requests of this gateway that targets have answered completely, released
+	// those whose quarantine or crashes are known to have ended.
+	answered, released recent
 	// reports and holds are the revisions of the items in the store, by key.
 	reports, holds map[string]int64
 }
@@ -108,9 +111,16 @@
 	}
 	h.Probes = max(h.Probes, 0) // The store may contain any number.
 	g.holds[key] = revision
-	if old := g.quarantined[p]; old == nil || old.revision < revision {
-		g.quarantined[p] = &quarantined{Hold: h, revision: revision, since: now}
+	old := g.quarantined[p]
+	if old != nil && old.revision >= revision {
+		return nil, nil
+	}
+	q := &quarantined{Hold: h, revision: revision, since: now}
+	if old != nil && kv.Era(old.revision) < kv.Era(revision) && old.Probes > h.Probes {
+		// The store has lost a probe, which must not be made again.
+		q.Hold, q.since = old.Hold, old.since
 	}
+	g.quarantined[p] = q
 	return nil, nil
 }
 
@@ -145,6 +155,25 @@
 	}
 }
 
+// Restored takes the keys of a store that has come back from an older copy, before its items are
+// applied. Holds that it has lost are to be written again. It returns the requests whose holds are
+// stored again although they had been released.
+func (g *Register) Restored(keys map[string]bool) (released []Fingerprint) {
+	clear(g.reports)
+	clear(g.holds)
+	for p, q := range g.quarantined {
+		if !keys[HoldKey(p)] {
+			q.revision = 0
+		}
+	}
+	for key := range keys {
+		if p, err := holdFingerprint(key); err == nil && g.quarantined[p] == nil && g.released.has(p) {
+			released = append(released, p)
+		}
+	}
+	return released
+}
+
 // Report processes what a gateway, this one or another, has observed. It returns the requests
 // that targets have answered completely here and that other gateways may still suspect.
 func (g *Register) Report(r *Report, now time.Time) (cleared []Fingerprint) {
@@ -218,6 +247,7 @@
 // release ends the quarantine of a request.
 func (g *Register) release(p Fingerprint) {
 	g.needsEvaluation = true
+	g.released.add(p)
 	delete(g.quarantined, p)
 	g.forgetCrashes(p)
 }
--- a/core/request/quarantine/register_test.go
+++ b/core/request/quarantine/register_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"verbenashift/core/configuration/kv"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -350,3 +352,48 @@
 	slices.Sort(want)
 	b.Equal(surplus, want)
 }
+
+// inEra returns a revision of an era.
+func inEra(era, counter int64) int64 {
+	r, err := kv.NewRevision(era, counter)
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+// Guards against releasing a request that crashes targets because the store has lost its hold.
+func TestHoldsThatTheStoreHasLostAreWrittenAgain(t *testing.T) {
+	b := newFixture(t)
+	b.store(1, Hold{Crashes: 3})
+	b.store(2, Hold{Crashes: 3})
+	b.Equal(b.Restored(map[string]bool{HoldKey(fingerprintOf(2)): true}), nil)
+	due := b.PendingWrites(b.now)
+	b.Equal(due, map[Fingerprint]Hold{fingerprintOf(1): {Crashes: 3}})
+	b.True(b.Decide(fingerprintOf(1), b.now).Quarantined)
+}
+
+// Guards against quarantining a request again because its hold is back in the store.
+func TestReleasedRequestStaysReleasedAfterARestore(t *testing.T) {
+	b := newFixture(t)
+	b.store(1, Hold{Crashes: 3})
+	b.True(b.Completed(fingerprintOf(1)))
+	b.store(2, Hold{Crashes: 3})
+	_, ok := b.Remove(HoldKey(fingerprintOf(2)))
+	b.True(ok)
+	stored := map[string]bool{HoldKey(fingerprintOf(1)): true, HoldKey(fingerprintOf(2)): true, HoldKey(fingerprintOf(3)): true}
+	b.Equal(len(b.Restored(stored)), 2)
+}
+
+// Guards against a second probe, which costs a target, because the store has lost the claim of the
+// first.
+func TestProbesCountAfterARestore(t *testing.T) {
+	b := newFixture(t)
+	b.store(1, Hold{Crashes: 3, Probes: 2})
+	_, err := b.Apply(HoldKey(fingerprintOf(1)), inEra(1, 1), Hold{Crashes: 3, ProbeNow: true}.Bytes(), b.now.Add(time.Second))
+	b.NoErr(err)
+	d := b.Decide(fingerprintOf(1), b.now.Add(time.Second))
+	b.Equal(d.Hold.Probes, 2)
+	b.Equal(d.Revision, inEra(1, 1))
+	b.True(!d.Probe)
+}
--- a/gateway/isolator.go
+++ b/gateway/isolator.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +31,10 @@
 	probeSettleTime = time.Second
 	// maxUnwritten bounds what is buffered while the store is unavailable.
 	maxUnwritten = 64
+	// maxWritten and writtenMaxAge bound the reports that are written again after the store has
+	// come back from an older copy.
+	maxWritten    = 32
+	writtenMaxAge = time.Minute
 )
 
 // changer is the part of the store that an isolator writes to.
@@ -53,6 +58,19 @@
 	removedHolds []quarantine.Fingerprint
 	// reports counts the reports that were written.
 	reports int
+	// written holds the last of them, oldest first, and restored says that the store may have lost
+	// them.
+	written  []writtenReport
+	restored bool
+	// era is that of the store.
+	era int64
+}
+
+// writtenReport is a report that was written to the store, with the holds that were removed.
+type writtenReport struct {
+	quarantine.Report
+	removedHolds []quarantine.Fingerprint
+	at           time.Time
 }
 
 func newIsolator(instance string, store changer, log *slog.Logger) *isolator {
@@ -79,9 +97,7 @@
 	}
 	s.log.Info("request cleared", "print", p.Short(), "reason", "answered completely")
 	s.queueCompleted([]quarantine.Fingerprint{p})
-	if len(s.removedHolds) < maxUnwritten {
-		s.removedHolds = append(s.removedHolds, p)
-	}
+	s.queueRemovedHold(p)
 }
 
 // queueCompleted queues requests that were answered completely for the next report. It is called
@@ -102,6 +118,12 @@
 	keys := map[string]bool{}
 	for _, it := range items {
 		keys[it.Key] = !it.Deleted
+	}
+	if snapshot && s.restored {
+		s.restored = false
+		items = s.rewrite(items, keys, now)
+	}
+	for _, it := range items {
 		if it.Deleted {
 			if p, ok := s.register.Remove(it.Key); ok {
 				s.log.Info("request cleared", "print", p.Short(), "reason", "its hold was removed")
@@ -121,6 +143,44 @@
 	s.show()
 }
 
+// storeRestored processes that the store has come back from an older copy.
+func (s *isolator) storeRestored(era int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restored, s.era = true, era
+}
+
+// rewrite queues what the restored store, which holds the given keys, may have lost. It returns the
+// items without the holds of requests that were released. It is called with the lock held.
+func (s *isolator) rewrite(items []kv.Item, keys map[string]bool, now time.Time) []kv.Item {
+	again := map[string]bool{}
+	for _, p := range s.register.Restored(keys) {
+		again[quarantine.HoldKey(p)] = true
+		s.queueRemovedHold(p)
+	}
+	for _, w := range s.written {
+		if now.Sub(w.at) > writtenMaxAge {
+			continue
+		}
+		s.queueCompleted(w.Completed)
+		for _, c := range w.Crashes[:min(len(w.Crashes), maxUnwritten-len(s.unwritten.Crashes))] {
+			s.unwritten.Crashes = append(s.unwritten.Crashes, c)
+		}
+		for _, p := range w.removedHolds {
+			s.queueRemovedHold(p)
+		}
+	}
+	s.written = nil
+	return slices.DeleteFunc(slices.Clone(items), func(it kv.Item) bool { return again[it.Key] })
+}
+
+// queueRemovedHold queues the removal of a hold. It is called with the lock held.
+func (s *isolator) queueRemovedHold(p quarantine.Fingerprint) {
+	if len(s.removedHolds) < maxUnwritten && !slices.Contains(s.removedHolds, p) {
+		s.removedHolds = append(s.removedHolds, p)
+	}
+}
+
 // show sets the metric of the quarantined requests. It is called with the lock held.
 func (s *isolator) show() { metricQuarantined.Set(int64(s.register.Quarantined())) }
 
@@ -223,13 +283,20 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	if _, err := s.store.Change(ctx, change); err != nil {
+	revision, err := s.store.Change(ctx, change)
+	if err != nil {
 		s.logWriteError(err)
 		return false
 	}
 	s.reports++
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if kv.Era(revision) < s.era {
+		return false // The store was restored since, and has lost it.
+	}
+	removed := removedHolds[:min(len(removedHolds), kv.MaxTxnEntries/4)]
+	s.written = append(s.written, writtenReport{report, slices.Clone(removed), time.Now()})
+	s.written = s.written[max(0, len(s.written)-maxWritten):]
 	s.unwritten.Crashes = s.unwritten.Crashes[len(report.Crashes):]
 	s.unwritten.Completed = s.unwritten.Completed[len(report.Completed):]
 	s.removedHolds = s.removedHolds[min(len(removedHolds), kv.MaxTxnEntries/4):]
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -45,6 +45,7 @@
 	f.OnChange(g.update)
 	f.OnStoreUnreachable(g.startup.Unreachable)
 	f.OnRestored(g.fleet.backpressure.limits.restored)
+	f.OnRestored(g.isolator.storeRestored)
 	f.Listen(quarantine.Prefix, g.isolator.apply)
 	f.ListenChanges(suspicionsPrefix, g.suspicions.apply)
 	f.Listen(permit.Prefix, g.fleet.backpressure.limits.apply)
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -297,3 +297,36 @@
 	}
 	t.Error("no report was written")
 }
+
+// Guards against a request that crashes servers and is sent again, at this gateway or at one that
+// starts later, because the store has lost what was reported of it.
+func TestQuarantineOutlivesARestore(t *testing.T) {
+	r := newQuarantineRig(t, deployment.Safe)
+	s := r.gateway.isolator
+	for n := range 3 {
+		s.crashed(quarantine.Crash{Target: string(rune('a' + n)), Requests: []quarantine.Fingerprint{r.fingerprint()}})
+	}
+	r.True(s.writeReport(t.Context()))
+	s.apply([]kv.Item{{Key: quarantine.HoldKey(r.fingerprint()), Value: quarantine.Hold{Crashes: 3}.Bytes(), Revision: 9}}, false)
+	r.True(s.hasQuarantined())
+	clear(r.store.items) // The copy is from before.
+	s.storeRestored(0)
+	s.apply(nil, true)
+	r.True(s.hasQuarantined())
+	r.True(s.writeReport(t.Context()))
+	s.writeHolds(t.Context())
+	later := newIsolator("front-2", r.store, r.gateway.log)
+	later.apply(r.store.all(), true)
+	r.True(later.hasQuarantined())
+	r.Equal(later.crashes(r.fingerprint()), 3)
+}
+
+// Guards against a report that counts as written although the store was restored before its answer.
+func TestReportLostDuringItsWriteIsWrittenAgain(t *testing.T) {
+	r := newQuarantineRig(t, deployment.Safe)
+	s := r.gateway.isolator
+	s.crashed(quarantine.Crash{Target: "a", Requests: []quarantine.Fingerprint{r.fingerprint()}})
+	s.storeRestored(1)
+	r.True(!s.writeReport(t.Context())) // the store has answered in the era before
+	r.Equal(len(s.unwritten.Crashes), 1)
+}
