A coordinator claims its group again after a restore

Change: a coordinator whose term is of an earlier era than the store claims again, as it does when it has begun without the store, and its term and fencing token rise with it. A claim in a restored store counts as one that was written a moment ago only if its number is above that of the known term.

Ruled out: to count every claim of a new era as fresh. The coordinator at work would step down at its own restored claim, and its group would be without one for about a second after each restore.

--- a/sidecar/claim.go
+++ b/sidecar/claim.go
@@ -55,11 +55,20 @@
 	defer a.mu.Unlock()
 	latest := a.follower.Latest().Term
 	first := a.firstByRank && latest == 0
-	fresh := revision > latest && revision != a.lastClaimRevision && !first
+	fresh := newerClaim(revision, latest) && revision != a.lastClaimRevision && !first
 	a.lastClaimRevision = revision
 	return fresh
 }
 
+// newerClaim reports whether a stored claim was written after the one that gave a term. In a store that
+// has come back from an older copy, it may be one from before.
+func newerClaim(revision, term int64) bool {
+	if term > 0 && kv.Era(revision) > kv.Era(term) {
+		return kv.Counter(revision) > kv.Counter(term)
+	}
+	return revision > term
+}
+
 func (a *agent) writeClaim(ctx context.Context, group engine.GroupID, superseded func() bool) claimResult {
 	ctx, cancel := context.WithTimeout(ctx, claimWait)
 	defer cancel()
@@ -142,8 +151,12 @@
 }
 
 // renewRole applies the result of a claim under way, and claims again while the store has not
-// answered. It reports false if another coordinator was faster.
+// answered, or if it may have lost the claim. It reports false if another coordinator was faster.
 func (co *coordinator) renewRole(ctx context.Context, now time.Time) bool {
+	if co.claimLost() {
+		co.log.Warn("store may have lost the claim; claiming again", "term", co.term)
+		co.provisional, co.claimedAt = true, time.Time{}
+	}
 	if !co.provisional {
 		return true
 	}
@@ -166,3 +179,12 @@
 		return true
 	}
 }
+
+// claimLost reports whether the store has come back from an older copy since the claim.
+func (co *coordinator) claimLost() bool {
+	if co.provisional || co.targets == nil {
+		return false
+	}
+	v := co.targets.Snapshot()
+	return v != nil && kv.Era(v.Revision) > kv.Era(co.term)
+}
--- a/sidecar/claim_test.go
+++ b/sidecar/claim_test.go
@@ -11,11 +11,13 @@
 	"github.com/matryer/is"
 
 	"verbenashift/core/configuration/kv"
+	"verbenashift/core/configuration/mirror"
 	"verbenashift/core/experts/engine"
 	"verbenashift/core/experts/lockstep"
 	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/plumbing/boot"
 	"verbenashift/core/plumbing/instance"
+	"verbenashift/platform"
 	"verbenashift/standin/fleet"
 )
 
@@ -55,6 +57,18 @@
 	return false
 }
 
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for range 10_000 {
+		if holds() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("not reached: " + what)
+}
+
 // Guards against a group that is held until the store answers again.
 func TestCoordinatorActsBeforeTheStoreAnswers(t *testing.T) {
 	is := is.New(t)
@@ -169,3 +183,74 @@
 	s := &coordinator{agent: a, group: groupG, role: role{provisional: true, term: 3, claiming: lost}, core: lockstep.NewCoordinator(0, nil, 1), log: a.log}
 	is.True(!s.renewRole(ctx, time.Now()))
 }
+
+// Guards against a group without a coordinator because the store, restored from an older copy, gives
+// out a lower term than the ranks have accepted.
+func TestTermsRiseAfterARestore(t *testing.T) {
+	is := is.New(t)
+	a, store := testAgent(t)
+	older := store.Copy()
+	for range 30 {
+		store.Put("servers/x", nil)
+	}
+	joinAndAccept(a, 30)
+	store.Restore(older)
+	d, ok := a.takeOver(t.Context(), groupG)
+	is.True(ok)
+	is.True(d.term > 30)
+}
+
+// Guards against an agent that waits for the former coordinator because its claim is in the store
+// again.
+func TestRestoredClaimIsNotFresh(t *testing.T) {
+	is := is.New(t)
+	a, store := testAgent(t)
+	for range 30 {
+		store.Put("servers/x", nil)
+	}
+	store.Put(rankpeer.ClaimPrefix+"g", []byte("127.0.0.9:9310")) // revision 31
+	older := store.Copy()
+	joinAndAccept(a, 31)
+	store.Restore(older)
+	_, ok := a.takeOver(t.Context(), groupG)
+	is.True(ok)
+	is.True(!newerClaim(31, 40))
+	is.True(newerClaim(41, 40))
+}
+
+// Guards against gateways that turn to an earlier coordinator because the store has lost the claim of
+// the one at work.
+func TestCoordinatorClaimsAgainAfterARestore(t *testing.T) {
+	is := is.New(t)
+	a, store := testAgent(t)
+	store.Put("servers/x", []byte(`{"backend":"pool","addr":"127.0.0.1:80","zone":"z1","version":"v1","slots":4,"state":"ready","coldMs":0,"seq":1}`))
+	older := store.Copy()
+	d, ok := a.takeOver(t.Context(), groupG)
+	is.True(ok)
+	co := &coordinator{
+		agent: a, group: groupG, role: d, core: lockstep.NewCoordinator(0, nil, 1), log: a.log,
+		targets: mirror.NewTargetFollower(a.store, platform.Formats(), a.log),
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		co.targets.Run(ctx)
+	}()
+	defer func() {
+		stop()
+		<-ended
+	}()
+	eventually(t, "targets read", func() bool { return co.targets.Snapshot() != nil })
+	is.True(co.renewRole(ctx, time.Now()))
+	is.Equal(co.term, d.term)
+	store.Restore(older)
+	eventually(t, "restore noticed", co.claimLost)
+	is.True(co.renewRole(ctx, time.Now()))
+	is.True(outcome(t, co))
+	is.True(co.term > d.term)
+	is.Equal(co.core.Fence, co.term)
+	it, err := a.store.Get(ctx, rankpeer.ClaimPrefix+"g")
+	is.NoErr(err)
+	is.Equal(it.Revision, co.term)
+}
