--- a/proof/restore_test.go
+++ b/proof/restore_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -154,3 +155,101 @@
 	t.Logf("%d calls in three seconds after the restore", s.Calls()-before)
 	s.True(s.Calls()-before <= maxCalls)
 }
+
+// Guards against gateways and coordinators that go by what a restored store has lost or gives out
+// again: a configuration that is not in force, an evacuated zone that is used, a group that no
+// coordinator steers, and reads of everything in a loop.
+func TestFleetStoreIsRestored(t *testing.T) {
+	const gateways, maxCalls = 2, 200 // a complete read by each process and again by each new coordinator
+	for i, c := range []struct {
+		name    string
+		restore func(s *fleetHarness, older *fleet.Copy)
+	}{
+		{"during watches", func(s *fleetHarness, older *fleet.Copy) { s.Store.Restore(older) }},
+		{"while it is down", func(s *fleetHarness, older *fleet.Copy) {
+			s.Store.SetDown(true)
+			time.Sleep(time.Second)
+			s.Store.Restore(older)
+			s.Store.SetDown(false)
+		}},
+		{"twice in a row", func(s *fleetHarness, older *fleet.Copy) {
+			s.Store.Restore(older)
+			s.Store.Rewrite()
+			time.Sleep(300 * time.Millisecond)
+			s.Store.Restore(older)
+		}},
+		{"after a claim, before its answer", func(s *fleetHarness, older *fleet.Copy) {
+			s.Store.RestoreAfterWrite(older)
+			name := s.coordinator()
+			s.kill(name)
+			s.startProcess(s.boot(name))
+			s.until("restore", func() bool { return s.Store.Era() > 0 })
+		}},
+		{"while a gateway is suspended", func(s *fleetHarness, older *fleet.Copy) {
+			s.signal("front-1", syscall.SIGSTOP)
+			s.Store.Restore(older)
+			time.Sleep(500 * time.Millisecond)
+			s.signal("front-1", syscall.SIGCONT)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := startFleet(t, fleet.Shape{Block: fmt.Sprintf("127.0.%d", 101+i), Ranks: 6, Zones: 3, Gateways: gateways})
+			fronts := []string{"front-0", "front-1"}
+			v := s.playDuring(1200, func() {
+				s.awaitMapChanges()
+				older := s.Store.Copy()
+				s.Evacuate("z2", true)
+				s.configure(2000, fronts)
+				time.Sleep(zoneBound)
+				before := s.Ledger.RunsIn("z2")
+				calls := s.Store.Calls()
+				c.restore(s, older)
+				time.Sleep(300 * time.Millisecond)
+				s.Store.Rewrite()
+				s.configure(2100, fronts)
+				s.awaitMapChanges()
+				time.Sleep(3 * time.Second)
+				t.Logf("%d calls to the store", s.Store.Calls()-calls)
+				s.True(s.Store.Calls()-calls <= maxCalls)
+				name := s.coordinator()
+				s.kill(name)
+				s.awaitMapChanges()
+				s.startProcess(s.boot(name))
+				s.configure(2200, fronts)
+				s.Equal(s.Ledger.RunsIn("z2"), before)
+			})
+			s.True(v.Passed())
+			s.Equal(v.Complete+v.Refused, v.Requests)
+			s.True(v.Refused <= v.Requests/500)
+		})
+	}
+}
+
+// Guards against a burst at a server that names a rate limit when the store loses the permits, and
+// against one that is not used any more.
+func TestFleetNamedLimitOutlivesRestores(t *testing.T) {
+	const rate = 2
+	s := startFleet(t, fleet.Shape{Block: "127.0.106", Gateways: 6})
+	v := s.playDuring(600, func() {
+		older := s.Store.Copy()
+		s.Limit(0, rate)
+		s.LimitRank(1, rate)
+		time.Sleep(limitGrace)
+		s.signal("front-4", syscall.SIGSTOP)
+		s.Store.Restore(older)
+		s.Store.Rewrite()
+		time.Sleep(time.Second)
+		s.signal("front-4", syscall.SIGCONT)
+		time.Sleep(limitGrace)
+		s.Store.Restore(older)
+		s.Store.Rewrite()
+		time.Sleep(limitDuration)
+	})
+	s.True(v.Passed())
+	s.checkLimit(rate)
+	before := s.Served(0)
+	s.playDuring(200, func() { time.Sleep(limitDuration) })
+	served := s.Served(0) - before
+	t.Logf("%d requests after the restores", served)
+	s.True(served >= rate*int(limitDuration.Seconds())/2)
+}
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -36,7 +36,8 @@
 // TestSoak runs gateways and sidecars as processes and injects faults drawn from a seed, in
 // sequence and overlapping: processes that are killed, suspended, stopped gracefully one after
 // the other and restarted; changed settings; links that are delayed, reset, silent or cut in
-// one direction; a store that is unavailable or loses its history; orders that are applied
+// one direction; a store that is unavailable, loses its history or comes back from an older
+// copy; orders that are applied
 // late; servers that refuse, stall, do not respond, respond with failures, crash under a
 // repeated request, name limits, ask for pauses, leave, or crash and restart under their ID so
 // that a group is formed again; changes of the configuration and shifts of the load. Clocks
@@ -96,6 +97,8 @@
 	*fleetHarness
 	rng          *rand.Rand
 	down, paused map[string]bool
+	// older is a copy of the store.
+	older *fleet.Copy
 	// crashing tracks the goroutines that send requests that crash their servers.
 	crashing sync.WaitGroup
 	injected []string
@@ -125,6 +128,10 @@
 		f.restoreOne()
 		return
 	}
+	if f.rng.IntN(8) == 0 {
+		f.restoreStore()
+		return
+	}
 	switch f.rng.IntN(20) {
 	case 0, 1:
 		name := f.victim()
@@ -201,6 +208,47 @@
 	}
 }
 
+// restoreStore restores the store from a copy that was made at an earlier call: while it answers,
+// while it is down, twice in a row, or between a write and its answer. What it has lost of the
+// operator's and the servers' writes is written again.
+func (f *faultInjector) restoreStore() {
+	if f.older == nil || f.rng.IntN(4) == 0 {
+		f.older = f.Store.Copy()
+		f.note("copy of the store")
+		return
+	}
+	older := f.older
+	switch kind := f.rng.IntN(4); kind {
+	case 0:
+		f.note("store restored after a write")
+		f.Store.RestoreAfterWrite(older)
+		// In case that nothing is written.
+		f.endLater(maxFaultDuration, func() { f.Store.Restore(older) })
+	case 1:
+		f.note("store restored while down")
+		f.Store.SetDown(true)
+		f.Store.Restore(older)
+		f.endLater(maxFaultDuration, func() { f.Store.SetDown(false) })
+	case 2:
+		f.note("store restored twice")
+		f.Store.Restore(older)
+		f.Store.Rewrite()
+		f.endLater(maxFaultDuration, func() { f.Store.Restore(older) })
+	case 3:
+		f.note("store restored")
+		f.Store.Restore(older)
+	}
+	// The last restore is up to maxFaultDuration later.
+	for range 2 {
+		f.endLater(maxFaultDuration, f.Store.Rewrite)
+	}
+	time.AfterFunc(maxFaultDuration+rewriteDelay, f.Store.Rewrite)
+	f.older = nil
+}
+
+// rewriteDelay is how long after a restore the operator and the servers write again at the latest.
+const rewriteDelay = 500 * time.Millisecond
+
 // ranks returns the number of ranks in all groups.
 func (f *faultInjector) ranks() int { return len(f.Groups) * f.Shape.Ranks }
 
@@ -257,6 +305,8 @@
 	f.Store.SetUnresponsive(false)
 	f.Refuse(false)
 	f.crashing.Wait()
+	time.Sleep(maxFaultDuration + rewriteDelay) // The store was written again.
+	f.Store.SetDown(false)
 	time.Sleep(fleet.CrashDowntime) // Crashed servers have restarted.
 	f.Links.Blackhole(false)
 	f.Links.Delay(fleet.ToServer, 0)
