--- a/core/configuration/changefeed/changefeed_test.go
+++ b/core/configuration/changefeed/changefeed_test.go
@@ -158,3 +158,20 @@
 	defer f.mu.Unlock()
 	return f.changed != nil
 }
+
+// Guards against a follower that waits at a feed whose process does not know yet that the store was
+// restored, and against one that misses what was written to the restored store.
+func TestFeedOfAnotherEraIsNotFollowed(t *testing.T) {
+	is := is.New(t)
+	restored, err := kv.NewRevision(1, 5)
+	is.NoErr(err)
+	var f Feed
+	f.Start(10, time.Now())
+	_, err = f.since(restored)
+	is.True(gone(err))
+	f.Reset(restored)
+	_, err = f.since(10)
+	is.True(gone(err))
+	_, err = f.since(restored)
+	is.NoErr(err)
+}
--- a/core/configuration/mirror/feeds_test.go
+++ b/core/configuration/mirror/feeds_test.go
@@ -107,6 +107,7 @@
 	for name, watch := range map[string]func(after int64) (kv.Page, time.Duration, error){
 		"dead":               func(int64) (kv.Page, time.Duration, error) { return kv.Page{}, 0, errors.New("refused") },
 		"lacks a change":     func(int64) (kv.Page, time.Duration, error) { return kv.Page{}, 0, &kv.StatusError{Status: 410} },
+		"is of another era":  func(int64) (kv.Page, time.Duration, error) { return kv.Page{Revision: at(1, 50)}, 0, nil },
 		"misses a change":    func(after int64) (kv.Page, time.Duration, error) { return kv.Page{Revision: after}, 0, nil },
 		"has lost the store": func(after int64) (kv.Page, time.Duration, error) { return kv.Page{Revision: after}, time.Minute, nil },
 	} {
--- a/core/configuration/mirror/follower.go
+++ b/core/configuration/mirror/follower.go
@@ -170,7 +170,8 @@
 			complete = err == nil
 		}
 		metricAge.Set(f.Age().Milliseconds())
-		if f.mirror.ApplyDeferred(time.Now()) {
+		// Without an answer it isn't known whether a key was written again.
+		if f.mirror.ApplyDeferred(f.confirmed()) {
 			f.publish()
 		}
 		if err == nil {
@@ -199,11 +200,15 @@
 	return f.watchStore(ctx)
 }
 
+// minExpiryWait is the shortest wait for the removal of a target: a feed may confirm the state later
+// than it answers.
+const minExpiryWait = 50 * time.Millisecond
+
 // wait returns how long a watch that begins now may wait, given the longest time.
 func (f *Follower) wait(longest time.Duration, now time.Time) time.Duration {
 	if due, ok := f.mirror.NextExpiry(now); ok {
 		// Removing a target that left during an outage must not wait for a long watch.
-		return min(longest, due+time.Millisecond)
+		return min(longest, max(due, minExpiryWait))
 	}
 	return longest
 }
--- a/core/configuration/mirror/restore_test.go
+++ b/core/configuration/mirror/restore_test.go
@@ -1,8 +1,12 @@
 package mirror
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -188,3 +192,77 @@
 	r.forget(fmt.Sprint(2*maxRemoved - 1))
 	is.Equal(len(r.order), maxRemoved-1)
 }
+
+// Guards against an evacuation that ends, and a target that is removed, because the store was
+// restored and does not answer when they might be written again.
+func TestDeferredItemsWaitForTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var restored, down atomic.Bool
+		s := &script{
+			rangeOf: func(prefix string) (kv.Page, error) {
+				switch {
+				case down.Load():
+					return kv.Page{}, errors.New("no answer")
+				case prefix != testOperatorPrefix && restored.Load():
+					return kv.Page{Revision: at(1, 5)}, nil
+				case prefix != testOperatorPrefix:
+					return kv.Page{Revision: 9}, nil
+				case restored.Load():
+					return kv.Page{Items: []kv.Item{inEra(1, config(3))}, Revision: at(1, 5)}, nil
+				}
+				return kv.Page{Items: []kv.Item{config(3), evacuation("z", 8)}, Revision: 9}, nil
+			},
+			watch: func(after int64) (kv.Page, error) {
+				switch {
+				case down.Load():
+					return kv.Page{}, errors.New("no answer")
+				case restored.Load() && kv.Era(after) == 0:
+					return kv.Page{}, &kv.StatusError{Status: 410}
+				}
+				return kv.Page{Revision: after}, nil
+			},
+		}
+		f := NewFollower(s, testFormats(), quiet())
+		stop := runInBackground(t, f)
+		time.Sleep(time.Second)
+		restored.Store(true)
+		time.Sleep(watchWait + maxPause)
+		down.Store(true)
+		time.Sleep(10 * time.Second)
+		is.True(f.Snapshot().Evacuated["z"])
+		down.Store(false)
+		time.Sleep(rewriteGrace + 2*maxPause)
+		is.Equal(len(f.Snapshot().Evacuated), 0)
+		stop()
+	})
+}
+
+// Guards against a start from a checkpoint whose revisions the restored store has given out again.
+func TestCheckpointOfAnotherEraIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	old := checkpoint{Revision: 50, Items: []kv.Item{config(9)}}
+	value, err := old.encode()
+	is.NoErr(err)
+	f := NewFollower(&script{}, testFormats(), quiet())
+	f.UseCheckpoints(&eraStore{kv.Item{Key: checkpointKey, Value: value, Revision: at(1, 7)}}, false)
+	is.True(!f.readCheckpoint(t.Context()))
+	f.UseCheckpoints(&eraStore{kv.Item{Key: checkpointKey, Value: value, Revision: 51}}, false)
+	is.True(f.readCheckpoint(t.Context()))
+}
+
+// eraStore holds one item.
+type eraStore struct{ it kv.Item }
+
+func (s *eraStore) StaleGet(context.Context, string) (kv.Item, error) { return s.it, nil }
+func (s *eraStore) Set(context.Context, string, []byte) error         { return nil }
+
+// runInBackground runs a Follower until the returned function is called.
+func runInBackground(t *testing.T, f *Follower) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	go f.Run(ctx)
+	return func() {
+		cancel()
+		synctest.Wait()
+	}
+}
