Entries and agents order versions and leases across restores of the store

What callers and operators would see: a process that starts acts on an older configuration than the confirmed one, since an answer of the store sufficed; a group without a coordinator, as the store, back from an older copy, gives out lower fencing tokens than the members have accepted; a coordinator that renews the lease of another under the same number and believes that it holds its role; a write over another's value whose version it has read of an earlier one; a home that counts as the first of its name because its entry is lost, and grants keys that have run.

TestRestoredStore, TestWriteOnAPremiseOf... and TestLeaseOfARestoredStore play the client against a stand-in that can be copied and restored.

Change: as for gateways, versions and leases have the era of the store in their upper bits; those of an earlier era are not found, conflict or are compacted, and a write on such a premise has an unknown effect. In such a store no agent is the first of its name, and the grants of a dead home are sealed up to what clocks may show. A coordinator whose key is in the copy takes it up under the copy of its lease.

Left: the operator writes the configuration back with 'config restore', as before; plans that the store has lost are declared anew.

--- a/agent/deadhome.go
+++ b/agent/deadhome.go
@@ -87,14 +87,19 @@
 	return records, g.Wait()
 }
 
-// lastIncarnation reads the dead process's incarnation from the store, where each
-// agent records it at startup.
+// lastIncarnation returns a number that is not lower than the dead process's incarnation, from the
+// store, where each agent records it at startup. A store that was restored may have lost the last
+// one, which is not higher than what the clocks show.
 func (r *register) lastIncarnation(ctx context.Context, home string) (uint64, error) {
 	kv, err := r.store.Get(ctx, "agents/"+home)
 	if err != nil {
 		return 0, err
 	}
-	return strconv.ParseUint(string(kv.Value), 10, 64)
+	last, err := strconv.ParseUint(string(kv.Value), 10, 64)
+	if err == nil && kv.Era > 0 {
+		last = max(last, uint64(time.Now().Add(clockTolerance).UnixMilli()))
+	}
+	return last, err
 }
 
 // sealForHome seals another home's grants at one executor. It fails if the
--- a/agent/identity.go
+++ b/agent/identity.go
@@ -16,7 +16,8 @@
 	// incarnation increases from process to process.
 	incarnation uint64
 	// first reports whether no earlier process had this name, so that no state
-	// can have been lost.
+	// can have been lost. It is false once the store has come back from an older copy, which may
+	// lack an earlier process.
 	first bool
 }
 
@@ -63,7 +64,7 @@
 	if last != 0 && last == tried.incarnation {
 		return tried, nil
 	}
-	id := identity{incarnation: max(uint64(time.Now().UnixMilli()), last+1), first: kv.Version == 0}
+	id := identity{incarnation: max(uint64(time.Now().UnixMilli()), last+1), first: kv.Version == 0 && kv.Era == 0}
 	_, err = s.CompareAndSwap(ctx, key, kv.Version, strconv.AppendUint(nil, id.incarnation, 10), 0)
 	return id, err
 }
--- a/agent/steering/lease.go
+++ b/agent/steering/lease.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"verbenashift/core/configuration/kv"
 	"verbenashift/core/configuration/store"
 	"verbenashift/core/membership/lease"
 )
@@ -51,23 +52,33 @@
 
 // read returns the holder of the role.
 func (s *LeaseStore) read(ctx context.Context, c lease.Call) lease.Answer {
-	kv, err := s.store.Get(ctx, c.Role)
+	it, err := s.store.Get(ctx, c.Role)
 	if err != nil {
 		return lease.Answer{Lost: true}
 	}
-	return s.holder(kv)
+	return s.holder(it)
 }
 
-func (s *LeaseStore) holder(kv store.KV) lease.Answer {
+func (s *LeaseStore) holder(it store.KV) lease.Answer {
 	var r leaseRecord
-	if kv.Version == 0 {
+	if it.Version == 0 {
 		return lease.Answer{}
 	}
-	if json.Unmarshal(kv.Value, &r) != nil {
-		return lease.Answer{Owner: "unreadable", Fence: uint64(kv.Version)}
+	if json.Unmarshal(it.Value, &r) != nil {
+		return lease.Answer{Owner: "unreadable", Fence: uint64(it.Version)}
 	}
-	s.remember(uint64(kv.Version), r.Lease)
-	return lease.Answer{Owner: r.Owner, Fence: uint64(kv.Version)}
+	s.remember(uint64(it.Version), leaseOf(r, it))
+	return lease.Answer{Owner: r.Owner, Fence: uint64(it.Version)}
+}
+
+// leaseOf returns the lease of a record in the era of the store: in a store that was restored, a key
+// from before is attached to the copy of its lease.
+func leaseOf(r leaseRecord, it store.KV) int64 {
+	id, err := kv.NewRevision(it.Era, kv.Counter(r.Lease))
+	if err != nil {
+		return r.Lease
+	}
+	return id
 }
 
 func (s *LeaseStore) remember(fence uint64, id int64) {
--- a/agent/steering/lease_test.go
+++ b/agent/steering/lease_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -28,12 +29,15 @@
 	// lose drops the answer to the next write of the key.
 	lose  bool
 	calls map[string]int
+	// era is how often the store was restored.
+	era int
 }
 
 func (k *oneKey) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.calls[r.URL.Path]++
+	w.Header().Set(wire.EraHeader, strconv.Itoa(k.era))
 	var answer any
 	switch r.URL.Path {
 	case wire.RangePath:
@@ -120,3 +124,26 @@
 	is.Equal(d.Call(t.Context(), dutyCall(lease.Read, "a/1", 0)), lease.Answer{Owner: "a/1", Fence: 7})
 	is.True(d.Call(t.Context(), dutyCall(lease.Renew, "a/1", 7)).Done)
 }
+
+// Guards against a coordinator whose token is lower than that of an earlier one, and against one that
+// renews the lease of another, after the store was restored from an older copy.
+func TestLeaseOfARestoredStore(t *testing.T) {
+	is := is.New(t)
+	k, d := newDuty(t)
+	first := d.Call(t.Context(), dutyCall(lease.Acquire, "a/1", 0))
+	is.True(first.Done)
+	k.era++
+	k.value, k.revision = nil, 2 // The copy is from before.
+	other := NewLeaseStore(d.store)
+	second := other.Call(t.Context(), dutyCall(lease.Acquire, "b/1", 0))
+	is.True(second.Done)
+	is.True(second.Fence > first.Fence)
+	is.Equal(d.Call(t.Context(), dutyCall(lease.Renew, "a/1", first.Fence)), lease.Answer{})
+
+	k.era++ // The copy is from now.
+	is.Equal(other.Call(t.Context(), dutyCall(lease.Renew, "b/1", second.Fence)), lease.Answer{})
+	found := other.Call(t.Context(), dutyCall(lease.Acquire, "b/1", 0))
+	is.Equal(found.Owner, "b/1")
+	is.True(found.Fence > second.Fence)
+	is.True(other.Call(t.Context(), dutyCall(lease.Renew, "b/1", found.Fence)).Done)
+}
--- a/core/configuration/config/bootstrap.go
+++ b/core/configuration/config/bootstrap.go
@@ -27,6 +27,9 @@
 	// 0 if it holds no configuration yet.
 	StoreRevision uint64
 	StoreAnswered bool
+	// StoreRestored says that the store has come back from an older copy at some time, so that it
+	// may hold an older configuration than the one in force.
+	StoreRestored bool
 }
 
 // PeerAnswer is the revision that a peer has reported.
@@ -91,6 +94,9 @@
 // shares a member with any other majority; and a member that has lost its memory
 // reports no revision until it has answers from a majority itself, so that an
 // old revision can never reach a majority.
+//
+// A store that was restored may lack the last revision. Its answer suffices only after MaxAnswerAge,
+// by when the peers that serve have reported what is in force.
 func Bootstrap(s Startup, answers []PeerAnswer, now time.Time) Decision {
 	counted := validAnswers(s, answers, now)
 	d := Decision{Answers: len(counted), Quorum: len(s.Electorate)/2 + 1}
@@ -100,7 +106,8 @@
 			best = a
 		}
 	}
-	if !s.StoreAnswered && d.Answers < d.Quorum {
+	storeSuffices := s.StoreAnswered && (!s.StoreRestored || now.Sub(s.Started) >= MaxAnswerAge)
+	if !storeSuffices && d.Answers < d.Quorum {
 		d.Pending = missing(s, counted)
 		return d
 	}
--- a/core/configuration/config/bootstrap_test.go
+++ b/core/configuration/config/bootstrap_test.go
@@ -172,3 +172,24 @@
 		})
 	})
 }
+
+// Guards against a start with an older configuration than the one in force, from a store that has come
+// back from an older copy, and against one that waits for peers that will not answer.
+func TestBootstrapFromARestoredStore(t *testing.T) {
+	is := is.New(t)
+	started := time.Unix(1000, 0)
+	s := config.Startup{
+		Self: "a", Electorate: []string{"a", "b", "c"}, Started: started,
+		StoreAnswered: true, StoreRestored: true, StoreRevision: 5, FetchedRevision: 5,
+	}
+	now := started.Add(time.Second)
+	is.Equal(config.Bootstrap(s, nil, now).Step, config.StepQuery)
+	newer := []config.PeerAnswer{{From: "b", Bootstrapped: true, Revision: 7, RequestedAt: now}}
+	is.Equal(config.Bootstrap(s, newer, started.Add(config.MaxAnswerAge)), config.Decision{Step: config.StepFetch, From: "b", Revision: 7, Answers: 1, Quorum: 2})
+	is.Equal(config.Bootstrap(s, nil, started.Add(config.MaxAnswerAge)).Step, config.StepServe)
+	same := []config.PeerAnswer{
+		{From: "b", Bootstrapped: true, Revision: 5, RequestedAt: now},
+		{From: "c", Bootstrapped: true, Revision: 5, RequestedAt: now},
+	}
+	is.Equal(config.Bootstrap(s, same, now).Step, config.StepServe) // a majority needs no wait
+}
--- a/core/configuration/follow/follow_test.go
+++ b/core/configuration/follow/follow_test.go
@@ -25,6 +25,8 @@
 	head config.Config
 	down bool
 	gets int
+	// restored says that the store has come back from an older copy.
+	restored bool
 }
 
 // set changes what the store holds and whether it is down.
@@ -43,7 +45,11 @@
 
 func (s *fakeStore) kv(c config.Config) store.KV {
 	data, _ := config.Encode(c)
-	return store.KV{Key: intent.HeadKey, Value: data, Version: int64(c.Revision)}
+	it := store.KV{Key: intent.HeadKey, Value: data, Version: int64(c.Revision)}
+	if s.restored {
+		it.Era = 1
+	}
+	return it
 }
 
 func (s *fakeStore) Get(context.Context, string) (store.KV, error) {
@@ -147,3 +153,30 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a node that starts with an older configuration than the one in force because the
+// store was restored from an older copy, and against one that does not start without its peers.
+func TestStartFromARestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		start := func() *follow.Follower {
+			f := newFollower(&fakeStore{head: revision(5), restored: true, watch: make(chan config.Config)})
+			go f.Run(ctx)
+			time.Sleep(time.Second)
+			is.True(f.Index() == nil)
+			return f
+		}
+		f := start()
+		f.AddAnswer(config.PeerAnswer{From: "b", Revision: 7, RequestedAt: time.Now()})
+		f.Offer(revision(7))
+		time.Sleep(config.MaxAnswerAge)
+		is.Equal(f.Revision(), uint64(7))
+		is.Equal(len(f.History()), 1)
+		alone := start()
+		time.Sleep(config.MaxAnswerAge)
+		is.Equal(alone.Revision(), uint64(5))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/core/configuration/follow/run.go
+++ b/core/configuration/follow/run.go
@@ -14,6 +14,9 @@
 // Run reads and watches the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	next := firstPause
+	// The answer of a store that was restored suffices only then.
+	late := time.AfterFunc(config.MaxAnswerAge, f.finishStart)
+	defer late.Stop()
 	for ctx.Err() == nil {
 		version, err := f.read(ctx)
 		if err == nil {
@@ -26,6 +29,13 @@
 	}
 }
 
+// finishStart ends the start if what is known by now suffices.
+func (f *Follower) finishStart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tryBootstrap()
+}
+
 func (f *Follower) read(ctx context.Context) (int64, error) {
 	kv, err := f.cfg.Store.Get(ctx, intent.HeadKey)
 	if err != nil {
@@ -35,7 +45,7 @@
 	revision := f.offerStored(kv)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.startup.StoreAnswered = true
+	f.startup.StoreAnswered, f.startup.StoreRestored = true, kv.Era > 0
 	f.startup.StoreRevision = max(f.startup.StoreRevision, revision)
 	f.tryBootstrap()
 	return kv.Version, nil
--- a/core/configuration/store/call.go
+++ b/core/configuration/store/call.go
@@ -57,26 +57,27 @@
 	return &UnknownError{Op: op, Err: err}
 }
 
-// read makes a call without effect, once at each address until one answers.
-func (c *Client) read(ctx context.Context, cl call, req, resp any) error {
+// read makes a call without effect, once at each address until one answers. It returns the era of
+// the service.
+func (c *Client) read(ctx context.Context, cl call, req, resp any) (era int64, err error) {
 	body, err := json.Marshal(req)
 	if err != nil {
-		return errors.Wrap(err, "encode")
+		return 0, errors.Wrap(err, "encode")
 	}
 	last, first := errNoAddress, int(c.preferred.Load())
 	for i := range c.bases {
 		index := (first + i) % len(c.bases)
-		_, err := c.attempt(ctx, index, cl, body, resp)
+		era, _, err := c.attempt(ctx, index, cl, body, resp)
 		var large *TooLargeError
 		if err == nil || isDecision(err) || errors.As(err, &large) {
-			return err
+			return era, err
 		}
 		last = err
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	return unavailable(cl.op, last)
+	return 0, unavailable(cl.op, last)
 }
 
 // write makes a call with an effect. It tries another address only if the call
@@ -85,28 +86,28 @@
 // If the answer was lost after the write, a second attempt elsewhere would find
 // the effect of the first, and would report a conflict with the caller's own
 // value. So once a connection was assigned to the request, each failure without
-// an answer is an *UnknownError.
-func (c *Client) write(ctx context.Context, cl call, req, resp any) error {
+// an answer is an *UnknownError. It returns the era of the service.
+func (c *Client) write(ctx context.Context, cl call, req, resp any) (era int64, err error) {
 	body, err := json.Marshal(req)
 	if err != nil {
-		return errors.Wrap(err, "encode")
+		return 0, errors.Wrap(err, "encode")
 	}
 	last, first := errNoAddress, int(c.preferred.Load())
 	for i := range c.bases {
 		index := (first + i) % len(c.bases)
-		sent, err := c.attempt(ctx, index, cl, body, resp)
+		era, sent, err := c.attempt(ctx, index, cl, body, resp)
 		if err == nil || isDecision(err) {
-			return err
+			return era, err
 		}
 		if sent {
-			return unknownOutcome(cl.op, err)
+			return 0, unknownOutcome(cl.op, err)
 		}
 		last = err
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	return unavailable(cl.op, last)
+	return 0, unavailable(cl.op, last)
 }
 
 // isDecision reports whether err means that the store itself rejected the call.
@@ -116,25 +117,29 @@
 	return errors.As(err, &notFound) || errors.As(err, &refused)
 }
 
-// attempt makes one call at the address with that index. With an error, sent
-// reports whether the request may have reached the store.
-func (c *Client) attempt(ctx context.Context, index int, cl call, body []byte, resp any) (sent bool, err error) {
+// attempt makes one call at the address with that index, and returns the era of the service. With an
+// error, sent reports whether the request may have reached the store.
+func (c *Client) attempt(ctx context.Context, index int, cl call, body []byte, resp any) (era int64, sent bool, err error) {
 	callCount.Add(cl.op, 1)
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	res, sent, err := c.post(ctx, c.bases[index]+cl.path, body)
 	if err != nil {
 		c.preferNext(index)
-		return sent, err
+		return 0, sent, err
 	}
 	defer res.Body.Close()
+	if era, err = c.noteEra(res); err != nil {
+		return 0, true, err
+	}
 	if res.StatusCode != http.StatusOK {
-		return refusal(cl, res)
+		sent, err := refusal(cl, res)
+		return era, sent, err
 	}
 	if err := json.NewDecoder(&boundedReader{r: res.Body, n: maxResponse, key: cl.key}).Decode(resp); err != nil {
-		return true, errors.Wrap(err, "read answer")
+		return 0, true, errors.Wrap(err, "read answer")
 	}
-	return true, nil
+	return era, true, nil
 }
 
 // preferNext makes the address after index the preferred one, unless another
--- a/core/configuration/store/errors.go
+++ b/core/configuration/store/errors.go
@@ -81,7 +81,7 @@
 // requested. The caller reads the key and watches from its version.
 type CompactedError struct {
 	Key string
-	// Version is the oldest that can still be watched.
+	// Version is the oldest that can still be watched, or 0 if it isn't known.
 	Version int64
 }
 
--- a/core/configuration/store/store.go
+++ b/core/configuration/store/store.go
@@ -7,7 +7,10 @@
 // except at another address as described below.
 //
 // A key's Version is the store's revision at its last change. It grows with
-// each change, is never reused, and is 0 for an absent key.
+// each change, is never reused, and is 0 for an absent key. If the service comes back
+// from an older copy of its data, it gives its revisions and leases out again; versions
+// and the numbers of leases then grow by its era (see kv.NewRevision), and those of an
+// earlier era are no longer found.
 //
 // # Failures
 //
@@ -65,6 +68,8 @@
 	// Version is the store's revision at the key's last change; 0 means that
 	// the key is absent.
 	Version int64
+	// Era counts how often the service had come back from an older copy when it answered.
+	Era int64
 	// Deleted marks a deletion seen by a watch. Version is then that of the
 	// deletion, from which a watch continues; the key itself is absent and is
 	// created again with version 0.
@@ -95,6 +100,7 @@
 	timeout   time.Duration
 	transport http.RoundTripper
 	preferred atomic.Int32 // index in bases of the address that answered last
+	era       atomic.Int64 // the highest that an answer has stated
 }
 
 // New returns a client. It makes no call.
@@ -138,14 +144,14 @@
 
 // Get reads one key. An absent key has Version 0 and is not an error.
 func (c *Client) Get(ctx context.Context, key string) (KV, error) {
-	kvs, err := c.readRange(ctx, opGet, wire.RangeRequest{Key: []byte(key)})
+	kvs, era, err := c.readRange(ctx, opGet, wire.RangeRequest{Key: []byte(key)})
 	if err != nil {
 		return KV{}, err
 	}
 	if len(kvs) == 0 {
-		return KV{Key: key}, nil
+		return KV{Key: key, Era: era}, nil
 	}
-	return fromWire(kvs[0]), nil
+	return fromWire(kvs[0], era)
 }
 
 // List reads all keys that begin with prefix, in order of their names. The
@@ -155,28 +161,31 @@
 	if prefix == "" {
 		req.Key = []byte{0} // the protocol has no empty key; this one sorts before all others
 	}
-	kvs, err := c.readRange(ctx, opList, req)
+	kvs, era, err := c.readRange(ctx, opList, req)
 	if err != nil {
 		return nil, err
 	}
 	list := make([]KV, len(kvs))
-	for i, kv := range kvs {
-		list[i] = fromWire(kv)
+	for i, w := range kvs {
+		if list[i], err = fromWire(w, era); err != nil {
+			return nil, err
+		}
 	}
 	return list, nil
 }
 
-func (c *Client) readRange(ctx context.Context, op string, req wire.RangeRequest) ([]wire.KeyValue, error) {
+func (c *Client) readRange(ctx context.Context, op string, req wire.RangeRequest) (kvs []wire.KeyValue, era int64, err error) {
 	var resp wire.RangeResponse
-	if err := c.read(ctx, call{op: op, path: wire.RangePath, key: string(req.Key)}, req, &resp); err != nil {
-		return nil, err
+	era, err = c.read(ctx, call{op: op, path: wire.RangePath, key: string(req.Key)}, req, &resp)
+	if err != nil {
+		return nil, 0, err
 	}
 	// An answer without a revision is not from a store: treating it as an absent
 	// key would make a node drop its configuration.
 	if resp.Header.Revision <= 0 {
-		return nil, unavailable(op, errIncompleteResponse)
+		return nil, 0, unavailable(op, errIncompleteResponse)
 	}
-	return resp.KVs, nil
+	return resp.KVs, era, nil
 }
 
 // prefixEnd returns the first key after all that begin with prefix. A zero byte
@@ -191,7 +200,3 @@
 	}
 	return []byte{0}
 }
-
-func fromWire(kv wire.KeyValue) KV {
-	return KV{Key: string(kv.Key), Value: kv.Value, Version: int64(kv.ModRevision)}
-}
--- a/core/configuration/store/watch.go
+++ b/core/configuration/store/watch.go
@@ -18,7 +18,7 @@
 // Watch calls f sequentially and in order for each change of key after
 // fromVersion, and blocks until the watch ends. It always returns an error: that
 // of ctx; *CompactedError if the changes after fromVersion are no longer
-// retained; otherwise *RefusedError or *UnavailableError. The caller resumes from
+// retained, also because the service has come back from an older copy; otherwise *RefusedError or *UnavailableError. The caller resumes from
 // the version of the last event it saw.
 //
 // A dead connection is detected by TCP keep-alive probes within about ten
@@ -26,7 +26,10 @@
 // caller that must detect this bounds the watch by ctx, or reads the key
 // periodically.
 func (c *Client) Watch(ctx context.Context, key string, fromVersion int64, f func(KV)) error {
-	req := wire.WatchRequest{Create: wire.WatchCreate{Key: []byte(key), StartRevision: wire.Int64(fromVersion + 1)}}
+	if c.outdated(fromVersion) {
+		return &CompactedError{Key: key}
+	}
+	req := wire.WatchRequest{Create: wire.WatchCreate{Key: []byte(key), StartRevision: counter(fromVersion) + 1}}
 	body, err := json.Marshal(req)
 	if err != nil {
 		return errors.Wrap(err, "encode")
@@ -35,7 +38,7 @@
 		return unavailable(opWatch, errNoAddress)
 	}
 	index := int(c.preferred.Load())
-	err = c.watchAt(ctx, c.bases[index], key, body, f)
+	err = c.watchAt(ctx, c.bases[index], call{op: opWatch, key: key}, fromVersion, body, f)
 	var compacted *CompactedError
 	switch {
 	case ctx.Err() != nil:
@@ -50,7 +53,7 @@
 
 // watchAt runs a watch at one address. The call's timeout bounds the time until
 // the store confirms the watch; there is no timeout after that.
-func (c *Client) watchAt(ctx context.Context, base, key string, body []byte, f func(KV)) error {
+func (c *Client) watchAt(ctx context.Context, base string, cl call, fromVersion int64, body []byte, f func(KV)) error {
 	callCount.Add(opWatch, 1)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -61,15 +64,21 @@
 		return err
 	}
 	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		_, err := refusal(call{op: opWatch, key: key}, res)
+	era, err := c.noteEra(res)
+	switch {
+	case err != nil:
+		return err
+	case res.StatusCode != http.StatusOK:
+		_, err := refusal(cl, res)
 		return err
+	case !inEra(fromVersion, era):
+		return &CompactedError{Key: cl.key}
 	}
-	return readWatch(res.Body, key, func() { opening.Stop() }, f)
+	return readWatch(res.Body, cl.key, era, func() { opening.Stop() }, f)
 }
 
-// readWatch reads the lines of a watch until one fails or ends it.
-func readWatch(r io.Reader, key string, created func(), f func(KV)) error {
+// readWatch reads the lines of a watch in an era until one fails or ends it.
+func readWatch(r io.Reader, key string, era int64, created func(), f func(KV)) error {
 	bounded := &boundedReader{r: r, key: key}
 	dec := json.NewDecoder(bounded)
 	for {
@@ -82,9 +91,12 @@
 			created()
 		}
 		for _, ev := range line.Result.Events {
-			kv := fromWire(ev.KV)
-			kv.Deleted = ev.Type == wire.TypeDelete
-			f(kv)
+			it, err := fromWire(ev.KV, era)
+			if err != nil {
+				return err
+			}
+			it.Deleted = ev.Type == wire.TypeDelete
+			f(it)
 		}
 		if err := watchEnd(line, key); err != nil {
 			return err
--- a/core/configuration/store/wire/wire.go
+++ b/core/configuration/store/wire/wire.go
@@ -27,6 +27,10 @@
 	WatchPath     = "/v3/watch"
 )
 
+// EraHeader is the header of all answers that counts how often the service has come back from an
+// older copy of its data. It is absent, or 0, before the first time.
+const EraHeader = "Store-Era"
+
 // Names of enumerated values.
 const (
 	// TargetMod makes a Compare use the key's mod revision.
--- a/proof/store_test.go
+++ b/proof/store_test.go
@@ -71,6 +71,49 @@
 	s.Equal(s.checkRanOnce(), 24)
 }
 
+// Guards against a node that starts with an older configuration than the confirmed one, and against
+// keyed jobs that run twice, after the store has come back from a copy of before the confirmation and
+// before the agents' last starts.
+func TestStoreRestoredBeforeAStart(t *testing.T) {
+	s := start(t, deployment.Shape{Block: "127.0.107"})
+	s.must(s.Copy(s.ctx))
+	plan := s.declare(1, "month-end", 3)
+	_, err := s.Operator(1).Confirm(s.ctx, plan.ID)
+	s.must(err)
+	s.must(s.WaitRevision(s.ctx, 2))
+	s.must(s.Kill9("agent-1"))
+	s.must(s.Restart(s.ctx, "agent-1"))
+	s.must(s.WaitRevision(s.ctx, 2))
+	jobs := s.Jobs("restored", 24)
+	records := s.Play(s.ctx, jobs)
+	s.must(s.Restore(s.ctx))
+	for _, node := range []string{"entry-1", "agent-1", "agent-5", "entry-2"} {
+		// Without two of the three agents that it asks, it has no majority.
+		s.must(s.Stop("agent-2"))
+		s.must(s.Stop("agent-3"))
+		s.must(s.Kill9(node))
+		s.must(s.Restart(s.ctx, node))
+		s.must(s.WaitRevision(s.ctx, 2, node))
+		s.must(s.Cont("agent-2"))
+		s.must(s.Cont("agent-3"))
+		history, err := s.History(s.ctx, node)
+		s.must(err)
+		s.Equal(history[0], uint64(2)) // it never acted on an older one
+	}
+	streams := s.Play(s.ctx, s.Streams("restored", 12, 20))
+	s.Equal(s.verify(streams).Complete, 12)
+	records = append(records, s.Begin(s.ctx, jobs, "entry-2", "entry-1").Wait()...)
+	// The operator writes the configuration in force back, and changes go on from it.
+	_, err = s.Operator(1).Restore(s.ctx)
+	s.must(err)
+	plan = s.declare(2, "year-end", 5)
+	_, err = s.Operator(2).Confirm(s.ctx, plan.ID)
+	s.must(err)
+	s.must(s.WaitRevision(s.ctx, 3))
+	s.verify(append(records, streams...))
+	s.Equal(s.checkRanOnce(), 24)
+}
+
 // Guards against an entry that starts with a revoked configuration. One agent is suspended
 // while an operator revokes what revision 1 allowed; it resumes with the old revision when the
 // store is unavailable, two of the three agents that starting nodes query are killed and the
--- a/standin/deployment/control.go
+++ b/standin/deployment/control.go
@@ -101,6 +101,14 @@
 	return d.post(ctx, name, "/faults", body)
 }
 
+// Copy makes a copy of the platform's store, and Restore brings the last copy back.
+func (d *Deployment) Copy(ctx context.Context) error { return d.post(ctx, "platform", "/copy", nil) }
+
+// Restore brings the store back from the last copy, in a new era.
+func (d *Deployment) Restore(ctx context.Context) error {
+	return d.post(ctx, "platform", "/restore", nil)
+}
+
 func (d *Deployment) post(ctx context.Context, name, path string, body any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
--- a/standin/platform/keyspace.go
+++ b/standin/platform/keyspace.go
@@ -21,6 +21,7 @@
 	keys      map[string]*key
 	leases    map[int64]*lease
 	lastLease int64
+	era       int64 // the number of restores
 }
 
 // key is the state and history of one key, present or not.
--- a/standin/platform/lease.go
+++ b/standin/platform/lease.go
@@ -31,10 +31,7 @@
 		return wire.Lease{}, nil, badRequest("lease already exists")
 	}
 	s.lastLease = max(s.lastLease, id)
-	l := &lease{ttl: time.Duration(req.TTL) * time.Second, keys: make(map[string]bool)}
-	l.deadline = time.Now().Add(l.ttl)
-	l.timer = time.AfterFunc(l.ttl, func() { s.expire(id, l) })
-	s.leases[id] = l
+	s.startLease(id, time.Duration(req.TTL)*time.Second, make(map[string]bool))
 	return wire.Lease{ID: wire.Int64(id), TTL: req.TTL}, nil, nil
 }
 
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -12,6 +12,9 @@
 //	{"lose-prefix":"k/"} drop only responses to writes of keys with this prefix
 //	{"rate-limit":300}   calls of the store per second; 0 for no limit
 //
+// POST /copy makes a copy of the store, and POST /restore brings the last copy back: the Store-Era
+// header of all answers rises, and revisions and leases are given out again.
+//
 // An omitted field keeps its value. The faults don't affect the instance list and
 // the weight store.
 //
@@ -26,6 +29,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -58,6 +62,9 @@
 	injector  *faultInjector
 	instances *instanceList
 	weights   *weightStore
+
+	mu    sync.Mutex
+	older *dataCopy // what the next restore brings back
 }
 
 // New returns a platform with an empty store and an empty list.
@@ -85,6 +92,8 @@
 	post(wire.RevokePath, serveCall(p, kindRevoke, p.keys.revoke))
 	post(wire.WatchPath, p.serveWatch)
 	post("/faults", p.serveFaults)
+	post("/copy", p.serveCopy)
+	post("/restore", p.serveRestore)
 	r.HandleFunc("/ledger", p.serveLedger).Methods(http.MethodGet)
 	post("/instances", p.instances.servePost)
 	r.HandleFunc("/instances", p.instances.serveGet).Methods(http.MethodGet)
@@ -106,6 +115,7 @@
 			return
 		}
 		p.injector.wait(down)
+		p.stateEra(w)
 		resp, done, err := f(req)
 		p.injector.loseAnswer(done)
 		p.injector.wait(down)
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -485,3 +485,68 @@
 		r.True(took > 3900*time.Millisecond && took <= 4*time.Second)
 	})
 }
+
+// Guards against a client that goes by versions and leases that a restored store has lost or given
+// out again: it would overwrite the value of another, renew another's lease, or miss changes.
+func TestRestoredStore(t *testing.T) {
+	inBubble(t, platform.Config{Latency: time.Millisecond}, func(r fixture) {
+		ctx := r.t.Context()
+		r.swap("other", 0, "x")
+		r.post("/copy", "", http.StatusNoContent)
+		version := r.swap("a", 0, "before")
+		lease, err := r.store.Grant(ctx, time.Minute)
+		r.NoErr(err)
+		ended := make(chan error, 1)
+		go func() { ended <- r.store.Watch(ctx, "a", version, func(store.KV) {}) }()
+		time.Sleep(time.Second)
+		r.post("/restore", "", http.StatusNoContent)
+		var unavailable *store.UnavailableError
+		r.True(errors.As(<-ended, &unavailable)) // the connection is cut
+
+		other := store.New(store.Config{Addresses: []string{"platform"}, Transport: r.client.Transport})
+		again, err := other.CompareAndSwap(ctx, "a", 0, []byte("after"), 0)
+		r.NoErr(err)
+		r.True(again > version)
+		theirs, err := other.Grant(ctx, time.Minute)
+		r.NoErr(err)
+		r.True(theirs.ID > lease.ID)
+
+		// The first client does not know of the restore.
+		var compacted *store.CompactedError
+		r.True(errors.As(r.store.Watch(ctx, "a", version, func(store.KV) {}), &compacted))
+		var conflict *store.ConflictError
+		_, err = r.store.CompareAndSwap(ctx, "a", version, []byte("mine"), 0)
+		r.True(errors.As(err, &conflict))
+		r.Equal(conflict.Current, store.KV{Key: "a", Value: []byte("after"), Version: again, Era: 1})
+		var notFound *store.LeaseNotFoundError
+		_, err = r.store.KeepAlive(ctx, lease.ID)
+		r.True(errors.As(err, &notFound))
+		r.True(errors.As(r.store.Revoke(ctx, lease.ID), &notFound))
+		_, err = r.store.CompareAndSwap(ctx, "b", 0, nil, lease.ID)
+		r.True(errors.As(err, &notFound))
+		_, err = other.KeepAlive(ctx, theirs.ID)
+		r.NoErr(err)
+	})
+}
+
+// Guards against a write that counts as made as expected although the store was restored before it,
+// and the version that it expected is that of another value.
+func TestWriteOnAPremiseOfAnEarlierEra(t *testing.T) {
+	inBubble(t, platform.Config{}, func(r fixture) {
+		ctx := r.t.Context()
+		r.post("/copy", "", http.StatusNoContent)
+		version := r.swap("a", 0, "mine")
+		lease, err := r.store.Grant(ctx, time.Minute)
+		r.NoErr(err)
+		r.post("/restore", "", http.StatusNoContent)
+		other := store.New(store.Config{Addresses: []string{"platform"}, Transport: r.client.Transport})
+		_, err = other.CompareAndSwap(ctx, "a", 0, []byte("theirs"), 0)
+		r.NoErr(err)
+		var unknown *store.UnknownError
+		_, err = r.store.CompareAndSwap(ctx, "a", version, []byte("next"), 0)
+		r.True(errors.As(err, &unknown))
+		var notFound *store.LeaseNotFoundError
+		_, err = r.store.KeepAlive(ctx, lease.ID)
+		r.True(errors.As(err, &notFound))
+	})
+}
--- a/standin/platform/watch.go
+++ b/standin/platform/watch.go
@@ -26,6 +26,7 @@
 	p.injector.addOpenWatches(1)
 	defer p.injector.addOpenWatches(-1)
 	p.injector.wait(down)
+	p.stateEra(w)
 	out := lineWriter{w: w}
 	next := p.keys.firstRevision(req.Create)
 	out.write(wire.WatchResponse{Header: wire.Header{Revision: wire.Int64(max(next-1, 1))}, Created: true})
