Read a store that has gone back without saying so with pauses

Cause and change: a complete read that is behind what is known is applied as before, and is a failure that is followed by the usual pause.

Evidence: TestStoreThatIsBehindIsReadSeldom never ends without the change.

--- a/core/configuration/mirror/follower.go
+++ b/core/configuration/mirror/follower.go
@@ -109,10 +109,9 @@
 func (f *Follower) OnStoreUnreachable(fn func()) { f.onUnreachable = append(f.onUnreachable, fn) }
 
 // OnRestored adds a function that is called when the store has come back from an older copy and is
-// in a new era, before
-// the listeners get what it holds. Until then everything that this process has written and read
-// may have been lost, and the leases of others as well. It is called from Run's goroutine, and must
-// be added before Run.
+// in a new era, before the listeners get what it holds. Until then everything that this process has
+// written and read may have been lost, and the leases of others as well. It is called from Run's
+// goroutine, and must be added before Run.
 func (f *Follower) OnRestored(fn func(era int64)) { f.onRestored = append(f.onRestored, fn) }
 
 // The metrics of all Followers of this process: how long ago the store last
@@ -286,10 +285,25 @@
 		return err
 	}
 	f.unverified = stale
+	known := f.mirror.Revision()
 	f.replace(all, from)
+	if from < known {
+		return &behindError{Revision: from, Known: known}
+	}
 	return nil
 }
 
+// behindError reports that the store is behind what is known of it and does not state a new era, so
+// that a watch can't go on from there.
+type behindError struct {
+	Revision, Known int64
+}
+
+// Error returns the revisions.
+func (e *behindError) Error() string {
+	return fmt.Sprintf("store is at revision %d, behind %d", e.Revision, e.Known)
+}
+
 // mixedErasError reports that the pages of a read are of different eras of the store.
 type mixedErasError struct {
 	// Revision and Other are the revisions of two pages.
--- a/core/configuration/mirror/restore_test.go
+++ b/core/configuration/mirror/restore_test.go
@@ -266,3 +266,42 @@
 		synctest.Wait()
 	}
 }
+
+// Guards against reads of everything without a pause from a store that has gone back and does not say
+// so, or that answers with an era that is over.
+func TestStoreThatIsBehindIsReadSeldom(t *testing.T) {
+	for name, page := range map[string]int64{"older revision": at(1, 3), "older era": 50} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var behind atomic.Bool
+				s := &script{
+					rangeOf: func(prefix string) (kv.Page, error) {
+						p := kv.Page{Revision: at(1, 9)}
+						if behind.Load() {
+							p.Revision = page
+						}
+						if prefix == testOperatorPrefix {
+							p.Items = []kv.Item{config(3)}
+						}
+						return p, nil
+					},
+					watch: func(after int64) (kv.Page, error) {
+						if behind.Load() {
+							return kv.Page{}, &kv.StatusError{Status: 410}
+						}
+						return kv.Page{Revision: after}, nil
+					},
+				}
+				f := NewFollower(s, testFormats(), quiet())
+				stop := runInBackground(t, f)
+				time.Sleep(time.Second)
+				behind.Store(true)
+				time.Sleep(10 * time.Second)
+				is.True(s.current.Load() <= 100) // three reads each maxPause/2 at most
+				is.Equal(f.Snapshot().Config.Version, int64(3))
+				stop()
+			})
+		})
+	}
+}
