--- a/core/plumbing/logreader/logreader.go
+++ b/core/plumbing/logreader/logreader.go
@@ -38,7 +38,7 @@
 var gatewayMessages = map[string]bool{
 	"queue": true, "all targets of the group refuse": true, "targets of the group take requests again": true,
 	"target": true, "target gone": true, "target health": true, "target missing after an outage of the store": true,
-	"configuration in force": true, "store does not answer": true, "store answers again": true, "digest": true,
+	"configuration in force": true, "store does not answer": true, "store answers again": true, "store has come back from an older copy": true, "digest": true,
 	"stop": true, "start": true, "log lines left out": true, "digest not used": true, "target started again": true,
 	"target has started again": true, "target doubted": true, "server entry not understood": true,
 }
