Follow feeds again after all have read a restored store

What it would cost: at a restore every follower of a feed lacks what the feed has dropped, reads everything and leaves its feeds alone for 11.6 s, so that all processes call the store for each change meanwhile (390 a change at the size to design for, two a zone otherwise).

Change: a follower that has read a restored store tries its feeds again.

Evidence: TestFeedsAreFollowedAgainAfterARestore, 11 watches of the store for five changes without it (4 before them), none with it.

--- a/core/configuration/mirror/feeds.go
+++ b/core/configuration/mirror/feeds.go
@@ -119,6 +119,13 @@
 	s.failedUntil[addr] = now.Add(feedRetryDelay)
 }
 
+// retry makes all feeds be tried again.
+func (s *feeds) retry() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.failedUntil)
+}
+
 // SetFeeds sets the addresses of the feeds that this process may follow in place of the store, and
 // whether it is one itself and others rely on it; first says that it is the first of all, which
 // writes checkpoints. It follows one only while hints arrive, since these show whether a feed
--- a/core/configuration/mirror/feeds_test.go
+++ b/core/configuration/mirror/feeds_test.go
@@ -281,3 +281,60 @@
 	is.Equal(len(m.Snapshot().Targets), 1)
 	is.Equal(m.Snapshot().Targets["b"].Addr.String(), "10.0.0.2:80")
 }
+
+// Guards against a call to the store for each change by each process, for as long as failed feeds are
+// left alone, after all have read a store that was restored.
+func TestFeedsAreFollowedAgainAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var era, counter, ofStore, ofFeeds atomic.Int64
+		counter.Store(5)
+		now := func() int64 { return at(era.Load(), counter.Load()) }
+		read := func(prefix string) (kv.Page, error) {
+			if prefix == testOperatorPrefix {
+				return kv.Page{Items: []kv.Item{inEra(era.Load(), config(3))}, Revision: now()}, nil
+			}
+			return kv.Page{Revision: now()}, nil
+		}
+		// watch answers like a store or a feed that knows its era.
+		watch := func(after int64) (kv.Page, error) {
+			switch {
+			case kv.Era(after) != era.Load():
+				return kv.Page{}, &kv.StatusError{Status: 410}
+			case after < now():
+				return kv.Page{Items: []kv.Item{inEra(era.Load(), entry("s", "10.0.0.1:80", "ready", counter.Load()))}, Revision: now()}, nil
+			}
+			return kv.Page{Revision: after}, nil
+		}
+		f := NewFollower(&script{rangeOf: read, watch: func(after int64) (kv.Page, error) {
+			ofStore.Add(1)
+			return watch(after)
+		}}, testFormats(), quiet())
+		f.feeds.dial = func(addr string) feedClient {
+			return &scriptedFeed{addr, func(after int64) (kv.Page, time.Duration, error) {
+				page, err := watch(after)
+				return page, 0, err
+			}, &ofFeeds}
+		}
+		f.SetFeeds([]string{"a", "b"}, false, false)
+		ctx, stop := context.WithCancel(t.Context())
+		go func() {
+			for pause.For(ctx, 200*time.Millisecond) {
+				f.Hint(now(), false)
+			}
+		}()
+		go f.Run(ctx)
+		time.Sleep(20 * time.Second)
+		era.Store(1)
+		time.Sleep(watchWait + time.Second)
+		is.Equal(kv.Era(f.hints.revision()), int64(1))
+		before := ofStore.Load()
+		for range feedRetryDelay / 2 / time.Second {
+			counter.Add(1)
+			time.Sleep(time.Second)
+		}
+		is.Equal(ofStore.Load(), before)
+		stop()
+		synctest.Wait()
+	})
+}
--- a/core/configuration/mirror/follower.go
+++ b/core/configuration/mirror/follower.go
@@ -347,6 +347,8 @@
 	before := f.mirror.Revision()
 	restored := before > 0 && kv.Era(revision) > kv.Era(before)
 	if restored {
+		// They had failed because they did not have what this process lacked.
+		f.feeds.retry()
 		f.log.Warn("store has come back from an older copy", "revision", revision, "known-before", before, "era", kv.Era(revision))
 		for _, fn := range f.onRestored {
 			fn(kv.Era(revision))
