Known reports do not release a request after a restore

What callers would see: a request that crashes servers is sent again, if an older report that it was answered is in the restored copy and its hold is not: the report was applied once more. Found in reading the change.

Evidence: TestOldReportsDoNotReleaseAfterARestore fails without the change: the request is quarantined no more.

Change: reports that were applied before the restore are not applied again.

--- a/core/request/quarantine/register.go
+++ b/core/request/quarantine/register.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -159,7 +160,7 @@
 // applied. Holds that it has lost are to be written again. It returns the requests whose holds are
 // stored again although they had been released.
 func (g *Register) Restored(keys map[string]bool) (released []Fingerprint) {
-	clear(g.reports)
+	maps.DeleteFunc(g.reports, func(key string, _ int64) bool { return !keys[key] })
 	clear(g.holds)
 	for p, q := range g.quarantined {
 		if !keys[HoldKey(p)] {
@@ -174,6 +175,12 @@
 	return released
 }
 
+// HasReport reports whether the report of a restored store was applied before the restore.
+func (g *Register) HasReport(key string, revision int64) bool {
+	known, ok := g.reports[key]
+	return ok && kv.Counter(known) == kv.Counter(revision)
+}
+
 // Report processes what a gateway, this one or another, has observed. It returns the requests
 // that targets have answered completely here and that other gateways may still suspect.
 func (g *Register) Report(r *Report, now time.Time) (cleared []Fingerprint) {
--- a/gateway/isolator.go
+++ b/gateway/isolator.go
@@ -151,7 +151,8 @@
 }
 
 // rewrite queues what the restored store, which holds the given keys, may have lost. It returns the
-// items without the holds of requests that were released. It is called with the lock held.
+// items without the holds of requests that were released, and without the reports that are known,
+// which must not undo what came after them. It is called with the lock held.
 func (s *isolator) rewrite(items []kv.Item, keys map[string]bool, now time.Time) []kv.Item {
 	again := map[string]bool{}
 	for _, p := range s.register.Restored(keys) {
@@ -171,7 +172,9 @@
 		}
 	}
 	s.written = nil
-	return slices.DeleteFunc(slices.Clone(items), func(it kv.Item) bool { return again[it.Key] })
+	return slices.DeleteFunc(slices.Clone(items), func(it kv.Item) bool {
+		return again[it.Key] || s.register.HasReport(it.Key, it.Revision)
+	})
 }
 
 // queueRemovedHold queues the removal of a hold. It is called with the lock held.
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -330,3 +330,20 @@
 	r.True(!s.writeReport(t.Context())) // the store has answered in the era before
 	r.Equal(len(s.unwritten.Crashes), 1)
 }
+
+// Guards against releasing a request because an old report, from before it crashed servers again, is
+// read again in a store that has lost its hold.
+func TestOldReportsDoNotReleaseAfterARestore(t *testing.T) {
+	r := newQuarantineRig(t, deployment.Safe)
+	s := r.gateway.isolator
+	report := quarantine.Report{Completed: []quarantine.Fingerprint{r.fingerprint()}}
+	old := kv.Item{Key: quarantine.ReportKey("front-2", 1), Value: report.Bytes(), Revision: 5}
+	s.apply([]kv.Item{old}, false)
+	s.apply([]kv.Item{{Key: quarantine.HoldKey(r.fingerprint()), Value: quarantine.Hold{Crashes: 3}.Bytes(), Revision: 9}}, false)
+	s.storeRestored(1)
+	restored, err := kv.NewRevision(1, old.Revision)
+	r.NoErr(err)
+	old.Revision = restored
+	s.apply([]kv.Item{old}, true)
+	r.True(s.hasQuarantined())
+}
