--- a/proof/feeds_test.go
+++ b/proof/feeds_test.go
@@ -68,24 +68,7 @@
 	}
 	var serving []string
 	v := s.playDuring(400, func() {
-		s.until("feeds chosen", func() bool {
-			serving = nil
-			following := 0
-			for _, name := range names {
-				var line struct {
-					Feeds   []string
-					Serving bool
-				}
-				s.lastLine(name, "feeds chosen", &line)
-				if line.Serving {
-					serving = append(serving, name)
-				}
-				if len(line.Feeds) == feeds {
-					following++
-				}
-			}
-			return len(serving) == feeds && following == all-feeds
-		})
+		serving = s.awaitFeeds(feeds, names)
 		for i := range changes { // ends the watches that were begun before
 			s.configure(900+i, names)
 		}
@@ -111,3 +94,59 @@
 	s.configure(1100, left)
 	s.configure(1101, left)
 }
+
+// awaitFeeds waits until a number of the gateways serve feeds and all others follow as many, and
+// returns those that serve.
+func (s *fleetHarness) awaitFeeds(feeds int, names []string) (serving []string) {
+	s.t.Helper()
+	s.until("feeds chosen", func() bool {
+		serving = nil
+		following := 0
+		for _, name := range names {
+			var line struct {
+				Feeds   []string
+				Serving bool
+			}
+			s.lastLine(name, "feeds chosen", &line)
+			if line.Serving {
+				serving = append(serving, name)
+			}
+			if len(line.Feeds) == feeds {
+				following++
+			}
+		}
+		return len(serving) == feeds && following == len(names)-feeds
+	})
+	return serving
+}
+
+// Guards against a call to the store by each gateway for each change after a restore, when all have
+// found that their feeds lack what they need.
+func TestFleetFeedsAreFollowedAfterARestore(t *testing.T) {
+	const all, feeds, changes = 10, 2, 8
+	s := startFleet(t, fleet.Shape{Block: "127.0.109", Gateways: all})
+	var names []string
+	for i := range all {
+		names = append(names, fmt.Sprintf("front-%d", i))
+	}
+	v := s.playDuring(400, func() {
+		s.awaitFeeds(feeds, names)
+		older := s.Store.Copy()
+		for i := range changes { // ends the watches that were begun before
+			s.configure(900+i, names)
+		}
+		s.Store.Restore(older)
+		s.Store.Rewrite()
+		s.configure(1000, names)
+		before := s.Store.Calls()
+		for i := range changes {
+			s.configure(1001+i, names)
+		}
+		calls := s.Store.Calls() - before
+		t.Logf("%d calls for %d changes at %d gateways after a restore", calls, changes, all)
+		// Two feeds see each change; twice that are watches that end without one.
+		s.True(calls <= 2*feeds*changes)
+	})
+	s.True(v.Passed())
+	s.Equal(v.Complete, v.Requests)
+}
