--- a/core/configuration/mirror/restore_test.go
+++ b/core/configuration/mirror/restore_test.go
@@ -305,3 +305,25 @@
 		})
 	}
 }
+
+// Guards against a state that is half of a store before its restore and half of it after.
+func TestReadOfTwoErasIsRepeated(t *testing.T) {
+	is := is.New(t)
+	reads := 0
+	s := &script{rangeOf: func(prefix string) (kv.Page, error) {
+		reads++
+		if reads == 1 {
+			return kv.Page{Items: []kv.Item{config(3), evacuation("z", 8)}, Revision: 9}, nil
+		}
+		page := kv.Page{Revision: at(1, 5)}
+		if prefix == testOperatorPrefix {
+			page.Items = []kv.Item{inEra(1, config(3))}
+		}
+		return page, nil
+	}}
+	f := NewFollower(s, testFormats(), quiet())
+	is.NoErr(f.readAll(t.Context()))
+	is.Equal(f.mirror.Revision(), at(1, 5))
+	is.Equal(len(f.Snapshot().Evacuated), 0)
+	is.Equal(reads, 2+3) // The second page shows the other era.
+}
