The soak's seeds draw the faults that they drew before

Found in reading the change: the restores of the store took their draws from the stream of the other faults, so that the three regression seeds (817, 830, 831) played other faults than those that they stay for. Restores have a stream of their own, like the signals of servers.

The model store of the permits' replay accepted any write without a lease; only the record that an era is settled has none, and only that is accepted.

--- a/core/request/permit/replay_test.go
+++ b/core/request/permit/replay_test.go
@@ -330,7 +330,7 @@
 		}
 	}
 	for _, p := range c.Puts {
-		if _, ok := r.leases[kv.Counter(p.Lease)]; !ok && p.Lease > 0 {
+		if _, ok := r.leases[kv.Counter(p.Lease)]; !ok && p.Key != settledKey {
 			return 0, false
 		}
 		r.revision++
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -36,9 +36,8 @@
 // TestSoak runs gateways and sidecars as processes and injects faults drawn from a seed, in
 // sequence and overlapping: processes that are killed, suspended, stopped gracefully one after
 // the other and restarted; changed settings; links that are delayed, reset, silent or cut in
-// one direction; a store that is unavailable, loses its history or comes back from an older
-// copy; orders that are applied
-// late; servers that refuse, stall, do not respond, respond with failures, crash under a
+// one direction; a store that is unavailable, loses its history or comes back from an older copy; orders
+// that are applied late; servers that refuse, stall, do not respond, respond with failures, crash under a
 // repeated request, name limits, ask for pauses, leave, or crash and restart under their ID so
 // that a group is formed again; changes of the configuration and shifts of the load. Clocks
 // are not changed, since that would need a privilege. The responses to callers and the runs at
@@ -65,6 +64,7 @@
 	})
 	faults := &faultInjector{fleetHarness: s, rng: rng, down: map[string]bool{}, paused: map[string]bool{}}
 	signals := &backpressure{faultInjector: faults, rng: rand.New(rand.NewPCG(seed, 12))}
+	restorer := &storeRestorer{faultInjector: faults, rng: rand.New(rand.NewPCG(seed, 13))}
 	ctx, cancel := context.WithTimeout(s.ctx, *soakFor)
 	defer cancel()
 	stop := make(chan []fleet.Call)
@@ -72,6 +72,7 @@
 	for ctx.Err() == nil {
 		faults.injectFault()
 		signals.injectSignal()
+		restorer.restoreStore()
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Duration(20+rng.IntN(500)) * time.Millisecond):
@@ -97,8 +98,6 @@
 	*fleetHarness
 	rng          *rand.Rand
 	down, paused map[string]bool
-	// older is a copy of the store.
-	older *fleet.Copy
 	// crashing tracks the goroutines that send requests that crash their servers.
 	crashing sync.WaitGroup
 	injected []string
@@ -128,10 +127,6 @@
 		f.restoreOne()
 		return
 	}
-	if f.rng.IntN(8) == 0 {
-		f.restoreStore()
-		return
-	}
 	switch f.rng.IntN(20) {
 	case 0, 1:
 		name := f.victim()
@@ -208,42 +203,59 @@
 	}
 }
 
-// restoreStore restores the store from a copy that was made at an earlier call: while it answers,
+// storeRestorer restores the store from earlier copies of it. Its draws are its own, so that a seed
+// draws the same other faults with it.
+type storeRestorer struct {
+	*faultInjector
+	rng *rand.Rand
+	// older is a copy of the store.
+	older *fleet.Copy
+}
+
+// restoreStore now and then copies the store, or restores it from the last copy: while it answers,
 // while it is down, twice in a row, or between a write and its answer. What it has lost of the
 // operator's and the servers' writes is written again.
-func (f *faultInjector) restoreStore() {
-	if f.older == nil || f.rng.IntN(4) == 0 {
-		f.older = f.Store.Copy()
-		f.note("copy of the store")
+func (r *storeRestorer) restoreStore() {
+	if r.rng.IntN(8) != 0 {
+		return
+	}
+	if r.older == nil || r.rng.IntN(4) == 0 {
+		r.older = r.Store.Copy()
+		r.note("copy of the store")
 		return
 	}
-	older := f.older
-	switch kind := f.rng.IntN(4); kind {
+	older := r.older
+	switch kind := r.rng.IntN(4); kind {
 	case 0:
-		f.note("store restored after a write")
-		f.Store.RestoreAfterWrite(older)
+		r.note("store restored after a write")
+		r.Store.RestoreAfterWrite(older)
 		// In case that nothing is written.
-		f.endLater(maxFaultDuration, func() { f.Store.Restore(older) })
+		r.later(func() { r.Store.Restore(older) })
 	case 1:
-		f.note("store restored while down")
-		f.Store.SetDown(true)
-		f.Store.Restore(older)
-		f.endLater(maxFaultDuration, func() { f.Store.SetDown(false) })
+		r.note("store restored while down")
+		r.Store.SetDown(true)
+		r.Store.Restore(older)
+		r.later(func() { r.Store.SetDown(false) })
 	case 2:
-		f.note("store restored twice")
-		f.Store.Restore(older)
-		f.Store.Rewrite()
-		f.endLater(maxFaultDuration, func() { f.Store.Restore(older) })
+		r.note("store restored twice")
+		r.Store.Restore(older)
+		r.Store.Rewrite()
+		r.later(func() { r.Store.Restore(older) })
 	case 3:
-		f.note("store restored")
-		f.Store.Restore(older)
+		r.note("store restored")
+		r.Store.Restore(older)
 	}
 	// The last restore is up to maxFaultDuration later.
 	for range 2 {
-		f.endLater(maxFaultDuration, f.Store.Rewrite)
+		r.later(r.Store.Rewrite)
 	}
-	time.AfterFunc(maxFaultDuration+rewriteDelay, f.Store.Rewrite)
-	f.older = nil
+	time.AfterFunc(maxFaultDuration+rewriteDelay, r.Store.Rewrite)
+	r.older = nil
+}
+
+// later calls a function after a random time below maxFaultDuration.
+func (r *storeRestorer) later(fn func()) {
+	time.AfterFunc(time.Duration(r.rng.Int64N(int64(maxFaultDuration))), fn)
 }
 
 // rewriteDelay is how long after a restore the operator and the servers write again at the latest.
