One place for the latest era of a store; plain names of its hooks

OnRestored and limits.restored are called OnStoreRestored and storeRestored, like OnStoreUnreachable beside them: a zone is restored, too.

--- a/core/configuration/mirror/follower.go
+++ b/core/configuration/mirror/follower.go
@@ -81,8 +81,8 @@
 	feed        changefeed.Feed
 	checkpoints checkpoints
 	// unverified says that the store may have come back from an older copy since its last answer.
-	unverified bool
-	onRestored []func(era int64)
+	unverified      bool
+	onStoreRestored []func(era int64)
 }
 
 // NewFollower returns a Follower that does nothing before Run.
@@ -108,11 +108,13 @@
 // goroutine. It must be called before Run.
 func (f *Follower) OnStoreUnreachable(fn func()) { f.onUnreachable = append(f.onUnreachable, fn) }
 
-// OnRestored adds a function that is called when the store has come back from an older copy and is
+// OnStoreRestored adds a function that is called when the store has come back from an older copy and is
 // in a new era, before the listeners get what it holds. Until then everything that this process has
 // written and read may have been lost, and the leases of others as well. It is called from Run's
 // goroutine, and must be added before Run.
-func (f *Follower) OnRestored(fn func(era int64)) { f.onRestored = append(f.onRestored, fn) }
+func (f *Follower) OnStoreRestored(fn func(era int64)) {
+	f.onStoreRestored = append(f.onStoreRestored, fn)
+}
 
 // The metrics of all Followers of this process: how long ago the store last
 // answered, the calls by outcome, and the configuration in force with the
@@ -350,7 +352,7 @@
 		// They had failed because they did not have what this process lacked.
 		f.feeds.retry()
 		f.log.Warn("store has come back from an older copy", "revision", revision, "known-before", before, "era", kv.Era(revision))
-		for _, fn := range f.onRestored {
+		for _, fn := range f.onStoreRestored {
 			fn(kv.Era(revision))
 		}
 	}
--- a/core/configuration/store/call.go
+++ b/core/configuration/store/call.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
+
+	"verbenashift/core/configuration/store/wire"
 )
 
 // The kinds of calls, as they appear in errors and counters.
@@ -129,8 +131,8 @@
 		return 0, sent, err
 	}
 	defer res.Body.Close()
-	if era, err = c.noteEra(res); err != nil {
-		return 0, true, err
+	if era, err = c.era.Observe(res.Header.Get(wire.EraHeader)); err != nil {
+		return 0, true, errors.Wrap(err, "read era")
 	}
 	if res.StatusCode != http.StatusOK {
 		sent, err := refusal(cl, res)
--- a/core/configuration/store/store.go
+++ b/core/configuration/store/store.go
@@ -48,6 +48,7 @@
 	"sync/atomic"
 	"time"
 
+	"verbenashift/core/configuration/kv"
 	"verbenashift/core/configuration/store/wire"
 )
 
@@ -100,7 +101,7 @@
 	timeout   time.Duration
 	transport http.RoundTripper
 	preferred atomic.Int32 // index in bases of the address that answered last
-	era       atomic.Int64 // the highest that an answer has stated
+	era       kv.LatestEra
 }
 
 // New returns a client. It makes no call.
--- a/core/configuration/store/watch.go
+++ b/core/configuration/store/watch.go
@@ -26,7 +26,7 @@
 // caller that must detect this bounds the watch by ctx, or reads the key
 // periodically.
 func (c *Client) Watch(ctx context.Context, key string, fromVersion int64, f func(KV)) error {
-	if c.outdated(fromVersion) {
+	if c.era.Outdates(fromVersion) {
 		return &CompactedError{Key: key}
 	}
 	req := wire.WatchRequest{Create: wire.WatchCreate{Key: []byte(key), StartRevision: counter(fromVersion) + 1}}
@@ -64,7 +64,7 @@
 		return err
 	}
 	defer res.Body.Close()
-	era, err := c.noteEra(res)
+	era, err := c.era.Observe(res.Header.Get(wire.EraHeader))
 	switch {
 	case err != nil:
 		return err
--- a/core/configuration/store/write.go
+++ b/core/configuration/store/write.go
@@ -18,7 +18,7 @@
 	if len(value) > MaxValue {
 		return 0, &TooLargeError{Key: key, Size: len(value), Limit: MaxValue}
 	}
-	if c.outdated(lease) {
+	if c.era.Outdates(lease) {
 		return 0, &LeaseNotFoundError{ID: lease}
 	}
 	put := &wire.PutRequest{Key: []byte(key), Value: value, Lease: counter(lease)}
@@ -41,7 +41,7 @@
 // txn runs op if the key is at version, and reads the key in the same
 // transaction if it is not.
 func (c *Client) txn(ctx context.Context, cl call, version int64, op wire.RequestOp) (int64, error) {
-	if c.outdated(version) {
+	if c.era.Outdates(version) {
 		return 0, c.conflict(ctx, cl)
 	}
 	cl.path = wire.TxnPath
@@ -103,7 +103,7 @@
 // KeepAlive renews the lease once, for its full TTL. An expired lease is a
 // *LeaseNotFoundError. After any other error the holder keeps its old deadline.
 func (c *Client) KeepAlive(ctx context.Context, id int64) (Lease, error) {
-	if c.outdated(id) {
+	if c.era.Outdates(id) {
 		return Lease{}, &LeaseNotFoundError{ID: id}
 	}
 	var resp wire.KeepAliveLine
@@ -123,7 +123,7 @@
 // Revoke ends the lease and deletes its keys. An expired lease is a
 // *LeaseNotFoundError.
 func (c *Client) Revoke(ctx context.Context, id int64) error {
-	if c.outdated(id) {
+	if c.era.Outdates(id) {
 		return &LeaseNotFoundError{ID: id}
 	}
 	var resp struct{}
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// restored processes that the store has come back from an older copy, in a new era.
-func (l *limits) restored(era int64) {
+// storeRestored processes that the store has come back from an older copy, in a new era.
+func (l *limits) storeRestored(era int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.tracker.Restored(era, time.Now())
@@ -174,7 +174,7 @@
 		}
 		l.log.Warn("lease of permits has ended", "lease", l.lease, "era", status.Era)
 		if status.Era > kv.Era(l.lease) {
-			l.restored(status.Era)
+			l.storeRestored(status.Era)
 		}
 		l.lease, l.leaseEnds = 0, time.Time{}
 		l.setLease()
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -175,7 +175,7 @@
 		claims := len(store.changes)
 		is.True(claims > 0)
 		store.era, store.granted = 1, 0
-		l.restored(1)
+		l.storeRestored(1)
 		l.apply(nil, true)
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
