One type for a sender's part in the retries of a deployment

How a gateway divides the retries among all gateways was spread over gateway/serve.go and two packages, so that no test could play many gateways on the code that decides. retry.SharedBudgets holds it now: the budgets, the burst and the count of senders. No change of behaviour; the tests are as they were, but for the names of what they set.

--- a/gateway/admitter_test.go
+++ b/gateway/admitter_test.go
@@ -50,7 +50,7 @@
 func caller(returning bool) *call {
 	now := time.Now()
 	return &call{
-		gateway: &gateway{budgets: retry.NewBudgets(retry.Limits{KeyStart: 10, HopStart: 10})},
+		gateway: &gateway{retries: &retry.SharedBudgets{Budgets: retry.NewBudgets(retry.Limits{KeyStart: 10, HopStart: 10})}},
 		request: request{
 			route: &deployment.Route{Objective: 500 * time.Millisecond, StreamIdleTimeout: 2 * time.Second}, returning: returning,
 			arrived: now, deadline: now.Add(8 * time.Second), req: platform.Request{PromptTokens: 800, AnswerTokens: 100},
@@ -186,8 +186,8 @@
 		a := testAdmitter(192)
 		c := caller(false)
 		c.service = "pool"
-		c.budgets = retry.NewBudgets(retry.Limits{Ratio: 0.1, KeyBurst: 1, Window: 10 * time.Second})
-		is.True(c.budgets.For(budgetOf(c.service)).Take(time.Now()))
+		c.retries = &retry.SharedBudgets{Budgets: retry.NewBudgets(retry.Limits{Ratio: 0.1, KeyBurst: 1, Window: 10 * time.Second})}
+		is.True(c.retries.For(c.key()).Take(time.Now()))
 		at, refusal := a.acquire(t.Context(), c)
 		is.Equal(refusal, nil)
 		c.slot = at
@@ -200,7 +200,7 @@
 		synctest.Wait()
 		c.mu.Lock()
 		for range 20 {
-			c.budgets.Request(budgetOf(c.service), time.Now())
+			c.retries.Request(c.key(), time.Now())
 		}
 		c.mu.Unlock()
 		is.True(<-passed)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -166,7 +166,7 @@
 // run makes attempts until one ends the request.
 func (c *call) run(ctx context.Context) {
 	c.mu.Lock()
-	c.budgets.Request(c.key(), time.Now())
+	c.retries.Request(c.key(), time.Now())
 	c.mu.Unlock()
 	for {
 		if refusal := c.checkQuarantine(ctx); refusal != nil {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -154,12 +154,9 @@
 	return service(c.route, c.rng)
 }
 
-// key returns the key of the retry budget that the request draws on.
-func (c *call) key() retry.Key { return budgetOf(c.service) }
-
-// budgetOf returns the key of the retry budget of a service: the platform bounds retries
-// by service, not by workspace.
-func budgetOf(service string) retry.Key { return retry.Key{Workspace: service, Hop: service} }
+// key returns the key of the retry budget that the request draws on. The platform bounds retries by
+// service, not by workspace.
+func (c *call) key() retry.Key { return retry.ServiceKey(c.service) }
 
 func (c *call) decide(kind retry.Kind) retry.Decision {
 	c.mu.Lock()
@@ -172,7 +169,7 @@
 			c.attempts.MayHaveRun = true
 		}
 	}
-	return retry.Decide(&c.attempts, kind, c.budgets.For(c.key()), &c.returnScheduler, c.deadline, now, c.rng)
+	return retry.Decide(&c.attempts, kind, c.retries.For(c.key()), &c.returnScheduler, c.deadline, now, c.rng)
 }
 
 // cost returns the expected work of the request in tokens.
--- a/gateway/retry_share_test.go
+++ b/gateway/retry_share_test.go
@@ -7,7 +7,6 @@
 	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/plumbing/boot"
-	"verbenashift/core/request/retry"
 	"verbenashift/standin/scripted"
 )
 
@@ -18,9 +17,7 @@
 	r := newRig(t, routeOf(deployment.Safe), scripted.Serve(t, func(x *scripted.Exchange) { x.Respond(200, "ok") }))
 	bounds := boot.Bounds{RetryRatio: 0.2, RetryBurst: burst, RetryWindow: 10 * time.Second}
 	now := time.Now()
-	r.gateway.burst = newBurst(boot.Settings{Bounds: bounds}, now)
-	r.gateway.senders.Window = bounds.RetryWindow
-	r.gateway.budgets = retry.NewBudgets(retryLimits(bounds, r.gateway.burst.Share(retry.AssumedSenders(0), now)))
+	r.gateway.retries = newRetries(boot.Settings{Bounds: bounds}, now)
 	left := func() float64 { return r.gateway.retriesLeft("pool") }
 	r.True(left()*all <= burst)
 	r.gateway.shareRetries(all, now)
--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -65,7 +65,7 @@
 	env := instance.Env{Log: slog.New(slog.DiscardHandler)}
 	env.Boot.Bounds = boot.Bounds{RetryRatio: 0.2, RetryBurst: rigRetries}
 	g := newGateway(env, noop.NewTracerProvider().Tracer("test"), nil)
-	g.budgets, g.burst = retry.NewBudgets(retryLimits(env.Boot.Bounds, rigRetries)), retry.Burst{}
+	g.retries = &retry.SharedBudgets{Budgets: retry.NewBudgets(retry.Limits{Ratio: 0.17, KeyBurst: rigRetries, HopBurst: rigRetries, KeyStart: rigRetries / 2, HopStart: rigRetries / 2})}
 	r := &rig{I: is.New(t), t: t, gateway: g, view: mirror.Snapshot{
 		Config: &deployment.Config{
 			Version: 7, Routes: []deployment.Route{route}, Services: []deployment.Service{{Name: "pool"}},
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -17,7 +17,6 @@
 	"verbenashift/core/configuration/mirror"
 	"verbenashift/core/experts/rankpeer"
 	"verbenashift/core/membership/health"
-	"verbenashift/core/membership/senders"
 	"verbenashift/core/plumbing/boot"
 	"verbenashift/core/plumbing/instance"
 	"verbenashift/core/plumbing/pause"
@@ -43,11 +42,9 @@
 
 	mu sync.Mutex
 	// rng is separate from the fleet's, which another lock guards.
-	rng     *rand.Rand
-	budgets *retry.Budgets
-	burst   retry.Burst
-	// senders counts the gateways.
-	senders         senders.Count
+	rng *rand.Rand
+	// retries limits the retries by service.
+	retries         *retry.SharedBudgets
 	returnScheduler retry.ReturnScheduler
 	digests         *digests
 	// isolator quarantines requests that crash their targets.
@@ -62,12 +59,11 @@
 
 func newGateway(env instance.Env, tracer trace.Tracer, store *platform.Store) *gateway {
 	boot, log, now := env.Boot, env.Log, time.Now()
-	burst := newBurst(boot, now)
 	g := &gateway{
-		log: log, tracer: tracer, rng: newRand(), burst: burst, senders: senders.Count{Window: boot.Bounds.RetryWindow}, started: now,
+		log: log, tracer: tracer, rng: newRand(), started: now,
 		startup:         startup.New(),
 		fleet:           newFleet(boot.Instance, boot.Zone, log),
-		budgets:         retry.NewBudgets(retryLimits(boot.Bounds, burst.Share(retry.AssumedSenders(0), now))),
+		retries:         newRetries(boot, now),
 		isolator:        newIsolator(boot.Instance, store, log),
 		suspicions:      newSuspicionExchange(boot.Instance, store, log),
 		admitters:       map[string]*admitter{},
@@ -83,26 +79,13 @@
 	return g
 }
 
-// retryFraction is the part of the deployment's retries that is used, since a request that a
-// client repeats at another gateway is counted differently.
-const retryFraction = 0.85
-
-// newBurst returns this gateway's part of the burst of retries of the whole deployment.
-func newBurst(s boot.Settings, now time.Time) retry.Burst {
-	b := retry.Burst{Total: s.Bounds.RetryBurst, Window: s.Bounds.RetryWindow}
-	if !s.FirstStart {
-		b.StartedAt = now
-	}
-	return b
-}
-
-// retryLimits returns this gateway's part of the retries of the whole deployment. The
-// ratio is not divided: each gateway applies it to its own requests.
-func retryLimits(b boot.Bounds, share float64) retry.Limits {
-	return retry.Limits{
-		Ratio: b.RetryRatio * retryFraction, KeyBurst: share, HopBurst: share,
-		KeyStart: share / 2, HopStart: share / 2, Window: b.RetryWindow,
+// newRetries returns this gateway's part of the retries of the whole deployment.
+func newRetries(s boot.Settings, now time.Time) *retry.SharedBudgets {
+	allowed := retry.Allowance{Ratio: s.Bounds.RetryRatio, Burst: s.Bounds.RetryBurst, Window: s.Bounds.RetryWindow}
+	if s.FirstStart {
+		return retry.NewSharedBudgets(allowed, time.Time{}, now)
 	}
+	return retry.NewSharedBudgets(allowed, now, now)
 }
 
 // shareRetries records the number of gateways, as counted by those that poll a coordinator
@@ -115,29 +98,25 @@
 	g.fleet.setSenders(g.countSenders(among, now))
 }
 
-// assumeSenders divides the retries by the number of targets as long as that of the gateways is not
-// known.
-func (g *gateway) assumeSenders(targets int, now time.Time) {
+// countSenders records the number of gateways and returns the one to use.
+func (g *gateway) countSenders(among int, now time.Time) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.senders.Value() == 0 && g.burst.Total > 0 {
-		g.budgets.SetKeyBurst(g.burst.Share(retry.AssumedSenders(targets), now))
-	}
+	g.retries.ReportSenders(among, now)
+	return g.retries.Senders()
 }
 
-// countSenders records the number of gateways and returns the one to use.
-func (g *gateway) countSenders(among int, now time.Time) int {
+// countTargets records the number of targets, which bounds that of the gateways until it is known.
+func (g *gateway) countTargets(n int, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.senders.Report(among, now)
-	g.budgets.SetKeyBurst(g.burst.Share(g.senders.Value(), now))
-	return g.senders.Value()
+	g.retries.ReportTargets(n, now)
 }
 
 // update applies a new view of the store: configuration and targets together.
 func (g *gateway) update(v *mirror.Snapshot) {
 	g.fleet.update(v)
-	g.assumeSenders(len(v.Targets), time.Now())
+	g.countTargets(len(v.Targets), time.Now())
 	g.updateAdmitters(v.Config)
 	g.digests.update(v)
 	if c := g.catalog.Load(); c == nil || c.config != v.Config {
@@ -202,7 +181,7 @@
 func (g *gateway) retriesLeft(service string) float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.budgets.For(budgetOf(service)).Left(time.Now())
+	return g.retries.For(retry.ServiceKey(service)).Left(time.Now())
 }
 
 // admitterOf returns the admitter of a service, or nil if it has none.
