Log a gateway's part in the retries and what is left of it

The logs told each retry but not the limit that allowed it: how many gateways the process divided the burst among, whether these were counted or assumed, and how much was left. With a line "retry part" for each change, "budget-left" in "retry", and metrics by service, a process that spends beyond its part, one whose part is too large and several lives of one instance are told apart.

--- a/core/request/retry/shared.go
+++ b/core/request/retry/shared.go
@@ -42,6 +42,23 @@
 	return s
 }
 
+// Part is the part of one sender in an Allowance: in any window it may make Ratio of its own requests,
+// and Burst more.
+type Part struct {
+	// Senders is the number of senders that the burst is divided among; Assumed says that they were
+	// not counted.
+	Senders int
+	Assumed bool
+	Ratio   float64
+	Burst   float64
+}
+
+// Part returns the part that applies now.
+func (s *SharedBudgets) Part() Part {
+	n := s.senders.Value()
+	return Part{Senders: n, Assumed: n == 0, Ratio: s.limits.Ratio, Burst: s.limits.KeyBurst}
+}
+
 // ServiceKey returns the key of the budget of a service.
 func ServiceKey(service string) Key { return Key{Workspace: service, Hop: service} }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -193,6 +193,7 @@
 			return
 		}
 		metricRetries.Add(1)
+		metricServiceRetries.Add(c.service, 1)
 		if c.begun {
 			metricResumed.Add(1)
 		}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -82,8 +82,8 @@
 
 // logRetry logs an attempt that is followed by another one, with its target.
 func (c *call) logRetry(reason string) {
-	line := append(make([]any, 0, 16), "id", c.req.ID, "service", c.service, "config", c.version,
-		"reason", reason, "errors", c.attempts.Errors)
+	line := append(make([]any, 0, 24), "id", c.req.ID, "service", c.service, "config", c.version,
+		"reason", reason, "errors", c.attempts.Errors, "budget-left", int(c.retriesLeft(c.service)))
 	line = append(line, c.targetAttrs()...)
 	c.log.Info("retry", append(line, c.fingerprintAttrs()...)...)
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -14,6 +14,10 @@
 	metricRetries  = expvar.NewInt("retries")
 	metricNoRetry  = expvar.NewMap("no-retry-by-reason")
 	metricBudget   = expvar.NewMap("retry-budget-left")
+	// metricServiceRetries counts retries by service, metricRetryPart is this gateway's part of the
+	// retries of all gateways.
+	metricServiceRetries = expvar.NewMap("retries-by-service")
+	metricRetryPart      = expvar.NewMap("retry-part")
 	// metricUnanswered counts plain requests whose target did not answer while others did.
 	metricUnanswered = expvar.NewInt("requests-unanswered-by-targets")
 	// metricSuspicions counts suspected targets by cause; the cause "told" counts reports of
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -44,7 +44,9 @@
 	// rng is separate from the fleet's, which another lock guards.
 	rng *rand.Rand
 	// retries limits the retries by service.
-	retries         *retry.SharedBudgets
+	retries *retry.SharedBudgets
+	// shownPart is the part of the retries that was logged last.
+	shownPart       retry.Part
 	returnScheduler retry.ReturnScheduler
 	digests         *digests
 	// isolator quarantines requests that crash their targets.
@@ -103,6 +105,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.retries.ReportSenders(among, now)
+	g.showRetries(now)
 	return g.retries.Senders()
 }
 
@@ -111,6 +114,21 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.retries.ReportTargets(n, now)
+	g.showRetries(now)
+}
+
+// showRetries publishes this gateway's part of the retries, and logs it when it has changed. The
+// lock must be held.
+func (g *gateway) showRetries(now time.Time) {
+	part := g.retries.Part()
+	if part == g.shownPart {
+		return
+	}
+	g.shownPart = part
+	set(metricRetryPart, "gateways", part.Senders)
+	set(metricRetryPart, "burst", int(part.Burst))
+	g.log.Info("retry part", "gateways", part.Senders, "assumed", part.Assumed, "burst", part.Burst, "ratio", part.Ratio,
+		"since-start-ms", now.Sub(g.started).Milliseconds())
 }
 
 // update applies a new view of the store: configuration and targets together.
