Retries are paid for by requests that no other process counts

What callers saw: nothing; targets got more repeats than the deployment allows, at a moment at which they already rejected most of what they got.

Cause: each process kept to its limit for the last window, and the windows of processes that follow each other overlap. A gateway spends at once what ten seconds of requests allow, ends, and the next process, or the gateways to which the callers went, spend what the next ten seconds allow.

Now a request pays for half of the ratio, once, within a window of it. As no two processes count the same request, retries of any window are paid for by the requests of two windows, whatever happens to the processes. The burst refills over a window and is empty after a restart.

--- a/core/request/retry/budget.go
+++ b/core/request/retry/budget.go
@@ -52,10 +52,14 @@
 	// KeyStart and HopStart are what a workspace and a hop may spend before their first
 	// requests.
 	KeyStart, HopStart float64
-	// Window, if set, is the time span over which retries are limited to Ratio of its requests
-	// plus KeyBurst. Nothing accumulates beyond the span, and a single moment may use all of
-	// it. Hops are not limited separately in this mode.
+	// Window, if set, is the time span over which the retries of all processes with such limits
+	// stay within Ratio of the requests plus the sum of their KeyBurst, even if processes are lost
+	// and others take their place. A request pays for retries within Window of it, and a single
+	// moment may use half of what is allowed. Hops are not limited separately in this mode.
 	Window time.Duration
+	// StartedAt, if set, is when a process started that may have replaced another one, which may
+	// have used its KeyBurst. It has none at first.
+	StartedAt time.Time
 }
 
 func (l Limits) withDefaults() Limits {
@@ -77,10 +81,11 @@
 // Budget limits the retries of one workspace at one hop.
 type Budget struct {
 	limits *Limits
-	// window is nil unless the limits have one; it then replaces the buckets.
-	window *window
-	own    bucket
-	hop    *bucket
+	// credits is nil unless the limits have a window; it and the reserve then replace the buckets.
+	credits *credits
+	reserve reserve
+	own     bucket
+	hop     *bucket
 	// lastFloorAt is when the floor last allowed a retry.
 	lastFloorAt time.Time
 }
@@ -102,8 +107,8 @@
 // retry.
 func (b *Budgets) Request(key Key, now time.Time) {
 	g := b.For(key)
-	if g.window != nil {
-		g.window.at(now).requests++
+	if g.credits != nil {
+		g.credits.add(b.limits.Ratio/payingSpans, now)
 		g.own.lastUsed = now
 		return
 	}
@@ -124,7 +129,8 @@
 	}
 	g := &Budget{limits: &b.limits, hop: hop, own: bucket{tokens: b.limits.KeyStart}}
 	if b.limits.Window > 0 {
-		g.window = newWindow(b.limits.Window)
+		g.credits = newCredits(b.limits.Window)
+		g.reserve = newReserve(b.limits.StartedAt)
 	}
 	b.keys[key] = g
 	return g
@@ -143,12 +149,8 @@
 // must have one: otherwise the floors of many workspaces together could cause the retry storm
 // that the budget prevents.
 func (g *Budget) Take(now time.Time) bool {
-	if g.window != nil {
-		if g.Left(now) < 1 {
-			return false
-		}
-		g.window.at(now).retries++
-		return true
+	if g.credits != nil {
+		return g.takePaid(now)
 	}
 	g.hop.refillFloor(now)
 	if g.hop.tokens < 1 {
@@ -168,12 +170,27 @@
 
 // Left returns how many retries the key may make now.
 func (g *Budget) Left(now time.Time) float64 {
-	if g.window != nil {
-		return g.window.left(g.limits.Ratio, g.limits.KeyBurst, now)
+	if g.credits != nil {
+		return g.credits.left(now) + g.reserved(now)
 	}
 	return min(g.own.tokens, g.hop.tokens)
 }
 
+// takePaid spends one retry of a budget with a window: credits first, as they expire.
+func (g *Budget) takePaid(now time.Time) bool {
+	if g.Left(now) < 1 {
+		return false
+	}
+	reserved := g.reserved(now)
+	g.reserve = reserve{tokens: reserved - (1 - g.credits.take(1, now)), at: now}
+	return true
+}
+
+// reserved returns how many retries are left beyond those that requests have paid for.
+func (g *Budget) reserved(now time.Time) float64 {
+	return g.reserve.left(g.limits.KeyBurst/payingSpans, g.limits.Window, now)
+}
+
 // refillFloor credits a hop with the retries of the floor, up to one.
 func (b *bucket) refillFloor(now time.Time) {
 	if b.tokens < 1 && !b.lastUsed.IsZero() {
--- a/core/request/retry/shared.go
+++ b/core/request/retry/shared.go
@@ -6,9 +6,13 @@
 	"verbenashift/core/membership/senders"
 )
 
-// usedFraction is the part of the allowed ratio that is used, since a request that a caller repeats
-// at another sender is counted differently.
-const usedFraction = 0.85
+const (
+	// usedFraction is the part of the allowed ratio that is used: retries reach targets some time
+	// after they were decided.
+	usedFraction = 0.95
+	// minAssumed is the least number of senders to assume until one is reported.
+	minAssumed = 64
+)
 
 // Allowance is how many attempts beyond the first of each request all senders together may make at
 // one service within any span of Window: Ratio of the requests for it, and Burst more.
@@ -20,28 +24,32 @@
 
 // SharedBudgets limits the retries of one sender so that those of all senders together stay within
 // an Allowance. There is a budget for each service. It is not safe for concurrent use.
+//
+// No sender knows what others have used, nor what processes have used that were lost. Each retry is
+// therefore paid for by a request of its own process, or by its part of the burst, which a new
+// process has only once it could have been refilled.
 type SharedBudgets struct {
 	*Budgets
 	allowed Allowance
-	burst   Burst
 	senders senders.Count
 }
 
 // NewSharedBudgets returns the budgets of a sender that started at startedAt; zero if no sender has
 // run before.
-func NewSharedBudgets(a Allowance, startedAt, now time.Time) *SharedBudgets {
+func NewSharedBudgets(a Allowance, startedAt time.Time) *SharedBudgets {
 	s := &SharedBudgets{
+		Budgets: NewBudgets(Limits{Window: a.Window, StartedAt: startedAt}),
 		allowed: a,
-		burst:   Burst{Total: a.Burst, Window: a.Window, StartedAt: startedAt},
 		senders: senders.Count{Window: a.Window},
 	}
-	share := s.burst.Share(AssumedSenders(0), now)
-	s.Budgets = NewBudgets(Limits{
-		Ratio: a.Ratio * usedFraction, KeyBurst: share, HopBurst: share, KeyStart: share / 2, HopStart: share / 2, Window: a.Window,
-	})
+	s.limits.Ratio = a.Ratio * usedFraction
+	s.divide(minAssumed)
 	return s
 }
 
+// divide divides the burst among a number of senders.
+func (s *SharedBudgets) divide(senders int) { s.limits.KeyBurst = s.allowed.Burst / float64(senders) }
+
 // Part is the part of one sender in an Allowance: in any window it may make Ratio of its own requests,
 // and Burst more.
 type Part struct {
@@ -71,12 +79,13 @@
 		return
 	}
 	s.senders.Report(n, now)
-	s.SetKeyBurst(s.burst.Share(s.senders.Value(), now))
+	s.divide(s.senders.Value())
 }
 
-// ReportTargets records how many targets there are. It matters until the number of senders is known.
-func (s *SharedBudgets) ReportTargets(n int, now time.Time) {
-	if s.senders.Value() == 0 && s.burst.Total > 0 {
-		s.SetKeyBurst(s.burst.Share(AssumedSenders(n), now))
+// ReportTargets records how many targets there are: until the number of senders is known, as many
+// are assumed.
+func (s *SharedBudgets) ReportTargets(n int) {
+	if s.senders.Value() == 0 {
+		s.divide(max(n, minAssumed))
 	}
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -85,9 +85,9 @@
 func newRetries(s boot.Settings, now time.Time) *retry.SharedBudgets {
 	allowed := retry.Allowance{Ratio: s.Bounds.RetryRatio, Burst: s.Bounds.RetryBurst, Window: s.Bounds.RetryWindow}
 	if s.FirstStart {
-		return retry.NewSharedBudgets(allowed, time.Time{}, now)
+		return retry.NewSharedBudgets(allowed, time.Time{})
 	}
-	return retry.NewSharedBudgets(allowed, now, now)
+	return retry.NewSharedBudgets(allowed, now)
 }
 
 // shareRetries records the number of gateways, as counted by those that poll a coordinator
@@ -113,7 +113,7 @@
 func (g *gateway) countTargets(n int, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.retries.ReportTargets(n, now)
+	g.retries.ReportTargets(n)
 	g.showRetries(now)
 }
 
