Report and log the parts of the prompts that a crash has broken off

Which parts the requests had under which a server ended was in no log and no report, so that a cause that these requests share could not be told from one request that comes again. Reports of crashes carry the service and the parts now, as fingerprints, and "parts" stands beside "print" in the log. Nothing is decided by them yet.

--- a/core/request/quarantine/fingerprint.go
+++ b/core/request/quarantine/fingerprint.go
@@ -36,6 +36,32 @@
 	return Fingerprint(sum.Sum(nil))
 }
 
+// PartFingerprint returns the fingerprint of a part of a prompt. It is the same for all requests with
+// that part, whoever sends them.
+func PartFingerprint(id string) Fingerprint {
+	sum := sha256.Sum256([]byte("part\x00" + id))
+	return Fingerprint(sum[:len(Fingerprint{})])
+}
+
+// Request identifies a request by what may crash its targets.
+type Request struct {
+	Content Fingerprint
+	// Parts are the parts of its prompt that other requests may share.
+	Parts []Fingerprint
+}
+
+// maxLoggedParts is how many parts of a request a log line contains.
+const maxLoggedParts = 4
+
+// ShortParts returns the first digits of the last parts, for logs.
+func (r Request) ShortParts() []string {
+	texts := make([]string, 0, maxLoggedParts)
+	for _, p := range r.Parts[max(0, len(r.Parts)-maxLoggedParts):] {
+		texts = append(texts, p.Short())
+	}
+	return texts
+}
+
 // FingerprintError reports a text that is not a fingerprint.
 type FingerprintError struct {
 	Text string
--- a/core/request/quarantine/report.go
+++ b/core/request/quarantine/report.go
@@ -38,7 +38,30 @@
 	// StartedAt is when the target process started, in Unix milliseconds: a target with the
 	// same identifier may have started again.
 	StartedAt int64         `json:"born"`
+	Service   string        `json:"service,omitempty"`
 	Requests  []Fingerprint `json:"requests"`
+	// Parts are the parts of the requests, in the same order; requests beyond them have none.
+	Parts [][]Fingerprint `json:"parts,omitempty"`
+}
+
+// Add adds a request.
+func (c *Crash) Add(r Request) {
+	if len(r.Parts) > 0 {
+		for len(c.Parts) < len(c.Requests) {
+			c.Parts = append(c.Parts, nil)
+		}
+		c.Parts = append(c.Parts, r.Parts)
+	}
+	c.Requests = append(c.Requests, r.Content)
+}
+
+// request returns the i-th request.
+func (c *Crash) request(i int) Request {
+	r := Request{Content: c.Requests[i]}
+	if i < len(c.Parts) {
+		r.Parts = c.Parts[i]
+	}
+	return r
 }
 
 // Report is what one gateway has observed since its last report.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -158,7 +158,7 @@
 	}
 	if cause == nil || cause == errStalled {
 		c.suspect = true
-		c.fleet.crashes.AnswerBroken(s.seen, c.fingerprint())
+		c.fleet.crashes.AnswerBroken(s.seen, c.suspectRequest())
 	}
 	return retry.Broken, err.Error(), false
 }
--- a/gateway/crash/detector.go
+++ b/gateway/crash/detector.go
@@ -12,7 +12,7 @@
 // # Usage
 //
 //	d := crash.New(tcp.Dial, serves, log, func(c quarantine.Crash) { report(c) })
-//	d.AnswerBroken(target, fingerprint) // an answer of the target broke off
+//	d.AnswerBroken(target, request)     // an answer of the target broke off
 //	d.Removed(target)                   // its entry was removed
 //	d.Restarted(target)                 // its entry, or another one at its address, shows a later start
 //	d.Tick(time.Now())                  // periodically
@@ -23,6 +23,7 @@
 	"errors"
 	"log/slog"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -77,7 +78,7 @@
 	target deployment.Target
 	// fresh lists the requests whose answers broke off after the target last accepted a
 	// connection, earlier those whose answers broke off before that.
-	fresh   []quarantine.Fingerprint
+	fresh   []quarantine.Request
 	earlier []broken
 	last    time.Time
 	// checking is set while the target's address is checked.
@@ -86,7 +87,7 @@
 
 // broken is a request whose answer broke off.
 type broken struct {
-	request quarantine.Fingerprint
+	request quarantine.Request
 	at      time.Time
 }
 
@@ -96,23 +97,28 @@
 }
 
 // recent returns the requests that may have been in progress when a target restarted.
-func (b *brokenAnswers) recent(now time.Time) []quarantine.Fingerprint {
+func (b *brokenAnswers) recent(now time.Time) []quarantine.Request {
 	list := slices.Clone(b.fresh)
 	for _, r := range b.earlier {
-		if now.Sub(r.at) <= listeningRetention && len(list) < maxRequests && !slices.Contains(list, r.request) {
+		if now.Sub(r.at) <= listeningRetention && len(list) < maxRequests && !contains(list, r.request) {
 			list = append(list, r.request)
 		}
 	}
 	return list
 }
 
+// contains reports whether a list has a request with the same content.
+func contains(list []quarantine.Request, r quarantine.Request) bool {
+	return slices.ContainsFunc(list, func(other quarantine.Request) bool { return other.Content == r.Content })
+}
+
 // New returns a Detector that calls onCrash for each crash that it detects.
 func New(dial upstream.Dialer, serves func(deployment.Target) bool, log *slog.Logger, onCrash func(quarantine.Crash)) *Detector {
 	return &Detector{dial: dial, serves: serves, log: log, onCrash: onCrash, suspect: map[incarnation]*brokenAnswers{}}
 }
 
 // AnswerBroken records that a target has broken off the answer to a request.
-func (d *Detector) AnswerBroken(t deployment.Target, p quarantine.Fingerprint) {
+func (d *Detector) AnswerBroken(t deployment.Target, r quarantine.Request) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -122,8 +128,8 @@
 		d.suspect[incarnationOf(t)] = b
 	}
 	b.last = now
-	if len(b.fresh) < maxRequests && !slices.Contains(b.fresh, p) {
-		b.fresh = append(b.fresh, p)
+	if len(b.fresh) < maxRequests && !contains(b.fresh, r) {
+		b.fresh = append(b.fresh, r)
 	}
 	if !b.checking {
 		b.checking = true
@@ -242,21 +248,26 @@
 }
 
 // report reports the crash of a target, if it has broken off answers.
-func (d *Detector) report(b *brokenAnswers, requests []quarantine.Fingerprint, how string) {
+func (d *Detector) report(b *brokenAnswers, requests []quarantine.Request, how string) {
 	if len(requests) == 0 {
 		return
 	}
 	t := b.target
+	c := quarantine.Crash{Target: t.ID, StartedAt: t.StartedAt, Service: t.Service}
+	for _, r := range requests {
+		c.Add(r)
+	}
 	d.log.Warn("target crashed", "target", t.ID, "service", t.Service, "addr", t.Addr.String(), "born", t.StartedAt,
 		"how", how, "broken-off", len(requests), "prints", short(requests), "after-ms", time.Since(b.last).Milliseconds())
-	d.onCrash(quarantine.Crash{Target: t.ID, StartedAt: t.StartedAt, Requests: requests})
+	d.onCrash(c)
 }
 
-// short returns the shortened fingerprints for a log line, at most maxLogged of them.
-func short(fingerprints []quarantine.Fingerprint) []string {
+// short returns the shortened fingerprints for a log line, at most maxLogged of them, with those of
+// the parts of each request.
+func short(requests []quarantine.Request) []string {
 	texts := make([]string, 0, maxLogged)
-	for _, p := range fingerprints[:min(len(fingerprints), maxLogged)] {
-		texts = append(texts, p.Short())
+	for _, r := range requests[:min(len(requests), maxLogged)] {
+		texts = append(texts, strings.Join(append([]string{r.Content.Short()}, r.ShortParts()...), "/"))
 	}
 	return texts
 }
--- a/gateway/crash/detector_test.go
+++ b/gateway/crash/detector_test.go
@@ -52,6 +52,18 @@
 	return c.Fingerprint()
 }
 
+// requestOf returns a request with two parts, the first of which all requests share.
+func requestOf(n int) quarantine.Request {
+	return quarantine.Request{Content: fingerprintOf(n), Parts: []quarantine.Fingerprint{quarantine.PartFingerprint("shared"), quarantine.PartFingerprint(fmt.Sprint(n))}}
+}
+
+// crashOf returns the crash of the target while it ran one request.
+func crashOf(n int) quarantine.Crash {
+	c := quarantine.Crash{Target: "t0", StartedAt: 7}
+	c.Add(requestOf(n))
+	return c
+}
+
 // waitForCheck waits until the Detector has checked the target's address.
 func waitForCheck() {
 	time.Sleep(time.Second)
@@ -97,14 +109,14 @@
 				is := is.New(t)
 				b := newHarness()
 				b.answer = tt.answer
-				b.AnswerBroken(target(), fingerprintOf(1))
+				b.AnswerBroken(target(), requestOf(1))
 				waitForCheck()
 				if tt.after != nil {
 					tt.after(b)
 				}
 				is.Equal(len(b.crashes), tt.want)
 				for _, c := range b.crashes {
-					is.Equal(c, quarantine.Crash{Target: "t0", StartedAt: 7, Requests: []quarantine.Fingerprint{fingerprintOf(1)}})
+					is.Equal(c, crashOf(1))
 				}
 			})
 		})
@@ -117,7 +129,7 @@
 		is := is.New(t)
 		b := newHarness()
 		b.answer, b.serves = errUnreachable, false
-		b.AnswerBroken(target(), fingerprintOf(1))
+		b.AnswerBroken(target(), requestOf(1))
 		waitForCheck()
 		is.Equal(len(b.crashes), 1)
 	})
@@ -129,7 +141,7 @@
 		is := is.New(t)
 		b := newHarness()
 		b.answer, b.serves = syscall.ECONNREFUSED, false
-		b.AnswerBroken(target(), fingerprintOf(1))
+		b.AnswerBroken(target(), requestOf(1))
 		waitForCheck()
 		b.Removed(target())
 		is.Equal(len(b.crashes), 0)
@@ -144,8 +156,8 @@
 		b := newHarness()
 		b.answer = syscall.ECONNREFUSED
 		for n := range 2 * maxRequests {
-			b.AnswerBroken(target(), fingerprintOf(n))
-			b.AnswerBroken(target(), fingerprintOf(n))
+			b.AnswerBroken(target(), requestOf(n))
+			b.AnswerBroken(target(), requestOf(n))
 		}
 		waitForCheck()
 		is.Equal(b.dials, 1)
@@ -159,11 +171,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		b := newHarness()
-		b.AnswerBroken(target(), fingerprintOf(1))
+		b.AnswerBroken(target(), requestOf(1))
 		waitForCheck()
 		b.answer = syscall.ECONNREFUSED
-		b.AnswerBroken(target(), fingerprintOf(2))
+		b.AnswerBroken(target(), requestOf(2))
 		waitForCheck()
-		is.Equal(b.crashes, []quarantine.Crash{{Target: "t0", StartedAt: 7, Requests: []quarantine.Fingerprint{fingerprintOf(2)}}})
+		is.Equal(b.crashes, []quarantine.Crash{crashOf(2)})
 	})
 }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -77,7 +77,7 @@
 	if !c.suspect {
 		return nil
 	}
-	return []any{"print", c.fingerprint().Short(), "begun", c.begun}
+	return []any{"print", c.fingerprint().Short(), "parts", c.suspectRequest().ShortParts(), "begun", c.begun}
 }
 
 // logRetry logs an attempt that is followed by another one, with its target.
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -9,9 +9,10 @@
 
 // quarantineState is what is known about calls with the same content.
 type quarantineState struct {
-	// cachedFingerprint is the fingerprint of the request once it was computed; suspect is set
-	// if a target may have crashed while running it.
+	// cachedFingerprint is the fingerprint of the request once it was computed, and cachedParts are
+	// those of the parts of its prompt; suspect is set if a target may have crashed while running it.
 	cachedFingerprint quarantine.Fingerprint
+	cachedParts       []quarantine.Fingerprint
 	suspect           bool
 	// probe is set if the request is quarantined and is sent to find out whether it still
 	// crashes targets; crashes is how many had crashed before.
@@ -30,6 +31,16 @@
 	return c.cachedFingerprint
 }
 
+// suspectRequest returns what may be the cause if a target crashes while running the request.
+func (c *call) suspectRequest() quarantine.Request {
+	if c.cachedParts == nil {
+		for _, id := range c.req.Parts {
+			c.cachedParts = append(c.cachedParts, quarantine.PartFingerprint(id))
+		}
+	}
+	return quarantine.Request{Content: c.fingerprint(), Parts: c.cachedParts}
+}
+
 // refuseIfQuarantined refuses the request at once if it is quarantined and no probe is due, and
 // reports whether it did. The request then does not occupy a place in the queue, which others
 // need.
