--- a/proof/crash_test.go
+++ b/proof/crash_test.go
@@ -64,7 +64,7 @@
 	ctx, stop := context.WithTimeout(s.ctx, d)
 	defer stop()
 	calls := fleet.PlayCrashing(ctx, s.Fleet, kind, repeatInterval)
-	ended, later := s.Ledger.Crashes(quarantineDelay)
+	ended, later := s.Ledger.Crashes(fleet.CrashText, 3, quarantineDelay)
 	s.t.Logf("%d calls, %d servers ended, %d arrivals more than %v after the third crash", len(calls), ended, later, quarantineDelay)
 	s.True(ended >= 3)
 	s.True(later <= maxLateArrivals)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -78,7 +78,7 @@
 func Start(shape Shape) (*Fleet, error) {
 	f := &Fleet{
 		Shape: shape, Store: NewStore(),
-		Ledger: &Ledger{runs: map[string]int{}, runsIn: map[string]int{}, fronts: map[string]string{}}, done: make(chan struct{}),
+		Ledger: &Ledger{runs: map[string]int{}, runsIn: map[string]int{}, fronts: map[string]string{}, crashingArrivals: map[string][]time.Time{}, crashes: map[string][]time.Time{}}, done: make(chan struct{}),
 	}
 	if shape.Links {
 		f.Links = newLinks()
--- a/standin/fleet/play.go
+++ b/standin/fleet/play.go
@@ -17,6 +17,9 @@
 // Call is one request as its caller observed it.
 type Call struct {
 	ID string
+	// At is when it was sent, First the first part of its prompt.
+	At    time.Time
+	First string
 	// Kind is the path prefix of the route.
 	Kind string
 	// Status is 0 if the connection broke before an answer.
@@ -32,8 +35,18 @@
 	RetryAfter time.Duration
 
 	// path is the rest of the path after the prefix; an empty body means the default
-	// body.
+	// body. parts are the parts of its prompt after the first, but for its own.
 	path, body string
+	parts      []string
+}
+
+// sharedParts is how many first parts the prompts of all requests have.
+const sharedParts = 20
+
+// prefix returns the parts of the prompt.
+func (c *Call) prefix() string {
+	parts := append([]string{c.First}, c.parts...)
+	return strings.Join(append(parts, c.ID), ":40,") + ":60"
 }
 
 const (
@@ -57,7 +70,21 @@
 	prefixes := []string{streamPrefix, streamPrefix, safePrefix, unsafePrefix}
 	return send(ctx, f, requestInterval, more, func(i int) *Call {
 		id := newID()
-		return &Call{ID: id, Kind: prefixes[i%len(prefixes)], path: id}
+		return &Call{ID: id, Kind: prefixes[i%len(prefixes)], path: id, First: firstPart(i / len(prefixes))}
+	})
+}
+
+// firstPart returns the first part of the i-th prompt.
+func firstPart(i int) string { return fmt.Sprintf("a%02x", i%sharedParts) }
+
+// PlayCrashingParts sends requests, no two alike, whose prompts contain one of the given parts each,
+// to the gateways in turn, until the context is done. Parts that begin with "dead" crash each server
+// that begins to write an answer, those that begin with "fade" after the first event. They share
+// their first part with other requests.
+func PlayCrashingParts(ctx context.Context, f *Fleet, kind string, parts []string, pause time.Duration) []Call {
+	return send(context.WithoutCancel(ctx), f, pause, func(int) bool { return ctx.Err() == nil }, func(i int) *Call {
+		id := newID()
+		return &Call{ID: id, Kind: kind, path: id, First: firstPart(0), parts: parts[i%len(parts) : i%len(parts)+1]}
 	})
 }
 
@@ -65,7 +92,7 @@
 // under new request IDs and to the gateways in turn, until the context is done.
 func PlayCrashing(ctx context.Context, f *Fleet, kind string, pause time.Duration) []Call {
 	return send(context.WithoutCancel(ctx), f, pause, func(int) bool { return ctx.Err() == nil }, func(int) *Call {
-		return &Call{ID: newID(), Kind: kind, path: "1", body: crashText}
+		return &Call{ID: newID(), Kind: kind, path: "1", body: CrashText, First: firstPart(0)}
 	})
 }
 
@@ -103,8 +130,8 @@
 const eventTimeout = 2 * time.Second
 
 func (c *Call) send(ctx context.Context, client *http.Client, front string) {
-	began := time.Now()
-	defer func() { c.Duration = time.Since(began) }()
+	c.At = time.Now()
+	defer func() { c.Duration = time.Since(c.At) }()
 	method, body := http.MethodPost, bytes.NewReader(bytes.Repeat([]byte("x"), 600))
 	switch {
 	case c.body != "":
@@ -124,7 +151,7 @@
 	req.GetBody = nil
 	for k, v := range map[string]string{
 		"X-Request-Id": c.ID, "X-Deadline-Ms": "8000", "Authorization": "Token " + secret,
-		"X-Model": "m", "X-Token-Usage": "100,50", "X-Prompt-Prefix": "1:40,2:60",
+		"X-Model": "m", "X-Token-Usage": "100,50", "X-Prompt-Prefix": c.prefix(),
 	} {
 		req.Header.Set(k, v)
 	}
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -19,8 +19,8 @@
 	// runsIn counts the runs by zone of the server.
 	runsIn map[string]int
 	// crashingArrivals are the arrival times of requests that crash their servers,
-	// crashes the times at which servers crashed.
-	crashingArrivals, crashes []time.Time
+	// crashes the times at which servers crashed, by cause.
+	crashingArrivals, crashes map[string][]time.Time
 	// invalid counts requests that arrived with an Authorization header or with an
 	// X-Tenant other than the workspace.
 	invalid int
@@ -56,33 +56,45 @@
 }
 
 // recordCrashing records the arrival of a request that crashes its server.
-func (l *Ledger) recordCrashing() {
+func (l *Ledger) recordCrashing(cause string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.crashingArrivals = append(l.crashingArrivals, time.Now())
+	l.crashingArrivals[cause] = append(l.crashingArrivals[cause], time.Now())
 }
 
 // recordCrash records that a request has crashed a server.
-func (l *Ledger) recordCrash() {
+func (l *Ledger) recordCrash(cause string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.crashes = append(l.crashes, time.Now())
+	l.crashes[cause] = append(l.crashes[cause], time.Now())
 }
 
-// Crashes returns the number of crashes, and how many crashing requests reached
-// servers more than grace after the third crash.
-func (l *Ledger) Crashes(grace time.Duration) (ended, later int) {
+// Crashes returns the number of crashes by a cause, which is CrashText or a part of prompts, and how
+// many requests with it reached servers more than grace after the n-th crash.
+func (l *Ledger) Crashes(cause string, n int, grace time.Duration) (ended, later int) {
+	at, ok := l.CrashTime(cause, n)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.crashes) < 3 {
-		return len(l.crashes), 0
-	}
-	for _, at := range l.crashingArrivals {
-		if at.After(l.crashes[2].Add(grace)) {
-			later++
+	if ok {
+		for _, arrival := range l.crashingArrivals[cause] {
+			if arrival.After(at.Add(grace)) {
+				later++
+			}
 		}
 	}
-	return len(l.crashes), later
+	return len(l.crashes[cause]), later
+}
+
+// CrashTime returns the time of the n-th crash by a cause, or of the last one and false if there were
+// fewer.
+func (l *Ledger) CrashTime(cause string, n int) (at time.Time, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	crashes := l.crashes[cause]
+	if len(crashes) == 0 {
+		return time.Time{}, false
+	}
+	return crashes[min(n, len(crashes))-1], len(crashes) >= n
 }
 
 // Runs returns how often a request ran.
@@ -115,22 +127,41 @@
 	leaving leaving
 }
 
+// causeOf returns what makes a request crash its server, or "".
+func causeOf(r *http.Request, body []byte) string {
+	if bytes.Contains(body, []byte(CrashText)) {
+		return CrashText
+	}
+	parts := strings.Split(r.Header.Get("X-Prompt-Prefix"), ",")
+	for _, part := range parts[:len(parts)-1] {
+		if id, _, _ := strings.Cut(part, ":"); strings.HasPrefix(id, crashPrefix) || strings.HasPrefix(id, lateCrashPrefix) {
+			return id
+		}
+	}
+	return ""
+}
+
 // crashes reports whether a request crashes the server, and crashes it.
-func (s *server) crashes(w http.ResponseWriter, body []byte) bool {
-	if !bytes.Contains(body, []byte(crashText)) {
+func (s *server) crashes(w http.ResponseWriter, r *http.Request, body []byte) bool {
+	cause := causeOf(r, body)
+	if cause == "" {
 		return false
 	}
-	// Send the response header before the server stops.
+	if strings.HasPrefix(cause, lateCrashPrefix) && strings.HasPrefix(r.URL.Path, streamPrefix) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		writeEvent(w, r, firstEvent(r))
+	}
+	// Send what there is of the response before the server stops.
 	_ = http.NewResponseController(w).Flush()
-	s.ledger.recordCrash()
+	s.ledger.recordCrash(cause)
 	s.crash()
 	return true
 }
 
 // admit checks a request and reports whether to run it.
 func (s *server) admit(w http.ResponseWriter, r *http.Request, body []byte) bool {
-	if bytes.Contains(body, []byte(crashText)) {
-		s.ledger.recordCrashing()
+	if cause := causeOf(r, body); cause != "" {
+		s.ledger.recordCrashing(cause)
 	}
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != s.id {
@@ -194,19 +225,29 @@
 		return
 	}
 	body, err := io.ReadAll(r.Body)
-	if err != nil || !m.admit(w, r, body) || m.crashes(w, body) {
+	if err != nil || !m.admit(w, r, body) || m.crashes(w, r, body) {
 		return
 	}
 	m.stream(w, r)
 }
 
+// firstEvent returns the number of the first event that a request asks for.
+func firstEvent(r *http.Request) int {
+	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		return 1
+	}
+	return last + 1
+}
+
+// writeEvent writes an event of a stream.
+func writeEvent(w http.ResponseWriter, r *http.Request, n int) {
+	fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventText(r.Header.Get("X-Request-Id"), n))
+}
+
 // stream sends events, one per forward pass of the group.
 func (m *modelServer) stream(w http.ResponseWriter, r *http.Request) {
-	first := 1
-	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
-		first = last + 1
-	}
-	st := &stream{next: first, last: streamEvents, events: make(chan int, streamEvents+1), callerDone: r.Context().Done()}
+	st := &stream{next: firstEvent(r), last: streamEvents, events: make(chan int, streamEvents+1), callerDone: r.Context().Done()}
 	g := m.rank.group
 	g.mu.Lock()
 	m.rank.waiting = append(m.rank.waiting, st)
@@ -214,7 +255,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := range st.events {
 		m.waitWhileFrozen(r)
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventText(r.Header.Get("X-Request-Id"), n))
+		writeEvent(w, r, n)
 		if err := http.NewResponseController(w).Flush(); err != nil {
 			return
 		}
@@ -249,7 +290,7 @@
 
 func (p *plainServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
-	if err != nil || !p.admit(w, r, body) || p.crashes(w, body) {
+	if err != nil || !p.admit(w, r, body) || p.crashes(w, r, body) {
 		return
 	}
 	time.Sleep(2 * time.Millisecond)
@@ -271,8 +312,11 @@
 	workspace    = "harbor-home"
 	secret       = "key-of-harbor-home"
 	host         = "desk.example"
-	// crashText in a body makes the request crash each server that begins to run it.
-	crashText = "a draft that no engine survives"
+	// CrashText in a body makes the request crash each server that begins to run it.
+	CrashText = "a draft that no engine survives"
+	// Parts of a prompt with these prefixes do so as well, the second kind after a first event.
+	crashPrefix     = "dead"
+	lateCrashPrefix = "fade"
 )
 
 func eventText(id string, n int) string { return fmt.Sprintf("%s part %d", id, n) }
