An entry with most of the callers gets more than an equal part without reports

What callers would see: refusals with most of the engines free, at a gateway that gets most new connections of its zone or region, while no coordinator reports the load. Cause: without a report an entry keeps to three equal parts of the slots, as if each entry had as many callers. Where a coordinator reports, an entry's part follows its requests and nothing is refused.

The limit now grows by one with each request that is accepted while the entry is at it, and loses half of what it has grown by with each refusal, until a load is reported.

No run with processes has shown it.

--- a/core/request/admission/attempt.go
+++ b/core/request/admission/attempt.go
@@ -15,7 +15,11 @@
 // gate of the target's group.
 func (p *Pool) Refused(id, target string, now time.Time) bool {
 	g := p.assignments[id].group
-	return g != nil && g.gate.Refused(target, now)
+	if g == nil {
+		return false
+	}
+	g.grown /= 2
+	return g.gate.Refused(target, now)
 }
 
 // Accepted records that a target has accepted the request. It reports whether this opened the
@@ -33,7 +37,7 @@
 	if !wasAvailable && g.available(now) {
 		g.resetAfterOutage(now)
 		p.dispatch(now)
-	} else if g.growLimit() {
+	} else if g.growLimit() || g.growStaleLimit(now) {
 		p.dispatch(now)
 	}
 	return opened
--- a/core/request/admission/group.go
+++ b/core/request/admission/group.go
@@ -39,6 +39,9 @@
 	// firstEvent estimates how long its engines take to the first event.
 	firstEvent   queue.ServiceTime
 	stalledUntil time.Time
+	// grown is by how much the limit exceeds that of an equal part of the entries, while no load is
+	// reported and the engines accept what is sent.
+	grown int
 	// recovering reports that limit is that of a group that has just become available.
 	recovering bool
 	// unproven reports that nothing is known of the group yet; see Pool.ColdStart.
@@ -78,7 +81,7 @@
 		g.missingSince = now
 	}
 	g.lastLoad, g.loadAt, g.startedSince = l, now, 0
-	g.unproven, g.recovering = false, false
+	g.unproven, g.recovering, g.grown = false, false, 0
 	if g.missingRank(now) {
 		g.limit = queue.RecoveryLimit(g.slots, l.Entries)
 		return
@@ -102,10 +105,21 @@
 	case g.unproven:
 		g.limit = queue.RecoveryLimit(g.slots, g.lastLoad.Entries)
 	case !g.fresh(now):
-		g.limit = queue.StaleLimit(g.slots, g.lastLoad.Entries)
+		g.limit = min(queue.StaleLimit(g.slots, g.lastLoad.Entries)+g.grown, max(g.slots, 1))
 	}
 }
 
+// growStaleLimit raises the limit of a group whose load is not reported by one, since it has accepted
+// a request, and reports whether it did. Most of the callers may be at this entry.
+func (g *group) growStaleLimit(now time.Time) bool {
+	if g.unproven || g.recovering || g.fresh(now) || g.running < g.limit || g.limit >= g.slots {
+		return false
+	}
+	g.grown++
+	g.limit++
+	return true
+}
+
 // resetAfterOutage limits the requests to a group that has just become available, until its
 // load is reported.
 func (g *group) resetAfterOutage(now time.Time) {
