Tests of answers that end with their connection

Whole answers and streams with neither a length nor chunks were handled, but tested only in the connection pool.

--- a/standin/scripted/scripted.go
+++ b/standin/scripted/scripted.go
@@ -220,6 +220,20 @@
 // End sends the last chunk of a complete stream.
 func (x *Exchange) End() { x.Write("0\r\n\r\n") }
 
+// Unframed sends the head of a response with neither a length nor chunks, which ends with its
+// connection.
+func (x *Exchange) Unframed(contentType string) {
+	x.Write(Head(http.StatusOK, x.ID(), "Content-Type: "+contentType+"\r\n"))
+}
+
+// Reset resets the connection.
+func (x *Exchange) Reset() {
+	if tcp, ok := x.conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	x.Close()
+}
+
 // Close closes the connection.
 func (x *Exchange) Close() {
 	x.ended = true
