Bound the connections of callers, and refuse a share of the new ones when late

What callers would see: at a gateway that gets most new connections of its zone, requests that are all late, or lost when it is killed for its memory or has no descriptors left. Cause: a gateway accepted without any bound, and nothing looked at whether it keeps up.

gateway/intake accepts at most what half of the memory and the descriptors bear, closes the connection that was idle for longest for a new one, and resets new ones unread if none is idle. While timers fire 100 ms late in the mean, a growing share of the new ones is reset, which their callers may send again elsewhere whatever they are. Headers are bounded at 64 KB.

--- a/core/plumbing/boot/boot.go
+++ b/core/plumbing/boot/boot.go
@@ -38,6 +38,8 @@
 	Service string
 	// MemoryBytes is the memory use at which the process is killed.
 	MemoryBytes int64
+	// Descriptors is how many file descriptors the process may have; 0 if it is unknown.
+	Descriptors int
 	// LinkBytesPerSecond is the bandwidth of the instance's network link; 0 if it is
 	// unknown.
 	LinkBytesPerSecond float64
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -20,6 +20,7 @@
 	"verbenashift/core/plumbing/pause"
 	"verbenashift/core/request/permit"
 	"verbenashift/core/request/quarantine"
+	"verbenashift/gateway/intake"
 	"verbenashift/platform"
 )
 
@@ -82,6 +83,9 @@
 	// idleTimeout is how long an idle connection is kept, which is longer than
 	// callers keep theirs.
 	idleTimeout = 60 * time.Second
+	// maxHeader bounds the header of a request in bytes. Callers stay within the configured
+	// limit, which is smaller.
+	maxHeader = 64 << 10
 	// rotationDelay is how long the load balancer takes to stop sending new
 	// connections: two checks, a second apart, plus a margin.
 	rotationDelay = 2500 * time.Millisecond
@@ -91,13 +95,17 @@
 // first. Callers are served until the balancer has noticed, and answers in progress are
 // completed.
 func serve(lc fx.Lifecycle, env instance.Env, g *gateway) {
-	server := &http.Server{Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			l, err := net.Listen("tcp", env.Boot.Callers.String())
+			inner, err := net.Listen("tcp", env.Boot.Callers.String())
 			if err != nil {
 				return err
 			}
+			l := intake.NewListener(inner, intake.Connections(env.Boot.MemoryBytes, env.Boot.Descriptors), env.Log)
+			server.ConnState = l.Track
+			go l.Watch(ctx)
 			go func() {
 				// Serve returns when the server is shut down.
 				_ = server.Serve(l)
@@ -105,6 +113,7 @@
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
+			defer cancel()
 			g.shuttingDown.Store(true)
 			pause.For(ctx, rotationDelay)
 			return server.Shutdown(ctx)
