Stand-in, proof and soak: most connections at one gateway, unframed answers, the retry budget

The stand-in's callers go to one gateway for a while, nine in ten of them with new connections; one in eight answers has neither a length nor chunks and ends with its connection; its ledger counts attempts beyond the first of each request by service and judges the worst window as the platform's rule does, in every proof and soak. The soak draws crowds and parts that crash servers from a stream of their own, so that known seeds draw the same other faults.

--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -38,8 +38,8 @@
 // the other and restarted; changed settings; links that are delayed, reset, silent or cut in
 // one direction; a store that is unavailable, loses its history or comes back from an older copy; orders
 // that are applied late; servers that refuse, stall, do not respond, respond with failures, crash under a
-// repeated request, name limits, ask for pauses, leave, or crash and restart under their ID so
-// that a group is formed again; changes of the configuration and shifts of the load. Clocks
+// repeated request or under requests that share a part, name limits, ask for pauses, leave, or crash and restart under their ID so
+// that a group is formed again; changes of the configuration, shifts of the load, and most new connections at one gateway. Clocks
 // are not changed, since that would need a privilege. The responses to callers and the runs at
 // servers must keep the promises all the time, and when the faults end, all requests are
 // served again.
@@ -65,6 +65,7 @@
 	faults := &faultInjector{fleetHarness: s, rng: rng, down: map[string]bool{}, paused: map[string]bool{}}
 	signals := &backpressure{faultInjector: faults, rng: rand.New(rand.NewPCG(seed, 12))}
 	restorer := &storeRestorer{faultInjector: faults, rng: rand.New(rand.NewPCG(seed, 13))}
+	crowds := &crowdInjector{faultInjector: faults, rng: rand.New(rand.NewPCG(seed, 14))}
 	ctx, cancel := context.WithTimeout(s.ctx, *soakFor)
 	defer cancel()
 	stop := make(chan []fleet.Call)
@@ -73,6 +74,7 @@
 		faults.injectFault()
 		signals.injectSignal()
 		restorer.restoreStore()
+		crowds.inject()
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Duration(20+rng.IntN(500)) * time.Millisecond):
@@ -80,14 +82,19 @@
 	}
 	faults.restoreAll()
 	signals.clearSignals()
-	v := fleet.Judge(s.Fleet, <-stop)
+	calls := <-stop
+	v := fleet.Judge(s.Fleet, calls)
 	t.Logf("seed %d: %s\n%+v", seed, strings.Join(faults.injected, ", "), v)
+	for _, c := range calls {
+		if c.Mismatch != "" {
+			t.Logf("call %s of %s at %s: %s", c.ID, c.Kind, c.Front, c.Mismatch)
+		}
+	}
 	s.True(v.Passed())
 	s.True(v.Complete > 0)
 	s.NoErr(s.WaitReady(s.ctx, time.Minute))
 	s.awaitServing()
-	calls := fleet.Play(s.ctx, s.Fleet, 120)
-	after := fleet.Judge(s.Fleet, calls)
+	after := fleet.Judge(s.Fleet, fleet.Play(s.ctx, s.Fleet, 120))
 	t.Logf("after the faults: %+v", after)
 	s.True(after.Passed())
 	s.True(after.Complete >= 114)
@@ -203,6 +210,33 @@
 	}
 }
 
+// crowdInjector directs most new connections to one gateway, and sends requests with parts that crash
+// servers. Its draws are its own as well.
+type crowdInjector struct {
+	*faultInjector
+	rng *rand.Rand
+}
+
+// inject now and then injects one of them.
+func (c *crowdInjector) inject() {
+	switch c.rng.IntN(16) {
+	case 0:
+		gateway := c.rng.IntN(len(c.Fronts))
+		c.note("most connections go to gateway %d", gateway)
+		c.Crowd(gateway)
+		time.AfterFunc(time.Duration(c.rng.Int64N(int64(2*maxFaultDuration))), func() { c.Crowd(fleet.NoCrowd) })
+	case 1:
+		kind := []string{fleet.Stream, fleet.Safe}[c.rng.IntN(2)]
+		parts := [][]string{{"dead01"}, {"fade01"}, {"dead02", "dead03"}}[c.rng.IntN(3)]
+		c.note("parts %v crash servers of %s", parts, kind)
+		c.crashing.Go(func() {
+			ctx, stop := context.WithTimeout(c.ctx, 2*maxFaultDuration)
+			defer stop()
+			fleet.PlayCrashingParts(ctx, c.Fleet, kind, parts, repeatInterval)
+		})
+	}
+}
+
 // storeRestorer restores the store from earlier copies of it. Its draws are its own, so that a seed
 // draws the same other faults with it.
 type storeRestorer struct {
@@ -316,6 +350,7 @@
 	f.Store.SetDown(false)
 	f.Store.SetUnresponsive(false)
 	f.Refuse(false)
+	f.Crowd(fleet.NoCrowd)
 	f.crashing.Wait()
 	time.Sleep(maxFaultDuration + rewriteDelay) // The store was written again.
 	f.Store.SetDown(false)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -50,7 +50,9 @@
 	// their readiness checks.
 	Fronts, Ready []string
 
-	refuse  atomic.Bool
+	refuse atomic.Bool
+	// crowded is the number of the gateway to which most new connections go, counted from 1, or 0.
+	crowded atomic.Int32
 	models  []*modelServer
 	plains  []*plainServer
 	version int
@@ -78,7 +80,7 @@
 func Start(shape Shape) (*Fleet, error) {
 	f := &Fleet{
 		Shape: shape, Store: NewStore(),
-		Ledger: &Ledger{runs: map[string]int{}, runsIn: map[string]int{}, fronts: map[string]string{}, crashingArrivals: map[string][]time.Time{}, crashes: map[string][]time.Time{}}, done: make(chan struct{}),
+		Ledger: &Ledger{runs: map[string]int{}, runsIn: map[string]int{}, fronts: map[string]string{}, crashingArrivals: map[string][]time.Time{}, crashes: map[string][]time.Time{}, arrivals: map[string]*arrivals{}, seen: map[string]int{}}, done: make(chan struct{}),
 	}
 	if shape.Links {
 		f.Links = newLinks()
@@ -147,6 +149,21 @@
 // SetFault injects a fault into a plain server; NoFault clears it.
 func (f *Fleet) SetFault(plain int, fault Fault) { f.plains[plain].fault.Store(int32(fault)) }
 
+// Crowd directs nine in ten of the callers to one gateway, each with a new connection; NoCrowd ends
+// that.
+func (f *Fleet) Crowd(gateway int) { f.crowded.Store(int32(gateway + 1)) }
+
+// NoCrowd is the gateway that ends a crowd.
+const NoCrowd = -1
+
+// front returns the gateway for the i-th call, and whether most calls go there.
+func (f *Fleet) front(i int) (addr string, crowded bool) {
+	if c := int(f.crowded.Load()); c > 0 && i%10 > 0 {
+		return f.Fronts[c-1], true
+	}
+	return f.Fronts[i%len(f.Fronts)], false
+}
+
 // CrashDowntime is how long a server stays down after a request has crashed it.
 const CrashDowntime = 1500 * time.Millisecond
 
@@ -216,7 +233,7 @@
 func (f *Fleet) addRank(r *Rank) error {
 	n := len(f.models)
 	r.ip = f.ip(firstRank + n)
-	m := &modelServer{server: server{id: r.id, zone: f.zone(r.index), ledger: f.Ledger, refuse: func() bool { return f.refuse.Load() || r.group.refuses() }}, rank: r}
+	m := &modelServer{server: server{id: r.id, zone: f.zone(r.index), service: "pool", ledger: f.Ledger, refuse: func() bool { return f.refuse.Load() || r.group.refuses() }}, rank: r}
 	f.models = append(f.models, m)
 	p, err := f.serve(r.ip, appPort, m)
 	if err != nil {
@@ -241,7 +258,7 @@
 
 func (f *Fleet) addPlain(i int) error {
 	ip, id := f.ip(100+i), fmt.Sprintf("i-plain%d", i)
-	s := &plainServer{server: server{id: id, zone: f.zone(i), ledger: f.Ledger}}
+	s := &plainServer{server: server{id: id, zone: f.zone(i), service: "desk", ledger: f.Ledger}}
 	f.plains = append(f.plains, s)
 	p, err := f.serve(ip, appPort, s)
 	if err != nil {
--- a/standin/fleet/links.go
+++ b/standin/fleet/links.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -104,6 +106,9 @@
 			}
 		}
 		if err != nil {
+			if tcp, ok := to.(*net.TCPConn); ok && !errors.Is(err, io.EOF) {
+				_ = tcp.SetLinger(0) // A reset is passed on as one.
+			}
 			break
 		}
 	}
--- a/standin/fleet/play.go
+++ b/standin/fleet/play.go
@@ -17,9 +17,10 @@
 // Call is one request as its caller observed it.
 type Call struct {
 	ID string
-	// At is when it was sent, First the first part of its prompt.
-	At    time.Time
-	First string
+	// At is when it was sent, Front the address of the gateway that it was sent to, and First the
+	// first part of its prompt.
+	At           time.Time
+	Front, First string
 	// Kind is the path prefix of the route.
 	Kind string
 	// Status is 0 if the connection broke before an answer.
@@ -108,14 +109,21 @@
 func send(ctx context.Context, f *Fleet, pause time.Duration, more func(i int) bool, next func(i int) *Call) []Call {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20, DisableCompression: true}, Timeout: callTimeout}
 	defer client.CloseIdleConnections()
+	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: callTimeout}
 	var calls []*Call
 	var wg sync.WaitGroup
 	for i := 0; more(i); i++ {
-		front := f.Fronts[i%len(f.Fronts)]
+		front, crowded := f.front(i)
 		c := next(i)
+		c.Front = front
 		calls = append(calls, c)
 		f.Ledger.recordSent(c.ID, front)
-		wg.Go(func() { c.send(ctx, client, front) })
+		f.Ledger.recordRequest(c.Kind)
+		with := client
+		if crowded {
+			with = fresh
+		}
+		wg.Go(func() { c.send(ctx, with, front) })
 		time.Sleep(pause)
 	}
 	wg.Wait()
@@ -220,6 +228,7 @@
 	RanAfterRefusal  int `json:"refused-but-ran"`
 	WrongAtServers   int `json:"wrong-at-servers"`
 	MapMismatchSteps int `json:"map-mismatch-steps"`
+	RetriesOver      int `json:"retries-over-budget"`
 	MapChanges       int `json:"map-changes"`
 	SkewTenths       int `json:"skew-tenths"`
 	// MapChangesByGroup counts the map changes by group. The other counts sum over all
@@ -229,7 +238,7 @@
 
 // Passed reports whether all promises were kept.
 func (v Verdict) Passed() bool {
-	return v.Foreign == 0 && v.Doubled == 0 && v.RanAfterRefusal == 0 && v.WrongAtServers == 0 && v.MapMismatchSteps == 0
+	return v.Foreign == 0 && v.Doubled == 0 && v.RanAfterRefusal == 0 && v.WrongAtServers == 0 && v.MapMismatchSteps == 0 && v.RetriesOver == 0
 }
 
 // Judge compares the callers' record with the ledger.
@@ -257,6 +266,7 @@
 	f.Ledger.mu.Lock()
 	v.WrongAtServers = f.Ledger.invalid
 	f.Ledger.mu.Unlock()
+	v.RetriesOver = f.Ledger.RetriesOverBudget()
 	for _, g := range f.Groups {
 		g.mu.Lock()
 		v.MapMismatchSteps += g.mismatchedSteps
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -21,6 +21,9 @@
 	// crashingArrivals are the arrival times of requests that crash their servers,
 	// crashes the times at which servers crashed, by cause.
 	crashingArrivals, crashes map[string][]time.Time
+	// arrivals are those by service, seen counts the attempts that reached servers by request.
+	arrivals map[string]*arrivals
+	seen     map[string]int
 	// invalid counts requests that arrived with an Authorization header or with an
 	// X-Tenant other than the workspace.
 	invalid int
@@ -113,9 +116,10 @@
 
 // server holds what model servers and plain servers have in common.
 type server struct {
-	id     string
-	zone   string
-	ledger *Ledger
+	id      string
+	zone    string
+	service string
+	ledger  *Ledger
 	// refuse, if not nil, reports whether the server refuses everything, as a full
 	// server does.
 	refuse func() bool
@@ -160,6 +164,7 @@
 
 // admit checks a request and reports whether to run it.
 func (s *server) admit(w http.ResponseWriter, r *http.Request, body []byte) bool {
+	s.ledger.recordArrival(r.Header.Get("X-Request-Id"), s.service)
 	if cause := causeOf(r, body); cause != "" {
 		s.ledger.recordCrashing(cause)
 	}
@@ -228,6 +233,8 @@
 	if err != nil || !m.admit(w, r, body) || m.crashes(w, r, body) {
 		return
 	}
+	w, end := unframe(w, r)
+	defer end()
 	m.stream(w, r)
 }
 
@@ -248,11 +255,14 @@
 // stream sends events, one per forward pass of the group.
 func (m *modelServer) stream(w http.ResponseWriter, r *http.Request) {
 	st := &stream{next: firstEvent(r), last: streamEvents, events: make(chan int, streamEvents+1), callerDone: r.Context().Done()}
+	w.Header().Set("Content-Type", "text/event-stream")
+	if st.next > st.last {
+		return // The caller has all events, but not the end.
+	}
 	g := m.rank.group
 	g.mu.Lock()
 	m.rank.waiting = append(m.rank.waiting, st)
 	g.mu.Unlock()
-	w.Header().Set("Content-Type", "text/event-stream")
 	for n := range st.events {
 		m.waitWhileFrozen(r)
 		writeEvent(w, r, n)
@@ -293,6 +303,8 @@
 	if err != nil || !p.admit(w, r, body) || p.crashes(w, r, body) {
 		return
 	}
+	w, end := unframe(w, r)
+	defer end()
 	time.Sleep(2 * time.Millisecond)
 	for Fault(p.fault.Load()) == Unresponsive && r.Context().Err() == nil {
 		time.Sleep(faultPollInterval)
--- a/standin/fleet/settings.go
+++ b/standin/fleet/settings.go
@@ -96,10 +96,10 @@
 	settings := map[string]any{
 		"node": name, "role": role, "ip": ip, "zone": "z1", "listen": listen,
 		"portRange": []int{peerPort, lastPort}, "heartbeatMs": 1000, "bootstrap": true,
-		"limits":   map[string]any{"memoryMb": 200},
+		"limits":   map[string]any{"memoryMb": 200, "maxFds": 4100},
 		"provider": map[string]any{"addr": net.JoinHostPort(f.ip(1), strconv.Itoa(storePort)), "form": "kv", "writesPerS": 400, "readsPerS": 2000},
 		"bounds": map[string]any{
-			"graceS": graceSeconds, "drainMs": 2000, "retryBudgetRatio": 0.2, "budgetSlack": 90, "budgetWindowS": 10, "enforceFencing": false,
+			"graceS": graceSeconds, "drainMs": 2000, "retryBudgetRatio": retryRatio, "budgetSlack": retryBurst, "budgetWindowS": retryWindow.Seconds(), "enforceFencing": false,
 		},
 	}
 	if app != "" {
