--- a/gateway/quarantine_part_test.go
+++ b/gateway/quarantine_part_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -84,3 +85,54 @@
 	answered := other.register.Answered(time.Now())
 	r.Equal(len(answered), 0) // it has seen none itself
 }
+
+// crashUnderPart has targets crash under different requests with a part, as this gateway observes it.
+func (r *quarantineRig) crashUnderPart(id string) {
+	s := r.gateway.isolator
+	for range 200 {
+		s.completed(quarantine.Request{Parts: []quarantine.Fingerprint{quarantine.PartFingerprint("a")}}, "pool", true)
+	}
+	for n := range 3 {
+		c := quarantine.Crash{Target: string(rune('a' + n)), Service: "pool"}
+		c.Add(quarantine.Request{
+			Content: quarantine.PartFingerprint(c.Target),
+			Parts:   []quarantine.Fingerprint{quarantine.PartFingerprint("a"), quarantine.PartFingerprint(id)},
+		})
+		s.crashed(c)
+	}
+}
+
+// Guards against ignoring what a part does while the store is unavailable, and against losing it when
+// the store comes back from an older copy.
+func TestPartsWhileTheStoreIsAwayAndRestored(t *testing.T) {
+	r := newQuarantineRig(t, deployment.Safe, scripted.Serve(t, func(x *scripted.Exchange) { x.Respond(200, "ok") }))
+	r.store.down = true
+	s := r.gateway.isolator
+	r.crashUnderPart("bad")
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go s.run(ctx)
+	for !s.decide(quarantine.PartFingerprint("bad")).Quarantined {
+		time.Sleep(isolatorTick)
+	}
+	r.Equal(r.prompt("a:1,bad:1,own:2").Do(t.Context()).Status, http.StatusServiceUnavailable)
+	r.Equal(r.prompt("a:1,own:2").Do(t.Context()).Status, http.StatusOK)
+	r.store.mu.Lock()
+	r.store.down = false
+	r.store.mu.Unlock()
+	for len(r.store.all()) < 2 {
+		time.Sleep(isolatorTick) // the report and the hold
+	}
+	r.store.mu.Lock()
+	clear(r.store.items) // The copy is from before.
+	r.store.mu.Unlock()
+	s.storeRestored(0)
+	s.apply(nil, true)
+	for len(r.store.all()) < 2 {
+		time.Sleep(isolatorTick)
+	}
+	later := newIsolator("front-2", r.store, r.gateway.log)
+	later.apply(r.store.all(), true)
+	r.True(later.decide(quarantine.PartFingerprint("bad")).Quarantined)
+	r.True(!later.decide(quarantine.PartFingerprint("a")).Quarantined)
+}
