A test of permits whose holder was dead before a restore

`void` in Tracker.free had no test: without it a permit under a lease of an earlier era, whose holder no longer exists, is claimed by nobody for good.

--- a/core/request/permit/tracker_test.go
+++ b/core/request/permit/tracker_test.go
@@ -318,3 +318,31 @@
 	is.True(ok)
 	is.Equal(c.Kind, Claim)
 }
+
+// Guards against permits that nobody uses any more, because their holder was dead before the store came
+// back from a copy that has them under its lease.
+func TestPermitOfAHolderDeadBeforeARestoreIsClaimed(t *testing.T) {
+	is := is.New(t)
+	tr := NewTracker("front-1", "a", rand.New(rand.NewPCG(1, 2)))
+	tr.SetLease(inEra(1, 7), start.Add(time.Hour), start)
+	tr.Observe(answer(1, start.Add(-time.Second)), start)
+	settled := kv.Item{Key: settledKey, Value: []byte(`{"era":1}`), Revision: inEra(1, 4)}
+	items := []kv.Item{settled}
+	for i := range Count(1) {
+		held := own(i)
+		held.Holder, held.Lease = "front-2/b", 3 // a lease of the era before
+		if i > 0 {
+			held.Holder, held.Lease = "front-3/c", inEra(1, 9)
+		}
+		items = append(items, item(held, inEra(1, int64(10+i))))
+	}
+	tr.Apply(items, true, start)
+	tr.RecordDemand("s", start)
+	c, ok := tr.NextChange(start)
+	is.True(ok)
+	is.Equal(c.Kind, Claim)
+	is.Equal(c.Conditions, []kv.Condition{{Key: item(own(0), 0).Key, Revision: inEra(1, 10)}})
+	// The permits under leases of this era stay with their holders.
+	tr.Complete(c, inEra(1, 20), true, start)
+	is.Equal(len(tr.free(tr.targets["t"])), 0)
+}
