Requests stay in the regions to which their route and workspace are bound

The operator's allowedRegions of routes and tenants were not read, so that a request could reach a target in any region. Where both are bound both bind; it holds for first attempts, retries, resumed streams, probes of ejected targets and the last resort, as all of them choose a target by the same filter of the routing table. No gateway passes a body on to another process.

core/request/residency decides, from the regions of the zones in the settings; a zone whose region is not known is in none.

Entries and agents, whose configuration knows no regions, don't have it.

--- a/core/configuration/deployment/deployment.go
+++ b/core/configuration/deployment/deployment.go
@@ -87,6 +87,8 @@
 	Resumable bool
 	// Sticky says that requests carry a prompt.
 	Sticky bool
+	// Regions are those in which its requests must stay; empty for any.
+	Regions []string
 }
 
 // Repeatable reports whether requests of the route may run more than once.
@@ -138,6 +140,8 @@
 	Keys []string
 	// Priority, if not nil, takes precedence over the priority of the route.
 	Priority *int
+	// Regions are those in which its requests must stay, beside those of the route; empty for any.
+	Regions []string
 }
 
 // Limits bound the size and the duration of what a client sends.
--- a/core/plumbing/boot/boot.go
+++ b/core/plumbing/boot/boot.go
@@ -22,6 +22,8 @@
 	// IP is the address of the instance, Zone its availability zone.
 	IP   netip.Addr
 	Zone string
+	// Regions holds the region of each availability zone, as far as it is known.
+	Regions map[string]string
 	// FirstStart says that the whole system starts for the first time: no process of it has run
 	// before.
 	FirstStart bool
--- a/core/request/route/pick.go
+++ b/core/request/route/pick.go
@@ -171,7 +171,7 @@
 // usable reports whether target i accepts new work at all.
 func (t *Table) usable(i int, q *Query) bool {
 	s := &t.states[i]
-	return !s.draining && !s.leaving && !s.paused && !t.targets[i].Drained && !q.Exclude.Has(i)
+	return !s.draining && !s.leaving && !s.paused && !t.targets[i].Drained && !q.Exclude.Has(i) && q.Zones.Allow(t.targets[i].Zone)
 }
 
 // admitted reports whether target i may be chosen, at random in proportion to its share: in
--- a/core/request/route/route.go
+++ b/core/request/route/route.go
@@ -31,7 +31,11 @@
 //	t.Observe(i, load, time.Now())
 package route
 
-import "time"
+import (
+	"time"
+
+	"verbenashift/core/request/residency"
+)
 
 // Target is the configuration of one target.
 type Target struct {
@@ -97,6 +101,8 @@
 	MayNotRepeat bool
 	// Exclude lists targets that must not be chosen.
 	Exclude Exclude
+	// Zones are the availability zones in which a target may be; nil allows any.
+	Zones residency.Set
 }
 
 // maxExclude bounds the excluded targets of one query: the home of its key and the targets
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -86,7 +86,7 @@
 
 // query returns a query for a target in the group of the request's slot.
 func (c *call) query() *route.Query {
-	return &route.Query{Service: c.service, Group: c.slot.group, Cost: c.cost(), MayNotRepeat: c.attempts.MayNotRepeat, Exclude: c.exclude}
+	return &route.Query{Service: c.service, Group: c.slot.group, Cost: c.cost(), MayNotRepeat: c.attempts.MayNotRepeat, Exclude: c.exclude, Zones: c.zones}
 }
 
 // pick chooses a target in the group of the request's slot, or in any group if none there
--- a/gateway/backpressure.go
+++ b/gateway/backpressure.go
@@ -175,7 +175,7 @@
 	some := false
 	for id := range f.backpressure.throttled {
 		i, ok := f.table.Lookup(id)
-		if !ok || f.targetStates[id].Service != q.Service || q.Exclude.Has(i) || f.targetStates[id].shuttingDown() {
+		if !ok || f.targetStates[id].Service != q.Service || q.Exclude.Has(i) || !q.Zones.Allow(f.targetStates[id].Zone) || f.targetStates[id].shuttingDown() {
 			continue
 		}
 		some = true
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"verbenashift/core/configuration/deployment"
+	"verbenashift/core/request/residency"
 	"verbenashift/core/request/retry"
 	"verbenashift/core/request/route"
 	"verbenashift/platform"
@@ -37,6 +38,8 @@
 	arrived         time.Time
 	// deadline is the earlier of what the route and the caller allow.
 	deadline time.Time
+	// zones are the availability zones in which its target may be; nil for any.
+	zones residency.Set
 	// version is that of the configuration that applies to the request.
 	version int64
 	// returning is set if the caller was refused or has failed before.
@@ -144,6 +147,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.service = c.drawService()
+	c.zones = c.fleet.zonesFor(c.route, c.callerWorkspace)
 	c.returning = c.gateway.isReturning(c.route, c.req.Timeout)
 	return true
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -15,6 +15,7 @@
 	"verbenashift/core/membership/health"
 	"verbenashift/core/plumbing/tcp"
 	"verbenashift/core/request/coldstart"
+	"verbenashift/core/request/residency"
 	"verbenashift/core/request/route"
 	"verbenashift/gateway/crash"
 	"verbenashift/gateway/upstream"
@@ -39,8 +40,10 @@
 	// reportedGroups holds the groups of targets as reported by coordinators, for targets
 	// whose entry names none.
 	reportedGroups map[string]string
-	// evacuated holds the availability zones whose targets get no new requests.
+	// evacuated holds the availability zones whose targets get no new requests, regions the region
+	// of each zone.
 	evacuated map[string]bool
+	regions   map[string]string
 	rng       *rand.Rand
 	streams   activeStreams
 	// pendingRequests tracks the plain requests in progress, suspicions the targets that fail while
@@ -247,24 +250,42 @@
 	return slots
 }
 
-// evacuatedWhole reports whether a service has targets and all of them are in evacuated zones.
-func (f *fleet) evacuatedWhole(service string) bool {
+// reach says whether there are targets of a service that may get a request.
+type reach int
+
+// The zero value says that no target of the service is known.
+const (
+	noTargets reach = iota
+	notAllowed
+	allEvacuated
+	reachable
+)
+
+// reachOf returns whether a service has targets in some zones, and whether all of them are evacuated.
+func (f *fleet) reachOf(service string, zones residency.Set) reach {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.evacuated) == 0 {
-		return false
-	}
-	some := false
+	best := noTargets
 	for _, p := range f.targetStates {
 		switch {
 		case p.Service != service:
-		case !f.evacuated[p.Zone]:
-			return false
+		case !zones.Allow(p.Zone):
+			best = max(best, notAllowed)
+		case f.evacuated[p.Zone]:
+			best = max(best, allEvacuated)
 		default:
-			some = true
+			return reachable
 		}
 	}
-	return some
+	return best
+}
+
+// zonesFor returns the zones in which the targets of a request may be; the workspace may be nil.
+func (f *fleet) zonesFor(r *deployment.Route, w *deployment.Workspace) residency.Set {
+	if w == nil {
+		return residency.Zones(f.regions, r.Regions)
+	}
+	return residency.Zones(f.regions, r.Regions, w.Regions)
 }
 
 // answersTo reports whether an answer belongs to the request with an identifier, by the
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -71,6 +71,7 @@
 		admitters:       map[string]*admitter{},
 		returnDetectors: map[string]*retry.ReturnDetector{},
 	}
+	g.fleet.regions = boot.Regions
 	g.fleet.coldFactor, g.fleet.coldSlack = boot.Bounds.ColdFactor, boot.Bounds.ColdSlack
 	g.suspicions.report = g.fleet.addSuspicion
 	g.fleet.shareSuspicion = g.suspicions.share
@@ -259,7 +260,7 @@
 	if g.shuttingDown.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if !c.admit(cat) || c.refuseIfEvacuated() || c.refuseIfQuarantined() {
+	if !c.admit(cat) || c.refuseIfOutOfReach() || c.refuseIfQuarantined() {
 		return
 	}
 	defer c.endProbe()
