--- a/core/request/quarantine/part_replay_test.go
+++ b/core/request/quarantine/part_replay_test.go
@@ -277,15 +277,7 @@
 	s.answer(s.elsewhere)
 	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(replayStep) {
 		for i, g := range s.registers {
-			later := s.inboxes[i][:0]
-			for _, e := range s.inboxes[i] {
-				if e.at.After(s.now) {
-					later = append(later, e)
-					continue
-				}
-				e.apply(g)
-			}
-			s.inboxes[i] = later
+			s.inboxes[i] = deliver(s.inboxes[i], g, s.now)
 			for p, h := range g.PendingWrites(s.now) {
 				s.write(i, p, 0, h)
 			}
--- a/core/request/quarantine/parts_test.go
+++ b/core/request/quarantine/parts_test.go
@@ -263,7 +263,7 @@
 		f.Report(&Report{Crashes: []Crash{c}}, f.now)
 	}
 	f.now = f.now.Add(reportDelay)
-	list := f.unexplained("pool", f.now)
+	list := f.unexplained("pool", reportDelay, f.now)
 	for b.Loop() {
 		f.suspects("pool", list)
 	}
--- a/core/request/quarantine/replay_test.go
+++ b/core/request/quarantine/replay_test.go
@@ -37,6 +37,18 @@
 	apply func(*Register)
 }
 
+// deliver applies the events that are due, and returns the others.
+func deliver(inbox []event, g *Register, now time.Time) (later []event) {
+	for _, e := range inbox {
+		if e.at.After(now) {
+			later = append(later, e)
+			continue
+		}
+		e.apply(g)
+	}
+	return later
+}
+
 // simulation is a group that gets requests which crash its targets, with the gateways in front
 // of it and their store.
 type simulation struct {
@@ -188,15 +200,7 @@
 func (s *simulation) advance(d time.Duration) {
 	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(replayStep) {
 		for i, g := range s.registers {
-			var later []event
-			for _, e := range s.inboxes[i] {
-				if e.at.After(s.now) {
-					later = append(later, e)
-					continue
-				}
-				e.apply(g)
-			}
-			s.inboxes[i] = later
+			s.inboxes[i] = deliver(s.inboxes[i], g, s.now)
 			for p, h := range g.PendingWrites(s.now) {
 				s.write(i, p, 0, h)
 			}
