A caller that reads slowly does not make its target look silent

What callers saw: a stream that a caller reads slowly is cut off at its server and sent again to another one, and the server, which waits for us, counts a hard failure; after two it is ejected. Cause: the watch for silence goes by the last event that arrived, and none is read while one is written to the caller.

A stream whose event is being written is left out of the watch: it moves to no other target, and shows nothing of its target or group.

TestSlowReaderDoesNotMakeItsTargetSilent: 120 events of 100 KB to a caller that does not read for a while; moved before, stays now and is whole.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -34,6 +34,9 @@
 			if !c.sendEvent(reply, event) {
 				return 0, "", true
 			}
+			if c.stream != nil {
+				c.fleet.passedOn(c.stream, time.Now())
+			}
 		}
 		if err == nil {
 			continue
--- /dev/null
+++ b/gateway/slow_reader_test.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"verbenashift/core/configuration/deployment"
+	"verbenashift/standin/scripted"
+)
+
+// open sends a request on a connection of its own, of which nothing is read yet.
+func (r *rig) open(method, path, id string) net.Conn {
+	c, err := net.Dial("tcp", r.front)
+	r.NoErr(err)
+	r.t.Cleanup(func() { _ = c.Close() })
+	r.NoErr(c.(*net.TCPConn).SetReadBuffer(64 << 10))
+	_, err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", method, path, rigHost, rigKey, id)
+	r.NoErr(err)
+	return c
+}
+
+// bigEvent returns an event that fills buffers.
+func bigEvent(n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", n, strings.Repeat("x", 100<<10))
+}
+
+// Guards against taking a target for silent because the caller of its stream reads slowly.
+func TestSlowReaderDoesNotMakeItsTargetSilent(t *testing.T) {
+	const events = 120
+	script := func(x *scripted.Exchange) {
+		x.Stream()
+		for n := range events {
+			x.Chunk(bigEvent(n + 1))
+		}
+		x.End()
+	}
+	a, b := scripted.Serve(t, script), scripted.Serve(t, script)
+	r := newRig(t, routeOf(deployment.Stream), a, b)
+	c := r.open(http.MethodPost, "/a/item", "slow")
+	blocked := func() bool {
+		f := r.gateway.fleet
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for st := range f.streams.open {
+			if st.begun && time.Since(st.lastEventAt) > 300*time.Millisecond {
+				return true
+			}
+		}
+		return false
+	}
+	for !blocked() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	r.Equal(r.checkSilence(time.Now().Add(900*time.Millisecond)), 1) // it is not moved
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	r.NoErr(err)
+	data, err := io.ReadAll(resp.Body)
+	r.NoErr(err)
+	r.Equal(strings.Count(string(data), "\ndata: "), events)
+	r.Equal(total(a, b), 1)
+}
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -27,8 +27,11 @@
 	begun   bool
 	// mayMove is set if another server may run the request.
 	mayMove bool
-	// lastEventAt is when its last event arrived, or when the request was sent.
+	// lastEventAt is when its last event arrived or was passed on, or when the request was sent.
 	lastEventAt time.Time
+	// writing is set while an event is passed on: a caller that reads slowly says nothing about
+	// the target.
+	writing bool
 	end         context.CancelCauseFunc
 }
 
@@ -73,11 +76,18 @@
 func (f *fleet) event(st *activeStream, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	st.begun, st.lastEventAt = true, now
+	st.begun, st.writing, st.lastEventAt = true, true, now
 	f.streams.targets[st.target.ID] = now
 	f.streams.groups[f.key(st)] = now
 }
 
+// passedOn records that the last event was passed on to the caller.
+func (f *fleet) passedOn(st *activeStream, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	st.writing, st.lastEventAt = false, now
+}
+
 // key returns the group of a stream. It is called with the lock held.
 func (f *fleet) key(st *activeStream) groupKey {
 	return groupKey{st.service, f.groupOf(&st.target.Target)}
@@ -94,7 +104,7 @@
 func (f *fleet) silentGroups(now time.Time) []silentGroup {
 	due := map[groupKey]bool{}
 	for st := range f.streams.open {
-		if st.begun {
+		if st.begun && !st.writing {
 			due[f.key(st)] = true
 		}
 	}
@@ -122,7 +132,7 @@
 		if most <= 0 {
 			return
 		}
-		if f.key(st) != key || !st.mayMove {
+		if f.key(st) != key || !st.mayMove || st.writing {
 			continue
 		}
 		most--
@@ -144,9 +154,12 @@
 func (f *fleet) watchSilence(now time.Time) {
 	due, left := map[string]bool{}, map[string]int{}
 	for st := range f.streams.open {
-		due[st.target.ID] = due[st.target.ID] || st.begun
+		due[st.target.ID] = due[st.target.ID] || st.begun && !st.writing
 	}
 	for st := range f.streams.open {
+		if st.writing {
+			continue
+		}
 		id := st.target.ID
 		p := health.Progress{
 			Begun: st.begun, Due: due[id], Answer: st.lastEventAt,
@@ -184,7 +197,7 @@
 		if most <= 0 {
 			return
 		}
-		if !slow[st.target.ID] || !st.mayMove {
+		if !slow[st.target.ID] || !st.mayMove || st.writing {
 			continue
 		}
 		most--
