Bound the events of a stream

What operators would see: a gateway that is killed for its memory, because a server sends bytes of a stream in which no event ends. Cause: bytes are kept until the end of their event, without a bound. An event of more than 1 MB fails the attempt now ("event too long").

TestEventWithoutAnEnd: with the bound off the attempt goes on until the caller's deadline.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -2,9 +2,18 @@
 
 import (
 	"bytes"
+	"errors"
 	"strconv"
 )
 
+// maxEvent is the longest event that is passed on. Without a bound a server that never ends one would
+// take all memory.
+const maxEvent = 1 << 20
+
+// errEventTooLong says that a server has sent an event of more than maxEvent bytes, or none of them
+// has ended.
+var errEventTooLong = errors.New("event too long")
+
 // eventEnd is the delimiter after an event of a stream.
 var eventEnd = []byte("\n\n")
 
@@ -29,6 +38,9 @@
 	return event
 }
 
+// tooLong reports whether an event is longer than is passed on.
+func (e *events) tooLong() bool { return len(e.buf) > maxEvent }
+
 // partial reports whether bytes of an unfinished event are left.
 func (e *events) partial() bool { return len(e.buf) > 0 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -38,6 +38,9 @@
 				c.fleet.passedOn(c.stream, time.Now())
 			}
 		}
+		if err == nil && ev.tooLong() {
+			return c.attemptFailed(ctx, s, errEventTooLong)
+		}
 		if err == nil {
 			continue
 		}
--- a/gateway/slow_reader_test.go
+++ b/gateway/slow_reader_test.go
@@ -65,3 +65,20 @@
 	r.Equal(strings.Count(string(data), "\ndata: "), events)
 	r.Equal(total(a, b), 1)
 }
+
+// Guards against memory that grows with an event that never ends.
+func TestEventWithoutAnEnd(t *testing.T) {
+	endless := func(x *scripted.Exchange) {
+		x.Stream()
+		x.Chunk("id: 1\ndata: ")
+		for n := 0; n < 64*maxEvent && !x.Ended(); n += 64 << 10 {
+			x.Chunk(strings.Repeat("x", 64<<10))
+		}
+	}
+	r := newRig(t, routeOf(deployment.Stream), scripted.Serve(t, endless))
+	read := r.logged()
+	_, got := r.send()
+	r.True(!got.Complete || got.Status != http.StatusOK)
+	own := fmt.Sprint(read())
+	r.True(strings.Contains(own, errEventTooLong.Error()))
+}
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -32,7 +32,7 @@
 	// writing is set while an event is passed on: a caller that reads slowly says nothing about
 	// the target.
 	writing bool
-	end         context.CancelCauseFunc
+	end     context.CancelCauseFunc
 }
 
 // activeStreams tracks the streams in progress to detect silence. The fleet's lock guards it.
--- a/standin/scripted/scripted.go
+++ b/standin/scripted/scripted.go
@@ -234,6 +234,9 @@
 	x.Close()
 }
 
+// Ended reports whether the connection was closed by either side, as far as is known.
+func (x *Exchange) Ended() bool { return x.ended }
+
 // Close closes the connection.
 func (x *Exchange) Close() {
 	x.ended = true
