Two tests wait until an event is recorded as passed on

TestStreamLeavesASlowRank failed once beside other load (answer not complete after 4 s); six runs of it alone passed. The caller of the test reads the event before the gateway has recorded that, so that the only digest of the test may come in between. With 20 ms of sleep before the record the test failed each time, and so did TestSilentStreamThatMayNotBeRepeatedStays; both pass so with this change, and 20 times without the sleep. In the product the next digest is 200 ms later, and the next check of silence sooner.

Checks and bounds are as before.

--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -397,6 +397,7 @@
 			go func() { got <- r.call().DoStreaming(t.Context(), func(string) { begun <- struct{}{} }) }()
 			at := <-first
 			<-begun
+			r.awaitPassedOn()
 			r.gateway.digest(slowDigest(ranks, at, tt.slow), time.Now())
 			var answer scripted.Answer
 			if tt.moves {
--- a/gateway/silent_stream_test.go
+++ b/gateway/silent_stream_test.go
@@ -47,6 +47,7 @@
 			go func() { got <- r.call().DoStreaming(t.Context(), func(string) { begun <- struct{}{} }) }()
 			<-first
 			<-begun
+			r.awaitPassedOn()
 			left := r.checkSilence(time.Now().Add(900 * time.Millisecond))
 			r.Equal(left == 0, tt.moves)
 			var answer scripted.Answer
@@ -64,6 +65,25 @@
 	}
 }
 
+// awaitPassedOn waits until the gateway has recorded that the first events were passed on. Callers
+// may read them before.
+func (r *rig) awaitPassedOn() {
+	f := r.gateway.fleet
+	pending := func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for st := range f.streams.open {
+			if st.writing || !st.begun {
+				return true
+			}
+		}
+		return false
+	}
+	for pending() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // checkSilence runs the gateway's silence check at a time at which another target of the
 // service has just sent an event. It returns how many streams are not moved.
 func (r *rig) checkSilence(now time.Time) int {
