A caller that reads an answer slowly does not hold its target's slot

What callers saw: with a service of one engine slot, one caller that did not read its answer of 1 MB made the next caller's request fail with 503, although the engine was idle (TestSlowReaderFreesItsSlot: 503 != 200 before, 200 now). A target's count of requests in flight was too high as long, too, so that it was chosen less often.

Cause: the complete answer was written to the caller inside the attempt, so that the slot and the request in flight were held until the caller had read it. The evidence that the target has answered (quarantine, probes) waited as well.

Change: an attempt ends when the answer was read. What is delivered is written after the slot was released. Answers are recorded as complete when the target has sent them, not when the caller has read them.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -42,7 +42,8 @@
 	return c.relayComplete(ctx, s, reply)
 }
 
-// relayComplete reads an answer to its end and passes it on.
+// relayComplete reads an answer to its end. The caller gets it when the request has left the target:
+// it may read slowly.
 func (c *call) relayComplete(ctx context.Context, s activeAttempt, reply *upstream.Reply) (retry.Kind, string, bool) {
 	body, err := io.ReadAll(io.LimitReader(reply, maxAnswer+1))
 	if err != nil {
@@ -60,12 +61,23 @@
 	if c.begun {
 		return retry.Broken, "stream not resumed", false
 	}
-	c.writeAnswer(ans)
+	c.answer = ans
+	c.answeredCompletely(ans.status)
 	return 0, "", true
 }
 
-// writeAnswer sends the caller the complete answer of a server.
-func (c *call) writeAnswer(a *answer) {
+// answeredCompletely records that a target has answered the request completely.
+func (c *call) answeredCompletely(status int) {
+	c.answeredByTarget = true
+	c.isolator.completed(c.suspectRequest(), c.service, status < http.StatusMultipleChoices)
+}
+
+// deliver sends the caller the complete answer of a server, if there is one.
+func (c *call) deliver() {
+	a := c.answer
+	if a == nil {
+		return
+	}
 	platform.CopyAnswerHeaders(c.w.Header(), a.header)
 	c.w.WriteHeader(a.status)
 	if _, err := c.w.Write(a.body); err != nil {
@@ -75,10 +87,9 @@
 	c.completed(a.status)
 }
 
+// completed records that the caller was sent a complete answer.
 func (c *call) completed(status int) {
 	now := time.Now()
-	c.served = true
-	c.isolator.completed(c.suspectRequest(), c.service, status < http.StatusMultipleChoices)
 	c.mu.Lock()
 	c.returnScheduler.Completed(now)
 	c.mu.Unlock()
@@ -101,7 +112,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	if c.failure != nil {
-		c.writeAnswer(c.failure)
+		c.answer = c.failure
+		c.answeredCompletely(c.failure.status)
 		return
 	}
 	if c.retryAfter > 0 {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -64,8 +64,9 @@
 	stream *activeStream
 	// pending tracks a plain request.
 	pending *pending
-	// failure is a server's own error answer, passed on if no attempt succeeds.
-	failure *answer
+	// failure is a server's own error answer, passed on if no attempt succeeds; answer is what is
+	// passed on when the attempts have ended, or nil.
+	failure, answer *answer
 	// retryAfter is how long it takes until a throttled target may take the request; 0 if
 	// that is not known.
 	retryAfter time.Duration
@@ -73,11 +74,11 @@
 
 // delivery is what the caller has received so far.
 type delivery struct {
-	// begun is set once the head of the answer was sent, served once a target's answer was
-	// sent completely.
-	begun, served bool
-	lastEvent     string
-	lastID        int64
+	// begun is set once the head of a stream was sent, answeredByTarget once a target has answered
+	// completely.
+	begun, answeredByTarget bool
+	lastEvent               string
+	lastID                  int64
 	// eventAt is when the last event was passed on, firstAfter the time from the arrival
 	// of the request to its first event, longestPause the longest time between two events.
 	eventAt      time.Time
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -88,7 +88,7 @@
 
 // endProbe follows up a probe that has not received a complete answer.
 func (c *call) endProbe() {
-	if c.probe && !c.served {
+	if c.probe && !c.answeredByTarget {
 		go c.isolator.concludeProbe(c.quarantinedFor, c.crashes)
 	}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -46,6 +46,7 @@
 		}
 		if err == io.EOF && !ev.partial() {
 			c.begin(reply)
+			c.answeredCompletely(reply.Status)
 			c.completed(reply.Status)
 			return 0, "", true
 		}
--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -45,6 +46,8 @@
 	rigBody  = "a family's own words"
 	// rigRetries is the burst of retries of all gateways: far more than a test needs.
 	rigRetries = 10_000
+	// rigWriteBuffer is how much the system holds of what a caller has not read, in bytes.
+	rigWriteBuffer = 64 << 10
 	// rigTimeout is how long callers wait unless a test says otherwise.
 	rigTimeout = 5 * time.Second
 )
@@ -81,6 +84,10 @@
 	g.update(&r.view)
 	front := httptest.NewUnstartedServer(g)
 	front.Config.ErrorLog = log.New(io.Discard, "", 0) // Streams break off on purpose.
+	front.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		_ = c.(*net.TCPConn).SetWriteBuffer(rigWriteBuffer)
+		return ctx
+	}
 	front.Start()
 	ctx, stop := context.WithCancel(context.Background())
 	go g.run(ctx)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -268,7 +268,13 @@
 	defer c.endSpan(span)
 	ctx, cancel := context.WithDeadlineCause(ctx, c.deadline, errDeadline)
 	defer cancel()
-	if c.admitter = g.admitterOf(c.service); c.admitter != nil && !c.acquireSlot(ctx) {
+	c.runInSlot(ctx)
+	c.deliver()
+}
+
+// runInSlot makes the attempts of a request when it has a slot, if its service has engines.
+func (c *call) runInSlot(ctx context.Context) {
+	if c.admitter = c.admitterOf(c.service); c.admitter != nil && !c.acquireSlot(ctx) {
 		return
 	}
 	defer c.releaseSlot()
--- a/gateway/slow_reader_test.go
+++ b/gateway/slow_reader_test.go
@@ -25,6 +25,19 @@
 	return c
 }
 
+// withEngine makes the targets of the rig engines with a number of slots.
+func (r *rig) withEngine(slots int) {
+	cfg := *r.view.Config
+	cfg.Version++
+	cfg.Services = []deployment.Service{{Name: "pool", Engine: &deployment.Engine{Slots: slots}}}
+	r.view.Config = &cfg
+	for id, t := range r.view.Targets {
+		t.Slots = slots
+		r.view.Targets[id] = t
+	}
+	r.gateway.update(&r.view)
+}
+
 // bigEvent returns an event that fills buffers.
 func bigEvent(n int) string {
 	return fmt.Sprintf("id: %d\ndata: %s\n\n", n, strings.Repeat("x", 100<<10))
@@ -66,6 +79,26 @@
 	r.Equal(total(a, b), 1)
 }
 
+// Guards against a caller that holds the only slot of an engine after it has answered.
+func TestSlowReaderFreesItsSlot(t *testing.T) {
+	long := strings.Repeat("x", maxAnswer)
+	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Respond(http.StatusOK, long) })
+	r := newRig(t, routeOf(deployment.Safe), s)
+	r.withEngine(1)
+	slow := r.open(http.MethodPost, "/a/item", "slow")
+	for total(s) == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	_, got := r.send()
+	r.Equal(got.Status, http.StatusOK)
+	r.Equal(len(got.Body), len(long))
+	resp, err := http.ReadResponse(bufio.NewReader(slow), nil)
+	r.NoErr(err)
+	data, err := io.ReadAll(resp.Body)
+	r.NoErr(err)
+	r.Equal(len(data), len(long))
+}
+
 // Guards against memory that grows with an event that never ends.
 func TestEventWithoutAnEnd(t *testing.T) {
 	endless := func(x *scripted.Exchange) {
