Connections of callers that stop reading or sending are closed

What callers saw: nothing yet; a caller that reads nothing of its answer, or announces a body and sends half of it, kept its connection, its goroutines, its body and its answer for as long as it liked. Some 1,200 of them fill a gateway (docs/design/26), and only idle connections are closed for new ones.

Cause: no deadline on reading a body or writing an answer; the deadline of the request ends the attempt at the target, not a write that blocks.

Change: a body is read until the request's deadline, then the request is refused as not run. An answer is written in parts of 32 KB, each within 10 s: a caller that reads slowly but steadily is served to the end, as before.

Measured: TestCallerThatStopsReading did not end, TestCallerThatStopsSending had no answer after 5 s before; with the change, both do, and TestSlowReaderGetsItsAnswer reads 16 KB each 20 ms for three times the limit. Five requests without a body get 504 at their deadline (the deadline for reading must not stay in force).

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -72,21 +72,6 @@
 	c.isolator.completed(c.suspectRequest(), c.service, status < http.StatusMultipleChoices)
 }
 
-// deliver sends the caller the complete answer of a server, if there is one.
-func (c *call) deliver() {
-	a := c.answer
-	if a == nil {
-		return
-	}
-	platform.CopyAnswerHeaders(c.w.Header(), a.header)
-	c.w.WriteHeader(a.status)
-	if _, err := c.w.Write(a.body); err != nil {
-		c.logWriteError(err)
-		return
-	}
-	c.completed(a.status)
-}
-
 // completed records that the caller was sent a complete answer.
 func (c *call) completed(status int) {
 	now := time.Now()
@@ -140,6 +125,7 @@
 	metricRefusals.Add(reasonClass(reason), 1)
 	platform.SetOwnAnswer(c.w.Header(), c.req.ID, retryAfter)
 	c.w.Header().Set("Content-Length", "0")
+	c.extendDeadline()
 	c.w.WriteHeader(status)
 	c.logOutcome("status", status, "reason", reason, "retry-after-ms", retryAfter.Milliseconds())
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -79,6 +78,8 @@
 	begun, answeredByTarget bool
 	lastEvent               string
 	lastID                  int64
+	// extendedAt is when the deadline for writing was moved last.
+	extendedAt time.Time
 	// eventAt is when the last event was passed on, firstAfter the time from the arrival
 	// of the request to its first event, longestPause the longest time between two events.
 	eventAt      time.Time
@@ -136,17 +137,10 @@
 	if limit <= 0 {
 		limit = maxAnswer
 	}
-	var err error
-	c.body, err = io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		c.respond(http.StatusRequestEntityTooLarge, "body too large", 0)
+	if err := c.readBody(limit); err != nil {
+		c.rejectBody(err)
 		return false
 	}
-	if err != nil {
-		c.logOutcome("outcome", "caller-left", "error", "body not read: "+err.Error())
-		panic(http.ErrAbortHandler)
-	}
 	c.service = c.drawService()
 	c.zones = c.fleet.zonesFor(c.route, c.callerWorkspace)
 	c.returning = c.gateway.isReturning(c.route, c.req.Timeout)
@@ -182,11 +176,6 @@
 	return float64(max(c.req.PromptTokens+c.req.AnswerTokens, 1))
 }
 
-// logWriteError logs that the answer could not be written to the caller.
-func (c *call) logWriteError(err error) {
-	c.logOutcome("outcome", "caller-left", "error", err.Error())
-}
-
 // callerLeft reports whether the caller has closed its connection.
 func (c *call) callerLeft() bool {
 	if c.r.Context().Err() == nil {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -76,12 +76,12 @@
 		return true
 	}
 	c.begin(reply)
-	if _, err := c.w.Write(event); err != nil {
-		c.logWriteError(err)
+	if err := c.write(event); err != nil {
+		c.writeFailed(err)
 		return false
 	}
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
-		c.logWriteError(err)
+		c.writeFailed(err)
 		return false
 	}
 	c.timeEvent(time.Now())
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -37,6 +37,8 @@
 	// shuttingDown is set on SIGTERM: the readiness check fails from then on.
 	shuttingDown atomic.Bool
 	started      time.Time
+	// stallLimit is how long a caller may take to read the next part of its answer.
+	stallLimit time.Duration
 	// startup holds requests until there is a configuration.
 	startup *startup.Gate
 
@@ -64,6 +66,7 @@
 	g := &gateway{
 		log: log, tracer: tracer, rng: newRand(), started: now,
 		startup:         startup.New(),
+		stallLimit:      stallLimit,
 		fleet:           newFleet(boot.Instance, boot.Zone, log),
 		retries:         newRetries(boot, now),
 		isolator:        newIsolator(boot.Instance, store, log),
--- a/gateway/slow_reader_test.go
+++ b/gateway/slow_reader_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -16,12 +18,18 @@
 
 // open sends a request on a connection of its own, of which nothing is read yet.
 func (r *rig) open(method, path, id string) net.Conn {
+	c := r.dial()
+	_, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", method, path, rigHost, rigKey, id)
+	r.NoErr(err)
+	return c
+}
+
+// dial opens a connection with small buffers.
+func (r *rig) dial() net.Conn {
 	c, err := net.Dial("tcp", r.front)
 	r.NoErr(err)
 	r.t.Cleanup(func() { _ = c.Close() })
-	r.NoErr(c.(*net.TCPConn).SetReadBuffer(64 << 10))
-	_, err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", method, path, rigHost, rigKey, id)
-	r.NoErr(err)
+	r.NoErr(c.(*net.TCPConn).SetReadBuffer(rigWriteBuffer))
 	return c
 }
 
@@ -99,6 +107,86 @@
 	r.Equal(len(data), len(long))
 }
 
+// Guards against connections and goroutines that a caller holds for good by not reading its answer.
+func TestCallerThatStopsReading(t *testing.T) {
+	endless := func(x *scripted.Exchange) {
+		x.Stream()
+		for n := 1; !x.Ended(); n++ {
+			x.Chunk(bigEvent(n))
+		}
+	}
+	long := func(x *scripted.Exchange) { x.Respond(http.StatusOK, strings.Repeat("x", maxAnswer)) }
+	for kind, script := range map[deployment.RouteKind]func(*scripted.Exchange){deployment.Safe: long, deployment.Stream: endless} {
+		t.Run(string(kind), func(t *testing.T) {
+			r := newRig(t, routeOf(kind), scripted.Serve(t, script))
+			r.gateway.stallLimit = 200 * time.Millisecond
+			before := metricStalled.Value()
+			c := r.open(http.MethodPost, "/a/item", "stalled")
+			for metricStalled.Value() == before {
+				time.Sleep(10 * time.Millisecond)
+			}
+			r.NoErr(c.SetReadDeadline(time.Now().Add(rigTimeout)))
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			r.NoErr(err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			r.True(err != nil)                              // it is not complete
+			r.True(!errors.Is(err, os.ErrDeadlineExceeded)) // and the connection is closed
+		})
+	}
+}
+
+// Guards against an answer that is cut off although its caller reads it, slowly.
+func TestSlowReaderGetsItsAnswer(t *testing.T) {
+	long := strings.Repeat("x", maxAnswer)
+	r := newRig(t, routeOf(deployment.Safe), scripted.Serve(t, func(x *scripted.Exchange) { x.Respond(http.StatusOK, long) }))
+	r.gateway.stallLimit = 200 * time.Millisecond
+	c := r.open(http.MethodPost, "/a/item", "slow")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	r.NoErr(err)
+	read := int64(0)
+	for began := time.Now(); time.Since(began) < 3*r.gateway.stallLimit; time.Sleep(20 * time.Millisecond) {
+		n, err := io.CopyN(io.Discard, resp.Body, 16<<10)
+		r.NoErr(err)
+		read += n
+	}
+	n, err := io.Copy(io.Discard, resp.Body)
+	r.NoErr(err)
+	r.Equal(read+n, int64(len(long)))
+}
+
+// Guards against a caller that announces a body and never sends it, which holds its connection for good.
+func TestCallerThatStopsSending(t *testing.T) {
+	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Respond(http.StatusOK, "ok") })
+	route := routeOf(deployment.Safe)
+	route.Timeout = 200 * time.Millisecond
+	r := newRig(t, route, s)
+	c := r.dial()
+	_, err := fmt.Fprintf(c, "POST /a/item HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nX-Request-Id: half\r\nContent-Length: 100\r\n\r\nhalf", rigHost, rigKey)
+	r.NoErr(err)
+	r.NoErr(c.SetReadDeadline(time.Now().Add(rigTimeout)))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	r.NoErr(err)
+	r.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	r.True(resp.Close)
+	r.Equal(total(s), 0)
+}
+
+// Guards against a deadline for the body that is still in force while the request is served.
+func TestDeadlineOfTheBodyEndsWithIt(t *testing.T) {
+	s := scripted.Serve(t, func(x *scripted.Exchange) {
+		time.Sleep(300 * time.Millisecond)
+		x.Respond(http.StatusOK, "ok")
+	})
+	route := routeOf(deployment.Safe)
+	route.Timeout = 200 * time.Millisecond
+	r := newRig(t, route, s)
+	for range 5 {
+		c := r.call()
+		c.Body = ""
+		r.Equal(c.Do(t.Context()).Status, http.StatusGatewayTimeout)
+	}
+}
+
 // Guards against memory that grows with an event that never ends.
 func TestEventWithoutAnEnd(t *testing.T) {
 	endless := func(x *scripted.Exchange) {
