Bound the memory for bodies of requests and answers

What callers saw: nothing yet. A gateway holds a body for as long as its caller reads or sends slowly; 1,233 connections with 1 MB each way are more than the memory at which an instance is killed, with all that runs there.

Cause: bodies were bounded one by one, not together.

Change: gateway/buffers, a pool of a sixteenth of the memory for bodies and one for answers. A body takes room as it arrives and waits 500 ms at most for more. A request without room for its body or for 4 KB of its answer is refused as not run before it is sent. An answer without room says nothing about its target. Ways weighed: docs/design/27.

Not bounded yet: what is read of an unfinished event of a stream.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +11,7 @@
 	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/request/outcome"
 	"verbenashift/core/request/retry"
+	"verbenashift/gateway/buffers"
 	"verbenashift/gateway/upstream"
 	"verbenashift/platform"
 )
@@ -45,20 +46,27 @@
 // relayComplete reads an answer to its end. The caller gets it when the request has left the target:
 // it may read slowly.
 func (c *call) relayComplete(ctx context.Context, s activeAttempt, reply *upstream.Reply) (retry.Kind, string, bool) {
-	body, err := io.ReadAll(io.LimitReader(reply, maxAnswer+1))
-	if err != nil {
-		return c.attemptFailed(ctx, s, err)
-	}
-	if len(body) > maxAnswer {
+	body, err := c.readAnswer(ctx, reply)
+	var (
+		tooLong *buffers.TooLongError
+		full    *buffers.FullError
+	)
+	switch {
+	case errors.As(err, &tooLong):
 		return retry.Broken, "answer too long", false
+	case errors.As(err, &full):
+		return retry.Broken, full.Error(), false
+	case err != nil:
+		return c.attemptFailed(ctx, s, err)
 	}
 	c.fleet.succeeded(s, time.Since(s.started), time.Now())
 	ans := &answer{reply.Status, reply.Header, body}
 	if reply.Status >= http.StatusInternalServerError && c.route.Repeatable() && !c.begun {
-		c.failure = ans
+		c.keepFailure(ans)
 		return retry.Failed, "failed by " + s.target.ID, false
 	}
 	if c.begun {
+		body.Release()
 		return retry.Broken, "stream not resumed", false
 	}
 	c.answer = ans
@@ -66,6 +74,27 @@
 	return 0, "", true
 }
 
+// readAnswer reads an answer to its end, the first one into the room that was reserved for it.
+func (c *call) readAnswer(ctx context.Context, reply *upstream.Reply) (*buffers.Buffer, error) {
+	b := c.reserved
+	if b == nil {
+		return c.answers.Read(ctx, reply, reply.Length, maxAnswer)
+	}
+	c.reserved = nil
+	if err := b.Read(ctx, reply, reply.Length, maxAnswer); err != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
+// keepFailure keeps a server's own error answer, for the case that no other server succeeds.
+func (c *call) keepFailure(a *answer) {
+	if c.failure != nil {
+		c.failure.body.Release()
+	}
+	c.failure = a
+}
+
 // answeredCompletely records that a target has answered the request completely.
 func (c *call) answeredCompletely(status int) {
 	c.answeredByTarget = true
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -130,7 +130,7 @@
 	platform.WriteHeaders(&head, c.r.Header, f)
 	return &upstream.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Head: head.Bytes(),
-		Body: c.body, HasBody: c.r.ContentLength != 0 || len(c.body) > 0, ID: c.req.ID,
+		Body: c.body.Bytes(), HasBody: c.r.ContentLength != 0 || len(c.body.Bytes()) > 0, ID: c.req.ID,
 		Fresh: c.attempts.MayNotRepeat,
 	}
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -9,6 +9,7 @@
 	"verbenashift/core/request/residency"
 	"verbenashift/core/request/retry"
 	"verbenashift/core/request/route"
+	"verbenashift/gateway/buffers"
 	"verbenashift/platform"
 )
 
@@ -33,7 +34,7 @@
 	route           *deployment.Route
 	callerWorkspace *deployment.Workspace
 	service         string
-	body            []byte
+	body            *buffers.Buffer
 	arrived         time.Time
 	// deadline is the earlier of what the route and the caller allow.
 	deadline time.Time
@@ -66,6 +67,8 @@
 	// failure is a server's own error answer, passed on if no attempt succeeds; answer is what is
 	// passed on when the attempts have ended, or nil.
 	failure, answer *answer
+	// reserved is room for an answer, until one is read into it.
+	reserved *buffers.Buffer
 	// retryAfter is how long it takes until a throttled target may take the request; 0 if
 	// that is not known.
 	retryAfter time.Duration
@@ -100,7 +103,7 @@
 type answer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *buffers.Buffer
 }
 
 // defaultTimeout is the time limit of a request whose caller does not state one.
@@ -141,6 +144,10 @@
 		c.rejectBody(err)
 		return false
 	}
+	if err := c.reserveAnswer(); err != nil {
+		c.refuse(reasonNoRoom, 0)
+		return false
+	}
 	c.service = c.drawService()
 	c.zones = c.fleet.zonesFor(c.route, c.callerWorkspace)
 	c.returning = c.gateway.isReturning(c.route, c.req.Timeout)
@@ -176,6 +183,17 @@
 	return float64(max(c.req.PromptTokens+c.req.AnswerTokens, 1))
 }
 
+// releaseBuffers returns the room of the bodies that the call still holds.
+func (c *call) releaseBuffers() {
+	c.body.Release()
+	c.reserved.Release()
+	for _, a := range []*answer{c.failure, c.answer} {
+		if a != nil {
+			a.body.Release()
+		}
+	}
+}
+
 // callerLeft reports whether the caller has closed its connection.
 func (c *call) callerLeft() bool {
 	if c.r.Context().Err() == nil {
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -2,11 +2,12 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
 
+	"verbenashift/core/configuration/deployment"
+	"verbenashift/gateway/buffers"
 	"verbenashift/platform"
 )
 
@@ -16,8 +17,26 @@
 	stallLimit = 10 * time.Second
 	// deliveryPart is how many bytes of an answer are written at a time.
 	deliveryPart = 32 << 10
+	// bufferShare is the part of the memory for bodies of requests, and as much is for answers.
+	bufferShare = 1.0 / 16
+	// roomWait is how long a body waits for room: another gateway may have some.
+	roomWait = 500 * time.Millisecond
+	// reservedAnswer is for how many bytes of an answer there must be room before a request is sent.
+	reservedAnswer = 4 << 10
+	// reasonNoRoom is the reason of a refusal when there is no room for the body of the request or
+	// of its answer.
+	reasonNoRoom = "no room for the body"
 )
 
+// newBuffers returns a pool for bodies, given the memory at which the process is killed; 0 means
+// unknown.
+func newBuffers(memoryBytes int64) *buffers.Pool {
+	if memoryBytes <= 0 {
+		return nil
+	}
+	return buffers.NewPool(max(int64(bufferShare*float64(memoryBytes)), 2*maxAnswer), roomWait)
+}
+
 // readBody reads the body of the request, until the deadline of the request.
 func (c *call) readBody(limit int64) error {
 	conn := http.NewResponseController(c.w)
@@ -25,22 +44,36 @@
 		return err
 	}
 	var err error
-	if c.body, err = io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit)); err != nil {
+	if c.body, err = c.bodies.Read(c.r.Context(), http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength, limit); err != nil {
 		return err
 	}
 	// The server reads on to notice that the caller disconnects.
 	return conn.SetReadDeadline(time.Time{})
 }
 
+// reserveAnswer reserves room for the answer: what was answered and cannot be passed on is lost.
+func (c *call) reserveAnswer() (err error) {
+	if c.route.Kind != deployment.Stream {
+		c.reserved, err = c.answers.Reserve(c.r.Context(), reservedAnswer)
+	}
+	return err
+}
+
 // rejectBody answers a request whose body could not be read.
 func (c *call) rejectBody(err error) {
-	var tooLarge *http.MaxBytesError
+	var (
+		tooLarge *http.MaxBytesError
+		tooLong  *buffers.TooLongError
+		full     *buffers.FullError
+	)
+	c.w.Header().Set("Connection", "close") // The rest of the body is not read.
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.As(err, &tooLarge), errors.As(err, &tooLong):
 		c.respond(http.StatusRequestEntityTooLarge, "body too large", 0)
+	case errors.As(err, &full):
+		c.refuse(reasonNoRoom, 0)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		metricStalled.Add(1)
-		c.w.Header().Set("Connection", "close")
 		c.refuse("body too slow", 0)
 	default:
 		c.logOutcome("outcome", "caller-left", "error", "body not read: "+err.Error())
@@ -54,10 +87,11 @@
 	if a == nil {
 		return
 	}
+	c.body.Release()
 	platform.CopyAnswerHeaders(c.w.Header(), a.header)
 	c.extendDeadline()
 	c.w.WriteHeader(a.status)
-	if err := c.write(a.body); err != nil {
+	if err := c.write(a.body.Bytes()); err != nil {
 		c.writeFailed(err)
 		return
 	}
--- /dev/null
+++ b/gateway/delivery_test.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"verbenashift/core/configuration/deployment"
+	"verbenashift/core/membership/health"
+	"verbenashift/gateway/buffers"
+	"verbenashift/standin/scripted"
+)
+
+const (
+	// smallPool is the size of a pool that has no room for long bodies.
+	smallPool = 64 << 10
+	shortWait = 20 * time.Millisecond
+)
+
+// Guards against a request that is sent, or that its caller believes to be sent, without room for its
+// body.
+func TestNoRoomForTheBody(t *testing.T) {
+	s := scripted.Serve(t, func(x *scripted.Exchange) {
+		if x.Header.Get("X-Break") != "" {
+			x.Close()
+			return
+		}
+		x.Respond(http.StatusOK, "ok")
+	})
+	r := newRig(t, routeOf(deployment.Unsafe), s)
+	r.gateway.bodies = buffers.NewPool(smallPool, shortWait)
+	long := r.call()
+	long.Body = strings.Repeat("x", 4*smallPool)
+	got := long.Do(t.Context())
+	r.Equal(got.Status, http.StatusServiceUnavailable)
+	r.Equal(total(s), 0)
+	for range 10 { // each releases its room, whether it is answered or not
+		c := r.call()
+		c.Body = strings.Repeat("x", smallPool)
+		r.Equal(c.Do(t.Context()).Status, http.StatusOK)
+		c.ID, c.Header = c.ID+"-broken", http.Header{"X-Break": {"1"}}
+		r.Equal(c.Do(t.Context()).Status, http.StatusBadGateway)
+	}
+}
+
+// Guards against taking a target for broken because there was no room for its answer, and against
+// room that is lost with such answers.
+func TestNoRoomForTheAnswer(t *testing.T) {
+	for name, kind := range map[string]deployment.RouteKind{"lookup": deployment.Safe, "booking": deployment.Unsafe} {
+		t.Run(name, func(t *testing.T) {
+			script := func(x *scripted.Exchange) {
+				n := smallPool
+				if x.Body == "long" {
+					n *= 4
+				}
+				x.Respond(http.StatusOK, strings.Repeat("x", n))
+			}
+			r := newRig(t, routeOf(kind), scripted.Serve(t, script), scripted.Serve(t, script))
+			r.gateway.answers = buffers.NewPool(smallPool, shortWait)
+			for range 10 {
+				long := r.call()
+				long.Body = "long"
+				r.Equal(long.Do(t.Context()).Status, http.StatusBadGateway) // it has run
+			}
+			f := r.gateway.fleet
+			f.mu.Lock()
+			for i := range 2 {
+				r.Equal(f.monitor.State(i), health.Healthy)
+			}
+			f.mu.Unlock()
+			for range 10 {
+				_, got := r.send()
+				r.Equal(got.Status, http.StatusOK)
+			}
+		})
+	}
+}
+
+// Guards against a booking that is made and then not told to its caller, since others read slowly.
+func TestNoRoomForAnyAnswer(t *testing.T) {
+	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Respond(http.StatusOK, "booked") })
+	r := newRig(t, routeOf(deployment.Unsafe), s)
+	r.gateway.answers = buffers.NewPool(smallPool, shortWait)
+	others, err := r.gateway.answers.Reserve(t.Context(), smallPool-reservedAnswer)
+	r.NoErr(err)
+	_, got := r.send() // there is just enough
+	r.Equal(got.Status, http.StatusOK)
+	more, err := r.gateway.answers.Reserve(t.Context(), reservedAnswer)
+	r.NoErr(err)
+	_, got = r.send()
+	r.Equal(got.Status, http.StatusServiceUnavailable)
+	r.Equal(total(s), 1)
+	others.Release()
+	more.Release()
+	_, got = r.send()
+	r.Equal(got.Status, http.StatusOK)
+}
+
+// Guards against room that is lost with a server's own error answers.
+func TestRoomOfErrorAnswers(t *testing.T) {
+	script := func(x *scripted.Exchange) {
+		if x.Body == "fail" {
+			x.Respond(http.StatusInternalServerError, strings.Repeat("x", smallPool/4))
+			return
+		}
+		x.Respond(http.StatusOK, strings.Repeat("x", smallPool))
+	}
+	a, b := scripted.Serve(t, script), scripted.Serve(t, script)
+	r := newRig(t, routeOf(deployment.Safe), a, b)
+	r.gateway.answers = buffers.NewPool(smallPool, shortWait)
+	const calls = 10
+	for range calls {
+		c := r.call()
+		c.Body = "fail"
+		r.Equal(c.Do(t.Context()).Status, http.StatusInternalServerError)
+	}
+	r.Equal(total(a, b), 2*calls)
+	_, got := r.send() // it takes all of the room
+	r.Equal(got.Status, http.StatusOK)
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -26,7 +26,7 @@
 func (c *call) fingerprint() quarantine.Fingerprint {
 	if c.cachedFingerprint == (quarantine.Fingerprint{}) {
 		content := quarantine.Content{
-			Method: c.r.Method, Host: c.r.Host, Target: c.r.RequestURI, Workspace: c.workspaceName(), Body: c.body,
+			Method: c.r.Method, Host: c.r.Host, Target: c.r.RequestURI, Workspace: c.workspaceName(), Body: c.body.Bytes(),
 		}
 		c.cachedFingerprint = content.Fingerprint()
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -23,6 +23,7 @@
 	"verbenashift/core/plumbing/tcp"
 	"verbenashift/core/request/admission"
 	"verbenashift/core/request/retry"
+	"verbenashift/gateway/buffers"
 	"verbenashift/gateway/crash"
 	"verbenashift/gateway/startup"
 	"verbenashift/platform"
@@ -37,6 +38,8 @@
 	// shuttingDown is set on SIGTERM: the readiness check fails from then on.
 	shuttingDown atomic.Bool
 	started      time.Time
+	// bodies bounds the bodies of requests, answers complete answers.
+	bodies, answers *buffers.Pool
 	// stallLimit is how long a caller may take to read the next part of its answer.
 	stallLimit time.Duration
 	// startup holds requests until there is a configuration.
@@ -67,6 +70,8 @@
 		log: log, tracer: tracer, rng: newRand(), started: now,
 		startup:         startup.New(),
 		stallLimit:      stallLimit,
+		bodies:          newBuffers(boot.MemoryBytes),
+		answers:         newBuffers(boot.MemoryBytes),
 		fleet:           newFleet(boot.Instance, boot.Zone, log),
 		retries:         newRetries(boot, now),
 		isolator:        newIsolator(boot.Instance, store, log),
@@ -259,6 +264,7 @@
 	if !c.started() {
 		return
 	}
+	defer c.releaseBuffers()
 	cat := g.catalog.Load()
 	if g.shuttingDown.Load() {
 		w.Header().Set("Connection", "close")
