Room for short bodies when long ones fill the buffers

Cause: one room for long and short bodies.

Change: half of a pool is for the first 16 KB of bodies. Each pool is an eighth of the memory instead of a sixteenth, so that the half holds what 1,233 connections reserve (5 of 11.5 MB at 184 MB).

--- a/gateway/buffers/buffers.go
+++ b/gateway/buffers/buffers.go
@@ -4,7 +4,8 @@
 //
 // A body takes room as it is read, not as it is announced: a sender that is slow or stops holds little.
 // While there is no room nothing is read, which slows the sender down, but only for a time: others may
-// wait for what this one holds.
+// wait for what this one holds. Half of the room is for the beginnings of bodies, so that long ones
+// leave some to short ones.
 //
 // # Usage
 //
@@ -25,40 +26,36 @@
 	"golang.org/x/sync/semaphore"
 )
 
-// firstPart is for how many bytes a body starts with, if it is not shorter.
+// firstPart is how many bytes of a body are its beginning.
 const firstPart = 16 << 10
 
 // Pool bounds the bytes of all its buffers. The nil Pool has no bound. It is safe for concurrent use.
 type Pool struct {
-	size int64
-	wait time.Duration
-	room *semaphore.Weighted
+	// beginnings is the room for the beginnings of bodies, rest that for the rest of them.
+	beginnings, rest *semaphore.Weighted
+	half             int64
+	wait             time.Duration
 }
 
 // NewPool returns a pool of a number of bytes, for which a body waits at most a given time.
 func NewPool(size int64, wait time.Duration) *Pool {
-	return &Pool{size: size, wait: wait, room: semaphore.NewWeighted(size)}
+	half := size / 2
+	return &Pool{beginnings: semaphore.NewWeighted(half), rest: semaphore.NewWeighted(half), half: half, wait: wait}
 }
 
-// acquire takes room for more bytes. It reports a *FullError if there is none in time.
-func (p *Pool) acquire(ctx context.Context, n int64) error {
-	if p == nil || p.room.TryAcquire(n) {
+// acquire takes room for a number of bytes. It reports a *FullError if there is none in time.
+func (p *Pool) acquire(ctx context.Context, room *semaphore.Weighted, n int64) error {
+	if room.TryAcquire(n) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.wait)
 	defer cancel()
-	if p.room.Acquire(ctx, n) != nil {
-		return &FullError{n, p.size}
+	if room.Acquire(ctx, n) != nil {
+		return &FullError{n, p.half}
 	}
 	return nil
 }
 
-func (p *Pool) release(n int64) {
-	if p != nil {
-		p.room.Release(n)
-	}
-}
-
 // TooLongError reports a body that is longer than allowed.
 type TooLongError struct {
 	// Limit is the greatest length in bytes.
@@ -70,18 +67,19 @@
 
 // FullError reports that there was no room for a body.
 type FullError struct {
-	// Bytes is how many bytes were needed, Size how many the pool has.
-	Bytes, Size int64
+	// Bytes is how many bytes were needed, of Room in all.
+	Bytes, Room int64
 }
 
 // Error returns a message with the sizes.
 func (e *FullError) Error() string {
-	return fmt.Sprintf("no room for %d bytes in buffers of %d", e.Bytes, e.Size)
+	return fmt.Sprintf("no room for %d bytes in %d", e.Bytes, e.Room)
 }
 
 // Buffer is a body that was read as a whole. The nil Buffer is empty.
 type Buffer struct {
 	pool *Pool
+	// held is how many bytes it has room for.
 	held int64
 	data []byte
 }
@@ -99,17 +97,40 @@
 	if b == nil {
 		return
 	}
-	b.pool.release(b.held)
+	if p := b.pool; p != nil {
+		p.beginnings.Release(min(b.held, firstPart))
+		p.rest.Release(max(b.held-firstPart, 0))
+	}
 	b.held, b.data = 0, nil
 }
 
-// Reserve returns an empty buffer that has room for at least n bytes, so that a body of that length
-// can be read into it even if there is no room by then. The error is a *FullError.
+// extend makes room for a number of bytes in all.
+func (b *Buffer) extend(ctx context.Context, n int64) error {
+	if n <= b.held {
+		return nil
+	}
+	if p := b.pool; p != nil {
+		room := p.rest
+		if b.held < firstPart {
+			n = min(n, firstPart)
+			room = p.beginnings
+		}
+		if err := p.acquire(ctx, room, n-b.held); err != nil {
+			return err
+		}
+	}
+	b.held = n
+	return nil
+}
+
+// Reserve returns an empty buffer that has room for a beginning of n bytes, so that a body of that
+// length can be read into it even if there is no room by then. The error is a *FullError.
 func (p *Pool) Reserve(ctx context.Context, n int64) (*Buffer, error) {
-	if err := p.acquire(ctx, n); err != nil {
+	b := &Buffer{pool: p}
+	if err := b.extend(ctx, min(n, firstPart)); err != nil {
 		return nil, err
 	}
-	return &Buffer{pool: p, held: n}, nil
+	return b, nil
 }
 
 // Read reads a body into a new buffer, see Buffer.Read.
@@ -172,17 +193,12 @@
 	if size >= limit {
 		return false, &TooLongError{limit}
 	}
-	larger := max(2*size, firstPart)
-	if size < b.held {
-		larger = b.held // It was reserved.
-	}
-	larger = min(larger, limit)
-	if more := larger - b.held; more > 0 {
-		if err := b.pool.acquire(ctx, more); err != nil {
+	if b.held <= size {
+		if err := b.extend(ctx, min(max(2*size, firstPart), limit)); err != nil {
 			return false, err
 		}
-		b.held = larger
 	}
+	larger := min(b.held, limit)
 	b.data = append(append(make([]byte, 0, larger), b.data...), next[0])
 	return false, nil
 }
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -18,7 +18,7 @@
 	// deliveryPart is how many bytes of an answer are written at a time.
 	deliveryPart = 32 << 10
 	// bufferShare is the part of the memory for bodies of requests, and as much is for answers.
-	bufferShare = 1.0 / 16
+	bufferShare = 1.0 / 8
 	// roomWait is how long a body waits for room: another gateway may have some.
 	roomWait = 500 * time.Millisecond
 	// reservedAnswer is for how many bytes of an answer there must be room before a request is sent.
@@ -34,7 +34,7 @@
 	if memoryBytes <= 0 {
 		return nil
 	}
-	return buffers.NewPool(max(int64(bufferShare*float64(memoryBytes)), 2*maxAnswer), roomWait)
+	return buffers.NewPool(max(int64(bufferShare*float64(memoryBytes)), 4*maxAnswer), roomWait)
 }
 
 // readBody reads the body of the request, until the deadline of the request.
