--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -39,7 +39,8 @@
 // one direction; a store that is unavailable, loses its history or comes back from an older copy; orders
 // that are applied late; servers that refuse, stall, do not respond, respond with failures, crash under a
 // repeated request or under requests that share a part, name limits, ask for pauses, leave, or crash and restart under their ID so
-// that a group is formed again; changes of the configuration, shifts of the load, and most new connections at one gateway. Clocks
+// that a group is formed again; changes of the configuration, shifts of the load, most new connections at one gateway, and callers
+// that stop reading and sending. Clocks
 // are not changed, since that would need a privilege. The responses to callers and the runs at
 // servers must keep the promises all the time, and when the faults end, all requests are
 // served again.
@@ -105,8 +106,8 @@
 	*fleetHarness
 	rng          *rand.Rand
 	down, paused map[string]bool
-	// crashing tracks the goroutines that send requests that crash their servers.
-	crashing sync.WaitGroup
+	// callers tracks the goroutines of callers that do harm.
+	callers  sync.WaitGroup
 	injected []string
 }
 
@@ -197,7 +198,7 @@
 	case 18:
 		kind := []string{fleet.Stream, fleet.Safe}[f.rng.IntN(2)]
 		f.note("a request crashes servers of %s", kind)
-		f.crashing.Go(func() {
+		f.callers.Go(func() {
 			ctx, stop := context.WithTimeout(f.ctx, maxFaultDuration)
 			defer stop()
 			fleet.PlayCrashing(ctx, f.Fleet, kind, repeatInterval)
@@ -210,8 +211,11 @@
 	}
 }
 
-// crowdInjector directs most new connections to one gateway, and sends requests with parts that crash
-// servers. Its draws are its own as well.
+// soakSlowCallers is how many callers read and send nothing at once.
+const soakSlowCallers = 200
+
+// crowdInjector directs most new connections to one gateway, sends requests with parts that crash
+// servers, and holds callers that read or send nothing. Its draws are its own as well.
 type crowdInjector struct {
 	*faultInjector
 	rng *rand.Rand
@@ -229,11 +233,18 @@
 		kind := []string{fleet.Stream, fleet.Safe}[c.rng.IntN(2)]
 		parts := [][]string{{"dead01"}, {"fade01"}, {"dead02", "dead03"}}[c.rng.IntN(3)]
 		c.note("parts %v crash servers of %s", parts, kind)
-		c.crashing.Go(func() {
+		c.callers.Go(func() {
 			ctx, stop := context.WithTimeout(c.ctx, 2*maxFaultDuration)
 			defer stop()
 			fleet.PlayCrashingParts(ctx, c.Fleet, kind, parts, repeatInterval)
 		})
+	case 2:
+		c.note("%d callers stop reading and sending", soakSlowCallers)
+		c.callers.Go(func() {
+			ctx, stop := context.WithTimeout(c.ctx, 2*maxFaultDuration)
+			defer stop()
+			fleet.HoldSlowCallers(ctx, c.Fleet, soakSlowCallers)
+		})
 	}
 }
 
@@ -351,7 +362,7 @@
 	f.Store.SetUnresponsive(false)
 	f.Refuse(false)
 	f.Crowd(fleet.NoCrowd)
-	f.crashing.Wait()
+	f.callers.Wait()
 	time.Sleep(maxFaultDuration + rewriteDelay) // The store was written again.
 	f.Store.SetDown(false)
 	time.Sleep(fleet.CrashDowntime) // Crashed servers have restarted.
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -312,7 +312,11 @@
 	if Fault(p.fault.Load()) == Failing {
 		w.WriteHeader(http.StatusInternalServerError)
 	}
-	fmt.Fprint(w, plainText(r.Header.Get("X-Request-Id")))
+	text := plainText(r.Header.Get("X-Request-Id"))
+	if isLong(r.URL.Path) {
+		text += strings.Repeat(" ", longAnswer-len(text))
+	}
+	fmt.Fprint(w, text)
 }
 
 // The contents of requests and answers, which callers check.
