--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -47,7 +47,7 @@
 	if c.body, err = c.bodies.Read(c.r.Context(), http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength, limit); err != nil {
 		return err
 	}
-	// The server reads on to notice that the caller disconnects.
+	// The server would take it for a caller that has disconnected.
 	return conn.SetReadDeadline(time.Time{})
 }
 
