Unfinished events of streams take room of the buffers

Change: from 4 KB on an unfinished event takes room of the pool for answers. Without room the attempt ends, and its target is not blamed.

--- a/gateway/buffers/buffers.go
+++ b/gateway/buffers/buffers.go
@@ -104,11 +104,19 @@
 	b.held, b.data = 0, nil
 }
 
-// extend makes room for a number of bytes in all.
-func (b *Buffer) extend(ctx context.Context, n int64) error {
-	if n <= b.held {
-		return nil
+// Extend makes room for a number of bytes in all. The error is a *FullError; what was held before is
+// held still.
+func (b *Buffer) Extend(ctx context.Context, n int64) error {
+	for b.held < n {
+		if err := b.extend(ctx, n); err != nil {
+			return err
+		}
 	}
+	return nil
+}
+
+// extend makes room for a number of bytes, or for the beginning of a body if that is not complete.
+func (b *Buffer) extend(ctx context.Context, n int64) error {
 	if p := b.pool; p != nil {
 		room := p.rest
 		if b.held < firstPart {
@@ -123,11 +131,14 @@
 	return nil
 }
 
+// Buffer returns an empty buffer.
+func (p *Pool) Buffer() *Buffer { return &Buffer{pool: p} }
+
 // Reserve returns an empty buffer that has room for a beginning of n bytes, so that a body of that
 // length can be read into it even if there is no room by then. The error is a *FullError.
 func (p *Pool) Reserve(ctx context.Context, n int64) (*Buffer, error) {
-	b := &Buffer{pool: p}
-	if err := b.extend(ctx, min(n, firstPart)); err != nil {
+	b := p.Buffer()
+	if err := b.Extend(ctx, min(n, firstPart)); err != nil {
 		return nil, err
 	}
 	return b, nil
@@ -135,7 +146,7 @@
 
 // Read reads a body into a new buffer, see Buffer.Read.
 func (p *Pool) Read(ctx context.Context, r io.Reader, length, limit int64) (*Buffer, error) {
-	b := &Buffer{pool: p}
+	b := p.Buffer()
 	if err := b.Read(ctx, r, length, limit); err != nil {
 		return nil, err
 	}
@@ -194,7 +205,7 @@
 		return false, &TooLongError{limit}
 	}
 	if b.held <= size {
-		if err := b.extend(ctx, min(max(2*size, firstPart), limit)); err != nil {
+		if err := b.Extend(ctx, min(max(2*size, firstPart), limit)); err != nil {
 			return false, err
 		}
 	}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -38,6 +38,9 @@
 	return event
 }
 
+// unfinished returns how many bytes of an unfinished event there are.
+func (e *events) unfinished() int64 { return int64(len(e.buf)) }
+
 // tooLong reports whether an event is longer than is passed on.
 func (e *events) tooLong() bool { return len(e.buf) > maxEvent }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -18,6 +18,8 @@
 // event, so that a stream that breaks off earlier can be refused or sent elsewhere.
 func (c *call) relay(ctx context.Context, s activeAttempt, reply *upstream.Reply) (retry.Kind, string, bool) {
 	var ev events
+	room := c.answers.Buffer()
+	defer room.Release()
 	buf := make([]byte, streamBuffer)
 	first := true
 	for {
@@ -41,6 +43,11 @@
 		if err == nil && ev.tooLong() {
 			return c.attemptFailed(ctx, s, errEventTooLong)
 		}
+		if err == nil && ev.unfinished() > streamBuffer {
+			if err := room.Extend(ctx, ev.unfinished()); err != nil {
+				return retry.Broken, err.Error(), false
+			}
+		}
 		if err == nil {
 			continue
 		}
--- a/gateway/slow_reader_test.go
+++ b/gateway/slow_reader_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"verbenashift/core/configuration/deployment"
+	"verbenashift/core/membership/health"
+	"verbenashift/gateway/buffers"
 	"verbenashift/standin/scripted"
 )
 
@@ -203,3 +205,38 @@
 	own := fmt.Sprint(read())
 	r.True(strings.Contains(own, errEventTooLong.Error()))
 }
+
+// Guards against memory that grows with many events that do not end, and against taking their targets
+// for broken because there was no room.
+func TestNoRoomForAnEvent(t *testing.T) {
+	script := func(x *scripted.Exchange) {
+		x.Stream()
+		if x.Body == "long" {
+			x.Chunk("id: 1\ndata: " + strings.Repeat("x", 4*smallPool))
+			x.WaitForClose(time.Minute)
+			return
+		}
+		for n := range 3 {
+			x.Chunk(bigEvent(n + 1))
+		}
+		x.End()
+	}
+	r := newRig(t, routeOf(deployment.Stream), scripted.Serve(t, script), scripted.Serve(t, script))
+	r.gateway.answers = buffers.NewPool(2*smallPool, shortWait)
+	for range 4 {
+		c := r.call()
+		c.Body = "long"
+		r.Equal(c.Do(t.Context()).Status, http.StatusBadGateway)
+	}
+	f := r.gateway.fleet
+	f.mu.Lock()
+	for i := range 2 {
+		r.Equal(f.monitor.State(i), health.Healthy)
+	}
+	f.mu.Unlock()
+	for range 10 { // each returns its room
+		_, got := r.send()
+		r.Equal(got.Status, http.StatusOK)
+		r.True(got.Complete)
+	}
+}
