A repeated request that crashes servers does not convict its parts

Cause: a part was suspected if two different requests carried it into crashes. The repeated request explains all eight; the other carrier, of a part that one request in 20 has, was in one of them by chance. The request itself was held 1.6 s before its part.

TestRepeatedRequestDoesNotConvictASharedPart: 2 quarantined for 1 before.

Change: a part that a request carries into three crashes or more must also be in more of the other crashes than by chance (1 in 20), and is then probed at once. The count of carriers, which this includes, is gone.

--- a/core/request/quarantine/candidate.go
+++ b/core/request/quarantine/candidate.go
@@ -11,11 +11,12 @@
 // candidate is a part that is in crashes of one service.
 type candidate struct {
 	part Fingerprint
-	// crashes are those that it is in, carriers the requests that had it, at most minCarriers.
-	crashes  []*crash
-	carriers []Fingerprint
+	// crashes are those that it is in.
+	crashes []*crash
 	// chance is the probability that it, or any part, is in so many of them by chance.
 	chance float64
+	// uncertain says that it needs a probe to tell whether it is the cause.
+	uncertain bool
 }
 
 // candidates returns the parts that are in crashes of a list.
@@ -30,21 +31,36 @@
 					found = &candidate{part: p}
 					all[p] = found
 				}
-				found.add(c, r.Content)
+				found.add(c)
 			}
 		}
 	}
 	return all
 }
 
-// add records that a request with the part was in progress in a crash.
-func (a *candidate) add(c *crash, carrier Fingerprint) {
+// add records that the part was in progress in a crash.
+func (a *candidate) add(c *crash) {
 	if n := len(a.crashes); n == 0 || a.crashes[n-1] != c {
 		a.crashes = append(a.crashes, c)
 	}
-	if len(a.carriers) < minCarriers && !slices.Contains(a.carriers, carrier) {
-		a.carriers = append(a.carriers, carrier)
+}
+
+// mostRepeated returns the request with the part that is in most of the crashes, and in how many.
+func (a *candidate) mostRepeated() (most Fingerprint, n int) {
+	counts := map[Fingerprint]int{}
+	for _, c := range a.crashes {
+		for i := range c.requests {
+			r := &c.requests[i]
+			if r.Content == (Fingerprint{}) || !slices.Contains(r.Parts, a.part) {
+				continue
+			}
+			counts[r.Content]++
+			if counts[r.Content] > n {
+				most, n = r.Content, counts[r.Content]
+			}
+		}
 	}
+	return most, n
 }
 
 // chance returns the probability that a part is in as many of the crashes as it is, if it has nothing
--- a/core/request/quarantine/parts.go
+++ b/core/request/quarantine/parts.go
@@ -10,12 +10,12 @@
 	// the least likely one to be quarantined, and certainChance that at which it needs no probe.
 	maxChance     = 1e-3
 	certainChance = 1e-5
+	// maxRestChance is the highest probability at which a part may be by chance in the crashes in which
+	// its most repeated request is not in progress.
+	maxRestChance = 0.05
 	// tieFactor is by how much the probabilities of two parts differ at most that cannot be told
 	// apart.
 	tieFactor = 3
-	// minCarriers is how many different requests must have carried a part into crashes. A sound
-	// request that is retried is in several crashes with all of its parts.
-	minCarriers = 2
 	// minRecent is the least number of the last crashes that are examined by themselves: those before
 	// may have had other causes.
 	minRecent = 8
@@ -44,7 +44,7 @@
 			}
 			for _, s := range suspects {
 				g.quarantined[s.part] = &quarantined{
-					Hold:  Hold{Crashes: len(s.crashes), Part: true, ProbeNow: len(suspects) > 1 || s.chance > certainChance},
+					Hold:  Hold{Crashes: len(s.crashes), Part: true, ProbeNow: len(suspects) > 1 || s.uncertain},
 					since: now,
 				}
 			}
@@ -105,20 +105,39 @@
 // suspectsOf does the same for all crashes of a list.
 func (g *Register) suspectsOf(service string, list []*crash) (suspects []*candidate) {
 	var tested []*candidate
-	least := 1.0
 	for p, a := range candidates(list) {
-		if len(a.crashes) < crashThreshold || len(a.carriers) < minCarriers || g.quarantined[p] != nil {
+		if len(a.crashes) < crashThreshold || g.quarantined[p] != nil {
 			continue
 		}
 		a.chance = g.chance(service, a, list)
 		tested = append(tested, a)
-		least = min(least, a.chance)
 	}
+	least := 1.0
 	for _, a := range tested {
 		a.chance *= float64(len(tested))
-		if a.chance <= maxChance && a.chance <= tieFactor*least*float64(len(tested)) {
+		if a.chance > maxChance {
+			continue
+		}
+		if rest := g.chanceWithoutRepeated(service, a, list); rest <= maxRestChance {
+			a.uncertain = a.chance > certainChance || rest > certainChance
 			suspects = append(suspects, a)
+			least = min(least, a.chance)
 		}
 	}
-	return suspects
+	return slices.DeleteFunc(suspects, func(a *candidate) bool { return a.chance > tieFactor*least })
+}
+
+// chanceWithoutRepeated returns the probability that a part is by chance in so many of the crashes in
+// which its most repeated request is not in progress; 0 if that is in too few to be their cause itself.
+func (g *Register) chanceWithoutRepeated(service string, a *candidate, list []*crash) float64 {
+	content, n := a.mostRepeated()
+	if n < crashThreshold {
+		return 0
+	}
+	list = slices.DeleteFunc(slices.Clone(list), func(c *crash) bool { return c.has(content) })
+	rest := candidates(list)[a.part]
+	if rest == nil {
+		return 1
+	}
+	return g.chance(service, rest, list)
 }
--- a/core/request/quarantine/parts_test.go
+++ b/core/request/quarantine/parts_test.go
@@ -111,6 +111,32 @@
 	b.True(!b.refused(promptOf(2, "first-1", "own-session")))
 }
 
+// Guards against refusing all requests with a part of a request that crashes targets again and again,
+// because another one with that part was in progress beside it.
+func TestRepeatedRequestDoesNotConvictASharedPart(t *testing.T) {
+	b := newFixture(t)
+	b.answer(1000)
+	for n := range 8 {
+		beside := promptOf(100+n, fmt.Sprint("first-", n))
+		b.crashWith(promptOf(1, "first-1"), beside)
+	}
+	b.True(b.refused(promptOf(1, "first-1")))
+	b.Equal(b.Quarantined(), 1)
+}
+
+// Guards against not finding a part whose requests are each retried until they are quarantined
+// themselves.
+func TestRetriedRequestsWithACrashingPart(t *testing.T) {
+	b := newFixture(t)
+	b.answer(1000)
+	for n := range 6 {
+		b.crashWith(promptOf(1+n/3, "first-1", "culprit"), promptOf(100+n, fmt.Sprint("first-", n)))
+	}
+	b.True(b.quarantined[partOf("culprit")] != nil)
+	b.True(b.quarantined[partOf("culprit")].ProbeNow) // one of the requests may be the cause
+	b.True(b.quarantined[partOf("first-1")] == nil)
+}
+
 // Guards against quarantining a sound request that is retried beside requests with a crashing part.
 func TestRetriedRequestBesideACrashingPart(t *testing.T) {
 	b := newFixture(t)
