A test waits until each connection is idle

Cause: callers may read an answer before the server takes their connection for idle, so that the four connections could become idle in another order than they were opened; the test expects that the last one opened stays. The checks are the same.

--- a/gateway/intake/intake_test.go
+++ b/gateway/intake/intake_test.go
@@ -116,8 +116,8 @@
 		c := r.caller("/")
 		r.True(r.answered(c))
 		kept = append(kept, c)
+		r.awaitIdle(len(kept)) // A caller may read its answer before its connection is idle.
 	}
-	r.awaitIdle(most)
 	for range 3 {
 		c := r.caller("/")
 		r.True(r.answered(c))
