--- a/core/configuration/deployment/deployment.go
+++ b/core/configuration/deployment/deployment.go
@@ -132,6 +132,10 @@
 	Spare int
 	// ExpertTime is how long a rank takes to copy one expert.
 	ExpertTime time.Duration
+	// PassTime is how long a forward pass takes that writes nothing, RequestTime by how much each
+	// request that writes lengthens it, at evenly loaded ranks, and PromptTime how long a rank
+	// takes to read a usual prompt; 0 if not stated.
+	PassTime, RequestTime, PromptTime time.Duration
 }
 
 // Workspace is a customer of the operator, with its API keys.
--- a/core/request/admission/admission.go
+++ b/core/request/admission/admission.go
@@ -13,6 +13,10 @@
 // group slows down, stalls or is lost while the others work. That group must not take the
 // capacity of the others, and they serve its requests as far as they have capacity.
 //
+// Requests may be of several classes, which package precedence ranks by the configuration: the
+// pool keeps a queue for each, and starts the first class that waits, but for the floors of
+// those behind it. With a single class the order is that of package queue alone.
+//
 // A Pool has no clock, no lock and does no input or output: its owner passes the time, calls it
 // from one goroutine at a time, and collects its decisions with Decisions.
 //
@@ -34,7 +38,9 @@
 	"slices"
 	"time"
 
+	"verbenashift/core/request/headroom"
 	"verbenashift/core/request/outcome"
+	"verbenashift/core/request/precedence"
 	"verbenashift/core/request/queue"
 )
 
@@ -63,11 +69,14 @@
 	CallerTimeout time.Duration
 	// Retry reports whether its caller has been refused before.
 	Retry bool
+	// Class is its rank among the classes of the service, 0 for the first; see SetClasses.
+	Class int
 }
 
-// assignment is the group in which a request runs, and when it was last sent there.
+// assignment is the group in which a request runs, its class, and when it was last sent there.
 type assignment struct {
 	group  *group
+	class  int
 	sentAt time.Time
 }
 
@@ -82,30 +91,37 @@
 
 // Pool admits requests to the groups of one service. Use New to make one.
 type Pool struct {
-	queue  *queue.Queue
-	rng    *rand.Rand
-	groups map[string]*group
+	// lines hold the waiting requests by class; there is at least one. The first classes of them
+	// are in use.
+	lines   []*line
+	classes int
+	turns   precedence.Turns
+	rng     *rand.Rand
+	groups  map[string]*group
 	// names are the keys of groups in sorted order, which makes choices reproducible.
 	names []string
 	// assignments are the running requests by ID.
 	assignments map[string]assignment
 	decisions   []Decision
 	shed        []queue.Shed
-	// emptyAt is when the queue was last empty.
-	emptyAt time.Time
-	// recovering reports whether the queue has not been empty since all groups were down.
+	// recovering reports whether requests have been waiting since all groups were down.
 	recovering bool
 	// unproven is the initial state of groups that are seen for the first time: nothing is
 	// known of them.
 	unproven bool
+	// passCost is the cost of a pass without the number of ranks, engineSlots the number of slots
+	// of one engine, and shortestPause the shortest pause between events that callers accept.
+	passCost      headroom.Cost
+	engineSlots   int
+	shortestPause time.Duration
 }
 
 // New returns a Pool without groups: requests wait until there are some. The random source
 // spreads choices and times.
 func New(rng *rand.Rand) *Pool {
 	return &Pool{
-		queue: queue.New(queue.Limits{Slots: 1, Rate: initialRate, UrgentShare: retryShare}, rng),
-		rng:   rng, groups: map[string]*group{}, assignments: map[string]assignment{},
+		lines: []*line{newLine(rng)}, classes: 1,
+		rng: rng, groups: map[string]*group{}, assignments: map[string]assignment{},
 	}
 }
 
@@ -128,6 +144,7 @@
 			p.groups[name] = g
 		}
 		g.resize(n, now)
+		p.setPassCost(g)
 	}
 	for name, g := range p.groups {
 		if slots[name] == 0 {
@@ -150,7 +167,8 @@
 // ReportLoad records the load of a group as reported by its coordinator.
 func (p *Pool) ReportLoad(l Load, now time.Time) {
 	if g := p.groups[l.Group]; g != nil {
-		g.setLoad(l, p.queue.Load().Items > 0, now)
+		g.usable = p.usableSlots(g, now)
+		g.setLoad(l, p.waiting() > 0, now)
 		p.dispatch(now)
 	}
 }
@@ -162,13 +180,14 @@
 		return &outcome.Error{Outcome: outcome.NotRun, Reason: queue.ReasonAllTargetsRefuse}
 	}
 	p.updateUrgentShare(now)
+	l := p.lineOf(r.Class)
 	item := queue.Item{
 		ID: r.ID, Workspace: r.Workspace, Priority: priorityOf(r), Cost: r.Cost, Deadline: p.latestStart(r, now),
 		// The length of the wait is not known while nothing is served, and a retrying caller
 		// gains nothing from a refusal.
 		WaitUntilDeadline: r.Retry || p.Down(now),
 	}
-	if refusal := p.queue.Enqueue(item, now); refusal != nil {
+	if refusal := l.queue.Enqueue(item, now); refusal != nil {
 		return refusal
 	}
 	p.dispatch(now)
@@ -192,7 +211,7 @@
 
 func (p *Pool) wait(r Request, now time.Time) queue.Wait {
 	return queue.Wait{
-		Objective: r.Objective, Service: p.fastestFirstEvent(), CallerTimeout: r.CallerTimeout, BacklogAge: p.backlogAge(now),
+		Objective: r.Objective, Service: p.fastestFirstEvent(), CallerTimeout: r.CallerTimeout, BacklogAge: p.lineOf(r.Class).backlogAge(now),
 		Retry: r.Retry, Closed: p.Down(now),
 	}
 }
@@ -221,16 +240,22 @@
 
 // Withdraw removes a waiting request. It reports false if the request is no longer waiting.
 func (p *Pool) Withdraw(id string) bool {
-	_, waits := p.queue.Remove(id)
-	return waits
+	for _, l := range p.lines {
+		if _, waits := l.queue.Remove(id); waits {
+			return true
+		}
+	}
+	return false
 }
 
 // Done ends a request that has run, with the tokens that it cost.
 func (p *Pool) Done(id string, cost int64, now time.Time) {
-	p.queue.Done(id, cost, now)
-	if g := p.assignments[id].group; g != nil {
+	at := p.assignments[id]
+	p.lineOf(at.class).queue.Done(id, cost, now)
+	if g := at.group; g != nil {
+		g.passes.ended(now.Sub(at.sentAt))
 		delete(p.assignments, id)
-		g.running--
+		g.leave(at.class)
 		p.removeIfUnused(g)
 	}
 	p.dispatch(now)
--- a/core/request/admission/admission_test.go
+++ b/core/request/admission/admission_test.go
@@ -218,5 +218,5 @@
 	is := is.New(t)
 	line, err := json.Marshal(GroupLoad{Group: "g0", Running: 6, Limit: 6, Available: true})
 	is.NoErr(err)
-	is.Equal(string(line), `{"Group":"g0","Running":6,"Limit":6,"Works":true}`)
+	is.Equal(string(line), `{"Group":"g0","Running":6,"Limit":6,"Usable":0,"Works":true}`)
 }
--- a/core/request/admission/attempt.go
+++ b/core/request/admission/attempt.go
@@ -74,9 +74,10 @@
 	if to == nil {
 		return from.name, false
 	}
-	from.running--
-	to.running++
-	p.assignments[id] = assignment{to, now}
+	class := p.assignments[id].class
+	from.leave(class)
+	to.enter(class)
+	p.assignments[id] = assignment{to, class, now}
 	p.removeIfUnused(from)
 	return to.name, true
 }
@@ -93,7 +94,7 @@
 		}
 		g.probed(now)
 	}
-	p.assignments[id] = assignment{g, now}
+	p.assignments[id] = assignment{g, p.assignments[id].class, now}
 	return true
 }
 
--- a/core/request/admission/choose.go
+++ b/core/request/admission/choose.go
@@ -11,17 +11,17 @@
 	unknownFreeShare = 0.3
 )
 
-// next returns the group for the next request, or nil if none has capacity.
+// next returns the group for the next request of a class, or nil if none has capacity.
 //
 // Available groups go first. A group that refuses, is stalled or has lost a rank gets a request
 // only if no group is available: a request has to find out when it is back, and there is
 // nowhere else to send it in the meantime. While others are available, a group that refuses but
 // has all its ranks gets a probe request now and then.
-func (p *Pool) next(now time.Time) *group {
+func (p *Pool) next(class int, now time.Time) *group {
 	if g := p.probe(now); g != nil {
 		return g
 	}
-	hasCapacity := func(g *group) bool { return g.running < g.limit }
+	hasCapacity := func(g *group) bool { return g.room(class) > 0 }
 	if g := p.choose(now, func(g *group) bool { return hasCapacity(g) && g.available(now) }); g != nil {
 		return g
 	}
--- a/core/request/admission/dispatch.go
+++ b/core/request/admission/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"verbenashift/core/request/precedence"
 	"verbenashift/core/request/queue"
 )
 
@@ -27,29 +28,51 @@
 	// This also runs while nothing may start: a request must not wait beyond its limit because
 	// the gates are closed.
 	p.updateUrgentShare(now)
-	p.queue.Expire(now)
-	for p.queue.Load().Items > 0 {
-		g := p.next(now)
-		if g == nil {
-			break
-		}
-		p.updateSlots()
-		item, ok := p.queue.Next(now)
-		if !ok {
-			break
-		}
-		g.start(now)
-		p.assignments[item.ID] = assignment{g, now}
-		p.decisions = append(p.decisions, Decision{ID: item.ID, Group: g.name})
+	for _, l := range p.lines {
+		l.queue.Expire(now)
 	}
+	p.startAll(now)
 	p.updateSlots()
 	p.updateUrgentShare(now)
-	p.shed = p.queue.TakeShed(p.shed[:0])
+	p.shed = p.shed[:0]
+	for _, l := range p.lines {
+		p.shed = l.queue.TakeShed(p.shed)
+	}
 	for _, s := range p.shed {
 		p.decisions = append(p.decisions, Decision{ID: s.ID, Refusal: s.Refusal})
 	}
 	// The end of a backlog is also noticed while no request arrives.
-	p.backlogAge(now)
+	for _, l := range p.lines {
+		l.backlogAge(now)
+	}
+}
+
+// startAll starts the requests that may start, in the order of their classes.
+func (p *Pool) startAll(now time.Time) {
+	// blocked are the classes none of whose waiting requests may start now.
+	var blocked [precedence.MaxClasses]bool
+	waits := func(class int) bool { return !blocked[class] && p.lines[class].queue.Load().Items > 0 }
+	for {
+		class, ok := p.turns.Next(len(p.lines), waits)
+		if !ok {
+			return
+		}
+		g := p.next(class, now)
+		if g == nil {
+			blocked[class] = true
+			continue
+		}
+		p.updateSlots()
+		item, ok := p.lines[class].queue.Next(now)
+		if !ok {
+			blocked[class] = true
+			continue
+		}
+		p.turns.Started(class, len(p.lines), waits)
+		g.start(class, now)
+		p.assignments[item.ID] = assignment{g, class, now}
+		p.decisions = append(p.decisions, Decision{ID: item.ID, Group: g.name})
+	}
 }
 
 // updateUrgentShare decides who goes first: retrying callers while the queue holds requests
@@ -62,42 +85,57 @@
 	switch {
 	case p.Down(now):
 		p.recovering = true
-	case p.queue.Load().Items == 0:
+	case p.waiting() == 0:
 		p.recovering = false
 	}
 	share := retryShare
 	if p.recovering {
 		share = recoveryShare
 	}
-	p.queue.SetUrgentShare(share)
+	for _, l := range p.lines {
+		l.queue.SetUrgentShare(share)
+	}
 }
 
-// updateSlots sets how many requests the queue may have running in total.
+// updateSlots sets how many requests each queue may have running in total. Room counts for a
+// class unless a request of a class before it waits for it.
 func (p *Pool) updateSlots() {
-	total := 0
-	for _, g := range p.groups {
-		total += max(g.limit, g.running)
+	before := 0
+	for class, l := range p.lines {
+		room := 0
+		for _, g := range p.groups {
+			room += g.room(class)
+		}
+		load := l.queue.Load()
+		l.queue.SetSlots(load.Running + max(room-before, 0))
+		before += load.Items
 	}
-	p.queue.SetSlots(total)
 }
 
-// backlogAge returns for how long requests have been waiting without a break. It also records
-// when the queue is empty.
-func (p *Pool) backlogAge(now time.Time) time.Duration {
-	if p.queue.Load().Items == 0 {
-		p.emptyAt = now
+// Load returns the load of the queues.
+func (p *Pool) Load() queue.Load {
+	var sum queue.Load
+	for _, l := range p.lines {
+		load := l.queue.Load()
+		sum.Queued += load.Queued
+		sum.Items += load.Items
+		sum.Running += load.Running
+		sum.Rate += load.Rate
 	}
-	return now.Sub(p.emptyAt)
+	sum.Slots = sum.Running
+	for _, g := range p.groups {
+		sum.Slots += max(g.limit-g.running, 0)
+	}
+	return sum
 }
 
-// Load returns the load of the queue.
-func (p *Pool) Load() queue.Load { return p.queue.Load() }
-
 // GroupLoad is the state of one group as this entry sees it.
 type GroupLoad struct {
 	Group string
 	// Running is how many requests of this entry run there, Limit how many may.
 	Running, Limit int
+	// Usable is how many requests all entries may run there without passes that are too long.
+	Usable int
 	// Available is false while the group refuses, is stalled or has lost a rank.
 	// The log knows it as Works.
 	Available bool `json:"Works"`
@@ -108,7 +146,7 @@
 	out := make([]GroupLoad, 0, len(p.names))
 	for _, name := range p.names {
 		g := p.groups[name]
-		out = append(out, GroupLoad{Group: name, Running: g.running, Limit: g.limit, Available: g.available(now)})
+		out = append(out, GroupLoad{Group: name, Running: g.running, Limit: g.limit, Usable: g.usable, Available: g.available(now)})
 	}
 	return out
 }
--- a/core/request/admission/group.go
+++ b/core/request/admission/group.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"verbenashift/core/request/precedence"
 	"verbenashift/core/request/queue"
 )
 
@@ -26,10 +27,17 @@
 // group is what an entry knows of one group of engines.
 type group struct {
 	name string
-	// slots is the total of all its engines.
-	slots int
-	// running is how many requests of this entry run there, limit how many may.
-	running, limit int
+	// slots is the total of all its engines, usable how many of them may be taken without passes
+	// that are too long.
+	slots, usable int
+	passes        passes
+	// limitedByLoad reports that the limits follow from a load that is valid.
+	limitedByLoad bool
+	// running is how many requests of this entry run there, limit how many may. usableLimit is
+	// how many of a class and those before it may; see room.
+	running, limit, usableLimit int
+	// byClass is running by class.
+	byClass [precedence.MaxClasses]int
 	// lastLoad is the last reported load, received at loadAt; startedSince is how many requests
 	// of this entry have started there since.
 	lastLoad     Load
@@ -63,7 +71,7 @@
 	if slots == g.slots {
 		return
 	}
-	g.slots = slots
+	g.slots, g.usable = slots, slots
 	if g.fresh(now) {
 		g.updateLimit(false)
 		return
@@ -80,13 +88,14 @@
 	case !l.Complete && (g.lastLoad.Complete || !g.fresh(now)):
 		g.missingSince = now
 	}
-	g.lastLoad, g.loadAt, g.startedSince = l, now, 0
+	g.lastLoad, g.loadAt, g.startedSince, g.limitedByLoad = l, now, 0, false
 	g.unproven, g.recovering, g.grown = false, false, 0
 	if g.missingRank(now) {
 		g.limit = queue.RecoveryLimit(g.slots, l.Entries)
 		return
 	}
 	g.updateLimit(waiting)
+	g.limitedByLoad = true
 }
 
 // updateLimit sets the limit from the last load.
@@ -97,10 +106,31 @@
 	}
 	e := queue.EngineLoad{Slots: g.slots, Running: g.lastLoad.Running, Queued: g.lastLoad.Queued, Entries: g.lastLoad.Entries, Waiting: waiting}
 	g.limit = queue.EntryLimit(e, g.running)
+	g.usableLimit = g.limit
+	if g.usable < g.slots {
+		e.Slots = g.usable
+		g.usableLimit = queue.EntryLimit(e, g.running)
+	}
+}
+
+// room returns how many requests of a class may start at the group. While fewer requests may run
+// than there are slots, those of the last class give way first: a class has room as long as it
+// and those before it run less than that.
+func (g *group) room(class int) int {
+	free := max(g.limit-g.running, 0)
+	if g.usable >= g.slots || !g.limitedByLoad {
+		return free
+	}
+	before := 0
+	for _, n := range g.byClass[:class+1] {
+		before += n
+	}
+	return min(free, max(g.usableLimit-before, 0))
 }
 
 // expireLoad sets the limit without a load if none has been reported for a while.
 func (g *group) expireLoad(now time.Time) {
+	g.limitedByLoad = g.limitedByLoad && g.fresh(now)
 	switch {
 	case g.unproven:
 		g.limit = queue.RecoveryLimit(g.slots, g.lastLoad.Entries)
@@ -128,14 +158,25 @@
 }
 
 // start counts a request that is sent to the group.
-func (g *group) start(now time.Time) {
+func (g *group) start(class int, now time.Time) {
 	if !g.available(now) {
 		g.probed(now)
 	}
-	g.running++
+	g.enter(class)
 	g.startedSince++
 }
 
+// enter counts a request that runs at the group, leave one that no longer does.
+func (g *group) enter(class int) {
+	g.running++
+	g.byClass[class]++
+}
+
+func (g *group) leave(class int) {
+	g.running--
+	g.byClass[class]--
+}
+
 const (
 	// probeInterval is the pause between the requests to a group that is not available, as far
 	// as is known, and missingRankProbeInterval that for a group whose coordinator reports a
--- /dev/null
+++ b/core/request/admission/passes.go
@@ -0,0 +1,60 @@
+package admission
+
+import (
+	"time"
+
+	"verbenashift/core/request/headroom"
+)
+
+// passes is what an entry knows of the forward passes of one group.
+type passes struct {
+	meter headroom.Meter
+	limit headroom.Limit
+	// streamTime is how long the responses of the group take, in the mean.
+	streamTime time.Duration
+}
+
+// streamTimeWeight is the weight of one response in the mean of their times.
+const streamTimeWeight = 0.05
+
+// ended records how long a response has taken.
+func (p *passes) ended(took time.Duration) {
+	if p.streamTime == 0 {
+		p.streamTime = took
+		return
+	}
+	p.streamTime += time.Duration(streamTimeWeight * float64(took-p.streamTime))
+}
+
+// SetPassCost sets what a forward pass of the engines takes, how many slots each engine has, and
+// the shortest pause between events that callers accept. With a zero cost passes limit nothing.
+func (p *Pool) SetPassCost(cost headroom.Cost, engineSlots int, pause time.Duration) {
+	p.passCost, p.engineSlots, p.shortestPause = cost, engineSlots, pause
+	for _, g := range p.groups {
+		p.setPassCost(g)
+	}
+}
+
+func (p *Pool) setPassCost(g *group) {
+	g.passes.limit.Cost = p.passCost
+	if p.engineSlots > 0 {
+		g.passes.limit.Cost.Ranks = g.slots / p.engineSlots
+	}
+}
+
+// ObservePause records the pause between two events of a request's response.
+func (p *Pool) ObservePause(id string, pause time.Duration, now time.Time) {
+	g := p.assignments[id].group
+	if g == nil {
+		return
+	}
+	pass, ok := g.passes.meter.Observe(pause, now)
+	if ok && g.fresh(now) {
+		g.passes.limit.Observe(pass, g.lastLoad.Running, now)
+	}
+}
+
+// usableSlots returns how many requests the group may run.
+func (p *Pool) usableSlots(g *group, now time.Time) int {
+	return g.passes.limit.Slots(g.slots, p.shortestPause, g.passes.streamTime, now)
+}
--- a/gateway/admitter.go
+++ b/gateway/admitter.go
@@ -8,8 +8,10 @@
 	"sync"
 	"time"
 
+	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/plumbing/pause"
 	"verbenashift/core/request/admission"
+	"verbenashift/core/request/headroom"
 	"verbenashift/core/request/outcome"
 	"verbenashift/core/request/queue"
 )
@@ -59,6 +61,19 @@
 	a.locked(func(p *admission.Pool, now time.Time) { p.SetGroups(slots, now) })
 }
 
+// setEngine sets what a pass of the engines takes and the shortest pause between events that
+// callers accept.
+func (a *admitter) setEngine(e *deployment.Engine, pause time.Duration) {
+	a.locked(func(p *admission.Pool, _ time.Time) {
+		p.SetPassCost(headroom.Cost{Base: e.PassTime, PerRequest: e.RequestTime, Reading: e.PromptTime}, e.Slots, pause)
+	})
+}
+
+// setClasses sets the number of classes of its requests.
+func (a *admitter) setClasses(n int) {
+	a.locked(func(p *admission.Pool, now time.Time) { p.SetClasses(n, now) })
+}
+
 // reportLoad records the load of a group as reported by its coordinator.
 func (a *admitter) reportLoad(l admission.Load) {
 	a.locked(func(p *admission.Pool, now time.Time) { p.ReportLoad(l, now) })
@@ -117,7 +132,7 @@
 func (c *call) admissionRequest(id string) admission.Request {
 	return admission.Request{
 		ID: id, Workspace: c.workspaceName(), Cost: int64(c.cost()), Objective: c.route.Objective,
-		CallerTimeout: c.firstEventTimeout(), Retry: c.returning,
+		CallerTimeout: c.firstEventTimeout(), Retry: c.returning, Class: c.class,
 	}
 }
 
@@ -231,6 +246,11 @@
 	a.locked(func(p *admission.Pool, _ time.Time) { p.ObserveFirstEvent(at.id, after) })
 }
 
+// observePause records the pause between two events of the request in a slot.
+func (a *admitter) observePause(at slot, pause time.Duration) {
+	a.locked(func(p *admission.Pool, now time.Time) { p.ObservePause(at.id, pause, now) })
+}
+
 // release returns the slot of a request.
 func (a *admitter) release(at slot, cost float64) {
 	a.locked(func(p *admission.Pool, now time.Time) { p.Done(at.id, int64(cost), now) })
@@ -258,7 +278,7 @@
 		set(metricAvailable, key, boolToInt(g.Available))
 	}
 	if l.Items > 0 {
-		a.log.Info("queue", "service", a.service, "waiting", l.Items, "running", l.Running, "limit", l.Slots,
+		a.log.Info("queue", "service", a.service, "waiting", l.Items, "waiting-by-class", p.WaitingByClass(), "running", l.Running, "limit", l.Slots,
 			"tokens-a-second", int(l.Rate), "groups", groups)
 	}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -124,7 +124,7 @@
 	var head bytes.Buffer
 	f := platform.ForwardHeaders{
 		TargetID: s.target.ID, Remaining: time.Until(c.deadline),
-		Urgency: urgency(c.route, c.callerWorkspace), LastEvent: c.lastEvent,
+		Urgency: c.urgency, LastEvent: c.lastEvent,
 	}
 	f.Workspace = c.workspaceName()
 	platform.WriteHeaders(&head, c.r.Header, f)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -42,6 +42,9 @@
 	zones residency.Set
 	// version is that of the configuration that applies to the request.
 	version int64
+	// class is its rank among the classes of the service, urgency the priority that its engine
+	// gets with it; 0 is the first of either.
+	class, urgency int
 	// returning is set if the caller was refused or has failed before.
 	returning bool
 }
@@ -149,6 +152,8 @@
 		return false
 	}
 	c.service = c.drawService()
+	c.class = cat.class(c.service, c.route, c.callerWorkspace)
+	c.urgency = cat.urgency(c.service, c.route, c.callerWorkspace)
 	c.zones = c.fleet.zonesFor(c.route, c.callerWorkspace)
 	c.returning = c.gateway.isReturning(c.route, c.req.Timeout)
 	return true
--- a/gateway/catalog.go
+++ b/gateway/catalog.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"verbenashift/core/configuration/deployment"
+	"verbenashift/core/request/precedence"
 )
 
 // catalog indexes one configuration. It is immutable.
@@ -14,10 +15,12 @@
 	routes map[string][]*deployment.Route
 	// workspaces holds the workspaces by key.
 	workspaces map[string]*deployment.Workspace
+	// orders ranks the requests of each service.
+	orders map[string]precedence.Order
 }
 
 func newCatalog(cfg *deployment.Config) *catalog {
-	c := &catalog{config: cfg, routes: map[string][]*deployment.Route{}, workspaces: map[string]*deployment.Workspace{}}
+	c := &catalog{config: cfg, routes: map[string][]*deployment.Route{}, workspaces: map[string]*deployment.Workspace{}, orders: ordersOf(cfg)}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
 		c.routes[r.Host] = append(c.routes[r.Host], r)
@@ -71,11 +74,51 @@
 	return r.Split[0].Service
 }
 
-// urgency returns the priority of a request; 0 is the highest. The priority of the workspace
-// overrides that of the route.
-func urgency(r *deployment.Route, w *deployment.Workspace) int {
-	if w != nil && w.Priority != nil {
-		return *w.Priority
+// urgency returns the priority that engines get with a request; 0 is the highest. Where the
+// requests of the service are ranked in classes, it is their class. Otherwise the priority of the
+// workspace overrides that of the route.
+func (c *catalog) urgency(service string, r *deployment.Route, w *deployment.Workspace) int {
+	if o := c.orders[service]; o.Classes() > 1 {
+		return o.Class(r.Priority, priorityOf(w))
+	}
+	if p := priorityOf(w); p != nil {
+		return *p
 	}
 	return r.Priority
 }
+
+// class returns the class of a request among those of its service.
+func (c *catalog) class(service string, r *deployment.Route, w *deployment.Workspace) int {
+	return c.orders[service].Class(r.Priority, priorityOf(w))
+}
+
+// priorityOf returns the priority of a workspace, or nil if there is none.
+func priorityOf(w *deployment.Workspace) *int {
+	if w == nil {
+		return nil
+	}
+	return w.Priority
+}
+
+// ordersOf returns the order of the requests of each service.
+func ordersOf(cfg *deployment.Config) map[string]precedence.Order {
+	var workspaces []*int
+	for i := range cfg.Workspaces {
+		workspaces = append(workspaces, cfg.Workspaces[i].Priority)
+	}
+	routes := map[string][]int{}
+	for i := range cfg.Routes {
+		r := &cfg.Routes[i]
+		for _, s := range r.Split {
+			routes[s.Service] = append(routes[s.Service], r.Priority)
+		}
+		if r.Public {
+			workspaces = append(workspaces, nil)
+		}
+	}
+	orders := map[string]precedence.Order{}
+	for service, priorities := range routes {
+		orders[service] = precedence.New(priorities, workspaces)
+	}
+	return orders
+}
--- a/gateway/catalog_test.go
+++ b/gateway/catalog_test.go
@@ -50,7 +50,7 @@
 	w, ok := c.workspace(private, "k2")
 	is.True(ok)
 	is.Equal(w.Name, "w")
-	is.Equal(urgency(private, w), 0)
+	is.Equal(c.urgency("only", private, w), 0)
 	_, ok = c.workspace(private, "gone")
 	is.True(!ok)
 	_, ok = c.workspace(private, "")
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -111,6 +111,9 @@
 		pause := now.Sub(c.eventAt)
 		c.longestPause = max(c.longestPause, pause)
 		metricGap.Record(pause.Milliseconds())
+		if c.admitter != nil {
+			c.admitter.observePause(c.slot, pause)
+		}
 	}
 	c.eventAt = now
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -147,7 +147,9 @@
 	g.updateAdmitters(v.Config)
 	g.digests.update(v)
 	if c := g.catalog.Load(); c == nil || c.config != v.Config {
-		g.catalog.Store(newCatalog(v.Config))
+		next := newCatalog(v.Config)
+		g.setClasses(next)
+		g.catalog.Store(next)
 		g.publishBudgets(v.Config)
 	}
 	g.startup.Open()
@@ -175,11 +177,22 @@
 		}
 		if g.admitters[s.Name] == nil {
 			g.admitters[s.Name] = newAdmitter(s.Name, g.log)
+			g.admitters[s.Name].setClasses(ordersOf(cfg)[s.Name].Classes())
 		}
+		g.admitters[s.Name].setEngine(s.Engine, (&mirror.Snapshot{Config: cfg}).ShortestGap(s.Name))
 		g.admitters[s.Name].resize(slots[s.Name])
 	}
 }
 
+// setClasses sets the number of classes of the requests of each service with engines.
+func (g *gateway) setClasses(cat *catalog) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for service, a := range g.admitters {
+		a.setClasses(cat.orders[service].Classes())
+	}
+}
+
 // digest applies what a coordinator reports of its group.
 func (g *gateway) digest(d *rankpeer.Digest, taken time.Time) {
 	g.shareRetries(d.Gateways, time.Now())
