Hold arrivals while passes are long; reserve slots for classes before

Requests of the first class waited up to 500 ms for a completion at small gateways, and prompts were read in the long passes of a change of demand.

--- a/core/request/admission/admission.go
+++ b/core/request/admission/admission.go
@@ -96,8 +96,10 @@
 	lines   []*line
 	classes int
 	turns   precedence.Turns
-	rng     *rand.Rand
-	groups  map[string]*group
+	// arrivals are counted by class if there are several.
+	arrivals precedence.Arrivals
+	rng      *rand.Rand
+	groups   map[string]*group
 	// names are the keys of groups in sorted order, which makes choices reproducible.
 	names []string
 	// assignments are the running requests by ID.
@@ -181,6 +183,10 @@
 	}
 	p.updateUrgentShare(now)
 	l := p.lineOf(r.Class)
+	l.objective = r.Objective
+	if p.classes > 1 {
+		p.arrivals.Observe(p.classOf(r.Class), now)
+	}
 	item := queue.Item{
 		ID: r.ID, Workspace: r.Workspace, Priority: priorityOf(r), Cost: r.Cost, Deadline: p.latestStart(r, now),
 		// The length of the wait is not known while nothing is served, and a retrying caller
--- a/core/request/admission/choose.go
+++ b/core/request/admission/choose.go
@@ -21,7 +21,8 @@
 	if g := p.probe(now); g != nil {
 		return g
 	}
-	hasCapacity := func(g *group) bool { return g.room(class) > 0 }
+	reserve, slack := p.reserve(class, now), p.slack(class)
+	hasCapacity := func(g *group) bool { return g.room(class, reserve) > 0 && !g.passes.hold.Holds(slack, now) }
 	if g := p.choose(now, func(g *group) bool { return hasCapacity(g) && g.available(now) }); g != nil {
 		return g
 	}
--- a/core/request/admission/dispatch.go
+++ b/core/request/admission/dispatch.go
@@ -32,7 +32,7 @@
 		l.queue.Expire(now)
 	}
 	p.startAll(now)
-	p.updateSlots()
+	p.updateSlots(now)
 	p.updateUrgentShare(now)
 	p.shed = p.shed[:0]
 	for _, l := range p.lines {
@@ -62,7 +62,7 @@
 			blocked[class] = true
 			continue
 		}
-		p.updateSlots()
+		p.updateSlots(now)
 		item, ok := p.lines[class].queue.Next(now)
 		if !ok {
 			blocked[class] = true
@@ -99,12 +99,12 @@
 
 // updateSlots sets how many requests each queue may have running in total. Room counts for a
 // class unless a request of a class before it waits for it.
-func (p *Pool) updateSlots() {
+func (p *Pool) updateSlots(now time.Time) {
 	before := 0
 	for class, l := range p.lines {
-		room := 0
+		room, reserve := 0, p.reserve(class, now)
 		for _, g := range p.groups {
-			room += g.room(class)
+			room += g.room(class, reserve)
 		}
 		load := l.queue.Load()
 		l.queue.SetSlots(load.Running + max(room-before, 0))
--- a/core/request/admission/group.go
+++ b/core/request/admission/group.go
@@ -113,12 +113,17 @@
 	}
 }
 
-// room returns how many requests of a class may start at the group. While fewer requests may run
-// than there are slots, those of the last class give way first: a class has room as long as it
-// and those before it run less than that.
-func (g *group) room(class int) int {
+// room returns how many requests of a class may start at the group, given how many slots it has
+// to leave free for the classes before it. While fewer requests may run than there are slots,
+// those of the last class give way first: a class has room as long as it and those before it run
+// less than that.
+func (g *group) room(class, reserve int) int {
 	free := max(g.limit-g.running, 0)
-	if g.usable >= g.slots || !g.limitedByLoad {
+	if !g.limitedByLoad {
+		return free
+	}
+	free = max(free-min(reserve, g.limit/maxReserveDivisor), 0)
+	if g.usable >= g.slots {
 		return free
 	}
 	before := 0
@@ -128,6 +133,10 @@
 	return min(free, max(g.usableLimit-before, 0))
 }
 
+// maxReserveDivisor is the fraction of its slots, one in so many, that is reserved for more urgent
+// requests at most.
+const maxReserveDivisor = 4
+
 // expireLoad sets the limit without a load if none has been reported for a while.
 func (g *group) expireLoad(now time.Time) {
 	g.limitedByLoad = g.limitedByLoad && g.fresh(now)
--- a/core/request/admission/line.go
+++ b/core/request/admission/line.go
@@ -13,6 +13,8 @@
 	queue *queue.Queue
 	// emptyAt is when the queue was last empty.
 	emptyAt time.Time
+	// objective is that of the last request that arrived.
+	objective time.Duration
 }
 
 func newLine(rng *rand.Rand) *line {
@@ -68,3 +70,12 @@
 	}
 	return out
 }
+
+// reserve returns how many slots a class leaves free for requests of the classes before it. The
+// groups share it.
+func (p *Pool) reserve(class int, now time.Time) int {
+	if class == 0 {
+		return 0
+	}
+	return (p.arrivals.Before(class, now) + len(p.groups) - 1) / max(len(p.groups), 1)
+}
--- a/core/request/admission/passes.go
+++ b/core/request/admission/passes.go
@@ -10,6 +10,7 @@
 type passes struct {
 	meter headroom.Meter
 	limit headroom.Limit
+	hold  headroom.Hold
 	// streamTime is how long the responses of the group take, in the mean.
 	streamTime time.Duration
 }
@@ -49,11 +50,27 @@
 		return
 	}
 	pass, ok := g.passes.meter.Observe(pause, now)
-	if ok && g.fresh(now) {
+	if !ok {
+		return
+	}
+	if g.fresh(now) {
 		g.passes.limit.Observe(pass, g.lastLoad.Running, now)
 	}
+	if g.passes.limit.Cost.Base > 0 && g.passes.hold.Observe(pass, p.shortestPause, now) {
+		p.dispatch(now)
+	}
 }
 
+// slack returns how long a request of a class that has just arrived may wait without missing its
+// objective.
+func (p *Pool) slack(class int) time.Duration {
+	return max(p.lines[class].objective-p.fastestFirstEvent()-slackMargin, 0)
+}
+
+// slackMargin is what a held request keeps of its objective: a first event takes longer than
+// usual where others were held too.
+const slackMargin = 50 * time.Millisecond
+
 // usableSlots returns how many requests the group may run.
 func (p *Pool) usableSlots(g *group, now time.Time) int {
 	return g.passes.limit.Slots(g.slots, p.shortestPause, g.passes.streamTime, now)
