--- a/core/request/admission/admission_test.go
+++ b/core/request/admission/admission_test.go
@@ -174,7 +174,7 @@
 	is.Equal(len(fill(t, p, 3, start.Add(10*time.Millisecond))), 0)
 	is.True(p.Accepted(got["g1"][0], start.Add(20*time.Millisecond)))
 	is.Equal(len(placed(p)["g1"]), 3)
-	wait, down := p.RetryAfter(8*time.Second, start.Add(20*time.Millisecond))
+	wait, down := p.RetryAfter(0, 8*time.Second, start.Add(20*time.Millisecond))
 	is.True(!down && wait == 0)
 }
 
--- a/core/request/admission/attempt.go
+++ b/core/request/admission/attempt.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"verbenashift/core/request/queue"
+)
 
 const (
 	// retryAfterShare is the part of its remaining time after which the caller of a service that
@@ -129,13 +133,38 @@
 	return some
 }
 
-// RetryAfter returns when a refused caller may come back, given the time that it has left. It
-// reports false unless all groups are down, or were and the queue has not drained since. The
-// queue's own estimate follows from its service rate, which says nothing then: callers would be
-// back while the service is still down, or all together when it returns, and be lost.
-func (p *Pool) RetryAfter(left time.Duration, now time.Time) (time.Duration, bool) {
-	if !p.recovering && !p.Down(now) {
+// RetryAfter returns when a refused caller of a class may come back, given the time that it has
+// left. It reports false where the queue's own estimate holds, which follows from its service
+// rate.
+//
+// While all groups are down, or were and the queues have not drained since, that rate says
+// nothing: callers would be back while the service is still down, or all together when it
+// returns, and be lost. Where requests of a class have waited for longer than a short backlog
+// takes, the room goes to the classes before it, or to callers that can still be on time; one
+// that is back soon would only wait again.
+func (p *Pool) RetryAfter(class int, left time.Duration, now time.Time) (time.Duration, bool) {
+	if !p.recovering && !p.Down(now) && !p.overloaded(class, now) {
 		return 0, false
 	}
 	return time.Duration(float64(left) * retryAfterShare * (1 - retryAfterJitter*p.rng.Float64())), true
 }
+
+// overloaded reports whether a class has a lasting backlog for which the order of the classes or
+// the passes of the engines leave no room.
+func (p *Pool) overloaded(class int, now time.Time) bool {
+	return p.ordered() && p.lineOf(class).backlogAge(now) > queue.ShortBacklog
+}
+
+// ordered reports whether the classes of the requests or the passes of the engines limit what
+// starts.
+func (p *Pool) ordered() bool {
+	if p.classes > 1 {
+		return true
+	}
+	for _, g := range p.groups {
+		if g.usable < g.slots {
+			return true
+		}
+	}
+	return false
+}
--- a/core/request/queue/overload_test.go
+++ b/core/request/queue/overload_test.go
@@ -149,8 +149,8 @@
 		w    Wait
 		want time.Duration
 	}{
-		{"a moment", Wait{Objective: 500 * time.Millisecond, Service: service, BacklogAge: shortBacklog}, last},
-		{"in time", Wait{Objective: 500 * time.Millisecond, Service: service, BacklogAge: shortBacklog + 1}, 300 * time.Millisecond},
+		{"a moment", Wait{Objective: 500 * time.Millisecond, Service: service, BacklogAge: ShortBacklog}, last},
+		{"in time", Wait{Objective: 500 * time.Millisecond, Service: service, BacklogAge: ShortBacklog + 1}, 300 * time.Millisecond},
 		{"slow engines", Wait{Objective: 500 * time.Millisecond, Service: 450 * time.Millisecond, BacklogAge: 2 * time.Second}, minWait},
 		{"no objective", Wait{Service: service, BacklogAge: 2 * time.Second}, minWait},
 		{"all refuse", Wait{Objective: 500 * time.Millisecond, Service: service, BacklogAge: 2 * time.Second, Closed: true}, maxClosedWait},
--- a/core/request/queue/wait.go
+++ b/core/request/queue/wait.go
@@ -5,10 +5,10 @@
 const (
 	// minWait is how long any request may wait for a slot.
 	minWait = 100 * time.Millisecond
-	// shortBacklog is the age of a backlog up to which a request is accepted although it will
+	// ShortBacklog is the age of a backlog up to which a request is accepted although it will
 	// be late: a group that its coordinator has left in the middle of a change is stalled for
 	// about that long.
-	shortBacklog = time.Second
+	ShortBacklog = time.Second
 	// maxClosedWait is how long a request at its first attempt waits while no target accepts
 	// requests. An outage that ends in that time was a restart; a lost rank takes seconds, and
 	// then the caller had better come back with an attempt left than when all others do.
@@ -49,7 +49,7 @@
 		return w.CallerLimit()
 	case w.Closed:
 		return min(maxClosedWait, w.CallerLimit())
-	case w.BacklogAge <= shortBacklog:
+	case w.BacklogAge <= ShortBacklog:
 		return w.CallerLimit()
 	}
 	return min(max(w.Objective-w.Service, minWait), w.CallerLimit())
--- a/gateway/admitter.go
+++ b/gateway/admitter.go
@@ -166,7 +166,7 @@
 // setRetryAfter sets when the caller may retry after a refusal, if the service is down.
 func (a *admitter) setRetryAfter(c *call, refusal *outcome.Error) {
 	a.locked(func(p *admission.Pool, now time.Time) {
-		if wait, down := p.RetryAfter(c.deadline.Sub(now), now); down {
+		if wait, down := p.RetryAfter(c.class, c.deadline.Sub(now), now); down {
 			refusal.RetryAfter = wait
 		}
 	})
