--- a/core/request/admission/admission.go
+++ b/core/request/admission/admission.go
@@ -169,7 +169,7 @@
 // ReportLoad records the load of a group as reported by its coordinator.
 func (p *Pool) ReportLoad(l Load, now time.Time) {
 	if g := p.groups[l.Group]; g != nil {
-		g.usable = p.usableSlots(g, now)
+		g.usable = p.usableSlots(g, l, now)
 		g.setLoad(l, p.waiting() > 0, now)
 		p.dispatch(now)
 	}
--- a/core/request/admission/passes.go
+++ b/core/request/admission/passes.go
@@ -71,7 +71,12 @@
 // usual where others were held too.
 const slackMargin = 50 * time.Millisecond
 
-// usableSlots returns how many requests the group may run.
-func (p *Pool) usableSlots(g *group, now time.Time) int {
-	return g.passes.limit.Slots(g.slots, p.shortestPause, g.passes.streamTime, now)
+// usableSlots returns how many requests the group may run, given its load. What waits at this
+// entry is taken to wait at the others as well.
+func (p *Pool) usableSlots(g *group, l Load, now time.Time) int {
+	waiting := p.waiting() * max(l.Entries, 1) / max(len(p.groups), 1)
+	return g.passes.limit.Slots(headroom.Load{
+		Slots: g.slots, Demand: l.Running + l.Queued + waiting,
+		Pause: p.shortestPause, StreamTime: g.passes.streamTime,
+	}, now)
 }
--- a/core/request/headroom/headroom.go
+++ b/core/request/headroom/headroom.go
@@ -20,7 +20,7 @@
 //	if pass, ok := meter.Observe(pause, now); ok {
 //		limit.Observe(pass, running, now)
 //	}
-//	slots = limit.Slots(slots, pause, streamTime, now)
+//	slots = limit.Slots(load, now)
 package headroom
 
 import (
@@ -68,6 +68,10 @@
 	// minKnown is the number of seconds for which at least the passes have to be known before they
 	// count in full.
 	minKnown = 3
+	// minGain is how many times as many streams have to be on time with fewer requests than with
+	// all. The stretch of a pass is known to a tenth or two: what is read and the load that it
+	// ran with vary.
+	minGain = 1.15
 	// pauseShare is the part of the accepted pause that a pass may take: an event is also written
 	// and carried, and a stream that is resumed has a longer pause.
 	pauseShare = 0.95
@@ -96,25 +100,36 @@
 	l.stretch[i] = max(l.stretch[i], l.Cost.stretch(pass, running))
 }
 
-// Slots returns how many requests the group should run at most, up to slots, given the shortest
-// pause that its callers accept and how long a stream takes. It is the number with which most
+// Load is what a group has to run.
+type Load struct {
+	// Slots is how many requests its ranks can run, Demand how many would run if all did that are
+	// there: those that run or wait.
+	Slots, Demand int
+	// Pause is the shortest pause between two events that its callers accept, and StreamTime how
+	// long a stream takes.
+	Pause, StreamTime time.Duration
+}
+
+// Slots returns how many requests the group should run at most. It is the number with which most
 // streams are on time. Fewer requests mean that fewer are served; more mean that in some of the
-// remembered seconds a pass would have been too long, and have delayed all streams that ran.
-func (l *Limit) Slots(slots int, pause, streamTime time.Duration, now time.Time) int {
-	if !l.Cost.known() || pause <= 0 {
-		return slots
+// remembered seconds a pass would have been too long, and have delayed all streams that ran. The
+// limit is that of the slots unless clearly more are on time with another.
+func (l *Limit) Slots(load Load, now time.Time) int {
+	if !l.Cost.known() || load.Pause <= 0 {
+		return load.Slots
 	}
-	longest := time.Duration(pauseShare * float64(pause))
-	best, most := slots, l.onTime(slots, longest, streamTime, now)
+	longest := time.Duration(pauseShare * float64(load.Pause))
+	full := min(load.Slots, load.Demand)
+	best, most := load.Slots, minGain*l.onTime(full, longest, load.StreamTime, now)
 	for i := range l.stretch {
 		if !l.remembered(i, now) || l.stretch[i] <= 0 {
 			continue
 		}
 		n := l.Cost.running(time.Duration(float64(longest-l.Cost.Reading) / l.stretch[i]))
-		if n < 1 || n >= slots {
+		if n < 1 || n >= full {
 			continue
 		}
-		if rate := l.onTime(n, longest, streamTime, now); rate > most {
+		if rate := l.onTime(n, longest, load.StreamTime, now); rate > most {
 			best, most = n, rate
 		}
 	}
