--- a/core/request/admission/attempt.go
+++ b/core/request/admission/attempt.go
@@ -149,22 +149,8 @@
 	return time.Duration(float64(left) * retryAfterShare * (1 - retryAfterJitter*p.rng.Float64())), true
 }
 
-// overloaded reports whether a class has a lasting backlog for which the order of the classes or
-// the passes of the engines leave no room.
+// overloaded reports whether a class has a lasting backlog because the order of the classes
+// leaves it no room.
 func (p *Pool) overloaded(class int, now time.Time) bool {
-	return p.ordered() && p.lineOf(class).backlogAge(now) > queue.ShortBacklog
-}
-
-// ordered reports whether the classes of the requests or the passes of the engines limit what
-// starts.
-func (p *Pool) ordered() bool {
-	if p.classes > 1 {
-		return true
-	}
-	for _, g := range p.groups {
-		if g.usable < g.slots {
-			return true
-		}
-	}
-	return false
+	return p.classes > 1 && p.lineOf(class).backlogAge(now) > queue.ShortBacklog
 }
--- a/core/request/admission/passes.go
+++ b/core/request/admission/passes.go
@@ -49,6 +49,9 @@
 	if g == nil {
 		return
 	}
+	if p.classes <= 1 {
+		return
+	}
 	pass, ok := g.passes.meter.Observe(pause, now)
 	if !ok {
 		return
@@ -72,8 +75,12 @@
 const slackMargin = 50 * time.Millisecond
 
 // usableSlots returns how many requests the group may run, given its load. What waits at this
-// entry is taken to wait at the others as well.
+// entry is taken to wait at the others as well. A single class is not limited: there is none that
+// could give way, and callers who wait for the room are late as well.
 func (p *Pool) usableSlots(g *group, l Load, now time.Time) int {
+	if p.classes <= 1 {
+		return g.slots
+	}
 	waiting := p.waiting() * max(l.Entries, 1) / max(len(p.groups), 1)
 	return g.passes.limit.Slots(headroom.Load{
 		Slots: g.slots, Demand: l.Running + l.Queued + waiting,
