--- a/core/request/admission/dispatch.go
+++ b/core/request/admission/dispatch.go
@@ -51,30 +51,41 @@
 func (p *Pool) startAll(now time.Time) {
 	// blocked are the classes none of whose waiting requests may start now.
 	var blocked [precedence.MaxClasses]bool
-	waits := func(class int) bool { return !blocked[class] && p.lines[class].queue.Load().Items > 0 }
+	waits := func(class int) bool { return p.lines[class].queue.Load().Items > 0 }
+	may := func(class int) bool { return !blocked[class] }
 	for {
-		class, ok := p.turns.Next(len(p.lines), waits)
+		turn, ok := p.turns.Next(len(p.lines), waits, may)
 		if !ok {
 			return
 		}
-		g := p.next(class, now)
+		g := p.next(turn.Of, now)
 		if g == nil {
-			blocked[class] = true
+			blocked[turn.Class] = true
 			continue
 		}
 		p.updateSlots()
-		item, ok := p.lines[class].queue.Next(now)
+		item, ok := p.startNext(turn.Class, now)
 		if !ok {
-			blocked[class] = true
+			blocked[turn.Class] = true
 			continue
 		}
-		p.turns.Started(class, len(p.lines), waits)
-		g.start(class, now)
-		p.assignments[item.ID] = assignment{g, class, now}
+		p.turns.Started(turn.Class, len(p.lines), waits)
+		g.start(turn.Class, now)
+		p.assignments[item.ID] = assignment{g, turn.Class, now}
 		p.decisions = append(p.decisions, Decision{ID: item.ID, Group: g.name})
 	}
 }
 
+// startNext takes the next request of a class from its queue, if it may start. A class whose turn it
+// is has room for at least one, also if requests of a class before it wait.
+func (p *Pool) startNext(class int, now time.Time) (queue.Item, bool) {
+	q := p.lines[class].queue
+	if load := q.Load(); class > 0 && load.Slots <= load.Running {
+		q.SetSlots(load.Running + 1)
+	}
+	return q.Next(now)
+}
+
 // updateUrgentShare decides who goes first: retrying callers while the queue holds requests
 // that have waited since all groups were down, and otherwise callers that can be on time.
 //
--- a/core/request/precedence/precedence.go
+++ b/core/request/precedence/precedence.go
@@ -20,12 +20,12 @@
 //	class := order.Class(route.Priority, workspace.Priority)
 //	var turns precedence.Turns
 //	for {
-//		class, ok := turns.Next(order.Classes(), waits)
+//		turn, ok := turns.Next(order.Classes(), waits, may)
 //		if !ok {
 //			break
 //		}
-//		start(class)
-//		turns.Started(class, order.Classes(), waits)
+//		start(turn.Class)
+//		turns.Started(turn.Class, order.Classes(), waits)
 //	}
 package precedence
 
