A class whose requests are few is not refused for its own low rate

A queue learned its rate from what it was served itself. The queue of a class with 2% of the requests expected to wait for half a second per request and refused 25 of 76 in 100 s while 40 requests a second of the class behind it started (TestFloodBehindFewRequests); now none of 76. The rate is now that of all classes, less what those before were served; what waits before counts as ahead, and the floor bounds the wait. With one class nothing changes (golden record).

--- a/core/request/admission/admission.go
+++ b/core/request/admission/admission.go
@@ -96,8 +96,10 @@
 	lines   []*line
 	classes int
 	turns   precedence.Turns
-	rng     *rand.Rand
-	groups  map[string]*group
+	// served is the work that all requests were served.
+	served *queue.Throughput
+	rng    *rand.Rand
+	groups map[string]*group
 	// names are the keys of groups in sorted order, which makes choices reproducible.
 	names []string
 	// assignments are the running requests by ID.
@@ -120,7 +122,7 @@
 // spreads choices and times.
 func New(rng *rand.Rand) *Pool {
 	return &Pool{
-		lines: []*line{newLine(rng)}, classes: 1,
+		lines: []*line{newLine(rng)}, classes: 1, served: queue.NewThroughput(initialRate),
 		rng: rng, groups: map[string]*group{}, assignments: map[string]assignment{},
 	}
 }
@@ -187,6 +189,7 @@
 		// gains nothing from a refusal.
 		WaitUntilDeadline: r.Retry || p.Down(now),
 	}
+	p.shareRates()
 	if refusal := l.queue.Enqueue(item, now); refusal != nil {
 		return refusal
 	}
@@ -253,6 +256,7 @@
 	at := p.assignments[id]
 	p.lineOf(at.class).queue.Done(id, cost, now)
 	if g := at.group; g != nil {
+		p.observeServed(at.class, cost, now)
 		g.passes.ended(now.Sub(at.sentAt))
 		delete(p.assignments, id)
 		g.leave(at.class)
--- a/core/request/admission/line.go
+++ b/core/request/admission/line.go
@@ -13,10 +13,15 @@
 	queue *queue.Queue
 	// emptyAt is when the queue was last empty.
 	emptyAt time.Time
+	// served is the work that its requests were served.
+	served *queue.Throughput
 }
 
 func newLine(rng *rand.Rand) *line {
-	return &line{queue: queue.New(queue.Limits{Slots: 1, Rate: initialRate, UrgentShare: retryShare}, rng)}
+	return &line{
+		queue:  queue.New(queue.Limits{Slots: 1, Rate: initialRate, UrgentShare: retryShare}, rng),
+		served: queue.NewThroughput(0),
+	}
 }
 
 // backlogAge returns for how long requests have been waiting without a break. It also records
@@ -39,6 +44,35 @@
 	}
 }
 
+// observeServed records the tokens that a request of a class has cost.
+func (p *Pool) observeServed(class int, cost int64, now time.Time) {
+	p.served.Observe(cost, p.waiting() > 0, now)
+	for c, l := range p.lines {
+		tokens := int64(0)
+		if c == class {
+			tokens = cost
+		}
+		l.served.Observe(tokens, true, now)
+	}
+}
+
+// shareRates tells the queue of each class what it can expect: it waits for the requests before it
+// and is served what these leave, or its floor.
+func (p *Pool) shareRates() {
+	behind := len(p.lines) - 1
+	if behind == 0 {
+		return
+	}
+	rate := p.served.Rate()
+	share := queue.Share{Rate: rate}
+	for _, l := range p.lines {
+		l.queue.SetShare(share)
+		share.Floor = precedence.FloorShare * rate / float64(behind)
+		share.Ahead += l.queue.Load().Queued
+		share.Rate = max(share.Rate-l.served.Rate(), share.Floor)
+	}
+}
+
 // lineOf returns the line of a class. One that is out of range counts as the last.
 func (p *Pool) lineOf(class int) *line {
 	return p.lines[p.classOf(class)]
--- a/core/request/queue/admit.go
+++ b/core/request/queue/admit.go
@@ -122,7 +122,7 @@
 	if q.running > 0 {
 		work += float64(q.remaining) / float64(q.running)
 	}
-	return q.meter.seconds(work)
+	return q.seconds(work)
 }
 
 // workAbove returns how much of a higher class's backlog goes before work of the class below:
@@ -148,9 +148,9 @@
 		for q.full(level, item) {
 			victim := q.victim(level, item)
 			if victim == nil {
-				return q.refuse(ReasonFull, q.meter.seconds(float64(q.queued)))
+				return q.refuse(ReasonFull, q.seconds(float64(q.queued)))
 			}
-			q.evict(victim, ReasonDisplaced, q.meter.seconds(float64(q.queued)))
+			q.evict(victim, ReasonDisplaced, q.seconds(float64(q.queued)))
 		}
 	}
 	return nil
@@ -165,7 +165,7 @@
 	if f.items < q.limits.WorkspaceItems && f.queued+item.Cost <= q.limits.WorkspaceTokens {
 		return nil
 	}
-	return q.refuse(ReasonWorkspaceFull, q.meter.seconds(f.backlog()*c.waitingWeight))
+	return q.refuse(ReasonWorkspaceFull, q.seconds(f.backlog()*c.waitingWeight))
 }
 
 // full reports whether the classes down to level have no capacity for the item. Each level has
@@ -213,7 +213,7 @@
 		if now.Before(e.Deadline) {
 			return
 		}
-		q.evict(e, ReasonExpired, q.meter.seconds(float64(q.queued)))
+		q.evict(e, ReasonExpired, q.seconds(float64(q.queued)))
 	}
 }
 
--- a/core/request/queue/queue.go
+++ b/core/request/queue/queue.go
@@ -104,6 +104,8 @@
 	running   int
 	// remaining is the expected remainder of the running work, in tokens.
 	remaining int64
+	// share is that of the target, if it has several queues.
+	share Share
 }
 
 // New returns an empty queue. The random source spreads the Retry-After times.
