Requests of other classes count for the slots of a class

The queue of each class divided its own few slots among its workspaces. Slots are now those of all classes, the reserve for workspaces that run little holds only while no class behind waits, and a request that ends makes room for any class.

--- a/core/request/admission/dispatch.go
+++ b/core/request/admission/dispatch.go
@@ -80,12 +80,25 @@
 // is has room for at least one, also if requests of a class before it wait.
 func (p *Pool) startNext(class int, now time.Time) (queue.Item, bool) {
 	q := p.lines[class].queue
-	if load := q.Load(); class > 0 && load.Slots <= load.Running {
-		q.SetSlots(load.Running + 1)
+	if running := p.running(); class > 0 && q.Load().Slots <= running {
+		q.SetSlots(running + 1)
+	}
+	if p.waitsBehind(class) {
+		q.WithoutReserve()
 	}
 	return q.Next(now)
 }
 
+// waitsBehind reports whether requests of a class behind wait.
+func (p *Pool) waitsBehind(class int) bool {
+	for _, l := range p.lines[class+1:] {
+		if l.queue.Load().Items > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // updateUrgentShare decides who goes first: retrying callers while the queue holds requests
 // that have waited since all groups were down, and otherwise callers that can be on time.
 //
@@ -108,17 +121,18 @@
 	}
 }
 
-// updateSlots sets how many requests each queue may have running in total. Room counts for a
+// updateSlots sets how many requests may run in total before each queue has to wait. Room counts for a
 // class unless a request of a class before it waits for it.
 func (p *Pool) updateSlots() {
-	before := 0
+	before, running := 0, p.running()
 	for class, l := range p.lines {
 		room := 0
 		for _, g := range p.groups {
 			room += g.room(class)
 		}
 		load := l.queue.Load()
-		l.queue.SetSlots(load.Running + max(room-before, 0))
+		l.queue.SetOthers(running - load.Running)
+		l.queue.SetSlots(running + max(room-before, 0))
 		before += load.Items
 	}
 }
@@ -131,7 +145,10 @@
 		sum.Queued += load.Queued
 		sum.Items += load.Items
 		sum.Running += load.Running
-		sum.Rate += load.Rate
+		sum.Rate = load.Rate
+	}
+	if len(p.lines) > 1 {
+		sum.Rate = p.served.Rate()
 	}
 	sum.Slots = sum.Running
 	for _, g := range p.groups {
--- a/core/request/admission/line.go
+++ b/core/request/admission/line.go
@@ -64,7 +64,7 @@
 		return
 	}
 	rate := p.served.Rate()
-	share := queue.Share{Rate: rate}
+	share := queue.Share{Total: rate, Rate: rate}
 	for _, l := range p.lines {
 		l.queue.SetShare(share)
 		share.Floor = precedence.FloorShare * rate / float64(behind)
@@ -94,6 +94,15 @@
 	return n
 }
 
+// running returns how many requests run.
+func (p *Pool) running() int {
+	n := 0
+	for _, l := range p.lines {
+		n += l.queue.Load().Running
+	}
+	return n
+}
+
 // WaitingByClass returns how many requests of each class wait.
 func (p *Pool) WaitingByClass() []int {
 	out := make([]int, len(p.lines))
--- a/core/request/queue/account.go
+++ b/core/request/queue/account.go
@@ -31,7 +31,7 @@
 		return
 	}
 	q.progress(e, tokens)
-	q.meter.observe(tokens, q.running >= q.limits.Slots, now)
+	q.meter.observe(tokens, q.saturated(), now)
 }
 
 func (q *Queue) progress(e *entry, tokens int64) {
@@ -55,7 +55,7 @@
 	if !ok || !e.running {
 		return
 	}
-	saturated := q.running >= q.limits.Slots
+	saturated := q.saturated()
 	fresh := max(0, tokens-e.served)
 	q.remaining -= max(0, e.Cost-e.served)
 	e.served += fresh
--- a/core/request/queue/admit.go
+++ b/core/request/queue/admit.go
@@ -108,7 +108,7 @@
 func (q *Queue) wait(item Item) float64 {
 	// While the owner starts nothing, because its targets refuse for a moment,
 	// requests wait although slots are free: all that fit start together.
-	if q.items < q.limits.Slots-q.running {
+	if q.items < q.limits.Slots-q.running-q.others {
 		return 0
 	}
 	work := q.classes[item.Priority].workAhead(item.Workspace, item.Weight)
@@ -119,10 +119,11 @@
 		// Beyond its credit a class gets only its share of the service.
 		work += (work - math.Max(0, c.credit)) * (1 - c.share) / c.share
 	}
+	rest := 0.0
 	if q.running > 0 {
-		work += float64(q.remaining) / float64(q.running)
+		rest = float64(q.remaining) / float64(q.running)
 	}
-	return q.seconds(work)
+	return q.untilStart(work, rest)
 }
 
 // workAbove returns how much of a higher class's backlog goes before work of the class below:
--- a/core/request/queue/queue.go
+++ b/core/request/queue/queue.go
@@ -104,8 +104,10 @@
 	running   int
 	// remaining is the expected remainder of the running work, in tokens.
 	remaining int64
-	// share is that of the target, if it has several queues.
-	share Share
+	// share is that of the target, if it has several queues, and others how many requests of the
+	// other queues run there.
+	share  Share
+	others int
 }
 
 // New returns an empty queue. The random source spreads the Retry-After times.
@@ -149,7 +151,7 @@
 // whose deadline has passed are shed and never returned.
 func (q *Queue) Next(now time.Time) (Item, bool) {
 	q.Expire(now)
-	if q.items == 0 || q.running >= q.limits.Slots {
+	if q.items == 0 || q.saturated() {
 		return Item{}, false
 	}
 	p := q.pickClass()
@@ -165,7 +167,7 @@
 	q.remaining += e.Cost
 	e.contested = q.hasWaitingBelow(p)
 	q.updateCredits(e, e.Cost)
-	q.meter.observe(0, q.running >= q.limits.Slots, now)
+	q.meter.observe(0, q.saturated(), now)
 	return e.Item, true
 }
 
@@ -176,7 +178,7 @@
 // they send. At most maxSkipped heavy flows are skipped.
 func (q *Queue) chooseFlow(p Priority) *flow {
 	ready := &q.classes[p].ready
-	if q.running < q.limits.Slots-q.limits.Reserve {
+	if q.running+q.others < q.limits.Slots-q.limits.Reserve {
 		return ready.members[0]
 	}
 	part := heavyFactor * float64(q.limits.Slots) / q.classes[p].activeWeight
