--- a/core/request/admission/group.go
+++ b/core/request/admission/group.go
@@ -110,6 +110,11 @@
 	if g.usable < g.slots {
 		e.Slots = g.usable
 		g.usableLimit = queue.EntryLimit(e, g.running)
+		// An entry that runs little, or knows other passes than the others, keeps an equal part:
+		// by its part of all requests it would lose what it has to them.
+		if e.Entries > 0 {
+			g.usableLimit = max(g.usableLimit, g.usable/e.Entries)
+		}
 	}
 }
 
@@ -154,6 +159,7 @@
 // load is reported.
 func (g *group) resetAfterOutage(now time.Time) {
 	g.limit, g.recovering = queue.RecoveryLimit(g.slots, g.lastLoad.Entries), true
+	g.limitedByLoad = false
 	g.lastLoad, g.loadAt, g.startedSince = Load{Group: g.name, Complete: true, Running: g.running, Entries: g.lastLoad.Entries}, now, 0
 }
 
--- a/core/request/headroom/headroom.go
+++ b/core/request/headroom/headroom.go
@@ -63,8 +63,9 @@
 
 const (
 	// buckets is the number of seconds over which the longest passes are remembered. The mix of
-	// requests changes several times in it, and each change has another effect on the passes.
-	buckets = 10
+	// requests changes several times in it, and each change has another effect on the passes: with
+	// few of them the number that may run would follow the last one.
+	buckets = 30
 	// minKnown is the number of seconds for which at least the passes have to be known before they
 	// count in full.
 	minKnown = 3
@@ -77,18 +78,27 @@
 // nothing.
 type Limit struct {
 	Cost Cost
-	// stretch is that of the longest pass of each second, and at the second, in Unix time, that it
-	// is of.
+	// since is when the first pass was observed.
+	since time.Time
+	// stretch is that of the longest pass of each second, and at the second since then, from 1,
+	// that it is of.
 	stretch [buckets]float64
 	at      [buckets]int64
 }
 
+// second returns the number of the second that now is in, from 1. It does not follow steps of the
+// wall clock.
+func (l *Limit) second(now time.Time) int64 { return max(int64(now.Sub(l.since)/time.Second), 0) + 1 }
+
 // Observe records a pass, with how many requests the group ran.
 func (l *Limit) Observe(pass time.Duration, running int, now time.Time) {
 	if !l.Cost.known() {
 		return
 	}
-	second := now.Unix()
+	if l.since.IsZero() {
+		l.since = now
+	}
+	second := l.second(now)
 	i := int(second % buckets)
 	if l.at[i] != second {
 		l.at[i], l.stretch[i] = second, 0
@@ -123,7 +133,7 @@
 
 // remembered reports whether the bucket i is of the last seconds.
 func (l *Limit) remembered(i int, now time.Time) bool {
-	return l.at[i] > 0 && now.Unix()-l.at[i] < buckets
+	return l.at[i] > 0 && l.second(now)-l.at[i] < buckets
 }
 
 // onTime returns how many streams are on time while n run, in streams for each event's time: those
