--- a/core/request/precedence/precedence.go
+++ b/core/request/precedence/precedence.go
@@ -37,8 +37,8 @@
 const (
 	// Lowest is the priority of the least urgent requests; 0 is that of the most urgent.
 	Lowest = 9
-	// MaxClasses is the maximum number of classes of one service. The levels behind it share the
-	// last class.
+	// MaxClasses is the maximum number of classes of one service. A service with more levels is
+	// ordered by the priorities in force alone, and the last of them share a class.
 	MaxClasses = 8
 )
 
@@ -73,6 +73,17 @@
 // Order ranks the requests of one service. The zero value has a single class.
 type Order struct {
 	levels []level
+	// coarse is set if only the priority in force ranks a request.
+	coarse bool
+}
+
+// level returns the level of a request.
+func (o Order) level(route int, workspace *int) level {
+	l := newLevel(route, workspace)
+	if o.coarse {
+		l.route = 0
+	}
+	return l
 }
 
 // New returns the order of a service with routes of the given priorities, whose callers are
@@ -89,14 +100,22 @@
 		workspaces = []*int{nil}
 	}
 	var o Order
+	if o.rank(routes, workspaces); len(o.levels) > MaxClasses {
+		o = Order{coarse: true}
+		o.rank(routes, workspaces)
+	}
+	return o
+}
+
+// rank sets the levels.
+func (o *Order) rank(routes []int, workspaces []*int) {
 	for _, r := range routes {
 		for _, w := range workspaces {
-			o.levels = append(o.levels, newLevel(r, w))
+			o.levels = append(o.levels, o.level(r, w))
 		}
 	}
 	slices.SortFunc(o.levels, level.compare)
 	o.levels = slices.Compact(o.levels)
-	return o
 }
 
 // differ reports whether the priorities are not all the same.
@@ -119,6 +138,6 @@
 	if len(o.levels) == 0 {
 		return 0
 	}
-	at, _ := slices.BinarySearchFunc(o.levels, newLevel(route, workspace), level.compare)
+	at, _ := slices.BinarySearchFunc(o.levels, o.level(route, workspace), level.compare)
 	return min(at, o.Classes()-1)
 }
