--- a/core/request/admission/burst_test.go
+++ b/core/request/admission/burst_test.go
@@ -176,3 +176,43 @@
 	}
 	return n
 }
+
+// Guards against the bound of before an outage that holds requests after it, until a load is reported.
+func TestNoOldBoundAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	p := newPool()
+	p.SetClasses(2, start)
+	p.SetPassCost(siteCost, siteEngineSlot, sitePause)
+	p.SetGroups(map[string]int{"g": 100}, start)
+	now := start
+	full := Load{Group: "g", Complete: true, Running: 90, Entries: 4}
+	p.ReportLoad(full, now)
+	is.Equal(p.Enqueue(request("first"), now), nil)
+	p.Decisions()
+	for range 10 {
+		now = now.Add(time.Second)
+		p.ReportLoad(full, now)
+		g := p.groups["g"]
+		g.passes.streamTime = 1900 * time.Millisecond
+		g.passes.limit.Observe(140*time.Millisecond, full.Running, now)
+	}
+	p.ReportLoad(full, now)
+	is.True(p.Groups(now)[0].Usable < 60)
+	// The group refuses, loses its requests, and accepts one again.
+	for i := range 50 {
+		p.Refused("first", string(rune('a'+i%10)), now)
+	}
+	is.True(p.Down(now))
+	p.Accepted("first", now)
+	is.True(!p.Down(now))
+	started := 0
+	for i := range 20 {
+		is.Equal(p.Enqueue(Request{ID: string(rune('a' + i)), Cost: cost, Objective: objective, Class: 1}, now), nil)
+	}
+	for _, d := range p.Decisions() {
+		if d.Refusal == nil {
+			started++
+		}
+	}
+	is.True(started >= p.groups["g"].limit-1)
+}
--- a/core/request/precedence/precedence.go
+++ b/core/request/precedence/precedence.go
@@ -10,7 +10,7 @@
 // A request's class is its rank in an Order, which follows from the configuration alone. All
 // gateways with one configuration rank alike and need no messages for it. Turns starts the first
 // class that waits, but for a floor: under any flood of the classes above it, a class that waits
-// gets its part of FloorShare of all starts.
+// gets its part of floorShare of all starts.
 //
 // A value of this package has no clock and no lock, and does no input or output.
 //
--- a/core/request/precedence/precedence_test.go
+++ b/core/request/precedence/precedence_test.go
@@ -131,7 +131,7 @@
 			turns.Started(turn.Class, n, waits)
 		}
 		for c := 1; c < n; c++ {
-			if always[c] && float64(started[c]) < FloorShare*starts/float64(behind)/3 {
+			if always[c] && float64(started[c]) < floorShare*starts/float64(behind)/3 {
 				t.Fatalf("class %d of %v started %d times of %d", c, always, started[c], starts)
 			}
 		}
--- a/core/request/precedence/turns.go
+++ b/core/request/precedence/turns.go
@@ -1,8 +1,8 @@
 package precedence
 
 const (
-	// FloorShare is the part of all starts that the waiting classes below the first one share.
-	FloorShare = 0.1
+	// floorShare is the part of all starts that the waiting classes below the first one share.
+	floorShare = 0.1
 	// maxOwed bounds the starts that a class is owed, so that one that could not start for a while
 	// does not hold up the others afterwards.
 	maxOwed = 2
@@ -54,7 +54,7 @@
 	}
 	for c := class + 1; c < min(n, MaxClasses); c++ {
 		if waits(c) {
-			t.owed[c] = min(t.owed[c]+FloorShare/float64(behind), maxOwed)
+			t.owed[c] = min(t.owed[c]+floorShare/float64(behind), maxOwed)
 		}
 	}
 }
