--- a/core/request/admission/burst_test.go
+++ b/core/request/admission/burst_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"verbenashift/core/request/precedence"
 )
 
 // valuers is a site with two classes whose callers wait for the answer and a patient last one, and a
@@ -81,6 +83,26 @@
 	is.True(with.during[2].onTime+with.during[2].late > with.during[2].asked/10) // its floor
 }
 
+// Guards against classes that are served in another order, or not at all, where there are as many as
+// there may be.
+func TestBurstOfEightClasses(t *testing.T) {
+	is := is.New(t)
+	s := valuers()
+	s.demands = nil
+	for range precedence.MaxClasses {
+		s.demands = append(s.demands, demand{rate: 27, burst: 2.5, objective: 400 * time.Millisecond, workspaces: 3})
+	}
+	r := s.play(1)
+	logFates(t, "classes", r)
+	for c := 1; c < len(r.during); c++ {
+		is.True(r.during[c].share() <= r.during[c-1].share()+0.05)
+		is.True(r.during[c].onTime+r.during[c].late > 0)
+	}
+	is.True(r.during[0].share() >= 0.9)
+	is.Equal(r.during[0].refused, 0)
+	is.Equal(r.fates[0].overtaken, 0)
+}
+
 // Guards against callers of the last class whose retries take the room of those before it.
 func TestRetryAbuseByTheLastClass(t *testing.T) {
 	is := is.New(t)
