--- a/core/request/admission/dispatch.go
+++ b/core/request/admission/dispatch.go
@@ -51,30 +51,54 @@
 func (p *Pool) startAll(now time.Time) {
 	// blocked are the classes none of whose waiting requests may start now.
 	var blocked [precedence.MaxClasses]bool
-	waits := func(class int) bool { return !blocked[class] && p.lines[class].queue.Load().Items > 0 }
+	waits := func(class int) bool { return p.lines[class].queue.Load().Items > 0 }
+	may := func(class int) bool { return !blocked[class] }
 	for {
-		class, ok := p.turns.Next(len(p.lines), waits)
+		turn, ok := p.turns.Next(len(p.lines), waits, may)
 		if !ok {
 			return
 		}
-		g := p.next(class, now)
+		g := p.next(turn.Of, now)
 		if g == nil {
-			blocked[class] = true
+			blocked[turn.Class] = true
 			continue
 		}
 		p.updateSlots(now)
-		item, ok := p.lines[class].queue.Next(now)
+		item, ok := p.startNext(turn.Class, now)
 		if !ok {
-			blocked[class] = true
+			blocked[turn.Class] = true
 			continue
 		}
-		p.turns.Started(class, len(p.lines), waits)
-		g.start(class, now)
-		p.assignments[item.ID] = assignment{g, class, now}
+		p.turns.Started(turn.Class, len(p.lines), waits)
+		g.start(turn.Class, now)
+		p.assignments[item.ID] = assignment{g, turn.Class, now}
 		p.decisions = append(p.decisions, Decision{ID: item.ID, Group: g.name})
 	}
 }
 
+// startNext takes the next request of a class from its queue, if it may start. A class whose turn it
+// is has room for at least one, also if requests of a class before it wait.
+func (p *Pool) startNext(class int, now time.Time) (queue.Item, bool) {
+	q := p.lines[class].queue
+	if running := p.running(); class > 0 && q.Load().Slots <= running {
+		q.SetSlots(running + 1)
+	}
+	if p.waitsBehind(class) {
+		q.WithoutReserve()
+	}
+	return q.Next(now)
+}
+
+// waitsBehind reports whether requests of a class behind wait.
+func (p *Pool) waitsBehind(class int) bool {
+	for _, l := range p.lines[class+1:] {
+		if l.queue.Load().Items > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // updateUrgentShare decides who goes first: retrying callers while the queue holds requests
 // that have waited since all groups were down, and otherwise callers that can be on time.
 //
@@ -97,17 +121,18 @@
 	}
 }
 
-// updateSlots sets how many requests each queue may have running in total. Room counts for a
+// updateSlots sets how many requests may run in total before each queue has to wait. Room counts for a
 // class unless a request of a class before it waits for it.
 func (p *Pool) updateSlots(now time.Time) {
-	before := 0
+	before, running := 0, p.running()
 	for class, l := range p.lines {
 		room, reserve := 0, p.reserve(class, now)
 		for _, g := range p.groups {
 			room += g.room(class, reserve)
 		}
 		load := l.queue.Load()
-		l.queue.SetSlots(load.Running + max(room-before, 0))
+		l.queue.SetOthers(running - load.Running)
+		l.queue.SetSlots(running + max(room-before, 0))
 		before += load.Items
 	}
 }
@@ -120,7 +145,10 @@
 		sum.Queued += load.Queued
 		sum.Items += load.Items
 		sum.Running += load.Running
-		sum.Rate += load.Rate
+		sum.Rate = load.Rate
+	}
+	if len(p.lines) > 1 {
+		sum.Rate = p.served.Rate()
 	}
 	sum.Slots = sum.Running
 	for _, g := range p.groups {
