Merge sharing: slots divided among gateways by the classes that wait

Gateways report waiting and running by class with their polls for digests; digests carry the sums; admission divides the slots of a group by them.

--- a/core/experts/rankpeer/rankpeer.go
+++ b/core/experts/rankpeer/rankpeer.go
@@ -38,6 +38,9 @@
 	Zone     string
 	Feed     string
 	FeedList uint64
+	// Classes is what the gateway has of requests for the group's service, or nil if these are of a
+	// single class.
+	Classes *Classes
 	// Word identifies the group and the coordinator that sends the request. In a request
 	// for a digest only the name of the group is used.
 	Word lockstep.Announcement
@@ -97,6 +100,8 @@
 	Gateways int
 	Event    int64
 	Gap      time.Duration
+	// Classes are the sums of what they reported of their requests, or nil.
+	Classes *ClassSums
 	// Feeds are candidates among these gateways; see FirstFeeds. FeedList is the number of that
 	// list, or of the one in the digests that a relay has received. Feeds is left out if the
 	// sender has that list.
@@ -139,6 +144,9 @@
 	// Gateways is the number of gateways that request this digest, here or at the relays.
 	// What they share, such as a budget of retries, is divided by it.
 	Gateways int
+	// Classes are the sums of what these gateways have of requests, or nil if they reported none.
+	// Their age is that when the digest was made.
+	Classes *ClassSums
 	// Feeds are the gateways that watch the store for others, or nil. FeedList is their number,
 	// and Feeds is left out if the requester has that list.
 	Feeds    []Feed
--- a/core/request/admission/dispatch.go
+++ b/core/request/admission/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"verbenashift/core/request/allotment"
 	"verbenashift/core/request/precedence"
 	"verbenashift/core/request/queue"
 )
@@ -31,6 +32,7 @@
 	for _, l := range p.lines {
 		l.queue.Expire(now)
 	}
+	p.allot(now)
 	p.startAll(now)
 	p.updateSlots(now)
 	p.updateUrgentShare(now)
@@ -152,7 +154,7 @@
 	}
 	sum.Slots = sum.Running
 	for _, g := range p.groups {
-		sum.Slots += max(g.limit-g.running, 0)
+		sum.Slots += max(g.sharedLimit()-g.running, 0)
 	}
 	return sum
 }
@@ -164,6 +166,8 @@
 	Running, Limit int
 	// Usable is how many requests all entries may run there without passes that are too long.
 	Usable int
+	// Demand is that of all entries if the group's slots are divided by it.
+	Demand *allotment.Demand `json:",omitempty"`
 	// Available is false while the group refuses, is stalled or has lost a rank.
 	// The log knows it as Works.
 	Available bool `json:"Works"`
@@ -174,7 +178,7 @@
 	out := make([]GroupLoad, 0, len(p.names))
 	for _, name := range p.names {
 		g := p.groups[name]
-		out = append(out, GroupLoad{Group: name, Running: g.running, Limit: g.limit, Usable: g.usable, Available: g.available(now)})
+		out = append(out, GroupLoad{Group: name, Running: g.running, Limit: g.sharedLimit(), Usable: g.usable, Demand: g.sharedDemand(), Available: g.available(now)})
 	}
 	return out
 }
--- a/core/request/admission/group.go
+++ b/core/request/admission/group.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"verbenashift/core/request/precedence"
+	"verbenashift/core/request/allotment"
 	"verbenashift/core/request/queue"
 )
 
@@ -37,7 +37,8 @@
 	// how many of a class and those before it may; see room.
 	running, limit, usableLimit int
 	// byClass is running by class.
-	byClass [precedence.MaxClasses]int
+	byClass allotment.Counts
+	shared  shared
 	// lastLoad is the last reported load, received at loadAt; startedSince is how many requests
 	// of this entry have started there since.
 	lastLoad     Load
@@ -123,6 +124,10 @@
 // those of the last class give way first: a class has room as long as it and those before it run
 // less than that.
 func (g *group) room(class, reserve int) int {
+	if g.shared.inForce {
+		free := g.shared.allotted.Room(class, g.byClass)
+		return max(free-min(reserve, g.shared.allotted.Limit/maxReserveDivisor), 0)
+	}
 	free := max(g.limit-g.running, 0)
 	if !g.limitedByLoad {
 		return free
--- a/gateway/admitter.go
+++ b/gateway/admitter.go
@@ -29,6 +29,8 @@
 	pool    *admission.Pool
 	waiting map[string]chan admission.Decision
 	next    uint64
+	// noted is what was logged of the demand of all gateways, by group.
+	noted map[string]demandNote
 }
 
 // newAdmitter returns an admitter whose engines are not known yet.
@@ -37,6 +39,7 @@
 		log: log, service: service,
 		pool:    admission.New(newRand()),
 		waiting: map[string]chan admission.Decision{},
+		noted:   map[string]demandNote{},
 	}
 	a.pool.ColdStart()
 	return a
--- a/gateway/digests.go
+++ b/gateway/digests.go
@@ -45,8 +45,11 @@
 	hint     func(event int64, short bool)
 	// feeds chooses the feeds of the store's changes.
 	feeds *feedChooser
-	log   *slog.Logger
-	use   func(*rankpeer.Digest, time.Time)
+	// demand returns what this gateway has of requests for a group, to be reported to the others, or
+	// nil.
+	demand func(group string) *rankpeer.Classes
+	log    *slog.Logger
+	use    func(*rankpeer.Digest, time.Time)
 
 	mu sync.Mutex
 	// coordinators holds the addresses of the coordinators, by group.
@@ -67,7 +70,7 @@
 }
 
 func newDigests(instance string, log *slog.Logger, use func(*rankpeer.Digest, time.Time)) *digests {
-	return &digests{instance: instance, feeds: newFeedChooser(instance, "", ""), event: func() int64 { return 0 }, hint: func(int64, bool) {}, gaps: map[string]time.Duration{}, log: log, use: use, coordinators: map[string]string{}, last: map[string]digestVersion{}}
+	return &digests{instance: instance, feeds: newFeedChooser(instance, "", ""), event: func() int64 { return 0 }, demand: func(string) *rankpeer.Classes { return nil }, hint: func(int64, bool) {}, gaps: map[string]time.Duration{}, log: log, use: use, coordinators: map[string]string{}, last: map[string]digestVersion{}}
 }
 
 // update applies the addresses of the coordinators in a new view of the store.
@@ -285,7 +288,7 @@
 	}
 	req := rankpeer.Request{
 		Digest: true, List: list.List, Gateway: d.instance, Event: d.event(), Gap: d.gap(group), Word: lockstep.Announcement{Group: engine.GroupID{Name: group}},
-		Zone: d.feeds.zone, Feed: d.feeds.offer(), FeedList: list.FeedList,
+		Zone: d.feeds.zone, Feed: d.feeds.offer(), FeedList: list.FeedList, Classes: d.demand(group),
 	}
 	return client.Do(req, digestTimeout)
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -86,6 +86,7 @@
 	g.fleet.backpressure.limits.store = store
 	g.fleet.crashes = crash.New(tcp.Dial, g.fleet.serves, log, g.isolator.crashed)
 	g.digests = newDigests(boot.Instance, log, g.digest)
+	g.digests.demand = g.demand
 	g.fleet.spare = g.spareRetries
 	return g
 }
@@ -201,7 +202,7 @@
 		g.updateAdmitters(cat.config)
 	}
 	if a := g.admitterOf(r.service); a != nil {
-		a.reportLoad(admission.Load{Group: d.Group.Name, Complete: d.Open, Running: r.running, Queued: r.queued, PassTime: d.Pass, Entries: d.Gateways})
+		a.reportDigest(d, taken, admission.Load{Group: d.Group.Name, Complete: d.Open, Running: r.running, Queued: r.queued, PassTime: d.Pass, Entries: d.Gateways})
 	}
 	if health.ShouldMoveStreams(len(r.slow), len(d.Targets)) {
 		g.fleet.moveSlowStreams(r.slow, g.spareRetries(r.service))
--- a/sidecar/branch.go
+++ b/sidecar/branch.go
@@ -234,6 +234,8 @@
 	gateways int
 	event    int64
 	gap      time.Duration
+	// classes are the sums of their requests, or nil.
+	classes *rankpeer.ClassSums
 	// feeds are the candidates for feeds among them, and feedList the number of that list.
 	feeds    []rankpeer.Feed
 	feedList uint64
@@ -241,7 +243,7 @@
 
 // reportOf returns the report of a relay whose last one is given.
 func reportOf(resp *rankpeer.Response, last *gatewayReport) gatewayReport {
-	r := gatewayReport{resp.Gateways, resp.Event, resp.Gap, resp.Feeds, resp.FeedList}
+	r := gatewayReport{resp.Gateways, resp.Event, resp.Gap, resp.Classes, resp.Feeds, resp.FeedList}
 	if resp.FeedList == last.feedList {
 		r.feeds = last.feeds
 	}
--- a/sidecar/gateways.go
+++ b/sidecar/gateways.go
@@ -13,6 +13,9 @@
 	gatewayPollMaxAge = 3 * time.Second
 	// eventMaxAge is for how long a gateway's report on the store counts.
 	eventMaxAge = 1500 * time.Millisecond
+	// classesMaxAge is for how long a gateway's report of its requests counts: several polls. One
+	// that turns to another agent counts twice for as long.
+	classesMaxAge = time.Second
 	// maxGateways bounds the names that are stored, whoever sends them.
 	maxGateways = 1024
 )
@@ -33,6 +36,9 @@
 type gatewayPoll struct {
 	at         time.Time
 	zone, feed string
+	// classes is what it has of requests for a group, or nil.
+	group   string
+	classes *rankpeer.Classes
 }
 
 // record records a gateway's request for a digest.
@@ -43,7 +49,7 @@
 		g.lastPoll = map[string]gatewayPoll{}
 	}
 	if _, known := g.lastPoll[req.Gateway]; known || len(g.lastPoll) < maxGateways {
-		g.lastPoll[req.Gateway] = gatewayPoll{now, req.Zone, req.Feed}
+		g.lastPoll[req.Gateway] = gatewayPoll{now, req.Zone, req.Feed, req.Word.Group.Name, req.Classes}
 	}
 	if req.Event > 0 && (req.Event >= g.event || now.Sub(g.eventAt) > eventMaxAge) {
 		g.event, g.eventAt = req.Event, now
@@ -70,6 +76,20 @@
 	}
 }
 
+// classes returns the sums of what the gateways have of requests for a group, or nil if none has
+// reported any recently.
+func (g *gateways) classes(group string, now time.Time) *rankpeer.ClassSums {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	reports := make([]rankpeer.ClassSums, 0, len(g.lastPoll))
+	for _, poll := range g.lastPoll {
+		if age := now.Sub(poll.at); poll.classes != nil && poll.group == group && age <= classesMaxAge {
+			reports = append(reports, rankpeer.ClassSums{Classes: *poll.classes, Gateways: 1, Age: age})
+		}
+	}
+	return rankpeer.SumClasses(reports)
+}
+
 // newestEvent returns the newest change of the store that was reported recently, or 0.
 func (g *gateways) newestEvent(now time.Time) int64 {
 	g.mu.Lock()
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -54,14 +54,19 @@
 	}
 	d.List = list.Sum64()
 	var candidates []rankpeer.Feed
+	var classes []rankpeer.ClassSums
 	for _, b := range co.branches {
 		candidates = append(candidates, b.report.feeds...)
+		if c := b.report.classes; c != nil {
+			classes = append(classes, *c)
+		}
 		d.Gateways += b.report.gateways
 		d.Event = max(d.Event, b.report.event)
 		if !b.single() {
 			d.Relays = append(d.Relays, b.link.addr.String())
 		}
 	}
+	d.Classes = rankpeer.SumClasses(classes)
 	d.Feeds = rankpeer.ChooseFeeds(candidates, d.Gateways)
 	d.FeedList = rankpeer.FeedList(d.Feeds)
 	return d
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -78,6 +78,7 @@
 	resp.Group, resp.Term = a.membership().Group, a.highestTerm()
 	resp.Feeds, resp.FeedList = a.gateways.feeds(req.FeedList, now)
 	resp.Gateways, resp.Event, resp.Gap = a.gateways.count(now), a.gateways.newestEvent(now), a.gateways.longestGap()
+	resp.Classes = a.gateways.classes(resp.Group.Name, now)
 	return resp
 }
 
