--- a/core/request/admission/group.go
+++ b/core/request/admission/group.go
@@ -125,8 +125,7 @@
 // less than that.
 func (g *group) room(class, reserve int) int {
 	if g.shared.inForce {
-		free := g.shared.allotted.Room(class, g.byClass)
-		return max(free-min(reserve, g.shared.allotted.Limit/maxReserveDivisor), 0)
+		return g.shared.allotted.Room(class, g.byClass)
 	}
 	free := max(g.limit-g.running, 0)
 	if !g.limitedByLoad {
