Place requests by the free slots of ranks

In a nearly full group up to 54 requests waited at full ranks while others had free slots: 16 gateways choose at once by loads that are some 0.2 s old, each among 20 of 63 ranks, and an own request since the report counted as twenty running ones. Services with engines and requests of several classes are now placed by the slots that are reported as free, of which each gateway counts its part, and by those that its own requests have left since: nobody else knows of these, and the next request takes them. Other services are placed as before.

--- a/core/request/route/pick.go
+++ b/core/request/route/pick.go
@@ -28,6 +28,9 @@
 		return i, true
 	}
 	at := t.nanos(now)
+	if i := t.freeTarget(p, q, at, rng); i != noTarget {
+		return i, true
+	}
 	best := choice{noTarget, math.Inf(1)}
 	best = t.sample(p.near, p.choices, q, at, rng, best)
 	// One candidate in another region lets requests overflow from a region that is full or
--- a/core/request/route/pool.go
+++ b/core/request/route/pool.go
@@ -15,6 +15,9 @@
 	// near is the entry's subset of the members in its region, far its subset of those in
 	// other regions.
 	near, far []uint16
+	// scanned are the members with Slots in the entry's region, or its subset of them if there are
+	// too many.
+	scanned []uint16
 	// choices is how many members of near are considered.
 	choices int
 	ring    []uint16
@@ -69,10 +72,13 @@
 		}
 		return 1
 	})
-	var local, remote []uint16
+	var local, remote, slotted []uint16
 	for _, m := range sorted {
 		if t.targets[m].Region == t.opt.Region {
 			local = append(local, m)
+			if t.targets[m].Slots > 0 {
+				slotted = append(slotted, m)
+			}
 			continue
 		}
 		remote = append(remote, m)
@@ -82,6 +88,7 @@
 		choices:   t.opt.choices(len(members)),
 		near:      subset(local, name, t.opt.index(), t.opt.Subset),
 		far:       subset(remote, name, t.opt.index(), t.opt.Subset),
+		scanned:   subset(slotted, name, t.opt.index(), maxScanned),
 		ring:      buildRing(sorted, name),
 		aggregate: t.states[members[0]].aggregate,
 	}
--- a/core/request/route/route.go
+++ b/core/request/route/route.go
@@ -54,6 +54,9 @@
 	Group string
 	// Drained says that the operator wants no new work on the target.
 	Drained bool
+	// Slots is how many requests the target runs at once, if requests without a Prefix should be
+	// placed by the free slots of targets; 0 otherwise.
+	Slots int
 }
 
 // The roles of targets that serve one phase only.
@@ -70,6 +73,9 @@
 	Queued float64
 	// Running is the number of requests in the batch.
 	Running int
+	// Occupied is the number of requests in the batch or waiting for it; it is used for targets
+	// with Slots.
+	Occupied int
 	// Rate is the measured service rate in tokens a second; 0 is unknown.
 	Rate     float64
 	Draining bool
--- a/core/request/route/state.go
+++ b/core/request/route/state.go
@@ -30,7 +30,12 @@
 
 	incarnation uint64
 	// drainedAt is when the agent last reported that it is draining.
-	drainedAt  int64
+	drainedAt int64
+	// occupied is the Occupied of the last load; started and ended are when the entry's last
+	// requests did.
+	occupied       int
+	started, ended recentTimes
+
 	configured bool
 	known      bool
 	draining   bool
@@ -80,6 +85,7 @@
 	s.sent, s.sentAt = decayed(s.sent, s.sentAt, at)+cost, at
 	c.sent, c.sentAt = decayed(c.sent, c.sentAt, at)+cost, at
 	t.recents[i].add(at, cost)
+	s.started.add(at)
 	t.addOwnWork(i, cost)
 }
 
@@ -95,6 +101,9 @@
 	}
 }
 
+// Left records that a request of this entry has left target i: its slot is free.
+func (t *Table) Left(i int, now time.Time) { t.states[i].ended.add(t.nanos(now)) }
+
 // LoadAge returns how old the last load of target i is, or a negative time if
 // none is known.
 func (t *Table) LoadAge(i int, now time.Time) time.Duration {
@@ -172,6 +181,7 @@
 	}
 	s.incarnation = incarnation
 	s.draining, s.drainedAt = false, 0
+	s.started, s.ended = recentTimes{}, recentTimes{}
 	t.recents[i] = recent{}
 }
 
@@ -195,7 +205,7 @@
 		c.queued += load.Queued - s.queued
 		c.busy += busy - s.busy
 	}
-	s.known, s.at = true, at
+	s.known, s.at, s.occupied = true, at, load.Occupied
 	s.queued, s.ownWork, s.busy = load.Queued, ownWork, busy
 }
 
@@ -211,6 +221,7 @@
 func (t *Table) Restarted(i int) {
 	s := &t.states[i]
 	s.share, s.leaving, s.avoided, s.paused, s.draining = 1, false, false, false, false
+	s.started, s.ended = recentTimes{}, recentTimes{}
 	t.setProbing(i, false)
 }
 
--- a/core/request/route/table.go
+++ b/core/request/route/table.go
@@ -36,6 +36,8 @@
 	byGroup    map[string]int
 	// probing are the half-open targets that wait for a single request.
 	probing []uint16
+	// sharing is how many entries send requests to the targets; 0 means unknown.
+	sharing int
 	epoch   time.Time
 }
 
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -68,6 +68,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.senders = n
+	f.table.SetSharing(n)
 	f.shareCold()
 }
 
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -54,8 +54,11 @@
 	// crashes distinguishes crashed targets from answers that merely broke off.
 	crashes      *crash.Detector
 	backpressure backpressure
-	// services holds the services of the configuration by name.
+	// services holds the services of config by name, bySlots those whose requests are placed by the
+	// free slots of their targets.
+	config   *deployment.Config
 	services map[string]deployment.Service
+	bySlots  map[string]bool
 	// cold limits the requests to cold targets; coldFactor and coldSlack are what these tolerate
 	// beyond their rate.
 	cold                  *coldstart.Tracker
@@ -127,6 +130,7 @@
 	now, first := time.Now(), f.services == nil
 	f.drop(v.Targets)
 	f.services = servicesOf(v.Config)
+	f.setPlacement(v.Config)
 	f.markRestored(v.Evacuated, now)
 	f.evacuated = v.Evacuated
 	metricEvacuated.Set(int64(len(v.Evacuated)))
@@ -220,6 +224,7 @@
 	return route.Target{
 		Name: t.ID, Zone: t.Zone, Service: t.Service, Group: f.groupOf(t),
 		Drained: f.targetStates[t.ID].shuttingDown() || f.misdirected[t.ID] || f.evacuated[t.Zone],
+		Slots:   f.placedBySlots(t),
 	}
 }
 
@@ -336,6 +341,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.table.End(s.index, s.cost, s.started)
+	f.table.Left(s.index, time.Now())
 }
 
 // observeAnswer records what an answer states about its target.
@@ -355,7 +361,7 @@
 	}
 	if a.Load != nil {
 		f.table.Observe(s.index, route.Load{
-			Queued: float64(a.Load.Waiting) * s.cost, Running: a.Load.Running,
+			Queued: float64(a.Load.Waiting) * s.cost, Running: a.Load.Running, Occupied: a.Load.Running + a.Load.Waiting,
 		}, now)
 	}
 }
--- a/gateway/ranks.go
+++ b/gateway/ranks.go
@@ -43,7 +43,7 @@
 			f.reportedGroups[id], r.joined = d.Group.Name, true
 		}
 		pace := max(float64(d.Pace[k])/rankpeer.PaceUnit, 1)
-		load := route.Load{Queued: float64(d.Queued[k]) * f.cost, Running: int(d.Running[k]), Rate: engineRate / pace}
+		load := route.Load{Queued: float64(d.Queued[k]) * f.cost, Running: int(d.Running[k]), Occupied: int(d.Running[k] + d.Queued[k]), Rate: engineRate / pace}
 		f.table.Report(i, load, taken)
 		p.slow = pace > slowPace
 		f.updateAvoided(p, taken)
