Avoid engines that fail all streams; block the slots of avoided targets

A failure counts against the kind of request only if its target has served another one since; if more than a quarter of the targets fail, none is suspected.

The slots of targets that are suspected, ejected, silent, refusing or going still counted as free: 651 requests ran or waited on 590 usable slots. They are reported to admission as blocked, and not filled, as long as it is a quarter of the targets at most.

--- a/core/membership/health/failures.go
+++ b/core/membership/health/failures.go
@@ -13,6 +13,9 @@
 	// strikesNeeded is how many failures within strikeWindow make an entry suspect a target.
 	strikesNeeded = 2
 	strikeWindow  = 5 * time.Second
+	// maxFailingPart is the largest part of a service's targets, one in so many, that may fail at the
+	// same time for it to be their own fault.
+	maxFailingPart = 4
 )
 
 // FailureRate estimates how often requests of one kind fail, whatever the target. The zero
@@ -36,6 +39,16 @@
 // target.
 func (f *FailureRate) Rare() bool { return f.n >= rateSamples && f.rate <= maxRareRate }
 
+// FailsNow reports whether a target that failed a request at a time, and has served none since, still
+// counts as failing.
+func FailsNow(failedAt, now time.Time) bool {
+	return !failedAt.IsZero() && now.Sub(failedAt) <= strikeWindow
+}
+
+// FewFail reports whether so few targets of a service fail at the same time that it is their own
+// fault. If more do, the service is at fault and none of them is better than another.
+func FewFail(failing, targets int) bool { return failing*maxFailingPart <= targets }
+
 // Strikes counts the failures of one target that are evidence against it. The zero value
 // has none.
 type Strikes struct {
--- a/core/request/admission/admission_test.go
+++ b/core/request/admission/admission_test.go
@@ -220,3 +220,18 @@
 	is.NoErr(err)
 	is.Equal(string(line), `{"Group":"g0","Running":6,"Limit":6,"Usable":0,"Works":true}`)
 }
+
+// Some targets of a group fail, and get no requests. The entries fill the slots of these all the
+// same, and the requests wait at the other targets, which are full.
+func TestBlockedSlotsAreNotFilled(t *testing.T) {
+	is := is.New(t)
+	limit := func(slots, blocked int) int {
+		p := newPool()
+		p.SetGroups(map[string]int{"g0": slots}, start)
+		p.ReportLoad(Load{Group: "g0", Complete: true, Running: 480, Blocked: blocked, Entries: 16}, start)
+		return p.Groups(start)[0].Limit
+	}
+	is.Equal(limit(630, 40), limit(590, 0))
+	is.True(limit(630, 40) < limit(630, 0))
+	is.Equal(limit(630, 630), 1) // one request finds out
+}
--- a/core/request/admission/choose.go
+++ b/core/request/admission/choose.go
@@ -85,7 +85,7 @@
 	if !g.fresh(now) {
 		return slots * unknownFreeShare
 	}
-	free := max(slots-float64(g.lastLoad.Running+g.lastLoad.Queued+g.startedSince), slots*minFreeShare)
+	free := max(float64(g.open()-g.lastLoad.Running-g.lastLoad.Queued-g.startedSince), slots*minFreeShare)
 	if g.lastLoad.PassTime <= 0 || mean <= 0 {
 		return free
 	}
--- a/core/request/admission/group.go
+++ b/core/request/admission/group.go
@@ -18,6 +18,8 @@
 	Complete bool
 	// Running and Queued are the requests at all its ranks, from all entries.
 	Running, Queued int
+	// Blocked is how many slots are free at targets to which this entry sends nothing.
+	Blocked int
 	// PassTime is how long its forward passes take; 0 means unknown.
 	PassTime time.Duration
 	// Entries is how many entries send requests to it; 0 means unknown.
@@ -104,15 +106,18 @@
 		g.limit = 0
 		return
 	}
-	e := queue.EngineLoad{Slots: g.slots, Running: g.lastLoad.Running, Queued: g.lastLoad.Queued, Entries: g.lastLoad.Entries, Waiting: waiting}
+	e := queue.EngineLoad{Slots: g.open(), Running: g.lastLoad.Running, Queued: g.lastLoad.Queued, Entries: g.lastLoad.Entries, Waiting: waiting}
 	g.limit = queue.EntryLimit(e, g.running)
 	g.usableLimit = g.limit
 	if g.usable < g.slots {
-		e.Slots = g.usable
+		e.Slots = min(g.usable, g.open())
 		g.usableLimit = queue.EntryLimit(e, g.running)
 	}
 }
 
+// open returns how many slots are at targets to which this entry sends requests.
+func (g *group) open() int { return max(g.slots-g.lastLoad.Blocked, 1) }
+
 // room returns how many requests of a class may start at the group. While fewer requests may run
 // than there are slots, those of the last class give way first: a class has room as long as it
 // and those before it run less than that.
--- a/core/request/route/pick.go
+++ b/core/request/route/pick.go
@@ -171,6 +171,12 @@
 // target has asked for a pause.
 func (t *Table) SetPaused(i int, paused bool) { t.states[i].paused = paused }
 
+// Open reports whether target i may get new requests, apart from pauses and preferences.
+func (t *Table) Open(i int) bool {
+	s := &t.states[i]
+	return !s.draining && !s.leaving && s.share > 0 && !t.targets[i].Drained
+}
+
 // usable reports whether target i accepts new work at all.
 func (t *Table) usable(i int, q *Query) bool {
 	s := &t.states[i]
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -26,6 +26,9 @@
 	}
 	if c.admitter != nil && !a.NotRun {
 		c.admitter.accepted(c.slot)
+		if c.pending == nil && a.Sealed {
+			c.fleet.engineAnswered(s.target, c.route.Name, reply.Status >= http.StatusInternalServerError, now)
+		}
 	}
 	switch {
 	case a.NotRun:
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -84,7 +84,11 @@
 	// strikes counts its recent failures.
 	suspectedUntil time.Time
 	strikes        health.Strikes
-	refusals       health.Refusals
+	// failedAt is when it, an engine, failed a request, as long as it has served none since; failedKind
+	// is the failure rate of the kind of that request.
+	failedAt   time.Time
+	failedKind *health.FailureRate
+	refusals   health.Refusals
 	// announcedShutdown is set once it has announced in an answer that it is shutting down.
 	announcedShutdown bool
 }
--- a/gateway/ranks.go
+++ b/gateway/ranks.go
@@ -22,6 +22,8 @@
 	service string
 	// running and queued are the sums over the ranks.
 	running, queued int
+	// blocked is how many slots are free at a few targets that get nothing now.
+	blocked int
 	// slow holds the targets that slow down the group.
 	slow map[string]bool
 	// joined is set if a target was not known to belong to the group.
@@ -33,6 +35,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := groupLoad{slow: map[string]bool{}}
+	now, blocked := time.Now(), 0
 	for k, id := range d.Targets {
 		i, ok := f.table.Lookup(id)
 		p := f.targetStates[id]
@@ -53,6 +56,13 @@
 		r.service = p.Service
 		r.running += int(d.Running[k])
 		r.queued += int(d.Queued[k])
+		if f.blocked(p, i, now) {
+			blocked++
+			r.blocked += max(p.Slots-int(d.Running[k]), 0)
+		}
+	}
+	if !health.FewFail(blocked, len(d.Targets)) {
+		r.blocked = 0
 	}
 	if r.joined {
 		f.regroup()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -201,7 +201,7 @@
 		g.updateAdmitters(cat.config)
 	}
 	if a := g.admitterOf(r.service); a != nil {
-		a.reportLoad(admission.Load{Group: d.Group.Name, Complete: d.Open, Running: r.running, Queued: r.queued, PassTime: d.Pass, Entries: d.Gateways})
+		a.reportLoad(admission.Load{Group: d.Group.Name, Complete: d.Open, Running: r.running, Queued: r.queued, Blocked: r.blocked, PassTime: d.Pass, Entries: d.Gateways})
 	}
 	if health.ShouldMoveStreams(len(r.slow), len(d.Targets)) {
 		g.fleet.moveSlowStreams(r.slow, g.spareRetries(r.service))
