Choose the group by the passes that a request meets

The groups of a service were weighted by the pass time in the digest, a mean over some passes that is 0.2 to 0.4 s old: one long pass does not show, and is over when it does. A gateway that has several streams at a group now takes the last pass that these have seen, or the one in progress if it has lasted longer; a group whose passes exceed the pause that callers accept counts a tenth of its free slots.

--- a/core/request/admission/choose.go
+++ b/core/request/admission/choose.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"verbenashift/core/request/headroom"
+)
 
 const (
 	// minFreeShare is the part of its slots that a group counts as free when all are taken:
@@ -9,6 +13,13 @@
 	// unknownFreeShare is the part of its slots that counts as free in a group whose load is
 	// not known.
 	unknownFreeShare = 0.3
+	// longPassShare is the part of its free slots that counts in a group whose passes take longer than
+	// the pause that callers accept: its own streams are late already, and a prompt that is read there
+	// makes the passes longer still.
+	longPassShare = 0.1
+	// minStreams is how many requests of this entry have to run at a group for its own measure of the
+	// passes to count.
+	minStreams = 3
 )
 
 // next returns the group for the next request of a class, or nil if none has capacity.
@@ -69,7 +80,7 @@
 		if !may(g) {
 			continue
 		}
-		w := g.weight(mean, now)
+		w := g.weight(mean, p.shortestPause, now)
 		total += w
 		// Weighted reservoir sampling: each group is kept with its share of all weights so far.
 		if found == nil || p.rng.Float64()*total < w {
@@ -79,25 +90,40 @@
 	return found
 }
 
-// weight returns the relative share of requests that a group should get.
-func (g *group) weight(mean time.Duration, now time.Time) float64 {
+// weight returns the relative share of requests that a group should get, given the mean pass of all
+// groups and the shortest pause that callers accept.
+func (g *group) weight(mean, pause time.Duration, now time.Time) float64 {
 	slots := float64(g.slots)
 	if !g.fresh(now) {
 		return slots * unknownFreeShare
 	}
 	free := max(float64(g.open()-g.lastLoad.Running-g.lastLoad.Queued-g.startedSince), slots*minFreeShare)
-	if g.lastLoad.PassTime <= 0 || mean <= 0 {
+	pass := g.passTime(now)
+	if pass <= 0 || mean <= 0 {
 		return free
 	}
-	return free * mean.Seconds() / g.lastLoad.PassTime.Seconds()
+	if pause > 0 && !headroom.Fits(pass, pause) {
+		free *= longPassShare
+	}
+	return free * mean.Seconds() / pass.Seconds()
+}
+
+// passTime returns the time of the pass that a request would meet, or 0: as this entry measures it
+// with several streams there, or as the coordinator reports it, which is a mean that is some tenths
+// of a second old.
+func (g *group) passTime(now time.Time) time.Duration {
+	if pass, ok := g.passes.meter.Current(now); ok && g.running >= minStreams {
+		return pass
+	}
+	return g.lastLoad.PassTime
 }
 
 // meanPassTime returns the mean pass duration of the groups that report it, or 0.
 func (p *Pool) meanPassTime(now time.Time) time.Duration {
 	sum, n := time.Duration(0), 0
 	for _, g := range p.groups {
-		if g.fresh(now) && g.lastLoad.PassTime > 0 {
-			sum += g.lastLoad.PassTime
+		if pass := g.passTime(now); g.fresh(now) && pass > 0 {
+			sum += pass
 			n++
 		}
 	}
--- a/core/request/headroom/headroom.go
+++ b/core/request/headroom/headroom.go
@@ -73,6 +73,11 @@
 	pauseShare = 0.95
 )
 
+// Fits reports whether a pass is short enough for callers that accept a pause between two events.
+func Fits(pass, pause time.Duration) bool {
+	return float64(pass) <= pauseShare*float64(pause)
+}
+
 // Limit learns how many requests a group may run. The zero value knows nothing and limits
 // nothing.
 type Limit struct {
--- a/core/request/headroom/meter.go
+++ b/core/request/headroom/meter.go
@@ -13,6 +13,8 @@
 	minSamples = 2
 	// maxSamples bounds the pauses that are kept for one pass.
 	maxSamples = 64
+	// currentValid is how long after the last event of a group nothing is known of its passes.
+	currentValid = 600 * time.Millisecond
 )
 
 // Meter measures the passes of a group by the pauses between the events of its streams. The zero
@@ -20,13 +22,17 @@
 type Meter struct {
 	since   time.Time
 	samples []time.Duration
+	// last is the last pass that enough streams have agreed on.
+	last time.Duration
 }
 
 // Observe records the pause before an event that has arrived. It returns the time of the previous
 // pass once the first event of another one arrives: the median of the pauses that ended with it.
 func (m *Meter) Observe(pause time.Duration, now time.Time) (pass time.Duration, ok bool) {
 	if now.Sub(m.since) > passSpread {
-		pass, ok = m.median()
+		if pass, ok = m.median(); ok {
+			m.last = pass
+		}
 		m.since, m.samples = now, m.samples[:0]
 	}
 	if len(m.samples) < maxSamples {
@@ -43,3 +49,18 @@
 	slices.Sort(m.samples)
 	return m.samples[(len(m.samples)-1)/2], true
 }
+
+// Current returns how long the passes of the group take now: the last one, or the one in progress if
+// it has lasted longer already. The streams of the group have to be several, or it may just be that
+// none has an event to send. It reports false if no pass is known of late.
+func (m *Meter) Current(now time.Time) (pass time.Duration, ok bool) {
+	pass = m.last
+	if ending, ok := m.median(); ok {
+		pass = ending
+	}
+	since := now.Sub(m.since)
+	if pass == 0 || since > currentValid {
+		return 0, false
+	}
+	return max(pass, since), true
+}
