--- a/core/request/admission/dispatch.go
+++ b/core/request/admission/dispatch.go
@@ -136,6 +136,8 @@
 	Running, Limit int
 	// Usable is how many requests all entries may run there without passes that are too long.
 	Usable int
+	// Blocked is how many slots are free at targets to which this entry sends nothing.
+	Blocked int `json:",omitempty"`
 	// Available is false while the group refuses, is stalled or has lost a rank.
 	// The log knows it as Works.
 	Available bool `json:"Works"`
@@ -146,7 +148,7 @@
 	out := make([]GroupLoad, 0, len(p.names))
 	for _, name := range p.names {
 		g := p.groups[name]
-		out = append(out, GroupLoad{Group: name, Running: g.running, Limit: g.limit, Usable: g.usable, Available: g.available(now)})
+		out = append(out, GroupLoad{Group: name, Running: g.running, Limit: g.limit, Usable: g.usable, Blocked: g.lastLoad.Blocked, Available: g.available(now)})
 	}
 	return out
 }
