Suspect a plain server whose answers are late and far slower than usual

Ejection as slow needs half a second more than the median, so that a server that takes twelve times 30 ms kept all requests of its zone. Three answers in a row beyond the objective of their route and three times the mean of their kind are evidence now, shared as other suspicions are.

Routes without an objective are served as before.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -84,6 +84,7 @@
 	// strikes counts its recent failures.
 	suspectedUntil time.Time
 	strikes        health.Strikes
+	slowAnswers    health.SlowAnswers
 	// failedAt is when it, an engine, failed a request, as long as it has served none since; failedKind
 	// is the failure rate of the kind of that request.
 	failedAt   time.Time
--- a/gateway/pending.go
+++ b/gateway/pending.go
@@ -16,6 +16,7 @@
 type pending struct {
 	activeAttempt
 	id, route, service string
+	objective          time.Duration
 	// mayMove is set if another server may run the request.
 	mayMove bool
 	// suspected is set once its target was found not to answer, answered once it has.
@@ -80,7 +81,7 @@
 func (f *fleet) trackPending(ctx context.Context, s activeAttempt, c *call) (context.Context, *pending) {
 	ctx, end := context.WithCancelCause(ctx)
 	p := &pending{
-		activeAttempt: s, id: c.req.ID, route: c.route.Name, service: c.service,
+		activeAttempt: s, id: c.req.ID, route: c.route.Name, service: c.service, objective: c.route.Objective,
 		mayMove: c.route.Repeatable() && c.ran < c.route.MaxAttempts, end: end,
 	}
 	f.mu.Lock()
@@ -109,7 +110,11 @@
 	if failed && stats.failures.Rare() {
 		f.strike(p.target, causeFailing, now)
 	}
-	stats.took.Observe(now.Sub(p.started))
+	took := now.Sub(p.started)
+	if p.target.slowAnswers.Add(stats.took.TooSlow(took, p.objective)) {
+		f.suspect(p.target, causeSlow, now)
+	}
+	stats.took.Observe(took)
 	stats.failures.Observe(failed)
 }
 
--- a/gateway/suspicions.go
+++ b/gateway/suspicions.go
@@ -116,6 +116,7 @@
 	causeUnanswered = "unanswered"
 	causeBroken     = "broken"
 	causeFailing    = "failing"
+	causeSlow       = "slow"
 )
 
 // suspect makes this gateway avoid a target, and the others as soon as enough of them agree.
--- a/gateway/suspicions_test.go
+++ b/gateway/suspicions_test.go
@@ -100,3 +100,27 @@
 	}
 	r.True(lost > 0 && lost <= 3)
 }
+
+// Guards against waiting for a server that is many times slower than its peers, but not slow enough to be
+// taken for silent.
+func TestSlowServerIsSuspected(t *testing.T) {
+	var slow atomic.Bool
+	bad := scripted.Serve(t, func(x *scripted.Exchange) {
+		if slow.Load() {
+			time.Sleep(200 * time.Millisecond)
+		}
+		x.Respond(200, "ok")
+	})
+	good := scripted.Serve(t, func(x *scripted.Exchange) { x.Respond(200, "ok") })
+	route := routeOf(deployment.Unsafe)
+	route.Objective = 100 * time.Millisecond
+	r := newRig(t, route, bad, good)
+	r.warm()
+	slow.Store(true)
+	before := total(bad)
+	for range 40 {
+		r.send()
+	}
+	r.True(total(bad) > before)
+	r.True(total(bad) <= before+4)
+}
