--- a/core/request/precedence/precedence.go
+++ b/core/request/precedence/precedence.go
@@ -31,6 +31,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -85,20 +86,28 @@
 	if !differ(routes) {
 		return Order{}
 	}
-	if len(workspaces) == 0 {
-		workspaces = []*int{nil}
-	}
-	var o Order
-	for _, r := range routes {
+	// Thousands of routes and workspaces share a few priorities.
+	seen := map[level]bool{}
+	for _, r := range distinct(routes) {
+		if len(workspaces) == 0 {
+			seen[newLevel(r, nil)] = true
+		}
 		for _, w := range workspaces {
-			o.levels = append(o.levels, newLevel(r, w))
+			seen[newLevel(r, w)] = true
 		}
 	}
+	o := Order{levels: slices.Collect(maps.Keys(seen))}
 	slices.SortFunc(o.levels, level.compare)
-	o.levels = slices.Compact(o.levels)
 	return o
 }
 
+// distinct returns the different priorities.
+func distinct(priorities []int) []int {
+	out := slices.Clone(priorities)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // differ reports whether the priorities are not all the same.
 func differ(priorities []int) bool {
 	for _, p := range priorities {
