--- a/core/request/route/full_ranks_test.go
+++ b/core/request/route/full_ranks_test.go
@@ -21,6 +21,9 @@
 	period, lag time.Duration
 	// bySlots places requests by the free slots of the ranks.
 	bySlots bool
+	// away are ranks that get nothing until they return, at returnAfter.
+	away        int
+	returnAfter time.Duration
 }
 
 // placement is the result of a replay.
@@ -30,6 +33,10 @@
 	full, waiting float64
 	// fullest is how many requests the fullest rank runs, in the mean.
 	fullest float64
+	// rush is how many requests one of the ranks that return gets in its first second, at most, and
+	// filled the part of its slots that they have taken together after it.
+	rush   int
+	filled float64
 }
 
 // running is a request at a rank.
@@ -53,6 +60,7 @@
 	var history [][]Load
 	perStep := c.load * float64(c.ranks*c.slots) / c.stream.Seconds() * crowdStep.Seconds()
 	var out placement
+	starts := make([]int, c.ranks) // at ranks that return, in their first second
 	arrivals, samples, now := 0.0, 0.0, start
 	for n := range int(15 * time.Second / crowdStep) {
 		now = now.Add(crowdStep)
@@ -68,6 +76,17 @@
 				t.Report(i, history[old][i], now.Add(-c.lag))
 			}
 		}
+		back := n - int(c.returnAfter/crowdStep)
+		for i := range c.away {
+			for _, t := range tables {
+				t.SetLeaving(i, back < 0)
+			}
+		}
+		if back == int(time.Second/crowdStep) {
+			for i := range c.away {
+				out.filled += float64(loads[i].Running) / float64(c.away*c.slots)
+			}
+		}
 		settled := n > int(5*time.Second/crowdStep)
 		for e, t := range tables {
 			for range poisson(rng, perStep*share[e]) {
@@ -80,6 +99,10 @@
 						out.full++
 					}
 				}
+				if i < c.away && back < int(time.Second/crowdStep) {
+					starts[i]++
+					out.rush = max(out.rush, starts[i])
+				}
 				ranks[i] = append(ranks[i], &running{entry: e, cost: q.Cost, sent: now, takes: time.Duration(rng.ExpFloat64() * float64(c.stream))})
 			}
 		}
@@ -95,7 +118,8 @@
 			out.fullest += float64(fullest)
 		}
 	}
-	return placement{out.full / arrivals, out.waiting / samples, out.fullest / samples}
+	out.full, out.waiting, out.fullest = out.full/arrivals, out.waiting/samples, out.fullest/samples
+	return out
 }
 
 // tables returns the tables of the entries, and the part of the requests that comes to each.
@@ -197,6 +221,22 @@
 	}
 }
 
+// A zone of cold ranks returns while the others are full: all entries see idle ranks, and crash them
+// by sending all requests there at once.
+func TestZoneThatReturnsIsFilledBySteps(t *testing.T) {
+	is := is.New(t)
+	for _, load := range []float64{0.45, 0.65} {
+		c := crowd{
+			entries: 16, ranks: 63, slots: 10, load: load, stream: 1900 * time.Millisecond, period: 200 * time.Millisecond, lag: 100 * time.Millisecond,
+			bySlots: true, away: 21, returnAfter: 7 * time.Second,
+		}
+		got := c.replay(1)
+		t.Logf("load %.2f: at most %d requests at a rank in its first second, %.2f of the slots taken after it", load, got.rush, got.filled)
+		is.True(got.rush <= 28)                        // what a cold rank of the platform's example takes a second
+		is.True(got.filled > load/3 && got.filled < 1) // the others are relieved within a second
+	}
+}
+
 // A target whose load is not reported any more is chosen by its last load for ever, and a prompt
 // that a target has cached goes to one that has not.
 func TestOldLoadsAndPrefixesDoNotGoBySlots(t *testing.T) {
