--- a/core/request/precedence/precedence.go
+++ b/core/request/precedence/precedence.go
@@ -31,7 +31,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 )
 
@@ -86,28 +85,40 @@
 	if !differ(routes) {
 		return Order{}
 	}
-	// Thousands of routes and workspaces share a few priorities.
-	seen := map[level]bool{}
-	for _, r := range distinct(routes) {
-		if len(workspaces) == 0 {
-			seen[newLevel(r, nil)] = true
-		}
+	routes, workspaces = distinct(routes), distinctOf(workspaces)
+	if len(workspaces) == 0 {
+		workspaces = []*int{nil}
+	}
+	var o Order
+	for _, r := range routes {
 		for _, w := range workspaces {
-			seen[newLevel(r, w)] = true
+			o.levels = append(o.levels, newLevel(r, w))
 		}
 	}
-	o := Order{levels: slices.Collect(maps.Keys(seen))}
 	slices.SortFunc(o.levels, level.compare)
+	o.levels = slices.Compact(o.levels)
 	return o
 }
 
-// distinct returns the different priorities.
+// distinct returns the different ones of priorities: thousands of routes share a few.
 func distinct(priorities []int) []int {
 	out := slices.Clone(priorities)
 	slices.Sort(out)
 	return slices.Compact(out)
 }
 
+// distinctOf returns the different ones of the priorities of workspaces, each of which may be nil.
+func distinctOf(workspaces []*int) []*int {
+	var out []*int
+	for _, w := range workspaces {
+		same := func(o *int) bool { return o == w || o != nil && w != nil && *o == *w }
+		if !slices.ContainsFunc(out, same) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
 // differ reports whether the priorities are not all the same.
 func differ(priorities []int) bool {
 	for _, p := range priorities {
