--- a/core/request/route/route.go
+++ b/core/request/route/route.go
@@ -14,6 +14,9 @@
 // see the same idle target before they see each other's requests, and two
 // random choices keep them from overloading it.
 //
+// Targets with Slots are chosen by their free slots instead, for requests without a prefix: the
+// entry's part of those that are reported, and those that its own requests have left since.
+//
 // The package is deterministic: time and randomness are arguments. A Table is
 // not safe for concurrent use.
 //
@@ -28,6 +31,7 @@
 //	t.Start(i, 300, now)
 //	// ... the agent's end frame brings its load:
 //	t.End(i, 300, started)
+//	t.Left(i, time.Now())
 //	t.Observe(i, load, time.Now())
 package route
 
