--- a/core/request/admission/dispatch.go
+++ b/core/request/admission/dispatch.go
@@ -168,6 +168,8 @@
 	Usable int
 	// Demand is that of all entries if the group's slots are divided by it.
 	Demand *allotment.Demand `json:",omitempty"`
+	// Blocked is how many slots are free at targets to which this entry sends nothing.
+	Blocked int `json:",omitempty"`
 	// Available is false while the group refuses, is stalled or has lost a rank.
 	// The log knows it as Works.
 	Available bool `json:"Works"`
@@ -178,7 +180,10 @@
 	out := make([]GroupLoad, 0, len(p.names))
 	for _, name := range p.names {
 		g := p.groups[name]
-		out = append(out, GroupLoad{Group: name, Running: g.running, Limit: g.sharedLimit(), Usable: g.usable, Demand: g.sharedDemand(), Available: g.available(now)})
+		out = append(out, GroupLoad{
+			Group: name, Running: g.running, Limit: g.sharedLimit(), Usable: g.usable, Demand: g.sharedDemand(),
+			Blocked: g.lastLoad.Blocked, Available: g.available(now),
+		})
 	}
 	return out
 }
--- a/core/request/admission/passes.go
+++ b/core/request/admission/passes.go
@@ -49,11 +49,8 @@
 	if g == nil {
 		return
 	}
-	if p.classes <= 1 {
-		return
-	}
 	pass, ok := g.passes.meter.Observe(pause, now)
-	if !ok {
+	if !ok || p.classes <= 1 {
 		return
 	}
 	if g.fresh(now) {
--- a/core/request/admission/shared.go
+++ b/core/request/admission/shared.go
@@ -125,7 +125,7 @@
 
 // freeOrOne returns how many slots are free, at least one.
 func (g *group) freeOrOne() int {
-	return max(g.slots-g.lastLoad.Running-g.lastLoad.Queued, 1)
+	return max(g.open()-g.lastLoad.Running-g.lastLoad.Queued, 1)
 }
 
 // allot sets what this entry may have at the group, given its demand and the part of what waits
@@ -133,7 +133,7 @@
 func (g *group) allot(own allotment.Demand, classes int, part float64, now time.Time) {
 	s := &g.shared
 	in := allotment.Input{
-		Classes: classes, Own: own, Reported: s.ownAt(s.sumsAt), Sums: s.sums, Slots: g.slots,
+		Classes: classes, Own: own, Reported: s.ownAt(s.sumsAt), Sums: s.sums, Slots: g.open(),
 		Running: g.lastLoad.Running + g.lastLoad.Queued, OwnRunning: s.ownAt(s.takenAt).Running,
 		Entries: g.lastLoad.Entries, Part: part, Draw: s.draw,
 	}
--- a/core/request/precedence/precedence.go
+++ b/core/request/precedence/precedence.go
@@ -96,6 +96,7 @@
 	if !differ(routes) {
 		return Order{}
 	}
+	routes, workspaces = distinct(routes), distinctOf(workspaces)
 	if len(workspaces) == 0 {
 		workspaces = []*int{nil}
 	}
@@ -118,6 +119,25 @@
 	o.levels = slices.Compact(o.levels)
 }
 
+// distinct returns the different ones of priorities: thousands of routes share a few.
+func distinct(priorities []int) []int {
+	out := slices.Clone(priorities)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// distinctOf returns the different ones of the priorities of workspaces, each of which may be nil.
+func distinctOf(workspaces []*int) []*int {
+	var out []*int
+	for _, w := range workspaces {
+		same := func(o *int) bool { return o == w || o != nil && w != nil && *o == *w }
+		if !slices.ContainsFunc(out, same) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
 // differ reports whether the priorities are not all the same.
 func differ(priorities []int) bool {
 	for _, p := range priorities {
--- a/core/request/route/route.go
+++ b/core/request/route/route.go
@@ -14,6 +14,9 @@
 // see the same idle target before they see each other's requests, and two
 // random choices keep them from overloading it.
 //
+// Targets with Slots are chosen by their free slots instead, for requests without a prefix: the
+// entry's part of those that are reported, and those that its own requests have left since.
+//
 // The package is deterministic: time and randomness are arguments. A Table is
 // not safe for concurrent use.
 //
@@ -28,6 +31,7 @@
 //	t.Start(i, 300, now)
 //	// ... the agent's end frame brings its load:
 //	t.End(i, 300, started)
+//	t.Left(i, time.Now())
 //	t.Observe(i, load, time.Now())
 package route
 
@@ -54,6 +58,9 @@
 	Group string
 	// Drained says that the operator wants no new work on the target.
 	Drained bool
+	// Slots is how many requests the target runs at once, if requests without a Prefix should be
+	// placed by the free slots of targets; 0 otherwise.
+	Slots int
 }
 
 // The roles of targets that serve one phase only.
@@ -70,6 +77,9 @@
 	Queued float64
 	// Running is the number of requests in the batch.
 	Running int
+	// Occupied is the number of requests in the batch or waiting for it; it is used for targets
+	// with Slots.
+	Occupied int
 	// Rate is the measured service rate in tokens a second; 0 is unknown.
 	Rate     float64
 	Draining bool
