Changes of the map copy more experts where copies are a small part of a change

Change: a change may copy up to 150 ms of experts to a rank where each copy more pays: what the skew before the change costs while the copy delays it, in passes 15 in 100 longer, against the lower skew during the next two changes. What a change takes besides its copies is learned from those that came into force while the group was at work. Engines that copy several experts within 50 ms are served as before, and so is one that takes over 75 ms for one.

--- a/core/experts/expert/rebalance.go
+++ b/core/experts/expert/rebalance.go
@@ -8,6 +8,10 @@
 	// PerRank is how many experts of all layers together may be new to a rank.
 	// It bounds the copying time of a change. 0 means no limit.
 	PerRank int
+	// MaxPerRank is up to how many experts PerRank grows while another copy pays by
+	// ChangeTime. It has no effect unless it is higher than PerRank.
+	MaxPerRank int
+	ChangeTime ChangeTime
 	// TargetSkew is the skew at or below which a layer is not changed, because a
 	// further reduction is not worth the copies. 0 means the lowest possible.
 	TargetSkew float64
@@ -40,21 +44,53 @@
 		s.setMap(m, loads[i])
 		s.setTargets()
 		layers[i] = s
-		before += s.rank[s.worst()] / float64(len(maps))
 	}
+	before = meanSkew(layers)
+	improveLayers(layers, steps, lim.TargetSkew)
+	made, after := stepsMade(layers), meanSkew(layers)
+	for lim.PerRank > 0 && lim.ChangeTime.rest > 0 && shared.perRank < lim.MaxPerRank {
+		shared.perRank++
+		improveLayers(layers, steps, lim.TargetSkew)
+		more := meanSkew(layers)
+		if !lim.ChangeTime.pays(before, after, more, shared.perRank-1) {
+			break
+		}
+		made, after = stepsMade(layers), more
+	}
+	for i, s := range layers {
+		next = append(next, s.mapAfter(made[i]))
+	}
+	return next, before, after
+}
+
+// improveLayers improves the most skewed layer until none can be improved within the limits.
+func improveLayers(layers []*search, steps int, target float64) {
 	open := append([]*search(nil), layers...)
 	for len(open) > 0 {
 		k := mostSkewed(open)
 		s := open[k]
-		if s.rank[s.worst()] <= lim.TargetSkew || len(s.steps) >= steps || !s.improve() {
+		if s.rank[s.worst()] <= target || len(s.steps) >= steps || !s.improve() {
 			open = append(open[:k], open[k+1:]...)
 		}
 	}
+}
+
+// meanSkew returns the mean of the skews that the searches have reached.
+func meanSkew(layers []*search) float64 {
+	total := 0.0
 	for _, s := range layers {
-		next = append(next, s.mapAfter(len(s.steps)))
-		after += s.rank[s.worst()] / float64(len(maps))
+		total += s.rank[s.worst()]
 	}
-	return next, before, after
+	return total / float64(len(layers))
+}
+
+// stepsMade returns the number of steps of each search.
+func stepsMade(layers []*search) []int {
+	made := make([]int, len(layers))
+	for i, s := range layers {
+		made[i] = len(s.steps)
+	}
+	return made
 }
 
 func mostSkewed(layers []*search) int {
--- a/core/experts/lockstep/rank.go
+++ b/core/experts/lockstep/rank.go
@@ -73,6 +73,17 @@
 	return false
 }
 
+// Running returns how many requests run at the known ranks.
+func Running(ranks []Rank) int {
+	n := 0
+	for i := range ranks {
+		if ranks[i].Known {
+			n += ranks[i].State.Running
+		}
+	}
+	return n
+}
+
 // Unfinished reports whether a known rank is armed or holds the group.
 func Unfinished(ranks []Rank) bool {
 	for i := range ranks {
--- a/sidecar/change.go
+++ b/sidecar/change.go
@@ -18,6 +18,11 @@
 		co.planner.setMapInForce(version, ranks[0].State.Epoch, co.proposed)
 		co.base, co.baseVersion = co.packed, version
 		co.changedAt = time.Now()
+		if !co.proposedAt.IsZero() {
+			// A group without work changes its map with its next pass, whenever that is.
+			co.planner.changeTime.Observe(co.changedAt.Sub(co.proposedAt), co.proposedCopies)
+			co.proposedAt = time.Time{}
+		}
 		metricChanges.Add(1)
 		lastChange.Store(int64(time.Since(processStart)))
 	}
--- a/sidecar/coordinator.go
+++ b/sidecar/coordinator.go
@@ -61,6 +61,10 @@
 	// proposed is the newest map that was prepared, under the version proposedVersion.
 	proposed        lockstep.Map
 	proposedVersion int64
+	// proposedAt is when the change under way was decided, if the group was at work then, and
+	// proposedCopies the largest number of experts that one rank copies for it.
+	proposedAt     time.Time
+	proposedCopies int
 	// packed is proposed, and base the map in force with the version baseVersion, as they
 	// are sent to the agents.
 	packed, base *rankpeer.Map
@@ -272,6 +276,7 @@
 		if m := co.planner.current(); m != nil {
 			co.log.Warn("group is held without a change; preparing the map in force again")
 			co.core.Propose(ranks, m)
+			co.proposedAt = time.Time{}
 		}
 		return
 	}
@@ -282,6 +287,10 @@
 	if !ok {
 		return
 	}
-	co.log.Info("change of map", "skew", p.before, "expected", p.after, "loads", p.loads, "map", ranks[0].State.Map)
+	co.log.Info("change of map", "skew", p.before, "expected", p.after, "loads", p.loads, "rank-loads", p.perRank, "map", ranks[0].State.Map)
 	co.core.Propose(ranks, p.m)
+	co.proposedAt, co.proposedCopies = time.Time{}, p.perRank
+	if lockstep.Running(ranks) > 0 {
+		co.proposedAt = time.Now()
+	}
 }
--- a/sidecar/planner.go
+++ b/sidecar/planner.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -26,9 +27,12 @@
 	// longPassFraction is the fraction of the longest allowed gap above which passes count as
 	// long.
 	longPassFraction = 0.5
-	// copyTime is how long the copies of a change may take on one rank. Until they are done the
-	// imbalanced map slows every pass.
+	// copyTime is how long the copies of a change may take on one rank in any case. Until they
+	// are done the imbalanced map slows every pass.
 	copyTime = 50 * time.Millisecond
+	// maxCopyTime is how long they may take where more copies shorten the time until the map is
+	// balanced. An order to prepare that takes longer would be sent again.
+	maxCopyTime = 150 * time.Millisecond
 	// minChosen is how often each expert must have been chosen recently, in the mean, for an
 	// estimate.
 	minChosen = 20
@@ -53,6 +57,8 @@
 	guess *savedLoads
 	// placed says that places belong to the map in force.
 	placed bool
+	// changeTime is how long recent changes took.
+	changeTime expert.ChangeTime
 	// skew is the mean skew of the layers under the map in force, by the last counts; 0 if it is
 	// not known.
 	skew float64
@@ -62,7 +68,8 @@
 type proposal struct {
 	m             lockstep.Map
 	before, after float64
-	loads         int
+	// loads is the number of copies, and perRank the largest of one rank.
+	loads, perRank int
 }
 
 // setEngine sets the settings of the group's engine, and resets the counts if they have changed.
@@ -71,6 +78,7 @@
 		return
 	}
 	p.engine = e
+	p.changeTime = expert.ChangeTime{Copy: e.ExpertTime}
 	p.places = map[string]*engine.Placement{}
 	p.recent = make([]expert.RecentLoads, e.Sets)
 	for i := range p.recent {
@@ -155,14 +163,21 @@
 	for l := range p.recent {
 		loads[l] = p.recent[l].Loads()
 	}
-	next, before, after := expert.Rebalance(&p.group, maps, loads, expert.Limits{PerLayer: p.engine.Spare, PerRank: p.perRank(), TargetSkew: stop})
+	next, before, after := expert.Rebalance(&p.group, maps, loads, expert.Limits{
+		PerLayer: p.engine.Spare, PerRank: p.perRank(), MaxPerRank: p.maxPerRank(), ChangeTime: p.changeTime, TargetSkew: stop,
+	})
 	if before-after < gain {
 		return proposal{}, false
 	}
 	pr := proposal{before: before, after: after, m: p.nested(next)}
+	byRank := make([]int, len(p.group.Ranks))
 	for l := range next {
-		pr.loads += len(expert.Diff(&p.group, l, maps[l], next[l]))
+		for _, move := range expert.Diff(&p.group, l, maps[l], next[l]) {
+			pr.loads++
+			byRank[move.Rank]++
+		}
 	}
+	pr.perRank = slices.Max(byRank)
 	return pr, true
 }
 
@@ -178,12 +193,23 @@
 	return total / float64(len(p.recent))
 }
 
-// perRank returns how many experts a change may copy to one rank.
-func (p *planner) perRank() int {
+// perRank returns how many experts a change may copy to one rank in any case.
+func (p *planner) perRank() int { return p.copiesWithin(copyTime) }
+
+// maxPerRank returns how many experts a change may copy to one rank where that pays.
+func (p *planner) maxPerRank() int {
+	if p.perRank() > 1 {
+		return 0 // Copies are short compared to the rest of a change.
+	}
+	return p.copiesWithin(maxCopyTime)
+}
+
+// copiesWithin returns how many experts a rank can copy in a time, at least 1.
+func (p *planner) copiesWithin(limit time.Duration) int {
 	if p.engine.ExpertTime <= 0 {
 		return 1
 	}
-	return max(1, int(copyTime/p.engine.ExpertTime))
+	return max(1, int(limit/p.engine.ExpertTime))
 }
 
 // enoughCounts reports whether there are enough counts to estimate the loads of all layers.
--- a/sidecar/planner_test.go
+++ b/sidecar/planner_test.go
@@ -84,3 +84,50 @@
 	is.True(ok)
 	is.Equal(maps.build(2, 9, &rankpeer.Change{Base: next.Hash(), Moves: back}), first)
 }
+
+// twoHotExperts returns a planner whose three ranks hold two hot experts on one rank of each of
+// two layers.
+func twoHotExperts(expertTime time.Duration) *planner {
+	p := &planner{}
+	p.setEngine(deployment.Engine{Sets: 2, Experts: 6, Places: 3, Spare: 2, ExpertTime: expertTime})
+	now := time.Unix(1000, 0)
+	sample := rankpeer.NewSample(nil, []int64{900, 900, 30, 30, 30, 30, 900, 900, 30, 30, 30, 30})
+	responses := map[string]rankpeer.Response{}
+	for r, id := range []string{"a", "b", "c"} {
+		own := []int{2 * r, 2*r + 1}
+		responses[id] = rankpeer.Response{
+			Known: true, State: engine.State{Epoch: 1, Map: 5},
+			Placement: &engine.Placement{Epoch: 1, Map: 5, Experts: [][]int{own, own}},
+		}
+	}
+	p.observe(now, []string{"a", "b", "c"}, responses, []*rankpeer.Sample{sample})
+	return p
+}
+
+// Guards against more copies in a change where they are short anyway, or take longer than an
+// order to prepare may.
+func TestCopiesGrowOnlyWhereAChangeIsLonger(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		expertTime time.Duration
+		most       int
+	}{
+		{"not stated", 0, 1},
+		{"short", 16 * time.Millisecond, 3},
+		{"a part of the change", 36 * time.Millisecond, 2},
+		{"long", 111 * time.Millisecond, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := twoHotExperts(c.expertTime)
+			first, ok := p.better(true)
+			is.True(ok)
+			is.Equal(first.perRank, min(p.perRank(), 2)) // nothing is known of changes yet
+			p.changeTime.Observe(200*time.Millisecond+c.expertTime, 1)
+			pr, ok := p.better(true)
+			is.True(ok)
+			is.True(pr.perRank <= c.most)
+			is.Equal(pr.perRank > first.perRank, c.most > p.perRank())
+		})
+	}
+}
