A group that has been formed anew gets its first map by counts, sooner

Change: the loads are saved with how alike they are to those saved before. They make the first map where they differ by 0.15 at most, and the map in force is the first one: a map that has outlived its coordinator is better than old loads. Counts that differ from them replace them at once. Where the demand is not steady, the first change by counts is not delayed any more by one that changes nothing; while a group uses its first map, rounds follow each other at once and most read counts.

--- a/core/experts/expert/recent.go
+++ b/core/experts/expert/recent.go
@@ -14,6 +14,8 @@
 
 	loads []float64
 	at    time.Time
+	// prior says that loads are an estimate alone, which no counts have confirmed.
+	prior bool
 	// baseline is the average difference between the counts of one call and the
 	// loads: 0 for the same proportions, 1 for no expert in common.
 	baseline float64
@@ -34,15 +36,10 @@
 // shifted reports whether the counts of a call show a shift of the demand to
 // other experts. If not, it updates the baseline.
 func (r *RecentLoads) shifted(chosen []float64) bool {
-	a, b := sum(r.loads), sum(chosen)
-	if a <= 0 || len(r.loads) != len(chosen) {
+	if sum(r.loads) <= 0 {
 		return false
 	}
-	difference := 0.0
-	for e, n := range chosen {
-		difference += math.Abs(r.loads[e]/a - n/b)
-	}
-	difference /= 2
+	difference := difference(r.loads, chosen)
 	if r.baseline == 0 {
 		r.baseline = difference
 		return false
@@ -55,9 +52,10 @@
 }
 
 // SetPrior sets an estimate of the loads before the first call of Observe. The
-// total is the number of choices that the estimate counts as.
+// total is the number of choices that the estimate counts as. Counts that differ from it replace
+// it, as after a shift.
 func (r *RecentLoads) SetPrior(estimate []float64, total float64) {
-	r.loads = append([]float64(nil), estimate...)
+	r.loads, r.prior = append([]float64(nil), estimate...), true
 	if s := sum(estimate); s > 0 {
 		for e := range r.loads {
 			r.loads[e] *= total / s
@@ -75,14 +73,18 @@
 	if len(r.loads) != len(chosen) {
 		r.loads = make([]float64, len(chosen))
 	}
-	if !r.at.IsZero() && r.TimeConstant > 0 {
+	switch {
+	case r.prior:
+		r.prior = false
+		if unlike(r.loads, chosen) {
+			r.scale(shiftKeep)
+		}
+	case !r.at.IsZero() && r.TimeConstant > 0:
 		keep := math.Exp(-now.Sub(r.at).Seconds() / r.TimeConstant.Seconds())
 		if r.shifted(chosen) {
 			keep *= shiftKeep
 		}
-		for e := range r.loads {
-			r.loads[e] *= keep
-		}
+		r.scale(keep)
 	}
 	r.at = now
 	for e, n := range chosen {
@@ -90,6 +92,12 @@
 	}
 }
 
+func (r *RecentLoads) scale(by float64) {
+	for e := range r.loads {
+		r.loads[e] *= by
+	}
+}
+
 // Loads returns the loads of the experts; only their proportions matter. It is
 // empty before the first call of Observe.
 func (r *RecentLoads) Loads() []float64 { return r.loads }
--- a/sidecar/coordinator.go
+++ b/sidecar/coordinator.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"verbenashift/core/configuration/mirror"
@@ -47,6 +48,8 @@
 	byRank  []string
 	core    *lockstep.Coordinator
 	planner planner
+	// found are saved loads that were read after the start, until the next round takes them.
+	found atomic.Pointer[savedLoads]
 	// pending are the orders that go out with the next requests, by target; responses are
 	// the last responses.
 	pending   map[string]lockstep.Command
@@ -86,6 +89,10 @@
 	heldSince time.Time
 	// roundTook is how long the last poll of all ranks took.
 	roundTook time.Duration
+	// formedAt is when the group was formed, as far as this coordinator knows.
+	formedAt time.Time
+	// firstCounts says that the group awaits the counts for its first change.
+	firstCounts bool
 	// reported is when the state of the group was last logged.
 	reported time.Time
 	log      *slog.Logger
@@ -106,12 +113,13 @@
 		targets: mirror.NewTargetFollower(a.store, platform.Formats(), a.log),
 		members: members{peers: map[string]*peer{}, otherGroups: map[string]engine.GroupID{}, polledAllAt: time.Now()},
 		core:    lockstep.NewCoordinator(st.Rank, a.predecessor(st.Rank), salt), pending: map[string]lockstep.Command{},
-		log: a.log.With("group", group.Name, "service", a.boot.Service, "steward-from", d.term),
+		formedAt: time.Now(), log: a.log.With("group", group.Name, "service", a.boot.Service, "steward-from", d.term),
 	}
 	co.targets.UseCheckpoints(a.store, false)
 	co.core.Fence = d.term
+	loadsRead := false
 	if !d.provisional {
-		co.planner.guess = a.readLoads(ctx, group)
+		co.planner.guess, loadsRead = a.readLoads(ctx, group)
 	}
 	if r := a.lastRoster(); r != nil {
 		co.needs.set(groupNeeds{r.Engine, r.Gap})
@@ -120,7 +128,7 @@
 		co.needs.set(co.planner.guess.Needs)
 	}
 	co.setRoster(a.lastRoster())
-	go co.readNeeds(ctx)
+	go co.readNeeds(ctx, loadsRead)
 	go co.followTargets(ctx, co.roster != nil)
 	go co.saveLoadsPeriodically(ctx)
 	co.log.Info("steward begins", "epoch", group.Epoch, "term", d.term, "acting", d.provisional, "members", len(co.peers))
@@ -189,6 +197,9 @@
 // newer coordinator is found.
 func (co *coordinator) round(ctx context.Context, now time.Time) (busy, ok bool) {
 	co.refreshMembers(now)
+	if saved := co.found.Swap(nil); saved != nil {
+		co.planner.guess = saved
+	}
 	// The first round shows whether this agent has stored the map in force.
 	needPlaces := !co.planner.placed && co.rounds > 0
 	co.rounds++
@@ -202,6 +213,7 @@
 	co.roundTook = time.Since(now)
 	metricRound.Record(co.roundTook.Milliseconds())
 	co.planner.observe(now, co.byRank, co.responses, co.samples)
+	co.firstCounts = !co.planner.enoughCounts() && lockstep.AwaitsFirstChange(ranks, now.Sub(co.formedAt))
 	co.noteMapInForce(ranks)
 	co.adoptBase(ranks)
 	co.report(ranks, now)
@@ -236,7 +248,7 @@
 			break
 		}
 	}
-	return !co.core.Idle(ranks) || !co.planner.placed || now.Sub(co.changedAt) < chainWindow, true
+	return !co.core.Idle(ranks) || !co.planner.placed || co.firstCounts || now.Sub(co.changedAt) < chainWindow, true
 }
 
 // maxQuickSteps bounds the steps that are made without a full round between them: a hold, arming
@@ -268,6 +280,8 @@
 	// its rounds. A change that takes longer, as while orders go unanswered, must not end with
 	// counts of a mix that is long over.
 	countsIntervalInChange = 500 * time.Millisecond
+	// firstCountsInterval is the same while the group awaits its first change.
+	firstCountsInterval = 50 * time.Millisecond
 )
 
 // propose begins a change if there is a better map, or if the group cannot go on without one.
--- a/sidecar/members_test.go
+++ b/sidecar/members_test.go
@@ -163,7 +163,9 @@
 	a, _ := testAgent(t)
 	s := &coordinator{agent: a, group: in("h"), log: a.log}
 	is.NoErr(s.saveLoads(t.Context(), &savedLoads{Group: in("h"), Layers: [][]uint16{{1}}}))
-	is.True(a.readLoads(t.Context(), engine.GroupID{Name: "h", Epoch: 9}) != nil) // of an earlier epoch
+	saved, ok := a.readLoads(t.Context(), engine.GroupID{Name: "h", Epoch: 9})
+	is.True(ok && saved != nil) // of an earlier epoch
 	is.NoErr(a.store.Set(t.Context(), rankpeer.Key(rankpeer.LoadsPrefix, "g"), nil))
-	is.True(a.readLoads(t.Context(), groupG) == nil)
+	saved, ok = a.readLoads(t.Context(), groupG)
+	is.True(ok && saved == nil)
 }
--- a/sidecar/needs.go
+++ b/sidecar/needs.go
@@ -7,7 +7,6 @@
 
 	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/configuration/mirror"
-	"verbenashift/core/plumbing/pause"
 	"verbenashift/platform"
 )
 
@@ -45,20 +44,9 @@
 	n.known.CompareAndSwap(known, &groupNeeds{Engine: known.Engine, Gap: gap})
 }
 
-// needsRetryInterval is the pause between tries to read the configuration.
-const needsRetryInterval = 500 * time.Millisecond
-
-// readNeeds reads the configuration until the group's needs are known.
-func (co *coordinator) readNeeds(ctx context.Context) {
-	for co.needs.load() == nil && ctx.Err() == nil {
-		if err := co.readConfig(ctx); err != nil {
-			co.log.Warn("failed to read configuration", "error", err.Error())
-		}
-		if co.needs.load() == nil {
-			pause.For(ctx, needsRetryInterval)
-		}
-	}
-}
+// needsRetryInterval is the pause between tries to read what a coordinator lacks. It is a variable,
+// so that tests can shorten it.
+var needsRetryInterval = 500 * time.Millisecond
 
 // configWait bounds a read of the whole configuration over a narrow link.
 const configWait = 5 * time.Second
--- a/sidecar/needs_test.go
+++ b/sidecar/needs_test.go
@@ -24,7 +24,9 @@
 	var n needs
 	n.set(groupNeeds{}) // from a roster that was made before anything was known
 	is.True(n.load() == nil)
-	n.set(a.readLoads(t.Context(), groupG).Needs)
+	saved, ok := a.readLoads(t.Context(), groupG)
+	is.True(ok)
+	n.set(saved.Needs)
 	is.Equal(n.load().Engine, engine)
 	n.updateGap(0)
 	is.Equal(n.load().Gap, 80*time.Millisecond)
--- a/sidecar/planner.go
+++ b/sidecar/planner.go
@@ -53,7 +53,7 @@
 	// places are the last known placements, by target.
 	places map[string]*engine.Placement
 	recent []expert.RecentLoads
-	// guess are the loads that an earlier coordinator has saved, until they are used.
+	// guess are the loads that an earlier coordinator has saved, until they are used or dropped.
 	guess *savedLoads
 	// placed says that places belong to the map in force.
 	placed bool
@@ -84,25 +84,42 @@
 	for i := range p.recent {
 		p.recent[i].TimeConstant = countMemory
 	}
-	p.applyGuess()
 }
 
-// applyGuess starts the counts from the guess, if it fits the group.
-func (p *planner) applyGuess() {
-	if p.guess == nil || len(p.guess.Layers) != len(p.recent) {
+// applyGuess starts the counts from the guess where that is worth a change: the group is open with
+// its first map, which fits no demand, there are no counts yet, and the demand was steady when the
+// guess was saved. Loads of any age and of any era of the store do, since without them the first
+// map stays; counts that differ replace them.
+func (p *planner) applyGuess(responses map[string]rankpeer.Response) {
+	if p.guess == nil {
 		return
 	}
-	for l, loads := range p.guess.Layers {
-		if len(loads) != p.engine.Experts {
+	open := false
+	for _, resp := range responses {
+		st := &resp.State
+		if resp.Known && st.Open && st.Map != 0 {
+			p.guess = nil
 			return
 		}
-		guess := make([]float64, len(loads))
-		for e, x := range loads {
-			guess[e] = float64(x)
-		}
-		p.recent[l].SetPrior(guess, guessCounts*float64(p.engine.Experts))
+		open = open || resp.Known && st.Open
+	}
+	if !open {
+		return
 	}
+	guess := p.guess
 	p.guess = nil
+	loads := guess.loads()
+	if !expert.Steady(1-guess.Alike) || len(loads) != len(p.recent) {
+		return
+	}
+	for l := range loads {
+		if len(loads[l]) != p.engine.Experts || p.recent[l].Total() > 0 {
+			return
+		}
+	}
+	for l := range loads {
+		p.recent[l].SetPrior(loads[l], guessCounts*float64(p.engine.Experts))
+	}
 }
 
 // save returns the loads for the next coordinator.
@@ -128,6 +145,7 @@
 			p.places[id] = t.Placement
 		}
 	}
+	p.applyGuess(responses)
 	for _, sample := range samples {
 		sample.AddTo(chosen)
 	}
--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -191,11 +191,14 @@
 
 // startCounting decides whether this round requests counts. While a change is under way it
 // seldom does: the next change is planned with later counts, and a round without counts takes a
-// third of the time in a large group.
+// third of the time in a large group. Before the first change most rounds do.
 func (co *coordinator) startCounting(now time.Time) {
 	every := countsInterval
-	if co.core.Changing() {
+	switch {
+	case co.core.Changing():
 		every = countsIntervalInChange
+	case co.firstCounts:
+		every = firstCountsInterval
 	}
 	if co.counting = now.Sub(co.countedAt) >= every; co.counting {
 		co.countedAt = now
