Copies leave room in the long passes of a shift

Ranks that copy for the whole of the longest pass make it 15 in 100 longer.

Change: while the pass that is to be expected at the present skew would get too long by it, a change copies no more than before.

--- a/core/experts/expert/changetime.go
+++ b/core/experts/expert/changetime.go
@@ -1,6 +1,9 @@
 package expert
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// copySlowdown is by how much passes take longer while ranks copy experts.
@@ -42,3 +45,54 @@
 	delay := (before - reached + copySlowdown*before) * c.Copy.Seconds()
 	return gain > delay
 }
+
+// CopyRoom returns for how long ranks may copy at a time while a pass takes the given time, so that
+// no pass gets longer than the gap that callers allow by their copying. It is 0 where passes are
+// too long already, and a pass at most is lengthened as a whole.
+func CopyRoom(pass, gap time.Duration) time.Duration {
+	room := time.Duration(float64(max(gap-pass, 0)) / copySlowdown)
+	if room >= pass {
+		return math.MaxInt64
+	}
+	return room
+}
+
+// PassForecast forecasts how long a pass takes as the skew changes. The time of a pass is measured
+// over some tenths of a second; right after a shift of the demand it still belongs to the skew
+// before. The zero value has seen nothing.
+type PassForecast struct {
+	// Window is over how long the time of a pass is measured.
+	Window time.Duration
+
+	recent []skewAt
+}
+
+type skewAt struct {
+	at   time.Time
+	skew float64
+}
+
+// Observe records the skew.
+func (f *PassForecast) Observe(now time.Time, skew float64) {
+	old := 0
+	for old < len(f.recent) && now.Sub(f.recent[old].at) > f.Window {
+		old++
+	}
+	f.recent = append(f.recent[old:], skewAt{now, skew})
+}
+
+// Pass returns how long a pass takes at the last observed skew at most, where measured is its mean
+// time over the window.
+func (f *PassForecast) Pass(measured time.Duration) time.Duration {
+	if len(f.recent) == 0 {
+		return measured
+	}
+	last, least := f.recent[len(f.recent)-1].skew, f.recent[0].skew
+	for _, r := range f.recent {
+		least = min(least, r.skew)
+	}
+	if least <= 0 {
+		return measured
+	}
+	return time.Duration(float64(measured) * last / least)
+}
--- a/core/experts/expert/changetime_test.go
+++ b/core/experts/expert/changetime_test.go
@@ -1,6 +1,7 @@
 package expert
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -153,3 +154,41 @@
 	c.Observe(10*time.Millisecond, 1)
 	is.True(c.rest > 0)
 }
+
+// Guards against copies that make the long passes of a shift longer than callers allow.
+func TestCopiesLeaveRoomInAPass(t *testing.T) {
+	const gap = 150 * time.Millisecond
+	for _, c := range []struct {
+		name string
+		// measured is the time of a pass at the skew before, of which after is the present one.
+		measured      time.Duration
+		before, after float64
+		least, most   time.Duration
+	}{
+		{"short passes", 40 * time.Millisecond, 1.2, 2, time.Second, math.MaxInt64},
+		{"a shift at high load", 70 * time.Millisecond, 1.2, 2.4, 60 * time.Millisecond, 70 * time.Millisecond},
+		{"a larger one", 70 * time.Millisecond, 1.2, 2.6, 0, 0},
+		{"once the skew is lower", 134 * time.Millisecond, 2.4, 1.6, 100 * time.Millisecond, 110 * time.Millisecond},
+		{"too long as it is", 160 * time.Millisecond, 1.5, 1.5, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			f := PassForecast{Window: 500 * time.Millisecond}
+			f.Observe(now, 1) // too long ago to count
+			for range 3 {
+				now = now.Add(200 * time.Millisecond)
+				f.Observe(now, c.before)
+			}
+			f.Observe(now.Add(200*time.Millisecond), c.after)
+			room := CopyRoom(f.Pass(c.measured), gap)
+			t.Log(room)
+			is.True(room >= c.least)
+			is.True(room <= c.most)
+		})
+	}
+	is := is.New(t)
+	var f PassForecast
+	is.Equal(f.Pass(gap), gap)
+	is.Equal(CopyRoom(gap, 0), time.Duration(0)) // the gap is not known
+}
--- a/sidecar/coordinator.go
+++ b/sidecar/coordinator.go
@@ -297,6 +297,10 @@
 	if !co.plan || !co.core.Idle(ranks) {
 		return
 	}
+	co.planner.passTime = co.core.PassTime()
+	if co.roster != nil {
+		co.planner.gap = co.roster.Gap
+	}
 	p, ok := co.planner.better(co.longPasses())
 	if !ok {
 		return
--- a/sidecar/planner.go
+++ b/sidecar/planner.go
@@ -33,6 +33,9 @@
 	// maxCopyTime is how long they may take where more copies shorten the time until the map is
 	// balanced. An order to prepare that takes longer would be sent again.
 	maxCopyTime = 150 * time.Millisecond
+	// skewWindow is over how long a pass may still have been measured at an earlier skew: the span of
+	// a measurement and a round.
+	skewWindow = 500 * time.Millisecond
 	// minChosen is how often each expert must have been chosen recently, in the mean, for an
 	// estimate.
 	minChosen = 20
@@ -59,6 +62,10 @@
 	placed bool
 	// changeTime is how long recent changes took.
 	changeTime expert.ChangeTime
+	// passes forecasts passes from passTime, the mean time of recent ones, and gap is the longest
+	// pause between events that callers are to see; each is 0 before it is known.
+	passes        expert.PassForecast
+	passTime, gap time.Duration
 	// skew is the mean skew of the layers under the map in force, by the last counts; 0 if it is
 	// not known.
 	skew float64
@@ -160,7 +167,10 @@
 			p.group.Ranks[r].Pace = pace
 		}
 	}
-	p.skew = p.meanSkew()
+	if p.skew = p.meanSkew(); p.skew > 0 {
+		p.passes.Window = skewWindow
+		p.passes.Observe(now, p.skew)
+	}
 }
 
 // better returns a better map, if there is one whose gain is worth its copies. It settles for
@@ -214,12 +224,13 @@
 // perRank returns how many experts a change may copy to one rank in any case.
 func (p *planner) perRank() int { return p.copiesWithin(copyTime) }
 
-// maxPerRank returns how many experts a change may copy to one rank where that pays.
+// maxPerRank returns how many experts a change may copy to one rank where that pays, and makes no
+// pass too long for callers.
 func (p *planner) maxPerRank() int {
 	if p.perRank() > 1 {
 		return 0 // Copies are short compared to the rest of a change.
 	}
-	return p.copiesWithin(maxCopyTime)
+	return p.copiesWithin(min(maxCopyTime, expert.CopyRoom(p.passes.Pass(p.passTime), p.gap)))
 }
 
 // copiesWithin returns how many experts a rank can copy in a time, at least 1.
--- a/sidecar/planner_test.go
+++ b/sidecar/planner_test.go
@@ -104,22 +104,25 @@
 	return p
 }
 
-// Guards against more copies in a change where they are short anyway, or take longer than an
-// order to prepare may.
+// Guards against more copies in a change where they are short anyway, take longer than an order to
+// prepare may, or make passes too long.
 func TestCopiesGrowOnlyWhereAChangeIsLonger(t *testing.T) {
 	for _, c := range []struct {
 		name       string
 		expertTime time.Duration
+		passTime   time.Duration
 		most       int
 	}{
-		{"not stated", 0, 1},
-		{"short", 16 * time.Millisecond, 3},
-		{"a part of the change", 36 * time.Millisecond, 2},
-		{"long", 111 * time.Millisecond, 1},
+		{"not stated", 0, 60 * time.Millisecond, 1},
+		{"short", 16 * time.Millisecond, 60 * time.Millisecond, 3},
+		{"a part of the change", 36 * time.Millisecond, 60 * time.Millisecond, 2},
+		{"a part of the change, long passes", 36 * time.Millisecond, 142 * time.Millisecond, 1},
+		{"long", 111 * time.Millisecond, 60 * time.Millisecond, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			p := twoHotExperts(c.expertTime)
+			p.passTime, p.gap = c.passTime, 150*time.Millisecond
 			first, ok := p.better(true)
 			is.True(ok)
 			is.Equal(first.perRank, min(p.perRank(), 2)) // nothing is known of changes yet
