--- a/core/experts/lockstep/rank.go
+++ b/core/experts/lockstep/rank.go
@@ -1,8 +1,6 @@
 package lockstep
 
 import (
-	"time"
-
 	"verbenashift/core/experts/engine"
 )
 
@@ -75,19 +73,6 @@
 	return false
 }
 
-// formedWindow is how long after a group was formed its callers are expected: those that were cut
-// off come back at once.
-const formedWindow = time.Second
-
-// AwaitsFirstChange reports whether an open group that was formed some time ago still uses the
-// first map of its epoch while requests run or are about to. That map fits no demand, so that all
-// of them meet long passes until the first change: each tenth of a second until the first counts
-// counts.
-func AwaitsFirstChange(ranks []Rank, sinceFormed time.Duration) bool {
-	version, ok := InForce(ranks)
-	return ok && version == 0 && (Running(ranks) > 0 || sinceFormed < formedWindow)
-}
-
 // Running returns how many requests run at the known ranks.
 func Running(ranks []Rank) int {
 	n := 0
--- a/sidecar/coordinator.go
+++ b/sidecar/coordinator.go
@@ -88,10 +88,9 @@
 	// heldSince is when a hold was first seen; zero while there is none.
 	heldSince time.Time
 	// roundTook is how long the last poll of all ranks took.
-	roundTook time.Duration
-	// formedAt is when the group was formed, as far as this coordinator knows.
-	formedAt time.Time
-	// firstCounts says that the group awaits the counts for its first change.
+	roundTook   time.Duration
+	firstChange lockstep.FirstChange
+	// firstCounts says that the counts for the first change are urgent.
 	firstCounts bool
 	// reported is when the state of the group was last logged.
 	reported time.Time
@@ -113,9 +112,10 @@
 		targets: mirror.NewTargetFollower(a.store, platform.Formats(), a.log),
 		members: members{peers: map[string]*peer{}, otherGroups: map[string]engine.GroupID{}, polledAllAt: time.Now()},
 		core:    lockstep.NewCoordinator(st.Rank, a.predecessor(st.Rank), salt), pending: map[string]lockstep.Command{},
-		formedAt: time.Now(), log: a.log.With("group", group.Name, "service", a.boot.Service, "steward-from", d.term),
+		log: a.log.With("group", group.Name, "service", a.boot.Service, "steward-from", d.term),
 	}
 	co.targets.UseCheckpoints(a.store, false)
+	co.firstChange.Formed(time.Now()) // As far as this coordinator knows.
 	co.core.Fence = d.term
 	loadsRead := false
 	if !d.provisional {
@@ -213,7 +213,7 @@
 	co.roundTook = time.Since(now)
 	metricRound.Record(co.roundTook.Milliseconds())
 	co.planner.observe(now, co.byRank, co.responses, co.samples)
-	co.firstCounts = !co.planner.enoughCounts() && lockstep.AwaitsFirstChange(ranks, now.Sub(co.formedAt))
+	co.firstCounts = co.firstChange.Urgent(ranks, now) && !co.planner.enoughCounts()
 	co.noteMapInForce(ranks)
 	co.adoptBase(ranks)
 	co.report(ranks, now)
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -115,7 +115,8 @@
 		p.belongs = true
 		if co.group.Older(t.Group) {
 			co.log.Info("group has been formed anew", "epoch", t.Group.Epoch, "epoch-before", co.group.Epoch, "told-by", id)
-			co.group.Epoch, co.formedAt = t.Group.Epoch, time.Now()
+			co.group.Epoch = t.Group.Epoch
+			co.firstChange.Formed(time.Now())
 		}
 		return
 	}
--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -191,7 +191,7 @@
 
 // startCounting decides whether this round requests counts. While a change is under way it
 // seldom does: the next change is planned with later counts, and a round without counts takes a
-// third of the time in a large group. Before the first change most rounds do.
+// third of the time in a large group. Before an urgent first change most rounds do.
 func (co *coordinator) startCounting(now time.Time) {
 	every := countsInterval
 	switch {
