How long changes take is saved with the loads

Change: what a change takes besides its copies is saved with the loads and taken over by the next coordinator.

--- a/core/experts/expert/changetime.go
+++ b/core/experts/expert/changetime.go
@@ -13,23 +13,23 @@
 	changesGained = 2
 )
 
-// ChangeTime is how long a change of a group's maps takes. The rest beside the copies is learned
-// from earlier changes; while it is unknown, no change copies more than Limits.PerRank.
+// ChangeTime is how long a change of a group's maps takes.
 type ChangeTime struct {
 	// Copy is how long a rank takes to copy one expert.
 	Copy time.Duration
-
-	rest time.Duration
+	// Rest is how long a change takes besides its copies, as learned from earlier ones. While it is
+	// 0, and unknown, no change copies more than Limits.PerRank.
+	Rest time.Duration
 }
 
 // Observe records a change that took the given time until it was in force, with the largest
 // number of experts that one rank had to copy for it.
 func (c *ChangeTime) Observe(took time.Duration, copies int) {
 	rest := max(took-time.Duration(copies)*c.Copy, 0)
-	if c.rest > 0 {
-		rest = (c.rest + rest) / 2
+	if c.Rest > 0 {
+		rest = (c.Rest + rest) / 2
 	}
-	c.rest = rest
+	c.Rest = rest
 }
 
 // pays reports whether a change should make each rank copy one expert more than the given number,
@@ -40,7 +40,7 @@
 // longer, in passes that the copying lengthens. In return the skew is lower during the changes that
 // follow.
 func (c ChangeTime) pays(before, reached, next float64, copies int) bool {
-	lasts := c.rest + time.Duration(copies)*c.Copy
+	lasts := c.Rest + time.Duration(copies)*c.Copy
 	gain := changesGained * (reached - next) * lasts.Seconds()
 	delay := (before - reached + copySlowdown*before) * c.Copy.Seconds()
 	return gain > delay
--- a/core/experts/expert/changetime_test.go
+++ b/core/experts/expert/changetime_test.go
@@ -125,7 +125,7 @@
 func TestSlowCopiesAreNotMultiplied(t *testing.T) {
 	is := is.New(t)
 	for _, c := range []ChangeTime{
-		{Copy: 400 * time.Millisecond, rest: 200 * time.Millisecond},
+		{Copy: 400 * time.Millisecond, Rest: 200 * time.Millisecond},
 		{Copy: 36500 * time.Microsecond}, // The time of a change is not known yet.
 	} {
 		s := newShiftingGroup(1)
@@ -143,16 +143,16 @@
 	is := is.New(t)
 	c := ChangeTime{Copy: 40 * time.Millisecond}
 	c.Observe(240*time.Millisecond, 1)
-	is.Equal(c.rest, 200*time.Millisecond)
+	is.Equal(c.Rest, 200*time.Millisecond)
 	c.Observe(360*time.Millisecond, 4)
-	is.Equal(c.rest, 200*time.Millisecond)
+	is.Equal(c.Rest, 200*time.Millisecond)
 	c.Observe(2040*time.Millisecond, 1)
 	for range 4 {
 		c.Observe(240*time.Millisecond, 1)
 	}
-	is.True(c.rest < 300*time.Millisecond)
+	is.True(c.Rest < 300*time.Millisecond)
 	c.Observe(10*time.Millisecond, 1)
-	is.True(c.rest > 0)
+	is.True(c.Rest > 0)
 }
 
 // Guards against copies that make the long passes of a shift longer than callers allow.
--- a/core/experts/expert/rebalance.go
+++ b/core/experts/expert/rebalance.go
@@ -48,7 +48,7 @@
 	before = meanSkew(layers)
 	improveLayers(layers, steps, lim.TargetSkew)
 	made, after := stepsMade(layers), meanSkew(layers)
-	for lim.PerRank > 0 && lim.ChangeTime.rest > 0 && shared.perRank < lim.MaxPerRank {
+	for lim.PerRank > 0 && lim.ChangeTime.Rest > 0 && shared.perRank < lim.MaxPerRank {
 		shared.perRank++
 		improveLayers(layers, steps, lim.TargetSkew)
 		more := meanSkew(layers)
--- a/sidecar/loads.go
+++ b/sidecar/loads.go
@@ -34,6 +34,8 @@
 	Layers [][]uint16
 	// Alike is 1 less the difference from the loads saved before these; 0 if it is not known.
 	Alike float64
+	// ChangeRest is how long a change of the map takes besides its copies; 0 if it is not known.
+	ChangeRest time.Duration
 	// Needs is for the next coordinator of a group whose agents have all restarted.
 	Needs groupNeeds
 }
--- a/sidecar/loads_test.go
+++ b/sidecar/loads_test.go
@@ -14,14 +14,15 @@
 // steadyLoads are saved loads of two layers that fit testEngine.
 func steadyLoads() *savedLoads {
 	return &savedLoads{
-		Group: groupG, Layers: [][]uint16{{900, 900, 30, 30, 30, 30}, {900, 900, 30, 30, 30, 30}}, Alike: 0.95,
+		Group: groupG, Layers: [][]uint16{{900, 900, 30, 30, 30, 30}, {900, 900, 30, 30, 30, 30}}, Alike: 0.95, ChangeRest: 180 * time.Millisecond,
 		Needs: groupNeeds{Engine: testEngine, Gap: 80 * time.Millisecond},
 	}
 }
 
 var testEngine = deployment.Engine{Sets: 2, Experts: 6, Places: 3, Spare: 2, ExpertTime: 10 * time.Millisecond}
 
-// Guards against a first map by loads that do not fit the demand, and against none by those that do.
+// Guards against a first map by loads that do not fit the demand, against none by those that do,
+// and against a first change after a loss that copies as if nothing were known of changes.
 func TestSavedLoadsMakeTheFirstMap(t *testing.T) {
 	formed := engine.State{Epoch: 1, Open: true}
 	changing := steadyLoads()
@@ -68,6 +69,8 @@
 			p.guess = c.saved
 			p.observe(now, byRank, responses, nil)
 			is.Equal(p.guess != nil, c.kept)
+			is.Equal(p.changeTime.Rest, 180*time.Millisecond) // it does not depend on the demand
+			is.Equal(p.save().ChangeRest, 180*time.Millisecond)
 			pr, ok := p.better(true)
 			is.Equal(ok, c.used || c.counts != nil)
 			if c.counts != nil {
--- a/sidecar/planner.go
+++ b/sidecar/planner.go
@@ -93,14 +93,17 @@
 	}
 }
 
-// applyGuess starts the counts from the guess where that is worth a change: the group is open with
-// its first map, which fits no demand, there are no counts yet, and the demand was steady when the
-// guess was saved. Loads of any age and of any era of the store do, since without them the first
-// map stays; counts that differ replace them.
+// applyGuess takes from the guess how long changes take, and starts the counts from it where that is
+// worth a change: the group is open with its first map, which fits no demand, there are no counts
+// yet, and the demand was steady when the guess was saved. Loads of any age and of any era of the
+// store do, since without them the first map stays; counts that differ replace them.
 func (p *planner) applyGuess(responses map[string]rankpeer.Response) {
 	if p.guess == nil {
 		return
 	}
+	if p.changeTime.Rest == 0 {
+		p.changeTime.Rest = p.guess.ChangeRest
+	}
 	open := false
 	for _, resp := range responses {
 		st := &resp.State
@@ -131,7 +134,7 @@
 
 // save returns the loads for the next coordinator.
 func (p *planner) save() *savedLoads {
-	saved := &savedLoads{}
+	saved := &savedLoads{ChangeRest: p.changeTime.Rest}
 	for l := range p.recent {
 		saved.Layers = append(saved.Layers, scaled(p.recent[l].Loads()))
 	}
