--- a/core/experts/expert/rebalance.go
+++ b/core/experts/expert/rebalance.go
@@ -9,9 +9,11 @@
 	// It bounds the copying time of a change. 0 means no limit.
 	PerRank int
 	// MaxPerRank is up to how many experts PerRank grows while another copy pays by
-	// ChangeTime. It has no effect unless it is higher than PerRank.
+	// ChangeTime, and saves MinGain of the mean skew. It has no effect unless it is higher
+	// than PerRank.
 	MaxPerRank int
 	ChangeTime ChangeTime
+	MinGain    float64
 	// TargetSkew is the skew at or below which a layer is not changed, because a
 	// further reduction is not worth the copies. 0 means the lowest possible.
 	TargetSkew float64
@@ -52,7 +54,7 @@
 		shared.perRank++
 		improveLayers(layers, steps, lim.TargetSkew)
 		more := meanSkew(layers)
-		if !lim.ChangeTime.pays(before, after, more, shared.perRank-1) {
+		if after-more < lim.MinGain || !lim.ChangeTime.pays(before, after, more, shared.perRank-1) {
 			break
 		}
 		made, after = stepsMade(layers), more
--- a/sidecar/planner.go
+++ b/sidecar/planner.go
@@ -195,7 +195,7 @@
 		loads[l] = p.recent[l].Loads()
 	}
 	next, before, after := expert.Rebalance(&p.group, maps, loads, expert.Limits{
-		PerLayer: p.engine.Spare, PerRank: p.perRank(), MaxPerRank: p.maxPerRank(), ChangeTime: p.changeTime, TargetSkew: stop,
+		PerLayer: p.engine.Spare, PerRank: p.perRank(), MaxPerRank: p.maxPerRank(), ChangeTime: p.changeTime, MinGain: minGainLongPass, TargetSkew: stop,
 	})
 	if before-after < gain {
 		return proposal{}, false
