--- a/core/experts/expert/changetime.go
+++ b/core/experts/expert/changetime.go
@@ -46,9 +46,9 @@
 	return gain > delay
 }
 
-// CopyRoom returns for how long ranks may copy at a time while a pass takes the given time, so that
-// no pass gets longer than the gap that callers allow by their copying. It is 0 where passes are
-// too long already, and a pass at most is lengthened as a whole.
+// CopyRoom returns for how long ranks may copy without making a pass that takes the given time longer
+// than the gap that callers allow. There is no bound where the pass has room for copies during all
+// of it, and it is 0 where the pass is too long already.
 func CopyRoom(pass, gap time.Duration) time.Duration {
 	room := time.Duration(float64(max(gap-pass, 0)) / copySlowdown)
 	if room >= pass {
