--- a/core/request/admission/choose.go
+++ b/core/request/admission/choose.go
@@ -99,7 +99,7 @@
 		return slots * unknownFreeShare
 	}
 	free := max(float64(g.open()-g.lastLoad.Running-g.lastLoad.Queued-g.startedSince), slots*minFreeShare)
-	pass := g.passTime(now)
+	pass := g.passTime(pause, now)
 	if pass <= 0 || mean <= 0 {
 		return free
 	}
@@ -109,11 +109,12 @@
 	return free * mean.Seconds() / pass.Seconds()
 }
 
-// passTime returns the time of the pass that a request would meet, or 0: as this entry measures it
-// with several streams there, or as the coordinator reports it, which is a mean that is some tenths
-// of a second old.
-func (g *group) passTime(now time.Time) time.Duration {
-	if pass, ok := g.passes.meter.Current(now); ok && g.running >= minStreams {
+// passTime returns the time of the pass that a request would meet, or 0: as the coordinator reports
+// it, which is a mean that is some tenths of a second old, or as this entry measures it with several
+// streams there if that is longer than callers accept.
+func (g *group) passTime(pause time.Duration, now time.Time) time.Duration {
+	pass, ok := g.passes.meter.Current(now)
+	if ok && g.running >= minStreams && pause > 0 && !headroom.Fits(pass, pause) {
 		return pass
 	}
 	return g.lastLoad.PassTime
@@ -123,7 +124,7 @@
 func (p *Pool) meanPassTime(now time.Time) time.Duration {
 	sum, n := time.Duration(0), 0
 	for _, g := range p.groups {
-		if pass := g.passTime(now); g.fresh(now) && pass > 0 {
+		if pass := g.passTime(p.shortestPause, now); g.fresh(now) && pass > 0 {
 			sum += pass
 			n++
 		}
--- a/sidecar/coordinator.go
+++ b/sidecar/coordinator.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"verbenashift/core/configuration/mirror"
@@ -47,6 +48,8 @@
 	byRank  []string
 	core    *lockstep.Coordinator
 	planner planner
+	// found are saved loads that were read after the start, until the next round takes them.
+	found atomic.Pointer[savedLoads]
 	// pending are the orders that go out with the next requests, by target; responses are
 	// the last responses.
 	pending   map[string]lockstep.Command
@@ -61,6 +64,10 @@
 	// proposed is the newest map that was prepared, under the version proposedVersion.
 	proposed        lockstep.Map
 	proposedVersion int64
+	// proposedAt is when the change under way was decided, if the group was at work then, and
+	// proposedCopies the largest number of experts that one rank copies for it.
+	proposedAt     time.Time
+	proposedCopies int
 	// packed is proposed, and base the map in force with the version baseVersion, as they
 	// are sent to the agents.
 	packed, base *rankpeer.Map
@@ -81,7 +88,10 @@
 	// heldSince is when a hold was first seen; zero while there is none.
 	heldSince time.Time
 	// roundTook is how long the last poll of all ranks took.
-	roundTook time.Duration
+	roundTook   time.Duration
+	firstChange lockstep.FirstChange
+	// firstCounts says that the counts for the first change are urgent.
+	firstCounts bool
 	// reported is when the state of the group was last logged.
 	reported time.Time
 	log      *slog.Logger
@@ -105,9 +115,11 @@
 		log: a.log.With("group", group.Name, "service", a.boot.Service, "steward-from", d.term),
 	}
 	co.targets.UseCheckpoints(a.store, false)
+	co.firstChange.Formed(time.Now()) // As far as this coordinator knows.
 	co.core.Fence = d.term
+	loadsRead := false
 	if !d.provisional {
-		co.planner.guess = a.readLoads(ctx, group)
+		co.planner.guess, loadsRead = a.readLoads(ctx, group)
 	}
 	if r := a.lastRoster(); r != nil {
 		co.needs.set(groupNeeds{r.Engine, r.Gap})
@@ -116,7 +128,7 @@
 		co.needs.set(co.planner.guess.Needs)
 	}
 	co.setRoster(a.lastRoster())
-	go co.readNeeds(ctx)
+	go co.readNeeds(ctx, loadsRead)
 	go co.followTargets(ctx, co.roster != nil)
 	go co.saveLoadsPeriodically(ctx)
 	co.log.Info("steward begins", "epoch", group.Epoch, "term", d.term, "acting", d.provisional, "members", len(co.peers))
@@ -185,6 +197,9 @@
 // newer coordinator is found.
 func (co *coordinator) round(ctx context.Context, now time.Time) (busy, ok bool) {
 	co.refreshMembers(now)
+	if saved := co.found.Swap(nil); saved != nil {
+		co.planner.guess = saved
+	}
 	// The first round shows whether this agent has stored the map in force.
 	needPlaces := !co.planner.placed && co.rounds > 0
 	co.rounds++
@@ -198,6 +213,7 @@
 	co.roundTook = time.Since(now)
 	metricRound.Record(co.roundTook.Milliseconds())
 	co.planner.observe(now, co.byRank, co.responses, co.samples)
+	co.firstCounts = co.firstChange.Urgent(ranks, now) && !co.planner.enoughCounts()
 	co.noteMapInForce(ranks)
 	co.adoptBase(ranks)
 	co.report(ranks, now)
@@ -232,7 +248,7 @@
 			break
 		}
 	}
-	return !co.core.Idle(ranks) || !co.planner.placed || now.Sub(co.changedAt) < chainWindow, true
+	return !co.core.Idle(ranks) || !co.planner.placed || co.firstCounts || now.Sub(co.changedAt) < chainWindow, true
 }
 
 // maxQuickSteps bounds the steps that are made without a full round between them: a hold, arming
@@ -264,6 +280,8 @@
 	// its rounds. A change that takes longer, as while orders go unanswered, must not end with
 	// counts of a mix that is long over.
 	countsIntervalInChange = 500 * time.Millisecond
+	// firstCountsInterval is the same while the group awaits its first change.
+	firstCountsInterval = 50 * time.Millisecond
 )
 
 // propose begins a change if there is a better map, or if the group cannot go on without one.
@@ -272,16 +290,25 @@
 		if m := co.planner.current(); m != nil {
 			co.log.Warn("group is held without a change; preparing the map in force again")
 			co.core.Propose(ranks, m)
+			co.proposedAt = time.Time{}
 		}
 		return
 	}
 	if !co.plan || !co.core.Idle(ranks) {
 		return
 	}
+	co.planner.passTime = co.core.PassTime()
+	if co.roster != nil {
+		co.planner.gap = co.roster.Gap
+	}
 	p, ok := co.planner.better(co.longPasses())
 	if !ok {
 		return
 	}
-	co.log.Info("change of map", "skew", p.before, "expected", p.after, "loads", p.loads, "map", ranks[0].State.Map)
+	co.log.Info("change of map", "skew", p.before, "expected", p.after, "loads", p.loads, "rank-loads", p.perRank, "map", ranks[0].State.Map)
 	co.core.Propose(ranks, p.m)
+	co.proposedAt, co.proposedCopies = time.Time{}, p.perRank
+	if lockstep.Running(ranks) > 0 {
+		co.proposedAt = time.Now()
+	}
 }
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -116,6 +116,7 @@
 		if co.group.Older(t.Group) {
 			co.log.Info("group has been formed anew", "epoch", t.Group.Epoch, "epoch-before", co.group.Epoch, "told-by", id)
 			co.group.Epoch = t.Group.Epoch
+			co.firstChange.Formed(time.Now())
 		}
 		return
 	}
--- a/sidecar/planner.go
+++ b/sidecar/planner.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -26,9 +27,15 @@
 	// longPassFraction is the fraction of the longest allowed gap above which passes count as
 	// long.
 	longPassFraction = 0.5
-	// copyTime is how long the copies of a change may take on one rank. Until they are done the
-	// imbalanced map slows every pass.
+	// copyTime is how long the copies of a change may take on one rank in any case. Until they
+	// are done the imbalanced map slows every pass.
 	copyTime = 50 * time.Millisecond
+	// maxCopyTime is how long they may take where more copies shorten the time until the map is
+	// balanced. An order to prepare that takes longer would be sent again.
+	maxCopyTime = 150 * time.Millisecond
+	// skewWindow is over how long a pass may still have been measured at an earlier skew: the span of
+	// a measurement and a round.
+	skewWindow = 500 * time.Millisecond
 	// minChosen is how often each expert must have been chosen recently, in the mean, for an
 	// estimate.
 	minChosen = 20
@@ -49,10 +56,16 @@
 	// places are the last known placements, by target.
 	places map[string]*engine.Placement
 	recent []expert.RecentLoads
-	// guess are the loads that an earlier coordinator has saved, until they are used.
+	// guess are the loads that an earlier coordinator has saved, until they are used or dropped.
 	guess *savedLoads
 	// placed says that places belong to the map in force.
 	placed bool
+	// changeTime is how long recent changes took.
+	changeTime expert.ChangeTime
+	// passes forecasts passes from passTime, the mean time of recent ones, and gap is the longest
+	// pause between events that callers are to see; each is 0 before it is known.
+	passes        expert.PassForecast
+	passTime, gap time.Duration
 	// skew is the mean skew of the layers under the map in force, by the last counts; 0 if it is
 	// not known.
 	skew float64
@@ -62,7 +75,8 @@
 type proposal struct {
 	m             lockstep.Map
 	before, after float64
-	loads         int
+	// loads is the number of copies, and perRank the largest of one rank.
+	loads, perRank int
 }
 
 // setEngine sets the settings of the group's engine, and resets the counts if they have changed.
@@ -71,35 +85,56 @@
 		return
 	}
 	p.engine = e
+	p.changeTime = expert.ChangeTime{Copy: e.ExpertTime}
 	p.places = map[string]*engine.Placement{}
 	p.recent = make([]expert.RecentLoads, e.Sets)
 	for i := range p.recent {
 		p.recent[i].TimeConstant = countMemory
 	}
-	p.applyGuess()
 }
 
-// applyGuess starts the counts from the guess, if it fits the group.
-func (p *planner) applyGuess() {
-	if p.guess == nil || len(p.guess.Layers) != len(p.recent) {
+// applyGuess takes from the guess how long changes take, and starts the counts from it where that is
+// worth a change: the group is open with its first map, which fits no demand, there are no counts
+// yet, and the demand was steady when the guess was saved. Loads of any age and of any era of the
+// store do, since without them the first map stays; counts that differ replace them.
+func (p *planner) applyGuess(responses map[string]rankpeer.Response) {
+	if p.guess == nil {
 		return
 	}
-	for l, loads := range p.guess.Layers {
-		if len(loads) != p.engine.Experts {
+	if p.changeTime.Rest == 0 {
+		p.changeTime.Rest = p.guess.ChangeRest
+	}
+	open := false
+	for _, resp := range responses {
+		st := &resp.State
+		if resp.Known && st.Open && st.Map != 0 {
+			p.guess = nil
 			return
 		}
-		guess := make([]float64, len(loads))
-		for e, x := range loads {
-			guess[e] = float64(x)
-		}
-		p.recent[l].SetPrior(guess, guessCounts*float64(p.engine.Experts))
+		open = open || resp.Known && st.Open
+	}
+	if !open {
+		return
 	}
+	guess := p.guess
 	p.guess = nil
+	loads := guess.loads()
+	if !expert.Steady(1-guess.Alike) || len(loads) != len(p.recent) {
+		return
+	}
+	for l := range loads {
+		if len(loads[l]) != p.engine.Experts || p.recent[l].Total() > 0 {
+			return
+		}
+	}
+	for l := range loads {
+		p.recent[l].SetPrior(loads[l], guessCounts*float64(p.engine.Experts))
+	}
 }
 
 // save returns the loads for the next coordinator.
 func (p *planner) save() *savedLoads {
-	saved := &savedLoads{}
+	saved := &savedLoads{ChangeRest: p.changeTime.Rest}
 	for l := range p.recent {
 		saved.Layers = append(saved.Layers, scaled(p.recent[l].Loads()))
 	}
@@ -120,6 +155,7 @@
 			p.places[id] = t.Placement
 		}
 	}
+	p.applyGuess(responses)
 	for _, sample := range samples {
 		sample.AddTo(chosen)
 	}
@@ -134,7 +170,10 @@
 			p.group.Ranks[r].Pace = pace
 		}
 	}
-	p.skew = p.meanSkew()
+	if p.skew = p.meanSkew(); p.skew > 0 {
+		p.passes.Window = skewWindow
+		p.passes.Observe(now, p.skew)
+	}
 }
 
 // better returns a better map, if there is one whose gain is worth its copies. It settles for
@@ -155,14 +194,21 @@
 	for l := range p.recent {
 		loads[l] = p.recent[l].Loads()
 	}
-	next, before, after := expert.Rebalance(&p.group, maps, loads, expert.Limits{PerLayer: p.engine.Spare, PerRank: p.perRank(), TargetSkew: stop})
+	next, before, after := expert.Rebalance(&p.group, maps, loads, expert.Limits{
+		PerLayer: p.engine.Spare, PerRank: p.perRank(), MaxPerRank: p.maxPerRank(), ChangeTime: p.changeTime, MinGain: minGainLongPass, TargetSkew: stop,
+	})
 	if before-after < gain {
 		return proposal{}, false
 	}
 	pr := proposal{before: before, after: after, m: p.nested(next)}
+	byRank := make([]int, len(p.group.Ranks))
 	for l := range next {
-		pr.loads += len(expert.Diff(&p.group, l, maps[l], next[l]))
+		for _, move := range expert.Diff(&p.group, l, maps[l], next[l]) {
+			pr.loads++
+			byRank[move.Rank]++
+		}
 	}
+	pr.perRank = slices.Max(byRank)
 	return pr, true
 }
 
@@ -178,12 +224,24 @@
 	return total / float64(len(p.recent))
 }
 
-// perRank returns how many experts a change may copy to one rank.
-func (p *planner) perRank() int {
+// perRank returns how many experts a change may copy to one rank in any case.
+func (p *planner) perRank() int { return p.copiesWithin(copyTime) }
+
+// maxPerRank returns how many experts a change may copy to one rank where that pays, and makes no
+// pass too long for callers.
+func (p *planner) maxPerRank() int {
+	if p.perRank() > 1 {
+		return 0 // Copies are short compared to the rest of a change.
+	}
+	return p.copiesWithin(min(maxCopyTime, expert.CopyRoom(p.passes.Pass(p.passTime), p.gap)))
+}
+
+// copiesWithin returns how many experts a rank can copy in a time, at least 1.
+func (p *planner) copiesWithin(limit time.Duration) int {
 	if p.engine.ExpertTime <= 0 {
 		return 1
 	}
-	return max(1, int(copyTime/p.engine.ExpertTime))
+	return max(1, int(limit/p.engine.ExpertTime))
 }
 
 // enoughCounts reports whether there are enough counts to estimate the loads of all layers.
