--- a/core/plumbing/logreader/groups.go
+++ b/core/plumbing/logreader/groups.go
@@ -21,6 +21,10 @@
 	// rank over the mean load, PassMillis the mean duration of a forward pass in
 	// milliseconds. Each is 0 if unknown.
 	Skew, WorstSkew, PassMillis float64
+	// MinUsable is the lowest number of slots, of Slots, that a gateway took for usable without passes
+	// that are too long, and Stretch the largest one behind it. All are 0 if every slot always was.
+	MinUsable, Slots int
+	Stretch          float64
 }
 
 // term is the period in which one coordinator acted.
@@ -47,7 +51,20 @@
 	return nil
 }
 
+// addHeadroom adds a line of a gateway on the usable slots.
+func (s *summaryBuilder) addHeadroom(l Line) {
+	usable, slots := int(number(l, "usable")), int(number(l, "slots"))
+	if usable < slots && (s.Slots == 0 || usable < s.MinUsable) {
+		s.MinUsable, s.Slots = usable, slots
+	}
+	s.Stretch = max(s.Stretch, number(l, "stretch"))
+}
+
 func (s *summaryBuilder) add(l Line) {
+	if l.Message == "headroom" {
+		s.addHeadroom(l)
+		return
+	}
 	t := s.current(l.Instance)
 	if l.Message == "steward begins" {
 		if t != nil {
@@ -127,7 +144,7 @@
 	groups := map[string]*summaryBuilder{}
 	for _, l := range sorted {
 		switch l.Message {
-		case "steward begins", "steward ends", "group state", "change of map":
+		case "steward begins", "steward ends", "group state", "change of map", "headroom":
 		default:
 			continue
 		}
--- a/core/plumbing/logreader/logreader.go
+++ b/core/plumbing/logreader/logreader.go
@@ -41,6 +41,7 @@
 	"configuration in force": true, "store does not answer": true, "store answers again": true, "store has come back from an older copy": true, "digest": true,
 	"stop": true, "start": true, "log lines left out": true, "digest not used": true, "target started again": true,
 	"target has started again": true, "target doubted": true, "server entry not understood": true,
+	"headroom": true, "priority out of range": true,
 }
 
 var groupMessages = map[string]bool{
--- a/core/plumbing/logreader/shares.go
+++ b/core/plumbing/logreader/shares.go
@@ -72,6 +72,15 @@
 	return func(l Line) string { return l.Field(name) }
 }
 
+// ByClass groups requests by their service and the rank of their class. Requests of a service with
+// a single class are left out.
+func ByClass(l Line) string {
+	if l.Field("class") == "" {
+		return ""
+	}
+	return l.Field("service") + "/" + l.Field("class")
+}
+
 // The groups of BySize.
 const (
 	largestTenth = "largest tenth"
--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -15,7 +15,8 @@
 	return &cli.Command{
 		Name: "explain", Usage: "show the history of a request from log files", ArgsUsage: "ID [FILE...]",
 		Description: "Prints the request's own lines and what its gateway and the stewards logged\n" +
-			"meanwhile, in the order of time, and the cause of its end. Without files the log is read from standard input.",
+			"meanwhile, in the order of time, what held it at its gateway and which requests started there\n" +
+			"meanwhile, and the cause of its end. Without files the log is read from standard input.",
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			if cmd.Args().Len() < 1 {
 				return usagef("explain: want the identifier of a request")
@@ -40,6 +41,11 @@
 			return err
 		}
 	}
+	if h, ok := logreader.HoldingOf(id, lines); ok {
+		if _, err := fmt.Fprintln(p.out, "held:", h); err != nil {
+			return err
+		}
+	}
 	_, err = fmt.Fprintln(p.out, "cause:", logreader.CauseOf(id, own))
 	return err
 }
--- a/ctl/shares.go
+++ b/ctl/shares.go
@@ -13,9 +13,9 @@
 func (p *program) sharesCommand() *cli.Command {
 	return &cli.Command{
 		Name: "shares", Usage: "show from log files whose requests were served", ArgsUsage: "[FILE...]",
-		Description: "Prints the outcomes of the requests of each workspace, route, size, instance or reason, one\n" +
+		Description: "Prints the outcomes of the requests of each workspace, route, class, size, instance or reason, one\n" +
 			"line per group. Each attempt of a caller counts. Without files the log is read from standard input.",
-		Flags: []cli.Flag{&cli.StringFlag{Name: "by", Value: "workspace", Usage: "workspace, route, size, instance or reason"}},
+		Flags: []cli.Flag{&cli.StringFlag{Name: "by", Value: "workspace", Usage: "workspace, route, class, size, instance or reason"}},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			return p.shares(cmd.String("by"), cmd.Args().Slice())
 		},
@@ -32,6 +32,8 @@
 	switch by {
 	case "workspace", "route":
 		group = logreader.ByField(by)
+	case "class":
+		group = logreader.ByClass
 	case "instance":
 		group = func(l logreader.Line) string { return l.Instance }
 	case "size":
@@ -39,7 +41,7 @@
 	case "reason":
 		group = logreader.ByReason(lines)
 	default:
-		return usagef("shares: -by %s: want workspace, route, size, instance or reason", by)
+		return usagef("shares: -by %s: want workspace, route, class, size, instance or reason", by)
 	}
 	w := tabwriter.NewWriter(p.out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	if _, err := fmt.Fprintln(w, by+"\ttries\ton-time\tlate\trefused\tfailed\tleft\tserved\t"); err != nil {
