The soak has two classes: order and floor

Every other pair of streams is of a route with a lower priority, with bursts of it. No request of the first class that waited may be refused while more of the class behind start at its gateway than the floor allows, by the gateways' logs; the lower class is served at least a quarter as often as all streams.

--- a/core/plumbing/logreader/held.go
+++ b/core/plumbing/logreader/held.go
@@ -22,6 +22,10 @@
 	LastBefore           string
 }
 
+// rounding is how close to its arrival or end a request has to have started at least to count: times
+// are logged in milliseconds.
+const rounding = 2 * time.Millisecond
+
 // HoldingOf returns what held a request, or false if the lines do not tell its end or class.
 func HoldingOf(id string, lines []Line) (Holding, bool) {
 	end, found := endLine(id, lines)
@@ -35,7 +39,7 @@
 	for _, l := range lines {
 		started, ok := startOf(l)
 		if !ok || l.ID == id || l.Instance != end.Instance || l.Field("service") != end.Field("service") ||
-			started.Before(arrived) || started.After(left) {
+			started.Before(arrived.Add(rounding)) || started.After(left.Add(-rounding)) {
 			continue
 		}
 		switch class := classOf(l); {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -27,6 +27,8 @@
 	OmitGroup bool
 	// LateOrders is the share of orders that are carried out late and not answered.
 	LateOrders float64
+	// Classes makes every second stream one of a route with a lower priority.
+	Classes bool
 	// Links puts Fleet.Links between the processes and the store and servers.
 	Links bool
 }
--- a/standin/fleet/play.go
+++ b/standin/fleet/play.go
@@ -23,6 +23,8 @@
 	Front, First string
 	// Kind is the path prefix of the route.
 	Kind string
+	// Lower says that it is of the route with the lower priority; see Shape.Classes.
+	Lower bool
 	// Status is 0 if the connection broke before an answer.
 	Status int
 	// OK says that the answer was complete and the request's own.
@@ -71,10 +73,26 @@
 	prefixes := []string{streamPrefix, streamPrefix, safePrefix, unsafePrefix}
 	return send(ctx, f, requestInterval, more, func(i int) *Call {
 		id := newID()
-		return &Call{ID: id, Kind: prefixes[i%len(prefixes)], path: id, First: firstPart(i / len(prefixes))}
+		c := &Call{ID: id, Kind: prefixes[i%len(prefixes)], path: id, First: firstPart(i / len(prefixes))}
+		if f.Shape.Classes && c.Kind == streamPrefix && i/len(prefixes)%2 == 1 {
+			c.Lower, c.path = true, lowerPath+id
+		}
+		return c
 	})
 }
 
+// PlayLower sends streams of the route with the lower priority until the context is done, and waits
+// for those in progress.
+func PlayLower(ctx context.Context, f *Fleet, pause time.Duration) []Call {
+	return send(context.WithoutCancel(ctx), f, pause, func(int) bool { return ctx.Err() == nil }, func(i int) *Call {
+		id := newID()
+		return &Call{ID: id, Kind: streamPrefix, Lower: true, path: lowerPath + id, First: firstPart(i)}
+	})
+}
+
+// lowerPath follows the prefix of streams in the paths of the route with the lower priority.
+const lowerPath = "lower/"
+
 // firstPart returns the first part of the i-th prompt.
 func firstPart(i int) string { return fmt.Sprintf("a%02x", i%sharedParts) }
 
--- a/standin/fleet/settings.go
+++ b/standin/fleet/settings.go
@@ -21,13 +21,19 @@
 		}
 		return r
 	}
+	routes := []any{
+		route("drafts", streamPrefix, "stream", "pool", map[string]any{"timeoutMs": 8000, "resumable": true, "gapTargetMs": 120}),
+		route("lookups", safePrefix, "safe", "desk", nil),
+		route("holds", unsafePrefix, "unsafe", "desk", map[string]any{"maxAttempts": 1}),
+	}
+	if f.Shape.Classes {
+		routes = append(routes, route("summaries", streamPrefix+lowerPath, "stream", "pool", map[string]any{
+			"timeoutMs": 8000, "resumable": true, "gapTargetMs": 120, "priority": 2, "sloMs": 1000,
+		}))
+	}
 	f.put("op/config", map[string]any{
 		"version": f.version,
-		"routes": []any{
-			route("drafts", streamPrefix, "stream", "pool", map[string]any{"timeoutMs": 8000, "resumable": true, "gapTargetMs": 120}),
-			route("lookups", safePrefix, "safe", "desk", nil),
-			route("holds", unsafePrefix, "unsafe", "desk", map[string]any{"maxAttempts": 1}),
-		},
+		"routes":  routes,
 		"backends": []any{
 			map[string]any{"name": "pool", "healthPath": "/healthz", "maxConns": 400, "engine": map[string]any{
 				"slots": slots, "kvTokens": 100000, "linkMbps": 1000.0, "sets": layers, "experts": experts, "places": slotsPerRank,
