--- a/core/request/admission/admission.go
+++ b/core/request/admission/admission.go
@@ -106,9 +106,9 @@
 	assignments map[string]assignment
 	decisions   []Decision
 	shed        []queue.Shed
-	// arrivals counts the requests that have arrived, and waitingSince is the count at the arrival
+	// enqueued counts the requests that have arrived, and waitingSince is the count at the arrival
 	// of each that waits. arriving is the ID of the one that is being enqueued.
-	arrivals     uint64
+	enqueued     uint64
 	waitingSince map[string]uint64
 	arriving     string
 	// recovering reports whether requests have been waiting since all groups were down.
--- a/core/request/admission/held.go
+++ b/core/request/admission/held.go
@@ -85,8 +85,8 @@
 
 // arrived records that a request has arrived, and counts the requests that have.
 func (p *Pool) arrived(id string) {
-	p.arrivals++
-	p.waitingSince[id] = p.arrivals
+	p.enqueued++
+	p.waitingSince[id] = p.enqueued
 	p.arriving = id
 }
 
@@ -119,7 +119,7 @@
 // markPassed records that a request of a class has started before the waiting ones behind it.
 func (p *Pool) markPassed(class int) {
 	for _, l := range p.lines[class+1:] {
-		l.passedAt = p.arrivals
+		l.passedAt = p.enqueued
 	}
 }
 
