--- a/core/request/admission/held_test.go
+++ b/core/request/admission/held_test.go
@@ -100,6 +100,7 @@
 	is.Equal(hold(p, "a", 0, start).Cause, Cause(""))
 	is.Equal(hold(p, "patient", 1, start).Cause, HeldBySlots)
 	is.Equal(hold(p, "urgent", 0, start).Cause, HeldBySlots)
+	is.Equal(p.WaitingByClass(), []int{1, 1})
 	p.Done("a", cost, start)
 	p.ReportLoad(Load{Group: "g", Complete: true, Entries: 1}, start)
 	is.Equal(p.Decisions(), []Decision{{ID: "urgent", Group: "g", Hold: Hold{Cause: HeldBySlots}}})
--- a/core/request/admission/line.go
+++ b/core/request/admission/line.go
@@ -64,3 +64,12 @@
 	}
 	return n
 }
+
+// WaitingByClass returns how many requests of each class wait.
+func (p *Pool) WaitingByClass() []int {
+	out := make([]int, len(p.lines))
+	for i, l := range p.lines {
+		out[i] = l.queue.Load().Items
+	}
+	return out
+}
