--- a/gateway/admitter.go
+++ b/gateway/admitter.go
@@ -28,7 +28,8 @@
 	pool    *admission.Pool
 	waiting map[string]chan admission.Decision
 	next    uint64
-	// usable is the number of usable slots of each group that was logged last.
+	// usable is the number of usable slots that was logged last, of each group where it is less than
+	// all.
 	usable map[string]int
 }
 
--- a/gateway/admitter_status.go
+++ b/gateway/admitter_status.go
@@ -2,7 +2,9 @@
 
 import (
 	"expvar"
+	"maps"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -69,8 +71,14 @@
 	set(metricLimit, key, g.Limit)
 	set(metricAvailable, key, boolToInt(g.Available))
 	set(metricUsable, key, g.Usable)
-	before, shown := a.usable[g.Group]
-	if a.usable[g.Group] = g.Usable; g.Usable == before || !shown && g.Usable == g.Slots {
+	before, bounded := a.usable[g.Group]
+	if g.Usable < g.Slots {
+		a.usable[g.Group] = g.Usable
+	} else {
+		delete(a.usable, g.Group)
+	}
+	// All slots of a group that gains or loses engines are usable before and after.
+	if unchanged := g.Usable == before; unchanged || !bounded && g.Usable >= g.Slots {
 		return
 	}
 	a.log.Info("headroom", "service", a.service, "group", g.Group, "usable", g.Usable, "slots", g.Slots, "stretch", round(g.Stretch),
@@ -82,14 +90,9 @@
 
 // forgetGroups removes what was shown of groups that are gone.
 func (a *admitter) forgetGroups(present []admission.GroupLoad) {
-	if len(a.usable) <= len(present) {
-		return
-	}
-	known := a.usable
-	a.usable = make(map[string]int, len(present))
-	for _, g := range present {
-		a.usable[g.Group] = known[g.Group]
-	}
+	maps.DeleteFunc(a.usable, func(name string, _ int) bool {
+		return !slices.ContainsFunc(present, func(g admission.GroupLoad) bool { return g.Group == name })
+	})
 }
 
 func set(m *expvar.Map, key string, n int) {
--- a/gateway/admitter_status_test.go
+++ b/gateway/admitter_status_test.go
@@ -108,13 +108,18 @@
 	log, stop := eventlog.New(&out, "gateway", "front-1", slog.LevelInfo)
 	a := newAdmitter("pool", log)
 	var want []string
-	for _, usable := range []int{100, 100, 42, 42, 42, 60, 100, 100} {
+	for _, slots := range []int{80, 90, 100} {
+		a.showGroup(admission.GroupLoad{Group: "g", Slots: slots, Usable: slots})
+	}
+	for _, usable := range []int{100, 42, 42, 42, 60, 100, 100} {
 		a.showGroup(admission.GroupLoad{Group: "g", Slots: 100, Usable: usable, Stretch: 2.0049})
 	}
+	a.showGroup(admission.GroupLoad{Group: "gone", Slots: 100, Usable: 10})
+	a.forgetGroups([]admission.GroupLoad{{Group: "g"}})
 	for _, usable := range []string{"42", "60", "100"} {
 		want = append(want, usable+" of 100, 2")
 	}
-	a.forgetGroups(nil)
+	want = append(want, "10 of 100, 0")
 	is.Equal(len(a.usable), 0)
 	stop()
 	var got []string
