--- a/core/request/admission/dispatch.go
+++ b/core/request/admission/dispatch.go
@@ -36,19 +36,26 @@
 	p.startAll(now)
 	p.updateSlots(now)
 	p.updateUrgentShare(now)
-	p.shed = p.shed[:0]
-	for _, l := range p.lines {
-		p.shed = l.queue.TakeShed(p.shed)
-	}
-	for _, s := range p.shed {
-		p.decisions = append(p.decisions, Decision{ID: s.ID, Refusal: s.Refusal})
-	}
+	p.takeShed()
+	p.updateHolds(now)
 	// The end of a backlog is also noticed while no request arrives.
 	for _, l := range p.lines {
 		l.backlogAge(now)
 	}
 }
 
+// takeShed decides the requests that the queues have removed unstarted.
+func (p *Pool) takeShed() {
+	for class, l := range p.lines {
+		p.shed = l.queue.TakeShed(p.shed[:0])
+		for _, s := range p.shed {
+			hold := p.left(s.ID, class)
+			l.countRefusal(hold)
+			p.decisions = append(p.decisions, Decision{ID: s.ID, Refusal: s.Refusal, Hold: hold})
+		}
+	}
+}
+
 // startAll starts the requests that may start, in the order of their classes.
 func (p *Pool) startAll(now time.Time) {
 	// blocked are the classes none of whose waiting requests may start now.
@@ -74,7 +81,10 @@
 		p.turns.Started(turn.Class, len(p.lines), waits)
 		g.start(turn.Class, now)
 		p.assignments[item.ID] = assignment{g, turn.Class, now}
-		p.decisions = append(p.decisions, Decision{ID: item.ID, Group: g.name})
+		hold := p.left(item.ID, turn.Class)
+		p.lines[turn.Class].countStart(hold)
+		p.markPassed(turn.Class)
+		p.decisions = append(p.decisions, Decision{ID: item.ID, Group: g.name, Hold: hold})
 	}
 }
 
@@ -164,8 +174,12 @@
 	Group string
 	// Running is how many requests of this entry run there, Limit how many may.
 	Running, Limit int
-	// Usable is how many requests all entries may run there without passes that are too long.
-	Usable int
+	// Slots is the total of its engines. Usable is how many of them all entries may take without
+	// passes that are too long, and Stretch how many times as long as at evenly loaded ranks the
+	// longest pass of the last seconds was.
+	Slots   int `json:"-"`
+	Usable  int
+	Stretch float64 `json:"-"`
 	// Demand is that of all entries if the group's slots are divided by it.
 	Demand *allotment.Demand `json:",omitempty"`
 	// Blocked is how many slots are free at targets to which this entry sends nothing.
@@ -181,8 +195,8 @@
 	for _, name := range p.names {
 		g := p.groups[name]
 		out = append(out, GroupLoad{
-			Group: name, Running: g.running, Limit: g.sharedLimit(), Usable: g.usable, Demand: g.sharedDemand(),
-			Blocked: g.lastLoad.Blocked, Available: g.available(now),
+			Group: name, Running: g.running, Limit: g.sharedLimit(), Slots: g.slots, Usable: g.usable, Stretch: g.passes.limit.Longest(now),
+			Demand: g.sharedDemand(), Blocked: g.lastLoad.Blocked, Available: g.available(now),
 		})
 	}
 	return out
--- a/core/request/admission/line.go
+++ b/core/request/admission/line.go
@@ -17,6 +17,11 @@
 	objective time.Duration
 	// served is the work that its requests were served.
 	served *queue.Throughput
+	tally  Tally
+	// hold is what kept the waiting requests from starting when the Pool last decided. The last
+	// request of a class before theirs started after passedAt arrivals.
+	hold     Hold
+	passedAt uint64
 }
 
 func newLine(rng *rand.Rand) *line {
