--- a/core/experts/rankpeer/classes.go
+++ b/core/experts/rankpeer/classes.go
@@ -54,6 +54,13 @@
 	Age      time.Duration
 }
 
+// Demand returns the sums, with the number of gateways.
+func (s *ClassSums) Demand() allotment.Demand {
+	d := s.Classes.Demand()
+	d.Entries = s.Gateways
+	return d
+}
+
 // SumClasses returns the sums over gateways and over other sums, or nil if there is no gateway.
 func SumClasses(sums []ClassSums) *ClassSums {
 	var demand allotment.Demand
--- a/core/request/admission/shared.go
+++ b/core/request/admission/shared.go
@@ -117,9 +117,16 @@
 	}
 }
 
+// minReporting is the least part of the entries that has to report: otherwise those that do would
+// give way to the others, as to those of an earlier version.
+const minReporting = 0.9
+
 // sharesDemand reports whether the demand of all entries for the group is known. A group that has just
 // become available gets few requests until its load is reported.
 func (g *group) sharesDemand(now time.Time) bool {
+	if float64(g.shared.sums.Entries) < minReporting*float64(g.lastLoad.Entries) {
+		return false
+	}
 	return g.limitedByLoad && !g.recovering && g.available(now) && g.fresh(now) && now.Sub(g.shared.sumsAt) <= loadValidity
 }
 
--- a/core/request/admission/shared_test.go
+++ b/core/request/admission/shared_test.go
@@ -33,6 +33,8 @@
 	lost time.Duration
 	// cutOff is an entry that reports nothing and gets no report.
 	cutOff int
+	// older says that one in so many entries is of the version before: it does not share its demand.
+	older int
 	// claims changes what an entry reports.
 	claims func(entry int, d *allotment.Demand)
 	// restart is when the entries other than the first lose all that they know and run, one after
@@ -68,6 +70,8 @@
 	served, onTime [2]float64
 	// atOnce is the share of the urgent that started within that time.
 	atOnce float64
+	// newer is the share of the patient requests at entries that share their demand that started.
+	newer float64
 	// taken is the mean number of slots that are taken.
 	taken float64
 	// over is the mean and most the largest number of running requests above the slots, which wait at the engines.
@@ -99,8 +103,10 @@
 	started [2]int
 	onTime  [2]int
 	atOnce  int
-	arrived map[string]arrival
-	next    int
+	// askedNewer and startedNewer are those of the patient at entries that share their demand.
+	askedNewer, startedNewer int
+	arrived                  map[string]arrival
+	next                     int
 }
 
 type arrival struct {
@@ -136,6 +142,7 @@
 	}
 	out.taken /= float64(steps)
 	out.over /= float64(steps)
+	out.newer = float64(p.startedNewer) / max(float64(p.askedNewer), 1)
 	out.atOnce = float64(p.atOnce) / max(float64(p.asked[0]), 1)
 	for k := range 2 {
 		n := max(float64(p.asked[k]), 1)
@@ -186,6 +193,9 @@
 		if a.counted {
 			c := min(a.class, 1)
 			p.started[c]++
+			if c == 1 && !p.isOlder(i) {
+				p.startedNewer++
+			}
 			if c == 0 && p.now.Sub(a.at) <= atOnce {
 				p.atOnce++
 			}
@@ -212,21 +222,24 @@
 func (p *contestPlay) report(at time.Duration) {
 	if at%contestReport == 0 {
 		v := contestView{at: p.now, sumsAt: p.now, running: p.running}
+		reported := 0
 		for i, pool := range p.pools {
 			d, ok := pool.Demand("g")
-			if !ok || i == p.cutOff-1 {
+			if !ok || i == p.cutOff-1 || p.isOlder(i) {
 				continue
 			}
 			if p.claims != nil {
 				p.claims(i, &d)
 			}
 			v.sums.Add(d)
+			reported++
 			if d.Usable > 0 {
 				v.usable += d.Usable
 				v.entries++
 			}
 		}
 		v.sums.Usable = v.usable / max(v.entries, 1)
+		v.sums.Entries = reported
 		p.views = append(p.views, v)
 	}
 	if p.lost > 0 && at >= p.lost && at < p.lost+lostFor {
@@ -245,7 +258,7 @@
 			if p.longPasses {
 				pool.groups["g"].passes.limit.Observe(longPass, p.slots, p.now)
 			}
-			if p.shared {
+			if p.shared && !p.isOlder(i) {
 				pool.ReportDemand("g", v.sums, v.sumsAt, v.at)
 			}
 			pool.ReportLoad(Load{Group: "g", Complete: true, Running: min(v.running, p.slots), Queued: max(v.running-p.slots, 0), PassTime: 30 * time.Millisecond, Entries: p.entries}, p.now)
@@ -255,6 +268,9 @@
 	}
 }
 
+// isOlder reports whether an entry is of the version before.
+func (p *contestPlay) isOlder(i int) bool { return p.older > 0 && i%p.older == 0 }
+
 // restartEntries restarts one entry each 100 ms; what it ran goes on at the engines for a moment.
 func (p *contestPlay) restartEntries(at time.Duration) {
 	const every = 100 * time.Millisecond
@@ -304,6 +320,9 @@
 	counted := at >= contestWarmUp && at < contestFor-2*time.Second
 	if counted {
 		p.asked[min(class, 1)]++
+		if class > 0 && !p.isOlder(i) {
+			p.askedNewer++
+		}
 	}
 	p.arrived[r.ID] = arrival{class, p.now, counted}
 	if p.pools[i].Enqueue(r, p.now) != nil {
@@ -388,6 +407,7 @@
 		r.served[k] += other.served[k] / float64(n)
 		r.onTime[k] += other.onTime[k] / float64(n)
 	}
+	r.newer += other.newer / float64(n)
 	r.atOnce += other.atOnce / float64(n)
 	r.taken += other.taken / float64(n)
 	r.over += other.over / float64(n)
@@ -439,6 +459,19 @@
 	}
 }
 
+// Guards against entries that give way to those of the version before during a rolling restart.
+func TestSomeEntriesAreOfTheVersionBefore(t *testing.T) {
+	for _, older := range []int{2, 3, 16} {
+		c := sixteen()
+		c.older, c.mixed = older, true
+		before, after := c.notWorse(t, 1)
+		c.notMoreOver(t, before, after)
+		if after.newer < 0.9*before.newer {
+			t.Errorf("one in %d older: %.3f of the patient served at the others, %.3f if each decides alone", older, after.newer, before.newer)
+		}
+	}
+}
+
 // Guards against slots that are kept for requests that an entry claims and does not have.
 func TestEntryReportsFalsely(t *testing.T) {
 	for name, claim := range map[string]func(d *allotment.Demand){
@@ -521,7 +554,7 @@
 			}
 			for name, n := range free {
 				g := &group{name: name, slots: 100, usable: 100, limitedByLoad: true, loadAt: start, lastLoad: Load{Group: name, Complete: true, Running: 100 - n, Entries: entries}}
-				sums := allotment.Demand{Waiting: allotment.Counts{2 * entries, 10 * entries}, Running: allotment.Counts{0, 100 - n}}
+				sums := allotment.Demand{Waiting: allotment.Counts{2 * entries, 10 * entries}, Running: allotment.Counts{0, 100 - n}, Entries: entries}
 				g.shared.sums, g.shared.sumsAt, g.shared.takenAt, g.shared.draw = sums, start, start, p.rng.Float64()
 				g.shared.own[0] = ownDemand{start, own}
 				p.groups[name] = g
@@ -551,7 +584,7 @@
 	p := newPool()
 	p.SetGroups(map[string]int{"g": 40}, start)
 	p.SetClasses(2, start)
-	sums := allotment.Demand{Waiting: allotment.Counts{30, 30}, Running: allotment.Counts{4}}
+	sums := allotment.Demand{Waiting: allotment.Counts{30, 30}, Running: allotment.Counts{4}, Entries: 16}
 	report := func(now time.Time) {
 		p.ReportDemand("g", sums, now, now)
 		p.ReportLoad(Load{Group: "g", Complete: true, Running: 4, Entries: 16}, now)
@@ -582,12 +615,12 @@
 	p.ReportLoad(Load{Group: "g", Complete: true, Running: 20, Entries: 2}, start)
 	is.True(!p.groups["g"].shared.inForce)
 	p.SetClasses(2, start)
-	p.ReportDemand("g", allotment.Demand{Waiting: allotment.Counts{900, 900}}, start, start)
+	p.ReportDemand("g", allotment.Demand{Waiting: allotment.Counts{900, 900}, Entries: 2}, start, start)
 	p.ReportLoad(Load{Group: "g", Complete: true, Running: 20, Entries: 2}, start)
 	is.True(p.groups["g"].shared.inForce)
 	p.Tick(start.Add(loadValidity + time.Millisecond))
 	is.True(!p.groups["g"].shared.inForce) // too old
-	p.ReportDemand("g", allotment.Demand{}, start, start)
+	p.ReportDemand("g", allotment.Demand{Entries: 2}, start, start)
 	p.ReportLoad(Load{Group: "g", Complete: true, Running: 20, Entries: 2}, start.Add(2*time.Second))
 	is.True(!p.groups["g"].shared.inForce) // the sums are, although the load is new
 }
--- a/core/request/allotment/allotment.go
+++ b/core/request/allotment/allotment.go
@@ -9,9 +9,10 @@
 // Each entry reports how many of its requests wait and run, by class, and gets the sums over all
 // entries. Of computes from them how many requests of each class should run at the group, first
 // classes first, but for a floor of precedence.FloorShare of the slots that the others share, and
-// this entry's part of each. An entry with more than its part does not replace the requests that end. Slots that are
-// free are given to the classes that lack some, in proportion to what waits at each entry, so that
-// the parts of all entries add up to the free slots and no message is needed for a single request.
+// this entry's part of each. An entry with more than its part does not replace the requests that
+// end. Slots that are free are given to the classes that lack some, in proportion to what waits at
+// each entry, so that the parts of all entries add up to the free slots and no message is needed for
+// a single request.
 //
 // The sums are some tenths of a second old and come from other processes. Trust decides whether
 // they are used: an entry whose sums are wrong decides alone.
@@ -71,6 +72,8 @@
 	// mean of several entries; 0 means unknown. Entries learn different numbers, and targets add up
 	// only if all use the same one.
 	Usable int
+	// Entries is of how many entries a sum is.
+	Entries int
 }
 
 // Add adds the requests of another entry.
@@ -85,7 +88,7 @@
 	n = min(max(n, 1), precedence.MaxClasses)
 	waiting, some := d.Waiting.fold(n)
 	running, others := d.Running.fold(n)
-	return Demand{waiting, running, d.Usable}, some || others
+	return Demand{waiting, running, d.Usable, d.Entries}, some || others
 }
 
 // Input is what an entry knows of a group and of the demand for it.
@@ -176,9 +179,9 @@
 }
 
 // keepFree lowers the target of the last class that waits by the slots that are kept free for those
-// before it, and returns how many these are: their number varies by about its square root while a slot that one entry gives back
-// becomes known to the others. An urgent request that arrives meanwhile starts in a free slot. Slots that
-// should not be taken are free for it anyway.
+// before it, and returns how many these are. The requests of those classes vary by about the square
+// root of their number while a slot that one entry gives back becomes known to the others; one that
+// arrives meanwhile starts in a slot that was kept. Slots that should not be taken serve as well.
 func (in *Input) keepFree(target, demand *shares) float64 {
 	last, before := -1, 0.0
 	for c, n := range demand {
@@ -206,6 +209,9 @@
 	// maxFreeShare is the part of the free slots up to which they count if that is more: where one
 	// entry claims requests that it does not have, the others are left some.
 	maxFreeShare = 0.75
+	// maxUnreportedDivisor is the fraction of the slots, one in so many, that is left to entries that
+	// do not report at most: one that is cut off takes what it gets.
+	maxUnreportedDivisor = 2
 )
 
 // Of returns what this entry may have at the group.
@@ -224,8 +230,8 @@
 		demand[c] = waiting[c] + running[c]
 	}
 	// Requests of entries that do not report leave the others fewer slots.
-	unreported := float64(max(in.Running-in.Sums.Running.Total(), 0))
-	target := fill(max(float64(in.usable())-unreported, 0), &demand)
+	unreported := min(max(in.Running-in.Sums.Running.Total(), 0), in.usable()/maxUnreportedDivisor)
+	target := fill(float64(in.usable()-unreported), &demand)
 	kept := in.keepFree(&target, &demand)
 	var lacking shares
 	for c := range lacking {
--- a/sidecar/classes_test.go
+++ b/sidecar/classes_test.go
@@ -40,7 +40,7 @@
 	// Each reports anew; only the last report counts.
 	s.pollWith(i, "front-1", groupG.Name, &rankpeer.Classes{Waiting: []uint32{101, 0, 2}, Running: []uint32{1}})
 	s.roundWithDigests()
-	want := allotment.Demand{Waiting: allotment.Counts{220, 0, 32}, Running: allotment.Counts{16}}
+	want := allotment.Demand{Waiting: allotment.Counts{220, 0, 32}, Running: allotment.Counts{16}, Entries: 16}
 	for _, agent := range []int{0, i} {
 		d := s.pollWith(agent, "front-0", groupG.Name, &rankpeer.Classes{Waiting: []uint32{0, 0, 2}, Running: []uint32{1}})
 		s.True(d.Classes != nil)
