--- a/core/request/admission/choose.go
+++ b/core/request/admission/choose.go
@@ -33,7 +33,7 @@
 		return g
 	}
 	reserve, slack := p.reserve(class, now), p.slack(class)
-	hasCapacity := func(g *group) bool { return g.room(class, reserve) > 0 && !g.passes.hold.Holds(slack, now) }
+	hasCapacity := func(g *group) bool { return g.room(class, reserve) > 0 && !g.passes.deferral.Defers(slack, now) }
 	if g := p.choose(now, func(g *group) bool { return hasCapacity(g) && g.available(now) }); g != nil {
 		return g
 	}
--- a/core/request/admission/hold_test.go
+++ b/core/request/admission/deferral_test.go
@@ -12,8 +12,8 @@
 // shiftStart is when the passes of a shift begin to be long in these tests.
 var shiftStart = start.Add(time.Second)
 
-// holding returns a Pool of two classes with four requests that run, and a func that reports a pass.
-func holding(t *testing.T) (p *Pool, pass func(took time.Duration, now time.Time)) {
+// shifting returns a Pool of two classes with four requests that run, and a func that reports a pass.
+func shifting(t *testing.T) (p *Pool, pass func(took time.Duration, now time.Time)) {
 	t.Helper()
 	p = newPool()
 	p.SetClasses(2, start)
@@ -48,7 +48,7 @@
 // streams that run.
 func TestArrivalsWaitOutLongPasses(t *testing.T) {
 	is := is.New(t)
-	p, pass := holding(t)
+	p, pass := shifting(t)
 	now := shiftStart.Add(120 * time.Millisecond)
 	is.True(!arrive(t, p, 1, time.Second, now))
 	is.True(!arrive(t, p, 0, 400*time.Millisecond, now.Add(time.Millisecond)))
@@ -60,10 +60,10 @@
 	is.Equal(started[0], now.Add(time.Millisecond).String()) // the first class
 }
 
-// Guards against a hold that makes its requests late, or that lasts when no pass is measured any more.
-func TestHoldEndsWithinTheObjective(t *testing.T) {
+// Guards against a deferral that makes its requests late, or that lasts when no pass is measured any more.
+func TestDeferralEndsWithinTheObjective(t *testing.T) {
 	is := is.New(t)
-	p, _ := holding(t)
+	p, _ := shifting(t)
 	now := shiftStart.Add(120 * time.Millisecond)
 	is.True(!arrive(t, p, 0, 400*time.Millisecond, now))
 	p.Tick(shiftStart.Add(115*time.Millisecond + 400*time.Millisecond - p.fastestFirstEvent()))
@@ -71,8 +71,8 @@
 	is.True(arrive(t, p, 0, p.fastestFirstEvent(), now.Add(time.Second))) // it cannot wait
 }
 
-// Guards against a hold where no class could give way.
-func TestOneClassIsNotHeld(t *testing.T) {
+// Guards against a deferral where no class could give way.
+func TestOneClassIsNotDeferred(t *testing.T) {
 	is := is.New(t)
 	one := newPool()
 	one.SetGroups(map[string]int{"g0": 630}, start)
--- a/core/request/admission/held.go
+++ b/core/request/admission/held.go
@@ -139,7 +139,7 @@
 			continue
 		}
 		switch {
-		case g.room(class, reserve) > 0 && !g.passes.hold.Holds(slack, now):
+		case g.room(class, reserve) > 0 && !g.passes.deferral.Defers(slack, now):
 			return ""
 		case g.room(class, reserve) > 0:
 			cause = HeldByShift
--- a/core/request/admission/passes.go
+++ b/core/request/admission/passes.go
@@ -10,7 +10,8 @@
 type passes struct {
 	meter headroom.Meter
 	limit headroom.Limit
-	hold  headroom.Hold
+	// deferral delays arrivals during a shift.
+	deferral headroom.Deferral
 	// streamTime is how long the responses of the group take, in the mean.
 	streamTime time.Duration
 }
@@ -56,7 +57,7 @@
 	if g.fresh(now) {
 		g.passes.limit.Observe(pass, g.lastLoad.Running, now)
 	}
-	if g.passes.limit.Cost.Base > 0 && g.passes.hold.Observe(pass, p.shortestPause, now) {
+	if g.passes.limit.Cost.Base > 0 && g.passes.deferral.Observe(pass, p.shortestPause, now) {
 		p.dispatch(now)
 	}
 }
@@ -67,8 +68,8 @@
 	return max(p.lines[class].objective-p.fastestFirstEvent()-slackMargin, 0)
 }
 
-// slackMargin is what a held request keeps of its objective: a first event takes longer than
-// usual where others were held too.
+// slackMargin is what a deferred request keeps of its objective: a first event takes longer than
+// usual where others were deferred too.
 const slackMargin = 50 * time.Millisecond
 
 // usableSlots returns how many requests the group may run, given its load. What waits at this
