--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -39,7 +39,7 @@
 const clientDeadline = 4 * time.Second
 
 // do sends one attempt, over the kept connection if there is one.
-func (c *client) do(method, prefix string) attempt {
+func (c *client) do(method, prefix, body string) attempt {
 	out := attempt{id: fmt.Sprintf("%016x", rand.Uint64()), front: c.front, prefix: prefix}
 	if c.conn == nil {
 		conn, err := net.DialTimeout("tcp", c.front.addr, time.Second)
@@ -51,11 +51,9 @@
 	}
 	out.sent, out.kept, c.used = time.Now(), c.used, true
 	_ = c.conn.SetDeadline(out.sent.Add(clientDeadline))
-	body := ""
 	head := fmt.Sprintf("%s %s1 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n",
 		method, prefix, routeHost, out.id, clientDeadline.Milliseconds(), apiKey)
 	if method == http.MethodPost {
-		body = "order " + out.id
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
 	if _, out.err = io.WriteString(c.conn, head+"\r\n"+body); out.err != nil {
@@ -99,8 +97,9 @@
 	sendEvery = 60 * time.Millisecond
 )
 
-// start has clients of each front send requests to some routes in turn until a time.
-func (t *traffic) start(s *site, until time.Time, routes ...[2]string) {
+// start has clients of each front send requests to some routes in turn until a time. A route has a
+// method, a prefix and a body.
+func (t *traffic) start(s *site, until time.Time, routes ...[3]string) {
 	for _, f := range s.fronts {
 		for range perFront {
 			t.wg.Go(func() {
@@ -108,7 +107,7 @@
 				defer c.close()
 				for i := 0; time.Now().Before(until); i++ {
 					route := routes[i%len(routes)]
-					a := c.do(route[0], route[1])
+					a := c.do(route[0], route[1], route[2])
 					t.mu.Lock()
 					t.attempts = append(t.attempts, a)
 					t.mu.Unlock()
--- a/review/standin/junk.go
+++ b/review/standin/junk.go
@@ -98,7 +98,7 @@
 	}
 	until := time.Now().Add(settle + garbleTimes*(garbleLength+garblePause))
 	var t traffic
-	t.start(s, until, [2]string{http.MethodPost, holdPrefix}, [2]string{http.MethodGet, lookupPrefix})
+	t.start(s, until, [3]string{http.MethodPost, holdPrefix, order}, [3]string{http.MethodGet, lookupPrefix})
 	kills := make([]int, len(s.fronts))
 	for i, f := range s.fronts {
 		t.wg.Go(func() { kills[i] = s.limitMemory(f, rec, until) })
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -34,6 +34,8 @@
 	holdPrefix        = "/hold/"
 	visitPrefix       = "/visits/"
 	draftPrefix       = "/draft/"
+	// order is the body of an unsafe request.
+	order = "chapel slot, Saturday 10:00"
 )
 
 // site is one deployment on loopback addresses of its own.
--- a/review/standin/stale.go
+++ b/review/standin/stale.go
@@ -21,7 +21,7 @@
 		return failed, err
 	}
 	var t traffic
-	t.start(s, time.Now().Add(settle+stormBefore+8*time.Second), [2]string{http.MethodPost, holdPrefix}, [2]string{http.MethodGet, visitPrefix})
+	t.start(s, time.Now().Add(settle+stormBefore+8*time.Second), [3]string{http.MethodPost, holdPrefix, order}, [3]string{http.MethodGet, visitPrefix})
 	time.Sleep(settle)
 
 	cfg := configuration{holdService: bookingService}
--- a/review/standin/start.go
+++ b/review/standin/start.go
@@ -39,12 +39,16 @@
 	var wg sync.WaitGroup
 	until := time.Now().Add(slowTimes * (slowAfter + slowLength + restartPause))
 	wg.Go(func() {
-		for time.Now().Before(until) {
+		for n := 0; time.Now().Before(until); n++ {
 			time.Sleep(newClientEvery)
+			method, prefix := http.MethodGet, lookupPrefix
+			if n%2 == 1 {
+				method, prefix = http.MethodPost, holdPrefix
+			}
 			wg.Go(func() {
 				c := &client{front: f}
 				defer c.close()
-				a := c.do(http.MethodGet, lookupPrefix)
+				a := c.do(method, prefix, "") // Without a body, as the examples of the pages.
 				mu.Lock()
 				defer mu.Unlock()
 				attempts[a.id] = a
@@ -78,17 +82,20 @@
 			ran[a.id]++
 		}
 	}
-	forged := 0
+	forged, unsafe := 0, 0
 	for _, a := range attempts {
 		if a.status < 200 || a.status >= 300 || a.seal != "" {
 			continue
 		}
 		forged++
+		if a.prefix == holdPrefix {
+			unsafe++
+		}
 		rec.printf("%s1 of %s, sent to %s at %.3f: status %d after %d ms with %d bytes and no X-Response-Seal; servers ran it %d times",
 			a.prefix, a.id, a.front.name, a.sent.Sub(rec.began).Seconds(), a.status, a.took.Milliseconds(), len(a.body), ran[a.id])
 	}
 	rec.summary(s, attempts)
-	rec.printf("%d successes are no server's", forged)
+	rec.printf("%d successes are no server's, %d of them of unsafe requests", forged, unsafe)
 	if forged > 0 {
 		return broken, nil
 	}
