--- a/review/standin/junk.go
+++ b/review/standin/junk.go
@@ -19,7 +19,7 @@
 	garbledServers = 1
 	garbledAnswers = 0.02
 	garbleLength   = 5500 * time.Millisecond
-	garbleTimes    = 4
+	garbleTimes    = 6
 	garblePause    = 3 * time.Second
 	// linkBytes is what the link of a front machine carries in a second.
 	linkBytes = 1000e6 / 8
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -4,8 +4,12 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
+	"os/signal"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -30,11 +34,24 @@
 	_, _ = fmt.Fprintf(r.file, "%8.3f %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// summary writes what the clients sent, how it was answered, and what the servers ran.
+// summary writes what each client sent and how it was answered, what the servers ran, and the sums.
 func (r *record) summary(s *site, attempts map[string]attempt) {
+	at := func(t time.Time) float64 { return t.Sub(r.began).Seconds() }
 	answers := map[int]int{}
-	for _, a := range attempts {
+	sent := slices.SortedFunc(maps.Values(attempts), func(a, b attempt) int { return a.sent.Compare(b.sent) })
+	for _, a := range sent {
 		answers[a.status]++
+		switch {
+		case a.err != nil:
+			r.printf("sent at %.3f %s %s1 to %s: no answer, %v", at(a.sent), a.id, a.prefix, a.front.name, a.err)
+		default:
+			r.printf("sent at %.3f %s %s1 to %s: status %d, seal %q, %d bytes, after %d ms", at(a.sent), a.id, a.prefix, a.front.name, a.status, a.seal, len(a.body), a.took.Milliseconds())
+		}
+	}
+	for _, v := range s.servers {
+		for _, a := range v.ran() {
+			r.printf("run at %.3f %s by %s of %s", at(a.at), a.id, v.id, v.service)
+		}
 	}
 	r.printf("sent %d; answers by status %v (0: none)", len(attempts), answers)
 	for _, v := range s.servers {
@@ -64,6 +81,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(failed)
 	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stop
+		s.close()
+		os.Exit(failed)
+	}()
 	code, err := cases[os.Args[1]](s, rec, os.Getenv("TROUBLE") != "0")
 	s.close()
 	if err != nil {
--- a/review/standin/start.go
+++ b/review/standin/start.go
@@ -11,7 +11,7 @@
 	// slowBy and slowLength are the dose of platform_slow.
 	slowBy     = 60
 	slowLength = 4500 * time.Millisecond
-	slowTimes  = 3
+	slowTimes  = 4
 	// slowAfter is how long after a SIGTERM the store gets slow: shortly before the gateway ends.
 	slowAfter = 2 * time.Second
 	// restartDelay is how long the platform takes to start a process again, and restartPause the time
