--- a/review/standin/stale.go
+++ b/review/standin/stale.go
@@ -5,46 +5,37 @@
 	"time"
 )
 
-// The dose of the sheet: configurations in quick succession for stormLength, one each stormGap.
 const (
-	stormGap    = 330 * time.Millisecond
-	stormLength = 4 * time.Second
-	// stormBefore is how much of it comes before the silence.
-	stormBefore = 1 * time.Second
+	// changeGap is the time between two configurations in quick succession, as in the site file.
+	changeGap = 330 * time.Millisecond
+	// silenceAfter is how long after the first of them the connections go silent.
+	silenceAfter = 100 * time.Millisecond
 )
 
-// staleConfiguration has the connections to the store go silent amid configurations in quick
-// succession, of which one moves a route and drops another.
+// staleConfiguration has the connections to the store go silent between two configurations, of which the
+// second one moves a route and drops another.
 func staleConfiguration(s *site, rec *record, trouble bool) (int, error) {
 	p, err := deploy(s, 6)
 	if err != nil {
 		return failed, err
 	}
 	var t traffic
-	t.start(s, time.Now().Add(settle+stormBefore+8*time.Second), [3]string{http.MethodPost, holdPrefix, order}, [3]string{http.MethodGet, visitPrefix})
+	t.start(s, time.Now().Add(settle+8*time.Second), [3]string{http.MethodPost, holdPrefix, order}, [3]string{http.MethodGet, visitPrefix})
 	time.Sleep(settle)
 
-	cfg := configuration{holdService: bookingService}
-	var silent, moved time.Time
-	began := time.Now()
-	for n := 0; time.Since(began) < stormLength; n++ {
-		if silent.IsZero() && time.Since(began) >= stormBefore {
-			silent = time.Now()
-			if trouble {
-				p.silence()
-				rec.printf("the open connections to the store go silent; new ones work")
-			}
-			cfg = configuration{holdService: newBookingService, dropped: []string{"visit-list"}}
-		}
-		acked := s.configure(cfg)
-		rec.printf("version %d is acknowledged", s.version)
-		if !silent.IsZero() && moved.IsZero() {
-			moved = acked
-			rec.printf("it moves slot-hold to %s and drops visit-list", newBookingService)
-		}
-		time.Sleep(stormGap)
+	next := s.configure(configuration{holdService: bookingService}).Add(changeGap)
+	rec.printf("version %d is acknowledged, in which the routes are as before", s.version)
+	time.Sleep(silenceAfter)
+	silent := time.Now()
+	if trouble {
+		p.silence()
+		rec.printf("the open connections to the store go silent; new ones work")
 	}
+	time.Sleep(time.Until(next))
+	moved := s.configure(configuration{holdService: newBookingService, dropped: []string{"visit-list"}})
+	rec.printf("version %d is acknowledged: it moves slot-hold to %s and drops visit-list", s.version, newBookingService)
 	attempts := t.wait()
+	rec.summary(s, attempts)
 
 	stale := 0
 	last := map[*front]time.Duration{}
@@ -64,7 +55,6 @@
 				v.id, v.service, c.prefix, a.id, c.front.name, after.Milliseconds(), c.sent.Sub(silent).Milliseconds())
 		}
 	}
-	rec.summary(s, attempts)
 	for _, f := range s.fronts {
 		rec.printf("%s: the last request that was handled by the older version was sent %d ms after the acknowledgement", f.name, last[f].Milliseconds())
 	}
