Heads of callers find room for their parsed form before they are parsed

Callers saw: resets, and all requests in progress at a gateway lost, when the process was killed for its memory by clients that send heads of very many short lines, legal ones of 15 KB too.

Cause: net/http parses a head line by line as it arrives, whether it ends or not, and the parsed form takes up to 160 bytes a line beyond the bytes: 0.4 MB for a legal head of 15 KB, 1.8 MB for one of 64 KB (measured, with what is collected later). The number of connections rests on 48 KB each. The parsed header was kept while a request waited for its body, a slot or its answer. The limit of the configuration was not used: 64 KB held.

Ruled out: a limit of lines, since a single legal head of 16 KB may have 5,400; limits on bytes alone (the bytes of 190 such heads are 3 MB).

Change: intake (now in core/plumbing, for the other programs too) gives the server no byte of a head until all of it was received and its weight, 5 bytes a byte and 160 a line, has found room. Half of a sixteenth of the memory (4 MB at least) is for complete heads, which wait 500 ms in their order and are then refused with 503; half for those in reception beyond 4 KB each, of which the one that began first yields. Heads up to a weight of 16 KB need none. It follows the ends of bodies, so that a head behind one is weighed as well. The configured limits hold, a head's bytes plus 4 KB and twice its time; the limit before counts too. Over it: 431. The gateway encodes what it forwards at once and drops the parsed header.

Why it works: what is parsed at once is bounded by the room, not by the number of connections, and what stays of a request is its bytes.

--- a/gateway/intake/intake_test.go
+++ b/core/plumbing/intake/intake_test.go
@@ -22,9 +22,9 @@
 		descriptors int
 		want        int
 	}{
-		"by memory":      {96 << 20, 100_000, 1024},
+		"by memory":      {96 << 20, 100_000, 768},
 		"by descriptors": {1 << 30, 4100, 1233},
-		"not known":      {96 << 20, 0, 1024},
+		"not known":      {96 << 20, 0, 768},
 		"hardly any":     {1 << 10, 100, minConnections},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -48,7 +48,7 @@
 	r := &rig{I: is.New(t), hold: make(chan struct{})}
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	r.NoErr(err)
-	r.Listener = NewListener(inner, most, slog.New(slog.DiscardHandler))
+	r.Listener = NewListener(inner, Limits{Connections: most}, slog.New(slog.DiscardHandler))
 	r.addr = inner.Addr().String()
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
 		r.running.Add(1)
@@ -218,7 +218,7 @@
 
 // Guards against a watch that ends with its first context check or never.
 func TestWatchEnds(t *testing.T) {
-	l := NewListener(nil, 1, slog.New(slog.DiscardHandler))
+	l := NewListener(nil, Limits{Connections: 1}, slog.New(slog.DiscardHandler))
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -139,7 +139,7 @@
 		Urgency: c.urgency, LastEvent: c.lastEvent,
 	}
 	f.Workspace = c.workspaceName()
-	platform.WriteHeaders(&head, c.r.Header, f)
+	platform.WriteHeaders(&head, c.headers, f)
 	return &upstream.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Head: head.Bytes(),
 		Body: c.body.Bytes(), HasBody: c.r.ContentLength != 0 || len(c.body.Bytes()) > 0, ID: c.req.ID,
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"verbenashift/core/configuration/deployment"
+	"verbenashift/core/plumbing/intake"
 	"verbenashift/core/request/admission"
 	"verbenashift/core/request/residency"
 	"verbenashift/core/request/retry"
@@ -32,7 +33,11 @@
 
 // request is what a call asks for. It does not change once the call is admitted.
 type request struct {
-	req             platform.Request
+	req platform.Request
+	// headers are the headers that targets get as they are, parent is the caller's trace context.
+	headers []byte
+	parent  string
+
 	route           *deployment.Route
 	callerWorkspace *deployment.Workspace
 	service         string
@@ -104,11 +109,24 @@
 
 // newCall returns the call of a caller that has just arrived.
 func newCall(g *gateway, w http.ResponseWriter, r *http.Request) *call {
-	return &call{
+	c := &call{
 		gateway: g, w: w, r: r,
-		request:  request{req: platform.ParseRequest(r.Header), arrived: time.Now()},
+		request:  request{req: platform.ParseRequest(r.Header), headers: platform.EncodeHeaders(r.Header), parent: r.Header.Get(parentHeader), arrived: time.Now()},
 		delivery: delivery{lastID: -1},
 	}
+	c.dropHeader()
+	return c
+}
+
+// uriCopies is how many copies of the request's target there may be in memory.
+const uriCopies = 4
+
+// dropHeader drops the parsed header of the request, which can take many times its bytes, while the call
+// waits for its body, a slot or its answer.
+func (c *call) dropHeader() {
+	c.r.Header = nil
+	// What was decoded from the headers is not more than these.
+	intake.Retain(c.r.Context(), int64(2*cap(c.headers)+uriCopies*len(c.r.RequestURI)))
 }
 
 // answer is one complete answer of a server. The nil answer is none.
--- a/gateway/call_test.go
+++ b/gateway/call_test.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"bytes"
 	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"verbenashift/core/configuration/deployment"
@@ -68,3 +71,21 @@
 	_, got := r.send()
 	r.Equal(got.Status, http.StatusOK)
 }
+
+// Guards against memory for the parsed headers of requests that wait: a header line takes many times
+// its bytes.
+func TestHeaderIsDropped(t *testing.T) {
+	is := is.New(t)
+	g := newGateway(instance.Env{Log: slog.New(slog.DiscardHandler)}, noop.NewTracerProvider().Tracer("test"), nil)
+	r := httptest.NewRequest(http.MethodGet, "/", nil)
+	r.Header.Set("X-Request-Id", "1")
+	r.Header.Set("Traceparent", "parent")
+	r.Header.Set("Authorization", "Token secret")
+	c := newCall(g, httptest.NewRecorder(), r)
+	is.Equal(len(c.r.Header), 0)
+	is.Equal(c.req.ID, "1")
+	is.Equal(c.req.Key, "secret")
+	is.Equal(c.parent, "parent")
+	is.True(bytes.Contains(c.headers, []byte("X-Request-Id: 1\r\n")))
+	is.True(!bytes.Contains(c.headers, []byte("secret")))
+}
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -47,6 +47,7 @@
 	if c.body, err = c.bodies.Read(c.r.Context(), http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength, limit); err != nil {
 		return err
 	}
+	c.r.Trailer = nil // It is not forwarded.
 	// The server would take it for a caller that has disconnected.
 	return conn.SetReadDeadline(time.Time{})
 }
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -16,11 +16,12 @@
 	"go.uber.org/fx"
 
 	"verbenashift/core/configuration/mirror"
+	"verbenashift/core/plumbing/boot"
 	"verbenashift/core/plumbing/instance"
+	"verbenashift/core/plumbing/intake"
 	"verbenashift/core/plumbing/pause"
 	"verbenashift/core/request/permit"
 	"verbenashift/core/request/quarantine"
-	"verbenashift/gateway/intake"
 	"verbenashift/platform"
 )
 
@@ -77,25 +78,31 @@
 }
 
 const (
-	// headerTimeout bounds how long a caller may take to send a header. Callers
-	// stay within the configured limit, which is shorter.
+	// headerTimeout is how long a new connection may send nothing.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is how long an idle connection is kept, which is longer than
 	// callers keep theirs.
 	idleTimeout = 60 * time.Second
-	// maxHeader bounds the header of a request in bytes. Callers stay within the configured
-	// limit, which is smaller.
-	maxHeader = 64 << 10
+	// headShare is the part of the memory for heads of requests that are not small.
+	headShare = 1.0 / 16
 	// rotationDelay is how long the load balancer takes to stop sending new
 	// connections: two checks, a second apart, plus a margin.
 	rotationDelay = 2500 * time.Millisecond
 )
 
+// callerLimits returns the limits of the connections of callers.
+func callerLimits(s boot.Settings) intake.Limits {
+	return intake.Limits{
+		Connections: intake.Connections(s.MemoryBytes, s.Descriptors),
+		HeadRoom:    int64(headShare * float64(s.MemoryBytes)),
+	}
+}
+
 // serve listens for callers. On shutdown, answerReady fails the load balancer's checks
 // first. Callers are served until the balancer has noticed, and answers in progress are
 // completed.
 func serve(lc fx.Lifecycle, env instance.Env, g *gateway) {
-	server := &http.Server{Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	server := &http.Server{Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -103,12 +110,12 @@
 			if err != nil {
 				return err
 			}
-			l := intake.NewListener(inner, intake.Connections(env.Boot.MemoryBytes, env.Boot.Descriptors), env.Log)
-			server.ConnState = l.Track
+			l := intake.NewListener(inner, callerLimits(env.Boot), env.Log)
+			g.limitHeads(l)
 			go l.Watch(ctx)
 			go func() {
 				// Serve returns when the server is shut down.
-				_ = server.Serve(l)
+				_ = l.Serve(server)
 			}()
 			return nil
 		},
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -19,6 +19,7 @@
 	"verbenashift/core/membership/health"
 	"verbenashift/core/plumbing/boot"
 	"verbenashift/core/plumbing/instance"
+	"verbenashift/core/plumbing/intake"
 	"verbenashift/core/plumbing/pause"
 	"verbenashift/core/plumbing/tcp"
 	"verbenashift/core/request/admission"
@@ -43,6 +44,8 @@
 	bodies, answers *buffers.Pool
 	// stallLimit is how long a caller may take to read the next part of its answer.
 	stallLimit time.Duration
+	// callers accepts their connections; nil until the gateway listens.
+	callers atomic.Pointer[intake.Listener]
 	// startup holds requests until there is a configuration.
 	startup *startup.Gate
 
@@ -161,12 +164,26 @@
 		next := newCatalog(v.Config)
 		g.setClasses(next)
 		g.catalog.Store(next)
+		g.limitHeads(g.callers.Load())
 		g.reportPriorities(v.Config)
 		g.publishBudgets(v.Config)
 	}
 	g.startup.Open()
 }
 
+// limitHeads applies the limits of the configuration to the heads of requests.
+func (g *gateway) limitHeads(l *intake.Listener) {
+	if l == nil {
+		return
+	}
+	if g.callers.CompareAndSwap(nil, l) {
+		metricRoom.Set("heads", expvar.Func(func() any { return l.HeldForHeads() }))
+	}
+	if cat := g.catalog.Load(); cat != nil {
+		l.LimitHeads(cat.config.Limits.HeaderBytes, cat.config.Limits.HeaderTimeout)
+	}
+}
+
 // maxNames is the maximum number of routes and of workspaces that are named in a log line.
 const maxNames = 5
 
--- a/gateway/spans.go
+++ b/gateway/spans.go
@@ -38,7 +38,7 @@
 
 // startSpan begins the span of a request.
 func (c *call) startSpan() (context.Context, trace.Span) {
-	ctx := telemetry.Extract(c.r.Context(), c.r.Header.Get(parentHeader))
+	ctx := telemetry.Extract(c.r.Context(), c.parent)
 	return c.tracer.Start(ctx, spanRequest, trace.WithAttributes(attribute.String("id", c.req.ID)))
 }
 
--- a/gateway/upstream/head.go
+++ b/gateway/upstream/head.go
@@ -2,9 +2,10 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
+
+	"verbenashift/core/plumbing/heads"
 )
 
 const (
@@ -21,15 +22,15 @@
 // bufferHead reads until the buffer of the connection has the whole head of the next answer.
 // The error is a *TooLongError if the head exceeds a limit, or that of room.
 func (c *conn) bufferHead(ctx context.Context, room Room) error {
-	var scan headScan
+	var scan heads.Scan
 	for {
 		b, err := c.br.Peek(c.br.Buffered())
 		if err != nil {
 			return err
 		}
-		switch ended := scan.ends(b); {
-		case scan.lines > maxLines:
-			return &TooLongError{PartLines, int64(scan.lines), maxLines}
+		switch ended := scan.Ends(b); {
+		case scan.Lines() > maxLines:
+			return &TooLongError{PartLines, int64(scan.Lines()), maxLines}
 		case ended:
 			return nil
 		case len(b) >= maxHead:
@@ -38,7 +39,7 @@
 			if err := c.enlarge(ctx, room); err != nil {
 				return err
 			}
-			scan = headScan{}
+			scan = heads.Scan{}
 			continue
 		}
 		if err := c.fill(); err != nil {
@@ -67,29 +68,3 @@
 	c.enlarged = true
 	return nil
 }
-
-// headScan searches for the end of a head in a growing buffer.
-type headScan struct {
-	// line is where the current line begins, seen how many bytes were searched.
-	line, seen int
-	lines      int
-}
-
-// ends reports whether the head ends in b, which begins with what earlier calls were given.
-func (s *headScan) ends(b []byte) bool {
-	for s.seen < len(b) {
-		i := bytes.IndexByte(b[s.seen:], '\n')
-		if i < 0 {
-			s.seen = len(b)
-			return false
-		}
-		line := b[s.line : s.seen+i]
-		s.seen += i + 1
-		s.line = s.seen
-		if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
-			return true
-		}
-		s.lines++
-	}
-	return false
-}
