A connection whose head does not end makes room for a new one

Callers saw: resets of new connections ("full") while clients that send a byte now and then, or nothing, held all places of a gateway for up to 10 s each.

Cause: only a connection that had a request before could be closed for a new one; one whose first head never ends was not idle.

Change: if the listener is full and none is idle, the connection that has been without a complete head for longest, and for a second or more, makes room; it is counted as "replaced". Its request cannot run: begin refuses what becomes complete after that.

--- a/core/plumbing/intake/heads_test.go
+++ b/core/plumbing/intake/heads_test.go
@@ -315,3 +315,26 @@
 	r.awaitRoom()
 	Retain(context.Background(), 0) // a request of another listener
 }
+
+// Guards against callers who are refused for connections whose heads never end.
+func TestUnfinishedHeadsMakeRoom(t *testing.T) {
+	is := is.New(t)
+	l := NewListener(nil, Limits{Connections: 2, Patience: time.Second}, slog.New(slog.DiscardHandler))
+	now := time.Now()
+	admit := func(after time.Duration) (c, old *conn) { return l.admit(nil, now.Add(after)) }
+	first, _ := admit(0)
+	second, _ := admit(500 * time.Millisecond)
+	c, old := admit(900 * time.Millisecond)
+	is.True(c == nil && old == nil) // nobody has been without a request for long
+	c, old = admit(1100 * time.Millisecond)
+	is.True(c != nil)
+	is.True(old == first)
+	is.True(!l.begin(first)) // its request must not run
+	is.True(l.begin(second))
+	is.Equal(l.open, 2)
+	third, old := admit(1700 * time.Millisecond)
+	is.True(third == nil && old == nil) // second has a request, c is new
+	l.setIdle(second)
+	_, old = admit(1700 * time.Millisecond)
+	is.True(old == second)
+}
--- a/core/plumbing/intake/intake.go
+++ b/core/plumbing/intake/intake.go
@@ -8,7 +8,8 @@
 // again, at another instance.
 //
 // A Listener has at most a given number of connections open. If it is full, the one that has been
-// idle for longest makes room for a new one; if none is idle, the new one is refused. While timers fire late, as they do if the processor is
+// idle for longest makes room for a new one, then the one whose request has not begun for longest; if
+// there is neither, the new one is refused. While timers fire late, as they do if the processor is
 // busy, an Overload refuses a growing share of the new connections.
 //
 // Callers may send heads of any length and form. A head is received as a whole before the server
@@ -79,15 +80,20 @@
 	// HeadRoom is the memory in bytes for heads of requests beyond small ones, on all connections
 	// together. A small number means the least that serves any single head.
 	HeadRoom int64
+	// Patience is how long a connection may be without a request before a new one may take its
+	// place. A connection that has had a request before does not count here: it is idle.
+	Patience time.Duration
 }
 
 // The reasons for which connections and heads are refused.
 const (
 	reasonFull       = "full"
 	reasonOverloaded = "overloaded"
-	// reasonTooLong is a head over its limit, reasonNoRoom one without room.
-	reasonTooLong = "head-too-long"
-	reasonNoRoom  = "no-room-for-head"
+	// reasonTooLong is a head over its limit, reasonNoRoom one without room, and reasonReplaced a
+	// connection without a request that has made room for a new one.
+	reasonTooLong  = "head-too-long"
+	reasonNoRoom   = "no-room-for-head"
+	reasonReplaced = "replaced"
 )
 
 var (
@@ -172,8 +178,12 @@
 		old = l.idle.Front().Value.(*conn)
 		l.forget(old)
 	default:
-		l.refuse(reasonFull)
-		return nil, nil
+		if old = l.patient(now); old == nil {
+			l.refuse(reasonFull)
+			return nil, nil
+		}
+		l.refuse(reasonReplaced)
+		l.forget(old)
 	}
 	l.countOpen(1)
 	c = &conn{Conn: inner, listener: l}
@@ -182,6 +192,19 @@
 	return c, old
 }
 
+// patient returns the connection that has waited for the beginning of its request for longest, or nil if
+// none has for as long as the limits say. The lock must be held.
+func (l *Listener) patient(now time.Time) *conn {
+	e := l.incoming.Front()
+	if e == nil {
+		return nil
+	}
+	if c := e.Value.(*conn); now.Sub(c.since) >= l.limits.Patience {
+		return c
+	}
+	return nil
+}
+
 // countHead counts a head that was refused, or whose connection was closed.
 func (l *Listener) countHead(reason string) {
 	l.mu.Lock()
@@ -324,7 +347,7 @@
 		return
 	}
 	l.log.Warn("connections refused", "address", cmp.Or(l.limits.Name, "callers"), "full", l.refused[reasonFull], "overloaded", l.refused[reasonOverloaded],
-		"heads-too-long", l.refused[reasonTooLong], "no-room-for-heads", l.refused[reasonNoRoom],
+		"replaced", l.refused[reasonReplaced], "heads-too-long", l.refused[reasonTooLong], "no-room-for-heads", l.refused[reasonNoRoom],
 		"head-bytes", l.heads.held(), "open", l.open, "most", l.limits.Connections,
 		"share", l.overload.Share(), "timers-late-ms", l.overload.mean.Milliseconds())
 	clear(l.refused)
