What the system receives for a caller and is not read counts with its connection

A client that sends on behind a request that waits fills the system's buffer of its connection: up to 6 MB on Linux, which the platform counts toward the memory of the process. No table had it.

Change: the listener's receive buffer is 32 KB, which its connections inherit, and a connection counts 96 KB instead of 64. At 284 MB and 4,200 descriptors the number of connections stays 1,266 (by descriptors); at 184 MB and 4,100 it is 981 instead of 1,233.

The gateway still reads at once what a request may send; 32 KB in a round trip of 6 ms are 5 MB a second for a body (worked out).

--- a/core/plumbing/intake/intake.go
+++ b/core/plumbing/intake/intake.go
@@ -21,7 +21,7 @@
 //
 // # Usage
 //
-//	l := intake.NewListener(inner, intake.Limits{Connections: n, HeadRoom: bytes}, log)
+//	l, err := intake.Listen(addr, intake.Limits{Connections: n, HeadRoom: bytes}, log)
 //	go l.Watch(ctx)
 //	err = l.Serve(&http.Server{Handler: h})
 //
@@ -41,6 +41,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"verbenashift/core/plumbing/pause"
@@ -48,8 +49,11 @@
 
 const (
 	// connectionBytes is the memory that a connection may take with a request in progress: its
-	// goroutines and buffers, those of the connection to a server, and a small head.
-	connectionBytes = 64 << 10
+	// goroutines and buffers, those of the connection to a server, a small head, and what the
+	// system has received and the process has not read.
+	connectionBytes = 64<<10 + receiveBuffer
+	// receiveBuffer is how many bytes of a connection the system may receive before they are read.
+	receiveBuffer = 32 << 10
 	// memoryShare is the part of the memory for connections.
 	memoryShare = 0.5
 	// otherDescriptors are those that are not for connections of requests, and
@@ -123,6 +127,24 @@
 	loggedAt time.Time
 }
 
+// Listen listens on a TCP address, with a bound on what the system receives for a connection.
+func Listen(addr string, limits Limits, log *slog.Logger) (*Listener, error) {
+	cfg := net.ListenConfig{Control: limitReceiveBuffer}
+	inner, err := cfg.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return NewListener(inner, limits, log), nil
+}
+
+// limitReceiveBuffer sets the receive buffer of a listener, which its connections inherit.
+func limitReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		// Without it the bound is that of the system.
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+	})
+}
+
 // NewListener returns a Listener that accepts the connections of another one.
 func NewListener(inner net.Listener, limits Limits, log *slog.Logger) *Listener {
 	return &Listener{Listener: inner, limits: limits, log: log, heads: newHeadRoom(limits.HeadRoom), refused: map[string]int{}}
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -109,11 +108,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			inner, err := net.Listen("tcp", env.Boot.Callers.String())
+			l, err := intake.Listen(env.Boot.Callers.String(), callerLimits(env.Boot), env.Log)
 			if err != nil {
 				return err
 			}
-			l := intake.NewListener(inner, callerLimits(env.Boot), env.Log)
 			g.limitHeads(l)
 			go l.Watch(ctx)
 			go func() {
