The log holds a number of bytes, not only of lines

Callers saw: a gateway killed for its memory, with all requests in progress. (Operators: log lines of 90 KB.)

Cause: a caller's identifier, up to the limit of a head, stands in several log lines of its request and in its span. 512 lines wait for the output if nobody reads it; bytes that are no text are six in JSON each: 46 MB.

Change: lines that wait are at most 1 MB together, and one is at most 16 KB; others are dropped and counted (log-lines-lost), as before when 512 waited. The gateway logs 128 bytes of an identifier; targets and the caller still get it whole.

Why it works: whatever is logged, for other reasons too, the sum is bounded.

--- a/core/plumbing/eventlog/eventlog.go
+++ b/core/plumbing/eventlog/eventlog.go
@@ -20,6 +20,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,8 +28,12 @@
 	// linesPerSecond limits the lines of one message per second, to about
 	// 40 KB per second for each message.
 	linesPerSecond = 200
-	// bufferedLines is how many lines may wait for the output.
+	// bufferedLines is how many lines may wait for the output, bufferedBytes how long they may be
+	// together.
 	bufferedLines = 512
+	bufferedBytes = 1 << 20
+	// maxLine is the longest line in bytes.
+	maxLine = 16 << 10
 )
 
 // The counters of lines that were not written.
@@ -52,20 +57,37 @@
 // writer passes lines to the output without waiting for it.
 type writer struct {
 	lines chan []byte
-	done  chan struct{}
-	once  sync.Once
+	// buffered is the length of the lines that wait for the output.
+	buffered atomic.Int64
+	done     chan struct{}
+	once     sync.Once
 }
 
-// Write buffers one line, or drops it if the buffer is full. It never blocks.
+// Write buffers one line, or drops it if it is too long or the buffer is full. It never blocks.
 func (w *writer) Write(line []byte) (int, error) {
-	select {
-	case w.lines <- append([]byte(nil), line...):
-	default:
+	if !w.buffer(line) {
 		dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// buffer buffers one line and reports whether there was room for it.
+func (w *writer) buffer(line []byte) bool {
+	n := int64(len(line))
+	if n > maxLine {
+		return false
+	}
+	if w.buffered.Add(n) <= bufferedBytes {
+		select {
+		case w.lines <- append([]byte(nil), line...):
+			return true
+		default:
+		}
+	}
+	w.buffered.Add(-n)
+	return false
+}
+
 func (w *writer) run(out io.Writer) {
 	defer close(w.done)
 	for line := range w.lines {
@@ -76,6 +98,7 @@
 			// The log itself has failed, so the error is only counted.
 			dropped.Add(1)
 		}
+		w.buffered.Add(-int64(len(line)))
 	}
 }
 
--- a/core/plumbing/eventlog/eventlog_test.go
+++ b/core/plumbing/eventlog/eventlog_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"log/slog"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -100,3 +101,29 @@
 	stopOff()
 	is.Equal(out.Len(), before)
 }
+
+// Guards against lines of any length that wait for an output that nobody reads.
+func TestWaitingLinesAreBounded(t *testing.T) {
+	is := is.New(t)
+	blocked := make(chan struct{})
+	w := &writer{lines: make(chan []byte, bufferedLines), done: make(chan struct{})}
+	go w.run(writerFunc(func(p []byte) (int, error) {
+		<-blocked
+		return len(p), nil
+	}))
+	before := dropped.Value()
+	is.True(!w.buffer(make([]byte, maxLine+1)))
+	n := 0
+	for w.buffer(make([]byte, maxLine)) {
+		n++
+	}
+	is.Equal(n, bufferedBytes/maxLine)
+	_, err := w.Write(make([]byte, maxLine))
+	is.NoErr(err)
+	is.Equal(dropped.Value(), before+1)
+	close(blocked)
+	for !w.buffer(make([]byte, maxLine)) {
+		runtime.Gosched()
+	}
+	w.stop()
+}
--- a/gateway/admitter.go
+++ b/gateway/admitter.go
@@ -221,7 +221,7 @@
 func (a *admitter) awaitRetry(ctx context.Context, c *call) (waited, ok bool) {
 	until := c.arrived.Add(a.maxRetryWait(c))
 	for ctx.Err() == nil {
-		c.slot = a.move(c.slot, c.req.ID)
+		c.slot = a.move(c.slot, loggedID(c.req.ID))
 		may, lasting := a.mayRetry(c.slot, c.retriesLeft(c.service) >= 1)
 		switch {
 		case may:
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -106,7 +106,7 @@
 func (c *call) send(ctx context.Context, s activeAttempt) (kind retry.Kind, reason string, done bool) {
 	watched := ctx
 	if c.route.Kind == deployment.Stream && c.route.Repeatable() {
-		watched, c.stream = c.fleet.trackStream(ctx, s, c.req.ID, c.service, c.ran < c.route.MaxAttempts)
+		watched, c.stream = c.fleet.trackStream(ctx, s, loggedID(c.req.ID), c.service, c.ran < c.route.MaxAttempts)
 		defer c.fleet.untrackStream(c.stream)
 	}
 	if c.route.Kind != deployment.Stream {
@@ -212,7 +212,7 @@
 // countTooLong counts and logs a part of an answer over its limit.
 func (c *call) countTooLong(s activeAttempt, long *upstream.TooLongError) {
 	metricTooLong.Add(long.Part, 1)
-	c.log.Warn("answer over its limit", "id", c.req.ID, "target", s.target.ID, "part", long.Part, "read", long.Read, "limit", long.Limit)
+	c.log.Warn("answer over its limit", "id", loggedID(c.req.ID), "target", s.target.ID, "part", long.Part, "read", long.Read, "limit", long.Limit)
 }
 
 // run makes attempts until one ends the request.
@@ -252,7 +252,7 @@
 		c.logRetry(reason)
 		pause.For(ctx, time.Until(d.At))
 		if c.admitter != nil {
-			c.slot = c.admitter.move(c.slot, c.req.ID)
+			c.slot = c.admitter.move(c.slot, loggedID(c.req.ID))
 		}
 	}
 }
--- a/gateway/backpressure.go
+++ b/gateway/backpressure.go
@@ -46,14 +46,14 @@
 // applyBackpressure applies what a target requests in an answer. It is called with the lock held.
 func (f *fleet) applyBackpressure(s activeAttempt, a platform.Answer, now time.Time) {
 	if a.ShuttingDown && !s.target.announcedShutdown {
-		f.markShuttingDown(s, a.ID)
+		f.markShuttingDown(s, loggedID(a.ID))
 	}
 	if a.Sealed || a.NotRun {
-		f.applyLimit(s, a.ID, a.Limit, now)
+		f.applyLimit(s, loggedID(a.ID), a.Limit, now)
 	}
 	switch {
 	case a.RetryAfter > 0:
-		f.pause(s.target, a.ID, a.RetryAfter, now)
+		f.pause(s.target, loggedID(a.ID), a.RetryAfter, now)
 	case a.NotRun:
 		f.refused(s.target, now)
 	default:
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -7,11 +7,17 @@
 	"verbenashift/core/request/quarantine"
 )
 
+// maxLoggedID is how many bytes of a request's identifier are logged: callers choose it.
+const maxLoggedID = 128
+
+// loggedID returns the part of a request's identifier that is logged.
+func loggedID(id string) string { return id[:min(len(id), maxLoggedID)] }
+
 // logOutcome logs how the request has ended, with what its routing was based on: the
 // version of the configuration, and the last target with the age of the load report by
 // which it was picked.
 func (c *call) logOutcome(attrs ...any) {
-	line := append(make([]any, 0, 48), "id", c.req.ID, "service", c.service, "config", c.version,
+	line := append(make([]any, 0, 48), "id", loggedID(c.req.ID), "service", c.service, "config", c.version,
 		"ms", time.Since(c.arrived).Milliseconds(), "queued-ms", c.queued.Milliseconds(), "errors", c.attempts.Errors,
 		"patience-ms", c.req.Timeout.Milliseconds(), "workspace", c.workspaceName(), "route", c.routeName())
 	if n := c.req.PromptTokens + c.req.AnswerTokens; n > 0 {
@@ -101,7 +107,7 @@
 
 // logRetry logs an attempt that is followed by another one, with its target.
 func (c *call) logRetry(reason string) {
-	line := append(make([]any, 0, 24), "id", c.req.ID, "service", c.service, "config", c.version,
+	line := append(make([]any, 0, 24), "id", loggedID(c.req.ID), "service", c.service, "config", c.version,
 		"reason", reason, "errors", c.attempts.Errors, "budget-left", int(c.retriesLeft(c.service)))
 	line = append(line, c.targetAttrs()...)
 	c.log.Info("retry", append(line, c.fingerprintAttrs()...)...)
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -186,3 +186,21 @@
 	}
 	t.Error("no line of the request")
 }
+
+// Guards against log lines as long as the identifiers that callers choose.
+func TestLongIdentifiersAreCutInTheLog(t *testing.T) {
+	is := is.New(t)
+	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Respond(200, "ok") })
+	r := newRig(t, routeOf(deployment.Safe), s)
+	read := r.logged()
+	c := r.call()
+	c.ID = strings.Repeat("x", 10*maxLoggedID)
+	got := c.Do(t.Context())
+	is.Equal(got.Status, http.StatusOK) // targets get it whole
+	lines := read()
+	is.True(len(lines) > 0)
+	for _, l := range lines {
+		is.True(len(fmt.Sprint(l)) < 10*maxLoggedID)
+	}
+	is.Equal(len(logreader.RequestTrace(c.ID[:maxLoggedID], lines)), 1)
+}
--- a/gateway/pending.go
+++ b/gateway/pending.go
@@ -81,7 +81,7 @@
 func (f *fleet) trackPending(ctx context.Context, s activeAttempt, c *call) (context.Context, *pending) {
 	ctx, end := context.WithCancelCause(ctx)
 	p := &pending{
-		activeAttempt: s, id: c.req.ID, route: c.route.Name, service: c.service, objective: c.route.Objective,
+		activeAttempt: s, id: loggedID(c.req.ID), route: c.route.Name, service: c.service, objective: c.route.Objective,
 		mayMove: c.route.Repeatable() && c.ran < c.route.MaxAttempts, end: end,
 	}
 	f.mu.Lock()
--- a/gateway/spans.go
+++ b/gateway/spans.go
@@ -39,7 +39,7 @@
 // startSpan begins the span of a request.
 func (c *call) startSpan() (context.Context, trace.Span) {
 	ctx := telemetry.Extract(c.r.Context(), c.parent)
-	return c.tracer.Start(ctx, spanRequest, trace.WithAttributes(attribute.String("id", c.req.ID)))
+	return c.tracer.Start(ctx, spanRequest, trace.WithAttributes(attribute.String("id", loggedID(c.req.ID))))
 }
 
 // endSpan ends the span of a request, with its service, workspace and route and how many
