The addresses for readiness and metrics are limited in memory and descriptors

Callers saw: a gateway killed for its memory by clients of its readiness address or its metrics, which any caller can reach; sidecars have the latter too. Operators saw: no descriptors left.

Cause: these servers had the limits of net/http, a head of 1 MB (parsed: over 20 times as much) on any number of connections, kept for ever.

Change: they use intake: 32 connections, of which the one without a request for longest makes room for a new one; heads of 4 KB (plus 4); 10 s for a request and for its answer, 30 s idle. A head that weighs more than all room, which no valid one does, is too long (431): it waited 500 ms before, and others behind it. Counters by address and reason, the same log line.

--- a/core/plumbing/heads/heads.go
+++ b/core/plumbing/heads/heads.go
@@ -24,6 +24,9 @@
 	// and lineWeight what a line takes beyond that.
 	byteWeight = 5
 	lineWeight = 160
+	// shortestLine is the length in bytes of the shortest header line that is valid: a name, a colon
+	// and the end.
+	shortestLine = 3
 )
 
 // Scan searches for the end of a head in a growing buffer. The zero value is at the beginning of a head.
@@ -62,6 +65,11 @@
 // needed of that is collected.
 func (s *Scan) Weight() int64 { return byteWeight*int64(s.seen) + lineWeight*int64(s.lines) }
 
+// MaxWeight returns the greatest weight of a valid head of a number of bytes.
+func MaxWeight(bytes int) int64 {
+	return byteWeight*int64(bytes) + lineWeight*int64(bytes/shortestLine)
+}
+
 // Body is how the body after the head of a request ends.
 type Body struct {
 	// Length is the length of the body in bytes, unless it is Chunked.
--- a/core/plumbing/heads/heads_test.go
+++ b/core/plumbing/heads/heads_test.go
@@ -102,6 +102,17 @@
 	is.True(int64(after.HeapAlloc)-int64(before.HeapAlloc) <= copies*(s.Weight()+overhead))
 }
 
+// Guards against valid heads that are taken for ones that no room can hold.
+func TestMaxWeight(t *testing.T) {
+	is := is.New(t)
+	for _, line := range []string{"b:\n", "b:\r\n", "name: value\r\n"} {
+		head := []byte("G / HTTP/1.1\r\n" + strings.Repeat(line, 1000) + "\r\n")
+		var s Scan
+		is.True(s.Ends(head))
+		is.True(s.Weight() <= MaxWeight(len(head)))
+	}
+}
+
 func TestBodyOf(t *testing.T) {
 	const post = "POST / HTTP/1.1\r\n"
 	for name, tt := range map[string]struct {
--- a/core/plumbing/instance/instance.go
+++ b/core/plumbing/instance/instance.go
@@ -18,7 +18,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -34,6 +33,7 @@
 
 	"verbenashift/core/plumbing/boot"
 	"verbenashift/core/plumbing/eventlog"
+	"verbenashift/core/plumbing/intake"
 )
 
 // The exit codes of all programs.
@@ -232,26 +232,34 @@
 func serveMetrics(lc fx.Lifecycle, env Env) {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+MetricsPath, expvar.Handler())
-	Serve(lc, env.Log, netip.AddrPortFrom(env.Boot.IP, MetricsPort), mux)
+	Serve(lc, env.Log, "metrics", netip.AddrPortFrom(env.Boot.IP, MetricsPort), mux)
 }
 
-// headerTimeout limits how long a client may take to send its request headers.
-const headerTimeout = 10 * time.Second
+const (
+	// requestTimeout limits how long a client may take to send a request or to read the response, and
+	// idleTimeout how long it may leave a connection unused.
+	requestTimeout = 10 * time.Second
+	idleTimeout    = 30 * time.Second
+	// maxConnections and maxHead bound the connections to an address and the heads of their requests.
+	maxConnections = 32
+	maxHead        = 4 << 10
+)
 
-// Serve serves a handler on an address while the program runs. If it can't listen, it
-// only logs the error: a program must not fail for lack of metrics.
-func Serve(lc fx.Lifecycle, log *slog.Logger, addr netip.AddrPort, h http.Handler) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+// Serve serves a handler on an address while the program runs; its name stands in the log and the
+// counters of connections. If it can't listen, it only logs the error: a program must not fail for lack
+// of metrics.
+func Serve(lc fx.Lifecycle, log *slog.Logger, name string, addr netip.AddrPort, h http.Handler) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: requestTimeout, ReadTimeout: requestTimeout, WriteTimeout: requestTimeout, IdleTimeout: idleTimeout}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			l, err := net.Listen("tcp", addr.String())
+			l, err := intake.Listen(addr.String(), intake.Limits{Name: name, Connections: maxConnections, HeadBytes: maxHead}, log)
 			if err != nil {
 				log.Warn("not listening", "addr", addr.String(), "error", err.Error())
 				return nil
 			}
 			go func() {
 				// It returns when the server is closed.
-				_ = server.Serve(l)
+				_ = l.Serve(server)
 			}()
 			return nil
 		},
--- a/core/plumbing/intake/conn.go
+++ b/core/plumbing/intake/conn.go
@@ -142,10 +142,11 @@
 			return err
 		}
 	}
-	if c.scan.Size() > limit {
+	weight := c.scan.Weight()
+	if c.scan.Size() > limit || weight > c.listener.heads.half {
 		return c.refuse(http.StatusRequestHeaderFieldsTooLarge, reasonTooLong)
 	}
-	if weight := c.scan.Weight(); weight > smallHead && !c.listener.heads.hold(c, weight) {
+	if weight > smallHead && !c.listener.heads.hold(c, weight) {
 		return c.refuse(http.StatusServiceUnavailable, reasonNoRoom)
 	}
 	c.listener.heads.endReception(c)
--- a/core/plumbing/intake/heads.go
+++ b/core/plumbing/intake/heads.go
@@ -4,11 +4,12 @@
 	"container/list"
 	"sync"
 	"time"
+
+	"verbenashift/core/plumbing/heads"
 )
 
 const (
-	// defaultHeadBytes is the longest head of a request in bytes until one is stated, and the
-	// longest that may be stated.
+	// defaultHeadBytes is the longest head of a request in bytes if the Limits have none.
 	defaultHeadBytes = 64 << 10
 	// defaultHeadTime is how long a head may take from its first byte until a time is stated.
 	defaultHeadTime = 10 * time.Second
@@ -22,17 +23,16 @@
 	firstRead = 4 << 10
 	// headWait is how long a complete head waits for room.
 	headWait = 500 * time.Millisecond
-	// minHeadRoom is the least room: it lets a single head of the greatest weight be served.
-	minHeadRoom = 8 << 20
 )
 
 // headRoom bounds the memory for the heads of requests on all connections: half of it is for
 // those in reception, half for those that are complete, until their requests end.
 type headRoom struct {
 	mu sync.Mutex
-	// limit is the longest head in bytes, before the limit that was stated before it; timeout is
-	// how long a head may take.
+	// limit is the longest head in bytes, before the limit that was stated before it, most the
+	// longest that may be stated; timeout is how long a head may take.
 	limit, before int
+	most          int
 	timeout       time.Duration
 	stated        bool
 	// half is half of the room in bytes.
@@ -52,8 +52,11 @@
 	granted chan struct{}
 }
 
-func newHeadRoom(bytes int64) *headRoom {
-	return &headRoom{limit: defaultHeadBytes, timeout: defaultHeadTime, half: max(bytes, minHeadRoom) / 2}
+// newHeadRoom returns room for heads of at most a number of bytes each. It has a number of bytes, or as
+// many as a single head of the greatest weight needs.
+func newHeadRoom(bytes int64, most int) *headRoom {
+	half := max(bytes/2, heads.MaxWeight(most+headSlack))
+	return &headRoom{limit: most, most: most, timeout: defaultHeadTime, half: half}
 }
 
 // state states the limits of a head. The length stated before holds as well, since callers may not
@@ -76,7 +79,7 @@
 func (h *headRoom) limits() (bytes int, timeout time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return min(max(h.limit, h.before), defaultHeadBytes) + headSlack, h.timeout
+	return min(max(h.limit, h.before), h.most) + headSlack, h.timeout
 }
 
 // grow makes room for a number of bytes of a head in reception. It returns the connections that are to
--- a/core/plumbing/intake/heads_test.go
+++ b/core/plumbing/intake/heads_test.go
@@ -22,7 +22,7 @@
 func TestRoomIsWholeAgain(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		is := is.New(t)
-		h := newHeadRoom(0)
+		h := newHeadRoom(0, defaultHeadBytes)
 		conns := make([]*conn, 6)
 		for i := range conns {
 			conns[i] = &conn{}
@@ -67,7 +67,7 @@
 func TestCompleteHeadsWaitInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		h := newHeadRoom(0)
+		h := newHeadRoom(0, defaultHeadBytes)
 		first, second, third := &conn{}, &conn{}, &conn{}
 		is.True(h.hold(first, h.half))
 		var mu sync.Mutex
@@ -109,7 +109,7 @@
 // Guards against connections that get room after their end.
 func TestEndedConnectionsGetNoRoom(t *testing.T) {
 	is := is.New(t)
-	h := newHeadRoom(0)
+	h := newHeadRoom(0, defaultHeadBytes)
 	c := &conn{}
 	h.end(c)
 	is.True(!h.hold(c, 1))
@@ -120,7 +120,7 @@
 // Guards against heads in reception that hold the room for ever: the one that began first yields.
 func TestOldestHeadInReceptionYields(t *testing.T) {
 	is := is.New(t)
-	h := newHeadRoom(0)
+	h := newHeadRoom(0, defaultHeadBytes)
 	a, b, c := &conn{}, &conn{}, &conn{}
 	is.Equal(len(h.grow(a, h.half/2)), 0)
 	is.Equal(len(h.grow(b, h.half/2)), 0)
@@ -134,7 +134,7 @@
 // Guards against rejecting callers who keep to the configuration before, while it changes.
 func TestLimitBeforeHolds(t *testing.T) {
 	is := is.New(t)
-	h := newHeadRoom(0)
+	h := newHeadRoom(0, defaultHeadBytes)
 	limit := func() int {
 		n, _ := h.limits()
 		return n - headSlack
@@ -270,6 +270,17 @@
 	r.awaitRoom()
 }
 
+// Guards against heads that wait for room that there never is, and hold up those after them: the shortest
+// lines that are no header lines weigh more than valid ones.
+func TestHeavierThanAllRoom(t *testing.T) {
+	r := newEchoRig(t)
+	c, in := r.dial(t)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n"+strings.Repeat("b\n", 30<<10)+"\r\n")
+	r.NoErr(err)
+	status, _ := r.read(in)
+	r.Equal(status, http.StatusRequestHeaderFieldsTooLarge)
+}
+
 // Guards against a promise that is not kept, and against heads that wait for ever, when there is no room.
 func TestNoRoomForAHead(t *testing.T) {
 	r := newEchoRig(t)
--- a/core/plumbing/intake/intake.go
+++ b/core/plumbing/intake/intake.go
@@ -81,6 +81,8 @@
 	Name string
 	// Connections is the largest number of open connections.
 	Connections int
+	// HeadBytes is the longest head of a request in bytes; 0 means 64 KB.
+	HeadBytes int
 	// HeadRoom is the memory in bytes for heads of requests beyond small ones, on all connections
 	// together. A small number means the least that serves any single head.
 	HeadRoom int64
@@ -147,13 +149,17 @@
 
 // NewListener returns a Listener that accepts the connections of another one.
 func NewListener(inner net.Listener, limits Limits, log *slog.Logger) *Listener {
-	return &Listener{Listener: inner, limits: limits, log: log, heads: newHeadRoom(limits.HeadRoom), refused: map[string]int{}}
+	limits.HeadBytes = cmp.Or(limits.HeadBytes, defaultHeadBytes)
+	return &Listener{
+		Listener: inner, limits: limits, log: log,
+		heads: newHeadRoom(limits.HeadRoom, limits.HeadBytes), refused: map[string]int{},
+	}
 }
 
 // Serve serves the connections with an HTTP server, whose limits of heads and hooks for connections it
 // sets, until the server is shut down.
 func (l *Listener) Serve(server *http.Server) error {
-	server.MaxHeaderBytes = defaultHeadBytes + headSlack
+	server.MaxHeaderBytes = l.limits.HeadBytes + headSlack
 	server.ConnState = l.Track
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, c)
@@ -161,8 +167,8 @@
 	return server.Serve(l)
 }
 
-// LimitHeads states the longest head of a request in bytes, and how long its reception may take; 0
-// leaves either as it is. The length that was stated before holds as well.
+// LimitHeads states the longest head of a request in bytes, up to that of the Limits, and how long its
+// reception may take; 0 leaves either as it is. The length that was stated before holds as well.
 func (l *Listener) LimitHeads(bytes int, timeout time.Duration) { l.heads.state(bytes, timeout) }
 
 // HeldForHeads returns how many bytes the heads of all connections hold.
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -69,7 +69,7 @@
 
 // answerReady answers the readiness checks of the load balancer.
 func answerReady(lc fx.Lifecycle, env instance.Env, g *gateway) {
-	instance.Serve(lc, env.Log, env.Boot.Ready, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	instance.Serve(lc, env.Log, "ready", env.Boot.Ready, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !g.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
