Garbage counts toward the memory of a gateway or sidecar

Cause: the heap may grow to one and a half times what is held before it is collected. What a gateway may hold is 0.65 of its memory (connections a third without unread bytes, bodies and answers an eighth each, heads a sixteenth): nearly all of the memory with garbage, all with unread bytes.

Change: the runtime's soft limit is three quarters of the memory; near it the collector runs as often as needed, with at most half of the processor. A sixth is for unread bytes, the rest for the program.

--- a/core/plumbing/instance/instance.go
+++ b/core/plumbing/instance/instance.go
@@ -18,6 +18,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net/http"
 	"net/netip"
 	"os"
@@ -51,6 +52,10 @@
 	// is collected when it has grown by half. Peak memory is then 5.3 MB for a sidecar
 	// and 10 MB for a gateway, under the load of a busy minute.
 	gcPercent = 50
+	// memoryLimitShare is the part of the memory of a process at which the collector runs as often as
+	// needed. The rest is for what is not the runtime's: bytes that the system has received, and the
+	// program itself.
+	memoryLimitShare = 0.75
 	// killMargin is how long before SIGKILL a graceful shutdown must be complete.
 	killMargin = 500 * time.Millisecond
 	// startTimeout limits the time to start.
@@ -187,9 +192,19 @@
 	return "no revision " + info.GoVersion
 }
 
+// memoryLimit returns the memory limit of the runtime, given the memory in bytes at which the process is
+// killed; 0 means unknown.
+func memoryLimit(bytes int64) int64 {
+	if bytes <= 0 {
+		return math.MaxInt64
+	}
+	return int64(memoryLimitShare * float64(bytes))
+}
+
 // run builds and starts the program, and stops it on SIGTERM.
 func (p Program) run(env Env, level slog.Level) error {
 	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryLimit(env.Boot.MemoryBytes))
 	log, stopLog := eventlog.New(os.Stdout, p.Name, env.Boot.Instance, level)
 	defer stopLog()
 	env.Log = log
--- a/core/plumbing/instance/instance_test.go
+++ b/core/plumbing/instance/instance_test.go
@@ -29,3 +29,10 @@
 		})
 	}
 }
+
+// Guards against garbage that makes a process exceed its memory while what it holds is within bounds.
+func TestMemoryLimit(t *testing.T) {
+	is := is.New(t)
+	is.Equal(memoryLimit(0), int64(math.MaxInt64))
+	is.Equal(memoryLimit(200<<20), int64(150<<20))
+}
