Bodies of requests at an entry share a bounded room

Callers saw: an entry killed for its memory by callers with a token who send bodies that stop.

Cause: an entry reads up to 1 MB for each of 4,096 requests; the room that gateways have for bodies was missing.

Change: package buffers moves to core/plumbing, and entries read bodies into a pool of [limits] bodies (64 MB, at least four times the longest body). Without room in half a second the request is refused with 503 no-room-for-body; one with a key is unknown, since its key was not looked up.

--- a/core/request/caller/caller.go
+++ b/core/request/caller/caller.go
@@ -19,7 +19,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -29,6 +28,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
+	"verbenashift/core/plumbing/buffers"
 	"verbenashift/core/request/outcome"
 )
 
@@ -72,6 +72,8 @@
 	Body int64
 	// MaxTokens bounds the max_tokens field; zero means no bound.
 	MaxTokens int
+	// Bodies is the room for the bodies of all requests; nil means no bound.
+	Bodies *buffers.Pool
 }
 
 // Request is one request of a caller.
@@ -80,7 +82,9 @@
 	// Path is the path sent to the target, including the query.
 	Path   string
 	Header http.Header
-	Body   []byte
+	// Body is valid until Release.
+	Body []byte
+	room *buffers.Buffer
 	// Model is empty for a request to a plain service, Service for one to a model.
 	Model   string
 	Service string
@@ -113,22 +117,35 @@
 	if err := readHeaders(&req, r.Header); err != nil {
 		return req, err
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, lim.Body))
+	body, err := lim.Bodies.Read(r.Context(), http.MaxBytesReader(w, r.Body, lim.Body), r.ContentLength, lim.Body)
 	if err != nil {
 		return req, bodyError(err)
 	}
-	req.Body = data
+	req.Body, req.room = body.Bytes(), body
 	if rest, ok := strings.CutPrefix(r.URL.EscapedPath(), PathServices); ok {
 		return req, readService(&req, rest, r.URL.RawQuery)
 	}
 	return req, readModel(&req, lim)
 }
 
+// Release returns the room of the body.
+func (r *Request) Release() { r.room.Release() }
+
+// ReasonNoRoom is the reason of a refusal when there is no room for the body.
+const ReasonNoRoom = "no-room-for-body"
+
 func bodyError(err error) error {
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	var (
+		large *http.MaxBytesError
+		long  *buffers.TooLongError
+		full  *buffers.FullError
+	)
+	if errors.As(err, &large) || errors.As(err, &long) {
 		return refuse(http.StatusRequestEntityTooLarge, "body-too-large")
 	}
+	if errors.As(err, &full) {
+		return refuse(http.StatusServiceUnavailable, ReasonNoRoom)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return refuse(http.StatusRequestTimeout, "body-too-slow")
 	}
--- a/core/request/caller/caller_test.go
+++ b/core/request/caller/caller_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"verbenashift/core/plumbing/buffers"
 	"verbenashift/core/request/caller"
 	"verbenashift/core/request/outcome"
 )
@@ -120,3 +121,31 @@
 		}
 	})
 }
+
+// Guards against memory for the bodies of all callers together.
+func TestBodiesShareTheirRoom(t *testing.T) {
+	is := is.New(t)
+	pool := buffers.NewPool(64<<10, time.Millisecond)
+	post := func(size int) (caller.Request, error) {
+		r := httptest.NewRequest(http.MethodPost, caller.PathServices+"desk/pings", strings.NewReader(strings.Repeat("x", size)))
+		return caller.Read(httptest.NewRecorder(), r, caller.Limits{Body: 100 << 10, Bodies: pool})
+	}
+	first, err := post(30 << 10)
+	is.NoErr(err)
+	is.Equal(len(first.Body), 30<<10)
+	_, err = post(40 << 10)
+	var refused *outcome.Error
+	is.True(errors.As(err, &refused))
+	is.Equal(refused.Outcome, outcome.NotRun)
+	is.Equal(refused.Reason, caller.ReasonNoRoom)
+	_, err = post(200 << 10)
+	is.True(errors.As(err, &refused))
+	is.Equal(refused.Status, http.StatusRequestEntityTooLarge)
+	first.Release()
+	is.Equal(pool.Held(), int64(0))
+	again, err := post(30 << 10)
+	is.NoErr(err)
+	again.Release()
+	again.Release()
+	is.Equal(pool.Held(), int64(0))
+}
--- a/entry/app.go
+++ b/entry/app.go
@@ -19,6 +19,7 @@
 	"verbenashift/core/membership/member"
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire"
+	"verbenashift/core/plumbing/buffers"
 	"verbenashift/core/plumbing/process"
 	"verbenashift/core/plumbing/telemetry"
 	"verbenashift/core/request/route"
@@ -37,9 +38,11 @@
 	limiter  *limiter
 	retries  *retries
 	open     *openRequests
-	flows    flowSet
-	fleet    *fleet
-	members  *follow.Members
+	// bodies bounds the memory for bodies of requests.
+	bodies  *buffers.Pool
+	flows   flowSet
+	fleet   *fleet
+	members *follow.Members
 
 	// leaving makes the readiness check fail, so that the load balancer stops
 	// sending callers; draining makes the entry refuse new work.
@@ -92,6 +95,7 @@
 		retries:     newRetries(),
 		limiter:     newLimiter(cfg.Name),
 		open:        newOpenRequests(cfg.Streams, cfg.RetryAfter),
+		bodies:      newBodies(cfg),
 		fleet:       newFleet(),
 		incarnation: uint64(time.Now().UnixMilli()),
 		configured:  make(chan struct{}),
@@ -109,6 +113,17 @@
 	return e
 }
 
+// bodyWait is how long the body of a request waits for room.
+const bodyWait = 500 * time.Millisecond
+
+// newBodies returns the room for bodies, or nil if the settings do not bound them.
+func newBodies(cfg Settings) *buffers.Pool {
+	if cfg.Bodies == 0 {
+		return nil
+	}
+	return buffers.NewPool(max(int64(cfg.Bodies), 4*int64(cfg.Body)), bodyWait)
+}
+
 // setHomes updates homeSet and agentSet from a configuration.
 func (e *Entry) setHomes(x *config.Index) {
 	cfg := x.Config()
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
@@ -54,8 +55,9 @@
 		return
 	}
 	req, rerr := e.read(w, r)
+	defer req.Release()
 	if rerr != nil {
-		e.refuse(w, rerr)
+		e.refuse(w, bodyRefusal(rerr, r.Header))
 		return
 	}
 	f, err := e.newFlow(w, req, workspace, index, refused)
@@ -115,13 +117,23 @@
 	return &outcome.Error{Outcome: outcome.Unknown, Reason: err.Reason, RetryAfter: err.RetryAfter, Status: http.StatusServiceUnavailable}
 }
 
+// bodyRefusal returns the error for a request that could not be read. One with a key that only found no
+// room is not looked up, so that its outcome is unknown.
+func bodyRefusal(err error, h http.Header) error {
+	var refused *outcome.Error
+	if errors.As(err, &refused) && refused.Reason == caller.ReasonNoRoom {
+		return unknownForKey(refused, h)
+	}
+	return err
+}
+
 func (e *Entry) refuse(w http.ResponseWriter, err error) {
 	e.metrics.refused.Add(1)
 	caller.WriteError(w, "", err)
 }
 
 func (e *Entry) callerLimits() caller.Limits {
-	return caller.Limits{Body: int64(e.cfg.Body), MaxTokens: e.cfg.MaxTokens}
+	return caller.Limits{Body: int64(e.cfg.Body), MaxTokens: e.cfg.MaxTokens, Bodies: e.bodies}
 }
 
 // newFlow prepares the processing of one request. If refused is set, the request
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -28,6 +28,7 @@
 	Body           int
 	Connections    int
 	Heads          int
+	Bodies         int
 	MaxTokens      int
 	Streams        int
 	SlowCaller     time.Duration
@@ -73,6 +74,7 @@
 	s.Int("limits", "body", &c.Body, 1<<20, 1024, 64<<20, "bytes", "largest request body")
 	s.Int("limits", "connections", &c.Connections, 4096, 64, 1<<20, "connections", "most open connections of callers")
 	s.Int("limits", "heads", &c.Heads, 16<<20, 1<<20, 1<<30, "bytes", "memory for heads of requests that are not small, of all callers together, and as much for operators; at least what one head of 64 KB may take")
+	s.Int("limits", "bodies", &c.Bodies, 64<<20, 1<<20, 1<<40, "bytes", "memory for the bodies of all requests; at least four times [limits] body")
 	s.Int("limits", "max-tokens", &c.MaxTokens, 32768, 1, 1<<20, "tokens", "largest max_tokens of a request")
 	s.Int("limits", "streams", &c.Streams, 4096, 1, 1<<20, "requests", "most requests in progress at this entry")
 	s.Duration("limits", "slow-caller", &c.SlowCaller, 30*time.Second, time.Second, time.Hour, "longest wait for a caller to take its answer")
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"verbenashift/core/configuration/deployment"
+	"verbenashift/core/plumbing/buffers"
 	"verbenashift/core/request/outcome"
 	"verbenashift/core/request/retry"
-	"verbenashift/gateway/buffers"
 	"verbenashift/gateway/upstream"
 	"verbenashift/platform"
 )
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -8,13 +8,13 @@
 	"time"
 
 	"verbenashift/core/configuration/deployment"
+	"verbenashift/core/plumbing/buffers"
 	"verbenashift/core/plumbing/pause"
 	"verbenashift/core/request/permit"
 	"verbenashift/core/request/quarantine"
 	"verbenashift/core/request/queue"
 	"verbenashift/core/request/retry"
 	"verbenashift/core/request/route"
-	"verbenashift/gateway/buffers"
 	"verbenashift/gateway/upstream"
 	"verbenashift/platform"
 )
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -7,12 +7,12 @@
 	"time"
 
 	"verbenashift/core/configuration/deployment"
+	"verbenashift/core/plumbing/buffers"
 	"verbenashift/core/plumbing/intake"
 	"verbenashift/core/request/admission"
 	"verbenashift/core/request/residency"
 	"verbenashift/core/request/retry"
 	"verbenashift/core/request/route"
-	"verbenashift/gateway/buffers"
 	"verbenashift/platform"
 )
 
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"verbenashift/core/configuration/deployment"
-	"verbenashift/gateway/buffers"
+	"verbenashift/core/plumbing/buffers"
 	"verbenashift/platform"
 )
 
--- a/gateway/slow_reader_test.go
+++ b/gateway/slow_reader_test.go
@@ -14,7 +14,7 @@
 
 	"verbenashift/core/configuration/deployment"
 	"verbenashift/core/membership/health"
-	"verbenashift/gateway/buffers"
+	"verbenashift/core/plumbing/buffers"
 	"verbenashift/standin/scripted"
 )
 
--- a/proof/clients/entry_test.go
+++ b/proof/clients/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -32,7 +33,10 @@
 	t.Cleanup(cancel)
 	d := &ownDeployment{process: &process{I: is.New(t), t: t, ctx: ctx, ended: make(chan struct{})}}
 	var err error
-	d.Deployment, err = deployment.Start(ctx, deployment.Shape{Block: "127.0.112", Entries: 1, ServiceTargets: 1})
+	d.Deployment, err = deployment.Start(ctx, deployment.Shape{
+		Block: "127.0.112", Entries: 1, ServiceTargets: 1,
+		EntrySettings: deployment.Settings{"limits.slow-caller": "2s"},
+	})
 	d.NoErr(err)
 	t.Cleanup(func() { _ = d.Close() })
 	d.pid, err = d.PID(name)
@@ -98,6 +102,13 @@
 	d.play(ownHeads(200<<10), d.ObserveAddress(entryName))
 }
 
+// Guards against memory for bodies that do not end.
+func TestEntryBodiesThatStop(t *testing.T) {
+	d := startOwn(t, entryName)
+	request := fmt.Sprintf("POST /services/job-desk/pings HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nContent-Length: 1000000\r\n\r\n", d.Token("harbor-home"))
+	d.play(crowd{connections: crowdSize, first: always(request + strings.Repeat("x", 900_000))}, d.Address(entryName))
+}
+
 // Guards against descriptors for connections at the address of an entry for metrics.
 func TestEntryConnectionsAtMetrics(t *testing.T) {
 	d := startOwn(t, entryName)
