Messages to an agent share a bounded room

Other processes saw: an agent killed for its memory by messages that stop; where there are no keys, any client that reaches its address can send them.

Cause: a message was read as it came, up to 16 MB for streams and any length for unary calls, on any number of connections, without a deadline.

Change: BoundMessages receives each message as a whole, at most 16 MB, in 10 s, into the room of [peers] messages (64 MB). Without room it is refused with 503 and not handled.

--- a/agent/listen.go
+++ b/agent/listen.go
@@ -12,6 +12,7 @@
 
 	"verbenashift/core/peer"
 	"verbenashift/core/peer/wire/wireconnect"
+	"verbenashift/core/plumbing/buffers"
 	"verbenashift/core/plumbing/intake"
 	"verbenashift/core/plumbing/observe"
 	"verbenashift/core/plumbing/pause"
@@ -39,7 +40,7 @@
 	m.Handle(wireconnect.AgentServiceAttachProcedure, peer.HandleFrames(a.handleAttach))
 	// A process without a certificate sends no head in TLS.
 	peers := intake.Limits{Name: "peers", Connections: a.cfg.Connections, HeadBytes: peer.MaxHead, HeadRoom: peerHeads, Unseen: tls != nil, Patience: patience}
-	if err := a.serve(a.cfg.Peers, peer.NewServer(m, tls), peers, shutdown); err != nil {
+	if err := a.serve(a.cfg.Peers, peer.NewServer(peer.BoundMessages(m, a.newMessages()), tls), peers, shutdown); err != nil {
 		return err
 	}
 	observer := intake.MonitoringServer(observe.Routes(observe.Source{Unready: a.unready, Revisions: a.revisions}))
@@ -50,6 +51,14 @@
 	return nil
 }
 
+// messageWait is how long a message of another process waits for room.
+const messageWait = 500 * time.Millisecond
+
+// newMessages returns the room for messages of other processes.
+func (a *Agent) newMessages() *buffers.Pool {
+	return buffers.NewPool(int64(a.cfg.Messages), messageWait)
+}
+
 func (a *Agent) serve(addr string, s *http.Server, limits intake.Limits, shutdown fx.Shutdowner) error {
 	l, err := intake.Listen(addr, limits, a.log)
 	if err != nil {
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -34,6 +34,7 @@
 	Seeds        []string
 	Heartbeat    time.Duration
 	Connections  int
+	Messages     int
 
 	Slots       int
 	QueueItems  int
@@ -74,6 +75,7 @@
 	s.Duration("store", "refresh", &c.StoreRefresh, 5*time.Minute, time.Second, time.Hour, "time between reads of the configuration's head, in addition to watches and peers")
 	s.Addresses("peers", "seeds", &c.Seeds, "agents to ask for the configuration when the store is down")
 	s.Int("peers", "connections", &c.Connections, 4096, 64, 1<<20, "connections", "most open connections of other processes")
+	s.Int("peers", "messages", &c.Messages, 64<<20, 40<<20, 1<<40, "bytes", "memory for the messages of all other processes; half of it is for the beginnings of messages")
 	s.Duration("peers", "heartbeat", &c.Heartbeat, time.Second, 10*time.Millisecond, time.Minute, "time between heartbeats")
 	s.Int("queue", "slots", &c.Slots, 32, 1, 4096, "requests", "requests at the target at once")
 	s.Int("queue", "items", &c.QueueItems, 1024, 1, 1<<20, "requests", "requests that may wait")
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -13,8 +13,10 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -23,6 +25,7 @@
 	"github.com/go-faster/errors"
 
 	"verbenashift/core/peer/wire/wireconnect"
+	"verbenashift/core/plumbing/buffers"
 )
 
 // The timeouts after which an idle connection is probed with a ping, and closed.
@@ -147,6 +150,38 @@
 	}
 }
 
+// messageTime is how long a peer may take to send a message.
+const messageTime = 10 * time.Second
+
+// BoundMessages returns a handler that receives each message as a whole, into the room of all messages,
+// before it calls next. A message for which there is no room, or that takes too long, has not been
+// handled: the peer gets status 503.
+func BoundMessages(next http.Handler, room *buffers.Pool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn := http.NewResponseController(w)
+		_ = conn.SetReadDeadline(time.Now().Add(messageTime)) // Without it the connection's end bounds the wait.
+		body, err := room.Read(r.Context(), r.Body, r.ContentLength, maxMessage+prefixSize)
+		if err != nil {
+			w.Header().Set("Connection", "close") // The rest of the body is not read.
+			w.WriteHeader(refusedStatus(err))
+			return
+		}
+		defer body.Release()
+		_ = conn.SetReadDeadline(time.Time{}) // As above.
+		r.Body = io.NopCloser(bytes.NewReader(body.Bytes()))
+		next.ServeHTTP(w, r)
+	})
+}
+
+// refusedStatus returns the status for a message that was not received.
+func refusedStatus(err error) int {
+	var long *buffers.TooLongError
+	if errors.As(err, &long) {
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusServiceUnavailable
+}
+
 // Serve serves on l, with TLS if the server has a TLS configuration.
 func Serve(s *http.Server, l net.Listener) error {
 	if s.TLSConfig != nil {
--- a/proof/clients/entry_test.go
+++ b/proof/clients/entry_test.go
@@ -121,6 +121,14 @@
 	d.play(ownHeads(200<<10), strings.Replace(d.Address(agentName), ":7001", ":7000", 1))
 }
 
+// Guards against memory for messages to an agent that do not end.
+func TestAgentMessagesThatStop(t *testing.T) {
+	d := startOwn(t, agentName)
+	const request = "POST /verbenashift.v1.AgentService/Exchange HTTP/1.1\r\nHost: a\r\nContent-Type: application/proto\r\nContent-Length: 9000000\r\n\r\n"
+	c := crowd{connections: crowdSize, first: always(request), again: "xxxxxxxx", most: endless}
+	d.play(c, strings.Replace(d.Address(agentName), ":7001", ":7000", 1))
+}
+
 // Guards against memory for heads at the address of an agent for metrics.
 func TestAgentHeadsAtMetrics(t *testing.T) {
 	d := startOwn(t, agentName)
