Calls read the identifier of a target without racing its updates

Change: the identifier is a field of its own that is never written again. VERBENASHIFT_RACE=1 builds the programs of the process tests for the race detector, and tests of the fleet fail if a process reports a race.

Evidence: TestUpdateDuringCalls with the race detector: three reports before, none now. TestFleetQuiet, TestFleetGatewayStops and TestFleetServerStartsAgainUnderItsID pass with programs built so, without a report; the other process tests were not run in this way.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -34,9 +34,9 @@
 	case a.NotRun:
 		c.ran--
 		if c.admitter != nil && !a.Misdirected {
-			c.admitter.refused(c.slot, s.target.ID)
+			c.admitter.refused(c.slot, s.target.id)
 		}
-		return retry.Refused, "refused by " + s.target.ID, false
+		return retry.Refused, "refused by " + s.target.id, false
 	case !a.Sealed || a.Encoded || a.ID != c.req.ID:
 		c.fleet.failed(s, severityOf(nil), now)
 		return retry.Broken, "answer without the server's signature", false
@@ -64,7 +64,7 @@
 	ans := &answer{reply.Status, reply.Header, c.takeHead(), body}
 	if reply.Status >= http.StatusInternalServerError && c.route.Repeatable() && !c.begun {
 		c.keepFailure(ans)
-		return retry.Failed, "failed by " + s.target.ID, false
+		return retry.Failed, "failed by " + s.target.id, false
 	}
 	if c.begun {
 		ans.release()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -135,7 +135,7 @@
 func (c *call) upstream(s activeAttempt) *upstream.Request {
 	var head bytes.Buffer
 	f := platform.ForwardHeaders{
-		TargetID: s.target.ID, Remaining: time.Until(c.deadline),
+		TargetID: s.target.id, Remaining: time.Until(c.deadline),
 		Urgency: c.urgency, LastEvent: c.lastEvent,
 	}
 	f.Workspace = c.workspaceName()
@@ -212,7 +212,7 @@
 // countTooLong counts and logs a part of an answer over its limit.
 func (c *call) countTooLong(s activeAttempt, long *upstream.TooLongError) {
 	metricTooLong.Add(long.Part, 1)
-	c.log.Warn("answer over its limit", "id", loggedID(c.req.ID), "target", s.target.ID, "part", long.Part, "read", long.Read, "limit", long.Limit)
+	c.log.Warn("answer over its limit", "id", loggedID(c.req.ID), "target", s.target.id, "part", long.Part, "read", long.Read, "limit", long.Limit)
 }
 
 // run makes attempts until one ends the request.
--- a/gateway/call_test.go
+++ b/gateway/call_test.go
@@ -89,3 +89,27 @@
 	is.True(bytes.Contains(c.headers, []byte("X-Request-Id: 1\r\n")))
 	is.True(!bytes.Contains(c.headers, []byte("secret")))
 }
+
+// Guards against reading what an update of the targets writes, without the lock; the race detector tells.
+func TestUpdateDuringCalls(t *testing.T) {
+	s := scripted.Serve(t, func(x *scripted.Exchange) { x.Respond(200, "ok") })
+	r := newRig(t, routeOf(deployment.Safe), s)
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			default:
+				r.gateway.update(&r.view)
+			}
+		}
+	})
+	for range 100 {
+		_, got := r.send()
+		r.Equal(got.Status, http.StatusOK)
+	}
+	close(done)
+	wg.Wait()
+}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -74,8 +74,11 @@
 
 // targetState is one target with its connections and health.
 type targetState struct {
-	deployment.Target
+	// id is the target's identifier. Like pool it does not change, and calls read it without the lock
+	// of the fleet, which guards the rest.
+	id   string
 	pool *upstream.Pool
+	deployment.Target
 	// slow is set if it lengthens the forward passes of its group; silentUntil is until
 	// when it is considered silent.
 	slow        bool
@@ -142,7 +145,7 @@
 	targets := make([]route.Target, 0, len(v.Targets))
 	for id, t := range v.Targets {
 		if f.targetStates[id] == nil {
-			f.targetStates[id] = &targetState{Target: t, pool: upstream.NewPool(t.Addr.String(), tcp.Dial, answersTo)}
+			f.targetStates[id] = &targetState{id: id, Target: t, pool: upstream.NewPool(t.Addr.String(), tcp.Dial, answersTo)}
 			if !first {
 				f.markCold(&t, f.services[t.Service].ColdStart, now)
 			}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -89,7 +89,7 @@
 	if c.last.target == nil {
 		return nil
 	}
-	return []any{"target", c.last.target.ID, "group", c.slot.group, "load-age-ms", c.last.loadAge.Milliseconds(), "ran", c.ran}
+	return []any{"target", c.last.target.id, "group", c.slot.group, "load-age-ms", c.last.loadAge.Milliseconds(), "ran", c.ran}
 }
 
 // fingerprintAttrs returns what identifies calls with the same content. It returns nil for
--- a/gateway/spans.go
+++ b/gateway/spans.go
@@ -52,7 +52,7 @@
 
 // startTarget begins the span of a hop to a target.
 func (c *call) startTarget(ctx context.Context, s activeAttempt) (context.Context, trace.Span) {
-	return c.tracer.Start(ctx, spanTarget, trace.WithAttributes(attribute.String("target", s.target.ID)))
+	return c.tracer.Start(ctx, spanTarget, trace.WithAttributes(attribute.String("target", s.target.id)))
 }
 
 // endTarget ends the span of a hop. A hop that did not complete the request records the reason.
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -52,12 +52,22 @@
 	for _, b := range s.Boots {
 		s.startProcess(b)
 	}
+	t.Cleanup(s.verifyNoRaces)
 	t.Cleanup(s.killAll)
 	s.NoErr(s.WaitReady(ctx, time.Minute))
 	s.NoErr(s.Started())
 	return s
 }
 
+// verifyNoRaces fails the test if a process that was built for the race detector has reported a race.
+func (s *fleetHarness) verifyNoRaces() {
+	for _, b := range s.Boots {
+		if strings.Contains(s.log(b.Name), "WARNING: DATA RACE") {
+			s.t.Errorf("%s has reported a data race", b.Name)
+		}
+	}
+}
+
 // saveLogs copies the logs of the processes of a failed test to a directory that stays.
 func (s *fleetHarness) saveLogs() {
 	if !s.t.Failed() || s.Fleet == nil {
--- a/standin/deployment/build.go
+++ b/standin/deployment/build.go
@@ -19,6 +19,10 @@
 	dir string
 }
 
+// RaceEnv names the environment variable that, if not empty, makes Build compile the programs for the
+// race detector.
+const RaceEnv = "VERBENASHIFT_RACE"
+
 // Build compiles the programs into a temporary directory, once per process, and
 // returns the directory. The working directory must be inside the Go workspace.
 // Call Clean when no deployment runs any more.
@@ -32,7 +36,11 @@
 	if err != nil {
 		return "", errors.Wrap(err, "make directory")
 	}
-	cmd := exec.CommandContext(ctx, "go", append([]string{"build", "-o", dir + string(filepath.Separator)}, programs...)...)
+	args := []string{"build", "-o", dir + string(filepath.Separator)}
+	if os.Getenv(RaceEnv) != "" {
+		args = append(args, "-race")
+	}
+	cmd := exec.CommandContext(ctx, "go", append(args, programs...)...)
 	if out, err := cmd.CombinedOutput(); err != nil {
 		_ = os.RemoveAll(dir)
 		return "", errors.Wrapf(err, "build the programs: %s", out)
