Small heads take no lock of the room

Only a head that holds room has some to return: the others, nearly all in calm, take two locks less.

--- a/core/plumbing/intake/conn.go
+++ b/core/plumbing/intake/conn.go
@@ -51,6 +51,8 @@
 	// left is how much of the body is to be read. If the body is chunked, chunks finds its end.
 	left   int64
 	chunks *heads.Chunks
+	// weighed says that the head of the request holds room.
+	weighed bool
 	// http2 says that the head is the beginning of a connection with HTTP/2.
 	http2 bool
 }
@@ -156,8 +158,11 @@
 	if c.scan.Size() > limit || weight > c.listener.heads.half {
 		return c.refuse(http.StatusRequestHeaderFieldsTooLarge, reasonTooLong)
 	}
-	if weight > smallHead && !c.listener.heads.hold(c, weight) {
-		return c.refuse(http.StatusServiceUnavailable, reasonNoRoom)
+	if weight > smallHead {
+		if !c.listener.heads.hold(c, weight) {
+			return c.refuse(http.StatusServiceUnavailable, reasonNoRoom)
+		}
+		c.weighed = true
 	}
 	c.listener.heads.endReception(c)
 	if err := c.begin(c.received[:c.scan.Size()]); err != nil {
@@ -325,9 +330,9 @@
 type connKey struct{}
 
 // Retain says that of the head of a request not more than a number of bytes stay in memory until
-// the request ends. The context is that of the request.
+// the request ends. The context is that of the request; only its handler may call this.
 func Retain(ctx context.Context, bytes int64) {
-	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok && c.weighed {
 		c.listener.heads.retain(c, bytes)
 	}
 }
--- a/core/plumbing/intake/intake.go
+++ b/core/plumbing/intake/intake.go
@@ -379,7 +379,10 @@
 	}
 	switch state {
 	case http.StateIdle:
-		l.heads.retain(c, 0)
+		if c.weighed {
+			l.heads.retain(c, 0)
+			c.weighed = false
+		}
 		l.setIdle(c)
 	case http.StateClosed, http.StateHijacked:
 		l.release(c)
