Gateways are told of changes that only a coordinator's watch has seen

Cause: the store's watches hear nothing for a second, then its history is dropped. Watches of gateways that began in that second go on without a word for up to 12 s, unless others report a newer change; only gateways reported. The coordinator's own watch, of 2 s, noticed at 9.2 s and told nobody; all gateways read at 11.9 s, when a server happened to change, 0.3 s before the rule binds.

Change: a coordinator reports its own newest change with the gateways', and a complete read counts as having seen the store's revision.

It is not proved to hold whenever contact is three seconds: 2.9 s of the coordinator's watch, 0.9 s until another is given up, and the read.

--- a/core/configuration/mirror/follower.go
+++ b/core/configuration/mirror/follower.go
@@ -368,6 +368,8 @@
 	f.checkpoints.record(all, f.prefixes, true)
 	f.storeAnswered(time.Now())
 	f.recordSeen(all)
+	// The newest change may be one whose key is gone, or lies under a prefix that is not read.
+	f.event.Store(max(f.event.Load(), revision))
 	if known {
 		// The followers of the feed need not read everything as well.
 		f.feed.Record(missed, f.mirror.Revision(), time.Now())
--- a/core/configuration/mirror/hints_test.go
+++ b/core/configuration/mirror/hints_test.go
@@ -174,3 +174,14 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a process that has read what all others have missed and reports nothing newer than its
+// items: the newest change may be of a key that it does not read.
+func TestReadIsReportedAsNewestChange(t *testing.T) {
+	is := is.New(t)
+	f := NewTargetFollower(&silentStore{}, testFormats(), quiet())
+	f.replace([]kv.Item{entry("a", "10.0.0.1:80", "ready", 9)}, 12)
+	is.Equal(f.LastEventRevision(), int64(12))
+	f.apply(&kv.Page{Items: []kv.Item{entry("a", "10.0.0.1:80", "draining", 13)}, Revision: 14}, time.Now())
+	is.Equal(f.LastEventRevision(), int64(13))
+}
--- a/sidecar/claim_test.go
+++ b/sidecar/claim_test.go
@@ -254,3 +254,26 @@
 	is.NoErr(err)
 	is.Equal(it.Revision, co.term)
 }
+
+// Guards against gateways that are not told of changes which only the coordinator's own watch has seen.
+func TestCoordinatorReportsItsNewestChange(t *testing.T) {
+	is := is.New(t)
+	a, store := testAgent(t)
+	store.Put("servers/x", []byte(`{"backend":"pool","addr":"127.0.0.1:80","zone":"z1","version":"v1","slots":4,"state":"ready","coldMs":0,"seq":1}`))
+	co := &coordinator{
+		agent: a, group: groupG, core: lockstep.NewCoordinator(0, nil, 1), log: a.log,
+		targets: mirror.NewTargetFollower(a.store, platform.Formats(), a.log),
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		co.targets.Run(ctx)
+	}()
+	for co.targets.LastEventRevision() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(co.buildDigest(nil).Event, co.targets.LastEventRevision())
+	stop()
+	<-ended
+}
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -40,6 +40,10 @@
 		Group: co.group, Term: co.term, Open: lockstep.Open(ranks),
 		Pass: co.core.PassTime(), Skew: float32(co.planner.skew),
 	}
+	if co.targets != nil {
+		// Its watch may be told of what all gateways have missed.
+		d.Event = co.targets.LastEventRevision()
+	}
 	list := fnv.New64a()
 	for i := range ranks {
 		st := &ranks[i].State
