One name for patience; a caller's key counts with what stays of its head

The time after which a connection without a request makes room stood in three programs; it is intake.Patience now. A key and a last event's identifier are not forwarded and stay with a call: they count with what is retained of a head (up to 16 KB each were not counted).

--- a/agent/listen.go
+++ b/agent/listen.go
@@ -21,12 +21,8 @@
 	"verbenashift/core/request/outcome"
 )
 
-const (
-	// peerHeads is the memory in bytes for heads of other processes.
-	peerHeads = 4 << 20
-	// patience is how long a connection may be without a request when others need its place.
-	patience = time.Second
-)
+// peerHeads is the memory in bytes for heads of other processes.
+const peerHeads = 4 << 20
 
 func (a *Agent) listen(shutdown fx.Shutdowner) error {
 	tls, err := a.cfg.Peer.Server()
@@ -39,7 +35,7 @@
 	m.Handle(wireconnect.AgentServiceSubmitProcedure, peer.HandleFrames(a.submit))
 	m.Handle(wireconnect.AgentServiceAttachProcedure, peer.HandleFrames(a.handleAttach))
 	// A process without a certificate sends no head in TLS.
-	peers := intake.Limits{Name: "peers", Connections: a.cfg.Connections, HeadBytes: peer.MaxHead, HeadRoom: peerHeads, Unseen: tls != nil, Patience: patience}
+	peers := intake.Limits{Name: "peers", Connections: a.cfg.Connections, HeadBytes: peer.MaxHead, HeadRoom: peerHeads, Unseen: tls != nil, Patience: intake.Patience}
 	if err := a.serve(a.cfg.Peers, peer.NewServer(peer.BoundMessages(m, a.newMessages()), tls), peers, shutdown); err != nil {
 		return err
 	}
--- a/core/plumbing/intake/intake.go
+++ b/core/plumbing/intake/intake.go
@@ -80,6 +80,9 @@
 	return max(most, minConnections)
 }
 
+// Patience is the usual Patience of Limits: callers give up a request that is not read for as long.
+const Patience = time.Second
+
 // Limits are the limits of a Listener.
 type Limits struct {
 	// Name is the name of the address in the log and the counters; empty for that of callers.
@@ -250,7 +253,7 @@
 		old = l.idle.Front().Value.(*conn)
 		l.forget(old)
 	default:
-		if old = l.patient(now); old == nil {
+		if old = l.oldestIncoming(now); old == nil {
 			l.refuse(reasonFull)
 			return nil, nil
 		}
@@ -267,9 +270,9 @@
 	return c, old
 }
 
-// patient returns the connection that has waited for the beginning of its request for longest, or nil if
-// none has for as long as the limits say. The lock must be held.
-func (l *Listener) patient(now time.Time) *conn {
+// oldestIncoming returns the connection that has been without a request for longest, or nil if none has
+// for as long as the limits say. The lock must be held.
+func (l *Listener) oldestIncoming(now time.Time) *conn {
 	e := l.incoming.Front()
 	if e == nil {
 		return nil
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -23,9 +23,6 @@
 // maxOperators is the largest number of connections of operators.
 const maxOperators = 256
 
-// patience is how long a connection may be without a request when others need its place.
-const patience = time.Second
-
 // callerTLS returns the TLS configuration towards callers and operators, or nil for clear text.
 func (e *Entry) callerTLS() (*tls.Config, error) {
 	if e.cfg.CallerCert == "" {
@@ -80,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	limits := intake.Limits{Connections: e.cfg.Connections, HeadRoom: int64(e.cfg.Heads), TLS: secure, Patience: patience}
+	limits := intake.Limits{Connections: e.cfg.Connections, HeadRoom: int64(e.cfg.Heads), TLS: secure, Patience: intake.Patience}
 	return e.serve(e.cfg.Callers, newServer(e.callerRoutes()), limits, shutdown)
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -125,8 +125,9 @@
 // waits for its body, a slot or its answer.
 func (c *call) dropHeader() {
 	c.r.Header = nil
-	// What was decoded from the headers is not more than these.
-	intake.Retain(c.r.Context(), int64(2*cap(c.headers)+uriCopies*len(c.r.RequestURI)))
+	// All else that was decoded stands in the headers that are forwarded.
+	own := len(c.req.Key) + len(c.req.LastEvent)
+	intake.Retain(c.r.Context(), int64(2*cap(c.headers)+uriCopies*len(c.r.RequestURI)+own))
 }
 
 // answer is one complete answer of a server. The nil answer is none.
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -84,8 +84,6 @@
 	idleTimeout = 60 * time.Second
 	// headShare is the part of the memory for heads of requests that are not small.
 	headShare = 1.0 / 16
-	// patience is how long a connection may be without a request when others need its place.
-	patience = time.Second
 	// rotationDelay is how long the load balancer takes to stop sending new
 	// connections: two checks, a second apart, plus a margin.
 	rotationDelay = 2500 * time.Millisecond
@@ -96,7 +94,7 @@
 	return intake.Limits{
 		Connections: intake.Connections(s.MemoryBytes, s.Descriptors),
 		HeadRoom:    int64(headShare * float64(s.MemoryBytes)),
-		Patience:    patience,
+		Patience:    intake.Patience,
 	}
 }
 
