The guard of the body's deadline has a test that sees it

The test stays; TestNoReadDeadlineWithoutABody also requires that the deadline of a body is taken back, and kills the guard.

--- a/gateway/sealed_test.go
+++ b/gateway/sealed_test.go
@@ -119,6 +119,9 @@
 		is.NoErr(c.readBody(100))
 		is.Equal(string(c.body.Bytes()), body)
 		is.Equal(len(w.deadlines), want)
+		if want > 0 {
+			is.True(w.deadlines[want-1].IsZero()) // It ends with the body.
+		}
 		c.releaseBuffers()
 	}
 }
