--- a/review/standin-2/case4.go
+++ b/review/standin-2/case4.go
@@ -27,7 +27,6 @@
 	id      string
 	server  *server
 	sentAt  time.Time
-	arrived time.Time
 	gateway *gateway
 	late    time.Duration
 	result  result
@@ -65,7 +64,8 @@
 			mu.Lock()
 			defer mu.Unlock()
 			j := jobs[r.Header.Get("X-Request-Id")]
-			j.server, j.arrived = s, at
+			j.server = s
+			p.line("%s runs %s", s.id, j.id)
 			if l, gone := left[s.id]; gone && at.Sub(l.removedAt) > drain+slack && j.sentAt.After(l.calm.Add(slack)) {
 				j.late = at.Sub(l.removedAt)
 				p.line("LATE: job %s, sent to %s at %s, reaches %s, whose entry was removed %d ms ago", j.id, j.gateway.name, p.at(j.sentAt), s.id, j.late.Milliseconds())
@@ -110,6 +110,7 @@
 				mu.Lock()
 				jobs[j.id] = j
 				mu.Unlock()
+				p.line("%s is sent %s", g.name, j.id)
 				wg.Go(func() {
 					r := send(g.front, request{
 						method: http.MethodPost, host: host, path: path, id: j.id, deadline: 600 * time.Millisecond,
@@ -118,6 +119,7 @@
 					mu.Lock()
 					defer mu.Unlock()
 					j.result = r
+					p.line("%s is answered %d by %s", j.id, r.status, g.name)
 				})
 			}
 		})
