A reset that only the writer was told of is no end of an answer

Callers got a part of an answer as a complete one: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. Streams ended early in the same way, and agents passed such answers on from plain services.

Cause: Linux reports the pending error of a socket once, to the call that comes first. The Write of the request got the reset, and the Read that followed saw io.EOF, which is the end of a body without a length. Nothing asked how the Write had ended.

Change: connections of tcp.Dial, and those to the target of an agent, keep the first error of a Write, and Read returns it instead of io.EOF. A Write in progress may have been told and not returned yet, so Read ends it by a deadline and waits for it.

Ruled out: asking only in the reader of answers whether the write had failed; the same error is lost to every reader, net/http included.

--- a/core/plumbing/tcp/tcp.go
+++ b/core/plumbing/tcp/tcp.go
@@ -1,5 +1,5 @@
 // Package tcp opens TCP connections that fail promptly when the peer becomes
-// unreachable.
+// unreachable, and on which a reset is never taken for an ordinary end.
 //
 // # Usage
 //
@@ -32,7 +32,11 @@
 // without the socket option a write to it would hang for minutes.
 func Dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: limitUnacknowledged}
-	return d.DialContext(ctx, network, addr)
+	c, err := d.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return Wrap(c), nil
 }
 
 func limitUnacknowledged(_, _ string, c syscall.RawConn) error {
--- a/core/request/target/sent.go
+++ b/core/request/target/sent.go
@@ -7,6 +7,8 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+
+	"verbenashift/core/plumbing/tcp"
 )
 
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
@@ -18,7 +20,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countingConn{Conn: conn}, nil
+		return &countingConn{Conn: tcp.Wrap(conn)}, nil
 	}
 }
 
--- a/core/request/target/target_test.go
+++ b/core/request/target/target_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
@@ -278,6 +279,38 @@
 	is.True(errors.As(err, &broken))
 }
 
+// A service answers before it has read the request, without a length, and resets the connection while
+// that is written: the system reports the reset to the writer alone.
+func TestResetServiceBodyIsBroken(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+				time.Sleep(10 * time.Millisecond)
+			}
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}()
+	s := target.NewService(ln.Addr().String(), target.Options{})
+	for range 20 {
+		a, err := s.Do(t.Context(), target.Call{Method: "POST", Path: "/visitations", Body: make([]byte, 8<<20)})
+		if err == nil {
+			_, err = io.ReadAll(a.Body)
+		}
+		var broken *target.BrokenError
+		is.True(errors.As(err, &broken))
+	}
+}
+
 // An engine sends a document without end. The agent would be killed for its
 // memory, with all that is in progress.
 func TestDocumentWithoutEnd(t *testing.T) {
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -97,3 +99,62 @@
 	_, got := r.send()
 	r.Equal(got.Status, 502)
 }
+
+// earlyPlays is how often the race of a reset with an upload is played.
+const earlyPlays = 10
+
+// Guards against a part of an answer that looks complete because its server answered early, without a
+// length, and reset the connection while the request was still being written.
+func TestEarlyAnswerThatIsResetIsNotComplete(t *testing.T) {
+	const whole = "whole"
+	for name, tt := range map[string]struct {
+		kind              deployment.RouteKind
+		contentType, part string
+		status            int
+		body              string
+		// attempts is how many attempts each request takes.
+		attempts int
+	}{
+		"may not be repeated": {deployment.Unsafe, "text/plain", "part", 502, "", 1},
+		"may be repeated":     {deployment.Safe, "text/plain", "part", 200, whole, 2},
+		"stream":              {deployment.Stream, "text/event-stream", scripted.Event(1), 200, scripted.Event(1) + scripted.Event(2), 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var mu sync.Mutex
+			begun := map[string]bool{}
+			script := func(x *scripted.Exchange) {
+				mu.Lock()
+				again := begun[x.ID()]
+				begun[x.ID()] = true
+				mu.Unlock()
+				if !again {
+					x.Unframed(tt.contentType)
+					x.Write(tt.part)
+					time.Sleep(10 * time.Millisecond)
+					x.Reset()
+					return
+				}
+				x.ReadBody()
+				if tt.kind == deployment.Stream {
+					x.Stream()
+					x.Chunk(scripted.Event(2))
+					x.End()
+					return
+				}
+				x.Respond(200, whole)
+			}
+			a, b := scripted.Serve(t, script), scripted.Serve(t, script)
+			r := newRig(t, routeOf(tt.kind), a, b)
+			r.view.Config.Limits.BodyBytes = 8 << 20
+			for range earlyPlays {
+				c := r.call()
+				c.Header = scripted.ReadLate()
+				c.Body = strings.Repeat("x", 8<<20)
+				got := c.Do(t.Context())
+				r.Equal(got.Status, tt.status)
+				r.Equal(got.Body, tt.body)
+			}
+			r.Equal(total(a, b), earlyPlays*tt.attempts)
+		})
+	}
+}
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -10,7 +10,8 @@
 	"time"
 )
 
-// Dialer opens a connection.
+// Dialer opens a connection. If one is reset, its Read must not return io.EOF, which ends the body of an
+// answer without a length; those of tcp.Dial do not.
 type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
 
 // Matcher reports whether an answer belongs to the request with an identifier.
@@ -135,12 +136,17 @@
 	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer)}, nil
 }
 
+// lingerer is a connection that can be reset.
+type lingerer interface {
+	SetLinger(seconds int) error
+}
+
 func (p *Pool) discard(c *conn) {
 	// A server that is suspended or disconnected would receive the rest of a request when
 	// it recovers, long after the caller has left, and run it for nobody. A reset discards
 	// what has not arrived.
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	if l, ok := c.Conn.(lingerer); ok {
+		_ = l.SetLinger(0)
 	}
 	// The connection is abandoned, so an error of Close does not matter.
 	_ = c.Close()
