A status that is none is a broken answer

Callers got what follows a head with the status 000 as the answer, or an answer with a status such as 600 or 999; agents passed 000 on as it was.

Cause: the reader of net/http takes any three characters that parse as a number for a status, and the gateway skipped all under 200 as interim answers. The bytes behind the head of a 000, of 101 or of +20 were then read as the next head: with a whole answer in them, identifier included, the caller got that. An answer of HTTP/2.0 or HTTP/0.9 was taken as well.

The 000 whose own body was short was refused already, at the caller's deadline.

Change: the package answers checks each head after it was parsed: HTTP/1, and a status of 100 to 599 (RFC 9110, section 15) other than 101, since no request asks for another protocol. Such an answer is broken in its head: a request that may be repeated goes elsewhere, for the others the outcome is unknown, and the connection is closed, in net/http's pools too. Interim answers and 599 pass as before (TestValidStatus).

--- /dev/null
+++ b/core/plumbing/answers/answers.go
@@ -0,0 +1,73 @@
+// Package answers checks that an answer is one of HTTP/1.1. The reader of net/http is lenient: it returns
+// answers whose status is none, and leaves it to its caller to reject them.
+//
+// # Usage
+//
+//	client := http.Client{Transport: &answers.Transport{Transport: &http.Transport{}}}
+//
+// or, where the answer was read otherwise,
+//
+//	if err := answers.Check(resp); err != nil {
+//		return err // an *InvalidError
+//	}
+package answers
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// InvalidError reports an answer that is none of HTTP/1.1. Nothing of it may be used.
+type InvalidError struct {
+	// Part is what is invalid: PartVersion or PartStatus.
+	Part string
+	// Value is the number that was sent instead.
+	Value int
+}
+
+// The parts of an answer that may be invalid.
+const (
+	PartVersion = "version"
+	PartStatus  = "status"
+)
+
+// Error returns a message with the part and what was sent.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("invalid %s in the answer: %d", e.Part, e.Value)
+}
+
+// The statuses of RFC 9110, section 15.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// Check returns an *InvalidError if the head of an answer is invalid. So is 101 here: no request asks for
+// another protocol.
+func Check(r *http.Response) error {
+	switch {
+	case r.ProtoMajor != 1:
+		return &InvalidError{PartVersion, r.ProtoMajor}
+	case r.StatusCode < minStatus || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols:
+		return &InvalidError{PartStatus, r.StatusCode}
+	}
+	return nil
+}
+
+// Transport returns no invalid answers. It is for the connections to one server: after such an answer all
+// that are idle are closed.
+type Transport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(resp); err != nil {
+		_ = resp.Body.Close() // The answer is abandoned.
+		t.CloseIdleConnections()
+		return nil, err
+	}
+	return resp, nil
+}
--- a/core/request/target/target.go
+++ b/core/request/target/target.go
@@ -36,6 +36,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"verbenashift/core/plumbing/answers"
 )
 
 const (
@@ -87,9 +89,9 @@
 // client sends requests to one address; Engine and Service embed it.
 type client struct {
 	address   string
-	transport *http.Transport
+	transport *answers.Transport
 	// unpooled opens a connection for each request.
-	unpooled *http.Transport
+	unpooled *answers.Transport
 }
 
 func newClient(address string, o Options) client {
@@ -115,7 +117,7 @@
 	}
 	unpooled := transport.Clone()
 	unpooled.DisableKeepAlives = true
-	return client{address: address, transport: transport, unpooled: unpooled}
+	return client{address: address, transport: &answers.Transport{Transport: transport}, unpooled: &answers.Transport{Transport: unpooled}}
 }
 
 // CloseIdle closes the idle connections.
--- a/core/request/target/target_test.go
+++ b/core/request/target/target_test.go
@@ -311,6 +311,26 @@
 	}
 }
 
+// A target in trouble sends a status that is none: the agent would pass it on, or what follows its head,
+// as the answer.
+func TestInvalidStatusIsBroken(t *testing.T) {
+	for _, line := range []string{
+		"HTTP/1.1 000 Trouble", "HTTP/1.1 099 Trouble", "HTTP/1.1 101 Switching Protocols",
+		"HTTP/1.1 600 Trouble", "HTTP/1.1 999 Trouble", "HTTP/2.0 200 OK",
+	} {
+		t.Run(line, func(t *testing.T) {
+			is := is.New(t)
+			var broken *target.BrokenError
+			addr, _ := raw(t, line+"\r\nContent-Length: 2\r\n\r\n{}")
+			_, err := target.NewService(addr, target.Options{}).Do(t.Context(), target.Call{Method: "GET", Path: "/visitations/1"})
+			is.True(errors.As(err, &broken))
+			addr, _ = raw(t, line+"\r\nContent-Length: 2\r\n\r\n{}")
+			_, err = target.NewEngine(addr, target.Options{}).Start(t.Context(), target.Completion{Path: target.CompletionsPath, Body: []byte(`{}`)})
+			is.True(errors.As(err, &broken))
+		})
+	}
+}
+
 // An engine sends a document without end. The agent would be killed for its
 // memory, with all that is in progress.
 func TestDocumentWithoutEnd(t *testing.T) {
--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -147,6 +147,19 @@
 			x.Write(scripted.Head(200, "another", "Content-Length: 5\r\n") + "other")
 			x.Close()
 		},
+		"status 000": func(x *scripted.Exchange) {
+			x.Write(scripted.Head(0, x.ID(), "Content-Length: 5\r\n") + "other")
+			x.Close()
+		},
+		"status 000 before a whole answer": func(x *scripted.Exchange) {
+			x.Write("HTTP/1.1 000 Trouble\r\n\r\n")
+			x.Respond(200, "other")
+			x.Close()
+		},
+		"status 600": func(x *scripted.Exchange) {
+			x.Write(scripted.Head(600, x.ID(), "Content-Length: 5\r\n") + "other")
+			x.Close()
+		},
 		"encoded": func(x *scripted.Exchange) {
 			x.Write(scripted.Head(200, x.ID(), "Content-Encoding: gzip\r\nContent-Length: 3\r\n") + "zip")
 		},
--- a/gateway/upstream/head_test.go
+++ b/gateway/upstream/head_test.go
@@ -168,3 +168,42 @@
 	_, err := read(t, NewPool(addr, dial, echoes), r)
 	is.NoErr(err) // it fits the buffer of the connection
 }
+
+// Guards against passing on what follows a head that is none of HTTP/1 as the answer, and against
+// passing such a head on.
+func TestInvalidStatus(t *testing.T) {
+	for _, line := range []string{
+		"HTTP/1.1 000 Trouble", "HTTP/1.1 099 Trouble", "HTTP/1.1 +20 Trouble", "HTTP/1.1 101 Switching Protocols",
+		"HTTP/1.1 600 Trouble", "HTTP/1.1 999 Trouble", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK",
+	} {
+		for name, rest := range map[string]string{
+			"answer":            "Id: 1\r\nContent-Length: 5\r\n\r\nother",
+			"head":              "\r\n" + reply("1", "other"),
+			"answer in a body":  fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(reply("1", "other")), reply("1", "other")),
+			"answer in a chunk": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(reply("1", "other")), reply("1", "other")),
+		} {
+			t.Run(line+", "+name, func(t *testing.T) {
+				is := is.New(t)
+				addr, _ := answerWith(t, []string{line + "\r\n" + rest})
+				p := NewPool(addr, dial, echoes)
+				_, err := read(t, p, newRequest("1"))
+				var broken *BrokenError
+				is.True(errors.As(err, &broken))
+				is.Equal(broken.Phase, "head")
+				is.Equal(p.NumOpen(), 0)
+			})
+		}
+	}
+}
+
+// Guards against rejecting the valid statuses at the limits, and interim answers.
+func TestValidStatus(t *testing.T) {
+	for _, status := range []int{200, 299, 304, 404, 599} {
+		is := is.New(t)
+		interim := "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Other\r\nA: b\r\n\r\n"
+		addr, _ := answerWith(t, []string{interim + fmt.Sprintf("HTTP/1.1 %d Any\r\nId: 1\r\nContent-Length: 0\r\n\r\n", status)})
+		got, err := NewPool(addr, dial, echoes).Do(t.Context(), newRequest("1"))
+		is.NoErr(err)
+		is.Equal(got.Status, status)
+	}
+}
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -32,6 +32,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"verbenashift/core/plumbing/answers"
 )
 
 const (
@@ -188,7 +190,11 @@
 	if err := c.bufferHead(ctx, r.Room); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(c.br, &http.Request{Method: r.Method})
+	resp, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
+	if err != nil {
+		return nil, err
+	}
+	return resp, answers.Check(resp)
 }
 
 // skip reads the body of an answer to another request.
--- a/standin/scripted/scripted.go
+++ b/standin/scripted/scripted.go
@@ -160,7 +160,7 @@
 // Head returns the head of the response to request id, with additional header
 // lines.
 func Head(status int, id, lines string) string {
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\nX-Response-Seal: %s\r\n%s\r\n", status, http.StatusText(status), id, Seal(id), lines)
+	return fmt.Sprintf("HTTP/1.1 %03d %s\r\nX-Request-Id: %s\r\nX-Response-Seal: %s\r\n%s\r\n", status, http.StatusText(status), id, Seal(id), lines)
 }
 
 // Respond sends a complete response.
