A head with an invalid field name is a broken answer

Callers got answers in whose head the name of a field held a blank, with a body that was not the server's: behind "Transfer-Encoding : chunked" the sizes of the chunks were a part of it, behind "Content-Length : 4" it went on to the end of the connection. From the store, "Store-Era : 2" was an answer without an era, so that its counters passed for those of another copy.

Cause: the reader of net/http takes a blank in a name (it only leaves the name as it is), so that such a line says nothing about the body. A control byte, an empty name, a line without a colon and a control byte in a value are refused by it already, as is every other byte that is no part of a token.

Change: answers.Check refuses names that are no tokens (RFC 9110, section 5.6.2); RFC 9112, section 5.1, would let a proxy mend the line, but the bytes behind it can't be trusted in an answer that no sound server sends.

--- a/core/configuration/store/store.go
+++ b/core/configuration/store/store.go
@@ -50,6 +50,7 @@
 
 	"verbenashift/core/configuration/kv"
 	"verbenashift/core/configuration/store/wire"
+	"verbenashift/core/plumbing/answers"
 )
 
 const (
@@ -121,18 +122,18 @@
 
 // newTransport returns a transport that detects a dead peer by TCP keep-alive
 // probes in about ten seconds, since an idle watch sends nothing by itself.
-func newTransport(timeout time.Duration) *http.Transport {
+func newTransport(timeout time.Duration) http.RoundTripper {
 	const idleConns = 4
 	dialer := &net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 4 * time.Second, Interval: 2 * time.Second, Count: 3},
 	}
-	return &http.Transport{
+	return &answers.Transport{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
-	}
+	}}
 }
 
 // baseURL turns an address into the URL before a call's path.
--- a/core/configuration/store/store_test.go
+++ b/core/configuration/store/store_test.go
@@ -46,6 +46,19 @@
 	drop(w, r)
 }
 
+// malform answers with the header of the era in a line that is none.
+func malform(status int) http.HandlerFunc {
+	const body = `{"header":{"revision":"7"},"succeeded":true,"result":{"ID":"9","TTL":"5"}}`
+	return func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer c.Close()
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d Any\r\n%s : 2\r\nContent-Length: %d\r\n\r\n%s", status, wire.EraHeader, len(body), body)
+	}
+}
+
 // freeAddress returns an address without a listener.
 func freeAddress(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -92,6 +105,8 @@
 	}{
 		{name: "dropped", handler: drop, write: "unknown", keep: "unknown", read: "unavailable"},
 		{name: "cut answer", handler: cut, write: "unknown", keep: "unknown", read: "unavailable"},
+		{name: "malformed head", handler: malform(200), write: "unknown", keep: "unknown", read: "unavailable"},
+		{name: "malformed head of a refusal", handler: malform(404), write: "unknown", keep: "unknown", read: "unavailable"},
 		{name: "no JSON", handler: answer(200, "welcome"), write: "unknown", keep: "unknown", read: "unavailable"},
 		{name: "empty JSON", handler: answer(200, "{}"), write: "unknown", keep: "unknown", read: "unavailable"},
 		{name: "internal error", handler: answer(500, ""), write: "unknown", keep: "unknown", read: "unavailable"},
--- a/core/experts/rank/client.go
+++ b/core/experts/rank/client.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"verbenashift/core/experts/group"
+	"verbenashift/core/plumbing/answers"
 )
 
 const (
@@ -57,7 +58,7 @@
 		// The default is 10 MB.
 		MaxResponseHeaderBytes: maxHead,
 	}
-	return &Client{address: address, token: o.OrderToken, http: http.Client{Transport: tr}}
+	return &Client{address: address, token: o.OrderToken, http: http.Client{Transport: &answers.Transport{Transport: tr}}}
 }
 
 // StatusError is a response of the rank with a status other than success.
--- a/core/experts/rank/client_test.go
+++ b/core/experts/rank/client_test.go
@@ -15,6 +15,7 @@
 	"verbenashift/core/experts/group"
 	"verbenashift/core/experts/rank"
 	"verbenashift/core/membership/lease"
+	"verbenashift/core/plumbing/answers"
 )
 
 func order() rank.Order {
@@ -105,6 +106,23 @@
 	}
 }
 
+// Guards against acting on a response in whose head a line is none.
+func TestMalformedHead(t *testing.T) {
+	is := is.New(t)
+	c := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent Length: 2\r\n\r\n{}")
+	})
+	var invalid *answers.InvalidError
+	_, err := c.State(t.Context())
+	is.True(errors.As(err, &invalid))
+	is.True(errors.As(c.Apply(t.Context(), order()), &invalid))
+}
+
 // Guards against an agent that is killed for its memory because a rank sends a response without end.
 func TestResponseWithoutEnd(t *testing.T) {
 	is := is.New(t)
--- a/core/plumbing/answers/answers.go
+++ b/core/plumbing/answers/answers.go
@@ -1,5 +1,6 @@
 // Package answers checks that an answer is one of HTTP/1.1. The reader of net/http is lenient: it returns
-// answers whose status is none, and leaves it to its caller to reject them.
+// answers whose status is none or whose header fields have blanks in their names, and leaves it to its
+// caller to reject them.
 //
 // # Usage
 //
@@ -15,13 +16,14 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // InvalidError reports an answer that is none of HTTP/1.1. Nothing of it may be used.
 type InvalidError struct {
-	// Part is what is invalid: PartVersion or PartStatus.
+	// Part is what is invalid: PartVersion, PartStatus or PartName.
 	Part string
-	// Value is the number that was sent instead.
+	// Value is the number that was sent as the version or the status.
 	Value int
 }
 
@@ -29,10 +31,16 @@
 const (
 	PartVersion = "version"
 	PartStatus  = "status"
+	// PartName is the name of a header field.
+	PartName = "field-name"
 )
 
 // Error returns a message with the part and what was sent.
 func (e *InvalidError) Error() string {
+	if e.Part == PartName {
+		// The name itself may be anything, at any length.
+		return "invalid " + e.Part + " in the answer"
+	}
 	return fmt.Sprintf("invalid %s in the answer: %d", e.Part, e.Value)
 }
 
@@ -51,9 +59,26 @@
 	case r.StatusCode < minStatus || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols:
 		return &InvalidError{PartStatus, r.StatusCode}
 	}
+	for name := range r.Header {
+		if !isToken(name) {
+			return &InvalidError{Part: PartName}
+		}
+	}
 	return nil
 }
 
+// isToken reports whether s is a token of RFC 9110, section 5.6.2, as the names of fields must be.
+func isToken(s string) bool { return s != "" && !strings.ContainsFunc(s, isDelimiter) }
+
+// isDelimiter reports whether a token must not contain a character.
+func isDelimiter(r rune) bool {
+	switch {
+	case '0' <= r && r <= '9', 'a' <= r && r <= 'z', 'A' <= r && r <= 'Z':
+		return false
+	}
+	return !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
+}
+
 // Transport returns no invalid answers. It is for the connections to one server: after such an answer all
 // that are idle are closed.
 type Transport struct{ *http.Transport }
--- a/core/plumbing/answers/answers_test.go
+++ b/core/plumbing/answers/answers_test.go
@@ -39,6 +39,17 @@
 	}
 }
 
+func TestCheckNames(t *testing.T) {
+	for name, ok := range map[string]bool{
+		"X-Request-Id": true, "a": true, "!#$%&'*+-.^_`|~09azAZ": true,
+		"": false, "X Y": false, "X ": false, " X": false, "X\tY": false, "X\x00": false, "X\x7f": false, "X(": false, "\xe9": false, "é": false, "X:": false,
+	} {
+		is := is.New(t)
+		err := Check(&http.Response{ProtoMajor: 1, StatusCode: 200, Header: http.Header{name: {"1"}}})
+		is.Equal(err == nil, ok)
+	}
+}
+
 // serve answers each request on each connection with the next of a list of texts.
 func serve(t *testing.T, texts ...string) (url string) {
 	t.Helper()
--- a/core/request/target/target_test.go
+++ b/core/request/target/target_test.go
@@ -331,6 +331,20 @@
 	}
 }
 
+// A target in trouble sends a line of the head with a blank in its name. If that would say how the body
+// ends, the agent would pass on a body that is not the target's.
+func TestInvalidFieldIsBroken(t *testing.T) {
+	for _, field := range []string{"Transfer-Encoding : chunked", "Content-Length : 2", "Content Length: 2", "X Y: 1"} {
+		t.Run(field, func(t *testing.T) {
+			is := is.New(t)
+			addr, _ := raw(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n\r\n2\r\n{}\r\n0\r\n\r\n")
+			_, err := target.NewService(addr, target.Options{}).Do(t.Context(), target.Call{Method: "GET", Path: "/visitations/1"})
+			var broken *target.BrokenError
+			is.True(errors.As(err, &broken))
+		})
+	}
+}
+
 // An engine sends a document without end. The agent would be killed for its
 // memory, with all that is in progress.
 func TestDocumentWithoutEnd(t *testing.T) {
--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -160,6 +160,14 @@
 			x.Write(scripted.Head(600, x.ID(), "Content-Length: 5\r\n") + "other")
 			x.Close()
 		},
+		"blank in the name of a field": func(x *scripted.Exchange) {
+			x.Write(scripted.Head(200, x.ID(), "Content-Length: 5\r\nX Y: 1\r\n") + "other")
+			x.Close()
+		},
+		"chunks after a line with a blank": func(x *scripted.Exchange) {
+			x.Write(scripted.Head(200, x.ID(), "Transfer-Encoding : chunked\r\n") + "5\r\nother\r\n0\r\n\r\n")
+			x.Close()
+		},
 		"encoded": func(x *scripted.Exchange) {
 			x.Write(scripted.Head(200, x.ID(), "Content-Encoding: gzip\r\nContent-Length: 3\r\n") + "zip")
 		},
--- a/gateway/upstream/head_test.go
+++ b/gateway/upstream/head_test.go
@@ -207,3 +207,33 @@
 		is.Equal(got.Status, status)
 	}
 }
+
+// invalidFields are header lines that are none.
+var invalidFields = []string{
+	"Content-Length : 4", "Content Length: 4", "Transfer-Encoding : chunked", "Transfer-Encoding\t: chunked", "Id : 2",
+	"X Y: 1", "X\tY: 1", "X\x01Y: 1", "X\x7fY: 1", "\x00: 1", "X\rY: 1", "X\xe9: 1", "X(: 1", ": 1", "no colon",
+	"X: a\x01b", "X: a\x00b", "X: a\rb",
+}
+
+// Guards against a body that is not the server's, because a line of the head that is none says how it ends,
+// and against passing such a line on.
+func TestInvalidFields(t *testing.T) {
+	for _, field := range invalidFields {
+		for name, body := range map[string]string{
+			"chunks":    "Id: 1\r\n" + field + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+			"length":    "Id: 1\r\nContent-Length: 4\r\n" + field + "\r\n\r\nbody",
+			"no length": field + "\r\nId: 1\r\n\r\nbody",
+		} {
+			t.Run(fmt.Sprintf("%q, %s", field, name), func(t *testing.T) {
+				is := is.New(t)
+				addr, _ := answerWith(t, []string{statusLine + body, ""})
+				p := NewPool(addr, dial, echoes)
+				_, err := p.Do(t.Context(), newRequest("1"))
+				var broken *BrokenError
+				is.True(errors.As(err, &broken))
+				is.Equal(broken.Phase, "head")
+				is.Equal(p.NumOpen(), 0)
+			})
+		}
+	}
+}
