Chunks in an answer of HTTP/1.0 are faulty framing

A caller would get the sizes of the chunks as a part of the body, in an answer that looked complete, if a server sent a Transfer-Encoding with HTTP/1.0.

Cause: net/http drops the field for that version and reads to the end of the connection. RFC 9112, section 6.1, has such a message treated as one with faulty framing, even if it has a length.

Evidence: the three forms of TestChunksOfHTTP10 failed on the code before.

Change: the gateway looks for the field in the head before it is parsed, for HTTP/1.0 only; the answer is broken in its head. Other answers of HTTP/1.0 pass (TestAnswerOfHTTP10). Open: agents read with net/http, which hides the field; a length together with chunks in HTTP/1.1 is still read by its chunks, which that section allows, and a folded line is still joined to the one before it.

--- a/core/plumbing/heads/heads.go
+++ b/core/plumbing/heads/heads.go
@@ -18,6 +18,7 @@
 	"bytes"
 	"net/http"
 	"strconv"
+	"strings"
 )
 
 const (
@@ -112,6 +113,19 @@
 	return b
 }
 
+// HasField reports whether a complete head has a header field with a name.
+func HasField(head []byte, name string) bool {
+	_, rest, _ := bytes.Cut(head, newline)
+	for len(rest) > 0 {
+		var line []byte
+		line, rest = nextField(rest)
+		if field, _, ok := bytes.Cut(line, colon); ok && len(field) == len(name) && strings.EqualFold(string(field), name) {
+			return true
+		}
+	}
+	return false
+}
+
 var (
 	newline          = []byte("\n")
 	colon            = []byte(":")
--- a/core/plumbing/heads/heads_test.go
+++ b/core/plumbing/heads/heads_test.go
@@ -187,3 +187,18 @@
 		is.Equal(n, len(text)+10)
 	}
 }
+
+func TestHasField(t *testing.T) {
+	for head, has := range map[string]bool{
+		"HTTP/1.0 200 OK\r\nA: 1\r\n\r\n":          true,
+		"HTTP/1.0 200 OK\r\nB: 1\r\na:\r\n\r\n":    true,
+		"HTTP/1.0 200 OK\nB: 1\na: 1\n\n":          true,
+		"HTTP/1.0 200 OK\r\nB: 1\r\n A: 1\r\n\r\n": false,
+		"HTTP/1.0 200 A: OK\r\n\r\n":               false,
+		"HTTP/1.0 200 OK\r\nAA: 1\r\nB: A\r\n\r\n": false,
+		"A: 1\r\n\r\n": false,
+		"":             false,
+	} {
+		is.New(t).Equal(HasField([]byte(head), "A"), has)
+	}
+}
--- a/gateway/upstream/errors.go
+++ b/gateway/upstream/errors.go
@@ -53,6 +53,9 @@
 // errUnexpected is the cause when a server has sent an answer that belongs to no request.
 var errUnexpected = errors.New("unexpected answer on the connection")
 
+// errFraming is the cause when the head of an answer contradicts itself about the end of the body.
+var errFraming = errors.New("faulty framing of the answer")
+
 // withCause replaces the cause of an error by the reason why the attempt was canceled.
 func withCause(err, cause error) error {
 	var broken *BrokenError
--- a/gateway/upstream/head.go
+++ b/gateway/upstream/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 
@@ -19,35 +20,42 @@
 	headRoom = 2 * maxHead
 )
 
-// bufferHead reads until the buffer of the connection has the whole head of the next answer.
-// The error is a *TooLongError if the head exceeds a limit, or that of room.
-func (c *conn) bufferHead(ctx context.Context, room Room) error {
+// bufferHead reads until the buffer of the connection has the whole head of the next answer, and returns
+// it. The error is a *TooLongError if the head exceeds a limit, or that of room.
+func (c *conn) bufferHead(ctx context.Context, room Room) ([]byte, error) {
 	var scan heads.Scan
 	for {
 		b, err := c.br.Peek(c.br.Buffered())
 		if err != nil {
-			return err
+			return nil, err
 		}
 		switch ended := scan.Ends(b); {
 		case scan.Lines() > maxLines:
-			return &TooLongError{PartLines, int64(scan.Lines()), maxLines}
+			return nil, &TooLongError{PartLines, int64(scan.Lines()), maxLines}
 		case ended:
-			return nil
+			return b[:scan.Size()], nil
 		case len(b) >= maxHead:
-			return &TooLongError{PartHead, int64(len(b)), maxHead}
+			return nil, &TooLongError{PartHead, int64(len(b)), maxHead}
 		case len(b) == c.br.Size():
 			if err := c.enlarge(ctx, room); err != nil {
-				return err
+				return nil, err
 			}
 			scan = heads.Scan{}
 			continue
 		}
 		if err := c.fill(); err != nil {
-			return err
+			return nil, err
 		}
 	}
 }
 
+// isFaulty reports whether a head is one of HTTP/1.0 with a Transfer-Encoding, which that version does not
+// have. RFC 9112, section 6.1, has the framing of such an answer treated as faulty; net/http ignores the
+// field.
+func isFaulty(head []byte) bool {
+	return bytes.HasPrefix(head, []byte("HTTP/1.0")) && heads.HasField(head, "Transfer-Encoding")
+}
+
 // fill reads more bytes into the buffer of the connection.
 func (c *conn) fill() error {
 	_, err := c.br.Peek(c.br.Buffered() + 1)
--- a/gateway/upstream/head_test.go
+++ b/gateway/upstream/head_test.go
@@ -237,3 +237,26 @@
 		}
 	}
 }
+
+// Guards against passing on the sizes of chunks as a part of a body: HTTP/1.0 has no chunks.
+func TestChunksOfHTTP10(t *testing.T) {
+	for _, field := range []string{"Transfer-Encoding: chunked", "transfer-encoding:\r\n chunked", "Content-Length: 4\r\nTransfer-Encoding: chunked"} {
+		t.Run(field, func(t *testing.T) {
+			is := is.New(t)
+			addr, _ := answerWith(t, []string{"HTTP/1.0 200 OK\r\nId: 1\r\n" + field + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n", ""})
+			_, err := NewPool(addr, dial, echoes).Do(t.Context(), newRequest("1"))
+			var broken *BrokenError
+			is.True(errors.As(err, &broken))
+			is.Equal(broken.Phase, "head")
+		})
+	}
+}
+
+// Guards against losing the answers of servers of HTTP/1.0.
+func TestAnswerOfHTTP10(t *testing.T) {
+	is := is.New(t)
+	addr, _ := answerWith(t, []string{"HTTP/1.0 200 OK\r\nId: 1\r\nContent-Length: 28\r\n\r\n\nTransfer-Encoding: chunked\n"})
+	got, err := read(t, NewPool(addr, dial, echoes), newRequest("1"))
+	is.NoErr(err)
+	is.Equal(len(got), 28)
+}
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -187,9 +187,13 @@
 
 // readResponse reads the head of the next answer.
 func (c *conn) readResponse(ctx context.Context, r *Request) (*http.Response, error) {
-	if err := c.bufferHead(ctx, r.Room); err != nil {
+	head, err := c.bufferHead(ctx, r.Room)
+	if err != nil {
 		return nil, err
 	}
+	if isFaulty(head) {
+		return nil, errFraming
+	}
 	resp, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
 	if err != nil {
 		return nil, err
