A gateway answers its requests before a planned stop ends

Callers of a gateway that was stopped as planned lost requests: those still in progress at the end of the grace were cut without an answer, and a request whose body was received late in it was passed on first, one that may not be repeated included.

Cause: nothing asked whether a request could still be answered.

Evidence: with the process's end played (the server's connections close when stop returns), on the code before TestLateRequestIsRefused got no answer instead of 503, and the three kinds of TestRequestsInProgressAreAnsweredBeforeTheEnd none instead of 502. Ruled out: requests that are new on an open connection after the listener has closed; net/http closes such connections unread.

Change: once the listener closes, requests that are not passed on yet are refused (503, not run) as soon as their body is read, so that their callers can return at once. Requests in progress are canceled 0.25 s before the stop ends and get the outcome known then: 502 if a server may have run it, 503 if none has; streams that have begun are broken off as before. Answers that come in time are completed (TestAnswersInTimeAreCompletedInAShutdown, passed before).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -23,7 +23,7 @@
 // has disconnected.
 func (c *call) attempt(ctx context.Context) (kind retry.Kind, reason string, done bool) {
 	if ctx.Err() != nil {
-		return retry.RefusedAll, "deadline", c.callerLeft()
+		return retry.RefusedAll, endReason(ctx), c.callerLeft()
 	}
 	s, ok := c.pickOrWait(ctx)
 	if !ok && c.retryAfter > 0 {
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -18,7 +18,6 @@
 	"verbenashift/core/plumbing/boot"
 	"verbenashift/core/plumbing/instance"
 	"verbenashift/core/plumbing/intake"
-	"verbenashift/core/plumbing/pause"
 	"verbenashift/core/request/permit"
 	"verbenashift/core/request/quarantine"
 	"verbenashift/platform"
@@ -84,9 +83,6 @@
 	idleTimeout = 60 * time.Second
 	// headShare is the part of the memory for heads of requests that are not small.
 	headShare = 1.0 / 16
-	// rotationDelay is how long the load balancer takes to stop sending new
-	// connections: two checks, a second apart, plus a margin.
-	rotationDelay = 2500 * time.Millisecond
 )
 
 // callerLimits returns the limits of the connections of callers.
@@ -98,9 +94,7 @@
 	}
 }
 
-// serve listens for callers. On shutdown, answerReady fails the load balancer's checks
-// first. Callers are served until the balancer has noticed, and answers in progress are
-// completed.
+// serve listens for callers.
 func serve(lc fx.Lifecycle, env instance.Env, g *gateway) {
 	server := &http.Server{Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -120,9 +114,7 @@
 		},
 		OnStop: func(ctx context.Context) error {
 			defer cancel()
-			g.shuttingDown.Store(true)
-			pause.For(ctx, rotationDelay)
-			return server.Shutdown(ctx)
+			return g.stop(ctx, server)
 		},
 	})
 }
--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -35,6 +35,7 @@
 	t       *testing.T
 	gateway *gateway
 	front   string
+	server  *http.Server
 	view    mirror.Snapshot
 	calls   int
 }
@@ -96,7 +97,7 @@
 		front.CloseClientConnections()
 		front.Close()
 	})
-	r.front = front.Listener.Addr().String()
+	r.front, r.server = front.Listener.Addr().String(), front.Config
 	return r
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -37,9 +37,8 @@
 	tracer  trace.Tracer
 	fleet   *fleet
 	catalog atomic.Pointer[catalog]
-	// shuttingDown is set on SIGTERM: the readiness check fails from then on.
-	shuttingDown atomic.Bool
-	started      time.Time
+	started time.Time
+	*shutdown
 	// bodies bounds the bodies of requests, answers complete answers.
 	bodies, answers *buffers.Pool
 	// stallLimit is how long a caller may take to read the next part of its answer.
@@ -72,6 +71,7 @@
 	boot, log, now := env.Boot, env.Log, time.Now()
 	g := &gateway{
 		log: log, tracer: tracer, rng: newRand(), started: now,
+		shutdown:        newShutdown(),
 		startup:         startup.New(),
 		stallLimit:      stallLimit,
 		bodies:          newBuffers(boot.MemoryBytes),
@@ -327,12 +327,14 @@
 	if g.shuttingDown.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if !c.admit(cat) || c.refuseIfOutOfReach() || c.refuseIfQuarantined() {
+	if !c.admit(cat) || c.refuseIfStopping() || c.refuseIfOutOfReach() || c.refuseIfQuarantined() {
 		return
 	}
 	defer c.endProbe()
 	ctx, span := c.startSpan()
 	defer c.endSpan(span)
+	ctx, release := c.untilStopped(ctx)
+	defer release()
 	ctx, cancel := context.WithDeadlineCause(ctx, c.deadline, errDeadline)
 	defer cancel()
 	c.runInSlot(ctx)
