A placement with unknown experts does not end the coordinator

A server that names an expert its group does not have, in the answer about the experts that it holds, ended the sidecar that coordinates the group, and each one that took over: the coordinator reads ranks also where their own sidecar is silent.

Cause: the numbers of that answer were used as indices without a check.

Evidence: TestInvalidPlacementIsIgnored ended the test process on the code before (index out of range [6] with length 6, in Map.Replicas). Found while checking every place that reads answers, not reported.

Change: such a placement is not taken. The map in force then counts as unknown, so that no change is planned until the rank reports a valid one.

--- a/sidecar/placements.go
+++ b/sidecar/placements.go
@@ -22,6 +22,18 @@
 // mapBytes returns about how many bytes a packed map of the group has: two for each slot.
 func (p *planner) mapBytes() int { return 2 * p.engine.Sets * len(p.ranks) * p.engine.Places }
 
+// isValid reports whether a placement names only experts of the group. A server may report anything.
+func (p *planner) isValid(place *engine.Placement) bool {
+	for _, experts := range place.Experts {
+		for _, e := range experts {
+			if e < 0 || e >= p.engine.Experts {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // placementsKnown reports whether the placements of all ranks are those of the map in force.
 func (p *planner) placementsKnown(responses map[string]rankpeer.Response) bool {
 	for _, id := range p.ranks {
--- a/sidecar/planner.go
+++ b/sidecar/planner.go
@@ -151,7 +151,7 @@
 	chosen := make([]float64, p.engine.Sets*experts)
 	for _, id := range byRank {
 		t := responses[id]
-		if t.Placement != nil {
+		if t.Placement != nil && p.isValid(t.Placement) {
 			p.places[id] = t.Placement
 		}
 	}
--- a/sidecar/planner_test.go
+++ b/sidecar/planner_test.go
@@ -135,3 +135,38 @@
 		})
 	}
 }
+
+// Guards against a coordinator that ends because a rank reports a placement that is none.
+func TestInvalidPlacementIsIgnored(t *testing.T) {
+	valid := []int{0, 1}
+	for name, experts := range map[string][][]int{
+		"too large":     {valid, {0, 6}},
+		"far too large": {valid, {0, 1 << 40}},
+		"negative":      {{-2, 1}, valid},
+		"a layer more":  {valid, valid, valid},
+		"a layer less":  {valid},
+		"none at all":   nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := twoHotExperts(0)
+			now := time.Unix(1001, 0)
+			sample := rankpeer.NewSample(nil, []int64{900, 900, 60, 60, 60, 60, 900, 900, 60, 60, 60, 60})
+			responses := map[string]rankpeer.Response{}
+			for _, id := range []string{"a", "b", "c"} {
+				responses[id] = rankpeer.Response{Known: true, State: engine.State{Epoch: 1, Map: 6}}
+			}
+			odd := responses["a"]
+			odd.Placement = &engine.Placement{Epoch: 1, Map: 6, Experts: experts}
+			responses["a"] = odd
+			for _, id := range []string{"b", "c"} {
+				r := responses[id]
+				r.Placement = &engine.Placement{Epoch: 1, Map: 6, Experts: [][]int{{2, 3}, {4, 5}}}
+				responses[id] = r
+			}
+			p.observe(now, []string{"a", "b", "c"}, responses, []*rankpeer.Sample{sample})
+			_, _ = p.better(true)
+			is.True(!p.placed)
+		})
+	}
+}
