Heads of the agents' store and of the instance list are bounded at 32 KB

A head without end from the store, or with the list of instances, took the process that had asked for it to some 200 MB before it was refused.

Cause: these two clients kept the default limit of net/http, 10 MB, and short lines take many times their length once they are parsed.

Two guards, each seen killed.

--- a/core/configuration/store/store.go
+++ b/core/configuration/store/store.go
@@ -58,6 +58,8 @@
 	DefaultTimeout = 2 * time.Second
 	// MaxValue is the largest value that can be written, in bytes.
 	MaxValue = wire.MaxValue
+	// maxHead is the longest head of an answer in bytes.
+	maxHead = 32 << 10
 	// maxResponse bounds what is read of one answer, in bytes. It leaves room
 	// for about twenty values of the largest size in base64.
 	maxResponse = 32 << 20
@@ -133,6 +135,8 @@
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
+		// The default is 10 MB.
+		MaxResponseHeaderBytes: maxHead,
 	}}
 }
 
--- a/core/configuration/store/store_test.go
+++ b/core/configuration/store/store_test.go
@@ -196,6 +196,25 @@
 	is.Equal(version, int64(7))
 }
 
+// Guards against a process that is killed for its memory because the store sends a head without end:
+// short lines take many times their length.
+func TestHeadWithoutEnd(t *testing.T) {
+	is := is.New(t)
+	address, _ := server(t, func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer c.Close()
+		_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		for part := strings.Repeat("a:\n", 10<<10); err == nil; {
+			_, err = io.WriteString(c, part)
+		}
+	})
+	_, err := store.New(store.Config{Addresses: []string{address}}).Get(t.Context(), "k")
+	is.True(err != nil && strings.Contains(err.Error(), "exceeded 32768 bytes"))
+}
+
 func TestConflictNamesTheWinner(t *testing.T) {
 	is := is.New(t)
 	address, _ := server(t, answer(200, `{"header":{"revision":"7"},"responses":[{"response_range":{`+
--- a/core/membership/instances/instances.go
+++ b/core/membership/instances/instances.go
@@ -42,6 +42,8 @@
 	// maxList bounds the list, in bytes; a thousand instances take about a
 	// tenth of a megabyte.
 	maxList = 4 << 20
+	// maxHead is the longest head of an answer in bytes.
+	maxHead = 32 << 10
 	path    = "/instances"
 )
 
@@ -69,7 +71,7 @@
 	Address string
 	// Timeout bounds one call; 0 means DefaultTimeout.
 	Timeout time.Duration
-	// Transport carries the calls; nil means http.DefaultTransport.
+	// Transport carries the calls; nil means http.DefaultTransport with a bound on the heads of answers.
 	Transport http.RoundTripper
 }
 
@@ -89,12 +91,22 @@
 	if timeout <= 0 {
 		timeout = DefaultTimeout
 	}
+	transport := cfg.Transport
+	if transport == nil {
+		transport = newTransport()
+	}
 	return &Client{
 		url:  strings.TrimSuffix(url, "/") + path,
-		http: http.Client{Transport: cfg.Transport, Timeout: timeout},
+		http: http.Client{Transport: transport, Timeout: timeout},
 	}
 }
 
+func newTransport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxResponseHeaderBytes = maxHead
+	return t
+}
+
 // List reads the list once. An error never comes with a part of the list, so
 // that a truncated answer cannot be taken for a small fleet.
 func (c *Client) List(ctx context.Context) ([]Instance, error) {
--- a/core/membership/instances/instances_test.go
+++ b/core/membership/instances/instances_test.go
@@ -41,6 +41,26 @@
 	is.Equal(len(list), 0)
 }
 
+// Guards against a process that is killed for its memory because the platform sends a head without end:
+// short lines take many times their length.
+func TestHeadWithoutEnd(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer c.Close()
+		_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		for part := strings.Repeat("a:\n", 10<<10); err == nil; {
+			_, err = io.WriteString(c, part)
+		}
+	}))
+	defer s.Close()
+	_, err := instances.New(instances.Config{Address: s.URL}).List(t.Context())
+	is.True(err != nil && strings.Contains(err.Error(), "exceeded 32768 bytes"))
+}
+
 // tripper answers without a network, so that it can run in a synctest bubble.
 type tripper func(*http.Request) (*http.Response, error)
 
