An answer with the identifiers of two requests belongs to neither

A caller could get an answer in whose head its identifier was followed by another one: only the first was compared.

Cause: the identifier was read as the first value of its header.

An identifier that is repeated is still one (TestRepeatedIdentifier).

--- a/gateway/rules_test.go
+++ b/gateway/rules_test.go
@@ -169,6 +169,10 @@
 			x.Write(scripted.Head(200, x.ID(), "Transfer-Encoding : chunked\r\n") + "5\r\nother\r\n0\r\n\r\n")
 			x.Close()
 		},
+		"identifiers of two requests": func(x *scripted.Exchange) {
+			x.Write(scripted.Head(200, x.ID(), "X-Request-Id: another\r\nContent-Length: 5\r\n") + "other")
+			x.Close()
+		},
 		"encoded": func(x *scripted.Exchange) {
 			x.Write(scripted.Head(200, x.ID(), "Content-Encoding: gzip\r\nContent-Length: 3\r\n") + "zip")
 		},
@@ -200,6 +204,16 @@
 	}
 }
 
+// Guards against rejecting an answer whose identifier is repeated.
+func TestRepeatedIdentifier(t *testing.T) {
+	s := scripted.Serve(t, func(x *scripted.Exchange) {
+		x.Write(scripted.Head(200, x.ID(), "X-Request-Id: "+x.ID()+"\r\nContent-Length: 5\r\n") + "whole")
+	})
+	r := newRig(t, routeOf(deployment.Unsafe), s)
+	_, got := r.send()
+	r.Equal(got.Body, "whole")
+}
+
 // Guards against a second run of a booking that may have run, and against the outcomes "not run"
 // and success for it.
 func TestBrokenBookingIsUnknown(t *testing.T) {
