A process test of the answers of a gateway that is stopped

Forty requests that may not be repeated are at servers that do not answer, at a real gateway that gets SIGTERM. With them all get 502.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -351,6 +351,37 @@
 	s.True(bytes.Contains([]byte(s.log("front-0")), []byte(`"msg":"stopped"`)))
 }
 
+// Guards against requests that are cut without an answer because a gateway ends before their server has
+// answered.
+func TestFleetStoppedGatewayAnswersAll(t *testing.T) {
+	const wait = 15 * time.Second // longer than the gateway has for its stop
+	s := startFleet(t, fleet.Shape{Block: "127.0.113"})
+	s.configure(int(wait.Milliseconds()), []string{"front-0"})
+	for i := range s.Plains() {
+		s.SetFault(i, fleet.Unresponsive)
+	}
+	played := make(chan []fleet.Call, 1)
+	go func() { played <- fleet.PlayHolds(s.ctx, s.Fleet, 0, 40, wait) }()
+	time.Sleep(time.Second)
+	s.signal("front-0", syscall.SIGTERM)
+	calls := <-played
+	status := map[int]int{}
+	for _, c := range calls {
+		if c.Front == s.Fronts[0] {
+			status[c.Status]++
+		}
+	}
+	s.True(status[http.StatusBadGateway] > 0)
+	s.Equal(len(status), 1)
+	v := fleet.Judge(s.Fleet, calls)
+	s.True(v.Passed())
+	s.mu.Lock()
+	cmd := s.cmds["front-0"]
+	s.mu.Unlock()
+	s.NoErr(cmd.Wait())
+	s.True(strings.Contains(s.log("front-0"), `"clean":true`))
+}
+
 // Guards against gateways that all get SIGTERM at once and end without reporting that they are
 // not ready: the load balancer would go on sending callers to a closed port.
 func TestFleetAllGatewaysStop(t *testing.T) {
--- a/standin/fleet/play.go
+++ b/standin/fleet/play.go
@@ -41,6 +41,8 @@
 	// body. parts are the parts of its prompt after the first, but for its own.
 	path, body string
 	parts      []string
+	// wait is how long its caller waits for the head of the answer; 0 means eventTimeout.
+	wait time.Duration
 }
 
 // sharedParts is how many first parts the prompts of all requests have.
@@ -59,6 +61,16 @@
 	callTimeout = 20 * time.Second
 )
 
+// PlayHolds sends n requests that may not be repeated to one gateway, whose callers wait longer than usual.
+func PlayHolds(ctx context.Context, f *Fleet, gateway, n int, wait time.Duration) []Call {
+	f.Crowd(gateway)
+	defer f.Crowd(NoCrowd)
+	return send(ctx, f, requestInterval, func(i int) bool { return i < n }, func(i int) *Call {
+		id := newID()
+		return &Call{ID: id, Kind: unsafePrefix, path: id, First: firstPart(i), wait: wait}
+	})
+}
+
 // Play sends n requests of all kinds to the gateways in turn.
 func Play(ctx context.Context, f *Fleet, n int) []Call {
 	return play(ctx, f, func(i int) bool { return i < n })
@@ -152,8 +164,12 @@
 	return done
 }
 
-// eventTimeout is how long a caller waits for the first event and for each next one.
-const eventTimeout = 2 * time.Second
+const (
+	// eventTimeout is how long a caller waits for the first event and for each next one.
+	eventTimeout = 2 * time.Second
+	// usualDeadline is the deadline that callers state.
+	usualDeadline = 8 * time.Second
+)
 
 func (c *Call) send(ctx context.Context, client *http.Client, front string) {
 	c.At = time.Now()
@@ -167,7 +183,11 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timeout := time.AfterFunc(eventTimeout, cancel)
+	wait, deadline := eventTimeout, usualDeadline
+	if c.wait > 0 {
+		wait, deadline = c.wait, c.wait
+	}
+	timeout := time.AfterFunc(wait, cancel)
 	defer timeout.Stop()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+front+c.Kind+c.path, body)
 	if err != nil {
@@ -176,7 +196,7 @@
 	req.Host = host
 	req.GetBody = nil
 	for k, v := range map[string]string{
-		"X-Request-Id": c.ID, "X-Deadline-Ms": "8000", "Authorization": "Token " + secret,
+		"X-Request-Id": c.ID, "X-Deadline-Ms": strconv.FormatInt(deadline.Milliseconds(), 10), "Authorization": "Token " + secret,
 		"X-Model": "m", "X-Token-Usage": "100,50", "X-Prompt-Prefix": c.prefix(),
 	} {
 		req.Header.Set(k, v)
