--- a/gateway/upstream/head.go
+++ b/gateway/upstream/head.go
@@ -49,10 +49,10 @@
 	}
 }
 
-// isFaulty reports whether a head is one of HTTP/1.0 with a Transfer-Encoding, which that version does not
+// hasFaultyFraming reports whether a head is one of HTTP/1.0 with a Transfer-Encoding, which that version does not
 // have. RFC 9112, section 6.1, has the framing of such an answer treated as faulty; net/http ignores the
 // field.
-func isFaulty(head []byte) bool {
+func hasFaultyFraming(head []byte) bool {
 	return bytes.HasPrefix(head, []byte("HTTP/1.0")) && heads.HasField(head, "Transfer-Encoding")
 }
 
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -191,7 +191,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if isFaulty(head) {
+	if hasFaultyFraming(head) {
 		return nil, errFraming
 	}
 	resp, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
