--- a/core/configuration/store/store_test.go
+++ b/core/configuration/store/store_test.go
@@ -46,7 +46,7 @@
 	drop(w, r)
 }
 
-// malform answers with the header of the era in a line that is none.
+// malform answers with the header of the era under an invalid name.
 func malform(status int) http.HandlerFunc {
 	const body = `{"header":{"revision":"7"},"succeeded":true,"result":{"ID":"9","TTL":"5"}}`
 	return func(w http.ResponseWriter, _ *http.Request) {
--- a/core/experts/rank/client_test.go
+++ b/core/experts/rank/client_test.go
@@ -106,7 +106,7 @@
 	}
 }
 
-// Guards against acting on a response in whose head a line is none.
+// Guards against acting on a response with an invalid header line.
 func TestMalformedHead(t *testing.T) {
 	is := is.New(t)
 	c := serve(t, func(w http.ResponseWriter, _ *http.Request) {
--- a/core/plumbing/answers/answers.go
+++ b/core/plumbing/answers/answers.go
@@ -1,5 +1,5 @@
-// Package answers checks that an answer is one of HTTP/1.1. The reader of net/http is lenient: it returns
-// answers whose status is none or whose header fields have blanks in their names, and leaves it to its
+// Package answers checks that an answer is valid HTTP/1.1. The reader of net/http is lenient: it returns
+// answers with invalid statuses, or with blanks in the names of header fields, and leaves it to its
 // caller to reject them.
 //
 // # Usage
@@ -19,7 +19,7 @@
 	"strings"
 )
 
-// InvalidError reports an answer that is none of HTTP/1.1. Nothing of it may be used.
+// InvalidError reports an answer that is not valid HTTP/1.1. Nothing of it may be used.
 type InvalidError struct {
 	// Part is what is invalid: PartVersion, PartStatus or PartName.
 	Part string
--- a/core/request/target/target_test.go
+++ b/core/request/target/target_test.go
@@ -311,7 +311,7 @@
 	}
 }
 
-// A target in trouble sends a status that is none: the agent would pass it on, or what follows its head,
+// A target in trouble sends an invalid status: the agent would pass it on, or what follows its head,
 // as the answer.
 func TestInvalidStatusIsBroken(t *testing.T) {
 	for _, line := range []string{
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -57,7 +57,7 @@
 		return err
 	}
 	s.endCalls()
-	// A Shutdown checks less and less often whether it is complete: this one often again.
+	// Shutdown polls at growing intervals: a new call polls often again.
 	return server.Shutdown(ctx)
 }
 
--- a/gateway/upstream/head_test.go
+++ b/gateway/upstream/head_test.go
@@ -169,7 +169,7 @@
 	is.NoErr(err) // it fits the buffer of the connection
 }
 
-// Guards against passing on what follows a head that is none of HTTP/1 as the answer, and against
+// Guards against passing on what follows an invalid status line as the answer, and against
 // passing such a head on.
 func TestInvalidStatus(t *testing.T) {
 	for _, line := range []string{
@@ -208,14 +208,14 @@
 	}
 }
 
-// invalidFields are header lines that are none.
+// invalidFields are invalid header lines.
 var invalidFields = []string{
 	"Content-Length : 4", "Content Length: 4", "Transfer-Encoding : chunked", "Transfer-Encoding\t: chunked", "Id : 2",
 	"X Y: 1", "X\tY: 1", "X\x01Y: 1", "X\x7fY: 1", "\x00: 1", "X\rY: 1", "X\xe9: 1", "X(: 1", ": 1", "no colon",
 	"X: a\x01b", "X: a\x00b", "X: a\rb",
 }
 
-// Guards against a body that is not the server's, because a line of the head that is none says how it ends,
+// Guards against a body that is not the server's, because an invalid header line says how it ends,
 // and against passing such a line on.
 func TestInvalidFields(t *testing.T) {
 	for _, field := range invalidFields {
--- a/sidecar/planner_test.go
+++ b/sidecar/planner_test.go
@@ -136,7 +136,7 @@
 	}
 }
 
-// Guards against a coordinator that ends because a rank reports a placement that is none.
+// Guards against a coordinator that ends because a rank reports an invalid placement.
 func TestInvalidPlacementIsIgnored(t *testing.T) {
 	valid := []int{0, 1}
 	for name, experts := range map[string][][]int{
